--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module prints its own table."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The specification: small models for the model checker."""
--- /dev/null
+++ b/src/guavachute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: one module for each console script."""
--- /dev/null
+++ b/src/guavachute/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions: (state, event, now) to actions."""
--- /dev/null
+++ b/src/guavachute/document/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document: its schema and its checks."""
--- /dev/null
+++ b/src/guavachute/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP service on cheroot, shared by routers and stand-ins."""
--- /dev/null
+++ b/src/guavachute/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: named services, tasks and their mailboxes."""
--- /dev/null
+++ b/src/guavachute/kernel/kernel.py
@@ -0,0 +1,70 @@
+"""The micro-kernel: services by name, started and stopped in order."""
+
+import contextlib
+import threading
+import typing
+
+from guavachute.kernel import mailbox
+from guavachute.kernel import task
+
+STOP_TIMEOUT_S = 10.0
+
+
+class Kernel:
+    """Hosts the tasks of one process and lets them find each other.
+
+    Services are started in the order of :meth:`add` and stopped in the
+    reverse order, so that a service may rely on those before it.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: dict[str, task.Task] = {}
+        self._stop_wanted = threading.Event()
+        self.broken_task: str | None = None
+
+    def add(self, service: task.Task) -> None:
+        """Host *service* under its name, which must be free."""
+        assert service.name not in self._tasks, service.name
+        service.on_broken = self._task_broke
+        self._tasks[service.name] = service
+
+    def find(self, name: str) -> task.Task:
+        """The service called *name*; it must have been added."""
+        assert name in self._tasks, f'no service called {name!r}'
+        return self._tasks[name]
+
+    def has(self, name: str) -> bool:
+        """Whether a service called *name* is hosted here."""
+        return name in self._tasks
+
+    def send(self, name: str, message: mailbox.Message) -> None:
+        """Put *message* into the mailbox of the service *name*."""
+        self.find(name).mailbox.send(message)
+
+    def request_stop(self) -> None:
+        """Release :meth:`wait`; safe to call from a signal handler."""
+        self._stop_wanted.set()
+
+    def wait(self) -> None:
+        """Block until someone asks for the end or a task breaks."""
+        # A wait without a timeout would hold back signal handlers.
+        while not self._stop_wanted.wait(0.2):
+            pass
+
+    @contextlib.contextmanager
+    def running(self) -> typing.Iterator[None]:
+        """Start every service, and stop them all at the end."""
+        started: list[task.Task] = []
+        try:
+            for service in self._tasks.values():
+                service.start()
+                started.append(service)
+            yield
+        finally:
+            for service in reversed(started):
+                service.request_stop()
+                service.join(STOP_TIMEOUT_S)
+
+    def _task_broke(self, name: str) -> None:
+        self.broken_task = name
+        self.request_stop()
--- /dev/null
+++ b/src/guavachute/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, counters and traces."""
--- /dev/null
+++ b/src/guavachute/observe/counters.py
@@ -0,0 +1,59 @@
+"""Counters and gauges: kept in the process and sent by statsd.
+
+They are kept as well, so that ``guavachute status`` and the tests can
+read them without a statsd server.
+"""
+
+import threading
+
+import statsd
+
+
+class Counters:
+    """The counters of one process; safe to use from any thread.
+
+    :param client: where to send them; None keeps them here only
+    """
+
+    def __init__(self, client: statsd.StatsClient | None = None) -> None:
+        self._client = client
+        self._lock = threading.Lock()
+        self._values: dict[str, float] = {}
+
+    def add(self, name: str, amount: float = 1) -> None:
+        """Increase the counter *name* by *amount*."""
+        with self._lock:
+            self._values[name] = self._values.get(name, 0) + amount
+        if self._client is not None:
+            self._client.incr(name, amount)
+
+    def set(self, name: str, value: float) -> None:
+        """Set the gauge *name* to *value*."""
+        with self._lock:
+            self._values[name] = value
+        if self._client is not None:
+            self._client.gauge(name, value)
+
+    def observe_s(self, name: str, duration_s: float) -> None:
+        """Report a duration to statsd; only its count is kept here."""
+        self.add(f'{name}.count')
+        if self._client is not None:
+            self._client.timing(name, duration_s * 1000)
+
+    def value(self, name: str) -> float:
+        """The present value of *name*; 0 when it was never touched."""
+        with self._lock:
+            return self._values.get(name, 0)
+
+    def snapshot(self) -> dict[str, float]:
+        """All values, by name."""
+        with self._lock:
+            return dict(sorted(self._values.items()))
+
+
+def connect(address: str | None, prefix: str) -> Counters:
+    """Counters sent to the statsd server at *address* (``IP:PORT``)."""
+    if address is None:
+        return Counters()
+    host, _, port = address.rpartition(':')
+    return Counters(statsd.StatsClient(host, int(port), prefix))
--- /dev/null
+++ b/src/guavachute/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: log service, VM list, cloud API."""
--- /dev/null
+++ b/src/guavachute/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services around the decisions; they own sockets and threads."""
--- /dev/null
+++ b/src/guavachute/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, for tests and the demo."""
--- /dev/null
+++ b/src/guavachute/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the system's own processes."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests by kind: cover (fast, focused) and nocover (processes)."""
--- /dev/null
+++ b/tests/cover/__init__.py
@@ -0,0 +1,1 @@
+"""Focused tests that run in one process."""
--- /dev/null
+++ b/tests/nocover/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that start the programs as separate processes."""
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the tests share."""
