--- /dev/null
+++ b/src/guavachute/settings.py
@@ -0,0 +1,65 @@
+"""Settings of the programs: JSON, checked, with errors that name the path.
+
+Each program has one struct. Unknown fields are refused, for a misspelt
+setting that is silently ignored is worse than one that is refused.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+
+from guavachute import outcome
+
+Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Host = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}$')
+]
+AddressText = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
+]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
+LogLevel = typing.Literal['debug', 'info', 'notice', 'warning', 'error']
+
+
+class Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings that refuse fields they don't know."""
+
+
+class Traces(Strict, frozen=True):
+    """Where spans go.
+
+    :ivar path: file for the exporter ``json-lines``
+    :ivar url: collector for the exporter ``otlp``
+    """
+
+    exporter: typing.Literal['none', 'json-lines', 'otlp'] = 'none'
+    path: str | None = None
+    url: str | None = None
+
+
+class Observe(Strict, frozen=True):
+    """Logs, counters and traces."""
+
+    log_level: LogLevel = 'notice'
+    statsd: AddressText | None = None
+    traces: Traces = Traces()
+
+
+Settings = typing.TypeVar('Settings')
+
+
+def load(
+    path: pathlib.Path, expected: type[Settings]
+) -> Settings | outcome.Failure:
+    """The settings in the file *path*, or what is wrong with them."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        return outcome.Failure(
+            outcome.Reason.UNREADABLE, f'{path}: {error.strerror}'
+        )
+    try:
+        return msgspec.json.decode(text, type=expected)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'{path}: {error}')
