Install again only when the dependencies change

Cause: file times differ in every checkout. Change: the stamp holds the digest of what was installed. Conclusion: a fresh work tree reuses it.

--- a/build.sh
+++ b/build.sh
@@ -23,14 +23,17 @@
 }
 
 environment() {
-    if [ -f "$STAMP" ] && [ "$STAMP" -nt pyproject.toml ] \
-            && [ "$STAMP" -nt constraints.txt ]; then
+    # The stamp holds what was installed, not when: a fresh checkout has
+    # new file times but mostly the same dependencies.
+    local wanted
+    wanted=$(cat pyproject.toml constraints.txt | sha256sum)
+    if [ -f "$STAMP" ] && [ "$(cat "$STAMP")" = "$wanted" ]; then
         return
     fi
     [ -x "$ENVIRONMENT/bin/python" ] || python3 -m venv "$ENVIRONMENT"
     "$ENVIRONMENT/bin/pip" install --quiet --disable-pip-version-check \
         --constraint constraints.txt --editable '.[develop,otlp,plot]'
-    touch "$STAMP"
+    printf '%s\n' "$wanted" > "$STAMP"
 }
 
 python() {
