Add the router: callers' HTTP, the relay task, plain calls, draining

Cause: nothing serves a caller yet. Change: cheroot's workers read, authenticate and check; one selector task owns both connections of each model request, numbers the tokens, drops events of other requests or attempts, and resumes a broken answer at another endpoint from the next token. Plain services go by urllib3 in bounded threads; orders are refused as not run until they can be claimed. SIGTERM drains.

--- /dev/null
+++ b/src/guavachute/assembly/__init__.py
@@ -0,0 +1,1 @@
+"""Puts services together into the processes that the programs run."""
--- /dev/null
+++ b/src/guavachute/assembly/router.py
@@ -0,0 +1,185 @@
+"""A router: the callers' HTTP, the relay, and the feed of tables."""
+
+import contextlib
+import threading
+import time
+import typing
+
+import msgspec
+
+from guavachute.document import schema
+from guavachute.http import server
+from guavachute import ids
+from guavachute.kernel import kernel
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute.observe import traces
+from guavachute import outcome
+from guavachute.services import front
+from guavachute.services import plain_calls
+from guavachute.services.relay import task as relay_task
+from guavachute.services import replies
+from guavachute.services import table_feed
+from guavachute import settings
+from guavachute.wire import tables
+
+ADDRESS_MARGIN_S = 1.0
+"""Beyond the lifetime of an answer, for callers whose clock is slow."""
+
+HAND_OVER_MARGIN_S = 2.0
+PAUSE_S = 0.05
+
+_log = logs.logger('router')
+
+
+class RouterSettings(settings.Strict, frozen=True, kw_only=True):
+    """Settings of ``guavachute-router``.
+
+    :ivar node: the id of the VM
+    :ivar node_address: where the VM's node process gives tables
+    :ivar reuse_port: share the port with other routers of the VM
+    :ivar drain_limit_s: from SIGTERM until callers are handed over
+    """
+
+    node: str
+    failure_domain: str
+    region: str
+    node_address: settings.AddressText
+    host: settings.Host = '127.0.0.1'
+    port: settings.Port = 0
+    reuse_port: bool = False
+    drain_limit_s: settings.Seconds = 60.0
+    observe: settings.Observe = settings.Observe()
+
+
+class Router:
+    """The services of one router process, on a kernel of their own."""
+
+    def __init__(
+        self,
+        wanted: RouterSettings,
+        count: counters.Counters,
+        tracer: traces.Tracer,
+    ) -> None:
+        self._settings = wanted
+        self._name = ids.new_random_id('router')
+        self.count = count
+        self.kernel = kernel.Kernel()
+        self.relay = relay_task.Relay(wanted.region, count, tracer)
+        self.plain_calls = plain_calls.PlainCalls(
+            wanted.region, count, tracer, _NoClaims()
+        )
+        self.front = front.Front(self.kernel, count, tracer)
+        self.server = server.Server(
+            'http',
+            wanted.host,
+            wanted.port,
+            self.front.handle,
+            reuse_port=wanted.reuse_port,
+        )
+        self.server.format_errors(
+            _error_body, 'application/json', _error_headers
+        )
+        self._ttl_s = schema.Policy().address_ttl_s
+        self.feed = table_feed.TableFeed(
+            wanted.node_address, count, self._put_in_force, self._report
+        )
+        for service in (self.relay, self.plain_calls, self.feed):
+            self.kernel.add(service)
+        self.kernel.add(self.server)
+
+    @property
+    def address(self) -> str:
+        """Where callers connect."""
+        return self.server.address
+
+    def drain(self) -> None:
+        """Take leave of the callers; returns when none is left.
+
+        Callers keep the addresses that they were told for a while, so
+        the router serves on until the last answer that names it has run
+        out. Then it stops listening and finishes what it has accepted.
+        """
+        end_s = time.monotonic() + self._settings.drain_limit_s
+        _log.notice('draining')
+        self.front.draining.set()
+        self.feed.mailbox.send('report')
+        expired_s = time.monotonic() + self._ttl_s + ADDRESS_MARGIN_S
+        _pause_until(min(expired_s, end_s))
+        self.server.request_stop()
+        idle = threading.Event()
+        self.relay.mailbox.send(relay_task.TellWhenIdle(idle))
+        hand_over_s = end_s - HAND_OVER_MARGIN_S
+        while time.monotonic() < hand_over_s:
+            if idle.wait(PAUSE_S) and not self.plain_calls.active:
+                _log.notice('drained')
+                return
+        _log.warning('drain limit reached, handing callers over')
+        self.relay.mailbox.send(relay_task.HandOver())
+        idle.wait(HAND_OVER_MARGIN_S)
+
+    def _put_in_force(self, new: tables.Tables) -> None:
+        view = front.view_of(new)
+        self._ttl_s = view.document.policy.address_ttl_s
+        self.relay.mailbox.send(relay_task.TablesChanged(new))
+        self.plain_calls.put_in_force(new)
+        self.front.put_in_force(view)
+
+    def _report(self, offset: int) -> tables.RouterReport:
+        return tables.RouterReport(
+            router=self._name,
+            address=self.address,
+            offset=offset,
+            draining=self.front.draining.is_set(),
+            active_requests=self.relay.active + self.plain_calls.active,
+            used_tokens=self.relay.used_tokens,
+        )
+
+
+@contextlib.contextmanager
+def running(wanted: RouterSettings) -> typing.Iterator[Router]:
+    """A router that serves; the caller drains it."""
+    observe = wanted.observe
+    count = counters.connect(observe.statsd, 'guavachute.router')
+    with traces.exporting('guavachute-router', observe.traces) as tracer:
+        router = Router(wanted, count, tracer)
+        with router.kernel.running():
+            yield router
+
+
+class _NoClaims:
+    """Refuses orders where no claim service is there."""
+
+    def claim(
+        self, call: plain_calls.PlainCall, now_s: float
+    ) -> plain_calls.Answer | plain_calls.Failed | None:
+        return plain_calls.Failed(
+            outcome.Verdict.NOT_RUN,
+            outcome.Failure(
+                outcome.Reason.UNAVAILABLE, 'orders can not be claimed'
+            ),
+        )
+
+    def answered(
+        self, call: plain_calls.PlainCall, answer: plain_calls.Answer
+    ) -> None:
+        raise AssertionError('nothing was claimed')
+
+
+def _pause_until(end_s: float) -> None:
+    while time.monotonic() < end_s:
+        time.sleep(PAUSE_S)
+
+
+def _error_body(status: int, detail: str) -> bytes:
+    code = outcome.Reason.BAD_REQUEST
+    if status == 413:
+        code = outcome.Reason.BODY_TOO_LARGE
+    error = replies.ErrorDetail(detail, 'invalid_request_error', code.value)
+    return msgspec.json.encode(replies.ErrorBody(error))
+
+
+def _error_headers() -> list[tuple[bytes, bytes]]:
+    request_id = ids.new_random_id('req')
+    lines = replies.headers(request_id, outcome.Verdict.NOT_RUN)
+    return [(name.encode(), value.encode()) for name, value in lines.items()]
--- /dev/null
+++ b/src/guavachute/cli/process.py
@@ -0,0 +1,57 @@
+"""What all the programs share: settings, signals, the end."""
+
+import contextlib
+import pathlib
+import signal
+import sys
+import typing
+
+import msgspec
+
+from guavachute import outcome
+from guavachute import settings
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+Settings = typing.TypeVar('Settings')
+
+
+def fail(message: object, code: int = EXIT_FAILED) -> typing.NoReturn:
+    """End the program with one line on standard error."""
+    print(f'guavachute: {message}', file=sys.stderr)
+    raise SystemExit(code)
+
+
+def load_settings(path: pathlib.Path, expected: type[Settings]) -> Settings:
+    """The checked settings; ends the program when they are wrong."""
+    loaded = settings.load(path, expected)
+    if isinstance(loaded, outcome.Failure):
+        fail(loaded.detail, EXIT_USAGE)
+    return loaded
+
+
+@contextlib.contextmanager
+def stopped_by_signals(
+    on_stop: typing.Callable[[], None],
+) -> typing.Iterator[None]:
+    """Call *on_stop* on SIGTERM and SIGINT."""
+
+    def handle(number: int, frame: typing.Any) -> None:
+        on_stop()
+
+    before = {
+        number: signal.signal(number, handle)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
+def announce(program: str, **addresses: str) -> None:
+    """Print one JSON line that says where the program listens."""
+    line = msgspec.json.encode({'program': program, **addresses})
+    print(line.decode(), flush=True)
--- /dev/null
+++ b/src/guavachute/cli/router.py
@@ -0,0 +1,44 @@
+"""``guavachute-router``: serves callers on one entry VM."""
+
+import dataclasses
+import pathlib
+import sys
+
+import cappa
+
+from guavachute.assembly import router
+from guavachute.cli import process
+from guavachute.observe import logs
+
+
+@cappa.command(name='guavachute-router')
+@dataclasses.dataclass
+class RouterCommand:
+    """Serve callers: HTTP, queues, streams to endpoints."""
+
+    settings: pathlib.Path
+    """JSON file with the router's settings."""
+
+
+def run(command: RouterCommand) -> int:
+    """Serve until SIGTERM, then drain; the exit status."""
+    wanted = process.load_settings(command.settings, router.RouterSettings)
+    with logs.to_stderr(wanted.observe.log_level):
+        with router.running(wanted) as running:
+            stop = running.kernel.request_stop
+            with process.stopped_by_signals(stop):
+                process.announce('guavachute-router', http=running.address)
+                running.kernel.wait()
+                if running.kernel.broken_task:
+                    return process.EXIT_FAILED
+                running.drain()
+    return 0
+
+
+def main() -> None:
+    """The console script."""
+    sys.exit(run(cappa.parse(RouterCommand)))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/guavachute/observe/traces.py
@@ -0,0 +1,97 @@
+"""Traces: a span for each hop, with the W3C ``traceparent`` passed on.
+
+The OpenTelemetry SDK is imported only when spans are exported. Without
+an exporter the API's no-op tracer still passes the caller's context on.
+"""
+
+import contextlib
+import typing
+
+from opentelemetry import context as otel_context
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+
+from guavachute import settings
+
+Span = trace.Span
+Context = otel_context.Context
+
+_propagator = tracecontext.TraceContextTextMapPropagator()
+
+
+class Tracer:
+    """Starts the spans of one process."""
+
+    def __init__(self, tracer: trace.Tracer) -> None:
+        self._tracer = tracer
+
+    def start(
+        self,
+        name: str,
+        parent: Context | None,
+        attributes: dict[str, str | int] | None = None,
+    ) -> Span:
+        """A started span; the caller ends it."""
+        return self._tracer.start_span(
+            name, context=parent, attributes=attributes
+        )
+
+
+def context_from(headers: typing.Mapping[str, str]) -> Context:
+    """The caller's context; *headers* has names in lower case."""
+    return _propagator.extract(headers)
+
+
+def context_of(span: Span, parent: Context | None = None) -> Context:
+    """The context for hops below *span*."""
+    return trace.set_span_in_context(span, parent)
+
+
+def headers_for(context: Context) -> dict[str, str]:
+    """The headers that pass *context* on."""
+    headers: dict[str, str] = {}
+    _propagator.inject(headers, context)
+    return headers
+
+
+def fail(span: Span, reason: str) -> None:
+    """Mark *span* as failed."""
+    span.set_attribute('guavachute.reason', reason)
+    span.set_status(trace.StatusCode.ERROR, reason)
+
+
+@contextlib.contextmanager
+def exporting(
+    service_name: str, wanted: settings.Traces
+) -> typing.Iterator[Tracer]:
+    """A tracer whose spans are exported; flushed at the end."""
+    if wanted.exporter == 'none':
+        yield Tracer(trace.NoOpTracer())
+        return
+    from opentelemetry.sdk import resources
+    from opentelemetry.sdk import trace as sdk_trace
+    from opentelemetry.sdk.trace import export
+
+    provider = sdk_trace.TracerProvider(
+        resource=resources.Resource({'service.name': service_name}),
+        shutdown_on_exit=False,
+    )
+    provider.add_span_processor(export.BatchSpanProcessor(_exporter(wanted)))
+    try:
+        yield Tracer(provider.get_tracer('guavachute'))
+    finally:
+        provider.shutdown()
+
+
+def _exporter(wanted: settings.Traces) -> typing.Any:
+    if wanted.exporter == 'json-lines':
+        from opentelemetry.sdk.trace import export
+
+        assert wanted.path is not None, 'checked by the settings'
+        return export.ConsoleSpanExporter(
+            out=open(wanted.path, 'a', encoding='utf-8'),
+            formatter=lambda span: span.to_json(indent=None) + '\n',
+        )
+    from opentelemetry.exporter.otlp.proto.http import trace_exporter
+
+    return trace_exporter.OTLPSpanExporter(endpoint=wanted.url)
--- /dev/null
+++ b/src/guavachute/platform/vm_list.py
@@ -0,0 +1,77 @@
+"""Client of the platform's VM list."""
+
+import enum
+import typing
+
+import msgspec
+import urllib3
+
+from guavachute import outcome
+
+TIMEOUT_S = 2.0
+
+
+class VmKind(enum.Enum):
+    """What a VM carries."""
+
+    ENDPOINT = 'endpoint'
+    ENTRY = 'entry'
+
+
+class VmState(enum.Enum):
+    """What the platform says of a VM."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+class Vm(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry of the list.
+
+    :ivar leave_in_s: counted from the answer; None while live
+    """
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+    pool: str
+    kind: VmKind
+    machine_class: str = ''
+    market: typing.Literal['reclaimable', 'on-demand'] = 'reclaimable'
+    state: VmState = VmState.LIVE
+    leave_in_s: float | None = None
+
+
+class VmList(msgspec.Struct, frozen=True):
+    """The answer to ``GET /v1/vms``."""
+
+    vms: list[Vm]
+
+
+class VmListClient:
+    """Reads the list; one request at a time.
+
+    :param address: ``IP:PORT`` of the platform's service
+    """
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        self._http = urllib3.HTTPConnectionPool(
+            host, int(port), timeout=TIMEOUT_S, retries=False
+        )
+
+    def read(self) -> VmList | outcome.Failure:
+        """The list as the platform has it now, which may lag."""
+        try:
+            response = self._http.request('GET', '/v1/vms')
+        except urllib3.exceptions.HTTPError as error:
+            return outcome.Failure(outcome.Reason.UNAVAILABLE, str(error))
+        if response.status != 200:
+            return outcome.Failure(
+                outcome.Reason.UNAVAILABLE, f'HTTP status {response.status}'
+            )
+        try:
+            return msgspec.json.decode(response.data, type=VmList)
+        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            return outcome.Failure(outcome.Reason.UNREADABLE, str(error))
--- /dev/null
+++ b/src/guavachute/services/plain_calls.py
@@ -0,0 +1,320 @@
+"""Calls of plain services, by urllib3 in a bounded set of threads.
+
+A call that may be repeated goes to another endpoint when one fails. A
+call that may not is claimed first, by its idempotency key, and is sent
+once; whatever happens after the first byte has left is ``unknown``.
+"""
+
+import concurrent.futures
+import dataclasses
+import itertools
+import threading
+import time
+import typing
+import urllib.parse
+
+import urllib3
+
+from guavachute.http import message
+from guavachute import ids
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute.observe import traces
+from guavachute import outcome
+from guavachute.services.relay import downstream
+from guavachute.services import replies
+from guavachute.wire import tables
+
+THREADS = 32
+MAX_WAITING = 256
+CONNECT_TIMEOUT_S = 1.0
+WRITE_PAUSE_S = 0.005
+MAX_ATTEMPTS = 3
+HOP_HEADERS = frozenset(
+    {
+        'authorization', 'connection', 'content-length', 'host',
+        'keep-alive', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+        'x-deadline-s',
+    }
+)  # fmt: skip
+PASSED_BACK = ('Content-Type', 'Location', 'ETag')
+
+
+@dataclasses.dataclass(slots=True)
+class PlainCall:
+    """A checked call of a plain service, as the front hands it over.
+
+    :ivar request: with the service's own path
+    :ivar idempotency_key: given where the call may not be repeated
+    :ivar deadline_s: monotonic
+    """
+
+    request_id: ids.RequestId
+    workspace: ids.WorkspaceName
+    pool: ids.PoolName
+    request: message.Request
+    idempotency_key: str | None
+    deadline_s: float
+    caller: downstream.Downstream
+    span: traces.Span
+    context: traces.Context
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What an endpoint answered."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """A call without an answer, and what is true of it."""
+
+    verdict: outcome.Verdict
+    failure: outcome.Failure
+
+
+class Claimer(typing.Protocol):
+    """Decides whether an order may be dispatched by this attempt."""
+
+    def claim(self, call: PlainCall, now_s: float) -> Answer | Failed | None:
+        """None: dispatch once. Otherwise what to tell the caller."""
+
+    def answered(self, call: PlainCall, answer: Answer) -> None:
+        """Keep the answer for callers that send the key again."""
+
+
+class PlainCalls(task.Task):
+    """Hands each call to one of its threads.
+
+    Messages: :class:`PlainCall`.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        count: counters.Counters,
+        tracer: traces.Tracer,
+        claimer: Claimer,
+    ) -> None:
+        super().__init__('plain-calls')
+        self._region = region
+        self._count = count
+        self._tracer = tracer
+        self._claimer = claimer
+        self._endpoints: list[tables.EndpointEntry] = []
+        self._turn = itertools.count()
+        self._active = 0
+        self._lock = threading.Lock()
+        self._http = urllib3.PoolManager(
+            num_pools=64, maxsize=THREADS, retries=False
+        )
+
+    @property
+    def active(self) -> int:
+        """Calls accepted and not yet answered."""
+        return self._active
+
+    def put_in_force(self, view: tables.Tables) -> None:
+        """Use the endpoints of *view* from now on."""
+        self._endpoints = view.endpoints
+
+    def run(self) -> None:
+        """Serve until stopped; calls that run then are finished."""
+        with concurrent.futures.ThreadPoolExecutor(THREADS) as executor:
+            while not self.stopping.is_set():
+                call = self.mailbox.receive()
+                if isinstance(call, PlainCall):
+                    self._accept(executor, call)
+
+    def _accept(
+        self, executor: concurrent.futures.Executor, call: PlainCall
+    ) -> None:
+        if self._active >= THREADS + MAX_WAITING:
+            self._reply(call, _not_run(outcome.Reason.OVERLOADED, 'busy'))
+            return
+        with self._lock:
+            self._active += 1
+        executor.submit(self._serve, call)
+
+    def _serve(self, call: PlainCall) -> None:
+        try:
+            self._reply(call, self._result(call))
+        finally:
+            with self._lock:
+                self._active -= 1
+
+    def _result(self, call: PlainCall) -> Answer | Failed:
+        if call.idempotency_key is None:
+            return self._repeatable(call)
+        claimed = self._claimer.claim(call, time.monotonic())
+        if claimed is not None:
+            return claimed
+        return self._order(call)
+
+    def _order(self, call: PlainCall) -> Answer | Failed:
+        endpoint = self._choose(call, tried=())
+        if endpoint is None:
+            return _not_run(
+                outcome.Reason.NO_CAPACITY, f'{call.pool} has no endpoint'
+            )
+        result = self._attempt(call, endpoint)
+        if isinstance(result, Answer):
+            self._claimer.answered(call, result)
+        return result
+
+    def _repeatable(self, call: PlainCall) -> Answer | Failed:
+        tried: list[str] = []
+        result: Answer | Failed = _not_run(
+            outcome.Reason.NO_CAPACITY, f'{call.pool} has no endpoint'
+        )
+        while len(tried) < MAX_ATTEMPTS:
+            endpoint = self._choose(call, tried)
+            if endpoint is None or time.monotonic() >= call.deadline_s:
+                break
+            tried.append(endpoint.endpoint)
+            result = self._attempt(call, endpoint)
+            if isinstance(result, Answer):
+                break
+        return result
+
+    def _choose(
+        self, call: PlainCall, tried: typing.Sequence[str]
+    ) -> tables.EndpointEntry | None:
+        live = [
+            entry
+            for entry in self._endpoints
+            if entry.pool == call.pool
+            and not entry.leaving
+            and entry.endpoint not in tried
+        ]
+        near = [entry for entry in live if entry.region == self._region]
+        candidates = near or live
+        if not candidates:
+            return None
+        return candidates[next(self._turn) % len(candidates)]
+
+    def _attempt(
+        self, call: PlainCall, endpoint: tables.EndpointEntry
+    ) -> Answer | Failed:
+        span = self._tracer.start(
+            'attempt', call.context, {'guavachute.endpoint': endpoint.endpoint}
+        )
+        self._count.add('service_attempts.started')
+        try:
+            result = self._exchange(call, endpoint, span)
+        finally:
+            span.end()
+        if isinstance(result, Failed):
+            self._count.add('service_attempts.failed')
+            traces.fail(span, result.failure.reason.value)
+        return result
+
+    def _exchange(
+        self,
+        call: PlainCall,
+        endpoint: tables.EndpointEntry,
+        span: traces.Span,
+    ) -> Answer | Failed:
+        left_s = call.deadline_s - time.monotonic()
+        if left_s <= 0:
+            return _not_run(outcome.Reason.DEADLINE, 'the deadline passed')
+        try:
+            response = self._connections(call, endpoint).urlopen(
+                call.request.method,
+                _target(call.request),
+                body=call.request.body,
+                headers=self._headers(call, span),
+                timeout=urllib3.Timeout(
+                    connect=min(CONNECT_TIMEOUT_S, left_s), read=left_s
+                ),
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return _not_run(outcome.Reason.UNAVAILABLE, str(error))
+        except urllib3.exceptions.HTTPError as error:
+            return Failed(
+                outcome.Verdict.UNKNOWN,
+                outcome.Failure(outcome.Reason.LOST_ANSWER, str(error)),
+            )
+        return _answer_of(response)
+
+    def _connections(
+        self, call: PlainCall, endpoint: tables.EndpointEntry
+    ) -> urllib3.HTTPConnectionPool:
+        host, _, port = endpoint.address.rpartition(':')
+        if call.idempotency_key is None:
+            return self._http.connection_from_host(host, int(port))
+        # An order goes out once. Only a connection made for it is known
+        # to work: an idle one may have gone silent, and the order with it.
+        return urllib3.HTTPConnectionPool(host, int(port), retries=False)
+
+    def _headers(self, call: PlainCall, span: traces.Span) -> dict[str, str]:
+        kept = {
+            name: value
+            for name, value in call.request.headers.items()
+            if name not in HOP_HEADERS
+        }
+        context = traces.context_of(span, call.context)
+        return {
+            **kept,
+            **traces.headers_for(context),
+            replies.REQUEST_ID_HEADER: call.request_id,
+        }
+
+    def _reply(self, call: PlainCall, result: Answer | Failed) -> None:
+        if isinstance(result, Answer):
+            self._count.add('requests.done')
+            lines = replies.headers(call.request_id, outcome.Verdict.DONE)
+            call.caller.send_whole(
+                result.status, {**result.headers, **lines}, result.body
+            )
+        else:
+            self._count.add(f'requests.{result.verdict.value}')
+            traces.fail(call.span, result.failure.reason.value)
+            call.caller.send_whole(
+                replies.status_of(result.failure.reason),
+                replies.headers(
+                    call.request_id, result.verdict, result.failure
+                ),
+                replies.error_body(result.failure),
+            )
+        self._write_out(call)
+        call.span.end()
+
+    def _write_out(self, call: PlainCall) -> None:
+        end_s = time.monotonic() + CONNECT_TIMEOUT_S * 10
+        while call.caller.flush() is downstream.Flushed.BLOCKED:
+            if time.monotonic() > end_s:
+                break
+            time.sleep(WRITE_PAUSE_S)
+        call.caller.release()
+
+
+def _answer_of(response: urllib3.BaseHTTPResponse) -> Answer:
+    headers = {
+        name: response.headers[name]
+        for name in PASSED_BACK
+        if name in response.headers
+    }
+    return Answer(response.status, headers, response.data)
+
+
+def _target(request: message.Request) -> str:
+    path = urllib.parse.quote(request.path, safe="/%:@!$&'()*+,;=~-._")
+    if not request.query:
+        return path
+    return f'{path}?{urllib.parse.urlencode(request.query)}'
+
+
+def _not_run(reason: outcome.Reason, detail: str) -> Failed:
+    return Failed(
+        outcome.Verdict.NOT_RUN,
+        outcome.Failure(reason, detail, retry_after_s=1.0),
+    )
--- /dev/null
+++ b/src/guavachute/services/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The relay: one task that moves the bytes of all streams of a router."""
--- /dev/null
+++ b/src/guavachute/services/relay/call.py
@@ -0,0 +1,175 @@
+"""A request for a model's answer, and how far it has come."""
+
+import dataclasses
+import time
+import typing
+
+import msgspec
+
+from guavachute.decide import answer
+from guavachute.decide import attempts
+from guavachute import ids
+from guavachute.observe import traces
+from guavachute.services.relay import downstream
+from guavachute.services.relay import events
+from guavachute.services.relay import upstream
+from guavachute.wire import tables
+
+
+@dataclasses.dataclass(slots=True)
+class ModelCall:
+    """A checked request, as the front hands it to the relay.
+
+    :ivar chat: whether the caller used the chat format
+    :ivar streamed: whether the caller wants events or one whole answer
+    :ivar body: the caller's fields, passed on to the engine
+    :ivar resume_from: tokens that the caller has from an earlier router
+    :ivar deadline_s: monotonic
+    :ivar priority: 0 goes first
+    """
+
+    request_id: ids.RequestId
+    workspace: ids.WorkspaceName
+    model: ids.ModelName
+    pool: ids.PoolName
+    chat: bool
+    streamed: bool
+    body: dict[str, typing.Any]
+    prompt: str
+    priority: int
+    deadline_s: float
+    received_s: float
+    resume_from: int
+    caller: downstream.Downstream
+    span: traces.Span
+    context: traces.Context
+
+    @property
+    def path(self) -> str:
+        """Where engines take it."""
+        return '/v1/chat/completions' if self.chat else '/v1/completions'
+
+
+class Stream:
+    """The relay's state of one request."""
+
+    __slots__ = (
+        'answer', 'call', 'caller', 'connection', 'endpoint', 'ended',
+        'first_token_s', 'history', 'last_progress_s', 'paused', 'span',
+        'splitter', 'usage', 'finish_reason',
+    )  # fmt: skip
+
+    def __init__(self, call: ModelCall, now_s: float) -> None:
+        self.call = call
+        self.caller = call.caller
+        self.answer = answer.Answer(call.request_id, call.resume_from)
+        self.history = attempts.History()
+        self.connection: upstream.Connection | None = None
+        self.endpoint: tables.EndpointEntry | None = None
+        self.span: traces.Span | None = None
+        self.splitter = events.Splitter()
+        self.usage = events.Usage()
+        self.finish_reason: str | None = None
+        self.first_token_s: float | None = None
+        self.last_progress_s = now_s
+        self.paused = False
+        self.ended = False
+
+    def take(self, data: bytes) -> tuple[list[bytes], answer.Step]:
+        """Judge the events in *data*.
+
+        :returns: the events for the caller and, where one of them showed
+            that a token is missing, ``RESUME``
+        """
+        parts: list[bytes] = []
+        request_id = self.call.request_id.encode()
+        for event in self.splitter.feed(data):
+            if event == events.DONE:
+                continue
+            try:
+                chunk = events.decode_chunk(event)
+            except (msgspec.ValidationError, msgspec.DecodeError):
+                return parts, answer.Step.RESUME
+            step = self._judge(chunk)
+            if step is answer.Step.RESUME:
+                return parts, step
+            if step is answer.Step.FORWARD:
+                number = self.answer.next_index - 1
+                parts.append(
+                    b'id: %b:%d\ndata: %b\n\n' % (request_id, number, event)
+                )
+        return parts, answer.Step.FORWARD
+
+    def _judge(self, chunk: events.Chunk) -> answer.Step:
+        reason = chunk.finish_reason
+        step = self.answer.take(
+            chunk.id,
+            chunk.attempt_id,
+            chunk.token_index,
+            chunk.text,
+            reason is not None,
+        )
+        if step is answer.Step.FORWARD:
+            if chunk.usage is not None:
+                self.usage = chunk.usage
+            self.finish_reason = reason
+        return step
+
+    def request(
+        self, attempt_id: ids.AttemptId, address: str, now_s: float
+    ) -> bytes:
+        """The bytes that ask the engine for the rest of the answer."""
+        call = self.call
+        body = {**call.body, 'stream': True}
+        body.setdefault('seed', answer.seed_for(call.request_id))
+        if self.answer.next_index:
+            body['resume_from'] = self.answer.next_index
+            body['resume_text'] = self.answer.text
+        left_s = max(call.deadline_s - now_s, 0.0)
+        headers = {
+            'Content-Type': 'application/json',
+            'X-Request-Id': call.request_id,
+            'X-Attempt-Id': attempt_id,
+            'X-Priority': str(call.priority),
+            'X-Deadline-S': f'{left_s:.3f}',
+        }
+        if self.span is not None:
+            context = traces.context_of(self.span, call.context)
+            headers |= traces.headers_for(context)
+        return upstream.request_bytes(
+            'POST', call.path, address, headers, msgspec.json.encode(body)
+        )
+
+    def whole_body(self) -> bytes:
+        """The answer in OpenAI's format for callers without a stream."""
+        call = self.call
+        choice: dict[str, typing.Any] = {
+            'index': 0,
+            'finish_reason': self.finish_reason,
+            'logprobs': None,
+        }
+        if call.chat:
+            message = {'role': 'assistant', 'content': self.answer.text}
+            choice['message'] = message
+        else:
+            choice['text'] = self.answer.text
+        usage = self.usage
+        return msgspec.json.encode(
+            {
+                'id': call.request_id,
+                'object': 'chat.completion' if call.chat
+                else 'text_completion',
+                'created': int(time.time()),
+                'model': call.model,
+                'choices': [choice],
+                'usage': {
+                    'prompt_tokens': usage.prompt_tokens,
+                    'completion_tokens': usage.completion_tokens,
+                    'total_tokens': usage.prompt_tokens
+                    + usage.completion_tokens,
+                    'prompt_tokens_details': {
+                        'cached_tokens': usage.cached_tokens
+                    },
+                },
+            }
+        )  # fmt: skip
--- /dev/null
+++ b/src/guavachute/services/relay/upstream.py
@@ -0,0 +1,195 @@
+"""The endpoint's side of a stream: one HTTP exchange on one connection.
+
+urllib3 blocks a thread for each exchange; here a single task waits for
+hundreds. The bytes are parsed by ``httptools``.
+"""
+
+import contextlib
+import enum
+import errno
+import selectors
+import socket
+import typing
+
+import httptools
+
+RECEIVE_BYTES = 64 * 1024
+IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
+
+
+class State(enum.Enum):
+    """Where an exchange stands."""
+
+    CONNECTING = 'connecting'
+    SENDING = 'sending'
+    WAITING = 'waiting'
+    """The request is out; no byte of the answer came yet."""
+    READING = 'reading'
+    COMPLETE = 'complete'
+    BROKEN = 'broken'
+
+
+class Connection:
+    """A connection to an endpoint, used for one exchange after another.
+
+    :ivar state: of the present exchange
+    :ivar status: HTTP status of the answer; 0 until its head is read
+    :ivar sent_bytes: of the request; 0 means that it can't have run
+    :ivar reused: an exchange went well on this connection before
+    :ivar idle_since_s: when the last exchange ended
+    """
+
+    __slots__ = (
+        'address', 'idle_since_s', 'problem', 'retry_after_s', 'reused',
+        'sent_bytes', 'socket', 'state', 'status', '_body', '_outgoing',
+        '_parser',
+    )  # fmt: skip
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle_since_s = 0.0
+        self.problem = ''
+        self.reused = False
+        self.retry_after_s: float | None = None
+        self.sent_bytes = 0
+        self.state = State.CONNECTING
+        self.status = 0
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.socket.setblocking(False)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._body: list[bytes] = []
+        self._outgoing = b''
+        self._parser: typing.Any = None
+
+    def connect(self) -> None:
+        """Start to connect; BROKEN when that fails at once."""
+        host, _, port = self.address.rpartition(':')
+        result = self.socket.connect_ex((host, int(port)))
+        if result and result not in IN_PROGRESS:
+            self._break(errno.errorcode.get(result, str(result)))
+
+    def begin(self, request: bytes) -> None:
+        """Start an exchange; the bytes leave when the socket allows."""
+        self.status = 0
+        self.sent_bytes = 0
+        self.retry_after_s = None
+        self._body = []
+        self._outgoing = request
+        self._parser = httptools.HttpResponseParser(self)
+        if self.reused:
+            self.state = State.SENDING
+            self._send()
+
+    @property
+    def wanted_events(self) -> int:
+        """The selector events that the exchange waits for."""
+        if self.state in (State.CONNECTING, State.SENDING):
+            return selectors.EVENT_WRITE
+        return selectors.EVENT_READ
+
+    @property
+    def can_be_reused(self) -> bool:
+        """Whether another exchange may follow on this connection."""
+        return (
+            self.state is State.COMPLETE and self._parser.should_keep_alive()
+        )
+
+    def advance(self, events: int) -> None:
+        """Go on after the selector reported *events*."""
+        if self.state is State.CONNECTING and events & selectors.EVENT_WRITE:
+            self._finish_connect()
+        if self.state is State.SENDING:
+            self._send()
+        if events & selectors.EVENT_READ:
+            self._receive()
+
+    def take_body(self) -> bytes:
+        """The bytes of the body that came since the last call."""
+        if len(self._body) == 1:
+            data = self._body[0]
+        else:
+            data = b''.join(self._body)
+        self._body.clear()
+        return data
+
+    def close(self) -> None:
+        """Close; an endpoint takes that as the end of the request."""
+        with contextlib.suppress(OSError):
+            self.socket.close()
+
+    def _finish_connect(self) -> None:
+        error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._break(errno.errorcode.get(error, str(error)))
+        else:
+            self.state = State.SENDING
+
+    def _send(self) -> None:
+        try:
+            sent = self.socket.send(self._outgoing)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._break(str(error))
+            return
+        self.sent_bytes += sent
+        self._outgoing = self._outgoing[sent:]
+        if not self._outgoing:
+            self.state = State.WAITING
+
+    def _receive(self) -> None:
+        try:
+            data = self.socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._break(str(error))
+            return
+        if not data:
+            self._break('closed by the endpoint')
+            return
+        if self.state is State.WAITING:
+            self.state = State.READING
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._break(f'not HTTP: {error}')
+
+    def _break(self, problem: str) -> None:
+        if self.state is not State.COMPLETE:
+            self.state = State.BROKEN
+            self.problem = problem
+
+    # The parser calls what follows.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note the headers that matter to a retry."""
+        if name.lower() == b'retry-after':
+            with contextlib.suppress(ValueError):
+                self.retry_after_s = float(value)
+
+    def on_headers_complete(self) -> None:
+        """Note the status."""
+        self.status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a part of the body until it is taken."""
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """The whole answer is here."""
+        self.state = State.COMPLETE
+
+
+def request_bytes(
+    method: str,
+    path: str,
+    address: str,
+    headers: typing.Mapping[str, str],
+    body: bytes,
+) -> bytes:
+    """An HTTP/1.1 request that keeps the connection alive."""
+    lines = [f'{method} {path} HTTP/1.1', f'Host: {address}']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    lines += [f'Content-Length: {len(body)}', '', '']
+    return '\r\n'.join(lines).encode('latin-1') + body
--- /dev/null
+++ b/src/guavachute/services/replies.py
@@ -0,0 +1,69 @@
+"""How outcomes read to callers: status, headers, OpenAI's error body."""
+
+import http
+import math
+
+import msgspec
+
+from guavachute import outcome
+
+OUTCOME_HEADER = 'Guavachute-Outcome'
+REQUEST_ID_HEADER = 'X-Request-Id'
+
+_Status = http.HTTPStatus
+_STATUS = {
+    outcome.Reason.BAD_REQUEST: _Status.BAD_REQUEST,
+    outcome.Reason.BODY_TOO_LARGE: _Status.REQUEST_ENTITY_TOO_LARGE,
+    outcome.Reason.CONFLICT: _Status.CONFLICT,
+    outcome.Reason.CRASHED: _Status.BAD_GATEWAY,
+    outcome.Reason.CRASHES_ENDPOINTS: _Status.UNPROCESSABLE_ENTITY,
+    outcome.Reason.DEADLINE: _Status.GATEWAY_TIMEOUT,
+    outcome.Reason.KEY_MISSING: _Status.BAD_REQUEST,
+    outcome.Reason.KEY_REUSED: _Status.UNPROCESSABLE_ENTITY,
+    outcome.Reason.KEY_TOO_OLD: _Status.UNPROCESSABLE_ENTITY,
+    outcome.Reason.LIMIT: _Status.TOO_MANY_REQUESTS,
+    outcome.Reason.LOST_ANSWER: _Status.BAD_GATEWAY,
+    outcome.Reason.NOT_FOUND: _Status.NOT_FOUND,
+    outcome.Reason.OVERLOADED: _Status.TOO_MANY_REQUESTS,
+    outcome.Reason.UNAUTHENTICATED: _Status.UNAUTHORIZED,
+}
+
+
+class ErrorDetail(msgspec.Struct, frozen=True):
+    """The inside of OpenAI's error body."""
+
+    message: str
+    type: str
+    code: str
+    param: str | None = None
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """OpenAI's error body."""
+
+    error: ErrorDetail
+
+
+def status_of(reason: outcome.Reason) -> int:
+    """The HTTP status that says *reason*."""
+    return _STATUS.get(reason, _Status.SERVICE_UNAVAILABLE)
+
+
+def error_body(failure: outcome.Failure) -> bytes:
+    """*failure* in OpenAI's format."""
+    client_error = status_of(failure.reason) < _Status.INTERNAL_SERVER_ERROR
+    kind = 'invalid_request_error' if client_error else 'server_error'
+    detail = ErrorDetail(failure.detail, kind, failure.reason.value)
+    return msgspec.json.encode(ErrorBody(detail))
+
+
+def headers(
+    request_id: str,
+    verdict: outcome.Verdict,
+    failure: outcome.Failure | None = None,
+) -> dict[str, str]:
+    """The headers that every answer carries."""
+    lines = {REQUEST_ID_HEADER: request_id, OUTCOME_HEADER: verdict.value}
+    if failure is not None and failure.retry_after_s is not None:
+        lines['Retry-After'] = str(math.ceil(failure.retry_after_s))
+    return lines
--- /dev/null
+++ b/src/guavachute/services/table_feed.py
@@ -0,0 +1,115 @@
+"""Router: takes the tables from the node process of its VM.
+
+When the node process dies the router goes on with the last tables, and
+when it comes back with an older configuration the router refuses that.
+"""
+
+import functools
+import selectors
+import time
+import typing
+
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute.wire import peer
+from guavachute.wire import tables
+
+REPORT_INTERVAL_S = 0.5
+RECONNECT_S = 0.25
+
+_log = logs.logger('tables')
+
+
+class TableFeed(task.Task):
+    """Owns the connection to the node process.
+
+    :param put_in_force: called with each newer view
+    :param report: gives what to tell the node process
+    """
+
+    def __init__(
+        self,
+        node_address: str,
+        count: counters.Counters,
+        put_in_force: typing.Callable[[tables.Tables], None],
+        report: typing.Callable[[int], tables.RouterReport],
+    ) -> None:
+        super().__init__('table-feed')
+        self._node_address = node_address
+        self._count = count
+        self._put_in_force = put_in_force
+        self._report = report
+        self._node: peer.Peer | None = None
+        self._connect_at_s = 0.0
+        self._offset = -1
+
+    def run(self) -> None:
+        """Follow the node process until stopped."""
+        with selectors.DefaultSelector() as selector:
+            self._selector = selector
+            selector.register(
+                self.mailbox.fileno(), selectors.EVENT_READ, self._read_mail
+            )
+            next_report_s = 0.0
+            while not self.stopping.is_set():
+                self._connect_if_due(time.monotonic())
+                for key, events in selector.select(RECONNECT_S):
+                    key.data(events)
+                if time.monotonic() >= next_report_s:
+                    next_report_s = time.monotonic() + REPORT_INTERVAL_S
+                    self._send_report()
+            if self._node is not None:
+                self._node.close()
+
+    def _read_mail(self, events: int) -> None:
+        # Any message asks for a report at once.
+        self.mailbox.drain()
+        self._send_report()
+
+    def _connect_if_due(self, now_s: float) -> None:
+        if self._node is not None or now_s < self._connect_at_s:
+            return
+        self._connect_at_s = now_s + RECONNECT_S
+        self._node = peer.connect(self._node_address, tables.FromNode)
+        self._selector.register(
+            self._node.socket,
+            selectors.EVENT_READ | selectors.EVENT_WRITE,
+            functools.partial(self._node_ready, self._node),
+        )
+
+    def _node_ready(self, node: peer.Peer, events: int) -> None:
+        if events & selectors.EVENT_WRITE:
+            node.flush()
+        if events & selectors.EVENT_READ:
+            for view in node.receive():
+                self._take(view)
+        self._after(node)
+
+    def _after(self, node: peer.Peer) -> None:
+        if node.failure is None:
+            self._selector.modify(
+                node.socket,
+                node.wanted_events,
+                functools.partial(self._node_ready, node),
+            )
+            return
+        self._selector.unregister(node.socket)
+        node.close()
+        self._node = None
+        self._count.add('tables.disconnected')
+
+    def _take(self, view: tables.Tables) -> None:
+        if view.offset < self._offset:
+            self._count.add('tables.refused_older')
+            return
+        if view.offset > self._offset:
+            _log.notice('configuration {} in force', view.offset)
+        self._offset = view.offset
+        self._put_in_force(view)
+        self._send_report()
+
+    def _send_report(self) -> None:
+        node = self._node
+        if node is not None and node.failure is None:
+            node.send(self._report(self._offset))
