--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -397,7 +397,7 @@
         verdict = outcome.Verdict.DONE
         lines = replies.headers(call.request_id, verdict)
         if call.streamed:
-            comment = f': outcome {verdict.value}\n\n'.encode()
+            comment = f': outcome {verdict.value}\n'.encode()
             stream.caller.add(comment + DONE_EVENT)
             stream.caller.end_stream({replies.OUTCOME_HEADER: verdict.value})
         else:
@@ -434,7 +434,7 @@
                 body,
             )
         else:
-            comment = f': outcome {verdict.value}\n\n'.encode()
+            comment = f': outcome {verdict.value}\n'.encode()
             stream.caller.add(comment + b'data: %b\n\n' % body)
             stream.caller.end_stream({replies.OUTCOME_HEADER: verdict.value})
         self._end(stream)
