Route by prefix, bounded load, health and region

Endpoints were all alike to a router. It now takes a subset by rendezvous hashing, keeps a bounded index of the prompt blocks that endpoints hold, adds what it sent since a lagged load report, ejects endpoints that fail or are slow, and uses the far region only within what its link has left.

--- /dev/null
+++ b/src/guavachute/decide/health.py
@@ -0,0 +1,207 @@
+"""Ejects endpoints that fail or are slow, and probes them back.
+
+Failures are counted in a row; slowness is measured against the median
+of the pool, so that a pool that is slow as a whole ejects nobody. An
+ejected endpoint is left alone for a time that doubles with each
+ejection; then one request probes it. Never is more than half of a pool
+ejected: beyond that the fault is more likely elsewhere, and spreading
+the load over the rest would take that down as well.
+"""
+
+import dataclasses
+import enum
+import statistics
+
+from guavachute import ids
+
+FAILURES_IN_A_ROW = 3
+SLOW_RATIO = 3.0
+"""Slow is a smoothed latency beyond this many medians of the pool."""
+
+SLOW_OBSERVATIONS = 8
+"""Latencies needed before an endpoint can be called slow."""
+
+SMOOTHING = 0.25
+EJECTED_FRACTION = 0.5
+FIRST_EJECTION_S = 5.0
+LONGEST_EJECTION_S = 120.0
+PROBE_LIMIT_S = 10.0
+"""After which a probe without a result is followed by another."""
+
+FORGIVEN_AFTER_S = 300.0
+"""Live for so long, an endpoint's ejections are forgotten."""
+
+
+class State(enum.Enum):
+    """Whether an endpoint gets work."""
+
+    LIVE = 'live'
+    EJECTED = 'ejected'
+    PROBED = 'probed'
+    """One request is on it, which decides."""
+
+
+class Cause(enum.Enum):
+    """Why an endpoint was ejected."""
+
+    FAILURES = 'failures'
+    SLOW = 'slow'
+    PROBE_FAILED = 'probe-failed'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """An endpoint changed its state, to be logged and counted."""
+
+    endpoint: ids.EndpointId
+    state: State
+    cause: Cause | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Endpoint:
+    state: State = State.LIVE
+    failures: int = 0
+    latency_s: float = 0.0
+    observations: int = 0
+    ejections: int = 0
+    until_s: float = 0.0
+    live_since_s: float = 0.0
+
+
+class Health:
+    """The health of the endpoints of one pool, as one router sees it."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[ids.EndpointId, _Endpoint] = {}
+
+    def add(self, endpoint: ids.EndpointId, now_s: float) -> None:
+        """Watch *endpoint*; nothing happens if it is watched already."""
+        if endpoint not in self._endpoints:
+            self._endpoints[endpoint] = _Endpoint(live_since_s=now_s)
+
+    def remove(self, endpoint: ids.EndpointId) -> None:
+        """Forget *endpoint*."""
+        self._endpoints.pop(endpoint, None)
+
+    def state(self, endpoint: ids.EndpointId) -> State:
+        """The state of *endpoint*; LIVE for an unknown one."""
+        entry = self._endpoints.get(endpoint)
+        return State.LIVE if entry is None else entry.state
+
+    def excluded(self, now_s: float) -> frozenset[ids.EndpointId]:
+        """The endpoints that get no work now.
+
+        One whose time has come is not among them: the router that sends
+        it a request calls :meth:`sent`, which makes that the probe.
+        """
+        return frozenset(
+            name
+            for name, entry in self._endpoints.items()
+            if entry.state is not State.LIVE and now_s < entry.until_s
+        )
+
+    def sent(self, endpoint: ids.EndpointId, now_s: float) -> Change | None:
+        """A request goes to *endpoint*."""
+        entry = self._endpoints.get(endpoint)
+        if entry is None or entry.state is State.LIVE:
+            return None
+        entry.state = State.PROBED
+        entry.until_s = now_s + PROBE_LIMIT_S
+        return Change(endpoint, State.PROBED)
+
+    def succeeded(
+        self, endpoint: ids.EndpointId, latency_s: float, now_s: float
+    ) -> Change | None:
+        """A request on *endpoint* went well.
+
+        :param latency_s: what is compared over the pool, such as the
+            time to the first token or the mean gap of a stream; one kind
+            only
+        """
+        entry = self._endpoints.get(endpoint)
+        if entry is None:
+            return None
+        entry.failures = 0
+        _observe(entry, latency_s)
+        if entry.state is State.PROBED:
+            return self._probe_succeeded(endpoint, entry, latency_s, now_s)
+        if entry.state is State.LIVE and self._slow(endpoint, entry):
+            return self._eject(endpoint, entry, Cause.SLOW, now_s)
+        if now_s - entry.live_since_s > FORGIVEN_AFTER_S:
+            entry.ejections = 0
+        return None
+
+    def failed(self, endpoint: ids.EndpointId, now_s: float) -> Change | None:
+        """A request on *endpoint* failed by the endpoint's fault."""
+        entry = self._endpoints.get(endpoint)
+        if entry is None:
+            return None
+        entry.failures += 1
+        if entry.state is State.PROBED:
+            return self._eject(endpoint, entry, Cause.PROBE_FAILED, now_s)
+        if entry.state is State.LIVE and entry.failures >= FAILURES_IN_A_ROW:
+            return self._eject(endpoint, entry, Cause.FAILURES, now_s)
+        return None
+
+    def _probe_succeeded(
+        self,
+        endpoint: ids.EndpointId,
+        entry: _Endpoint,
+        latency_s: float,
+        now_s: float,
+    ) -> Change | None:
+        if latency_s > SLOW_RATIO * self._median_s(endpoint):
+            return self._eject(endpoint, entry, Cause.SLOW, now_s)
+        entry.state = State.LIVE
+        entry.live_since_s = now_s
+        entry.latency_s = latency_s
+        entry.observations = 1
+        return Change(endpoint, State.LIVE)
+
+    def _eject(
+        self,
+        endpoint: ids.EndpointId,
+        entry: _Endpoint,
+        cause: Cause,
+        now_s: float,
+    ) -> Change | None:
+        if entry.state is State.LIVE and not self._may_eject():
+            return None
+        ejection_s = FIRST_EJECTION_S * 2**entry.ejections
+        entry.until_s = now_s + min(LONGEST_EJECTION_S, ejection_s)
+        entry.ejections = min(entry.ejections + 1, 16)
+        entry.failures = 0
+        entry.state = State.EJECTED
+        return Change(endpoint, State.EJECTED, cause)
+
+    def _may_eject(self) -> bool:
+        ejected = sum(
+            entry.state is not State.LIVE for entry in self._endpoints.values()
+        )
+        return ejected + 1 <= EJECTED_FRACTION * len(self._endpoints)
+
+    def _slow(self, endpoint: ids.EndpointId, entry: _Endpoint) -> bool:
+        if entry.observations < SLOW_OBSERVATIONS:
+            return False
+        return entry.latency_s > SLOW_RATIO * self._median_s(endpoint)
+
+    def _median_s(self, without: ids.EndpointId) -> float:
+        latencies_s = [
+            entry.latency_s
+            for name, entry in self._endpoints.items()
+            if name != without
+            and entry.state is State.LIVE
+            and entry.observations
+        ]
+        if not latencies_s:
+            return float('inf')
+        return statistics.median(latencies_s)
+
+
+def _observe(entry: _Endpoint, latency_s: float) -> None:
+    if entry.observations == 0:
+        entry.latency_s = latency_s
+    else:
+        entry.latency_s += SMOOTHING * (latency_s - entry.latency_s)
+    entry.observations += 1
--- /dev/null
+++ b/tests/cover/test_routing.py
@@ -0,0 +1,160 @@
+"""Prefixes attract, load bounds, regions and exclusions hold."""
+
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from guavachute.decide import load
+from guavachute.decide import routing
+from guavachute.decide import subset
+from guavachute import ids
+from guavachute import outcome
+
+
+def endpoint(number: int) -> ids.EndpointId:
+    return ids.EndpointId(f'vm-{number}')
+
+
+def candidate(
+    number: int, outstanding: int = 0, far: bool = False, slots: int = 32
+) -> routing.Candidate:
+    work = load.Load()
+    for _ in range(outstanding):
+        work.sent(0)
+    return routing.Candidate(
+        endpoint(number),
+        ids.FailureDomain('perth-a'),
+        slots,
+        work,
+        far,
+    )
+
+
+def want(
+    held: typing.Mapping[ids.EndpointId, int] | None = None,
+    affinity: str = 'a',
+    region_bytes: int = 0,
+) -> routing.Want:
+    return routing.Want(affinity, held or {}, region_bytes)
+
+
+def chosen(
+    result: routing.Choice | outcome.Failure,
+) -> ids.EndpointId:
+    assert isinstance(result, routing.Choice), result
+    return result.endpoint
+
+
+class ChooseTest(unittest.TestCase):
+    def test_the_longest_prefix_wins_within_the_load_bound(self) -> None:
+        held = {endpoint(1): 9, endpoint(2): 4}
+        even = [candidate(number, 3) for number in range(4)]
+        self.assertEqual(endpoint(1), chosen(routing.choose(want(held), even)))
+        uneven = [candidate(0, 3), candidate(1, 20), candidate(2, 3)]
+        self.assertEqual(
+            endpoint(2), chosen(routing.choose(want(held), uneven))
+        )
+
+    def test_a_new_prefix_starts_at_the_same_places_in_every_order(
+        self,
+    ) -> None:
+        endpoints = [candidate(number) for number in range(9)]
+        first = routing.choose(want(affinity='b'), endpoints)
+        second = routing.choose(want(affinity='b'), endpoints[::-1])
+        self.assertEqual(first, second)
+        spread = {
+            chosen(routing.choose(want(affinity=str(number)), endpoints))
+            for number in range(100)
+        }
+        self.assertEqual(9, len(spread))
+
+    def test_the_far_region_is_last_and_bounded_by_its_link(self) -> None:
+        near = candidate(0, 32)
+        far = candidate(1, far=True)
+        costly = want({endpoint(1): 50}, region_bytes=5000)
+        self.assertEqual(
+            endpoint(2),
+            chosen(routing.choose(costly, [candidate(2), far], (), 9000)),
+        )
+        choice = routing.choose(costly, [near, far], (), 9000)
+        self.assertEqual(routing.Choice(endpoint(1), 50, 5000), choice)
+        refused = routing.choose(costly, [near, far], (), 4999)
+        assert isinstance(refused, outcome.Failure)
+        self.assertIs(outcome.Reason.NO_CAPACITY, refused.reason)
+
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, 40), max_size=20),
+        strategies.sets(strategies.integers(0, 20)),
+        strategies.dictionaries(
+            strategies.integers(0, 20), strategies.integers(0, 9)
+        ),
+    )
+    def test_excluded_and_full_endpoints_get_nothing(
+        self, loads: list[int], out: set[int], held: dict[int, int]
+    ) -> None:
+        candidates = [
+            candidate(number, outstanding)
+            for number, outstanding in enumerate(loads)
+        ]
+        usable = {
+            endpoint(number)
+            for number, outstanding in enumerate(loads)
+            if outstanding < 32 and number not in out
+        }
+        result = routing.choose(
+            want({endpoint(name): n for name, n in held.items()}),
+            candidates,
+            {endpoint(number) for number in out},
+        )
+        if usable:
+            self.assertIn(chosen(result), usable)
+        else:
+            self.assertIsInstance(result, outcome.Failure)
+
+
+class LoadTest(unittest.TestCase):
+    def test_a_late_report_does_not_hide_what_was_sent_since(self) -> None:
+        work = load.Load()
+        for _ in range(10):
+            work.sent(1.0)
+        for _ in range(5):
+            work.sent(2.5)
+        work.ended(2.6)
+        work.reported(30, age_s=1.0, now_s=3.0)
+        self.assertEqual(34, work.outstanding)
+        work.forget_report()
+        self.assertEqual(14, work.outstanding)
+
+
+class SubsetTest(unittest.TestCase):
+    def places(self, count: int) -> list[subset.Place]:
+        return [
+            subset.Place(
+                endpoint(number), ids.FailureDomain(f'd-{number % 4}')
+            )
+            for number in range(count)
+        ]
+
+    def test_sizes_inside_and_outside(self) -> None:
+        domain = ids.FailureDomain('d-0')
+        chosen = subset.choose('r-1', domain, self.places(400), 40, 10)
+        inside = [name for name in chosen if int(name[3:]) % 4 == 0]
+        self.assertEqual((50, 40), (len(chosen), len(inside)))
+
+    def test_a_small_fleet_is_used_whole(self) -> None:
+        domain = ids.FailureDomain('d-0')
+        self.assertEqual(
+            13, len(subset.choose('r-1', domain, self.places(13)))
+        )
+
+    def test_the_end_of_one_endpoint_moves_only_its_own_place(self) -> None:
+        domain = ids.FailureDomain('d-0')
+        places = self.places(400)
+        before = subset.choose('r-1', domain, places)
+        gone = sorted(before)[0]
+        left = [place for place in places if place.endpoint != gone]
+        after = subset.choose('r-1', domain, left)
+        self.assertEqual({gone}, before - after)
+        self.assertEqual(1, len(after - before))
