--- /dev/null
+++ b/src/guavachute/decide/limits.py
@@ -0,0 +1,158 @@
+"""The most that a workspace may use: rate, concurrency and tokens.
+
+The limits hold over all routers; each enforces its part, which
+:mod:`guavachute.decide.steering` gives. Tokens are known only after the
+answer, so the token limit lets the bucket go below zero and refuses
+until it has filled up again.
+"""
+
+import math
+
+from guavachute.document import schema
+from guavachute import outcome
+
+BURST_S = 2.0
+"""A bucket holds what its rate gives in this time, and at least one."""
+
+CONCURRENCY_RETRY_AFTER_S = 1.0
+
+
+class TokenBucket:
+    """Fills at a rate and may be taken from, also below zero.
+
+    :param rate_per_s: of this router; may be changed at any time
+    """
+
+    __slots__ = ('rate_per_s', '_level', '_filled_s')
+
+    def __init__(self, rate_per_s: float, now_s: float) -> None:
+        self.rate_per_s = rate_per_s
+        self._level = self._capacity()
+        self._filled_s = now_s
+
+    def wait_s(self, amount: float, now_s: float) -> float:
+        """How long until *amount* is there; 0 when it is."""
+        self._fill(now_s)
+        missing = min(amount, self._capacity()) - self._level
+        return max(0.0, missing / self.rate_per_s)
+
+    def take(self, amount: float, now_s: float) -> None:
+        """Take *amount*, whether it is there or not."""
+        self._fill(now_s)
+        self._level -= amount
+
+    def set_rate(self, rate_per_s: float, now_s: float) -> None:
+        """Fill at another rate from now on."""
+        self._fill(now_s)
+        self.rate_per_s = rate_per_s
+
+    def _capacity(self) -> float:
+        return max(1.0, self.rate_per_s * BURST_S)
+
+    def _fill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._filled_s)
+        level = self._level + elapsed_s * self.rate_per_s
+        self._level = min(self._capacity(), level)
+        self._filled_s = max(self._filled_s, now_s)
+
+
+class WorkspaceLimits:
+    """The limits of one workspace in one router.
+
+    :param limits: of the document, over all routers
+    :param part: this router's fraction of them
+    """
+
+    def __init__(
+        self, limits: schema.Limits, part: float, now_s: float
+    ) -> None:
+        self._limits = limits
+        self._part = part
+        self._running = 0
+        self._requests: TokenBucket | None = None
+        self._tokens: TokenBucket | None = None
+        self.set_limits(limits, part, now_s)
+
+    def set_limits(
+        self, limits: schema.Limits, part: float, now_s: float
+    ) -> None:
+        """Take over a new document or a new *part*; levels are kept."""
+        assert 0.0 < part <= 1.0, f'part is {part}, expected 0 < part <= 1'
+        self._limits = limits
+        self._part = part
+        self._requests = _adjusted(
+            self._requests, limits.requests_per_s, part, now_s
+        )
+        self._tokens = _adjusted(
+            self._tokens, limits.tokens_per_s, part, now_s
+        )
+
+    def admit(self, now_s: float) -> outcome.Failure | None:
+        """Count one request in, or say which limit is reached.
+
+        An admitted one is to be given back with :meth:`ended`.
+        """
+        failure = (
+            self._check_concurrency()
+            or _check('request rate', self._requests, 1.0, now_s)
+            or _check('token rate', self._tokens, 0.0, now_s)
+        )
+        if failure is not None:
+            return failure
+        self._running += 1
+        if self._requests is not None:
+            self._requests.take(1.0, now_s)
+        return None
+
+    def charge(self, tokens: float, now_s: float) -> None:
+        """*tokens* were used (negative: given back)."""
+        if self._tokens is not None:
+            self._tokens.take(tokens, now_s)
+
+    def ended(self) -> None:
+        """An admitted request has ended, however it did."""
+        assert self._running > 0, 'more requests ended than were admitted'
+        self._running -= 1
+
+    def _check_concurrency(self) -> outcome.Failure | None:
+        limit = self._limits.concurrent_requests
+        if limit is None:
+            return None
+        # Rounded up: with more routers than requests allowed, each must
+        # still let one in. The sum can exceed the limit by that.
+        if self._running < math.ceil(limit * self._part - 1e-9):
+            return None
+        return outcome.Failure(
+            outcome.Reason.LIMIT,
+            f'{limit} concurrent requests of this workspace are reached',
+            CONCURRENCY_RETRY_AFTER_S,
+        )
+
+
+def _adjusted(
+    bucket: TokenBucket | None,
+    limit_per_s: float | None,
+    part: float,
+    now_s: float,
+) -> TokenBucket | None:
+    if limit_per_s is None:
+        return None
+    if bucket is None:
+        return TokenBucket(limit_per_s * part, now_s)
+    bucket.set_rate(limit_per_s * part, now_s)
+    return bucket
+
+
+def _check(
+    what: str, bucket: TokenBucket | None, amount: float, now_s: float
+) -> outcome.Failure | None:
+    if bucket is None:
+        return None
+    wait_s = bucket.wait_s(amount, now_s)
+    if wait_s <= 0:
+        return None
+    return outcome.Failure(
+        outcome.Reason.LIMIT,
+        f'the {what} of this workspace is reached',
+        wait_s,
+    )
--- /dev/null
+++ b/tests/cover/test_steering.py
@@ -0,0 +1,93 @@
+"""Parts add up to one, follow demand and decay to an equal split."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from guavachute.decide import steering
+from guavachute import ids
+
+LARGE = ids.WorkspaceName('large')
+SMALL = ids.WorkspaceName('small')
+
+
+def routers(demands: list[float]) -> list[steering.Steering]:
+    """One state per router, each having heard all the others."""
+    states = []
+    for own in range(len(demands)):
+        state = steering.Steering()
+        for other, demand in enumerate(demands):
+            if other != own:
+                message = steering.DemandSum(
+                    source=f'r-{other}', demand={LARGE: demand}
+                )
+                state.take(message, 0)
+        states.append(state)
+    return states
+
+
+class SteeringTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(strategies.floats(0, 500), min_size=1, max_size=9),
+        strategies.floats(0, 10),
+    )
+    def test_the_parts_of_all_routers_add_up_to_one(
+        self, demands: list[float], now_s: float
+    ) -> None:
+        parts = [
+            state.part(LARGE, demand, len(demands), now_s)
+            for state, demand in zip(routers(demands), demands)
+        ]
+        if now_s <= steering.FRESH_S or now_s >= steering.STALE_S:
+            self.assertAlmostEqual(1.0, sum(parts))
+        self.assertTrue(all(0 < part <= 1 for part in parts))
+
+    def test_parts_follow_demand_and_silence_makes_them_equal(self) -> None:
+        state = routers([90.0, 10.0])[0]
+        self.assertAlmostEqual(0.86, state.part(LARGE, 90.0, 2, 1))
+        self.assertEqual(0.5, state.part(LARGE, 90.0, 2, steering.STALE_S))
+
+    def test_a_sum_for_many_counts_as_many(self) -> None:
+        state = steering.Steering()
+        message = steering.DemandSum(
+            source='perth-b', routers=9, demand={LARGE: 90.0}
+        )
+        state.take(message, 0)
+        self.assertAlmostEqual(0.1, state.part(LARGE, 10.0, 10, 0))
+
+    def test_routers_with_different_callers_reach_the_shares(self) -> None:
+        shares = {LARGE: 1.0, SMALL: 1.0}
+        state = steering.Steering()
+        state.take(steering.DemandSum(source='r-2', demand={SMALL: 40.0}), 0)
+        allowed = state.slots({LARGE: 500.0}, shares, 64, 2, 0)
+        self.assertAlmostEqual(0.95 * 32, allowed[LARGE])
+
+    def test_served_elsewhere_is_the_difference_of_sums(self) -> None:
+        state = steering.Steering()
+        gains = []
+        for tokens in (100.0, 350.0, 20.0):
+            message = steering.DemandSum(
+                source='r-2', demand={}, served_tokens={LARGE: tokens}
+            )
+            gains.append(state.take(message, 0))
+        self.assertEqual([{}, {LARGE: 250.0}, {}], gains)
+
+    @hypothesis.given(
+        strategies.floats(0, 1000),
+        strategies.dictionaries(
+            strategies.sampled_from([LARGE, SMALL]), strategies.floats(0, 900)
+        ),
+    )
+    def test_water_fill_gives_all_and_no_one_is_short_beside_a_richer(
+        self, amount: float, demand: dict[ids.WorkspaceName, float]
+    ) -> None:
+        given = steering.water_fill(amount, demand, {LARGE: 3.0, SMALL: 1.0})
+        self.assertAlmostEqual(amount, sum(given.values()), places=5)
+        if demand.get(SMALL, 0.0) >= amount / 4:
+            self.assertGreaterEqual(given[SMALL], amount / 4 - 1e-6)
+
+    def test_idle_slots_are_used_beyond_the_allowance(self) -> None:
+        self.assertEqual(5, steering.free_slots(10, 5, 40, 0.1))
+        self.assertEqual(4, steering.free_slots(10, 10, 40, 0.1))
+        self.assertEqual(0, steering.free_slots(10, 5, 0, 0.1))
