--- a/tests/cover/test_shares.py
+++ b/tests/cover/test_shares.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from guavachute.decide import account
 from guavachute.decide import shares
 from guavachute import ids
 from guavachute import outcome
@@ -142,7 +143,7 @@
     def test_the_sum_is_what_was_generated(
         self, expected: float, steps: list[int]
     ) -> None:
-        account = shares.Account(expected)
-        charged = expected + sum(map(account.generated, steps))
-        charged += account.ended(7)
+        state = account.Account(expected)
+        charged = expected + sum(map(state.generated, steps))
+        charged += state.ended(7)
         self.assertAlmostEqual(sum(steps) + 7, charged)
