Plan a round of the fleet: demand, placement, waves, roll-outs

Cause: what to start, end and load depends on forecast, start-up time, the market, what serves now, and whose callers lack most.

The document gains the pool's tokens/s by machine class, the prefill part, and the policy's keep margin and tokens recomputed per reclaim, all with defaults.

--- /dev/null
+++ b/src/guavachute/decide/demand.py
@@ -0,0 +1,147 @@
+"""A short forecast of the load of one model.
+
+The horizon is the time that a new engine takes to serve, as measured;
+looking further ahead gains nothing, for what is bought then can wait.
+Level and trend are smoothed exponentially (Holt); the spread of the
+forecast's own errors sets the margin. What is bought follows the
+forecast up at once and down only after it stayed low for a while.
+"""
+
+import dataclasses
+import math
+
+SMOOTHING_TIME_S = 60.0
+TREND_TIME_S = 300.0
+MARGIN_DEVIATIONS = 2.0
+HOLD_S = 900.0
+"""A need that has passed is kept for this long before VMs are ended."""
+HOLD_BUCKETS = 15
+IDLE_BEFORE_ZERO_S = 1800.0
+START_MEMORY = 0.8
+"""Weight of the older starts in the smoothed start-up time."""
+DEFAULT_START_UP_S = 180.0
+START_DEVIATIONS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartUp:
+    """How long a VM takes from the order to its first answer."""
+
+    mean_s: float = DEFAULT_START_UP_S
+    deviation_s: float = 0.0
+    count: int = 0
+
+
+def started(start_up: StartUp, took_s: float) -> StartUp:
+    """Account for one start."""
+    if not start_up.count:
+        return StartUp(took_s, took_s / 4, 1)
+    error_s = took_s - start_up.mean_s
+    gain = 1 - START_MEMORY
+    return StartUp(
+        start_up.mean_s + gain * error_s,
+        START_MEMORY * start_up.deviation_s + gain * abs(error_s),
+        start_up.count + 1,
+    )
+
+
+def horizon_s(start_up: StartUp) -> float:
+    """The start-up time to plan with: the mean and some deviations."""
+    return start_up.mean_s + START_DEVIATIONS * start_up.deviation_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forecast:
+    """The smoothed load of one model.
+
+    :ivar recent: (start of the bucket, largest need in it), oldest first
+    :ivar idle_since_s: when the load became zero; None while there is any
+    """
+
+    level_tokens_per_s: float = 0.0
+    trend_tokens_per_s2: float = 0.0
+    deviation_tokens_per_s: float = 0.0
+    at_s: float | None = None
+    idle_since_s: float | None = None
+    recent: tuple[tuple[float, float], ...] = ()
+
+
+def observe(
+    forecast: Forecast,
+    tokens_per_s: float,
+    start_up: StartUp,
+    now_s: float,
+) -> Forecast:
+    """Account for an offered load of *tokens_per_s* just now.
+
+    The load is what callers ask for, refused requests included; the
+    tokens that were served would hide a shortage.
+    """
+    idle_since_s = _idle_since(forecast, tokens_per_s, now_s)
+    if forecast.at_s is None:
+        first = Forecast(tokens_per_s, 0.0, 0.0, now_s, idle_since_s)
+        return _with_recent(first, start_up, now_s)
+    elapsed_s = max(1e-3, now_s - forecast.at_s)
+    gain = 1 - math.exp(-elapsed_s / SMOOTHING_TIME_S)
+    trend_gain = 1 - math.exp(-elapsed_s / TREND_TIME_S)
+    expected = forecast.level_tokens_per_s
+    expected += forecast.trend_tokens_per_s2 * elapsed_s
+    error = tokens_per_s - expected
+    level = max(0.0, expected + gain * error)
+    slope = (level - forecast.level_tokens_per_s) / elapsed_s
+    trend = forecast.trend_tokens_per_s2
+    trend += trend_gain * (slope - trend)
+    deviation = forecast.deviation_tokens_per_s
+    deviation += gain * (abs(error) - deviation)
+    current = Forecast(
+        level, trend, deviation, now_s, idle_since_s, forecast.recent
+    )
+    return _with_recent(current, start_up, now_s)
+
+
+def ahead_tokens_per_s(forecast: Forecast, start_up: StartUp) -> float:
+    """The load to expect when a VM ordered now would serve."""
+    rise = max(0.0, forecast.trend_tokens_per_s2) * horizon_s(start_up)
+    # A trend that was just learnt must not multiply the fleet.
+    rise = min(rise, forecast.level_tokens_per_s)
+    margin = MARGIN_DEVIATIONS * forecast.deviation_tokens_per_s
+    return forecast.level_tokens_per_s + rise + margin
+
+
+def committed_tokens_per_s(forecast: Forecast) -> float:
+    """The load to hold VMs for: the largest need of the last while."""
+    return max((need for _, need in forecast.recent), default=0.0)
+
+
+def may_scale_to_zero(forecast: Forecast, allowed: bool, now_s: float) -> bool:
+    """Whether a model may give up its last engine."""
+    if not allowed or forecast.idle_since_s is None:
+        return False
+    return now_s - forecast.idle_since_s >= IDLE_BEFORE_ZERO_S
+
+
+def _idle_since(
+    forecast: Forecast, tokens_per_s: float, now_s: float
+) -> float | None:
+    if tokens_per_s > 0:
+        return None
+    if forecast.idle_since_s is None:
+        return now_s
+    return forecast.idle_since_s
+
+
+def _with_recent(
+    forecast: Forecast, start_up: StartUp, now_s: float
+) -> Forecast:
+    width_s = HOLD_S / HOLD_BUCKETS
+    bucket_s = math.floor(now_s / width_s) * width_s
+    need = ahead_tokens_per_s(forecast, start_up)
+    kept = [
+        (start_s, value)
+        for start_s, value in forecast.recent
+        if start_s > now_s - HOLD_S
+    ]
+    if kept and kept[-1][0] == bucket_s:
+        need = max(need, kept.pop()[1])
+    kept.append((bucket_s, need))
+    return dataclasses.replace(forecast, recent=tuple(kept))
--- /dev/null
+++ b/src/guavachute/decide/fleet_plan.py
@@ -0,0 +1,401 @@
+"""One round of the fleet: what to start, what to end, and why.
+
+Puts the market, the demand, the placement and the order of replacement
+together for all pools of one environment. Pure: the same view gives the
+same plan, which is what ``guavachute plan`` prints and what the holder
+of the lease carries out.
+"""
+
+import collections
+import dataclasses
+import enum
+import math
+import typing
+
+from guavachute.decide import demand
+from guavachute.decide import market
+from guavachute.decide import pace
+from guavachute.decide import placement
+from guavachute.decide import reclaim_rate
+from guavachute.decide import replacement_wave
+from guavachute.decide import rollout
+from guavachute.document import schema
+from guavachute import ids
+
+MOST_ENDED_FRACTION = 0.1
+"""Of a pool, in one round; at least one VM."""
+
+
+class Phase(enum.Enum):
+    """Where a VM of ours stands."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    LEAVING = 'leaving'
+    """The cloud has given notice."""
+
+
+HELD_PHASES = (Phase.STARTING, Phase.SERVING)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetVm:
+    """One VM of a pool, or the order for one."""
+
+    name: str
+    offer: market.OfferKey
+    phase: Phase
+    engine: placement.Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolView:
+    """What is known of one pool."""
+
+    pool: ids.PoolName
+    config: schema.Pool
+    models: typing.Mapping[ids.ModelName, schema.Model]
+    forecasts: typing.Mapping[ids.ModelName, demand.Forecast]
+    loads: tuple[replacement_wave.WorkspaceLoad, ...]
+    vms: tuple[FleetVm, ...]
+    start_up: demand.StartUp = demand.StartUp()
+    rollouts: typing.Mapping[ids.ModelName, rollout.Rollout] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MarketView:
+    """What is known of the market; an offer not listed has no price."""
+
+    prices: typing.Mapping[market.OfferKey, float]
+    observed: typing.Mapping[market.OfferKey, reclaim_rate.Observed]
+    paces: typing.Mapping[market.OfferKey, pace.Pace]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """One VM to drain and end."""
+
+    pool: ids.PoolName
+    name: str
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolDecision:
+    """The plan for one pool with what it was made from."""
+
+    pool: ids.PoolName
+    need: market.Need
+    plan: market.PoolPlan
+    held: market.Counts
+    missing: market.Counts
+    targets: tuple[placement.ModelTarget, ...]
+    assignments: tuple[placement.Assignment, ...]
+    ends: tuple[End, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """The plan for all pools.
+
+    :ivar starts: to order now; the rest of ``missing`` waits its turn
+    """
+
+    decisions: tuple[PoolDecision, ...]
+    starts: tuple[replacement_wave.Start, ...]
+
+
+def plan(
+    pools: typing.Iterable[PoolView],
+    offers: MarketView,
+    policy: schema.Policy,
+    room: int,
+    now_s: float,
+) -> FleetPlan:
+    """The plan for this round.
+
+    :param room: how many orders the cloud API may get now
+    """
+    views = list(pools)
+    decisions = [_decide(view, offers, policy, now_s) for view in views]
+    needs = [
+        _pool_need(view, decision)
+        for view, decision in zip(views, decisions, strict=True)
+    ]
+    starts = replacement_wave.next_starts(
+        needs, _room_by_offer(views, offers, now_s), room
+    )
+    return FleetPlan(tuple(decisions), tuple(starts))
+
+
+def tokens_per_s(config: schema.Pool, machine_class: str) -> float:
+    """What one endpoint of the class carries within the target."""
+    return config.class_tokens_per_s.get(
+        machine_class, config.tokens_per_s_per_endpoint
+    )
+
+
+def targets_of(
+    view: PoolView, now_s: float
+) -> tuple[placement.ModelTarget, ...]:
+    """What each model of the pool needs."""
+    targets = []
+    for name, model in sorted(view.models.items()):
+        forecast = view.forecasts.get(name, demand.Forecast())
+        load = demand.committed_tokens_per_s(forecast)
+        to_zero = demand.may_scale_to_zero(
+            forecast, model.scale_to_zero, now_s
+        )
+        per_endpoint = view.config.tokens_per_s_per_endpoint
+        needed = math.ceil(load / per_endpoint - 1e-9)
+        minimum = 0 if to_zero else model.minimum_endpoints
+        targets.append(
+            placement.ModelTarget(
+                model=name,
+                version=model.version,
+                weight=0.0 if to_zero else load,
+                needed=0 if to_zero else needed,
+                minimum=minimum,
+                adapters=tuple(model.adapters),
+                prefill_fraction=view.config.prefill_fraction,
+                rolling=view.rollouts.get(name),
+            )
+        )
+    return tuple(targets)
+
+
+def need_of(
+    view: PoolView, targets: tuple[placement.ModelTarget, ...]
+) -> market.Need:
+    """What the pool must carry, from what its models need."""
+    config = view.config
+    if config.kind is schema.PoolKind.SERVICE:
+        # Calls of a service have no token rate to forecast: the minimum
+        # is the load, and losing a domain may take one VM of it.
+        engines = max(1, config.minimum_endpoints - 1)
+        minimum = config.minimum_endpoints
+    else:
+        surge = sum(
+            placement.surge_engines(target, target.needed)
+            for target in targets
+        )
+        engines = sum(target.needed for target in targets) + surge
+        minimum = sum(target.minimum for target in targets)
+        if minimum or engines:
+            minimum = max(minimum, config.minimum_endpoints)
+    return market.Need(
+        tokens_per_s=engines * config.tokens_per_s_per_endpoint,
+        minimum_endpoints=min(minimum, config.maximum_endpoints),
+        maximum_endpoints=config.maximum_endpoints,
+        on_demand_allowed=config.on_demand_allowed,
+    )
+
+
+def offers_for(
+    view: PoolView,
+    offers: MarketView,
+    held: market.Counts,
+    now_s: float,
+) -> list[market.Offer]:
+    """The offers as they look to one pool.
+
+    What is held of an offer that is no longer listed stays at the
+    highest price that is, so that an outage of the price list ends no VM.
+    """
+    highest = max(offers.prices.values(), default=0.0)
+    keys = {
+        key
+        for key in offers.prices
+        if key.machine_class in view.config.machine_classes
+    }
+    result = []
+    for key in sorted(keys | set(held), key=market.order):
+        listed = key in keys
+        rate = 0.0
+        if key.market is market.Market.RECLAIMABLE:
+            observed = offers.observed.get(key, reclaim_rate.Observed())
+            rate = reclaim_rate.upper_per_vm_hour(observed)
+        result.append(
+            market.Offer(
+                key,
+                offers.prices.get(key, highest),
+                tokens_per_s(view.config, key.machine_class),
+                rate,
+                demand.horizon_s(view.start_up),
+                _limit(offers, key, held.get(key, 0), listed, now_s),
+            )
+        )
+    return result
+
+
+def _limit(
+    offers: MarketView,
+    key: market.OfferKey,
+    held: int,
+    listed: bool,
+    now_s: float,
+) -> int:
+    state = offers.paces.get(key)
+    if not listed:
+        return held
+    if state is None or not state.failures:
+        return market.UNLIMITED
+    return held + pace.room(state, 0, now_s)
+
+
+def weights_of(policy: schema.Policy) -> market.Weights:
+    """The environment's weights for the market."""
+    return market.Weights(
+        policy.recomputed_token_cost_cents,
+        policy.recomputed_tokens_per_reclaim,
+        policy.keep_margin,
+    )
+
+
+def _held(view: PoolView, phases: tuple[Phase, ...]) -> market.Counts:
+    counts = collections.Counter(
+        vm.offer for vm in view.vms if vm.phase in phases
+    )
+    return dict(counts)
+
+
+def _decide(
+    view: PoolView,
+    offers: MarketView,
+    policy: schema.Policy,
+    now_s: float,
+) -> PoolDecision:
+    targets = targets_of(view, now_s)
+    need = need_of(view, targets)
+    held = _held(view, HELD_PHASES)
+    choice = offers_for(view, offers, held, now_s)
+    wanted = market.plan_pool(need, choice, held, weights_of(policy))
+    missing = {
+        key: count - held.get(key, 0)
+        for key, count in wanted.counts.items()
+        if count > held.get(key, 0)
+    }
+    surplus = _surplus(view, wanted, held)
+    engines = [
+        dataclasses.replace(vm.engine, surplus=vm.name in surplus)
+        for vm in view.vms
+        if vm.engine is not None
+    ]
+    by_key = {offer.key: offer for offer in choice}
+    drainable = placement.drainable(engines, list(targets))
+    return PoolDecision(
+        view.pool,
+        need,
+        wanted,
+        held,
+        missing,
+        targets,
+        tuple(placement.assign(engines, list(targets))),
+        tuple(_ends(view, need, wanted, by_key, surplus, drainable)),
+    )
+
+
+def _surplus(
+    view: PoolView, wanted: market.PoolPlan, held: market.Counts
+) -> set[str]:
+    """The VMs beyond the plan: those that don't serve yet go first."""
+    surplus: set[str] = set()
+    for key, count in held.items():
+        beyond = count - wanted.counts.get(key, 0)
+        mine = sorted(
+            (
+                vm
+                for vm in view.vms
+                if vm.offer == key and vm.phase in HELD_PHASES
+            ),
+            key=lambda vm: (vm.phase is Phase.SERVING, vm.name),
+        )
+        surplus.update(vm.name for vm in mine[: max(0, beyond)])
+    return surplus
+
+
+def _ends(
+    view: PoolView,
+    need: market.Need,
+    wanted: market.PoolPlan,
+    offers: dict[market.OfferKey, market.Offer],
+    surplus: set[str],
+    drainable: set[ids.EndpointId],
+) -> typing.Iterator[End]:
+    """The surplus VMs that may go now: what serves without them holds."""
+    serving = _held(view, (Phase.SERVING,))
+    allowed = max(1, math.floor(MOST_ENDED_FRACTION * len(view.vms)))
+    for vm in sorted(view.vms, key=lambda each: each.name):
+        if not allowed:
+            return
+        if vm.name not in surplus:
+            continue
+        if vm.phase is Phase.SERVING:
+            engine = vm.engine
+            if engine is not None and engine.endpoint not in drainable:
+                continue
+            fewer = {**serving, vm.offer: serving[vm.offer] - 1}
+            if sum(fewer.values()) < need.minimum_endpoints:
+                continue
+            if not _holds(fewer, offers, need, wanted.cover):
+                continue
+            serving = fewer
+        allowed -= 1
+        yield End(view.pool, vm.name, f'not in the plan: {wanted.reason}')
+
+
+def _holds(
+    serving: market.Counts,
+    offers: dict[market.OfferKey, market.Offer],
+    need: market.Need,
+    cover: market.Cover,
+) -> bool:
+    if cover is market.Cover.SHORT:
+        return False
+    return market.survives(serving, offers, need.tokens_per_s, cover)
+
+
+def _pool_need(
+    view: PoolView, decision: PoolDecision
+) -> replacement_wave.PoolNeed:
+    config = view.config
+    coming = sum(
+        count * tokens_per_s(config, key.machine_class)
+        for key, count in decision.held.items()
+    )
+    loads = view.loads
+    if not loads:
+        # Without callers' figures the pool's whole need counts as one
+        # workspace's, so that a cold pool starts at all.
+        loads = (
+            replacement_wave.WorkspaceLoad(
+                ids.WorkspaceName(''), 1.0, decision.need.tokens_per_s
+            ),
+        )
+    return replacement_wave.PoolNeed(
+        view.pool,
+        coming,
+        config.tokens_per_s_per_endpoint,
+        loads,
+        decision.missing,
+    )
+
+
+def _room_by_offer(
+    views: list[PoolView], offers: MarketView, now_s: float
+) -> dict[market.OfferKey, int]:
+    """What each offer may be asked for now, refused ones with care."""
+    starting = collections.Counter(
+        vm.offer
+        for view in views
+        for vm in view.vms
+        if vm.phase is Phase.STARTING
+    )
+    return {
+        key: pace.room(state, starting[key], now_s)
+        for key, state in offers.paces.items()
+        if state.failures
+    }
--- /dev/null
+++ b/src/guavachute/decide/placement.py
@@ -0,0 +1,367 @@
+"""Which model, version and role each engine is to have.
+
+An engine carries one model with its adapters. The result is the wished
+state of every engine, so that the same order sent twice, late or by a
+holder of the past does no harm that the next round doesn't mend.
+
+Load before drain: an engine gives up what it serves only while the other
+engines that have it *loaded*, not merely ordered, carry the load. A
+model that has to move first grows elsewhere.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import enum
+import math
+
+from guavachute.decide import rollout
+from guavachute import ids
+
+MIN_ENGINES_PER_ROLE = 2
+"""A role that stands in one failure domain only is lost with it."""
+
+
+class Role(enum.Enum):
+    """What part of a request an engine does."""
+
+    BOTH = 'both'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wish:
+    """The wished state of one engine."""
+
+    model: ids.ModelName
+    version: str
+    adapters: tuple[str, ...] = ()
+    role: Role = Role.BOTH
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """One engine as seen now.
+
+    :ivar loaded: the model that it serves, None while it has none
+    :ivar wished: the order that it was last given, None for none yet
+    :ivar leaving: it gets no new order and counts for nothing
+    :ivar surplus: its VM is to be ended once others do its work
+    """
+
+    endpoint: ids.EndpointId
+    failure_domain: ids.FailureDomain
+    loaded: ids.ModelName | None = None
+    loaded_version: str = ''
+    wished: Wish | None = None
+    leaving: bool = False
+    surplus: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelTarget:
+    """What one model of the pool is to have.
+
+    :ivar weight: how much of the pool's engines it gets
+    :ivar needed: engines that must serve it at any moment
+    :ivar minimum: engines that it keeps without any load
+    """
+
+    model: ids.ModelName
+    version: str
+    weight: float
+    needed: int = 0
+    minimum: int = 1
+    adapters: tuple[str, ...] = ()
+    prefill_fraction: float = 0.0
+    rolling: rollout.Rollout | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assignment:
+    """The wish for one engine.
+
+    :ivar held_back: the engine must keep serving what it has until
+        others have loaded it; its wish is then the present one
+    """
+
+    endpoint: ids.EndpointId
+    wish: Wish | None
+    reason: str
+    held_back: bool = False
+
+
+def divide(targets: list[ModelTarget], engines: int) -> dict[str, int]:
+    """How many of *engines* each model gets, minimums first."""
+    counts = {target.model: 0 for target in targets}
+    left = engines
+    for target in sorted(targets, key=lambda each: -each.weight):
+        counts[target.model] = min(target.minimum, left)
+        left -= counts[target.model]
+    total = sum(target.weight for target in targets)
+    for _ in range(left if total > 0 else 0):
+        neediest = max(
+            targets,
+            key=lambda each: (
+                each.weight / (counts[each.model] + 1),
+                each.model,
+            ),
+        )
+        counts[neediest.model] += 1
+    return {str(model): count for model, count in counts.items()}
+
+
+def assign(
+    engines: list[Engine], targets: list[ModelTarget]
+) -> list[Assignment]:
+    """The wish for each engine that stays."""
+    present = [engine for engine in engines if not engine.leaving]
+    staying = [engine for engine in present if not engine.surplus]
+    counts = divide(targets, len(staying))
+    by_model = _keep(staying, targets, counts)
+    placed = {engine.endpoint for kept in by_model.values() for engine in kept}
+    free = [each for each in staying if each.endpoint not in placed]
+    held_back = _held_back(present, free, targets)
+    for engine in sorted(free, key=_loaded_last):
+        if engine.endpoint in held_back:
+            continue
+        model = _neediest(engine, by_model, counts)
+        if model is not None:
+            by_model[model].append(engine)
+    assignments = [
+        Assignment(
+            engine.endpoint,
+            engine.wished,
+            f'serves {engine.loaded} until others have loaded it',
+            held_back=True,
+        )
+        for engine in free
+        if engine.endpoint in held_back
+    ]
+    for target in targets:
+        assignments.extend(_wishes(target, by_model[target.model]))
+    assigned = {each.endpoint for each in assignments}
+    assignments.extend(
+        Assignment(engine.endpoint, engine.wished, 'no model needs it')
+        for engine in staying
+        if engine.endpoint not in assigned
+    )
+    return assignments
+
+
+def drainable(
+    engines: list[Engine], targets: list[ModelTarget]
+) -> set[ids.EndpointId]:
+    """The surplus engines whose work others do already."""
+    present = [engine for engine in engines if not engine.leaving]
+    surplus = [engine for engine in present if engine.surplus]
+    held_back = _held_back(present, surplus, targets)
+    return {each.endpoint for each in surplus} - held_back
+
+
+def _model_of(engine: Engine) -> ids.ModelName | None:
+    """The model that the engine is to serve, or else does serve."""
+    if engine.wished is not None:
+        return engine.wished.model
+    return engine.loaded
+
+
+def _keep(
+    engines: list[Engine],
+    targets: list[ModelTarget],
+    counts: dict[str, int],
+) -> dict[ids.ModelName, list[Engine]]:
+    """The engines that keep their model, spread over the domains."""
+    by_model: dict[ids.ModelName, list[Engine]] = {}
+    for target in targets:
+        mine = [each for each in engines if _model_of(each) == target.model]
+        surplus = len(mine) - counts[target.model]
+        for _ in range(max(0, surplus)):
+            mine.remove(_most_crowded(mine))
+        by_model[target.model] = mine
+    return by_model
+
+
+def _most_crowded(engines: list[Engine]) -> Engine:
+    """The engine to give up: not loaded, then in the fullest domain."""
+    crowd = collections.Counter(each.failure_domain for each in engines)
+    return max(
+        engines,
+        key=lambda each: (
+            each.loaded is None,
+            crowd[each.failure_domain],
+            each.endpoint,
+        ),
+    )
+
+
+def _held_back(
+    engines: list[Engine], free: list[Engine], targets: list[ModelTarget]
+) -> set[ids.EndpointId]:
+    """Engines of *free* that may not give up their model yet."""
+    held: set[ids.EndpointId] = set()
+    for target in targets:
+        loaded = sum(each.loaded == target.model for each in engines)
+        may_go = max(0, loaded - max(target.needed, target.minimum))
+        # An engine that swaps may be on its way out in the same round.
+        elsewhere = [
+            each
+            for each in engines
+            if each.loaded == target.model
+            and each.wished is not None
+            and each.wished.model != target.model
+        ]
+        may_go = max(0, may_go - len(elsewhere))
+        mine = [each for each in free if each.loaded == target.model]
+        held.update(each.endpoint for each in mine[may_go:])
+    return held
+
+
+def _loaded_last(engine: Engine) -> tuple[bool, str]:
+    return engine.loaded is not None, engine.endpoint
+
+
+def _neediest(
+    engine: Engine,
+    by_model: dict[ids.ModelName, list[Engine]],
+    counts: dict[str, int],
+) -> ids.ModelName | None:
+    """The model with the lowest part of its engines, here at best."""
+    open_models = [
+        model for model in by_model if len(by_model[model]) < counts[model]
+    ]
+    if not open_models:
+        return None
+    domain = engine.failure_domain
+
+    def rank(model: ids.ModelName) -> tuple[float, int, str]:
+        here = sum(e.failure_domain == domain for e in by_model[model])
+        return len(by_model[model]) / counts[model], here, model
+
+    return min(open_models, key=rank)
+
+
+def _wishes(target: ModelTarget, engines: list[Engine]) -> list[Assignment]:
+    versions = _versions(target, engines)
+    roles = _roles(target, engines)
+    return [
+        Assignment(
+            engine.endpoint,
+            Wish(
+                target.model,
+                versions[engine.endpoint],
+                target.adapters,
+                roles[engine.endpoint],
+            ),
+            _reason(target, versions[engine.endpoint]),
+        )
+        for engine in engines
+    ]
+
+
+def _reason(target: ModelTarget, version: str) -> str:
+    steps = target.rolling
+    if steps is None or version == target.version:
+        return f'carries the load of {target.model}'
+    return f'{version} while the roll-out is {steps.progress.value}'
+
+
+def _versions(
+    target: ModelTarget, engines: list[Engine]
+) -> dict[ids.EndpointId, str]:
+    """Which engines have the new version; the others keep the old one.
+
+    An engine that has or was ordered the new version stays with it. No
+    more change at once than the others can carry the load without.
+    """
+    steps = target.rolling
+    if steps is None:
+        return {each.endpoint: target.version for each in engines}
+    allowed = rollout.engines_allowed(steps, len(engines))
+    spread = _spread(engines, lambda e: _has(e, steps.new_version))
+    chosen = spread[:allowed]
+    # Both directions swap a serving engine's version in place, so both
+    # are held to what the serving others can spare.
+    changing = sum(
+        each.wished is not None
+        and each.loaded is not None
+        and each.loaded_version != each.wished.version
+        for each in engines
+    )
+    loaded = sum(each.loaded == target.model for each in engines)
+    spare = max(0, loaded - changing - target.needed)
+    versions: dict[ids.EndpointId, str] = {}
+    for engine in spread:
+        is_new = engine in chosen
+        goal = steps.new_version if is_new else steps.old_version
+        versions[engine.endpoint] = goal
+        serves = engine.loaded == target.model
+        if not serves or engine.loaded_version == goal:
+            continue
+        if engine.wished is not None and engine.wished.version == goal:
+            continue
+        if spare > 0:
+            spare -= 1
+        else:
+            versions[engine.endpoint] = engine.loaded_version
+    return versions
+
+
+def _has(engine: Engine, version: str) -> bool:
+    if engine.wished is not None:
+        return engine.wished.version == version
+    return engine.loaded_version == version
+
+
+def _roles(
+    target: ModelTarget, engines: list[Engine]
+) -> dict[ids.EndpointId, Role]:
+    """Roles in the wished proportion, each in every failure domain."""
+    prefill = round(target.prefill_fraction * len(engines))
+    decode = len(engines) - prefill
+    if min(prefill, decode) < MIN_ENGINES_PER_ROLE:
+        return {each.endpoint: Role.BOTH for each in engines}
+    spread = _spread(
+        engines,
+        lambda each: (
+            each.wished is not None and each.wished.role is Role.PREFILL
+        ),
+    )
+    chosen = {each.endpoint for each in spread[:prefill]}
+    return {
+        each.endpoint: (
+            Role.PREFILL if each.endpoint in chosen else Role.DECODE
+        )
+        for each in engines
+    }
+
+
+def _spread(
+    engines: list[Engine], first: collections.abc.Callable[[Engine], bool]
+) -> list[Engine]:
+    """Those for which *first* holds, then the rest, domains in turn."""
+    turn: collections.Counter[str] = collections.Counter()
+    ordered = sorted(
+        engines, key=lambda each: (not first(each), each.endpoint)
+    )
+    ranked = []
+    for engine in ordered:
+        ranked.append((not first(engine), turn[engine.failure_domain], engine))
+        turn[engine.failure_domain] += 1
+    ranked.sort(
+        key=lambda entry: (entry[0], entry[1], entry[2].failure_domain)
+    )
+    return [engine for _, _, engine in ranked]
+
+
+def surge_engines(target: ModelTarget, engines: int) -> int:
+    """Engines to hold more while a version rolls out.
+
+    With them the swap in place takes nothing from what survives the
+    loss of a failure domain.
+    """
+    steps = target.rolling
+    if steps is None or steps.progress is not rollout.Progress.RUNNING:
+        return 0
+    return max(1, math.ceil(rollout.STEP_FRACTIONS[1] * engines))
--- /dev/null
+++ b/src/guavachute/decide/replacement_wave.py
@@ -0,0 +1,137 @@
+"""Which VMs to start first when many are missing.
+
+After a wave there is less room for starts than VMs to start: offers
+refuse, the API and the weight store are slow. The next start goes to the
+pool whose workspaces lack most, each weighted by its share, after what
+has been started already is counted in; so no large pool takes all the
+first starts, and no small group waits for the end of the wave.
+"""
+
+import dataclasses
+
+from guavachute.decide import market
+from guavachute import ids
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceLoad:
+    """What one workspace asks of one pool."""
+
+    workspace: ids.WorkspaceName
+    share: float
+    tokens_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolNeed:
+    """One pool with VMs to start.
+
+    :ivar coming_tokens_per_s: of VMs that serve or were started already
+    :ivar missing: VMs to start, by offer
+    """
+
+    pool: ids.PoolName
+    coming_tokens_per_s: float
+    tokens_per_s_per_vm: float
+    loads: tuple[WorkspaceLoad, ...]
+    missing: market.Counts
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """One VM to start now.
+
+    :ivar unmet: what decided: the unmet part of the workspaces' loads,
+        weighted by their shares
+    """
+
+    pool: ids.PoolName
+    offer: market.OfferKey
+    unmet: float
+
+
+def allocate(
+    loads: tuple[WorkspaceLoad, ...], tokens_per_s: float
+) -> dict[ids.WorkspaceName, float]:
+    """What each workspace gets: max-min fair, weighted by share."""
+    given: dict[ids.WorkspaceName, float] = {}
+    left = tokens_per_s
+    open_loads = sorted(loads, key=lambda load: load.tokens_per_s / load.share)
+    shares = sum(load.share for load in open_loads)
+    for load in open_loads:
+        due = left * load.share / shares
+        given[load.workspace] = min(load.tokens_per_s, due)
+        left -= given[load.workspace]
+        shares -= load.share
+    return given
+
+
+def unmet(loads: tuple[WorkspaceLoad, ...], tokens_per_s: float) -> float:
+    """The unmet parts of the loads, each weighted by its share."""
+    given = allocate(loads, tokens_per_s)
+    return sum(
+        load.share * (1 - given[load.workspace] / load.tokens_per_s)
+        for load in loads
+        if load.tokens_per_s > 0
+    )
+
+
+def next_starts(
+    needs: list[PoolNeed],
+    room_by_offer: dict[market.OfferKey, int],
+    room: int,
+) -> list[Start]:
+    """The starts to order now, the most needed first.
+
+    :param room_by_offer: how many starts each offer may get now; an
+        offer that is left out gets any number
+    :param room: how many starts the API may get now
+    """
+    missing = {need.pool: dict(need.missing) for need in needs}
+    coming = {need.pool: need.coming_tokens_per_s for need in needs}
+    offers_left = dict(room_by_offer)
+    starts: list[Start] = []
+    while len(starts) < room:
+        found = _neediest(needs, missing, coming, offers_left)
+        if found is None:
+            break
+        need, start = found
+        starts.append(start)
+        missing[need.pool][start.offer] -= 1
+        coming[need.pool] += need.tokens_per_s_per_vm
+        if start.offer in offers_left:
+            offers_left[start.offer] -= 1
+    return starts
+
+
+def _neediest(
+    needs: list[PoolNeed],
+    missing: dict[ids.PoolName, market.Counts],
+    coming: dict[ids.PoolName, float],
+    offers_left: dict[market.OfferKey, int],
+) -> tuple[PoolNeed, Start] | None:
+    best: tuple[PoolNeed, Start] | None = None
+    for need in needs:
+        offer = _most_missing(missing[need.pool], offers_left)
+        if offer is None:
+            continue
+        lacking = unmet(need.loads, coming[need.pool])
+        if best is None or lacking > best[1].unmet:
+            best = (need, Start(need.pool, offer, lacking))
+    return best
+
+
+def _most_missing(
+    missing: market.Counts, offers_left: dict[market.OfferKey, int]
+) -> market.OfferKey | None:
+    """The offer with most VMs to start, so that domains fill evenly."""
+    open_offers = [
+        (count, key)
+        for key, count in missing.items()
+        if count > 0 and offers_left.get(key, 1) > 0
+    ]
+    if not open_offers:
+        return None
+    return max(
+        open_offers, key=lambda entry: (entry[0], market.order(entry[1]))
+    )[1]
--- a/src/guavachute/document/schema.py
+++ b/src/guavachute/document/schema.py
@@ -41,7 +41,13 @@
 
 
 class Pool(_Strict, frozen=True):
-    """Endpoints that are bought, counted and replaced together."""
+    """Endpoints that are bought, counted and replaced together.
+
+    :ivar tokens_per_s_per_endpoint: what one carries within the target
+    :ivar class_tokens_per_s: the same where a machine class differs
+    :ivar prefill_fraction: part of the engines that only prefill, where
+        the engines offer roles; 0 leaves both roles to each engine
+    """
 
     kind: PoolKind
     machine_classes: list[Name]
@@ -51,6 +57,8 @@
     on_demand_allowed: bool = True
     slots_per_endpoint: PositiveCount = 32
     tokens_per_s_per_endpoint: Positive = 1400.0
+    class_tokens_per_s: dict[Name, Positive] = {}
+    prefill_fraction: Fraction = 0.0
 
 
 class Model(_Strict, frozen=True):
@@ -116,10 +124,15 @@
     :ivar recomputed_token_cost_cents: price of one token computed twice;
         high where a restarted answer keeps people waiting
     :ivar region_byte_cost_cents: price of a byte between regions
+    :ivar recomputed_tokens_per_reclaim: to expect when one VM goes
+    :ivar keep_margin: VMs are exchanged only for a set that is cheaper
+        by more than this part
     """
 
     recomputed_token_cost_cents: NotNegative = 0.0001
     region_byte_cost_cents: NotNegative = 0.00000001
+    recomputed_tokens_per_reclaim: NotNegative = 20_000.0
+    keep_margin: Fraction = 0.08
     order_window_s: Positive = 86400.0
     address_ttl_s: Positive = 5.0
 
--- /dev/null
+++ b/tests/cover/test_fleet_plan.py
@@ -0,0 +1,155 @@
+"""A round of the fleet: load before drain, waves, no plan from nothing."""
+
+import collections
+import unittest
+
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import fleet_text
+from guavachute.decide import market
+from guavachute.decide import pace
+from guavachute.decide import placement
+from guavachute.document import schema
+from guavachute import ids
+
+DOMAINS = ('perth-a', 'perth-b', 'bunbury-a')
+NEEDLE = ids.ModelName('needle-llm')
+SERVING = fleet_plan.Phase.SERVING
+
+
+def key(
+    domain: str, how: market.Market = market.Market.RECLAIMABLE
+) -> market.OfferKey:
+    return market.OfferKey(ids.FailureDomain(domain), 'a10x8', how)
+
+
+def vm(
+    number: int,
+    domain: str,
+    phase: fleet_plan.Phase = SERVING,
+    model: ids.ModelName | None = NEEDLE,
+) -> fleet_plan.FleetVm:
+    loaded = model if phase is SERVING else None
+    engine = placement.Engine(
+        ids.EndpointId(f'vm-{number:02}'),
+        ids.FailureDomain(domain),
+        loaded,
+        '1',
+        leaving=phase is fleet_plan.Phase.LEAVING,
+    )
+    return fleet_plan.FleetVm(f'vm-{number:02}', key(domain), phase, engine)
+
+
+def view(
+    vms: list[fleet_plan.FleetVm], load: float, **fields: object
+) -> fleet_plan.PoolView:
+    forecast = demand.Forecast(recent=((0.0, load),), at_s=0.0)
+    config = schema.Pool(
+        kind=schema.PoolKind.MODEL,
+        machine_classes=['a10x8'],
+        tokens_per_s_per_endpoint=1000.0,
+    )
+    return fleet_plan.PoolView(
+        ids.PoolName('needle'),
+        config,
+        {NEEDLE: schema.Model(pool='needle')},
+        {NEEDLE: forecast},
+        (),
+        tuple(vms),
+        **fields,
+    )
+
+
+def offers(
+    prices: dict[market.OfferKey, float],
+    paces: dict[market.OfferKey, pace.Pace] | None = None,
+) -> fleet_plan.MarketView:
+    return fleet_plan.MarketView(prices, {}, paces or {})
+
+
+PRICES = {key(domain): 100.0 for domain in DOMAINS} | {
+    key(domain, market.Market.ON_DEMAND): 400.0 for domain in DOMAINS
+}
+
+
+def round_of(
+    pool: fleet_plan.PoolView,
+    prices: dict[market.OfferKey, float] = PRICES,
+    paces: dict[market.OfferKey, pace.Pace] | None = None,
+    room: int = 20,
+) -> fleet_plan.FleetPlan:
+    return fleet_plan.plan(
+        [pool], offers(prices, paces), schema.Policy(), room, 1.0
+    )
+
+
+class FleetPlanTest(unittest.TestCase):
+    def test_a_cold_pool_starts_spread_and_within_the_room(self) -> None:
+        plan = round_of(view([], 4000.0), room=3)
+        self.assertEqual(3, len(plan.starts))
+        self.assertEqual(
+            3, len({start.offer.failure_domain for start in plan.starts})
+        )
+
+    def test_what_leaves_is_replaced_before_it_is_gone(self) -> None:
+        vms = [vm(number, DOMAINS[number % 3]) for number in range(6)]
+        vms[0] = vm(0, DOMAINS[0], fleet_plan.Phase.LEAVING)
+        plan = round_of(view(vms, 4000.0))
+        self.assertEqual(
+            [key(DOMAINS[0])], [start.offer for start in plan.starts]
+        )
+
+    def test_a_refusing_offer_is_left_alone_and_others_fill_in(self) -> None:
+        refused = pace.overloaded(pace.Pace(), None, 1.0, 0.0)
+        vms = [vm(1, DOMAINS[1]), vm(2, DOMAINS[2])]
+        plan = round_of(view(vms, 2000.0), paces={key(DOMAINS[0]): refused})
+        self.assertNotIn(
+            key(DOMAINS[0]), [start.offer for start in plan.starts]
+        )
+        self.assertTrue(plan.starts)
+
+    def test_nothing_ends_before_its_successor_serves(self) -> None:
+        dear = PRICES | {key(DOMAINS[0]): 900.0}
+        vms = [vm(number, DOMAINS[number % 3]) for number in range(6)]
+        ended: list[str] = []
+        lowest = 6
+        for turn in range(12):
+            plan = round_of(view(vms, 4000.0), dear)
+            decision = plan.decisions[0]
+            gone = {end.name for end in decision.ends}
+            ended.extend(gone)
+            vms = [each for each in vms if each.name not in gone]
+            by_domain = collections.Counter(
+                each.offer.failure_domain
+                for each in vms
+                if each.phase is SERVING
+            )
+            serving = sum(by_domain.values())
+            lowest = min(lowest, serving - max(by_domain.values()))
+            if turn % 2:  # Orders of the last two rounds serve now.
+                vms = [
+                    vm(int(each.name[3:]), each.offer.failure_domain)
+                    for each in vms
+                ]
+            for start in plan.starts:
+                vms.append(
+                    vm(
+                        len(vms) + len(ended) + 10,
+                        start.offer.failure_domain,
+                        fleet_plan.Phase.STARTING,
+                    )
+                )
+        self.assertEqual(4, lowest)
+        self.assertEqual({'vm-00', 'vm-03'}, set(ended))
+
+    def test_an_empty_price_list_ends_nothing(self) -> None:
+        vms = [vm(number, DOMAINS[number % 3]) for number in range(6)]
+        plan = round_of(view(vms, 4000.0), {})
+        self.assertEqual((), plan.decisions[0].ends)
+        self.assertEqual((), plan.starts)
+
+    def test_the_words_name_cost_reason_and_change(self) -> None:
+        text = '\n'.join(fleet_text.lines(round_of(view([], 4000.0))))
+        self.assertIn('expected cost: ', text)
+        self.assertIn('0 -> 2 (+2)', text)
+        self.assertIn('survives loss of any failure domain', text)
