Resume from Last-Event-ID as engines really can; split the front

Cause: a trial against the engine stand-in showed another text after a reconnect: an engine can't go on without the text so far. Change: the caller may send that text along; without it the first tokens are made again and hidden.

--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -20,6 +20,7 @@
 from guavachute.services.relay import task as relay_task
 from guavachute.services import replies
 from guavachute.services import table_feed
+from guavachute.services import view as view_module
 from guavachute import settings
 from guavachute.wire import tables
 
@@ -119,7 +120,7 @@
         idle.wait(HAND_OVER_MARGIN_S)
 
     def _put_in_force(self, new: tables.Tables) -> None:
-        view = front.view_of(new)
+        view = view_module.view_of(new)
         self._ttl_s = view.document.policy.address_ttl_s
         self.relay.mailbox.send(relay_task.TablesChanged(new))
         self.plain_calls.put_in_force(new)
--- a/src/guavachute/decide/answer.py
+++ b/src/guavachute/decide/answer.py
@@ -7,16 +7,22 @@
 """
 
 import enum
+import re
 
 import xxhash
 
 from guavachute import ids
 
+REQUEST_ID = re.compile('req-[A-Za-z0-9-]{1,60}')
+"""Checked, for it comes back from callers and goes on to endpoints."""
+
 
 class Step(enum.Enum):
     """What to do with an event from an endpoint."""
 
     FORWARD = 'forward'
+    HIDE = 'hide'
+    """The caller has this token already, from another router."""
     DROP = 'drop'
     """It belongs to another request or attempt, or came before."""
     RESUME = 'resume'
@@ -26,26 +32,37 @@
 class Answer:
     """How far one answer has come.
 
-    :ivar next_index: the number of the token that the caller needs next
-    :ivar text: of the tokens that this process has seen
+    :param deliver_from: the number of the first token that the caller
+        still needs; those before came from another router
+    :param known_text: the text before that, if the caller sent it along;
+        without it those tokens are made again and not shown
+    :ivar next_index: the number of the token that is due next
     """
 
     __slots__ = (
-        'attempt_id', 'finished', 'first_index', 'next_index', 'request_id',
-        '_texts',
+        'attempt_id', 'deliver_from', 'finished', 'next_index',
+        'request_id', '_texts',
     )  # fmt: skip
 
-    def __init__(self, request_id: ids.RequestId, next_index: int = 0) -> None:
+    def __init__(
+        self,
+        request_id: ids.RequestId,
+        deliver_from: int = 0,
+        known_text: str | None = None,
+    ) -> None:
         self.request_id = request_id
         self.attempt_id: ids.AttemptId | None = None
-        self.first_index = next_index
-        self.next_index = next_index
+        self.deliver_from = deliver_from
         self.finished = False
+        self.next_index = 0
         self._texts: list[str] = []
+        if known_text is not None:
+            self.next_index = deliver_from
+            self._texts.append(known_text)
 
     @property
     def text(self) -> str:
-        """What this process has seen of the answer."""
+        """The answer so far, what the caller sent along included."""
         return ''.join(self._texts)
 
     def begin(self, attempt_id: ids.AttemptId) -> None:
@@ -78,6 +95,8 @@
             self._texts.append(text)
             self.next_index += 1
         self.finished = final
+        if self.next_index <= self.deliver_from and not final:
+            return Step.HIDE
         return Step.FORWARD
 
 
@@ -89,9 +108,9 @@
 def parse_event_id(text: str) -> tuple[ids.RequestId, int] | None:
     """The request and the number of the last token that a caller saw."""
     request_id, _, index = text.strip().rpartition(':')
-    if not request_id.startswith('req-') or not index.isascii():
+    if REQUEST_ID.fullmatch(request_id) is None:
         return None
-    if not index.isdigit():
+    if not index.isascii() or not index.isdigit():
         return None
     return ids.RequestId(request_id), int(index)
 
--- a/src/guavachute/document/check.py
+++ b/src/guavachute/document/check.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import hashlib
+import re
 import typing
 
 import msgspec
@@ -15,6 +16,7 @@
 from guavachute import ids
 
 MAX_VALUE_CHARACTERS = 60
+PLAIN_NAME = re.compile('[A-Za-z_][A-Za-z0-9_]*')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +114,19 @@
     return texts.get(rule, error.message)
 
 
+def _json_path(*parts: str | int) -> str:
+    """The path as ``jsonschema`` writes it."""
+    path = '$'
+    for part in parts:
+        if isinstance(part, int):
+            path += f'[{part}]'
+        elif PLAIN_NAME.fullmatch(part):
+            path += f'.{part}'
+        else:
+            path += f"['{part}']"
+    return path
+
+
 def _shortened(value: typing.Any) -> str:
     text = msgspec.json.encode(value).decode()
     if len(text) > MAX_VALUE_CHARACTERS:
@@ -124,19 +139,19 @@
 ) -> typing.Iterator[Problem]:
     for name, model in document.models.items():
         yield from _pool_problems(
-            document, f'$.models.{name}', model.pool, schema.PoolKind.MODEL
+            document, ('models', name), model.pool, schema.PoolKind.MODEL
         )
     for name, service in document.services.items():
         yield from _pool_problems(
             document,
-            f'$.services.{name}',
+            ('services', name),
             service.pool,
             schema.PoolKind.SERVICE,
         )
     for name, pool in document.pools.items():
         if pool.minimum_endpoints > pool.maximum_endpoints:
             yield Problem(
-                f'$.pools.{name}.minimum_endpoints',
+                _json_path('pools', name, 'minimum_endpoints'),
                 str(pool.minimum_endpoints),
                 f'at most maximum_endpoints, {pool.maximum_endpoints}',
             )
@@ -145,19 +160,18 @@
 
 def _pool_problems(
     document: schema.Document,
-    path: str,
+    owner: tuple[str, str],
     pool_name: str,
     kind: schema.PoolKind,
 ) -> typing.Iterator[Problem]:
+    path = _json_path(*owner, 'pool')
     pool = document.pools.get(pool_name)
     if pool is None:
         names = ', '.join(sorted(document.pools)) or 'none is defined'
-        yield Problem(
-            f'{path}.pool', f'"{pool_name}"', f'a pool of $.pools ({names})'
-        )
+        yield Problem(path, f'"{pool_name}"', f'a pool of $.pools ({names})')
     elif pool.kind is not kind:
         yield Problem(
-            f'{path}.pool',
+            path,
             f'"{pool_name}" of kind {pool.kind.value}',
             f'a pool of kind {kind.value}',
         )
@@ -170,7 +184,7 @@
             owner = owners.setdefault(digest, name)
             if owner != name:
                 yield Problem(
-                    f'$.workspaces.{name}.api_key_digests[{index}]',
+                    _json_path('workspaces', name, 'api_key_digests', index),
                     f'"{digest[:8]}..."',
                     f'a key of its own, not that of {owner}',
                 )
--- a/src/guavachute/services/front.py
+++ b/src/guavachute/services/front.py
@@ -7,14 +7,10 @@
 
 import dataclasses
 import functools
-import hashlib
 import threading
 import time
 import typing
 
-import msgspec
-
-from guavachute.decide import answer
 from guavachute.document import schema
 from guavachute.http import message
 from guavachute.http import server
@@ -27,74 +23,12 @@
 from guavachute.services.relay import call as relay_call
 from guavachute.services.relay import downstream
 from guavachute.services import replies
-from guavachute.wire import tables
+from guavachute.services import request_checks
+from guavachute.services import view as view_module
 
-DEFAULT_DEADLINE_S = 600.0
-MAX_DEADLINE_S = 3600.0
-DEFAULT_PRIORITY = 1
-LAST_PRIORITY = 2
-BEARER = 'bearer '
 SERVICES_PREFIX = '/v1/services/'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class View:
-    """What is in force, prepared for look-ups."""
-
-    tables: tables.Tables
-    document: schema.Document
-    workspaces: dict[str, ids.WorkspaceName]
-
-
-class Message(msgspec.Struct):
-    """A chat message; other fields pass unread."""
-
-    role: str
-    content: typing.Any = None
-
-
-class ModelRequest(msgspec.Struct):
-    """What the front reads of a request; the rest passes unread."""
-
-    model: str
-    prompt: typing.Any = None
-    messages: list[Message] | None = None
-    stream: bool = False
-    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
-    n: int | None = None
-
-
-class ListedModel(msgspec.Struct):
-    """An entry of ``GET /v1/models``."""
-
-    id: str
-    object: str = 'model'
-    created: int = 0
-    owned_by: str = 'guavachute'
-
-
-class ModelList(msgspec.Struct):
-    """The answer to ``GET /v1/models``."""
-
-    data: list[ListedModel]
-    object: str = 'list'
-
-
-class Address(msgspec.Struct):
-    """An address of the system that a caller may use."""
-
-    address: str
-    weight: float
-    failure_domain: str
-
-
-class Addresses(msgspec.Struct):
-    """The answer to ``GET /v1/addresses``."""
-
-    addresses: list[Address]
-    ttl_s: float
-
-
 @dataclasses.dataclass(slots=True)
 class Incoming:
     """One request on its way through the front."""
@@ -105,17 +39,6 @@
     now_s: float
 
 
-def view_of(new: tables.Tables) -> View:
-    """The look-ups for *new*, whose document was checked before."""
-    document = msgspec.convert(new.document, schema.Document)
-    workspaces = {
-        digest: ids.WorkspaceName(name)
-        for name, workspace in document.workspaces.items()
-        for digest in workspace.api_key_digests
-    }
-    return View(new, document, workspaces)
-
-
 class Front:
     """Handles requests; safe to call from many threads."""
 
@@ -128,10 +51,10 @@
         self._kernel = hosting
         self._count = count
         self._tracer = tracer
-        self._view: View | None = None
+        self._view: view_module.View | None = None
         self.draining = threading.Event()
 
-    def put_in_force(self, view: View) -> None:
+    def put_in_force(self, view: view_module.View) -> None:
         """Use *view* for all requests from now on."""
         self._view = view
 
@@ -183,7 +106,7 @@
                 'this router has no configuration yet',
                 retry_after_s=1.0,
             )
-        workspace = _workspace_of(view, incoming.request)
+        workspace = view_module.workspace_of(view, incoming.request)
         if workspace is None:
             return outcome.Failure(
                 outcome.Reason.UNAUTHENTICATED,
@@ -192,16 +115,19 @@
         return self._route(incoming, view, workspace)
 
     def _route(
-        self, incoming: Incoming, view: View, workspace: ids.WorkspaceName
+        self,
+        incoming: Incoming,
+        view: view_module.View,
+        workspace: ids.WorkspaceName,
     ) -> message.Response | message.Detach | outcome.Failure:
         request = incoming.request
         if request.path.startswith(SERVICES_PREFIX):
             return self._plain_call(incoming, view, workspace)
         route = f'{request.method} {request.path}'
         if route == 'GET /v1/models':
-            return _model_list(view)
+            return view_module.model_list(view)
         if route == 'GET /v1/addresses':
-            return _address_list(view)
+            return view_module.address_list(view)
         if route == 'POST /v1/chat/completions':
             return self._model_call(incoming, view, workspace, chat=True)
         if route == 'POST /v1/completions':
@@ -213,14 +139,16 @@
     def _model_call(
         self,
         incoming: Incoming,
-        view: View,
+        view: view_module.View,
         workspace: ids.WorkspaceName,
         chat: bool,
     ) -> message.Detach | outcome.Failure:
-        body = _object_of(incoming.request.body)
+        body = message.decode_json(
+            incoming.request.body, dict[str, typing.Any]
+        )
         if isinstance(body, outcome.Failure):
             return body
-        wanted = _checked_request(body, chat)
+        wanted = request_checks.checked_request(body, chat)
         if isinstance(wanted, outcome.Failure):
             return wanted
         model = view.document.models.get(wanted.model)
@@ -240,15 +168,15 @@
         incoming: Incoming,
         workspace: ids.WorkspaceName,
         model: schema.Model,
-        wanted: ModelRequest,
+        wanted: request_checks.ModelRequest,
         body: dict[str, typing.Any],
         chat: bool,
     ) -> relay_call.ModelCall | outcome.Failure:
         headers = incoming.request.headers
-        timing = _timing_of(headers, incoming.now_s)
+        timing = request_checks.timing_of(headers, incoming.now_s)
         if isinstance(timing, outcome.Failure):
             return timing
-        resume = _resume_of(headers)
+        resume = request_checks.resume_of(headers)
         if isinstance(resume, outcome.Failure):
             return resume
         request_id, resume_from = incoming.request_id, 0
@@ -272,11 +200,12 @@
             chat=chat,
             streamed=wanted.stream,
             body=body,
-            prompt=prompt_text(wanted),
+            prompt=request_checks.prompt_text(wanted),
             priority=timing.priority,
             deadline_s=timing.deadline_s,
             received_s=incoming.now_s,
             resume_from=resume_from,
+            resume_text=wanted.resume_text if resume is not None else None,
             caller=_caller_of(incoming, self.draining.is_set()),
             span=span,
             context=traces.context_of(span, parent),
@@ -294,7 +223,10 @@
         return message.DETACH
 
     def _plain_call(
-        self, incoming: Incoming, view: View, workspace: ids.WorkspaceName
+        self,
+        incoming: Incoming,
+        view: view_module.View,
+        workspace: ids.WorkspaceName,
     ) -> message.Detach | outcome.Failure:
         request = incoming.request
         rest = request.path.removeprefix(SERVICES_PREFIX)
@@ -306,10 +238,12 @@
                 outcome.Reason.NOT_FOUND,
                 f'service: got {name!r}, expected one of: {names}',
             )
-        timing = _timing_of(request.headers, incoming.now_s)
+        timing = request_checks.timing_of(request.headers, incoming.now_s)
         if isinstance(timing, outcome.Failure):
             return timing
-        idempotent = is_idempotent(service, request.method, f'/{path}')
+        idempotent = view_module.is_idempotent(
+            service, request.method, f'/{path}'
+        )
         key = request.headers.get('idempotency-key', '')
         if not idempotent and not key:
             return outcome.Failure(
@@ -346,123 +280,6 @@
         return message.DETACH
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Timing:
-    """When a request must be answered and how urgent it is."""
-
-    deadline_s: float
-    priority: int
-
-
-def prompt_text(wanted: ModelRequest) -> str:
-    """The prompt as one text, for counting and for prefix affinity."""
-    if wanted.messages is None:
-        return str(wanted.prompt)
-    return '\n'.join(
-        f'{one.role}: {_content_text(one.content)}' for one in wanted.messages
-    )
-
-
-def is_idempotent(service: schema.Service, method: str, path: str) -> bool:
-    """Whether the call may be sent twice; by default only reads may."""
-    for call in service.calls:
-        if call.method == method and path.startswith(call.path_prefix):
-            return call.idempotent
-    return method in ('GET', 'HEAD', 'OPTIONS')
-
-
-def _content_text(content: typing.Any) -> str:
-    if isinstance(content, list):
-        return ''.join(
-            str(part.get('text', '')) if isinstance(part, dict) else str(part)
-            for part in content
-        )
-    return '' if content is None else str(content)
-
-
-def _workspace_of(
-    view: View, request: message.Request
-) -> ids.WorkspaceName | None:
-    given = request.headers.get('authorization', '')
-    if not given.lower().startswith(BEARER):
-        return None
-    key = given[len(BEARER) :].strip()
-    digest = hashlib.sha256(key.encode('latin-1')).hexdigest()
-    return view.workspaces.get(digest)
-
-
-def _object_of(body: bytes) -> dict[str, typing.Any] | outcome.Failure:
-    return message.decode_json(body, dict[str, typing.Any])
-
-
-def _checked_request(
-    body: dict[str, typing.Any], chat: bool
-) -> ModelRequest | outcome.Failure:
-    try:
-        wanted = msgspec.convert(body, ModelRequest)
-    except msgspec.ValidationError as error:
-        return outcome.Failure(outcome.Reason.BAD_REQUEST, str(error))
-    if chat and not wanted.messages:
-        return _bad('messages', wanted.messages, 'a list of messages')
-    if not chat and not isinstance(wanted.prompt, str):
-        return _bad('prompt', wanted.prompt, 'a string')
-    if wanted.n not in (None, 1):
-        return _bad('n', wanted.n, '1; ask again for another answer')
-    return wanted
-
-
-def _bad(name: str, value: typing.Any, expected: str) -> outcome.Failure:
-    shown = repr(value)[:60]
-    return outcome.Failure(
-        outcome.Reason.BAD_REQUEST, f'{name}: got {shown}, expected {expected}'
-    )
-
-
-def _timing_of(
-    headers: typing.Mapping[str, str], now_s: float
-) -> Timing | outcome.Failure:
-    deadline = headers.get('x-deadline-s', str(DEFAULT_DEADLINE_S))
-    priority = headers.get('x-priority', str(DEFAULT_PRIORITY))
-    try:
-        left_s = float(deadline)
-    except ValueError:
-        left_s = 0.0
-    if not 0 < left_s <= MAX_DEADLINE_S:
-        return _bad(
-            'X-Deadline-S', deadline, f'seconds, up to {MAX_DEADLINE_S:g}'
-        )
-    if priority not in ('0', '1', '2'):
-        return _bad('X-Priority', priority, f'0 (first) to {LAST_PRIORITY}')
-    return Timing(now_s + left_s, int(priority))
-
-
-def _resume_of(
-    headers: typing.Mapping[str, str],
-) -> tuple[ids.RequestId, int] | None | outcome.Failure:
-    text = headers.get('last-event-id')
-    if text is None:
-        return None
-    parsed = answer.parse_event_id(text)
-    if parsed is None:
-        return _bad('Last-Event-ID', text, 'the id of an event of ours')
-    return parsed
-
-
 def _caller_of(incoming: Incoming, draining: bool) -> downstream.Downstream:
     keeps_alive = incoming.exchange.keeps_alive and not draining
     return downstream.Downstream(incoming.exchange.take(), keeps_alive)
-
-
-def _model_list(view: View) -> message.Response:
-    models = [ListedModel(name) for name in sorted(view.document.models)]
-    return message.json_response(ModelList(models))
-
-
-def _address_list(view: View) -> message.Response:
-    live = [
-        Address(entry.address, 1.0, entry.failure_domain)
-        for entry in view.tables.routers
-        if not entry.leaving
-    ]
-    ttl_s = view.document.policy.address_ttl_s
-    return message.json_response(Addresses(live, ttl_s))
--- a/src/guavachute/services/relay/call.py
+++ b/src/guavachute/services/relay/call.py
@@ -24,6 +24,7 @@
     :ivar streamed: whether the caller wants events or one whole answer
     :ivar body: the caller's fields, passed on to the engine
     :ivar resume_from: tokens that the caller has from an earlier router
+    :ivar resume_text: their text, if the caller sent it along
     :ivar deadline_s: monotonic
     :ivar priority: 0 goes first
     """
@@ -40,6 +41,7 @@
     deadline_s: float
     received_s: float
     resume_from: int
+    resume_text: str | None
     caller: downstream.Downstream
     span: traces.Span
     context: traces.Context
@@ -62,7 +64,9 @@
     def __init__(self, call: ModelCall, now_s: float) -> None:
         self.call = call
         self.caller = call.caller
-        self.answer = answer.Answer(call.request_id, call.resume_from)
+        self.answer = answer.Answer(
+            call.request_id, call.resume_from, call.resume_text
+        )
         self.history = attempts.History()
         self.connection: upstream.Connection | None = None
         self.endpoint: tables.EndpointEntry | None = None
@@ -109,7 +113,7 @@
             chunk.text,
             reason is not None,
         )
-        if step is answer.Step.FORWARD:
+        if step in (answer.Step.FORWARD, answer.Step.HIDE):
             if chunk.usage is not None:
                 self.usage = chunk.usage
             self.finish_reason = reason
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -405,7 +405,7 @@
         self._count.add('requests.done')
         self._count.add('tokens.prompt', stream.usage.prompt_tokens)
         self._count.add('tokens.cached', stream.usage.cached_tokens)
-        generated = stream.answer.next_index - stream.answer.first_index
+        generated = stream.answer.next_index
         self._count.add('tokens.generated', generated)
         fresh = stream.usage.prompt_tokens - stream.usage.cached_tokens
         self._charge(call.workspace, generated + max(fresh, 0))
--- /dev/null
+++ b/src/guavachute/services/request_checks.py
@@ -0,0 +1,117 @@
+"""What callers send, checked; each refusal names the field and the value."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from guavachute.decide import answer
+from guavachute import ids
+from guavachute import outcome
+
+DEFAULT_DEADLINE_S = 600.0
+MAX_DEADLINE_S = 3600.0
+DEFAULT_PRIORITY = 1
+LAST_PRIORITY = 2
+MAX_SHOWN_CHARACTERS = 60
+
+
+class Message(msgspec.Struct):
+    """A chat message; other fields pass unread."""
+
+    role: str
+    content: typing.Any = None
+
+
+class ModelRequest(msgspec.Struct):
+    """What the front reads of a request; the rest passes unread."""
+
+    model: str
+    prompt: typing.Any = None
+    messages: list[Message] | None = None
+    stream: bool = False
+    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] | None = None
+    n: int | None = None
+    resume_text: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """When a request must be answered and how urgent it is."""
+
+    deadline_s: float
+    priority: int
+
+
+def checked_request(
+    body: dict[str, typing.Any], chat: bool
+) -> ModelRequest | outcome.Failure:
+    """The fields of a model request; the failure names the wrong one."""
+    try:
+        wanted = msgspec.convert(body, ModelRequest)
+    except msgspec.ValidationError as error:
+        return outcome.Failure(outcome.Reason.BAD_REQUEST, str(error))
+    if chat and not wanted.messages:
+        return _bad('messages', wanted.messages, 'a list of messages')
+    if not chat and not isinstance(wanted.prompt, str):
+        return _bad('prompt', wanted.prompt, 'a string')
+    if wanted.n not in (None, 1):
+        return _bad('n', wanted.n, '1; ask again for another answer')
+    return wanted
+
+
+def _bad(name: str, value: typing.Any, expected: str) -> outcome.Failure:
+    shown = repr(value)[:MAX_SHOWN_CHARACTERS]
+    return outcome.Failure(
+        outcome.Reason.BAD_REQUEST, f'{name}: got {shown}, expected {expected}'
+    )
+
+
+def timing_of(
+    headers: typing.Mapping[str, str], now_s: float
+) -> Timing | outcome.Failure:
+    """``X-Deadline-S`` and ``X-Priority``, or their defaults."""
+    deadline = headers.get('x-deadline-s', str(DEFAULT_DEADLINE_S))
+    priority = headers.get('x-priority', str(DEFAULT_PRIORITY))
+    try:
+        left_s = float(deadline)
+    except ValueError:
+        left_s = 0.0
+    if not 0 < left_s <= MAX_DEADLINE_S:
+        return _bad(
+            'X-Deadline-S', deadline, f'seconds, up to {MAX_DEADLINE_S:g}'
+        )
+    if priority not in ('0', '1', '2'):
+        return _bad('X-Priority', priority, f'0 (first) to {LAST_PRIORITY}')
+    return Timing(now_s + left_s, int(priority))
+
+
+def resume_of(
+    headers: typing.Mapping[str, str],
+) -> tuple[ids.RequestId, int] | None | outcome.Failure:
+    """The request and last token in ``Last-Event-ID``; None without it."""
+    text = headers.get('last-event-id')
+    if text is None:
+        return None
+    parsed = answer.parse_event_id(text)
+    if parsed is None:
+        return _bad('Last-Event-ID', text, 'the id of an event of ours')
+    return parsed
+
+
+def prompt_text(wanted: ModelRequest) -> str:
+    """The prompt as one text, for counting and for prefix affinity."""
+    if wanted.messages is None:
+        return str(wanted.prompt)
+    return '\n'.join(
+        f'{one.role}: {_content_text(one.content)}' for one in wanted.messages
+    )
+
+
+def _content_text(content: typing.Any) -> str:
+    if isinstance(content, list):
+        return ''.join(
+            str(part.get('text', '')) if isinstance(part, dict) else str(part)
+            for part in content
+        )
+    return '' if content is None else str(content)
--- /dev/null
+++ b/src/guavachute/services/view.py
@@ -0,0 +1,101 @@
+"""What is in force in a router, prepared for look-ups."""
+
+import dataclasses
+import hashlib
+
+import msgspec
+
+from guavachute.document import schema
+from guavachute.http import message
+from guavachute import ids
+from guavachute.wire import tables
+
+BEARER = 'bearer '
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What is in force, prepared for look-ups."""
+
+    tables: tables.Tables
+    document: schema.Document
+    workspaces: dict[str, ids.WorkspaceName]
+
+
+def view_of(new: tables.Tables) -> View:
+    """The look-ups for *new*, whose document was checked before."""
+    document = msgspec.convert(new.document, schema.Document)
+    workspaces = {
+        digest: ids.WorkspaceName(name)
+        for name, workspace in document.workspaces.items()
+        for digest in workspace.api_key_digests
+    }
+    return View(new, document, workspaces)
+
+
+def workspace_of(
+    view: View, request: message.Request
+) -> ids.WorkspaceName | None:
+    """The workspace whose API key *request* carries, or None."""
+    given = request.headers.get('authorization', '')
+    if not given.lower().startswith(BEARER):
+        return None
+    key = given[len(BEARER) :].strip()
+    digest = hashlib.sha256(key.encode('latin-1')).hexdigest()
+    return view.workspaces.get(digest)
+
+
+def is_idempotent(service: schema.Service, method: str, path: str) -> bool:
+    """Whether the call may be sent twice; by default only reads may."""
+    for call in service.calls:
+        if call.method == method and path.startswith(call.path_prefix):
+            return call.idempotent
+    return method in ('GET', 'HEAD', 'OPTIONS')
+
+
+class ListedModel(msgspec.Struct):
+    """An entry of ``GET /v1/models``."""
+
+    id: str
+    object: str = 'model'
+    created: int = 0
+    owned_by: str = 'guavachute'
+
+
+class ModelList(msgspec.Struct):
+    """The answer to ``GET /v1/models``."""
+
+    data: list[ListedModel]
+    object: str = 'list'
+
+
+class Address(msgspec.Struct):
+    """An address of the system that a caller may use."""
+
+    address: str
+    weight: float
+    failure_domain: str
+
+
+class Addresses(msgspec.Struct):
+    """The answer to ``GET /v1/addresses``."""
+
+    addresses: list[Address]
+    ttl_s: float
+
+
+def model_list(view: View) -> message.Response:
+    """The answer to ``GET /v1/models``."""
+    models = [ListedModel(name) for name in sorted(view.document.models)]
+    return message.json_response(ModelList(models))
+
+
+def address_list(view: View) -> message.Response:
+    """The answer to ``GET /v1/addresses``."""
+    live = [
+        Address(entry.address, 1.0, entry.failure_domain)
+        for entry in view.tables.routers
+        if not entry.leaving
+    ]
+    ttl_s = view.document.policy.address_ttl_s
+    return message.json_response(Addresses(live, ttl_s))
