Measure the decisions against plain baselines

Nothing said whether the policies are worth their code. Subsets picked by each router left engines with 2 to 19 routers, so endpoints pick them where the routers are known.

--- /dev/null
+++ b/bench/cache_model.py
@@ -0,0 +1,87 @@
+"""An engine's prompt cache, as far as the policies' benches need one."""
+
+import collections
+import typing
+
+from bench import prompts
+from guavachute.decide import load
+from guavachute.decide import prefix_index
+from guavachute.decide import routing
+from guavachute import ids
+
+SLOTS = 16
+
+
+class Engine:
+    """A cache with least-recent use, its events, and its running work.
+
+    :param blocks: size of the cache
+    """
+
+    def __init__(self, number: int, blocks: int) -> None:
+        self.endpoint = ids.EndpointId(f'vm-{number}')
+        self.events: list[prefix_index.Event] = []
+        self.load = load.Load()
+        self.cached_blocks = 0
+        self.computed_blocks = 0
+        self._blocks = blocks
+        self._cache: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._seq = 0
+
+    def candidate(self) -> routing.Candidate:
+        """The engine as routing sees it."""
+        return routing.Candidate(
+            self.endpoint, ids.FailureDomain('perth-a'), SLOTS, self.load
+        )
+
+    def run(self, prompt: prompts.Prompt) -> list[str]:
+        """Compute *prompt*; gives the blocks that were not cached."""
+        held = 0
+        for block in prompt.chain:
+            if block not in self._cache:
+                break
+            self._cache.move_to_end(block)
+            held += 1
+        self.cached_blocks += held
+        missing = list(prompt.chain[held:])
+        self.computed_blocks += len(missing)
+        for block in missing:
+            self._store(block)
+        return missing
+
+    def flush(self) -> None:
+        """Lose the cache, as after memory pressure; events say so."""
+        for block in list(self._cache):
+            self._event(prefix_index.EventKind.EVICTED, block)
+        self._cache.clear()
+
+    def _store(self, block: str) -> None:
+        if block in self._cache:
+            self._cache.move_to_end(block)
+            return
+        self._cache[block] = None
+        self._event(prefix_index.EventKind.STORED, block)
+        if len(self._cache) > self._blocks:
+            evicted, _ = self._cache.popitem(last=False)
+            self._event(prefix_index.EventKind.EVICTED, evicted)
+
+    def _event(self, kind: prefix_index.EventKind, block: str) -> None:
+        self.events.append(prefix_index.Event(self._seq, kind, block))
+        self._seq += 1
+
+
+class Recomputed:
+    """Counts tokens that were computed before, anywhere, and again."""
+
+    def __init__(self) -> None:
+        self._seen: set[str] = set()
+        self.tokens = 0
+
+    def computed(self, blocks: typing.Iterable[str]) -> None:
+        """*blocks* were computed now."""
+        for block in blocks:
+            if block in self._seen:
+                self.tokens += prompts.TOKENS_PER_BLOCK
+            self._seen.add(block)
--- /dev/null
+++ b/bench/decision_time.py
@@ -0,0 +1,120 @@
+"""Processor time of one decision, by size of the fleet."""
+
+import collections
+import time
+import typing
+
+from bench import prompts
+from guavachute.decide import load
+from guavachute.decide import prefix_index
+from guavachute.decide import routing
+from guavachute.decide import shares
+from guavachute.decide import subset
+from guavachute import ids
+
+FLEETS = (13, 280, 2800)
+PROMPTS = 1_500
+WORKSPACES = ('club', 'mill', 'shop', 'studio', 'yard')
+QUEUED = 500
+
+
+def _mean_us(calls: int, work: typing.Callable[[], None]) -> float:
+    started_s = time.process_time()
+    work()
+    return (time.process_time() - started_s) / calls * 1e6
+
+
+def routing_us(engine_count: int) -> float:
+    """One match, choice and note of the choice, with *engine_count*."""
+    candidates = [
+        routing.Candidate(
+            ids.EndpointId(f'vm-{number}'),
+            ids.FailureDomain('perth-a'),
+            32,
+            load.Load(),
+        )
+        for number in range(engine_count)
+    ]
+    index = prefix_index.PrefixIndex()
+    trace = list(prompts.prompts(PROMPTS, WORKSPACES, 1))
+
+    def work() -> None:
+        for prompt in trace:
+            held = index.match(prompt.chain)
+            want = routing.Want(prompt.chain[0], held)
+            choice = routing.choose(want, candidates)
+            assert isinstance(choice, routing.Choice)
+            index.routed(choice.endpoint, prompt.chain)
+
+    work()
+    return _mean_us(PROMPTS, work)
+
+
+def subset_us(engine_count: int) -> float:
+    """The subset of one router out of *engine_count* in 8 domains.
+
+    The domain has 82 routers for 350 engines, in that proportion.
+    """
+    places = [
+        subset.Place(
+            ids.EndpointId(f'vm-{number}'),
+            ids.FailureDomain(f'd-{number % 8}'),
+        )
+        for number in range(engine_count)
+    ]
+
+    names = [f'r-{number}' for number in range(max(3, engine_count // 34))]
+
+    def work() -> None:
+        for name in names[:3]:
+            subset.choose(name, ids.FailureDomain('d-0'), places, names)
+
+    return _mean_us(3, work)
+
+
+def queue_us() -> float:
+    """One offer and one start with requests of 5 workspaces waiting."""
+    weights = {ids.WorkspaceName(name): 1.0 for name in WORKSPACES}
+    queue = shares.FairQueue(weights, QUEUED)
+    requests = [
+        shares.Request(
+            ids.RequestId(f'r-{number}'),
+            ids.WorkspaceName(WORKSPACES[number % 5]),
+            100.0,
+            1e9,
+        )
+        for number in range(20_000)
+    ]
+    for request in requests[:QUEUED]:
+        queue.offer(request, 0)
+
+    def work() -> None:
+        for request in requests[QUEUED:]:
+            queue.offer(request, 0)
+            for started in queue.next(1):
+                queue.finish(started.workspace)
+
+    return _mean_us(len(requests) - QUEUED, work)
+
+
+def coverage(
+    routers: int, engines: int, by_endpoints: bool
+) -> tuple[list[int], list[int]]:
+    """Routers of each engine and engines of each router, sorted.
+
+    One failure domain, nothing outside it.
+    """
+    domain = ids.FailureDomain('d-0')
+    places = [
+        subset.Place(ids.EndpointId(f'vm-{number}'), domain)
+        for number in range(engines)
+    ]
+    names = [f'r-{number}' for number in range(routers)]
+    users: collections.Counter[str] = collections.Counter()
+    sizes = []
+    for name in names:
+        known = names if by_endpoints else ()
+        chosen = subset.choose(name, domain, places, known, subset.INSIDE, 0)
+        users.update(chosen)
+        sizes.append(len(chosen))
+    return sorted(users.values()), sorted(sizes)
--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,134 @@
+"""Placing prompts: ours against round robin and least outstanding.
+
+A placement policy is a function from a prompt to an engine. One router
+places all prompts; engines differ in nothing but what they hold and
+run. A request runs for as many steps as it has tokens to compute and
+generate, in units of requests arriving.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import math
+import typing
+
+from bench import cache_model
+from bench import prompts
+from guavachute.decide import prefix_index
+from guavachute.decide import routing
+from guavachute import outcome
+
+REQUESTS = 6_000
+CACHE_BLOCKS = 1500
+WORKSPACES = ('club', 'mill', 'shop', 'studio', 'yard')
+EVENT_EVERY = 20
+PREFILL_TOKENS_PER_STEP = 100.0
+GENERATED_TOKENS_PER_STEP = 1.5
+
+Place = typing.Callable[[prompts.Prompt], cache_model.Engine]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What a policy did with the trace.
+
+    :ivar hit_share: part of the prompt blocks that was cached
+    :ivar imbalance: most loaded engine over the mean, 95th percentile
+    """
+
+    hit_share: float
+    recomputed_tokens: int
+    imbalance: float
+
+
+class Ours:
+    """Prefix affinity with bounded load, fed by late events."""
+
+    def __init__(self, engines: list[cache_model.Engine]) -> None:
+        self._engines = {engine.endpoint: engine for engine in engines}
+        self._candidates = [engine.candidate() for engine in engines]
+        self._index = prefix_index.PrefixIndex()
+        self._placed = 0
+
+    def place(self, prompt: prompts.Prompt) -> cache_model.Engine:
+        """The engine that routing chooses."""
+        self._placed += 1
+        if self._placed % EVENT_EVERY == 0:
+            for engine in self._engines.values():
+                self._index.events(engine.endpoint, engine.events)
+                engine.events = []
+        held = self._index.match(prompt.chain)
+        want = routing.Want(prompt.chain[0], held)
+        choice = routing.choose(want, self._candidates)
+        assert not isinstance(choice, outcome.Failure)
+        self._index.routed(choice.endpoint, prompt.chain)
+        return self._engines[choice.endpoint]
+
+
+def round_robin(engines: list[cache_model.Engine]) -> Place:
+    """Each engine in turn."""
+    turns = itertools.cycle(engines)
+    return lambda prompt: next(turns)
+
+
+def least_outstanding(engines: list[cache_model.Engine]) -> Place:
+    """The engine that runs least."""
+    return lambda prompt: min(
+        engines, key=lambda engine: engine.load.outstanding
+    )
+
+
+def ours(engines: list[cache_model.Engine]) -> Place:
+    """What the router does."""
+    return Ours(engines).place
+
+
+POLICIES: dict[str, typing.Callable[[list[cache_model.Engine]], Place]] = {
+    'round robin': round_robin,
+    'least outstanding': least_outstanding,
+    'ours': ours,
+}
+
+
+def run(
+    policy: typing.Callable[[list[cache_model.Engine]], Place],
+    engine_count: int,
+    seed: int,
+) -> Result:
+    """One trace under one policy."""
+    engines = [
+        cache_model.Engine(number, CACHE_BLOCKS)
+        for number in range(engine_count)
+    ]
+    place = policy(engines)
+    recomputed = cache_model.Recomputed()
+    ends: list[tuple[float, int, cache_model.Engine]] = []
+    imbalances = []
+    trace = prompts.prompts(REQUESTS, WORKSPACES, seed)
+    for step, prompt in enumerate(trace):
+        while ends and ends[0][0] <= step:
+            heapq.heappop(ends)[2].load.ended(step)
+        engine = place(prompt)
+        missing = engine.run(prompt)
+        recomputed.computed(missing)
+        engine.load.sent(step)
+        end = step + _steps(prompt, missing)
+        heapq.heappush(ends, (end, step, engine))
+        loads = [each.load.outstanding for each in engines]
+        imbalances.append(max(loads) * len(loads) / sum(loads))
+    cached = sum(engine.cached_blocks for engine in engines)
+    computed = sum(engine.computed_blocks for engine in engines)
+    imbalances.sort()
+    return Result(
+        cached / (cached + computed),
+        recomputed.tokens,
+        imbalances[math.floor(0.95 * len(imbalances))],
+    )
+
+
+def _steps(prompt: prompts.Prompt, missing: list[str]) -> float:
+    prefill = len(missing) * prompts.TOKENS_PER_BLOCK
+    return (
+        prefill / PREFILL_TOKENS_PER_STEP
+        + prompt.generated_tokens / GENERATED_TOKENS_PER_STEP
+    )
--- /dev/null
+++ b/bench/prefix_index.py
@@ -0,0 +1,154 @@
+"""Gaps in cache events: drop an endpoint's entries or keep them stale?
+
+Several routers route the same prompts with their own indices; each
+hears the engines' events late and loses some batches. Measured are the
+prompt tokens that were computed again.
+"""
+
+import collections
+import dataclasses
+import random
+
+from bench import cache_model
+from bench import prompts
+from guavachute.decide import prefix_index
+from guavachute.decide import routing
+from guavachute import outcome
+
+REQUESTS = 4_000
+ENGINES = 10
+ROUTERS = 3
+CACHE_BLOCKS = 1500
+RUNNING = 70
+"""Requests that run at a time, of 160 slots."""
+
+EVENT_EVERY = 20
+"""Requests between two deliveries of events."""
+
+WORKSPACES = ('club', 'mill', 'shop', 'studio', 'yard')
+SEEDS = (1, 2, 3)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Case:
+    """How bad the events are.
+
+    :ivar lost: part of the batches that a router never gets
+    :ivar late: batches by which they come late
+    :ivar flushes: engine caches emptied in the run; the batch that says
+        so is lost to all routers
+    """
+
+    name: str
+    lost: float
+    late: int = 2
+    flushes: int = 0
+
+
+CASES = (
+    Case('no gaps', 0.0),
+    Case('1% of batches lost', 0.01),
+    Case('10% lost', 0.10),
+    Case('40% lost', 0.40),
+    Case('10% lost, very late', 0.10, late=20),
+    Case('10% lost, 10 caches emptied', 0.10, flushes=10),
+    Case('10% lost, 60 caches emptied', 0.10, flushes=60),
+)
+
+
+class Fleet:
+    """Engines, the routers' indices and the events between them."""
+
+    def __init__(
+        self, policy: prefix_index.GapPolicy, case: Case, seed: int
+    ) -> None:
+        self._case = case
+        self._random = random.Random(seed)
+        self.engines = [
+            cache_model.Engine(number, CACHE_BLOCKS)
+            for number in range(ENGINES)
+        ]
+        self._indices = [
+            prefix_index.PrefixIndex(policy) for _ in range(ROUTERS)
+        ]
+        self._by_endpoint = {
+            engine.endpoint: engine for engine in self.engines
+        }
+        self._candidates = [engine.candidate() for engine in self.engines]
+        self._running: collections.deque[cache_model.Engine] = (
+            collections.deque()
+        )
+        self._under_way: collections.deque[list[list[prefix_index.Event]]] = (
+            collections.deque()
+        )
+        self.recomputed = cache_model.Recomputed()
+
+    def route(self, prompt: prompts.Prompt) -> None:
+        """Run *prompt* where a router that it came to sends it."""
+        index = self._random.choice(self._indices)
+        want = routing.Want(prompt.chain[0], index.match(prompt.chain))
+        choice = routing.choose(want, self._candidates)
+        assert not isinstance(choice, outcome.Failure)
+        engine = self._by_endpoint[choice.endpoint]
+        index.routed(choice.endpoint, prompt.chain)
+        self.recomputed.computed(engine.run(prompt))
+        engine.load.sent(0)
+        self._running.append(engine)
+        if len(self._running) > RUNNING:
+            self._running.popleft().load.ended(0)
+
+    def deliver(self) -> None:
+        """One delivery of events, late and with losses."""
+        batches = []
+        for engine in self.engines:
+            batches.append(engine.events)
+            engine.events = []
+        self._under_way.append(batches)
+        if len(self._under_way) <= self._case.late:
+            return
+        for engine, batch in zip(self.engines, self._under_way.popleft()):
+            for index in self._indices:
+                if self._random.random() >= self._case.lost:
+                    index.events(engine.endpoint, batch)
+
+    def flush_one(self) -> None:
+        """Empty a cache; nobody hears of it but by the gap."""
+        engine = self._random.choice(self.engines)
+        engine.flush()
+        engine.events = []
+
+
+def recomputed_tokens(
+    policy: prefix_index.GapPolicy, case: Case, seed: int
+) -> int:
+    """Prompt tokens computed again in one run."""
+    fleet = Fleet(policy, case, seed)
+    flush_every = REQUESTS // case.flushes if case.flushes else REQUESTS + 1
+    trace = prompts.prompts(REQUESTS, WORKSPACES, seed)
+    for number, prompt in enumerate(trace, 1):
+        fleet.route(prompt)
+        if number % EVENT_EVERY == 0:
+            fleet.deliver()
+        if number % flush_every == 0:
+            fleet.flush_one()
+    return fleet.recomputed.tokens
+
+
+def main() -> None:
+    """Print the table, the sum over the seeds."""
+    print(f'recomputed tokens, {len(SEEDS)} x {REQUESTS} requests')
+    print(f'{"case":32}{"drop":>12}{"keep":>12}{"keep/drop":>11}')
+    for case in CASES:
+        tokens = [
+            sum(recomputed_tokens(policy, case, seed) for seed in SEEDS)
+            for policy in (
+                prefix_index.GapPolicy.DROP,
+                prefix_index.GapPolicy.KEEP,
+            )
+        ]
+        ratio = tokens[1] / tokens[0]
+        print(f'{case.name:32}{tokens[0]:12}{tokens[1]:12}{ratio:11.3f}')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/prompts.py
@@ -0,0 +1,74 @@
+"""Synthetic prompts with shared beginnings, from a fixed seed.
+
+Each workspace has a few instructions that its prompts begin with;
+conversations go on turn by turn, each turn with all before it.
+"""
+
+import dataclasses
+import random
+import typing
+
+TOKENS_PER_BLOCK = 16
+INSTRUCTION_BLOCKS = 24
+TURN_BLOCKS = 12
+INSTRUCTIONS = 4
+OPEN_CONVERSATIONS = 120
+TURNS = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """One request: the names of its blocks and where it came in."""
+
+    workspace: str
+    chain: tuple[str, ...]
+    generated_tokens: int
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Tokens of the whole prompt."""
+        return len(self.chain) * TOKENS_PER_BLOCK
+
+
+class _Conversation:
+    def __init__(self, number: int, workspace: str, instruction: int) -> None:
+        self.workspace = workspace
+        self._name = f'{workspace}-{number}'
+        self.turns = 0
+        self._chain = [
+            f'{workspace}/{instruction}/{block}'
+            for block in range(INSTRUCTION_BLOCKS)
+        ]
+
+    def next_turn(self, generated_tokens: int) -> Prompt:
+        """The next turn's prompt."""
+        self.turns += 1
+        self._chain += [
+            f'{self._name}/{self.turns}/{block}'
+            for block in range(TURN_BLOCKS)
+        ]
+        return Prompt(self.workspace, tuple(self._chain), generated_tokens)
+
+
+def prompts(
+    count: int, workspaces: typing.Sequence[str], seed: int
+) -> typing.Iterator[Prompt]:
+    """*count* prompts; the first workspaces send the most."""
+    generator = random.Random(seed)
+    weights = [1.0 / (place + 1) for place in range(len(workspaces))]
+    conversations: list[_Conversation] = []
+    started = 0
+    for _ in range(count):
+        if len(conversations) < OPEN_CONVERSATIONS:
+            workspace = generator.choices(workspaces, weights)[0]
+            instruction = generator.randrange(INSTRUCTIONS)
+            conversations.append(
+                _Conversation(started, workspace, instruction)
+            )
+            started += 1
+            conversation = conversations[-1]
+        else:
+            conversation = generator.choice(conversations)
+        yield conversation.next_turn(generator.randint(20, 200))
+        if conversation.turns >= TURNS:
+            conversations.remove(conversation)
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -139,10 +139,20 @@
 
     def test_sizes_inside_and_outside(self) -> None:
         domain = ids.FailureDomain('d-0')
-        chosen = subset.choose('r-1', domain, self.places(400), 40, 10)
+        chosen = subset.choose('r-1', domain, self.places(400), (), 40, 10)
         inside = [name for name in chosen if int(name[3:]) % 4 == 0]
         self.assertEqual((50, 40), (len(chosen), len(inside)))
 
+    def test_every_endpoint_inside_has_equally_many_routers(self) -> None:
+        domain = ids.FailureDomain('d-0')
+        places = self.places(400)
+        names = [f'r-{number}' for number in range(20)]
+        counts = dict.fromkeys(range(0, 400, 4), 0)
+        for name in names:
+            for chosen in subset.choose(name, domain, places, names, 40, 0):
+                counts[int(chosen[3:])] += 1
+        self.assertEqual({8}, set(counts.values()))
+
     def test_a_small_fleet_is_used_whole(self) -> None:
         domain = ids.FailureDomain('d-0')
         self.assertEqual(
