Add membership: SWIM-like state, its service, address answers

Cause: nodes and routers come and go at any time, and callers have to be told which addresses to use.

Change: pure state in decide/ (suspicion, incarnations, bounded news, digests between failure domains, the platform's list as the slow truth), a task that owns the peers' streams and proves a shared key, and the answer to /v1/addresses as a function.

A state machine over a lossy network found one fault, mended here: a member that had refuted its death once never repeated the refutation to peers that were cut off at that time, and stayed dead to them.

--- /dev/null
+++ b/src/guavachute/decide/address_answer.py
@@ -0,0 +1,176 @@
+"""Which routers a caller is told to use.
+
+The answer is the first level of balancing: callers keep it for its
+lifetime and connect to what it names. It is spread over failure domains,
+so that a caller always has somewhere else to go, and it leads calls with
+the same model and affinity hint to the same routers, whose endpoints then
+hold the prefix in their caches.
+"""
+
+import dataclasses
+import typing
+
+from guavachute.decide import membership
+from guavachute.decide import rendezvous
+
+MAXIMUM_ADDRESSES = 6
+PREFERRED_WEIGHT = 8
+NEAR_WEIGHT = 2
+FAR_WEIGHT = 1
+
+DRAIN_MARGIN_S = 2.0
+"""For callers whose clock runs slow or whose last connect is under way."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRouter:
+    """A router that callers could use.
+
+    :ivar suspect: it may be dead; named only where nothing else is left
+    :ivar warmth: from 0 to 1, how likely its endpoints hold the prefix
+    """
+
+    node: str
+    address: str
+    failure_domain: str
+    region: str
+    leaving: bool = False
+    suspect: bool = False
+    warmth: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """What a caller asks.
+
+    :ivar region: nearest to the caller; that of the router asked if the
+        caller doesn't say
+    :ivar affinity: any text that calls with a common prefix share; None
+        spreads calls over all routers
+    :ivar spread: a number that differs from call to call
+    """
+
+    model: str
+    region: str
+    affinity: str | None = None
+    spread: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedAddress:
+    """One address of the answer; the caller picks in proportion."""
+
+    address: str
+    weight: int
+    failure_domain: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddressAnswer:
+    """The answer, best address first.
+
+    :ivar ttl_s: for how long the caller may use it
+    """
+
+    addresses: tuple[WeightedAddress, ...]
+    ttl_s: float
+
+
+def known_routers(view: membership.View) -> list[KnownRouter]:
+    """All routers in *view*; of other domains those their digests name."""
+    near = [
+        KnownRouter(
+            node=member.node,
+            address=address,
+            failure_domain=member.profile.failure_domain,
+            region=member.profile.region,
+            leaving=member.leaving,
+            suspect=member.suspect,
+        )
+        for member in view.members
+        for address in member.profile.routers
+    ]
+    far = [
+        KnownRouter(
+            node=router.node,
+            address=router.address,
+            failure_domain=digest.failure_domain,
+            region=digest.region,
+        )
+        for digest in view.domains
+        for router in digest.routers
+    ]
+    return near + far
+
+
+def answer(
+    routers: typing.Iterable[KnownRouter],
+    question: Question,
+    ttl_s: float,
+    maximum: int = MAXIMUM_ADDRESSES,
+) -> AddressAnswer:
+    """At most *maximum* addresses of *routers*, spread over domains.
+
+    Leaving routers are never named; suspects only if all are suspects,
+    for then the fault is more likely here.
+    """
+    usable = [router for router in routers if not router.leaving]
+    trusted = [router for router in usable if not router.suspect]
+    ranked = _rank(trusted or usable, question)
+    chosen = _spread(ranked, maximum)
+    return AddressAnswer(
+        tuple(
+            WeightedAddress(
+                router.address,
+                _weight(place, router, question),
+                router.failure_domain,
+                router.region,
+            )
+            for place, router in enumerate(chosen)
+        ),
+        ttl_s,
+    )
+
+
+def drain_wait_s(
+    longest_ttl_s: float, news_delay_s: float, margin_s: float = DRAIN_MARGIN_S
+) -> float:
+    """How long a leaving router goes on taking new callers.
+
+    Others name it until they hear that it leaves, and their callers keep
+    the answer for its lifetime.
+
+    :param longest_ttl_s: of the answers given lately, by any router
+    :param news_delay_s: until every router has heard of it
+    """
+    return longest_ttl_s + news_delay_s + margin_s
+
+
+def _rank(routers: list[KnownRouter], question: Question) -> list[KnownRouter]:
+    """Nearest region first, then the warmest, then as the hash says."""
+    hint = question.affinity
+    key = f'{question.model}/{question.spread if hint is None else hint}'
+    hashed = rendezvous.ranked(key, routers, lambda router: router.address)
+    return sorted(
+        hashed,
+        key=lambda router: (router.region != question.region, -router.warmth),
+    )
+
+
+def _spread(ranked: list[KnownRouter], maximum: int) -> list[KnownRouter]:
+    """The best of each failure domain, then each one's second, ..."""
+    turn_of_domain: dict[str, int] = {}
+    turns = []
+    for router in ranked:
+        turn = turn_of_domain.get(router.failure_domain, 0)
+        turn_of_domain[router.failure_domain] = turn + 1
+        turns.append(turn)
+    in_turns = sorted(range(len(ranked)), key=lambda index: turns[index])
+    return [ranked[index] for index in in_turns[:maximum]]
+
+
+def _weight(place: int, router: KnownRouter, question: Question) -> int:
+    if place == 0 and question.affinity is not None:
+        return PREFERRED_WEIGHT
+    return NEAR_WEIGHT if router.region == question.region else FAR_WEIGHT
--- /dev/null
+++ b/src/guavachute/decide/domain_digest.py
@@ -0,0 +1,199 @@
+"""Adding a failure domain up for those outside of it."""
+
+import collections
+import dataclasses
+import typing
+
+from guavachute.decide import rendezvous
+from guavachute.wire import gossip
+
+CONTACTS = 2
+"""Members of a domain that exchange digests with the other domains."""
+
+NAMED_CONTACTS = 3
+NAMED_ROUTERS = 8
+"""How many routers of a domain the others can name to callers."""
+
+OFFSETS = 4
+WORKSPACES = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reported:
+    """One member with what it last reported of itself."""
+
+    node: str
+    profile: gossip.Profile
+    status: gossip.Status | None
+    suspect: bool = False
+    leaving: bool = False
+
+
+def contacts(
+    failure_domain: str, nodes: typing.Iterable[str], count: int = CONTACTS
+) -> list[str]:
+    """Which of *nodes* speak for *failure_domain*.
+
+    Members that disagree on who is present elect different contacts for
+    a while; that costs a few messages and nothing else.
+    """
+    ranked = rendezvous.ranked(f'contacts/{failure_domain}', nodes, str)
+    return ranked[:count]
+
+
+def add_up(
+    maker: str,
+    maker_incarnation: int,
+    sequence: int,
+    members: list[Reported],
+) -> gossip.DomainDigest:
+    """The digest of the failure domain of *members*.
+
+    :param members: those present, *maker* included
+    """
+    own = next(member for member in members if member.node == maker)
+    statuses = [m.status for m in members if m.status is not None]
+    return gossip.DomainDigest(
+        failure_domain=own.profile.failure_domain,
+        region=own.profile.region,
+        maker=maker,
+        maker_incarnation=maker_incarnation,
+        sequence=sequence,
+        nodes=len(members),
+        routers=_named_routers(own.profile.failure_domain, members),
+        contacts=_named_contacts(own.profile.failure_domain, members),
+        offsets=_offsets(statuses),
+        active_requests=sum(status.active_requests for status in statuses),
+        used_tokens=_used_tokens(statuses),
+        pools=_pools(statuses),
+    )
+
+
+def is_newer(
+    digest: gossip.DomainDigest, known: gossip.DomainDigest | None
+) -> bool:
+    """Whether *digest* replaces *known*, of the same maker."""
+    return known is None or (digest.maker_incarnation, digest.sequence) > (
+        known.maker_incarnation,
+        known.sequence,
+    )
+
+
+def _named_routers(
+    failure_domain: str, members: list[Reported]
+) -> tuple[gossip.NodeAddress, ...]:
+    open_to_callers = [
+        gossip.NodeAddress(member.node, address)
+        for member in members
+        if not member.suspect and not member.leaving
+        for address in member.profile.routers
+    ]
+    ranked = rendezvous.ranked(
+        f'routers/{failure_domain}',
+        open_to_callers,
+        lambda router: router.address,
+    )
+    return tuple(ranked[:NAMED_ROUTERS])
+
+
+def _named_contacts(
+    failure_domain: str, members: list[Reported]
+) -> tuple[gossip.NodeAddress, ...]:
+    addresses = {m.node: m.profile.address for m in members if not m.suspect}
+    return tuple(
+        gossip.NodeAddress(node, addresses[node])
+        for node in contacts(failure_domain, addresses, NAMED_CONTACTS)
+    )
+
+
+def _offsets(
+    statuses: list[gossip.Status],
+) -> tuple[gossip.OffsetCount, ...]:
+    counted = collections.Counter(
+        (status.offset, status.digest) for status in statuses
+    )
+    return tuple(
+        gossip.OffsetCount(offset, digest, nodes)
+        for (offset, digest), nodes in counted.most_common(OFFSETS)
+    )
+
+
+def _used_tokens(statuses: list[gossip.Status]) -> dict[str, int]:
+    total: collections.Counter[str] = collections.Counter()
+    for status in statuses:
+        total.update(status.used_tokens)
+    return dict(total.most_common(WORKSPACES))
+
+
+def _pools(statuses: list[gossip.Status]) -> tuple[gossip.PoolLoad, ...]:
+    loads: dict[str, gossip.PoolLoad] = {}
+    for status in statuses:
+        for load in status.pools:
+            so_far = loads.get(load.pool, gossip.PoolLoad(load.pool))
+            loads[load.pool] = gossip.PoolLoad(
+                load.pool,
+                so_far.endpoints + load.endpoints,
+                so_far.running + load.running,
+                so_far.queued + load.queued,
+                so_far.slots + load.slots,
+            )
+    return tuple(loads[pool] for pool in sorted(loads))
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    digest: gossip.DomainDigest
+    heard_s: float
+
+
+class Others:
+    """What was last heard of each other failure domain.
+
+    Two makers' digests of one domain differ a little and their numbers
+    can't be compared, so the one heard of last is used.
+    """
+
+    def __init__(self, stale_s: float) -> None:
+        self._stale_s = stale_s
+        self._by_maker: dict[tuple[str, str], _Heard] = {}
+
+    def merge(self, digest: gossip.DomainDigest, now_s: float) -> bool:
+        """Take *digest* in if it is new; True if it was."""
+        subject = digest.failure_domain, digest.maker
+        heard = self._by_maker.get(subject)
+        if not is_newer(digest, heard.digest if heard else None):
+            return False
+        self._by_maker[subject] = _Heard(digest, now_s)
+        return True
+
+    def fresh(self, now_s: float) -> list[gossip.DomainDigest]:
+        """The latest digest of each domain that is within reach."""
+        return [
+            heard.digest
+            for heard in self._latest().values()
+            if now_s - heard.heard_s < self._stale_s
+        ]
+
+    def contacts(self) -> dict[str, list[gossip.NodeAddress]]:
+        """Whom to ask in each domain, the unreachable ones too."""
+        return {
+            failure_domain: list(heard.digest.contacts)
+            for failure_domain, heard in self._latest().items()
+        }
+
+    def forget_old_makers(self, now_s: float) -> None:
+        """Drop all but the latest of each domain once they are stale."""
+        latest = {id(heard) for heard in self._latest().values()}
+        self._by_maker = {
+            subject: heard
+            for subject, heard in self._by_maker.items()
+            if id(heard) in latest or now_s - heard.heard_s < self._stale_s
+        }
+
+    def _latest(self) -> dict[str, _Heard]:
+        latest: dict[str, _Heard] = {}
+        for (failure_domain, _), heard in self._by_maker.items():
+            known = latest.get(failure_domain)
+            if known is None or heard.heard_s > known.heard_s:
+                latest[failure_domain] = heard
+        return latest
--- /dev/null
+++ b/src/guavachute/decide/member_news.py
@@ -0,0 +1,221 @@
+"""What one node knows of the others and says of itself.
+
+Takes in what arrives, refutes what is wrong about this node, and queues
+what the others should hear.
+"""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from guavachute.decide import dissemination
+from guavachute.decide import domain_digest
+from guavachute.decide import member_table
+from guavachute.decide import suspicion
+from guavachute.wire import gossip
+
+STATUS_SENDS = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """A message to send.
+
+    :ivar to: its node is empty where only the address is known
+    :ivar fresh: on a new connection, for the present one may be dead
+    """
+
+    to: gossip.NodeAddress
+    message: gossip.Message
+    fresh: bool = False
+
+
+class News:
+    """The state that the parts of the membership protocol share.
+
+    :param incarnation: see :class:`guavachute.decide.membership.Membership`
+    """
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        profile: gossip.Profile,
+        limits: suspicion.Limits,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.profile = profile
+        self.status = gossip.Status(node, incarnation, 0)
+        self.limits = limits
+        self.table = member_table.Table(node, profile.failure_domain, limits)
+        self.others = domain_digest.Others(limits.digest_stale_s)
+        self.queue = dissemination.Queue(limits.budget_bytes)
+        self._next_status_s = 0.0
+        self._queue_update(self._my_update())
+
+    @property
+    def failure_domain(self) -> str:
+        """Where this node is."""
+        return self.profile.failure_domain
+
+    def set_profile(self, profile: gossip.Profile) -> None:
+        """Tell everyone that this node's profile is *profile* now."""
+        if profile != self.profile:
+            self.profile = profile
+            self._raise_incarnation(self.incarnation)
+
+    def set_status(self, status: gossip.Status) -> None:
+        """Report *status* from the next round on.
+
+        Node, incarnation and sequence are filled in here.
+        """
+        self.status = msgspec.structs.replace(
+            status, node=self.node, sequence=self.status.sequence
+        )
+
+    def refresh_status(self, now_s: float) -> None:
+        """Queue this node's status when it is time.
+
+        The more members there are, the rarer: the budget carries a fixed
+        number of statuses a second.
+        """
+        if now_s < self._next_status_s:
+            return
+        members = 1 + len(self.table.present())
+        self._next_status_s = now_s + max(
+            self.limits.probe_period_s, members / self.limits.statuses_per_s
+        )
+        self.status = msgspec.structs.replace(
+            self.status,
+            incarnation=self.incarnation,
+            sequence=self.status.sequence + 1,
+        )
+        self._queue_status(self.status)
+
+    def take_in(self, items: gossip.Items, now_s: float) -> None:
+        """Merge *items* and pass on what was new."""
+        for update in items.updates:
+            if update.node == self.node:
+                self.hear_of_me(update)
+            elif self.table.merge(update, now_s):
+                self._queue_update(update)
+        for digest in items.digests:
+            self.take_digest(digest, now_s)
+        for status in items.statuses:
+            if status.node != self.node and self.table.merge_status(status):
+                self._queue_status(status)
+
+    def take_digest(self, digest: gossip.DomainDigest, now_s: float) -> None:
+        """Merge the digest of another failure domain and pass it on."""
+        if digest.failure_domain == self.failure_domain:
+            return
+        if self.others.merge(digest, now_s):
+            self.queue.put(
+                dissemination.Priority.DOMAIN,
+                digest.failure_domain,
+                digest,
+                STATUS_SENDS,
+            )
+
+    def hear_of_me(self, update: gossip.MemberUpdate) -> None:
+        """Refute what others wrongly believe of this node."""
+        outdated = update.incarnation > self.incarnation
+        same = update.incarnation == self.incarnation
+        wrong = update.state is not gossip.MemberState.ALIVE or (
+            update.profile is not None and update.profile != self.profile
+        )
+        if outdated or (same and wrong):
+            self._raise_incarnation(update.incarnation)
+        elif wrong:
+            # Refuted before, but the refutation didn't get everywhere.
+            self._queue_update(self._my_update())
+
+    def declare(
+        self,
+        member: member_table.Member,
+        state: gossip.MemberState,
+        now_s: float,
+    ) -> None:
+        """Believe that *member* is in *state* and say so."""
+        update = gossip.MemberUpdate(
+            member.node, member.incarnation, state, member.profile
+        )
+        if self.table.merge(update, now_s):
+            self._queue_update(update)
+
+    def repeat(self, member: member_table.Member) -> None:
+        """Say again what is believed of *member*."""
+        self._queue_update(member.as_update())
+
+    def departure(self) -> gossip.Items:
+        """The news that this node stops."""
+        left = gossip.MemberUpdate(
+            self.node, self.incarnation, gossip.MemberState.LEFT, self.profile
+        )
+        return gossip.Items(updates=(left,))
+
+    def everything(self, now_s: float) -> gossip.Items:
+        """All that this node knows, for one that may know nothing."""
+        everyone = list(self.table.everyone())
+        return gossip.Items(
+            updates=(
+                self._my_update(),
+                *(member.as_update() for member in everyone),
+            ),
+            digests=tuple(self.others.fresh(now_s)),
+            statuses=(
+                self.status,
+                *(m.status for m in everyone if m.status is not None),
+            ),
+        )
+
+    def reported(self) -> list[domain_digest.Reported]:
+        """The present members, this node first."""
+        return [
+            domain_digest.Reported(
+                self.node,
+                self.profile,
+                self.status,
+                leaving=self._is_leaving(self.node, self.profile),
+            ),
+            *self._reported_others(),
+        ]
+
+    def _reported_others(self) -> typing.Iterator[domain_digest.Reported]:
+        for member in self.table.present():
+            if member.profile is not None:
+                yield domain_digest.Reported(
+                    member.node,
+                    member.profile,
+                    member.status,
+                    suspect=member.state is gossip.MemberState.SUSPECT,
+                    leaving=self._is_leaving(member.node, member.profile),
+                )
+
+    def _is_leaving(self, node: str, profile: gossip.Profile) -> bool:
+        return profile.leaving or self.table.is_listed_leaving(node)
+
+    def _raise_incarnation(self, above: int) -> None:
+        self.incarnation = above + 1
+        self._queue_update(self._my_update())
+
+    def _my_update(self) -> gossip.MemberUpdate:
+        return gossip.MemberUpdate(
+            self.node,
+            self.incarnation,
+            gossip.MemberState.ALIVE,
+            self.profile,
+        )
+
+    def _queue_update(self, update: gossip.MemberUpdate) -> None:
+        sends = suspicion.sends(len(self.table.present()))
+        self.queue.put(
+            dissemination.Priority.MEMBER, update.node, update, sends
+        )
+
+    def _queue_status(self, status: gossip.Status) -> None:
+        self.queue.put(
+            dissemination.Priority.STATUS, status.node, status, STATUS_SENDS
+        )
--- /dev/null
+++ b/src/guavachute/decide/membership.py
@@ -0,0 +1,276 @@
+"""Membership of one node: who is there, without a socket or a clock.
+
+The protocol follows SWIM: see ``failure_detector`` for how a dead member
+is found, ``dissemination`` for how news travels, ``domain_digest`` for
+what other failure domains hear. Each method returns the messages to send.
+The present time, ``now_s``, is that of the caller's monotonic clock.
+"""
+
+import dataclasses
+import functools
+import random
+import typing
+
+from guavachute.decide import domain_digest
+from guavachute.decide import failure_detector
+from guavachute.decide import member_news
+from guavachute.decide import member_table
+from guavachute.decide import suspicion
+from guavachute.wire import gossip
+
+LEAVE_PEERS = 5
+"""Members that a stopping node tells itself; they tell the others."""
+
+CONTACT_PROBABILITY = 0.75
+"""How often a known contact is preferred to any listed VM of its domain:
+the contacts that we know may all be gone."""
+
+Sends = list[member_news.Send]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """Who is there, as this node sees it.
+
+    :ivar me: this node
+    :ivar members: present members of this failure domain, *me* first
+    :ivar domains: digests of the other domains within reach
+    """
+
+    me: str
+    failure_domain: str
+    region: str
+    members: tuple[domain_digest.Reported, ...]
+    domains: tuple[gossip.DomainDigest, ...]
+
+
+class Membership:
+    """The state of one node.
+
+    :param incarnation: higher than that of any earlier process of this
+        node where that can be had (the time of day in milliseconds);
+        where it isn't, the others' memory of the node corrects it
+    :param seeds: addresses to ask for members before any list is there
+    """
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        profile: gossip.Profile,
+        rng: random.Random,
+        *,
+        seeds: typing.Sequence[str] = (),
+        limits: suspicion.Limits | None = None,
+    ) -> None:
+        self.limits = limits or suspicion.Limits()
+        self.news = member_news.News(node, incarnation, profile, self.limits)
+        self.detector = failure_detector.FailureDetector(self.news, rng)
+        self._rng = rng
+        self._seeds = [gossip.NodeAddress('', seed) for seed in seeds]
+        self._digest_sequence = 0
+        self._named_routers: tuple[gossip.NodeAddress, ...] = ()
+        self._domain_turn = 0
+        self._next_period_s = 0.0
+        self._next_sync_s = 0.0
+
+    def tick(self, now_s: float) -> Sends:
+        """Do what is due; call it several times in a probe period."""
+        sends = self.detector.tick(now_s)
+        if now_s >= self._next_period_s:
+            self._next_period_s = now_s + self.limits.probe_period_s
+            sends += self._start_period(now_s)
+        return sends
+
+    def receive(
+        self, sender: gossip.NodeAddress, message: gossip.Message, now_s: float
+    ) -> Sends:
+        """Handle *message* from an authenticated peer."""
+        return _handle(message, self, sender, now_s)
+
+    def observe_list(
+        self, listed: typing.Iterable[member_table.ListedVm], now_s: float
+    ) -> bool:
+        """Take in the platform's list; False if it was not trusted."""
+        return self.news.table.observe_list(listed, now_s)
+
+    def leave(self) -> Sends:
+        """Say that this node stops; send these, then close."""
+        present = self.news.table.present()
+        told = self._rng.sample(present, min(LEAVE_PEERS, len(present)))
+        departure = self.news.departure()
+        return [
+            self.detector.unawaited_ping(member, departure) for member in told
+        ]
+
+    def view(self, now_s: float) -> View:
+        """Who is there."""
+        return View(
+            self.news.node,
+            self.news.failure_domain,
+            self.news.profile.region,
+            tuple(self.news.reported()),
+            tuple(self.news.others.fresh(now_s)),
+        )
+
+    def on_sync(
+        self, sender: gossip.NodeAddress, sync: gossip.Sync, now_s: float
+    ) -> Sends:
+        """Take everything in, and answer in kind if asked to."""
+        self.news.take_in(sync.items, now_s)
+        if not sync.wants_answer:
+            return []
+        answer = gossip.Sync(self.news.everything(now_s), False)
+        return [member_news.Send(sender, answer)]
+
+    def on_digest(
+        self,
+        sender: gossip.NodeAddress,
+        exchange: gossip.DigestExchange,
+        now_s: float,
+    ) -> Sends:
+        """Take another domain's digest in, and give ours if asked to."""
+        self.news.take_digest(exchange.digest, now_s)
+        if not exchange.wants_answer:
+            return []
+        answer = gossip.DigestExchange(self._digest(), False)
+        return [member_news.Send(sender, answer)]
+
+    def _start_period(self, now_s: float) -> Sends:
+        self.news.table.forget_old_dead(now_s)
+        self.news.others.forget_old_makers(now_s)
+        self.news.refresh_status(now_s)
+        return [
+            *self.detector.start_period(now_s),
+            *self._greet_a_stranger(now_s),
+            *self._sync_someone(now_s),
+            *self._exchange_digests(),
+        ]
+
+    def _greet_a_stranger(self, now_s: float) -> Sends:
+        """Introduce this node to one that it knows only by its address."""
+        strangers = [
+            gossip.NodeAddress(vm.node, vm.address)
+            for vm in self.news.table.strangers()
+        ]
+        if not strangers and not self.news.table.present():
+            strangers = self._seeds
+        if not strangers:
+            return []
+        sync = gossip.Sync(self.news.everything(now_s), True)
+        return [member_news.Send(self._rng.choice(strangers), sync)]
+
+    def _sync_someone(self, now_s: float) -> Sends:
+        """Even out what news that was passed on a few times only missed."""
+        present = self.news.table.present()
+        if now_s < self._next_sync_s or not present:
+            return []
+        # The spread keeps nodes that started together from asking at once.
+        spread = 0.5 + self._rng.random()
+        self._next_sync_s = now_s + self.limits.sync_period_s * spread
+        sync = gossip.Sync(self.news.everything(now_s), True)
+        return [member_news.Send(self._rng.choice(present).address, sync)]
+
+    def _exchange_digests(self) -> Sends:
+        if not self._is_contact():
+            return []
+        peers = self._peers_elsewhere()
+        if not peers:
+            return []
+        digest = self._digest()
+        exchange = gossip.DigestExchange(digest, True)
+        if digest.routers != self._named_routers:
+            # A router came or went: callers elsewhere should know soon.
+            self._named_routers = digest.routers
+            return [member_news.Send(peer, exchange) for peer in peers]
+        self._domain_turn += 1
+        peer = peers[self._domain_turn % len(peers)]
+        return [member_news.Send(peer, exchange)]
+
+    def _is_contact(self) -> bool:
+        trusted = [m.node for m in self.news.reported() if not m.suspect]
+        contacts = domain_digest.contacts(self.news.failure_domain, trusted)
+        return self.news.node in contacts
+
+    def _peers_elsewhere(self) -> list[gossip.NodeAddress]:
+        """One peer in each other failure domain."""
+        listed = self.news.table.listed_elsewhere()
+        contacts = self.news.others.contacts()
+        peers = []
+        for name in sorted({*listed, *contacts}):
+            candidates = contacts.get(name, [])
+            prefers_contact = self._rng.random() < CONTACT_PROBABILITY
+            if name in listed and not (candidates and prefers_contact):
+                candidates = listed[name]
+            if candidates:
+                peers.append(self._rng.choice(candidates))
+        return peers
+
+    def _digest(self) -> gossip.DomainDigest:
+        self._digest_sequence += 1
+        return domain_digest.add_up(
+            self.news.node,
+            self.news.incarnation,
+            self._digest_sequence,
+            self.news.reported(),
+        )
+
+
+@functools.singledispatch
+def _handle(
+    message: gossip.Message,
+    state: Membership,
+    sender: gossip.NodeAddress,
+    now_s: float,
+) -> Sends:
+    raise AssertionError(f'no handler for {message!r}')
+
+
+@_handle.register
+def _(
+    message: gossip.Ping,
+    state: Membership,
+    sender: gossip.NodeAddress,
+    now_s: float,
+) -> Sends:
+    return state.detector.on_ping(sender, message, now_s)
+
+
+@_handle.register
+def _(
+    message: gossip.Ack,
+    state: Membership,
+    sender: gossip.NodeAddress,
+    now_s: float,
+) -> Sends:
+    return state.detector.on_ack(message, now_s)
+
+
+@_handle.register
+def _(
+    message: gossip.PingRequest,
+    state: Membership,
+    sender: gossip.NodeAddress,
+    now_s: float,
+) -> Sends:
+    return state.detector.on_ping_request(sender, message, now_s)
+
+
+@_handle.register
+def _(
+    message: gossip.Sync,
+    state: Membership,
+    sender: gossip.NodeAddress,
+    now_s: float,
+) -> Sends:
+    return state.on_sync(sender, message, now_s)
+
+
+@_handle.register
+def _(
+    message: gossip.DigestExchange,
+    state: Membership,
+    sender: gossip.NodeAddress,
+    now_s: float,
+) -> Sends:
+    return state.on_digest(sender, message, now_s)
--- /dev/null
+++ b/src/guavachute/services/peer_connection.py
@@ -0,0 +1,235 @@
+"""One connection to a peer: handshake, then a stream of messages.
+
+The owner moves the bytes; this holds the buffers and the state. Until
+the peer has proved that it holds the key, only a few bytes of it are read
+and none of its messages reach the owner.
+"""
+
+import collections
+import dataclasses
+import enum
+import secrets
+import socket
+import typing
+
+from guavachute.decide import peer_proof
+from guavachute import outcome
+from guavachute.wire import codec
+from guavachute.wire import gossip
+
+CHALLENGE_BYTES = 16
+HANDSHAKE_LIMIT_BYTES = 1024
+HANDSHAKE_TIMEOUT_S = 3.0
+OUTGOING_LIMIT_BYTES = 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
+class Stage(enum.Enum):
+    """How far the handshake is."""
+
+    CONNECTING = 'connecting'
+    GREETING = 'greeting'
+    PROVING = 'proving'
+    READY = 'ready'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """What a node shows to its peers.
+
+    :ivar keys: the first is used to prove, any of them is accepted
+    """
+
+    environment: str
+    node: str
+    keys: tuple[bytes, ...]
+
+
+class PeerConnection:
+    """The state of one connection.
+
+    :param role: whether this side dialed
+    :param expected: the node that was dialed; empty if it isn't known
+    """
+
+    def __init__(
+        self,
+        endpoint: socket.socket,
+        identity: Identity,
+        role: peer_proof.Role,
+        started_s: float,
+        expected: str = '',
+        address: str = '',
+    ) -> None:
+        self.socket = endpoint
+        self.role = role
+        self.started_s = started_s
+        self.used_s = started_s
+        self.expected = expected
+        self.address = address
+        self.peer = ''
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.waiting: collections.deque[gossip.Message] = collections.deque()
+        self._identity = identity
+        self._hello = gossip.Hello(
+            identity.environment,
+            identity.node,
+            secrets.token_hex(CHALLENGE_BYTES),
+        )
+        self._peer_hello: gossip.Hello | None = None
+        self._decoder = codec.Decoder(gossip.Any)
+        self._outgoing = bytearray()
+        dials = role is peer_proof.Role.DIALER
+        self.stage = Stage.CONNECTING if dials else Stage.GREETING
+
+    @property
+    def wants_to_write(self) -> bool:
+        """Whether the owner should wait for the socket to be writable."""
+        return self.stage is Stage.CONNECTING or bool(self._outgoing)
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Whether the handshake takes too long."""
+        waited_s = now_s - self.started_s
+        return self.stage is not Stage.READY and (
+            waited_s > HANDSHAKE_TIMEOUT_S
+        )
+
+    def send(self, message: gossip.Message) -> None:
+        """Queue *message*; it goes out once the peer is known.
+
+        Dropped when the peer doesn't read: news gets repeated.
+        """
+        if self.stage is not Stage.READY:
+            self.waiting.append(message)
+        elif len(self._outgoing) < OUTGOING_LIMIT_BYTES:
+            self._write(message)
+
+    def write(self) -> outcome.Failure | None:
+        """Send what the socket takes now."""
+        if self.stage is Stage.CONNECTING:
+            failure = self._finish_connect()
+            if failure is not None:
+                return failure
+        if not self._outgoing:
+            return None
+        try:
+            sent = self.socket.send(self._outgoing)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            return _lost(str(error))
+        del self._outgoing[:sent]
+        self.sent_bytes += sent
+        return None
+
+    def read(self) -> list[gossip.Message] | outcome.Failure:
+        """The peer's messages that have arrived, none in the handshake."""
+        try:
+            data = self.socket.recv(self._readable_bytes())
+        except BlockingIOError:
+            return []
+        except OSError as error:
+            return _lost(str(error))
+        if not data:
+            return _lost('closed by the peer')
+        self.received_bytes += len(data)
+        decoded = self._decoder.feed(data)
+        if isinstance(decoded, outcome.Failure):
+            return decoded
+        messages = self._take(decoded)
+        if not self._readable_bytes():
+            return _refused('handshake is too long')
+        return messages
+
+    def _take(
+        self, decoded: list[typing.Any]
+    ) -> list[gossip.Message] | outcome.Failure:
+        messages = []
+        for message in decoded:
+            if isinstance(message, gossip.Hello | gossip.Proof):
+                failure = self._shake_hands(message)
+                if failure is not None:
+                    return failure
+            elif self.stage is Stage.READY:
+                messages.append(message)
+            else:
+                return _refused('message before the handshake')
+        return messages
+
+    def _readable_bytes(self) -> int:
+        if self.stage is Stage.READY:
+            return READ_BYTES
+        return max(0, HANDSHAKE_LIMIT_BYTES - self.received_bytes)
+
+    def _finish_connect(self) -> outcome.Failure | None:
+        error = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            return _lost(f'connect failed, errno {error}')
+        self.stage = Stage.GREETING
+        self._write(self._hello)
+        return None
+
+    def _shake_hands(
+        self, message: gossip.Hello | gossip.Proof
+    ) -> outcome.Failure | None:
+        if isinstance(message, gossip.Hello):
+            return self._on_hello(message)
+        return self._on_proof(message)
+
+    def _on_hello(self, hello: gossip.Hello) -> outcome.Failure | None:
+        if self.stage is not Stage.GREETING:
+            return _refused('second greeting')
+        if hello.environment != self._identity.environment:
+            return _refused(f'peer is of environment {hello.environment!r}')
+        if self.expected not in ('', hello.node):
+            # Addresses of VMs that went away are given to others.
+            return _refused(f'address is of {hello.node!r} now')
+        self._peer_hello = hello
+        self.stage = Stage.PROVING
+        if self.role is peer_proof.Role.DIALER:
+            self._prove()
+        else:
+            self._write(self._hello)
+        return None
+
+    def _on_proof(self, proof: gossip.Proof) -> outcome.Failure | None:
+        if self.stage is not Stage.PROVING or self._peer_hello is None:
+            return _refused('proof before the greeting')
+        is_dialer = self.role is peer_proof.Role.DIALER
+        peer_role = (
+            peer_proof.Role.ACCEPTOR if is_dialer else peer_proof.Role.DIALER
+        )
+        if not peer_proof.is_valid(
+            proof,
+            self._identity.keys,
+            peer_role,
+            self._peer_hello,
+            self._hello,
+        ):
+            return _refused('peer does not hold the key')
+        if not is_dialer:
+            self._prove()
+        self.peer = self._peer_hello.node
+        self.stage = Stage.READY
+        while self.waiting:
+            self._write(self.waiting.popleft())
+        return None
+
+    def _prove(self) -> None:
+        assert self._peer_hello is not None
+        proof = peer_proof.prove(
+            self._identity.keys[0], self.role, self._hello, self._peer_hello
+        )
+        self._write(proof)
+
+    def _write(self, message: typing.Any) -> None:
+        self._outgoing += codec.encode(message)
+
+
+def _lost(detail: str) -> outcome.Failure:
+    return outcome.Failure(outcome.Reason.UNAVAILABLE, detail)
+
+
+def _refused(detail: str) -> outcome.Failure:
+    return outcome.Failure(outcome.Reason.UNAUTHENTICATED, detail)
--- /dev/null
+++ b/tests/cover/test_membership_service.py
@@ -0,0 +1,220 @@
+"""Nodes that find each other, come back, leave and refuse strangers."""
+
+import contextlib
+import socket
+import typing
+import unittest
+
+from guavachute.decide import member_table
+from guavachute.decide import membership as membership_state
+from guavachute.decide import suspicion
+from guavachute.kernel import mailbox
+from guavachute.observe import counters
+from guavachute.services import membership
+from guavachute.services import peer_connection
+from guavachute.wire import codec
+from guavachute.wire import gossip
+from tests.support import waiting
+
+LIMITS = suspicion.Limits(probe_period_s=0.1, direct_timeout_s=0.04)
+KEY = b'a key of the tests'
+STOP_S = 10.0
+
+
+class Node:
+    """One node, with what it last told its subscriber."""
+
+    def __init__(
+        self,
+        node: str,
+        *,
+        domain: str = 'perth-a',
+        port: int = 0,
+        keys: tuple[bytes, ...] = (KEY,),
+        environment: str = 'trial',
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        self.node = node
+        self.domain = domain
+        self.metrics = counters.Counters()
+        self.task = membership.Membership(
+            membership.Configuration(
+                environment,
+                node,
+                '127.0.0.1',
+                port,
+                domain,
+                'perth',
+                keys,
+                seeds,
+                LIMITS,
+            ),
+            self.metrics,
+        )
+        self.views = mailbox.Mailbox()
+        self.view: membership_state.View | None = None
+        self.task.mailbox.send(membership.Subscribe(self.views))
+
+    def present(self) -> set[str]:
+        """Whom it sees in its failure domain."""
+        for message in self.views.drain():
+            self.view = message.view
+        return {m.node for m in self.view.members} if self.view else set()
+
+    def listed(self) -> member_table.ListedVm:
+        """Its entry on the platform's list."""
+        return member_table.ListedVm(
+            self.node, self.task.address, self.domain, 'perth'
+        )
+
+    def kill(self) -> None:
+        """End it so that it can't say that it leaves."""
+        self.task.stopping.set()
+        self.task.join(STOP_S)
+
+    def stop(self) -> None:
+        """End it the planned way."""
+        self.task.request_stop()
+        self.task.join(STOP_S)
+
+
+@contextlib.contextmanager
+def running(*nodes: Node) -> typing.Iterator[None]:
+    """Start *nodes* with a list of all of them; stop them at the end."""
+    listed = membership.Listed(tuple(node.listed() for node in nodes))
+    for node in nodes:
+        node.task.mailbox.send(listed)
+        node.task.start()
+    try:
+        yield
+    finally:
+        for node in nodes:
+            node.stop()
+
+
+def wait_for(nodes: typing.Iterable[Node], expected: set[str]) -> None:
+    """Until all of *nodes* see *expected*."""
+    for node in nodes:
+        waiting.until(
+            lambda node=node: node.present() == expected,
+            f'{node.node} sees {sorted(expected)}',
+        )
+
+
+def is_closed(endpoint: socket.socket) -> bool:
+    """Whether the other side closed, after anything it may have sent."""
+    endpoint.settimeout(STOP_S)
+    with contextlib.suppress(ConnectionError):
+        while endpoint.recv(4096):
+            pass
+    return True
+
+
+class MembershipServiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.nodes = [Node(f'vm-{number}') for number in range(4)]
+        self.all = {node.node for node in self.nodes}
+        self.enterContext(running(*self.nodes))
+        wait_for(self.nodes, self.all)
+
+    def test_a_killed_node_goes_and_comes_back_as_a_new_process(self) -> None:
+        killed, *rest = self.nodes
+        killed.kill()
+        wait_for(rest, self.all - {killed.node})
+        port = int(killed.task.address.rpartition(':')[2])
+        again = Node(killed.node, port=port, seeds=(rest[0].task.address,))
+        again.task.start()
+        self.addCleanup(again.stop)
+        wait_for([again, *rest], self.all)
+
+    def test_a_stopping_node_leaves_without_being_suspected(self) -> None:
+        leaving, *rest = self.nodes
+        leaving.stop()
+        wait_for(rest, self.all - {leaving.node})
+
+    def test_profiles_and_statuses_reach_the_others(self) -> None:
+        speaker, listener, *_ = self.nodes
+        speaker.task.mailbox.send(
+            membership.SetRouters(('127.0.0.1:9',), True)
+        )
+        speaker.task.mailbox.send(
+            membership.SetStatus(
+                gossip.Status('', 0, 0, 7, 'ab', 3, {'club': 40})
+            )
+        )
+
+        def heard() -> bool:
+            listener.present()
+            member = next(
+                m for m in listener.view.members if m.node == speaker.node
+            )
+            return (
+                member.leaving
+                and member.profile.routers == ('127.0.0.1:9',)
+                and member.status is not None
+                and member.status.used_tokens == {'club': 40}
+                and member.status.offset == 7
+            )
+
+        waiting.until(heard, 'the status arrives')
+
+    def test_a_node_with_another_key_or_environment_stays_out(self) -> None:
+        seeds = (self.nodes[0].task.address,)
+        for stranger in (
+            Node('vm-8', keys=(b'guessed',), seeds=seeds),
+            Node('vm-9', environment='production', seeds=seeds),
+        ):
+            stranger.task.start()
+            self.addCleanup(stranger.stop)
+            before = self.nodes[0].metrics.value('membership.refused')
+            waiting.until(
+                lambda before=before: (
+                    self.nodes[0].metrics.value('membership.refused') > before
+                ),
+                'the stranger is refused',
+            )
+            self.assertEqual({stranger.node}, stranger.present())
+            self.assertEqual(self.all, self.nodes[0].present())
+
+    def test_either_of_two_keys_is_taken_while_they_are_replaced(
+        self,
+    ) -> None:
+        seeds = (self.nodes[0].task.address,)
+        newer = Node('vm-4', keys=(KEY, b'next'), seeds=seeds)
+        newer.task.start()
+        self.addCleanup(newer.stop)
+        wait_for([newer, *self.nodes], self.all | {'vm-4'})
+
+    def test_messages_before_the_handshake_and_garbage_are_refused(
+        self,
+    ) -> None:
+        host, _, port = self.nodes[0].task.address.rpartition(':')
+        sync = gossip.Sync(gossip.Items(), True)
+        too_long = b'\xc1' * (peer_connection.HANDSHAKE_LIMIT_BYTES + 1)
+        for data in (codec.encode(sync), b'GET / HTTP/1.1\r\n\r\n', too_long):
+            with socket.create_connection((host, int(port))) as endpoint:
+                endpoint.sendall(data)
+                self.assertTrue(is_closed(endpoint))
+        self.assertEqual(self.all, self.nodes[0].present())
+
+
+class DomainsServiceTest(unittest.TestCase):
+    def test_domains_exchange_digests(self) -> None:
+        nodes = [
+            Node(f'{domain}-{number}', domain=domain)
+            for domain in ('perth-a', 'perth-b')
+            for number in range(2)
+        ]
+        with running(*nodes):
+            for node in nodes:
+                node.task.mailbox.send(membership.SetRouters(('127.0.0.1:9',)))
+
+            def heard(node: Node) -> bool:
+                node.present()
+                return node.view is not None and any(
+                    digest.nodes == 2 and len(digest.routers) == 2
+                    for digest in node.view.domains
+                )
+
+            for node in nodes:
+                waiting.until(lambda node=node: heard(node), 'a digest')
