Measure the fleet's decisions against plain baselines

Cause: whether the planner is worth its complexity must show against all on-demand, cheapest reclaimable first and even spread, on the same traces.

Limits per failure domain that can't carry the load are no longer tried.

--- /dev/null
+++ b/bench/fleet_policies.py
@@ -0,0 +1,245 @@
+"""The planner and the baselines that ``bench.fleet`` compares."""
+
+import abc
+import collections
+import dataclasses
+import math
+import random
+
+from bench import fleet_traces
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import market
+from guavachute.decide import pace
+from guavachute.decide import reclaim_rate
+from guavachute.document import schema
+from guavachute import ids
+
+POOL = ids.PoolName('pool')
+MODEL = ids.ModelName('model')
+ROOM = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM of the run."""
+
+    name: str
+    key: market.OfferKey
+    ordered_s: float
+    ready_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Orders:
+    """What a policy wants now."""
+
+    starts: list[market.OfferKey]
+    ends: list[str]
+
+
+class Policy(abc.ABC):
+    """Sees the fleet at each step and orders starts and ends.
+
+    All policies get the same forecast and the same measured start-up
+    time, so that only the choice of VMs differs.
+    """
+
+    name = ''
+
+    def __init__(self, site: fleet_traces.Site) -> None:
+        self.site = site
+        self.start_up = demand.StartUp(
+            fleet_traces.START_UP_S, fleet_traces.START_UP_S / 10, 10
+        )
+        self.forecast = demand.Forecast()
+        self.prices: dict[market.OfferKey, float] = {}
+
+    def look(
+        self,
+        load_tokens_per_s: float,
+        prices: dict[market.OfferKey, float],
+        now_s: float,
+    ) -> None:
+        """Take in the load and the prices."""
+        self.prices = prices
+        self.forecast = demand.observe(
+            self.forecast, load_tokens_per_s, self.start_up, now_s
+        )
+
+    def engines(self) -> int:
+        """VMs that carry the committed load."""
+        load = demand.committed_tokens_per_s(self.forecast)
+        return math.ceil(load / fleet_traces.TOKENS_PER_S)
+
+    @abc.abstractmethod
+    def decide(self, vms: list[Vm], now_s: float) -> Orders:
+        """The orders for this step."""
+
+    def started(self, key: market.OfferKey, now_s: float) -> None:
+        """Account for a start that was taken."""
+
+    def refused(self, key: market.OfferKey, now_s: float) -> None:
+        """Account for a start that was refused."""
+
+    def reclaimed(
+        self, key: market.OfferKey, lost: int, running: int, now_s: float
+    ) -> None:
+        """Account for what one step reclaimed of an offer."""
+
+
+class EvenSpread(Policy):
+    """The same number in each domain, enough to lose one of them."""
+
+    name = 'even spread'
+    how = market.Market.RECLAIMABLE
+
+    def decide(self, vms: list[Vm], now_s: float) -> Orders:
+        """Fill each domain up to its part, at its lowest price."""
+        domains = self.site.domains
+        each = math.ceil(self.engines() / (len(domains) - 1))
+        starts = []
+        ends = []
+        for domain in domains:
+            keys = [
+                fleet_traces.offer(domain, self.how, kind)
+                for kind in fleet_traces.MACHINE_CLASSES
+            ]
+            cheapest = min(keys, key=lambda key: self.prices[key])
+            mine = sorted(
+                (vm for vm in vms if vm.key in keys),
+                key=lambda vm: self.prices[vm.key],
+            )
+            starts += [cheapest] * (each - len(mine))
+            ends += [vm.name for vm in mine[each:]]
+        return Orders(starts, ends)
+
+
+class AllOnDemand(EvenSpread):
+    """Even spread of on-demand VMs."""
+
+    name = 'all on-demand'
+    how = market.Market.ON_DEMAND
+
+
+class CheapestFirst(Policy):
+    """Buys the cheapest reclaimable VMs, a quarter more than needed."""
+
+    name = 'cheapest reclaimable'
+
+    def __init__(self, site: fleet_traces.Site) -> None:
+        super().__init__(site)
+        self._refused_s: dict[market.OfferKey, float] = {}
+
+    def decide(self, vms: list[Vm], now_s: float) -> Orders:
+        """Start at the lowest price, end at the highest."""
+        wanted = math.ceil(1.25 * self.engines())
+        offers = sorted(
+            (price, key)
+            for key, price in self.prices.items()
+            if key.market is market.Market.RECLAIMABLE
+            and now_s > self._refused_s.get(key, -math.inf)
+        )
+        missing = wanted - len(vms)
+        starts = [offers[0][1]] * missing if offers else []
+        dearest = sorted(vms, key=lambda vm: -self.prices[vm.key])
+        return Orders(starts, [vm.name for vm in dearest[: max(0, -missing)]])
+
+    def refused(self, key: market.OfferKey, now_s: float) -> None:
+        """Leave the offer alone for five minutes."""
+        self._refused_s[key] = now_s + 300
+
+
+class Planner(Policy):
+    """The planner of ``guavachute.decide``."""
+
+    name = 'planner'
+    keep_margin = market.KEEP_MARGIN
+
+    def __init__(self, site: fleet_traces.Site) -> None:
+        super().__init__(site)
+        self._random = random.Random(site.name)
+        self._paces: dict[market.OfferKey, pace.Pace] = {}
+        self._observed: dict[market.OfferKey, reclaim_rate.Observed] = {}
+        self._policy = schema.Policy(
+            recomputed_token_cost_cents=site.recomputed_token_cost_cents,
+            keep_margin=self.keep_margin,
+        )
+        self._config = schema.Pool(
+            kind=schema.PoolKind.MODEL,
+            machine_classes=list(fleet_traces.MACHINE_CLASSES),
+            tokens_per_s_per_endpoint=fleet_traces.TOKENS_PER_S,
+        )
+
+    def decide(self, vms: list[Vm], now_s: float) -> Orders:
+        """Ask the planner."""
+        counts = collections.Counter(vm.key for vm in vms)
+        for key in self.prices:
+            self._observed[key] = reclaim_rate.advance(
+                self._observed.get(key, reclaim_rate.Observed(at_s=now_s)),
+                counts[key],
+                now_s,
+            )
+        phases = fleet_plan.Phase
+        view = fleet_plan.PoolView(
+            POOL,
+            self._config,
+            {MODEL: schema.Model(pool=POOL)},
+            {MODEL: self.forecast},
+            (),
+            tuple(
+                fleet_plan.FleetVm(
+                    vm.name,
+                    vm.key,
+                    phases.SERVING if vm.ready_s <= now_s else phases.STARTING,
+                )
+                for vm in vms
+            ),
+            self.start_up,
+        )
+        offers = fleet_plan.MarketView(
+            self.prices, self._observed, self._paces
+        )
+        plan = fleet_plan.plan([view], offers, self._policy, ROOM, now_s)
+        return Orders(
+            [start.offer for start in plan.starts],
+            [end.name for each in plan.decisions for end in each.ends],
+        )
+
+    def started(self, key: market.OfferKey, now_s: float) -> None:
+        """Open the offer's pace."""
+        self._paces[key] = pace.succeeded(self._paces.get(key, pace.Pace()))
+
+    def refused(self, key: market.OfferKey, now_s: float) -> None:
+        """Back off."""
+        self._paces[key] = pace.overloaded(
+            self._paces.get(key, pace.Pace()),
+            None,
+            self._random.random(),
+            now_s,
+        )
+
+    def reclaimed(
+        self, key: market.OfferKey, lost: int, running: int, now_s: float
+    ) -> None:
+        """Learn the offer's rate."""
+        seen = self._observed.get(key, reclaim_rate.Observed(at_s=now_s))
+        self._observed[key] = reclaim_rate.reclaimed(
+            seen, lost, running, now_s
+        )
+
+
+class NoHysteresis(Planner):
+    """The planner following every price."""
+
+    name = 'planner, no hysteresis'
+    keep_margin = 0.0
+
+
+POLICIES: tuple[type[Policy], ...] = (
+    Planner,
+    NoHysteresis,
+    AllOnDemand,
+    CheapestFirst,
+    EvenSpread,
+)
--- a/src/guavachute/decide/market.py
+++ b/src/guavachute/decide/market.py
@@ -245,7 +245,11 @@
 ) -> list[float]:
     """The values of M, tokens/s a domain, that are worth trying."""
     domains = len({tier.offer.key.failure_domain for tier in tiers})
-    limits = set() if cover is Cover.DOMAIN_LOSS else {0.0}
+    limits = {0.0}
+    lowest = 0.0
+    if cover is Cover.DOMAIN_LOSS:
+        # The other domains must carry the whole load.
+        lowest = need.tokens_per_s / max(1, domains - 1)
     for size in {tier.tokens_per_s for tier in tiers}:
         engines = math.ceil(need.tokens_per_s / size - 1e-9)
         engines = max(engines, need.minimum_endpoints)
@@ -255,7 +259,7 @@
         for others in range(1, domains + 1):
             whole = math.ceil(engines / others)
             limits.update((whole * size, (whole + 1) * size))
-    return sorted(limits)
+    return sorted(limit for limit in limits if limit >= lowest - 1e-6)
 
 
 def _cheapest(
