--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -70,7 +70,7 @@
         self.plain_calls = plain_calls.PlainCalls(
             wanted.region, count, tracer, _NoClaims()
         )
-        self.front = front.Front(self.kernel, count, tracer)
+        self.front = front.Front(self.kernel, wanted.region, count, tracer)
         self.server = server.Server(
             'http',
             wanted.host,
--- /dev/null
+++ b/src/guavachute/cli/status.py
@@ -0,0 +1,96 @@
+"""``guavachute status``: what each node has in force."""
+
+import dataclasses
+import pathlib
+import typing
+
+import cappa
+import msgspec
+
+from guavachute.cli import operator_settings
+from guavachute.cli import process
+from guavachute import outcome
+from guavachute.platform import node_client
+from guavachute.wire import status
+
+DIGEST_CHARACTERS = 12
+
+
+@cappa.command(name='status', help='Show what each node has in force.')
+@dataclasses.dataclass
+class StatusCommand:
+    """Show the nodes, the routers, the endpoints and what is in force."""
+
+    environment: typing.Annotated[
+        str, cappa.Arg(long=True, help='The environment to ask about.')
+    ]
+    settings: typing.Annotated[
+        pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
+    ] = None
+    json: typing.Annotated[bool, cappa.Arg(long=True, help='Print JSON.')] = (
+        False
+    )
+
+    def __call__(self) -> int:
+        """Run the command; the exit status."""
+        wanted = operator_settings.load(self.settings)
+        reply = ask_any(wanted, self.environment)
+        if self.json:
+            print(msgspec.json.encode(reply).decode())
+        else:
+            print('\n'.join(lines_of(reply)))
+        return 0
+
+
+def ask_any(
+    wanted: operator_settings.OperatorSettings, environment: str
+) -> status.StatusReply:
+    """The answer of the first node that gives one.
+
+    Ends the program when none does.
+    """
+    addresses = wanted.nodes.get(environment, [])
+    problem = f'no node of environment {environment!r} in the settings'
+    for address in addresses:
+        reply = node_client.read_status(address)
+        if isinstance(reply, outcome.Failure):
+            problem = reply.detail
+        elif reply.environment != environment:
+            problem = f'{address} is of environment {reply.environment!r}'
+        else:
+            return reply
+    process.fail(problem)
+
+
+def lines_of(reply: status.StatusReply) -> list[str]:
+    """The answer for a person."""
+    shown = reply.digest[:DIGEST_CHARACTERS] or 'none'
+    lines = [
+        f'environment {reply.environment}: configuration {reply.offset}, '
+        f'digest {shown}; log read through {reply.log_through_offset}',
+        '',
+        f'{"node":20} {"domain":14} {"state":8} {"config":>7} '
+        f'{"digest":13} {"active":>6} routers',
+    ]
+    lines += [_node_line(node) for node in reply.nodes]
+    for domain in reply.domains:
+        in_force = ', '.join(
+            f'{one.nodes} at {one.offset}' for one in domain.in_force
+        )
+        lines.append(
+            f'{f"({domain.nodes} nodes)":20} {domain.failure_domain:14} '
+            f'configurations: {in_force}; active {domain.active_requests}'
+        )
+    lines.append('')
+    for pool, states in sorted(reply.endpoints.items()):
+        counted = ', '.join(f'{n} {s}' for s, n in sorted(states.items()))
+        lines.append(f'pool {pool}: {counted}')
+    return lines
+
+
+def _node_line(node: status.NodeStatus) -> str:
+    return (
+        f'{node.node:20} {node.failure_domain:14} {node.state:8} '
+        f'{node.offset:>7} {node.digest[:DIGEST_CHARACTERS]:13} '
+        f'{node.active_requests:>6} {" ".join(node.routers)}'
+    )
--- a/src/guavachute/services/front.py
+++ b/src/guavachute/services/front.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import itertools
 import threading
 import time
 import typing
@@ -45,10 +46,13 @@
     def __init__(
         self,
         hosting: kernel.Kernel,
+        region: str,
         count: counters.Counters,
         tracer: traces.Tracer,
     ) -> None:
         self._kernel = hosting
+        self._region = region
+        self._questions = itertools.count()
         self._count = count
         self._tracer = tracer
         self._view: view_module.View | None = None
@@ -127,7 +131,9 @@
         if route == 'GET /v1/models':
             return view_module.model_list(view)
         if route == 'GET /v1/addresses':
-            return view_module.address_list(view)
+            return view_module.address_list(
+                view, self._region, request.query, next(self._questions)
+            )
         if route == 'POST /v1/chat/completions':
             return self._model_call(incoming, view, workspace, chat=True)
         if route == 'POST /v1/completions':
--- a/src/guavachute/services/table_server.py
+++ b/src/guavachute/services/table_server.py
@@ -4,14 +4,17 @@
 import functools
 import selectors
 import socket
+import typing
 
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.wire import peer
+from guavachute.wire import status
 from guavachute.wire import tables
 
 WAIT_S = 1.0
+FromOutside = tables.RouterReport | status.StatusRequest
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,12 +31,31 @@
     reports: tuple[tables.RouterReport, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskStatus:
+    """Sent to the subscriber when an operator asks.
+
+    :ivar reply: to be called once, from any thread
+    """
+
+    reply: typing.Callable[[status.StatusReply], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    operator: peer.Peer
+    reply: status.StatusReply
+
+
 class TableServer(task.Task):
-    """Owns the listening socket and the routers' connections.
+    """Owns the listening socket and the connections to it.
+
+    Routers connect for their tables, operators to ask for the status.
 
     Messages: :class:`Publish`.
 
-    :param subscriber: gets :class:`RoutersChanged`
+    :param subscriber: gets :class:`RoutersChanged` and
+        :class:`AskStatus`
     """
 
     def __init__(
@@ -75,11 +97,15 @@
                 self._count.add('tables.published')
                 for router in list(self._reports):
                     self._send(router)
+            elif isinstance(message, _Answer):
+                if message.operator in self._reports:
+                    message.operator.send(message.reply)
+                    self._after(message.operator)
 
     def _accept(self, events: int) -> None:
         connection, _ = self._listener.accept()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        router = peer.Peer(connection, tables.FromRouter)
+        router = peer.Peer(connection, FromOutside)
         self._reports[router] = None
         self._selector.register(
             connection,
@@ -97,8 +123,11 @@
         if events & selectors.EVENT_WRITE:
             router.flush()
         if events & selectors.EVENT_READ:
-            for report in router.receive():
-                self._take_report(router, report)
+            for message in router.receive():
+                if isinstance(message, status.StatusRequest):
+                    self._ask_status(router)
+                else:
+                    self._take_report(router, message)
         self._after(router)
 
     def _after(self, router: peer.Peer) -> None:
@@ -116,6 +145,12 @@
         del self._reports[router]
         self._announce()
 
+    def _ask_status(self, operator: peer.Peer) -> None:
+        def reply(answer: status.StatusReply) -> None:
+            self.mailbox.send(_Answer(operator, answer))
+
+        self._subscriber.send(AskStatus(reply))
+
     def _take_report(
         self, router: peer.Peer, report: tables.RouterReport
     ) -> None:
--- a/src/guavachute/services/view.py
+++ b/src/guavachute/services/view.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from guavachute.decide import address_answer
 from guavachute.document import schema
 from guavachute.http import message
 from guavachute import ids
@@ -75,6 +76,7 @@
     address: str
     weight: float
     failure_domain: str
+    region: str
 
 
 class Addresses(msgspec.Struct):
@@ -90,12 +92,38 @@
     return message.json_response(ModelList(models))
 
 
-def address_list(view: View) -> message.Response:
-    """The answer to ``GET /v1/addresses``."""
-    live = [
-        Address(entry.address, 1.0, entry.failure_domain)
-        for entry in view.tables.routers
-        if not entry.leaving
+def address_list(
+    view: View, region: str, query: dict[str, str], spread: int
+) -> message.Response:
+    """The answer to ``GET /v1/addresses``.
+
+    :param region: this router's, for callers that don't name theirs
+    :param spread: a number that differs from call to call
+    """
+    question = address_answer.Question(
+        model=query.get('model', ''),
+        region=query.get('region', region),
+        affinity=query.get('affinity'),
+        spread=spread,
+    )
+    found = address_answer.answer(
+        [_known(entry) for entry in view.tables.routers],
+        question,
+        view.document.policy.address_ttl_s,
+    )
+    addresses = [
+        Address(one.address, one.weight, one.failure_domain, one.region)
+        for one in found.addresses
     ]
-    ttl_s = view.document.policy.address_ttl_s
-    return message.json_response(Addresses(live, ttl_s))
+    return message.json_response(Addresses(addresses, found.ttl_s))
+
+
+def _known(entry: tables.RouterEntry) -> address_answer.KnownRouter:
+    return address_answer.KnownRouter(
+        node=entry.node,
+        address=entry.address,
+        failure_domain=entry.failure_domain,
+        region=entry.region,
+        leaving=entry.leaving,
+        suspect=entry.suspect,
+    )
--- a/src/guavachute/wire/tables.py
+++ b/src/guavachute/wire/tables.py
@@ -35,6 +35,7 @@
     failure_domain: str
     region: str
     leaving: bool = False
+    suspect: bool = False
 
 
 class Tables(msgspec.Struct, frozen=True, kw_only=True, tag='tables'):
@@ -71,4 +72,3 @@
 
 
 FromNode = Tables
-FromRouter = RouterReport
