Add stand-ins for engines, log, VM list and a plain service

Cause: routers and nodes need something to talk to that fails on order. Engines generate text that is a function of the prompt, so that a resumed answer can be compared with the unbroken one. The HTTP server no longer writes an empty answer after a connection was taken over, and no longer closes it where the task hands it back before the worker thread is done with it; it can also break all connections at once, as a killed process does.

--- a/src/guavachute/http/server.py
+++ b/src/guavachute/http/server.py
@@ -9,7 +9,9 @@
 import contextlib
 import http
 import socket
+import threading
 import typing
+import weakref
 
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
@@ -31,14 +33,28 @@
 
 
 class Connection(cheroot_server.HTTPConnection):
-    """A connection that knows whether a task has taken it over."""
+    """A connection that a task can take over from its worker thread."""
 
-    taken = False
+    def __init__(self, server: typing.Any, *arguments: typing.Any) -> None:
+        super().__init__(server, *arguments)
+        self._takers: set[int] = set()
+        with server.live_lock:
+            server.live_connections.add(self)
+
+    def leave_worker(self) -> None:
+        """Let this thread's worker forget the connection."""
+        self._takers.add(threading.get_ident())
 
     def close(self) -> None:
-        """Close, unless a task owns the socket now."""
-        if not self.taken:
-            super().close()
+        """Close, unless called by the worker that gave it away.
+
+        The task may have answered and handed the connection back before
+        that worker gets here, so a flag that the task resets won't do.
+        """
+        if threading.get_ident() in self._takers:
+            self._takers.discard(threading.get_ident())
+            return
+        super().close()
 
 
 class Taken:
@@ -55,12 +71,10 @@
     def hand_back(self) -> None:
         """Let cheroot read the next request from the connection."""
         self.socket.settimeout(self._connection.server.timeout)
-        self._connection.taken = False
         self._connection.server.put_conn(self._connection)
 
     def close(self) -> None:
         """End the connection."""
-        self._connection.taken = False
         with contextlib.suppress(OSError):
             self._connection.close()
 
@@ -79,8 +93,10 @@
     def take(self) -> Taken:
         """Take the connection over; the handler then returns DETACH."""
         connection = self._request.conn
-        connection.taken = True
+        connection.leave_worker()
         self._request.close_connection = True
+        # Else cheroot writes an empty answer after the handler.
+        self._request.sent_headers = True
         return Taken(connection)
 
 
@@ -179,6 +195,8 @@
 
 class _CherootServer(cheroot_server.HTTPServer):
     ConnectionClass = Connection
+    live_connections: weakref.WeakSet[Connection]
+    live_lock: threading.Lock
     handler: message.Handler
     error_body: ErrorBody = staticmethod(_plain_error)
     error_content_type = 'text/plain'
@@ -225,6 +243,8 @@
             server_name='guavachute',
             reuse_port=reuse_port,
         )
+        self._server.live_connections = weakref.WeakSet()
+        self._server.live_lock = threading.Lock()
         self._server.handler = handler
         self._server.timeout = read_timeout_s
         self._server.request_queue_size = LISTEN_BACKLOG
@@ -267,3 +287,18 @@
         """Stop listening; requests in worker threads finish."""
         super().request_stop()
         self._server.stop()
+
+    def abort(self) -> None:
+        """End as a killed process does: every connection breaks.
+
+        Returns at once, so that a handler may call it.
+        """
+        listener = self._server.socket
+        sockets = [listener] if listener is not None else []
+        with self._server.live_lock:
+            live = list(self._server.live_connections)
+        sockets += [connection.socket for connection in live]
+        for each in sockets:
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+        threading.Thread(target=self.request_stop, daemon=True).start()
--- a/src/guavachute/standin/__init__.py
+++ b/src/guavachute/standin/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the outside systems, for tests and the demo."""
+"""Stand-ins for the platform and the endpoints, with faults to order."""
--- /dev/null
+++ b/src/guavachute/standin/base.py
@@ -0,0 +1,143 @@
+"""What all stand-ins share: the HTTP server and its faults."""
+
+import abc
+import contextlib
+import threading
+import typing
+
+from guavachute.http import message
+from guavachute.http import server
+from guavachute import outcome
+from guavachute.standin import faults
+
+HOST = '127.0.0.1'
+
+Reply = message.Response | message.Detach
+
+
+def error(
+    status: int, reason: str, retry_after_s: int | None = None
+) -> message.Response:
+    """An error answer whose JSON body names *reason*."""
+    response = message.json_response({'error': reason}, status)
+    if retry_after_s is not None:
+        response.headers['Retry-After'] = str(retry_after_s)
+    return response
+
+
+def not_found() -> message.Response:
+    """The answer to a path that the stand-in doesn't serve."""
+    return error(404, 'not_found')
+
+
+def bad_request(failure: outcome.Failure) -> message.Response:
+    """The answer to a body that can't be read."""
+    return error(400, failure.detail)
+
+
+class StandIn(server.Server, abc.ABC):
+    """An HTTP service that fails as ordered.
+
+    :ivar faults: the faults to happen, also set by ``POST /faults``
+    :ivar on_crash: called when a fault kills the stand-in; the default
+        breaks all connections and stops listening
+    """
+
+    def __init__(
+        self, name: str, host: str = HOST, port: int = 0, threads: int = 16
+    ) -> None:
+        super().__init__(name, host, port, self._handle, threads=threads)
+        self.faults = faults.FaultTable()
+        self.on_crash: typing.Callable[[], None] = self.abort
+        self._silent: list[server.Taken] = []
+        self._silent_lock = threading.Lock()
+
+    @abc.abstractmethod
+    def serve(
+        self, request: message.Request, exchange: server.Exchange
+    ) -> Reply:
+        """Answer *request* without a fault; runs in a worker thread."""
+
+    def carries_out(
+        self, request: message.Request, fault: faults.Fault
+    ) -> bool:
+        """Whether :meth:`serve_faulty` itself carries *fault* out."""
+        return False
+
+    def serve_faulty(
+        self,
+        request: message.Request,
+        exchange: server.Exchange,
+        fault: faults.Fault,
+    ) -> Reply:
+        """Answer *request* and let *fault* strike on the way."""
+        raise NotImplementedError
+
+    def crash(self) -> None:
+        """Die as a killed VM does."""
+        self.on_crash()
+
+    def request_stop(self) -> None:
+        """Stop listening, and end the connections kept silent."""
+        with self._silent_lock:
+            for taken in self._silent:
+                taken.close()
+            self._silent.clear()
+        super().request_stop()
+
+    def _handle(
+        self, request: message.Request, exchange: server.Exchange
+    ) -> Reply:
+        if request.path == '/faults':
+            return self._order_faults(request)
+        if request.path == '/healthz' and request.method == 'GET':
+            fault = self.faults.take(request)
+            if fault is None:
+                return message.json_response({'ok': True})
+        else:
+            fault = self.faults.take(request)
+        if fault is None:
+            return self.serve(request, exchange)
+        if self.carries_out(request, fault):
+            return self.serve_faulty(request, exchange, fault)
+        return self._strike(request, exchange, fault)
+
+    def _order_faults(self, request: message.Request) -> message.Response:
+        if request.method == 'DELETE':
+            self.faults.clear()
+            return message.json_response({})
+        orders = message.decode_json(request.body, faults.FaultOrders)
+        if isinstance(orders, outcome.Failure):
+            return bad_request(orders)
+        for fault in orders.faults:
+            self.faults.add(fault)
+        return message.json_response({})
+
+    def _strike(
+        self,
+        request: message.Request,
+        exchange: server.Exchange,
+        fault: faults.Fault,
+    ) -> Reply:
+        match fault.kind:
+            case faults.Kind.REFUSE:
+                return error(503, 'refused_as_ordered')
+            case faults.Kind.STALL:
+                self.stopping.wait(fault.delay_s)
+                return self.serve(request, exchange)
+            case faults.Kind.DOUBLE:
+                self.serve(request, exchange)
+                return self.serve(request, exchange)
+            case faults.Kind.LOSE_ANSWER:
+                self.serve(request, exchange)
+                self.stopping.wait(fault.delay_s)
+        taken = exchange.take()
+        if fault.kind is faults.Kind.SILENT:
+            with self._silent_lock:
+                self._silent.append(taken)
+            return message.DETACH
+        if fault.kind is faults.Kind.CRASH:
+            self.crash()
+        with contextlib.suppress(OSError):
+            taken.close()
+        return message.DETACH
--- /dev/null
+++ b/src/guavachute/standin/engine_batch.py
@@ -0,0 +1,108 @@
+"""Continuous batching of a stand-in engine, as a pure state object.
+
+Time and load are the model's: a number of slots, a queue by priority, a
+prefill that one prompt after another goes through, and a gap between
+tokens that grows with the batch.
+"""
+
+import dataclasses
+import heapq
+import itertools
+
+from guavachute.decide import prefix
+from guavachute.standin import engine_cache
+from guavachute.standin import engine_job
+from guavachute.standin import engine_text
+
+
+@dataclasses.dataclass(slots=True)
+class Batch:
+    """Who runs and who waits.
+
+    :ivar recomputed_tokens: prefilled again for resumed answers
+    :ivar prefilled_tokens: of all prompts, without those in the cache
+    """
+
+    settings: engine_job.EngineSettings
+    cache: engine_cache.PrefixCache
+    running: dict[str, engine_job.Job] = dataclasses.field(
+        default_factory=dict
+    )
+    recomputed_tokens: int = 0
+    prefilled_tokens: int = 0
+    generated_tokens: int = 0
+    _queue: list[tuple[int, int, engine_job.Job]] = dataclasses.field(
+        default_factory=list
+    )
+    _numbers: itertools.count = dataclasses.field(
+        default_factory=itertools.count
+    )
+    _prefill_free_s: float = 0
+
+    @property
+    def queued(self) -> int:
+        """How many wait."""
+        return len(self._queue)
+
+    def has_room(self) -> bool:
+        """Whether a job could start at once."""
+        return len(self.running) < self.settings.slots and not self._queue
+
+    def queue(self, job: engine_job.Job) -> bool:
+        """Let *job* wait; False when too many do."""
+        if len(self._queue) >= self.settings.queue_limit:
+            return False
+        entry = (job.priority, next(self._numbers), job)
+        heapq.heappush(self._queue, entry)
+        return True
+
+    def unqueue(self, attempt_id: str) -> engine_job.Job | None:
+        """Take a job out of the queue again."""
+        for place, (_, _, job) in enumerate(self._queue):
+            if job.attempt_id == attempt_id:
+                del self._queue[place]
+                heapq.heapify(self._queue)
+                return job
+        return None
+
+    def next_queued(self) -> engine_job.Job | None:
+        """The job that starts now, if there is a slot for one."""
+        if self._queue and len(self.running) < self.settings.slots:
+            return heapq.heappop(self._queue)[2]
+        return None
+
+    def start(self, job: engine_job.Job, now_s: float) -> float:
+        """Run *job*; gives when its first token comes."""
+        self.running[job.attempt_id] = job
+        cached = self.cache.cached_blocks(job.chain)
+        head = job.prompt[: cached * prefix.BLOCK_CHARACTERS]
+        job.cached_tokens = engine_text.count_tokens(head)
+        wanted = job.prompt_tokens + job.resume_from
+        uncached = max(0, wanted - max(job.cached_tokens, job.known_tokens))
+        self.cache.store(job.model, job.chain, now_s)
+        self.prefilled_tokens += uncached
+        if job.resume_from:
+            self.recomputed_tokens += uncached
+        begin_s = max(now_s, self._prefill_free_s, job.kv_ready_at_s)
+        self._prefill_free_s = (
+            begin_s + uncached / self.settings.prompt_tokens_per_s
+        )
+        return self._prefill_free_s + self.settings.first_token_s
+
+    def gap_s(self) -> float:
+        """The time between two tokens of each stream now."""
+        beyond = max(0, len(self.running) - self.settings.knee_streams)
+        growth = 1 + beyond * self.settings.gap_growth
+        return self.settings.token_gap_s * growth
+
+    def finish(self, job: engine_job.Job, now_s: float) -> None:
+        """Free the slot of *job* and keep its text in the cache."""
+        if self.running.pop(job.attempt_id, None) is None:
+            return
+        text = job.prompt + job.resume_text + ''.join(job.text)
+        self.cache.store(job.model, prefix.block_chain(job.model, text), now_s)
+
+    def kv_free_tokens(self) -> int:
+        """Room for more tokens in the engine's memory."""
+        held = sum(job.held_tokens for job in self.running.values())
+        return max(0, self.settings.kv_tokens - held)
--- /dev/null
+++ b/src/guavachute/standin/engine_cache.py
@@ -0,0 +1,122 @@
+"""The prefix cache of a stand-in engine and the events about it."""
+
+import collections
+import random
+import threading
+import typing
+
+import msgspec
+
+KEPT_EVENTS = 20_000
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A block came into the cache or left it."""
+
+    seq: int
+    kind: typing.Literal['stored', 'evicted']
+    model: str
+    block: str
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """The answer of ``GET /v1/cache_events``."""
+
+    next: int
+    events: list[CacheEvent]
+
+
+class EventLog:
+    """Events that are told late and some never; for any thread.
+
+    :param delay_s: how late an event is told
+    :param loss: the share of events that are never told, 0 to 1
+    """
+
+    def __init__(self, delay_s: float, loss: float, seed: int) -> None:
+        self._delay_s = delay_s
+        self._loss = loss
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._events: collections.deque[tuple[float, CacheEvent]] = (
+            collections.deque(maxlen=KEPT_EVENTS)
+        )
+        self._lost: set[int] = set()
+        self._next = 0
+
+    def add(
+        self,
+        kind: typing.Literal['stored', 'evicted'],
+        model: str,
+        block: str,
+        now_s: float,
+    ) -> None:
+        """Note that *block* was stored or evicted."""
+        with self._lock:
+            event = CacheEvent(self._next, kind, model, block)
+            self._next += 1
+            if self._random.random() < self._loss:
+                self._lost.add(event.seq)
+            if len(self._events) == KEPT_EVENTS:
+                self._lost.discard(self._events[0][1].seq)
+            self._events.append((now_s + self._delay_s, event))
+
+    def since(self, first: int, now_s: float) -> CacheEvents:
+        """The events from number *first* on that may be told by now."""
+        told: list[CacheEvent] = []
+        following = first
+        with self._lock:
+            skip = 0
+            if self._events:
+                skip = max(0, first - self._events[0][1].seq)
+            for place in range(skip, len(self._events)):
+                tell_at_s, event = self._events[place]
+                if tell_at_s > now_s:
+                    break
+                following = event.seq + 1
+                if event.seq not in self._lost:
+                    told.append(event)
+        return CacheEvents(following, told)
+
+
+class PrefixCache:
+    """Blocks of prompts, at most *most_blocks*, least recently used out.
+
+    :param events: is told of each change
+    """
+
+    def __init__(self, most_blocks: int, events: EventLog) -> None:
+        self._most_blocks = most_blocks
+        self._events = events
+        self._blocks: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def cached_blocks(self, chain: list[str]) -> int:
+        """How many blocks at the start of *chain* are here."""
+        for place, block in enumerate(chain):
+            if block not in self._blocks:
+                return place
+            self._blocks.move_to_end(block)
+        return len(chain)
+
+    def store(self, model: str, chain: list[str], now_s: float) -> None:
+        """Keep the blocks of *chain*."""
+        for block in chain:
+            if block in self._blocks:
+                self._blocks.move_to_end(block)
+                continue
+            self._blocks[block] = model
+            self._events.add('stored', model, block, now_s)
+        while len(self._blocks) > self._most_blocks:
+            block, model_out = self._blocks.popitem(last=False)
+            self._events.add('evicted', model_out, block, now_s)
+
+    def clear(self, now_s: float) -> None:
+        """Lose everything, as a restarted engine does."""
+        while self._blocks:
+            block, model = self._blocks.popitem(last=False)
+            self._events.add('evicted', model, block, now_s)
--- /dev/null
+++ b/src/guavachute/standin/engine_kv.py
@@ -0,0 +1,137 @@
+"""Caches that one stand-in engine exports to another."""
+
+import dataclasses
+import threading
+import time
+import typing
+
+import msgspec
+import urllib3
+
+from guavachute import ids
+from guavachute import outcome
+from guavachute.standin import engine_job
+from guavachute.standin import engine_streams
+
+PUSH_TIMEOUT_S = 5.0
+
+
+class ExportOrder(msgspec.Struct, frozen=True):
+    """The body of ``POST /v1/kv/export``."""
+
+    attempt_id: str
+    to: str
+
+
+class Exported(msgspec.Struct, frozen=True):
+    """The answer to an export."""
+
+    kv_handle: str
+    size_bytes: int
+    ready_in_s: float
+
+
+class Import(msgspec.Struct, frozen=True):
+    """What the source tells the target; stands for the cache itself."""
+
+    kv_handle: str
+    model: str
+    prompt: str
+    tokens: int
+    ready_in_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    content: Import
+    ready_at_s: float
+    until_s: float
+
+
+class KvStore:
+    """Exports over a link of limited speed, and imports until taken.
+
+    For any thread.
+
+    :ivar exported_bytes: all that was sent
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._held: dict[str, _Held] = {}
+        self._link_free_s = 0.0
+        self._pool = urllib3.PoolManager(retries=False)
+        self.exported_bytes = 0
+
+    def export(
+        self,
+        state: engine_streams.AttemptState,
+        to: str,
+        prompt_tokens: int,
+        settings: engine_job.EngineSettings,
+    ) -> Exported | outcome.Failure:
+        """Send the cache of an attempt to the engine at *to*."""
+        size_bytes = (
+            prompt_tokens + state.tokens
+        ) * settings.kv_bytes_per_token
+        ready_in_s = self._occupy_link(size_bytes, settings.kv_bytes_per_s)
+        content = Import(
+            kv_handle=ids.new_random_id('kv'),
+            model=state.model,
+            prompt=state.prompt,
+            tokens=state.tokens,
+            ready_in_s=ready_in_s,
+        )
+        failure = self._push(to, content)
+        if failure is not None:
+            return failure
+        return Exported(content.kv_handle, size_bytes, ready_in_s)
+
+    def hold(self, content: Import, for_s: float) -> None:
+        """Keep what another engine sent until it is taken."""
+        now_s = time.monotonic()
+        ready_at_s = now_s + content.ready_in_s
+        held = _Held(content, ready_at_s, ready_at_s + for_s)
+        with self._lock:
+            self._held[content.kv_handle] = held
+
+    def take(
+        self, handle: str, model: str, prompt: str
+    ) -> tuple[int, float] | None:
+        """The answer's tokens held for *handle* and when they are here.
+
+        None where there is no such cache for this model and prompt, or
+        it waited too long.
+        """
+        now_s = time.monotonic()
+        with self._lock:
+            held = self._held.pop(handle, None)
+        if held is None or held.until_s < now_s:
+            return None
+        if (held.content.model, held.content.prompt) != (model, prompt):
+            return None
+        return held.content.tokens, held.ready_at_s
+
+    def _occupy_link(self, size_bytes: int, bytes_per_s: float) -> float:
+        now_s = time.monotonic()
+        with self._lock:
+            begin_s = max(now_s, self._link_free_s)
+            self._link_free_s = begin_s + size_bytes / bytes_per_s
+            self.exported_bytes += size_bytes
+            return self._link_free_s - now_s
+
+    def _push(self, to: str, content: Import) -> outcome.Failure | None:
+        try:
+            answer: typing.Any = self._pool.request(
+                'POST',
+                f'http://{to}/v1/kv/import',
+                body=msgspec.json.encode(content),
+                timeout=PUSH_TIMEOUT_S,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return outcome.Failure(outcome.Reason.UNAVAILABLE, str(error))
+        if answer.status != 200:
+            return outcome.Failure(
+                outcome.Reason.UNAVAILABLE, f'{to} said {answer.status}'
+            )
+        return None
--- /dev/null
+++ b/src/guavachute/standin/engine_orders.py
@@ -0,0 +1,130 @@
+"""The wished state that a stand-in engine is ordered into."""
+
+import threading
+import typing
+
+import msgspec
+import urllib3
+
+from guavachute.kernel import task
+from guavachute.standin import engine_job
+
+FETCH_PIECE_BYTES = 64 * 1024
+FETCH_PAUSE_S = 0.2
+
+
+class Wish(msgspec.Struct, frozen=True):
+    """What an engine shall be."""
+
+    models: list[str]
+    adapters: list[str] = []
+    version: str = ''
+    role: typing.Literal['both', 'prefill', 'decode'] = 'both'
+
+
+class Order(msgspec.Struct, frozen=True):
+    """The body of ``POST /v1/orders``."""
+
+    fencing_number: int
+    wish: Wish
+
+
+class Orders(task.Task):
+    """Keeps the newest wish and fetches the weights it needs.
+
+    :ivar taken: the orders taken, oldest first
+    :ivar stale: how many came with an old fencing number
+    """
+
+    def __init__(
+        self,
+        name: str,
+        engine: str,
+        settings: engine_job.EngineSettings,
+    ) -> None:
+        super().__init__(name)
+        self._engine = engine
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._models = list(settings.models)
+        self._fencing_number = -1
+        self._pool = urllib3.PoolManager(retries=False)
+        self.taken: list[Order] = []
+        self.stale = 0
+
+    def models(self) -> list[str]:
+        """The models whose weights are loaded."""
+        with self._lock:
+            return list(self._models)
+
+    def take(self, order: Order) -> bool:
+        """Carry *order* out unless a newer fencing number was seen."""
+        with self._lock:
+            if order.fencing_number < self._fencing_number:
+                self.stale += 1
+                if self._settings.checks_fencing:
+                    return False
+            else:
+                self._fencing_number = order.fencing_number
+            self.taken.append(order)
+            self._models = [
+                each
+                for each in order.wish.models
+                if each in self._models or self._settings.weight_store is None
+            ]
+        self.mailbox.send(order)
+        return True
+
+    def run(self) -> None:
+        """Fetch what is missing for the newest wish."""
+        while not self.stopping.is_set():
+            self.mailbox.receive()
+            while not self.stopping.is_set() and self._fetch_missing():
+                pass
+
+    def _fetch_missing(self) -> bool:
+        """Fetch one model; whether there may be another."""
+        with self._lock:
+            wished = self.taken[-1].wish.models if self.taken else []
+            missing = [each for each in wished if each not in self._models]
+        if not missing:
+            return False
+        if self._fetch(missing[0]):
+            self._loaded(missing[0])
+        else:
+            self.stopping.wait(FETCH_PAUSE_S)
+        return True
+
+    def _loaded(self, model: str) -> None:
+        with self._lock:
+            wished = self.taken[-1].wish.models
+            if model in wished and model not in self._models:
+                self._models.append(model)
+
+    def _fetch(self, model: str) -> bool:
+        url = (
+            f'http://{self._settings.weight_store}/v1/weights/{model}'
+            f'?fetcher={self._engine}'
+        )
+        try:
+            answer: typing.Any = self._pool.request(
+                'GET', url, preload_content=False, timeout=10
+            )
+            if answer.status != 200:
+                answer.drain_conn()
+                self.stopping.wait(_retry_after_s(answer))
+                return False
+            for _ in answer.stream(FETCH_PIECE_BYTES):
+                if self.stopping.is_set():
+                    answer.close()
+                    return False
+        except urllib3.exceptions.HTTPError:
+            return False
+        return True
+
+
+def _retry_after_s(answer: typing.Any) -> float:
+    try:
+        return float(answer.headers.get('Retry-After', '0'))
+    except ValueError:
+        return 0
--- /dev/null
+++ b/src/guavachute/standin/engine_streams.py
@@ -0,0 +1,398 @@
+"""The task that drives all the streams of a stand-in engine.
+
+One selector waits for the sockets, the mailbox and the next token that
+is due, so that hundreds of streams cost little.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import queue
+import selectors
+import socket
+import time
+import typing
+
+import msgspec
+
+from guavachute.kernel import task
+from guavachute.standin import engine_batch
+from guavachute.standin import engine_cache
+from guavachute.standin import engine_job
+from guavachute.standin import engine_text
+from guavachute.standin import engine_wire
+from guavachute.standin import faults
+
+TICK_S = 0.001
+"""Tokens that are due within it go out together."""
+MOST_UNSENT_BYTES = 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Run or queue a job."""
+
+    job: engine_job.Job
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop an attempt; *reply* gets whether there was one."""
+
+    attempt_id: str
+    reply: 'queue.SimpleQueue[bool]'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Asks for the state of an attempt; *reply* gets it or None."""
+
+    attempt_id: str
+    reply: 'queue.SimpleQueue[AttemptState | None]'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptState:
+    """What an exported cache holds."""
+
+    model: str
+    prompt: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Go on with other settings."""
+
+    settings: engine_job.EngineSettings
+
+
+class Load(msgspec.Struct, frozen=True):
+    """One load report, without the age."""
+
+    taken_at_s: float
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+    generated_tokens: int = 0
+    kv_free_tokens: int = 0
+    recomputed_tokens: int = 0
+    prefilled_tokens: int = 0
+
+
+class _Stream:
+    """A job with its socket and the bytes that wait for it."""
+
+    __slots__ = (
+        'alive',
+        'closes_when_sent',
+        'job',
+        'muted',
+        'sent_head',
+        'unsent',
+        'waits_for_room',
+        'writer',
+    )
+
+    def __init__(self, job: engine_job.Job) -> None:
+        self.job = job
+        self.alive = True
+        self.sent_head = False
+        self.unsent = b''
+        self.waits_for_room = False
+        self.closes_when_sent = False
+        kind = job.fault.kind if job.fault is not None else None
+        self.muted = kind is faults.Kind.LOSE_ANSWER
+        self.writer = engine_wire.EventWriter(
+            job, job.request_id, job.attempt_id
+        )
+
+
+class Streams(task.Task):
+    """Owns the batch and the connections of all attempts.
+
+    :param events: told what the prefix cache does
+    :param crash: called when a fault kills the engine in a stream
+    :ivar load: the newest report, replaced as a whole
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: engine_job.EngineSettings,
+        events: engine_cache.EventLog,
+        crash: typing.Callable[[], None],
+    ) -> None:
+        super().__init__(name)
+        cache = engine_cache.PrefixCache(settings.cache_blocks, events)
+        self._batch = engine_batch.Batch(settings, cache)
+        self._crash = crash
+        self._streams: dict[str, _Stream] = {}
+        self._due: list[tuple[float, int, _Stream]] = []
+        self._numbers = itertools.count()
+        self._selector = selectors.DefaultSelector()
+        self.load = Load(time.monotonic(), slots=settings.slots)
+
+    def run(self) -> None:
+        """Drive the streams until stopped."""
+        self._selector.register(
+            self.mailbox.fileno(), selectors.EVENT_READ, None
+        )
+        while not self.stopping.is_set():
+            for key, mask in self._selector.select(self._patience_s()):
+                if key.data is None:
+                    self._read_mailbox()
+                else:
+                    self._socket_ready(key.data, mask)
+            self._emit_due(time.monotonic())
+            self._report(time.monotonic())
+        for stream in list(self._streams.values()):
+            self._end(stream)
+        self._selector.close()
+
+    def _patience_s(self) -> float:
+        now_s = time.monotonic()
+        lag_s = self._batch.settings.load_lag_s
+        wake_s = self.load.taken_at_s + max(lag_s, TICK_S)
+        if self._due:
+            wake_s = min(wake_s, self._due[0][0])
+        return max(0.0, wake_s - now_s)
+
+    def _report(self, now_s: float) -> None:
+        batch = self._batch
+        if now_s - self.load.taken_at_s < batch.settings.load_lag_s:
+            return
+        self.load = Load(
+            taken_at_s=now_s,
+            running=len(batch.running),
+            queued=batch.queued,
+            slots=batch.settings.slots,
+            generated_tokens=batch.generated_tokens,
+            kv_free_tokens=batch.kv_free_tokens(),
+            recomputed_tokens=batch.recomputed_tokens,
+            prefilled_tokens=batch.prefilled_tokens,
+        )
+
+    def _read_mailbox(self) -> None:
+        for message in self.mailbox.drain():
+            match message:
+                case Start(job):
+                    self._accept(_Stream(job), time.monotonic())
+                case Cancel(attempt_id, reply):
+                    reply.put(self._cancel(attempt_id))
+                case Snapshot(attempt_id, reply):
+                    reply.put(self._state(attempt_id))
+                case Change(settings):
+                    self._batch.settings = settings
+
+    def _accept(self, stream: _Stream, now_s: float) -> None:
+        job = stream.job
+        if job.attempt_id in self._streams:
+            self._refuse(stream, 409, 'attempt_runs_already')
+            return
+        if self._batch.has_room():
+            self._start(stream, now_s)
+        elif not self._batch.queue(job):
+            self._refuse(stream, 429, 'queue_full')
+            return
+        elif job.deadline_s is not None:
+            self._schedule(stream, now_s + job.deadline_s)
+        self._streams[job.attempt_id] = stream
+        self._selector.register(job.taken.socket, selectors.EVENT_READ, stream)
+
+    def _refuse(self, stream: _Stream, status: int, reason: str) -> None:
+        body = {'error': reason, 'not_run': True}
+        answer = engine_wire.whole(status, body, retry_after_s=1)
+        self._last_words(stream, answer)
+
+    def _start(self, stream: _Stream, now_s: float) -> None:
+        self._schedule(stream, self._batch.start(stream.job, now_s))
+
+    def _schedule(self, stream: _Stream, due_s: float) -> None:
+        heapq.heappush(self._due, (due_s, next(self._numbers), stream))
+
+    def _emit_due(self, now_s: float) -> None:
+        gap_s = self._batch.gap_s()
+        while self._due and self._due[0][0] <= now_s + TICK_S:
+            due_s, _, stream = heapq.heappop(self._due)
+            if not stream.alive:
+                continue
+            job = stream.job
+            if job.attempt_id not in self._batch.running:
+                self._expire(stream)
+                continue
+            if self._strike(stream, now_s):
+                continue
+            self._emit(stream)
+            if job.next_token >= job.end:
+                self._complete(stream, 'length')
+            elif stream.alive:
+                # From when it was due, so that lateness doesn't add up.
+                self._schedule(stream, max(due_s + gap_s, now_s))
+
+    def _expire(self, stream: _Stream) -> None:
+        if self._batch.unqueue(stream.job.attempt_id) is not None:
+            self._refuse(stream, 503, 'deadline_before_start')
+
+    def _emit(self, stream: _Stream) -> None:
+        job = stream.job
+        index = job.next_token
+        text = engine_text.token(job.seed, index)
+        job.next_token += 1
+        job.text.append(text)
+        self._batch.generated_tokens += 1
+        if job.stream and not stream.muted:
+            data = self._event_bytes(stream, index, text)
+            if not stream.sent_head:
+                stream.sent_head = True
+                data = engine_wire.HEAD + data
+            self._send(stream, data)
+
+    def _event_bytes(self, stream: _Stream, index: int, text: str) -> bytes:
+        data = stream.writer.token(index, text)
+        if stream.job.fault is None:
+            return data
+        if stream.job.fault.kind is faults.Kind.DOUBLE:
+            return data + data
+        if stream.job.fault.kind is faults.Kind.FOREIGN:
+            other = engine_wire.EventWriter(
+                stream.job, 'req-of-another', 'att-of-another'
+            )
+            return other.token(index, ' stray') + data
+        return data
+
+    def _strike(self, stream: _Stream, now_s: float) -> bool:
+        """Whether a fault stops the stream here."""
+        fault = stream.job.fault
+        if fault is None or stream.job.emitted != fault.after_tokens:
+            return False
+        match fault.kind:
+            case faults.Kind.STALL:
+                stream.job.fault = None
+                self._schedule(stream, now_s + fault.delay_s)
+            case faults.Kind.SILENT:
+                stream.muted = True
+                self._free_slot(stream, now_s)
+            case faults.Kind.CLOSE | faults.Kind.REFUSE:
+                self._end(stream)
+            case faults.Kind.CRASH:
+                self._crash()
+                self._end(stream)
+            case _:
+                return False
+        return True
+
+    def _free_slot(self, stream: _Stream, now_s: float) -> None:
+        self._batch.finish(stream.job, now_s)
+        while (job := self._batch.next_queued()) is not None:
+            self._start(self._streams[job.attempt_id], now_s)
+
+    def _complete(self, stream: _Stream, finish_reason: str) -> None:
+        now_s = time.monotonic()
+        self._free_slot(stream, now_s)
+        if not stream.alive:
+            return
+        if stream.muted:
+            self._end(stream)
+        elif stream.job.stream:
+            data = stream.writer.last(finish_reason)
+            head = b'' if stream.sent_head else engine_wire.HEAD
+            self._last_words(stream, head + data)
+        else:
+            answer = engine_wire.whole_answer(stream.job, finish_reason)
+            self._last_words(stream, answer)
+
+    def _last_words(self, stream: _Stream, data: bytes) -> None:
+        stream.closes_when_sent = True
+        self._send(stream, data)
+
+    def _send(self, stream: _Stream, data: bytes) -> None:
+        if stream.unsent:
+            stream.unsent += data
+            if len(stream.unsent) > MOST_UNSENT_BYTES:
+                self._end(stream)
+            return
+        try:
+            sent = stream.job.taken.socket.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self._end(stream)
+            return
+        if sent < len(data):
+            stream.unsent = data[sent:]
+            self._watch(stream, selectors.EVENT_READ | selectors.EVENT_WRITE)
+        elif stream.closes_when_sent:
+            self._hand_back(stream)
+
+    def _watch(self, stream: _Stream, mask: int) -> None:
+        watched = stream.job.taken.socket
+        if watched in self._selector.get_map():
+            self._selector.modify(watched, mask, stream)
+        else:
+            self._selector.register(watched, mask, stream)
+
+    def _socket_ready(self, stream: _Stream, mask: int) -> None:
+        if not stream.alive:
+            return
+        if mask & selectors.EVENT_WRITE:
+            data, stream.unsent = stream.unsent, b''
+            self._watch(stream, selectors.EVENT_READ)
+            self._send(stream, data)
+        if mask & selectors.EVENT_READ and stream.alive:
+            self._look_for_end(stream)
+
+    def _look_for_end(self, stream: _Stream) -> None:
+        try:
+            peeked = stream.job.taken.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            peeked = b''
+        if not peeked:
+            self._end(stream)
+        else:
+            # The next request, early: it is read after this answer.
+            self._selector.unregister(stream.job.taken.socket)
+
+    def _cancel(self, attempt_id: str) -> bool:
+        stream = self._streams.get(attempt_id)
+        if stream is None:
+            return False
+        if self._batch.unqueue(attempt_id) is not None:
+            self._refuse(stream, 503, 'cancelled')
+        else:
+            self._complete(stream, 'cancelled')
+        return True
+
+    def _state(self, attempt_id: str) -> AttemptState | None:
+        stream = self._streams.get(attempt_id)
+        if stream is None or attempt_id not in self._batch.running:
+            return None
+        job = stream.job
+        return AttemptState(job.model, job.prompt, job.next_token)
+
+    def _leave(self, stream: _Stream) -> None:
+        stream.alive = False
+        job = stream.job
+        if self._streams.get(job.attempt_id) is stream:
+            del self._streams[job.attempt_id]
+        watched = job.taken.socket
+        if watched in self._selector.get_map():
+            self._selector.unregister(watched)
+
+    def _hand_back(self, stream: _Stream) -> None:
+        self._leave(stream)
+        if stream.job.keeps_alive:
+            stream.job.taken.hand_back()
+        else:
+            stream.job.taken.close()
+
+    def _end(self, stream: _Stream) -> None:
+        """Close the connection; the attempt is over."""
+        if not stream.alive:
+            return
+        self._leave(stream)
+        stream.job.taken.close()
+        self._batch.unqueue(stream.job.attempt_id)
+        self._free_slot(stream, time.monotonic())
--- /dev/null
+++ b/src/guavachute/standin/engine_wire.py
@@ -0,0 +1,120 @@
+"""The bytes of a stand-in engine's answers."""
+
+import http
+import typing
+
+import msgspec
+
+from guavachute.standin import engine_job
+
+
+def _frame(data: bytes) -> bytes:
+    """*data* as one chunk of a chunked body."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+def whole(
+    status: int,
+    value: typing.Any,
+    retry_after_s: int | None = None,
+) -> bytes:
+    """A whole response with a JSON body."""
+    body = msgspec.json.encode(value)
+    phrase = http.HTTPStatus(status).phrase
+    lines = [
+        f'HTTP/1.1 {status} {phrase}',
+        'Content-Type: application/json',
+        f'Content-Length: {len(body)}',
+    ]
+    if retry_after_s is not None:
+        lines.append(f'Retry-After: {retry_after_s}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+HEAD = (
+    b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
+    b'Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+
+
+class EventWriter:
+    """Formats the events of one attempt.
+
+    What stays the same over an answer is encoded once: a token costs one
+    formatting of bytes.
+    """
+
+    def __init__(
+        self, job: engine_job.Job, request_id: str, attempt_id: str
+    ) -> None:
+        self._job = job
+        kind = 'chat.completion.chunk' if job.chat else 'text_completion'
+        self._base: dict[str, typing.Any] = {
+            'id': request_id,
+            'object': kind,
+            'created': 0,
+            'model': job.model,
+            'attempt_id': attempt_id,
+        }
+        start = msgspec.json.encode(self._base)[:-1].replace(b'%', b'%%')
+        if job.chat:
+            choice = b'{"index":0,"delta":{"content":"%b"},'
+        else:
+            choice = b'{"index":0,"text":"%b",'
+        self._token = (
+            b'data: '
+            + start
+            + b',"token_index":%d,"choices":['
+            + choice
+            + b'"finish_reason":null}]}\n\n'
+        )
+
+    def token(self, index: int, text: str) -> bytes:
+        """The event of one token; *text* needs no escapes in JSON."""
+        return _frame(self._token % (index, text.encode()))
+
+    def last(self, finish_reason: str) -> bytes:
+        """The event with the usage, the end mark and the body's end."""
+        piece: dict[str, typing.Any]
+        piece = {'delta': {}} if self._job.chat else {'text': ''}
+        event = {
+            **self._base,
+            'token_index': self._job.next_token,
+            'choices': [{'index': 0, **piece, 'finish_reason': finish_reason}],
+            'usage': usage(self._job),
+        }
+        data = b'data: ' + msgspec.json.encode(event) + b'\n\n'
+        return _frame(data + b'data: [DONE]\n\n') + b'0\r\n\r\n'
+
+
+def usage(job: engine_job.Job) -> dict[str, int]:
+    """The usage of *job* as it stands."""
+    return {
+        'prompt_tokens': job.prompt_tokens,
+        'completion_tokens': job.next_token,
+        'total_tokens': job.prompt_tokens + job.next_token,
+        'cached_tokens': job.cached_tokens,
+    }
+
+
+def whole_answer(job: engine_job.Job, finish_reason: str) -> bytes:
+    """The answer of a request that isn't streamed."""
+    text = ''.join(job.text)
+    choice: dict[str, typing.Any] = {
+        'index': 0,
+        'finish_reason': finish_reason,
+    }
+    if job.chat:
+        choice['message'] = {'role': 'assistant', 'content': text}
+    else:
+        choice['text'] = text
+    value = {
+        'id': job.request_id,
+        'object': 'chat.completion' if job.chat else 'text_completion',
+        'created': 0,
+        'model': job.model,
+        'attempt_id': job.attempt_id,
+        'choices': [choice],
+        'usage': usage(job),
+    }
+    return whole(200, value)
--- /dev/null
+++ b/src/guavachute/standin/log_service.py
@@ -0,0 +1,226 @@
+"""The platform's log: append-only streams with limited retention."""
+
+import threading
+import time
+import typing
+
+import msgspec
+
+from guavachute.http import message
+from guavachute.http import server
+from guavachute import outcome
+from guavachute.standin import base
+
+LONGEST_WAIT_S = 60.0
+MOST_RECORDS = 10_000
+THREADS = 64
+"""A long poll keeps a worker thread."""
+
+
+class Record(msgspec.Struct, frozen=True):
+    """A record and its place in the stream."""
+
+    offset: int
+    record: msgspec.Raw
+
+
+class Append(msgspec.Struct, frozen=True):
+    """The body of an append."""
+
+    records: list[msgspec.Raw]
+
+
+class Appended(msgspec.Struct, frozen=True):
+    """The answer to an append."""
+
+    first_offset: int
+    next_offset: int
+
+
+class Page(msgspec.Struct, frozen=True):
+    """The answer to a read."""
+
+    first_retained_offset: int
+    next_offset: int
+    records: list[Record]
+
+
+class _Stream:
+    def __init__(self, retained_records: int) -> None:
+        self._most = retained_records
+        self._records: list[Record] = []
+        self.first_retained = 0
+        self.next_offset = 0
+
+    @property
+    def retained(self) -> list[Record]:
+        return self._records[self._place(self.first_retained) :]
+
+    def append(self, records: list[msgspec.Raw]) -> Appended:
+        first = self.next_offset
+        for record in records:
+            self._records.append(Record(self.next_offset, record))
+            self.next_offset += 1
+        self.drop_before(self.next_offset - self._most)
+        return Appended(first, self.next_offset)
+
+    def page(self, first: int, limit: int) -> Page:
+        start = self._place(max(first, self.first_retained))
+        chosen = self._records[start : start + limit]
+        return Page(self.first_retained, self.next_offset, chosen)
+
+    def drop_before(self, offset: int) -> None:
+        self.first_retained = max(self.first_retained, offset)
+        # Seldom, for it copies what is kept.
+        if self._place(self.first_retained) > self._most:
+            self._records = self.retained
+
+    def _place(self, offset: int) -> int:
+        held = len(self._records)
+        return min(held, max(0, offset - (self.next_offset - held)))
+
+
+class _Rate:
+    """A token bucket over appends that holds one second's worth."""
+
+    def __init__(self, appends_per_s: float | None) -> None:
+        self._per_s = appends_per_s
+        self._left = appends_per_s or 0
+        self._seen_s = time.monotonic()
+
+    def take(self, now_s: float) -> bool:
+        if self._per_s is None:
+            return True
+        gained = (now_s - self._seen_s) * self._per_s
+        self._left = min(self._per_s, self._left + gained)
+        self._seen_s = now_s
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class LogService(base.StandIn):
+    """Streams in memory.
+
+    :param retained_records: the newest records of a stream that it keeps
+    :param appends_per_s: over all streams; beyond it appends get 429
+    :ivar appends: how many took effect
+    :ivar polls: how many reads came
+    """
+
+    def __init__(
+        self,
+        name: str = 'log',
+        host: str = base.HOST,
+        port: int = 0,
+        retained_records: int = 100_000,
+        appends_per_s: float | None = None,
+    ) -> None:
+        super().__init__(name, host, port, threads=THREADS)
+        self._retained_records = retained_records
+        self._rate = _Rate(appends_per_s)
+        self._streams: dict[str, _Stream] = {}
+        self._changed = threading.Condition()
+        self._down = False
+        self.appends = 0
+        self.polls = 0
+
+    def records(self, stream: str) -> list[typing.Any]:
+        """The retained records of *stream* as plain values."""
+        with self._changed:
+            kept = self._stream(stream).retained
+        return [msgspec.json.decode(each.record) for each in kept]
+
+    def append(self, stream: str, records: list[typing.Any]) -> Appended:
+        """Append as a client would, without faults or limits."""
+        encoded = [msgspec.Raw(msgspec.json.encode(each)) for each in records]
+        return self._append(stream, encoded)
+
+    def drop_before(self, stream: str, offset: int) -> None:
+        """Let the retention pass *offset*."""
+        with self._changed:
+            self._stream(stream).drop_before(offset)
+
+    def set_down(self, down: bool) -> None:
+        """Answer every request with 503, or end that."""
+        with self._changed:
+            self._down = down
+            self._changed.notify_all()
+
+    def request_stop(self) -> None:
+        """Release those who wait for records, and stop."""
+        self.stopping.set()
+        with self._changed:
+            self._changed.notify_all()
+        super().request_stop()
+
+    def serve(
+        self, request: message.Request, exchange: server.Exchange
+    ) -> base.Reply:
+        """Append or read."""
+        parts = request.path.split('/')
+        if parts[1:3] != ['v1', 'streams'] or parts[4:] != ['records']:
+            return base.not_found()
+        if self._down:
+            return base.error(503, 'log_down', retry_after_s=1)
+        if request.method == 'POST':
+            return self._serve_append(parts[3], request.body)
+        return self._serve_read(parts[3], request.query)
+
+    def _serve_append(self, stream: str, body: bytes) -> message.Response:
+        wanted = message.decode_json(body, Append)
+        if isinstance(wanted, outcome.Failure):
+            return base.bad_request(wanted)
+        with self._changed:
+            allowed = self._rate.take(time.monotonic())
+        if not allowed:
+            return base.error(429, 'too_many_appends', retry_after_s=1)
+        return message.json_response(self._append(stream, wanted.records))
+
+    def _serve_read(
+        self, stream: str, query: dict[str, str]
+    ) -> message.Response:
+        try:
+            first = int(query.get('from', '0'))
+            limit = int(query.get('limit', '1000'))
+            wait_s = float(query.get('wait_s', '0'))
+        except ValueError as error:
+            return base.error(400, str(error))
+        page = self._read(stream, first, limit, wait_s)
+        if page is None:
+            return base.error(503, 'log_down', retry_after_s=1)
+        past = first < page.first_retained_offset
+        return message.json_response(page, 410 if past else 200)
+
+    def _append(self, stream: str, records: list[msgspec.Raw]) -> Appended:
+        with self._changed:
+            self.appends += 1
+            appended = self._stream(stream).append(records)
+            self._changed.notify_all()
+            return appended
+
+    def _read(
+        self, name: str, first: int, limit: int, wait_s: float
+    ) -> Page | None:
+        with self._changed:
+            self.polls += 1
+            stream = self._stream(name)
+            self._changed.wait_for(
+                lambda: (
+                    stream.next_offset > first
+                    or self._down
+                    or self.stopping.is_set()
+                ),
+                min(wait_s, LONGEST_WAIT_S),
+            )
+            if self._down:
+                return None
+            if first < stream.first_retained:
+                return Page(stream.first_retained, stream.next_offset, [])
+            return stream.page(first, min(limit, MOST_RECORDS))
+
+    def _stream(self, name: str) -> _Stream:
+        if name not in self._streams:
+            self._streams[name] = _Stream(self._retained_records)
+        return self._streams[name]
--- /dev/null
+++ b/src/guavachute/standin/order_service.py
@@ -0,0 +1,64 @@
+"""A plain service whose calls are not idempotent."""
+
+import threading
+
+import msgspec
+
+from guavachute.http import message
+from guavachute.http import server
+from guavachute.standin import base
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One job that was run.
+
+    :ivar key: the ``Idempotency-Key`` that came along, unused here
+    :ivar body: what was ordered, as text
+    """
+
+    id: str
+    key: str | None
+    request_id: str | None
+    body: str
+
+
+class OrderService(base.StandIn):
+    """Runs every job that reaches it and remembers each run."""
+
+    def __init__(
+        self, name: str = 'orders', host: str = base.HOST, port: int = 0
+    ) -> None:
+        super().__init__(name, host, port)
+        self._lock = threading.Lock()
+        self._runs: list[Run] = []
+
+    def ledger(self) -> list[Run]:
+        """Every run, oldest first."""
+        with self._lock:
+            return list(self._runs)
+
+    def serve(
+        self, request: message.Request, exchange: server.Exchange
+    ) -> base.Reply:
+        """Run, report on or list jobs."""
+        if request.path == '/jobs' and request.method == 'POST':
+            return message.json_response(self._run(request), 201)
+        if request.path == '/ledger':
+            return message.json_response({'runs': self.ledger()})
+        if request.path.startswith('/jobs/') and request.method == 'GET':
+            wanted = request.path.removeprefix('/jobs/')
+            for run in self.ledger():
+                if run.id == wanted:
+                    return message.json_response(run)
+        return base.not_found()
+
+    def _run(self, request: message.Request) -> Run:
+        with self._lock:
+            run = Run(
+                id=f'job-{len(self._runs)}',
+                key=request.headers.get('idempotency-key'),
+                request_id=request.headers.get('x-request-id'),
+                body=request.body.decode('utf-8', 'replace'),
+            )
+            self._runs.append(run)
+        return run
--- /dev/null
+++ b/src/guavachute/standin/vm_list.py
@@ -0,0 +1,137 @@
+"""The platform's list of VMs, which lags."""
+
+import threading
+import time
+import typing
+
+import msgspec
+
+from guavachute.http import message
+from guavachute.http import server
+from guavachute import outcome
+from guavachute.standin import base
+
+
+class Vm(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One VM as listed; see docs/platform.md."""
+
+    vm: str
+    address: str
+    failure_domain: str
+    region: str
+    pool: str
+    kind: typing.Literal['endpoint', 'entry']
+    machine_class: str = ''
+    market: typing.Literal['reclaimable', 'on-demand'] = 'reclaimable'
+    state: typing.Literal['live', 'leaving'] = 'live'
+    leave_in_s: float | None = None
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """The body of an answer, and of ``PUT /v1/vms`` for tests."""
+
+    vms: list[Vm]
+
+
+class _Version(msgspec.Struct, frozen=True):
+    since_s: float
+    vms: dict[str, Vm]
+    leave_at_s: dict[str, float]
+
+
+class VmList(base.StandIn):
+    """Lists the VMs that a test sets.
+
+    :param lag_s: how old an answer is
+    """
+
+    def __init__(
+        self,
+        name: str = 'vm-list',
+        host: str = base.HOST,
+        port: int = 0,
+        lag_s: float = 0,
+    ) -> None:
+        super().__init__(name, host, port)
+        self._lag_s = lag_s
+        self._lock = threading.Lock()
+        self._versions = [_Version(float('-inf'), {}, {})]
+
+    def set_vms(self, vms: typing.Iterable[Vm]) -> None:
+        """List exactly *vms* from now on."""
+        now_s = time.monotonic()
+        leave_at_s = {
+            vm.vm: now_s + vm.leave_in_s
+            for vm in vms
+            if vm.leave_in_s is not None
+        }
+        self._change({vm.vm: vm for vm in vms}, leave_at_s)
+
+    def put(self, vm: Vm) -> None:
+        """List *vm*, in place of the one with its id."""
+        newest = self._versions[-1]
+        leave_at_s = dict(newest.leave_at_s)
+        leave_at_s.pop(vm.vm, None)
+        if vm.leave_in_s is not None:
+            leave_at_s[vm.vm] = time.monotonic() + vm.leave_in_s
+        self._change({**newest.vms, vm.vm: vm}, leave_at_s)
+
+    def leave(self, vm: str, leave_in_s: float) -> None:
+        """Give *vm* notice; it stays listed until it is removed."""
+        listed = self._versions[-1].vms[vm]
+        self.put(
+            msgspec.structs.replace(
+                listed, state='leaving', leave_in_s=leave_in_s
+            )
+        )
+
+    def remove(self, vm: str) -> None:
+        """Take *vm* off the list."""
+        newest = self._versions[-1]
+        vms = dict(newest.vms)
+        vms.pop(vm, None)
+        self._change(vms, newest.leave_at_s)
+
+    def listing(self) -> Listing:
+        """What is answered now."""
+        now_s = time.monotonic()
+        with self._lock:
+            seen_s = now_s - self._lag_s
+            while len(self._versions) > 1 and (
+                self._versions[1].since_s <= seen_s
+            ):
+                del self._versions[0]
+            version = self._versions[0]
+        return Listing(
+            [
+                _with_time_left(vm, version.leave_at_s.get(vm.vm), now_s)
+                for vm in version.vms.values()
+            ]
+        )
+
+    def serve(
+        self, request: message.Request, exchange: server.Exchange
+    ) -> base.Reply:
+        """List the VMs, or set them."""
+        if request.path != '/v1/vms':
+            return base.not_found()
+        if request.method == 'GET':
+            return message.json_response(self.listing())
+        wanted = message.decode_json(request.body, Listing)
+        if isinstance(wanted, outcome.Failure):
+            return base.bad_request(wanted)
+        self.set_vms(wanted.vms)
+        return message.json_response({})
+
+    def _change(
+        self, vms: dict[str, Vm], leave_at_s: dict[str, float]
+    ) -> None:
+        with self._lock:
+            self._versions.append(_Version(time.monotonic(), vms, leave_at_s))
+
+
+def _with_time_left(vm: Vm, leave_at_s: float | None, now_s: float) -> Vm:
+    if leave_at_s is None:
+        return vm
+    left_s = max(0.0, leave_at_s - now_s)
+    return msgspec.structs.replace(vm, leave_in_s=round(left_s, 3))
