--- /dev/null
+++ b/src/guavachute/decide/control_log.py
@@ -0,0 +1,210 @@
+"""The fold of the control stream: what all nodes agree on.
+
+The log has no conditional append. A change names the offset of what it
+supersedes, and the fold accepts it only while that is still the head;
+as the fold is deterministic, all readers accept the same ones.
+
+Heads only move forward, so a record that was refused or superseded once
+is refused for ever: a duplicate of a configuration change or of a lease
+record needs no memory of record ids to be harmless. Purchases have no
+head; a closed VM name is remembered for
+:data:`REMEMBERED_OFFSETS`, which bounds the state. A duplicate later
+than that opens the intent again; its owner lists the VMs by name before
+it orders, finds the VM, and closes it once more.
+
+Nothing here looks at whether a document is valid. Nodes of two versions
+could judge that differently, and would then no longer agree.
+"""
+
+import enum
+import functools
+import typing
+
+import msgspec
+
+from guavachute import ids
+from guavachute.wire import records
+
+REMEMBERED_OFFSETS = 10_000
+
+State = records.ControlState
+
+
+class Verdict(enum.Enum):
+    """What the fold made of a record."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    """Another record came first, or its writer's lease is over."""
+    DUPLICATE = 'duplicate'
+    IGNORED = 'ignored'
+    """Changes nothing: a snapshot, or unreadable."""
+
+
+Folded = tuple[State, Verdict]
+
+
+def fold(
+    state: State,
+    offset: ids.Offset,
+    record: records.ControlRecord | None,
+) -> Folded:
+    """The state after the record at *offset*, and what became of it.
+
+    :param offset: must follow directly on ``state.through_offset``
+    :param record: None stands for one that this version can't read
+    """
+    assert offset == state.through_offset + 1, (
+        f'offset is {offset}, expected {state.through_offset + 1}'
+    )
+    state, verdict = _apply(record, state, offset)
+    return msgspec.structs.replace(state, through_offset=offset), verdict
+
+
+@functools.singledispatch
+def _apply(record: typing.Any, state: State, offset: ids.Offset) -> Folded:
+    return state, Verdict.IGNORED
+
+
+@_apply.register
+def _(
+    record: records.ConfigurationChange, state: State, offset: ids.Offset
+) -> Folded:
+    head = state.configurations.get(record.environment)
+    if head is not None and head.record_id == record.record_id:
+        return state, Verdict.DUPLICATE
+    if record.supersedes_offset != offset_of(head):
+        return state, Verdict.REFUSED
+    new_head = records.ConfigurationHead(
+        offset=offset,
+        record_id=record.record_id,
+        digest=record.digest,
+        document=record.document,
+        author=record.author,
+    )
+    configurations = state.configurations | {record.environment: new_head}
+    return (
+        msgspec.structs.replace(state, configurations=configurations),
+        Verdict.ACCEPTED,
+    )
+
+
+@_apply.register
+def _(record: records.LeaseRecord, state: State, offset: ids.Offset) -> Folded:
+    head = state.leases.get(record.name)
+    if head is not None and head.record_id == record.record_id:
+        return state, Verdict.DUPLICATE
+    if record.supersedes_offset != offset_of(head):
+        return state, Verdict.REFUSED
+    new_head = records.LeaseHead(
+        offset=offset,
+        term_offset=_term_of(head, record, offset),
+        record_id=record.record_id,
+        holder=record.holder,
+        duration_s=record.duration_s,
+        released=record.released,
+    )
+    leases = state.leases | {record.name: new_head}
+    return msgspec.structs.replace(state, leases=leases), Verdict.ACCEPTED
+
+
+@_apply.register
+def _(
+    record: records.PurchaseIntent, state: State, offset: ids.Offset
+) -> Folded:
+    if record.vm_name in state.closed_purchases:
+        return state, Verdict.DUPLICATE
+    if record.vm_name in state.open_purchases:
+        return state, Verdict.DUPLICATE
+    if not _may_purchase(state, record):
+        return state, Verdict.REFUSED
+    purchases = state.open_purchases | {record.vm_name: record}
+    return (
+        msgspec.structs.replace(state, open_purchases=purchases),
+        Verdict.ACCEPTED,
+    )
+
+
+@_apply.register
+def _(
+    record: records.PurchaseResult, state: State, offset: ids.Offset
+) -> Folded:
+    if record.vm_name in state.closed_purchases:
+        return state, Verdict.DUPLICATE
+    still_open = {
+        name: intent
+        for name, intent in state.open_purchases.items()
+        if name != record.vm_name
+    }
+    oldest = offset - REMEMBERED_OFFSETS
+    closed = {
+        name: closed_at
+        for name, closed_at in state.closed_purchases.items()
+        if closed_at >= oldest
+    }
+    closed[record.vm_name] = offset
+    new_state = msgspec.structs.replace(
+        state, open_purchases=still_open, closed_purchases=closed
+    )
+    return new_state, Verdict.ACCEPTED
+
+
+@_apply.register
+def _(
+    record: records.PurchaseAllowance, state: State, offset: ids.Offset
+) -> Folded:
+    held = state.allowances.get(record.node)
+    if held is not None and held.record_id == record.record_id:
+        return state, Verdict.DUPLICATE
+    if not _in_term(state, record.lease_name, record.term_offset):
+        return state, Verdict.REFUSED
+    allowances = state.allowances | {record.node: record}
+    return (
+        msgspec.structs.replace(state, allowances=allowances),
+        Verdict.ACCEPTED,
+    )
+
+
+def offset_of(
+    head: records.ConfigurationHead | records.LeaseHead | None,
+) -> ids.Offset:
+    """What a change that follows on *head* must name."""
+    return records.NO_OFFSET if head is None else head.offset
+
+
+def _term_of(
+    head: records.LeaseHead | None,
+    record: records.LeaseRecord,
+    offset: ids.Offset,
+) -> ids.Offset:
+    # A release ends the term: should the holder come back, what it
+    # began before the release must not count as its own any more.
+    if head is None or head.released or head.holder != record.holder:
+        return offset
+    return head.term_offset
+
+
+def _in_term(state: State, lease_name: str, term_offset: ids.Offset) -> bool:
+    head = state.leases.get(lease_name)
+    return (
+        head is not None
+        and head.term_offset == term_offset
+        and not head.released
+    )
+
+
+def _may_purchase(state: State, record: records.PurchaseIntent) -> bool:
+    if record.allowance is None:
+        return _in_term(state, record.lease_name, record.term_offset)
+    # Bought during an outage and written down now: the lease may have
+    # moved on, the names are what was granted.
+    return any(
+        allowance.allowance == record.allowance
+        and record.vm_name in allowance.vm_names
+        for allowance in state.allowances.values()
+    )
+
+
+def newest(one: State, other: State) -> State:
+    """The state that has seen more of the log."""
+    return other if other.through_offset > one.through_offset else one
--- /dev/null
+++ b/src/guavachute/wire/records.py
@@ -0,0 +1,211 @@
+"""The records of the platform's log, and the state that they fold into.
+
+Records are JSON in the log and plain msgpack between nodes. Each has a
+random ``record_id``: an append whose answer was lost is repeated with
+the same id, so a record may stand in the log more than once.
+
+A record that changes something names what it supersedes by offset, so
+that every reader decides alike which of two rivals came first; see
+:mod:`guavachute.decide.control_log`.
+"""
+
+import typing
+
+import msgspec
+
+from guavachute import ids
+from guavachute import outcome
+
+CONTROL_STREAM = 'control'
+NO_OFFSET = ids.Offset(-1)
+"""Superseded by the first change of an environment or lease."""
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True, tag_field='kind'):
+    """What all records have in common."""
+
+    record_id: ids.RecordId
+
+
+class ConfigurationChange(
+    Record, frozen=True, kw_only=True, tag='configuration-change'
+):
+    """A document for one environment.
+
+    :ivar supersedes_offset: where the document stands that this one
+        replaces; :data:`NO_OFFSET` for the first
+    :ivar document: as plain JSON values
+    :ivar author: the operator, for the history
+    """
+
+    environment: ids.EnvironmentName
+    supersedes_offset: ids.Offset
+    document: dict[str, typing.Any]
+    digest: ids.Digest
+    author: str
+
+
+class LeaseRecord(Record, frozen=True, kw_only=True, tag='lease'):
+    """An acquisition, renewal or release of a lease.
+
+    Its offset is the fencing number.
+
+    :ivar name: what is leased
+    :ivar holder: the process that holds it, unique to each start
+    :ivar supersedes_offset: the newest record of this lease that the
+        writer has read
+    :ivar released: the holder has stopped acting and gives it up
+    """
+
+    name: str
+    holder: str
+    supersedes_offset: ids.Offset
+    duration_s: float
+    released: bool = False
+
+
+class PurchaseIntent(Record, frozen=True, kw_only=True, tag='purchase-intent'):
+    """Written, and read back as accepted, before a VM is ordered.
+
+    :ivar vm_name: the label of the order; unique to this purchase
+    :ivar lease_name: the lease under which it is made
+    :ivar term_offset: where the holder's term began
+    :ivar allowance: the allowance that it draws on, when it was made
+        while the log was down and is written down afterwards
+    """
+
+    vm_name: str
+    lease_name: str
+    term_offset: ids.Offset
+    pool: ids.PoolName
+    failure_domain: ids.FailureDomain
+    machine_class: str
+    market: str
+    allowance: str | None = None
+
+
+PurchaseEnd = typing.Literal['started', 'refused', 'ended']
+
+
+class PurchaseResult(Record, frozen=True, kw_only=True, tag='purchase-result'):
+    """How a purchase ended; after it the name is never ordered again.
+
+    :ivar vm: the id that the cloud gave, when one was started
+    """
+
+    vm_name: str
+    result: PurchaseEnd
+    vm: ids.VmId | None = None
+
+
+class PurchaseAllowance(
+    Record, frozen=True, kw_only=True, tag='purchase-allowance'
+):
+    """Names that one node may order while the log is down.
+
+    A newer allowance of the same node replaces the older one. The
+    names bound the bill of an outage: no other node has them.
+
+    :ivar allowance: names this allowance
+    """
+
+    allowance: str
+    node: ids.NodeId
+    lease_name: str
+    term_offset: ids.Offset
+    pool: ids.PoolName
+    failure_domain: ids.FailureDomain
+    machine_class: str
+    market: str
+    vm_names: list[str]
+
+
+class ConfigurationHead(msgspec.Struct, frozen=True, kw_only=True):
+    """The document in force in one environment."""
+
+    offset: ids.Offset
+    record_id: ids.RecordId
+    digest: ids.Digest
+    document: dict[str, typing.Any]
+    author: str
+
+
+class LeaseHead(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest accepted record of one lease.
+
+    :ivar term_offset: where the holder's unbroken run of records began
+    """
+
+    offset: ids.Offset
+    term_offset: ids.Offset
+    record_id: ids.RecordId
+    holder: str
+    duration_s: float
+    released: bool = False
+
+
+class ControlState(msgspec.Struct, frozen=True, kw_only=True):
+    """What all records of the control stream up to a place fold into.
+
+    The maps are never changed in place.
+
+    :ivar through_offset: the last record folded
+    :ivar configurations: by environment
+    :ivar leases: by name
+    :ivar open_purchases: intents without a result, by VM name
+    :ivar closed_purchases: offset of the result, by VM name, for a
+        bounded stretch of the log
+    :ivar allowances: by node
+    """
+
+    through_offset: ids.Offset = NO_OFFSET
+    configurations: dict[ids.EnvironmentName, ConfigurationHead] = {}
+    leases: dict[str, LeaseHead] = {}
+    open_purchases: dict[str, PurchaseIntent] = {}
+    closed_purchases: dict[str, ids.Offset] = {}
+    allowances: dict[ids.NodeId, PurchaseAllowance] = {}
+
+
+class Snapshot(Record, frozen=True, kw_only=True, tag='snapshot'):
+    """The fold of all records up to ``state.through_offset``.
+
+    It lags: records between that offset and its own are not in it.
+    """
+
+    state: ControlState
+
+
+class OrderClaim(Record, frozen=True, kw_only=True, tag='order-claim'):
+    """Claims an idempotency key for one attempt (``claims-{n}``).
+
+    The first claim of a key in log order wins.
+
+    :ivar key_digest: of workspace, service and ``Idempotency-Key``
+    :ivar body_digest: the same key with another body is refused
+    :ivar router: incarnation of the router that would dispatch
+    :ivar claimed_unix_s: by the router's clock, to forget old keys
+    """
+
+    key_digest: ids.Digest
+    body_digest: ids.Digest
+    attempt_id: ids.AttemptId
+    router: str
+    claimed_unix_s: float
+
+
+ControlRecord = (
+    ConfigurationChange
+    | LeaseRecord
+    | PurchaseIntent
+    | PurchaseResult
+    | PurchaseAllowance
+    | Snapshot
+)
+
+
+def parse(raw: typing.Any) -> ControlRecord | outcome.Failure:
+    """A record of the control stream from its plain JSON values."""
+    try:
+        return msgspec.convert(raw, ControlRecord)
+    except msgspec.ValidationError as error:
+        return outcome.Failure(outcome.Reason.UNREADABLE, str(error))
