Keep what is held while too little is on offer

A pool with minimums but no load was put into one failure domain.

Change: such a plan keeps all that is held; a model with a minimum needs one engine after the loss of a domain.

--- a/src/guavachute/decide/fleet_plan.py
+++ b/src/guavachute/decide/fleet_plan.py
@@ -152,6 +152,9 @@
         per_endpoint = view.config.tokens_per_s_per_endpoint
         needed = math.ceil(load / per_endpoint - 1e-9)
         minimum = 0 if to_zero else model.minimum_endpoints
+        if minimum:
+            # One engine must be left when a failure domain goes.
+            needed = max(1, needed)
         targets.append(
             placement.ModelTarget(
                 model=name,
--- a/src/guavachute/decide/market.py
+++ b/src/guavachute/decide/market.py
@@ -357,11 +357,16 @@
     held: typing.Mapping[OfferKey, int],
     weights: Weights,
 ) -> Counts:
-    """What carries the load today, evenly by domain as far as it goes."""
+    """What carries the load today, evenly by domain as far as it goes.
+
+    Nothing that is held is given up while there is too little.
+    """
     tiers = _tiers(offers, held, weights)
-    counts: Counts = {}
-    total = 0.0
-    endpoints = 0
+    counts = {key: count for key, count in held.items() if key in offers}
+    if sum(counts.values()) > need.maximum_endpoints:
+        counts = {}
+    total = sum(n * offers[key].tokens_per_s for key, n in counts.items())
+    endpoints = sum(counts.values())
     while total < need.tokens_per_s or endpoints < need.minimum_endpoints:
         if endpoints >= need.maximum_endpoints:
             break
--- a/tests/cover/test_market.py
+++ b/tests/cover/test_market.py
@@ -92,6 +92,14 @@
         self.assertEqual(7, sum(plan.counts.values()))
         self.assertIs(market.Cover.SHORT, plan.cover)
 
+    def test_nothing_is_given_up_while_there_is_too_little(self) -> None:
+        choice = [offer(DOMAINS[0], 100, limit=9)]
+        plan = market.plan_pool(
+            market.Need(700), choice, {choice[0].key: 9}, WEIGHTS
+        )
+        self.assertIs(market.Cover.SHORT, plan.cover)
+        self.assertEqual({choice[0].key: 9}, plan.counts)
+
     def test_swinging_prices_change_nothing_but_a_lasting_gap_does(
         self,
     ) -> None:
