Add the node program

Cause: routers need tables from the log, the VM list and the peers. Change: the node process hosts the log follower, the membership, the VM list and the tables' port.

--- /dev/null
+++ b/src/guavachute/assembly/node.py
@@ -0,0 +1,134 @@
+"""A node process: all control of one entry VM."""
+
+import contextlib
+import random
+import time
+import typing
+
+from guavachute import ids
+from guavachute.kernel import kernel
+from guavachute.observe import counters
+from guavachute.platform import log_client
+from guavachute.platform import log_source
+from guavachute.services import log_follower
+from guavachute.services import membership
+from guavachute.services import node_state
+from guavachute.services import table_server
+from guavachute.services import vm_watch
+from guavachute import settings
+
+
+class NodeSettings(settings.Strict, frozen=True, kw_only=True):
+    """Settings of ``guavachute-node``.
+
+    :ivar node: the id of the VM
+    :ivar log_address: the platform's log service
+    :ivar vm_list_address: the platform's VM list
+    :ivar port: where routers get their tables and operators ask
+    :ivar peer_port: where other nodes connect
+    :ivar peer_keys: shared by all nodes; the first is used, any accepted
+    :ivar peer_seeds: peers to try before the VM list names any
+    """
+
+    environment: str
+    node: str
+    failure_domain: str
+    region: str
+    log_address: settings.AddressText
+    vm_list_address: settings.AddressText
+    peer_keys: list[str]
+    peer_seeds: list[settings.AddressText] = []
+    host: settings.Host = '127.0.0.1'
+    port: settings.Port = 0
+    peer_port: settings.Port = 0
+    vm_list_interval_s: settings.Seconds = 1.0
+    observe: settings.Observe = settings.Observe()
+
+
+class Node:
+    """The services of one node process, on a kernel of their own."""
+
+    def __init__(self, wanted: NodeSettings, count: counters.Counters) -> None:
+        self.count = count
+        self.kernel = kernel.Kernel()
+        self.state = node_state.NodeState(
+            self.kernel,
+            node_state.Place(
+                ids.EnvironmentName(wanted.environment),
+                ids.NodeId(wanted.node),
+                ids.FailureDomain(wanted.failure_domain),
+                ids.Region(wanted.region),
+            ),
+            count,
+        )
+        inbox = self.state.mailbox
+        self.table_server = table_server.TableServer(
+            wanted.host, wanted.port, count, inbox
+        )
+        self.membership = _membership(wanted, count)
+        self.membership.mailbox.send(membership.Subscribe(inbox))
+        self.follower = log_follower.LogFollower(
+            'log-follower',
+            [
+                log_source.LogSource(
+                    log_client.LogClient(
+                        wanted.log_address, count, random.Random()
+                    )
+                )
+            ],
+            count,
+            random.Random(),
+        )
+        self.follower.subscribe(inbox)
+        self.vm_watch = vm_watch.VmWatch(
+            wanted.vm_list_address,
+            wanted.vm_list_interval_s,
+            count,
+            [inbox],
+            time.monotonic,
+        )
+        for service in (
+            self.membership,
+            self.table_server,
+            self.state,
+            self.follower,
+            self.vm_watch,
+        ):
+            self.kernel.add(service)
+
+    @property
+    def address(self) -> str:
+        """Where routers get their tables and operators ask."""
+        return self.table_server.address
+
+    @property
+    def peer_address(self) -> str:
+        """Where other nodes connect."""
+        return self.membership.address
+
+
+@contextlib.contextmanager
+def running(wanted: NodeSettings) -> typing.Iterator[Node]:
+    """A node process's services, started."""
+    count = counters.connect(wanted.observe.statsd, 'guavachute.node')
+    node = Node(wanted, count)
+    with node.kernel.running():
+        yield node
+
+
+def _membership(
+    wanted: NodeSettings, count: counters.Counters
+) -> membership.Membership:
+    return membership.Membership(
+        membership.Configuration(
+            environment=wanted.environment,
+            node=wanted.node,
+            host=wanted.host,
+            port=wanted.peer_port,
+            failure_domain=wanted.failure_domain,
+            region=wanted.region,
+            keys=tuple(key.encode() for key in wanted.peer_keys),
+            seeds=tuple(wanted.peer_seeds),
+        ),
+        count,
+    )
--- /dev/null
+++ b/src/guavachute/services/node_state.py
@@ -0,0 +1,254 @@
+"""Node process: puts together what routers, peers and operators need.
+
+Listens to the log follower, the VM list, the membership and the routers'
+own reports. Whenever something changed it publishes tables to the
+routers and tells the peers what this node has in force.
+"""
+
+import dataclasses
+import functools
+import time
+
+import msgspec
+
+from guavachute.decide import address_answer
+from guavachute.decide import member_table
+from guavachute.decide import membership as membership_state
+from guavachute import ids
+from guavachute.kernel import kernel
+from guavachute.kernel import mailbox
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute.platform import vm_list
+from guavachute.services import log_follower
+from guavachute.services import membership
+from guavachute.services import status_text
+from guavachute.services import table_server
+from guavachute.services import vm_watch
+from guavachute.wire import gossip
+from guavachute.wire import records
+from guavachute.wire import tables
+
+DIGEST_CHARACTERS = 12
+
+_log = logs.logger('node')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Who this node is."""
+
+    environment: ids.EnvironmentName
+    node: ids.NodeId
+    failure_domain: ids.FailureDomain
+    region: ids.Region
+
+
+class NodeState(task.Task):
+    """Owns the node's picture of the world.
+
+    Messages: :class:`log_follower.ControlUpdate`,
+    :class:`vm_watch.VmsSeen`, :class:`table_server.RoutersChanged`,
+    :class:`membership.Changed`, :class:`table_server.AskStatus`.
+    """
+
+    def __init__(
+        self,
+        hosting: kernel.Kernel,
+        place: Place,
+        count: counters.Counters,
+    ) -> None:
+        super().__init__('node-state')
+        self._kernel = hosting
+        self._place = place
+        self._count = count
+        self._head: records.ConfigurationHead | None = None
+        self._through_offset = -1
+        self._vms: tuple[vm_list.Vm, ...] = ()
+        self._vms_at_s = 0.0
+        self._reports: tuple[tables.RouterReport, ...] = ()
+        self._view: membership_state.View | None = None
+        self._published: tables.Tables | None = None
+        self._told_routers: membership.SetRouters | None = None
+        self._told_status: gossip.Status | None = None
+
+    def run(self) -> None:
+        """Take messages until stopped."""
+        while not self.stopping.is_set():
+            message = self.mailbox.receive()
+            if message is not None:
+                self._take(message)
+
+    @functools.singledispatchmethod
+    def _take(self, message: mailbox.Message) -> None:
+        assert isinstance(message, task.Stop), message
+
+    @_take.register
+    def _take_update(self, message: log_follower.ControlUpdate) -> None:
+        state = message.state
+        self._through_offset = state.through_offset
+        head = state.configurations.get(self._place.environment)
+        if head is None:
+            return
+        if self._head is None or head.offset > self._head.offset:
+            self._head = head
+            self._count.add('configuration.accepted')
+            _log.notice('configuration {} accepted', head.offset)
+            self._changed()
+
+    @_take.register
+    def _take_vms(self, message: vm_watch.VmsSeen) -> None:
+        self._vms, self._vms_at_s = message.vms, message.at_s
+        listed = tuple(
+            member_table.ListedVm(
+                vm.vm,
+                vm.address,
+                vm.failure_domain,
+                vm.region,
+                vm.state is vm_list.VmState.LEAVING,
+            )
+            for vm in self._vms
+            if vm.kind is vm_list.VmKind.ENTRY
+        )
+        self._kernel.send(membership.NAME, membership.Listed(listed))
+        self._changed()
+
+    @_take.register
+    def _take_reports(self, message: table_server.RoutersChanged) -> None:
+        self._reports = message.reports
+        self._changed()
+
+    @_take.register
+    def _take_view(self, message: membership.Changed) -> None:
+        self._view = message.view
+        self._changed()
+
+    @_take.register
+    def _take_question(self, message: table_server.AskStatus) -> None:
+        message.reply(
+            status_text.reply(
+                status_text.Known(
+                    environment=self._place.environment,
+                    node=self._place.node,
+                    head=self._head,
+                    through_offset=self._through_offset,
+                    view=self._view,
+                    vms=self._vms,
+                    reports=self._reports,
+                    counters=self._count.snapshot(),
+                )
+            )
+        )
+
+    def _changed(self) -> None:
+        self._tell_peers()
+        self._publish(time.monotonic())
+
+    # To the peers.
+
+    def _tell_peers(self) -> None:
+        routers = membership.SetRouters(
+            tuple(sorted(report.address for report in self._reports)),
+            # With several routers a VM leaves when the last one does.
+            bool(self._reports)
+            and all(report.draining for report in self._reports),
+        )
+        if routers != self._told_routers:
+            self._told_routers = routers
+            self._kernel.send(membership.NAME, routers)
+        status = self._status()
+        if status != self._told_status:
+            self._told_status = status
+            self._kernel.send(membership.NAME, membership.SetStatus(status))
+
+    def _status(self) -> gossip.Status:
+        used: dict[str, int] = {}
+        for report in self._reports:
+            for workspace, tokens in report.used_tokens.items():
+                used[workspace] = used.get(workspace, 0) + int(tokens)
+        return gossip.Status(
+            node=self._place.node,
+            incarnation=0,
+            sequence=0,
+            offset=self._offset_in_force(),
+            digest=self._head.digest[:DIGEST_CHARACTERS] if self._head else '',
+            active_requests=sum(
+                report.active_requests for report in self._reports
+            ),
+            used_tokens=used,
+        )
+
+    def _offset_in_force(self) -> int:
+        """What the slowest router of this VM has in force."""
+        if self._reports:
+            return min(report.offset for report in self._reports)
+        return -1 if self._head is None else self._head.offset
+
+    # To the routers.
+
+    def _publish(self, now_s: float) -> None:
+        if self._head is None:
+            return
+        view = tables.Tables(
+            environment=self._place.environment,
+            offset=self._head.offset,
+            digest=self._head.digest,
+            document=self._head.document,
+            endpoints=self._endpoints(now_s),
+            routers=self._routers(),
+        )
+        if self._is_news(view):
+            self._published = view
+            self._kernel.send('table-server', table_server.Publish(view))
+
+    def _is_news(self, view: tables.Tables) -> bool:
+        if self._published is None:
+            return True
+        return _without_times(view) != _without_times(self._published)
+
+    def _endpoints(self, now_s: float) -> list[tables.EndpointEntry]:
+        age_s = now_s - self._vms_at_s
+        return [
+            tables.EndpointEntry(
+                endpoint=vm.vm,
+                address=vm.address,
+                failure_domain=vm.failure_domain,
+                region=vm.region,
+                pool=vm.pool,
+                leaving=vm.state is vm_list.VmState.LEAVING,
+                leave_in_s=_left_s(vm, age_s),
+            )
+            for vm in self._vms
+            if vm.kind is vm_list.VmKind.ENDPOINT
+        ]
+
+    def _routers(self) -> list[tables.RouterEntry]:
+        if self._view is None:
+            return []
+        return [
+            tables.RouterEntry(
+                node=router.node,
+                address=router.address,
+                failure_domain=router.failure_domain,
+                region=router.region,
+                leaving=router.leaving,
+                suspect=router.suspect,
+            )
+            for router in address_answer.known_routers(self._view)
+        ]
+
+
+def _left_s(vm: vm_list.Vm, age_s: float) -> float | None:
+    if vm.leave_in_s is None:
+        return None
+    return max(vm.leave_in_s - age_s, 0.0)
+
+
+def _without_times(view: tables.Tables) -> tables.Tables:
+    """*view* without what changes by itself as time passes."""
+    endpoints = [
+        msgspec.structs.replace(entry, leave_in_s=None)
+        for entry in view.endpoints
+    ]
+    return msgspec.structs.replace(view, endpoints=endpoints)
