Add stand-ins for the cloud and the weight store

Cause: fleet duties need purchases with lost answers, refused starts, moving prices, reclaims with and without notice, and limited weights.

--- a/src/guavachute/cli/standin.py
+++ b/src/guavachute/cli/standin.py
@@ -1,45 +1,47 @@
-"""``guavachute-standin``: one stand-in as a process."""
+"""``guavachute-standin``: one stand-in as a process.
+
+Once it listens it prints a JSON line with its address.
+"""
 
 import dataclasses
 import os
 import pathlib
-import signal
 import sys
 import typing
 
 import cappa
-import msgspec
 
+from guavachute.cli import process
 from guavachute.kernel import kernel
 from guavachute.observe import logs
-from guavachute import outcome
-from guavachute import settings as settings_files
 from guavachute.standin import base
+from guavachute.standin import cloud
+from guavachute.standin import engine
+from guavachute.standin import engine_job
+from guavachute.standin import log_service
+from guavachute.standin import order_service
+from guavachute.standin import remote_vm_list
+from guavachute.standin import vm_list
+from guavachute.standin import weight_store
 
 KILLED_STATUS = 137
 """The exit status of a process that a fault kills."""
 
-
-class Announcement(msgspec.Struct, frozen=True):
-    """The line on standard output once the stand-in listens."""
-
-    kind: str
-    address: str
-    pid: int
-
-
 Text = typing.Annotated[str, cappa.Arg(long=True)]
+OptionalText = typing.Annotated[str | None, cappa.Arg(long=True)]
 Number = typing.Annotated[int, cappa.Arg(long=True)]
 Decimal = typing.Annotated[float, cappa.Arg(long=True)]
+OptionalDecimal = typing.Annotated[float | None, cappa.Arg(long=True)]
+OptionalPath = typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)]
 
 
 @dataclasses.dataclass
 class Listener:
-    """Where to listen."""
+    """Where to listen, and the stand-in's name."""
 
     host: Text = base.HOST
     port: Number = 0
-    name: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+    name: Text = 'standin'
 
 
 @cappa.command(name='engine', help='A model engine.')
@@ -47,31 +49,19 @@
 class EngineCommand(Listener):
     """A model engine.
 
-    :ivar settings: a JSON file of ``EngineSettings``
+    :ivar settings: a JSON file of ``engine_job.EngineSettings``
     """
 
-    KIND: typing.ClassVar[str] = 'engine'
-
-    settings: typing.Annotated[pathlib.Path | None, cappa.Arg(long=True)] = (
-        None
-    )
+    settings: OptionalPath = None
 
-    def make(self) -> base.StandIn | outcome.Failure:
+    def make(self) -> base.StandIn:
         """The stand-in."""
-        from guavachute.standin import engine
-        from guavachute.standin import engine_job
-
-        loaded: engine_job.EngineSettings | outcome.Failure
-        loaded = engine_job.EngineSettings()
+        wanted = engine_job.EngineSettings()
         if self.settings is not None:
-            loaded = settings_files.load(
+            wanted = process.load_settings(
                 self.settings, engine_job.EngineSettings
             )
-        if isinstance(loaded, outcome.Failure):
-            return loaded
-        return engine.Engine(
-            self.name or 'engine', self.host, self.port, loaded
-        )
+        return engine.Engine(self.name, self.host, self.port, wanted)
 
 
 @cappa.command(name='log', help='The log service.')
@@ -79,17 +69,13 @@
 class LogCommand(Listener):
     """The log service."""
 
-    KIND: typing.ClassVar[str] = 'log'
-
     retained_records: Number = 100_000
-    appends_per_s: typing.Annotated[float | None, cappa.Arg(long=True)] = None
+    appends_per_s: OptionalDecimal = None
 
-    def make(self) -> base.StandIn | outcome.Failure:
+    def make(self) -> base.StandIn:
         """The stand-in."""
-        from guavachute.standin import log_service
-
         return log_service.LogService(
-            self.name or 'log',
+            self.name,
             self.host,
             self.port,
             self.retained_records,
@@ -102,17 +88,11 @@
 class VmListCommand(Listener):
     """The list of VMs."""
 
-    KIND: typing.ClassVar[str] = 'vm-list'
-
     lag_s: Decimal = 0.0
 
-    def make(self) -> base.StandIn | outcome.Failure:
+    def make(self) -> base.StandIn:
         """The stand-in."""
-        from guavachute.standin import vm_list
-
-        return vm_list.VmList(
-            self.name or 'vm-list', self.host, self.port, self.lag_s
-        )
+        return vm_list.VmList(self.name, self.host, self.port, self.lag_s)
 
 
 @cappa.command(name='orders', help='A plain service.')
@@ -120,14 +100,56 @@
 class OrdersCommand(Listener):
     """A plain service whose calls are not idempotent."""
 
-    KIND: typing.ClassVar[str] = 'orders'
+    def make(self) -> base.StandIn:
+        """The stand-in."""
+        return order_service.OrderService(self.name, self.host, self.port)
+
 
-    def make(self) -> base.StandIn | outcome.Failure:
+@cappa.command(name='cloud', help="The cloud's API.")
+@dataclasses.dataclass
+class CloudCommand(Listener):
+    """The cloud's API.
+
+    :ivar vm_list: the address of the VM list to keep
+    """
+
+    start_s: Decimal = 0.1
+    hour_s: Decimal = 3600.0
+    vm_list: OptionalText = None
+
+    def make(self) -> base.StandIn:
         """The stand-in."""
-        from guavachute.standin import order_service
+        feed = None
+        if self.vm_list is not None:
+            feed = remote_vm_list.RemoteVmList(self.vm_list)
+        return cloud.Cloud(
+            self.name,
+            self.host,
+            self.port,
+            start_s=self.start_s,
+            hour_s=self.hour_s,
+            feed=feed,
+        )
 
-        return order_service.OrderService(
-            self.name or 'orders', self.host, self.port
+
+@cappa.command(name='weights', help='The store of model weights.')
+@dataclasses.dataclass
+class WeightsCommand(Listener):
+    """The store of model weights."""
+
+    size_bytes: Number = 1_000_000
+    bytes_per_s: Decimal = 10_000_000.0
+    most_fetches: Number = 4
+
+    def make(self) -> base.StandIn:
+        """The stand-in."""
+        return weight_store.WeightStore(
+            self.name,
+            self.host,
+            self.port,
+            size_bytes=self.size_bytes,
+            bytes_per_s=self.bytes_per_s,
+            most_fetches=self.most_fetches,
         )
 
 
@@ -137,32 +159,33 @@
     """The program's arguments."""
 
     kind: cappa.Subcommands[
-        EngineCommand | LogCommand | VmListCommand | OrdersCommand
+        EngineCommand
+        | LogCommand
+        | VmListCommand
+        | OrdersCommand
+        | CloudCommand
+        | WeightsCommand
     ]
 
 
-def serve(standin: base.StandIn, kind: str) -> int:
+def serve(standin: base.StandIn) -> int:
     """Run *standin* until SIGTERM; gives the exit status."""
-    host = kernel.Kernel()
-    host.add(standin)
+    hosting = kernel.Kernel()
+    hosting.add(standin)
     standin.on_crash = lambda: os._exit(KILLED_STATUS)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: host.request_stop())
-    with logs.to_stderr('warning'), host.running():
-        line = Announcement(kind, standin.address, os.getpid())
-        print(msgspec.json.encode(line).decode(), flush=True)
-        host.wait()
-    return 1 if host.broken_task is not None else 0
+    with (
+        process.stopped_by_signals(hosting.request_stop),
+        logs.to_stderr('warning'),
+        hosting.running(),
+    ):
+        process.announce('guavachute-standin', http=standin.address)
+        hosting.wait()
+    return process.EXIT_FAILED if hosting.broken_task else 0
 
 
 def main() -> None:
-    """Run the program."""
-    command = cappa.parse(Standin).kind
-    standin = command.make()
-    if isinstance(standin, outcome.Failure):
-        print(f'guavachute-standin: {standin}', file=sys.stderr)
-        sys.exit(2)
-    sys.exit(serve(standin, command.KIND))
+    """The console script."""
+    sys.exit(serve(cappa.parse(Standin).kind.make()))
 
 
 if __name__ == '__main__':
--- a/src/guavachute/standin/base.py
+++ b/src/guavachute/standin/base.py
@@ -90,12 +90,9 @@
     ) -> Reply:
         if request.path == '/faults':
             return self._order_faults(request)
-        if request.path == '/healthz' and request.method == 'GET':
-            fault = self.faults.take(request)
-            if fault is None:
-                return message.json_response({'ok': True})
-        else:
-            fault = self.faults.take(request)
+        fault = self.faults.take(request)
+        if fault is None and request.path == '/healthz':
+            return message.json_response({'ok': True})
         if fault is None:
             return self.serve(request, exchange)
         if self.carries_out(request, fault):
@@ -125,6 +122,8 @@
             case faults.Kind.STALL:
                 self.stopping.wait(fault.delay_s)
                 return self.serve(request, exchange)
+            case faults.Kind.FOREIGN:
+                return self.serve(request, exchange)
             case faults.Kind.DOUBLE:
                 self.serve(request, exchange)
                 return self.serve(request, exchange)
--- a/src/guavachute/standin/vm_list.py
+++ b/src/guavachute/standin/vm_list.py
@@ -54,7 +54,7 @@
     ) -> None:
         super().__init__(name, host, port)
         self._lag_s = lag_s
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._versions = [_Version(float('-inf'), {}, {})]
 
     def set_vms(self, vms: typing.Iterable[Vm]) -> None:
@@ -69,12 +69,13 @@
 
     def put(self, vm: Vm) -> None:
         """List *vm*, in place of the one with its id."""
-        newest = self._versions[-1]
-        leave_at_s = dict(newest.leave_at_s)
-        leave_at_s.pop(vm.vm, None)
-        if vm.leave_in_s is not None:
-            leave_at_s[vm.vm] = time.monotonic() + vm.leave_in_s
-        self._change({**newest.vms, vm.vm: vm}, leave_at_s)
+        with self._lock:
+            newest = self._versions[-1]
+            leave_at_s = dict(newest.leave_at_s)
+            leave_at_s.pop(vm.vm, None)
+            if vm.leave_in_s is not None:
+                leave_at_s[vm.vm] = time.monotonic() + vm.leave_in_s
+            self._change({**newest.vms, vm.vm: vm}, leave_at_s)
 
     def leave(self, vm: str, leave_in_s: float) -> None:
         """Give *vm* notice; it stays listed until it is removed."""
@@ -87,10 +88,11 @@
 
     def remove(self, vm: str) -> None:
         """Take *vm* off the list."""
-        newest = self._versions[-1]
-        vms = dict(newest.vms)
-        vms.pop(vm, None)
-        self._change(vms, newest.leave_at_s)
+        with self._lock:
+            newest = self._versions[-1]
+            vms = dict(newest.vms)
+            vms.pop(vm, None)
+            self._change(vms, newest.leave_at_s)
 
     def listing(self) -> Listing:
         """What is answered now."""
@@ -112,17 +114,33 @@
     def serve(
         self, request: message.Request, exchange: server.Exchange
     ) -> base.Reply:
-        """List the VMs, or set them."""
-        if request.path != '/v1/vms':
-            return base.not_found()
-        if request.method == 'GET':
-            return message.json_response(self.listing())
-        wanted = message.decode_json(request.body, Listing)
+        """List the VMs, or change the list as a test wishes."""
+        match request.method, request.path.split('/')[1:]:
+            case 'GET', ['v1', 'vms']:
+                return message.json_response(self.listing())
+            case 'PUT', ['v1', 'vms']:
+                return self._serve_set(request.body)
+            case 'PUT', ['v1', 'vms', _]:
+                return self._serve_put(request.body)
+            case 'DELETE', ['v1', 'vms', vm]:
+                self.remove(vm)
+                return message.json_response({})
+        return base.not_found()
+
+    def _serve_set(self, body: bytes) -> message.Response:
+        wanted = message.decode_json(body, Listing)
         if isinstance(wanted, outcome.Failure):
             return base.bad_request(wanted)
         self.set_vms(wanted.vms)
         return message.json_response({})
 
+    def _serve_put(self, body: bytes) -> message.Response:
+        wanted = message.decode_json(body, Vm)
+        if isinstance(wanted, outcome.Failure):
+            return base.bad_request(wanted)
+        self.put(wanted)
+        return message.json_response({})
+
     def _change(
         self, vms: dict[str, Vm], leave_at_s: dict[str, float]
     ) -> None:
