--- /dev/null
+++ b/src/guavachute/decide/control_reader.py
@@ -0,0 +1,69 @@
+"""One reader's place in the control stream; it never goes back."""
+
+import dataclasses
+import typing
+
+from guavachute.decide import control_log
+from guavachute import ids
+from guavachute import outcome
+from guavachute.wire import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Folded:
+    """One record and what became of it.
+
+    :ivar raw: the record as plain values, as other versions wrote it
+    :ivar record: None when this version can't read it
+    """
+
+    offset: ids.Offset
+    raw: typing.Any
+    record: records.ControlRecord | None
+    verdict: control_log.Verdict
+
+
+class ControlReader:
+    """Folds what it is given, once and in order.
+
+    :ivar state: None until a whole state was adopted
+    """
+
+    def __init__(self, state: records.ControlState | None = None) -> None:
+        self.state = state
+
+    def adopt(self, state: records.ControlState) -> bool:
+        """Go on from *state*, if it has seen more of the log."""
+        if (
+            self.state is not None
+            and state.through_offset <= self.state.through_offset
+        ):
+            return False
+        self.state = state
+        return True
+
+    def take(
+        self, entries: typing.Iterable[records.Entry]
+    ) -> tuple[Folded, ...] | outcome.Failure:
+        """Fold the entries not folded before.
+
+        On a failure, for records are missing between the state and an
+        entry, the state stays as it was.
+        """
+        state = self.state
+        assert state is not None, 'records came before any state'
+        folded = []
+        for entry in entries:
+            if entry.offset <= state.through_offset:
+                continue
+            if entry.offset > state.through_offset + 1:
+                return outcome.Failure(
+                    outcome.Reason.RETENTION,
+                    f'record {entry.offset} follows on {state.through_offset}',
+                )
+            parsed = records.parse(entry.record)
+            record = None if isinstance(parsed, outcome.Failure) else parsed
+            state, verdict = control_log.fold(state, entry.offset, record)
+            folded.append(Folded(entry.offset, entry.record, record, verdict))
+        self.state = state
+        return tuple(folded)
--- a/src/guavachute/platform/log_client.py
+++ b/src/guavachute/platform/log_client.py
@@ -23,6 +23,7 @@
 from guavachute import ids
 from guavachute.observe import counters as counters_module
 from guavachute import outcome
+from guavachute.wire import records
 
 CONNECT_TIMEOUT_S = 2.0
 ANSWER_TIMEOUT_S = 5.0
@@ -43,19 +44,12 @@
 )
 
 
-class Entry(msgspec.Struct, frozen=True):
-    """A record, as plain JSON values, and its place."""
-
-    offset: ids.Offset
-    record: typing.Any
-
-
 class Page(msgspec.Struct, frozen=True, kw_only=True):
     """What a read gave; *records* is empty when nothing is new."""
 
     first_retained_offset: ids.Offset
     next_offset: ids.Offset
-    records: list[Entry]
+    records: list[records.Entry]
 
 
 class RetentionPassed(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,17 +100,17 @@
     def append(
         self,
         stream: str,
-        records: typing.Sequence[msgspec.Struct],
+        wanted: typing.Sequence[msgspec.Struct],
         deadline_s: float,
     ) -> Appended | outcome.Failure:
-        """Append *records* together; repeat until answered.
+        """Append the records *wanted* together; repeat until answered.
 
         :param deadline_s: when to give up, by ``time.monotonic``
         :returns: on failure the reason ``LOST_ANSWER`` means that the
             records may stand in the log, now or later; any other means
             that they don't and won't
         """
-        body = msgspec.json.encode({'records': records})
+        body = msgspec.json.encode({'records': wanted})
         path = _path(stream)
         failures = 0
         may_have_acted = False
--- a/src/guavachute/platform/log_source.py
+++ b/src/guavachute/platform/log_source.py
@@ -26,10 +26,12 @@
     """Records in a row; may be empty, may overlap with earlier ones.
 
     :ivar log_age_s: since the log itself was heard
+    :ivar first_retained_offset: of the log, where the source knows it
     """
 
-    entries: list[log_client.Entry]
+    entries: list[records.Entry]
     log_age_s: float
+    first_retained_offset: ids.Offset | None = None
 
 
 Event = Adopt | Arrived
@@ -104,7 +106,9 @@
             )
         if result.records:
             self._next_offset = ids.Offset(result.records[-1].offset + 1)
-        return self._poll_after([Arrived(result.records, 0.0)])
+        return self._poll_after(
+            [Arrived(result.records, 0.0, result.first_retained_offset)]
+        )
 
     def close(self) -> None:
         """Close the connection."""
@@ -134,7 +138,7 @@
     """A state and the records that follow on it."""
 
     state: records.ControlState
-    entries: list[log_client.Entry]
+    entries: list[records.Entry]
 
 
 def find_start(
@@ -169,7 +173,7 @@
 
 
 def _snapshots(
-    entries: list[log_client.Entry],
+    entries: list[records.Entry],
 ) -> typing.Iterator[records.Snapshot]:
     for entry in entries:
         record = records.parse(entry.record)
@@ -182,8 +186,8 @@
     stream: str,
     from_offset: ids.Offset,
     to_offset: ids.Offset,
-) -> list[log_client.Entry] | outcome.Failure:
-    entries: list[log_client.Entry] = []
+) -> list[records.Entry] | outcome.Failure:
+    entries: list[records.Entry] = []
     offset = from_offset
     while offset < to_offset:
         limit = min(to_offset - offset, log_client.READ_LIMIT_RECORDS)
--- a/src/guavachute/services/log_follower.py
+++ b/src/guavachute/services/log_follower.py
@@ -9,18 +9,17 @@
 import dataclasses
 import random
 import selectors
-import time
 import typing
 
-from guavachute.decide import control_log
+from guavachute.decide import control_reader
 from guavachute.decide import source_choice
 from guavachute import ids
+from guavachute.kernel import clock
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters as counters_module
 from guavachute.observe import logs
 from guavachute import outcome
-from guavachute.platform import log_client
 from guavachute.platform import log_source
 from guavachute.wire import records
 
@@ -29,34 +28,29 @@
 TICK_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Folded:
-    """One record and what became of it.
-
-    :ivar raw: the record as plain values, as other versions wrote it
-    :ivar record: None when this version can't read it
-    """
-
-    offset: ids.Offset
-    raw: typing.Any
-    record: records.ControlRecord | None
-    verdict: control_log.Verdict
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlUpdate:
     """The state and the records that led to it from the last update.
 
     :ivar folded: empty where the follower took a whole state over; the
         records before that are then unknown
-    :ivar received_s: by ``time.monotonic``, after the records arrived
+    :ivar received_s: by ``clock.now_s``, after the records arrived
     :ivar log_heard_s: when the log itself was last heard
+    :ivar first_retained_offset: of the log, as far as it is known
     """
 
     state: records.ControlState
-    folded: tuple[Folded, ...]
+    folded: tuple[control_reader.Folded, ...]
     received_s: float
     log_heard_s: float
+    first_retained_offset: ids.Offset = ids.Offset(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogHeard:
+    """Nothing is new; the log itself was last heard at *log_heard_s*."""
+
+    log_heard_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +95,8 @@
         self._chosen: int | None = None
         self._heard_s = 0.0
         self._log_heard_s = 0.0
-        self._state: records.ControlState | None = None
+        self._reader = control_reader.ControlReader()
+        self._first_retained_offset = ids.Offset(0)
         self._subscribers: list[mailbox.Mailbox] = []
         self._selector = selectors.DefaultSelector()
 
@@ -124,24 +119,24 @@
         )
         while not self.stopping.is_set():
             if self._chosen is None:
-                self._connect(time.monotonic())
+                self._connect(clock.now_s())
             for key, _ in self._selector.select(self._timeout_s()):
                 key.data()
-            self._check_source(time.monotonic())
+            self._check_source(clock.now_s())
         self._leave_source()
         self._selector.close()
 
     def _timeout_s(self) -> float:
         if self._chosen is not None:
             return TICK_S
-        wait_s = self._choice.next_retry_s() - time.monotonic()
+        wait_s = self._choice.next_retry_s() - clock.now_s()
         return min(TICK_S, max(0.0, wait_s))
 
     def _on_mailbox(self) -> None:
         for message in self.mailbox.drain():
             if isinstance(message, Subscribe):
                 self._subscribers.append(message.subscriber)
-                if self._state is not None:
+                if self._reader.state is not None:
                     message.subscriber.send(self._update(()))
             elif isinstance(message, UseSources):
                 self._leave_source()
@@ -156,10 +151,10 @@
         if index is None:
             return
         source = self._sources[index]
-        events = source.begin(self._state)
+        events = source.begin(self._reader.state)
         if isinstance(events, outcome.Failure):
             self._failed(index, events)
-            if self._state is None:
+            if self._reader.state is None:
                 self._ask_peers()
             return
         self._chosen = index
@@ -195,10 +190,7 @@
             return
         source = self._sources[self._chosen]
         if now_s - self._heard_s > source.quiet_s:
-            self._failed(
-                self._chosen,
-                outcome.Failure(outcome.Reason.UNAVAILABLE, 'went quiet'),
-            )
+            self._failed(self._chosen, _unavailable('went quiet'))
         elif self._choice.should_return(now_s):
             self._leave_source()
 
@@ -206,7 +198,7 @@
         self._counters.add('log.source_failures')
         if self._chosen is not None:
             _log.notice('{} failed: {}', self._sources[index].name, failure)
-        self._choice.failed(index, time.monotonic(), self._jitter.random())
+        self._choice.failed(index, clock.now_s(), self._jitter.random())
         self._leave_source()
         self._sources[index].close()
 
@@ -246,94 +238,75 @@
     # The fold
 
     def _take(self, events: log_source.Events) -> None:
-        self._heard_s = time.monotonic()
+        self._heard_s = clock.now_s()
         for event in events:
             # Ages only grow on the way, so the newest hearing counts.
             self._log_heard_s = max(
                 self._log_heard_s, self._heard_s - event.log_age_s
             )
             if isinstance(event, log_source.Adopt):
-                self._adopt(event.state)
-            elif not self._fold(event.entries):
+                if self._reader.adopt(event.state):
+                    self._publish(())
+            elif not self._fold(event):
                 return
+        self._tell(LogHeard(self._log_heard_s))
         if self._chosen is not None:
-            self._check_age()
+            self._check_age(self._chosen)
 
-    def _check_age(self) -> None:
-        assert self._chosen is not None
+    def _check_age(self, index: int) -> None:
         age_s = self._heard_s - self._log_heard_s
         if age_s < source_choice.STALE_AFTER_S:
-            self._choice.worked(self._chosen)
-        elif self._choice.has_other(self._chosen, self._heard_s):
+            self._choice.worked(index)
+        elif self._choice.has_other(index, self._heard_s):
             # With nothing better to try it stays, to hear at once when
             # the log is back.
-            self._failed(
-                self._chosen,
-                outcome.Failure(
-                    outcome.Reason.UNAVAILABLE, 'is cut off from the log'
-                ),
-            )
-
-    def _adopt(self, state: records.ControlState) -> None:
-        if (
-            self._state is not None
-            and state.through_offset <= self._state.through_offset
-        ):
-            return
-        self._state = state
-        self._publish(())
+            self._failed(index, _unavailable('is cut off from the log'))
 
-    def _fold(self, entries: list[log_client.Entry]) -> bool:
+    def _fold(self, arrived: log_source.Arrived) -> bool:
         """Fold what is new; False when records are missing."""
-        state = self._state
-        assert state is not None, 'records came before any state'
-        folded = []
-        for entry in entries:
-            if entry.offset <= state.through_offset:
-                continue
-            if entry.offset > state.through_offset + 1:
-                self._counters.add('log.gaps')
-                self._gap(entry.offset)
-                return False
-            record = self._parse(entry)
-            state, verdict = control_log.fold(state, entry.offset, record)
-            folded.append(Folded(entry.offset, entry.record, record, verdict))
+        if arrived.first_retained_offset is not None:
+            self._first_retained_offset = arrived.first_retained_offset
+        if not arrived.entries:
+            return True
+        folded = self._reader.take(arrived.entries)
+        if isinstance(folded, outcome.Failure):
+            self._counters.add('log.gaps')
+            if self._chosen is not None:
+                self._failed(self._chosen, folded)
+            return False
         if folded:
-            self._state = state
+            unreadable = sum(entry.record is None for entry in folded)
+            self._counters.add('log.unreadable_records', unreadable)
             self._counters.add('log.folded', len(folded))
-            self._publish(tuple(folded))
+            self._publish(folded)
         return True
 
-    def _gap(self, offset: ids.Offset) -> None:
-        if self._chosen is not None:
-            self._failed(
-                self._chosen,
-                outcome.Failure(
-                    outcome.Reason.RETENTION, f'skipped to {offset}'
-                ),
-            )
-
-    def _parse(self, entry: log_client.Entry) -> records.ControlRecord | None:
-        record = records.parse(entry.record)
-        if isinstance(record, outcome.Failure):
-            self._counters.add('log.unreadable_records')
-            return None
-        return record
-
-    def _publish(self, folded: tuple[Folded, ...]) -> None:
-        assert self._state is not None
-        self._counters.set('log.through_offset', self._state.through_offset)
+    def _publish(self, folded: tuple[control_reader.Folded, ...]) -> None:
         update = self._update(folded)
+        self._counters.set('log.through_offset', update.state.through_offset)
+        self._tell(update)
+
+    def _tell(self, message: ControlUpdate | LogHeard) -> None:
         for subscriber in self._subscribers:
-            subscriber.send(update)
+            subscriber.send(message)
 
-    def _update(self, folded: tuple[Folded, ...]) -> ControlUpdate:
-        assert self._state is not None
+    def _update(
+        self, folded: tuple[control_reader.Folded, ...]
+    ) -> ControlUpdate:
+        assert self._reader.state is not None
         return ControlUpdate(
-            self._state, folded, time.monotonic(), self._log_heard_s
+            self._reader.state,
+            folded,
+            clock.now_s(),
+            self._log_heard_s,
+            self._first_retained_offset,
         )
 
 
+def _unavailable(detail: str) -> outcome.Failure:
+    return outcome.Failure(outcome.Reason.UNAVAILABLE, detail)
+
+
 def _state_of(peer: log_source.Source) -> log_source.Adopt | None:
     events = peer.begin(None)
     try:
--- /dev/null
+++ b/src/guavachute/services/log_relay.py
@@ -0,0 +1,202 @@
+"""Serves the control stream to other nodes.
+
+Only a few nodes of a region read across the billed link; the others
+follow a relay, which may itself follow one. A relay sends what its own
+follower has folded: recent records one by one, or the whole state to a
+follower that is new or too far behind.
+"""
+
+import collections
+import contextlib
+import selectors
+import socket
+import typing
+
+from guavachute.decide import control_reader
+from guavachute.decide import peer_proof
+from guavachute import ids
+from guavachute.kernel import clock
+from guavachute.kernel import task
+from guavachute.observe import counters as counters_module
+from guavachute import outcome
+from guavachute.services import log_follower
+from guavachute.services import peer_connection
+from guavachute.wire import log_relay
+from guavachute.wire import peer
+from guavachute.wire import records
+
+RECENT_RECORDS = 256
+ALIVE_PERIOD_S = 1.0
+MAX_FOLLOWERS = 256
+
+
+class _Follower:
+    """A connection and how far it has been served.
+
+    :ivar through_offset: None until it has asked
+    """
+
+    def __init__(self, connection: peer_connection.PeerConnection) -> None:
+        self.connection = connection
+        self.through_offset: ids.Offset | None = None
+
+
+class LogRelay(task.Task):
+    """Listens for followers of the control stream.
+
+    :param identity: proves this node and checks the followers
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        identity: peer_connection.Identity,
+        follower: log_follower.LogFollower,
+        counters: counters_module.Counters,
+    ) -> None:
+        super().__init__(name)
+        self._identity = identity
+        self._follower = follower
+        self._counters = counters
+        self._listener = peer.listen(host, port)
+        self.address = peer.address_of(self._listener)
+        self._selector = selectors.DefaultSelector()
+        self._followers: dict[socket.socket, _Follower] = {}
+        self._state: records.ControlState | None = None
+        self._log_heard_s = float('-inf')
+        self._recent: collections.deque[control_reader.Folded] = (
+            collections.deque(maxlen=RECENT_RECORDS)
+        )
+        self._alive_at_s = 0.0
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        self._follower.subscribe(self.mailbox)
+        self._selector.register(self.mailbox.fileno(), selectors.EVENT_READ)
+        self._selector.register(self._listener, selectors.EVENT_READ)
+        while not self.stopping.is_set():
+            for key, events in self._selector.select(ALIVE_PERIOD_S):
+                self._on_ready(key.fileobj, events)
+            self._check_alive(clock.now_s())
+        for served in list(self._followers.values()):
+            self._drop(served)
+        self._listener.close()
+        self._selector.close()
+
+    def _on_ready(self, ready: typing.Any, events: int) -> None:
+        if ready is self._listener:
+            self._accept()
+        elif ready in self._followers:
+            self._move(self._followers[ready], events)
+        else:
+            for message in self.mailbox.drain():
+                self._on_message(message)
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            endpoint, _ = self._listener.accept()
+            if len(self._followers) >= MAX_FOLLOWERS:
+                self._counters.add('log_relay.full')
+                endpoint.close()
+                return
+            endpoint.setblocking(False)
+            endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = peer_connection.PeerConnection(
+                endpoint,
+                self._identity,
+                peer_proof.Role.ACCEPTOR,
+                clock.now_s(),
+                message_type=log_relay.Any,
+            )
+            self._followers[endpoint] = _Follower(connection)
+            self._selector.register(endpoint, selectors.EVENT_READ)
+
+    def _move(self, served: _Follower, events: int) -> None:
+        if events & selectors.EVENT_READ:
+            messages = served.connection.read()
+            if isinstance(messages, outcome.Failure):
+                self._refuse(served, messages)
+                return
+            for message in messages:
+                if isinstance(message, log_relay.Follow):
+                    served.through_offset = message.through_offset
+                    self._serve(served)
+        self._flush(served)
+
+    def _on_message(self, message: typing.Any) -> None:
+        if isinstance(message, log_follower.ControlUpdate):
+            self._log_heard_s = message.log_heard_s
+            if not message.folded:
+                self._recent.clear()
+            self._recent.extend(message.folded)
+            self._state = message.state
+            for served in list(self._followers.values()):
+                self._serve(served)
+                self._flush(served)
+        elif isinstance(message, log_follower.LogHeard):
+            self._log_heard_s = message.log_heard_s
+
+    def _serve(self, served: _Follower) -> None:
+        """Queue what the follower has not seen."""
+        state = self._state
+        through = served.through_offset
+        if state is None or through is None:
+            return
+        if through >= state.through_offset:
+            return
+        age_s = clock.now_s() - self._log_heard_s
+        is_new = through == records.NO_OFFSET
+        if not is_new and self._reaches_back_to(through):
+            fresh = [f.raw for f in self._recent if f.offset > through]
+            served.connection.send(
+                log_relay.RelayRecords(ids.Offset(through + 1), fresh, age_s)
+            )
+        else:
+            self._counters.add('log_relay.whole_states')
+            served.connection.send(log_relay.RelayState(state, age_s))
+        served.through_offset = state.through_offset
+
+    def _reaches_back_to(self, through_offset: ids.Offset) -> bool:
+        return (
+            bool(self._recent) and self._recent[0].offset <= through_offset + 1
+        )
+
+    def _check_alive(self, now_s: float) -> None:
+        if now_s < self._alive_at_s:
+            return
+        self._alive_at_s = now_s + ALIVE_PERIOD_S
+        self._counters.set('log_relay.followers', len(self._followers))
+        for served in list(self._followers.values()):
+            if served.connection.is_overdue(now_s):
+                self._drop(served)
+            elif served.through_offset is not None and self._state is not None:
+                alive = log_relay.RelayAlive(
+                    self._state.through_offset, now_s - self._log_heard_s
+                )
+                served.connection.send(alive)
+                self._flush(served)
+
+    def _flush(self, served: _Follower) -> None:
+        before_bytes = served.connection.sent_bytes
+        failure = served.connection.write()
+        if failure is not None:
+            self._drop(served)
+            return
+        sent_bytes = served.connection.sent_bytes - before_bytes
+        self._counters.add('log_relay.sent_bytes', sent_bytes)
+        wanted = selectors.EVENT_READ
+        if served.connection.wants_to_write:
+            wanted |= selectors.EVENT_WRITE
+        self._selector.modify(served.connection.socket, wanted)
+
+    def _refuse(self, served: _Follower, failure: outcome.Failure) -> None:
+        if failure.reason is outcome.Reason.UNAUTHENTICATED:
+            self._counters.add('log_relay.refused_peers')
+        self._drop(served)
+
+    def _drop(self, served: _Follower) -> None:
+        self._selector.unregister(served.connection.socket)
+        del self._followers[served.connection.socket]
+        served.connection.socket.close()
--- /dev/null
+++ b/src/guavachute/services/log_relay_source.py
@@ -0,0 +1,119 @@
+"""The control stream as read from a relay."""
+
+import selectors
+import socket
+import typing
+
+from guavachute.decide import peer_proof
+from guavachute import ids
+from guavachute.kernel import clock
+from guavachute import outcome
+from guavachute.platform import log_source
+from guavachute.services import peer_connection
+from guavachute.wire import log_relay
+from guavachute.wire import records
+
+CONNECT_TIMEOUT_S = 2.0
+QUIET_S = 3.5
+
+
+class RelaySource:
+    """Follows the relay at *address*, ``IP:PORT``."""
+
+    quiet_s = QUIET_S
+
+    def __init__(
+        self, address: str, identity: peer_connection.Identity
+    ) -> None:
+        self.name = f'relay {address}'
+        self._address = address
+        self._identity = identity
+        self._connection: peer_connection.PeerConnection | None = None
+
+    def begin(
+        self, state: records.ControlState | None
+    ) -> log_source.Events | outcome.Failure:
+        """Connect, prove each other's key and ask for what follows."""
+        through = records.NO_OFFSET if state is None else state.through_offset
+        try:
+            endpoint = _connect(self._address)
+        except OSError as error:
+            return outcome.Failure(outcome.Reason.UNAVAILABLE, str(error))
+        self._connection = peer_connection.PeerConnection(
+            endpoint,
+            self._identity,
+            peer_proof.Role.DIALER,
+            clock.now_s(),
+            address=self._address,
+            message_type=log_relay.Any,
+        )
+        self._connection.send(log_relay.Follow(through))
+        failure = self._shake_hands(self._connection)
+        if failure is not None:
+            self.close()
+            return failure
+        return []
+
+    def fileno(self) -> int:
+        """The connection's descriptor."""
+        assert self._connection is not None, 'begin it first'
+        return self._connection.socket.fileno()
+
+    def receive(self) -> log_source.Events | outcome.Failure:
+        """What the relay sent."""
+        assert self._connection is not None, 'begin it first'
+        messages = self._connection.read()
+        if isinstance(messages, outcome.Failure):
+            return messages
+        return [_event(message) for message in messages]
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._connection is not None:
+            self._connection.socket.close()
+            self._connection = None
+
+    def _shake_hands(
+        self, connection: peer_connection.PeerConnection
+    ) -> outcome.Failure | None:
+        with selectors.DefaultSelector() as selector:
+            selector.register(connection.socket, selectors.EVENT_READ)
+            failure = connection.write()
+            while failure is None:
+                failure = connection.write()
+                if connection.stage is peer_connection.Stage.READY:
+                    return failure
+                if connection.is_overdue(clock.now_s()):
+                    break
+                if not selector.select(CONNECT_TIMEOUT_S):
+                    break
+                # Nothing but the handshake comes before the request is
+                # out, which the last write of this loop sends.
+                messages = connection.read()
+                if isinstance(messages, outcome.Failure):
+                    return messages
+        return failure or outcome.Failure(
+            outcome.Reason.UNAVAILABLE, 'the handshake took too long'
+        )
+
+
+def _connect(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    endpoint = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+    endpoint.setblocking(False)
+    endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return endpoint
+
+
+def _event(message: typing.Any) -> log_source.Event:
+    if isinstance(message, log_relay.RelayState):
+        return log_source.Adopt(message.state, message.log_age_s)
+    if isinstance(message, log_relay.RelayRecords):
+        entries = [
+            records.Entry(ids.Offset(offset), record)
+            for offset, record in enumerate(
+                message.records, message.first_offset
+            )
+        ]
+        return log_source.Arrived(entries, message.log_age_s)
+    return log_source.Arrived([], message.log_age_s)
--- a/src/guavachute/services/peer_connection.py
+++ b/src/guavachute/services/peer_connection.py
@@ -50,6 +50,7 @@
 
     :param role: whether this side dialed
     :param expected: the node that was dialed; empty if it isn't known
+    :param message_type: what the peer may send, the handshake included
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         started_s: float,
         expected: str = '',
         address: str = '',
+        message_type: typing.Any = gossip.Any,
     ) -> None:
         self.socket = endpoint
         self.role = role
@@ -70,7 +72,7 @@
         self.peer = ''
         self.sent_bytes = 0
         self.received_bytes = 0
-        self.waiting: collections.deque[gossip.Message] = collections.deque()
+        self.waiting: collections.deque[typing.Any] = collections.deque()
         self._identity = identity
         self._hello = gossip.Hello(
             identity.environment,
@@ -78,7 +80,7 @@
             secrets.token_hex(CHALLENGE_BYTES),
         )
         self._peer_hello: gossip.Hello | None = None
-        self._decoder = codec.Decoder(gossip.Any)
+        self._decoder = codec.Decoder(message_type)
         self._outgoing = bytearray()
         dials = role is peer_proof.Role.DIALER
         self.stage = Stage.CONNECTING if dials else Stage.GREETING
@@ -95,7 +97,7 @@
             waited_s > HANDSHAKE_TIMEOUT_S
         )
 
-    def send(self, message: gossip.Message) -> None:
+    def send(self, message: typing.Any) -> None:
         """Queue *message*; it goes out once the peer is known.
 
         Dropped when the peer doesn't read: news gets repeated.
@@ -123,7 +125,7 @@
         self.sent_bytes += sent
         return None
 
-    def read(self) -> list[gossip.Message] | outcome.Failure:
+    def read(self) -> list[typing.Any] | outcome.Failure:
         """The peer's messages that have arrived, none in the handshake."""
         try:
             data = self.socket.recv(self._readable_bytes())
@@ -144,7 +146,7 @@
 
     def _take(
         self, decoded: list[typing.Any]
-    ) -> list[gossip.Message] | outcome.Failure:
+    ) -> list[typing.Any] | outcome.Failure:
         messages = []
         for message in decoded:
             if isinstance(message, gossip.Hello | gossip.Proof):
--- a/src/guavachute/wire/relay.py
+++ b/src/guavachute/wire/log_relay.py
@@ -1,20 +1,24 @@
-"""What a relay of the control stream and its followers tell each other."""
+"""What a relay of the control stream and its followers tell each other.
+
+Encoded by position, for most of what travels is a sign of life.
+"""
 
 import typing
 
 import msgspec
 
 from guavachute import ids
+from guavachute.wire import gossip
 from guavachute.wire import records
 
 
-class Follow(msgspec.Struct, frozen=True, kw_only=True, tag='follow'):
+class Follow(msgspec.Struct, frozen=True, array_like=True, tag='follow'):
     """Asks for all that follows on *through_offset*."""
 
     through_offset: ids.Offset
 
 
-class RelayState(msgspec.Struct, frozen=True, kw_only=True, tag='relay-state'):
+class RelayState(msgspec.Struct, frozen=True, array_like=True, tag='state'):
     """The whole state, for a follower that is new or far behind.
 
     :ivar log_age_s: since the log itself was heard, in all messages
@@ -25,7 +29,7 @@
 
 
 class RelayRecords(
-    msgspec.Struct, frozen=True, kw_only=True, tag='relay-records'
+    msgspec.Struct, frozen=True, array_like=True, tag='records'
 ):
     """Records in a row, as plain values so that unknown kinds pass."""
 
@@ -34,11 +38,12 @@
     log_age_s: float
 
 
-class RelayAlive(msgspec.Struct, frozen=True, kw_only=True, tag='relay-alive'):
+class RelayAlive(msgspec.Struct, frozen=True, array_like=True, tag='alive'):
     """Nothing is new."""
 
     through_offset: ids.Offset
     log_age_s: float
 
 
-FromRelay = RelayState | RelayRecords | RelayAlive
+Message = Follow | RelayState | RelayRecords | RelayAlive
+Any = typing.Union[gossip.Handshake, Message]
--- a/src/guavachute/wire/records.py
+++ b/src/guavachute/wire/records.py
@@ -203,6 +203,13 @@
 )
 
 
+class Entry(msgspec.Struct, frozen=True):
+    """A record, as plain JSON values, and its place."""
+
+    offset: ids.Offset
+    record: typing.Any
+
+
 def parse(raw: typing.Any) -> ControlRecord | outcome.Failure:
     """A record of the control stream from its plain JSON values."""
     try:
