The whole path as processes: publish, promote, status, the demo

Cause: the parts were there, the path was not. Found: a node process stopped on a message that the follower had begun to send; it takes it now and tells how old its knowledge of the log is. Before: none of the path ran.

--- /dev/null
+++ b/src/guavachute/cli/demo.py
@@ -0,0 +1,99 @@
+"""``guavachute-demo``: a small fleet in one process, shown at work."""
+
+import dataclasses
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+import cappa
+
+from guavachute.cli import process
+from guavachute.cli import publish as publish_command
+from guavachute.demo import fleet
+from guavachute.demo import tour
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute.platform import configuration
+from guavachute.platform import log_client
+
+PUBLISH_LIMIT_S = 10.0
+
+
+@cappa.command(name='guavachute-demo')
+@dataclasses.dataclass
+class DemoCommand:
+    """Start a small fleet in this process and show it at work."""
+
+    serve: typing.Annotated[
+        bool, cappa.Arg(long=True, help='Stay up until interrupted.')
+    ] = False
+
+
+def run(command: DemoCommand) -> int:
+    """Show the fleet; the exit status."""
+    with tempfile.TemporaryDirectory() as folder:
+        traces = pathlib.Path(folder) / 'traces.jsonl'
+        with logs.to_stderr('error'), fleet.running(traces) as running:
+            request_id = _show(running)
+            if command.serve:
+                _stay_up(running)
+        if not command.serve:
+            print('\nthe trace of the completion, hop by hop:')
+            for line in tour.trace_lines(traces, request_id):
+                print(f'  {line}')
+    return 0
+
+
+def _show(running: fleet.Fleet) -> str:
+    print(f'{len(running.engines)} engines, {len(running.routers)} routers')
+    published = publish(running)
+    print(f'published {running.document.digest[:12]}: {published}')
+    guide = tour.Tour(running, print)
+    guide.wait_until_ready()
+    guide.show_addresses()
+    request_id = guide.stream_completion()
+    guide.order_twice()
+    return request_id
+
+
+def publish(running: fleet.Fleet) -> str:
+    """Publish the fleet's document; ends the program when that fails."""
+    with log_client.connected(
+        running.log.address, counters.Counters(), random.Random()
+    ) as client:
+        result = configuration.publish(
+            client,
+            configuration.Change(
+                ids.EnvironmentName(fleet.ENVIRONMENT),
+                running.document.raw,
+                running.document.digest,
+                'demo',
+            ),
+            time.monotonic() + PUBLISH_LIMIT_S,
+        )
+    if not isinstance(result, configuration.Accepted):
+        process.fail(publish_command.explain(result))
+    return f'in the log at offset {result.offset}'
+
+
+def _stay_up(running: fleet.Fleet) -> None:
+    print('\ntry this, and end the demonstration with Ctrl-C:')
+    print(tour.Tour(running, print).curl_line(), flush=True)
+    ended = threading.Event()
+    with process.stopped_by_signals(ended.set):
+        while not ended.wait(1.0):
+            pass
+
+
+def main() -> None:
+    """The console script."""
+    sys.exit(run(cappa.parse(DemoCommand)))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/guavachute/cli/operator.py
@@ -0,0 +1,35 @@
+"""``guavachute``: the operators' command."""
+
+import dataclasses
+import sys
+
+import cappa
+
+from guavachute.cli import publish
+from guavachute.cli import status
+from guavachute.cli import validate
+
+
+@cappa.command(
+    name='guavachute', help='Operate a fleet that serves language models.'
+)
+@dataclasses.dataclass
+class OperatorCommand:
+    """Publish documents and look at the fleet."""
+
+    command: cappa.Subcommands[
+        validate.ValidateCommand
+        | publish.PublishCommand
+        | publish.PromoteCommand
+        | status.StatusCommand
+    ]
+
+
+def main() -> None:
+    """The console script."""
+    wanted = cappa.parse(OperatorCommand)
+    sys.exit(wanted.command())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/guavachute/cli/publish.py
@@ -0,0 +1,229 @@
+"""``guavachute publish`` and ``promote``: change what is in force."""
+
+import dataclasses
+import functools
+import pathlib
+import random
+import time
+import typing
+
+import cappa
+
+from guavachute.cli import operator_settings
+from guavachute.cli import process
+from guavachute.cli import validate
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute import outcome
+from guavachute.platform import configuration
+from guavachute.platform import log_client
+from guavachute.platform import node_client
+from guavachute.wire import status
+
+DIGEST_CHARACTERS = 12
+
+Settings = typing.Annotated[
+    pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
+]
+Wait = typing.Annotated[
+    bool, cappa.Arg(long=True, help='Wait until all nodes have it in force.')
+]
+Limit = typing.Annotated[
+    float, cappa.Arg(long=True, help='When to give up, in seconds.')
+]
+
+
+@cappa.command(name='publish', help='Bring a document into force.')
+@dataclasses.dataclass
+class PublishCommand:
+    """Bring a document into force, unless another one comes first."""
+
+    file: pathlib.Path
+    environment: typing.Annotated[
+        str, cappa.Arg(long=True, help='Where it is to be in force.')
+    ]
+    settings: Settings = None
+    wait: Wait = False
+    limit_s: Limit = configuration.TIMEOUT_S
+    record_id: typing.Annotated[
+        str | None,
+        cappa.Arg(long=True, help='Go on with an undecided publish.'),
+    ] = None
+    supersedes: typing.Annotated[
+        int | None,
+        cappa.Arg(long=True, help='Publish only over this configuration.'),
+    ] = None
+
+    def __call__(self) -> int:
+        """Run the command; the exit status."""
+        checked = validate.load_document(self.file)
+        wanted = operator_settings.load(self.settings)
+        change = configuration.Change(
+            environment=ids.EnvironmentName(self.environment),
+            document=checked.raw,
+            digest=checked.digest,
+            author=wanted.author,
+            supersedes_offset=_offset(self.supersedes),
+            record_id=_record_id(self.record_id),
+        )
+        deadline_s = time.monotonic() + self.limit_s
+        with _connected(wanted) as client:
+            result = configuration.publish(client, change, deadline_s)
+        return _report(result, wanted, self.environment, self.wait, deadline_s)
+
+
+@cappa.command(
+    name='promote', help='Bring the document of one environment into another.'
+)
+@dataclasses.dataclass
+class PromoteCommand:
+    """Bring the very document of one environment into another."""
+
+    source: typing.Annotated[
+        str, cappa.Arg(long='--from', help='Where it is in force.')
+    ]
+    target: typing.Annotated[
+        str, cappa.Arg(long='--to', help='Where it is to be in force.')
+    ]
+    settings: Settings = None
+    wait: Wait = False
+    limit_s: Limit = configuration.TIMEOUT_S
+
+    def __call__(self) -> int:
+        """Run the command; the exit status."""
+        wanted = operator_settings.load(self.settings)
+        deadline_s = time.monotonic() + self.limit_s
+        with _connected(wanted) as client:
+            result = configuration.promote(
+                client,
+                ids.EnvironmentName(self.source),
+                ids.EnvironmentName(self.target),
+                wanted.author,
+                deadline_s,
+            )
+        return _report(result, wanted, self.target, self.wait, deadline_s)
+
+
+def _connected(
+    wanted: operator_settings.OperatorSettings,
+) -> typing.ContextManager[log_client.LogClient]:
+    return log_client.connected(
+        wanted.log_address, counters.Counters(), random.Random()
+    )
+
+
+def _offset(number: int | None) -> ids.Offset | None:
+    return None if number is None else ids.Offset(number)
+
+
+def _record_id(text: str | None) -> ids.RecordId | None:
+    return None if text is None else ids.RecordId(text)
+
+
+def _report(
+    result: configuration.Published,
+    wanted: operator_settings.OperatorSettings,
+    environment: str,
+    wait: bool,
+    deadline_s: float,
+) -> int:
+    if not isinstance(result, configuration.Accepted):
+        process.fail(explain(result))
+    shown = result.digest[:DIGEST_CHARACTERS]
+    print(f'{environment}: configuration {result.offset}, digest {shown}')
+    if result.unchanged:
+        print('it was in force before; nothing was published')
+    if result.superseded_by is not None:
+        print(f'configuration {result.superseded_by.offset} has replaced it')
+    if not wait:
+        return 0
+    return _wait(wanted, environment, result.offset, deadline_s)
+
+
+@functools.singledispatch
+def explain(result: typing.Any) -> str:
+    """One line that says why a document was not brought into force."""
+    raise AssertionError(f'unexpected result {result!r}')
+
+
+@explain.register
+def _(result: configuration.LostRace) -> str:
+    if result.head is None:
+        return 'not published: the configuration to replace never was'
+    return (
+        f'not published: {result.head.author} was first with configuration '
+        f'{result.head.offset}, digest '
+        f'{result.head.digest[:DIGEST_CHARACTERS]}'
+    )
+
+
+@explain.register
+def _(result: configuration.NotPublished) -> str:
+    return f'not published: {result.failure}'
+
+
+@explain.register
+def _(result: configuration.Undecided) -> str:
+    return (
+        f'undecided, it may still be published ({result.failure}); find out '
+        f'by the same command with --record-id {result.record_id} '
+        f'--supersedes {result.supersedes_offset}'
+    )
+
+
+def _wait(
+    wanted: operator_settings.OperatorSettings,
+    environment: str,
+    offset: ids.Offset,
+    deadline_s: float,
+) -> int:
+    addresses = wanted.nodes.get(environment, [])
+    ask = functools.partial(node_reports, addresses)
+    found = configuration.wait_in_force(ask, offset, deadline_s)
+    if isinstance(found, outcome.Failure):
+        process.fail(f'accepted, but no node tells of it: {found}')
+    total = len(found.nodes) + len(found.missing)
+    print(f'in force on {len(found.nodes)} of {total} nodes')
+    if found.missing:
+        process.fail(f'not in force on: {", ".join(found.missing)}')
+    return 0
+
+
+def node_reports(
+    addresses: list[str],
+) -> list[configuration.NodeReport] | outcome.Failure:
+    """What the first node that answers knows of all nodes."""
+    reply: status.StatusReply | outcome.Failure
+    reply = outcome.Failure(
+        outcome.Reason.NOT_FOUND, 'the settings name no node to ask'
+    )
+    for address in addresses:
+        reply = node_client.read_status(address)
+        if not isinstance(reply, outcome.Failure):
+            return _reports_in(reply)
+    return reply
+
+
+def _reports_in(
+    reply: status.StatusReply,
+) -> list[configuration.NodeReport]:
+    near = [
+        configuration.NodeReport(
+            ids.NodeId(one.node),
+            ids.Offset(one.offset),
+            ids.Digest(one.digest),
+        )
+        for one in reply.nodes
+    ]
+    # Of other failure domains only the numbers of nodes are known.
+    far = [
+        configuration.NodeReport(
+            ids.NodeId(f'a node of {domain.failure_domain}'),
+            ids.Offset(one.offset),
+            ids.Digest(''),
+        )
+        for domain in reply.domains
+        for one in domain.in_force
+        for _ in range(one.nodes)
+    ]
+    return near + far
--- a/src/guavachute/cli/status.py
+++ b/src/guavachute/cli/status.py
@@ -67,7 +67,8 @@
     shown = reply.digest[:DIGEST_CHARACTERS] or 'none'
     lines = [
         f'environment {reply.environment}: configuration {reply.offset}, '
-        f'digest {shown}; log read through {reply.log_through_offset}',
+        f'digest {shown}; log read through {reply.log_through_offset}, '
+        f'last heard {_age(reply.log_age_s)}',
         '',
         f'{"node":20} {"domain":14} {"state":8} {"config":>7} '
         f'{"digest":13} {"active":>6} routers',
@@ -88,6 +89,10 @@
     return lines
 
 
+def _age(age_s: float | None) -> str:
+    return 'never' if age_s is None else f'{age_s:.0f} s ago'
+
+
 def _node_line(node: status.NodeStatus) -> str:
     return (
         f'{node.node:20} {node.failure_domain:14} {node.state:8} '
--- a/src/guavachute/kernel/kernel.py
+++ b/src/guavachute/kernel/kernel.py
@@ -63,7 +63,8 @@
         finally:
             for service in reversed(started):
                 service.request_stop()
-                service.join(STOP_TIMEOUT_S)
+                if service.join(STOP_TIMEOUT_S):
+                    service.mailbox.close()
 
     def _task_broke(self, name: str) -> None:
         self.broken_task = name
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -49,6 +49,7 @@
     """Owns the node's picture of the world.
 
     Messages: :class:`log_follower.ControlUpdate`,
+    :class:`log_follower.LogHeard`,
     :class:`vm_watch.VmsSeen`, :class:`table_server.RoutersChanged`,
     :class:`membership.Changed`, :class:`table_server.AskStatus`.
     """
@@ -65,6 +66,7 @@
         self._count = count
         self._head: records.ConfigurationHead | None = None
         self._through_offset = -1
+        self._log_heard_s: float | None = None
         self._vms: tuple[vm_list.Vm, ...] = ()
         self._vms_at_s = 0.0
         self._reports: tuple[tables.RouterReport, ...] = ()
@@ -97,6 +99,10 @@
             _log.notice('configuration {} accepted', head.offset)
             self._changed()
 
+    @_take.register
+    def _take_heard(self, message: log_follower.LogHeard) -> None:
+        self._log_heard_s = message.log_heard_s
+
     @_take.register
     def _take_vms(self, message: vm_watch.VmsSeen) -> None:
         self._vms, self._vms_at_s = message.vms, message.at_s
@@ -133,6 +139,7 @@
                     node=self._place.node,
                     head=self._head,
                     through_offset=self._through_offset,
+                    log_age_s=self._log_age_s(time.monotonic()),
                     view=self._view,
                     vms=self._vms,
                     reports=self._reports,
@@ -141,6 +148,11 @@
             )
         )
 
+    def _log_age_s(self, now_s: float) -> float | None:
+        if self._log_heard_s is None:
+            return None
+        return max(now_s - self._log_heard_s, 0.0)
+
     def _changed(self) -> None:
         self._tell_peers()
         self._publish(time.monotonic())
--- a/src/guavachute/services/status_text.py
+++ b/src/guavachute/services/status_text.py
@@ -20,6 +20,7 @@
     node: ids.NodeId
     head: records.ConfigurationHead | None
     through_offset: int
+    log_age_s: float | None
     view: membership.View | None
     vms: tuple[vm_list.Vm, ...]
     reports: tuple[tables.RouterReport, ...]
@@ -35,6 +36,7 @@
         offset=-1 if head is None else head.offset,
         digest='' if head is None else head.digest,
         log_through_offset=known.through_offset,
+        log_age_s=known.log_age_s,
         nodes=[_node(one) for one in view.members] if view else [],
         domains=[_domain(one) for one in view.domains] if view else [],
         endpoints=_endpoints(known.vms),
--- a/src/guavachute/wire/status.py
+++ b/src/guavachute/wire/status.py
@@ -46,6 +46,7 @@
 class StatusReply(msgspec.Struct, frozen=True, kw_only=True, tag='status'):
     """The fleet from one node's point of view.
 
+    :ivar log_age_s: since the log was last heard; None for never
     :ivar counters: of the node process that answers
     :ivar routers: the newest report of each router of its VM
     :ivar endpoints: how many of each pool are live and leaving
@@ -56,6 +57,7 @@
     offset: int
     digest: str
     log_through_offset: int
+    log_age_s: float | None
     nodes: list[NodeStatus]
     domains: list[DomainStatus]
     endpoints: dict[str, dict[str, int]]
--- /dev/null
+++ b/tests/cover/test_tables.py
@@ -0,0 +1,113 @@
+"""Routers keep the newest tables, whoever gives them which."""
+
+import contextlib
+import typing
+import unittest
+
+from guavachute.kernel import kernel
+from guavachute.kernel import mailbox
+from guavachute.observe import counters
+from guavachute.services import table_feed
+from guavachute.services import table_server
+from guavachute.wire import tables
+from tests.support import waiting
+
+
+def view(offset: int) -> tables.Tables:
+    return tables.Tables(
+        environment='trial',
+        offset=offset,
+        digest=f'digest {offset}',
+        document={},
+        endpoints=[],
+        routers=[],
+    )
+
+
+class TablesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.inbox = mailbox.Mailbox()
+        self.taken: list[int] = []
+        self.count = counters.Counters()
+
+    def serve(self, port: int = 0) -> table_server.TableServer:
+        server = table_server.TableServer(
+            '127.0.0.1', port, counters.Counters(), self.inbox
+        )
+        self.host(server)
+        return server
+
+    def follow(self, address: str) -> None:
+        self.host(
+            table_feed.TableFeed(
+                address,
+                self.count,
+                lambda new: self.taken.append(new.offset),
+                lambda offset: tables.RouterReport(
+                    router='router-1',
+                    address='127.0.0.1:1',
+                    offset=offset,
+                    draining=False,
+                    active_requests=0,
+                    used_tokens={},
+                ),
+            )
+        )
+
+    def host(self, service: typing.Any) -> None:
+        hosting = kernel.Kernel()
+        hosting.add(service)
+        self.stack.enter_context(hosting.running())
+
+    def publish(self, server: table_server.TableServer, offset: int) -> None:
+        server.mailbox.send(table_server.Publish(view(offset)))
+
+    def test_a_router_takes_what_is_newer_and_reports_it(self) -> None:
+        server = self.serve()
+        self.publish(server, 3)
+        self.follow(server.address)
+        waiting.until(lambda: self.taken == [3], 'the first tables')
+        self.publish(server, 5)
+        waiting.until(lambda: self.taken == [3, 5], 'the newer tables')
+        waiting.until(lambda: self.reported() == 5, 'the report')
+
+    def reported(self) -> int | None:
+        message = self.inbox.receive(0.01)
+        while (newer := self.inbox.receive(0.01)) is not None:
+            message = newer
+        if not isinstance(message, table_server.RoutersChanged):
+            return None
+        return message.reports[0].offset if message.reports else None
+
+    def test_an_older_configuration_is_refused(self) -> None:
+        server = self.serve()
+        self.publish(server, 5)
+        self.follow(server.address)
+        waiting.until(lambda: self.taken == [5], 'the first tables')
+        self.publish(server, 4)
+        waiting.until(
+            lambda: self.count.value('tables.refused_older') == 1, 'refusal'
+        )
+        self.publish(server, 6)
+        waiting.until(lambda: self.taken == [5, 6], 'the newer tables')
+
+    def test_tables_survive_the_node_process_and_never_go_back(self) -> None:
+        server = self.serve()
+        port = int(server.address.rpartition(':')[2])
+        self.publish(server, 5)
+        self.follow(server.address)
+        waiting.until(lambda: self.taken == [5], 'the first tables')
+        server.request_stop()
+        server.join(10)
+        waiting.until(
+            lambda: self.count.value('tables.disconnected') >= 1, 'the end'
+        )
+        self.assertEqual([5], self.taken)
+        restarted = self.serve(port)
+        self.publish(restarted, 2)
+        waiting.until(
+            lambda: self.count.value('tables.refused_older') >= 1, 'refusal'
+        )
+        self.assertEqual([5], self.taken)
