--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -116,15 +116,28 @@
         self.now_s += span_s
 
     @stateful.rule(name=who)
-    def act(self, name: str) -> None:
+    def time_passes_until_an_action(self, name: str) -> None:
+        at_s = lease.next_action_s(self.contenders[name])
+        now_s = (at_s - 1000.0) / self.rates[name]
+        self.now_s = max(self.now_s, min(now_s, self.now_s + 12))
+
+    @stateful.rule(
+        name=who, readers=strategies.sampled_from(['', *'ab', 'ab'])
+    )
+    def act(self, name: str, readers: str) -> None:
+        """Send; with *readers* the record lands and these read it."""
         now_s = self.clock_s(name)
         contender = self.contenders[name]
         if lease.next_action_s(contender) > now_s:
             return
-        record_id = ids.RecordId(f'{name}-{self.now_s}')
+        record_id = ids.RecordId(f'{name}-{len(contender.sent)}-{now_s}')
         contender, record = lease.send(contender, record_id, now_s)
         self.contenders[name] = contender
         self.on_the_way.append(record)
+        if readers:
+            self.fold(record)
+        for reader in readers:
+            self.read(reader)
 
     @stateful.rule(name=who)
     def release(self, name: str) -> None:
@@ -142,6 +155,9 @@
         record = self.on_the_way[place]
         if not keeps:
             del self.on_the_way[place]
+        self.fold(record)
+
+    def fold(self, record: records.LeaseRecord) -> None:
         offset = ids.Offset(self.state.through_offset + 1)
         self.state, _ = control_log.fold(self.state, offset, record)
 
