Publish and promote documents with a truthful end

After a lost answer the command reads on in the log to its own record: accepted, lost the race, or refused before it was appended. Undecided is left only where the log was silent to the deadline after an append that may have acted; the same call with its record id goes on from there.

--- /dev/null
+++ b/src/guavachute/platform/configuration.py
@@ -0,0 +1,341 @@
+"""Publishing and promoting documents by way of the log.
+
+The operators' commands read the log themselves and need no node. Each
+function ends with what is true, as far as the log can be read before
+the deadline: the document came into force, another one was first, or it
+is not and will not be in the log. Only when the log fell silent after an
+append may the truth be open; :class:`Undecided` says so, and the same
+call with its ``record_id`` goes on where this one ended.
+"""
+
+import dataclasses
+import time
+import typing
+
+from guavachute.decide import backoff
+from guavachute.decide import control_log
+from guavachute.decide import control_reader
+from guavachute import ids
+from guavachute import outcome
+from guavachute.platform import log_client
+from guavachute.platform import log_source
+from guavachute.wire import records
+
+TIMEOUT_S = 30.0
+POLL_WAIT_S = 2.0
+RETRY = backoff.Policy(initial_s=0.2, maximum_s=2.0)
+REPORT_PERIOD_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What an operator wants in force.
+
+    :ivar supersedes_offset: what the operator saw in force; None stands
+        for what the log says when the command begins
+    :ivar record_id: of an earlier attempt that ended undecided
+    """
+
+    environment: ids.EnvironmentName
+    document: dict[str, typing.Any]
+    digest: ids.Digest
+    author: str
+    supersedes_offset: ids.Offset | None = None
+    record_id: ids.RecordId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The document is accepted and comes into force on all nodes.
+
+    :ivar unchanged: it was in force before; nothing was appended
+    :ivar superseded_by: a later change that followed on it already
+    """
+
+    offset: ids.Offset
+    digest: ids.Digest
+    unchanged: bool = False
+    superseded_by: records.ConfigurationHead | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRace:
+    """Another change came first; *head* is in force.
+
+    :ivar head: None when the change names one that never was
+    """
+
+    head: records.ConfigurationHead | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotPublished:
+    """The change is not in the log and will not be."""
+
+    failure: outcome.Failure
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undecided:
+    """The change may be in the log, now or later.
+
+    :ivar record_id: to give to the next attempt
+    :ivar supersedes_offset: likewise
+    """
+
+    record_id: ids.RecordId
+    supersedes_offset: ids.Offset
+    failure: outcome.Failure
+
+
+Published = Accepted | LostRace | NotPublished | Undecided
+
+
+def read_state(
+    client: log_client.LogClient, deadline_s: float
+) -> records.ControlState | outcome.Failure:
+    """The present state of the control stream."""
+    reader = _start(client, deadline_s)
+    if isinstance(reader, outcome.Failure):
+        return reader
+    assert reader.state is not None
+    return reader.state
+
+
+def publish(
+    client: log_client.LogClient, change: Change, deadline_s: float
+) -> Published:
+    """Bring a document into force, unless another one comes first.
+
+    :param deadline_s: when to give up, by ``time.monotonic``
+    """
+    reader = _start(client, deadline_s)
+    if isinstance(reader, outcome.Failure):
+        return _never_sent(change, reader)
+    assert reader.state is not None
+    head = reader.state.configurations.get(change.environment)
+    if head is not None and head.record_id == change.record_id:
+        return Accepted(head.offset, head.digest)
+    if _is_in_force(change, head):
+        assert head is not None
+        return Accepted(head.offset, head.digest, unchanged=True)
+    record = _record_of(change, head)
+    return _Attempt(client, reader, record, deadline_s).run()
+
+
+def promote(
+    client: log_client.LogClient,
+    source: ids.EnvironmentName,
+    target: ids.EnvironmentName,
+    author: str,
+    deadline_s: float,
+    expected_digest: ids.Digest | None = None,
+) -> Published:
+    """Publish the document in force in *source* to *target*.
+
+    :param expected_digest: refuse if *source* has another one by now
+    """
+    state = read_state(client, deadline_s)
+    if isinstance(state, outcome.Failure):
+        return NotPublished(state)
+    head = state.configurations.get(source)
+    if head is None:
+        return NotPublished(
+            outcome.Failure(
+                outcome.Reason.NO_CONFIGURATION,
+                f'nothing is in force in {source}',
+            )
+        )
+    if expected_digest not in (None, head.digest):
+        return NotPublished(
+            outcome.Failure(
+                outcome.Reason.CONFLICT,
+                f'{source} has {head.digest}, expected {expected_digest}',
+            )
+        )
+    supersedes = control_log.offset_of(state.configurations.get(target))
+    change = Change(target, head.document, head.digest, author, supersedes)
+    return publish(client, change, deadline_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeReport:
+    """What a node says about one environment."""
+
+    node: ids.NodeId
+    offset: ids.Offset
+    digest: ids.Digest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InForce:
+    """On which nodes a change is in force, or a later one."""
+
+    nodes: tuple[ids.NodeId, ...]
+    missing: tuple[ids.NodeId, ...]
+
+
+def wait_in_force(
+    ask: typing.Callable[[], list[NodeReport] | outcome.Failure],
+    offset: ids.Offset,
+    deadline_s: float,
+) -> InForce | outcome.Failure:
+    """Ask the nodes until all have *offset*, or until the deadline.
+
+    :param ask: reports of the live nodes, as a node knows them
+    """
+    while True:
+        reports = ask()
+        if not isinstance(reports, outcome.Failure):
+            found = _in_force(reports, offset)
+            if reports and not found.missing:
+                return found
+        if time.monotonic() + REPORT_PERIOD_S >= deadline_s:
+            if isinstance(reports, outcome.Failure):
+                return reports
+            return found
+        time.sleep(REPORT_PERIOD_S)
+
+
+def _in_force(reports: list[NodeReport], offset: ids.Offset) -> InForce:
+    return InForce(
+        tuple(r.node for r in reports if r.offset >= offset),
+        tuple(r.node for r in reports if r.offset < offset),
+    )
+
+
+def _start(
+    client: log_client.LogClient, deadline_s: float
+) -> control_reader.ControlReader | outcome.Failure:
+    failures = 0
+    while True:
+        found = log_source.find_start(client, records.CONTROL_STREAM)
+        if not isinstance(found, outcome.Failure):
+            reader = control_reader.ControlReader(found.state)
+            taken = reader.take(found.entries)
+            assert not isinstance(taken, outcome.Failure), taken
+            return reader
+        failures += 1
+        if not _rest(failures, deadline_s):
+            return found
+
+
+def _rest(failures: int, deadline_s: float) -> bool:
+    pause_s = backoff.delay_s(RETRY, failures, 1.0)
+    if time.monotonic() + pause_s >= deadline_s:
+        return False
+    time.sleep(pause_s)
+    return True
+
+
+def _never_sent(change: Change, failure: outcome.Failure) -> Published:
+    if change.record_id is None or change.supersedes_offset is None:
+        return NotPublished(failure)
+    # The earlier attempt may still have been.
+    return Undecided(change.record_id, change.supersedes_offset, failure)
+
+
+def _is_in_force(
+    change: Change, head: records.ConfigurationHead | None
+) -> bool:
+    expected = change.supersedes_offset
+    return (
+        head is not None
+        and head.digest == change.digest
+        and expected in (None, head.offset)
+    )
+
+
+def _record_of(
+    change: Change, head: records.ConfigurationHead | None
+) -> records.ConfigurationChange:
+    supersedes = change.supersedes_offset
+    if supersedes is None:
+        supersedes = control_log.offset_of(head)
+    record_id = change.record_id or ids.new_random_id('change')
+    return records.ConfigurationChange(
+        record_id=ids.RecordId(record_id),
+        environment=change.environment,
+        supersedes_offset=supersedes,
+        document=change.document,
+        digest=change.digest,
+        author=change.author,
+    )
+
+
+class _Attempt:
+    """One append, repeated until the log shows what became of it."""
+
+    def __init__(
+        self,
+        client: log_client.LogClient,
+        reader: control_reader.ControlReader,
+        record: records.ConfigurationChange,
+        deadline_s: float,
+    ) -> None:
+        self._client = client
+        self._reader = reader
+        self._record = record
+        self._deadline_s = deadline_s
+        self._verdict: Published | None = None
+
+    def run(self) -> Published:
+        """Append, then read on to one's own record."""
+        appended = self._client.append(
+            records.CONTROL_STREAM, [self._record], self._deadline_s
+        )
+        if isinstance(appended, outcome.Failure):
+            if appended.reason is not outcome.Reason.LOST_ANSWER:
+                return NotPublished(appended)
+            # The log may have been readable all the time.
+            return self._read(self._deadline_s + POLL_WAIT_S, appended)
+        late = outcome.Failure(
+            outcome.Reason.DEADLINE, 'the log could not be read in time'
+        )
+        return self._read(self._deadline_s, late)
+
+    def _read(self, deadline_s: float, failure: outcome.Failure) -> Published:
+        failures = 0
+        while self._verdict is None:
+            if time.monotonic() >= deadline_s:
+                return Undecided(
+                    self._record.record_id,
+                    self._record.supersedes_offset,
+                    failure,
+                )
+            assert self._reader.state is not None
+            page = self._client.read(
+                records.CONTROL_STREAM,
+                ids.Offset(self._reader.state.through_offset + 1),
+                POLL_WAIT_S,
+            )
+            if isinstance(page, log_client.Page):
+                self._take(page)
+                continue
+            failures += 1
+            if not _rest(failures, deadline_s):
+                deadline_s = time.monotonic()
+        return self._verdict
+
+    def _take(self, page: log_client.Page) -> None:
+        folded = self._reader.take(page.records)
+        assert not isinstance(folded, outcome.Failure), folded
+        for entry in folded:
+            mine = (
+                entry.record is not None
+                and entry.record.record_id == self._record.record_id
+            )
+            # The first copy decides; later ones find it or its
+            # successor as the head.
+            if mine and self._verdict is None:
+                self._verdict = self._judge(entry)
+
+    def _judge(self, entry: control_reader.Folded) -> Published:
+        assert self._reader.state is not None
+        environment = self._record.environment
+        head = self._reader.state.configurations.get(environment)
+        if entry.verdict is not control_log.Verdict.ACCEPTED:
+            return LostRace(head)
+        assert head is not None
+        by = None if head.record_id == self._record.record_id else head
+        return Accepted(entry.offset, self._record.digest, superseded_by=by)
