--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,306 @@
+"""A load generator: one selector loop for all streams, fixed seeds.
+
+As a program it reads a :class:`Plan` from standard input and prints the
+figures as JSON, so that a bench can run several beside each other.
+"""
+
+import collections
+import dataclasses
+import random
+import selectors
+import socket
+import sys
+import time
+import typing
+
+from hdrh import histogram
+import msgspec
+
+from bench import load_stream
+from guavachute.standin import engine_text
+
+SHORTEST_US = 1
+LONGEST_US = 600_000_000
+DIGITS = 3
+MICROSECONDS = 1_000_000
+WAIT_S = 0.05
+
+
+def new_histogram() -> histogram.HdrHistogram:
+    """A histogram of durations in microseconds."""
+    return histogram.HdrHistogram(SHORTEST_US, LONGEST_US, DIGITS)
+
+
+@dataclasses.dataclass(slots=True)
+class Figures:
+    """What was seen of the requests with one label.
+
+    :ivar results: by ``load_stream.Result``
+    :ivar outcomes: by the header ``Guavachute-Outcome``
+    :ivar tokens: that came while measuring
+    :ivar reconnects: idle connections found dead before use
+    """
+
+    first_byte: histogram.HdrHistogram = dataclasses.field(
+        default_factory=new_histogram
+    )
+    gap: histogram.HdrHistogram = dataclasses.field(
+        default_factory=new_histogram
+    )
+    results: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    outcomes: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    tokens: int = 0
+    reconnects: int = 0
+
+    def add(self, other: 'Figures') -> None:
+        """Sum *other* into this."""
+        self.first_byte.add(other.first_byte)
+        self.gap.add(other.gap)
+        self.results += other.results
+        self.outcomes += other.outcomes
+        self.tokens += other.tokens
+        self.reconnects += other.reconnects
+
+    def first_byte_ms(self, percentile: float) -> float:
+        """A percentile of the time to the first byte."""
+        return self.first_byte.get_value_at_percentile(percentile) / 1000
+
+    def gap_ms(self, percentile: float) -> float:
+        """A percentile of the time between tokens."""
+        return self.gap.get_value_at_percentile(percentile) / 1000
+
+
+class Generator:
+    """Sends requests and measures their answers.
+
+    :param requests: in the order of their ``at_s``
+    :param most_streams: at a time; what is due beyond them waits
+    :param measure_from_s: answers that begin earlier are only counted
+    :param until_s: no request begins later; those that run are finished
+    :ivar figures: by the requests' labels
+    """
+
+    def __init__(
+        self,
+        requests: typing.Iterator[load_stream.Request],
+        most_streams: int,
+        measure_from_s: float = 0,
+        until_s: float = float('inf'),
+    ) -> None:
+        self._requests = requests
+        self._most_streams = most_streams
+        self._measure_from_s = measure_from_s
+        self._until_s = until_s
+        self._selector = selectors.DefaultSelector()
+        self._active = 0
+        self._idle: dict[str, list[socket.socket]] = collections.defaultdict(
+            list
+        )
+        self._next: load_stream.Request | None = None
+        self._start_s = 0.0
+        self.figures: dict[str, Figures] = collections.defaultdict(Figures)
+
+    def run(self) -> None:
+        """Send everything and wait for the last answer."""
+        self._start_s = time.monotonic()
+        self._next = next(self._requests, None)
+        while self._active or self._next is not None:
+            self._begin_due()
+            for key, mask in self._selector.select(self._patience_s()):
+                self._ready(key.data, mask)
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        self._selector.close()
+
+    def _now_s(self) -> float:
+        return time.monotonic() - self._start_s
+
+    def _patience_s(self) -> float:
+        if self._next is None or self._active >= self._most_streams:
+            return WAIT_S
+        return min(WAIT_S, max(0.0, self._next.at_s - self._now_s()))
+
+    def _begin_due(self) -> None:
+        while self._next is not None and self._active < self._most_streams:
+            now_s = self._now_s()
+            if now_s >= self._until_s:
+                self._next = None
+                return
+            if self._next.at_s > now_s:
+                return
+            self._begin(self._next)
+            self._next = next(self._requests, None)
+
+    def _begin(self, request: load_stream.Request) -> None:
+        idle = self._idle[request.address]
+        reused = bool(idle)
+        if idle:
+            connection = idle.pop()
+        else:
+            connection = load_stream.connect(request.address)
+        exchange = load_stream.Exchange(
+            request, connection, reused, self._now_s()
+        )
+        self._active += 1
+        if reused and not exchange.send():
+            exchange.unsent = b''
+        wanted = selectors.EVENT_READ
+        if exchange.unsent:
+            wanted |= selectors.EVENT_WRITE
+        self._selector.register(connection, wanted, exchange)
+
+    def _ready(self, exchange: load_stream.Exchange, mask: int) -> None:
+        alive = True
+        if mask & selectors.EVENT_WRITE:
+            alive = exchange.send()
+            if alive and not exchange.unsent:
+                self._selector.modify(
+                    exchange.connection, selectors.EVENT_READ, exchange
+                )
+        if alive and mask & selectors.EVENT_READ:
+            alive = self._receive(exchange)
+        if exchange.complete or not alive:
+            self._end(exchange)
+
+    def _receive(self, exchange: load_stream.Exchange) -> bool:
+        now_s = self._now_s()
+        before = exchange.tokens
+        alive = exchange.receive(now_s)
+        if self._measure_from_s <= now_s < self._until_s:
+            figures = self.figures[exchange.request.label]
+            figures.tokens += exchange.tokens - before
+        return alive
+
+    def _end(self, exchange: load_stream.Exchange) -> None:
+        self._selector.unregister(exchange.connection)
+        self._active -= 1
+        request = exchange.request
+        figures = self.figures[request.label]
+        if exchange.can_be_reused():
+            self._idle[request.address].append(exchange.connection)
+        else:
+            exchange.connection.close()
+            if exchange.reused and exchange.first_byte_s is None:
+                # The idle connection was dead: no answer was lost.
+                figures.reconnects += 1
+                self._idle[request.address].clear()
+                self._begin(request)
+                return
+        self._note(exchange, figures)
+
+    def _note(self, exchange: load_stream.Exchange, figures: Figures) -> None:
+        figures.results[exchange.result().value] += 1
+        figures.outcomes[exchange.outcome] += 1
+        if exchange.begun_s < self._measure_from_s:
+            return
+        if exchange.first_byte_s is not None and exchange.status == 200:
+            waited_s = exchange.first_byte_s - exchange.begun_s
+            figures.first_byte.record_value(int(waited_s * MICROSECONDS))
+        for gap_s in exchange.gaps:
+            figures.gap.record_value(int(gap_s * MICROSECONDS))
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """A closed loop of streamed completions.
+
+    :ivar spread_s: the first requests begin spread over this time
+    :ivar check_text: compare each answer with the text due
+    """
+
+    addresses: list[str]
+    model: str
+    streams: int
+    seed: int = 1
+    least_tokens: int = 50
+    most_tokens: int = 150
+    prompt_words: int = 100
+    spread_s: float = 2
+    measure_from_s: float = 5
+    until_s: float = 15
+    api_key: str | None = None
+    check_text: bool = True
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """The figures of one process; histograms are encoded."""
+
+    first_byte: str
+    gap: str
+    results: dict[str, int]
+    outcomes: dict[str, int]
+    tokens: int
+    reconnects: int
+
+    def figures(self) -> Figures:
+        """The figures as objects again."""
+        decode = histogram.HdrHistogram.decode
+        return Figures(
+            decode(self.first_byte),
+            decode(self.gap),
+            collections.Counter(self.results),
+            collections.Counter(self.outcomes),
+            self.tokens,
+            self.reconnects,
+        )
+
+
+def requests_of(plan: Plan) -> typing.Iterator[load_stream.Request]:
+    """The endless requests of *plan*, the same for the same seed."""
+    chance = random.Random(plan.seed)
+    headers = {}
+    if plan.api_key is not None:
+        headers['Authorization'] = f'Bearer {plan.api_key}'
+    number = 0
+    while True:
+        words = [f'w{chance.randrange(10**6)}' for _ in range(10)]
+        prompt = ' '.join(words * (plan.prompt_words // len(words)))
+        tokens = chance.randint(plan.least_tokens, plan.most_tokens)
+        body = {
+            'model': plan.model,
+            'prompt': prompt,
+            'max_tokens': tokens,
+            'stream': True,
+        }
+        expected = None
+        if plan.check_text:
+            expected = engine_text.expected_text(plan.model, prompt, tokens)
+        yield load_stream.Request(
+            address=plan.addresses[number % len(plan.addresses)],
+            body=msgspec.json.encode(body),
+            at_s=min(1, number / plan.streams) * plan.spread_s,
+            headers=headers,
+            expected=expected,
+        )
+        number += 1
+
+
+def run(plan: Plan) -> Report:
+    """Carry *plan* out in this process."""
+    generator = Generator(
+        requests_of(plan), plan.streams, plan.measure_from_s, plan.until_s
+    )
+    generator.run()
+    figures = generator.figures['']
+    return Report(
+        first_byte=figures.first_byte.encode().decode(),
+        gap=figures.gap.encode().decode(),
+        results=dict(figures.results),
+        outcomes=dict(figures.outcomes),
+        tokens=figures.tokens,
+        reconnects=figures.reconnects,
+    )
+
+
+def main() -> None:
+    """Run the plan on standard input."""
+    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
+    print(msgspec.json.encode(run(plan)).decode())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,61 @@
+"""Starting programs for a bench and reading what they use."""
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+
+STOP_TIMEOUT_S = 20
+KIB = 1024
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+USER_FIELD = 11
+"""Of /proc/PID/stat, counted behind the command's name."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Program:
+    """A program that runs and the address that it announced."""
+
+    process: subprocess.Popen[str]
+    address: str
+
+    def cpu_s(self) -> float:
+        """Processor time used so far."""
+        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        user, system = fields[USER_FIELD : USER_FIELD + 2]
+        return (int(user) + int(system)) / TICKS_PER_S
+
+    def resident_mib(self) -> float:
+        """Resident memory."""
+        path = pathlib.Path(f'/proc/{self.process.pid}/status')
+        for line in path.read_text().splitlines():
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1]) / KIB
+        return 0.0
+
+
+@contextlib.contextmanager
+def running(module: str, *arguments: str) -> typing.Iterator[Program]:
+    """Run the program *module* until the end of the block."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', module, *arguments],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stdout is not None
+        line = process.stdout.readline()
+        assert line, f'{module} ended before it listened'
+        yield Program(process, json.loads(line)['http'])
+    finally:
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
