Decide which attempt may run an order

Cause: calls that may not be repeated must run at most once although the log has no conditional append and loses answers, and a caller told 'not-run' should be able to send the key again.

Conclusion: a lost answer costs a caller nothing, and a truthful 'not-run' can be sent again and runs.

--- /dev/null
+++ b/src/guavachute/decide/order_claims.py
@@ -0,0 +1,227 @@
+"""The fold over the records of a claims stream: who may run an order.
+
+Of the claims of one key, the first in the log holds it. Only the holder's
+attempt may be dispatched, and only by the router that made it. A holder
+that surely has not run and never will is given up by a record of its own;
+then the next claim in the log holds the key. All readers of the same
+records agree, however late or doubled the records are.
+
+An attempt gets one chance: when its claim was not the first, or it was
+given up, no later record of it counts. That holds even when the record
+that gives it up stands before its claim, as happens when an append whose
+answer was lost takes effect late.
+"""
+
+import dataclasses
+import enum
+import functools
+import typing
+
+from guavachute import ids
+from guavachute.wire import order_records
+
+SPENT_ATTEMPTS = 32
+"""Remembered of each key. When one is forgotten and its claim comes
+after all, the key is blocked for the window, which is safe."""
+
+CLOCK_ERROR_S = 300.0
+"""How far the clocks of two VMs may differ."""
+
+
+class Standing(enum.Enum):
+    """What the log says of one attempt."""
+
+    FREE = 'free'
+    """No claim holds the key."""
+    HOLDS = 'holds'
+    LOST = 'lost'
+    """Another attempt holds the key, or this one is spent."""
+    ANSWERED = 'answered'
+    OTHER_BODY = 'other-body'
+
+
+@dataclasses.dataclass(slots=True)
+class _Key:
+    body_digest: str
+    seen_unix_s: float
+    holder: ids.AttemptId | None = None
+    answer: order_records.OrderAnswer | None = None
+    spent: tuple[ids.AttemptId, ...] = ()
+
+    def spend(self, attempt_id: ids.AttemptId) -> None:
+        if attempt_id not in self.spent:
+            self.spent = (*self.spent, attempt_id)[-SPENT_ATTEMPTS:]
+
+
+class Claims:
+    """What a stretch of the stream folds into.
+
+    :param window_s: for how long a key is remembered after its last claim
+    :ivar through_offset: the last record folded, -1 before the first
+    :ivar complete_from_unix_s: keys claimed before that may be missing
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self.window_s = window_s
+        self.through_offset = -1
+        self.complete_from_unix_s = 0.0
+        self._keys: dict[str, _Key] = {}
+
+    def __len__(self) -> int:
+        """How many keys are remembered."""
+        return len(self._keys)
+
+    def fold(
+        self,
+        offset: int,
+        record: order_records.OrderRecord | None,
+        now_unix_s: float,
+    ) -> None:
+        """Take in the record at *offset*; None for an unreadable one.
+
+        A record at or before :attr:`through_offset` is skipped.
+        """
+        if offset <= self.through_offset:
+            return
+        self.through_offset = offset
+        if record is not None:
+            _fold(record, self, now_unix_s)
+
+    def standing(
+        self, key_digest: str, attempt_id: ids.AttemptId, body_digest: str
+    ) -> Standing:
+        """What the records folded so far say of *attempt_id*."""
+        key = self._keys.get(key_digest)
+        if key is None:
+            return Standing.FREE
+        if key.body_digest not in ('', body_digest):
+            return Standing.OTHER_BODY
+        if key.answer is not None:
+            return Standing.ANSWERED
+        if key.holder == attempt_id:
+            return Standing.HOLDS
+        if key.holder is not None or attempt_id in key.spent:
+            return Standing.LOST
+        return Standing.FREE
+
+    def answer(self, key_digest: str) -> order_records.OrderAnswer | None:
+        """The stored answer to *key_digest*."""
+        key = self._keys.get(key_digest)
+        return key.answer if key is not None else None
+
+    def forget(self, now_unix_s: float) -> None:
+        """Drop the keys whose window has passed by any VM's clock."""
+        oldest_unix_s = now_unix_s - self.window_s - CLOCK_ERROR_S
+        self._keys = {
+            digest: key
+            for digest, key in self._keys.items()
+            if key.seen_unix_s >= oldest_unix_s
+        }
+
+    def entries(self) -> list[order_records.KeyEntry]:
+        """All keys, for a snapshot."""
+        return [
+            order_records.KeyEntry(
+                digest,
+                key.body_digest,
+                key.seen_unix_s,
+                key.holder,
+                key.answer,
+                key.spent,
+            )
+            for digest, key in self._keys.items()
+        ]
+
+    def adopt(
+        self,
+        through_offset: int,
+        complete_from_unix_s: float,
+        entries: typing.Iterable[order_records.KeyEntry],
+    ) -> None:
+        """Replace everything by a whole snapshot."""
+        self.through_offset = through_offset
+        self.complete_from_unix_s = complete_from_unix_s
+        self._keys = {
+            entry.key_digest: _Key(
+                entry.body_digest,
+                entry.seen_unix_s,
+                entry.holder,
+                entry.answer,
+                entry.spent,
+            )
+            for entry in entries
+        }
+
+    def on_claim(
+        self, claim: order_records.OrderClaim, now_unix_s: float
+    ) -> None:
+        """The first claim of a free key holds it; the others are spent."""
+        key = self._key(claim.key_digest)
+        # A later claim renews the memory of the key. Otherwise readers
+        # that forget it at slightly different times could disagree on
+        # which of two claims near the end of the window is the first.
+        seen_unix_s = min(claim.claimed_unix_s, now_unix_s + CLOCK_ERROR_S)
+        key.seen_unix_s = max(key.seen_unix_s, seen_unix_s)
+        key.body_digest = key.body_digest or claim.body_digest
+        if claim.attempt_id in key.spent or claim.attempt_id == key.holder:
+            return
+        if key.holder is None and key.body_digest == claim.body_digest:
+            key.holder = claim.attempt_id
+        else:
+            key.spend(claim.attempt_id)
+
+    def on_give_up(
+        self, record: order_records.OrderGiveUp, now_unix_s: float
+    ) -> None:
+        """Free the key if the attempt holds it; spend the attempt."""
+        key = self._key(record.key_digest)
+        key.seen_unix_s = max(key.seen_unix_s, now_unix_s)
+        key.spend(record.attempt_id)
+        if key.holder == record.attempt_id and key.answer is None:
+            key.holder = None
+
+    def on_answer(self, record: order_records.OrderAnswer) -> None:
+        """Keep the answer of the holder."""
+        key = self._key(record.key_digest)
+        if key.holder == record.attempt_id:
+            key.answer = record
+
+    def _key(self, key_digest: str) -> _Key:
+        return self._keys.setdefault(key_digest, _Key('', 0.0))
+
+
+@functools.singledispatch
+def _fold(
+    record: order_records.OrderRecord, claims: Claims, now_unix_s: float
+) -> None:
+    raise AssertionError(f'no fold for {record!r}')
+
+
+@_fold.register
+def _(
+    record: order_records.OrderClaim, claims: Claims, now_unix_s: float
+) -> None:
+    claims.on_claim(record, now_unix_s)
+
+
+@_fold.register
+def _(
+    record: order_records.OrderGiveUp, claims: Claims, now_unix_s: float
+) -> None:
+    claims.on_give_up(record, now_unix_s)
+
+
+@_fold.register
+def _(
+    record: order_records.OrderAnswer, claims: Claims, now_unix_s: float
+) -> None:
+    claims.on_answer(record)
+
+
+@_fold.register
+def _(
+    record: order_records.OrderSnapshotPart,
+    claims: Claims,
+    now_unix_s: float,
+) -> None:
+    """Says nothing new to a reader that saw what it stands for."""
--- /dev/null
+++ b/src/guavachute/decide/order_snapshot.py
@@ -0,0 +1,148 @@
+"""Carrying keys forward before the log drops their records.
+
+Any committer may write a snapshot; two at once do no harm. It is cut
+into parts, for a log may refuse large appends, and it counts only when
+all parts are there.
+"""
+
+import dataclasses
+
+from guavachute.decide import order_claims
+from guavachute.wire import order_records
+
+KEYS_OF_A_PART = 500
+RECORDS_BETWEEN = 5_000
+INTERVAL_S = 600.0
+SAFE_FRACTION = 0.5
+"""A snapshot that has moved through this much of what the log retains is
+replaced."""
+
+
+def parts_of(
+    claims: order_claims.Claims, snapshot_id: str
+) -> list[order_records.OrderSnapshotPart]:
+    """The whole of *claims*, cut into records."""
+    entries = claims.entries()
+    slices = [
+        entries[start : start + KEYS_OF_A_PART]
+        for start in range(0, max(1, len(entries)), KEYS_OF_A_PART)
+    ]
+    return [
+        order_records.OrderSnapshotPart(
+            snapshot_id=snapshot_id,
+            part=number,
+            parts=len(slices),
+            through_offset=claims.through_offset,
+            complete_from_unix_s=claims.complete_from_unix_s,
+            keys=keys,
+        )
+        for number, keys in enumerate(slices)
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """A state to go on from."""
+
+    through_offset: int
+    complete_from_unix_s: float
+    keys: list[order_records.KeyEntry]
+
+
+class Collector:
+    """Puts the parts of snapshots together as they come by.
+
+    :ivar newest: the complete one that reaches furthest, or None
+    """
+
+    def __init__(self) -> None:
+        self.newest: Start | None = None
+        self._parts: dict[str, dict[int, order_records.OrderSnapshotPart]] = {}
+
+    @property
+    def through_offset(self) -> int:
+        """How far the newest snapshot reaches; -1 without one."""
+        return -1 if self.newest is None else self.newest.through_offset
+
+    def feed(self, record: order_records.OrderRecord | None) -> None:
+        """Look at *record*, which may be a part."""
+        if not isinstance(record, order_records.OrderSnapshotPart):
+            return
+        parts = self._parts.setdefault(record.snapshot_id, {})
+        parts[record.part] = record
+        if len(parts) < record.parts:
+            return
+        del self._parts[record.snapshot_id]
+        if record.through_offset <= self.through_offset:
+            return
+        self._forget_older(record.through_offset)
+        self.newest = Start(
+            record.through_offset,
+            record.complete_from_unix_s,
+            [key for number in sorted(parts) for key in parts[number].keys],
+        )
+
+    def _forget_older(self, through_offset: int) -> None:
+        self._parts = {
+            snapshot_id: parts
+            for snapshot_id, parts in self._parts.items()
+            if any(p.through_offset > through_offset for p in parts.values())
+        }
+
+
+def start_of(
+    collector: Collector, first_retained_offset: int, now_unix_s: float
+) -> Start:
+    """Where a reader begins that has looked through the whole stream.
+
+    Without a snapshot that reaches the retained records, keys may have
+    been lost; the start says so.
+    """
+    found = collector.newest
+    if found is not None and found.through_offset >= first_retained_offset - 1:
+        return found
+    if first_retained_offset == 0:
+        return Start(-1, 0.0, [])
+    return Start(first_retained_offset - 1, now_unix_s, [])
+
+
+class Schedule:
+    """When to write a snapshot.
+
+    :param spread: from 0 to 1, different for each committer, so that they
+        don't all write at the same time
+    """
+
+    def __init__(self, spread: float) -> None:
+        self._factor = 0.5 + 0.5 * spread
+        self._last_s: float | None = None
+        self._last_through = -1
+
+    def seen(self, through_offset: int, now_s: float) -> None:
+        """A complete snapshot, by whomever, stands in the log."""
+        self._last_through = through_offset
+        self._last_s = now_s
+
+    def is_due(
+        self, first_retained: int, through_offset: int, now_s: float
+    ) -> bool:
+        """Whether to write one now."""
+        if self._last_s is None:
+            self._last_s = now_s
+        new_records = through_offset - self._last_through
+        if new_records <= 0:
+            return False
+        if new_records >= RECORDS_BETWEEN * self._factor:
+            return True
+        if now_s - self._last_s >= INTERVAL_S * self._factor:
+            return True
+        return self._is_about_to_be_dropped(first_retained, through_offset)
+
+    def _is_about_to_be_dropped(
+        self, first_retained: int, through_offset: int
+    ) -> bool:
+        retained = through_offset + 1 - first_retained
+        age = through_offset - self._last_through
+        return first_retained > 0 and age > (
+            retained * SAFE_FRACTION * self._factor
+        )
