--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -15,6 +15,7 @@
 from guavachute.observe import logs
 from guavachute.observe import traces
 from guavachute import outcome
+from guavachute.services import engine_watch
 from guavachute.services import front
 from guavachute.services import plain_calls
 from guavachute.services.relay import task as relay_task
@@ -66,7 +67,9 @@
         self._name = ids.new_random_id('router')
         self.count = count
         self.kernel = kernel.Kernel()
-        self.relay = relay_task.Relay(wanted.region, count, tracer)
+        self.relay = relay_task.Relay(
+            wanted.node, wanted.failure_domain, wanted.region, count, tracer
+        )
         self.plain_calls = plain_calls.PlainCalls(
             wanted.region, count, tracer, _NoClaims()
         )
@@ -85,7 +88,13 @@
         self.feed = table_feed.TableFeed(
             wanted.node_address, count, self._put_in_force, self._report
         )
-        for service in (self.relay, self.plain_calls, self.feed):
+        self.engine_watch = engine_watch.EngineWatch(self.relay.mailbox, count)
+        for service in (
+            self.relay,
+            self.plain_calls,
+            self.feed,
+            self.engine_watch,
+        ):
             self.kernel.add(service)
         self.kernel.add(self.server)
 
@@ -122,8 +131,10 @@
     def _put_in_force(self, new: tables.Tables) -> None:
         view = view_module.view_of(new)
         self._ttl_s = view.document.policy.address_ttl_s
-        self.relay.mailbox.send(relay_task.TablesChanged(new))
+        self.relay.mailbox.send(relay_task.TablesChanged(view))
         self.plain_calls.put_in_force(new)
+        pools = {model.pool for model in view.document.models.values()}
+        self.engine_watch.put_in_force(new, pools)
         self.front.put_in_force(view)
 
     def _report(self, offset: int) -> tables.RouterReport:
--- a/src/guavachute/decide/crash.py
+++ b/src/guavachute/decide/crash.py
@@ -39,7 +39,7 @@
 REFUSED_S = 86_400.0
 """A refused one is forgotten when it was not sent for this long."""
 
-PROVEN_TOKENS = 32
+PROVEN_TOKENS = 8
 """After so many tokens of the next attempt a suspect no longer keeps
 other suspects away from its endpoint."""
 
@@ -243,6 +243,18 @@
             or not self._attempts[attempt_id].suspect
         ]
 
+    def retract(self, crash_id: str) -> list[CrashNotice]:
+        """That loss was no crash; notices of what is cleared by it.
+
+        A refusal stays, for it may rest on an entry from elsewhere.
+        """
+        notices = []
+        for name, entry in self._entries.items():
+            if crash_id in entry.crashes and not entry.refused:
+                entry.cleared.add(crash_id)
+                notices.append(_notice(name, entry))
+        return notices
+
     def clear(self, name: Fingerprint) -> None:
         """An operator says that *name* is harmless."""
         self._entries.pop(name, None)
--- a/src/guavachute/decide/limits.py
+++ b/src/guavachute/decide/limits.py
@@ -36,6 +36,11 @@
         missing = min(amount, self._capacity()) - self._level
         return max(0.0, missing / self.rate_per_s)
 
+    def level(self, now_s: float) -> float:
+        """What is there now; negative while in debt."""
+        self._fill(now_s)
+        return self._level
+
     def take(self, amount: float, now_s: float) -> None:
         """Take *amount*, whether it is there or not."""
         self._fill(now_s)
--- a/src/guavachute/decide/reclaim.py
+++ b/src/guavachute/decide/reclaim.py
@@ -189,3 +189,23 @@
         steps.append(Step(stream.request_id, Way.RECOMPUTE, start_s))
         start_s += stream.computed_tokens / rate
     return steps
+
+
+class ResumePace:
+    """Paces the resumes of streams whose endpoints are gone.
+
+    A lone stream starts at once; of a whole failure domain's streams
+    each waits until those before it can have been prefilled.
+    """
+
+    def __init__(self) -> None:
+        self._free_s = 0.0
+
+    def start_at_s(
+        self, computed_tokens: float, capacity: Capacity, now_s: float
+    ) -> float:
+        """When a stream with so much to recompute starts."""
+        rate = max(1.0, capacity.prefill_tokens_per_s * PREFILL_FRACTION)
+        start_s = max(now_s, self._free_s)
+        self._free_s = start_s + computed_tokens / rate
+        return start_s
--- /dev/null
+++ b/src/guavachute/services/engine_watch.py
@@ -0,0 +1,128 @@
+"""Asks the model engines for their load and their cache events.
+
+A few threads, for an engine that does not answer must not hold up the
+others. What they find goes to the relay as messages. Both are hints:
+an engine that can't be asked is judged by its requests alone.
+"""
+
+import concurrent.futures
+import time
+import typing
+
+import msgspec
+import urllib3
+
+from guavachute.decide import prefix_index
+from guavachute.kernel import mailbox
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute.services.relay import task as relay_task
+from guavachute.wire import tables
+
+INTERVAL_S = 1.0
+TIMEOUT_S = 0.5
+THREADS = 4
+
+
+class Load(msgspec.Struct):
+    """The answer to ``GET /v1/load``; other fields pass unread."""
+
+    running: int
+    queued: int
+    slots: int
+    age_s: float = 0.0
+
+
+class CacheEvent(msgspec.Struct):
+    """An event of an engine's prompt cache."""
+
+    seq: int
+    kind: prefix_index.EventKind
+    block: str
+
+
+class CacheEvents(msgspec.Struct):
+    """The answer to ``GET /v1/cache_events``."""
+
+    next: int
+    events: list[CacheEvent] = []
+
+
+Answer = typing.TypeVar('Answer')
+
+
+class EngineWatch(task.Task):
+    """Polls the engines of the tables.
+
+    :param relay: where the findings go
+    """
+
+    def __init__(
+        self, relay: mailbox.Mailbox, count: counters.Counters
+    ) -> None:
+        super().__init__('engine-watch')
+        self._relay = relay
+        self._count = count
+        self._engines: list[tables.EndpointEntry] = []
+        self._next_event: dict[str, int] = {}
+        self._http = urllib3.PoolManager(
+            num_pools=64, retries=False, timeout=TIMEOUT_S
+        )
+
+    def put_in_force(self, view: tables.Tables, pools: set[str]) -> None:
+        """Ask the endpoints of *view* that are in *pools*."""
+        self._engines = [
+            entry for entry in view.endpoints if entry.pool in pools
+        ]
+
+    def run(self) -> None:
+        """Ask all of them each second until stopped."""
+        with concurrent.futures.ThreadPoolExecutor(THREADS) as executor:
+            while not self.stopping.wait(INTERVAL_S):
+                engines = self._engines
+                known = {entry.endpoint for entry in engines}
+                for gone in set(self._next_event) - known:
+                    del self._next_event[gone]
+                list(executor.map(self._ask, engines))
+
+    def _ask(self, entry: tables.EndpointEntry) -> None:
+        load = self._get(entry, '/v1/load', Load)
+        if load is None:
+            return
+        self._relay.send(
+            relay_task.EndpointReport(
+                entry.endpoint,
+                load.running + load.queued,
+                load.slots,
+                load.age_s,
+                time.monotonic(),
+            )
+        )
+        start = self._next_event.get(entry.endpoint, 0)
+        path = f'/v1/cache_events?from={start}'
+        found = self._get(entry, path, CacheEvents)
+        if found is None:
+            return
+        self._next_event[entry.endpoint] = found.next
+        if found.events:
+            events = [
+                prefix_index.Event(each.seq, each.kind, each.block)
+                for each in found.events
+            ]
+            message = relay_task.CacheChanged(entry.endpoint, events)
+            self._relay.send(message)
+
+    def _get(
+        self, entry: tables.EndpointEntry, path: str, expected: type[Answer]
+    ) -> Answer | None:
+        url = f'http://{entry.address}{path}'
+        try:
+            response = self._http.request('GET', url)
+            return msgspec.json.decode(response.data, type=expected)
+        except (
+            urllib3.exceptions.HTTPError,
+            msgspec.ValidationError,
+            msgspec.DecodeError,
+        ):
+            self._count.add('engine_watch.unanswered')
+            return None
--- a/src/guavachute/services/relay/call.py
+++ b/src/guavachute/services/relay/call.py
@@ -8,11 +8,13 @@
 
 from guavachute.decide import answer
 from guavachute.decide import attempts
+from guavachute.decide import silence
 from guavachute import ids
 from guavachute.observe import traces
 from guavachute.services.relay import downstream
 from guavachute.services.relay import events
 from guavachute.services.relay import upstream
+from guavachute.services.relay import work as relay_work
 from guavachute.wire import tables
 
 
@@ -57,8 +59,10 @@
 
     __slots__ = (
         'answer', 'call', 'caller', 'connection', 'endpoint', 'ended',
-        'first_token_s', 'history', 'last_progress_s', 'paused', 'span',
-        'splitter', 'usage', 'finish_reason',
+        'first_token_s', 'history', 'moving', 'paused', 'span', 'target',
+        'watch',
+        'splitter', 'usage', 'finish_reason', 'work',
+        'kv_handle',
     )  # fmt: skip
 
     def __init__(self, call: ModelCall, now_s: float) -> None:
@@ -75,9 +79,13 @@
         self.usage = events.Usage()
         self.finish_reason: str | None = None
         self.first_token_s: float | None = None
-        self.last_progress_s = now_s
+        self.watch = silence.Watch(True, 0.0, now_s)
+        self.moving = False
+        self.target: ids.EndpointId | None = None
         self.paused = False
         self.ended = False
+        self.work: relay_work.Work | None = None
+        self.kv_handle: str | None = None
 
     def take(self, data: bytes) -> tuple[list[bytes], answer.Step]:
         """Judge the events in *data*.
@@ -129,6 +137,9 @@
         if self.answer.next_index:
             body['resume_from'] = self.answer.next_index
             body['resume_text'] = self.answer.text
+        if self.kv_handle is not None:
+            body['kv_handle'] = self.kv_handle
+            self.kv_handle = None
         left_s = max(call.deadline_s - now_s, 0.0)
         headers = {
             'Content-Type': 'application/json',
--- /dev/null
+++ b/src/guavachute/services/relay/endpoints.py
@@ -0,0 +1,319 @@
+"""The endpoints as one router sees them; owned by the relay's task.
+
+Brings together what routing decides upon: the tables, own and reported
+load, health, and which endpoint holds which prompt blocks.
+"""
+
+import dataclasses
+import typing
+
+from guavachute.decide import health
+from guavachute.decide import limits
+from guavachute.decide import load
+from guavachute.decide import prefix_index
+from guavachute.decide import routing
+from guavachute.decide import subset
+from guavachute.document import schema
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute import outcome
+from guavachute.services.relay import work as relay_work
+from guavachute.wire import tables
+
+NO_ENDPOINT_RETRY_S = 1.0
+DEFAULT_SLOTS = 32
+LINK_BYTES_PER_S = 250_000.0
+"""What this router's requests may send between the regions."""
+
+ASSUMED_NOTICE_S = 20.0
+"""For an endpoint that leaves and isn't said to have time left."""
+
+_log = logs.logger('endpoints')
+
+
+@dataclasses.dataclass(slots=True)
+class Endpoint:
+    """One endpoint of the router's subset.
+
+    :ivar leave_at_s: monotonic; None while it stays
+    :ivar listed: False once the tables no longer name it
+    """
+
+    entry: tables.EndpointEntry
+    candidate: routing.Candidate
+    leave_at_s: float | None = None
+    listed: bool = True
+
+
+class Endpoints:
+    """Chooses endpoints and keeps what that needs.
+
+    :param router: the name that the subset follows from
+    """
+
+    def __init__(
+        self,
+        router: str,
+        failure_domain: str,
+        region: str,
+        count: counters.Counters,
+    ) -> None:
+        self._router = router
+        self._failure_domain = ids.FailureDomain(failure_domain)
+        self._region = region
+        self._count = count
+        self._known: dict[ids.EndpointId, Endpoint] = {}
+        self._health: dict[str, health.Health] = {}
+        self._index = prefix_index.PrefixIndex()
+        self._link = limits.TokenBucket(LINK_BYTES_PER_S, 0.0)
+
+    def update(
+        self, view: tables.Tables, document: schema.Document, now_s: float
+    ) -> list[Endpoint]:
+        """Take new tables; gives the endpoints that leave from now on."""
+        entries = self._own_subset(view)
+        leaving = []
+        for name, entry in entries.items():
+            known = self._known.get(name)
+            if known is None:
+                known = self._add(entry, document, now_s)
+            known.entry = entry
+            known.listed = True
+            if entry.leaving and known.leave_at_s is None:
+                notice_s = entry.leave_in_s
+                if notice_s is None:
+                    notice_s = ASSUMED_NOTICE_S
+                known.leave_at_s = now_s + notice_s
+                leaving.append(known)
+            elif not entry.leaving:
+                known.leave_at_s = None
+        for name in set(self._known) - set(entries):
+            self._forget(name)
+        return leaving
+
+    def names(self, pool: str) -> list[ids.EndpointId]:
+        """The endpoints of *pool* that are to stay."""
+        return [
+            name
+            for name, known in self._known.items()
+            if known.entry.pool == pool and _stays(known)
+        ]
+
+    def entry(self, name: ids.EndpointId) -> tables.EndpointEntry | None:
+        """The tables' entry of *name*, if it is known."""
+        known = self._known.get(name)
+        return None if known is None else known.entry
+
+    def leave_at_s(self, name: str) -> float | None:
+        """When *name* goes; None if it stays or is unknown."""
+        known = self._known.get(ids.EndpointId(name))
+        return None if known is None else known.leave_at_s
+
+    def free_slots(self, pool: str) -> int:
+        """Slots of the endpoints that stay which nothing uses."""
+        return sum(
+            max(0, known.candidate.slots - known.candidate.load.outstanding)
+            for known in self._known.values()
+            if known.entry.pool == pool and _stays(known)
+        )
+
+    def free_slots_of(self, name: ids.EndpointId) -> int:
+        """Slots of endpoint *name* that nothing uses."""
+        candidate = self._known[name].candidate
+        return max(0, candidate.slots - candidate.load.outstanding)
+
+    def slots(self, pool: str) -> int:
+        """All slots of the endpoints that stay."""
+        return sum(
+            known.candidate.slots
+            for known in self._known.values()
+            if known.entry.pool == pool and _stays(known)
+        )
+
+    def held_blocks(self, chain: list[str]) -> int:
+        """Most leading blocks of *chain* that any endpoint holds."""
+        return max(self._index.match(chain).values(), default=0)
+
+    def choose(
+        self,
+        pool: str,
+        work: relay_work.Work,
+        tried: typing.Iterable[str],
+        apart_from: typing.Container[str],
+        now_s: float,
+    ) -> tables.EndpointEntry | outcome.Failure:
+        """The endpoint for the next attempt of *work*.
+
+        Endpoints tried before and ejected ones are used when there is no
+        other; those of *apart_from* and leaving ones never.
+        """
+        candidates = [
+            known.candidate
+            for known in self._known.values()
+            if known.entry.pool == pool
+            and _stays(known)
+            and known.entry.endpoint not in apart_from
+        ]
+        if not candidates:
+            return outcome.Failure(
+                outcome.Reason.NO_CAPACITY,
+                f'no endpoint of pool {pool} can take it now',
+                NO_ENDPOINT_RETRY_S,
+            )
+        chain = work.chain
+        affinity = chain[0] if chain else work.fingerprint
+        want = routing.Want(
+            affinity,
+            self._index.match(chain),
+            routing.region_bytes(
+                work.prompt_bytes, int(work.request.expected_tokens)
+            ),
+        )
+        link_bytes = self._link.level(now_s)
+        ejected = self._pool_health(pool).excluded(now_s)
+        result: routing.Choice | outcome.Failure | None = None
+        tried_ids = frozenset(ids.EndpointId(name) for name in tried)
+        nobody: frozenset[ids.EndpointId] = frozenset()
+        for excluded in (ejected | tried_ids, ejected, nobody):
+            result = routing.choose(want, candidates, excluded, link_bytes)
+            if isinstance(result, routing.Choice):
+                if result.region_bytes:
+                    self._link.take(result.region_bytes, now_s)
+                    self._count.add('region_link.bytes', result.region_bytes)
+                return self._known[result.endpoint].entry
+        assert isinstance(result, outcome.Failure)
+        return result
+
+    def started(self, name: str, work: relay_work.Work, now_s: float) -> None:
+        """An attempt begins at endpoint *name*."""
+        endpoint = ids.EndpointId(name)
+        known = self._known[endpoint]
+        known.candidate.load.sent(now_s)
+        self._index.routed(endpoint, work.chain)
+        change = self._pool_health(known.entry.pool).sent(endpoint, now_s)
+        self._note(change)
+
+    def ended(self, name: str, now_s: float) -> None:
+        """An attempt at endpoint *name* is over."""
+        endpoint = ids.EndpointId(name)
+        known = self._known[endpoint]
+        known.candidate.load.ended(now_s)
+        if not known.listed and not known.candidate.load.own:
+            del self._known[endpoint]
+
+    def paced(self, name: str, gap_s: float, now_s: float) -> None:
+        """Tokens come from *name* with this mean gap."""
+        known = self._known.get(ids.EndpointId(name))
+        if known is not None:
+            watched = self._pool_health(known.entry.pool)
+            self._note(watched.succeeded(ids.EndpointId(name), gap_s, now_s))
+
+    def failed(self, name: str, now_s: float) -> None:
+        """An attempt at *name* failed by the endpoint's fault."""
+        known = self._known.get(ids.EndpointId(name))
+        if known is not None:
+            watched = self._pool_health(known.entry.pool)
+            self._note(watched.failed(ids.EndpointId(name), now_s))
+
+    def lost(self, name: str) -> None:
+        """Endpoint *name* died; its cache is gone with it."""
+        self._index.drop(ids.EndpointId(name))
+
+    def reported(
+        self,
+        name: str,
+        outstanding: int,
+        slots: int,
+        age_s: float,
+        now_s: float,
+    ) -> None:
+        """The endpoint's own, lagged word on its load."""
+        known = self._known.get(ids.EndpointId(name))
+        if known is not None:
+            known.candidate.slots = max(1, slots)
+            known.candidate.load.reported(outstanding, age_s, now_s)
+
+    def cache_changed(
+        self, name: str, events: list[prefix_index.Event]
+    ) -> None:
+        """Cache events of the endpoint."""
+        if self._index.events(ids.EndpointId(name), events):
+            self._count.add('cache_events.gaps')
+
+    def _own_subset(
+        self, view: tables.Tables
+    ) -> dict[ids.EndpointId, tables.EndpointEntry]:
+        by_pool: dict[str, list[tables.EndpointEntry]] = {}
+        for entry in view.endpoints:
+            by_pool.setdefault(entry.pool, []).append(entry)
+        entries = {}
+        for of_pool in by_pool.values():
+            chosen = subset.choose(
+                self._router,
+                self._failure_domain,
+                [
+                    subset.Place(
+                        ids.EndpointId(entry.endpoint),
+                        ids.FailureDomain(entry.failure_domain),
+                    )
+                    for entry in of_pool
+                ],
+                [router.node for router in view.routers],
+            )
+            for entry in of_pool:
+                name = ids.EndpointId(entry.endpoint)
+                # One that leaves is kept to the end for what runs on it.
+                if name in chosen or (entry.leaving and name in self._known):
+                    entries[name] = entry
+        return entries
+
+    def _add(
+        self,
+        entry: tables.EndpointEntry,
+        document: schema.Document,
+        now_s: float,
+    ) -> Endpoint:
+        pool = document.pools.get(entry.pool)
+        slots = DEFAULT_SLOTS if pool is None else pool.slots_per_endpoint
+        name = ids.EndpointId(entry.endpoint)
+        known = Endpoint(
+            entry,
+            routing.Candidate(
+                name,
+                ids.FailureDomain(entry.failure_domain),
+                slots,
+                load.Load(),
+                entry.region != self._region,
+            ),
+        )
+        self._known[name] = known
+        self._pool_health(entry.pool).add(name, now_s)
+        return known
+
+    def _forget(self, name: ids.EndpointId) -> None:
+        known = self._known[name]
+        known.listed = False
+        self._index.drop(name)
+        self._pool_health(known.entry.pool).remove(name)
+        if not known.candidate.load.own:
+            del self._known[name]
+
+    def _pool_health(self, pool: str) -> health.Health:
+        return self._health.setdefault(pool, health.Health())
+
+    def _note(self, change: health.Change | None) -> None:
+        if change is None:
+            return
+        self._count.add(f'endpoints.{change.state.value}')
+        if change.cause is not None:
+            self._count.add(f'endpoints.ejected.{change.cause.value}')
+            _log.notice(
+                'endpoint {} ejected: {}',
+                change.endpoint,
+                change.cause.value,
+            )
+
+
+def _stays(known: Endpoint) -> bool:
+    return known.listed and known.leave_at_s is None
--- /dev/null
+++ b/src/guavachute/services/relay/gate.py
@@ -0,0 +1,386 @@
+"""Lets requests in: limits, admission, and the fair queue of each pool.
+
+Owned by the relay's task. Every stream that arrives is either refused at
+once, or waits here until :meth:`Gate.start` gives it, or is given back
+by :meth:`Gate.expire`.
+"""
+
+import itertools
+
+from guavachute.decide import account
+from guavachute.decide import admission
+from guavachute.decide import crash
+from guavachute.decide import limits
+from guavachute.decide import prefix
+from guavachute.decide import shares
+from guavachute.decide import steering
+from guavachute.document import schema
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute import outcome
+from guavachute.services.relay import call as relay_call
+from guavachute.services.relay import endpoints
+from guavachute.services.relay import work as relay_work
+
+QUEUE_LIMIT = 200
+"""Requests of one workspace that may wait for one pool in a router."""
+
+TICK_S = 1.0
+FIRST_EXPECTED_GENERATED_TOKENS = 100.0
+FIRST_EXPECTED_START_S = 0.05
+SMOOTHING = 0.1
+
+_log = logs.logger('gate')
+
+
+class _Pool:
+    """The queue of one pool and what admission needs to know of it."""
+
+    def __init__(
+        self, shares_of: dict[ids.WorkspaceName, float], now_s: float
+    ) -> None:
+        self.queue = shares.FairQueue(shares_of, QUEUE_LIMIT)
+        self.drain = admission.DrainRate(1.0, now_s)
+        self.brown_out = admission.BrownOutState(now_s)
+        self.first_token_target_s = 1.0
+        self.start_s = FIRST_EXPECTED_START_S
+        self.waited = False
+        self.rated = False
+
+
+class Gate:
+    """The queues and limits of one router.
+
+    :param place: the router's endpoints, which say what is free
+    """
+
+    def __init__(
+        self, place: endpoints.Endpoints, count: counters.Counters
+    ) -> None:
+        self._place = place
+        self._count = count
+        self._pools: dict[str, _Pool] = {}
+        self._limits: dict[ids.WorkspaceName, limits.WorkspaceLimits] = {}
+        self._steering = steering.Steering()
+        self._document: schema.Document | None = None
+        self._live_routers = 1
+        self._streams: dict[ids.RequestId, relay_call.Stream] = {}
+        self._expected_tokens: dict[ids.WorkspaceName, float] = {}
+        self._numbers = itertools.count()
+        self._next_tick_s = 0.0
+
+    def update(
+        self, document: schema.Document, live_routers: int, now_s: float
+    ) -> None:
+        """Take over a document and the number of live routers."""
+        self._document = document
+        self._live_routers = max(1, live_routers)
+        weights = {
+            ids.WorkspaceName(name): workspace.share
+            for name, workspace in document.workspaces.items()
+        }
+        for model in document.models.values():
+            pool = self._pools.get(model.pool)
+            if pool is None:
+                pool = self._pools[model.pool] = _Pool(weights, now_s)
+            pool.queue.set_shares(weights)
+            self._rate(model.pool, pool, now_s)
+            pool.first_token_target_s = model.first_token_target_s
+        self._set_limits(now_s)
+
+    def arrive(
+        self, stream: relay_call.Stream, now_s: float
+    ) -> outcome.Failure | None:
+        """Let *stream* wait, or say why not.
+
+        An answer that another router had begun is let in as long as its
+        workspace keeps its limits and has room in the queue.
+        """
+        call = stream.call
+        pool = self._pools.get(call.pool)
+        if pool is None:
+            return outcome.Failure(
+                outcome.Reason.NO_CAPACITY, f'pool {call.pool} is not known'
+            )
+        work = self._work_of(stream, pool, now_s)
+        if call.resume_from == 0:
+            admitted = self._admitted(stream, work, pool, now_s)
+            if isinstance(admitted, outcome.Failure):
+                return admitted
+            work.request = _with_start_by(work.request, admitted.start_by_s)
+        limit = self._limits.get(call.workspace)
+        refused = None if limit is None else limit.admit(now_s)
+        if refused is not None:
+            return refused
+        queued = pool.queue.offer(work.request, now_s)
+        if isinstance(queued, outcome.Failure):
+            if limit is not None:
+                limit.ended()
+            return queued
+        stream.work = work
+        self._streams[work.request.request_id] = stream
+        return None
+
+    @property
+    def waiting(self) -> bool:
+        """Whether anything waits."""
+        return any(pool.queue.waiting() for pool in self._pools.values())
+
+    def expire(
+        self, now_s: float
+    ) -> list[tuple[relay_call.Stream, outcome.Failure]]:
+        """Streams that can no longer start in time, or had to make room."""
+        given_up = []
+        for pool in self._pools.values():
+            wait_s = pool.queue.queued_tokens() / pool.drain.tokens_per_s
+            for request in pool.queue.expire(now_s):
+                failure = outcome.Failure(
+                    outcome.Reason.OVERLOADED,
+                    'it could not start in time',
+                    admission.retry_after_s(wait_s),
+                )
+                given_up.append((self._streams[request.request_id], failure))
+        return given_up
+
+    def start(self, now_s: float) -> list[relay_call.Stream]:
+        """The streams that start now."""
+        started = []
+        for name, pool in self._pools.items():
+            if not pool.queue.waiting():
+                continue
+            for request in pool.queue.next(self._free(name, pool, now_s)):
+                stream = self._streams[request.request_id]
+                assert stream.work is not None
+                stream.work.running = True
+                pool.drain.started(request.expected_tokens)
+                self._limit(stream, request.expected_tokens, now_s)
+                started.append(stream)
+            pool.waited = pool.waited or pool.queue.waiting() > 0
+        return started
+
+    def generated(self, stream: relay_call.Stream, now_s: float) -> None:
+        """Charge the tokens that *stream* got since the last call."""
+        work = stream.work
+        if work is None:
+            return
+        total = stream.answer.next_index
+        due = work.account.generated(total - work.charged_index)
+        work.charged_index = total
+        if due:
+            call = stream.call
+            self._pools[call.pool].queue.charge(call.workspace, due)
+            self._limit(stream, due, now_s)
+
+    def first_token(self, stream: relay_call.Stream, start_s: float) -> None:
+        """An attempt gave its first token after *start_s*."""
+        pool = self._pools[stream.call.pool]
+        pool.start_s += SMOOTHING * (start_s - pool.start_s)
+
+    def leave(self, stream: relay_call.Stream, now_s: float) -> None:
+        """*stream* has ended, however it did; again has no effect."""
+        work = stream.work
+        if work is None:
+            return
+        self.generated(stream, now_s)
+        stream.work = None
+        call = stream.call
+        queue = self._pools[call.pool].queue
+        del self._streams[work.request.request_id]
+        limit = self._limits.get(call.workspace)
+        if limit is not None:
+            limit.ended()
+        if not work.running:
+            queue.cancel(work.request.request_id)
+            return
+        queue.finish(call.workspace)
+        usage = stream.usage
+        if usage.prompt_tokens:
+            fresh = usage.prompt_tokens - usage.cached_tokens
+            self._learn(call.workspace, usage.completion_tokens)
+            extra = work.account.ended(fresh - work.prompt_tokens)
+        else:
+            extra = work.account.ended()
+        queue.charge(call.workspace, extra)
+        self._limit(stream, extra, now_s)
+
+    def take_sum(self, message: steering.DemandSum, now_s: float) -> None:
+        """What another router, or several, demand and were served."""
+        gains = self._steering.take(message, now_s)
+        for workspace, tokens in gains.items():
+            for pool in self._pools.values():
+                pool.queue.charge_elsewhere(workspace, tokens)
+
+    def demand(self) -> dict[str, float]:
+        """Requests that run or wait here, by workspace, for the others."""
+        total: dict[str, float] = {}
+        for stream in self._streams.values():
+            name = stream.call.workspace
+            total[name] = total.get(name, 0.0) + 1
+        return total
+
+    def tick(self, now_s: float) -> None:
+        """Once a second: drain rates, brown-out, limits, gauges."""
+        if now_s < self._next_tick_s:
+            return
+        self._next_tick_s = now_s + TICK_S
+        for name, pool in self._pools.items():
+            self._tick_pool(name, pool, now_s)
+        self._set_limits(now_s)
+
+    def _work_of(
+        self, stream: relay_call.Stream, pool: _Pool, now_s: float
+    ) -> relay_work.Work:
+        call = stream.call
+        chain = prefix.block_chain(call.model, call.prompt)
+        held = self._place.held_blocks(chain)
+        uncached = relay_work.tokens_of(call.prompt)
+        uncached -= relay_work.tokens_in_blocks(held)
+        generated = self._expected_generated(stream)
+        number = next(self._numbers)
+        resumed = call.resume_from > 0
+        request = shares.Request(
+            ids.RequestId(f'{call.request_id}/{number}'),
+            call.workspace,
+            max(1.0, uncached) + generated,
+            call.deadline_s if resumed else now_s,
+            0 if resumed else call.priority,
+        )
+        return relay_work.Work(
+            request,
+            chain,
+            crash.fingerprint(call.workspace, call.model, call.prompt),
+            max(1.0, uncached),
+            len(call.prompt),
+            account.Account(generated),
+            charged_index=stream.answer.next_index,
+        )
+
+    def _admitted(
+        self,
+        stream: relay_call.Stream,
+        work: relay_work.Work,
+        pool: _Pool,
+        now_s: float,
+    ) -> admission.Admit | outcome.Failure:
+        call = stream.call
+        arrival = admission.Arrival(
+            call.priority,
+            pool.start_s,
+            pool.queue.over_share(call.workspace),
+            pool.queue.queued_tokens(),
+            pool.queue.queued_tokens(call.workspace),
+            pool.queue.fraction(call.workspace),
+            call.deadline_s,
+        )
+        level = pool.brown_out.level
+        if not self._place.names(call.pool):
+            level = admission.BrownOut.CLOSED
+        elif level is admission.BrownOut.CLOSED:
+            level = admission.BrownOut.NONE
+        return admission.decide(
+            arrival, level, pool.drain, pool.first_token_target_s, now_s
+        )
+
+    def _free(self, name: str, pool: _Pool, now_s: float) -> int:
+        idle = self._place.free_slots(name)
+        if self._live_routers == 1:
+            return idle
+        document = self._document
+        assert document is not None
+        weights = {
+            ids.WorkspaceName(each): workspace.share
+            for each, workspace in document.workspaces.items()
+        }
+        demand = {
+            each: float(pool.queue.waiting(each) + pool.queue.running(each))
+            for each in weights
+        }
+        allowed = self._steering.slots(
+            demand,
+            weights,
+            self._place.slots(name),
+            self._live_routers,
+            now_s,
+        )
+        running = sum(pool.queue.running(each) for each in weights)
+        return steering.free_slots(
+            sum(allowed.values()), running, idle, 1 / self._live_routers
+        )
+
+    def _limit(
+        self, stream: relay_call.Stream, tokens: float, now_s: float
+    ) -> None:
+        limit = self._limits.get(stream.call.workspace)
+        if limit is not None:
+            limit.charge(tokens, now_s)
+
+    def _expected_generated(self, stream: relay_call.Stream) -> float:
+        expected = self._expected_tokens.get(
+            stream.call.workspace, FIRST_EXPECTED_GENERATED_TOKENS
+        )
+        most = stream.call.body.get('max_tokens')
+        return min(expected, most) if isinstance(most, int) else expected
+
+    def _learn(self, workspace: ids.WorkspaceName, generated: int) -> None:
+        expected = self._expected_tokens.get(
+            workspace, FIRST_EXPECTED_GENERATED_TOKENS
+        )
+        expected += SMOOTHING * (generated - expected)
+        self._expected_tokens[workspace] = expected
+
+    def _set_limits(self, now_s: float) -> None:
+        document = self._document
+        if document is None:
+            return
+        demand = self.demand()
+        for text, workspace in document.workspaces.items():
+            name = ids.WorkspaceName(text)
+            part = self._steering.part(
+                name, demand.get(name, 0.0), self._live_routers, now_s
+            )
+            limit = self._limits.get(name)
+            if limit is None:
+                self._limits[name] = limits.WorkspaceLimits(
+                    workspace.limits, part, now_s
+                )
+            else:
+                limit.set_limits(workspace.limits, part, now_s)
+
+    def _rate(self, name: str, pool: _Pool, now_s: float) -> None:
+        """Expect what the document says, until it is measured."""
+        live = len(self._place.names(name))
+        if pool.rated or not live or self._document is None:
+            return
+        rate = self._document.pools[name].tokens_per_s_per_endpoint
+        pool.drain = admission.DrainRate(rate * live, now_s)
+        pool.rated = True
+
+    def _tick_pool(self, name: str, pool: _Pool, now_s: float) -> None:
+        live = len(self._place.names(name))
+        pool.drain.update(pool.waited, now_s)
+        pool.waited = pool.queue.waiting() > 0
+        level = pool.brown_out.update(
+            pool.queue.queued_tokens(),
+            pool.drain,
+            pool.first_token_target_s,
+            live,
+            now_s,
+        )
+        if level is not None:
+            _log.notice('pool {}: brown-out level {}', name, level.name)
+        self._count.set(f'pools.{name}.brown_out', pool.brown_out.level)
+        self._count.set(f'pools.{name}.waiting', pool.queue.waiting())
+        self._count.set(f'pools.{name}.drain', pool.drain.tokens_per_s)
+
+
+def _with_start_by(
+    request: shares.Request, start_by_s: float
+) -> shares.Request:
+    return shares.Request(
+        request.request_id,
+        request.workspace,
+        request.expected_tokens,
+        start_by_s,
+        request.priority,
+    )
--- /dev/null
+++ b/src/guavachute/services/relay/moves.py
@@ -0,0 +1,163 @@
+"""Moves streams away from endpoints that leave; owned by the relay's task.
+
+Around :mod:`guavachute.decide.reclaim`, which is asked anew each
+:data:`INTERVAL_S`, so that only what starts before the next look is
+acted upon and the rest follows what has changed since.
+"""
+
+import dataclasses
+import typing
+
+from guavachute.decide import reclaim
+from guavachute import ids
+from guavachute.services.relay import call as relay_call
+from guavachute.services.relay import endpoints
+from guavachute.services.relay import work as relay_work
+
+INTERVAL_S = 0.5
+KV_BYTES_PER_TOKEN = 100_000
+TRANSFER_BYTES_PER_S = 500_000_000.0
+"""For the KV transfers of all routers within a region."""
+
+PREFILL_TOKENS_PER_S = 8_000.0
+"""Of one endpoint."""
+
+EXPECTED_GAP_S = 0.051
+EXPECTED_TOKENS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """A stream that moves now.
+
+    :ivar target: where its KV cache goes; None to recompute
+    """
+
+    stream: relay_call.Stream
+    target: ids.EndpointId | None
+
+
+class Moves:
+    """Plans the moves of one router's streams."""
+
+    def __init__(self, place: endpoints.Endpoints) -> None:
+        self._place = place
+        self._pace = reclaim.ResumePace()
+        self._next_s = 0.0
+        self.live_routers = 1
+
+    def due(
+        self, streams: typing.Iterable[relay_call.Stream], now_s: float
+    ) -> list[Move]:
+        """The moves to begin now; mostly none."""
+        if now_s < self._next_s:
+            return []
+        self._next_s = now_s + INTERVAL_S
+        moves: list[Move] = []
+        for leave_at_s, leaving in self._leaving(streams).items():
+            moves += self._plan(leaving, leave_at_s, now_s)
+        return moves
+
+    def resume_at_s(self, stream: relay_call.Stream, now_s: float) -> float:
+        """When *stream*, whose endpoint is gone, may start elsewhere."""
+        capacity = self._capacity(stream.call.pool)
+        tokens = _computed_tokens(stream)
+        return self._pace.start_at_s(tokens, capacity, now_s)
+
+    def _leaving(
+        self, streams: typing.Iterable[relay_call.Stream]
+    ) -> dict[float, list[relay_call.Stream]]:
+        """The streams on leaving endpoints, by when those go."""
+        found: dict[float, list[relay_call.Stream]] = {}
+        for stream in streams:
+            if stream.connection is None or stream.endpoint is None:
+                continue
+            leave_at_s = self._place.leave_at_s(stream.endpoint.endpoint)
+            if leave_at_s is not None and not stream.ended:
+                found.setdefault(leave_at_s, []).append(stream)
+        return found
+
+    def _plan(
+        self,
+        streams: list[relay_call.Stream],
+        leave_at_s: float,
+        now_s: float,
+    ) -> list[Move]:
+        by_id = {}
+        described = []
+        for number, stream in enumerate(streams):
+            request_id = ids.RequestId(str(number))
+            by_id[request_id] = stream
+            described.append(_described(request_id, stream))
+        pool = streams[0].call.pool
+        steps = reclaim.plan(
+            described,
+            self._targets(pool),
+            self._capacity(pool),
+            leave_at_s,
+            now_s,
+        )
+        return self._begun(steps, by_id, pool, now_s)
+
+    def _begun(
+        self,
+        steps: list[reclaim.Step],
+        by_id: dict[ids.RequestId, relay_call.Stream],
+        pool: str,
+        now_s: float,
+    ) -> list[Move]:
+        """The moves that begin before the next look.
+
+        No more than there are free slots: a stream that would only wait
+        goes on where it is for as long as that lasts.
+        """
+        free = self._place.free_slots(pool)
+        moves: list[Move] = []
+        for step in steps:
+            if step.way is reclaim.Way.FINISH:
+                continue
+            if step.start_at_s >= now_s + INTERVAL_S or len(moves) >= free:
+                break
+            moves.append(Move(by_id[step.request_id], step.target))
+        return moves
+
+    def _targets(self, pool: str) -> list[reclaim.Target]:
+        targets = []
+        for name in self._place.names(pool):
+            entry = self._place.entry(name)
+            assert entry is not None
+            free = self._place.free_slots_of(name)
+            region = ids.Region(entry.region)
+            targets.append(reclaim.Target(name, region, free))
+        return targets
+
+    def _capacity(self, pool: str) -> reclaim.Capacity:
+        live = len(self._place.names(pool))
+        return reclaim.Capacity(
+            TRANSFER_BYTES_PER_S / self.live_routers,
+            PREFILL_TOKENS_PER_S * live / self.live_routers,
+        )
+
+
+def _computed_tokens(stream: relay_call.Stream) -> int:
+    prompt = relay_work.tokens_of(stream.call.prompt)
+    return int(prompt) + stream.answer.next_index
+
+
+def _described(
+    request_id: ids.RequestId, stream: relay_call.Stream
+) -> reclaim.Stream:
+    assert stream.endpoint is not None
+    computed = _computed_tokens(stream)
+    generated = stream.answer.next_index
+    most = stream.call.body.get('max_tokens')
+    expected = most if isinstance(most, int) else EXPECTED_TOKENS
+    return reclaim.Stream(
+        request_id,
+        ids.Region(stream.endpoint.region),
+        computed,
+        max(1, expected - generated),
+        EXPECTED_GAP_S,
+        computed * KV_BYTES_PER_TOKEN,
+        stream.call.priority,
+    )
--- /dev/null
+++ b/src/guavachute/services/relay/suspects.py
@@ -0,0 +1,201 @@
+"""Which streams may have crashed an endpoint; owned by the relay's task.
+
+Around :mod:`guavachute.decide.crash`: collects what was cut off an
+endpoint until it is known whether that died, asks for grants, and tells
+a reclaimed failure domain from a crash.
+"""
+
+import collections
+import typing
+
+from guavachute.decide import crash
+from guavachute.decide import crash_grants
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute import outcome
+from guavachute.services.relay import work as relay_work
+from guavachute.wire import tables
+
+DOMAIN_WINDOW_S = 2.0
+DOMAIN_ENDPOINTS = 3
+"""So many endpoints of a failure domain lost within the window are a
+reclaim without notice, not so many crashes."""
+
+GRANT_RETRY_S = 0.5
+
+_log = logs.logger('suspects')
+
+
+class Granter(typing.Protocol):
+    """Asks the owner of a fingerprint; answers at once or refuses."""
+
+    def ask(self, name: crash.Fingerprint, now_s: float) -> bool:
+        """Whether an attempt of suspect *name* may start here."""
+
+    def release(
+        self, name: crash.Fingerprint, notice: crash.CrashNotice | None
+    ) -> None:
+        """The granted attempt has ended."""
+
+
+class LocalGranter:
+    """Grants within one router; enough where there is only one."""
+
+    def __init__(self, book: crash.CrashBook) -> None:
+        self._book = book
+        self._grants = crash_grants.Grants()
+
+    def ask(self, name: crash.Fingerprint, now_s: float) -> bool:
+        """Grant it unless another attempt runs."""
+        message = crash_grants.GrantAsk(fingerprint=name, router='')
+        standing = self._book.standing(name, now_s)
+        return self._grants.ask(message, standing, now_s).granted
+
+    def release(
+        self, name: crash.Fingerprint, notice: crash.CrashNotice | None
+    ) -> None:
+        """The granted attempt has ended."""
+        message = crash_grants.GrantRelease(fingerprint=name, router='')
+        self._grants.release(message)
+
+
+class Suspects:
+    """The suspicions of one router.
+
+    :ivar book: shared with the granter
+    :param tell: called with each notice that the others have to know
+    """
+
+    def __init__(
+        self,
+        count: counters.Counters,
+        tell: typing.Callable[[crash.CrashNotice], None],
+    ) -> None:
+        self.book = crash.CrashBook()
+        self.granter: Granter = LocalGranter(self.book)
+        self._count = count
+        self._tell = tell
+        self._cut: dict[str, list[relay_work.Work]] = {}
+        self._losses: collections.deque[tuple[float, str, str, str]] = (
+            collections.deque()
+        )
+
+    def may_start(
+        self, work: relay_work.Work, now_s: float
+    ) -> outcome.Failure | None:
+        """None if an attempt may start, with :meth:`apart_from`."""
+        standing = self.book.standing(work.fingerprint, now_s)
+        if standing is crash.Standing.CLEAN:
+            return None
+        if standing is crash.Standing.REFUSED:
+            self._count.add('crashes.requests_refused')
+            return outcome.Failure(
+                outcome.Reason.CRASHES_ENDPOINTS,
+                'this request has crashed endpoints and is not run again',
+            )
+        if work.granted:
+            return None
+        if not self.granter.ask(work.fingerprint, now_s):
+            return outcome.Failure(
+                outcome.Reason.NO_CAPACITY,
+                'this request may have crashed an endpoint; another '
+                'attempt of it is under way',
+                GRANT_RETRY_S,
+            )
+        work.granted = True
+        return None
+
+    def apart_from(
+        self, work: relay_work.Work, now_s: float
+    ) -> frozenset[ids.EndpointId]:
+        """Endpoints that an attempt of *work* must not go to."""
+        standing = self.book.standing(work.fingerprint, now_s)
+        if standing is crash.Standing.CLEAN:
+            return frozenset()
+        return self.book.with_suspects()
+
+    def started(
+        self, work: relay_work.Work, endpoint: str, now_s: float
+    ) -> None:
+        """An attempt of *work* begins at *endpoint*."""
+        self.book.started(
+            work.attempt_id,
+            work.fingerprint,
+            ids.EndpointId(endpoint),
+            now_s,
+        )
+
+    def cut(self, work: relay_work.Work, endpoint: str) -> None:
+        """Its connection broke; :meth:`judged` will say what that was.
+
+        The attempt stays in the book until then.
+        """
+        work.cut = True
+        self._cut.setdefault(endpoint, []).append(work)
+
+    def judged(
+        self, entry: tables.EndpointEntry, alive: bool, now_s: float
+    ) -> None:
+        """Whether the endpoint of the cut attempts still lives."""
+        cut = self._cut.pop(entry.endpoint, [])
+        for work in cut:
+            work.cut = False
+        if alive:
+            for work in cut:
+                self.ended(work)
+            return
+        crash_id = f'{entry.endpoint}@{entry.address}'
+        endpoint = ids.EndpointId(entry.endpoint)
+        notices = self.book.crashed(endpoint, crash_id, now_s)
+        if all(crash_id != each[3] for each in self._losses):
+            self._count.add('crashes.endpoints')
+            _log.warning('endpoint {} died', entry.endpoint)
+        for work in cut:
+            self._release(work, notices)
+        for notice in notices:
+            self._tell(notice)
+        self._watch_domain(entry, crash_id, now_s)
+
+    def completed(self, work: relay_work.Work, now_s: float) -> None:
+        """An attempt of *work* gave the whole answer."""
+        notice = self.book.completed(work.attempt_id, now_s)
+        if notice is not None:
+            self._count.add('crashes.requests_cleared')
+            self._tell(notice)
+        self._release(work, [] if notice is None else [notice])
+
+    def ended(self, work: relay_work.Work) -> None:
+        """An attempt of *work* ended without saying anything of it.
+
+        A cut one stays until it is judged, also if its caller leaves.
+        """
+        if work.cut:
+            return
+        self.book.ended(work.attempt_id)
+        self._release(work, [])
+
+    def _release(
+        self, work: relay_work.Work, notices: list[crash.CrashNotice]
+    ) -> None:
+        if not work.granted:
+            return
+        work.granted = False
+        name = work.fingerprint
+        own = [each for each in notices if each.fingerprint == name]
+        self.granter.release(name, own[0] if own else None)
+
+    def _watch_domain(
+        self, entry: tables.EndpointEntry, crash_id: str, now_s: float
+    ) -> None:
+        """Take the blame back when a failure domain goes as a whole."""
+        domain = entry.failure_domain
+        self._losses.append((now_s, domain, entry.endpoint, crash_id))
+        while self._losses[0][0] < now_s - DOMAIN_WINDOW_S:
+            self._losses.popleft()
+        lost = [each for each in self._losses if each[1] == domain]
+        if len({each[2] for each in lost}) < DOMAIN_ENDPOINTS:
+            return
+        for each in lost:
+            for notice in self.book.retract(each[3]):
+                self._tell(notice)
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -13,24 +13,40 @@
 import time
 import typing
 
+import msgspec
+
 from guavachute.decide import answer
 from guavachute.decide import attempts
+from guavachute.decide import crash
+from guavachute.decide import prefix_index
+from guavachute.decide import retry
+from guavachute.decide import silence
+from guavachute.decide import steering
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import traces
 from guavachute import outcome
-from guavachute.services.relay import balancer
 from guavachute.services.relay import call as relay_call
 from guavachute.services.relay import downstream
+from guavachute.services.relay import endpoints
+from guavachute.services.relay import exchange
+from guavachute.services.relay import gate
+from guavachute.services.relay import moves
 from guavachute.services.relay import pool
+from guavachute.services.relay import suspects
 from guavachute.services.relay import upstream
+from guavachute.services.relay import work as relay_work
 from guavachute.services import replies
+from guavachute.services import view as view_module
 from guavachute.wire import tables
 
 SWEEP_INTERVAL_S = 0.1
-SILENCE_S = 5.0
-"""Without a byte for this long an attempt is taken for lost."""
+PROBE_TIMEOUT_S = 0.5
+EXPORT_TIMEOUT_S = 5.0
+EXPECTED_GAP_S = 0.051
+PACE_TOKENS = 16
+"""The pace of a stream is looked at after so many tokens."""
 
 NOT_RUN_STATUSES = frozenset({429, 503})
 DONE_EVENT = b'data: [DONE]\n\n'
@@ -41,7 +57,29 @@
 class TablesChanged:
     """New tables are in force."""
 
-    view: tables.Tables
+    view: view_module.View
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointReport:
+    """What an endpoint says of itself, late.
+
+    :ivar age_s: of the load, at *heard_s* on the monotonic clock
+    """
+
+    endpoint: str
+    outstanding: int
+    slots: int
+    age_s: float
+    heard_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheChanged:
+    """Cache events of an endpoint, in order."""
+
+    endpoint: str
+    events: list[prefix_index.Event]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,44 +94,75 @@
     """The VM is about to go: callers are to go on elsewhere."""
 
 
+class KvExport(msgspec.Struct):
+    """Asks an engine to export the KV cache of an attempt."""
+
+    attempt_id: str
+    to: str
+
+
+class KvExported(msgspec.Struct):
+    """The engine's answer."""
+
+    kv_handle: str
+
+
 class Relay(task.Task):
     """Moves the bytes of all streams.
 
     Messages: :class:`call.ModelCall`, :class:`TablesChanged`,
-    :class:`TellWhenIdle`, :class:`HandOver`.
+    :class:`EndpointReport`, :class:`CacheChanged`,
+    :class:`steering.DemandSum` and :class:`crash.CrashNotice` of other
+    routers, :class:`TellWhenIdle`, :class:`HandOver`.
 
-    :param region: where this router stands
+    :param node: the VM, by which the subset of endpoints is chosen
+    :param tell: called with notices that the other routers are to get
     """
 
     def __init__(
         self,
+        node: str,
+        failure_domain: str,
         region: str,
         count: counters.Counters,
         tracer: traces.Tracer,
+        tell: typing.Callable[[crash.CrashNotice], None] = lambda _: None,
     ) -> None:
         super().__init__('relay')
-        self._balancer = balancer.Balancer(region)
+        self._endpoints = endpoints.Endpoints(
+            node, failure_domain, region, count
+        )
+        self._gate = gate.Gate(self._endpoints, count)
+        self._suspects = suspects.Suspects(count, tell)
+        self._moves = moves.Moves(self._endpoints)
+        self._budgets = retry.Budgets()
+        self._probed: dict[str, list[relay_call.Stream]] = {}
         self._count = count
         self._tracer = tracer
         self._pool = pool.ConnectionPool()
         self._streams: set[relay_call.Stream] = set()
-        self._waiting: list[relay_call.Stream] = []
+        self._waiting: list[tuple[float, relay_call.Stream]] = []
         self._next_sweep_s = 0.0
         self._tell_idle: list[threading.Event] = []
         self.active = 0
         self.used_tokens: dict[str, float] = {}
+        self.demand: dict[str, float] = {}
 
     def run(self) -> None:
         """Serve until stopped; what still runs then is cut."""
         with selectors.DefaultSelector() as selector:
             self._selector = selector
+            self._exchanges = exchange.Exchanges(selector)
             selector.register(
                 self.mailbox.fileno(), selectors.EVENT_READ, self._read_mail
             )
             while not self.stopping.is_set():
                 for key, events in selector.select(SWEEP_INTERVAL_S):
                     key.data(events)
-                self._sweep(time.monotonic())
+                now_s = time.monotonic()
+                if self._gate.waiting:
+                    self._start_queued(now_s)
+                self._sweep(now_s)
             self._close_all()
 
     # Messages.
@@ -101,6 +170,7 @@
     def _read_mail(self, events: int) -> None:
         for message in self.mailbox.drain():
             self._take_message(message)
+        self._start_queued(time.monotonic())
         self.active = len(self._streams)
 
     @functools.singledispatchmethod
@@ -118,11 +188,49 @@
             selectors.EVENT_READ,
             functools.partial(self._caller_ready, stream),
         )
-        self._start_attempt(stream, now_s)
+        refused = self._gate.arrive(stream, now_s)
+        if refused is not None:
+            self._fail(stream, outcome.Verdict.NOT_RUN, refused)
+            return
+        # Its own arrival must not make the next one wait in vain.
+        self._start_queued(now_s)
 
     @_take_message.register
     def _take_tables(self, message: TablesChanged) -> None:
-        self._balancer.update(message.view)
+        now_s = time.monotonic()
+        new = message.view
+        routers = sum(not each.leaving for each in new.tables.routers)
+        self._endpoints.update(new.tables, new.document, now_s)
+        self._gate.update(new.document, routers, now_s)
+        self._moves.live_routers = max(1, routers)
+
+    @_take_message.register
+    def _take_report(self, message: EndpointReport) -> None:
+        self._endpoints.reported(
+            message.endpoint,
+            message.outstanding,
+            message.slots,
+            message.age_s,
+            message.heard_s,
+        )
+
+    @_take_message.register
+    def _take_cache(self, message: CacheChanged) -> None:
+        self._endpoints.cache_changed(message.endpoint, message.events)
+
+    @_take_message.register
+    def _take_sum(self, message: steering.DemandSum) -> None:
+        self._gate.take_sum(message, time.monotonic())
+
+    @_take_message.register
+    def _take_notice(self, message: crash.CrashNotice) -> None:
+        now_s = time.monotonic()
+        stopped = set(self._suspects.book.take(message, now_s))
+        for stream in list(self._streams):
+            work = stream.work
+            if work is not None and work.attempt_id in stopped:
+                self._abandon_attempt(stream, now_s)
+                self._start_attempt(stream, now_s)
 
     @_take_message.register
     def _take_idle(self, message: TellWhenIdle) -> None:
@@ -136,17 +244,27 @@
 
     # Attempts.
 
+    def _start_queued(self, now_s: float) -> None:
+        for stream, failure in self._gate.expire(now_s):
+            self._fail(stream, outcome.Verdict.NOT_RUN, failure)
+        for stream in self._gate.start(now_s):
+            self._budgets.first_attempt(stream.call.workspace)
+            self._start_attempt(stream, now_s)
+
     def _start_attempt(self, stream: relay_call.Stream, now_s: float) -> None:
-        choice = self._balancer.choose(stream)
+        work = stream.work
+        assert work is not None
+        choice = self._choose(stream, work, now_s)
         if isinstance(choice, outcome.Failure):
-            self._no_endpoint(stream, choice)
+            self._no_endpoint(stream, choice, now_s)
             return
         attempt_id = ids.AttemptId(ids.new_random_id('att'))
         stream.endpoint = choice
         stream.history.begin(choice.endpoint)
         stream.answer.begin(attempt_id)
         stream.splitter = type(stream.splitter)()
-        stream.last_progress_s = now_s
+        stream.moving = False
+        stream.watch = silence.Watch(True, EXPECTED_GAP_S, now_s)
         stream.span = self._tracer.start(
             'attempt',
             stream.call.context,
@@ -156,12 +274,39 @@
                 'guavachute.resume_from': stream.answer.next_index,
             },
         )
-        self._balancer.started(choice.endpoint)
+        work.begin(attempt_id, stream.answer.next_index, now_s)
+        self._endpoints.started(choice.endpoint, work, now_s)
+        self._suspects.started(work, choice.endpoint, now_s)
         self._count.add('attempts.started')
         if stream.answer.next_index:
             self._count.add('attempts.resumed')
         self._connect(stream, choice.address, attempt_id, now_s)
 
+    def _choose(
+        self,
+        stream: relay_call.Stream,
+        work: relay_work.Work,
+        now_s: float,
+    ) -> tables.EndpointEntry | outcome.Failure:
+        refused = self._suspects.may_start(work, now_s)
+        if refused is not None:
+            return refused
+        if stream.target is not None:
+            target = self._endpoints.entry(stream.target)
+            stream.target = None
+            if target is not None and not target.leaving:
+                return target
+        choice = self._endpoints.choose(
+            stream.call.pool,
+            work,
+            stream.history.endpoints,
+            self._suspects.apart_from(work, now_s),
+            now_s,
+        )
+        if isinstance(choice, outcome.Failure):
+            self._suspects.ended(work)
+        return choice
+
     def _connect(
         self,
         stream: relay_call.Stream,
@@ -185,13 +330,17 @@
             self._endpoint_ready(stream, 0)
 
     def _no_endpoint(
-        self, stream: relay_call.Stream, failure: outcome.Failure
+        self,
+        stream: relay_call.Stream,
+        failure: outcome.Failure,
+        now_s: float,
     ) -> None:
-        if stream.history.attempts:
+        lacking = failure.reason is outcome.Reason.NO_CAPACITY
+        if stream.history.attempts and lacking:
             # It was accepted: it waits for an endpoint until its deadline.
-            self._waiting.append(stream)
+            self._waiting.append((now_s, stream))
         else:
-            self._fail(stream, outcome.Verdict.NOT_RUN, failure)
+            self._fail(stream, stream.history.verdict(), failure)
 
     def _endpoint_ready(self, stream: relay_call.Stream, events: int) -> None:
         connection = stream.connection
@@ -224,7 +373,8 @@
         self, stream: relay_call.Stream, data: bytes, now_s: float
     ) -> None:
         parts, step = stream.take(data)
-        stream.last_progress_s = now_s
+        stream.watch.progress(now_s)
+        self._count_tokens(stream, now_s)
         if parts:
             if stream.first_token_s is None:
                 stream.first_token_s = now_s
@@ -240,6 +390,25 @@
         elif step is answer.Step.RESUME:
             self._attempt_failed(stream, attempts.Ending.LOST, now_s)
 
+    def _count_tokens(self, stream: relay_call.Stream, now_s: float) -> None:
+        """Look at the pace and charge, now and then."""
+        work = stream.work
+        if work is None or stream.endpoint is None:
+            return
+        before = work.tokens
+        work.tokens = stream.answer.next_index - work.first_index
+        if before == 0 and work.tokens:
+            self._gate.first_token(stream, now_s - work.mark_s)
+            work.mark(now_s)
+        if before < crash.PROVEN_TOKENS <= work.tokens:
+            self._suspects.book.proven(work.attempt_id)
+        since = work.tokens - work.mark_tokens
+        if since >= PACE_TOKENS:
+            gap_s = (now_s - work.mark_s) / since
+            self._endpoints.paced(stream.endpoint.endpoint, gap_s, now_s)
+            self._gate.generated(stream, now_s)
+            work.mark(now_s)
+
     def _send_events(self, stream: relay_call.Stream, data: bytes) -> None:
         caller = stream.caller
         if not caller.started:
@@ -283,15 +452,198 @@
         self._count.add(f'attempts.{ending.value}')
         if stream.span is not None:
             traces.fail(stream.span, ending.value)
+        entry = stream.endpoint
+        assert entry is not None and stream.work is not None
+        leaving = self._endpoints.leave_at_s(entry.endpoint) is not None
+        if ending is not attempts.Ending.REFUSED:
+            self._endpoints.failed(entry.endpoint, now_s)
         self._end_attempt(stream, now_s)
+        if ending is attempts.Ending.LOST and not leaving:
+            self._suspects.cut(stream.work, entry.endpoint)
+            self._probe_cut(stream, entry, now_s)
+            return
+        self._suspects.ended(stream.work)
+        self._next_attempt(stream, ending, now_s)
+
+    def _next_attempt(
+        self,
+        stream: relay_call.Stream,
+        ending: attempts.Ending,
+        now_s: float,
+    ) -> None:
         step = attempts.next_step(
             stream.history, ending, stream.call.deadline_s, now_s
         )
         if isinstance(step, attempts.GiveUp):
             self._fail(stream, step.verdict, step.failure)
+        elif not self._may_retry(stream, ending):
+            self._fail(
+                stream,
+                stream.history.verdict(),
+                outcome.Failure(
+                    outcome.Reason.RETRIES_SPENT,
+                    'the retry budget of the workspace is spent',
+                    retry.BACKOFF_LONGEST_S,
+                ),
+            )
         else:
             self._start_attempt(stream, now_s)
 
+    def _may_retry(
+        self, stream: relay_call.Stream, ending: attempts.Ending
+    ) -> bool:
+        """Whether the budgets allow another attempt.
+
+        An answer that has begun, or whose endpoint is gone, goes on in
+        any case; :mod:`guavachute.decide.retry` says why.
+        """
+        if stream.answer.next_index or ending not in (
+            attempts.Ending.REFUSED,
+            attempts.Ending.LOST,
+        ):
+            return True
+        if self._budgets.take(stream.call.workspace):
+            self._count.add('retries.sent')
+            return True
+        self._count.add('retries.refused')
+        return False
+
+    def _probe_cut(
+        self,
+        stream: relay_call.Stream,
+        entry: tables.EndpointEntry,
+        now_s: float,
+    ) -> None:
+        """Ask whether the endpoint still lives; *stream* waits for it."""
+        cut = self._probed.setdefault(entry.endpoint, [])
+        cut.append(stream)
+        if len(cut) == 1:
+            self._probe(
+                entry, functools.partial(self._cut_judged, entry), now_s
+            )
+
+    def _probe(
+        self,
+        entry: tables.EndpointEntry,
+        done: exchange.Done,
+        now_s: float,
+    ) -> None:
+        self._count.add('probes.sent')
+        self._exchanges.ask(
+            'GET',
+            entry.address,
+            '/healthz',
+            b'',
+            PROBE_TIMEOUT_S,
+            done,
+            now_s,
+        )
+
+    def _cut_judged(
+        self, entry: tables.EndpointEntry, found: exchange.Answer
+    ) -> None:
+        now_s = time.monotonic()
+        alive = found.status != 0
+        if not alive:
+            self._endpoints.lost(entry.endpoint)
+        self._suspects.judged(entry, alive, now_s)
+        for stream in self._probed.pop(entry.endpoint, []):
+            if stream.ended:
+                continue
+            if alive:
+                self._next_attempt(stream, attempts.Ending.LOST, now_s)
+            else:
+                at_s = self._moves.resume_at_s(stream, now_s)
+                self._waiting.append((at_s, stream))
+        self._start_waiting(now_s)
+
+    def _probe_silent(self, stream: relay_call.Stream, now_s: float) -> None:
+        """Ask on a new connection whether the endpoint answers."""
+        entry = stream.endpoint
+        assert entry is not None
+        connection = stream.connection
+        done = functools.partial(self._silence_judged, stream, connection)
+        self._probe(entry, done, now_s)
+
+    def _silence_judged(
+        self,
+        stream: relay_call.Stream,
+        connection: upstream.Connection | None,
+        found: exchange.Answer,
+    ) -> None:
+        if stream.connection is not connection or stream.ended:
+            return
+        now_s = time.monotonic()
+        answered = found.status != 0
+        probe = silence.Probe.ANSWERED if answered else silence.Probe.NO_ANSWER
+        if stream.watch.probed(probe, now_s) is silence.Act.WAIT:
+            return
+        entry = stream.endpoint
+        assert entry is not None
+        self._attempt_failed(stream, attempts.Ending.SILENT, now_s)
+        self._count.add(f'probes.{probe.value}')
+
+    # Moves from endpoints that leave.
+
+    def _move_leaving(self, now_s: float) -> None:
+        for move in self._moves.due(self._streams, now_s):
+            stream = move.stream
+            if stream.moving:
+                continue
+            if move.target is None or stream.work is None:
+                self._move(stream, now_s)
+            else:
+                self._export(stream, move.target, now_s)
+
+    def _export(
+        self,
+        stream: relay_call.Stream,
+        target: ids.EndpointId,
+        now_s: float,
+    ) -> None:
+        entry = self._endpoints.entry(target)
+        assert entry is not None and stream.endpoint is not None
+        assert stream.work is not None
+        stream.moving = True
+        body = KvExport(stream.work.attempt_id, entry.address)
+        self._exchanges.ask(
+            'POST',
+            stream.endpoint.address,
+            '/v1/kv/export',
+            msgspec.json.encode(body),
+            EXPORT_TIMEOUT_S,
+            functools.partial(
+                self._exported, stream, stream.connection, target
+            ),
+            now_s,
+        )
+
+    def _exported(
+        self,
+        stream: relay_call.Stream,
+        connection: upstream.Connection | None,
+        target: ids.EndpointId,
+        found: exchange.Answer,
+    ) -> None:
+        if stream.connection is not connection or stream.ended:
+            return
+        try:
+            exported = msgspec.json.decode(found.body, type=KvExported)
+        except (msgspec.ValidationError, msgspec.DecodeError):
+            self._count.add('moves.export_failed')
+        else:
+            stream.kv_handle = exported.kv_handle
+            stream.target = target
+            self._count.add('moves.exported')
+        self._move(stream, time.monotonic())
+
+    def _move(self, stream: relay_call.Stream, now_s: float) -> None:
+        self._count.add('moves.started')
+        self._abandon_attempt(stream, now_s)
+        self._start_attempt(stream, now_s)
+
+    # Ends of attempts.
+
     def _end_attempt(self, stream: relay_call.Stream, now_s: float) -> None:
         connection = stream.connection
         if connection is None:
@@ -305,7 +657,7 @@
         else:
             connection.close()
         assert stream.endpoint is not None
-        self._balancer.ended(stream.endpoint.endpoint)
+        self._endpoints.ended(stream.endpoint.endpoint, now_s)
         if stream.span is not None:
             stream.span.end()
             stream.span = None
@@ -317,6 +669,8 @@
         connection = stream.connection
         if connection is not None and connection.sent_bytes:
             stream.history.end(attempts.Ending.LEAVING)
+        if stream.work is not None:
+            self._suspects.ended(stream.work)
         self._end_attempt(stream, now_s)
 
     # The caller's side.
@@ -372,7 +726,10 @@
     def _unpause(self, stream: relay_call.Stream) -> None:
         if stream.paused and stream.connection is not None:
             stream.paused = False
-            stream.last_progress_s = time.monotonic()
+            now_s = time.monotonic()
+            stream.watch.progress(now_s)
+            if stream.work is not None:
+                stream.work.mark(now_s)
             self._selector.register(
                 stream.connection.socket,
                 stream.connection.wanted_events,
@@ -385,7 +742,7 @@
         now_s = time.monotonic()
         self._unpause(stream)
         # Closing its connection cancels the request at the engine.
-        self._end_attempt(stream, now_s)
+        self._abandon_attempt(stream, now_s)
         stream.ended = True
         self._release(stream)
 
@@ -393,6 +750,8 @@
 
     def _finish(self, stream: relay_call.Stream, now_s: float) -> None:
         call = stream.call
+        if stream.work is not None:
+            self._suspects.completed(stream.work, now_s)
         self._end_attempt(stream, now_s)
         verdict = outcome.Verdict.DONE
         lines = replies.headers(call.request_id, verdict)
@@ -451,6 +810,7 @@
             stream.caller.add(b'retry: 0\n\n')
             stream.caller.flush()
             stream.caller.gone = True
+            stream.ended = True
             self._release(stream)
             return
         self._fail(
@@ -470,12 +830,19 @@
 
     def _end(self, stream: relay_call.Stream) -> None:
         stream.ended = True
+        self._leave(stream)
         self._flush(stream)
 
+    def _leave(self, stream: relay_call.Stream) -> None:
+        """Free its place; another may start in it."""
+        if stream.work is not None:
+            self._gate.leave(stream, time.monotonic())
+
     def _release(self, stream: relay_call.Stream) -> None:
         if stream not in self._streams:
             return
         self._streams.remove(stream)
+        self._leave(stream)
         self._watch_caller(stream, 0)
         stream.call.span.end()
         stream.caller.release()
@@ -489,15 +856,27 @@
             return
         self._next_sweep_s = now_s + SWEEP_INTERVAL_S
         self._pool.forget_old(now_s)
-        waiting, self._waiting = self._waiting, []
-        for stream in waiting:
-            if not stream.ended:
-                self._start_attempt(stream, now_s)
+        self._exchanges.sweep(now_s)
+        self._start_waiting(now_s)
+        self._move_leaving(now_s)
+        self._gate.tick(now_s)
+        # Replaced, not changed: another thread reads it.
+        self.demand = self._gate.demand()
         for stream in list(self._streams):
             if not stream.ended:
                 self._check_time(stream, now_s)
         self._count.set('streams.active', len(self._streams))
 
+    def _start_waiting(self, now_s: float) -> None:
+        waiting, self._waiting = self._waiting, []
+        for at_s, stream in waiting:
+            if stream.ended:
+                continue
+            if at_s > now_s:
+                self._waiting.append((at_s, stream))
+            else:
+                self._start_attempt(stream, now_s)
+
     def _check_time(self, stream: relay_call.Stream, now_s: float) -> None:
         if now_s >= stream.call.deadline_s:
             self._abandon_attempt(stream, now_s)
@@ -509,7 +888,10 @@
                 ),
             )
         elif stream.connection is not None and not stream.paused:
-            if now_s - stream.last_progress_s > SILENCE_S:
+            act = stream.watch.check(now_s)
+            if act is silence.Act.PROBE:
+                self._probe_silent(stream, now_s)
+            elif act is silence.Act.RESUME:
                 self._attempt_failed(stream, attempts.Ending.SILENT, now_s)
 
     def _close_all(self) -> None:
@@ -519,3 +901,4 @@
             if stream.connection is not None:
                 stream.connection.close()
         self._pool.close()
+        self._exchanges.close()
