Bring about the failures that the decisions are for

Tests with a router and stand-in engines: a crashing request sent 20 times loses two of six engines and its eight neighbours get their whole answers; a silent stream is probed and resumed; overload is refused at once with Retry-After while what was taken is finished; limits hold; streams on a leaving engine go on elsewhere with their cache.

--- a/src/guavachute/decide/health.py
+++ b/src/guavachute/decide/health.py
@@ -5,7 +5,8 @@
 ejected endpoint is left alone for a time that doubles with each
 ejection; then one request probes it. Never is more than half of a pool
 ejected: beyond that the fault is more likely elsewhere, and spreading
-the load over the rest would take that down as well.
+the load over the rest would take that down as well. Endpoints that take
+no connections at all are beyond doubt and left out of that bound.
 """
 
 import dataclasses
@@ -47,6 +48,7 @@
     FAILURES = 'failures'
     SLOW = 'slow'
     PROBE_FAILED = 'probe-failed'
+    DIED = 'died'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +146,17 @@
             return self._eject(endpoint, entry, Cause.FAILURES, now_s)
         return None
 
+    def died(self, endpoint: ids.EndpointId, now_s: float) -> Change | None:
+        """*endpoint* takes no connections.
+
+        That is no judgement that could be wrong for the whole pool, so
+        the bound on ejections does not hold.
+        """
+        entry = self._endpoints.get(endpoint)
+        if entry is None or now_s < entry.until_s:
+            return None
+        return self._put_out(endpoint, entry, Cause.DIED, now_s)
+
     def _probe_succeeded(
         self,
         endpoint: ids.EndpointId,
@@ -168,6 +181,15 @@
     ) -> Change | None:
         if entry.state is State.LIVE and not self._may_eject():
             return None
+        return self._put_out(endpoint, entry, cause, now_s)
+
+    def _put_out(
+        self,
+        endpoint: ids.EndpointId,
+        entry: _Endpoint,
+        cause: Cause,
+        now_s: float,
+    ) -> Change:
         ejection_s = FIRST_EJECTION_S * 2**entry.ejections
         entry.until_s = now_s + min(LONGEST_EJECTION_S, ejection_s)
         entry.ejections = min(entry.ejections + 1, 16)
--- a/src/guavachute/services/relay/endpoints.py
+++ b/src/guavachute/services/relay/endpoints.py
@@ -38,12 +38,14 @@
 
     :ivar leave_at_s: monotonic; None while it stays
     :ivar listed: False once the tables no longer name it
+    :ivar reported: it has said itself how many slots it has
     """
 
     entry: tables.EndpointEntry
     candidate: routing.Candidate
     leave_at_s: float | None = None
     listed: bool = True
+    reported: bool = False
 
 
 class Endpoints:
@@ -77,9 +79,11 @@
         for name, entry in entries.items():
             known = self._known.get(name)
             if known is None:
-                known = self._add(entry, document, now_s)
+                known = self._add(entry, now_s)
             known.entry = entry
             known.listed = True
+            if not known.reported:
+                known.candidate.slots = _expected_slots(entry, document)
             if entry.leaving and known.leave_at_s is None:
                 notice_s = entry.leave_in_s
                 if notice_s is None:
@@ -118,6 +122,11 @@
             if known.entry.pool == pool and _stays(known)
         )
 
+    def outstanding(self, name: str) -> int:
+        """Requests that run or wait at endpoint *name*."""
+        known = self._known.get(ids.EndpointId(name))
+        return 0 if known is None else known.candidate.load.outstanding
+
     def free_slots_of(self, name: ids.EndpointId) -> int:
         """Slots of endpoint *name* that nothing uses."""
         candidate = self._known[name].candidate
@@ -173,9 +182,12 @@
         link_bytes = self._link.level(now_s)
         ejected = self._pool_health(pool).excluded(now_s)
         result: routing.Choice | outcome.Failure | None = None
+        # A suspect waits for a place of its own rather than go to an
+        # ejected endpoint while others work.
+        if ejected.issuperset(self.names(pool)):
+            ejected = frozenset()
         tried_ids = frozenset(ids.EndpointId(name) for name in tried)
-        nobody: frozenset[ids.EndpointId] = frozenset()
-        for excluded in (ejected | tried_ids, ejected, nobody):
+        for excluded in (ejected | tried_ids, ejected):
             result = routing.choose(want, candidates, excluded, link_bytes)
             if isinstance(result, routing.Choice):
                 if result.region_bytes:
@@ -216,9 +228,14 @@
             watched = self._pool_health(known.entry.pool)
             self._note(watched.failed(ids.EndpointId(name), now_s))
 
-    def lost(self, name: str) -> None:
+    def lost(self, name: str, now_s: float) -> None:
         """Endpoint *name* died; its cache is gone with it."""
-        self._index.drop(ids.EndpointId(name))
+        endpoint = ids.EndpointId(name)
+        self._index.drop(endpoint)
+        known = self._known.get(endpoint)
+        if known is not None:
+            watched = self._pool_health(known.entry.pool)
+            self._note(watched.died(endpoint, now_s))
 
     def reported(
         self,
@@ -231,6 +248,7 @@
         """The endpoint's own, lagged word on its load."""
         known = self._known.get(ids.EndpointId(name))
         if known is not None:
+            known.reported = True
             known.candidate.slots = max(1, slots)
             known.candidate.load.reported(outstanding, age_s, now_s)
 
@@ -271,18 +289,15 @@
     def _add(
         self,
         entry: tables.EndpointEntry,
-        document: schema.Document,
         now_s: float,
     ) -> Endpoint:
-        pool = document.pools.get(entry.pool)
-        slots = DEFAULT_SLOTS if pool is None else pool.slots_per_endpoint
         name = ids.EndpointId(entry.endpoint)
         known = Endpoint(
             entry,
             routing.Candidate(
                 name,
                 ids.FailureDomain(entry.failure_domain),
-                slots,
+                DEFAULT_SLOTS,
                 load.Load(),
                 entry.region != self._region,
             ),
@@ -315,5 +330,12 @@
             )
 
 
+def _expected_slots(
+    entry: tables.EndpointEntry, document: schema.Document
+) -> int:
+    pool = document.pools.get(entry.pool)
+    return DEFAULT_SLOTS if pool is None else pool.slots_per_endpoint
+
+
 def _stays(known: Endpoint) -> bool:
     return known.listed and known.leave_at_s is None
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -148,6 +148,14 @@
         self.used_tokens: dict[str, float] = {}
         self.demand: dict[str, float] = {}
 
+    def outstanding(self, endpoint: str) -> int:
+        """Requests at *endpoint*, as last known; from any thread."""
+        return self._endpoints.outstanding(endpoint)
+
+    def free_slots(self, pool: str) -> int:
+        """Slots of *pool* that nothing uses; from any thread."""
+        return self._endpoints.free_slots(pool)
+
     def run(self) -> None:
         """Serve until stopped; what still runs then is cut."""
         with selectors.DefaultSelector() as selector:
@@ -455,7 +463,11 @@
         entry = stream.endpoint
         assert entry is not None and stream.work is not None
         leaving = self._endpoints.leave_at_s(entry.endpoint) is not None
-        if ending is not attempts.Ending.REFUSED:
+        connection = stream.connection
+        fresh = connection is not None and not connection.reused
+        if ending is attempts.Ending.UNREACHED and fresh:
+            self._endpoints.lost(entry.endpoint, now_s)
+        elif ending is not attempts.Ending.REFUSED:
             self._endpoints.failed(entry.endpoint, now_s)
         self._end_attempt(stream, now_s)
         if ending is attempts.Ending.LOST and not leaving:
@@ -545,7 +557,7 @@
         now_s = time.monotonic()
         alive = found.status != 0
         if not alive:
-            self._endpoints.lost(entry.endpoint)
+            self._endpoints.lost(entry.endpoint, now_s)
         self._suspects.judged(entry, alive, now_s)
         for stream in self._probed.pop(entry.endpoint, []):
             if stream.ended:
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -60,6 +60,14 @@
                 watched.succeeded(name, 9.0 if name == BAD else 1.0, 0)
         self.assertEqual({BAD}, watched.excluded(0))
 
+    def test_the_dead_are_out_whatever_their_number(self) -> None:
+        watched = pool()
+        for name in NAMES[:5]:
+            watched.died(name, 1)
+        self.assertEqual(set(NAMES[:5]), watched.excluded(1))
+        back_s = 1 + health.FIRST_EJECTION_S
+        self.assertEqual(frozenset(), watched.excluded(back_s))
+
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
--- /dev/null
+++ b/tests/cover/test_requests.py
@@ -0,0 +1,182 @@
+"""The decisions in force: a router and stand-in engines under faults."""
+
+import concurrent.futures
+import contextlib
+import json
+import typing
+import unittest
+
+import urllib3
+
+from guavachute.standin import engine_job
+from guavachute.standin import engine_text
+from guavachute.standin import faults
+from tests.support import documents
+from tests.support import small_fleet
+from tests.support import waiting
+
+RESENDS = 20
+SLOW = engine_job.EngineSettings(
+    models=[small_fleet.MODEL],
+    slots=2,
+    first_token_s=0.005,
+    token_gap_s=0.01,
+)
+
+
+class Answer(typing.NamedTuple):
+    """A whole answer as its caller has it."""
+
+    status: int
+    outcome: str
+    retry_after: str | None
+    text: str
+
+
+class RequestsTest(unittest.TestCase):
+    def start(self, **options: typing.Any) -> small_fleet.SmallFleet:
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        return stack.enter_context(small_fleet.running(**options))
+
+    def ask(
+        self,
+        fleet: small_fleet.SmallFleet,
+        prompt: str,
+        tokens: int = 40,
+        number: int = 0,
+        **headers: str,
+    ) -> Answer:
+        body = {
+            'model': small_fleet.MODEL,
+            'prompt': prompt,
+            'max_tokens': tokens,
+        }
+        response = urllib3.request(
+            'POST',
+            fleet.url('/v1/completions', number),
+            body=json.dumps(body),
+            headers=small_fleet.headers() | headers,
+            retries=False,
+            timeout=60,
+        )
+        found = response.json()
+        text = found['choices'][0]['text'] if response.status == 200 else ''
+        return Answer(
+            response.status,
+            response.headers['Guavachute-Outcome'],
+            response.headers.get('Retry-After'),
+            text,
+        )
+
+    def fault_everywhere(
+        self,
+        fleet: small_fleet.SmallFleet,
+        kind: faults.Kind,
+        **more: typing.Any,
+    ) -> None:
+        for one in fleet.engines:
+            one.faults.add(
+                faults.Fault(kind=kind, path_prefix='/v1/completions', **more)
+            )
+
+    def crashed(self, fleet: small_fleet.SmallFleet) -> int:
+        return sum(
+            one.faults.happened(faults.Kind.CRASH) for one in fleet.engines
+        )
+
+    def test_a_crashing_request_loses_two_endpoints_however_often_sent(
+        self,
+    ) -> None:
+        fleet = self.start(engines=6)
+        self.fault_everywhere(
+            fleet, faults.Kind.CRASH, match='poison', count=-1
+        )
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            others = [
+                pool.submit(self.ask, fleet, f'a plan {number}', 200)
+                for number in range(8)
+            ]
+            waiting.until(
+                lambda: fleet.count('first_token.count') >= 8, 'all run'
+            )
+            answers = [self.ask(fleet, 'poison') for _ in range(RESENDS)]
+            for number, other in enumerate(others):
+                expected = engine_text.expected_text(
+                    small_fleet.MODEL, f'a plan {number}', 200
+                )
+                self.assertEqual(expected, other.result().text)
+        self.assertEqual(2, self.crashed(fleet))
+        self.assertEqual('unknown', answers[0].outcome)
+        self.assertEqual(
+            {(422, 'not-run')},
+            {(each.status, each.outcome) for each in answers[1:]},
+        )
+
+    def test_a_silent_stream_is_probed_and_resumed(self) -> None:
+        fleet = self.start()
+        self.fault_everywhere(fleet, faults.Kind.SILENT, after_tokens=9)
+        answer = self.ask(fleet, 'a plan')
+        expected = engine_text.expected_text(small_fleet.MODEL, 'a plan', 40)
+        self.assertEqual(expected, answer.text)
+        self.assertGreaterEqual(fleet.count('probes.sent'), 1)
+        self.assertEqual(0, fleet.count('crashes.endpoints'))
+
+    def test_overload_refuses_at_once_and_finishes_what_it_took(
+        self,
+    ) -> None:
+        fleet = self.start(engines=1, engine_settings=SLOW)
+        waiting.until(
+            lambda: fleet.router.relay.free_slots('needle') == SLOW.slots,
+            'the engine has reported its slots',
+        )
+        with concurrent.futures.ThreadPoolExecutor(40) as pool:
+            asked = [
+                pool.submit(self.ask, fleet, f'plan {number}', 150)
+                for number in range(40)
+            ]
+            answers = [each.result() for each in asked]
+        refused = [each for each in answers if each.status != 200]
+        self.assertTrue(refused)
+        for each in refused:
+            self.assertEqual((429, 'not-run'), (each.status, each.outcome))
+            self.assertTrue(each.retry_after)
+        self.assertGreater(len(answers), len(refused))
+        self.assertEqual(0, fleet.count('attempts.refused'))
+
+    def test_a_limit_of_the_workspace_holds(self) -> None:
+        fleet = self.start()
+        document = documents.valid()
+        limits = {'requests_per_s': 0.01}
+        document['workspaces']['uniforms']['limits'] = limits
+        fleet.offset += 1
+        fleet.publish(document)
+        waiting.until(
+            lambda: self.ask(fleet, 'a plan', 1).status == 429, 'limited'
+        )
+        answer = self.ask(fleet, 'a plan', 1)
+        self.assertEqual('not-run', answer.outcome)
+        self.assertGreater(int(answer.retry_after or 0), 1)
+
+    def test_long_streams_leave_with_their_cache(self) -> None:
+        fleet = self.start(engines=2)
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            asked = [
+                pool.submit(self.ask, fleet, f'plan {number}', 900)
+                for number in range(4)
+            ]
+            waiting.until(
+                lambda: fleet.count('first_token.count') >= 4, 'all run'
+            )
+            leaving = max(
+                fleet.engines,
+                key=lambda one: fleet.router.relay.outstanding(one.name),
+            )
+            fleet.leave(leaving.name)
+            for number, each in enumerate(asked):
+                expected = engine_text.expected_text(
+                    small_fleet.MODEL, f'plan {number}', 900
+                )
+                self.assertEqual(expected, each.result().text)
+        self.assertGreaterEqual(fleet.count('moves.exported'), 1)
+        self.assertEqual(0, fleet.count('moves.export_failed'))
