Add a relay that only copies bytes to the relay's bench

Cause: the price of numbering, accounting and resume in a router is the difference to a relay without them on the same machine. Change: one more way in bench.relay: a selector task that copies bytes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,4 +1,4 @@
-"""Speed of a router process against direct calls and a plain relay.
+"""Speed of a router process against direct calls and other relays.
 
 One run, the ways one after the other, on the same engines and with the
 same requests. Prints one table and a line per target met or missed.
@@ -349,6 +349,8 @@
             'bench.plain_relay', str(STREAMS), *addresses
         ) as plain:
             take('plain relay, threads', STREAMS, plain)
+        with processes.running('bench.copy_relay', *addresses) as copying:
+            take('bytes only, selector', STREAMS, copying)
         with router(folder, addresses) as ours:
             take('router', STREAMS, ours)
         take('direct, many', MANY_STREAMS)
