Claim orders through the log before they are dispatched

Cause: the routers refused every call that may not be repeated.

Change: a committer task with a reader and an appender of its own, the gate that a router's plain calls go through, and two more outcomes that plain calls report to it: reached nobody, and may have run.

--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -177,6 +177,12 @@
     ) -> None:
         raise AssertionError('nothing was claimed')
 
+    def not_run(self, call: plain_calls.PlainCall) -> None:
+        raise AssertionError('nothing was claimed')
+
+    def unknown(self, call: plain_calls.PlainCall) -> None:
+        raise AssertionError('nothing was claimed')
+
 
 def _pause_until(end_s: float) -> None:
     while time.monotonic() < end_s:
--- a/src/guavachute/decide/order_claims.py
+++ b/src/guavachute/decide/order_claims.py
@@ -112,6 +112,8 @@
     def forget(self, now_unix_s: float) -> None:
         """Drop the keys whose window has passed by any VM's clock."""
         oldest_unix_s = now_unix_s - self.window_s - CLOCK_ERROR_S
+        if self.complete_from_unix_s < oldest_unix_s:
+            self.complete_from_unix_s = 0.0
         self._keys = {
             digest: key
             for digest, key in self._keys.items()
--- a/src/guavachute/decide/order_commit.py
+++ b/src/guavachute/decide/order_commit.py
@@ -121,6 +121,11 @@
         """How many claims wait."""
         return len(self._pending)
 
+    @property
+    def has_notices(self) -> bool:
+        """Whether give-ups or answers are to be appended."""
+        return bool(self._notices)
+
     def submit(self, claim: Claim) -> list[Reply]:
         """Take *claim*; the reply comes now or from another method."""
         assert claim.attempt_id not in self._pending, claim
--- a/src/guavachute/decide/order_snapshot.py
+++ b/src/guavachute/decide/order_snapshot.py
@@ -12,7 +12,10 @@
 
 KEYS_OF_A_PART = 500
 RECORDS_BETWEEN = 5_000
-INTERVAL_S = 600.0
+INTERVAL_S = 1800.0
+"""Also where nothing new came: a log that drops by age would drop the
+last snapshot. The log has to keep records for longer than this."""
+
 SAFE_FRACTION = 0.5
 """A snapshot that has moved through this much of what the log retains is
 replaced."""
--- /dev/null
+++ b/src/guavachute/services/order_claims.py
@@ -0,0 +1,353 @@
+"""Committer: decides for the routers which attempt may run an order."""
+
+import collections
+import dataclasses
+import functools
+import random
+import time
+import typing
+
+from guavachute.decide import order_claims
+from guavachute.decide import order_commit
+from guavachute.decide import order_keys
+from guavachute.decide import order_snapshot
+from guavachute import ids
+from guavachute.kernel import mailbox
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute import outcome
+from guavachute.services import claim_stream
+from guavachute.wire import order_records
+
+NAME = 'order-claims'
+STREAM = 'claims-0'
+
+READ_OUTAGE_S = 1.0
+"""Reads that fail for so long make new claims be refused at once."""
+
+PUMP_S = 0.02
+IDLE_S = 1.0
+FORGET_INTERVAL_S = 60.0
+LAST_APPEND_S = 3.0
+"""At the stop, for give-ups and answers that still wait."""
+
+_log = logs.logger('orders')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A router asks for the right to dispatch.
+
+    :ivar key: as the caller sent it, for the time that it may state
+    :ivar reply_to: gets one :data:`order_commit.Reply`
+    """
+
+    key: str
+    claim: order_commit.Claim
+    reply_to: mailbox.Mailbox
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The attempt has not run and will not; the router has decided so."""
+
+    key_digest: str
+    attempt_id: ids.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The attempt ran; its answer is to be kept."""
+
+    answer: order_records.OrderAnswer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetWindow:
+    """Remember keys for *window_s*, as the document says."""
+
+    window_s: float
+
+
+class OrderClaims(task.Task):
+    """Owns the fold of one claims stream and the claims that wait.
+
+    Messages: :class:`Ask`, :class:`GiveUp`, :class:`Answered`,
+    :class:`SetWindow`, and those of :mod:`claim_stream`.
+
+    :param reader: built with this task's mailbox as its owner, as is
+        *appender*; both are started and stopped here
+    """
+
+    def __init__(
+        self,
+        inbox: mailbox.Mailbox,
+        reader: task.Task,
+        appender: task.Task,
+        window_s: float,
+        metrics: counters.Counters,
+        name: str = NAME,
+    ) -> None:
+        super().__init__(name)
+        self.mailbox = inbox
+        self._reader = reader
+        self._appender = appender
+        self._metrics = metrics
+        self._claims = order_claims.Claims(window_s)
+        self._committer = order_commit.Committer(self._claims)
+        self._snapshots = order_snapshot.Schedule(random.random())
+        self._collector = order_snapshot.Collector()
+        self._parts: collections.deque[order_records.OrderSnapshotPart] = (
+            collections.deque()
+        )
+        self._sent_part: order_records.OrderSnapshotPart | None = None
+        self._waiting: dict[ids.AttemptId, mailbox.Mailbox] = {}
+        self._append_under_way = False
+        self._failing_since_s: float | None = None
+        self._first_retained = 0
+        self._next_forget_s = 0.0
+
+    def run(self) -> None:
+        """Decide until stopped; then write down what is still waiting."""
+        self._reader.start()
+        self._appender.start()
+        while not self.stopping.is_set():
+            self._turn()
+        self._write_down_the_rest()
+        for helper in (self._reader, self._appender):
+            helper.request_stop()
+            helper.join(LAST_APPEND_S)
+        self.mailbox.close()
+
+    def _turn(self) -> None:
+        timeout_s = PUMP_S if self._is_busy() else IDLE_S
+        message = self.mailbox.receive(timeout_s)
+        if message is not None:
+            _handle(message, self)
+        now_s = time.monotonic()
+        self._tell(self._committer.expire(now_s))
+        self._append_next(now_s)
+        self._forget(now_s)
+
+    def ask(self, message: Ask) -> None:
+        """Refuse the key, or have its claim decided."""
+        self._metrics.add('orders.claims')
+        claim = message.claim
+        failure = order_keys.check(
+            message.key,
+            time.time(),
+            self._claims.window_s,
+            self._claims.complete_from_unix_s,
+        )
+        self._waiting[claim.attempt_id] = message.reply_to
+        if failure is not None:
+            refused = order_commit.Refused(
+                claim.attempt_id, outcome.Verdict.NOT_RUN, failure
+            )
+            self._tell([refused])
+        else:
+            self._tell(self._committer.submit(claim))
+
+    def give_up(self, message: GiveUp) -> None:
+        """Have the attempt given up in the log, if it may be there."""
+        self._waiting.pop(message.attempt_id, None)
+        self._committer.give_up(message.key_digest, message.attempt_id)
+
+    def answered(self, message: Answered) -> None:
+        """Have the answer kept."""
+        self._committer.answered(message.answer)
+
+    def set_window(self, message: SetWindow) -> None:
+        """Use another window from now on."""
+        self._claims.window_s = message.window_s
+
+    def started(self, message: claim_stream.Started) -> None:
+        """Begin from a snapshot, or from an empty state."""
+        start = message.start
+        self._committer.is_ready = False
+        self._collector = order_snapshot.Collector()
+        self._claims.adopt(
+            start.through_offset, start.complete_from_unix_s, start.keys
+        )
+        if start.complete_from_unix_s:
+            self._metrics.add('orders.memory_lost')
+            _log.warning(
+                'claims before offset {} are lost: until their window has '
+                'passed only newer UUIDv7 keys are run',
+                start.through_offset + 1,
+            )
+
+    def read(self, message: claim_stream.Read) -> None:
+        """Fold, and decide the claims that were read back."""
+        now_unix_s = time.time()
+        self._first_retained = message.first_retained_offset
+        for offset, record in message.entries:
+            self._claims.fold(offset, record, now_unix_s)
+            self._collector.feed(record)
+        if self._collector.newest is not None:
+            self._snapshots.seen(
+                self._collector.through_offset, time.monotonic()
+            )
+            self._collector = order_snapshot.Collector()
+        at_end = self._claims.through_offset + 1 >= message.next_offset
+        self._set_ready(at_end or self._committer.is_ready)
+        self._tell(self._committer.decide())
+
+    def read_failed(self, message: claim_stream.ReadFailed) -> None:
+        """Refuse new claims once the log is down for a while."""
+        now_s = time.monotonic()
+        self._metrics.add('orders.read_failures')
+        if self._failing_since_s is None:
+            self._failing_since_s = now_s
+        if now_s - self._failing_since_s >= READ_OUTAGE_S:
+            self._set_ready(False)
+
+    def appended(self, message: claim_stream.Appended) -> None:
+        """Go on with the next batch, or repeat this one."""
+        self._metrics.add(f'orders.appends_{message.result.value}')
+        taken = message.result is order_commit.AppendResult.TAKEN
+        if self._sent_part is None:
+            self._committer.append_done(message.result)
+        elif not taken:
+            self._parts.appendleft(self._sent_part)
+        self._sent_part = None
+        self._append_under_way = False
+
+    def _set_ready(self, ready: bool) -> None:
+        if ready:
+            self._failing_since_s = None
+        if ready != self._committer.is_ready:
+            _log.notice('orders are {}', 'taken' if ready else 'refused')
+        self._committer.is_ready = ready
+
+    def _is_busy(self) -> bool:
+        return bool(len(self._committer) or self._committer.has_notices)
+
+    def _append_next(self, now_s: float) -> None:
+        if self._append_under_way:
+            return
+        batch = self._committer.next_batch(now_s, time.time())
+        if not batch:
+            self._plan_snapshot(now_s)
+            if not (self._parts and self._committer.is_ready):
+                return
+            self._sent_part = self._parts.popleft()
+            batch = [self._sent_part]
+        self._append_under_way = True
+        self._metrics.add('orders.appended_records', len(batch))
+        self._appender.mailbox.send(claim_stream.Append(batch))
+
+    def _plan_snapshot(self, now_s: float) -> None:
+        if self._parts or not self._snapshots.is_due(
+            self._first_retained, self._claims.through_offset, now_s
+        ):
+            return
+        self._metrics.add('orders.snapshots')
+        self._snapshots.seen(self._claims.through_offset, now_s)
+        snapshot_id = ids.new_random_id('orders')
+        self._parts.extend(order_snapshot.parts_of(self._claims, snapshot_id))
+
+    def _forget(self, now_s: float) -> None:
+        if now_s >= self._next_forget_s:
+            self._next_forget_s = now_s + FORGET_INTERVAL_S
+            self._claims.forget(time.time())
+            self._metrics.set('orders.keys', len(self._claims))
+            self._metrics.set(
+                'orders.dropped_notices', self._committer.dropped_notices
+            )
+
+    def _tell(self, replies: typing.Iterable[order_commit.Reply]) -> None:
+        for reply in replies:
+            self._metrics.add(f'orders.{_name_of(reply)}')
+            waiting = self._waiting.pop(reply.attempt_id, None)
+            if waiting is not None:
+                waiting.send(reply)
+
+    def _write_down_the_rest(self) -> None:
+        """Answer those who wait, and append what they may need later."""
+        end_s = time.monotonic() + LAST_APPEND_S
+        self._tell(self._committer.expire(float('inf')))
+        while time.monotonic() < end_s:
+            if not (self._append_under_way or self._committer.has_notices):
+                return
+            self._append_next(time.monotonic())
+            message = self.mailbox.receive(PUMP_S)
+            if message is not None:
+                _handle(message, self)
+
+
+def _name_of(reply: order_commit.Reply) -> str:
+    if isinstance(reply, order_commit.Refused):
+        return reply.verdict.value
+    return 'won' if isinstance(reply, order_commit.Won) else 'known'
+
+
+@functools.singledispatch
+def _handle(message: mailbox.Message, service: OrderClaims) -> None:
+    raise AssertionError(f'unexpected message {message!r}')
+
+
+@_handle.register
+def _(message: Ask, service: OrderClaims) -> None:
+    service.ask(message)
+
+
+@_handle.register
+def _(message: GiveUp, service: OrderClaims) -> None:
+    service.give_up(message)
+
+
+@_handle.register
+def _(message: Answered, service: OrderClaims) -> None:
+    service.answered(message)
+
+
+@_handle.register
+def _(message: SetWindow, service: OrderClaims) -> None:
+    service.set_window(message)
+
+
+@_handle.register
+def _(message: claim_stream.Started, service: OrderClaims) -> None:
+    service.started(message)
+
+
+@_handle.register
+def _(message: claim_stream.Read, service: OrderClaims) -> None:
+    service.read(message)
+
+
+@_handle.register
+def _(message: claim_stream.ReadFailed, service: OrderClaims) -> None:
+    service.read_failed(message)
+
+
+@_handle.register
+def _(message: claim_stream.Appended, service: OrderClaims) -> None:
+    service.appended(message)
+
+
+@_handle.register
+def _(message: task.Stop, service: OrderClaims) -> None:
+    """The loop looks at ``stopping`` itself."""
+
+
+def build(
+    connect: typing.Callable[[], typing.Any],
+    window_s: float,
+    metrics: counters.Counters,
+    stream: str = STREAM,
+) -> OrderClaims:
+    """The service with its reader and appender.
+
+    :param connect: gives a new ``log_client.LogClient`` each time
+    """
+    inbox = mailbox.Mailbox()
+    return OrderClaims(
+        inbox,
+        claim_stream.ClaimReader(connect(), stream, inbox),
+        claim_stream.ClaimAppender(connect(), stream, inbox),
+        window_s,
+        metrics,
+    )
--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -86,6 +86,12 @@
     def answered(self, call: PlainCall, answer: Answer) -> None:
         """Keep the answer for callers that send the key again."""
 
+    def not_run(self, call: PlainCall) -> None:
+        """The claimed call reached nobody; it may be claimed again."""
+
+    def unknown(self, call: PlainCall) -> None:
+        """The claimed call may have run."""
+
 
 class PlainCalls(task.Task):
     """Hands each call to one of its threads.
@@ -157,13 +163,19 @@
 
     def _order(self, call: PlainCall) -> Answer | Failed:
         endpoint = self._choose(call, tried=())
+        result: Answer | Failed
         if endpoint is None:
-            return _not_run(
+            result = _not_run(
                 outcome.Reason.NO_CAPACITY, f'{call.pool} has no endpoint'
             )
-        result = self._attempt(call, endpoint)
+        else:
+            result = self._attempt(call, endpoint)
         if isinstance(result, Answer):
             self._claimer.answered(call, result)
+        elif result.verdict is outcome.Verdict.NOT_RUN:
+            self._claimer.not_run(call)
+        else:
+            self._claimer.unknown(call)
         return result
 
     def _repeatable(self, call: PlainCall) -> Answer | Failed:
