Have routers' orders decided by the node process of their VM

Cause: routers hold no connection to the log, and each of them following the claims streams would multiply the reads.

Change: a msgpack stream between router and committer. A router whose committer goes away refuses what waits and gives it up for good; the committer gives up what it never answered. The tables name the committer, the document's order window reaches it.

--- a/src/guavachute/assembly/node.py
+++ b/src/guavachute/assembly/node.py
@@ -5,14 +5,17 @@
 import time
 import typing
 
+from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import kernel
 from guavachute.observe import counters
 from guavachute.platform import log_client
 from guavachute.platform import log_source
+from guavachute.services import claim_server
 from guavachute.services import log_follower
 from guavachute.services import membership
 from guavachute.services import node_state
+from guavachute.services import order_claims
 from guavachute.services import table_server
 from guavachute.services import vm_watch
 from guavachute import settings
@@ -26,6 +29,7 @@
     :ivar vm_list_address: the platform's VM list
     :ivar port: where routers get their tables and operators ask
     :ivar peer_port: where other nodes connect
+    :ivar claims_port: where routers have their orders decided
     :ivar peer_keys: shared by all nodes; the first is used, any accepted
     :ivar peer_seeds: peers to try before the VM list names any
     """
@@ -41,6 +45,7 @@
     host: settings.Host = '127.0.0.1'
     port: settings.Port = 0
     peer_port: settings.Port = 0
+    claims_port: settings.Port = 0
     vm_list_interval_s: settings.Seconds = 1.0
     observe: settings.Observe = settings.Observe()
 
@@ -51,6 +56,14 @@
     def __init__(self, wanted: NodeSettings, count: counters.Counters) -> None:
         self.count = count
         self.kernel = kernel.Kernel()
+        self.order_claims = order_claims.build(
+            lambda: _log_client(wanted, count),
+            schema.Policy().order_window_s,
+            count,
+        )
+        self.claim_server = claim_server.ClaimServer(
+            wanted.host, wanted.claims_port, self.order_claims.mailbox, count
+        )
         self.state = node_state.NodeState(
             self.kernel,
             node_state.Place(
@@ -58,6 +71,7 @@
                 ids.NodeId(wanted.node),
                 ids.FailureDomain(wanted.failure_domain),
                 ids.Region(wanted.region),
+                self.claim_server.address,
             ),
             count,
         )
@@ -69,13 +83,7 @@
         self.membership.mailbox.send(membership.Subscribe(inbox))
         self.follower = log_follower.LogFollower(
             'log-follower',
-            [
-                log_source.LogSource(
-                    log_client.LogClient(
-                        wanted.log_address, count, random.Random()
-                    )
-                )
-            ],
+            [log_source.LogSource(_log_client(wanted, count))],
             count,
             random.Random(),
         )
@@ -89,6 +97,8 @@
         )
         for service in (
             self.membership,
+            self.order_claims,
+            self.claim_server,
             self.table_server,
             self.state,
             self.follower,
@@ -116,6 +126,12 @@
         yield node
 
 
+def _log_client(
+    wanted: NodeSettings, count: counters.Counters
+) -> log_client.LogClient:
+    return log_client.LogClient(wanted.log_address, count, random.Random())
+
+
 def _membership(
     wanted: NodeSettings, count: counters.Counters
 ) -> membership.Membership:
--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -15,6 +15,8 @@
 from guavachute.observe import logs
 from guavachute.observe import traces
 from guavachute import outcome
+from guavachute.services import claim_client
+from guavachute.services import claim_gate
 from guavachute.services import engine_watch
 from guavachute.services import front
 from guavachute.services import plain_calls
@@ -70,8 +72,12 @@
         self.relay = relay_task.Relay(
             wanted.node, wanted.failure_domain, wanted.region, count, tracer
         )
+        self.claims = claim_client.ClaimClient(count)
         self.plain_calls = plain_calls.PlainCalls(
-            wanted.region, count, tracer, _NoClaims()
+            wanted.region,
+            count,
+            tracer,
+            claim_gate.ClaimGate(self.claims.mailbox),
         )
         self.front = front.Front(self.kernel, wanted.region, count, tracer)
         self.server = server.Server(
@@ -91,6 +97,7 @@
         self.engine_watch = engine_watch.EngineWatch(self.relay.mailbox, count)
         for service in (
             self.relay,
+            self.claims,
             self.plain_calls,
             self.feed,
             self.engine_watch,
@@ -133,6 +140,7 @@
         self._ttl_s = view.document.policy.address_ttl_s
         self.relay.mailbox.send(relay_task.TablesChanged(view))
         self.plain_calls.put_in_force(new)
+        self.claims.mailbox.send(claim_client.UseCommitter(new.claims_address))
         pools = {model.pool for model in view.document.models.values()}
         self.engine_watch.put_in_force(new, pools)
         self.front.put_in_force(view)
@@ -159,31 +167,6 @@
             yield router
 
 
-class _NoClaims:
-    """Refuses orders where no claim service is there."""
-
-    def claim(
-        self, call: plain_calls.PlainCall, now_s: float
-    ) -> plain_calls.Answer | plain_calls.Failed | None:
-        return plain_calls.Failed(
-            outcome.Verdict.NOT_RUN,
-            outcome.Failure(
-                outcome.Reason.UNAVAILABLE, 'orders can not be claimed'
-            ),
-        )
-
-    def answered(
-        self, call: plain_calls.PlainCall, answer: plain_calls.Answer
-    ) -> None:
-        raise AssertionError('nothing was claimed')
-
-    def not_run(self, call: plain_calls.PlainCall) -> None:
-        raise AssertionError('nothing was claimed')
-
-    def unknown(self, call: plain_calls.PlainCall) -> None:
-        raise AssertionError('nothing was claimed')
-
-
 def _pause_until(end_s: float) -> None:
     while time.monotonic() < end_s:
         time.sleep(PAUSE_S)
--- /dev/null
+++ b/src/guavachute/services/claim_client.py
@@ -0,0 +1,241 @@
+"""Router: asks the committer in the node process of its VM.
+
+Takes the same messages as the committer itself. When the connection ends,
+every attempt that waits is refused and given up for good; the committer
+is told as soon as one can be reached again.
+"""
+
+import collections
+import dataclasses
+import functools
+import selectors
+import time
+import typing
+
+from guavachute.decide import order_commit
+from guavachute import ids
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute import outcome
+from guavachute.services import order_claims
+from guavachute.wire import claims
+from guavachute.wire import peer
+
+NAME = 'claim-client'
+RECONNECT_S = 0.25
+WAITING_NOTICES = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UseCommitter:
+    """Ask the committer at *address* from now on; empty for none."""
+
+    address: str
+
+
+class ClaimClient(task.Task):
+    """Owns the connection to the committer.
+
+    Messages: :class:`UseCommitter`, and :class:`order_claims.Ask`,
+    :class:`order_claims.GiveUp`, :class:`order_claims.Answered`.
+    """
+
+    def __init__(self, metrics: counters.Counters) -> None:
+        super().__init__(NAME)
+        self._metrics = metrics
+        self._address = ''
+        self._committer: peer.Peer | None = None
+        self._connect_at_s = 0.0
+        self._asked: dict[str, order_claims.Ask] = {}
+        self._notices: collections.deque[claims.FromRouter] = (
+            collections.deque(maxlen=WAITING_NOTICES)
+        )
+
+    def run(self) -> None:
+        """Ask until stopped."""
+        with selectors.DefaultSelector() as selector:
+            self._selector = selector
+            selector.register(
+                self.mailbox.fileno(), selectors.EVENT_READ, self._read_mail
+            )
+            while not self.stopping.is_set():
+                self._connect_if_due(time.monotonic())
+                for key, events in selector.select(RECONNECT_S):
+                    key.data(events)
+            self._read_mail(selectors.EVENT_READ)
+            self._drop_committer()
+            self.mailbox.close()
+
+    def _read_mail(self, events: int) -> None:
+        for message in self.mailbox.drain():
+            _handle(message, self)
+
+    def use(self, message: UseCommitter) -> None:
+        """Change the committer; what waits at the old one is given up."""
+        if message.address != self._address:
+            self._address = message.address
+            self._connect_at_s = 0.0
+            self._drop_committer()
+
+    def ask(self, message: order_claims.Ask) -> None:
+        """Send the claim, or refuse it where nobody can decide it."""
+        self._connect_if_due(time.monotonic())
+        claim = message.claim
+        if self._committer is None:
+            self._refuse(message)
+            return
+        self._asked[claim.attempt_id] = message
+        self._send(
+            claims.ClaimAsk(
+                key=message.key,
+                key_digest=claim.key_digest,
+                body_digest=claim.body_digest,
+                attempt_id=claim.attempt_id,
+                wait_s=max(0.0, claim.deadline_s - time.monotonic()),
+            )
+        )
+
+    def give_up(self, message: order_claims.GiveUp) -> None:
+        """Tell the committer now or later."""
+        self._asked.pop(message.attempt_id, None)
+        self._notify(
+            claims.ClaimGiveUp(
+                key_digest=message.key_digest, attempt_id=message.attempt_id
+            )
+        )
+
+    def answered(self, message: order_claims.Answered) -> None:
+        """Tell the committer now or later."""
+        self._notify(claims.ClaimAnswered(answer=message.answer))
+
+    def _notify(self, notice: claims.FromRouter) -> None:
+        self._notices.append(notice)
+        self._send_notices()
+
+    def _send_notices(self) -> None:
+        while self._notices and self._committer is not None:
+            self._send(self._notices.popleft())
+
+    def _send(self, message: claims.FromRouter) -> None:
+        assert self._committer is not None, message
+        self._committer.send(message)
+        self._after(self._committer)
+
+    def _connect_if_due(self, now_s: float) -> None:
+        if self._committer is not None or not self._address:
+            return
+        if now_s < self._connect_at_s:
+            return
+        self._connect_at_s = now_s + RECONNECT_S
+        committer = peer.connect(self._address, claims.FromCommitter)
+        self._committer = committer
+        self._selector.register(
+            committer.socket,
+            selectors.EVENT_READ | selectors.EVENT_WRITE,
+            functools.partial(self._committer_ready, committer),
+        )
+
+    def _committer_ready(self, committer: peer.Peer, events: int) -> None:
+        if committer is not self._committer:
+            return
+        if events & selectors.EVENT_READ:
+            for message in committer.receive():
+                self._take(message)
+        if events & selectors.EVENT_WRITE and committer.failure is None:
+            committer.flush()
+            self._send_notices()
+        self._after(committer)
+
+    def _after(self, committer: peer.Peer) -> None:
+        if committer is not self._committer:
+            return
+        if committer.failure is not None:
+            self._metrics.add('orders.committer_lost')
+            self._drop_committer()
+            return
+        self._selector.modify(
+            committer.socket,
+            committer.wanted_events,
+            functools.partial(self._committer_ready, committer),
+        )
+
+    def _drop_committer(self) -> None:
+        committer, self._committer = self._committer, None
+        if committer is not None:
+            self._selector.unregister(committer.socket)
+            committer.close()
+        for asked in list(self._asked.values()):
+            # Decided here and now, so nobody will dispatch it; its claim
+            # may stand in the log all the same.
+            self.give_up(
+                order_claims.GiveUp(
+                    asked.claim.key_digest, asked.claim.attempt_id
+                )
+            )
+            self._refuse(asked)
+
+    def _refuse(self, asked: order_claims.Ask) -> None:
+        asked.reply_to.send(
+            order_commit.Refused(
+                asked.claim.attempt_id,
+                outcome.Verdict.NOT_RUN,
+                outcome.Failure(
+                    outcome.Reason.UNAVAILABLE,
+                    'the node process that claims orders is not there',
+                    order_commit.RETRY_AFTER_S,
+                ),
+            )
+        )
+
+    def _take(self, message: claims.FromCommitter) -> None:
+        asked = self._asked.pop(message.attempt_id, None)
+        if asked is not None:
+            asked.reply_to.send(_reply_of(message))
+
+
+def _reply_of(message: claims.FromCommitter) -> order_commit.Reply:
+    attempt_id = ids.AttemptId(message.attempt_id)
+    match message:
+        case claims.ClaimWon():
+            return order_commit.Won(attempt_id)
+        case claims.ClaimKnown():
+            return order_commit.Known(attempt_id, message.answer)
+        case claims.ClaimRefused():
+            return order_commit.Refused(
+                attempt_id,
+                message.verdict,
+                outcome.Failure(
+                    message.reason, message.detail, message.retry_after_s
+                ),
+            )
+    typing.assert_never(message)
+
+
+@functools.singledispatch
+def _handle(message: typing.Any, client: ClaimClient) -> None:
+    raise AssertionError(f'unexpected message {message!r}')
+
+
+@_handle.register
+def _(message: UseCommitter, client: ClaimClient) -> None:
+    client.use(message)
+
+
+@_handle.register
+def _(message: order_claims.Ask, client: ClaimClient) -> None:
+    client.ask(message)
+
+
+@_handle.register
+def _(message: order_claims.GiveUp, client: ClaimClient) -> None:
+    client.give_up(message)
+
+
+@_handle.register
+def _(message: order_claims.Answered, client: ClaimClient) -> None:
+    client.answered(message)
+
+
+@_handle.register
+def _(message: task.Stop, client: ClaimClient) -> None:
+    """The loop looks at ``stopping`` itself."""
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -14,6 +14,7 @@
 from guavachute.decide import address_answer
 from guavachute.decide import member_table
 from guavachute.decide import membership as membership_state
+from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import kernel
 from guavachute.kernel import mailbox
@@ -23,6 +24,7 @@
 from guavachute.platform import vm_list
 from guavachute.services import log_follower
 from guavachute.services import membership
+from guavachute.services import order_claims
 from guavachute.services import status_text
 from guavachute.services import table_server
 from guavachute.services import vm_watch
@@ -37,12 +39,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
-    """Who this node is."""
+    """Who this node is.
+
+    :ivar claims_address: where its routers have their orders decided
+    """
 
     environment: ids.EnvironmentName
     node: ids.NodeId
     failure_domain: ids.FailureDomain
     region: ids.Region
+    claims_address: str = ''
 
 
 class NodeState(task.Task):
@@ -97,6 +103,7 @@
             self._head = head
             self._count.add('configuration.accepted')
             _log.notice('configuration {} accepted', head.offset)
+            self._set_order_window(head)
             self._changed()
 
     @_take.register
@@ -197,6 +204,16 @@
             return min(report.offset for report in self._reports)
         return -1 if self._head is None else self._head.offset
 
+    def _set_order_window(self, head: records.ConfigurationHead) -> None:
+        if self._kernel.has(order_claims.NAME):
+            policy = msgspec.convert(
+                head.document.get('policy', {}), schema.Policy
+            )
+            self._kernel.send(
+                order_claims.NAME,
+                order_claims.SetWindow(policy.order_window_s),
+            )
+
     # To the routers.
 
     def _publish(self, now_s: float) -> None:
@@ -209,6 +226,7 @@
             document=self._head.document,
             endpoints=self._endpoints(now_s),
             routers=self._routers(),
+            claims_address=self._place.claims_address,
         )
         if self._is_news(view):
             self._published = view
--- /dev/null
+++ b/src/guavachute/wire/claims.py
@@ -0,0 +1,66 @@
+"""Messages between a router and the committer that decides its orders."""
+
+import msgspec
+
+from guavachute import outcome
+from guavachute.wire import order_records
+
+
+class ClaimAsk(msgspec.Struct, frozen=True, kw_only=True, tag='claim-ask'):
+    """Asks for the right to dispatch; answered by one reply.
+
+    :ivar key: as the caller sent it
+    :ivar wait_s: how long the router waits for the reply
+    """
+
+    key: str
+    key_digest: str
+    body_digest: str
+    attempt_id: str
+    wait_s: float
+
+
+class ClaimGiveUp(
+    msgspec.Struct, frozen=True, kw_only=True, tag='claim-give-up'
+):
+    """The attempt has not run and never will."""
+
+    key_digest: str
+    attempt_id: str
+
+
+class ClaimAnswered(
+    msgspec.Struct, frozen=True, kw_only=True, tag='claim-answered'
+):
+    """The attempt ran; this is to be kept."""
+
+    answer: order_records.OrderAnswer
+
+
+class ClaimWon(msgspec.Struct, frozen=True, kw_only=True, tag='claim-won'):
+    """The attempt may be dispatched, once."""
+
+    attempt_id: str
+
+
+class ClaimKnown(msgspec.Struct, frozen=True, kw_only=True, tag='claim-known'):
+    """The order was run before; this is its answer."""
+
+    attempt_id: str
+    answer: order_records.OrderAnswer
+
+
+class ClaimRefused(
+    msgspec.Struct, frozen=True, kw_only=True, tag='claim-refused'
+):
+    """The attempt must not be dispatched."""
+
+    attempt_id: str
+    verdict: outcome.Verdict
+    reason: outcome.Reason
+    detail: str
+    retry_after_s: float | None = None
+
+
+FromRouter = ClaimAsk | ClaimGiveUp | ClaimAnswered
+FromCommitter = ClaimWon | ClaimKnown | ClaimRefused
--- a/src/guavachute/wire/tables.py
+++ b/src/guavachute/wire/tables.py
@@ -44,6 +44,8 @@
     :ivar offset: where in the log the document was accepted; a router
         refuses tables whose offset is lower than its own
     :ivar document: the accepted document as plain values
+    :ivar claims_address: of the committer that decides orders; empty
+        where there is none
     """
 
     environment: str
@@ -52,6 +54,7 @@
     document: dict[str, typing.Any]
     endpoints: list[EndpointEntry]
     routers: list[RouterEntry]
+    claims_address: str = ''
 
 
 class RouterReport(
--- a/tests/cover/test_order_service.py
+++ b/tests/cover/test_order_service.py
@@ -12,7 +12,9 @@
 from guavachute.observe import traces
 from guavachute import outcome
 from guavachute.platform import log_client
+from guavachute.services import claim_client
 from guavachute.services import claim_gate
+from guavachute.services import claim_server
 from guavachute.services import order_claims
 from guavachute.services import plain_calls
 from guavachute.standin import faults
@@ -45,6 +47,8 @@
     def setUp(self) -> None:
         self.log = hosting.host(self, log_service.LogService())
         self.metrics: list[counters.Counters] = []
+        self.servers: list[claim_server.ClaimServer] = []
+        self.clients: list[claim_client.ClaimClient] = []
         self.one = self.router()
         self.two = self.router()
 
@@ -55,7 +59,7 @@
         return gate
 
     def gate(self) -> claim_gate.ClaimGate:
-        """A gate with a committer of its own."""
+        """A gate with a committer of its own, asked by TCP."""
         metrics = counters.Counters()
         service = order_claims.build(
             lambda: log_client.LogClient(
@@ -65,8 +69,16 @@
             metrics,
         )
         hosting.host(self, service)
+        server = claim_server.ClaimServer(
+            '127.0.0.1', 0, service.mailbox, metrics
+        )
+        hosting.host(self, server)
+        client = hosting.host(self, claim_client.ClaimClient(metrics))
+        client.mailbox.send(claim_client.UseCommitter(server.address))
         self.metrics.append(metrics)
-        return claim_gate.ClaimGate(service.mailbox)
+        self.servers.append(server)
+        self.clients.append(client)
+        return claim_gate.ClaimGate(client.mailbox)
 
     def claim(
         self, gate: claim_gate.ClaimGate, call: plain_calls.PlainCall
@@ -168,6 +180,31 @@
         self.log.faults.clear()
         self.run_until_taken(self.two, 'key')
 
+    def test_a_router_that_loses_its_committer_refuses_and_runs_later(
+        self,
+    ) -> None:
+        self.log.faults.add(
+            faults.Fault(
+                path_prefix='/v1/streams',
+                method='POST',
+                kind=faults.Kind.STALL,
+                delay_s=1.0,
+                count=1,
+            )
+        )
+        before = self.metrics[0].value('orders.claims')
+        with concurrent.futures.ThreadPoolExecutor() as executor:
+            claimed = executor.submit(self.claim, self.one, order('key'))
+            waiting.until(
+                lambda: self.metrics[0].value('orders.claims') > before,
+                'the committer has the claim',
+            )
+            self.servers[0].request_stop()
+            self.assertIs(outcome.Verdict.NOT_RUN, claimed.result())
+        address = self.servers[1].address
+        self.clients[0].mailbox.send(claim_client.UseCommitter(address))
+        self.run_until_taken(self.one, 'key')
+
     def test_an_order_that_reached_nobody_can_be_sent_again(self) -> None:
         call = order('key')
         self.assertIsNone(self.claim(self.one, call))
