Exchange demand and crash notices between routers

Each router knew only its own callers and its own crashes. Routers report demand to their node process; nodes gossip it, add it up by failure domain and give the sums to their routers, which steer limits, slots and debts by them. A crash notice goes to all routers at once: over the node to the other routers of the VM, to all nodes of the domain, and to one node of each other domain, which passes it on.

Tests: a notice reaches all nodes of two domains; a request that crashed two endpoints by way of one router is refused by the other.

--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -23,6 +23,7 @@
 from guavachute.services import table_feed
 from guavachute.services import view as view_module
 from guavachute import settings
+from guavachute.wire import requests
 from guavachute.wire import tables
 
 ADDRESS_MARGIN_S = 1.0
@@ -68,7 +69,12 @@
         self.count = count
         self.kernel = kernel.Kernel()
         self.relay = relay_task.Relay(
-            wanted.node, wanted.failure_domain, wanted.region, count, tracer
+            wanted.node,
+            wanted.failure_domain,
+            wanted.region,
+            count,
+            tracer,
+            lambda notice: self.feed.mailbox.send(notice),
         )
         self.plain_calls = plain_calls.PlainCalls(
             wanted.region, count, tracer, _NoClaims()
@@ -86,7 +92,11 @@
         )
         self._ttl_s = schema.Policy().address_ttl_s
         self.feed = table_feed.TableFeed(
-            wanted.node_address, count, self._put_in_force, self._report
+            wanted.node_address,
+            count,
+            self._put_in_force,
+            self._report,
+            self._hear,
         )
         self.engine_watch = engine_watch.EngineWatch(self.relay.mailbox, count)
         for service in (
@@ -137,6 +147,17 @@
         self.engine_watch.put_in_force(new, pools)
         self.front.put_in_force(view)
 
+    def _hear(
+        self, message: requests.DemandSums | requests.CrashNotice
+    ) -> None:
+        """Take what other routers tell."""
+        if isinstance(message, requests.CrashNotice):
+            self.relay.mailbox.send(message)
+            return
+        for each in message.sums:
+            if each.source != self._name:
+                self.relay.mailbox.send(each)
+
     def _report(self, offset: int) -> tables.RouterReport:
         return tables.RouterReport(
             router=self._name,
@@ -145,6 +166,7 @@
             draining=self.front.draining.is_set(),
             active_requests=self.relay.active + self.plain_calls.active,
             used_tokens=self.relay.used_tokens,
+            demand=self.relay.demand,
         )
 
 
--- a/src/guavachute/decide/crash.py
+++ b/src/guavachute/decide/crash.py
@@ -7,10 +7,10 @@
 still unproven. A second crash refuses the fingerprint everywhere; a
 completion clears it.
 
-What the routers exchange is :class:`CrashNotice`, the whole entry of one
-fingerprint. Notices may come late, twice and in any order. The first
-one has to reach the other routers before the second crash, which the
-second attempt's own duration gives; from then on
+What the routers exchange is :class:`requests.CrashNotice`, the whole
+entry of one fingerprint. Notices may come late, twice and in any order.
+The first one has to reach the other routers before the second crash,
+which the second attempt's own duration gives; from then on
 :mod:`guavachute.decide.crash_grants` keeps the attempts one after
 another, so a resend that overtakes the second notice is not run either.
 
@@ -24,10 +24,10 @@
 import enum
 import typing
 
-import msgspec
 import xxhash
 
 from guavachute import ids
+from guavachute.wire import requests
 
 Fingerprint = typing.NewType('Fingerprint', str)
 """Equal for equal content of one workspace."""
@@ -54,23 +54,6 @@
     REFUSED = 'refused'
 
 
-class CrashNotice(
-    msgspec.Struct, frozen=True, kw_only=True, tag='crash-notice'
-):
-    """All that a router knows of one fingerprint.
-
-    :ivar crashes: ids of crashes it was part of, equal in all routers
-        that saw the same crash, such as endpoint and boot id
-    :ivar cleared: those of them after which it was completed
-    :ivar refused: sticky; nothing but time or an operator undoes it
-    """
-
-    fingerprint: str
-    crashes: list[str]
-    cleared: list[str] = []
-    refused: bool = False
-
-
 def fingerprint(
     workspace: ids.WorkspaceName, model: str, content: str
 ) -> Fingerprint:
@@ -179,7 +162,7 @@
 
     def completed(
         self, attempt_id: ids.AttemptId, now_s: float
-    ) -> CrashNotice | None:
+    ) -> requests.CrashNotice | None:
         """An attempt gave its whole answer; a notice if that clears it."""
         attempt = self._pop(attempt_id)
         if attempt is None:
@@ -193,7 +176,7 @@
 
     def crashed(
         self, endpoint: ids.EndpointId, crash_id: str, now_s: float
-    ) -> list[CrashNotice]:
+    ) -> list[requests.CrashNotice]:
         """*endpoint* died without notice; what the others are to know.
 
         With an unproven suspect on it, the proven ones are not blamed
@@ -222,7 +205,9 @@
             notices.append(_notice(name, entry))
         return notices
 
-    def take(self, notice: CrashNotice, now_s: float) -> list[ids.AttemptId]:
+    def take(
+        self, notice: requests.CrashNotice, now_s: float
+    ) -> list[ids.AttemptId]:
         """Take over what another router knows.
 
         Gives the attempts of this router to stop and to make again as a
@@ -243,7 +228,7 @@
             or not self._attempts[attempt_id].suspect
         ]
 
-    def retract(self, crash_id: str) -> list[CrashNotice]:
+    def retract(self, crash_id: str) -> list[requests.CrashNotice]:
         """That loss was no crash; notices of what is cleared by it.
 
         A refusal stays, for it may rest on an entry from elsewhere.
@@ -259,7 +244,7 @@
         """An operator says that *name* is harmless."""
         self._entries.pop(name, None)
 
-    def notices(self, now_s: float) -> list[CrashNotice]:
+    def notices(self, now_s: float) -> list[requests.CrashNotice]:
         """All that is known, for a router that has just started."""
         return [
             _notice(name, entry)
@@ -312,8 +297,8 @@
         self._entries.popitem(last=False)
 
 
-def _notice(name: Fingerprint, entry: _Entry) -> CrashNotice:
-    return CrashNotice(
+def _notice(name: Fingerprint, entry: _Entry) -> requests.CrashNotice:
+    return requests.CrashNotice(
         fingerprint=name,
         crashes=sorted(entry.crashes),
         cleared=sorted(entry.cleared),
--- a/src/guavachute/decide/crash_grants.py
+++ b/src/guavachute/decide/crash_grants.py
@@ -14,6 +14,7 @@
 
 from guavachute.decide import crash
 from guavachute.decide import subset
+from guavachute.wire import requests
 
 GRANT_S = 60.0
 """A grant whose holder is silent lapses after this."""
@@ -42,7 +43,7 @@
 
     fingerprint: str
     router: str
-    notice: crash.CrashNotice | None = None
+    notice: requests.CrashNotice | None = None
 
 
 def owner(
--- a/src/guavachute/decide/domain_digest.py
+++ b/src/guavachute/decide/domain_digest.py
@@ -64,8 +64,9 @@
         contacts=_named_contacts(own.profile.failure_domain, members),
         offsets=_offsets(statuses),
         active_requests=sum(status.active_requests for status in statuses),
-        used_tokens=_used_tokens(statuses),
+        used_tokens=_added_up(status.used_tokens for status in statuses),
         pools=_pools(statuses),
+        demand=_added_up(status.demand for status in statuses),
     )
 
 
@@ -118,10 +119,11 @@
     )
 
 
-def _used_tokens(statuses: list[gossip.Status]) -> dict[str, int]:
+def _added_up(parts: typing.Iterable[dict[str, int]]) -> dict[str, int]:
+    """The largest sums, by workspace."""
     total: collections.Counter[str] = collections.Counter()
-    for status in statuses:
-        total.update(status.used_tokens)
+    for part in parts:
+        total.update(part)
     return dict(total.most_common(WORKSPACES))
 
 
--- a/src/guavachute/decide/steering.py
+++ b/src/guavachute/decide/steering.py
@@ -13,9 +13,8 @@
 import dataclasses
 import typing
 
-import msgspec
-
 from guavachute import ids
+from guavachute.wire import requests
 
 FRESH_S = 2.0
 """A sum counts in full up to this age."""
@@ -31,25 +30,9 @@
 """
 
 
-class DemandSum(msgspec.Struct, frozen=True, kw_only=True, tag='demand-sum'):
-    """What one router, or several together, report each second.
-
-    :ivar source: a router or a group of them; a newer sum replaces the
-        older one of the same source
-    :ivar routers: how many routers it stands for
-    :ivar demand: by workspace, requests that run or wait
-    :ivar served_tokens: by workspace, since the start of the source
-    """
-
-    source: str
-    routers: int = 1
-    demand: dict[str, float]
-    served_tokens: dict[str, float] = {}
-
-
 @dataclasses.dataclass(slots=True)
 class _Heard:
-    sum: DemandSum
+    sum: requests.DemandSum
     when_s: float
 
 
@@ -60,7 +43,7 @@
         self._heard: dict[str, _Heard] = {}
 
     def take(
-        self, message: DemandSum, now_s: float
+        self, message: requests.DemandSum, now_s: float
     ) -> dict[ids.WorkspaceName, float]:
         """Keep *message*; gives tokens served since the last one.
 
@@ -82,6 +65,14 @@
         """*source* left; its part goes to the others at once."""
         self._heard.pop(source, None)
 
+    def routers(self, now_s: float) -> int:
+        """How many other routers have been heard of lately."""
+        return sum(
+            heard.sum.routers
+            for heard in self._heard.values()
+            if now_s - heard.when_s < STALE_S
+        )
+
     def part(
         self,
         workspace: ids.WorkspaceName,
--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -12,6 +12,8 @@
 import time
 import typing
 
+import msgspec
+
 from guavachute.decide import member_news
 from guavachute.decide import member_table
 from guavachute.decide import membership
@@ -24,6 +26,7 @@
 from guavachute import outcome
 from guavachute.services import peer_connection
 from guavachute.wire import gossip
+from guavachute.wire import requests
 
 _log = logs.logger('membership')
 
@@ -76,6 +79,20 @@
     view: membership.View
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellCrash:
+    """Tell all nodes at once of what a router here has found."""
+
+    notice: requests.CrashNotice
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashHeard:
+    """To subscribers: what a router elsewhere has found."""
+
+    notice: requests.CrashNotice
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """Who this node is and how it talks to its peers.
@@ -186,6 +203,8 @@
                 self._set_routers(message)
             case SetStatus():
                 self._state.news.set_status(message.status)
+            case TellCrash():
+                self._tell_crash(message.notice)
             case Listed():
                 self._observe_list(message)
             case task.Stop():
@@ -350,8 +369,38 @@
         connection.used_s = now_s
         sender = gossip.NodeAddress(connection.peer, connection.address)
         for message in messages:
+            if isinstance(message, gossip.Crash):
+                self._hear_crash(message)
+                continue
             self._send_all(self._state.receive(sender, message, now_s))
 
+    # Crashing requests: rare, urgent, and so told directly.
+
+    def _tell_crash(self, notice: requests.CrashNotice) -> None:
+        """Send *notice* to this domain and to one node of each other."""
+        self._tell_domain(_crash_of(notice, pass_on=False))
+        message = _crash_of(notice, pass_on=True)
+        for digest in self._state.view(time.monotonic()).domains:
+            for contact in digest.contacts[:1]:
+                self._send(member_news.Send(contact, message))
+
+    def _tell_domain(self, message: gossip.Crash) -> None:
+        for member in self._state.news.table.present():
+            self._send(member_news.Send(member.address, message))
+
+    def _hear_crash(self, message: gossip.Crash) -> None:
+        if message.pass_on:
+            here = msgspec.structs.replace(message, pass_on=False)
+            self._tell_domain(here)
+        notice = requests.CrashNotice(
+            fingerprint=message.fingerprint,
+            crashes=message.crashes,
+            cleared=message.cleared,
+            refused=message.refused,
+        )
+        for subscriber in self._subscribers:
+            subscriber.send(CrashHeard(notice))
+
     def _watch(self, connection: peer_connection.PeerConnection) -> None:
         if connection not in self._connections:
             return
@@ -409,6 +458,16 @@
                     self._serve(key.data, mask)
 
 
+def _crash_of(notice: requests.CrashNotice, pass_on: bool) -> gossip.Crash:
+    return gossip.Crash(
+        notice.fingerprint,
+        notice.crashes,
+        notice.cleared,
+        notice.refused,
+        pass_on,
+    )
+
+
 def _listen(host: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -5,6 +5,7 @@
 routers and tells the peers what this node has in force.
 """
 
+import collections
 import dataclasses
 import functools
 import time
@@ -12,6 +13,7 @@
 import msgspec
 
 from guavachute.decide import address_answer
+from guavachute.decide import demand_sums
 from guavachute.decide import member_table
 from guavachute.decide import membership as membership_state
 from guavachute import ids
@@ -28,9 +30,11 @@
 from guavachute.services import vm_watch
 from guavachute.wire import gossip
 from guavachute.wire import records
+from guavachute.wire import requests
 from guavachute.wire import tables
 
 DIGEST_CHARACTERS = 12
+SUMS_INTERVAL_S = 1.0
 
 _log = logs.logger('node')
 
@@ -51,7 +55,8 @@
     Messages: :class:`log_follower.ControlUpdate`,
     :class:`log_follower.LogHeard`,
     :class:`vm_watch.VmsSeen`, :class:`table_server.RoutersChanged`,
-    :class:`membership.Changed`, :class:`table_server.AskStatus`.
+    :class:`membership.Changed`, :class:`membership.CrashHeard`,
+    :class:`table_server.CrashFound`, :class:`table_server.AskStatus`.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         self._published: tables.Tables | None = None
         self._told_routers: membership.SetRouters | None = None
         self._told_status: gossip.Status | None = None
+        self._next_sums_s = 0.0
 
     def run(self) -> None:
         """Take messages until stopped."""
@@ -130,6 +136,16 @@
         self._view = message.view
         self._changed()
 
+    @_take.register
+    def _take_found(self, message: table_server.CrashFound) -> None:
+        told = membership.TellCrash(message.notice)
+        self._kernel.send(membership.NAME, told)
+
+    @_take.register
+    def _take_heard_crash(self, message: membership.CrashHeard) -> None:
+        passed = table_server.PassOn(message.notice)
+        self._kernel.send('table-server', passed)
+
     @_take.register
     def _take_question(self, message: table_server.AskStatus) -> None:
         message.reply(
@@ -154,8 +170,14 @@
         return max(now_s - self._log_heard_s, 0.0)
 
     def _changed(self) -> None:
+        now_s = time.monotonic()
         self._tell_peers()
-        self._publish(time.monotonic())
+        self._publish(now_s)
+        if now_s >= self._next_sums_s:
+            self._next_sums_s = now_s + SUMS_INTERVAL_S
+            sums = demand_sums.known(self._reports, self._view)
+            passed = table_server.PassOn(requests.DemandSums(sums=sums))
+            self._kernel.send('table-server', passed)
 
     # To the peers.
 
@@ -175,10 +197,13 @@
             self._kernel.send(membership.NAME, membership.SetStatus(status))
 
     def _status(self) -> gossip.Status:
-        used: dict[str, int] = {}
+        used: collections.Counter[str] = collections.Counter()
+        demand: collections.Counter[str] = collections.Counter()
         for report in self._reports:
             for workspace, tokens in report.used_tokens.items():
-                used[workspace] = used.get(workspace, 0) + int(tokens)
+                used[workspace] += int(tokens)
+            for workspace, amount in report.demand.items():
+                demand[workspace] += int(amount)
         return gossip.Status(
             node=self._place.node,
             incarnation=0,
@@ -188,7 +213,8 @@
             active_requests=sum(
                 report.active_requests for report in self._reports
             ),
-            used_tokens=used,
+            used_tokens=dict(used),
+            demand=dict(demand),
         )
 
     def _offset_in_force(self) -> int:
--- a/src/guavachute/services/relay/endpoints.py
+++ b/src/guavachute/services/relay/endpoints.py
@@ -277,7 +277,11 @@
                     )
                     for entry in of_pool
                 ],
-                [router.node for router in view.routers],
+                {
+                    router.node
+                    for router in view.routers
+                    if router.failure_domain == self._failure_domain
+                },
             )
             for entry in of_pool:
                 name = ids.EndpointId(entry.endpoint)
--- a/src/guavachute/services/relay/gate.py
+++ b/src/guavachute/services/relay/gate.py
@@ -22,6 +22,7 @@
 from guavachute.services.relay import call as relay_call
 from guavachute.services.relay import endpoints
 from guavachute.services.relay import work as relay_work
+from guavachute.wire import requests
 
 QUEUE_LIMIT = 200
 """Requests of one workspace that may wait for one pool in a router."""
@@ -204,7 +205,7 @@
         queue.charge(call.workspace, extra)
         self._limit(stream, extra, now_s)
 
-    def take_sum(self, message: steering.DemandSum, now_s: float) -> None:
+    def take_sum(self, message: requests.DemandSum, now_s: float) -> None:
         """What another router, or several, demand and were served."""
         gains = self._steering.take(message, now_s)
         for workspace, tokens in gains.items():
@@ -284,7 +285,8 @@
 
     def _free(self, name: str, pool: _Pool, now_s: float) -> int:
         idle = self._place.free_slots(name)
-        if self._live_routers == 1:
+        live = self._live(now_s)
+        if live == 1:
             return idle
         document = self._document
         assert document is not None
@@ -300,14 +302,19 @@
             demand,
             weights,
             self._place.slots(name),
-            self._live_routers,
+            live,
             now_s,
         )
         running = sum(pool.queue.running(each) for each in weights)
         return steering.free_slots(
-            sum(allowed.values()), running, idle, 1 / self._live_routers
+            sum(allowed.values()), running, idle, 1 / live
         )
 
+    def _live(self, now_s: float) -> int:
+        """How many routers there are; the tables do not name them all."""
+        heard = 1 + self._steering.routers(now_s)
+        return max(self._live_routers, heard)
+
     def _limit(
         self, stream: relay_call.Stream, tokens: float, now_s: float
     ) -> None:
@@ -334,10 +341,11 @@
         if document is None:
             return
         demand = self.demand()
+        live = self._live(now_s)
         for text, workspace in document.workspaces.items():
             name = ids.WorkspaceName(text)
             part = self._steering.part(
-                name, demand.get(name, 0.0), self._live_routers, now_s
+                name, demand.get(name, 0.0), live, now_s
             )
             limit = self._limits.get(name)
             if limit is None:
--- a/src/guavachute/services/relay/suspects.py
+++ b/src/guavachute/services/relay/suspects.py
@@ -15,6 +15,7 @@
 from guavachute.observe import logs
 from guavachute import outcome
 from guavachute.services.relay import work as relay_work
+from guavachute.wire import requests
 from guavachute.wire import tables
 
 DOMAIN_WINDOW_S = 2.0
@@ -34,7 +35,7 @@
         """Whether an attempt of suspect *name* may start here."""
 
     def release(
-        self, name: crash.Fingerprint, notice: crash.CrashNotice | None
+        self, name: crash.Fingerprint, notice: requests.CrashNotice | None
     ) -> None:
         """The granted attempt has ended."""
 
@@ -53,7 +54,7 @@
         return self._grants.ask(message, standing, now_s).granted
 
     def release(
-        self, name: crash.Fingerprint, notice: crash.CrashNotice | None
+        self, name: crash.Fingerprint, notice: requests.CrashNotice | None
     ) -> None:
         """The granted attempt has ended."""
         message = crash_grants.GrantRelease(fingerprint=name, router='')
@@ -70,7 +71,7 @@
     def __init__(
         self,
         count: counters.Counters,
-        tell: typing.Callable[[crash.CrashNotice], None],
+        tell: typing.Callable[[requests.CrashNotice], None],
     ) -> None:
         self.book = crash.CrashBook()
         self.granter: Granter = LocalGranter(self.book)
@@ -176,7 +177,7 @@
         self._release(work, [])
 
     def _release(
-        self, work: relay_work.Work, notices: list[crash.CrashNotice]
+        self, work: relay_work.Work, notices: list[requests.CrashNotice]
     ) -> None:
         if not work.granted:
             return
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -21,7 +21,6 @@
 from guavachute.decide import prefix_index
 from guavachute.decide import retry
 from guavachute.decide import silence
-from guavachute.decide import steering
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.observe import counters
@@ -39,6 +38,7 @@
 from guavachute.services.relay import work as relay_work
 from guavachute.services import replies
 from guavachute.services import view as view_module
+from guavachute.wire import requests
 from guavachute.wire import tables
 
 SWEEP_INTERVAL_S = 0.1
@@ -112,7 +112,7 @@
 
     Messages: :class:`call.ModelCall`, :class:`TablesChanged`,
     :class:`EndpointReport`, :class:`CacheChanged`,
-    :class:`steering.DemandSum` and :class:`crash.CrashNotice` of other
+    :class:`requests.DemandSum` and :class:`requests.CrashNotice` of other
     routers, :class:`TellWhenIdle`, :class:`HandOver`.
 
     :param node: the VM, by which the subset of endpoints is chosen
@@ -126,7 +126,7 @@
         region: str,
         count: counters.Counters,
         tracer: traces.Tracer,
-        tell: typing.Callable[[crash.CrashNotice], None] = lambda _: None,
+        tell: typing.Callable[[requests.CrashNotice], None] = lambda _: None,
     ) -> None:
         super().__init__('relay')
         self._endpoints = endpoints.Endpoints(
@@ -227,11 +227,11 @@
         self._endpoints.cache_changed(message.endpoint, message.events)
 
     @_take_message.register
-    def _take_sum(self, message: steering.DemandSum) -> None:
+    def _take_sum(self, message: requests.DemandSum) -> None:
         self._gate.take_sum(message, time.monotonic())
 
     @_take_message.register
-    def _take_notice(self, message: crash.CrashNotice) -> None:
+    def _take_notice(self, message: requests.CrashNotice) -> None:
         now_s = time.monotonic()
         stopped = set(self._suspects.book.take(message, now_s))
         for stream in list(self._streams):
--- a/src/guavachute/services/table_feed.py
+++ b/src/guavachute/services/table_feed.py
@@ -13,6 +13,7 @@
 from guavachute.observe import counters
 from guavachute.observe import logs
 from guavachute.wire import peer
+from guavachute.wire import requests
 from guavachute.wire import tables
 
 REPORT_INTERVAL_S = 0.5
@@ -25,6 +26,7 @@
     """Owns the connection to the node process.
 
     :param put_in_force: called with each newer view
+    :param pass_on: called with what other routers tell
     :param report: gives what to tell the node process
     """
 
@@ -34,12 +36,16 @@
         count: counters.Counters,
         put_in_force: typing.Callable[[tables.Tables], None],
         report: typing.Callable[[int], tables.RouterReport],
+        pass_on: typing.Callable[
+            [requests.DemandSums | requests.CrashNotice], None
+        ] = lambda message: None,
     ) -> None:
         super().__init__('table-feed')
         self._node_address = node_address
         self._count = count
         self._put_in_force = put_in_force
         self._report = report
+        self._pass_on = pass_on
         self._node: peer.Peer | None = None
         self._connect_at_s = 0.0
         self._offset = -1
@@ -63,8 +69,10 @@
                 self._node.close()
 
     def _read_mail(self, events: int) -> None:
-        # Any message asks for a report at once.
-        self.mailbox.drain()
+        # Any other message asks for a report at once.
+        for message in self.mailbox.drain():
+            if isinstance(message, requests.CrashNotice):
+                self._send(message)
         self._send_report()
 
     def _connect_if_due(self, now_s: float) -> None:
@@ -82,8 +90,11 @@
         if events & selectors.EVENT_WRITE:
             node.flush()
         if events & selectors.EVENT_READ:
-            for view in node.receive():
-                self._take(view)
+            for message in node.receive():
+                if isinstance(message, tables.Tables):
+                    self._take(message)
+                else:
+                    self._pass_on(message)
         self._after(node)
 
     def _after(self, node: peer.Peer) -> None:
@@ -110,6 +121,12 @@
         self._send_report()
 
     def _send_report(self) -> None:
+        self._send(self._report(self._offset))
+
+    def _send(
+        self, message: tables.RouterReport | requests.CrashNotice
+    ) -> None:
         node = self._node
         if node is not None and node.failure is None:
-            node.send(self._report(self._offset))
+            node.send(message)
+            self._after(node)
--- a/src/guavachute/services/table_server.py
+++ b/src/guavachute/services/table_server.py
@@ -10,11 +10,12 @@
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.wire import peer
+from guavachute.wire import requests
 from guavachute.wire import status
 from guavachute.wire import tables
 
 WAIT_S = 1.0
-FromOutside = tables.RouterReport | status.StatusRequest
+FromOutside = tables.RouterReport | status.StatusRequest | requests.CrashNotice
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +25,20 @@
     view: tables.Tables
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassOn:
+    """Send *message* to the routers that are connected now."""
+
+    message: requests.DemandSums | requests.CrashNotice
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashFound:
+    """Sent to the subscriber: what a router here has found."""
+
+    notice: requests.CrashNotice
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutersChanged:
     """Sent to the subscriber: the newest report of each router here."""
@@ -52,7 +67,7 @@
 
     Routers connect for their tables, operators to ask for the status.
 
-    Messages: :class:`Publish`.
+    Messages: :class:`Publish`, :class:`PassOn`.
 
     :param subscriber: gets :class:`RoutersChanged` and
         :class:`AskStatus`
@@ -97,6 +112,8 @@
                 self._count.add('tables.published')
                 for router in list(self._reports):
                     self._send(router)
+            elif isinstance(message, PassOn):
+                self._pass_on(message.message)
             elif isinstance(message, _Answer):
                 if message.operator in self._reports:
                     message.operator.send(message.reply)
@@ -119,6 +136,17 @@
             router.send(self._view)
             self._after(router)
 
+    def _pass_on(
+        self,
+        message: requests.DemandSums | requests.CrashNotice,
+        but: peer.Peer | None = None,
+    ) -> None:
+        """Send *message* to the routers, known by their reports."""
+        for router, report in list(self._reports.items()):
+            if report is not None and router is not but:
+                router.send(message)
+                self._after(router)
+
     def _router_ready(self, router: peer.Peer, events: int) -> None:
         if events & selectors.EVENT_WRITE:
             router.flush()
@@ -126,6 +154,9 @@
             for message in router.receive():
                 if isinstance(message, status.StatusRequest):
                     self._ask_status(router)
+                elif isinstance(message, requests.CrashNotice):
+                    self._pass_on(message, but=router)
+                    self._subscriber.send(CrashFound(message))
                 else:
                     self._take_report(router, message)
         self._after(router)
--- a/src/guavachute/wire/gossip.py
+++ b/src/guavachute/wire/gossip.py
@@ -70,6 +70,7 @@
     :ivar offset: the configuration in force, -1 for none
     :ivar digest: of that configuration, its first hexadecimal digits
     :ivar used_tokens: since the process started, by workspace
+    :ivar demand: requests that run or wait, by workspace
     """
 
     node: str
@@ -80,6 +81,7 @@
     active_requests: int = 0
     used_tokens: dict[str, int] = {}
     pools: tuple[PoolLoad, ...] = ()
+    demand: dict[str, int] = {}
 
 
 class NodeAddress(_Compact, frozen=True):
@@ -119,6 +121,7 @@
     active_requests: int = 0
     used_tokens: dict[str, int] = {}
     pools: tuple[PoolLoad, ...] = ()
+    demand: dict[str, int] = {}
 
 
 class Items(_Compact, frozen=True):
@@ -195,6 +198,19 @@
     wants_answer: bool
 
 
+class Crash(msgspec.Struct, frozen=True, array_like=True, tag='crash'):
+    """A :class:`requests.CrashNotice` on its way to all routers.
+
+    :ivar pass_on: the receiver tells its own failure domain
+    """
+
+    fingerprint: str
+    crashes: list[str]
+    cleared: list[str]
+    refused: bool
+    pass_on: bool
+
+
 Handshake = Hello | Proof
-Message = Ping | Ack | PingRequest | Sync | DigestExchange
+Message = Ping | Ack | PingRequest | Sync | DigestExchange | Crash
 Any = typing.Union[Handshake, Message]
--- a/src/guavachute/wire/tables.py
+++ b/src/guavachute/wire/tables.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from guavachute.wire import requests
+
 
 class EndpointEntry(msgspec.Struct, frozen=True, kw_only=True):
     """One endpoint that this router may use.
@@ -61,6 +63,7 @@
 
     :ivar offset: the configuration in force in this router
     :ivar used_tokens: since its start, by workspace
+    :ivar demand: requests that run or wait, by workspace
     """
 
     router: str
@@ -69,6 +72,7 @@
     draining: bool
     active_requests: int
     used_tokens: dict[str, float]
+    demand: dict[str, float] = {}
 
 
-FromNode = Tables
+FromNode = Tables | requests.DemandSums | requests.CrashNotice
--- a/tests/cover/test_crash.py
+++ b/tests/cover/test_crash.py
@@ -9,6 +9,7 @@
 from guavachute.decide import crash
 from guavachute.decide import crash_grants
 from guavachute import ids
+from guavachute.wire import requests
 
 WORKSPACE = ids.WorkspaceName('large')
 BAD = crash.fingerprint(WORKSPACE, 'm', 'crashes')
@@ -80,7 +81,7 @@
         book = crash.CrashBook()
         first = start(book, 'a', BAD, 4)
         self.assertEqual(endpoint(4), book.running_on(BAD))
-        notice = crash.CrashNotice(fingerprint=BAD, crashes=['c-1'])
+        notice = requests.CrashNotice(fingerprint=BAD, crashes=['c-1'])
         self.assertEqual([first], book.take(notice, 0))
         book.ended(first)
         self.assertIsNone(book.running_on(BAD))
@@ -89,11 +90,11 @@
 
     def test_times_and_the_operator_end_it(self) -> None:
         book = crash.CrashBook()
-        notice = crash.CrashNotice(
+        notice = requests.CrashNotice(
             fingerprint=BAD, crashes=['c-1', 'c-2'], refused=True
         )
         book.take(notice, 0)
-        book.take(crash.CrashNotice(fingerprint=GOOD, crashes=['c-1']), 0)
+        book.take(requests.CrashNotice(fingerprint=GOOD, crashes=['c-1']), 0)
         self.assertIs(CLEAN, book.standing(GOOD, crash.SUSPECT_S))
         last_s = crash.REFUSED_S - 1
         self.assertIs(REFUSED, book.standing(BAD, last_s))
@@ -104,14 +105,14 @@
     @hypothesis.given(
         strategies.permutations(
             [
-                crash.CrashNotice(fingerprint=BAD, crashes=['c-1']),
-                crash.CrashNotice(fingerprint=BAD, crashes=['c-1', 'c-2']),
-                crash.CrashNotice(fingerprint=BAD, crashes=['c-2']),
+                requests.CrashNotice(fingerprint=BAD, crashes=['c-1']),
+                requests.CrashNotice(fingerprint=BAD, crashes=['c-1', 'c-2']),
+                requests.CrashNotice(fingerprint=BAD, crashes=['c-2']),
             ]
         )
     )
     def test_the_order_of_notices_does_not_matter(
-        self, notices: list[crash.CrashNotice]
+        self, notices: list[requests.CrashNotice]
     ) -> None:
         book = crash.CrashBook()
         for notice in notices:
@@ -126,7 +127,7 @@
         self.random = random.Random(seed)
         self.books = [crash.CrashBook() for _ in range(4)]
         self.grants = crash_grants.Grants()
-        self.late: list[crash.CrashNotice] = []
+        self.late: list[requests.CrashNotice] = []
         self.lost = 0
 
     def resend(self, number: int) -> None:
--- a/tests/cover/test_membership_service.py
+++ b/tests/cover/test_membership_service.py
@@ -14,6 +14,7 @@
 from guavachute.services import peer_connection
 from guavachute.wire import codec
 from guavachute.wire import gossip
+from guavachute.wire import requests
 from tests.support import waiting
 
 LIMITS = suspicion.Limits(probe_period_s=0.1, direct_timeout_s=0.04)
@@ -53,12 +54,16 @@
         )
         self.views = mailbox.Mailbox()
         self.view: membership_state.View | None = None
+        self.heard: list[requests.CrashNotice] = []
         self.task.mailbox.send(membership.Subscribe(self.views))
 
     def present(self) -> set[str]:
         """Whom it sees in its failure domain."""
         for message in self.views.drain():
-            self.view = message.view
+            if isinstance(message, membership.CrashHeard):
+                self.heard.append(message.notice)
+            else:
+                self.view = message.view
         return {m.node for m in self.view.members} if self.view else set()
 
     def listed(self) -> member_table.ListedVm:
@@ -110,6 +115,30 @@
     return True
 
 
+class CrashNoticeTest(unittest.TestCase):
+    def test_a_notice_reaches_all_nodes_of_all_domains(self) -> None:
+        near = [Node(f'vm-{number}') for number in range(3)]
+        far = [Node(f'far-{number}', domain='perth-b') for number in range(3)]
+        self.enterContext(running(*near, *far))
+        wait_for(near, {node.node for node in near})
+        wait_for(far, {node.node for node in far})
+        first = near[0]
+        waiting.until(
+            lambda: first.present() and first.view and first.view.domains,
+            'the other domain is known',
+        )
+        notice = requests.CrashNotice(
+            fingerprint='f', crashes=['c-1', 'c-2'], refused=True
+        )
+        first.task.mailbox.send(membership.TellCrash(notice))
+        for node in near[1:] + far:
+            waiting.until(
+                lambda node=node: node.present() and node.heard,
+                f'{node.node} has heard',
+            )
+            self.assertEqual([notice], node.heard)
+
+
 class MembershipServiceTest(unittest.TestCase):
     def setUp(self) -> None:
         self.nodes = [Node(f'vm-{number}') for number in range(4)]
--- a/tests/cover/test_requests.py
+++ b/tests/cover/test_requests.py
@@ -113,6 +113,16 @@
             {(each.status, each.outcome) for each in answers[1:]},
         )
 
+    def test_another_router_refuses_what_crashed_here(self) -> None:
+        fleet = self.start(engines=5, routers=2)
+        self.fault_everywhere(
+            fleet, faults.Kind.CRASH, match='poison', count=-1
+        )
+        self.assertEqual('unknown', self.ask(fleet, 'poison').outcome)
+        resent = self.ask(fleet, 'poison', number=1)
+        self.assertEqual((422, 'not-run'), (resent.status, resent.outcome))
+        self.assertEqual(2, self.crashed(fleet))
+
     def test_a_silent_stream_is_probed_and_resumed(self) -> None:
         fleet = self.start()
         self.fault_everywhere(fleet, faults.Kind.SILENT, after_tokens=9)
--- a/tests/cover/test_steering.py
+++ b/tests/cover/test_steering.py
@@ -5,8 +5,14 @@
 import hypothesis
 from hypothesis import strategies
 
+from guavachute.decide import demand_sums
+from guavachute.decide import domain_digest
+from guavachute.decide import membership
 from guavachute.decide import steering
 from guavachute import ids
+from guavachute.wire import gossip
+from guavachute.wire import requests
+from guavachute.wire import tables
 
 LARGE = ids.WorkspaceName('large')
 SMALL = ids.WorkspaceName('small')
@@ -19,7 +25,7 @@
         state = steering.Steering()
         for other, demand in enumerate(demands):
             if other != own:
-                message = steering.DemandSum(
+                message = requests.DemandSum(
                     source=f'r-{other}', demand={LARGE: demand}
                 )
                 state.take(message, 0)
@@ -50,7 +56,7 @@
 
     def test_a_sum_for_many_counts_as_many(self) -> None:
         state = steering.Steering()
-        message = steering.DemandSum(
+        message = requests.DemandSum(
             source='perth-b', routers=9, demand={LARGE: 90.0}
         )
         state.take(message, 0)
@@ -59,15 +65,56 @@
     def test_routers_with_different_callers_reach_the_shares(self) -> None:
         shares = {LARGE: 1.0, SMALL: 1.0}
         state = steering.Steering()
-        state.take(steering.DemandSum(source='r-2', demand={SMALL: 40.0}), 0)
+        state.take(requests.DemandSum(source='r-2', demand={SMALL: 40.0}), 0)
         allowed = state.slots({LARGE: 500.0}, shares, 64, 2, 0)
         self.assertAlmostEqual(0.95 * 32, allowed[LARGE])
 
+    def test_a_node_knows_the_demand_of_all_but_the_suspected(self) -> None:
+        def reported(node: str, suspect: bool) -> domain_digest.Reported:
+            return domain_digest.Reported(
+                node,
+                gossip.Profile('', 'perth-a', 'perth', ('r-1', 'r-2')),
+                gossip.Status(node, 1, 1, demand={LARGE: 7}),
+                suspect,
+            )
+
+        members = (
+            reported('me', False),
+            reported('vm-2', False),
+            reported('vm-3', True),
+        )
+        digest = gossip.DomainDigest(
+            'perth-b', 'perth', 'vm-9', 1, 1, nodes=5, demand={LARGE: 40}
+        )
+        view = membership.View('me', 'perth-a', 'perth', members, (digest,))
+        report = tables.RouterReport(
+            router='router-1',
+            address='',
+            offset=0,
+            draining=False,
+            active_requests=1,
+            used_tokens={},
+            demand={LARGE: 1.0},
+        )
+        sums = demand_sums.known((report,), view)
+        self.assertEqual(
+            [
+                ('router-1', 1, 1),
+                ('node/vm-2', 2, 7),
+                ('domain/perth-b', 5, 40),
+            ],
+            [(one.source, one.routers, one.demand[LARGE]) for one in sums],
+        )
+        state = steering.Steering()
+        for one in sums[1:]:
+            state.take(one, 0)
+        self.assertEqual(7, state.routers(0))
+
     def test_served_elsewhere_is_the_difference_of_sums(self) -> None:
         state = steering.Steering()
         gains = []
         for tokens in (100.0, 350.0, 20.0):
-            message = steering.DemandSum(
+            message = requests.DemandSum(
                 source='r-2', demand={}, served_tokens={LARGE: tokens}
             )
             gains.append(state.take(message, 0))
