Own a purchase for as long as its VM runs

Cause: after 'started' a purchase was closed and its name forgotten a bounded stretch of log later; a VM that runs longer would then look like nobody's, and nothing told why it exists.

Change: 'started' makes a purchase owned, any other result closes it. An intent says why. PurchaseDrain marks a VM that is to be drained, only under the holder's term; RolloutChange keeps the step of a roll-out, and a late copy neither takes a step back nor undoes a stop.

Conclusion: ownership no longer depends on the remembered stretch.

--- a/src/guavachute/decide/control_log.py
+++ b/src/guavachute/decide/control_log.py
@@ -12,6 +12,9 @@
 than that opens the intent again; its owner lists the VMs by name before
 it orders, finds the VM, and closes it once more.
 
+A purchase whose VM runs is owned, and is kept until its VM has ended,
+however long that is: what is forgotten would be ended as nobody's.
+
 Nothing here looks at whether a document is valid. Nodes of two versions
 could judge that differently, and would then no longer agree.
 """
@@ -116,6 +119,8 @@
         return state, Verdict.DUPLICATE
     if record.vm_name in state.open_purchases:
         return state, Verdict.DUPLICATE
+    if record.vm_name in state.owned_purchases:
+        return state, Verdict.DUPLICATE
     if not _may_purchase(state, record):
         return state, Verdict.REFUSED
     purchases = state.open_purchases | {record.vm_name: record}
@@ -129,22 +134,24 @@
 def _(
     record: records.PurchaseResult, state: State, offset: ids.Offset
 ) -> Folded:
-    if record.vm_name in state.closed_purchases:
+    name = record.vm_name
+    if name in state.closed_purchases:
         return state, Verdict.DUPLICATE
-    still_open = {
-        name: intent
-        for name, intent in state.open_purchases.items()
-        if name != record.vm_name
-    }
-    oldest = offset - REMEMBERED_OFFSETS
-    closed = {
-        name: closed_at
-        for name, closed_at in state.closed_purchases.items()
-        if closed_at >= oldest
-    }
-    closed[record.vm_name] = offset
+    still_open = _without(state.open_purchases, name)
+    owned = _without(state.owned_purchases, name)
+    closed = state.closed_purchases
+    intent = state.open_purchases.get(name)
+    if record.result == 'started':
+        if intent is None or record.vm is None:
+            return state, Verdict.DUPLICATE
+        owned[name] = records.OwnedPurchase(intent=intent, vm=record.vm)
+    else:
+        closed = _with_closed(closed, name, offset)
     new_state = msgspec.structs.replace(
-        state, open_purchases=still_open, closed_purchases=closed
+        state,
+        open_purchases=still_open,
+        owned_purchases=owned,
+        closed_purchases=closed,
     )
     return new_state, Verdict.ACCEPTED
 
@@ -165,6 +172,66 @@
     )
 
 
+@_apply.register
+def _(
+    record: records.PurchaseDrain, state: State, offset: ids.Offset
+) -> Folded:
+    held = state.owned_purchases.get(record.vm_name)
+    if held is None or not _in_term(
+        state, record.lease_name, record.term_offset
+    ):
+        return state, Verdict.REFUSED
+    if held.draining:
+        return state, Verdict.DUPLICATE
+    drained = msgspec.structs.replace(held, draining=record.why)
+    owned = state.owned_purchases | {record.vm_name: drained}
+    return (
+        msgspec.structs.replace(state, owned_purchases=owned),
+        Verdict.ACCEPTED,
+    )
+
+
+@_apply.register
+def _(
+    record: records.RolloutChange, state: State, offset: ids.Offset
+) -> Folded:
+    if not _in_term(state, record.lease_name, record.term_offset):
+        return state, Verdict.REFUSED
+    name = f'{record.environment}/{record.model}'
+    held = state.rollouts.get(name)
+    if held is not None and held.record_id == record.record_id:
+        return state, Verdict.DUPLICATE
+    if held is not None and held.new_version == record.new_version:
+        # A late copy must not take a step back or undo a stop.
+        if held.progress == 'stopped' or record.step < held.step:
+            return state, Verdict.REFUSED
+    rollouts = state.rollouts | {name: record}
+    return (
+        msgspec.structs.replace(state, rollouts=rollouts),
+        Verdict.ACCEPTED,
+    )
+
+
+Value = typing.TypeVar('Value')
+
+
+def _without(values: dict[str, Value], name: str) -> dict[str, Value]:
+    return {key: value for key, value in values.items() if key != name}
+
+
+def _with_closed(
+    closed: dict[str, ids.Offset], name: str, offset: ids.Offset
+) -> dict[str, ids.Offset]:
+    oldest = offset - REMEMBERED_OFFSETS
+    kept = {
+        each: closed_at
+        for each, closed_at in closed.items()
+        if closed_at >= oldest
+    }
+    kept[name] = offset
+    return kept
+
+
 def offset_of(
     head: records.ConfigurationHead | records.LeaseHead | None,
 ) -> ids.Offset:
--- a/src/guavachute/wire/records.py
+++ b/src/guavachute/wire/records.py
@@ -72,6 +72,7 @@
     :ivar term_offset: where the holder's term began
     :ivar allowance: the allowance that it draws on, when it was made
         while the log was down and is written down afterwards
+    :ivar why: one line for ``guavachute explain``
     """
 
     vm_name: str
@@ -82,20 +83,37 @@
     machine_class: str
     market: str
     allowance: str | None = None
+    why: str = ''
 
 
 PurchaseEnd = typing.Literal['started', 'refused', 'ended']
 
 
 class PurchaseResult(Record, frozen=True, kw_only=True, tag='purchase-result'):
-    """How a purchase ended; after it the name is never ordered again.
+    """What became of a purchase; its name is never ordered again.
+
+    After ``started`` the purchase is owned; any other result closes it.
 
     :ivar vm: the id that the cloud gave, when one was started
+    :ivar why: one line for people
     """
 
     vm_name: str
     result: PurchaseEnd
     vm: ids.VmId | None = None
+    why: str = ''
+
+
+class PurchaseDrain(Record, frozen=True, kw_only=True, tag='purchase-drain'):
+    """The VM of an owned purchase is to be drained, then ended.
+
+    :ivar why: one line for people
+    """
+
+    vm_name: str
+    lease_name: str
+    term_offset: ids.Offset
+    why: str
 
 
 class PurchaseAllowance(
@@ -120,6 +138,34 @@
     vm_names: list[str]
 
 
+class RolloutChange(Record, frozen=True, kw_only=True, tag='rollout-change'):
+    """Where the roll-out of a model's version stands.
+
+    :ivar progress: ``running``, ``done`` or ``stopped``
+    """
+
+    environment: ids.EnvironmentName
+    model: ids.ModelName
+    lease_name: str
+    term_offset: ids.Offset
+    old_version: str
+    new_version: str
+    step: int
+    progress: str
+    reason: str = ''
+
+
+class OwnedPurchase(msgspec.Struct, frozen=True, kw_only=True):
+    """A purchase whose VM runs.
+
+    :ivar draining: why it is being drained; empty while it isn't
+    """
+
+    intent: PurchaseIntent
+    vm: ids.VmId
+    draining: str = ''
+
+
 class ConfigurationHead(msgspec.Struct, frozen=True, kw_only=True):
     """The document in force in one environment."""
 
@@ -153,17 +199,21 @@
     :ivar configurations: by environment
     :ivar leases: by name
     :ivar open_purchases: intents without a result, by VM name
+    :ivar owned_purchases: those whose VM runs, by VM name
     :ivar closed_purchases: offset of the result, by VM name, for a
         bounded stretch of the log
     :ivar allowances: by node
+    :ivar rollouts: by environment and model, joined by a slash
     """
 
     through_offset: ids.Offset = NO_OFFSET
     configurations: dict[ids.EnvironmentName, ConfigurationHead] = {}
     leases: dict[str, LeaseHead] = {}
     open_purchases: dict[str, PurchaseIntent] = {}
+    owned_purchases: dict[str, OwnedPurchase] = {}
     closed_purchases: dict[str, ids.Offset] = {}
     allowances: dict[ids.NodeId, PurchaseAllowance] = {}
+    rollouts: dict[str, RolloutChange] = {}
 
 
 class Snapshot(Record, frozen=True, kw_only=True, tag='snapshot'):
@@ -199,6 +249,8 @@
     | PurchaseIntent
     | PurchaseResult
     | PurchaseAllowance
+    | PurchaseDrain
+    | RolloutChange
     | Snapshot
 )
 
