Decide on purchases: adopt, order again, end; spend allowances

Cause: answers get lost, processes die between intent and order, doubles and late orders appear, and the log has outages.

Change: purchases.reconcile compares the log's records with the cloud's list; explain gives the reason of each VM. allowances grants names to the nodes and says which a node may order while the log is down. fleet_view puts log, cloud and engines together for the planner. A holder that has not watched the load for long enough ends nothing.

--- /dev/null
+++ b/src/guavachute/decide/allowances.py
@@ -0,0 +1,167 @@
+"""Replacements while the log is down: written beforehand, disjoint.
+
+While the log can be read, the holder grants each node a few VM names for
+one pool and offer. While it is down no lease can be trusted, so any node
+may order the VMs of its own names, and nothing else. All bills of an
+outage together are bounded by the names that were granted; no two nodes
+share a name, so none is ordered twice by two of them.
+
+The nodes share the lost VMs out by hashing. A node that doesn't act in
+its turn, dead or cut off from the cloud, is followed by the next; that
+may at worst buy one VM more than was lost, within the grants.
+"""
+
+import collections
+import typing
+
+import xxhash
+
+from guavachute.decide import market
+from guavachute.decide import purchases
+from guavachute import ids
+from guavachute.wire import records
+
+TURN_S = 20.0
+LOG_DOWN_S = 30.0
+"""The log counts as down when nothing was heard from it for so long."""
+NAMES_PER_NODE = 2
+
+
+def grants(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    nodes: typing.Iterable[ids.NodeId],
+    offers: typing.Mapping[ids.PoolName, typing.Sequence[market.OfferKey]],
+) -> dict[ids.NodeId, tuple[ids.PoolName, market.OfferKey]]:
+    """What each node without a fresh allowance is to be granted.
+
+    :param offers: the offers of each pool's plan; nodes get pools and
+        offers in turn, so that together they cover all of them
+    """
+    choices = _in_turn(offers)
+    if not choices:
+        return {}
+    wanted = {}
+    for place, node in enumerate(sorted(nodes)):
+        held = state.allowances.get(node)
+        if held is not None and _is_fresh(state, environment, held, offers):
+            continue
+        wanted[node] = choices[place % len(choices)]
+    return wanted
+
+
+def to_order(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    node: ids.NodeId,
+    listed: typing.Collection[purchases.ListedVm],
+    lost_since_s: typing.Mapping[str, float],
+    now_s: float,
+) -> list[str]:
+    """The names that *node* is to order now, while the log is down.
+
+    :param lost_since_s: when this node saw each owned VM missing or
+        leaving, by VM name
+    """
+    mine = state.allowances.get(node)
+    if mine is None:
+        return []
+    rivals = [
+        allowance
+        for allowance in state.allowances.values()
+        if allowance.pool == mine.pool
+    ]
+    listed_names = {vm.name for vm in listed}
+    bought = sum(
+        name in listed_names
+        for allowance in rivals
+        for name in allowance.vm_names
+    )
+    due = sum(
+        _is_due(name, mine, rivals, now_s - since_s)
+        for name, since_s in lost_since_s.items()
+        if _pool_of(state, name) == mine.pool
+    )
+    lost = sum(_pool_of(state, name) == mine.pool for name in lost_since_s)
+    unused = [
+        name
+        for name in mine.vm_names
+        if name not in listed_names and not _is_used(state, name)
+    ]
+    already = sum(name in listed_names for name in mine.vm_names)
+    count = min(due - already, lost - bought)
+    return unused[: max(0, count)]
+
+
+def lost_names(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    listed: typing.Iterable[purchases.ListedVm],
+) -> set[str]:
+    """The owned VMs that are gone or have notice, but for drained ones."""
+    staying = {vm.name for vm in listed if not vm.leaving}
+    prefix = purchases.name_prefix(environment)
+    return {
+        name
+        for name, owned in state.owned_purchases.items()
+        if name.startswith(prefix)
+        and not owned.draining
+        and name not in staying
+    }
+
+
+def _in_turn(
+    offers: typing.Mapping[ids.PoolName, typing.Sequence[market.OfferKey]],
+) -> list[tuple[ids.PoolName, market.OfferKey]]:
+    """All (pool, offer), the pools in turn."""
+    queues = {
+        pool: collections.deque(sorted(keys, key=market.order))
+        for pool, keys in sorted(offers.items())
+    }
+    choices = []
+    while any(queues.values()):
+        for pool, queue in queues.items():
+            if queue:
+                choices.append((pool, queue.popleft()))
+    return choices
+
+
+def _is_fresh(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    held: records.PurchaseAllowance,
+    offers: typing.Mapping[ids.PoolName, typing.Sequence[market.OfferKey]],
+) -> bool:
+    prefix = purchases.name_prefix(environment)
+    return held.pool in offers and all(
+        name.startswith(prefix) and not _is_used(state, name)
+        for name in held.vm_names
+    )
+
+
+def _is_used(state: records.ControlState, name: str) -> bool:
+    return (
+        name in state.open_purchases
+        or name in state.owned_purchases
+        or name in state.closed_purchases
+    )
+
+
+def _pool_of(state: records.ControlState, name: str) -> ids.PoolName | None:
+    owned = state.owned_purchases.get(name)
+    return None if owned is None else owned.intent.pool
+
+
+def _is_due(
+    name: str,
+    mine: records.PurchaseAllowance,
+    rivals: list[records.PurchaseAllowance],
+    lost_for_s: float,
+) -> bool:
+    """Whether it is this node's turn, or past it, to replace a VM."""
+
+    def rank(allowance: records.PurchaseAllowance) -> int:
+        return xxhash.xxh64_intdigest(f'{allowance.node}/{name}'.encode())
+
+    turn = sorted(rivals, key=rank).index(mine)
+    return lost_for_s >= turn * TURN_S
--- a/src/guavachute/decide/demand.py
+++ b/src/guavachute/decide/demand.py
@@ -54,6 +54,7 @@
 class Forecast:
     """The smoothed load of one model.
 
+    :ivar first_s: when the load was first observed
     :ivar recent: (start of the bucket, largest need in it), oldest first
     :ivar idle_since_s: when the load became zero; None while there is any
     """
@@ -64,6 +65,7 @@
     at_s: float | None = None
     idle_since_s: float | None = None
     recent: tuple[tuple[float, float], ...] = ()
+    first_s: float | None = None
 
 
 def observe(
@@ -79,7 +81,9 @@
     """
     idle_since_s = _idle_since(forecast, tokens_per_s, now_s)
     if forecast.at_s is None:
-        first = Forecast(tokens_per_s, 0.0, 0.0, now_s, idle_since_s)
+        first = Forecast(
+            tokens_per_s, 0.0, 0.0, now_s, idle_since_s, first_s=now_s
+        )
         return _with_recent(first, start_up, now_s)
     elapsed_s = max(1e-3, now_s - forecast.at_s)
     gain = 1 - math.exp(-elapsed_s / SMOOTHING_TIME_S)
@@ -94,7 +98,13 @@
     deviation = forecast.deviation_tokens_per_s
     deviation += gain * (abs(error) - deviation)
     current = Forecast(
-        level, trend, deviation, now_s, idle_since_s, forecast.recent
+        level,
+        trend,
+        deviation,
+        now_s,
+        idle_since_s,
+        forecast.recent,
+        forecast.first_s,
     )
     return _with_recent(current, start_up, now_s)
 
@@ -113,6 +123,12 @@
     return max((need for _, need in forecast.recent), default=0.0)
 
 
+def is_seasoned(forecast: Forecast, now_s: float) -> bool:
+    """Whether the load was observed for long enough to end VMs by it."""
+    first_s = forecast.first_s
+    return first_s is not None and now_s - first_s >= HOLD_S
+
+
 def may_scale_to_zero(forecast: Forecast, allowed: bool, now_s: float) -> bool:
     """Whether a model may give up its last engine."""
     if not allowed or forecast.idle_since_s is None:
--- a/src/guavachute/decide/fleet_plan.py
+++ b/src/guavachute/decide/fleet_plan.py
@@ -51,7 +51,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolView:
-    """What is known of one pool."""
+    """What is known of one pool.
+
+    :ivar seasoned: the load was observed for long enough; until then, as
+        after a change of the holder, the pool keeps its size
+    """
 
     pool: ids.PoolName
     config: schema.Pool
@@ -63,6 +67,7 @@
     rollouts: typing.Mapping[ids.ModelName, rollout.Rollout] = (
         dataclasses.field(default_factory=dict)
     )
+    seasoned: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,6 +202,26 @@
     )
 
 
+def _without_ends(
+    wanted: market.PoolPlan, held: market.Counts
+) -> market.PoolPlan:
+    """The plan with all that is held, for as long as the load is unknown.
+
+    Nothing is bought in exchange either: what would be ended for it is
+    not known yet.
+    """
+    grows = sum(wanted.counts.values()) > sum(held.values())
+    counts = dict(held)
+    if grows or wanted.cover is not market.Cover.DOMAIN_LOSS:
+        for key, count in wanted.counts.items():
+            counts[key] = max(count, held.get(key, 0))
+    return dataclasses.replace(
+        wanted,
+        counts=counts,
+        reason='the load is not known for long enough to end VMs',
+    )
+
+
 def offers_for(
     view: PoolView,
     offers: MarketView,
@@ -276,6 +301,8 @@
     held = _held(view, HELD_PHASES)
     choice = offers_for(view, offers, held, now_s)
     wanted = market.plan_pool(need, choice, held, weights_of(policy))
+    if not view.seasoned and held:
+        wanted = _without_ends(wanted, held)
     missing = {
         key: count - held.get(key, 0)
         for key, count in wanted.counts.items()
--- /dev/null
+++ b/src/guavachute/decide/fleet_view.py
@@ -0,0 +1,239 @@
+"""Puts what is known of an environment's fleet into one view for planning.
+
+The log says which VMs are ours, the cloud which of them exist, and the
+engines what they serve.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import placement
+from guavachute.decide import purchases
+from guavachute.decide import replacement_wave
+from guavachute.decide import rollout
+from guavachute.document import schema
+from guavachute import ids
+from guavachute.wire import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What one engine said last.
+
+    :ivar models: loaded
+    :ivar taken: the last order that it took from this process
+    """
+
+    endpoint: ids.EndpointId
+    models: tuple[ids.ModelName, ...] = ()
+    taken: placement.Wish | None = None
+    running: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Known:
+    """Everything that a plan is made from, but for the market.
+
+    :ivar live: VMs that the platform's VM list shows as live
+    :ivar awaited: intents that were written and not yet read back
+    """
+
+    environment: ids.EnvironmentName
+    document: schema.Document
+    state: records.ControlState
+    listed: tuple[purchases.ListedVm, ...]
+    live: frozenset[ids.VmId] = frozenset()
+    reports: typing.Mapping[ids.EndpointId, EngineReport] = dataclasses.field(
+        default_factory=dict
+    )
+    awaited: tuple[records.PurchaseIntent, ...] = ()
+    forecasts: typing.Mapping[ids.ModelName, demand.Forecast] = (
+        dataclasses.field(default_factory=dict)
+    )
+    loads: typing.Mapping[
+        ids.PoolName, tuple[replacement_wave.WorkspaceLoad, ...]
+    ] = dataclasses.field(default_factory=dict)
+    start_ups: typing.Mapping[ids.PoolName, demand.StartUp] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
+def build(
+    known: Known, now_s: float | None = None
+) -> list[fleet_plan.PoolView]:
+    """A view of each pool of the document.
+
+    :param now_s: pools whose load was not observed for long enough by
+        then keep their size; None takes the loads as given
+    """
+    vms = _vms_by_pool(known)
+    views = []
+    for name, config in sorted(known.document.pools.items()):
+        pool = ids.PoolName(name)
+        models = {
+            ids.ModelName(each): model
+            for each, model in known.document.models.items()
+            if model.pool == name
+        }
+        views.append(
+            fleet_plan.PoolView(
+                pool,
+                config,
+                models,
+                known.forecasts,
+                known.loads.get(pool, ()),
+                tuple(vms[pool]),
+                known.start_ups.get(pool, demand.StartUp()),
+                _rollouts(known, models),
+                now_s is None or _is_seasoned(known, models, now_s),
+            )
+        )
+    return views
+
+
+def _is_seasoned(
+    known: Known,
+    models: typing.Mapping[ids.ModelName, schema.Model],
+    now_s: float,
+) -> bool:
+    return all(
+        demand.is_seasoned(known.forecasts.get(name, demand.Forecast()), now_s)
+        for name in models
+    )
+
+
+def rollout_of(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    model: ids.ModelName,
+) -> rollout.Rollout | None:
+    """The newest roll-out of a model."""
+    record = state.rollouts.get(f'{environment}/{model}')
+    if record is None:
+        return None
+    return rollout.Rollout(
+        model,
+        record.old_version,
+        record.new_version,
+        record.step,
+        rollout.Progress(record.progress),
+        reason=record.reason,
+    )
+
+
+def _rollouts(
+    known: Known, models: typing.Mapping[ids.ModelName, schema.Model]
+) -> dict[ids.ModelName, rollout.Rollout]:
+    """The roll-outs to the versions that the document names now."""
+    found = {}
+    for name, model in models.items():
+        current = rollout_of(known.state, known.environment, name)
+        if current is not None and current.new_version == model.version:
+            found[name] = current
+    return found
+
+
+def _vms_by_pool(
+    known: Known,
+) -> dict[ids.PoolName, list[fleet_plan.FleetVm]]:
+    """The VMs and orders that count, doubles and strangers left out."""
+    state = known.state
+    prefix = purchases.name_prefix(known.environment)
+    listed: dict[str, list[purchases.ListedVm]] = collections.defaultdict(list)
+    for vm in known.listed:
+        listed[vm.name].append(vm)
+    by_pool: dict[ids.PoolName, list[fleet_plan.FleetVm]] = (
+        collections.defaultdict(list)
+    )
+    for name, owned in state.owned_purchases.items():
+        if name.startswith(prefix) and name in listed:
+            kept = purchases.kept_vm(listed[name], owned.vm)
+            by_pool[owned.intent.pool].append(
+                _fleet_vm(known, owned.intent, kept, owned.draining)
+            )
+    waiting = {
+        intent.vm_name: intent
+        for intent in (*known.awaited, *state.open_purchases.values())
+        if intent.vm_name not in state.owned_purchases
+        and intent.vm_name not in state.closed_purchases
+    }
+    for name, intent in waiting.items():
+        if not name.startswith(prefix):
+            continue
+        offer = purchases.offer_of(intent)
+        by_pool[intent.pool].append(
+            fleet_plan.FleetVm(name, offer, fleet_plan.Phase.STARTING)
+        )
+    for name, vms in listed.items():
+        if _is_allowed_only(state, name):
+            # Bought while the log was down, not yet written down.
+            vm = purchases.kept_vm(vms, None)
+            by_pool[vm.pool].append(
+                fleet_plan.FleetVm(name, vm.offer, fleet_plan.Phase.STARTING)
+            )
+    return by_pool
+
+
+def _is_allowed_only(state: records.ControlState, name: str) -> bool:
+    return (
+        name not in state.open_purchases
+        and name not in state.owned_purchases
+        and name not in state.closed_purchases
+        and purchases.allowance_of(state, name) is not None
+    )
+
+
+def _fleet_vm(
+    known: Known,
+    intent: records.PurchaseIntent,
+    vm: purchases.ListedVm,
+    draining: str,
+) -> fleet_plan.FleetVm:
+    pool = known.document.pools.get(intent.pool)
+    is_service = pool is not None and pool.kind is schema.PoolKind.SERVICE
+    endpoint = ids.EndpointId(vm.vm)
+    report = known.reports.get(endpoint)
+    if vm.leaving:
+        phase = fleet_plan.Phase.LEAVING
+    elif draining:
+        phase = fleet_plan.Phase.DRAINING
+    elif vm.vm in known.live if is_service else report and report.models:
+        phase = fleet_plan.Phase.SERVING
+    else:
+        phase = fleet_plan.Phase.STARTING
+    engine = None
+    if not is_service:
+        engine = _engine(vm, report, phase)
+    return fleet_plan.FleetVm(intent.vm_name, vm.offer, phase, engine)
+
+
+def _engine(
+    vm: purchases.ListedVm,
+    report: EngineReport | None,
+    phase: fleet_plan.Phase,
+) -> placement.Engine:
+    taken = report.taken if report is not None else None
+    models = report.models if report is not None else ()
+    loaded = models[0] if models else None
+    if taken is not None and taken.model in models:
+        loaded = taken.model
+    # Engines don't report versions: what they took last and have loaded
+    # is what they serve.
+    version = ''
+    if taken is not None and loaded == taken.model:
+        version = taken.version
+    leaving = phase in (
+        fleet_plan.Phase.LEAVING,
+        fleet_plan.Phase.DRAINING,
+    )
+    return placement.Engine(
+        ids.EndpointId(vm.vm),
+        vm.offer.failure_domain,
+        loaded,
+        version,
+        taken,
+        leaving,
+    )
--- /dev/null
+++ b/src/guavachute/decide/purchases.py
@@ -0,0 +1,318 @@
+"""What to do about purchases: the log's records against the cloud's list.
+
+Every VM has a name that was written to the log before it was ordered, so
+the name decides what a listed VM is:
+
+- of an open intent: the answer was lost, or comes still; it is adopted;
+- of an owned purchase: as it should be; a second one with the name is a
+  double, which is ended at once;
+- of an allowance: bought while the log was down; it is written down;
+- of a closed purchase, or never written: nobody's, and is ended.
+
+The cloud treats names as labels, so an order that was thought lost can
+take effect after it was repeated. Which of two VMs stays is decided by
+their ids, hence alike in every process.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from guavachute.decide import market
+from guavachute import ids
+from guavachute.wire import records
+
+SETTLE_S = 30.0
+"""An order may take effect so long after it was sent."""
+UNKNOWN_GRACE_S = 120.0
+"""A name that the log doesn't hold yet may still be on its way to us."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedVm:
+    """One VM as the cloud lists it."""
+
+    vm: ids.VmId
+    name: str
+    pool: ids.PoolName
+    offer: market.OfferKey
+    region: str = ''
+    address: str = ''
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """Order the VM of an open intent; nothing of its name is listed."""
+
+    intent: records.PurchaseIntent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteStarted:
+    """Write down that the VM of a purchase runs."""
+
+    vm_name: str
+    vm: ids.VmId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteBought:
+    """Write down a VM that was bought from an allowance."""
+
+    vm_name: str
+    allowance: records.PurchaseAllowance
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteEnded:
+    """Write down that the VM of a purchase is no longer listed."""
+
+    vm_name: str
+    vm: ids.VmId
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndVm:
+    """End one VM at the cloud."""
+
+    vm: ids.VmId
+    vm_name: str
+    why: str
+
+
+Action = Order | WriteStarted | WriteBought | WriteEnded | EndVm
+
+
+def name_prefix(environment: ids.EnvironmentName) -> str:
+    """How the names of all VMs of an environment begin."""
+    return f'{environment}/'
+
+
+def new_name(
+    environment: ids.EnvironmentName, pool: ids.PoolName, unique: str
+) -> str:
+    """The name for a new purchase; *unique* is a random id."""
+    return f'{name_prefix(environment)}{pool}/{unique}'
+
+
+def kept_vm(
+    listed: typing.Sequence[ListedVm], recorded: ids.VmId | None
+) -> ListedVm:
+    """The one of several VMs with one name that stays."""
+    for vm in listed:
+        if vm.vm == recorded:
+            return vm
+    return min(listed, key=lambda vm: vm.vm)
+
+
+def reconcile(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    listed: typing.Iterable[ListedVm],
+    ordered_at_s: typing.Mapping[str, float],
+    first_seen_s: typing.Mapping[ids.VmId, float],
+    now_s: float,
+) -> list[Action]:
+    """What brings the log and the cloud to agree.
+
+    :param ordered_at_s: when this process last sent an order, by name; a
+        name that it never ordered counts from when it read the intent
+    :param first_seen_s: when this process first saw each VM listed
+    """
+    by_name = _by_name(environment, listed)
+    actions: list[Action] = []
+    for name, vms in sorted(by_name.items()):
+        actions.extend(_of_listed(state, name, vms, first_seen_s, now_s))
+    prefix = name_prefix(environment)
+    for name, intent in state.open_purchases.items():
+        if not name.startswith(prefix) or name in by_name:
+            continue
+        if now_s - ordered_at_s.get(name, float('-inf')) >= SETTLE_S:
+            actions.append(Order(intent))
+    for name, owned in state.owned_purchases.items():
+        if name.startswith(prefix) and name not in by_name:
+            actions.append(
+                WriteEnded(name, owned.vm, 'the cloud no longer lists it')
+            )
+    return actions
+
+
+def _by_name(
+    environment: ids.EnvironmentName, listed: typing.Iterable[ListedVm]
+) -> dict[str, list[ListedVm]]:
+    prefix = name_prefix(environment)
+    by_name: dict[str, list[ListedVm]] = collections.defaultdict(list)
+    for vm in listed:
+        if vm.name.startswith(prefix):
+            by_name[vm.name].append(vm)
+    return by_name
+
+
+def _of_listed(
+    state: records.ControlState,
+    name: str,
+    vms: list[ListedVm],
+    first_seen_s: typing.Mapping[ids.VmId, float],
+    now_s: float,
+) -> typing.Iterator[Action]:
+    if name in state.closed_purchases:
+        for vm in vms:
+            yield EndVm(vm.vm, name, 'its purchase is closed')
+        return
+    owned = state.owned_purchases.get(name)
+    kept = kept_vm(vms, owned.vm if owned is not None else None)
+    allowance = allowance_of(state, name)
+    if owned is None and name in state.open_purchases:
+        yield WriteStarted(name, kept.vm)
+    elif owned is None and allowance is not None:
+        yield WriteBought(name, allowance)
+    elif owned is None:
+        for vm in vms:
+            seen_s = first_seen_s.get(vm.vm, now_s)
+            if now_s - seen_s >= UNKNOWN_GRACE_S:
+                yield EndVm(vm.vm, name, 'the log holds no such purchase')
+        return
+    elif owned.vm != kept.vm:
+        # The recorded one has gone, a double took its place.
+        yield WriteEnded(name, owned.vm, 'another VM has its name')
+    for vm in vms:
+        if vm.vm != kept.vm:
+            yield EndVm(vm.vm, name, f'a double of {kept.vm}')
+
+
+def allowance_of(
+    state: records.ControlState, name: str
+) -> records.PurchaseAllowance | None:
+    """The allowance that holds *name*."""
+    for allowance in state.allowances.values():
+        if name in allowance.vm_names:
+            return allowance
+    return None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explained:
+    """Why one VM exists.
+
+    :ivar vm: None while nothing of the name is listed
+    """
+
+    vm: ids.VmId | None
+    name: str
+    offer: market.OfferKey
+    pool: ids.PoolName
+    state: str
+    why: str
+
+
+def explain(
+    state: records.ControlState,
+    environment: ids.EnvironmentName,
+    listed: typing.Iterable[ListedVm],
+) -> list[Explained]:
+    """A line for each VM and each order of an environment."""
+    by_name = _by_name(environment, listed)
+    prefix = name_prefix(environment)
+    lines = []
+    for name, vms in by_name.items():
+        owned = state.owned_purchases.get(name)
+        kept = kept_vm(vms, owned.vm if owned is not None else None)
+        for vm in vms:
+            status, why = _status(state, name, vm, vm is kept)
+            lines.append(
+                Explained(vm.vm, name, vm.offer, vm.pool, status, why)
+            )
+    for name, intent in state.open_purchases.items():
+        if name.startswith(prefix) and name not in by_name:
+            lines.append(
+                Explained(
+                    None,
+                    name,
+                    offer_of(intent),
+                    intent.pool,
+                    'ordered',
+                    intent.why,
+                )
+            )
+    lines.sort(key=lambda line: (line.pool, line.name, line.vm or ''))
+    return lines
+
+
+def offer_of(intent: records.PurchaseIntent) -> market.OfferKey:
+    """What an intent buys."""
+    return market.OfferKey(
+        intent.failure_domain,
+        intent.machine_class,
+        market.Market(intent.market),
+    )
+
+
+def started(vm_name: str, vm: ids.VmId) -> records.PurchaseResult:
+    """The record that the VM of an intent runs."""
+    return records.PurchaseResult(
+        record_id=ids.RecordId(f'started/{vm_name}/{vm}'),
+        vm_name=vm_name,
+        result='started',
+        vm=vm,
+    )
+
+
+def closing(
+    vm_name: str,
+    result: records.PurchaseEnd,
+    why: str,
+    vm: ids.VmId | None = None,
+) -> records.PurchaseResult:
+    """The record that closes a purchase."""
+    return records.PurchaseResult(
+        record_id=ids.RecordId(f'{result}/{vm_name}'),
+        vm_name=vm_name,
+        result=result,
+        vm=vm,
+        why=why,
+    )
+
+
+def bought(
+    vm_name: str, allowance: records.PurchaseAllowance
+) -> records.PurchaseIntent:
+    """The record of a VM that was bought while the log was down."""
+    return records.PurchaseIntent(
+        record_id=ids.RecordId(f'bought/{vm_name}'),
+        vm_name=vm_name,
+        lease_name=allowance.lease_name,
+        term_offset=allowance.term_offset,
+        pool=allowance.pool,
+        failure_domain=allowance.failure_domain,
+        machine_class=allowance.machine_class,
+        market=allowance.market,
+        allowance=allowance.allowance,
+        why=f'bought by {allowance.node} while the log was down',
+    )
+
+
+def _status(
+    state: records.ControlState, name: str, vm: ListedVm, is_kept: bool
+) -> tuple[str, str]:
+    owned = state.owned_purchases.get(name)
+    if name in state.closed_purchases:
+        return 'to be ended', 'its purchase is closed'
+    if not is_kept:
+        return 'to be ended', 'another VM was started for the same order'
+    if owned is not None:
+        if owned.draining:
+            return 'draining', owned.draining
+        status = 'leaving' if vm.leaving else 'running'
+        return status, owned.intent.why
+    intent = state.open_purchases.get(name)
+    if intent is not None:
+        return 'started, not yet written down', intent.why
+    allowance = allowance_of(state, name)
+    if allowance is not None:
+        return (
+            'started, not yet written down',
+            f'bought by {allowance.node} while the log was down',
+        )
+    return 'to be ended', 'the log holds no such purchase'
--- a/tests/cover/test_fleet_plan.py
+++ b/tests/cover/test_fleet_plan.py
@@ -142,6 +142,14 @@
         self.assertEqual(4, lowest)
         self.assertEqual({'vm-00', 'vm-03'}, set(ended))
 
+    def test_a_holder_that_knows_no_load_yet_keeps_the_size(self) -> None:
+        vms = [vm(number, DOMAINS[number % 3]) for number in range(9)]
+        fresh = round_of(view(vms, 0.0, seasoned=False))
+        self.assertEqual((), fresh.decisions[0].ends)
+        self.assertEqual((), fresh.starts)
+        known = round_of(view(vms, 0.0))
+        self.assertEqual(1, len(known.decisions[0].ends))
+
     def test_an_empty_price_list_ends_nothing(self) -> None:
         vms = [vm(number, DOMAINS[number % 3]) for number in range(6)]
         plan = round_of(view(vms, 4000.0), {})
@@ -149,7 +157,9 @@
         self.assertEqual((), plan.starts)
 
     def test_the_words_name_cost_reason_and_change(self) -> None:
-        text = '\n'.join(fleet_text.lines(round_of(view([], 4000.0))))
+        text = '\n'.join(
+            fleet_text.lines(fleet_text.report(round_of(view([], 4000.0))))
+        )
         self.assertIn('expected cost: ', text)
         self.assertIn('0 -> 2 (+2)', text)
         self.assertIn('survives loss of any failure domain', text)
