Carry the fleet's plans out under a lease

Cause: orders must survive lost answers, refusals, a slow or down API, the holder's death between intent and order, and two holders.

Change: services/fleet: a task that compares log and cloud each round and writes intents; workers that list by name and look at the lease right before each order; drains before ends; roll-out steps and reclaims counted; a task that states the wished state to engines again and again, so that a late order at an engine that ignores fencing is mended; weight fetches granted by need; allowances spent while the log is down. Draining endpoints are marked as leaving in the routers' tables. assembly.fleet.FleetDuty builds the tasks.

--- /dev/null
+++ b/src/guavachute/assembly/fleet.py
@@ -0,0 +1,98 @@
+"""The fleet duty's tasks for one node process."""
+
+import random
+import typing
+
+from guavachute.document import schema
+from guavachute import ids
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute import outcome
+from guavachute.platform import cloud_client
+from guavachute.services.fleet import cloud_worker
+from guavachute.services.fleet import engine_orders
+from guavachute.services.fleet import messages
+from guavachute.services.fleet import task as fleet_task
+from guavachute.services import leases
+from guavachute.services import log_follower
+from guavachute.services import log_writer
+from guavachute import settings
+
+WORKERS = 4
+"""Orders to the cloud that may be under way at once."""
+
+
+class FleetSettings(settings.Strict, frozen=True, kw_only=True):
+    """The fleet part of a node's settings.
+
+    :ivar store_bytes_per_s: what the weight store gives in all
+    :ivar contends: whether this node may hold the lease; one that may
+        not still spends its allowance while the log is down
+    """
+
+    cloud_address: settings.AddressText
+    store_bytes_per_s: schema.Positive = 1e9
+    contends: bool = True
+
+
+class FleetDuty:
+    """The tasks, to be added to the node's kernel in this order.
+
+    ``fleet.mailbox`` is also to be subscribed to the VM watch.
+    """
+
+    def __init__(
+        self,
+        wanted: FleetSettings,
+        environment: ids.EnvironmentName,
+        node: ids.NodeId,
+        lease_task: leases.Leases,
+        writer: log_writer.LogWriter,
+        follower: log_follower.LogFollower,
+        count: counters.Counters,
+        jitter: random.Random,
+    ) -> None:
+        self._lease_task = lease_task
+        self._lease_name = fleet_task.lease_name(environment)
+        self.workers = [
+            cloud_worker.CloudWorker(
+                f'cloud-worker-{number}',
+                cloud_client.CloudClient(wanted.cloud_address),
+                self.held_now,
+                count,
+            )
+            for number in range(WORKERS)
+        ]
+        self.engine_orders = engine_orders.EngineOrders(
+            'engine-orders', self.held_now, count
+        )
+        self.fleet = fleet_task.Fleet(
+            fleet_task.FleetSettings(
+                environment, node, wanted.store_bytes_per_s
+            ),
+            cloud_client.CloudClient(wanted.cloud_address),
+            writer.append,
+            self.held_now,
+            [worker.mailbox for worker in self.workers],
+            self.engine_orders.mailbox,
+            count,
+            jitter,
+        )
+        follower.subscribe(self.fleet.mailbox)
+        if wanted.contends:
+            # Nodes challenge one after another.
+            lease_task.contend(self._lease_name, stagger_s=jitter.random())
+
+    @property
+    def tasks(self) -> typing.Sequence[task.Task]:
+        """What the kernel hosts; the first is started first."""
+        return [*self.workers, self.engine_orders, self.fleet]
+
+    def held_now(self) -> messages.Held | None:
+        """The lease, if it is held at this moment; from any thread."""
+        held = self._lease_task.hold(self._lease_name)
+        if isinstance(held, outcome.Failure):
+            return None
+        return messages.Held(
+            self._lease_name, held.term_offset, held.fencing_number
+        )
--- /dev/null
+++ b/src/guavachute/platform/engine_orders.py
@@ -0,0 +1,69 @@
+"""Orders to model engines: the wished state with the fencing number."""
+
+import msgspec
+
+from guavachute.decide import placement
+from guavachute import ids
+from guavachute import outcome
+from guavachute.platform import cloud_client
+
+READ_TIMEOUT_S = 5.0
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """What an engine reports; it lags by ``age_s``."""
+
+    models: list[str] = []
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+    generated_tokens: int = 0
+    age_s: float = 0.0
+
+
+class _Wish(msgspec.Struct, frozen=True):
+    models: list[str]
+    adapters: list[str]
+    version: str
+    role: str
+
+
+class _Order(msgspec.Struct, frozen=True):
+    fencing_number: ids.Offset
+    wish: _Wish
+
+
+def load(address: ids.Address) -> Load | outcome.Failure:
+    """What the engine at *address* reports."""
+    client = cloud_client.JsonClient(address, READ_TIMEOUT_S)
+    try:
+        return client.send('GET', '/v1/load', Load)
+    finally:
+        client.close()
+
+
+def order(
+    address: ids.Address, wish: placement.Wish, fencing_number: ids.Offset
+) -> outcome.Failure | None:
+    """Order the engine at *address* into the wished state.
+
+    ``SUPERSEDED`` is the answer of an engine that has seen a newer
+    fencing number. An engine that ignores the number takes any order;
+    as each states the whole wish, the holder's next one mends that.
+    """
+    client = cloud_client.JsonClient(address, READ_TIMEOUT_S)
+    body = _Order(
+        fencing_number,
+        _Wish(
+            [wish.model], list(wish.adapters), wish.version, wish.role.value
+        ),
+    )
+    try:
+        found = client.send('POST', '/v1/orders', object, body)
+    finally:
+        client.close()
+    if not isinstance(found, outcome.Failure):
+        return None
+    if found.reason is outcome.Reason.CONFLICT:
+        return outcome.Failure(outcome.Reason.SUPERSEDED, found.detail)
+    return found
--- /dev/null
+++ b/src/guavachute/services/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet duty: buys, places and ends endpoint VMs under a lease."""
--- /dev/null
+++ b/src/guavachute/services/fleet/drains.py
@@ -0,0 +1,116 @@
+"""Drains before ends, and how long starts take."""
+
+import typing
+
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import fleet_view
+from guavachute.decide import purchases
+from guavachute.document import schema
+from guavachute import ids
+from guavachute import outcome
+from guavachute.services.fleet import messages
+from guavachute.wire import records
+
+QUIET_S = 15.0
+"""By then every router has stopped sending to a draining VM."""
+DRAIN_LIMIT_S = 600.0
+
+
+class Drains:
+    """Which VMs are being drained, and since when.
+
+    The record of a drain is what the routers' tables follow. The VM is
+    ended by closing its purchase; the reconciler ends what is closed.
+    """
+
+    def __init__(self, environment: ids.EnvironmentName) -> None:
+        self._prefix = purchases.name_prefix(environment)
+        self._since_s: dict[str, float] = {}
+
+    def begun(
+        self,
+        plan: fleet_plan.FleetPlan,
+        state: records.ControlState,
+        held: messages.Held,
+        now_s: float,
+    ) -> typing.Iterator[records.Record]:
+        """The records of the drains that a plan begins."""
+        for decision in plan.decisions:
+            for end in decision.ends:
+                if end.name in state.owned_purchases:
+                    yield records.PurchaseDrain(
+                        record_id=ids.RecordId(f'drain/{end.name}'),
+                        vm_name=end.name,
+                        lease_name=held.name,
+                        term_offset=held.term_offset,
+                        why=end.why,
+                    )
+                elif end.name in state.open_purchases:
+                    # Its order may be under way; what comes of it is
+                    # ended, for the name is closed.
+                    yield purchases.closing(end.name, 'refused', end.why)
+
+    def ended(
+        self,
+        state: records.ControlState,
+        reports: typing.Mapping[ids.EndpointId, fleet_view.EngineReport],
+        now_s: float,
+    ) -> list[records.Record]:
+        """The records that close what has been drained."""
+        draining = {
+            name: owned
+            for name, owned in state.owned_purchases.items()
+            if owned.draining and name.startswith(self._prefix)
+        }
+        self._since_s = {
+            name: self._since_s.get(name, now_s) for name in draining
+        }
+        written: list[records.Record] = []
+        for name, owned in draining.items():
+            waited_s = now_s - self._since_s[name]
+            report = reports.get(ids.EndpointId(owned.vm))
+            idle = report is not None and not report.running
+            if (idle and waited_s >= QUIET_S) or waited_s >= DRAIN_LIMIT_S:
+                written.append(
+                    purchases.closing(name, 'ended', owned.draining, owned.vm)
+                )
+        return written
+
+
+class StartUps:
+    """The measured time from order to first service, by pool."""
+
+    def __init__(self) -> None:
+        self._by_pool: dict[ids.PoolName, demand.StartUp] = {}
+        self._ordered: dict[ids.EndpointId, tuple[ids.PoolName, float]] = {}
+
+    def by_pool(self) -> typing.Mapping[ids.PoolName, demand.StartUp]:
+        """What was measured so far."""
+        return self._by_pool
+
+    def of_model(
+        self, model: ids.ModelName, document: schema.Document | None
+    ) -> demand.StartUp:
+        """The start-up time of the pool that serves *model*."""
+        if document is None or model not in document.models:
+            return demand.StartUp()
+        pool = ids.PoolName(document.models[model].pool)
+        return self._by_pool.get(pool, demand.StartUp())
+
+    def ordered(self, done: messages.StartDone, now_s: float) -> None:
+        """A VM was ordered just now."""
+        if not isinstance(done.result, outcome.Failure):
+            endpoint = ids.EndpointId(done.result.vm)
+            self._ordered[endpoint] = (done.order.pool, now_s)
+
+    def seen(self, report: fleet_view.EngineReport, now_s: float) -> None:
+        """An engine reported; its first model ends its start."""
+        if not report.models:
+            return
+        entry = self._ordered.pop(report.endpoint, None)
+        if entry is not None:
+            pool, ordered_s = entry
+            self._by_pool[pool] = demand.started(
+                self._by_pool.get(pool, demand.StartUp()), now_s - ordered_s
+            )
--- /dev/null
+++ b/src/guavachute/services/fleet/engine_orders.py
@@ -0,0 +1,130 @@
+"""Gives model engines their orders and reads what they report.
+
+Engines that are not yet as wished are asked each round, the others in
+turn, a few each round, so that the traffic doesn't grow with the fleet.
+"""
+
+import collections
+import itertools
+
+from guavachute.decide import fleet_view
+from guavachute.decide import placement
+from guavachute import ids
+from guavachute.kernel import mailbox
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute import outcome
+from guavachute.platform import engine_orders
+from guavachute.services.fleet import messages
+
+ROUND_S = 2.0
+MOST_ASKED = 20
+"""Engines asked in one round."""
+
+
+class EngineOrders(task.Task):
+    """Carries out :class:`messages.Wishes`.
+
+    :param held_now: asked right before each order
+    """
+
+    def __init__(
+        self,
+        name: str,
+        held_now: messages.HeldNow,
+        count: counters.Counters,
+        round_s: float = ROUND_S,
+    ) -> None:
+        super().__init__(name)
+        self._held_now = held_now
+        self._reply: mailbox.Mailbox | None = None
+        self._count = count
+        self._round_s = round_s
+        self._wishes: dict[ids.EndpointId, messages.EngineWish] = {}
+        self._taken: dict[ids.EndpointId, placement.Wish] = {}
+        self._models: dict[ids.EndpointId, tuple[str, ...]] = {}
+        self._queue: collections.deque[ids.EndpointId] = collections.deque()
+
+    def run(self) -> None:
+        """Order and ask until stopped."""
+        while not self.stopping.is_set():
+            message = self.mailbox.receive(self._round_s)
+            for each in (message, *self.mailbox.drain()):
+                if isinstance(each, messages.Wishes):
+                    self._replace(each)
+            for endpoint in self._next():
+                if self.stopping.is_set():
+                    return
+                self._serve(self._wishes[endpoint])
+
+    def _replace(self, wishes: messages.Wishes) -> None:
+        self._reply = wishes.reply
+        self._wishes = {each.endpoint: each for each in wishes.wishes}
+        for table in (self._taken, self._models):
+            for endpoint in table.keys() - self._wishes.keys():
+                del table[endpoint]
+        known = set(self._queue)
+        self._queue = collections.deque(
+            each for each in self._queue if each in self._wishes
+        )
+        self._queue.extend(each for each in self._wishes if each not in known)
+
+    def _next(self) -> list[ids.EndpointId]:
+        """Engines not as wished first, then the others in turn."""
+        unsettled = [
+            endpoint
+            for endpoint, each in self._wishes.items()
+            if not self._is_settled(each)
+        ][:MOST_ASKED]
+        chosen = dict.fromkeys(unsettled)
+        spare = MOST_ASKED - len(chosen)
+        for endpoint in itertools.islice(self._queue, max(0, spare)):
+            chosen[endpoint] = None
+        for endpoint in chosen:
+            self._queue.remove(endpoint)
+            self._queue.append(endpoint)
+        return list(chosen)
+
+    def _is_settled(self, each: messages.EngineWish) -> bool:
+        loaded = self._models.get(each.endpoint)
+        if each.wish is None:
+            return loaded is not None
+        return (
+            self._taken.get(each.endpoint) == each.wish
+            and loaded is not None
+            and each.wish.model in loaded
+        )
+
+    def _serve(self, each: messages.EngineWish) -> None:
+        if each.wish is not None:
+            self._order(each, each.wish)
+        load = engine_orders.load(each.address)
+        if isinstance(load, outcome.Failure):
+            self._count.add('fleet.engine_reads_failed')
+            return
+        models = tuple(ids.ModelName(model) for model in load.models)
+        self._models[each.endpoint] = models
+        report = fleet_view.EngineReport(
+            each.endpoint,
+            models,
+            self._taken.get(each.endpoint),
+            load.running + load.queued,
+        )
+        assert self._reply is not None, 'wishes came with no reply address'
+        self._reply.send(messages.EngineSeen(report))
+
+    def _order(self, each: messages.EngineWish, wish: placement.Wish) -> None:
+        # Sent at each visit, also when it was taken before: an engine
+        # that ignores fencing may since have taken a late order of an
+        # earlier holder, and this mends it.
+        held = self._held_now()
+        if held is None:
+            return
+        failure = engine_orders.order(each.address, wish, held.fencing_number)
+        if failure is None:
+            self._taken[each.endpoint] = wish
+            self._count.add('fleet.engine_orders')
+        elif failure.reason is outcome.Reason.SUPERSEDED:
+            self._count.add('fleet.engine_orders_superseded')
+        else:
+            self._count.add('fleet.engine_orders_failed')
--- /dev/null
+++ b/src/guavachute/services/fleet/intents.py
@@ -0,0 +1,120 @@
+"""From a plan to the records that must be in the log before any order."""
+
+import typing
+
+from guavachute.decide import allowances
+from guavachute.decide import fleet_plan
+from guavachute.decide import market
+from guavachute.decide import purchases
+from guavachute import ids
+from guavachute.platform import cloud_client
+from guavachute.services.fleet import messages
+from guavachute.wire import records
+
+GRANT_AGAIN_S = 60.0
+
+
+def of_plan(
+    plan: fleet_plan.FleetPlan,
+    environment: ids.EnvironmentName,
+    held: messages.Held,
+) -> list[records.PurchaseIntent]:
+    """An intent for each start, under a name never used before."""
+    decisions = {each.pool: each for each in plan.decisions}
+    written = []
+    for start in plan.starts:
+        decision = decisions[start.pool]
+        written.append(
+            records.PurchaseIntent(
+                record_id=ids.RecordId(ids.new_random_id('intent')),
+                vm_name=_new_name(environment, start.pool),
+                lease_name=held.name,
+                term_offset=held.term_offset,
+                pool=start.pool,
+                failure_domain=start.offer.failure_domain,
+                machine_class=start.offer.machine_class,
+                market=start.offer.market.value,
+                why=_why(decision, start.offer),
+            )
+        )
+    return written
+
+
+def prices_of(
+    offers: typing.Iterable[cloud_client.OfferEntry],
+) -> dict[market.OfferKey, float]:
+    """The price of each offer."""
+    return {
+        market.OfferKey(
+            ids.FailureDomain(offer.failure_domain),
+            offer.machine_class,
+            offer.market,
+        ): offer.price_cents_per_hour
+        for offer in offers
+    }
+
+
+class Grants:
+    """Writes allowances, each node's not again before it was read back."""
+
+    def __init__(self, environment: ids.EnvironmentName) -> None:
+        self._environment = environment
+        self._granted_s: dict[ids.NodeId, float] = {}
+
+    def due(
+        self,
+        plan: fleet_plan.FleetPlan,
+        state: records.ControlState,
+        nodes: typing.Iterable[ids.NodeId],
+        held: messages.Held,
+        now_s: float,
+    ) -> typing.Iterator[records.PurchaseAllowance]:
+        """The allowances to write now."""
+        offers = {
+            decision.pool: list(decision.plan.counts)
+            for decision in plan.decisions
+        }
+        wanted = allowances.grants(state, self._environment, nodes, offers)
+        for node, (pool, offer) in wanted.items():
+            granted_s = self._granted_s.get(node, float('-inf'))
+            if now_s - granted_s < GRANT_AGAIN_S:
+                continue
+            self._granted_s[node] = now_s
+            yield self._allowance(node, pool, offer, held)
+
+    def _allowance(
+        self,
+        node: ids.NodeId,
+        pool: ids.PoolName,
+        offer: market.OfferKey,
+        held: messages.Held,
+    ) -> records.PurchaseAllowance:
+        unique = ids.new_random_id('allowance')
+        return records.PurchaseAllowance(
+            record_id=ids.RecordId(unique),
+            allowance=unique,
+            node=node,
+            lease_name=held.name,
+            term_offset=held.term_offset,
+            pool=pool,
+            failure_domain=offer.failure_domain,
+            machine_class=offer.machine_class,
+            market=offer.market.value,
+            vm_names=[
+                _new_name(self._environment, pool)
+                for _ in range(allowances.NAMES_PER_NODE)
+            ],
+        )
+
+
+def _new_name(environment: ids.EnvironmentName, pool: ids.PoolName) -> str:
+    return purchases.new_name(environment, pool, ids.new_random_id('vm'))
+
+
+def _why(decision: fleet_plan.PoolDecision, offer: market.OfferKey) -> str:
+    held = decision.held.get(offer, 0)
+    wanted = decision.plan.counts[offer]
+    return (
+        f'{held} of {wanted} held there, for '
+        f'{decision.need.tokens_per_s:.0f} tokens/s: {decision.plan.reason}'
+    )
--- /dev/null
+++ b/src/guavachute/services/fleet/picture.py
@@ -0,0 +1,121 @@
+"""What the fleet's task has heard: log, VM list, engines and callers."""
+
+import functools
+import typing
+
+from guavachute.decide import demand
+from guavachute.decide import fleet_view
+from guavachute.decide import purchases
+from guavachute.decide import replacement_wave
+from guavachute.document import check
+from guavachute.document import schema
+from guavachute import ids
+from guavachute.kernel import mailbox
+from guavachute.platform import vm_list
+from guavachute.services.fleet import drains
+from guavachute.services.fleet import messages
+from guavachute.services import log_follower
+from guavachute.services import vm_watch
+from guavachute.wire import records
+
+
+class Picture:
+    """The newest of everything; owned by the fleet's task.
+
+    :ivar state: the fold of the log; None before it was ever read
+    :ivar log_heard_s: when the log itself was last heard
+    :ivar nodes: the live entry VMs
+    """
+
+    def __init__(self, environment: ids.EnvironmentName, now_s: float) -> None:
+        self._environment = environment
+        self.state: records.ControlState | None = None
+        self.log_heard_s = now_s
+        self.nodes: frozenset[ids.NodeId] = frozenset()
+        self.start_ups = drains.StartUps()
+        self._document: schema.Document | None = None
+        self._document_offset = records.NO_OFFSET
+        self._live: frozenset[ids.VmId] = frozenset()
+        self._reports: dict[ids.EndpointId, fleet_view.EngineReport] = {}
+        self._forecasts: dict[ids.ModelName, demand.Forecast] = {}
+        self._loads: typing.Mapping[
+            ids.PoolName, tuple[replacement_wave.WorkspaceLoad, ...]
+        ] = {}
+
+    @property
+    def reports(
+        self,
+    ) -> typing.Mapping[ids.EndpointId, fleet_view.EngineReport]:
+        """What each engine reported last."""
+        return self._reports
+
+    def known(
+        self,
+        listed: typing.Sequence[purchases.ListedVm],
+        awaited: tuple[records.PurchaseIntent, ...],
+    ) -> fleet_view.Known | None:
+        """What a plan is made from; None without a document."""
+        if self._document is None or self.state is None:
+            return None
+        present = {ids.EndpointId(vm.vm) for vm in listed}
+        self._reports = {
+            endpoint: report
+            for endpoint, report in self._reports.items()
+            if endpoint in present
+        }
+        return fleet_view.Known(
+            self._environment,
+            self._document,
+            self.state,
+            tuple(listed),
+            self._live,
+            self._reports,
+            awaited,
+            self._forecasts,
+            self._loads,
+            self.start_ups.by_pool(),
+        )
+
+    @functools.singledispatchmethod
+    def take(self, message: mailbox.Message, now_s: float) -> None:
+        """Take one message in; what it doesn't know is ignored."""
+
+    @take.register
+    def _(self, message: log_follower.ControlUpdate, now_s: float) -> None:
+        self.state = message.state
+        self.log_heard_s = message.log_heard_s
+        head = message.state.configurations.get(self._environment)
+        if head is None or head.offset == self._document_offset:
+            return
+        checked = check.check_raw(head.document)
+        if isinstance(checked, check.Checked):
+            self._document = checked.document
+            self._document_offset = head.offset
+
+    @take.register
+    def _(self, message: log_follower.LogHeard, now_s: float) -> None:
+        self.log_heard_s = message.log_heard_s
+
+    @take.register
+    def _(self, message: messages.EngineSeen, now_s: float) -> None:
+        self._reports[message.report.endpoint] = message.report
+        self.start_ups.seen(message.report, now_s)
+
+    @take.register
+    def _(self, message: messages.Offered, now_s: float) -> None:
+        self._loads = message.by_pool
+        for model, tokens_per_s in message.by_model.items():
+            self._forecasts[model] = demand.observe(
+                self._forecasts.get(model, demand.Forecast()),
+                tokens_per_s,
+                self.start_ups.of_model(model, self._document),
+                now_s,
+            )
+
+    @take.register
+    def _(self, message: vm_watch.VmsSeen, now_s: float) -> None:
+        live = [vm for vm in message.vms if vm.state is vm_list.VmState.LIVE]
+        self._live = frozenset(ids.VmId(vm.vm) for vm in live)
+        self.nodes = frozenset(
+            ids.NodeId(vm.vm) for vm in live if vm.kind is vm_list.VmKind.ENTRY
+        )
--- /dev/null
+++ b/src/guavachute/services/fleet/placer.py
@@ -0,0 +1,140 @@
+"""From the wishes of a plan to the orders that may be sent now.
+
+An engine that must fetch weights is ordered only when the schedule
+grants it a place at the weight store; until then its wish stays what it
+was, and the engine is only asked what it reports.
+"""
+
+import typing
+
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import fleet_view
+from guavachute.decide import weights_schedule
+from guavachute.document import schema
+from guavachute import ids
+from guavachute.kernel import mailbox
+from guavachute.services.fleet import messages
+
+MOST_FETCHES = 64
+FETCH_LIMIT_S = 1800.0
+"""After this time a fetch no longer counts against the others."""
+
+
+class Placer:
+    """Keeps which engines wait for weights and which fetch.
+
+    :param store_bytes_per_s: what the weight store gives in all
+    """
+
+    def __init__(self, store_bytes_per_s: float) -> None:
+        self._store_bytes_per_s = store_bytes_per_s
+        self._waiting: dict[ids.EndpointId, weights_schedule.Fetch] = {}
+        self._running: dict[ids.EndpointId, weights_schedule.Fetch] = {}
+        self._granted_s: dict[ids.EndpointId, float] = {}
+
+    def wishes(
+        self,
+        known: fleet_view.Known,
+        plan: fleet_plan.FleetPlan,
+        reply: mailbox.Mailbox,
+        now_s: float,
+    ) -> messages.Wishes:
+        """The wishes to send for all engines that have an address."""
+        assignments = {
+            each.endpoint: each
+            for decision in plan.decisions
+            for each in decision.assignments
+        }
+        self._update(known, assignments, now_s)
+        self._grant(known, now_s)
+        entries = []
+        for vm in known.listed:
+            endpoint = ids.EndpointId(vm.vm)
+            pool = known.document.pools.get(vm.pool)
+            if not vm.address or pool is None:
+                continue
+            if pool.kind is not schema.PoolKind.MODEL:
+                continue
+            assignment = assignments.get(endpoint)
+            wish = assignment.wish if assignment is not None else None
+            if endpoint in self._waiting:
+                wish = None
+            entries.append(
+                messages.EngineWish(endpoint, ids.Address(vm.address), wish)
+            )
+        return messages.Wishes(tuple(entries), reply)
+
+    def _update(
+        self,
+        known: fleet_view.Known,
+        assignments: typing.Mapping[
+            ids.EndpointId, fleet_plan.placement.Assignment
+        ],
+        now_s: float,
+    ) -> None:
+        wanted: dict[ids.EndpointId, weights_schedule.Fetch] = {}
+        for endpoint, each in assignments.items():
+            report = known.reports.get(endpoint)
+            loaded = report.models if report is not None else ()
+            if each.wish is None or each.wish.model in loaded:
+                continue
+            held = self._waiting.get(endpoint) or self._running.get(endpoint)
+            fetch = weights_schedule.Fetch(
+                endpoint, each.wish.model, each.wish.version, now_s
+            )
+            same = held is not None and held.model == fetch.model
+            wanted[endpoint] = held if held and same else fetch
+        self._running = {
+            endpoint: fetch
+            for endpoint, fetch in self._running.items()
+            if wanted.get(endpoint) is fetch
+            and now_s - self._granted_s[endpoint] < FETCH_LIMIT_S
+        }
+        self._granted_s = {
+            each: self._granted_s[each] for each in self._running
+        }
+        self._waiting = {
+            endpoint: fetch
+            for endpoint, fetch in wanted.items()
+            if endpoint not in self._running
+        }
+
+    def _grant(self, known: fleet_view.Known, now_s: float) -> None:
+        needs = list(_needs(known))
+        count = weights_schedule.slots(
+            self._store_bytes_per_s, needs, MOST_FETCHES
+        )
+        granted = weights_schedule.grant(
+            list(self._waiting.values()),
+            list(self._running.values()),
+            needs,
+            count,
+            now_s,
+        )
+        for fetch in granted:
+            self._running[fetch.endpoint] = fetch
+            self._granted_s[fetch.endpoint] = now_s
+            del self._waiting[fetch.endpoint]
+
+
+def _needs(
+    known: fleet_view.Known,
+) -> typing.Iterator[weights_schedule.ModelNeed]:
+    for name, model in known.document.models.items():
+        pool = known.document.pools[model.pool]
+        per_endpoint = pool.tokens_per_s_per_endpoint
+        forecast = known.forecasts.get(ids.ModelName(name))
+        load = demand.committed_tokens_per_s(forecast or demand.Forecast())
+        serving = sum(
+            name in report.models for report in known.reports.values()
+        )
+        shares = known.loads.get(ids.PoolName(model.pool), ())
+        yield weights_schedule.ModelNeed(
+            ids.ModelName(name),
+            sum(each.share for each in shares) or 1.0,
+            max(load, model.minimum_endpoints * per_endpoint),
+            serving * per_endpoint,
+            per_endpoint,
+            model.weights_bytes,
+        )
--- /dev/null
+++ b/src/guavachute/services/fleet/purchasing.py
@@ -0,0 +1,269 @@
+"""Carries purchases between the log and the cloud.
+
+Owned by the fleet's task. Decides nothing itself: it keeps what the pure
+functions need to know of the past, hands their orders to the workers and
+turns results into records.
+"""
+
+import random
+import typing
+
+from guavachute.decide import market
+from guavachute.decide import pace
+from guavachute.decide import purchases
+from guavachute import ids
+from guavachute.kernel import mailbox
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute import outcome
+from guavachute.services.fleet import messages
+from guavachute.wire import records
+
+_log = logs.logger('fleet')
+
+ABANDON_S = 600.0
+"""An intent that could not be ordered for so long is closed."""
+AWAIT_S = 60.0
+"""A record that wasn't read back for so long is counted no longer."""
+
+
+class Purchasing:
+    """The purchases of one environment, in one process.
+
+    :param workers: mailboxes of the cloud workers
+    :param reply: where the workers' results go
+    """
+
+    def __init__(
+        self,
+        environment: ids.EnvironmentName,
+        workers: typing.Sequence[mailbox.Mailbox],
+        reply: mailbox.Mailbox,
+        count: counters.Counters,
+        jitter: random.Random,
+    ) -> None:
+        self._environment = environment
+        self._workers = workers
+        self._reply = reply
+        self._count = count
+        self._jitter = jitter
+        self._next_worker = 0
+        self._under_way: set[str] = set()
+        self._ordered_at_s: dict[str, float] = {}
+        self._opened_at_s: dict[str, float] = {}
+        self._first_seen_s: dict[ids.VmId, float] = {}
+        self._awaited: dict[str, tuple[records.PurchaseIntent, float]] = {}
+        self.api = pace.Pace()
+        self.paces: dict[market.OfferKey, pace.Pace] = {}
+
+    def awaited(
+        self, state: records.ControlState, now_s: float
+    ) -> tuple[records.PurchaseIntent, ...]:
+        """Intents that were written and are not yet read back."""
+        self._awaited = {
+            name: (intent, at_s)
+            for name, (intent, at_s) in self._awaited.items()
+            if now_s - at_s < AWAIT_S
+            and name not in state.open_purchases
+            and name not in state.owned_purchases
+            and name not in state.closed_purchases
+        }
+        return tuple(intent for intent, _ in self._awaited.values())
+
+    def wrote(
+        self, intents: typing.Iterable[records.PurchaseIntent], now_s: float
+    ) -> None:
+        """Count *intents* until they are read back."""
+        for intent in intents:
+            self._awaited[intent.vm_name] = (intent, now_s)
+            # Our own: nobody else can have ordered it before.
+            self._ordered_at_s[intent.vm_name] = float('-inf')
+
+    def not_written(self, record_id: ids.RecordId) -> None:
+        """Don't wait for a record that surely is not in the log."""
+        self._awaited = {
+            name: entry
+            for name, entry in self._awaited.items()
+            if entry[0].record_id != record_id
+        }
+
+    def room(self, now_s: float) -> int:
+        """How many more orders the cloud API may get now."""
+        return pace.room(self.api, len(self._under_way), now_s)
+
+    def reconcile(
+        self,
+        state: records.ControlState,
+        listed: typing.Sequence[purchases.ListedVm],
+        now_s: float,
+    ) -> list[records.Record]:
+        """Order and end what is due; the records to write."""
+        self._remember(state, listed, now_s)
+        actions = purchases.reconcile(
+            state,
+            self._environment,
+            listed,
+            self._ordered_at_s,
+            self._first_seen_s,
+            now_s,
+        )
+        written: list[records.Record] = []
+        for action in actions:
+            if isinstance(action, purchases.Order):
+                written.extend(self._order(action.intent, now_s))
+            elif isinstance(action, purchases.EndVm):
+                self._end(action, now_s)
+            else:
+                written.append(_record(action))
+        return written
+
+    def order_allowed(
+        self,
+        allowance: records.PurchaseAllowance,
+        names: typing.Iterable[str],
+        now_s: float,
+    ) -> None:
+        """Order names of an allowance while the log is down."""
+        offer = market.OfferKey(
+            allowance.failure_domain,
+            allowance.machine_class,
+            market.Market(allowance.market),
+        )
+        for name in names:
+            ordered_s = self._ordered_at_s.get(name, float('-inf'))
+            if now_s - ordered_s >= purchases.SETTLE_S:
+                self._count.add('fleet.allowance_orders')
+                self._send_start(name, allowance.pool, offer, now_s, True)
+
+    def start_done(
+        self, done: messages.StartDone, now_s: float
+    ) -> list[records.Record]:
+        """Account for a start; the records to write."""
+        order = done.order
+        self._under_way.discard(order.name)
+        result = done.result
+        if not isinstance(result, outcome.Failure):
+            self.api = pace.succeeded(self.api)
+            self._pace_offer(order.offer, None, now_s)
+            _log.notice('{} runs as {}', order.name, result.vm)
+            return []
+        if result.reason in _CLOSING:
+            self._pace_offer(order.offer, result, now_s)
+            refused = purchases.closing(order.name, 'refused', str(result))
+            return [refused]
+        if result.reason is not outcome.Reason.LOST_ANSWER:
+            # Surely not ordered: it may be, as soon as the pace allows.
+            self._ordered_at_s[order.name] = float('-inf')
+        if result.reason is not outcome.Reason.SUPERSEDED:
+            self._slow_down(result, now_s)
+        return []
+
+    def end_done(self, done: messages.EndDone, now_s: float) -> None:
+        """Account for an end; what is left is found by the next list."""
+        self._under_way.discard(_end_key(done.order.vm))
+        if done.failure is None:
+            self.api = pace.succeeded(self.api)
+        elif done.failure.reason is not outcome.Reason.SUPERSEDED:
+            self._slow_down(done.failure, now_s)
+
+    def _remember(
+        self,
+        state: records.ControlState,
+        listed: typing.Sequence[purchases.ListedVm],
+        now_s: float,
+    ) -> None:
+        present = {vm.vm for vm in listed}
+        self._first_seen_s = {
+            vm: self._first_seen_s.get(vm, now_s) for vm in present
+        }
+        self._opened_at_s = {
+            name: self._opened_at_s.get(name, now_s)
+            for name in state.open_purchases
+        }
+        # Another process may have ordered it a moment before it went.
+        for name in state.open_purchases:
+            self._ordered_at_s.setdefault(name, now_s)
+        for name in list(self._ordered_at_s):
+            if name in state.closed_purchases or name in state.owned_purchases:
+                del self._ordered_at_s[name]
+
+    def _order(
+        self, intent: records.PurchaseIntent, now_s: float
+    ) -> typing.Iterator[records.Record]:
+        name = intent.vm_name
+        if name in self._under_way:
+            return
+        if now_s - self._opened_at_s.get(name, now_s) >= ABANDON_S:
+            yield purchases.closing(name, 'refused', 'not ordered in time')
+        elif self.room(now_s) > 0:
+            offer = purchases.offer_of(intent)
+            self._send_start(name, intent.pool, offer, now_s)
+
+    def _send_start(
+        self,
+        name: str,
+        pool: ids.PoolName,
+        offer: market.OfferKey,
+        now_s: float,
+        allowed: bool = False,
+    ) -> None:
+        self._ordered_at_s[name] = now_s
+        self._under_way.add(name)
+        self._hand_out(
+            messages.StartVm(name, pool, offer, self._reply, allowed)
+        )
+
+    def _end(self, action: purchases.EndVm, now_s: float) -> None:
+        key = _end_key(action.vm)
+        if key in self._under_way or not self.room(now_s):
+            return
+        self._count.add('fleet.end_orders')
+        _log.notice('ending {}: {}', action.vm, action.why)
+        self._under_way.add(key)
+        self._hand_out(messages.EndVm(action.vm, action.vm_name, self._reply))
+
+    def _hand_out(self, order: messages.StartVm | messages.EndVm) -> None:
+        self._workers[self._next_worker].send(order)
+        self._next_worker = (self._next_worker + 1) % len(self._workers)
+
+    def _slow_down(self, failure: outcome.Failure, now_s: float) -> None:
+        self.api = pace.overloaded(
+            self.api, failure.retry_after_s, self._jitter.random(), now_s
+        )
+
+    def _pace_offer(
+        self,
+        offer: market.OfferKey,
+        failure: outcome.Failure | None,
+        now_s: float,
+    ) -> None:
+        current = self.paces.get(offer, pace.Pace())
+        if failure is None:
+            self.paces[offer] = pace.succeeded(current)
+            return
+        self._count.add('fleet.starts_refused')
+        self.paces[offer] = pace.overloaded(
+            current, failure.retry_after_s, self._jitter.random(), now_s
+        )
+
+
+_CLOSING = (outcome.Reason.NO_CAPACITY, outcome.Reason.BAD_REQUEST)
+"""Answers after which the name is not ordered again."""
+
+
+def _end_key(vm: ids.VmId) -> str:
+    return f'end {vm}'
+
+
+def _record(
+    action: purchases.WriteStarted
+    | purchases.WriteBought
+    | purchases.WriteEnded,
+) -> records.Record:
+    if isinstance(action, purchases.WriteStarted):
+        return purchases.started(action.vm_name, action.vm)
+    if isinstance(action, purchases.WriteEnded):
+        return purchases.closing(
+            action.vm_name, 'ended', action.why, action.vm
+        )
+    return purchases.bought(action.vm_name, action.allowance)
--- /dev/null
+++ b/src/guavachute/services/fleet/rollouts.py
@@ -0,0 +1,140 @@
+"""Takes roll-outs from step to step and writes each step down."""
+
+import typing
+
+from guavachute.decide import fleet_view
+from guavachute.decide import rollout
+from guavachute import ids
+from guavachute.services.fleet import messages
+from guavachute.wire import records
+
+
+class Rollouts:
+    """The roll-outs of one environment, as this holder sees them.
+
+    The step and a stop are in the log. What ran on each version during a
+    step is not: a new holder watches a step anew.
+    """
+
+    def __init__(self, environment: ids.EnvironmentName) -> None:
+        self._environment = environment
+        self._current: dict[ids.ModelName, rollout.Rollout] = {}
+        self._health: dict[
+            ids.ModelName, tuple[rollout.Health, rollout.Health]
+        ] = {}
+
+    def take_health(self, message: messages.VersionHealth) -> None:
+        """Add what ran since the last message."""
+        old, new = self._health.get(
+            message.model, (rollout.Health(), rollout.Health())
+        )
+        self._health[message.model] = (
+            _sum(old, message.old),
+            _sum(new, message.new),
+        )
+
+    def changes(
+        self, known: fleet_view.Known, held: messages.Held, now_s: float
+    ) -> typing.Iterator[records.Record]:
+        """The records of what begins, advances or stops now."""
+        for name, model in known.document.models.items():
+            model_name = ids.ModelName(name)
+            logged = fleet_view.rollout_of(
+                known.state, self._environment, model_name
+            )
+            wanted = self._next(
+                known, model_name, model.version, logged, now_s
+            )
+            if logged is None or _differs(logged, wanted):
+                yield _record(self._environment, held, wanted)
+
+    def _next(
+        self,
+        known: fleet_view.Known,
+        name: ids.ModelName,
+        version: str,
+        logged: rollout.Rollout | None,
+        now_s: float,
+    ) -> rollout.Rollout:
+        if logged is None:
+            # The first version of a model has nothing to compare with.
+            return rollout.Rollout(
+                name, version, version, progress=rollout.Progress.DONE
+            )
+        if logged.new_version != version:
+            return rollout.begin(name, _proven(logged), version)
+        if logged.progress is not rollout.Progress.RUNNING:
+            return logged
+        current = self._current.get(name)
+        if current is None or _differs(current, logged):
+            current = logged
+            self._health.pop(name, None)
+        self._current[name] = self._advance(known, current, now_s)
+        return self._current[name]
+
+    def _advance(
+        self,
+        known: fleet_view.Known,
+        current: rollout.Rollout,
+        now_s: float,
+    ) -> rollout.Rollout:
+        engines = [
+            report
+            for report in known.reports.values()
+            if current.model in report.models
+        ]
+        serving_new = sum(
+            report.taken is not None
+            and report.taken.version == current.new_version
+            for report in engines
+        )
+        old, new = self._health.get(
+            current.model, (rollout.Health(), rollout.Health())
+        )
+        return rollout.advance(
+            current, old, new, len(engines), serving_new, now_s
+        )
+
+
+def _proven(logged: rollout.Rollout) -> str:
+    """The version to go back to."""
+    if logged.progress is rollout.Progress.DONE:
+        return logged.new_version
+    return logged.old_version
+
+
+def _differs(one: rollout.Rollout, other: rollout.Rollout) -> bool:
+    return (one.new_version, one.step, one.progress) != (
+        other.new_version,
+        other.step,
+        other.progress,
+    )
+
+
+def _sum(one: rollout.Health, other: rollout.Health) -> rollout.Health:
+    return rollout.Health(
+        one.requests + other.requests, one.errors + other.errors
+    )
+
+
+def _record(
+    environment: ids.EnvironmentName,
+    held: messages.Held,
+    wanted: rollout.Rollout,
+) -> records.RolloutChange:
+    progress = wanted.progress.value
+    return records.RolloutChange(
+        record_id=ids.RecordId(
+            f'rollout/{wanted.model}/{wanted.old_version}/'
+            f'{wanted.new_version}/{wanted.step}/{progress}'
+        ),
+        environment=environment,
+        model=wanted.model,
+        lease_name=held.name,
+        term_offset=held.term_offset,
+        old_version=wanted.old_version,
+        new_version=wanted.new_version,
+        step=wanted.step,
+        progress=progress,
+        reason=wanted.reason,
+    )
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -69,6 +69,7 @@
         self._log_heard_s: float | None = None
         self._vms: tuple[vm_list.Vm, ...] = ()
         self._vms_at_s = 0.0
+        self._draining: frozenset[str] = frozenset()
         self._reports: tuple[tables.RouterReport, ...] = ()
         self._view: membership_state.View | None = None
         self._published: tables.Tables | None = None
@@ -90,6 +91,7 @@
     def _take_update(self, message: log_follower.ControlUpdate) -> None:
         state = message.state
         self._through_offset = state.through_offset
+        self._take_draining(state)
         head = state.configurations.get(self._place.environment)
         if head is None:
             return
@@ -99,6 +101,17 @@
             _log.notice('configuration {} accepted', head.offset)
             self._changed()
 
+    def _take_draining(self, state: records.ControlState) -> None:
+        """Endpoints that the fleet drains get no new work."""
+        draining = frozenset(
+            owned.vm
+            for owned in state.owned_purchases.values()
+            if owned.draining
+        )
+        if draining != self._draining:
+            self._draining = draining
+            self._changed()
+
     @_take.register
     def _take_heard(self, message: log_follower.LogHeard) -> None:
         self._log_heard_s = message.log_heard_s
@@ -228,7 +241,8 @@
                 failure_domain=vm.failure_domain,
                 region=vm.region,
                 pool=vm.pool,
-                leaving=vm.state is vm_list.VmState.LEAVING,
+                leaving=vm.state is vm_list.VmState.LEAVING
+                or vm.vm in self._draining,
                 leave_in_s=_left_s(vm, age_s),
             )
             for vm in self._vms
--- /dev/null
+++ b/tests/cover/test_engine_placement.py
@@ -0,0 +1,249 @@
+"""Orders to engines: fencing or none, weights by need, stopped roll-outs."""
+
+import contextlib
+import unittest
+
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import fleet_view
+from guavachute.decide import market
+from guavachute.decide import placement
+from guavachute.decide import purchases
+from guavachute.decide import rollout
+from guavachute.document import check
+from guavachute import ids
+from guavachute.kernel import mailbox
+from guavachute.observe import counters
+from guavachute.services.fleet import engine_orders
+from guavachute.services.fleet import messages
+from guavachute.services.fleet import placer
+from guavachute.services.fleet import rollouts
+from guavachute.standin import engine
+from guavachute.standin import engine_job
+from guavachute.wire import records
+from tests.support import waiting
+
+NEEDLE = ids.ModelName('needle')
+TRIAL = ids.EnvironmentName('trial')
+
+
+def held(number: int) -> messages.Held:
+    return messages.Held('fleet', ids.Offset(number), ids.Offset(number))
+
+
+class FencingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stack = contextlib.ExitStack()
+        self.addCleanup(self.stack.close)
+        self.counters = counters.Counters()
+        self.box = mailbox.Mailbox()
+
+    def run_task(self, each):
+        each.start()
+        self.stack.callback(each.join, 10)
+        self.stack.callback(each.request_stop)
+        return each
+
+    def orders_of(self, number: int) -> engine_orders.EngineOrders:
+        return self.run_task(
+            engine_orders.EngineOrders(
+                f'orders-{number}', lambda: held(number), self.counters, 0.05
+            )
+        )
+
+    def test_an_old_holder_is_refused_or_mended(self) -> None:
+        engines = [
+            self.run_task(
+                engine.Engine(
+                    f'engine-{checks}',
+                    settings=engine_job.EngineSettings(
+                        models=[], load_lag_s=0, checks_fencing=checks
+                    ),
+                )
+            )
+            for checks in (True, False)
+        ]
+
+        def wishes(version: str) -> messages.Wishes:
+            wish = placement.Wish(NEEDLE, version)
+            return messages.Wishes(
+                tuple(
+                    messages.EngineWish(
+                        ids.EndpointId(each.name),
+                        ids.Address(each.address),
+                        wish,
+                    )
+                    for each in engines
+                ),
+                self.box,
+            )
+
+        def versions() -> list[str]:
+            return [
+                each.orders.taken[-1].wish.version if each.orders.taken else ''
+                for each in engines
+            ]
+
+        newer = self.orders_of(20)
+        newer.mailbox.send(wishes('2'))
+        waiting.until(lambda: versions() == ['2', '2'], 'the new order')
+        older = self.orders_of(10)
+        older.mailbox.send(wishes('1'))
+        waiting.until(
+            lambda: (
+                self.counters.value('fleet.engine_orders_superseded')
+                and engines[1].orders.stale
+            ),
+            'the old order at both engines',
+        )
+        older.request_stop()
+        older.join(10)
+        taken = engines[0].orders.taken
+        self.assertNotIn('1', [each.wish.version for each in taken])
+        waiting.until(lambda: versions() == ['2', '2'], 'it is mended')
+        reports = [
+            each.report
+            for each in self.box.drain()
+            if each.report.models == (NEEDLE,)
+        ]
+        self.assertTrue(reports)
+
+
+def known(
+    engines: int,
+    reports: dict[str, fleet_view.EngineReport],
+    version: str = '1',
+    state: records.ControlState | None = None,
+) -> fleet_view.Known:
+    """Engines ``vm-0``... that are owned and listed, and one model."""
+    checked = check.check_raw(
+        {
+            'models': {'needle': {'pool': 'needle', 'version': version}},
+            'services': {},
+            'workspaces': {},
+            'pools': {
+                'needle': {'kind': 'model', 'machine_classes': ['a10x8']}
+            },
+        }
+    )
+    assert isinstance(checked, check.Checked), checked
+    key = market.OfferKey(
+        ids.FailureDomain('perth-a'), 'a10x8', market.Market.RECLAIMABLE
+    )
+    listed = []
+    owned = {}
+    for number in range(engines):
+        name = f'trial/needle/{number}'
+        vm = ids.VmId(f'vm-{number}')
+        pool = ids.PoolName('needle')
+        listed.append(
+            purchases.ListedVm(vm, name, pool, key, address='127.0.0.1:1')
+        )
+        intent = records.PurchaseIntent(
+            record_id=ids.RecordId(name),
+            vm_name=name,
+            lease_name='fleet',
+            term_offset=ids.Offset(0),
+            pool=pool,
+            failure_domain=key.failure_domain,
+            machine_class=key.machine_class,
+            market=key.market.value,
+        )
+        owned[name] = records.OwnedPurchase(intent=intent, vm=vm)
+    base = state or records.ControlState()
+    return fleet_view.Known(
+        TRIAL,
+        checked.document,
+        records.msgspec.structs.replace(base, owned_purchases=owned),
+        tuple(listed),
+        reports={ids.EndpointId(k): v for k, v in reports.items()},
+        forecasts={NEEDLE: demand.Forecast(at_s=0.0, recent=((0.0, 8000.0),))},
+    )
+
+
+def report(
+    number: int, version: str, models: tuple[ids.ModelName, ...] = (NEEDLE,)
+) -> fleet_view.EngineReport:
+    return fleet_view.EngineReport(
+        ids.EndpointId(f'vm-{number}'),
+        models,
+        placement.Wish(NEEDLE, version),
+    )
+
+
+def plan_of(view: fleet_view.Known) -> fleet_plan.FleetPlan:
+    return fleet_plan.plan(
+        fleet_view.build(view),
+        fleet_plan.MarketView({}, {}, {}),
+        view.document.policy,
+        0,
+        1.0,
+    )
+
+
+class PlacerTest(unittest.TestCase):
+    def test_the_store_is_asked_by_few_engines_at_once(self) -> None:
+        # 16 GB of weights at 300 MB/s: two fetches end within 120 s.
+        current = placer.Placer(300e6)
+        reports: dict[str, fleet_view.EngineReport] = {}
+        fetched = []
+        for turn in range(3):
+            view = known(6, reports)
+            sent = current.wishes(
+                view, plan_of(view), mailbox.Mailbox(), float(turn)
+            )
+            ordered = [
+                each.endpoint
+                for each in sent.wishes
+                if each.wish and each.endpoint not in reports
+            ]
+            self.assertEqual(2, len(ordered))
+            fetched += ordered
+            for endpoint in ordered:
+                number = int(endpoint.removeprefix('vm-'))
+                reports[endpoint] = report(number, '1')
+        self.assertEqual(6, len(set(fetched)))
+
+
+class RolloutsTest(unittest.TestCase):
+    def records_of(
+        self, current: rollouts.Rollouts, view: fleet_view.Known, now_s: float
+    ) -> list[records.RolloutChange]:
+        return list(current.changes(view, held(1), now_s))
+
+    def state_with(
+        self, change: records.RolloutChange
+    ) -> records.ControlState:
+        return records.ControlState(rollouts={'trial/needle': change})
+
+    def test_errors_stop_it_and_another_holder_goes_back(self) -> None:
+        current = rollouts.Rollouts(TRIAL)
+        reports = {f'vm-{n}': report(n, '1') for n in range(6)}
+        (first,) = self.records_of(current, known(6, reports), 0.0)
+        self.assertEqual('done', first.progress)
+        view = known(6, reports, '2', self.state_with(first))
+        (begun,) = self.records_of(current, view, 1.0)
+        self.assertEqual(
+            ('1', '2', 'running'),
+            (begun.old_version, begun.new_version, begun.progress),
+        )
+        view = known(6, reports, '2', self.state_with(begun))
+        self.assertEqual([], self.records_of(current, view, 2.0))
+        current.take_health(
+            messages.VersionHealth(
+                NEEDLE, rollout.Health(500, 1), rollout.Health(20, 9)
+            )
+        )
+        (stopped,) = self.records_of(current, view, 3.0)
+        self.assertEqual('stopped', stopped.progress)
+        self.assertIn('9 of 20', stopped.reason)
+        view = known(6, reports, '2', self.state_with(stopped))
+        new_holder = rollouts.Rollouts(TRIAL)
+        self.assertEqual([], self.records_of(new_holder, view, 4.0))
+        versions = {
+            each.wish.version
+            for decision in plan_of(view).decisions
+            for each in decision.assignments
+            if each.wish
+        }
+        self.assertEqual({'1'}, versions)
--- /dev/null
+++ b/tests/cover/test_fleet_engines.py
@@ -0,0 +1,127 @@
+"""The fleet with engines that run: load before drain, reclaims."""
+
+import contextlib
+import threading
+import unittest
+
+from guavachute.decide import demand
+from guavachute import ids
+from guavachute.services.fleet import engine_orders
+from guavachute.services.fleet import messages
+from guavachute.standin import cloud
+from guavachute.standin import cloud_ledger
+from guavachute.standin import engine
+from guavachute.standin import engine_job
+from tests.support import fleet
+from tests.support import waiting
+
+NEEDLE = ids.ModelName('needle')
+
+
+class Engines(cloud.Machines):
+    """Starts an engine for each VM and counts those that serve.
+
+    :ivar lowest: serving engines, at the worst moment after an end
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._running: dict[str, engine.Engine] = {}
+        self.lowest = 1000
+
+    def launch(self, machine: cloud_ledger.Machine) -> str:
+        """An engine without any model; gives its address."""
+        each = engine.Engine(
+            machine.vm,
+            settings=engine_job.EngineSettings(models=[], load_lag_s=0),
+        )
+        each.start()
+        with self._lock:
+            self._running[machine.vm] = each
+        return each.address
+
+    def kill(self, machine: cloud_ledger.Machine) -> None:
+        """Stop the engine of *machine*."""
+        with self._lock:
+            ended = self._running.pop(machine.vm)
+            self.lowest = min(self.lowest, self._serving())
+        ended.request_stop()
+
+    def serving(self) -> int:
+        """Engines that have the model loaded."""
+        with self._lock:
+            return self._serving()
+
+    def stop(self) -> None:
+        """Stop all."""
+        for each in self._running.values():
+            each.request_stop()
+
+    def _serving(self) -> int:
+        return sum(
+            'needle' in each.orders.models() for each in self._running.values()
+        )
+
+
+class FleetEnginesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        self.engines = Engines()
+        stack.callback(self.engines.stop)
+        self.cloud = stack.enter_context(fleet.cloud_running(self.engines))
+        self.log = fleet.MemoryLog()
+        self.log.publish(fleet.DOCUMENT)
+        self.node = fleet.Node(self.log, self.cloud.address)
+        self.node.held = self.log.take_lease('node-1')
+        stack.enter_context(self.node.running())
+        orders = engine_orders.EngineOrders(
+            'engine-orders', lambda: self.node.held, self.node.counters, 0.05
+        )
+        orders.mailbox = self.node.engine_box
+        orders.start()
+        stack.callback(orders.join, 10)
+        stack.callback(orders.request_stop)
+
+    def wait_serving(self) -> None:
+        counts = range(fleet.WANTED, fleet.WANTED + 1)
+        waiting.until(
+            lambda: (
+                self.engines.serving() == fleet.WANTED
+                and fleet.is_settled(self.log, self.cloud, counts)
+            ),
+            'all engines serve',
+        )
+
+    def test_dear_vms_are_exchanged_without_a_dip(self) -> None:
+        self.node.fleet.mailbox.send(messages.Offered({NEEDLE: 10.0}, {}))
+        self.wait_serving()
+        fleet.CLOCK.skip(demand.HOLD_S)
+        before = {vm.vm for vm in self.cloud.running()}
+        self.cloud.set_offers(fleet.offers(dear='perth-a'))
+        waiting.until(
+            lambda: (
+                not any(
+                    vm.failure_domain == 'perth-a'
+                    for vm in self.cloud.running()
+                )
+            ),
+            'the dear domain is left',
+        )
+        self.wait_serving()
+        self.assertGreaterEqual(self.engines.lowest, fleet.WANTED)
+        ended = {each.vm for each in self.cloud.charges() if each.ended}
+        self.assertEqual(2, len(ended))
+        self.assertLessEqual(ended, before)
+
+    def test_a_vm_with_notice_is_replaced_while_it_still_serves(self) -> None:
+        self.wait_serving()
+        leaving = self.cloud.running()[0]
+        self.cloud.reclaim(leaving.vm, 60)
+        waiting.until(
+            lambda: self.engines.serving() == fleet.WANTED + 1,
+            'the replacement serves',
+        )
+        self.cloud.end(leaving.vm)
+        self.wait_serving()
+        self.assertEqual(fleet.WANTED + 1, len(self.cloud.charges()))
