--- /dev/null
+++ b/src/guavachute/cli/plan.py
@@ -0,0 +1,149 @@
+"""``guavachute plan``: what the fleet duty would do, without doing it."""
+
+import concurrent.futures
+import dataclasses
+import pathlib
+import time
+import typing
+
+import cappa
+import msgspec
+
+from guavachute.cli import fleet_sources
+from guavachute.cli import operator_settings
+from guavachute.cli import process
+from guavachute.cli import validate
+from guavachute.decide import demand
+from guavachute.decide import fleet_plan
+from guavachute.decide import fleet_text
+from guavachute.decide import fleet_view
+from guavachute.decide import purchases
+from guavachute.document import check
+from guavachute.document import schema
+from guavachute import ids
+from guavachute import outcome
+from guavachute.platform import engine_orders
+from guavachute.services.fleet import intents
+from guavachute.wire import records
+
+ROOM = 64
+"""Starts shown as ordered at once."""
+ENGINE_READERS = 16
+
+
+@cappa.command(name='plan', help='Show what would be bought and ended.')
+@dataclasses.dataclass
+class PlanCommand:
+    """Plan an environment's fleet and print it; nothing is ordered.
+
+    The log, the cloud's prices and VMs and the engines' reports are read
+    now. The observed reclaim rates and the forecast are the lease
+    holder's own, so that reclaim rates count as never observed here and
+    the load is what ``--load`` says; a model without it counts with its
+    minimum number of endpoints.
+    """
+
+    environment: typing.Annotated[
+        str, cappa.Arg(long=True, help='The environment to plan.')
+    ]
+    file: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long=True, help='Plan this document, not the published.'),
+    ] = None
+    load: typing.Annotated[
+        list[str],
+        cappa.Arg(long=True, help='MODEL=TOKENS_PER_S, for each model.'),
+    ] = dataclasses.field(default_factory=list)
+    settings: typing.Annotated[
+        pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
+    ] = None
+    json: typing.Annotated[bool, cappa.Arg(long=True, help='Print JSON.')] = (
+        False
+    )
+
+    def __call__(self) -> int:
+        """Run the command; the exit status."""
+        wanted = operator_settings.load(self.settings)
+        state = fleet_sources.control_state(wanted)
+        document = self._document(state)
+        client = fleet_sources.cloud(wanted)
+        found = fleet_sources.listed(client)
+        offers = fleet_sources.answered(client.offers())
+        client.close()
+        known = fleet_view.Known(
+            ids.EnvironmentName(self.environment),
+            document,
+            state,
+            tuple(found),
+            frozenset(vm.vm for vm in found if not vm.leaving),
+            read_reports(found),
+            forecasts=loads_of(self.load, document),
+        )
+        plan = fleet_plan.plan(
+            fleet_view.build(known),
+            fleet_plan.MarketView(intents.prices_of(offers), {}, {}),
+            document.policy,
+            ROOM,
+            time.monotonic(),
+        )
+        shown = fleet_text.report(plan)
+        if self.json:
+            print(msgspec.json.encode(shown).decode())
+        else:
+            print('\n'.join(fleet_text.lines(shown)))
+        return 0
+
+    def _document(self, state: records.ControlState) -> schema.Document:
+        if self.file is not None:
+            return validate.load_document(self.file).document
+        name = ids.EnvironmentName(self.environment)
+        head = state.configurations.get(name)
+        if head is None:
+            process.fail(f'environment {name!r} has no document')
+        checked = check.check_raw(head.document)
+        if not isinstance(checked, check.Checked):
+            process.fail(f'the document in force: {checked[0]}')
+        return checked.document
+
+
+def loads_of(
+    entries: list[str], document: schema.Document
+) -> dict[ids.ModelName, demand.Forecast]:
+    """The loads stated as ``MODEL=TOKENS_PER_S``."""
+    forecasts = {}
+    for entry in entries:
+        model, _, text = entry.partition('=')
+        try:
+            load = float(text)
+        except ValueError:
+            load = -1.0
+        if model not in document.models or load < 0:
+            process.fail(
+                f'--load {entry}: expected MODEL=TOKENS_PER_S with a model '
+                f'of {sorted(document.models)}',
+                process.EXIT_USAGE,
+            )
+        forecasts[ids.ModelName(model)] = demand.Forecast(
+            level_tokens_per_s=load, at_s=0.0, recent=((0.0, load),)
+        )
+    return forecasts
+
+
+def read_reports(
+    listed: list[purchases.ListedVm],
+) -> dict[ids.EndpointId, fleet_view.EngineReport]:
+    """What the engines report; one that doesn't answer is left out."""
+
+    def read(vm: purchases.ListedVm) -> fleet_view.EngineReport | None:
+        seen = engine_orders.load(ids.Address(vm.address))
+        if isinstance(seen, outcome.Failure):
+            return None
+        models = tuple(ids.ModelName(model) for model in seen.models)
+        return fleet_view.EngineReport(
+            ids.EndpointId(vm.vm), models, running=seen.running
+        )
+
+    asked = [vm for vm in listed if vm.address]
+    with concurrent.futures.ThreadPoolExecutor(ENGINE_READERS) as readers:
+        reports = [each for each in readers.map(read, asked) if each]
+    return {each.endpoint: each for each in reports}
