Read the cloud's list only when something is under way

Cause: each node listed all VMs every two seconds, and the holder planned as often; at 2,800 engines that is some 350 KB/s and 4 % of a core.

Change: only the holder reads, each round while something is under way and else once a minute; reclaim notices, which are short, are read each round. Plans every 10 s when nothing changed. While the log is down the nodes list every 10 s.

--- a/src/guavachute/assembly/fleet.py
+++ b/src/guavachute/assembly/fleet.py
@@ -26,12 +26,15 @@
     """The fleet part of a node's settings.
 
     :ivar store_bytes_per_s: what the weight store gives in all
+    :ivar lease_s: how long a holder that died keeps the others waiting
     :ivar contends: whether this node may hold the lease; one that may
         not still spends its allowance while the log is down
     """
 
     cloud_address: settings.AddressText
     store_bytes_per_s: schema.Positive = 1e9
+    lease_s: settings.Seconds = leases.DURATION_S
+    round_s: settings.Seconds = fleet_task.ROUND_S
     contends: bool = True
 
 
@@ -68,7 +71,7 @@
         )
         self.fleet = fleet_task.Fleet(
             fleet_task.FleetSettings(
-                environment, node, wanted.store_bytes_per_s
+                environment, node, wanted.store_bytes_per_s, wanted.round_s
             ),
             cloud_client.CloudClient(wanted.cloud_address),
             writer.append,
@@ -81,7 +84,9 @@
         follower.subscribe(self.fleet.mailbox)
         if wanted.contends:
             # Nodes challenge one after another.
-            lease_task.contend(self._lease_name, stagger_s=jitter.random())
+            lease_task.contend(
+                self._lease_name, wanted.lease_s, stagger_s=jitter.random()
+            )
 
     @property
     def tasks(self) -> typing.Sequence[task.Task]:
--- a/src/guavachute/cli/operator.py
+++ b/src/guavachute/cli/operator.py
@@ -5,6 +5,8 @@
 
 import cappa
 
+from guavachute.cli import explain
+from guavachute.cli import plan
 from guavachute.cli import publish
 from guavachute.cli import status
 from guavachute.cli import validate
@@ -22,6 +24,8 @@
         | publish.PublishCommand
         | publish.PromoteCommand
         | status.StatusCommand
+        | plan.PlanCommand
+        | explain.ExplainCommand
     ]
 
 
--- /dev/null
+++ b/src/guavachute/services/fleet/cloud_view.py
@@ -0,0 +1,88 @@
+"""What the fleet's task has read from the cloud, and how often it reads.
+
+The list of all VMs is long in a large fleet, so it is read often only
+while something is under way, and when a reclaim notice came in.
+"""
+
+import typing
+
+from guavachute.decide import market
+from guavachute.decide import purchases
+from guavachute.observe import counters
+from guavachute import outcome
+from guavachute.platform import cloud_client
+from guavachute.services.fleet import intents
+
+OFFERS_EVERY_S = 30.0
+NOTICES_EVERY_S = 2.0
+
+
+class CloudView:
+    """The newest list, notices and prices; owned by the fleet's task.
+
+    :ivar listed: the newest list; None when there is none to rely on
+    :ivar prices: the newest prices; a list that fails leaves them
+    """
+
+    def __init__(
+        self, client: cloud_client.CloudClient, count: counters.Counters
+    ) -> None:
+        self._client = client
+        self._count = count
+        self.listed: typing.Sequence[purchases.ListedVm] | None = None
+        self.prices: dict[market.OfferKey, float] = {}
+        self._listed_at_s = float('-inf')
+        self._prices_at_s = float('-inf')
+        self._notices_at_s = float('-inf')
+        self._next_notice = 0
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+
+    def forget_list(self) -> None:
+        """Rely on no list read so far."""
+        self.listed = None
+        self._listed_at_s = float('-inf')
+
+    def fresh_list(
+        self, now_s: float, interval_s: float
+    ) -> typing.Sequence[purchases.ListedVm] | None:
+        """A list read just now, or None when none was due or readable.
+
+        :param interval_s: how old the last one may become
+        """
+        due = now_s - self._listed_at_s >= interval_s
+        if not self._has_notices(now_s) and not due:
+            return None
+        listed = self._client.vms()
+        if isinstance(listed, outcome.Failure):
+            self._count.add('fleet.list_failed')
+            return None
+        self._count.add('fleet.lists')
+        self._listed_at_s = now_s
+        self.listed = listed
+        return listed
+
+    def refresh_prices(self, now_s: float) -> None:
+        """Read the prices if that is due."""
+        if now_s - self._prices_at_s < OFFERS_EVERY_S:
+            return
+        offers = self._client.offers()
+        if isinstance(offers, outcome.Failure):
+            self._count.add('fleet.offers_failed')
+            return
+        self._prices_at_s = now_s
+        self.prices = intents.prices_of(offers)
+
+    def _has_notices(self, now_s: float) -> bool:
+        if now_s - self._notices_at_s < NOTICES_EVERY_S:
+            return False
+        self._notices_at_s = now_s
+        page = self._client.notices(self._next_notice)
+        if isinstance(page, outcome.Failure):
+            self._count.add('fleet.notices_failed')
+            return False
+        # A cloud that was replaced counts its notices anew.
+        self._next_notice = page.next
+        return bool(page.notices)
--- a/src/guavachute/services/fleet/purchasing.py
+++ b/src/guavachute/services/fleet/purchasing.py
@@ -91,6 +91,19 @@
         """How many more orders the cloud API may get now."""
         return pace.room(self.api, len(self._under_way), now_s)
 
+    def is_busy(self, state: records.ControlState) -> bool:
+        """Whether the cloud's list is about to change."""
+        prefix = purchases.name_prefix(self._environment)
+        return (
+            bool(self._under_way or self._awaited)
+            or any(name.startswith(prefix) for name in state.open_purchases)
+            or any(
+                owned.draining
+                for name, owned in state.owned_purchases.items()
+                if name.startswith(prefix)
+            )
+        )
+
     def reconcile(
         self,
         state: records.ControlState,
--- a/src/guavachute/services/fleet/task.py
+++ b/src/guavachute/services/fleet/task.py
@@ -15,7 +15,6 @@
 from guavachute.decide import allowances
 from guavachute.decide import fleet_plan
 from guavachute.decide import fleet_view
-from guavachute.decide import market
 from guavachute.decide import purchases
 from guavachute import ids
 from guavachute.kernel import clock
@@ -24,6 +23,7 @@
 from guavachute.observe import counters
 from guavachute import outcome
 from guavachute.platform import cloud_client
+from guavachute.services.fleet import cloud_view
 from guavachute.services.fleet import drains
 from guavachute.services.fleet import intents
 from guavachute.services.fleet import messages
@@ -37,7 +37,11 @@
 
 ROUND_S = 2.0
 APPEND_TIMEOUT_S = 10.0
-OFFERS_EVERY_S = 30.0
+BUSY_S = 15.0
+"""How long the cloud is looked at each round after something changed."""
+PLAN_EVERY_S = 10.0
+IDLE_LIST_S = 60.0
+OUTAGE_LIST_S = 10.0
 
 
 def lease_name(environment: ids.EnvironmentName) -> str:
@@ -83,7 +87,7 @@
     ) -> None:
         super().__init__(name)
         self._settings = settings
-        self._client = client
+        self._cloud = cloud_view.CloudView(client, count)
         self._append = append
         self._held_now = held_now
         self._engine_orders = engine_orders
@@ -96,8 +100,8 @@
         self._placer = placer.Placer(settings.store_bytes_per_s)
         self._drains = drains.Drains(settings.environment)
         self._rollouts = rollouts.Rollouts(settings.environment)
-        self._prices: dict[market.OfferKey, float] = {}
-        self._prices_at_s = float('-inf')
+        self._planned_at_s = float('-inf')
+        self._busy_until_s = float('-inf')
         self._reclaims = reclaims.Reclaims()
         self._grants = intents.Grants(settings.environment)
         self._lost_since_s: dict[str, float] = {}
@@ -113,7 +117,7 @@
             if time.monotonic() >= next_round_s:
                 self._round(self._now())
                 next_round_s = time.monotonic() + self._settings.round_s
-        self._client.close()
+        self._cloud.close()
 
     def _take(self, message: mailbox.Message, now_s: float) -> None:
         match message:
@@ -121,7 +125,7 @@
                 self._append_ended(message)
             case messages.StartDone():
                 self._picture.start_ups.ordered(message, now_s)
-                self._write(self._buying.start_done(message, now_s))
+                self._write(self._buying.start_done(message, now_s), now_s)
             case messages.EndDone():
                 self._buying.end_done(message, now_s)
             case messages.VersionHealth():
@@ -135,35 +139,45 @@
         state = self._picture.state
         if state is None:
             return
-        # The state is older than the list, so that a VM which the state
-        # owns and the list lacks is really gone.
-        listed = self._client.vms()
-        if isinstance(listed, outcome.Failure):
-            self._count.add('fleet.list_failed')
-            return
         self._count.add('fleet.rounds')
         if now_s - self._picture.log_heard_s >= allowances.LOG_DOWN_S:
-            self._spend_allowance(state, listed, now_s)
-        elif self._held_now() is not None:
+            self._spend_allowance(state, now_s)
+        elif self._held_now() is None:
+            self._cloud.forget_list()
+        else:
             self._lost_since_s.clear()
-            self._reconcile(state, listed, now_s)
+            self._act(state, now_s)
+
+    def _act(self, state: records.ControlState, now_s: float) -> None:
+        busy = now_s < self._busy_until_s or self._buying.is_busy(state)
+        # The state is older than the list, so that a VM which the state
+        # owns and the list lacks is really gone.
+        fresh = self._cloud.fresh_list(now_s, 0 if busy else IDLE_LIST_S)
+        if fresh is not None:
+            self._reconcile(state, fresh, now_s)
+        elif now_s - self._planned_at_s < PLAN_EVERY_S:
+            return
+        listed = self._cloud.listed
+        if listed is None:
+            return
+        awaited = self._buying.awaited(state, now_s)
+        known = self._picture.known(listed, awaited)
+        if known is not None:
+            self._planned_at_s = now_s
+            self._cloud.refresh_prices(now_s)
+            self._write(self._plan(known, now_s), now_s)
 
     def _reconcile(
         self,
         state: records.ControlState,
-        listed: list[purchases.ListedVm],
+        listed: typing.Sequence[purchases.ListedVm],
         now_s: float,
     ) -> None:
         lost = allowances.lost_names(state, self._settings.environment, listed)
         self._reclaims.look(state, lost, now_s)
         written = self._buying.reconcile(state, listed, now_s)
         written += self._drains.ended(state, self._picture.reports, now_s)
-        awaited = self._buying.awaited(state, now_s)
-        known = self._picture.known(listed, awaited)
-        if known is not None:
-            self._refresh_prices(now_s)
-            written += self._plan(known, now_s)
-        self._write(written)
+        self._write(written, now_s)
 
     def _plan(
         self, known: fleet_view.Known, now_s: float
@@ -172,7 +186,7 @@
         if held is None:
             return []
         offers = fleet_plan.MarketView(
-            self._prices, self._reclaims.observed, self._buying.paces
+            self._cloud.prices, self._reclaims.observed, self._buying.paces
         )
         plan = fleet_plan.plan(
             fleet_view.build(known, now_s),
@@ -195,23 +209,14 @@
             ),
         ]
 
-    def _refresh_prices(self, now_s: float) -> None:
-        if now_s - self._prices_at_s < OFFERS_EVERY_S:
-            return
-        offers = self._client.offers()
-        if isinstance(offers, outcome.Failure):
-            # The last prices stay in force.
-            self._count.add('fleet.offers_failed')
-            return
-        self._prices_at_s = now_s
-        self._prices = intents.prices_of(offers)
-
     def _spend_allowance(
         self,
         state: records.ControlState,
-        listed: list[purchases.ListedVm],
         now_s: float,
     ) -> None:
+        listed = self._cloud.fresh_list(now_s, OUTAGE_LIST_S)
+        if listed is None:
+            return
         environment = self._settings.environment
         lost = allowances.lost_names(state, environment, listed)
         self._lost_since_s = {
@@ -225,7 +230,11 @@
             allowance = state.allowances[node]
             self._buying.order_allowed(allowance, names, now_s)
 
-    def _write(self, written: typing.Sequence[records.Record]) -> None:
+    def _write(
+        self, written: typing.Sequence[records.Record], now_s: float
+    ) -> None:
+        if written:
+            self._busy_until_s = now_s + BUSY_S
         deadline_s = time.monotonic() + APPEND_TIMEOUT_S
         for record in written:
             self._append(
