Stop the HTTP server without waiting out its selector

Cause: cheroot looks for the end only every half second, so that a process with many servers, and every test, stops late. Change: the server touches its own socket when it is told to stop.

--- a/src/guavachute/http/server.py
+++ b/src/guavachute/http/server.py
@@ -195,6 +195,7 @@
 
 class _CherootServer(cheroot_server.HTTPServer):
     ConnectionClass = Connection
+    _connections: typing.Any
     live_connections: weakref.WeakSet[Connection]
     live_lock: threading.Lock
     handler: message.Handler
@@ -204,6 +205,16 @@
         staticmethod(list)
     )
 
+    def stop(self) -> None:
+        """Stop; cheroot alone would sleep on in its selector first."""
+        if self.ready and self.socket is not None:
+            self._connections._stop_requested = True
+            with contextlib.suppress(OSError):
+                socket.create_connection(
+                    self.socket.getsockname(), STOP_TIMEOUT_S
+                ).close()
+        super().stop()
+
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
     ) -> None:
