--- /dev/null
+++ b/spec/checking.py
@@ -0,0 +1,95 @@
+"""What the models share: how one is checked and reported."""
+
+import dataclasses
+import typing
+
+import minicheck
+
+MAX_STATES = 2_000_000
+
+State = tuple[typing.Any, ...]
+Successors = typing.Iterable[tuple[str, State]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A model of the real rules, or of a broken variant of them.
+
+    :ivar fields: names of the parts of a state
+    :ivar properties: what must hold in each state, by its wording
+    :ivar breaks: the property that must fail; None for the real rules
+    """
+
+    name: str
+    fields: tuple[str, ...]
+    initial: State
+    successors: typing.Callable[[State], Successors]
+    properties: dict[str, typing.Callable[[dict[str, typing.Any]], bool]]
+    breaks: str | None = None
+
+
+def check(model: Model) -> bool:
+    """Check and print; True when the verdict is the wanted one."""
+    if model.breaks is None:
+        return _report_real(model, _check(model))
+    return _report_variant(model, _check(_until_broken(model, model.breaks)))
+
+
+def _check(model: Model) -> dict[str, typing.Any]:
+    protocol = minicheck.Protocol(
+        name=model.name,
+        candidate=False,
+        fields=model.fields,
+        initial=model.initial,
+        transitions=model.successors,
+        invariants=model.properties,
+    )
+    return minicheck.check_safety(protocol, max_states=MAX_STATES)
+
+
+def _until_broken(model: Model, breaks: str) -> Model:
+    """The variant with one property, whose states end when it fails."""
+    broken = False
+
+    def holds(state: dict[str, typing.Any]) -> bool:
+        nonlocal broken
+        broken = broken or not model.properties[breaks](state)
+        return not broken
+
+    def successors(state: State) -> Successors:
+        return () if broken else model.successors(state)
+
+    return dataclasses.replace(
+        model, successors=successors, properties={breaks: holds}
+    )
+
+
+def _report_real(model: Model, result: dict[str, typing.Any]) -> bool:
+    states = result['reachable_states']
+    reached = 'all' if result['exhaustive'] else 'not all'
+    print(f'{model.name}: {states} states, {reached} of them checked')
+    good = bool(result['exhaustive'])
+    for wording, found in result['properties'].items():
+        verdict = {True: 'holds', False: 'FAILS', None: 'undetermined'}
+        print(f'  {verdict[found["holds"]]}: {wording}')
+        if not found['holds']:
+            good = False
+            _print_trace(found['counterexample'])
+    return good
+
+
+def _report_variant(model: Model, result: dict[str, typing.Any]) -> bool:
+    assert model.breaks is not None
+    found = result['properties'][model.breaks]
+    caught = found['holds'] is False
+    print(f'  variant "{model.name}": caught {"yes" if caught else "NO"}')
+    if caught:
+        labels = [step['label'] for step in found['counterexample'][1:]]
+        print(f'    {", ".join(labels)}')
+        print(f'    breaks: {model.breaks}')
+    return caught
+
+
+def _print_trace(trace: list[dict[str, typing.Any]] | None) -> None:
+    for step in trace or []:
+        print(f'    {step["label"]}: {step["state"]}')
--- /dev/null
+++ b/spec/fold_model.py
@@ -0,0 +1,392 @@
+"""Configuration by compare-and-set over a log without conditions.
+
+Two operators race to replace the document in force. Each append may take
+effect late, or twice after a lost answer. The retention drops what is
+old; one of the readers writes a snapshot, which lags. Readers are
+restarted at any time and start again from the log or from the other one.
+
+The readers, the operators and the start run the functions of the
+programs: ``control_reader``, ``control_log`` and ``log_start``.
+"""
+
+import dataclasses
+import functools
+import typing
+
+import msgspec
+
+from guavachute.decide import control_log
+from guavachute.decide import control_reader
+from guavachute.decide import log_start
+from guavachute import ids
+from guavachute.wire import records
+from spec import checking
+
+ENVIRONMENT = ids.EnvironmentName('e')
+OPERATORS = ('p', 'q')
+COPIES = 2
+MOST_RECORDS = 5
+FIELDS = ('log', 'first', 'operators', 'readers', 'went_back')
+
+ONE_HEAD = 'readers of the same records have the same document in force'
+NOT_BACK = 'a running reader never goes back to an older document'
+ONCE = 'a change comes into force once, and never again after another one'
+RACE = 'an operator loses the race only to another change'
+TRUTH = 'an operator who is told "accepted" or "lost the race" is told so'
+
+Fold = typing.Callable[..., control_log.Folded]
+
+
+class Operator(typing.NamedTuple):
+    """Has read *base* records, sent *copies*, was told *verdict*."""
+
+    base: int = -1
+    copies: int = 0
+    verdict: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """The functions under test, replaced one by one in the variants."""
+
+    fold: Fold = control_log.fold
+    adopts_older: bool = False
+    starts_at_snapshot: bool = False
+
+
+def change(name: str, supersedes: int) -> records.ConfigurationChange:
+    """The change of operator *name*."""
+    return records.ConfigurationChange(
+        record_id=ids.RecordId(name),
+        environment=ENVIRONMENT,
+        supersedes_offset=ids.Offset(supersedes),
+        document={},
+        digest=ids.Digest(name),
+        author=name,
+    )
+
+
+@functools.cache
+def parse(entry: tuple[typing.Any, ...]) -> records.ControlRecord:
+    """A record from its short form in the model's log."""
+    if entry[0] == 'snapshot':
+        return records.Snapshot(
+            record_id=ids.RecordId('snapshot'), state=state_of(entry[1])
+        )
+    return change(entry[0], entry[1])
+
+
+def state_of(short: tuple[typing.Any, ...]) -> records.ControlState:
+    """A state from its short form: through, head's offset and name."""
+    through, head_offset, name = short
+    heads = {}
+    if name:
+        heads[ENVIRONMENT] = records.ConfigurationHead(
+            offset=head_offset,
+            record_id=ids.RecordId(name),
+            digest=ids.Digest(name),
+            document={},
+            author=name,
+        )
+    return records.ControlState(through_offset=through, configurations=heads)
+
+
+def short_of(state: records.ControlState) -> tuple[typing.Any, ...]:
+    """The short form of a state."""
+    head = state.configurations.get(ENVIRONMENT)
+    if head is None:
+        return (state.through_offset, records.NO_OFFSET, '')
+    return (state.through_offset, head.offset, head.record_id)
+
+
+class FoldModel:
+    """The transitions under one set of rules."""
+
+    def __init__(self, rules: Rules) -> None:
+        self._rules = rules
+        self._fold_all = functools.cache(self._fold_from)
+
+    def _fold_from(
+        self,
+        short: tuple[typing.Any, ...],
+        log: tuple[typing.Any, ...],
+    ) -> tuple[tuple[typing.Any, ...], tuple[tuple[str, bool], ...]]:
+        """Fold all that follows on *short*; with each change's verdict."""
+        state = state_of(short)
+        verdicts = []
+        for offset in range(state.through_offset + 1, len(log)):
+            record = parse(log[offset])
+            state, verdict = self._rules.fold(
+                state, ids.Offset(offset), record
+            )
+            accepted = verdict is control_log.Verdict.ACCEPTED
+            verdicts.append((log[offset][0], accepted))
+        return short_of(state), tuple(verdicts)
+
+    def reference(
+        self, log: tuple[typing.Any, ...]
+    ) -> tuple[tuple[typing.Any, ...], tuple[tuple[str, bool], ...]]:
+        """The fold from the very beginning."""
+        return self._fold_all((-1, -1, ''), log)
+
+    def successors(self, state: checking.State) -> checking.Successors:
+        """All that may happen next."""
+        yield from self._operators(state)
+        yield from self._readers(state)
+        log, first, *rest = state
+        if first < len(log) - 1:
+            yield 'retention passes', (log, first + 1, *rest)
+
+    def _operators(self, state: checking.State) -> checking.Successors:
+        log, first, operators, readers, back = state
+        for place, name in enumerate(OPERATORS):
+            operator = operators[place]
+            if operator.base < 0:
+                began = operator._replace(base=len(log))
+                yield (
+                    f'{name} reads the head',
+                    (log, first, _put(operators, place, began), readers, back),
+                )
+            elif not operator.verdict:
+                yield from self._publish(state, place, name)
+            if 0 < operator.copies < COPIES and len(log) < MOST_RECORDS:
+                # Also after the verdict: a copy may be late.
+                yield f'{name} lands again', self._land(state, place, name)
+
+    def _publish(
+        self, state: checking.State, place: int, name: str
+    ) -> checking.Successors:
+        log, first, operators, readers, back = state
+        operator = operators[place]
+        if operator.copies == 0:
+            if len(log) < MOST_RECORDS:
+                yield f'{name} lands', self._land(state, place, name)
+            return
+        base, _ = self.reference(log[: operator.base])
+        _, verdicts = self._fold_all(base, log)
+        accepted = dict(reversed(verdicts))[name]
+        told = operator._replace(verdict='accepted' if accepted else 'lost')
+        yield (
+            f'{name} is told {told.verdict}',
+            (log, first, _put(operators, place, told), readers, back),
+        )
+
+    def _land(
+        self, state: checking.State, place: int, name: str
+    ) -> checking.State:
+        log, first, operators, readers, back = state
+        operator = operators[place]
+        (_, head_offset, _), _ = self.reference(log[: operator.base])
+        landed = operator._replace(copies=operator.copies + 1)
+        return (
+            (*log, (name, head_offset)),
+            first,
+            _put(operators, place, landed),
+            readers,
+            back,
+        )
+
+    def _readers(self, state: checking.State) -> checking.Successors:
+        log, first, operators, readers, back = state
+        for place, reader in enumerate(readers):
+            for label, new in self._reader_steps(state, place):
+                worse = reader is not None and new[1] < reader[1]
+                yield (
+                    f'reader {place} {label}',
+                    (
+                        log,
+                        first,
+                        operators,
+                        _put(readers, place, new),
+                        back or worse,
+                    ),
+                )
+            if reader is not None:
+                gone = _put(readers, place, None)
+                yield (
+                    f'reader {place} dies',
+                    (log, first, operators, gone, back),
+                )
+        writer = readers[0]
+        has_snapshot = any(entry[0] == 'snapshot' for entry in log)
+        if writer and not has_snapshot and len(log) < MOST_RECORDS:
+            entry = ('snapshot', writer)
+            yield (
+                'reader 0 writes a snapshot',
+                ((*log, entry), first, operators, readers, back),
+            )
+
+    def _reader_steps(
+        self, state: checking.State, place: int
+    ) -> typing.Iterator[tuple[str, tuple[typing.Any, ...]]]:
+        log, first, _, readers, _ = state
+        reader = readers[place]
+        other = readers[1 - place]
+        if other is not None:
+            # A follower that changes its source is sent whole states.
+            yield 'hears the other', self._adopt(reader, other)
+        if reader is None:
+            begun = self._start(log, first)
+            if begun is not None:
+                yield 'starts from the log', begun
+        elif first <= reader[0] + 1 < len(log):
+            yield 'reads', self._fold_all(reader, log[: reader[0] + 2])[0]
+        elif reader[0] + 1 < first:
+            begun = self._start(log, first)
+            if begun is not None:
+                yield 'starts over', self._adopt(reader, begun)
+
+    def _adopt(
+        self,
+        mine: tuple[typing.Any, ...] | None,
+        other: tuple[typing.Any, ...],
+    ) -> tuple[typing.Any, ...]:
+        if mine is None or self._rules.adopts_older:
+            return other
+        reader = control_reader.ControlReader(state_of(mine))
+        reader.adopt(state_of(other))
+        assert reader.state is not None
+        return short_of(reader.state)
+
+    def _start(
+        self, log: tuple[typing.Any, ...], first: int
+    ) -> tuple[typing.Any, ...] | None:
+        """As a new process does; the window begins at the end."""
+        window = len(log)
+        while True:
+            found = [parse(entry) for entry in log[window:]]
+            snapshots = [f for f in found if isinstance(f, records.Snapshot)]
+            step = log_start.next_step(
+                ids.Offset(first),
+                ids.Offset(window),
+                ids.Offset(len(log)),
+                snapshots,
+            )
+            if isinstance(step, log_start.Lost):
+                return None
+            if isinstance(step, log_start.Begin):
+                return self._begin(step.state, log)
+            # The programs search by hundreds, the model one by one.
+            window = min(window - 1, step.from_offset)
+
+    def _begin(
+        self, state: records.ControlState, log: tuple[typing.Any, ...]
+    ) -> tuple[typing.Any, ...]:
+        if self._rules.starts_at_snapshot and state.through_offset >= 0:
+            place = [entry[0] for entry in log].index('snapshot')
+            state = msgspec.structs.replace(state, through_offset=place)
+        return self._fold_all(short_of(state), log)[0]
+
+
+def _put(
+    values: tuple[typing.Any, ...], place: int, value: typing.Any
+) -> tuple[typing.Any, ...]:
+    return (*values[:place], value, *values[place + 1 :])
+
+
+def _fold_without_compare(
+    state: records.ControlState,
+    offset: ids.Offset,
+    record: records.ControlRecord,
+) -> control_log.Folded:
+    if isinstance(record, records.ConfigurationChange):
+        head = state.configurations.get(ENVIRONMENT)
+        record = msgspec.structs.replace(
+            record, supersedes_offset=control_log.offset_of(head)
+        )
+    return control_log.fold(state, offset, record)
+
+
+def _fold_where_a_snapshot_moves_the_head(
+    state: records.ControlState,
+    offset: ids.Offset,
+    record: records.ControlRecord,
+) -> control_log.Folded:
+    through, head_offset, name = short_of(state)
+    if isinstance(record, records.Snapshot) and name:
+        state = state_of((through, offset, name))
+    return control_log.fold(state, offset, record)
+
+
+def _model(name: str, rules: Rules, breaks: str | None) -> checking.Model:
+    model = FoldModel(rules)
+
+    def one_head(state: dict[str, typing.Any]) -> bool:
+        return all(
+            reader == model.reference(state['log'][: reader[0] + 1])[0]
+            for reader in state['readers']
+            if reader is not None
+        )
+
+    def once(state: dict[str, typing.Any]) -> bool:
+        _, verdicts = model.reference(state['log'])
+        accepted = [name for name, was in verdicts if was]
+        return len(accepted) == len(set(accepted))
+
+    def truth(state: dict[str, typing.Any]) -> bool:
+        _, verdicts = model.reference(state['log'])
+        accepted = {name for name, was in verdicts if was}
+        return all(
+            (operator.verdict == 'accepted') == (name in accepted)
+            for name, operator in zip(
+                OPERATORS, state['operators'], strict=True
+            )
+            if operator.verdict
+        )
+
+    def race(state: dict[str, typing.Any]) -> bool:
+        _, verdicts = model.reference(state['log'])
+        return all(
+            any(was for _, was in verdicts[operator.base :])
+            for operator in state['operators']
+            if operator.verdict == 'lost'
+        )
+
+    first_document = ('old', -1)
+    return checking.Model(
+        name=name,
+        fields=FIELDS,
+        initial=(
+            (first_document,),
+            0,
+            (Operator(), Operator()),
+            ((-1, -1, ''), (-1, -1, '')),
+            False,
+        ),
+        successors=model.successors,
+        properties={
+            ONE_HEAD: one_head,
+            NOT_BACK: lambda state: not state['went_back'],
+            ONCE: once,
+            RACE: race,
+            TRUTH: truth,
+        },
+        breaks=breaks,
+    )
+
+
+def models() -> list[checking.Model]:
+    """The real rules and the broken variants."""
+    return [
+        _model('fold with compare-and-set', Rules(), None),
+        _model(
+            'a change does not name what it supersedes',
+            Rules(fold=_fold_without_compare),
+            ONCE,
+        ),
+        _model(
+            'a reader takes over any state of a peer',
+            Rules(adopts_older=True),
+            NOT_BACK,
+        ),
+        _model(
+            'a start goes on after the snapshot, not after what it holds',
+            Rules(starts_at_snapshot=True),
+            ONE_HEAD,
+        ),
+        _model(
+            'a snapshot moves the head that a change must name',
+            Rules(fold=_fold_where_a_snapshot_moves_the_head),
+            RACE,
+        ),
+    ]
