Grant a suspect's attempts by one owner over all routers

Each router granted by itself, so a caller that gave up on one router and sent the request to another could lose a third endpoint. Equal requests in one router run on one endpoint while it has room.

--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -76,7 +76,8 @@
             wanted.region,
             count,
             tracer,
-            lambda notice: self.feed.mailbox.send(notice),
+            self._name,
+            lambda message: self.feed.mailbox.send(message),
         )
         self.claims = claim_client.ClaimClient(count)
         self.plain_calls = plain_calls.PlainCalls(
@@ -155,11 +156,9 @@
         self.engine_watch.put_in_force(new, pools)
         self.front.put_in_force(view)
 
-    def _hear(
-        self, message: requests.DemandSums | requests.CrashNotice
-    ) -> None:
+    def _hear(self, message: table_feed.FromOthers) -> None:
         """Take what other routers tell."""
-        if isinstance(message, requests.CrashNotice):
+        if not isinstance(message, requests.DemandSums):
             self.relay.mailbox.send(message)
             return
         for each in message.sums:
--- /dev/null
+++ b/src/guavachute/services/grant_desk.py
@@ -0,0 +1,71 @@
+"""Node process: owns some suspects and passes on what concerns others.
+
+The owner of a fingerprint is a node that all nodes can name: the first
+contact of the failure domain that ranks highest with the fingerprint.
+"""
+
+from guavachute.decide import crash
+from guavachute.decide import crash_grants
+from guavachute.decide import domain_digest
+from guavachute.decide import membership
+from guavachute.wire import gossip
+from guavachute.wire import requests
+
+
+class GrantDesk:
+    """The grants and the suspicions of one node."""
+
+    def __init__(self) -> None:
+        self._book = crash.CrashBook()
+        self._grants = crash_grants.Grants()
+
+    def take(self, notice: requests.CrashNotice, now_s: float) -> None:
+        """What a router, here or elsewhere, has found."""
+        self._book.take(notice, now_s)
+
+    def ask(
+        self, ask: requests.GrantAsk, now_s: float
+    ) -> requests.GrantAnswer:
+        """Answer as the owner."""
+        name = crash.Fingerprint(ask.fingerprint)
+        standing = self._book.standing(name, now_s)
+        return self._grants.ask(ask, standing, now_s)
+
+    def release(self, message: requests.GrantRelease) -> None:
+        """As the owner, take the end of an attempt."""
+        self._grants.release(message)
+
+    def expire(self, now_s: float) -> None:
+        """Forget what is too old; call it about each minute."""
+        self._book.expire(now_s)
+        self._grants.expire(now_s)
+
+
+def owner(
+    fingerprint: str, view: membership.View | None
+) -> gossip.NodeAddress | None:
+    """The node that owns *fingerprint*; None where that is this one."""
+    if view is None:
+        return None
+    contacts = {view.failure_domain: _own_contact(view)}
+    for digest in view.domains:
+        if digest.contacts and digest.failure_domain not in contacts:
+            contacts[digest.failure_domain] = digest.contacts[0]
+    name = crash.Fingerprint(fingerprint)
+    domain = crash_grants.owner(name, contacts)
+    contact = None if domain is None else contacts[domain]
+    if contact is None or contact.node == view.me:
+        return None
+    return contact
+
+
+def _own_contact(view: membership.View) -> gossip.NodeAddress | None:
+    addresses = {
+        member.node: member.profile.address
+        for member in view.members
+        if not member.suspect
+    }
+    nodes = domain_digest.contacts(view.failure_domain, addresses, 1)
+    if not nodes:
+        return None
+    return gossip.NodeAddress(nodes[0], addresses[nodes[0]])
--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -93,6 +93,22 @@
     notice: requests.CrashNotice
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TellGrant:
+    """Send a message on a suspect's attempts to the node *to*."""
+
+    to: gossip.NodeAddress
+    message: requests.Grant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantHeard:
+    """To subscribers: such a message came from the node *sender*."""
+
+    sender: gossip.NodeAddress
+    message: requests.Grant
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """Who this node is and how it talks to its peers.
@@ -205,6 +221,9 @@
                 self._state.news.set_status(message.status)
             case TellCrash():
                 self._tell_crash(message.notice)
+            case TellGrant():
+                wired = _wired_grant(message.message)
+                self._send(member_news.Send(message.to, wired))
             case Listed():
                 self._observe_list(message)
             case task.Stop():
@@ -372,6 +391,11 @@
             if isinstance(message, gossip.Crash):
                 self._hear_crash(message)
                 continue
+            if isinstance(message, gossip.Grant):
+                heard = GrantHeard(sender, _grant_of(message))
+                for subscriber in self._subscribers:
+                    subscriber.send(heard)
+                continue
             self._send_all(self._state.receive(sender, message, now_s))
 
     # Crashing requests: rare, urgent, and so told directly.
@@ -468,6 +492,34 @@
     )
 
 
+def _wired_grant(message: requests.Grant) -> gossip.Grant:
+    fingerprint, router = message.fingerprint, message.router
+    match message:
+        case requests.GrantAsk():
+            return gossip.Grant('ask', fingerprint, router)
+        case requests.GrantAnswer():
+            return gossip.Grant('answer', fingerprint, router, message.granted)
+        case requests.GrantRelease():
+            return gossip.Grant('release', fingerprint, router)
+
+
+def _grant_of(message: gossip.Grant) -> requests.Grant:
+    fingerprint, router = message.fingerprint, message.router
+    match message.kind:
+        case 'ask':
+            return requests.GrantAsk(fingerprint=fingerprint, router=router)
+        case 'answer':
+            return requests.GrantAnswer(
+                fingerprint=fingerprint,
+                router=router,
+                granted=message.granted,
+            )
+        case 'release':
+            return requests.GrantRelease(
+                fingerprint=fingerprint, router=router
+            )
+
+
 def _listen(host: str, port: int) -> socket.socket:
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -24,6 +24,7 @@
 from guavachute.observe import counters
 from guavachute.observe import logs
 from guavachute.platform import vm_list
+from guavachute.services import grant_desk
 from guavachute.services import log_follower
 from guavachute.services import membership
 from guavachute.services import order_claims
@@ -87,6 +88,7 @@
         self._told_routers: membership.SetRouters | None = None
         self._told_status: gossip.Status | None = None
         self._next_sums_s = 0.0
+        self._desk = grant_desk.GrantDesk()
 
     def run(self) -> None:
         """Take messages until stopped."""
@@ -158,14 +160,47 @@
 
     @_take.register
     def _take_found(self, message: table_server.CrashFound) -> None:
+        self._desk.take(message.notice, time.monotonic())
         told = membership.TellCrash(message.notice)
         self._kernel.send(membership.NAME, told)
 
     @_take.register
     def _take_heard_crash(self, message: membership.CrashHeard) -> None:
+        self._desk.take(message.notice, time.monotonic())
         passed = table_server.PassOn(message.notice)
         self._kernel.send('table-server', passed)
 
+    @_take.register
+    def _take_wanted(self, message: table_server.GrantWanted) -> None:
+        owner = grant_desk.owner(message.message.fingerprint, self._view)
+        if owner is not None:
+            told = membership.TellGrant(owner, message.message)
+            self._kernel.send(membership.NAME, told)
+            return
+        answer = self._decided(message.message)
+        if answer is not None:
+            self._kernel.send('table-server', table_server.PassOn(answer))
+
+    @_take.register
+    def _take_grant(self, message: membership.GrantHeard) -> None:
+        if isinstance(message.message, requests.GrantAnswer):
+            passed = table_server.PassOn(message.message)
+            self._kernel.send('table-server', passed)
+            return
+        answer = self._decided(message.message)
+        if answer is not None:
+            told = membership.TellGrant(message.sender, answer)
+            self._kernel.send(membership.NAME, told)
+
+    def _decided(
+        self, message: requests.GrantAsk | requests.GrantRelease
+    ) -> requests.GrantAnswer | None:
+        """What this node, as the owner, says."""
+        if isinstance(message, requests.GrantAsk):
+            return self._desk.ask(message, time.monotonic())
+        self._desk.release(message)
+        return None
+
     @_take.register
     def _take_question(self, message: table_server.AskStatus) -> None:
         message.reply(
@@ -195,6 +230,7 @@
         self._publish(now_s)
         if now_s >= self._next_sums_s:
             self._next_sums_s = now_s + SUMS_INTERVAL_S
+            self._desk.expire(now_s)
             sums = demand_sums.known(self._reports, self._view)
             passed = table_server.PassOn(requests.DemandSums(sums=sums))
             self._kernel.send('table-server', passed)
--- a/src/guavachute/services/relay/endpoints.py
+++ b/src/guavachute/services/relay/endpoints.py
@@ -109,6 +109,17 @@
         known = self._known.get(name)
         return None if known is None else known.entry
 
+    def known(self, name: ids.EndpointId) -> tables.EndpointEntry:
+        """The tables' entry of *name*, which must be known."""
+        return self._known[name].entry
+
+    def has_room(self, name: ids.EndpointId) -> bool:
+        """Whether *name* stays and has a free slot."""
+        known = self._known.get(name)
+        if known is None or not _stays(known):
+            return False
+        return self.free_slots_of(name) > 0
+
     def leave_at_s(self, name: str) -> float | None:
         """When *name* goes; None if it stays or is unknown."""
         known = self._known.get(ids.EndpointId(name))
--- a/src/guavachute/services/relay/suspects.py
+++ b/src/guavachute/services/relay/suspects.py
@@ -9,7 +9,6 @@
 import typing
 
 from guavachute.decide import crash
-from guavachute.decide import crash_grants
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute.observe import logs
@@ -34,47 +33,26 @@
     def ask(self, name: crash.Fingerprint, now_s: float) -> bool:
         """Whether an attempt of suspect *name* may start here."""
 
-    def release(
-        self, name: crash.Fingerprint, notice: requests.CrashNotice | None
-    ) -> None:
-        """The granted attempt has ended."""
-
-
-class LocalGranter:
-    """Grants within one router; enough where there is only one."""
-
-    def __init__(self, book: crash.CrashBook) -> None:
-        self._book = book
-        self._grants = crash_grants.Grants()
-
-    def ask(self, name: crash.Fingerprint, now_s: float) -> bool:
-        """Grant it unless another attempt runs."""
-        message = crash_grants.GrantAsk(fingerprint=name, router='')
-        standing = self._book.standing(name, now_s)
-        return self._grants.ask(message, standing, now_s).granted
-
-    def release(
-        self, name: crash.Fingerprint, notice: requests.CrashNotice | None
-    ) -> None:
+    def release(self, name: crash.Fingerprint) -> None:
         """The granted attempt has ended."""
-        message = crash_grants.GrantRelease(fingerprint=name, router='')
-        self._grants.release(message)
 
 
 class Suspects:
     """The suspicions of one router.
 
-    :ivar book: shared with the granter
+    :param granter: says when a suspect may run, over all routers
     :param tell: called with each notice that the others have to know
     """
 
     def __init__(
         self,
         count: counters.Counters,
+        granter: Granter,
         tell: typing.Callable[[requests.CrashNotice], None],
     ) -> None:
         self.book = crash.CrashBook()
-        self.granter: Granter = LocalGranter(self.book)
+        self._granter = granter
+        self._granted: set[crash.Fingerprint] = set()
         self._count = count
         self._tell = tell
         self._cut: dict[str, list[relay_work.Work]] = {}
@@ -97,7 +75,8 @@
             )
         if work.granted:
             return None
-        if not self.granter.ask(work.fingerprint, now_s):
+        name = work.fingerprint
+        if name in self._granted or not self._granter.ask(name, now_s):
             return outcome.Failure(
                 outcome.Reason.NO_CAPACITY,
                 'this request may have crashed an endpoint; another '
@@ -105,8 +84,18 @@
                 GRANT_RETRY_S,
             )
         work.granted = True
+        self._granted.add(name)
         return None
 
+    def running_on(
+        self, work: relay_work.Work, now_s: float
+    ) -> ids.EndpointId | None:
+        """Where this router runs the same content, if that is clean."""
+        standing = self.book.standing(work.fingerprint, now_s)
+        if standing is not crash.Standing.CLEAN:
+            return None
+        return self.book.running_on(work.fingerprint)
+
     def apart_from(
         self, work: relay_work.Work, now_s: float
     ) -> frozenset[ids.EndpointId]:
@@ -152,10 +141,11 @@
         if all(crash_id != each[3] for each in self._losses):
             self._count.add('crashes.endpoints')
             _log.warning('endpoint {} died', entry.endpoint)
-        for work in cut:
-            self._release(work, notices)
+        # The owner has to hear of the crash before it grants again.
         for notice in notices:
             self._tell(notice)
+        for work in cut:
+            self._release(work)
         self._watch_domain(entry, crash_id, now_s)
 
     def completed(self, work: relay_work.Work, now_s: float) -> None:
@@ -164,7 +154,7 @@
         if notice is not None:
             self._count.add('crashes.requests_cleared')
             self._tell(notice)
-        self._release(work, [] if notice is None else [notice])
+        self._release(work)
 
     def ended(self, work: relay_work.Work) -> None:
         """An attempt of *work* ended without saying anything of it.
@@ -174,17 +164,14 @@
         if work.cut:
             return
         self.book.ended(work.attempt_id)
-        self._release(work, [])
+        self._release(work)
 
-    def _release(
-        self, work: relay_work.Work, notices: list[requests.CrashNotice]
-    ) -> None:
+    def _release(self, work: relay_work.Work) -> None:
         if not work.granted:
             return
         work.granted = False
-        name = work.fingerprint
-        own = [each for each in notices if each.fingerprint == name]
-        self.granter.release(name, own[0] if own else None)
+        self._granted.discard(work.fingerprint)
+        self._granter.release(work.fingerprint)
 
     def _watch_domain(
         self, entry: tables.EndpointEntry, crash_id: str, now_s: float
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -31,6 +31,7 @@
 from guavachute.services.relay import endpoints
 from guavachute.services.relay import exchange
 from guavachute.services.relay import gate
+from guavachute.services.relay import granter
 from guavachute.services.relay import moves
 from guavachute.services.relay import pool
 from guavachute.services.relay import suspects
@@ -116,7 +117,8 @@
     routers, :class:`TellWhenIdle`, :class:`HandOver`.
 
     :param node: the VM, by which the subset of endpoints is chosen
-    :param tell: called with notices that the other routers are to get
+    :param router: the name of this process, as others know it
+    :param tell: takes what the node process is to pass on
     """
 
     def __init__(
@@ -126,14 +128,16 @@
         region: str,
         count: counters.Counters,
         tracer: traces.Tracer,
-        tell: typing.Callable[[requests.CrashNotice], None] = lambda _: None,
+        router: str,
+        tell: typing.Callable[[requests.CrashNotice | requests.Grant], None],
     ) -> None:
         super().__init__('relay')
         self._endpoints = endpoints.Endpoints(
             node, failure_domain, region, count
         )
         self._gate = gate.Gate(self._endpoints, count)
-        self._suspects = suspects.Suspects(count, tell)
+        self._granter = granter.RemoteGranter(router, tell)
+        self._suspects = suspects.Suspects(count, self._granter, tell)
         self._moves = moves.Moves(self._endpoints)
         self._budgets = retry.Budgets()
         self._probed: dict[str, list[relay_call.Stream]] = {}
@@ -230,6 +234,12 @@
     def _take_sum(self, message: requests.DemandSum) -> None:
         self._gate.take_sum(message, time.monotonic())
 
+    @_take_message.register
+    def _take_grant(self, message: requests.GrantAnswer) -> None:
+        now_s = time.monotonic()
+        self._granter.answered(message, now_s)
+        self._start_waiting(now_s)
+
     @_take_message.register
     def _take_notice(self, message: requests.CrashNotice) -> None:
         now_s = time.monotonic()
@@ -304,6 +314,9 @@
             stream.target = None
             if target is not None and not target.leaving:
                 return target
+        together = self._suspects.running_on(work, now_s)
+        if together is not None and self._endpoints.has_room(together):
+            return self._endpoints.known(together)
         choice = self._endpoints.choose(
             stream.call.pool,
             work,
@@ -872,6 +885,7 @@
         self._start_waiting(now_s)
         self._move_leaving(now_s)
         self._gate.tick(now_s)
+        self._granter.expire(now_s)
         # Replaced, not changed: another thread reads it.
         self.demand = self._gate.demand()
         for stream in list(self._streams):
--- a/src/guavachute/services/table_feed.py
+++ b/src/guavachute/services/table_feed.py
@@ -19,6 +19,9 @@
 REPORT_INTERVAL_S = 0.5
 RECONNECT_S = 0.25
 
+FromOthers = requests.DemandSums | requests.CrashNotice | requests.GrantAnswer
+ToOthers = requests.CrashNotice | requests.GrantAsk | requests.GrantRelease
+
 _log = logs.logger('tables')
 
 
@@ -36,9 +39,7 @@
         count: counters.Counters,
         put_in_force: typing.Callable[[tables.Tables], None],
         report: typing.Callable[[int], tables.RouterReport],
-        pass_on: typing.Callable[
-            [requests.DemandSums | requests.CrashNotice], None
-        ] = lambda message: None,
+        pass_on: typing.Callable[[FromOthers], None] = lambda message: None,
     ) -> None:
         super().__init__('table-feed')
         self._node_address = node_address
@@ -71,7 +72,7 @@
     def _read_mail(self, events: int) -> None:
         # Any other message asks for a report at once.
         for message in self.mailbox.drain():
-            if isinstance(message, requests.CrashNotice):
+            if isinstance(message, ToOthers):
                 self._send(message)
         self._send_report()
 
@@ -123,9 +124,7 @@
     def _send_report(self) -> None:
         self._send(self._report(self._offset))
 
-    def _send(
-        self, message: tables.RouterReport | requests.CrashNotice
-    ) -> None:
+    def _send(self, message: tables.RouterReport | ToOthers) -> None:
         node = self._node
         if node is not None and node.failure is None:
             node.send(message)
--- a/src/guavachute/services/table_server.py
+++ b/src/guavachute/services/table_server.py
@@ -15,7 +15,14 @@
 from guavachute.wire import tables
 
 WAIT_S = 1.0
-FromOutside = tables.RouterReport | status.StatusRequest | requests.CrashNotice
+FromOutside = (
+    tables.RouterReport
+    | status.StatusRequest
+    | requests.CrashNotice
+    | requests.GrantAsk
+    | requests.GrantRelease
+)
+ToRouters = requests.DemandSums | requests.CrashNotice | requests.GrantAnswer
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,7 +36,7 @@
 class PassOn:
     """Send *message* to the routers that are connected now."""
 
-    message: requests.DemandSums | requests.CrashNotice
+    message: ToRouters
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +46,13 @@
     notice: requests.CrashNotice
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantWanted:
+    """Sent to the subscriber: a router here asks or releases."""
+
+    message: requests.GrantAsk | requests.GrantRelease
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoutersChanged:
     """Sent to the subscriber: the newest report of each router here."""
@@ -138,7 +152,7 @@
 
     def _pass_on(
         self,
-        message: requests.DemandSums | requests.CrashNotice,
+        message: ToRouters,
         but: peer.Peer | None = None,
     ) -> None:
         """Send *message* to the routers, known by their reports."""
@@ -157,8 +171,10 @@
                 elif isinstance(message, requests.CrashNotice):
                     self._pass_on(message, but=router)
                     self._subscriber.send(CrashFound(message))
-                else:
+                elif isinstance(message, tables.RouterReport):
                     self._take_report(router, message)
+                else:
+                    self._subscriber.send(GrantWanted(message))
         self._after(router)
 
     def _after(self, router: peer.Peer) -> None:
--- a/src/guavachute/wire/gossip.py
+++ b/src/guavachute/wire/gossip.py
@@ -211,6 +211,19 @@
     pass_on: bool
 
 
+class Grant(msgspec.Struct, frozen=True, array_like=True, tag='grant'):
+    """A :data:`requests.Grant` between a router's node and an owner.
+
+    :ivar kind: ask, answer or release
+    :ivar granted: of an answer
+    """
+
+    kind: typing.Literal['ask', 'answer', 'release']
+    fingerprint: str
+    router: str
+    granted: bool = False
+
+
 Handshake = Hello | Proof
-Message = Ping | Ack | PingRequest | Sync | DigestExchange | Crash
+Message = Ping | Ack | PingRequest | Sync | DigestExchange | Crash | Grant
 Any = typing.Union[Handshake, Message]
--- a/src/guavachute/wire/requests.py
+++ b/src/guavachute/wire/requests.py
@@ -43,3 +43,32 @@
     crashes: list[str]
     cleared: list[str] = []
     refused: bool = False
+
+
+class GrantAsk(msgspec.Struct, frozen=True, kw_only=True, tag='grant-ask'):
+    """A router asks the owner of a fingerprint for an attempt."""
+
+    fingerprint: str
+    router: str
+
+
+class GrantAnswer(
+    msgspec.Struct, frozen=True, kw_only=True, tag='grant-answer'
+):
+    """The owner's answer; without it the attempt is not made."""
+
+    fingerprint: str
+    router: str
+    granted: bool
+
+
+class GrantRelease(
+    msgspec.Struct, frozen=True, kw_only=True, tag='grant-release'
+):
+    """The attempt has ended; a notice of what came of it went before."""
+
+    fingerprint: str
+    router: str
+
+
+Grant = GrantAsk | GrantAnswer | GrantRelease
--- a/src/guavachute/wire/tables.py
+++ b/src/guavachute/wire/tables.py
@@ -78,4 +78,6 @@
     demand: dict[str, float] = {}
 
 
-FromNode = Tables | requests.DemandSums | requests.CrashNotice
+FromNode = (
+    Tables | requests.DemandSums | requests.CrashNotice | requests.GrantAnswer
+)
--- a/tests/cover/test_crash.py
+++ b/tests/cover/test_crash.py
@@ -137,7 +137,7 @@
         standing = book.standing(BAD, 0)
         if standing is REFUSED:
             return
-        ask = crash_grants.GrantAsk(fingerprint=BAD, router=str(router))
+        ask = requests.GrantAsk(fingerprint=BAD, router=str(router))
         if standing is SUSPECT:
             known = self.books[0].standing(BAD, 0)
             if not self.grants.ask(ask, known, 0).granted:
@@ -146,8 +146,8 @@
         self.lost += 1
         notices = book.crashed(endpoint(number), f'c-{number}', 0)
         if standing is SUSPECT:
-            release = crash_grants.GrantRelease(
-                fingerprint=BAD, router=str(router), notice=notices[0]
+            release = requests.GrantRelease(
+                fingerprint=BAD, router=str(router)
             )
             self.books[0].take(notices[0], 0)
             self.grants.release(release)
@@ -172,12 +172,12 @@
         grants = crash_grants.Grants()
 
         def ask(router: str, now_s: float) -> bool:
-            message = crash_grants.GrantAsk(fingerprint=BAD, router=router)
+            message = requests.GrantAsk(fingerprint=BAD, router=router)
             return grants.ask(message, SUSPECT, now_s).granted
 
         self.assertTrue(ask('r-1', 0))
         self.assertFalse(ask('r-2', 1))
         self.assertTrue(ask('r-2', crash_grants.GRANT_S))
-        release = crash_grants.GrantRelease(fingerprint=BAD, router='r-1')
+        release = requests.GrantRelease(fingerprint=BAD, router='r-1')
         grants.release(release)
         self.assertFalse(ask('r-1', crash_grants.GRANT_S))
