--- a/tests/cover/test_fleet_engines.py
+++ b/tests/cover/test_fleet_engines.py
@@ -12,9 +12,14 @@
 from guavachute.standin import cloud_ledger
 from guavachute.standin import engine
 from guavachute.standin import engine_job
+from guavachute.standin import weight_store
 from tests.support import fleet
+from tests.support import hosting
 from tests.support import waiting
 
+FETCHES = 2
+STORE_BYTES_PER_S = 300e6
+"""Lets as many fetches of 16 GB end within two minutes."""
 NEEDLE = ids.ModelName('needle')
 
 
@@ -24,7 +29,8 @@
     :ivar lowest: serving engines, at the worst moment after an end
     """
 
-    def __init__(self) -> None:
+    def __init__(self, weights: str) -> None:
+        self._weights = weights
         self._lock = threading.Lock()
         self._running: dict[str, engine.Engine] = {}
         self.lowest = 1000
@@ -33,7 +39,9 @@
         """An engine without any model; gives its address."""
         each = engine.Engine(
             machine.vm,
-            settings=engine_job.EngineSettings(models=[], load_lag_s=0),
+            settings=engine_job.EngineSettings(
+                models=[], load_lag_s=0, weight_store=self._weights
+            ),
         )
         each.start()
         with self._lock:
@@ -67,12 +75,17 @@
     def setUp(self) -> None:
         stack = contextlib.ExitStack()
         self.addCleanup(stack.close)
-        self.engines = Engines()
+        self.store = hosting.host(
+            self, weight_store.WeightStore(most_fetches=FETCHES)
+        )
+        self.engines = Engines(self.store.address)
         stack.callback(self.engines.stop)
         self.cloud = stack.enter_context(fleet.cloud_running(self.engines))
         self.log = fleet.MemoryLog()
         self.log.publish(fleet.DOCUMENT)
-        self.node = fleet.Node(self.log, self.cloud.address)
+        self.node = fleet.Node(
+            self.log, self.cloud.address, store_bytes_per_s=STORE_BYTES_PER_S
+        )
         self.node.held = self.log.take_lease('node-1')
         stack.enter_context(self.node.running())
         orders = engine_orders.EngineOrders(
@@ -114,6 +127,19 @@
         self.assertEqual(2, len(ended))
         self.assertLessEqual(ended, before)
 
+    def test_engines_that_start_together_don_t_overrun_the_store(
+        self,
+    ) -> None:
+        self.wait_serving()
+        lost = self.cloud.running()[: fleet.WANTED - 1]
+        for vm in lost:
+            self.cloud.end(vm.vm)
+        self.wait_serving()
+        self.assertEqual(0, self.store.refused)
+        fetches = self.store.fetches()
+        self.assertEqual(fleet.WANTED + len(lost), len(fetches))
+        self.assertTrue(all(fetch.whole for fetch in fetches))
+
     def test_a_vm_with_notice_is_replaced_while_it_still_serves(self) -> None:
         self.wait_serving()
         leaving = self.cloud.running()[0]
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -195,6 +195,7 @@
         name: str = 'node-1',
         read_timeout_s: float = 1.0,
         workers: int = 3,
+        store_bytes_per_s: float = 1e12,
     ) -> None:
         self.held: messages.Held | None = None
         self.counters = counters.Counters()
@@ -212,7 +213,7 @@
             boxes.append(worker.mailbox)
         self.fleet = fleet_task.Fleet(
             fleet_task.FleetSettings(
-                ENVIRONMENT, ids.NodeId(name), round_s=0.05
+                ENVIRONMENT, ids.NodeId(name), store_bytes_per_s, 0.05
             ),
             cloud_client.CloudClient(address, read_timeout_s),
             log.take,
