Show a stored answer in the demo; promise none that was not kept

Cause: the demo's second order was asked for at once and got unknown with Retry-After; an answer too large to keep also said Retry-After. Conclusion: the tour asks again as told, and gets the stored answer.

--- a/src/guavachute/decide/order_commit.py
+++ b/src/guavachute/decide/order_commit.py
@@ -260,6 +260,8 @@
                 claim,
                 f'it was run and answered {answer.status}, but the answer '
                 'was too large to be kept',
+                # Asking again would not bring it back.
+                retry_after_s=None,
             )
         return Known(claim.attempt_id, answer)
 
@@ -300,9 +302,11 @@
     )
 
 
-def _unknown(claim: Claim, detail: str) -> Reply:
+def _unknown(
+    claim: Claim, detail: str, retry_after_s: float | None = RETRY_AFTER_S
+) -> Reply:
     return Refused(
         claim.attempt_id,
         outcome.Verdict.UNKNOWN,
-        outcome.Failure(outcome.Reason.CONFLICT, detail, RETRY_AFTER_S),
+        outcome.Failure(outcome.Reason.CONFLICT, detail, retry_after_s),
     )
--- a/src/guavachute/demo/tour.py
+++ b/src/guavachute/demo/tour.py
@@ -13,6 +13,7 @@
 
 READY_LIMIT_S = 30.0
 PAUSE_S = 0.05
+ORDER_TRIES = 5
 PROMPT = 'Draft a stitch plan for a club crest, 60 mm wide, two colours'
 
 Show = typing.Callable[[str], None]
@@ -73,13 +74,7 @@
         """Send an order through one router, and again through another."""
         key = str(uuid.uuid4())
         for number in range(2):
-            response = self._ask(
-                'POST',
-                f'/v1/services/{fleet.SERVICE}/jobs',
-                {'artwork': 'crest.svg'},
-                router=number,
-                headers={'Idempotency-Key': key},
-            )
+            response = self._order(key, number)
             outcome = response.headers[replies.OUTCOME_HEADER]
             body = response.data.decode().strip()
             self._show(
@@ -89,6 +84,22 @@
         runs = [run for run in self._fleet.desk.ledger() if run.key == key]
         self._show(f'the order service ran it {len(runs)} time(s)')
 
+    def _order(self, key: str, router: int) -> urllib3.BaseHTTPResponse:
+        """Send the order, again while its answer is still on the way."""
+        for _ in range(ORDER_TRIES):
+            response = self._ask(
+                'POST',
+                f'/v1/services/{fleet.SERVICE}/jobs',
+                {'artwork': 'crest.svg'},
+                router=router,
+                headers={'Idempotency-Key': key},
+            )
+            retry_after_s = response.headers.get('Retry-After')
+            if retry_after_s is None:
+                break
+            time.sleep(float(retry_after_s))
+        return response
+
     def curl_line(self) -> str:
         """A line for a person to try."""
         address = self._fleet.routers[0].address
