One clear line for each mistake on the command line

Cause: cappa prints usage and error over several lines, and settings errors did not name the value. Change: one format for all programs; settings and documents find problems by the same code.

--- a/src/guavachute/cli/demo.py
+++ b/src/guavachute/cli/demo.py
@@ -92,7 +92,7 @@
 
 def main() -> None:
     """The console script."""
-    sys.exit(run(cappa.parse(DemoCommand)))
+    sys.exit(run(process.parse(DemoCommand)))
 
 
 if __name__ == '__main__':
--- a/src/guavachute/cli/node.py
+++ b/src/guavachute/cli/node.py
@@ -38,7 +38,7 @@
 
 def main() -> None:
     """The console script."""
-    sys.exit(run(cappa.parse(NodeCommand)))
+    sys.exit(run(process.parse(NodeCommand)))
 
 
 if __name__ == '__main__':
--- a/src/guavachute/cli/operator.py
+++ b/src/guavachute/cli/operator.py
@@ -5,6 +5,8 @@
 
 import cappa
 
+from guavachute.cli import process
+
 from guavachute.cli import explain
 from guavachute.cli import plan
 from guavachute.cli import publish
@@ -31,7 +33,7 @@
 
 def main() -> None:
     """The console script."""
-    wanted = cappa.parse(OperatorCommand)
+    wanted = process.parse(OperatorCommand)
     sys.exit(wanted.command())
 
 
--- a/src/guavachute/cli/process.py
+++ b/src/guavachute/cli/process.py
@@ -6,6 +6,7 @@
 import sys
 import typing
 
+import cappa
 import msgspec
 
 from guavachute import outcome
@@ -14,6 +15,9 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+ERROR_FORMAT = '{prog}: {message} (see --help)'
+
+Command = typing.TypeVar('Command')
 Settings = typing.TypeVar('Settings')
 
 
@@ -23,6 +27,11 @@
     raise SystemExit(code)
 
 
+def parse(command: type[Command]) -> Command:
+    """The command line; a wrong one ends the program with one line."""
+    return cappa.parse(command, output=cappa.Output(error_format=ERROR_FORMAT))
+
+
 def load_settings(path: pathlib.Path, expected: type[Settings]) -> Settings:
     """The checked settings; ends the program when they are wrong."""
     loaded = settings.load(path, expected)
--- a/src/guavachute/cli/router.py
+++ b/src/guavachute/cli/router.py
@@ -37,7 +37,7 @@
 
 def main() -> None:
     """The console script."""
-    sys.exit(run(cappa.parse(RouterCommand)))
+    sys.exit(run(process.parse(RouterCommand)))
 
 
 if __name__ == '__main__':
--- a/src/guavachute/cli/standin.py
+++ b/src/guavachute/cli/standin.py
@@ -185,7 +185,7 @@
 
 def main() -> None:
     """The console script."""
-    sys.exit(serve(cappa.parse(Standin).kind.make()))
+    sys.exit(serve(process.parse(Standin).kind.make()))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/src/guavachute/document/problems.py
@@ -0,0 +1,87 @@
+"""Problems of a JSON value, each with path, value and expectation.
+
+``jsonschema`` finds them. It is imported only when it is used: processes
+that take checked values don't need it.
+"""
+
+import dataclasses
+import re
+import typing
+
+import msgspec
+
+MAX_VALUE_CHARACTERS = 60
+PLAIN_NAME = re.compile('[A-Za-z_][A-Za-z0-9_]*')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault of a document.
+
+    :ivar path: JSON path of the value
+    :ivar value: the value, shortened
+    :ivar expected: what may stand there
+    """
+
+    path: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f'{self.path}: got {self.value}, expected {self.expected}'
+
+
+def of_schema(
+    raw: typing.Any, json_schema: dict[str, typing.Any]
+) -> list[Problem]:
+    """Where *raw* breaks *json_schema*; empty if nowhere."""
+    import jsonschema
+
+    validator = jsonschema.Draft202012Validator(json_schema)
+    found = []
+    for error in validator.iter_errors(raw):
+        deepest = jsonschema.exceptions.best_match([error])
+        found.append(
+            Problem(
+                deepest.json_path,
+                _shortened(deepest.instance),
+                _expectation(deepest),
+            )
+        )
+    return found
+
+
+def _expectation(error: typing.Any) -> str:
+    rule = error.validator
+    wanted = error.validator_value
+    texts = {
+        'type': f'a value of type {wanted}',
+        'enum': f'one of {wanted}',
+        'pattern': f'text that matches {wanted}',
+        'minimum': f'a number of at least {wanted}',
+        'exclusiveMinimum': f'a number above {wanted}',
+        'maximum': f'a number of at most {wanted}',
+        'required': f'the fields {wanted} ({error.message})',
+        'additionalProperties': f'only known fields ({error.message})',
+    }
+    return texts.get(rule, error.message)
+
+
+def json_path(*parts: str | int) -> str:
+    """The path as ``jsonschema`` writes it."""
+    path = '$'
+    for part in parts:
+        if isinstance(part, int):
+            path += f'[{part}]'
+        elif PLAIN_NAME.fullmatch(part):
+            path += f'.{part}'
+        else:
+            path += f"['{part}']"
+    return path
+
+
+def _shortened(value: typing.Any) -> str:
+    text = msgspec.json.encode(value).decode()
+    if len(text) > MAX_VALUE_CHARACTERS:
+        return text[: MAX_VALUE_CHARACTERS - 3] + '...'
+    return text
--- a/src/guavachute/settings.py
+++ b/src/guavachute/settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from guavachute.document import problems
 from guavachute import outcome
 
 Port = typing.Annotated[int, msgspec.Meta(ge=0, le=65535)]
@@ -61,5 +62,16 @@
         )
     try:
         return msgspec.json.decode(text, type=expected)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'{path}: {error}')
+    except msgspec.ValidationError as error:
+        detail = _explain(text, expected) or str(error)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        detail = f'not JSON: {error}'
+    return outcome.Failure(outcome.Reason.BAD_REQUEST, f'{path}: {detail}')
+
+
+def _explain(text: bytes, expected: type) -> str:
+    """The first problem, with its value, which msgspec doesn't name."""
+    found = problems.of_schema(
+        msgspec.json.decode(text), msgspec.json.schema(expected)
+    )
+    return str(found[0]) if found else ''
--- a/tests/cover/test_document.py
+++ b/tests/cover/test_document.py
@@ -5,10 +5,11 @@
 import unittest
 
 from guavachute.document import check
+from guavachute.document import problems
 from tests.support import documents
 
 
-def problems_of(raw: typing.Any) -> list[check.Problem]:
+def problems_of(raw: typing.Any) -> list[problems.Problem]:
     checked = check.check_raw(raw)
     assert isinstance(checked, list), 'the document was accepted'
     return checked
