--- /dev/null
+++ b/spec/claims_model.py
@@ -0,0 +1,247 @@
+"""One order, sent several times, through routers that may die.
+
+Each attempt asks for the key with a record that lands late, twice or
+never. An attempt that reads its claim as the first may be dispatched
+once. A router dies at any moment; the caller then sends the order again.
+Two committers read the log with different lags.
+
+The fold is that of ``decide.order_claims``. When a router dispatches,
+gives up or is told is written here once more, as the rule that
+``decide.order_commit`` and the routers follow.
+"""
+
+import dataclasses
+import enum
+import functools
+import typing
+
+from guavachute.decide import order_claims
+from guavachute import ids
+from guavachute.wire import order_records
+from spec import checking
+
+KEY = 'key'
+BODY = 'body'
+WINDOW_S = 1000.0
+COMMITTER_OF = {'a': 0, 'b': 1, 'c': 0}
+ATTEMPTS = tuple(COMMITTER_OF)
+MOST_RECORDS = 4
+COPIES = 2
+FIELDS = ('log', 'read', 'phases', 'runs', 'told')
+
+AT_MOST_ONCE = 'an order runs at most once, over all its attempts'
+NOT_RUN = 'an attempt whose caller is told "not run" never runs'
+
+
+class Phase(enum.IntEnum):
+    """Where an attempt is."""
+
+    IDLE = 0
+    WAITING = 1
+    WON = 2
+    DISPATCHED = 3
+    ANSWERED = 4
+    UNKNOWN = 5
+    NOT_RUN = 6
+    DEAD = 7
+    """Its router died; nothing was told."""
+
+
+CAN_DIE = (Phase.WAITING, Phase.WON, Phase.DISPATCHED)
+GIVES_UP = (Phase.WAITING, Phase.WON)
+Log = tuple[tuple[str, str], ...]
+
+
+class _LastClaimHolds(order_claims.Claims):
+    """A broken fold in which a later claim takes the key over."""
+
+    def on_claim(
+        self, claim: order_records.OrderClaim, now_unix_s: float
+    ) -> None:
+        """Forget the holder first."""
+        self._key(claim.key_digest).holder = None
+        super().on_claim(claim, now_unix_s)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """What the variants replace.
+
+    :ivar trusts_append: dispatches when its claim stands in the log
+    :ivar gives_up_dispatched: frees the key of an order in flight
+    :ivar wins_late: dispatches after its caller was told "not run"
+    """
+
+    claims: type[order_claims.Claims] = order_claims.Claims
+    trusts_append: bool = False
+    gives_up_dispatched: bool = False
+    wins_late: bool = False
+
+
+def record_of(kind: str, attempt: str) -> order_records.OrderRecord:
+    """A record from its short form in the model's log."""
+    attempt_id = ids.AttemptId(attempt)
+    if kind == 'claim':
+        return order_records.OrderClaim(
+            key_digest=KEY,
+            attempt_id=attempt_id,
+            body_digest=BODY,
+            claimed_unix_s=0.0,
+        )
+    if kind == 'give-up':
+        return order_records.OrderGiveUp(key_digest=KEY, attempt_id=attempt_id)
+    return order_records.OrderAnswer(
+        key_digest=KEY,
+        attempt_id=attempt_id,
+        status=200,
+        headers={},
+        body=None,
+    )
+
+
+class ClaimsModel:
+    """The transitions under one set of rules."""
+
+    def __init__(self, rules: Rules) -> None:
+        self._rules = rules
+        self._standing = functools.cache(self._fold)
+
+    def _fold(self, log: Log, attempt: str) -> order_claims.Standing:
+        claims = self._rules.claims(WINDOW_S)
+        for offset, (kind, name) in enumerate(log):
+            claims.fold(offset, record_of(kind, name), 0.0)
+        return claims.standing(KEY, ids.AttemptId(attempt), BODY)
+
+    def successors(self, state: checking.State) -> checking.Successors:
+        """All that may happen next."""
+        log, read, phases, runs, told = state
+        for committer, place in enumerate(read):
+            if place < len(log):
+                further = _put(read, committer, place + 1)
+                yield (
+                    f'committer {committer} reads',
+                    (log, further, phases, runs, told),
+                )
+        for place, attempt in enumerate(ATTEMPTS):
+            phase = phases[place]
+            for label, new in self._steps(log, read, attempt, phase):
+                ran = new is Phase.DISPATCHED
+                tells = new is Phase.NOT_RUN
+                yield (
+                    f'{attempt} {label}',
+                    (
+                        log,
+                        read,
+                        _put(phases, place, new),
+                        _put(runs, place, runs[place] + ran),
+                        _put(told, place, told[place] or tells),
+                    ),
+                )
+            for kind in self._records(phase):
+                entry = (kind, attempt)
+                if len(log) < MOST_RECORDS and log.count(entry) < COPIES:
+                    yield (
+                        f'{kind} of {attempt} lands',
+                        ((*log, entry), read, phases, runs, told),
+                    )
+
+    def _steps(
+        self,
+        log: Log,
+        read: tuple[int, ...],
+        attempt: str,
+        phase: Phase,
+    ) -> typing.Iterator[tuple[str, Phase]]:
+        seen = log[: read[COMMITTER_OF[attempt]]]
+        standing = self._standing(seen, attempt)
+        waits = phase is Phase.WAITING
+        if phase is Phase.IDLE and standing is order_claims.Standing.FREE:
+            yield 'is claimed', Phase.WAITING
+        if waits and standing is order_claims.Standing.HOLDS:
+            yield 'wins', Phase.WON
+        if waits and standing is order_claims.Standing.LOST:
+            yield 'loses', Phase.UNKNOWN
+        if waits and self._rules.trusts_append and ('claim', attempt) in log:
+            yield 'wins by its append', Phase.WON
+        if phase is Phase.NOT_RUN and self._rules.wins_late:
+            if standing is order_claims.Standing.HOLDS:
+                yield 'wins late', Phase.WON
+        if phase is Phase.WON:
+            yield 'is dispatched', Phase.DISPATCHED
+        if phase is Phase.DISPATCHED:
+            yield 'is answered', Phase.ANSWERED
+        if phase in GIVES_UP:
+            yield 'is given up', Phase.NOT_RUN
+        if phase in CAN_DIE:
+            yield "'s router dies", Phase.DEAD
+
+    def _records(self, phase: Phase) -> typing.Iterator[str]:
+        """What may land now: records once sent stay on their way."""
+        if phase is not Phase.IDLE:
+            yield 'claim'
+        if phase is Phase.NOT_RUN:
+            yield 'give-up'
+        if phase is Phase.DISPATCHED and self._rules.gives_up_dispatched:
+            yield 'give-up'
+        if phase is Phase.ANSWERED:
+            yield 'answer'
+
+
+def _put(
+    values: tuple[typing.Any, ...], place: int, value: typing.Any
+) -> tuple[typing.Any, ...]:
+    return (*values[:place], value, *values[place + 1 :])
+
+
+def _not_run_is_true(state: dict[str, typing.Any]) -> bool:
+    return not any(
+        told and runs
+        for told, runs in zip(state['told'], state['runs'], strict=True)
+    )
+
+
+def _model(name: str, rules: Rules, breaks: str | None) -> checking.Model:
+    return checking.Model(
+        name=name,
+        fields=FIELDS,
+        initial=(
+            (),
+            (0, 0),
+            (Phase.IDLE,) * len(ATTEMPTS),
+            (0,) * len(ATTEMPTS),
+            (False,) * len(ATTEMPTS),
+        ),
+        successors=ClaimsModel(rules).successors,
+        properties={
+            AT_MOST_ONCE: lambda state: sum(state['runs']) <= 1,
+            NOT_RUN: _not_run_is_true,
+        },
+        breaks=breaks,
+    )
+
+
+def models() -> list[checking.Model]:
+    """The real rules and the broken variants."""
+    return [
+        _model('order claims', Rules(), None),
+        _model(
+            'an append that was answered counts as the claim',
+            Rules(trusts_append=True),
+            AT_MOST_ONCE,
+        ),
+        _model(
+            'the last claim holds the key',
+            Rules(claims=_LastClaimHolds),
+            AT_MOST_ONCE,
+        ),
+        _model(
+            'an order that was dispatched is given up',
+            Rules(gives_up_dispatched=True),
+            AT_MOST_ONCE,
+        ),
+        _model(
+            'a claim that is decided late is dispatched all the same',
+            Rules(wins_late=True),
+            NOT_RUN,
+        ),
+    ]
--- a/src/guavachute/wire/records.py
+++ b/src/guavachute/wire/records.py
@@ -175,24 +175,6 @@
     state: ControlState
 
 
-class OrderClaim(Record, frozen=True, kw_only=True, tag='order-claim'):
-    """Claims an idempotency key for one attempt (``claims-{n}``).
-
-    The first claim of a key in log order wins.
-
-    :ivar key_digest: of workspace, service and ``Idempotency-Key``
-    :ivar body_digest: the same key with another body is refused
-    :ivar router: incarnation of the router that would dispatch
-    :ivar claimed_unix_s: by the router's clock, to forget old keys
-    """
-
-    key_digest: ids.Digest
-    body_digest: ids.Digest
-    attempt_id: ids.AttemptId
-    router: str
-    claimed_unix_s: float
-
-
 ControlRecord = (
     ConfigurationChange
     | LeaseRecord
