--- a/src/guavachute/platform/log_client.py
+++ b/src/guavachute/platform/log_client.py
@@ -244,6 +244,8 @@
             return outcome.Failure(outcome.Reason.UNAVAILABLE, str(error))
         try:
             connection.sock.settimeout(timeout_s)
+            # urllib3 sets this one on the socket again for the answer.
+            connection.timeout = timeout_s
             connection.request(
                 method,
                 path,
--- a/src/guavachute/services/claim_stream.py
+++ b/src/guavachute/services/claim_stream.py
@@ -126,6 +126,8 @@
             )
             if isinstance(page, outcome.Failure):
                 self._fail(page)
+                # The owner is to hear at once when the log is back.
+                wait_s = 0.0
                 continue
             if isinstance(page, log_client.RetentionPassed):
                 return
--- /dev/null
+++ b/tests/cover/test_log_poll.py
@@ -0,0 +1,23 @@
+"""A long poll may take longer than a connection may."""
+
+import random
+import unittest
+import unittest.mock
+
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute.platform import log_client
+from guavachute.standin import log_service
+from tests.support import hosting
+
+
+class LogPollTest(unittest.TestCase):
+    def test_a_poll_outlasts_the_limit_of_connecting(self) -> None:
+        log = hosting.host(self, log_service.LogService())
+        client = log_client.LogClient(
+            log.address, counters.Counters(), random.Random(1)
+        )
+        self.addCleanup(client.close)
+        with unittest.mock.patch.object(log_client, 'CONNECT_TIMEOUT_S', 0.1):
+            page = client.read('quiet', ids.Offset(0), wait_s=0.5)
+        self.assertIsInstance(page, log_client.Page)
