Replace VMs that never serve; ration new versions' weights

Cause: a VM that ran and never served counted as starting for ever; an engine swapping versions fetched weights beside the schedule; engines that don't answer held up the others' orders; allowances of two environments with pools of one name were counted together.

Change: such a VM is drained after 30 minutes. A swap counts as a fetch for as long as one takes with all places taken, for engines don't report versions. An engine that didn't answer rests for 15 s. Allowances count by environment.

Conclusion: a test for the first two.

--- a/src/guavachute/decide/allowances.py
+++ b/src/guavachute/decide/allowances.py
@@ -64,12 +64,12 @@
         leaving, by VM name
     """
     mine = state.allowances.get(node)
-    if mine is None:
+    if mine is None or not _is_of(mine, environment):
         return []
     rivals = [
         allowance
         for allowance in state.allowances.values()
-        if allowance.pool == mine.pool
+        if allowance.pool == mine.pool and _is_of(allowance, environment)
     ]
     listed_names = {vm.name for vm in listed}
     bought = sum(
@@ -132,13 +132,20 @@
     held: records.PurchaseAllowance,
     offers: typing.Mapping[ids.PoolName, typing.Sequence[market.OfferKey]],
 ) -> bool:
-    prefix = purchases.name_prefix(environment)
-    return held.pool in offers and all(
-        name.startswith(prefix) and not _is_used(state, name)
-        for name in held.vm_names
+    return (
+        held.pool in offers
+        and _is_of(held, environment)
+        and not any(_is_used(state, name) for name in held.vm_names)
     )
 
 
+def _is_of(
+    allowance: records.PurchaseAllowance, environment: ids.EnvironmentName
+) -> bool:
+    prefix = purchases.name_prefix(environment)
+    return all(name.startswith(prefix) for name in allowance.vm_names)
+
+
 def _is_used(state: records.ControlState, name: str) -> bool:
     return (
         name in state.open_purchases
--- a/src/guavachute/platform/engine_orders.py
+++ b/src/guavachute/platform/engine_orders.py
@@ -7,7 +7,7 @@
 from guavachute import outcome
 from guavachute.platform import cloud_client
 
-READ_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 2.0
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/guavachute/services/fleet/drains.py
+++ b/src/guavachute/services/fleet/drains.py
@@ -15,6 +15,8 @@
 QUIET_S = 15.0
 """By then every router has stopped sending to a draining VM."""
 DRAIN_LIMIT_S = 600.0
+START_LIMIT_S = 1800.0
+"""A VM that doesn't serve after this time is replaced."""
 
 
 class Drains:
@@ -27,6 +29,7 @@
     def __init__(self, environment: ids.EnvironmentName) -> None:
         self._prefix = purchases.name_prefix(environment)
         self._since_s: dict[str, float] = {}
+        self._starting_since_s: dict[str, float] = {}
 
     def begun(
         self,
@@ -39,18 +42,34 @@
         for decision in plan.decisions:
             for end in decision.ends:
                 if end.name in state.owned_purchases:
-                    yield records.PurchaseDrain(
-                        record_id=ids.RecordId(f'drain/{end.name}'),
-                        vm_name=end.name,
-                        lease_name=held.name,
-                        term_offset=held.term_offset,
-                        why=end.why,
-                    )
+                    yield _drain(end.name, held, end.why)
                 elif end.name in state.open_purchases:
                     # Its order may be under way; what comes of it is
                     # ended, for the name is closed.
                     yield purchases.closing(end.name, 'refused', end.why)
 
+    def stuck(
+        self,
+        views: typing.Iterable[fleet_plan.PoolView],
+        state: records.ControlState,
+        held: messages.Held,
+        now_s: float,
+    ) -> typing.Iterator[records.Record]:
+        """The drains of VMs that run for long and don't serve."""
+        starting = {
+            vm.name
+            for view in views
+            for vm in view.vms
+            if vm.phase is fleet_plan.Phase.STARTING
+            and vm.name in state.owned_purchases
+        }
+        self._starting_since_s = {
+            name: self._starting_since_s.get(name, now_s) for name in starting
+        }
+        for name, since_s in self._starting_since_s.items():
+            if now_s - since_s >= START_LIMIT_S:
+                yield _drain(name, held, 'it did not serve in time')
+
     def ended(
         self,
         state: records.ControlState,
@@ -78,6 +97,16 @@
         return written
 
 
+def _drain(name: str, held: messages.Held, why: str) -> records.PurchaseDrain:
+    return records.PurchaseDrain(
+        record_id=ids.RecordId(f'drain/{name}'),
+        vm_name=name,
+        lease_name=held.name,
+        term_offset=held.term_offset,
+        why=why,
+    )
+
+
 class StartUps:
     """The measured time from order to first service, by pool."""
 
--- a/src/guavachute/services/fleet/engine_orders.py
+++ b/src/guavachute/services/fleet/engine_orders.py
@@ -6,6 +6,7 @@
 
 import collections
 import itertools
+import time
 
 from guavachute.decide import fleet_view
 from guavachute.decide import placement
@@ -20,6 +21,8 @@
 ROUND_S = 2.0
 MOST_ASKED = 20
 """Engines asked in one round."""
+REST_S = 15.0
+"""How long an engine that didn't answer is left alone."""
 
 
 class EngineOrders(task.Task):
@@ -44,6 +47,7 @@
         self._taken: dict[ids.EndpointId, placement.Wish] = {}
         self._models: dict[ids.EndpointId, tuple[str, ...]] = {}
         self._queue: collections.deque[ids.EndpointId] = collections.deque()
+        self._resting_until_s: dict[ids.EndpointId, float] = {}
 
     def run(self) -> None:
         """Order and ask until stopped."""
@@ -60,7 +64,7 @@
     def _replace(self, wishes: messages.Wishes) -> None:
         self._reply = wishes.reply
         self._wishes = {each.endpoint: each for each in wishes.wishes}
-        for table in (self._taken, self._models):
+        for table in (self._taken, self._models, self._resting_until_s):
             for endpoint in table.keys() - self._wishes.keys():
                 del table[endpoint]
         known = set(self._queue)
@@ -71,14 +75,21 @@
 
     def _next(self) -> list[ids.EndpointId]:
         """Engines not as wished first, then the others in turn."""
+        now_s = time.monotonic()
+        resting = {
+            endpoint
+            for endpoint, until_s in self._resting_until_s.items()
+            if now_s < until_s
+        }
         unsettled = [
             endpoint
             for endpoint, each in self._wishes.items()
-            if not self._is_settled(each)
+            if endpoint not in resting and not self._is_settled(each)
         ][:MOST_ASKED]
         chosen = dict.fromkeys(unsettled)
         spare = MOST_ASKED - len(chosen)
-        for endpoint in itertools.islice(self._queue, max(0, spare)):
+        others = (each for each in self._queue if each not in resting)
+        for endpoint in itertools.islice(others, max(0, spare)):
             chosen[endpoint] = None
         for endpoint in chosen:
             self._queue.remove(endpoint)
@@ -101,6 +112,7 @@
         load = engine_orders.load(each.address)
         if isinstance(load, outcome.Failure):
             self._count.add('fleet.engine_reads_failed')
+            self._resting_until_s[each.endpoint] = time.monotonic() + REST_S
             return
         models = tuple(ids.ModelName(model) for model in load.models)
         self._models[each.endpoint] = models
--- a/src/guavachute/services/fleet/placer.py
+++ b/src/guavachute/services/fleet/placer.py
@@ -10,6 +10,7 @@
 from guavachute.decide import demand
 from guavachute.decide import fleet_plan
 from guavachute.decide import fleet_view
+from guavachute.decide import placement
 from guavachute.decide import weights_schedule
 from guavachute.document import schema
 from guavachute import ids
@@ -32,6 +33,8 @@
         self._waiting: dict[ids.EndpointId, weights_schedule.Fetch] = {}
         self._running: dict[ids.EndpointId, weights_schedule.Fetch] = {}
         self._granted_s: dict[ids.EndpointId, float] = {}
+        self._swaps: set[ids.EndpointId] = set()
+        self._places = 1
 
     def wishes(
         self,
@@ -68,23 +71,24 @@
     def _update(
         self,
         known: fleet_view.Known,
-        assignments: typing.Mapping[
-            ids.EndpointId, fleet_plan.placement.Assignment
-        ],
+        assignments: typing.Mapping[ids.EndpointId, placement.Assignment],
         now_s: float,
     ) -> None:
         wanted: dict[ids.EndpointId, weights_schedule.Fetch] = {}
         for endpoint, each in assignments.items():
-            report = known.reports.get(endpoint)
-            loaded = report.models if report is not None else ()
-            if each.wish is None or each.wish.model in loaded:
+            if each.wish is None:
                 continue
+            report = known.reports.get(endpoint)
             held = self._waiting.get(endpoint) or self._running.get(endpoint)
             fetch = weights_schedule.Fetch(
                 endpoint, each.wish.model, each.wish.version, now_s
             )
-            same = held is not None and held.model == fetch.model
-            wanted[endpoint] = held if held and same else fetch
+            if held is not None and _is_same(held, fetch):
+                fetch = held
+            if _must_fetch(report, each.wish) or self._is_swapping(
+                known, fetch, now_s
+            ):
+                wanted[endpoint] = fetch
         self._running = {
             endpoint: fetch
             for endpoint, fetch in self._running.items()
@@ -94,12 +98,32 @@
         self._granted_s = {
             each: self._granted_s[each] for each in self._running
         }
+        self._swaps &= self._running.keys()
         self._waiting = {
             endpoint: fetch
             for endpoint, fetch in wanted.items()
             if endpoint not in self._running
         }
 
+    def _is_swapping(
+        self,
+        known: fleet_view.Known,
+        fetch: weights_schedule.Fetch,
+        now_s: float,
+    ) -> bool:
+        """Whether an engine may still fetch another version.
+
+        Engines don't report versions, so that the time which a fetch
+        takes with all places taken has to pass.
+        """
+        if self._running.get(fetch.endpoint) is not fetch:
+            return False
+        if fetch.endpoint not in self._swaps:
+            return False
+        size_bytes = known.document.models[fetch.model].weights_bytes
+        took_s = size_bytes * self._places / self._store_bytes_per_s
+        return now_s - self._granted_s[fetch.endpoint] < took_s
+
     def _grant(self, known: fleet_view.Known, now_s: float) -> None:
         needs = list(_needs(known))
         count = weights_schedule.slots(
@@ -112,12 +136,31 @@
             count,
             now_s,
         )
+        self._places = count
         for fetch in granted:
+            report = known.reports.get(fetch.endpoint)
+            if report is not None and fetch.model in report.models:
+                self._swaps.add(fetch.endpoint)
             self._running[fetch.endpoint] = fetch
             self._granted_s[fetch.endpoint] = now_s
             del self._waiting[fetch.endpoint]
 
 
+def _must_fetch(
+    report: fleet_view.EngineReport | None, wish: placement.Wish
+) -> bool:
+    if report is None or wish.model not in report.models:
+        return True
+    taken = report.taken
+    return taken is not None and taken.version != wish.version
+
+
+def _is_same(
+    one: weights_schedule.Fetch, other: weights_schedule.Fetch
+) -> bool:
+    return (one.model, one.version) == (other.model, other.version)
+
+
 def _needs(
     known: fleet_view.Known,
 ) -> typing.Iterator[weights_schedule.ModelNeed]:
--- a/src/guavachute/services/fleet/task.py
+++ b/src/guavachute/services/fleet/task.py
@@ -188,8 +188,9 @@
         offers = fleet_plan.MarketView(
             self._cloud.prices, self._reclaims.observed, self._buying.paces
         )
+        views = fleet_view.build(known, now_s)
         plan = fleet_plan.plan(
-            fleet_view.build(known, now_s),
+            views,
             offers,
             known.document.policy,
             self._buying.room(now_s),
@@ -203,6 +204,7 @@
         return [
             *bought,
             *self._drains.begun(plan, known.state, held, now_s),
+            *self._drains.stuck(views, known.state, held, now_s),
             *self._rollouts.changes(known, held, now_s),
             *self._grants.due(
                 plan, known.state, self._picture.nodes, held, now_s
--- a/tests/cover/test_engine_placement.py
+++ b/tests/cover/test_engine_placement.py
@@ -204,6 +204,26 @@
                 reports[endpoint] = report(number, '1')
         self.assertEqual(6, len(set(fetched)))
 
+    def test_new_versions_are_fetched_by_few_engines_at_once(self) -> None:
+        current = placer.Placer(300e6)
+        reports = {f'vm-{n}': report(n, '1') for n in range(6)}
+        counts = []
+        for now_s in (0.0, 10.0, 110.0, 120.0, 230.0):
+            view = known(6, reports, '2')
+            sent = current.wishes(
+                view, plan_of(view), mailbox.Mailbox(), now_s
+            )
+            ordered = [
+                each.endpoint
+                for each in sent.wishes
+                if each.wish and reports[each.endpoint].taken.version == '1'
+            ]
+            counts.append(len(ordered))
+            for endpoint in ordered:
+                number = int(endpoint.removeprefix('vm-'))
+                reports[endpoint] = report(number, '2')
+        self.assertEqual([2, 0, 2, 0, 2], counts)
+
 
 class RolloutsTest(unittest.TestCase):
     def records_of(
--- a/tests/cover/test_fleet_service.py
+++ b/tests/cover/test_fleet_service.py
@@ -8,6 +8,7 @@
 from guavachute import ids
 from guavachute import outcome
 from guavachute.platform import cloud_client
+from guavachute.services.fleet import drains
 from guavachute.services.fleet import messages
 from guavachute.standin import cloud_ledger
 from guavachute.standin import faults
@@ -66,6 +67,13 @@
             'log and cloud agree',
         )
 
+    def wait_rounds(self, node: fleet.Node, count: int = 20) -> None:
+        rounds = node.counters.value('fleet.rounds') + count
+        waiting.until(
+            lambda: node.counters.value('fleet.rounds') > rounds,
+            f'{count} more rounds',
+        )
+
     def ended(self) -> list[cloud_ledger.Charge]:
         return [charge for charge in self.cloud.charges() if charge.ended]
 
@@ -140,11 +148,7 @@
         self.run_node('node-2')
         self.assertIsNotNone(paused.held)
         self.wait_settled()
-        rounds = paused.counters.value('fleet.rounds')
-        waiting.until(
-            lambda: paused.counters.value('fleet.rounds') > rounds + 20,
-            'the paused holder goes on',
-        )
+        self.wait_rounds(paused)
         self.wait_settled()
         # What the first holder had ordered in its own term stays.
         self.assertEqual(
@@ -163,11 +167,7 @@
         node.held = None
         for vm in self.cloud.running():
             self.cloud.end(vm.vm)
-        rounds = node.counters.value('fleet.rounds')
-        waiting.until(
-            lambda: node.counters.value('fleet.rounds') > rounds + 20,
-            'rounds without the lease',
-        )
+        self.wait_rounds(node)
         self.assertEqual(fleet.WANTED, len(self.cloud.charges()))
 
     def test_late_and_unowned_vms_are_ended_and_strangers_left(self) -> None:
@@ -191,6 +191,28 @@
             'only the stranger runs',
         )
 
+    def test_a_vm_that_never_serves_is_replaced(self) -> None:
+        self.log.publish(fleet.DOCUMENT)
+        node = self.run_node()
+        self.wait_settled()
+        self.wait_rounds(node)
+        first = {vm.vm for vm in self.cloud.running()}
+        fleet.CLOCK.skip(drains.START_LIMIT_S)
+        waiting.until(
+            lambda: all(
+                owned.draining or owned.vm not in first
+                for owned in self.log.state.owned_purchases.values()
+            ),
+            'drains',
+        )
+        self.wait_rounds(node)
+        fleet.CLOCK.skip(drains.DRAIN_LIMIT_S)
+        waiting.until(
+            lambda: not first & {vm.vm for vm in self.cloud.running()},
+            'the first VMs are ended',
+        )
+        self.wait_settled()
+
     def test_lost_answers_of_the_log_buy_nothing_twice(self) -> None:
         self.log.publish(fleet.DOCUMENT)
         self.log.lose_answers = 3
@@ -217,11 +239,7 @@
             lambda: len(self.cloud.running()) == len(allowed),
             'the allowances are spent',
         )
-        rounds = nodes[1].counters.value('fleet.rounds')
-        waiting.until(
-            lambda: nodes[1].counters.value('fleet.rounds') > rounds + 30,
-            'more rounds',
-        )
+        self.wait_rounds(nodes[1])
         self.assertEqual(sorted(allowed), fleet.names(self.cloud))
         self.assertFalse(before & set(fleet.names(self.cloud)))
         self.log.down = False
