Search for a pool's VMs with less work; a module of its own

Change: what a set carries is summed once and adjusted; the search moves to market_plan.py, what is on offer and what survives stay in market.py.

--- a/src/guavachute/decide/fleet_plan.py
+++ b/src/guavachute/decide/fleet_plan.py
@@ -14,6 +14,7 @@
 
 from guavachute.decide import demand
 from guavachute.decide import market
+from guavachute.decide import market_plan
 from guavachute.decide import pace
 from guavachute.decide import placement
 from guavachute.decide import reclaim_rate
@@ -300,7 +301,7 @@
     need = need_of(view, targets)
     held = _held(view, HELD_PHASES)
     choice = offers_for(view, offers, held, now_s)
-    wanted = market.plan_pool(need, choice, held, weights_of(policy))
+    wanted = market_plan.plan_pool(need, choice, held, weights_of(policy))
     if not view.seasoned and held:
         wanted = _without_ends(wanted, held)
     missing = {
@@ -310,7 +311,9 @@
     }
     surplus = _surplus(view, wanted, held)
     engines = [
-        dataclasses.replace(vm.engine, surplus=vm.name in surplus)
+        dataclasses.replace(vm.engine, surplus=True)
+        if vm.name in surplus
+        else vm.engine
         for vm in view.vms
         if vm.engine is not None
     ]
--- a/src/guavachute/decide/market.py
+++ b/src/guavachute/decide/market.py
@@ -1,30 +1,8 @@
-"""Which VMs a pool should have: the cheapest set that survives a loss.
-
-The constraint: with any one failure domain gone, what is left still
-carries the committed load. Where enough domains have VMs to offer, that
-is met by spreading (``DOMAIN_LOSS``: a loss takes all VMs of the domain).
-Where they don't, on-demand VMs cover what spreading can't
-(``RECLAIM``: a wave takes the reclaimable VMs of the domain). Where even
-that can't be had, the plan takes what there is and says so
-(``SHORT``).
-
-The objective is the cost per hour: the price and, for reclaimable VMs,
-the expected cost of reclaims (the start that replaces it and the tokens
-computed again) at the upper bound of the observed rate. The spare that
-the constraint keeps also covers single reclaims until their replacements
-serve; more for both at once would cost a small fleet whole VMs.
-
-With at most M tokens/s in each domain, the total must be the load plus M,
-and filling the cheapest offers first is optimal. The cost is piecewise
-linear in M with its corners where the number of domains in use changes,
-so only those are tried; the work grows with the offers, not the VMs.
-"""
-
-import bisect
+"""What is on offer, what it costs, and what a set of VMs survives."""
+
 import collections
 import dataclasses
 import enum
-import math
 import typing
 
 from guavachute import ids
@@ -33,8 +11,6 @@
 KEEP_MARGIN = 0.08
 """A new plan must be cheaper than what is held by this part."""
 UNLIMITED = 1_000_000
-SMALL_POOL_ENGINES = 40
-"""Up to this size every limit per failure domain is tried."""
 
 
 class Market(enum.Enum):
@@ -138,6 +114,33 @@
     cover: Cover,
 ) -> bool:
     """Whether *counts* carry the load after the loss that *cover* names."""
+    carried = carried_by(counts, offers, cover)
+    return carried.left() >= need_tokens_per_s - 1e-6
+
+
+@dataclasses.dataclass(slots=True)
+class Carried:
+    """What a set of VMs carries, and what of it each domain could take."""
+
+    total: float
+    exposed: dict[str, float]
+
+    def left(self, domain: str = '', fewer: float = 0.0) -> float:
+        """What is left after the loss; *fewer* tokens/s from *domain*."""
+        worst = 0.0
+        for name, tokens_per_s in self.exposed.items():
+            if name == domain:
+                tokens_per_s -= fewer
+            worst = max(worst, tokens_per_s)
+        return self.total - fewer - worst
+
+
+def carried_by(
+    counts: typing.Mapping[OfferKey, int],
+    offers: typing.Mapping[OfferKey, Offer],
+    cover: Cover,
+) -> Carried:
+    """What *counts* carry; VMs of offers that are not given don't count."""
     total = 0.0
     exposed: dict[str, float] = collections.defaultdict(float)
     for key, count in counts.items():
@@ -145,10 +148,9 @@
             continue
         tokens_per_s = count * offers[key].tokens_per_s
         total += tokens_per_s
-        if _is_exposed(key, cover):
+        if is_exposed(key, cover):
             exposed[key.failure_domain] += tokens_per_s
-    worst = max(exposed.values(), default=0.0)
-    return total - worst >= need_tokens_per_s - 1e-6
+    return Carried(total, exposed)
 
 
 def cost_cents_per_hour(
@@ -164,268 +166,13 @@
     )
 
 
-def plan_pool(
-    need: Need,
-    offers: typing.Iterable[Offer],
-    held: typing.Mapping[OfferKey, int],
-    weights: Weights,
-) -> PoolPlan:
-    """The VMs to have; *held* are those bought already."""
-    by_key = {
-        offer.key: offer
-        for offer in offers
-        if need.on_demand_allowed or offer.key.market is Market.RECLAIMABLE
-    }
-    if need.tokens_per_s <= 0 and need.minimum_endpoints <= 0:
-        return PoolPlan({}, Cover.DOMAIN_LOSS, 0.0, 'no load to carry')
-    for cover in (Cover.DOMAIN_LOSS, Cover.RECLAIM):
-        best = _cheapest(need, by_key, held, weights, cover)
-        if best is not None:
-            return _keep_or_take(best, need, by_key, held, weights, cover)
-    counts = _as_many_as_needed(need, by_key, held, weights)
-    return PoolPlan(
-        counts,
-        Cover.SHORT,
-        cost_cents_per_hour(counts, by_key, weights),
-        'no set on offer survives the loss of a failure domain',
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Tier:
-    """Equal VMs: those held of an offer, or those still to be bought."""
-
-    offer: Offer
-    limit: int
-    tokens_per_s: float
-    cents_per_token: float
-
-
-def _is_exposed(key: OfferKey, cover: Cover) -> bool:
+def is_exposed(key: OfferKey, cover: Cover) -> bool:
+    """Whether the loss that *cover* names may take VMs of *key*."""
     if cover is Cover.DOMAIN_LOSS:
         return True
     return key.market is Market.RECLAIMABLE
 
 
-def _tiers(
-    offers: typing.Mapping[OfferKey, Offer],
-    held: typing.Mapping[OfferKey, int],
-    weights: Weights,
-) -> list[_Tier]:
-    tiers = []
-    for key, offer in offers.items():
-        cost = expected_cost_cents_per_hour(offer, weights)
-        tokens_per_s = offer.tokens_per_s
-        kept = held.get(key, 0)
-        kept_cost = cost * (1 - weights.keep_margin)
-        if kept:
-            tiers.append(
-                _Tier(offer, kept, tokens_per_s, kept_cost / tokens_per_s)
-            )
-        if offer.limit > kept:
-            tiers.append(
-                _Tier(
-                    offer,
-                    offer.limit - kept,
-                    tokens_per_s,
-                    cost / tokens_per_s,
-                )
-            )
-    tiers.sort(key=lambda tier: (tier.cents_per_token, order(tier.offer.key)))
-    return tiers
-
-
 def order(key: OfferKey) -> tuple[str, str, str]:
     """What sorts offers, the same way in every process."""
     return key.failure_domain, key.machine_class, key.market.value
-
-
-def _domain_limits(
-    need: Need, tiers: list[_Tier], cover: Cover
-) -> list[float]:
-    """The values of M, tokens/s a domain, that are worth trying."""
-    domains = len({tier.offer.key.failure_domain for tier in tiers})
-    limits = {0.0}
-    lowest = 0.0
-    if cover is Cover.DOMAIN_LOSS:
-        # The other domains must carry the whole load.
-        lowest = need.tokens_per_s / max(1, domains - 1)
-    for size in {tier.tokens_per_s for tier in tiers}:
-        engines = math.ceil(need.tokens_per_s / size - 1e-9)
-        engines = max(engines, need.minimum_endpoints)
-        if engines <= SMALL_POOL_ENGINES:
-            limits.update(count * size for count in range(1, engines + 1))
-            continue
-        for others in range(1, domains + 1):
-            whole = math.ceil(engines / others)
-            limits.update((whole * size, (whole + 1) * size))
-    return sorted(limit for limit in limits if limit >= lowest - 1e-6)
-
-
-def _cheapest(
-    need: Need,
-    offers: typing.Mapping[OfferKey, Offer],
-    held: typing.Mapping[OfferKey, int],
-    weights: Weights,
-    cover: Cover,
-) -> Counts | None:
-    tiers = _tiers(offers, held, weights)
-    best: Counts | None = None
-    best_cost = math.inf
-    for limit in _domain_limits(need, tiers, cover):
-        counts = _filled(need, tiers, limit, cover)
-        if not survives(counts, offers, need.tokens_per_s, cover):
-            continue
-        counts = _trimmed(counts, need, offers, tiers, cover)
-        endpoints = sum(counts.values())
-        if not (need.minimum_endpoints <= endpoints <= need.maximum_endpoints):
-            continue
-        cost = _kept_cost(counts, tiers)
-        if cost < best_cost - 1e-9:
-            best, best_cost = counts, cost
-    return best
-
-
-def _filled(
-    need: Need, tiers: list[_Tier], limit: float, cover: Cover
-) -> Counts:
-    """Fill the cheapest tiers first, at most *limit* a domain."""
-    counts: Counts = {}
-    exposed: dict[str, float] = collections.defaultdict(float)
-    required = need.tokens_per_s + limit
-    endpoints = 0
-    total = 0.0
-    for tier in tiers:
-        key = tier.offer.key
-        wanted = math.ceil((required - total) / tier.tokens_per_s - 1e-9)
-        wanted = max(wanted, need.minimum_endpoints - endpoints)
-        taken = min(tier.limit, wanted)
-        if _is_exposed(key, cover):
-            room = limit - exposed[key.failure_domain]
-            taken = min(taken, math.floor(room / tier.tokens_per_s + 1e-9))
-        if taken <= 0:
-            continue
-        counts[key] = counts.get(key, 0) + taken
-        endpoints += taken
-        total += taken * tier.tokens_per_s
-        if _is_exposed(key, cover):
-            exposed[key.failure_domain] += taken * tier.tokens_per_s
-    return counts
-
-
-def _trimmed(
-    counts: Counts,
-    need: Need,
-    offers: typing.Mapping[OfferKey, Offer],
-    tiers: list[_Tier],
-    cover: Cover,
-) -> Counts:
-    """Without the VMs that rounding added, the dearest first."""
-    current = dict(counts)
-    for tier in reversed(tiers):
-        key = tier.offer.key
-        surplus = sum(current.values()) - need.minimum_endpoints
-        most = min(current.get(key, 0), max(0, surplus))
-
-        def breaks(fewer: int, key: OfferKey = key) -> bool:
-            reduced = {**current, key: current[key] - fewer}
-            load = need.tokens_per_s
-            return not survives(reduced, offers, load, cover)
-
-        # What survives never grows with the number taken away.
-        kept_away = bisect.bisect_left(range(1, most + 1), True, key=breaks)
-        if kept_away:
-            current[key] -= kept_away
-    return {key: count for key, count in current.items() if count}
-
-
-def _kept_cost(counts: Counts, tiers: list[_Tier]) -> float:
-    """The cost that decides: VMs that are held count a little less."""
-    cost = 0.0
-    left = dict(counts)
-    for tier in tiers:
-        taken = min(tier.limit, left.get(tier.offer.key, 0))
-        if taken:
-            left[tier.offer.key] -= taken
-            cost += taken * tier.cents_per_token * tier.tokens_per_s
-    return cost
-
-
-def _as_many_as_needed(
-    need: Need,
-    offers: typing.Mapping[OfferKey, Offer],
-    held: typing.Mapping[OfferKey, int],
-    weights: Weights,
-) -> Counts:
-    """What carries the load today, evenly by domain as far as it goes.
-
-    Nothing that is held is given up while there is too little.
-    """
-    tiers = _tiers(offers, held, weights)
-    counts = {key: count for key, count in held.items() if key in offers}
-    if sum(counts.values()) > need.maximum_endpoints:
-        counts = {}
-    total = sum(n * offers[key].tokens_per_s for key, n in counts.items())
-    endpoints = sum(counts.values())
-    while total < need.tokens_per_s or endpoints < need.minimum_endpoints:
-        if endpoints >= need.maximum_endpoints:
-            break
-        tier = _least_loaded(tiers, counts)
-        if tier is None:
-            break
-        key = tier.offer.key
-        counts[key] = counts.get(key, 0) + 1
-        endpoints += 1
-        total += tier.tokens_per_s
-    return counts
-
-
-def _least_loaded(tiers: list[_Tier], counts: Counts) -> _Tier | None:
-    in_domain: dict[str, int] = collections.defaultdict(int)
-    for key, count in counts.items():
-        in_domain[key.failure_domain] += count
-    free = [
-        tier
-        for tier in tiers
-        if counts.get(tier.offer.key, 0) < tier.offer.limit
-    ]
-    if not free:
-        return None
-    return min(
-        free,
-        key=lambda tier: (
-            in_domain[tier.offer.key.failure_domain],
-            tier.cents_per_token,
-            order(tier.offer.key),
-        ),
-    )
-
-
-def _keep_or_take(
-    best: Counts,
-    need: Need,
-    offers: typing.Mapping[OfferKey, Offer],
-    held: typing.Mapping[OfferKey, int],
-    weights: Weights,
-    cover: Cover,
-) -> PoolPlan:
-    best_cost = cost_cents_per_hour(best, offers, weights)
-    held_cost = cost_cents_per_hour(held, offers, weights)
-    held_count = sum(held.values())
-    fits = (
-        need.minimum_endpoints <= held_count <= need.maximum_endpoints
-        and all(key in offers for key in held)
-        and survives(held, offers, need.tokens_per_s, cover)
-    )
-    if fits and held_cost <= best_cost * (1 + weights.keep_margin):
-        return PoolPlan(
-            {key: count for key, count in held.items() if count},
-            cover,
-            held_cost,
-            f'survives the {cover.value}; a cheaper set would save less '
-            f'than {weights.keep_margin:.0%}',
-            kept=dict(best) != dict(held),
-        )
-    return PoolPlan(
-        best, cover, best_cost, f'the cheapest set to survive {cover.value}'
-    )
--- a/tests/cover/test_market.py
+++ b/tests/cover/test_market.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from guavachute.decide import market
+from guavachute.decide import market_plan
 from guavachute.decide import reclaim_rate
 from guavachute import ids
 
@@ -49,7 +50,7 @@
     ) -> None:
         by_key = {each.key: each for each in choice}
         load = engines * ENGINE
-        plan = market.plan_pool(market.Need(load), choice, {}, WEIGHTS)
+        plan = market_plan.plan_pool(market.Need(load), choice, {}, WEIGHTS)
         for cover in (market.Cover.DOMAIN_LOSS, market.Cover.RECLAIM):
             ranges = [range(each.limit + 1) for each in choice]
             costs = [
@@ -74,27 +75,29 @@
     def test_on_demand_covers_only_what_spreading_cannot(self) -> None:
         spread = [offer(name, 100) for name in DOMAINS]
         dear = [offer(name, 300, ON_DEMAND) for name in DOMAINS]
-        plan = market.plan_pool(market.Need(1000), spread + dear, {}, WEIGHTS)
+        plan = market_plan.plan_pool(
+            market.Need(1000), spread + dear, {}, WEIGHTS
+        )
         self.assertEqual(15, sum(plan.counts.values()))
         self.assertTrue(all(key.market is RECLAIMABLE for key in plan.counts))
         alone = [spread[0], dear[0]]
-        plan = market.plan_pool(market.Need(1000), alone, {}, WEIGHTS)
+        plan = market_plan.plan_pool(market.Need(1000), alone, {}, WEIGHTS)
         self.assertIs(market.Cover.RECLAIM, plan.cover)
         self.assertEqual({dear[0].key: 10}, plan.counts)
 
     def test_minimum_and_maximum_bind(self) -> None:
         choice = [offer(name, 100) for name in DOMAINS]
         few = market.Need(0.0, minimum_endpoints=2)
-        plan = market.plan_pool(few, choice, {}, WEIGHTS)
+        plan = market_plan.plan_pool(few, choice, {}, WEIGHTS)
         self.assertEqual(2, sum(plan.counts.values()))
         capped = market.Need(1000, maximum_endpoints=7)
-        plan = market.plan_pool(capped, choice, {}, WEIGHTS)
+        plan = market_plan.plan_pool(capped, choice, {}, WEIGHTS)
         self.assertEqual(7, sum(plan.counts.values()))
         self.assertIs(market.Cover.SHORT, plan.cover)
 
     def test_nothing_is_given_up_while_there_is_too_little(self) -> None:
         choice = [offer(DOMAINS[0], 100, limit=9)]
-        plan = market.plan_pool(
+        plan = market_plan.plan_pool(
             market.Need(700), choice, {choice[0].key: 9}, WEIGHTS
         )
         self.assertIs(market.Cover.SHORT, plan.cover)
@@ -103,7 +106,7 @@
     def test_swinging_prices_change_nothing_but_a_lasting_gap_does(
         self,
     ) -> None:
-        held = market.plan_pool(
+        held = market_plan.plan_pool(
             market.Need(1000),
             [offer(name, 100) for name in DOMAINS],
             {},
@@ -114,11 +117,13 @@
                 offer(name, price)
                 for name, price in zip(DOMAINS, prices, strict=True)
             ]
-            plan = market.plan_pool(market.Need(1000), choice, held, WEIGHTS)
+            plan = market_plan.plan_pool(
+                market.Need(1000), choice, held, WEIGHTS
+            )
             self.assertEqual(held, plan.counts)
         choice = [offer(DOMAINS[0], 300)]
         choice += [offer(name, 50) for name in DOMAINS[1:]]
-        plan = market.plan_pool(market.Need(1000), choice, held, WEIGHTS)
+        plan = market_plan.plan_pool(market.Need(1000), choice, held, WEIGHTS)
         self.assertEqual(
             {'perth-b', 'bunbury-a'},
             {key.failure_domain for key in plan.counts},
@@ -129,7 +134,7 @@
         calm = [offer(name, 130, ON_DEMAND) for name in DOMAINS]
         need = market.Need(1000)
         for cost_cents, expected in ((0.0, RECLAIMABLE), (0.01, ON_DEMAND)):
-            plan = market.plan_pool(
+            plan = market_plan.plan_pool(
                 need, risky + calm, {}, market.Weights(cost_cents)
             )
             self.assertEqual({expected}, {key.market for key in plan.counts})
