Split the relay's task by what it looks after

Cause: one module of 950 lines held callers, connections, probes and the answers' bytes. Change: a module for each; the task keeps the order of events.

--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -20,6 +20,7 @@
 from guavachute.services import engine_watch
 from guavachute.services import front
 from guavachute.services import plain_calls
+from guavachute.services.relay import messages
 from guavachute.services.relay import task as relay_task
 from guavachute.services import replies
 from guavachute.services import table_feed
@@ -136,20 +137,20 @@
         _pause_until(min(expired_s, end_s))
         self.server.request_stop()
         idle = threading.Event()
-        self.relay.mailbox.send(relay_task.TellWhenIdle(idle))
+        self.relay.mailbox.send(messages.TellWhenIdle(idle))
         hand_over_s = end_s - HAND_OVER_MARGIN_S
         while time.monotonic() < hand_over_s:
             if idle.wait(PAUSE_S) and not self.plain_calls.active:
                 _log.notice('drained')
                 return
         _log.warning('drain limit reached, handing callers over')
-        self.relay.mailbox.send(relay_task.HandOver())
+        self.relay.mailbox.send(messages.HandOver())
         idle.wait(HAND_OVER_MARGIN_S)
 
     def _put_in_force(self, new: tables.Tables) -> None:
         view = view_module.view_of(new)
         self._ttl_s = view.document.policy.address_ttl_s
-        self.relay.mailbox.send(relay_task.TablesChanged(view))
+        self.relay.mailbox.send(messages.TablesChanged(view))
         self.plain_calls.put_in_force(new)
         self.claims.mailbox.send(claim_client.UseCommitter(new.claims_address))
         pools = {model.pool for model in view.document.models.values()}
--- a/src/guavachute/services/engine_watch.py
+++ b/src/guavachute/services/engine_watch.py
@@ -16,7 +16,7 @@
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
-from guavachute.services.relay import task as relay_task
+from guavachute.services.relay import messages
 from guavachute.wire import tables
 
 INTERVAL_S = 1.0
@@ -90,7 +90,7 @@
         if load is None:
             return
         self._relay.send(
-            relay_task.EndpointReport(
+            messages.EndpointReport(
                 entry.endpoint,
                 load.running + load.queued,
                 load.slots,
@@ -109,7 +109,7 @@
                 prefix_index.Event(each.seq, each.kind, each.block)
                 for each in found.events
             ]
-            message = relay_task.CacheChanged(entry.endpoint, events)
+            message = messages.CacheChanged(entry.endpoint, events)
             self._relay.send(message)
 
     def _get(
--- /dev/null
+++ b/src/guavachute/services/relay/callers.py
@@ -0,0 +1,82 @@
+"""The callers' connections in the relay's selector."""
+
+import functools
+import selectors
+import typing
+
+from guavachute.services.relay import call as relay_call
+from guavachute.services.relay import downstream
+
+Told = typing.Callable[[relay_call.Stream], None]
+
+
+class Callers:
+    """Writes to callers and notices when they hang up.
+
+    :param selector: the owner's
+    :param gone: called when a caller has hung up
+    :param full: called when a caller is too far behind
+    :param taken: called when a caller has taken all there was
+    """
+
+    def __init__(
+        self,
+        selector: selectors.BaseSelector,
+        gone: Told,
+        full: Told,
+        taken: Told,
+    ) -> None:
+        self._selector = selector
+        self._gone = gone
+        self._full = full
+        self._taken = taken
+
+    def add(self, stream: relay_call.Stream) -> None:
+        """Watch the caller of *stream*."""
+        self._watch(stream, selectors.EVENT_READ)
+
+    def remove(self, stream: relay_call.Stream) -> None:
+        """Watch the caller of *stream* no longer."""
+        self._watch(stream, 0)
+
+    def flush(self, stream: relay_call.Stream) -> None:
+        """Write what is queued for the caller, as far as it takes it."""
+        flushed = stream.caller.flush()
+        if flushed is downstream.Flushed.GONE:
+            self._gone(stream)
+        elif flushed is downstream.Flushed.BLOCKED:
+            self._watch(stream, selectors.EVENT_WRITE)
+            if stream.caller.is_full:
+                self._full(stream)
+        else:
+            self._watch(stream, selectors.EVENT_READ)
+            self._taken(stream)
+
+    def _ready(self, stream: relay_call.Stream, events: int) -> None:
+        if events & selectors.EVENT_READ:
+            if stream.caller.has_hung_up():
+                self._gone(stream)
+                return
+            # Its next request waits in the socket until this one is done.
+            self._watch(stream, 0)
+        if events & selectors.EVENT_WRITE:
+            self.flush(stream)
+
+    def _watch(self, stream: relay_call.Stream, events: int) -> None:
+        descriptor = stream.caller.fileno()
+        watched = self._selector.get_map().get(descriptor)
+        if watched is not None and watched.events == events:
+            return
+        if watched is not None and not events:
+            self._selector.unregister(descriptor)
+        elif events:
+            change = (
+                self._selector.register
+                if watched is None
+                else self._selector.modify
+            )
+            change(
+                descriptor,
+                events,
+                functools.partial(self._ready, stream),
+            )
--- /dev/null
+++ b/src/guavachute/services/relay/connections.py
@@ -0,0 +1,103 @@
+"""The connections to endpoints in the relay's selector."""
+
+import functools
+import selectors
+import typing
+
+from guavachute import ids
+from guavachute.services.relay import call as relay_call
+from guavachute.services.relay import pool
+from guavachute.services.relay import upstream
+
+Ready = typing.Callable[[relay_call.Stream, int], None]
+
+
+class Connections:
+    """Opens, pauses and ends the connection of each attempt.
+
+    :param selector: the owner's
+    :param ready: called with the stream and the selector's events
+    """
+
+    def __init__(self, selector: selectors.BaseSelector, ready: Ready) -> None:
+        self._selector = selector
+        self._ready = ready
+        self._pool = pool.ConnectionPool()
+
+    def open(
+        self,
+        stream: relay_call.Stream,
+        address: str,
+        attempt_id: ids.AttemptId,
+        now_s: float,
+    ) -> None:
+        """Send the request of *stream* to the endpoint at *address*."""
+        connection = self._pool.take(address, now_s)
+        if connection is None:
+            connection = upstream.Connection(address)
+            connection.connect()
+        if connection.state is not upstream.State.BROKEN:
+            connection.begin(stream.request(attempt_id, address, now_s))
+        stream.connection = connection
+        self._watch(stream, connection)
+        if connection.state is upstream.State.BROKEN:
+            self._ready(stream, 0)
+
+    def rewatch(self, stream: relay_call.Stream) -> None:
+        """Wait for other events than before."""
+        connection = stream.connection
+        assert connection is not None
+        self._selector.modify(
+            connection.socket,
+            connection.wanted_events,
+            functools.partial(self._ready, stream),
+        )
+
+    def pause(self, stream: relay_call.Stream) -> None:
+        """Read nothing from the endpoint for a while."""
+        if not stream.paused and stream.connection is not None:
+            stream.paused = True
+            self._selector.unregister(stream.connection.socket)
+
+    def unpause(self, stream: relay_call.Stream, now_s: float) -> None:
+        """Read from the endpoint again, if that was paused."""
+        if not stream.paused or stream.connection is None:
+            return
+        stream.paused = False
+        stream.watch.progress(now_s)
+        if stream.work is not None:
+            stream.work.mark(now_s)
+        self._watch(stream, stream.connection)
+
+    def end(self, stream: relay_call.Stream, now_s: float) -> None:
+        """Keep the connection for another request, or close it.
+
+        A close in the middle of an answer cancels it at the engine.
+        """
+        connection = stream.connection
+        assert connection is not None
+        stream.connection = None
+        if not stream.paused:
+            self._selector.unregister(connection.socket)
+        stream.paused = False
+        if connection.can_be_reused:
+            self._pool.put(connection, now_s)
+        else:
+            connection.close()
+
+    def sweep(self, now_s: float) -> None:
+        """Close what has been idle for too long."""
+        self._pool.forget_old(now_s)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    def _watch(
+        self, stream: relay_call.Stream, connection: upstream.Connection
+    ) -> None:
+        self._selector.register(
+            connection.socket,
+            connection.wanted_events,
+            functools.partial(self._ready, stream),
+        )
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-import dataclasses
 import functools
 import selectors
 import threading
@@ -18,7 +17,6 @@
 from guavachute.decide import answer
 from guavachute.decide import attempts
 from guavachute.decide import crash
-from guavachute.decide import prefix_index
 from guavachute.decide import retry
 from guavachute.decide import silence
 from guavachute import ids
@@ -27,72 +25,29 @@
 from guavachute.observe import traces
 from guavachute import outcome
 from guavachute.services.relay import call as relay_call
-from guavachute.services.relay import downstream
+from guavachute.services.relay import callers
+from guavachute.services.relay import connections
 from guavachute.services.relay import endpoints
 from guavachute.services.relay import exchange
 from guavachute.services.relay import gate
 from guavachute.services.relay import granter
+from guavachute.services.relay import messages
 from guavachute.services.relay import moves
-from guavachute.services.relay import pool
+from guavachute.services.relay import probes
 from guavachute.services.relay import suspects
 from guavachute.services.relay import upstream
 from guavachute.services.relay import work as relay_work
-from guavachute.services import replies
-from guavachute.services import view as view_module
+from guavachute.services.relay import writing
 from guavachute.wire import requests
 from guavachute.wire import tables
 
 SWEEP_INTERVAL_S = 0.1
-PROBE_TIMEOUT_S = 0.5
 EXPORT_TIMEOUT_S = 5.0
 EXPECTED_GAP_S = 0.051
 PACE_TOKENS = 16
 """The pace of a stream is looked at after so many tokens."""
 
 NOT_RUN_STATUSES = frozenset({429, 503})
-DONE_EVENT = b'data: [DONE]\n\n'
-Handler = typing.Callable[[int], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TablesChanged:
-    """New tables are in force."""
-
-    view: view_module.View
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointReport:
-    """What an endpoint says of itself, late.
-
-    :ivar age_s: of the load, at *heard_s* on the monotonic clock
-    """
-
-    endpoint: str
-    outstanding: int
-    slots: int
-    age_s: float
-    heard_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheChanged:
-    """Cache events of an endpoint, in order."""
-
-    endpoint: str
-    events: list[prefix_index.Event]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TellWhenIdle:
-    """Set *event* as soon as no stream is left."""
-
-    event: threading.Event
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HandOver:
-    """The VM is about to go: callers are to go on elsewhere."""
 
 
 class KvExport(msgspec.Struct):
@@ -111,10 +66,10 @@
 class Relay(task.Task):
     """Moves the bytes of all streams.
 
-    Messages: :class:`call.ModelCall`, :class:`TablesChanged`,
-    :class:`EndpointReport`, :class:`CacheChanged`,
+    Messages: :class:`call.ModelCall`, :class:`messages.TablesChanged`,
+    :class:`messages.EndpointReport`, :class:`messages.CacheChanged`,
     :class:`requests.DemandSum` and :class:`requests.CrashNotice` of other
-    routers, :class:`TellWhenIdle`, :class:`HandOver`.
+    routers, :class:`messages.TellWhenIdle`, :class:`messages.HandOver`.
 
     :param node: the VM, by which the subset of endpoints is chosen
     :param router: the name of this process, as others know it
@@ -140,10 +95,8 @@
         self._suspects = suspects.Suspects(count, self._granter, tell)
         self._moves = moves.Moves(self._endpoints)
         self._budgets = retry.Budgets()
-        self._probed: dict[str, list[relay_call.Stream]] = {}
         self._count = count
         self._tracer = tracer
-        self._pool = pool.ConnectionPool()
         self._streams: set[relay_call.Stream] = set()
         self._waiting: list[tuple[float, relay_call.Stream]] = []
         self._next_sweep_s = 0.0
@@ -163,8 +116,19 @@
     def run(self) -> None:
         """Serve until stopped; what still runs then is cut."""
         with selectors.DefaultSelector() as selector:
-            self._selector = selector
             self._exchanges = exchange.Exchanges(selector)
+            self._probes = probes.Probes(
+                self._exchanges, self._count, self._cut_judged
+            )
+            self._connections = connections.Connections(
+                selector, self._endpoint_ready
+            )
+            self._callers = callers.Callers(
+                selector,
+                gone=self._caller_gone,
+                full=self._connections.pause,
+                taken=self._caller_has_all,
+            )
             selector.register(
                 self.mailbox.fileno(), selectors.EVENT_READ, self._read_mail
             )
@@ -195,11 +159,7 @@
         stream = relay_call.Stream(message, now_s)
         self._streams.add(stream)
         self._count.add('requests.accepted')
-        self._selector.register(
-            stream.caller.fileno(),
-            selectors.EVENT_READ,
-            functools.partial(self._caller_ready, stream),
-        )
+        self._callers.add(stream)
         refused = self._gate.arrive(stream, now_s)
         if refused is not None:
             self._fail(stream, outcome.Verdict.NOT_RUN, refused)
@@ -208,7 +168,7 @@
         self._start_queued(now_s)
 
     @_take_message.register
-    def _take_tables(self, message: TablesChanged) -> None:
+    def _take_tables(self, message: messages.TablesChanged) -> None:
         now_s = time.monotonic()
         new = message.view
         routers = sum(not each.leaving for each in new.tables.routers)
@@ -217,7 +177,7 @@
         self._moves.live_routers = max(1, routers)
 
     @_take_message.register
-    def _take_report(self, message: EndpointReport) -> None:
+    def _take_report(self, message: messages.EndpointReport) -> None:
         self._endpoints.reported(
             message.endpoint,
             message.outstanding,
@@ -227,7 +187,7 @@
         )
 
     @_take_message.register
-    def _take_cache(self, message: CacheChanged) -> None:
+    def _take_cache(self, message: messages.CacheChanged) -> None:
         self._endpoints.cache_changed(message.endpoint, message.events)
 
     @_take_message.register
@@ -251,12 +211,12 @@
                 self._start_attempt(stream, now_s)
 
     @_take_message.register
-    def _take_idle(self, message: TellWhenIdle) -> None:
+    def _take_idle(self, message: messages.TellWhenIdle) -> None:
         self._tell_idle.append(message.event)
         self._tell_if_idle()
 
     @_take_message.register
-    def _take_hand_over(self, message: HandOver) -> None:
+    def _take_hand_over(self, message: messages.HandOver) -> None:
         for stream in list(self._streams):
             self._hand_over(stream)
 
@@ -298,7 +258,7 @@
         self._count.add('attempts.started')
         if stream.answer.next_index:
             self._count.add('attempts.resumed')
-        self._connect(stream, choice.address, attempt_id, now_s)
+        self._connections.open(stream, choice.address, attempt_id, now_s)
 
     def _choose(
         self,
@@ -328,28 +288,6 @@
             self._suspects.ended(work)
         return choice
 
-    def _connect(
-        self,
-        stream: relay_call.Stream,
-        address: str,
-        attempt_id: ids.AttemptId,
-        now_s: float,
-    ) -> None:
-        connection = self._pool.take(address, now_s)
-        if connection is None:
-            connection = upstream.Connection(address)
-            connection.connect()
-        if connection.state is not upstream.State.BROKEN:
-            connection.begin(stream.request(attempt_id, address, now_s))
-        stream.connection = connection
-        self._selector.register(
-            connection.socket,
-            connection.wanted_events,
-            functools.partial(self._endpoint_ready, stream),
-        )
-        if connection.state is upstream.State.BROKEN:
-            self._endpoint_ready(stream, 0)
-
     def _no_endpoint(
         self,
         stream: relay_call.Stream,
@@ -391,11 +329,7 @@
         elif connection.state is upstream.State.COMPLETE:
             self._attempt_completed(stream, connection, now_s)
         elif connection.wanted_events != wanted:
-            self._selector.modify(
-                connection.socket,
-                connection.wanted_events,
-                functools.partial(self._endpoint_ready, stream),
-            )
+            self._connections.rewatch(stream)
 
     def _forward(
         self, stream: relay_call.Stream, data: bytes, now_s: float
@@ -440,16 +374,12 @@
     def _send_events(self, stream: relay_call.Stream, data: bytes) -> None:
         caller = stream.caller
         if not caller.started:
-            lines = replies.headers(
-                stream.call.request_id, outcome.Verdict.UNKNOWN
-            )
-            lines['Trailer'] = replies.OUTCOME_HEADER
-            caller.start_stream(lines)
+            writing.start(stream)
         if caller.is_behind:
             caller.add(data)
-            self._flush(stream)
+            self._callers.flush(stream)
         elif not caller.send_now(data):
-            self._flush(stream)
+            self._callers.flush(stream)
 
     def _attempt_completed(
         self,
@@ -495,7 +425,7 @@
         self._end_attempt(stream, now_s)
         if ending is attempts.Ending.LOST and not leaving:
             self._suspects.cut(stream.work, entry.endpoint)
-            self._probe_cut(stream, entry, now_s)
+            self._probes.after_cut(stream, entry, now_s)
             return
         self._suspects.ended(stream.work)
         self._next_attempt(stream, ending, now_s)
@@ -543,46 +473,17 @@
         self._count.add('retries.refused')
         return False
 
-    def _probe_cut(
-        self,
-        stream: relay_call.Stream,
-        entry: tables.EndpointEntry,
-        now_s: float,
-    ) -> None:
-        """Ask whether the endpoint still lives; *stream* waits for it."""
-        cut = self._probed.setdefault(entry.endpoint, [])
-        cut.append(stream)
-        if len(cut) == 1:
-            self._probe(
-                entry, functools.partial(self._cut_judged, entry), now_s
-            )
-
-    def _probe(
+    def _cut_judged(
         self,
         entry: tables.EndpointEntry,
-        done: exchange.Done,
+        cut: list[relay_call.Stream],
+        alive: bool,
         now_s: float,
     ) -> None:
-        self._count.add('probes.sent')
-        self._exchanges.ask(
-            'GET',
-            entry.address,
-            '/healthz',
-            b'',
-            PROBE_TIMEOUT_S,
-            done,
-            now_s,
-        )
-
-    def _cut_judged(
-        self, entry: tables.EndpointEntry, found: exchange.Answer
-    ) -> None:
-        now_s = time.monotonic()
-        alive = found.status != 0
         if not alive:
             self._endpoints.lost(entry.endpoint, now_s)
         self._suspects.judged(entry, alive, now_s)
-        for stream in self._probed.pop(entry.endpoint, []):
+        for stream in cut:
             if stream.ended:
                 continue
             if alive:
@@ -598,7 +499,7 @@
         assert entry is not None
         connection = stream.connection
         done = functools.partial(self._silence_judged, stream, connection)
-        self._probe(entry, done, now_s)
+        self._probes.ask(entry, done, now_s)
 
     def _silence_judged(
         self,
@@ -680,17 +581,9 @@
     # Ends of attempts.
 
     def _end_attempt(self, stream: relay_call.Stream, now_s: float) -> None:
-        connection = stream.connection
-        if connection is None:
+        if stream.connection is None:
             return
-        stream.connection = None
-        if not stream.paused:
-            self._selector.unregister(connection.socket)
-        stream.paused = False
-        if connection.can_be_reused:
-            self._pool.put(connection, now_s)
-        else:
-            connection.close()
+        self._connections.end(stream, now_s)
         assert stream.endpoint is not None
         self._endpoints.ended(stream.endpoint.endpoint, now_s)
         if stream.span is not None:
@@ -710,72 +603,16 @@
 
     # The caller's side.
 
-    def _caller_ready(self, stream: relay_call.Stream, events: int) -> None:
-        if events & selectors.EVENT_READ:
-            if stream.caller.has_hung_up():
-                self._caller_gone(stream)
-                return
-            # Its next request waits in the socket until this one is done.
-            self._watch_caller(stream, 0)
-        if events & selectors.EVENT_WRITE:
-            self._flush(stream)
-
-    def _flush(self, stream: relay_call.Stream) -> None:
-        flushed = stream.caller.flush()
-        if flushed is downstream.Flushed.GONE:
-            self._caller_gone(stream)
-        elif flushed is downstream.Flushed.BLOCKED:
-            self._watch_caller(stream, selectors.EVENT_WRITE)
-            if stream.caller.is_full and stream.connection is not None:
-                self._pause(stream)
-        elif stream.ended:
+    def _caller_has_all(self, stream: relay_call.Stream) -> None:
+        if stream.ended:
             self._release(stream)
         else:
-            self._watch_caller(stream, selectors.EVENT_READ)
-            self._unpause(stream)
-
-    def _watch_caller(self, stream: relay_call.Stream, events: int) -> None:
-        descriptor = stream.caller.fileno()
-        watched = self._selector.get_map().get(descriptor)
-        if watched is not None and watched.events == events:
-            return
-        if watched is not None and not events:
-            self._selector.unregister(descriptor)
-        elif events:
-            change = (
-                self._selector.register
-                if watched is None
-                else self._selector.modify
-            )
-            change(
-                descriptor,
-                events,
-                functools.partial(self._caller_ready, stream),
-            )
-
-    def _pause(self, stream: relay_call.Stream) -> None:
-        if not stream.paused and stream.connection is not None:
-            stream.paused = True
-            self._selector.unregister(stream.connection.socket)
-
-    def _unpause(self, stream: relay_call.Stream) -> None:
-        if stream.paused and stream.connection is not None:
-            stream.paused = False
-            now_s = time.monotonic()
-            stream.watch.progress(now_s)
-            if stream.work is not None:
-                stream.work.mark(now_s)
-            self._selector.register(
-                stream.connection.socket,
-                stream.connection.wanted_events,
-                functools.partial(self._endpoint_ready, stream),
-            )
+            self._connections.unpause(stream, time.monotonic())
 
     def _caller_gone(self, stream: relay_call.Stream) -> None:
         self._count.add('requests.cancelled')
         traces.fail(stream.call.span, outcome.Reason.CANCELLED.value)
         now_s = time.monotonic()
-        self._unpause(stream)
         # Closing its connection cancels the request at the engine.
         self._abandon_attempt(stream, now_s)
         stream.ended = True
@@ -788,14 +625,7 @@
         if stream.work is not None:
             self._suspects.completed(stream.work, now_s)
         self._end_attempt(stream, now_s)
-        verdict = outcome.Verdict.DONE
-        lines = replies.headers(call.request_id, verdict)
-        if call.streamed:
-            comment = f': outcome {verdict.value}\n'.encode()
-            stream.caller.add(comment + DONE_EVENT)
-            stream.caller.end_stream({replies.OUTCOME_HEADER: verdict.value})
-        else:
-            stream.caller.send_whole(200, lines, stream.whole_body())
+        writing.finish(stream)
         self._count.add('requests.done')
         self._count.add('tokens.prompt', stream.usage.prompt_tokens)
         self._count.add('tokens.cached', stream.usage.cached_tokens)
@@ -816,21 +646,10 @@
         verdict: outcome.Verdict,
         failure: outcome.Failure,
     ) -> None:
-        call = stream.call
-        body = replies.error_body(failure)
-        traces.fail(call.span, failure.reason.value)
+        traces.fail(stream.call.span, failure.reason.value)
         self._count.add(f'requests.{verdict.value}')
         self._count.add(f'requests.failed.{failure.reason.value}')
-        if not stream.caller.started:
-            stream.caller.send_whole(
-                replies.status_of(failure.reason),
-                replies.headers(call.request_id, verdict, failure),
-                body,
-            )
-        else:
-            comment = f': outcome {verdict.value}\n'.encode()
-            stream.caller.add(comment + b'data: %b\n\n' % body)
-            stream.caller.end_stream({replies.OUTCOME_HEADER: verdict.value})
+        writing.fail(stream, verdict, failure)
         self._end(stream)
 
     def _hand_over(self, stream: relay_call.Stream) -> None:
@@ -842,7 +661,7 @@
         self._count.add('requests.handed_over')
         self._abandon_attempt(stream, time.monotonic())
         if stream.call.streamed and stream.caller.started:
-            stream.caller.add(b'retry: 0\n\n')
+            stream.caller.add(writing.RECONNECT_AT_ONCE)
             stream.caller.flush()
             stream.caller.gone = True
             stream.ended = True
@@ -866,7 +685,7 @@
     def _end(self, stream: relay_call.Stream) -> None:
         stream.ended = True
         self._leave(stream)
-        self._flush(stream)
+        self._callers.flush(stream)
 
     def _leave(self, stream: relay_call.Stream) -> None:
         """Free its place; another may start in it."""
@@ -878,7 +697,7 @@
             return
         self._streams.remove(stream)
         self._leave(stream)
-        self._watch_caller(stream, 0)
+        self._callers.remove(stream)
         stream.call.span.end()
         stream.caller.release()
         self.active = len(self._streams)
@@ -890,7 +709,7 @@
         if now_s < self._next_sweep_s:
             return
         self._next_sweep_s = now_s + SWEEP_INTERVAL_S
-        self._pool.forget_old(now_s)
+        self._connections.sweep(now_s)
         self._exchanges.sweep(now_s)
         self._start_waiting(now_s)
         self._move_leaving(now_s)
@@ -936,5 +755,5 @@
                 stream.caller.cut()
             if stream.connection is not None:
                 stream.connection.close()
-        self._pool.close()
+        self._connections.close()
         self._exchanges.close()
