Give up callers that stop reading; hand over only what still runs

Cause: read while splitting the task: an answer that is written but not read kept its memory for ever and held up a drain, and a hand-over added a second end to it. Change: a caller that took nothing for 30 s is given up; at the hand-over such a connection is cut. Before: the new test of a caller that stops reading has nothing to call; after: it passes.

--- a/src/guavachute/services/relay/callers.py
+++ b/src/guavachute/services/relay/callers.py
@@ -2,11 +2,14 @@
 
 import functools
 import selectors
+import time
 import typing
 
 from guavachute.services.relay import call as relay_call
 from guavachute.services.relay import downstream
 
+STALL_S = 30.0
+
 Told = typing.Callable[[relay_call.Stream], None]
 
 
@@ -30,6 +33,7 @@
         self._gone = gone
         self._full = full
         self._taken = taken
+        self._stalled_since_s: dict[relay_call.Stream, float] = {}
 
     def add(self, stream: relay_call.Stream) -> None:
         """Watch the caller of *stream*."""
@@ -37,6 +41,7 @@
 
     def remove(self, stream: relay_call.Stream) -> None:
         """Watch the caller of *stream* no longer."""
+        self._stalled_since_s.pop(stream, None)
         self._watch(stream, 0)
 
     def flush(self, stream: relay_call.Stream) -> None:
@@ -45,13 +50,27 @@
         if flushed is downstream.Flushed.GONE:
             self._gone(stream)
         elif flushed is downstream.Flushed.BLOCKED:
+            self._stalled_since_s.setdefault(stream, time.monotonic())
             self._watch(stream, selectors.EVENT_WRITE)
             if stream.caller.is_full:
                 self._full(stream)
         else:
+            self._stalled_since_s.pop(stream, None)
             self._watch(stream, selectors.EVENT_READ)
             self._taken(stream)
 
+    def sweep(self, now_s: float) -> None:
+        """Give up callers that have read nothing for too long.
+
+        Without this a caller that neither reads nor closes would keep
+        its answer's memory, and a router that drains, for ever.
+        """
+        for stream, since_s in list(self._stalled_since_s.items()):
+            if now_s - since_s > STALL_S:
+                del self._stalled_since_s[stream]
+                stream.caller.gone = True
+                self._gone(stream)
+
     def _ready(self, stream: relay_call.Stream, events: int) -> None:
         if events & selectors.EVENT_READ:
             if stream.caller.has_hung_up():
@@ -60,6 +79,8 @@
             # Its next request waits in the socket until this one is done.
             self._watch(stream, 0)
         if events & selectors.EVENT_WRITE:
+            # It has read something since.
+            self._stalled_since_s.pop(stream, None)
             self.flush(stream)
 
     def _watch(self, stream: relay_call.Stream, events: int) -> None:
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -218,7 +218,12 @@
     @_take_message.register
     def _take_hand_over(self, message: messages.HandOver) -> None:
         for stream in list(self._streams):
-            self._hand_over(stream)
+            if stream.ended:
+                # Its answer is written; the caller has not read it all.
+                stream.caller.gone = True
+                self._release(stream)
+            else:
+                self._hand_over(stream)
 
     # Attempts.
 
@@ -710,6 +715,7 @@
             return
         self._next_sweep_s = now_s + SWEEP_INTERVAL_S
         self._connections.sweep(now_s)
+        self._callers.sweep(now_s)
         self._exchanges.sweep(now_s)
         self._start_waiting(now_s)
         self._move_leaving(now_s)
--- /dev/null
+++ b/tests/cover/test_callers.py
@@ -0,0 +1,80 @@
+"""A caller that does not read neither blocks others nor stays for ever."""
+
+import selectors
+import socket
+import types
+import typing
+import unittest
+
+from guavachute.services.relay import callers
+from guavachute.services.relay import downstream
+
+SMALL_BYTES = 4096
+MUCH = b'x' * 1_000_000
+
+
+class CallersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        ours, self.theirs = socket.socketpair()
+        ours.setblocking(False)
+        ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BYTES)
+        self.addCleanup(ours.close)
+        self.addCleanup(self.theirs.close)
+        self.selector = selectors.DefaultSelector()
+        self.addCleanup(self.selector.close)
+        self.told: list[str] = []
+        self.callers = callers.Callers(
+            self.selector,
+            gone=lambda stream: self.told.append('gone'),
+            full=lambda stream: self.told.append('full'),
+            taken=lambda stream: self.told.append('taken'),
+        )
+        taken: typing.Any = types.SimpleNamespace(socket=ours)
+        caller = downstream.Downstream(taken, keeps_alive=True)
+        # Only the caller's side of a stream matters here.
+        self.stream: typing.Any = _Stream(caller)
+        self.callers.add(self.stream)
+
+    def turn(self) -> None:
+        for key, events in self.selector.select(5):
+            key.data(events)
+
+    def test_a_caller_that_reads_all_is_told_of(self) -> None:
+        self.stream.caller.add(b'token')
+        self.callers.flush(self.stream)
+        self.assertEqual(['taken'], self.told)
+
+    def test_a_caller_that_is_behind_gets_the_rest_when_it_reads(
+        self,
+    ) -> None:
+        self.stream.caller.add(MUCH)
+        self.callers.flush(self.stream)
+        self.assertEqual(['full'], self.told)
+        got = b''
+        self.theirs.settimeout(0.05)
+        while 'taken' not in self.told:
+            got += self.theirs.recv(100_000)
+            self.turn()
+        with self.assertRaises(TimeoutError):
+            while True:
+                got += self.theirs.recv(100_000)
+        self.assertEqual(b'f4240\r\n' + MUCH + b'\r\n', got)
+
+    def test_a_caller_that_stops_reading_is_given_up(self) -> None:
+        self.stream.caller.add(MUCH)
+        self.callers.flush(self.stream)
+        self.callers.sweep(0.0)
+        self.assertNotIn('gone', self.told)
+        self.callers.sweep(float('inf'))
+        self.assertIn('gone', self.told)
+        self.assertTrue(self.stream.caller.gone)
+
+    def test_a_caller_that_hangs_up_is_noticed(self) -> None:
+        self.theirs.close()
+        self.turn()
+        self.assertEqual(['gone'], self.told)
+
+
+class _Stream:
+    def __init__(self, caller: downstream.Downstream) -> None:
+        self.caller = caller
