--- /dev/null
+++ b/bench/log.py
@@ -0,0 +1,229 @@
+"""The control stream: from publishing to in force, bytes and folding.
+
+All tasks run in one process, so the spans include waiting for the
+interpreter; they are upper bounds that grow with the number of nodes.
+"""
+
+import argparse
+import contextlib
+import dataclasses
+import random
+import statistics
+import time
+import typing
+
+import msgspec
+
+from guavachute.decide import control_reader
+from guavachute import ids
+from guavachute.kernel import clock
+from guavachute.kernel import kernel
+from guavachute.kernel import mailbox
+from guavachute.observe import counters
+from guavachute.platform import log_client
+from guavachute.platform import log_source
+from guavachute.services import log_follower
+from guavachute.services import log_relay
+from guavachute.services import log_relay_source
+from guavachute.services import peer_connection
+from guavachute.standin import log_service
+from guavachute.wire import records
+
+KEY = b'the key of the bench'
+ENVIRONMENT = ids.EnvironmentName('trial')
+DOCUMENT_BYTES = 20_000
+TIMEOUT_S = 30.0
+REST_S = 5.0
+SETTLE_S = 1.0
+FOLDED_RECORDS = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """How many nodes follow, and how.
+
+    :ivar fan_out: children of each relay; 0 lets all read the log
+    """
+
+    nodes: int
+    fan_out: int
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One node's follower and what it saw."""
+
+    follower: log_follower.LogFollower
+    box: mailbox.Mailbox
+    counters: counters.Counters
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measured:
+    """What one shape gave; the spans are sorted."""
+
+    in_force_ms: list[float]
+    change_bytes: float
+    rest_bytes_per_s: float
+
+
+@contextlib.contextmanager
+def fleet(
+    shape: Shape, log: log_service.LogService
+) -> typing.Iterator[list[Node]]:
+    """Running followers; with a fan-out each but the first has a parent."""
+    hosting = kernel.Kernel()
+    nodes: list[Node] = []
+    relays: list[log_relay.LogRelay] = []
+    for number in range(shape.nodes):
+        own = counters.Counters()
+        identity = peer_connection.Identity('bench', f'n{number}', (KEY,))
+        source: log_source.Source
+        if number and shape.fan_out:
+            parent = relays[(number - 1) // shape.fan_out]
+            source = log_relay_source.RelaySource(parent.address, identity)
+        else:
+            client = log_client.LogClient(log.address, own, random.Random(1))
+            source = log_source.LogSource(client)
+        follower = log_follower.LogFollower(
+            f'follower-{number}', [source], own, random.Random(number)
+        )
+        box = mailbox.Mailbox()
+        follower.subscribe(box)
+        relays.append(
+            log_relay.LogRelay(
+                f'relay-{number}', '127.0.0.1', 0, identity, follower, own
+            )
+        )
+        hosting.add(follower)
+        hosting.add(relays[-1])
+        nodes.append(Node(follower, box, own))
+    with hosting.running():
+        yield nodes
+
+
+def publish(
+    client: log_client.LogClient, number: int, supersedes: ids.Offset
+) -> ids.Offset:
+    """Append a document of a usual size; its offset."""
+    change = records.ConfigurationChange(
+        record_id=ids.RecordId(f'change-{number}'),
+        environment=ENVIRONMENT,
+        supersedes_offset=supersedes,
+        document={'number': number, 'text': 'x' * DOCUMENT_BYTES},
+        digest=ids.Digest(f'digest-{number}'),
+        author='bench',
+    )
+    result = client.append(
+        records.CONTROL_STREAM, [change], time.monotonic() + TIMEOUT_S
+    )
+    assert isinstance(result, log_client.Appended), result
+    return result.first_offset
+
+
+def wait_for(node: Node, offset: ids.Offset) -> float:
+    """When the node had *offset* in force, by ``clock.now_s``."""
+    while True:
+        update = node.box.receive(TIMEOUT_S)
+        assert update is not None, f'{offset} did not arrive'
+        if (
+            isinstance(update, log_follower.ControlUpdate)
+            and update.state.through_offset >= offset
+        ):
+            return update.received_s
+
+
+@contextlib.contextmanager
+def _client(
+    log: log_service.LogService,
+) -> typing.Iterator[log_client.LogClient]:
+    with log_client.connected(
+        log.address, counters.Counters(), random.Random(1)
+    ) as client:
+        yield client
+
+
+def bytes_of(nodes: list[Node]) -> float:
+    """What all nodes received.
+
+    Counted are the bodies of the log's answers and all that relays sent,
+    without the headers of HTTP and TCP.
+    """
+    names = ('log.read_bytes', 'log_relay.sent_bytes')
+    return sum(node.counters.value(name) for node in nodes for name in names)
+
+
+def measure(shape: Shape, changes: int) -> Measured:
+    """Publish *changes* documents one after the other."""
+    log = log_service.LogService()
+    log.start()
+    spans_ms: list[float] = []
+    with fleet(shape, log) as nodes, _client(log) as client:
+        offset = publish(client, 0, records.NO_OFFSET)
+        for node in nodes:
+            wait_for(node, offset)
+        time.sleep(SETTLE_S)
+        before = bytes_of(nodes)
+        for number in range(1, changes + 1):
+            # From before the append: acceptance is some time after it.
+            began_s = clock.now_s()
+            offset = publish(client, number, offset)
+            for node in nodes:
+                in_force_s = wait_for(node, offset)
+                spans_ms.append((in_force_s - began_s) * 1000)
+        time.sleep(SETTLE_S)
+        change_bytes = (bytes_of(nodes) - before) / changes / len(nodes)
+        before = bytes_of(nodes)
+        time.sleep(REST_S)
+        rest_bytes = (bytes_of(nodes) - before) / REST_S / len(nodes)
+    log.request_stop()
+    log.join(TIMEOUT_S)
+    return Measured(sorted(spans_ms), change_bytes, rest_bytes)
+
+
+def folded_per_s() -> float:
+    """How fast a process decodes and folds lease renewals."""
+    entries = []
+    for offset in range(FOLDED_RECORDS):
+        renewal = records.LeaseRecord(
+            record_id=ids.RecordId(f'lease-{offset:024}'),
+            name='fleet/perth-a',
+            holder='vm-12-0123456789abcdef',
+            supersedes_offset=ids.Offset(offset - 1),
+            duration_s=15.0,
+        )
+        entries.append(
+            records.Entry(ids.Offset(offset), msgspec.to_builtins(renewal))
+        )
+    reader = control_reader.ControlReader(records.ControlState())
+    began_s = time.perf_counter()
+    reader.take(entries)
+    return FOLDED_RECORDS / (time.perf_counter() - began_s)
+
+
+def main() -> None:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--changes', type=int, default=30)
+    parser.add_argument('--nodes', type=int, nargs='*', default=[3, 9, 30])
+    arguments = parser.parse_args()
+    print(f'{arguments.changes} documents of {DOCUMENT_BYTES} bytes each')
+    print(
+        'nodes  way            in force, ms: median     p95     max'
+        '  bytes/change  bytes/s at rest'
+    )
+    for count in arguments.nodes:
+        for way, fan_out in (('all read', 0), ('relays of 3', 3)):
+            found = measure(Shape(count, fan_out), arguments.changes)
+            spans = found.in_force_ms
+            print(
+                f'{count:5}  {way:14} {statistics.median(spans):20.1f}'
+                f' {spans[int(len(spans) * 0.95)]:7.1f} {spans[-1]:7.1f}'
+                f' {found.change_bytes:13.0f} {found.rest_bytes_per_s:16.0f}',
+                flush=True,
+            )
+    print(f'records decoded and folded per second: {folded_per_s():.0f}')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/guavachute/cli/publish.py
+++ b/src/guavachute/cli/publish.py
@@ -16,6 +16,7 @@
 from guavachute.observe import counters
 from guavachute import outcome
 from guavachute.platform import configuration
+from guavachute.platform import in_force
 from guavachute.platform import log_client
 from guavachute.platform import node_client
 from guavachute.wire import status
@@ -179,7 +180,7 @@
 ) -> int:
     addresses = wanted.nodes.get(environment, [])
     ask = functools.partial(node_reports, addresses)
-    found = configuration.wait_in_force(ask, offset, deadline_s)
+    found = in_force.wait_in_force(ask, offset, deadline_s)
     if isinstance(found, outcome.Failure):
         process.fail(f'accepted, but no node tells of it: {found}')
     total = len(found.nodes) + len(found.missing)
@@ -191,7 +192,7 @@
 
 def node_reports(
     addresses: list[str],
-) -> list[configuration.NodeReport] | outcome.Failure:
+) -> list[in_force.NodeReport] | outcome.Failure:
     """What the first node that answers knows of all nodes."""
     reply: status.StatusReply | outcome.Failure
     reply = outcome.Failure(
@@ -206,9 +207,9 @@
 
 def _reports_in(
     reply: status.StatusReply,
-) -> list[configuration.NodeReport]:
+) -> list[in_force.NodeReport]:
     near = [
-        configuration.NodeReport(
+        in_force.NodeReport(
             ids.NodeId(one.node),
             ids.Offset(one.offset),
             ids.Digest(one.digest),
@@ -217,7 +218,7 @@
     ]
     # Of other failure domains only the numbers of nodes are known.
     far = [
-        configuration.NodeReport(
+        in_force.NodeReport(
             ids.NodeId(f'a node of {domain.failure_domain}'),
             ids.Offset(one.offset),
             ids.Digest(''),
--- a/src/guavachute/platform/configuration.py
+++ b/src/guavachute/platform/configuration.py
@@ -24,7 +24,6 @@
 TIMEOUT_S = 30.0
 POLL_WAIT_S = 2.0
 RETRY = backoff.Policy(initial_s=0.2, maximum_s=2.0)
-REPORT_PERIOD_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,50 +157,35 @@
     return publish(client, change, deadline_s)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeReport:
-    """What a node says about one environment."""
-
-    node: ids.NodeId
-    offset: ids.Offset
-    digest: ids.Digest
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class InForce:
-    """On which nodes a change is in force, or a later one."""
-
-    nodes: tuple[ids.NodeId, ...]
-    missing: tuple[ids.NodeId, ...]
-
-
-def wait_in_force(
-    ask: typing.Callable[[], list[NodeReport] | outcome.Failure],
-    offset: ids.Offset,
-    deadline_s: float,
-) -> InForce | outcome.Failure:
-    """Ask the nodes until all have *offset*, or until the deadline.
+def begin_anew(
+    client: log_client.LogClient, deadline_s: float
+) -> ids.Offset | outcome.Failure:
+    """Append an empty snapshot where the log no longer tells the state.
 
-    :param ask: reports of the live nodes, as a node knows them
+    For the case that all nodes were gone for longer than the log keeps
+    its records. Refused while a start from the log is possible; the
+    operator makes sure that no node lives, for one that did would go on
+    from the state it has.
     """
-    while True:
-        reports = ask()
-        if not isinstance(reports, outcome.Failure):
-            found = _in_force(reports, offset)
-            if reports and not found.missing:
-                return found
-        if time.monotonic() + REPORT_PERIOD_S >= deadline_s:
-            if isinstance(reports, outcome.Failure):
-                return reports
-            return found
-        time.sleep(REPORT_PERIOD_S)
-
-
-def _in_force(reports: list[NodeReport], offset: ids.Offset) -> InForce:
-    return InForce(
-        tuple(r.node for r in reports if r.offset >= offset),
-        tuple(r.node for r in reports if r.offset < offset),
+    found = log_source.find_start(client, records.CONTROL_STREAM)
+    if not isinstance(found, outcome.Failure):
+        return outcome.Failure(
+            outcome.Reason.CONFLICT, 'the log still tells the state'
+        )
+    if found.reason is not outcome.Reason.RETENTION:
+        return found
+    edges = client.read(records.CONTROL_STREAM, ids.Offset(0), limit=1)
+    if isinstance(edges, outcome.Failure):
+        return edges
+    through = ids.Offset(edges.next_offset - 1)
+    snapshot = records.Snapshot(
+        record_id=ids.RecordId(ids.new_random_id('anew')),
+        state=records.ControlState(through_offset=through),
     )
+    appended = client.append(records.CONTROL_STREAM, [snapshot], deadline_s)
+    if isinstance(appended, outcome.Failure):
+        return appended
+    return appended.first_offset
 
 
 def _start(
--- a/tests/cover/test_configuration.py
+++ b/tests/cover/test_configuration.py
@@ -6,6 +6,7 @@
 from guavachute import ids
 from guavachute import outcome
 from guavachute.platform import configuration
+from guavachute.platform import in_force
 from guavachute.standin import faults
 from guavachute.wire import records
 from tests.support import control
@@ -127,13 +128,29 @@
         )  # fmt: skip
         self.assertIsInstance(other, configuration.NotPublished)
 
+    def test_a_log_that_lost_its_state_begins_anew_when_told(self) -> None:
+        deadline_s = time.monotonic() + control.LONG_S
+        refused = configuration.begin_anew(self.client(), deadline_s)
+        self.assertIsInstance(refused, outcome.Failure)
+        self.append(*[control.change(n, n - 1) for n in range(5)])
+        self.log.drop_before('control', 3)
+        lost = self.publish(wanted(1), 1.0)
+        self.assertIsInstance(lost, configuration.NotPublished)
+        self.assertEqual(
+            5, configuration.begin_anew(self.client(), deadline_s)
+        )
+        self.assertEqual(
+            configuration.Accepted(ids.Offset(6), ids.Digest('digest-1')),
+            self.publish(wanted(1)),
+        )
+
     def test_waiting_counts_the_nodes(self) -> None:
         asked: list[int] = []
 
-        def ask() -> list[configuration.NodeReport]:
+        def ask() -> list[in_force.NodeReport]:
             asked.append(1)
             return [
-                configuration.NodeReport(
+                in_force.NodeReport(
                     ids.NodeId(f'node-{n}'),
                     ids.Offset(3 if n < len(asked) else 1),
                     ids.Digest('digest'),
@@ -141,7 +158,7 @@
                 for n in range(3)
             ]
 
-        found = configuration.wait_in_force(
+        found = in_force.wait_in_force(
             ask, ids.Offset(2), time.monotonic() + control.LONG_S
         )
         assert not isinstance(found, outcome.Failure)
