--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,176 @@
+"""What membership costs, and how soon it sees a dead or a leaving member.
+
+Runs the pure state of all members of one failure domain over a network
+without delay, in simulated time: bytes are those of the encoded messages,
+processor time is that of the state and the encoding, without sockets.
+"""
+
+import argparse
+import random
+import statistics
+import time
+
+import msgspec
+
+from guavachute.decide import member_news
+from guavachute.decide import member_table
+from guavachute.decide import membership
+from guavachute.wire import codec
+from guavachute.wire import gossip
+
+DOMAIN = 'perth-a'
+TICK_S = 0.1
+SETTLE_S = 60.0
+MEASURED_S = 60.0
+TRIALS = 20
+LIMIT_S = 120.0
+WORKSPACES = 5
+
+
+class Result(msgspec.Struct, frozen=True):
+    """Figures of one size; times in simulated seconds."""
+
+    members: int
+    sent_bytes_per_s: float
+    sent_messages_per_s: float
+    processor_share: float
+    dead_suspected_median_s: float
+    dead_gone_median_s: float
+    dead_gone_p95_s: float
+    leaving_seen_median_s: float
+    leaving_seen_p95_s: float
+
+
+class Domain:
+    """All members of one failure domain."""
+
+    def __init__(self, members: int) -> None:
+        self.now_s = 0.0
+        self.sent_bytes = 0
+        self.sent_messages = 0
+        names = [f'vm-{number}' for number in range(members)]
+        listed = [
+            member_table.ListedVm(name, f'{name}:1', DOMAIN, 'perth')
+            for name in names
+        ]
+        self.states = {}
+        for number, name in enumerate(names):
+            state = membership.Membership(
+                name,
+                1_700_000_000_000,
+                gossip.Profile(
+                    '127.0.0.1:10000', DOMAIN, 'perth', ('127.0.0.1:20000',)
+                ),
+                random.Random(number),
+            )
+            state.observe_list(listed, 0.0)
+            self.states[name] = state
+
+    def step(self) -> None:
+        """One tick of everyone."""
+        self.now_s += TICK_S
+        for name, state in list(self.states.items()):
+            used = {
+                f'workspace-{number}': int(self.now_s * 1000)
+                for number in range(WORKSPACES)
+            }
+            state.news.set_status(
+                gossip.Status(name, 0, 0, 17, 'abcdef012345', 30, used)
+            )
+            self.deliver(name, state.tick(self.now_s))
+
+    def deliver(self, sender: str, sends: list[member_news.Send]) -> None:
+        """Carry *sends* and what they cause."""
+        queue = [(sender, send) for send in sends]
+        while queue:
+            source, send = queue.pop()
+            self.sent_messages += 1
+            self.sent_bytes += len(codec.encode(send.message))
+            target = self.states.get(send.to.node)
+            if target is not None:
+                answers = target.receive(
+                    gossip.NodeAddress(source, ''), send.message, self.now_s
+                )
+                queue += [(send.to.node, answer) for answer in answers]
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + duration_s
+        while self.now_s < end_s:
+            self.step()
+
+    def until(self, seen: str, how: str) -> list[float]:
+        """When each member saw *seen* be *how*, counted from now."""
+        start_s = self.now_s
+        times: dict[str, float] = {}
+        while len(times) < len(self.states) - (seen in self.states):
+            self.step()
+            assert self.now_s - start_s < LIMIT_S, how
+            for name, state in self.states.items():
+                if name == seen or name in times:
+                    continue
+                if _is(state.view(self.now_s), seen, how):
+                    times[name] = self.now_s - start_s
+        return list(times.values())
+
+
+def _is(view: membership.View, node: str, how: str) -> bool:
+    member = next((m for m in view.members if m.node == node), None)
+    if member is None:
+        return True
+    if how == 'suspected':
+        return member.suspect
+    return how == 'leaving' and member.leaving
+
+
+def measure(members: int) -> Result:
+    """The figures of a domain with *members*."""
+    domain = Domain(members)
+    domain.run(SETTLE_S)
+    domain.sent_bytes = domain.sent_messages = 0
+    began_s = time.process_time()
+    domain.run(MEASURED_S)
+    used_s = time.process_time() - began_s
+    per_member_s = members * MEASURED_S
+    sent_bytes, messages = domain.sent_bytes, domain.sent_messages
+    suspected: list[float] = []
+    gone: list[float] = []
+    leaving: list[float] = []
+    for trial in range(TRIALS):
+        name = f'vm-{trial % members}'
+        state = domain.states[name]
+        profile = state.news.profile
+        state.news.set_profile(msgspec.structs.replace(profile, leaving=True))
+        leaving += domain.until(name, 'leaving')
+        state.news.set_profile(profile)
+        domain.run(5)
+        del domain.states[name]
+        first = domain.until(name, 'suspected')
+        suspected += first
+        rest = domain.until(name, 'gone')
+        gone += [max(first) + later for later in rest]
+        domain.states[name] = state
+        domain.run(30)
+    return Result(
+        members,
+        round(sent_bytes / per_member_s),
+        round(messages / per_member_s, 2),
+        round(used_s / per_member_s, 5),
+        round(statistics.median(suspected), 1),
+        round(statistics.median(gone), 1),
+        round(statistics.quantiles(gone, n=20)[-1], 1),
+        round(statistics.median(leaving), 1),
+        round(statistics.quantiles(leaving, n=20)[-1], 1),
+    )
+
+
+def main() -> None:
+    """Print one line of JSON for each size."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--members', type=int, nargs='+', default=[3, 9, 30])
+    for members in parser.parse_args().members:
+        print(msgspec.json.encode(measure(members)).decode(), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -8,21 +8,19 @@
 import dataclasses
 import random
 import selectors
-import socket
 import time
 import typing
 
 from guavachute.decide import member_news
 from guavachute.decide import member_table
 from guavachute.decide import membership
-from guavachute.decide import peer_proof
 from guavachute.decide import suspicion
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import logs
-from guavachute import outcome
 from guavachute.services import peer_connection
+from guavachute.services import peer_connections
 from guavachute.wire import gossip
 
 _log = logs.logger('membership')
@@ -31,11 +29,6 @@
 
 TICKS_PER_PERIOD = 10
 VIEWS_PER_PERIOD = 5
-IDLE_CLOSE_S = 300.0
-"""Longer than a round of probes through the largest failure domain."""
-
-UNPROVED_PEERS = 64
-LISTEN_BACKLOG = 128
 FLUSH_S = 0.5
 """For the news that this node leaves to go out before it closes."""
 
@@ -106,12 +99,20 @@
         name: str = NAME,
     ) -> None:
         super().__init__(name)
-        self._identity = peer_connection.Identity(
-            configuration.environment, configuration.node, configuration.keys
-        )
         self._metrics = metrics
-        self._listener = _listen(configuration.host, configuration.port)
-        self.address = _address_of(self._listener)
+        self._selector = selectors.DefaultSelector()
+        self._peers = peer_connections.PeerConnections(
+            configuration.host,
+            configuration.port,
+            peer_connection.Identity(
+                configuration.environment,
+                configuration.node,
+                configuration.keys,
+            ),
+            self._selector,
+            metrics,
+        )
+        self.address = self._peers.address
         self._state = membership.Membership(
             configuration.node,
             # Grows from one process of a VM to the next; see the state's
@@ -128,14 +129,9 @@
         )
         self._tick_s = configuration.limits.probe_period_s / TICKS_PER_PERIOD
         self._view_s = configuration.limits.probe_period_s / VIEWS_PER_PERIOD
-        self._selector = selectors.DefaultSelector()
-        self._connections: set[peer_connection.PeerConnection] = set()
-        self._by_node: dict[str, peer_connection.PeerConnection] = {}
         self._subscribers: list[mailbox.Mailbox] = []
         self._last_view: membership.View | None = None
         self._next_view_s = 0.0
-        self._closed_sent_bytes = 0
-        self._closed_received_bytes = 0
 
     def run(self) -> None:
         """Take part until told to stop, then say so and close."""
@@ -148,25 +144,23 @@
     def _turn(self, timeout_s: float) -> None:
         for key, mask in self._selector.select(timeout_s):
             if isinstance(key.data, peer_connection.PeerConnection):
-                self._serve(key.data, mask)
-            elif key.fileobj is self._listener:
-                self._accept()
+                self._on_all(self._peers.serve(key.data, mask))
+            elif key.fileobj is self._peers.listener:
+                self._peers.accept()
         self._handle_mailbox()
         now_s = time.monotonic()
         self._send_all(self._state.tick(now_s))
-        self._close_overdue(now_s)
+        self._on_all(self._peers.close_overdue(now_s))
         self._publish(now_s)
 
     @contextlib.contextmanager
     def _sockets(self) -> typing.Iterator[None]:
-        self._selector.register(self._listener, selectors.EVENT_READ)
+        self._selector.register(self._peers.listener, selectors.EVENT_READ)
         self._selector.register(self.mailbox.fileno(), selectors.EVENT_READ)
         try:
             yield
         finally:
-            for connection in list(self._connections):
-                self._forget(connection)
-            self._listener.close()
+            self._peers.close()
             self._selector.close()
             self.mailbox.close()
 
@@ -211,7 +205,7 @@
         if now_s < self._next_view_s:
             return
         self._next_view_s = now_s + self._view_s
-        self._count_bytes()
+        self._peers.count_bytes()
         view = self._state.view(now_s)
         if view == self._last_view:
             return
@@ -222,16 +216,6 @@
         for subscriber in self._subscribers:
             subscriber.send(Changed(view))
 
-    def _count_bytes(self) -> None:
-        sent_bytes = self._closed_sent_bytes + sum(
-            connection.sent_bytes for connection in self._connections
-        )
-        received_bytes = self._closed_received_bytes + sum(
-            connection.received_bytes for connection in self._connections
-        )
-        self._metrics.set('membership.sent_bytes', sent_bytes)
-        self._metrics.set('membership.received_bytes', received_bytes)
-
     def _log_changes(self, view: membership.View) -> None:
         before = self._last_view.members if self._last_view else ()
         old = {member.node for member in before}
@@ -244,180 +228,34 @@
                 sorted(old - new),
             )
 
-    # Sending.
+    # The peers.
 
     def _send_all(self, sends: list[member_news.Send]) -> None:
         for send in sends:
-            self._send(send)
-
-    def _send(self, send: member_news.Send) -> None:
-        connection = self._by_node.get(send.to.node)
-        if connection is not None and send.fresh:
-            self._metrics.add('membership.redials')
-            self._forget(connection)
-            connection = None
-        if connection is None:
-            connection = self._dial(send.to)
-        if connection is not None:
-            self._metrics.add('membership.sent_messages')
-            connection.send(send.message)
-            self._watch(connection)
-
-    def _dial(
-        self, to: gossip.NodeAddress
-    ) -> peer_connection.PeerConnection | None:
-        if not to.address:
-            # An answer to one whose connection is gone.
-            return None
-        host, _, port = to.address.rpartition(':')
-        endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        endpoint.setblocking(False)
-        endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        endpoint.connect_ex((host, int(port)))
-        connection = self._add(
-            endpoint, peer_proof.Role.DIALER, to.node, to.address
-        )
-        if to.node:
-            self._by_node[to.node] = connection
-        return connection
-
-    # Connections.
-
-    def _accept(self) -> None:
-        try:
-            endpoint, _ = self._listener.accept()
-        except OSError:
-            return
-        unproved = sum(
-            connection.stage is not peer_connection.Stage.READY
-            for connection in self._connections
-        )
-        if unproved >= UNPROVED_PEERS:
-            self._metrics.add('membership.refused')
-            endpoint.close()
-            return
-        endpoint.setblocking(False)
-        endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._add(endpoint, peer_proof.Role.ACCEPTOR)
-
-    def _add(
-        self,
-        endpoint: socket.socket,
-        role: peer_proof.Role,
-        expected: str = '',
-        address: str = '',
-    ) -> peer_connection.PeerConnection:
-        connection = peer_connection.PeerConnection(
-            endpoint,
-            self._identity,
-            role,
-            time.monotonic(),
-            expected,
-            address,
-        )
-        self._connections.add(connection)
-        self._selector.register(
-            endpoint, selectors.EVENT_READ | selectors.EVENT_WRITE, connection
-        )
-        return connection
-
-    def _serve(
-        self, connection: peer_connection.PeerConnection, mask: int
-    ) -> None:
-        if connection not in self._connections:
-            # Forgotten while an earlier event of this turn was served.
-            return
-        if mask & selectors.EVENT_WRITE:
-            failure = connection.write()
-            if failure is not None:
-                self._lose(connection, failure)
-                return
-        if mask & selectors.EVENT_READ:
-            self._read(connection)
-        self._watch(connection)
-
-    def _read(self, connection: peer_connection.PeerConnection) -> None:
-        was_ready = connection.stage is peer_connection.Stage.READY
-        messages = connection.read()
-        if isinstance(messages, outcome.Failure):
-            self._lose(connection, messages)
-            return
-        if connection.stage is not peer_connection.Stage.READY:
-            return
-        if not was_ready:
-            self._by_node[connection.peer] = connection
-        now_s = time.monotonic()
-        connection.used_s = now_s
-        sender = gossip.NodeAddress(connection.peer, connection.address)
-        for message in messages:
-            self._send_all(self._state.receive(sender, message, now_s))
-
-    def _watch(self, connection: peer_connection.PeerConnection) -> None:
-        if connection not in self._connections:
-            return
-        events = selectors.EVENT_READ
-        if connection.wants_to_write:
-            events |= selectors.EVENT_WRITE
-        self._selector.modify(connection.socket, events, connection)
-
-    def _lose(
-        self,
-        connection: peer_connection.PeerConnection,
-        failure: outcome.Failure,
-    ) -> None:
-        self._forget(connection)
-        if failure.reason is outcome.Reason.UNAUTHENTICATED:
-            self._metrics.add('membership.refused')
-            _log.debug('peer refused: {}', failure)
-        if connection.peer:
-            self._state.detector.connection_lost(connection.peer)
-        elif connection.expected:
-            self._metrics.add('membership.dials_failed')
-            self._send_all(
-                self._state.detector.dial_failed(connection.expected)
-            )
-
-    def _forget(self, connection: peer_connection.PeerConnection) -> None:
-        self._connections.discard(connection)
-        for node in (connection.peer, connection.expected):
-            if self._by_node.get(node) is connection:
-                del self._by_node[node]
-        self._closed_sent_bytes += connection.sent_bytes
-        self._closed_received_bytes += connection.received_bytes
-        with contextlib.suppress(KeyError, ValueError):
-            self._selector.unregister(connection.socket)
-        connection.socket.close()
-
-    def _close_overdue(self, now_s: float) -> None:
-        for connection in list(self._connections):
-            if connection.is_overdue(now_s):
-                failure = outcome.Failure(
-                    outcome.Reason.UNAVAILABLE, 'handshake took too long'
+            self._peers.send(send)
+
+    def _on_all(self, events: peer_connections.Events) -> None:
+        for event in events:
+            self._on(event)
+
+    def _on(self, event: peer_connections.Event) -> None:
+        match event:
+            case peer_connections.Received():
+                self._send_all(
+                    self._state.receive(
+                        event.sender, event.message, time.monotonic()
+                    )
                 )
-                self._lose(connection, failure)
-            elif now_s - connection.used_s > IDLE_CLOSE_S:
-                self._forget(connection)
+            case peer_connections.Lost():
+                self._state.detector.connection_lost(event.node)
+            case peer_connections.DialFailed():
+                self._send_all(self._state.detector.dial_failed(event.node))
 
     def _flush(self) -> None:
         end_s = time.monotonic() + FLUSH_S
         while time.monotonic() < end_s:
-            unsent = [c for c in self._connections if c.wants_to_write]
-            if not unsent:
+            if not self._peers.has_unsent:
                 return
             for key, mask in self._selector.select(FLUSH_S / 10):
                 if isinstance(key.data, peer_connection.PeerConnection):
-                    self._serve(key.data, mask)
-
-
-def _listen(host: str, port: int) -> socket.socket:
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host, port))
-    listener.listen(LISTEN_BACKLOG)
-    listener.setblocking(False)
-    return listener
-
-
-def _address_of(endpoint: socket.socket) -> str:
-    host, port = endpoint.getsockname()
-    return f'{host}:{port}'
+                    self._on_all(self._peers.serve(key.data, mask))
--- /dev/null
+++ b/src/guavachute/services/peer_connections.py
@@ -0,0 +1,246 @@
+"""All connections of one node to its peers, in the owner's selector.
+
+What happens on them is returned as events; the owner decides what that
+means. Peers that don't prove the key never become an event.
+"""
+
+import contextlib
+import dataclasses
+import selectors
+import socket
+import time
+
+from guavachute.decide import member_news
+from guavachute.decide import peer_proof
+from guavachute.observe import counters
+from guavachute.observe import logs
+from guavachute import outcome
+from guavachute.services import peer_connection
+from guavachute.wire import gossip
+from guavachute.wire import peer
+
+IDLE_CLOSE_S = 300.0
+"""Longer than a round of probes through the largest failure domain."""
+
+UNPROVED_PEERS = 64
+
+_log = logs.logger('membership')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A message of a peer that has proved the key."""
+
+    sender: gossip.NodeAddress
+    message: gossip.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """A connection to *node* that had worked ended."""
+
+    node: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DialFailed:
+    """*node* could not be reached, or did not prove that it is *node*."""
+
+    node: str
+
+
+Event = Received | Lost | DialFailed
+Events = list[Event]
+
+
+class PeerConnections:
+    """Owns the listening socket and the sockets of all peers.
+
+    :param selector: the owner's; its events for a
+        :class:`peer_connection.PeerConnection` go to :meth:`serve`
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        identity: peer_connection.Identity,
+        selector: selectors.BaseSelector,
+        metrics: counters.Counters,
+    ) -> None:
+        self.listener = peer.listen(host, port)
+        self.address = peer.address_of(self.listener)
+        self._identity = identity
+        self._selector = selector
+        self._metrics = metrics
+        self._connections: set[peer_connection.PeerConnection] = set()
+        self._by_node: dict[str, peer_connection.PeerConnection] = {}
+        self._closed_sent_bytes = 0
+        self._closed_received_bytes = 0
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a message still waits for its socket."""
+        return any(one.wants_to_write for one in self._connections)
+
+    def accept(self) -> None:
+        """Take a connection, unless too many have proved nothing yet."""
+        try:
+            endpoint, _ = self.listener.accept()
+        except OSError:
+            return
+        unproved = sum(
+            connection.stage is not peer_connection.Stage.READY
+            for connection in self._connections
+        )
+        if unproved >= UNPROVED_PEERS:
+            self._metrics.add('membership.refused')
+            endpoint.close()
+            return
+        endpoint.setblocking(False)
+        self._add(endpoint, peer_proof.Role.ACCEPTOR)
+
+    def send(self, send: member_news.Send) -> None:
+        """Send on the open connection, or on a new one."""
+        connection = self._by_node.get(send.to.node)
+        if connection is not None and send.fresh:
+            self._metrics.add('membership.redials')
+            self._forget(connection)
+            connection = None
+        if connection is None:
+            connection = self._dial(send.to)
+        if connection is not None:
+            self._metrics.add('membership.sent_messages')
+            connection.send(send.message)
+            self._watch(connection)
+
+    def serve(
+        self, connection: peer_connection.PeerConnection, mask: int
+    ) -> Events:
+        """Move the bytes that the selector reported."""
+        if connection not in self._connections:
+            # Forgotten while an earlier event of this turn was served.
+            return []
+        events: Events = []
+        if mask & selectors.EVENT_WRITE:
+            failure = connection.write()
+            if failure is not None:
+                return self._lose(connection, failure)
+        if mask & selectors.EVENT_READ:
+            events = self._read(connection)
+        self._watch(connection)
+        return events
+
+    def close_overdue(self, now_s: float) -> Events:
+        """End handshakes that take too long, and idle connections."""
+        events: Events = []
+        for connection in list(self._connections):
+            if connection.is_overdue(now_s):
+                failure = outcome.Failure(
+                    outcome.Reason.UNAVAILABLE, 'handshake took too long'
+                )
+                events += self._lose(connection, failure)
+            elif now_s - connection.used_s > IDLE_CLOSE_S:
+                self._forget(connection)
+        return events
+
+    def count_bytes(self) -> None:
+        """Bring the counters up to date."""
+        sent_bytes = self._closed_sent_bytes + sum(
+            connection.sent_bytes for connection in self._connections
+        )
+        received_bytes = self._closed_received_bytes + sum(
+            connection.received_bytes for connection in self._connections
+        )
+        self._metrics.set('membership.sent_bytes', sent_bytes)
+        self._metrics.set('membership.received_bytes', received_bytes)
+
+    def close(self) -> None:
+        """Close everything."""
+        for connection in list(self._connections):
+            self._forget(connection)
+        self.listener.close()
+
+    def _dial(
+        self, to: gossip.NodeAddress
+    ) -> peer_connection.PeerConnection | None:
+        if not to.address:
+            # An answer to one whose connection is gone.
+            return None
+        host, _, port = to.address.rpartition(':')
+        endpoint = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        endpoint.setblocking(False)
+        endpoint.connect_ex((host, int(port)))
+        connection = self._add(endpoint, peer_proof.Role.DIALER, to)
+        if to.node:
+            self._by_node[to.node] = connection
+        return connection
+
+    def _add(
+        self,
+        endpoint: socket.socket,
+        role: peer_proof.Role,
+        to: gossip.NodeAddress | None = None,
+    ) -> peer_connection.PeerConnection:
+        endpoint.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = peer_connection.PeerConnection(
+            endpoint,
+            self._identity,
+            role,
+            time.monotonic(),
+            to.node if to is not None else '',
+            to.address if to is not None else '',
+        )
+        self._connections.add(connection)
+        self._selector.register(
+            endpoint, selectors.EVENT_READ | selectors.EVENT_WRITE, connection
+        )
+        return connection
+
+    def _read(self, connection: peer_connection.PeerConnection) -> Events:
+        was_ready = connection.stage is peer_connection.Stage.READY
+        messages = connection.read()
+        if isinstance(messages, outcome.Failure):
+            return self._lose(connection, messages)
+        if connection.stage is not peer_connection.Stage.READY:
+            return []
+        if not was_ready:
+            self._by_node[connection.peer] = connection
+        connection.used_s = time.monotonic()
+        sender = gossip.NodeAddress(connection.peer, connection.address)
+        return [Received(sender, message) for message in messages]
+
+    def _watch(self, connection: peer_connection.PeerConnection) -> None:
+        if connection not in self._connections:
+            return
+        events = selectors.EVENT_READ
+        if connection.wants_to_write:
+            events |= selectors.EVENT_WRITE
+        self._selector.modify(connection.socket, events, connection)
+
+    def _lose(
+        self,
+        connection: peer_connection.PeerConnection,
+        failure: outcome.Failure,
+    ) -> Events:
+        self._forget(connection)
+        if failure.reason is outcome.Reason.UNAUTHENTICATED:
+            self._metrics.add('membership.refused')
+            _log.debug('peer refused: {}', failure)
+        if connection.peer:
+            return [Lost(connection.peer)]
+        if connection.expected:
+            self._metrics.add('membership.dials_failed')
+            return [DialFailed(connection.expected)]
+        return []
+
+    def _forget(self, connection: peer_connection.PeerConnection) -> None:
+        self._connections.discard(connection)
+        for node in (connection.peer, connection.expected):
+            if self._by_node.get(node) is connection:
+                del self._by_node[node]
+        self._closed_sent_bytes += connection.sent_bytes
+        self._closed_received_bytes += connection.received_bytes
+        with contextlib.suppress(KeyError, ValueError):
+            self._selector.unregister(connection.socket)
+        connection.socket.close()
