--- a/tests/cover/test_requests.py
+++ b/tests/cover/test_requests.py
@@ -123,6 +123,42 @@
         self.assertEqual((422, 'not-run'), (resent.status, resent.outcome))
         self.assertEqual(2, self.crashed(fleet))
 
+    def test_half_of_the_endpoints_gone_at_once_loses_no_answer(self) -> None:
+        fleet = self.start(engines=6)
+        prompts = [f'plan {number}' for number in range(18)]
+        with concurrent.futures.ThreadPoolExecutor(18) as pool:
+            asked = [
+                pool.submit(self.ask, fleet, prompt, 150) for prompt in prompts
+            ]
+            waiting.until(
+                lambda: fleet.count('first_token.count') >= 18, 'all run'
+            )
+            for one in fleet.engines[:3]:
+                one.crash()
+            for prompt, each in zip(prompts, asked, strict=True):
+                expected = engine_text.expected_text(
+                    small_fleet.MODEL, prompt, 150
+                )
+                self.assertEqual(expected, each.result().text)
+        resent = [self.ask(fleet, prompt, 1) for prompt in prompts]
+        self.assertEqual({200}, {each.status for each in resent})
+
+    def test_a_slow_endpoint_is_ejected(self) -> None:
+        fleet = self.start(engines=4)
+        slow = fleet.engines[0]
+        slow.change(token_gap_s=0.1)
+        with concurrent.futures.ThreadPoolExecutor(16) as pool:
+            asked = [
+                pool.submit(self.ask, fleet, f'plan {number}', 400)
+                for number in range(16)
+            ]
+            waiting.until(
+                lambda: fleet.count('endpoints.ejected.slow') >= 1, 'ejected'
+            )
+            fleet.leave(slow.name)
+            for each in asked:
+                self.assertEqual(200, each.result().status)
+
     def test_a_silent_stream_is_probed_and_resumed(self) -> None:
         fleet = self.start()
         self.fault_everywhere(fleet, faults.Kind.SILENT, after_tokens=9)
