--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -1,6 +1,7 @@
 """Leases and snapshots against a faulty log, and the lease's rules."""
 
 import unittest
+import unittest.mock
 
 import hypothesis
 from hypothesis import stateful
@@ -10,6 +11,7 @@
 from guavachute.decide import lease
 from guavachute.decide import snapshot_duty
 from guavachute import ids
+from guavachute.kernel import clock
 from guavachute.kernel import kernel
 from guavachute import outcome
 from guavachute.services import leases
@@ -54,6 +56,28 @@
         waiting.until(lambda: holds(second), 'b takes over')
         self.assertIsInstance(first.hold('duty'), outcome.Failure)
 
+    def test_a_paused_holder_notices_before_its_next_order(self) -> None:
+        service, _ = self.contend('a', control.LONG_S)
+        self.run_all()
+        waiting.until(lambda: holds(service), 'a holds')
+        late_s = clock.now_s() + control.LONG_S
+        # As after a pause: the task has not run, only the clock has.
+        with unittest.mock.patch.object(clock, 'now_s', lambda: late_s):
+            self.assertIsInstance(service.hold('duty'), outcome.Failure)
+
+    def test_a_slow_log_does_not_cost_the_lease(self) -> None:
+        service, _ = self.contend('a', control.LONG_S / 2)
+        self.run_all()
+        waiting.until(lambda: holds(service), 'a holds')
+        slow = faults.Fault(
+            kind=faults.Kind.STALL, method='POST', count=-1, delay_s=0.5
+        )
+        self.log.faults.add(slow)
+        waiting.until(
+            lambda: len(self.log.records('control')) >= 2, 'a renewal'
+        )
+        self.assertEqual(0, self.counters.value('leases.lost'))
+
     def test_lost_answers_and_doubles_keep_one_holder(self) -> None:
         service, _ = self.contend('a', control.LONG_S)
         self.fault(faults.Kind.LOSE_ANSWER, faults.Kind.DOUBLE, count=3)
--- a/tests/cover/test_log_follower.py
+++ b/tests/cover/test_log_follower.py
@@ -2,8 +2,10 @@
 
 import random
 import time
+import unittest
 
 from guavachute.decide import control_log
+from guavachute.decide import source_choice
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
@@ -173,3 +175,29 @@
             lambda: self.counters.value('log_relay.refused_peers'),
             'the refusal',
         )
+
+
+class SourceChoiceTest(unittest.TestCase):
+    def test_it_takes_the_next_and_returns_to_the_better_one(self) -> None:
+        choice = source_choice.SourceChoice(2)
+        self.assertEqual(0, choice.choose(0.0))
+        choice.failed(0, 0.0, 1.0)
+        self.assertEqual(1, choice.choose(0.0))
+        self.assertFalse(choice.should_return(1.0))
+        self.assertTrue(choice.has_other(1, 1.0))
+        self.assertTrue(choice.should_return(source_choice.RETURN_AFTER_S))
+        choice.failed(1, 0.0, 1.0)
+        self.assertIsNone(choice.choose(0.0))
+        self.assertEqual(0, choice.choose(choice.next_retry_s()))
+
+    def test_a_source_that_fails_again_is_left_alone_longer(self) -> None:
+        choice = source_choice.SourceChoice(1)
+        waits_s = []
+        for _ in range(20):
+            choice.failed(0, 0.0, 1.0)
+            waits_s.append(choice.next_retry_s())
+        self.assertEqual(sorted(waits_s), waits_s)
+        self.assertEqual(source_choice.RETRY.maximum_s, waits_s[-1])
+        choice.worked(0)
+        choice.failed(0, 0.0, 1.0)
+        self.assertEqual(source_choice.RETRY.initial_s, choice.next_retry_s())
