Let nodes carry the fleet duty, with the routers' demand

Cause: the duty had no place in a node process and did not hear what callers ask for.

Change: a node with fleet settings hosts the duty with its own writer and leases; the node's sums of demand and served tokens become the forecast's load (decide/offered). Tests with processes: a holder killed with its answers lost, and one paused while another replaces its VMs.

Conclusion: after the kill and the pause each VM runs once and is explained; roll-outs still lack errors by version from the routers.

--- a/src/guavachute/assembly/node.py
+++ b/src/guavachute/assembly/node.py
@@ -5,6 +5,7 @@
 import time
 import typing
 
+from guavachute.assembly import fleet as fleet_duty
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import kernel
@@ -12,7 +13,9 @@
 from guavachute.platform import log_client
 from guavachute.platform import log_source
 from guavachute.services import claim_server
+from guavachute.services import leases
 from guavachute.services import log_follower
+from guavachute.services import log_writer
 from guavachute.services import membership
 from guavachute.services import node_state
 from guavachute.services import order_claims
@@ -32,6 +35,7 @@
     :ivar claims_port: where routers have their orders decided
     :ivar peer_keys: shared by all nodes; the first is used, any accepted
     :ivar peer_seeds: peers to try before the VM list names any
+    :ivar fleet: None for a node that takes no part in buying VMs
     """
 
     environment: str
@@ -47,6 +51,7 @@
     peer_port: settings.Port = 0
     claims_port: settings.Port = 0
     vm_list_interval_s: settings.Seconds = 1.0
+    fleet: fleet_duty.FleetSettings | None = None
     observe: settings.Observe = settings.Observe()
 
 
@@ -105,6 +110,36 @@
             self.vm_watch,
         ):
             self.kernel.add(service)
+        if wanted.fleet is not None:
+            self._add_fleet(wanted, wanted.fleet)
+
+    def _add_fleet(
+        self, wanted: NodeSettings, fleet_settings: fleet_duty.FleetSettings
+    ) -> None:
+        """Let this node buy VMs, or spend its allowance."""
+        writer = log_writer.LogWriter(
+            'fleet-log-writer', _log_client(wanted, self.count)
+        )
+        lease_task = leases.Leases(
+            'fleet-leases',
+            ids.new_random_id(wanted.node),
+            self.follower,
+            writer,
+            self.count,
+        )
+        duty = fleet_duty.FleetDuty(
+            fleet_settings,
+            ids.EnvironmentName(wanted.environment),
+            ids.NodeId(wanted.node),
+            lease_task,
+            writer,
+            self.follower,
+            self.count,
+            random.Random(),
+        )
+        self.vm_watch.subscribe(duty.fleet.mailbox)
+        for service in (writer, lease_task, *duty.tasks):
+            self.kernel.add(service)
 
     @property
     def address(self) -> str:
--- a/src/guavachute/services/fleet/messages.py
+++ b/src/guavachute/services/fleet/messages.py
@@ -13,6 +13,7 @@
 from guavachute.kernel import mailbox
 from guavachute import outcome
 from guavachute.services import log_writer
+from guavachute.wire import requests
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,6 +37,13 @@
 """Queues an append to the control stream."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandSeen:
+    """The routers' sums, as the node knows them."""
+
+    sums: tuple[requests.DemandSum, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offered:
     """What callers ask for, summed over all routers.
--- a/src/guavachute/services/fleet/picture.py
+++ b/src/guavachute/services/fleet/picture.py
@@ -1,10 +1,12 @@
 """What the fleet's task has heard: log, VM list, engines and callers."""
 
+import collections
 import functools
 import typing
 
 from guavachute.decide import demand
 from guavachute.decide import fleet_view
+from guavachute.decide import offered
 from guavachute.decide import purchases
 from guavachute.decide import replacement_wave
 from guavachute.document import check
@@ -19,6 +21,9 @@
 from guavachute.wire import records
 
 
+SAMPLE_EVERY_S = 5.0
+
+
 class Picture:
     """The newest of everything; owned by the fleet's task.
 
@@ -33,6 +38,7 @@
         self.log_heard_s = now_s
         self.nodes: frozenset[ids.NodeId] = frozenset()
         self.start_ups = drains.StartUps()
+        self._sample: offered.Sample | None = None
         self._document: schema.Document | None = None
         self._document_offset = records.NO_OFFSET
         self._live: frozenset[ids.VmId] = frozenset()
@@ -101,8 +107,34 @@
         self._reports[message.report.endpoint] = message.report
         self.start_ups.seen(message.report, now_s)
 
+    @take.register
+    def _(self, message: messages.DemandSeen, now_s: float) -> None:
+        before, document = self._sample, self._document
+        if before is not None and now_s - before.at_s < SAMPLE_EVERY_S:
+            return
+        self._sample = offered.Sample(now_s, message.sums)
+        if before is None or document is None or not document.models:
+            return
+        gap_s = min(
+            model.token_gap_target_s for model in document.models.values()
+        )
+        rates = offered.rates(before, self._sample, gap_s)
+        models = offered.by_model(document, rates, self._running())
+        pools = offered.by_pool(document, rates, models)
+        self._take_load(messages.Offered(models, pools), now_s)
+
+    def _running(self) -> dict[ids.ModelName, int]:
+        running: collections.Counter[ids.ModelName] = collections.Counter()
+        for report in self._reports.values():
+            for model in report.models:
+                running[model] += report.running
+        return dict(running)
+
     @take.register
     def _(self, message: messages.Offered, now_s: float) -> None:
+        self._take_load(message, now_s)
+
+    def _take_load(self, message: messages.Offered, now_s: float) -> None:
         self._loads = message.by_pool
         for model, tokens_per_s in message.by_model.items():
             self._forecasts[model] = demand.observe(
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -24,6 +24,7 @@
 from guavachute.observe import counters
 from guavachute.observe import logs
 from guavachute.platform import vm_list
+from guavachute.services.fleet import messages as fleet_messages
 from guavachute.services import grant_desk
 from guavachute.services import log_follower
 from guavachute.services import membership
@@ -234,6 +235,9 @@
             sums = demand_sums.known(self._reports, self._view)
             passed = table_server.PassOn(requests.DemandSums(sums=sums))
             self._kernel.send('table-server', passed)
+            if self._kernel.has('fleet'):
+                seen = fleet_messages.DemandSeen(tuple(sums))
+                self._kernel.send('fleet', seen)
 
     # To the peers.
 
--- a/src/guavachute/services/vm_watch.py
+++ b/src/guavachute/services/vm_watch.py
@@ -47,6 +47,10 @@
         self._now = now
         self._readable = True
 
+    def subscribe(self, subscriber: mailbox.Mailbox) -> None:
+        """Tell *subscriber* too; before the start."""
+        self._subscribers.append(subscriber)
+
     def run(self) -> None:
         """Read until stopped."""
         while not self.stopping.is_set():
--- a/tests/support/programs.py
+++ b/tests/support/programs.py
@@ -127,7 +127,9 @@
         self.list_vm(name, address, 'perth-a', 'desk', 'endpoint')
         return program
 
-    def add_node(self, name: str, domain: str = 'perth-a') -> Program:
+    def add_node(
+        self, name: str, domain: str = 'perth-a', **others: typing.Any
+    ) -> Program:
         """Start a node process and list its VM."""
         settings = self.write(
             f'{name}.json',
@@ -140,6 +142,7 @@
                 'vm_list_address': self.vm_list.announced['http'],
                 'vm_list_interval_s': 0.2,
                 'peer_keys': [PEER_KEY],
+                **others,
             },
         )
         program = self.start('node', settings)
