--- a/src/guavachute/services/log_relay.py
+++ b/src/guavachute/services/log_relay.py
@@ -12,6 +12,8 @@
 import socket
 import typing
 
+import msgspec
+
 from guavachute.decide import control_reader
 from guavachute.decide import peer_proof
 from guavachute import ids
@@ -149,7 +151,9 @@
         age_s = clock.now_s() - self._log_heard_s
         is_new = through == records.NO_OFFSET
         if not is_new and self._reaches_back_to(through):
-            fresh = [f.raw for f in self._recent if f.offset > through]
+            fresh = [
+                _without_state(f) for f in self._recent if f.offset > through
+            ]
             served.connection.send(
                 log_relay.RelayRecords(ids.Offset(through + 1), fresh, age_s)
             )
@@ -200,3 +204,21 @@
         self._selector.unregister(served.connection.socket)
         del self._followers[served.connection.socket]
         served.connection.socket.close()
+
+
+def _without_state(folded: control_reader.Folded) -> typing.Any:
+    """The record as a follower needs it.
+
+    Whoever follows has folded all that a snapshot holds, and whoever is
+    new is sent the state itself. In a large fleet snapshots would be
+    most of what a relay sends.
+    """
+    if not isinstance(folded.record, records.Snapshot):
+        return folded.raw
+    through = folded.record.state.through_offset
+    return msgspec.to_builtins(
+        records.Snapshot(
+            record_id=folded.record.record_id,
+            state=records.ControlState(through_offset=through),
+        )
+    )
--- a/tests/cover/test_log_follower.py
+++ b/tests/cover/test_log_follower.py
@@ -131,6 +131,21 @@
         self.append(control.change(2, 0))
         self.assertEqual(1, len(seen.wait_for(2).folded))
 
+    def test_a_relay_leaves_out_what_a_snapshot_holds(self) -> None:
+        relay = self.relay(self.follow())
+        seen = control.Seen(self.follow(control.source_of(relay)))
+        self.run_all()
+        self.append(control.change(1, -1))
+        seen.wait_for(1)
+        self.append(
+            control.snapshot_of(control.change(1, -1)), control.change(2, 0)
+        )
+        seen.wait_for(2)
+        raws = [f.raw for u in seen.updates for f in u.folded]
+        (snapshot,) = [raw for raw in raws if raw['kind'] == 'snapshot']
+        self.assertEqual(0, snapshot['state']['through_offset'])
+        self.assertEqual({}, snapshot['state']['configurations'])
+
     def test_a_follower_leaves_a_relay_that_is_gone(self) -> None:
         relay = self.relay(self.follow())
         direct = log_source.LogSource(self.client())
