Look at all streams less often

Each tenth of a second the relay looked at every stream and counted the demand, which a first token then waited for. The looks are 0.3 s apart and the demand is counted once a second.

--- a/src/guavachute/services/relay/gate.py
+++ b/src/guavachute/services/relay/gate.py
@@ -220,14 +220,18 @@
             total[name] = total.get(name, 0.0) + 1
         return total
 
-    def tick(self, now_s: float) -> None:
-        """Once a second: drain rates, brown-out, limits, gauges."""
+    def tick(self, now_s: float) -> bool:
+        """Once a second: drain rates, brown-out, limits, gauges.
+
+        True when that second was over.
+        """
         if now_s < self._next_tick_s:
-            return
+            return False
         self._next_tick_s = now_s + TICK_S
         for name, pool in self._pools.items():
             self._tick_pool(name, pool, now_s)
         self._set_limits(now_s)
+        return True
 
     def _work_of(
         self, stream: relay_call.Stream, pool: _Pool, now_s: float
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -42,6 +42,10 @@
 from guavachute.wire import tables
 
 SWEEP_INTERVAL_S = 0.1
+CHECK_INTERVAL_S = 0.3
+"""Looking at all streams takes a millisecond or more, which a first token
+then waits."""
+
 EXPORT_TIMEOUT_S = 5.0
 EXPECTED_GAP_S = 0.051
 PACE_TOKENS = 16
@@ -100,6 +104,7 @@
         self._streams: set[relay_call.Stream] = set()
         self._waiting: list[tuple[float, relay_call.Stream]] = []
         self._next_sweep_s = 0.0
+        self._next_check_s = 0.0
         self._tell_idle: list[threading.Event] = []
         self.active = 0
         self.used_tokens: dict[str, float] = {}
@@ -719,10 +724,13 @@
         self._exchanges.sweep(now_s)
         self._start_waiting(now_s)
         self._move_leaving(now_s)
-        self._gate.tick(now_s)
+        if self._gate.tick(now_s):
+            # Replaced, not changed: another thread reads it.
+            self.demand = self._gate.demand()
         self._granter.expire(now_s)
-        # Replaced, not changed: another thread reads it.
-        self.demand = self._gate.demand()
+        if now_s < self._next_check_s:
+            return
+        self._next_check_s = now_s + CHECK_INTERVAL_S
         for stream in list(self._streams):
             if not stream.ended:
                 self._check_time(stream, now_s)
