Own a VM also when the record doesn't name it

Cause: a 'started' record without the VM's id left its intent open, which the fold's own test counts as a purchase made twice.

Change: such a purchase is owned without an id; which VM stays is then decided by the listed ids.

Conclusion: tests.cover.test_control_log passes again, unchanged.

--- a/src/guavachute/decide/control_log.py
+++ b/src/guavachute/decide/control_log.py
@@ -142,7 +142,7 @@
     closed = state.closed_purchases
     intent = state.open_purchases.get(name)
     if record.result == 'started':
-        if intent is None or record.vm is None:
+        if intent is None:
             return state, Verdict.DUPLICATE
         owned[name] = records.OwnedPurchase(intent=intent, vm=record.vm)
     else:
--- a/src/guavachute/decide/purchases.py
+++ b/src/guavachute/decide/purchases.py
@@ -69,7 +69,7 @@
     """Write down that the VM of a purchase is no longer listed."""
 
     vm_name: str
-    vm: ids.VmId
+    vm: ids.VmId | None
     why: str
 
 
@@ -174,7 +174,7 @@
             if now_s - seen_s >= UNKNOWN_GRACE_S:
                 yield EndVm(vm.vm, name, 'the log holds no such purchase')
         return
-    elif owned.vm != kept.vm:
+    elif owned.vm is not None and owned.vm != kept.vm:
         # The recorded one has gone, a double took its place.
         yield WriteEnded(name, owned.vm, 'another VM has its name')
     for vm in vms:
--- a/src/guavachute/services/fleet/drains.py
+++ b/src/guavachute/services/fleet/drains.py
@@ -88,7 +88,7 @@
         written: list[records.Record] = []
         for name, owned in draining.items():
             waited_s = now_s - self._since_s[name]
-            report = reports.get(ids.EndpointId(owned.vm))
+            report = reports.get(ids.EndpointId(owned.vm or ''))
             idle = report is not None and not report.running
             if (idle and waited_s >= QUIET_S) or waited_s >= DRAIN_LIMIT_S:
                 written.append(
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -122,7 +122,7 @@
         draining = frozenset(
             owned.vm
             for owned in state.owned_purchases.values()
-            if owned.draining
+            if owned.draining and owned.vm is not None
         )
         if draining != self._draining:
             self._draining = draining
--- a/src/guavachute/wire/records.py
+++ b/src/guavachute/wire/records.py
@@ -158,11 +158,12 @@
 class OwnedPurchase(msgspec.Struct, frozen=True, kw_only=True):
     """A purchase whose VM runs.
 
+    :ivar vm: None when the record that it runs didn't say
     :ivar draining: why it is being drained; empty while it isn't
     """
 
     intent: PurchaseIntent
-    vm: ids.VmId
+    vm: ids.VmId | None
     draining: str = ''
 
 
