--- a/src/guavachute/cli/explain.py
+++ b/src/guavachute/cli/explain.py
@@ -40,8 +40,8 @@
         if self.json:
             print(msgspec.json.encode(explained).decode())
         else:
-            for line in explained:
-                print(line_of(line))
+            lines = [line_of(line) for line in explained]
+            print('\n'.join(lines or ['no VM and no order under way']))
         return 0
 
 
--- a/tests/support/programs.py
+++ b/tests/support/programs.py
@@ -20,6 +20,7 @@
 ENVIRONMENT = 'trial'
 PEER_KEY = 'a key that all nodes of a test share'
 MODEL = 'needle-llm'
+QUIET = {'log_level': 'error'}
 
 
 @dataclasses.dataclass
@@ -142,6 +143,7 @@
                 'vm_list_address': self.vm_list.announced['http'],
                 'vm_list_interval_s': 0.2,
                 'peer_keys': [PEER_KEY],
+                'observe': QUIET,
                 **others,
             },
         )
@@ -161,6 +163,7 @@
                 'failure_domain': domain,
                 'region': 'perth',
                 'node_address': self.nodes[node].announced['tables'],
+                'observe': QUIET,
                 **others,
             },
         )
