Hash the same prompt of a chat as the engines do

Cause: the router joined messages otherwise than the engines, so prefix affinity never matched for chats (read in a review). Change: both use decide.prefix.chat_text; a test compares the blocks of a chat. Before: the test fails; after: it passes.

--- a/src/guavachute/services/request_checks.py
+++ b/src/guavachute/services/request_checks.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from guavachute.decide import answer
+from guavachute.decide import prefix
 from guavachute import ids
 from guavachute import outcome
 
@@ -103,8 +104,8 @@
     """The prompt as one text, for counting and for prefix affinity."""
     if wanted.messages is None:
         return str(wanted.prompt)
-    return '\n'.join(
-        f'{one.role}: {_content_text(one.content)}' for one in wanted.messages
+    return prefix.chat_text(
+        (one.role, _content_text(one.content)) for one in wanted.messages
     )
 
 
--- /dev/null
+++ b/tests/cover/test_request_checks.py
@@ -0,0 +1,35 @@
+"""What the front makes of a request that passed."""
+
+import unittest
+
+from guavachute.decide import prefix
+from guavachute.services import request_checks
+from guavachute.standin import engine_job
+
+
+class PromptTextTest(unittest.TestCase):
+    def test_router_and_engine_hash_the_same_blocks_of_a_chat(self) -> None:
+        messages = [
+            {'role': 'system', 'content': 'Answer the digitiser. ' * 9},
+            {
+                'role': 'user',
+                'content': [{'type': 'text', 'text': 'A crest? ' * 20}],
+            },
+        ]
+        wanted = request_checks.checked_request(
+            {'model': 'needle-llm', 'messages': messages}, chat=True
+        )
+        assert isinstance(wanted, request_checks.ModelRequest)
+        engine = engine_job.CompletionBody(
+            model='needle-llm',
+            messages=[
+                engine_job.ChatMessage(one['role'], one['content'])
+                for one in messages
+            ],
+        )
+        ours = prefix.block_chain(
+            'needle-llm', request_checks.prompt_text(wanted)
+        )
+        theirs = prefix.block_chain('needle-llm', engine.full_prompt())
+        self.assertGreater(len(ours), 4)
+        self.assertEqual(theirs, ours)
