Pass the log on in a tree, and keep its state past the retention

Change: each node serves a relay, names it in its profile, and follows two roots of its failure domain in a tree; leases and the writer are shared by the duties. The drain waits for the news as well. Arguments of the commands stand once.

--- a/src/guavachute/assembly/node.py
+++ b/src/guavachute/assembly/node.py
@@ -15,14 +15,20 @@
 from guavachute.services import claim_server
 from guavachute.services import leases
 from guavachute.services import log_follower
+from guavachute.services import log_relay
+from guavachute.services import log_tree
 from guavachute.services import log_writer
 from guavachute.services import membership
 from guavachute.services import node_state
 from guavachute.services import order_claims
+from guavachute.services import peer_connection
+from guavachute.services import snapshots
 from guavachute.services import table_server
 from guavachute.services import vm_watch
 from guavachute import settings
 
+STAGGER_S = 10.0
+
 
 class NodeSettings(settings.Strict, frozen=True, kw_only=True):
     """Settings of ``guavachute-node``.
@@ -33,6 +39,9 @@
     :ivar port: where routers get their tables and operators ask
     :ivar peer_port: where other nodes connect
     :ivar claims_port: where routers have their orders decided
+    :ivar relay_port: where other nodes follow the log through this one
+    :ivar writes_snapshots: whether this node may take that duty; in a
+        large fleet a few nodes of each failure domain are enough
     :ivar peer_keys: shared by all nodes; the first is used, any accepted
     :ivar peer_seeds: peers to try before the VM list names any
     :ivar fleet: None for a node that takes no part in buying VMs
@@ -50,6 +59,8 @@
     port: settings.Port = 0
     peer_port: settings.Port = 0
     claims_port: settings.Port = 0
+    relay_port: settings.Port = 0
+    writes_snapshots: bool = True
     vm_list_interval_s: settings.Seconds = 1.0
     fleet: fleet_duty.FleetSettings | None = None
     observe: settings.Observe = settings.Observe()
@@ -84,15 +95,43 @@
         self.table_server = table_server.TableServer(
             wanted.host, wanted.port, count, inbox
         )
-        self.membership = _membership(wanted, count)
-        self.membership.mailbox.send(membership.Subscribe(inbox))
+        log = log_source.LogSource(_log_client(wanted, count))
         self.follower = log_follower.LogFollower(
-            'log-follower',
-            [log_source.LogSource(_log_client(wanted, count))],
-            count,
-            random.Random(),
+            'log-follower', [log], count, random.Random()
         )
         self.follower.subscribe(inbox)
+        identity = _identity(wanted)
+        self.log_relay = log_relay.LogRelay(
+            'log-relay',
+            wanted.host,
+            wanted.relay_port,
+            identity,
+            self.follower,
+            count,
+        )
+        self.membership = _membership(wanted, self.log_relay.address, count)
+        self.log_tree = log_tree.LogTree(self.follower, log, identity)
+        for subscriber in (inbox, self.log_tree.mailbox):
+            self.membership.mailbox.send(membership.Subscribe(subscriber))
+        self.writer = log_writer.LogWriter(
+            'log-writer', _log_client(wanted, count)
+        )
+        self.leases = leases.Leases(
+            'leases',
+            ids.new_random_id(wanted.node),
+            self.follower,
+            self.writer,
+            count,
+        )
+        self.snapshots = snapshots.Snapshots(
+            'snapshots',
+            self.follower,
+            self.leases,
+            self.writer,
+            count,
+            # Spreads the contenders after a holder's end.
+            stagger_s=random.uniform(0.0, STAGGER_S),
+        )
         self.vm_watch = vm_watch.VmWatch(
             wanted.vm_list_address,
             wanted.vm_list_interval_s,
@@ -107,9 +146,15 @@
             self.table_server,
             self.state,
             self.follower,
+            self.log_relay,
+            self.log_tree,
+            self.writer,
+            self.leases,
             self.vm_watch,
         ):
             self.kernel.add(service)
+        if wanted.writes_snapshots:
+            self.kernel.add(self.snapshots)
         if wanted.fleet is not None:
             self._add_fleet(wanted, wanted.fleet)
 
@@ -117,28 +162,18 @@
         self, wanted: NodeSettings, fleet_settings: fleet_duty.FleetSettings
     ) -> None:
         """Let this node buy VMs, or spend its allowance."""
-        writer = log_writer.LogWriter(
-            'fleet-log-writer', _log_client(wanted, self.count)
-        )
-        lease_task = leases.Leases(
-            'fleet-leases',
-            ids.new_random_id(wanted.node),
-            self.follower,
-            writer,
-            self.count,
-        )
         duty = fleet_duty.FleetDuty(
             fleet_settings,
             ids.EnvironmentName(wanted.environment),
             ids.NodeId(wanted.node),
-            lease_task,
-            writer,
+            self.leases,
+            self.writer,
             self.follower,
             self.count,
             random.Random(),
         )
         self.vm_watch.subscribe(duty.fleet.mailbox)
-        for service in (writer, lease_task, *duty.tasks):
+        for service in duty.tasks:
             self.kernel.add(service)
 
     @property
@@ -167,8 +202,16 @@
     return log_client.LogClient(wanted.log_address, count, random.Random())
 
 
+def _identity(wanted: NodeSettings) -> peer_connection.Identity:
+    return peer_connection.Identity(
+        wanted.environment,
+        wanted.node,
+        tuple(key.encode() for key in wanted.peer_keys),
+    )
+
+
 def _membership(
-    wanted: NodeSettings, count: counters.Counters
+    wanted: NodeSettings, relay: str, count: counters.Counters
 ) -> membership.Membership:
     return membership.Membership(
         membership.Configuration(
@@ -180,6 +223,7 @@
             region=wanted.region,
             keys=tuple(key.encode() for key in wanted.peer_keys),
             seeds=tuple(wanted.peer_seeds),
+            relay=relay,
         ),
         count,
     )
--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from guavachute.decide import address_answer
 from guavachute.document import schema
 from guavachute.http import server
 from guavachute import ids
@@ -29,9 +30,6 @@
 from guavachute.wire import requests
 from guavachute.wire import tables
 
-ADDRESS_MARGIN_S = 1.0
-"""Beyond the lifetime of an answer, for callers whose clock is slow."""
-
 HAND_OVER_MARGIN_S = 2.0
 PAUSE_S = 0.05
 
@@ -45,6 +43,7 @@
     :ivar node_address: where the VM's node process gives tables
     :ivar reuse_port: share the port with other routers of the VM
     :ivar drain_limit_s: from SIGTERM until callers are handed over
+    :ivar news_delay_s: until all routers know that this one leaves
     """
 
     node: str
@@ -55,6 +54,7 @@
     port: settings.Port = 0
     reuse_port: bool = False
     drain_limit_s: settings.Seconds = 60.0
+    news_delay_s: settings.Seconds = 4.0
     observe: settings.Observe = settings.Observe()
 
 
@@ -133,8 +133,10 @@
         _log.notice('draining')
         self.front.draining.set()
         self.feed.mailbox.send('report')
-        expired_s = time.monotonic() + self._ttl_s + ADDRESS_MARGIN_S
-        _pause_until(min(expired_s, end_s))
+        expire_s = address_answer.drain_wait_s(
+            self._ttl_s, self._settings.news_delay_s
+        )
+        _pause_until(min(time.monotonic() + expire_s, end_s))
         self.server.request_stop()
         idle = threading.Event()
         self.relay.mailbox.send(messages.TellWhenIdle(idle))
--- a/src/guavachute/cli/explain.py
+++ b/src/guavachute/cli/explain.py
@@ -1,12 +1,11 @@
 """``guavachute explain``: why each VM exists."""
 
 import dataclasses
-import pathlib
-import typing
 
 import cappa
 import msgspec
 
+from guavachute.cli import arguments
 from guavachute.cli import fleet_sources
 from guavachute.cli import operator_settings
 from guavachute.decide import fleet_text
@@ -19,15 +18,9 @@
 class ExplainCommand:
     """List the VMs and orders of an environment with their reasons."""
 
-    environment: typing.Annotated[
-        str, cappa.Arg(long=True, help='The environment to ask about.')
-    ]
-    settings: typing.Annotated[
-        pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
-    ] = None
-    json: typing.Annotated[bool, cappa.Arg(long=True, help='Print JSON.')] = (
-        False
-    )
+    environment: arguments.Environment
+    settings: arguments.SettingsPath = None
+    json: arguments.AsJson = False
 
     def __call__(self) -> int:
         """Run the command; the exit status."""
--- a/src/guavachute/cli/plan.py
+++ b/src/guavachute/cli/plan.py
@@ -9,6 +9,7 @@
 import cappa
 import msgspec
 
+from guavachute.cli import arguments
 from guavachute.cli import fleet_sources
 from guavachute.cli import operator_settings
 from guavachute.cli import process
@@ -43,9 +44,7 @@
     minimum number of endpoints.
     """
 
-    environment: typing.Annotated[
-        str, cappa.Arg(long=True, help='The environment to plan.')
-    ]
+    environment: arguments.Environment
     file: typing.Annotated[
         pathlib.Path | None,
         cappa.Arg(long=True, help='Plan this document, not the published.'),
@@ -54,12 +53,8 @@
         list[str],
         cappa.Arg(long=True, help='MODEL=TOKENS_PER_S, for each model.'),
     ] = dataclasses.field(default_factory=list)
-    settings: typing.Annotated[
-        pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
-    ] = None
-    json: typing.Annotated[bool, cappa.Arg(long=True, help='Print JSON.')] = (
-        False
-    )
+    settings: arguments.SettingsPath = None
+    json: arguments.AsJson = False
 
     def __call__(self) -> int:
         """Run the command; the exit status."""
--- a/src/guavachute/cli/publish.py
+++ b/src/guavachute/cli/publish.py
@@ -9,6 +9,7 @@
 
 import cappa
 
+from guavachute.cli import arguments
 from guavachute.cli import operator_settings
 from guavachute.cli import process
 from guavachute.cli import validate
@@ -23,9 +24,6 @@
 
 DIGEST_CHARACTERS = 12
 
-Settings = typing.Annotated[
-    pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
-]
 Wait = typing.Annotated[
     bool, cappa.Arg(long=True, help='Wait until all nodes have it in force.')
 ]
@@ -40,10 +38,8 @@
     """Bring a document into force, unless another one comes first."""
 
     file: pathlib.Path
-    environment: typing.Annotated[
-        str, cappa.Arg(long=True, help='Where it is to be in force.')
-    ]
-    settings: Settings = None
+    environment: arguments.Environment
+    settings: arguments.SettingsPath = None
     wait: Wait = False
     limit_s: Limit = configuration.TIMEOUT_S
     record_id: typing.Annotated[
@@ -86,7 +82,7 @@
     target: typing.Annotated[
         str, cappa.Arg(long='--to', help='Where it is to be in force.')
     ]
-    settings: Settings = None
+    settings: arguments.SettingsPath = None
     wait: Wait = False
     limit_s: Limit = configuration.TIMEOUT_S
 
--- a/src/guavachute/cli/status.py
+++ b/src/guavachute/cli/status.py
@@ -1,12 +1,11 @@
 """``guavachute status``: what each node has in force."""
 
 import dataclasses
-import pathlib
-import typing
 
 import cappa
 import msgspec
 
+from guavachute.cli import arguments
 from guavachute.cli import operator_settings
 from guavachute.cli import process
 from guavachute import outcome
@@ -21,15 +20,9 @@
 class StatusCommand:
     """Show the nodes, the routers, the endpoints and what is in force."""
 
-    environment: typing.Annotated[
-        str, cappa.Arg(long=True, help='The environment to ask about.')
-    ]
-    settings: typing.Annotated[
-        pathlib.Path | None, cappa.Arg(long=True, help='Operator settings.')
-    ] = None
-    json: typing.Annotated[bool, cappa.Arg(long=True, help='Print JSON.')] = (
-        False
-    )
+    environment: arguments.Environment
+    settings: arguments.SettingsPath = None
+    json: arguments.AsJson = False
 
     def __call__(self) -> int:
         """Run the command; the exit status."""
--- /dev/null
+++ b/src/guavachute/services/log_tree.py
@@ -0,0 +1,90 @@
+"""Keeps the follower's sources in step with who is there.
+
+The nodes of a failure domain form a tree: a few read the log, the others
+follow a relay; see :mod:`guavachute.decide.relay_tree`.
+"""
+
+import typing
+
+from guavachute.decide import membership as membership_state
+from guavachute.decide import relay_tree
+from guavachute import ids
+from guavachute.kernel import task
+from guavachute.platform import log_source
+from guavachute.services import log_follower
+from guavachute.services import log_relay_source
+from guavachute.services import membership
+from guavachute.services import peer_connection
+
+START_PEERS = 3
+"""Asked for their state by a process that starts while the log is down."""
+
+
+class LogTree(task.Task):
+    """Tells the follower of this process where to read.
+
+    Messages: :class:`membership.Changed`.
+
+    :param log: the log itself
+    :param identity: proves this node to the relays
+    """
+
+    def __init__(
+        self,
+        follower: log_follower.LogFollower,
+        log: log_source.Source,
+        identity: peer_connection.Identity,
+    ) -> None:
+        super().__init__('log-tree')
+        self._follower = follower
+        self._log = log
+        self._identity = identity
+        self._relays: dict[str, log_relay_source.RelaySource] = {}
+        self._in_use: tuple[typing.Any, ...] = ()
+
+    def run(self) -> None:
+        """Follow the membership until stopped."""
+        while not self.stopping.is_set():
+            message = self.mailbox.receive()
+            if isinstance(message, membership.Changed):
+                self._use(message.view)
+
+    def _use(self, view: membership_state.View) -> None:
+        addresses = {
+            ids.NodeId(member.node): member.profile.relay
+            for member in view.members
+            if member.profile.relay and not member.suspect
+        }
+        me = ids.NodeId(view.me)
+        # The domain and not the region: of other domains only contacts
+        # are known. Each domain then has its own readers of the log.
+        wanted = relay_tree.sources_of(
+            me, ids.Region(view.failure_domain), addresses
+        )
+        relays = [
+            addresses[node] for node in wanted.relays if node in addresses
+        ]
+        others = sorted(
+            address for node, address in addresses.items() if node != me
+        )
+        in_use = (wanted.reads_log, *relays, *others[:START_PEERS])
+        if in_use == self._in_use:
+            return
+        self._in_use = in_use
+        sources: list[log_source.Source] = [
+            self._relay(address) for address in relays
+        ]
+        sources.insert(0 if wanted.reads_log else len(sources), self._log)
+        # Sources of their own: the follower may be reading from the others.
+        peers = [
+            log_relay_source.RelaySource(address, self._identity)
+            for address in others[:START_PEERS]
+        ]
+        self._follower.use_sources(sources, peers)
+
+    def _relay(self, address: str) -> log_relay_source.RelaySource:
+        if address not in self._relays:
+            self._relays[address] = log_relay_source.RelaySource(
+                address, self._identity
+            )
+        return self._relays[address]
--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -110,6 +110,7 @@
     :ivar host: the numeric IP to listen at; *port* 0 picks any
     :ivar keys: shared by all nodes; the first proves, any is accepted
     :ivar seeds: peers' addresses, for the time before the first list
+    :ivar relay: where this node passes the log on; empty if it doesn't
     """
 
     environment: str
@@ -120,6 +121,7 @@
     region: str
     keys: tuple[bytes, ...]
     seeds: tuple[str, ...] = ()
+    relay: str = ''
     limits: suspicion.Limits = suspicion.Limits()
 
 
@@ -156,6 +158,7 @@
                 self.address,
                 configuration.failure_domain,
                 configuration.region,
+                relay=configuration.relay,
             ),
             random.Random(),
             seeds=configuration.seeds,
@@ -227,12 +230,10 @@
                 raise AssertionError(f'unexpected message {message!r}')
 
     def _set_routers(self, message: SetRouters) -> None:
-        profile = gossip.Profile(
-            self.address,
-            self._state.news.failure_domain,
-            self._state.news.profile.region,
-            message.addresses,
-            message.leaving,
+        profile = msgspec.structs.replace(
+            self._state.news.profile,
+            routers=message.addresses,
+            leaving=message.leaving,
         )
         self._state.news.set_profile(profile)
 
--- a/src/guavachute/wire/gossip.py
+++ b/src/guavachute/wire/gossip.py
@@ -31,6 +31,7 @@
     :ivar address: where the member's node process takes peers
     :ivar routers: where callers connect, ``IP:PORT`` each
     :ivar leaving: takes no new callers; still serves those it has
+    :ivar relay: where it passes the log on, ``IP:PORT``; empty if not
     """
 
     address: str
@@ -38,6 +39,7 @@
     region: str
     routers: tuple[str, ...] = ()
     leaving: bool = False
+    relay: str = ''
 
 
 class MemberUpdate(_Compact, frozen=True):
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -188,7 +188,7 @@
 
     def test_another_router_goes_on_from_the_last_event(self) -> None:
         fleet = self.start(routers=2, drain_limit_s=3)
-        response = self.ask(fleet, body_of('a plan', tokens=600))
+        response = self.ask(fleet, body_of('a plan', tokens=1200))
         waiting.until(
             lambda: fleet.count('first_token.count') == 1, 'stream runs'
         )
@@ -201,14 +201,14 @@
         second = read_events(
             self.ask(
                 fleet,
-                body_of('a plan', tokens=600),
+                body_of('a plan', tokens=1200),
                 number=1,
                 **{'Last-Event-ID': first.last_id},
             )
         )
         self.assertTrue(second.done)
-        self.assertEqual(list(range(600)), first.numbers + second.numbers)
-        self.assertEqual(expected('a plan', 600), first.text + second.text)
+        self.assertEqual(list(range(1200)), first.numbers + second.numbers)
+        self.assertEqual(expected('a plan', 1200), first.text + second.text)
 
     def test_a_text_sent_along_is_not_computed_again(self) -> None:
         fleet = self.start(engines=1)
--- a/tests/support/programs.py
+++ b/tests/support/programs.py
@@ -163,6 +163,7 @@
                 'failure_domain': domain,
                 'region': 'perth',
                 'node_address': self.nodes[node].announced['tables'],
+                'news_delay_s': 1.0,
                 'observe': QUIET,
                 **others,
             },
--- a/tests/support/small_fleet.py
+++ b/tests/support/small_fleet.py
@@ -132,6 +132,7 @@
                 region='perth',
                 node_address=publisher.address,
                 drain_limit_s=drain_limit_s,
+                news_delay_s=0.1,
             )
             running_router = stack.enter_context(router.running(wanted))
             fleet.routers.append(running_router)
