--- /dev/null
+++ b/bench/control_site.py
@@ -0,0 +1,153 @@
+"""A site of separate node and router processes on loopback."""
+
+import concurrent.futures
+import contextlib
+import hashlib
+import json
+import pathlib
+import typing
+
+import urllib3
+
+from bench import processes
+
+ENVIRONMENT = 'bench'
+DOMAINS = ('perth-a', 'perth-b', 'bunbury-a')
+REGIONS = {'perth-a': 'perth', 'perth-b': 'perth', 'bunbury-a': 'bunbury'}
+API_KEY = 'key-of-the-bench'
+PEER_KEY = 'a key that all nodes of the bench share'
+ADDRESS_TTL_S = 0.5
+STARTED_AT_ONCE = 10
+WORKSPACES = 5
+
+
+def document(number: int) -> dict[str, typing.Any]:
+    """A document with an order service; each *number* gives another."""
+    digest = hashlib.sha256(API_KEY.encode()).hexdigest()
+    workspaces: dict[str, typing.Any] = {
+        f'workspace-{place}': {'share': 1 + place, 'api_key_digests': []}
+        for place in range(WORKSPACES)
+    }
+    workspaces['workspace-0'] = {
+        'share': number + 1,
+        'api_key_digests': [digest],
+    }
+    call = {'method': 'POST', 'path_prefix': '/jobs', 'idempotent': False}
+    return {
+        'models': {},
+        'services': {
+            'order-desk': {'pool': 'desk', 'calls': [call], 'timeout_s': 5}
+        },
+        'workspaces': workspaces,
+        'pools': {'desk': {'kind': 'service', 'machine_classes': ['c4']}},
+        'policy': {'address_ttl_s': ADDRESS_TTL_S},
+    }
+
+
+class Site:
+    """The processes of a site, which end with *stack*.
+
+    :ivar nodes: by the name of their VM
+    :ivar routers: likewise
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, stack: contextlib.ExitStack
+    ) -> None:
+        self._folder = folder
+        self._stack = stack
+        self._listed: dict[str, dict[str, str]] = {}
+        self.log = self._standin('log')
+        self.vm_list = self._standin('vm-list')
+        self.nodes: dict[str, processes.Program] = {}
+        self.routers: dict[str, processes.Program] = {}
+
+    def add_nodes(self, count: int) -> None:
+        """Start *count* nodes, spread over the failure domains."""
+        names = [f'vm-{number}' for number in range(count)]
+        self.nodes |= self._start_all(names, self._node)
+        for name, program in self.nodes.items():
+            self._list(name, program.announced['peers'], '', 'entry')
+        self._show_list()
+
+    def add_routers(self, names: typing.Iterable[str]) -> None:
+        """Start a router on each of the VMs *names*."""
+        self.routers |= self._start_all(names, self._router)
+
+    def add_desk(self) -> processes.Program:
+        """Start an order service."""
+        desk = self._standin('orders')
+        self._list('desk-0', desk.address, 'desk', 'endpoint')
+        self._show_list()
+        return desk
+
+    def _start_all(
+        self,
+        names: typing.Iterable[str],
+        start: typing.Callable[[str], processes.Program],
+    ) -> dict[str, processes.Program]:
+        names = list(names)
+        with concurrent.futures.ThreadPoolExecutor(STARTED_AT_ONCE) as pool:
+            return dict(zip(names, pool.map(start, names), strict=True))
+
+    def _node(self, name: str) -> processes.Program:
+        return self._start(
+            'node',
+            {
+                'environment': ENVIRONMENT,
+                'log_address': self.log.address,
+                'vm_list_address': self.vm_list.address,
+                'peer_keys': [PEER_KEY],
+            },
+            name,
+        )
+
+    def _router(self, name: str) -> processes.Program:
+        tables_address = self.nodes[name].announced['tables']
+        return self._start('router', {'node_address': tables_address}, name)
+
+    def _start(
+        self, module: str, wanted: dict[str, typing.Any], name: str
+    ) -> processes.Program:
+        domain = domain_of(name)
+        place = {
+            'node': name,
+            'failure_domain': domain,
+            'region': REGIONS[domain],
+            'observe': {'log_level': 'error'},
+        }
+        path = self._folder / f'{module}-{name}.json'
+        path.write_text(json.dumps(wanted | place))
+        return self._stack.enter_context(
+            processes.running(f'guavachute.cli.{module}', str(path))
+        )
+
+    def _standin(self, kind: str) -> processes.Program:
+        return self._stack.enter_context(
+            processes.running('guavachute.cli.standin', kind)
+        )
+
+    def _list(self, vm: str, address: str, pool: str, kind: str) -> None:
+        domain = domain_of(vm)
+        self._listed[vm] = {
+            'vm': vm,
+            'address': address,
+            'failure_domain': domain,
+            'region': REGIONS[domain],
+            'pool': pool,
+            'kind': kind,
+        }
+
+    def _show_list(self) -> None:
+        answer = urllib3.request(
+            'PUT',
+            f'http://{self.vm_list.address}/v1/vms',
+            json={'vms': list(self._listed.values())},
+        )
+        assert answer.status == 200, answer.data
+
+
+def domain_of(name: str) -> str:
+    """The failure domain of a VM, by the number in its name."""
+    number = int(name.rpartition('-')[2])
+    return DOMAINS[number % len(DOMAINS)]
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -18,10 +18,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Program:
-    """A program that runs and the address that it announced."""
+    """A program that runs and the addresses that it announced."""
 
     process: subprocess.Popen[str]
-    address: str
+    announced: dict[str, str]
+
+    @property
+    def address(self) -> str:
+        """Where it serves HTTP."""
+        return self.announced['http']
+
+    def kill(self) -> None:
+        """End it as a failure does."""
+        self.process.kill()
+        self.process.wait(STOP_TIMEOUT_S)
 
     def cpu_s(self) -> float:
         """Processor time used so far."""
@@ -51,7 +61,7 @@
         assert process.stdout is not None
         line = process.stdout.readline()
         assert line, f'{module} ended before it listened'
-        yield Program(process, json.loads(line)['http'])
+        yield Program(process, json.loads(line))
     finally:
         process.terminate()
         try:
