Build the routers' endpoints only when the VM list has changed

A node process decoded the whole VM list each second and built, copied and compared the entries of all engines whenever a member's report had changed, several times a second.

An answer equal to the last is now the same objects again, and the entries are built when the list or what is drained has changed; the time that endpoints have left is filled in when tables are published.

--- /dev/null
+++ b/bench/capacity_membership.py
@@ -0,0 +1,170 @@
+"""Membership's traffic and processor time, from the pure states.
+
+One failure domain of a given size beside seven of three nodes, in
+simulated time: each message is encoded and decoded as between two
+processes, and each node reports a new status every second.
+"""
+
+import random
+import time
+
+from bench import capacity_fit
+from guavachute.decide import member_news
+from guavachute.decide import member_table
+from guavachute.decide import membership
+from guavachute.wire import codec
+from guavachute.wire import gossip
+
+SIZES = (3, 10, 30, 83)
+OTHER_DOMAINS = 7
+OTHER_SIZE = 3
+TICK_S = 0.1
+WARM_S = 60.0
+MEASURED_S = 60.0
+WORKSPACES = ('club', 'mill', 'shop', 'studio', 'yard')
+STREAMS = 300
+TOKENS_PER_S = 5_909
+
+
+class _Network:
+    """Delivers all messages at once and counts what one domain sends."""
+
+    def __init__(self, size: int) -> None:
+        self.now_s = 100.0
+        self._size = size
+        self.sent_bytes = 0
+        self.messages = 0
+        self.cpu_s = 0.0
+        self.sync_bytes = 0
+        self._tokens = 0
+        domains = {f'd0-{number}': 'd0' for number in range(size)}
+        for domain in range(1, 1 + OTHER_DOMAINS):
+            for number in range(OTHER_SIZE):
+                domains[f'd{domain}-{number}'] = f'd{domain}'
+        self._domains = domains
+        self._decoders = {
+            node: codec.Decoder(gossip.Message) for node in domains
+        }
+        listed = [_listed(node, domain) for node, domain in domains.items()]
+        self._states = {
+            node: _state(node, domain, listed, self.now_s)
+            for node, domain in domains.items()
+        }
+
+    def run(self, duration_s: float) -> None:
+        """Let all nodes tick."""
+        steps = round(duration_s / TICK_S)
+        for step in range(steps):
+            self.now_s += TICK_S
+            if step % round(1 / TICK_S) == 0:
+                self._report()
+            for node, state in self._states.items():
+                began_s = time.process_time()
+                sends = state.tick(self.now_s)
+                self._charge(node, began_s)
+                self._deliver(node, sends)
+
+    def forget(self) -> None:
+        """Count from here on."""
+        self.sent_bytes = self.messages = self.sync_bytes = 0
+        self.cpu_s = 0.0
+
+    def members_known(self) -> int:
+        """Present members of the measured domain, seen by its first."""
+        return len(self._states['d0-0'].view(self.now_s).members)
+
+    def _report(self) -> None:
+        self._tokens += TOKENS_PER_S // len(WORKSPACES)
+        for node, state in self._states.items():
+            state.news.set_status(
+                gossip.Status(
+                    node=node,
+                    incarnation=0,
+                    sequence=0,
+                    offset=7,
+                    digest='0123456789ab',
+                    active_requests=STREAMS,
+                    used_tokens=dict.fromkeys(WORKSPACES, self._tokens),
+                    demand=dict.fromkeys(WORKSPACES, 60),
+                )
+            )
+
+    def _charge(self, node: str, began_s: float) -> None:
+        if self._domains[node] == 'd0':
+            self.cpu_s += time.process_time() - began_s
+
+    def _deliver(self, sender: str, sends: list[member_news.Send]) -> None:
+        queue = [(sender, send) for send in sends]
+        while queue:
+            source, send = queue.pop(0)
+            target = send.to.node
+            began_s = time.process_time()
+            raw = codec.encode(send.message)
+            self._charge(source, began_s)
+            if self._domains[source] == 'd0':
+                self.messages += 1
+                self.sent_bytes += len(raw)
+                if isinstance(send.message, gossip.Sync):
+                    self.sync_bytes = max(self.sync_bytes, len(raw))
+            began_s = time.process_time()
+            (message,) = self._decoders[target].feed(raw)
+            answers = self._states[target].receive(
+                gossip.NodeAddress(source, f'{source}:1'), message, self.now_s
+            )
+            self._charge(target, began_s)
+            queue += [(target, answer) for answer in answers]
+
+
+def _listed(node: str, domain: str) -> member_table.ListedVm:
+    return member_table.ListedVm(node, f'{node}:1', domain, 'perth')
+
+
+def _state(
+    node: str,
+    domain: str,
+    listed: list[member_table.ListedVm],
+    now_s: float,
+) -> membership.Membership:
+    state = membership.Membership(
+        node,
+        1,
+        gossip.Profile(
+            '203.0.113.200:18001', domain, 'perth', ('203.0.113.200:18000',)
+        ),
+        random.Random(node),
+    )
+    state.observe_list(listed, now_s)
+    return state
+
+
+def measure() -> capacity_fit.Found:
+    """Traffic and time of one node against its domain's members."""
+    sent, messages, cores, syncs = [], [], [], []
+    for size in SIZES:
+        network = _Network(size)
+        network.run(WARM_S)
+        network.forget()
+        network.run(MEASURED_S)
+        assert network.members_known() == size, 'the members have not met'
+        share = 1 / (size * MEASURED_S)
+        sent.append((size, network.sent_bytes * share))
+        messages.append((size, network.messages * share))
+        cores.append((size, network.cpu_s * share * 100))
+        syncs.append((size, network.sync_bytes))
+    members = 'members of the failure domain'
+    return capacity_fit.Found(
+        slopes={
+            'membership_bytes_per_s': capacity_fit.fit(
+                members, 'bytes sent a second by one node', sent
+            ),
+            'membership_messages_per_s': capacity_fit.fit(
+                members, 'messages sent a second by one node', messages
+            ),
+            'membership_core_percent': capacity_fit.fit(
+                members, '% of a core for the decisions and codec', cores
+            ),
+            'membership_sync_bytes': capacity_fit.fit(
+                members, 'bytes of one whole exchange', syncs
+            ),
+        }
+    )
--- /dev/null
+++ b/bench/capacity_node.py
@@ -0,0 +1,243 @@
+"""The node process: memory, processor time and traffic, by size.
+
+Nine node processes against the number of engines on the VM list, one
+node process against the members of its failure domain, and what a
+change of the configuration costs the whole way.
+"""
+
+import contextlib
+import os
+import pathlib
+import resource
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+from bench import capacity_fit
+from bench import capacity_site
+from bench import processes
+from bench import relay
+
+NODES = 9
+ENGINES = (0, 280, 1400, 2800)
+MEMBERS = (3, 30, 83)
+SETTLE_S = 4.0
+MEASURED_S = 12.0
+CHANGES = 10
+CHANGE_PAUSE_S = 0.3
+STARTS = 5
+WORKSPACES = (10, 100, 400)
+
+
+@contextlib.contextmanager
+def _site(nodes: int) -> typing.Iterator[capacity_site.Site]:
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        site = capacity_site.Site(pathlib.Path(folder), stack)
+        for _ in range(nodes):
+            site.add_node()
+        site.list_engines(0)
+        site.publish(document(0))
+        site.wait_in_force()
+        site.wait_members(nodes)
+        yield site
+
+
+def document(number: int, workspaces: int = 1) -> dict[str, typing.Any]:
+    """A document with *workspaces*; differs with *number*."""
+    made = relay.document()
+    (one,) = made['workspaces'].values()
+    made['workspaces'] = {
+        f'workspace-{each}': {**one, 'share': number + 1}
+        for each in range(workspaces)
+    }
+    return made
+
+
+def _mean(values: typing.Iterable[float]) -> float:
+    return statistics.mean(values)
+
+
+def against_engines() -> capacity_fit.Found:
+    """Nine node processes at rest, and with more and more engines."""
+    memory, cores, listing, in_force, change_cpu = [], [], [], [], []
+    values = {}
+    with _site(NODES) as site:
+        for engines in ENGINES:
+            listing.append((engines, site.list_engines(engines)))
+            time.sleep(SETTLE_S)
+            spent = capacity_site.watch(site.nodes, MEASURED_S)
+            memory.append((engines, _mean(s.resident_mib for s in spent)))
+            cores.append((engines, _mean(s.core_percent for s in spent)))
+            if engines == 0:
+                values = _at_rest(spent)
+            took_s, cpu_s = _changes(site, spent)
+            in_force.append((engines, took_s))
+            change_cpu.append((engines, cpu_s * 1000))
+    engines_text = 'engines on the VM list'
+    return capacity_fit.Found(
+        slopes={
+            'node_memory_by_engines': capacity_fit.fit(
+                engines_text, 'MiB resident, node process', memory
+            ),
+            'node_core_by_engines': capacity_fit.fit(
+                engines_text, '% of a core, node process', cores
+            ),
+            'vm_list_bytes': capacity_fit.fit(
+                engines_text, 'bytes of one answer of the VM list', listing
+            ),
+            'change_in_force_s': capacity_fit.fit(
+                engines_text, 's until a change is in force', in_force
+            ),
+            'node_cpu_by_change': capacity_fit.fit(
+                engines_text, 'ms of processor time a change', change_cpu
+            ),
+        },
+        values=values,
+    )
+
+
+def _at_rest(
+    spent: typing.Sequence[capacity_site.Spent],
+) -> dict[str, capacity_fit.Value]:
+    how = f'{NODES} node processes, no engines, no callers'
+    return {
+        'node_rest_core_percent': capacity_fit.Value(
+            value=_mean(s.core_percent for s in spent),
+            unit='% of a core',
+            how=how,
+        ),
+        'node_rest_gossip_bytes_per_s': capacity_fit.Value(
+            value=_mean(
+                s.counters['membership.sent_bytes']
+                + s.counters['membership.received_bytes']
+                for s in spent
+            ),
+            unit='bytes/s, both ways',
+            how=how,
+        ),
+        'node_rest_log_bytes_per_s': capacity_fit.Value(
+            value=_mean(
+                s.counters.get('log.read_bytes', 0.0) for s in spent
+            ),
+            unit='bytes/s of answers, without HTTP headers',
+            how=how,
+        ),
+    }
+
+
+def _changes(
+    site: capacity_site.Site,
+    rest: typing.Sequence[capacity_site.Spent],
+) -> tuple[float, float]:
+    """Median time to be in force; a node's processor time a change."""
+    before_s = sum(node.cpu_s() for node in site.nodes)
+    began_s = time.monotonic()
+    took = []
+    for number in range(CHANGES):
+        sent_s = time.monotonic()
+        site.publish(document(number))
+        site.wait_in_force()
+        took.append(time.monotonic() - sent_s)
+        time.sleep(CHANGE_PAUSE_S)
+    spent_s = time.monotonic() - began_s
+    used_s = sum(node.cpu_s() for node in site.nodes) - before_s
+    idle_s = sum(s.core_percent / 100 for s in rest) * spent_s
+    each_s = max(0.0, used_s - idle_s) / CHANGES / NODES
+    return statistics.median(took), each_s
+
+
+def against_members() -> capacity_fit.Found:
+    """One node process in failure domains of several sizes."""
+    memory, cores, traffic = [], [], []
+    for size in MEMBERS:
+        with _site(1) as site:
+            site.add_members(size - 1)
+            site.list_engines(0)
+            site.wait_members(size)
+            time.sleep(SETTLE_S)
+            (spent,) = capacity_site.watch(site.nodes, MEASURED_S)
+        memory.append((size, spent.resident_mib))
+        cores.append((size, spent.core_percent))
+        sent = spent.counters['membership.sent_bytes']
+        received = spent.counters['membership.received_bytes']
+        traffic.append((size, sent + received))
+    text = 'members of the failure domain'
+    return capacity_fit.Found(
+        slopes={
+            'node_memory_by_members': capacity_fit.fit(
+                text, 'MiB resident, node process', memory
+            ),
+            'node_core_by_members': capacity_fit.fit(
+                text, '% of a core, node process', cores
+            ),
+            'node_gossip_by_members': capacity_fit.fit(
+                text, 'bytes/s of gossip, both ways', traffic
+            ),
+        }
+    )
+
+
+def start_up() -> capacity_fit.Found:
+    """Processor time and time of a start, and of the operators' command."""
+    times, cpu = [], []
+    with _site(1) as site:
+        for _ in range(STARTS):
+            began_s = time.monotonic()
+            program = site.add_node()
+            times.append(time.monotonic() - began_s)
+            cpu.append(program.cpu_s())
+        command_s, command_mib = _status_command(site)
+    how = f'median of {STARTS}, until it listens'
+    return capacity_fit.Found(
+        values={
+            'node_start_s': capacity_fit.Value(
+                value=statistics.median(times), unit='s', how=how
+            ),
+            'node_start_cpu_s': capacity_fit.Value(
+                value=statistics.median(cpu), unit='s of a core', how=how
+            ),
+            'status_cpu_s': capacity_fit.Value(
+                value=command_s,
+                unit='s of a core',
+                how='one `guavachute status`',
+            ),
+            'status_memory_mib': capacity_fit.Value(
+                value=command_mib,
+                unit='MiB resident at the most',
+                how='one `guavachute status`',
+            ),
+        }
+    )
+
+
+def _status_command(site: capacity_site.Site) -> tuple[float, float]:
+    with tempfile.TemporaryDirectory() as folder:
+        path = relay.settings_file(
+            pathlib.Path(folder),
+            'operator',
+            {
+                'log_address': site.log.address,
+                'nodes': {
+                    capacity_site.ENVIRONMENT: [
+                        node.announced['tables'] for node in site.nodes
+                    ]
+                },
+            },
+        )
+        command = [
+            *(sys.executable, '-m', 'guavachute.cli.operator', 'status'),
+            *('--environment', capacity_site.ENVIRONMENT, '--settings', path),
+        ]
+        process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+        _, code, used = os.wait4(process.pid, 0)
+        process.returncode = os.waitstatus_to_exitcode(code)
+    assert process.returncode == 0, 'guavachute status failed'
+    return _cpu_s(used), used.ru_maxrss / processes.KIB
+
+
+def _cpu_s(used: resource.struct_rusage) -> float:
+    return used.ru_utime + used.ru_stime
--- /dev/null
+++ b/bench/capacity_site.py
@@ -0,0 +1,229 @@
+"""A small site of separate processes for the capacity bench."""
+
+import contextlib
+import dataclasses
+import pathlib
+import random
+import time
+import typing
+
+import msgspec
+import urllib3
+
+from bench import processes
+from bench import relay
+from guavachute.document import check
+from guavachute import ids
+from guavachute.kernel import kernel
+from guavachute.observe import counters
+from guavachute import outcome
+from guavachute.platform import log_client
+from guavachute.platform import node_client
+from guavachute.services import membership
+from guavachute.wire import records
+
+ENVIRONMENT = 'bench'
+PEER_KEY = 'a key that all nodes of the bench share'
+DOMAIN = 'perth-a'
+DOMAINS = 8
+LIMIT_S = 60.0
+POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spent:
+    """What one process used in a stretch of time.
+
+    :ivar core_percent: processor time as % of a core
+    :ivar counters: how much each counter grew, a second
+    """
+
+    core_percent: float
+    resident_mib: float
+    counters: dict[str, float]
+
+
+class Site:
+    """A log, a VM list and the node processes that use them."""
+
+    def __init__(
+        self, folder: pathlib.Path, stack: contextlib.ExitStack
+    ) -> None:
+        self._folder = folder
+        self._stack = stack
+        self.log = self._start('standin', 'log')
+        self.vm_list = self._start('standin', 'vm-list')
+        self.nodes: list[processes.Program] = []
+        self._entries: list[dict[str, typing.Any]] = []
+        self._engines: list[dict[str, typing.Any]] = []
+        self._log_client = stack.enter_context(
+            log_client.connected(
+                self.log.address, counters.Counters(), random.Random(1)
+            )
+        )
+        self.head = records.NO_OFFSET
+
+    def _start(self, module: str, *arguments: str) -> processes.Program:
+        return self._stack.enter_context(
+            processes.running(f'guavachute.cli.{module}', *arguments)
+        )
+
+    def add_node(self) -> processes.Program:
+        """Start a node process and list its VM."""
+        name = f'node-{len(self.nodes)}'
+        path = relay.settings_file(
+            self._folder,
+            name,
+            {
+                'environment': ENVIRONMENT,
+                'node': name,
+                'failure_domain': DOMAIN,
+                'region': 'perth',
+                'log_address': self.log.address,
+                'vm_list_address': self.vm_list.address,
+                'peer_keys': [PEER_KEY],
+            },
+        )
+        program = self._start('node', path)
+        self.nodes.append(program)
+        self._entries.append(_vm(name, program.announced['peers'], 'entry'))
+        return program
+
+    def add_router(self, node: int) -> processes.Program:
+        """Start a router beside a node process."""
+        path = relay.settings_file(
+            self._folder,
+            f'router-{node}',
+            {
+                'node': f'node-{node}',
+                'failure_domain': DOMAIN,
+                'region': 'perth',
+                'node_address': self.nodes[node].announced['tables'],
+                'drain_limit_s': 1.0,
+            },
+        )
+        return self._start('router', path)
+
+    def add_members(self, count: int) -> None:
+        """Other nodes of the failure domain, as tasks of this process."""
+        hosting = kernel.Kernel()
+        for number in range(count):
+            name = f'member-{len(self._entries)}-{number}'
+            member = membership.Membership(
+                membership.Configuration(
+                    environment=ENVIRONMENT,
+                    node=name,
+                    host='127.0.0.1',
+                    port=0,
+                    failure_domain=DOMAIN,
+                    region='perth',
+                    keys=(PEER_KEY.encode(),),
+                    seeds=(self.nodes[0].announced['peers'],),
+                ),
+                counters.Counters(),
+                name,
+            )
+            hosting.add(member)
+            self._entries.append(_vm(name, member.address, 'entry'))
+        self._stack.enter_context(hosting.running())
+
+    def list_engines(self, count: int) -> int:
+        """Put *count* engines on the VM list; the bytes of an answer.
+
+        Nothing listens at their addresses.
+        """
+        self._engines = [
+            _vm(
+                f'vm-{number:05}',
+                f'203.0.113.{number % 250}:8000',
+                'endpoint',
+                f'perth-{chr(ord("a") + number % DOMAINS)}',
+            )
+            for number in range(count)
+        ]
+        url = f'http://{self.vm_list.address}/v1/vms'
+        shown = {'vms': self._entries + self._engines}
+        answer = urllib3.request('PUT', url, json=shown)
+        assert answer.status == 200, answer.data
+        return len(urllib3.request('GET', url).data)
+
+    def publish(self, document: dict[str, typing.Any]) -> int:
+        """Append a change; its bytes in the log."""
+        change = records.ConfigurationChange(
+            record_id=ids.RecordId(ids.new_random_id('change')),
+            environment=ids.EnvironmentName(ENVIRONMENT),
+            supersedes_offset=self.head,
+            document=document,
+            digest=ids.Digest(check.digest_of(document)),
+            author='bench',
+        )
+        done = self._log_client.append(
+            records.CONTROL_STREAM, [change], time.monotonic() + LIMIT_S
+        )
+        assert not isinstance(done, outcome.Failure), done
+        self.head = done.first_offset
+        return len(msgspec.json.encode(change))
+
+    def wait_in_force(self) -> None:
+        """Return when all node processes have the last change."""
+        for node in self.nodes:
+            until(lambda n=node: status(n).offset >= self.head)
+
+    def wait_members(self, count: int) -> None:
+        """Return when all node processes know *count* members."""
+        for node in self.nodes:
+            until(lambda n=node: len(status(n).nodes) >= count)
+
+
+def _vm(
+    name: str, address: str, kind: str, domain: str = DOMAIN
+) -> dict[str, typing.Any]:
+    return {
+        'vm': name,
+        'address': address,
+        'failure_domain': domain,
+        'region': 'perth',
+        'pool': 'needle' if kind == 'endpoint' else '',
+        'kind': kind,
+        'machine_class': 'a10x8',
+    }
+
+
+def status(node: processes.Program) -> typing.Any:
+    """What a node process answers to operators."""
+    answer = node_client.read_status(node.announced['tables'])
+    assert not isinstance(answer, outcome.Failure), answer
+    return answer
+
+
+def until(condition: typing.Callable[[], bool]) -> None:
+    """Wait for *condition*."""
+    end_s = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < end_s, 'the site did not get there'
+        time.sleep(POLL_S)
+
+
+def watch(
+    programs: typing.Sequence[processes.Program], duration_s: float
+) -> list[Spent]:
+    """What each node process spends in *duration_s* of real time."""
+    before = [status(program).counters for program in programs]
+    used_s = [program.cpu_s() for program in programs]
+    began_s = time.monotonic()
+    time.sleep(duration_s)
+    spent_s = time.monotonic() - began_s
+    used_s = [
+        program.cpu_s() - earlier
+        for program, earlier in zip(programs, used_s, strict=True)
+    ]
+    found = []
+    for program, cpu_s, earlier in zip(programs, used_s, before, strict=True):
+        grown = {
+            name: (value - earlier.get(name, 0)) / spent_s
+            for name, value in status(program).counters.items()
+        }
+        found.append(
+            Spent(100 * cpu_s / spent_s, program.resident_mib(), grown)
+        )
+    return found
--- a/src/guavachute/platform/vm_list.py
+++ b/src/guavachute/platform/vm_list.py
@@ -46,12 +46,15 @@
 class VmList(msgspec.Struct, frozen=True):
     """The answer to ``GET /v1/vms``."""
 
-    vms: list[Vm]
+    vms: tuple[Vm, ...]
 
 
 class VmListClient:
     """Reads the list; one request at a time.
 
+    An answer equal to the one before gives the same objects again: the
+    list is long, read often, and mostly unchanged.
+
     :param address: ``IP:PORT`` of the platform's service
     """
 
@@ -60,6 +63,8 @@
         self._http = urllib3.HTTPConnectionPool(
             host, int(port), timeout=TIMEOUT_S, retries=False
         )
+        self._last_body = b''
+        self._last: VmList | None = None
 
     def read(self) -> VmList | outcome.Failure:
         """The list as the platform has it now, which may lag."""
@@ -71,7 +76,11 @@
             return outcome.Failure(
                 outcome.Reason.UNAVAILABLE, f'HTTP status {response.status}'
             )
+        if self._last is not None and response.data == self._last_body:
+            return self._last
         try:
-            return msgspec.json.decode(response.data, type=VmList)
+            self._last = msgspec.json.decode(response.data, type=VmList)
         except (msgspec.ValidationError, msgspec.DecodeError) as error:
             return outcome.Failure(outcome.Reason.UNREADABLE, str(error))
+        self._last_body = response.data
+        return self._last
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -84,6 +84,8 @@
         self._draining: frozenset[str] = frozenset()
         self._reports: tuple[tables.RouterReport, ...] = ()
         self._view: membership_state.View | None = None
+        self._listed: tuple[member_table.ListedVm, ...] = ()
+        self._endpoints: list[tables.EndpointEntry] = []
         self._published: tables.Tables | None = None
         self._told_routers: membership.SetRouters | None = None
         self._told_status: gossip.Status | None = None
@@ -125,6 +127,7 @@
         )
         if draining != self._draining:
             self._draining = draining
+            self._set_endpoints()
             self._changed()
 
     @_take.register
@@ -133,19 +136,13 @@
 
     @_take.register
     def _take_vms(self, message: vm_watch.VmsSeen) -> None:
-        self._vms, self._vms_at_s = message.vms, message.at_s
-        listed = tuple(
-            member_table.ListedVm(
-                vm.vm,
-                vm.address,
-                vm.failure_domain,
-                vm.region,
-                vm.state is vm_list.VmState.LEAVING,
-            )
-            for vm in self._vms
-            if vm.kind is vm_list.VmKind.ENTRY
-        )
-        self._kernel.send(membership.NAME, membership.Listed(listed))
+        self._vms_at_s = message.at_s
+        # Almost every reading gives the list of the one before.
+        if message.vms is not self._vms:
+            self._vms = message.vms
+            self._set_listed()
+            self._set_endpoints()
+        self._kernel.send(membership.NAME, membership.Listed(self._listed))
         self._changed()
 
     @_take.register
@@ -299,22 +296,35 @@
             offset=self._head.offset,
             digest=self._head.digest,
             document=self._head.document,
-            endpoints=self._endpoints(now_s),
+            endpoints=self._endpoints,
             routers=self._routers(),
             claims_address=self._place.claims_address,
         )
-        if self._is_news(view):
+        if view != self._published:
             self._published = view
-            self._kernel.send('table-server', table_server.Publish(view))
+            told = self._with_times(view, now_s)
+            self._kernel.send('table-server', table_server.Publish(told))
 
-    def _is_news(self, view: tables.Tables) -> bool:
-        if self._published is None:
-            return True
-        return _without_times(view) != _without_times(self._published)
+    def _set_listed(self) -> None:
+        self._listed = tuple(
+            member_table.ListedVm(
+                vm.vm,
+                vm.address,
+                vm.failure_domain,
+                vm.region,
+                vm.state is vm_list.VmState.LEAVING,
+            )
+            for vm in self._vms
+            if vm.kind is vm_list.VmKind.ENTRY
+        )
 
-    def _endpoints(self, now_s: float) -> list[tables.EndpointEntry]:
-        age_s = now_s - self._vms_at_s
-        return [
+    def _set_endpoints(self) -> None:
+        """Without what changes by itself as time passes.
+
+        There are thousands, so this is done when the list has changed
+        and not for each change of the members.
+        """
+        self._endpoints = [
             tables.EndpointEntry(
                 endpoint=vm.vm,
                 address=vm.address,
@@ -323,12 +333,29 @@
                 pool=vm.pool,
                 leaving=vm.state is vm_list.VmState.LEAVING
                 or vm.vm in self._draining,
-                leave_in_s=_left_s(vm, age_s),
             )
             for vm in self._vms
             if vm.kind is vm_list.VmKind.ENDPOINT
         ]
 
+    def _with_times(self, view: tables.Tables, now_s: float) -> tables.Tables:
+        """*view* with the time that endpoints have left, from now."""
+        age_s = now_s - self._vms_at_s
+        left_s = {
+            vm.vm: max(vm.leave_in_s - age_s, 0.0)
+            for vm in self._vms
+            if vm.leave_in_s is not None
+        }
+        if not left_s:
+            return view
+        endpoints = [
+            msgspec.structs.replace(
+                entry, leave_in_s=left_s.get(entry.endpoint)
+            )
+            for entry in view.endpoints
+        ]
+        return msgspec.structs.replace(view, endpoints=endpoints)
+
     def _routers(self) -> list[tables.RouterEntry]:
         if self._view is None:
             return []
@@ -343,18 +370,3 @@
             )
             for router in address_answer.known_routers(self._view)
         ]
-
-
-def _left_s(vm: vm_list.Vm, age_s: float) -> float | None:
-    if vm.leave_in_s is None:
-        return None
-    return max(vm.leave_in_s - age_s, 0.0)
-
-
-def _without_times(view: tables.Tables) -> tables.Tables:
-    """*view* without what changes by itself as time passes."""
-    endpoints = [
-        msgspec.structs.replace(entry, leave_in_s=None)
-        for entry in view.endpoints
-    ]
-    return msgspec.structs.replace(view, endpoints=endpoints)
--- a/src/guavachute/services/vm_watch.py
+++ b/src/guavachute/services/vm_watch.py
@@ -65,6 +65,6 @@
             _log.notice('VM list readable again')
         self._readable = True
         self._count.add('vm_list.read')
-        message = VmsSeen(tuple(seen.vms), self._now())
+        message = VmsSeen(seen.vms, self._now())
         for subscriber in self._subscribers:
             subscriber.send(message)
