--- a/bench/capacity_node.py
+++ b/bench/capacity_node.py
@@ -120,9 +120,7 @@
             how=how,
         ),
         'node_rest_log_bytes_per_s': capacity_fit.Value(
-            value=_mean(
-                s.counters.get('log.read_bytes', 0.0) for s in spent
-            ),
+            value=_mean(s.counters.get('log.read_bytes', 0.0) for s in spent),
             unit='bytes/s of answers, without HTTP headers',
             how=how,
         ),
