Put the relay's address behind the limits in a node's configuration

Cause: six tests of the membership service waited in vain: they give the limits by position, and the new field had taken their place. Change: new fields come last.

--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -121,8 +121,8 @@
     region: str
     keys: tuple[bytes, ...]
     seeds: tuple[str, ...] = ()
-    relay: str = ''
     limits: suspicion.Limits = suspicion.Limits()
+    relay: str = ''
 
 
 class Membership(task.Task):
