--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,126 @@
+"""Measures the slopes from which docs/CAPACITY.md is worked out.
+
+``python -m bench.capacity`` runs every part on this machine with small
+stand-ins, prints each slope with its fit, and writes the figures to
+``bench/out/capacity.json`` and ``docs/capacity.json`` and their plot to
+``docs/capacity.svg``. ``--part`` measures some parts again and keeps the
+other figures. Processor time is that of the processes; the time until a
+change is in force and of a start is real time.
+"""
+
+import argparse
+import os
+import pathlib
+import platform
+import sys
+import time
+import typing
+
+from bench import capacity_control
+from bench import capacity_fit
+from bench import capacity_membership
+from bench import capacity_node
+from bench import capacity_router
+
+ROOT = pathlib.Path(__file__).parent.parent
+OUT = ROOT / 'bench' / 'out' / 'capacity.json'
+KEPT = ROOT / 'docs' / 'capacity.json'
+PLOT = ROOT / 'docs' / 'capacity.svg'
+COMMAND = 'python -m bench.capacity'
+
+Part = typing.Callable[[], capacity_fit.Found]
+PARTS: dict[str, Part] = {
+    'tables': capacity_control.of_tables,
+    'log': capacity_control.of_the_log,
+    'orders': capacity_control.of_orders,
+    'planner': capacity_control.of_the_planner,
+    'membership': capacity_membership.measure,
+    'start': capacity_node.start_up,
+    'members': capacity_node.against_members,
+    'engines': capacity_node.against_engines,
+    'target': capacity_node.at_the_target,
+    'router': capacity_router.measure,
+}
+
+
+def run(names: typing.Iterable[str]) -> capacity_fit.Found:
+    """Measure the parts called *names*, printing what each found."""
+    slopes: dict[str, capacity_fit.Slope] = {}
+    values: dict[str, capacity_fit.Value] = {}
+    for name in names:
+        began_s = time.monotonic()
+        found = PARTS[name]()
+        print(f'-- {name}, {time.monotonic() - began_s:.0f} s')
+        for key, slope in found.slopes.items():
+            print(
+                f'{key}: {slope.intercept:.4g} + {slope.slope:.4g} a unit '
+                f'of "{slope.x}" ({slope.y}); r2 {slope.r2:.3f}, '
+                f'{len(slope.points)} points'
+            )
+        for key, value in found.values.items():
+            print(f'{key}: {value.value:.4g} {value.unit} ({value.how})')
+        sys.stdout.flush()
+        slopes.update(found.slopes)
+        values.update(found.values)
+    return capacity_fit.Found(slopes=slopes, values=values)
+
+
+def plot(capacity: capacity_fit.Capacity, path: pathlib.Path) -> None:
+    """Draw each slope with its points; needs the extra ``plot``."""
+    import matplotlib
+
+    matplotlib.use('svg')
+    # The same figures give the same file.
+    matplotlib.rcParams['svg.hashsalt'] = 'capacity'
+    from matplotlib import pyplot
+
+    columns = 4
+    rows = -(-len(capacity.slopes) // columns)
+    figure, axes = pyplot.subplots(
+        rows, columns, figsize=(4 * columns, 3 * rows), squeeze=False
+    )
+    cells = axes.flatten()
+    for cell, (name, slope) in zip(
+        cells, sorted(capacity.slopes.items()), strict=False
+    ):
+        xs = [x for x, _ in slope.points]
+        cell.plot(xs, [y for _, y in slope.points], 'o')
+        ends = [min(xs), max(xs)]
+        cell.plot(ends, [slope.intercept + slope.slope * x for x in ends])
+        cell.set_title(f'{name} (r2 {slope.r2:.2f})', fontsize=8)
+        cell.set_xlabel(slope.x, fontsize=7)
+        cell.set_ylabel(slope.y, fontsize=6)
+        cell.tick_params(labelsize=6)
+    for cell in cells[len(capacity.slopes) :]:
+        cell.set_axis_off()
+    figure.tight_layout()
+    figure.savefig(path, metadata={'Date': None})
+
+
+def main() -> None:
+    """Measure, print and write."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--part', action='append', choices=list(PARTS), default=[]
+    )
+    wanted = parser.parse_args().part
+    found = run(wanted or PARTS)
+    slopes, values = found.slopes, found.values
+    if wanted and KEPT.exists():
+        before = capacity_fit.load(KEPT)
+        slopes = {**before.slopes, **slopes}
+        values = {**before.values, **values}
+    capacity = capacity_fit.Capacity(
+        command=COMMAND,
+        cores=os.cpu_count() or 0,
+        python=platform.python_version(),
+        slopes=slopes,
+        values=values,
+    )
+    for path in (OUT, KEPT):
+        capacity_fit.save(capacity, path)
+    plot(capacity, PLOT)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/capacity_hours.py
@@ -0,0 +1,279 @@
+"""The bad hours, and what breaks first."""
+
+import math
+
+from bench import capacity_lines as lines
+from bench import capacity_roles as roles
+from bench import capacity_target as target
+from guavachute.decide import order_commit
+from guavachute.services.fleet import task as fleet_task
+
+Lines = list[lines.Line]
+
+
+def domain_gone(known: roles.Figures) -> Lines:
+    """A failure domain with its nodes and engines."""
+    lost = target.ENGINES // target.DOMAINS
+    nodes = target.NODES - target.MEMBERS
+    tokens = target.TOKENS_PER_S / nodes
+    by_token = known.slopes['router_core_by_token']
+    return [
+        lines.Line(
+            'router, processor',
+            lines.at(by_token, tokens)
+            + lines.part(
+                known.slopes['router_core_by_request'],
+                target.REQUESTS_PER_S / nodes,
+            ),
+            '% of a core',
+            f'callers ask for addresses again; {nodes} nodes are left',
+            lines.Limit(100, '% (one process uses one core)'),
+        ),
+        lines.Line(
+            'one plan',
+            lines.at(known.slopes['planner_ms'], target.ENGINES),
+            'ms',
+            f'a plan each {fleet_task.PLAN_EVERY_S:.0f} s',
+            lines.Limit(fleet_task.PLAN_EVERY_S * 1000, 'ms'),
+        ),
+        lines.Line(
+            'records to replace the engines',
+            lines.plain(f'{lost} × 2 (intent, result)', lost * 2.0),
+            'appends',
+            'one writer, one record an append',
+        ),
+        lines.Line(
+            'folding them, each node',
+            lines.at(known.slopes['fold_ms'], target.ENGINES).times(
+                lost * 2.0, 'records'
+            ),
+            'ms in all',
+            'the maps of the state are copied for each record',
+        ),
+    ]
+
+
+def reclaimed(known: roles.Figures) -> Lines:
+    """Most of the VMs under notice at once."""
+    count = round(target.ENGINES * target.RECLAIMED_SHARE)
+    return [
+        lines.Line(
+            'node process, processor',
+            lines.measured(known.values['node_reclaim_core_percent']),
+            '% of a core',
+            'the time left changes in each answer of the VM list, so each '
+            'is decoded',
+            roles.CORE,
+        ),
+        lines.Line(
+            'engines under notice',
+            lines.plain(
+                f'{target.ENGINES:,} × {target.RECLAIMED_SHARE}', count
+            ),
+            'engines',
+            'routers stop sending to them; work is refused early, by share',
+        ),
+        lines.Line(
+            'folding the replacements, each node',
+            lines.at(known.slopes['fold_ms'], target.ENGINES).times(
+                count * 2.0, 'records'
+            ),
+            'ms in all',
+            'as above',
+        ),
+    ]
+
+
+def regions_apart(known: roles.Figures) -> Lines:
+    """One region without the log for an hour."""
+    side = target.NODES // target.REGIONS
+    return [
+        lines.Line(
+            'changes that wait for the region',
+            lines.plain(
+                f'{target.CHANGES_PER_DAY:,} / 24', target.CHANGES_PER_HOUR
+            ),
+            'changes',
+            'the cut-off side goes on with its last configuration',
+        ),
+        lines.Line(
+            'bytes over the link when it is back',
+            known.change()
+            .times(target.CHANGES_PER_HOUR, 'changes')
+            .times(side, 'nodes'),
+            'bytes',
+            'every node reads for itself; a relay per region would carry '
+            'them once',
+        ),
+    ]
+
+
+def log_down(known: roles.Figures) -> Lines:
+    """No log for an hour, then all readers at once."""
+    backlog = known.change().times(target.CHANGES_PER_HOUR, 'changes')
+    change = lines.at(known.slopes['node_cpu_by_change'], target.ENGINES)
+    return [
+        lines.Line(
+            'reads of the herd',
+            lines.plain(f'2 streams × {target.NODES}', 2.0 * target.NODES),
+            'reads',
+            'repeats are spread by a back-off with jitter; nothing else '
+            'holds the herd back, for relays are not wired yet',
+        ),
+        lines.Line(
+            'bytes that one node reads',
+            backlog,
+            'bytes',
+            "only where the fleet's reads failed and operators' appends "
+            'did not; else nothing was added',
+        ),
+        lines.Line(
+            'bytes of the herd',
+            backlog.times(target.NODES, 'nodes'),
+            'bytes',
+            'the same',
+        ),
+        lines.Line(
+            'processor of one node, at the most',
+            change.times(target.CHANGES_PER_HOUR, 'changes'),
+            'ms in all',
+            'less where records come in one batch, then one publication',
+        ),
+        lines.Line(
+            'orders',
+            lines.plain('0', 0.0),
+            'orders/s run',
+            'answered `not-run` at once; streams go on',
+        ),
+    ]
+
+
+def all_restarted(known: roles.Figures) -> Lines:
+    """All node processes start at once."""
+    sync = known.slopes['membership_sync_bytes']
+    return [
+        lines.Line(
+            'processor of a start',
+            lines.measured(known.values['node_start_cpu_s']),
+            's of a core',
+            'routers go on with their last tables meanwhile',
+        ),
+        lines.Line(
+            'bytes of the log, all nodes',
+            known.snapshot().times(target.NODES, 'nodes'),
+            'bytes',
+            'the last snapshot, then at most 500 records',
+        ),
+        lines.Line(
+            'bytes of the VM list, all nodes',
+            known.vm_list().times(target.NODES, 'nodes'),
+            'bytes',
+            'all of it at once',
+        ),
+        lines.Line(
+            'one whole exchange of a node',
+            lines.at(sync, target.MEMBERS),
+            'bytes',
+            'one stranger is greeted a second',
+        ),
+    ]
+
+
+def first_to_break(known: roles.Figures) -> list[tuple[str, float, str]]:
+    """What, at which size, of what; the smallest share of the target first.
+
+    Each size is where the fitted line meets the limit, the others at
+    their target.
+    """
+    listing = known.slopes['vm_list_bytes']
+    room = target.NODE_BYTES_PER_S - (
+        known.gossip().value + known.log_reading().value
+    )
+    vms = max(0.0, (room - listing.intercept) / listing.slope)
+    each_s = 1 / order_commit.APPEND_INTERVAL_S
+    found = [
+        (
+            'bytes of control a node: the VM list, read whole each second',
+            vms,
+            target.ENGINES + target.NODES,
+            'VMs on the list',
+        ),
+        (
+            "appends a second: every node's own committer",
+            target.APPENDS_PER_S / each_s,
+            target.NODES,
+            'nodes that take orders at once',
+        ),
+        (
+            'node process, processor (no changes)',
+            _until(
+                target.NODE_CORE_PERCENT,
+                known.core().value,
+                known.slopes['node_core_by_members'].slope,
+                target.MEMBERS,
+            ),
+            target.MEMBERS,
+            'members of a failure domain',
+        ),
+        (
+            'node process, memory',
+            _until(
+                target.NODE_MIB,
+                known.memory().value,
+                known.slopes['node_memory_by_engines'].slope,
+                target.ENGINES,
+            ),
+            target.ENGINES,
+            'engines',
+        ),
+        (
+            'router, one process on one core',
+            _until(
+                100,
+                lines.at(
+                    known.slopes['router_core_by_token'],
+                    target.NODE_TOKENS_PER_S,
+                ).value,
+                known.slopes['router_core_by_token'].slope,
+                target.NODE_TOKENS_PER_S,
+            ),
+            target.NODE_TOKENS_PER_S,
+            'tokens/s a node',
+        ),
+        (
+            'planner, processor of its node',
+            _until(
+                target.NODE_CORE_PERCENT * 10 * fleet_task.PLAN_EVERY_S,
+                lines.at(known.slopes['planner_ms'], target.ENGINES).value,
+                known.slopes['planner_ms'].slope,
+                target.ENGINES,
+            ),
+            target.ENGINES,
+            'engines',
+        ),
+    ]
+    found.sort(key=lambda each: each[1] / each[2])
+    return [
+        (
+            what,
+            size / wanted,
+            f'{_size(size)} {unit}, target {lines.number(wanted)}',
+        )
+        for what, size, wanted, unit in found
+    ]
+
+
+def _size(size: float) -> str:
+    if math.isinf(size):
+        return 'any number of'
+    return lines.number(math.floor(size))
+
+
+def _until(limit: float, value: float, slope: float, at: float) -> float:
+    """Where a line through *value* at *at* meets *limit*.
+
+    Infinite where it does not grow.
+    """
+    if slope <= 0:
+        return math.inf
+    return max(0.0, at + (limit - value) / slope)
--- a/bench/capacity_membership.py
+++ b/bench/capacity_membership.py
@@ -9,6 +9,7 @@
 import time
 
 from bench import capacity_fit
+from bench import capacity_members
 from guavachute.decide import member_news
 from guavachute.decide import member_table
 from guavachute.decide import membership
@@ -21,9 +22,6 @@
 TICK_S = 0.1
 WARM_S = 60.0
 MEASURED_S = 60.0
-WORKSPACES = ('club', 'mill', 'shop', 'studio', 'yard')
-STREAMS = 300
-TOKENS_PER_S = 5_909
 
 
 class _Network:
@@ -36,7 +34,7 @@
         self.messages = 0
         self.cpu_s = 0.0
         self.sync_bytes = 0
-        self._tokens = 0
+        self._second = 0
         domains = {f'd0-{number}': 'd0' for number in range(size)}
         for domain in range(1, 1 + OTHER_DOMAINS):
             for number in range(OTHER_SIZE):
@@ -74,20 +72,9 @@
         return len(self._states['d0-0'].view(self.now_s).members)
 
     def _report(self) -> None:
-        self._tokens += TOKENS_PER_S // len(WORKSPACES)
+        self._second += 1
         for node, state in self._states.items():
-            state.news.set_status(
-                gossip.Status(
-                    node=node,
-                    incarnation=0,
-                    sequence=0,
-                    offset=7,
-                    digest='0123456789ab',
-                    active_requests=STREAMS,
-                    used_tokens=dict.fromkeys(WORKSPACES, self._tokens),
-                    demand=dict.fromkeys(WORKSPACES, 60),
-                )
-            )
+            state.news.set_status(capacity_members.status(node, self._second))
 
     def _charge(self, node: str, began_s: float) -> None:
         if self._domains[node] == 'd0':
--- a/bench/capacity_node.py
+++ b/bench/capacity_node.py
@@ -29,7 +29,18 @@
 CHANGES = 10
 CHANGE_PAUSE_S = 0.3
 STARTS = 5
-WORKSPACES = (10, 100, 400)
+RECLAIMED_SHARE = 0.62
+# What wait4 calls the most memory counts that of the bench itself, from
+# the moment between fork and exec.
+STATUS_CODE = """
+import atexit, sys
+from guavachute.cli import operator
+def peak():
+    with open('/proc/self/status') as lines:
+        print([l for l in lines if 'VmHWM' in l][0], file=sys.stderr)
+atexit.register(peak)
+operator.main()
+"""
 
 
 @contextlib.contextmanager
@@ -120,9 +131,7 @@
             how=how,
         ),
         'node_rest_log_bytes_per_s': capacity_fit.Value(
-            value=_mean(
-                s.counters.get('log.read_bytes', 0.0) for s in spent
-            ),
+            value=_mean(s.counters.get('log.read_bytes', 0.0) for s in spent),
             unit='bytes/s of answers, without HTTP headers',
             how=how,
         ),
@@ -181,6 +190,38 @@
     )
 
 
+def at_the_target() -> capacity_fit.Found:
+    """One node process with as many members and engines as are to come."""
+    with _site(1) as site:
+        site.add_members(MEMBERS[-1] - 1)
+        site.list_engines(ENGINES[-1])
+        site.wait_members(MEMBERS[-1])
+        time.sleep(SETTLE_S)
+        (spent,) = capacity_site.watch(site.nodes, 2 * MEASURED_S)
+        site.list_engines(ENGINES[-1], RECLAIMED_SHARE)
+        time.sleep(SETTLE_S)
+        (reclaim,) = capacity_site.watch(site.nodes, MEASURED_S)
+    how = (
+        f'one node process, {MEMBERS[-1]} members that report each second, '
+        f'{ENGINES[-1]} engines'
+    )
+    return capacity_fit.Found(
+        values={
+            'node_target_core_percent': capacity_fit.Value(
+                value=spent.core_percent, unit='% of a core', how=how
+            ),
+            'node_target_memory_mib': capacity_fit.Value(
+                value=spent.resident_mib, unit='MiB resident', how=how
+            ),
+            'node_reclaim_core_percent': capacity_fit.Value(
+                value=reclaim.core_percent,
+                unit='% of a core',
+                how=f'the same with {RECLAIMED_SHARE:.0%} under notice',
+            ),
+        }
+    )
+
+
 def start_up() -> capacity_fit.Found:
     """Processor time and time of a start, and of the operators' command."""
     times, cpu = [], []
@@ -229,14 +270,19 @@
             },
         )
         command = [
-            *(sys.executable, '-m', 'guavachute.cli.operator', 'status'),
+            *(sys.executable, '-c', STATUS_CODE, 'status'),
             *('--environment', capacity_site.ENVIRONMENT, '--settings', path),
         ]
-        process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
+        process = subprocess.Popen(
+            command, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+        )
+        assert process.stderr is not None
+        peak_kib = int(process.stderr.read().split()[-2])
+        process.stderr.close()
         _, code, used = os.wait4(process.pid, 0)
         process.returncode = os.waitstatus_to_exitcode(code)
     assert process.returncode == 0, 'guavachute status failed'
-    return _cpu_s(used), used.ru_maxrss / processes.KIB
+    return _cpu_s(used), peak_kib / processes.KIB
 
 
 def _cpu_s(used: resource.struct_rusage) -> float:
--- /dev/null
+++ b/bench/capacity_roles.py
@@ -0,0 +1,474 @@
+"""What each role comes to at the target, from the measured slopes."""
+
+from bench import capacity_fit
+from bench import capacity_lines as lines
+from bench import capacity_target as target
+from guavachute.decide import lease
+from guavachute.decide import order_commit
+from guavachute.decide import snapshot_duty
+from guavachute.platform import log_source
+from guavachute.services.fleet import task as fleet_task
+from guavachute.services import leases
+from guavachute.services import log_relay
+
+VM_LIST_PERIOD_S = 1.0
+"""The default of the node's setting ``vm_list_interval_s``."""
+
+CORE = lines.Limit(target.NODE_CORE_PERCENT, '% of a core')
+MEMORY = lines.Limit(target.NODE_MIB, 'MiB (64 MB)')
+TRAFFIC = lines.Limit(target.NODE_BYTES_PER_S, 'bytes/s')
+APPENDS = lines.Limit(target.APPENDS_PER_S, 'appends/s')
+
+Lines = list[lines.Line]
+
+
+class Figures:
+    """The terms that several roles and the bad hours share."""
+
+    def __init__(self, capacity: capacity_fit.Capacity) -> None:
+        self.slopes = capacity.slopes
+        self.values = capacity.values
+
+    def memory(self) -> lines.Term:
+        """Of a node process, MB."""
+        by_members = lines.at(
+            self.slopes['node_memory_by_members'], target.MEMBERS
+        )
+        return by_members + lines.part(
+            self.slopes['node_memory_by_engines'], target.ENGINES
+        )
+
+    def core(self) -> lines.Term:
+        """Of a node process without changes, % of a core."""
+        by_members = lines.at(
+            self.slopes['node_core_by_members'], target.MEMBERS
+        )
+        return by_members + lines.part(
+            self.slopes['node_core_by_engines'], target.ENGINES
+        )
+
+    def core_of_changes(self) -> lines.Term:
+        """What the day's changes add to a node process."""
+        change = lines.at(self.slopes['node_cpu_by_change'], target.ENGINES)
+        return change.times(target.CHANGES_PER_S, 'changes/s').times(
+            0.1, '% per ms/s'
+        )
+
+    def change(self) -> lines.Term:
+        """Bytes of one change."""
+        return lines.at(self.slopes['change_bytes'], target.WORKSPACES)
+
+    def snapshot(self) -> lines.Term:
+        """Bytes of one snapshot."""
+        return lines.at(self.slopes['snapshot_bytes'], target.ENGINES)
+
+    def vm_list(self) -> lines.Term:
+        """Bytes of one answer of the VM list."""
+        return lines.at(
+            self.slopes['vm_list_bytes'], target.ENGINES + target.NODES
+        )
+
+    def gossip(self) -> lines.Term:
+        """Bytes a second of one node, both ways, by the pure states."""
+        sent = self.slopes['membership_bytes_per_s']
+        return lines.at(sent, target.MEMBERS).times(2, 'ways')
+
+    def log_reading(self) -> lines.Term:
+        """Bytes a second that one node reads of the control stream."""
+        rest = self.values['node_rest_log_bytes_per_s'].value
+        empty = lines.plain(f'{lines.number(rest)} (empty answers)', rest)
+        return empty + self.change().times(target.CHANGES_PER_S, 'changes/s')
+
+    def follower(self) -> lines.Term:
+        """Bytes a second from a relay to one follower."""
+        alive = self.values['relay_alive_bytes'].value
+        life = lines.plain(
+            f'{lines.number(alive)} × 1/s (sign of life)',
+            alive / log_relay.ALIVE_PERIOD_S,
+        )
+        return life + self.change().times(target.CHANGES_PER_S, 'changes/s')
+
+
+def node(known: Figures) -> Lines:
+    """The control process of a VM."""
+    list_rate = known.vm_list().times(1 / VM_LIST_PERIOD_S, 'reads/s')
+    return [
+        lines.Line(
+            'memory',
+            known.memory(),
+            'MiB',
+            'membership keeps its own domain only; endpoints are built once',
+            MEMORY,
+        ),
+        lines.Line(
+            'memory, measured whole',
+            lines.measured(known.values['node_target_memory_mib']),
+            'MiB',
+            'the same',
+            MEMORY,
+        ),
+        lines.Line(
+            'processor, no changes',
+            known.core(),
+            '% of a core',
+            'an unchanged VM list is not decoded again; one probe a second',
+            CORE,
+        ),
+        lines.Line(
+            'processor, measured whole',
+            lines.measured(known.values['node_target_core_percent']),
+            '% of a core',
+            'the same',
+            CORE,
+        ),
+        lines.Line(
+            "processor, the day's changes",
+            known.core_of_changes(),
+            '% of a core',
+            'whole tables are sent to the routers of the VM',
+            CORE,
+        ),
+        lines.Line(
+            'processor, both',
+            known.core() + known.core_of_changes(),
+            '% of a core',
+            'the two lines above',
+            CORE,
+        ),
+        lines.Line(
+            'messages of membership',
+            lines.at(
+                known.slopes['membership_messages_per_s'], target.MEMBERS
+            ),
+            'messages/s sent',
+            'one probe a second, whatever the number of members',
+        ),
+        lines.Line(
+            'traffic of membership',
+            known.gossip(),
+            'bytes/s',
+            'news rides on probes within a byte budget; sums between domains',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'traffic of the log',
+            known.log_reading(),
+            'bytes/s',
+            f'long poll, {log_source.POLL_WAIT_S:.0f} s; whole documents',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'traffic of the VM list',
+            list_rate,
+            'bytes/s',
+            'each node reads the whole list each second; no difference '
+            'or relay yet',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'traffic of control, all',
+            known.gossip() + known.log_reading() + list_rate,
+            'bytes/s',
+            'the three lines above',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'start, until it listens',
+            lines.measured(known.values['node_start_s']),
+            's',
+            'imports are most of it',
+        ),
+    ]
+
+
+def router(known: Figures) -> Lines:
+    """One router process on each node."""
+    by_token = lines.at(
+        known.slopes['router_core_by_token'], target.NODE_TOKENS_PER_S
+    )
+    by_request = lines.part(
+        known.slopes['router_core_by_request'], target.NODE_REQUESTS_PER_S
+    )
+    return [
+        lines.Line(
+            'processor',
+            by_token + by_request,
+            '% of a core',
+            'one task with a selector moves all streams; more processes '
+            'behind SO_REUSEPORT',
+            lines.Limit(100, '% (one process uses one core)'),
+        ),
+        lines.Line(
+            'memory',
+            lines.at(
+                known.slopes['router_memory_by_stream'], target.NODE_STREAMS
+            ),
+            'MiB',
+            'no thread for each stream',
+        ),
+        lines.Line(
+            'time between tokens, p95',
+            lines.measured(known.values['router_gap_p95_ms']),
+            'ms',
+            'the stand-in engine alone takes 51 ms; the cores were shared '
+            'with engines, callers and other work',
+            lines.Limit(1000 * target.TOKEN_GAP_S, 'ms'),
+        ),
+        lines.Line(
+            'tables taken in',
+            lines.at(known.slopes['tables_decode_ms'], target.ENGINES),
+            'ms each time',
+            'whole tables over loopback; the router keeps its subset',
+        ),
+        lines.Line(
+            'bytes of the tables',
+            lines.at(known.slopes['tables_bytes'], target.ENGINES),
+            'bytes each time',
+            'loopback only',
+        ),
+    ]
+
+
+def relay(known: Figures) -> Lines:
+    """A relay of the log; not wired into the node process yet."""
+    return [
+        lines.Line(
+            'traffic to one follower',
+            known.follower(),
+            'bytes/s',
+            'records as they come, a sign of life each second',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'traffic to a domain',
+            known.follower().times(target.MEMBERS - 1, 'followers'),
+            'bytes/s',
+            'one relay for all nodes of a domain; needs a tree',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'followers that fit beside membership',
+            _followers(known),
+            'followers',
+            'the fan-out that the tree may have',
+        ),
+    ]
+
+
+def _followers(known: Figures) -> lines.Term:
+    left = target.NODE_BYTES_PER_S - known.gossip().value
+    each = known.follower().value
+    return lines.plain(
+        f'({target.NODE_BYTES_PER_S:,} − {lines.number(known.gossip().value)} '
+        f'− {lines.number(each)} of its own) / {lines.number(each)}',
+        max(0.0, (left - each) / each),
+    )
+
+
+def committer(known: Figures) -> Lines:
+    """Every node process commits claims today."""
+    each_s = 1 / order_commit.APPEND_INTERVAL_S
+    rate = lines.design(each_s, 'appends/s, APPEND_INTERVAL_S')
+    memory = known.slopes['claims_memory_mib']
+    room_mib = target.NODE_MIB - known.memory().value
+    claim = known.values['claim_bytes'].value
+    return [
+        lines.Line(
+            'processor of one full append',
+            lines.at(
+                known.slopes['claims_append_ms'], order_commit.BATCH_RECORDS
+            ),
+            'ms',
+            'claims are batched',
+        ),
+        lines.Line(
+            'appends, every node commits',
+            rate.times(target.NODES, 'nodes'),
+            'appends/s',
+            'as it is wired today, when orders come at every node',
+            APPENDS,
+        ),
+        lines.Line(
+            'appends, a committer per domain',
+            rate.times(target.DOMAINS, 'domains'),
+            'appends/s',
+            'the design; a router can be pointed at any committer',
+            APPENDS,
+        ),
+        lines.Line(
+            'keys that fit in its memory',
+            lines.plain(
+                f'({lines.number(target.NODE_MIB)} − '
+                f'{lines.number(known.memory().value)}) '
+                f'/ {lines.number(memory.slope)}',
+                room_mib / memory.slope,
+            ),
+            'keys',
+            'a key is forgotten after the window of the document',
+        ),
+        lines.Line(
+            'orders that this allows, whole fleet',
+            lines.plain(
+                f'{lines.number(room_mib / memory.slope)} keys / '
+                f'{target.DAY_S:,} s (default window)',
+                room_mib / memory.slope / target.DAY_S,
+            ),
+            'orders/s',
+            'every node folds the one claims stream',
+        ),
+        lines.Line(
+            'orders that the traffic allows, whole fleet',
+            lines.plain(
+                f'{target.NODE_BYTES_PER_S:,} / {lines.number(claim)}',
+                target.NODE_BYTES_PER_S / claim,
+            ),
+            'orders/s',
+            'claims only, answers come on top',
+        ),
+    ]
+
+
+def lease_holder(known: Figures) -> Lines:
+    """The holder of the fleet duty's lease; the snapshot duty."""
+    renewals = lines.plain(
+        f'{lease.RENEWALS_PER_DURATION} / {leases.DURATION_S:.0f} s (design)',
+        lease.RENEWALS_PER_DURATION / leases.DURATION_S,
+    )
+    plan = lines.at(known.slopes['planner_ms'], target.ENGINES)
+    per_s = 1 / fleet_task.PLAN_EVERY_S
+    return [
+        lines.Line(
+            'fleet: processor of the planner',
+            plan.times(per_s, 'plans/s').times(0.1, '% per ms/s'),
+            '% of a core',
+            'one holder plans for the whole environment',
+            CORE,
+        ),
+        lines.Line(
+            'fleet: renewals',
+            renewals,
+            'appends/s',
+            'one lease for each duty',
+            APPENDS,
+        ),
+        lines.Line(
+            'fleet: records of replacements',
+            lines.plain(
+                f'{target.REPLACEMENTS_PER_DAY} × '
+                f'{target.RECORDS_PER_REPLACEMENT} / {target.DAY_S:,} s',
+                target.REPLACEMENTS_PER_DAY
+                * target.RECORDS_PER_REPLACEMENT
+                / target.DAY_S,
+            ),
+            'appends/s',
+            'intent, result, drain, end (design)',
+            APPENDS,
+        ),
+        lines.Line(
+            'fleet: reading of the VM list',
+            known.vm_list().times(1 / fleet_task.IDLE_LIST_S, 'reads/s idle'),
+            'bytes/s',
+            'its own list of the cloud, each '
+            f'{fleet_task.IDLE_LIST_S:.0f} s at rest',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'snapshot: bytes written',
+            known.snapshot().times(1 / snapshot_duty.PERIOD_S, '/s'),
+            'bytes/s',
+            'one writer; read by all that read the log itself',
+            TRAFFIC,
+        ),
+    ]
+
+
+def operators(known: Figures) -> Lines:
+    """One run of the operators' command."""
+    return [
+        lines.Line(
+            'processor of a `status`',
+            lines.measured(known.values['status_cpu_s']),
+            's of a core',
+            'asks one node; members of its domain, sums of the others',
+        ),
+        lines.Line(
+            'memory of a `status`',
+            lines.measured(known.values['status_memory_mib']),
+            'MiB',
+            'the same',
+        ),
+        lines.Line(
+            'bytes of a change',
+            known.change(),
+            'bytes',
+            f'the whole document; {target.WORKSPACES} workspaces assumed',
+        ),
+        lines.Line(
+            'a change in force on a node',
+            lines.at(known.slopes['change_in_force_s'], target.ENGINES),
+            's',
+            'long polls; measured with 9 nodes on one machine, without '
+            "the platform's own delay or that of 660 readers",
+            lines.Limit(target.IN_FORCE_S, 's'),
+        ),
+    ]
+
+
+def platform(known: Figures) -> Lines:
+    """What all of them ask of the platform together."""
+    renewals = lease.RENEWALS_PER_DURATION / leases.DURATION_S
+    replaced = (
+        target.REPLACEMENTS_PER_DAY
+        * target.RECORDS_PER_REPLACEMENT
+        / target.DAY_S
+    )
+    snapshots = 1 / snapshot_duty.PERIOD_S
+    appends = target.CHANGES_PER_S + renewals + replaced + snapshots
+    reads = 2 * target.NODES / log_source.POLL_WAIT_S
+    return [
+        lines.Line(
+            'log: appends without orders',
+            lines.plain(
+                f'{lines.number(target.CHANGES_PER_S)} changes + '
+                f'{lines.number(renewals)} renewals + '
+                f'{lines.number(replaced)} of replacements + '
+                f'{lines.number(snapshots)} snapshots',
+                appends,
+            ),
+            'appends/s',
+            'only durable decisions go through the log',
+            APPENDS,
+        ),
+        lines.Line(
+            'log: reads at rest',
+            lines.plain(
+                f'2 streams × {target.NODES} / '
+                f'{log_source.POLL_WAIT_S:.0f} s (design)',
+                reads,
+            ),
+            'reads/s',
+            'every node reads the log itself; relays are not wired yet',
+        ),
+        lines.Line(
+            'log: bytes read',
+            known.log_reading().times(target.NODES, 'nodes'),
+            'bytes/s',
+            'the same',
+        ),
+        lines.Line(
+            'VM list: bytes read',
+            known.vm_list().times(target.NODES, 'nodes, 1/s each'),
+            'bytes/s',
+            'the same: every node reads it all',
+        ),
+        lines.Line(
+            'weight store: an ordinary day',
+            lines.plain(
+                f'{target.REPLACEMENTS_PER_DAY} / {target.DAY_S:,} s',
+                target.REPLACEMENTS_PER_DAY / target.DAY_S,
+            ),
+            'times the size of the weights a second',
+            'fetches are scheduled at the rate of the store; the size of '
+            'the weights is not given',
+        ),
+    ]
--- a/bench/capacity_site.py
+++ b/bench/capacity_site.py
@@ -10,24 +10,26 @@
 import msgspec
 import urllib3
 
+from bench import capacity_members
 from bench import processes
 from bench import relay
 from guavachute.document import check
 from guavachute import ids
-from guavachute.kernel import kernel
 from guavachute.observe import counters
 from guavachute import outcome
 from guavachute.platform import log_client
 from guavachute.platform import node_client
-from guavachute.services import membership
 from guavachute.wire import records
 
 ENVIRONMENT = 'bench'
 PEER_KEY = 'a key that all nodes of the bench share'
 DOMAIN = 'perth-a'
 DOMAINS = 8
+MEMBERS_PER_PROCESS = 12
+QUIET = {'log_level': 'error'}
 LIMIT_S = 60.0
 POLL_S = 0.02
+NOTICE_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,7 @@
                 'log_address': self.log.address,
                 'vm_list_address': self.vm_list.address,
                 'peer_keys': [PEER_KEY],
+                'observe': QUIET,
             },
         )
         program = self._start('node', path)
@@ -100,37 +103,40 @@
                 'region': 'perth',
                 'node_address': self.nodes[node].announced['tables'],
                 'drain_limit_s': 1.0,
+                'observe': QUIET,
             },
         )
         return self._start('router', path)
 
     def add_members(self, count: int) -> None:
-        """Other nodes of the failure domain, as tasks of this process."""
-        hosting = kernel.Kernel()
-        for number in range(count):
-            name = f'member-{len(self._entries)}-{number}'
-            member = membership.Membership(
-                membership.Configuration(
-                    environment=ENVIRONMENT,
-                    node=name,
-                    host='127.0.0.1',
-                    port=0,
-                    failure_domain=DOMAIN,
-                    region='perth',
-                    keys=(PEER_KEY.encode(),),
-                    seeds=(self.nodes[0].announced['peers'],),
-                ),
-                counters.Counters(),
-                name,
+        """Other nodes of the failure domain, many in few processes."""
+        names = [f'member-{number}' for number in range(count)]
+        for first in range(0, count, MEMBERS_PER_PROCESS):
+            plan = capacity_members.Plan(
+                configuration={
+                    'environment': ENVIRONMENT,
+                    'failure_domain': DOMAIN,
+                    'region': 'perth',
+                },
+                key=PEER_KEY,
+                seed=self.nodes[0].announced['peers'],
+                names=names[first : first + MEMBERS_PER_PROCESS],
             )
-            hosting.add(member)
-            self._entries.append(_vm(name, member.address, 'entry'))
-        self._stack.enter_context(hosting.running())
+            program = self._stack.enter_context(
+                processes.running(
+                    'bench.capacity_members',
+                    told=msgspec.json.encode(plan).decode(),
+                )
+            )
+            for name, address in program.announced.items():
+                self._entries.append(_vm(name, address, 'entry'))
 
-    def list_engines(self, count: int) -> int:
+    def list_engines(self, count: int, leaving: float = 0.0) -> int:
         """Put *count* engines on the VM list; the bytes of an answer.
 
         Nothing listens at their addresses.
+
+        :param leaving: which share of them is under notice
         """
         self._engines = [
             _vm(
@@ -141,6 +147,8 @@
             )
             for number in range(count)
         ]
+        for vm in self._engines[: round(count * leaving)]:
+            vm.update(state='leaving', leave_in_s=NOTICE_S)
         url = f'http://{self.vm_list.address}/v1/vms'
         shown = {'vms': self._entries + self._engines}
         answer = urllib3.request('PUT', url, json=shown)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -208,7 +208,7 @@
     )
 
 
-def _large_view(engines: int, lost_domain: int) -> fleet_plan.PoolView:
+def large_view(engines: int, lost_domain: int) -> fleet_plan.PoolView:
     """A pool of *engines* with one failure domain just lost."""
     source = random.Random(engines)
     models = {
@@ -255,7 +255,8 @@
     )
 
 
-def _large_market() -> fleet_plan.MarketView:
+def large_market() -> fleet_plan.MarketView:
+    """Two classes in each of the failure domains, either market."""
     prices = {}
     for domain in range(DOMAINS):
         for number in range(2):
@@ -274,12 +275,12 @@
 
 def time_planner() -> typing.Iterator[str]:
     """The planner's processor time by size, after a lost domain."""
-    offers = _large_market()
+    offers = large_market()
     policy = schema.Policy()
     medians = []
     yield f'{"engines":>8}{"median ms":>11}{"p95 ms":>9}{"starts":>8}'
     for size in SIZES:
-        view = _large_view(size, lost_domain=0)
+        view = large_view(size, lost_domain=0)
         took_s = []
         for _ in range(ROUNDS):
             before_s = time.process_time()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -18,10 +18,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Program:
-    """A program that runs and the address that it announced."""
+    """A program that runs and what it announced.
+
+    :ivar address: where it takes HTTP; empty for one that takes none
+    :ivar announced: all its addresses, by what they are for
+    """
 
     process: subprocess.Popen[str]
     address: str
+    announced: dict[str, str]
 
     def cpu_s(self) -> float:
         """Processor time used so far."""
@@ -40,18 +45,28 @@
 
 
 @contextlib.contextmanager
-def running(module: str, *arguments: str) -> typing.Iterator[Program]:
-    """Run the program *module* until the end of the block."""
+def running(
+    module: str, *arguments: str, told: str = ''
+) -> typing.Iterator[Program]:
+    """Run the program *module* until the end of the block.
+
+    :param told: one line for its standard input
+    """
     process = subprocess.Popen(
         [sys.executable, '-m', module, *arguments],
+        stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     )
     try:
+        assert process.stdin is not None
         assert process.stdout is not None
+        process.stdin.write(f'{told}\n')
+        process.stdin.close()
         line = process.stdout.readline()
         assert line, f'{module} ended before it listened'
-        yield Program(process, json.loads(line)['http'])
+        announced = json.loads(line)
+        yield Program(process, announced.get('http', ''), announced)
     finally:
         process.terminate()
         try:
