--- a/bench/processes.py
+++ b/bench/processes.py
@@ -50,15 +50,24 @@
 
 
 @contextlib.contextmanager
-def running(module: str, *arguments: str) -> typing.Iterator[Program]:
-    """Run the program *module* until the end of the block."""
+def running(
+    module: str, *arguments: str, told: str = ''
+) -> typing.Iterator[Program]:
+    """Run the program *module* until the end of the block.
+
+    :param told: one line for its standard input
+    """
     process = subprocess.Popen(
         [sys.executable, '-m', module, *arguments],
+        stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
     )
     try:
+        assert process.stdin is not None
         assert process.stdout is not None
+        process.stdin.write(f'{told}\n')
+        process.stdin.close()
         line = process.stdout.readline()
         assert line, f'{module} ended before it listened'
         yield Program(process, json.loads(line))
--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -32,7 +32,7 @@
 NAME = 'membership'
 
 TICKS_PER_PERIOD = 10
-VIEWS_PER_PERIOD = 5
+VIEWS_PER_PERIOD = 2
 FLUSH_S = 0.5
 """For the news that this node leaves to go out before it closes."""
 
