Measure what control costs and how soon callers lose a dead router

The bench gave only publish-to-in-force. It now also has the traffic, processor share and memory of a node at rest, appends against orders, and the time until callers are no longer told of a router that leaves, is killed or dies with its VM, for 3 to 30 nodes, with slopes and targets.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,63 +1,80 @@
 """The control plane in separate processes on loopback: speed and cost.
 
-Prints one table, the slope of each figure over the number of nodes, and a
-line per target met or missed.
+Prints the figures by the number of nodes with the slope of each, then a
+line per target met or missed. Up to 18 of the VMs have a router; each
+node whose VM has one commits that router's claims.
 """
 
 import argparse
 import contextlib
 import pathlib
-import random
 import statistics
 import tempfile
 import time
 import typing
 
+from bench import control_orders
+from bench import control_publish
+from bench import control_rest
+from bench import control_routers
 from bench import control_site
-from bench import control_tables
-from guavachute.document import check
-from guavachute import ids
-from guavachute.observe import counters
-from guavachute.platform import configuration
-from guavachute.platform import log_client
+from bench import control_table
 
+MAIN_SIZE = 9
+SIZES = [3, 9, 18, 30]
+ROUTERS = 18
 PUBLISHES = 20
-PUBLISH_PAUSE_S = 0.2
-TIMEOUT_S = 30.0
-
-
-class Publisher:
-    """Publishes one document after another, as an operator does."""
-
-    def __init__(self, client: log_client.LogClient) -> None:
-        self._client = client
-        self._number = 0
-
-    def publish(self) -> ids.Offset:
-        """Bring another document into force; its offset."""
-        self._number += 1
-        raw = control_site.document(self._number)
-        checked = check.check_raw(raw)
-        assert isinstance(checked, check.Checked), checked
-        change = configuration.Change(
-            environment=ids.EnvironmentName(control_site.ENVIRONMENT),
-            document=checked.raw,
-            digest=checked.digest,
-            author='bench',
-        )
-        deadline_s = time.monotonic() + TIMEOUT_S
-        result = configuration.publish(self._client, change, deadline_s)
-        assert isinstance(result, configuration.Accepted), result
-        return result.offset
-
-
-@contextlib.contextmanager
-def publisher(site: control_site.Site) -> typing.Iterator[Publisher]:
-    """A publisher to the log of *site*."""
-    with log_client.connected(
-        site.log.address, counters.Counters(), random.Random(1)
-    ) as client:
-        yield Publisher(client)
+SETTLE_S = 3.0
+LOAD_S = 4.0
+MIB_PER_MB = 1e6 / 2**20
+OTHER_RATE = 200
+RATES = [50, 100, 200, 400]
+
+
+class Extent(typing.NamedTuple):
+    """How thoroughly a size is measured.
+
+    :ivar reports: publishes after which a node is asked about all
+    :ivar trials: of each way in which a router ends
+    :ivar rates: orders a second
+    """
+
+    rest_s: float
+    reports: int
+    trials: int
+    rates: list[int]
+
+
+MAIN_EXTENT = Extent(20.0, 6, 3, RATES)
+OTHER_EXTENT = Extent(10.0, 3, 1, [OTHER_RATE])
+
+IN_FORCE = 'in force on all, p95, s'
+REPORTED = 'reported by a node of all, longest, s'
+CORE = 'core of a node, %'
+BUSIEST = 'core of the busiest node, %'
+RESIDENT = 'memory of the largest node, MB'
+BYTES = 'bytes/s of a node'
+DEAD_ROUTER = 'killed router named, longest, s'
+DEAD_VM = 'killed VM named, longest, s'
+CUT_OFF = 'leaving router refused too early, s'
+APPENDS = f'appends/s at {OTHER_RATE} orders/s'
+MOST_APPENDS = 'appends/s, highest'
+ORDER_FAULTS = 'orders run twice or told wrongly'
+
+TARGETS = [
+    control_table.Target(IN_FORCE, 4.0),
+    control_table.Target(REPORTED, 4.0),
+    control_table.Target(CORE, 1.2),
+    control_table.Target(RESIDENT, 64.0),
+    control_table.Target(BYTES, 8000.0),
+    control_table.Target(DEAD_ROUTER, 5.0),
+    control_table.Target(DEAD_VM, 5.0),
+    control_table.Target(CUT_OFF, 0.0),
+    control_table.Target(MOST_APPENDS, 300.0),
+    control_table.Target(ORDER_FAULTS, 0.0),
+]
+
+Figures = typing.Iterator[control_table.Figure]
 
 
 @contextlib.contextmanager
@@ -70,34 +87,114 @@
         yield site
 
 
-def in_force_s(site: control_site.Site, source: Publisher) -> list[float]:
-    """From the call to publish until all nodes told their routers."""
-    addresses = [one.announced['tables'] for one in site.nodes.values()]
-    spans_s = []
-    with control_tables.listening(addresses) as listeners:
-        listeners.wait_for_offset(source.publish(), TIMEOUT_S)
-        for _ in range(PUBLISHES):
-            time.sleep(PUBLISH_PAUSE_S)
-            began_s = time.monotonic()
-            offset = source.publish()
-            came_s = listeners.wait_for_offset(offset, TIMEOUT_S)
-            spans_s.append(max(came_s) - began_s)
-    return spans_s
+def measure(nodes: int, extent: Extent) -> Figures:
+    """All figures of a site with *nodes* nodes."""
+    with (
+        site_of(nodes) as site,
+        control_publish.publisher(site.log.address) as source,
+    ):
+        yield from publishing(site, source, extent)
+        time.sleep(SETTLE_S)
+        yield from at_rest(site, OTHER_EXTENT.rest_s, '')
+        desk = site.add_desk()
+        site.add_routers(list(site.nodes)[:ROUTERS])
+        yield control_table.Figure('nodes with a router', len(site.routers))
+        callers = control_routers.Callers(site)
+        callers.wait_ready()
+        if nodes == MAIN_SIZE:
+            yield from at_rest(site, extent.rest_s, ', with router')
+        yield from orders(control_orders.Callers(site, desk), extent)
+        yield from ends(site, callers, extent)
+
+
+def publishing(
+    site: control_site.Site,
+    source: control_publish.Publisher,
+    extent: Extent,
+) -> Figures:
+    """From publishing until in force."""
+    in_force_s = control_publish.in_force_s(site, source, PUBLISHES)
+    median_s = statistics.median(in_force_s)
+    yield control_table.Figure('in force on all, median, s', median_s)
+    p95_s = statistics.quantiles(in_force_s, n=20)[-1]
+    yield control_table.Figure(IN_FORCE, p95_s)
+    reported_s = control_publish.reported_s(site, source, extent.reports)
+    yield from _longest('reported by a node of all', reported_s)
+
+
+def at_rest(site: control_site.Site, rest_s: float, how: str) -> Figures:
+    """What a node process uses."""
+    used = control_rest.measure(site, rest_s)
+    for name, value in (
+        (BYTES, used.bytes_per_s),
+        ('- between nodes', used.peer_bytes_per_s),
+        ('- from the log', used.log_bytes_per_s),
+        ('- from the VM list', used.list_bytes_per_s),
+        (CORE, used.core_share * 100),
+        (BUSIEST, used.highest_core_share * 100),
+        (RESIDENT, used.highest_resident_mib / MIB_PER_MB),
+    ):
+        yield control_table.Figure(name + how, value)
+
+
+def orders(callers: control_orders.Callers, extent: Extent) -> Figures:
+    """Appends against orders."""
+    callers.wait_ready()
+    loads = [callers.load(rate, LOAD_S) for rate in extent.rates]
+    print(control_orders.HEADING)
+    for load in loads:
+        print(load.line(), flush=True)
+        if load.wanted_per_s == OTHER_RATE:
+            yield control_table.Figure(APPENDS, load.appends_per_s)
+    most = max(load.appends_per_s for load in loads)
+    yield control_table.Figure(MOST_APPENDS, most)
+    faults = sum(load.doubled + load.wrong for load in loads)
+    yield control_table.Figure(ORDER_FAULTS, faults)
+
+
+def ends(
+    site: control_site.Site, callers: control_routers.Callers, extent: Extent
+) -> Figures:
+    """Routers that leave, are killed, and die with their VM."""
+    names = list(site.routers)[: extent.trials]
+    leaves = [callers.leave(name) for name in names]
+    site.add_routers(names)
+    callers.wait_ready()
+    killed_s = [callers.router_killed_s(name) for name in names]
+    site.add_routers(names)
+    callers.wait_ready()
+    vm_killed_s = [callers.vm_killed_s(name) for name in names]
+    named_s = [leave.named_s for leave in leaves]
+    yield from _longest('leaving router named', named_s)
+    early_s = max(
+        leave.named_s + control_site.ADDRESS_TTL_S - leave.served_s
+        for leave in leaves
+    )
+    yield control_table.Figure(CUT_OFF, max(0.0, early_s))
+    yield from _longest('killed router named', killed_s)
+    yield from _longest('killed VM named', vm_killed_s)
+
+
+def _longest(name: str, spans_s: list[float]) -> Figures:
+    yield control_table.Figure(
+        f'{name}, median, s', statistics.median(spans_s)
+    )
+    yield control_table.Figure(f'{name}, longest, s', max(spans_s))
 
 
 def main() -> None:
     """Print the table."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--nodes', type=int, nargs='+', default=[9])
-    for count in parser.parse_args().nodes:
-        with site_of(count) as site, publisher(site) as source:
-            spans_s = in_force_s(site, source)
-        median_ms = statistics.median(spans_s) * 1000
-        p95_ms = statistics.quantiles(spans_s, n=20)[-1] * 1000
-        print(
-            f'{count} nodes: in force on all after {median_ms:.0f} ms '
-            f'(median), {p95_ms:.0f} ms (p95)'
-        )
+    parser.add_argument('--nodes', type=int, nargs='+', default=SIZES)
+    table = control_table.Table()
+    for nodes in parser.parse_args().nodes:
+        extent = MAIN_EXTENT if nodes == MAIN_SIZE else OTHER_EXTENT
+        began_s = time.monotonic()
+        print(f'{nodes} nodes', flush=True)
+        table.add(nodes, measure(nodes, extent))
+        print(f'measured in {time.monotonic() - began_s:.0f} s\n', flush=True)
+    print('\n'.join(table.lines()), '\n')
+    print('\n'.join(table.verdicts(MAIN_SIZE, TARGETS)))
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/bench/control_rest.py
@@ -0,0 +1,88 @@
+"""What a node process uses while nothing happens."""
+
+import collections
+import dataclasses
+import statistics
+import time
+
+import urllib3
+
+from bench import control_site
+from bench import processes
+from guavachute.platform import node_client
+from guavachute.wire import status
+
+PEER_BYTES = ('membership.sent_bytes', 'membership.received_bytes')
+LOG_BYTES = ('log.read_bytes',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Means over the node processes.
+
+    :ivar peer_bytes_per_s: sent and received between nodes
+    :ivar log_bytes_per_s: bodies of what the log answered
+    :ivar list_bytes_per_s: bodies of what the VM list answered
+    :ivar highest_core_share: of the busiest node process
+    :ivar highest_resident_mib: of the largest one
+    """
+
+    peer_bytes_per_s: float
+    log_bytes_per_s: float
+    list_bytes_per_s: float
+    core_share: float
+    highest_core_share: float
+    highest_resident_mib: float
+
+    @property
+    def bytes_per_s(self) -> float:
+        """All control traffic of a node that is counted."""
+        return (
+            self.peer_bytes_per_s
+            + self.log_bytes_per_s
+            + self.list_bytes_per_s
+        )
+
+
+def measure(site: control_site.Site, duration_s: float) -> Usage:
+    """Watch the node processes of *site* for *duration_s*."""
+    nodes = list(site.nodes.values())
+    count_before = counters_of(nodes)
+    cpu_before_s = [node.cpu_s() for node in nodes]
+    began_s = time.monotonic()
+    time.sleep(duration_s)
+    cpu_s = [
+        node.cpu_s() - before_s
+        for node, before_s in zip(nodes, cpu_before_s, strict=True)
+    ]
+    lasted_s = time.monotonic() - began_s
+    count = counters_of(nodes)
+    count.subtract(count_before)
+    per_node_s = lasted_s * len(nodes)
+    list_bytes = count['vm_list.read'] * _list_bytes(site)
+    return Usage(
+        sum(count[name] for name in PEER_BYTES) / per_node_s,
+        sum(count[name] for name in LOG_BYTES) / per_node_s,
+        list_bytes / per_node_s,
+        statistics.mean(cpu_s) / lasted_s,
+        max(cpu_s) / lasted_s,
+        max(node.resident_mib() for node in nodes),
+    )
+
+
+def counters_of(
+    nodes: list[processes.Program],
+) -> collections.Counter[str]:
+    """The counters of all *nodes* added up."""
+    total: collections.Counter[str] = collections.Counter()
+    for node in nodes:
+        reply = node_client.read_status(node.announced['tables'])
+        assert isinstance(reply, status.StatusReply), reply
+        for name, value in reply.counters.items():
+            total[name] += int(value)
+    return total
+
+
+def _list_bytes(site: control_site.Site) -> int:
+    answer = urllib3.request('GET', f'http://{site.vm_list.address}/v1/vms')
+    return len(answer.data)
--- /dev/null
+++ b/bench/control_routers.py
@@ -0,0 +1,143 @@
+"""How soon callers are no longer told of a router that dies or leaves."""
+
+import concurrent.futures
+import dataclasses
+import socket
+import time
+import typing
+
+import urllib3
+
+from bench import control_site
+from bench import processes
+
+POLL_PAUSE_S = 0.02
+QUIET_S = 2.0
+"""Watched on after it was last named, for it could be named again."""
+
+LIMIT_S = 40.0
+HINTS = 50
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """What callers saw of a router that was told to stop.
+
+    :ivar named_s: from the signal until no other router named it
+    :ivar served_s: from the signal until it took no connection any more
+    """
+
+    named_s: float
+    served_s: float
+
+
+class Callers:
+    """Asks the routers of a site for addresses, as callers do."""
+
+    def __init__(self, site: control_site.Site) -> None:
+        self._site = site
+        self._http = urllib3.PoolManager(
+            num_pools=len(site.routers), retries=False
+        )
+
+    def wait_ready(self) -> None:
+        """Return when each router is named by all others."""
+        deadline_s = time.monotonic() + control_site.READY_LIMIT_S
+        for name in self._site.routers:
+            while self._hint(name) is None:
+                assert time.monotonic() < deadline_s, f'{name} is not named'
+                time.sleep(POLL_PAUSE_S)
+
+    def router_killed_s(self, name: str) -> float:
+        """Kill the router process of *name*; until nobody names it."""
+        return self._named_s(name, self._site.routers[name].kill)
+
+    def vm_killed_s(self, name: str) -> float:
+        """Kill both processes of *name*; until nobody names its router."""
+
+        def kill() -> None:
+            self._site.nodes[name].kill()
+            self._site.routers[name].kill()
+
+        return self._named_s(name, kill)
+
+    def leave(self, name: str) -> Leave:
+        """Tell the router of *name* to stop."""
+        router = self._site.routers[name]
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            began_s = time.monotonic()
+            served = executor.submit(_refused_s, router.address, began_s)
+            named_s = self._named_s(name, router.process.terminate)
+            leave = Leave(named_s, served.result())
+        router.process.wait(processes.STOP_TIMEOUT_S)
+        return leave
+
+    def _named_s(self, name: str, end: typing.Callable[[], None]) -> float:
+        hint = self._hint(name)
+        assert hint is not None, f'{name} is not named at the start'
+        address = self._site.routers[name].address
+        others = self._others(name)
+        began_s = named_s = time.monotonic()
+        end()
+        while time.monotonic() < named_s + QUIET_S:
+            for other in others:
+                if address in self._addresses(other, hint):
+                    named_s = time.monotonic()
+            assert named_s < began_s + LIMIT_S, f'{name} is named for ever'
+            time.sleep(POLL_PAUSE_S)
+        return named_s - began_s
+
+    def _hint(self, name: str) -> str | None:
+        """A hint for which all other routers name that of *name*.
+
+        An answer holds only some of the addresses; which ones depends on
+        the hint.
+        """
+        address = self._site.routers[name].address
+        others = self._others(name)
+        for number in range(HINTS):
+            hint = f'hint-{number}'
+            if all(address in self._addresses(one, hint) for one in others):
+                return hint
+        return None
+
+    def _others(self, name: str) -> list[str]:
+        return [
+            router.address
+            for other, router in self._site.routers.items()
+            if other != name and router.process.poll() is None
+        ]
+
+    def _addresses(self, router: str, hint: str) -> set[str]:
+        answer = self._http.request(
+            'GET',
+            f'http://{router}/v1/addresses?affinity={hint}',
+            headers={'Authorization': f'Bearer {control_site.API_KEY}'},
+            timeout=REQUEST_TIMEOUT_S,
+        )
+        if answer.status != 200:
+            return set()
+        return {one['address'] for one in answer.json()['addresses']}
+
+
+def _refused_s(address: str, began_s: float) -> float:
+    """From *began_s* until *address* takes no connection."""
+    host, _, port = address.rpartition(':')
+    target = (host, int(port))
+    while _takes_connections(target):
+        assert time.monotonic() < began_s + LIMIT_S, f'{address} serves on'
+        time.sleep(POLL_PAUSE_S)
+    return time.monotonic() - began_s
+
+
+def _takes_connections(target: tuple[str, int]) -> bool:
+    try:
+        socket.create_connection(target, CONNECT_TIMEOUT_S).close()
+    except ConnectionError:
+        return False
+    except TimeoutError:
+        # Busy or its queue is full, but there.
+        return True
+    return True
--- a/bench/control_site.py
+++ b/bench/control_site.py
@@ -18,6 +18,7 @@
 PEER_KEY = 'a key that all nodes of the bench share'
 ADDRESS_TTL_S = 0.5
 STARTED_AT_ONCE = 10
+READY_LIMIT_S = 40.0
 WORKSPACES = 5
 
 
