Begin a bench of the routers' policies under load

Cause: nothing measured the policies together, beside plain ones.

Change: bench.requests runs one script of callers, with a fixed seed, against nine routers and their nodes with ten engines, and against two plain balancers (by turns, least outstanding). The first scenario is steady load. The load generator gives its figures by label and knows the first token.

--- /dev/null
+++ b/bench/baseline_router.py
@@ -0,0 +1,239 @@
+"""A plain balancer: no queue, no shares, no retry and no resume.
+
+Chooses by turns or by the fewest outstanding requests of its own, and
+copies bytes. It follows the VM list, sends nothing to VMs that leave,
+and passes an endpoint over for a while after a failure to connect.
+"""
+
+import dataclasses
+import itertools
+import selectors
+import socket
+import sys
+import threading
+import time
+
+import msgspec
+import urllib3
+
+from bench import load_stream
+from guavachute.cli import process
+from guavachute.http import message
+from guavachute.http import server
+from guavachute.kernel import kernel
+from guavachute.kernel import task
+from guavachute.observe import counters
+from guavachute.standin import vm_list
+
+RECEIVE_BYTES = 64 * 1024
+LAST_CHUNK = b'\r\n0\r\n\r\n'
+WAIT_S = 0.5
+LIST_INTERVAL_S = 1.0
+PASS_OVER_S = 1.0
+UNAVAILABLE = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+
+
+class BaselineSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What the balancer is started with.
+
+    :ivar least_outstanding: choose by load instead of by turns
+    """
+
+    region: str
+    pool: str
+    vm_list_address: str
+    statsd: str
+    least_outstanding: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A request to pass on, and the caller that waits."""
+
+    body: bytes
+    caller: server.Taken
+    engine: vm_list.Vm | None = None
+    tail: bytes = b''
+    begun: bool = False
+
+
+class Engines:
+    """The endpoints that may be chosen; owned by the balancer's task."""
+
+    def __init__(self, settings: BaselineSettings) -> None:
+        self._settings = settings
+        self._turns = itertools.count()
+        self._passed_over_until_s: dict[str, float] = {}
+        self.listed: list[vm_list.Vm] = []
+        self.outstanding: dict[str, int] = {}
+
+    def choose(self, now_s: float) -> vm_list.Vm | None:
+        """The endpoint of the next request."""
+        usable = [
+            vm
+            for vm in self.listed
+            if self._passed_over_until_s.get(vm.address, 0) <= now_s
+        ]
+        if not usable:
+            return None
+        turn = next(self._turns)
+        if not self._settings.least_outstanding:
+            return usable[turn % len(usable)]
+        ordered = usable[turn % len(usable) :] + usable[: turn % len(usable)]
+        return min(ordered, key=lambda vm: self.outstanding.get(vm.address, 0))
+
+    def failed(self, address: str, now_s: float) -> None:
+        """Pass *address* over for a while."""
+        self._passed_over_until_s[address] = now_s + PASS_OVER_S
+
+
+class Balancer(task.Task):
+    """Moves the bytes of all streams."""
+
+    def __init__(self, settings: BaselineSettings) -> None:
+        super().__init__('balancer')
+        self._settings = settings
+        self._engines = Engines(settings)
+        self._count = counters.connect(settings.statsd, 'guavachute.router')
+        self._selector = selectors.DefaultSelector()
+
+    def run(self) -> None:
+        """Copy until stopped."""
+        self._selector.register(self.mailbox.fileno(), selectors.EVENT_READ)
+        while not self.stopping.is_set():
+            for key, mask in self._selector.select(WAIT_S):
+                if key.data is None:
+                    self._read_mailbox()
+                elif mask & selectors.EVENT_WRITE:
+                    self._send(key.fileobj, key.data)
+                else:
+                    self._copy(key.fileobj, key.data)
+
+    def _read_mailbox(self) -> None:
+        for item in self.mailbox.drain():
+            if isinstance(item, vm_list.Listing):
+                self._engines.listed = [
+                    vm
+                    for vm in item.vms
+                    if vm.pool == self._settings.pool and vm.state == 'live'
+                ]
+            elif isinstance(item, Job):
+                self._begin(item)
+
+    def _begin(self, job: Job) -> None:
+        job.engine = self._engines.choose(time.monotonic())
+        if job.engine is None:
+            self._refuse(job)
+            return
+        address = job.engine.address
+        outstanding = self._engines.outstanding
+        outstanding[address] = outstanding.get(address, 0) + 1
+        upstream = load_stream.connect(address)
+        self._selector.register(upstream, selectors.EVENT_WRITE, job)
+
+    def _send(self, upstream: socket.socket, job: Job) -> None:
+        assert job.engine is not None
+        encoded = load_stream.Request(job.engine.address, job.body).encode()
+        try:
+            upstream.send(encoded)
+        except OSError:
+            self._lost(upstream, job)
+            return
+        self._count_bytes(job, len(encoded))
+        self._selector.modify(upstream, selectors.EVENT_READ, job)
+
+    def _copy(self, upstream: socket.socket, job: Job) -> None:
+        try:
+            data = upstream.recv(RECEIVE_BYTES)
+        except OSError:
+            data = b''
+        if not data:
+            self._lost(upstream, job)
+            return
+        self._count_bytes(job, len(data))
+        job.begun = True
+        try:
+            job.caller.socket.sendall(data)
+        except OSError:
+            self._leave(upstream, job)
+            job.caller.close()
+            return
+        job.tail = (job.tail + data)[-len(LAST_CHUNK) :]
+        if job.tail == LAST_CHUNK:
+            self._leave(upstream, job)
+            job.caller.close()
+
+    def _count_bytes(self, job: Job, size: int) -> None:
+        assert job.engine is not None
+        if job.engine.region != self._settings.region:
+            self._count.add('region_link.bytes', size)
+
+    def _lost(self, upstream: socket.socket, job: Job) -> None:
+        self._leave(upstream, job)
+        assert job.engine is not None
+        if job.begun:
+            job.caller.close()
+            return
+        self._engines.failed(job.engine.address, time.monotonic())
+        self._refuse(job)
+
+    def _leave(self, upstream: socket.socket, job: Job) -> None:
+        assert job.engine is not None
+        self._selector.unregister(upstream)
+        upstream.close()
+        self._engines.outstanding[job.engine.address] -= 1
+
+    def _refuse(self, job: Job) -> None:
+        try:
+            job.caller.socket.sendall(UNAVAILABLE)
+        except OSError:
+            pass
+        job.caller.close()
+
+
+def follow_list(
+    settings: BaselineSettings, balancer: Balancer, stopping: threading.Event
+) -> None:
+    """Tell *balancer* the VM list until *stopping* is set."""
+    url = f'http://{settings.vm_list_address}/v1/vms'
+    while not stopping.is_set():
+        answer = urllib3.request('GET', url)
+        listing = msgspec.json.decode(answer.data, type=vm_list.Listing)
+        balancer.mailbox.send(listing)
+        stopping.wait(LIST_INTERVAL_S)
+
+
+def main() -> None:
+    """Serve; the argument is the settings as JSON."""
+    settings = msgspec.json.decode(sys.argv[1], type=BaselineSettings)
+    balancer = Balancer(settings)
+
+    def handle(
+        request: message.Request, exchange: server.Exchange
+    ) -> message.Detach:
+        balancer.mailbox.send(Job(request.body, exchange.take()))
+        return message.DETACH
+
+    hosting = kernel.Kernel()
+    serving = server.Server('baseline-http', '127.0.0.1', 0, handle)
+    hosting.add(balancer)
+    hosting.add(serving)
+    stopping = threading.Event()
+    following = threading.Thread(
+        target=follow_list, args=(settings, balancer, stopping), daemon=True
+    )
+    with (
+        process.stopped_by_signals(hosting.request_stop),
+        hosting.running(),
+    ):
+        following.start()
+        process.announce('baseline-router', http=serving.address)
+        hosting.wait()
+        stopping.set()
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/load.py
+++ b/bench/load.py
@@ -285,7 +285,11 @@
         requests_of(plan), plan.streams, plan.measure_from_s, plan.until_s
     )
     generator.run()
-    figures = generator.figures['']
+    return report_of(generator.figures[''])
+
+
+def report_of(figures: Figures) -> Report:
+    """*figures* as they are passed between processes."""
     return Report(
         first_byte=figures.first_byte.encode().decode(),
         gap=figures.gap.encode().decode(),
--- a/bench/load_stream.py
+++ b/bench/load_stream.py
@@ -89,9 +89,10 @@
     """
 
     __slots__ = (
-        'begun_s', 'complete', 'connection', 'done', 'first_byte_s', 'gaps',
-        'in_order', 'last_token_s', 'outcome', 'request', 'reused', 'status',
-        'text', 'tokens', 'unsent', '_parser', '_rest',
+        'begun_s', 'complete', 'connection', 'done', 'first_byte_s',
+        'first_token_s', 'gaps', 'in_order', 'last_token_s', 'outcome',
+        'request', 'reused', 'status', 'text', 'tokens', 'unsent', '_parser',
+        '_rest',
     )  # fmt: skip
 
     def __init__(
@@ -106,6 +107,7 @@
         self.reused = reused
         self.begun_s = now_s
         self.first_byte_s: float | None = None
+        self.first_token_s: float | None = None
         self.last_token_s: float | None = None
         self.unsent = request.encode()
         self.status = 0
@@ -148,7 +150,9 @@
         except httptools.HttpParserError:
             return False
         if self.tokens > before:
-            if self.last_token_s is not None:
+            if self.last_token_s is None:
+                self.first_token_s = now_s
+            else:
                 self.gaps.append(now_s - self.last_token_s)
             self.last_token_s = now_s
         return True
--- /dev/null
+++ b/bench/request_load.py
@@ -0,0 +1,193 @@
+"""The callers of the requests bench: an open load script per workspace.
+
+As a program it reads a :class:`Script` from standard input and prints
+the figures of each workspace as JSON.
+"""
+
+import heapq
+import itertools
+import random
+import sys
+import typing
+
+import msgspec
+
+from bench import load
+from bench import load_stream
+from guavachute.standin import engine_text
+
+INSTRUCTIONS = 3
+INSTRUCTION_WORDS = 160
+TURN_WORDS = 40
+TURNS = 5
+OPEN_CONVERSATIONS = 8
+MOST_STREAMS = 2000
+
+
+class Caller(msgspec.Struct, frozen=True, kw_only=True):
+    """The callers of one workspace: Poisson arrivals, conversations."""
+
+    workspace: str
+    api_key: str
+    requests_per_s: float
+    least_tokens: int = 20
+    most_tokens: int = 60
+
+
+class Single(msgspec.Struct, frozen=True, kw_only=True):
+    """One request beside the script, such as a long or crashing one."""
+
+    label: str
+    api_key: str
+    at_s: float
+    prompt: str
+    tokens: int
+
+
+class Script(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that is sent in one run.
+
+    :ivar measure_from_s: answers that begin earlier are only counted
+    :ivar give_up_s: callers give an answer up after so long
+    """
+
+    addresses: list[str]
+    model: str
+    seed: int
+    callers: list[Caller]
+    singles: list[Single] = []
+    measure_from_s: float = 0
+    until_s: float
+    give_up_s: float
+
+
+class _Asked(msgspec.Struct):
+    max_tokens: int
+
+
+class Callers(load.Generator):
+    """Records first tokens, and gives up answers that don't come."""
+
+    def __init__(
+        self, requests: typing.Iterator[load_stream.Request], script: Script
+    ) -> None:
+        super().__init__(
+            requests, MOST_STREAMS, script.measure_from_s, script.until_s
+        )
+        self._give_up_s = script.give_up_s
+
+    def _begin_due(self) -> None:
+        super()._begin_due()
+        now_s = self._now_s()
+        for key in list(self._selector.get_map().values()):
+            exchange = key.data
+            if now_s - exchange.begun_s <= self._give_up_s:
+                continue
+            if exchange.first_byte_s is None:
+                # Not a dead idle connection, which would be tried again.
+                exchange.first_byte_s = now_s
+            self._end(exchange)
+
+    def _note(
+        self, exchange: load_stream.Exchange, figures: load.Figures
+    ) -> None:
+        first_token_s = exchange.first_token_s
+        if exchange.status == 200 and first_token_s is None:
+            first_token_s = self._now_s()
+        exchange.first_byte_s = first_token_s
+        super()._note(exchange, figures)
+
+
+def _words(chance: random.Random, count: int) -> str:
+    return ' '.join(f'w{chance.randrange(10**4)}' for _ in range(count))
+
+
+def _requests_of(
+    caller: Caller, script: Script
+) -> typing.Iterator[load_stream.Request]:
+    chance = random.Random(f'{script.seed} {caller.workspace}')
+    instructions = [
+        _words(chance, INSTRUCTION_WORDS) for _ in range(INSTRUCTIONS)
+    ]
+    conversations: list[tuple[str, str, int]] = []
+    at_s = 0.0
+    while True:
+        at_s += chance.expovariate(caller.requests_per_s)
+        if len(conversations) < OPEN_CONVERSATIONS:
+            # The same numbers are drawn for any count of addresses.
+            turn = int(chance.random() * len(script.addresses))
+            address = script.addresses[turn]
+            conversations.append((address, chance.choice(instructions), 0))
+        place = chance.randrange(len(conversations))
+        address, prompt, turns = conversations.pop(place)
+        prompt = f'{prompt} {_words(chance, TURN_WORDS)}'
+        if turns + 1 < TURNS:
+            conversations.append((address, prompt, turns + 1))
+        single = Single(
+            label=caller.workspace,
+            api_key=caller.api_key,
+            at_s=at_s,
+            prompt=prompt,
+            tokens=chance.randint(caller.least_tokens, caller.most_tokens),
+        )
+        yield _request(single, address, script.model)
+
+
+def _request(single: Single, address: str, model: str) -> load_stream.Request:
+    body = {
+        'model': model,
+        'prompt': single.prompt,
+        'max_tokens': single.tokens,
+        'stream': True,
+    }
+    return load_stream.Request(
+        address=address,
+        body=msgspec.json.encode(body),
+        at_s=single.at_s,
+        label=single.label,
+        headers={'Authorization': f'Bearer {single.api_key}'},
+        expected=engine_text.expected_text(
+            model, single.prompt, single.tokens
+        ),
+    )
+
+
+def requests_of(script: Script) -> typing.Iterator[load_stream.Request]:
+    """The requests of all callers by time; the same for the same seed."""
+    turns = itertools.cycle(script.addresses)
+    singles = (
+        _request(single, next(turns), script.model)
+        for single in script.singles
+    )
+    return heapq.merge(
+        singles,
+        *(_requests_of(caller, script) for caller in script.callers),
+        key=lambda request: request.at_s,
+    )
+
+
+def offered_tokens(script: Script, until_s: float) -> dict[str, int]:
+    """The tokens asked for before *until_s*, by label."""
+    offered: dict[str, int] = {}
+    for request in requests_of(script):
+        if request.at_s >= until_s:
+            break
+        tokens = msgspec.json.decode(request.body, type=_Asked).max_tokens
+        offered[request.label] = offered.get(request.label, 0) + tokens
+    return offered
+
+
+def main() -> None:
+    """Run the script on standard input."""
+    script = msgspec.json.decode(sys.stdin.buffer.read(), type=Script)
+    callers = Callers(requests_of(script), script)
+    callers.run()
+    reports = {
+        label: load.report_of(figures)
+        for label, figures in callers.figures.items()
+    }
+    print(msgspec.json.encode(reports).decode())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,323 @@
+"""The routers' policies under load and faults, beside plain baselines.
+
+Nine routers with their nodes, ten engines in three failure domains and
+two regions, five workspaces. Each scenario runs against each policy on
+processes of its own, with the same load script. Prints a table and a
+line per target met or missed.
+
+The baselines are three balancers instead of nine, which see more of the
+load each than nine would; they run the same callers.
+"""
+
+import argparse
+import collections
+import dataclasses
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+import msgspec
+
+from bench import counter_sums
+from bench import load
+from bench import request_load
+from bench import request_site
+
+WARM_S = 2.0
+GIVE_UP_S = 12.0
+SAMPLE_INTERVAL_S = 0.5
+CAPACITY_REQUESTS_PER_S = 40.0
+"""What ten engines carry: 80 slots, about two seconds a request."""
+
+STEADY_PART = 0.6
+FIRST_TOKEN_TARGET_S = 0.41
+GAP_TARGET_MS = 51.0
+SHARE_TOLERANCE = 0.15
+MOST_LOST_ENDPOINTS = 2
+PREFIX = 'guavachute.router.'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Something that happens in a run, *at_s* after the callers begin."""
+
+    at_s: float
+    act: typing.Callable[[request_site.Site], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """A load script and what goes wrong meanwhile."""
+
+    name: str
+    duration_s: float = 12.0
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    singles: tuple[request_load.Single, ...] = ()
+    steps: tuple[Step, ...] = ()
+
+    def rate(self, workspace: str) -> float:
+        """The requests a second of *workspace*."""
+        shares = request_site.SHARES
+        part = shares[workspace] / sum(shares.values())
+        steady = CAPACITY_REQUESTS_PER_S * STEADY_PART * part
+        return self.rates.get(workspace, steady)
+
+
+def scenarios() -> list[Scenario]:
+    """All scenarios, in the order of the table."""
+    return [Scenario(name='steady')]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What one run of a scenario gave.
+
+    :ivar offered_tokens: asked for over as long a time as is measured,
+        earlier by what an answer takes
+    """
+
+    scenario: Scenario
+    policy: request_site.Policy
+    figures: dict[str, load.Figures]
+    counters: collections.Counter[str]
+    work: request_site.Work
+    lost_endpoints: int
+    offered_tokens: dict[str, int]
+
+    @property
+    def total(self) -> load.Figures:
+        """The figures of all labels together."""
+        total = load.Figures()
+        for figures in self.figures.values():
+            total.add(figures)
+        return total
+
+    @property
+    def refused(self) -> int:
+        """Answers that say that the request did not run."""
+        return self.total.results['refused']
+
+    @property
+    def bad(self) -> int:
+        """Answers that were cut, wrong, or did not come."""
+        results = self.total.results
+        return results['cut'] + results['wrong-text']
+
+    def count(self, name: str) -> int:
+        """A counter, summed over the routers."""
+        return self.counters[PREFIX + name]
+
+    def shares(self) -> dict[str, tuple[float, float]]:
+        """The tokens a second reached and due, by workspace."""
+        measured_s = self.scenario.duration_s - WARM_S
+        reached = {
+            name: self.figures[name].tokens / measured_s
+            if name in self.figures
+            else 0.0
+            for name in request_site.SHARES
+        }
+        offered = {
+            name: self.offered_tokens.get(name, 0) / measured_s
+            for name in reached
+        }
+        due = _shares_due(offered, sum(reached.values()))
+        return {name: (reached[name], due[name]) for name in reached}
+
+    def line(self) -> str:
+        """The row as printed."""
+        total = self.total
+        requests = total.results.total()
+        shortest = min(
+            (reached / due for reached, due in self.shares().values() if due),
+            default=0.0,
+        )
+        retries = self.count('retries.sent') / max(1, requests)
+        return ''.join(
+            [
+                f'{self.scenario.name:16}{self.policy.value:18}',
+                f'{total.first_byte_ms(95):9.0f}{total.gap_ms(95):8.1f}',
+                f'{self.work.prefilled_tokens:9}',
+                f'{self.work.recomputed_tokens:9}',
+                f'{requests:6}{total.results["complete"]:6}',
+                f'{self.refused:8}{self.bad:5}{shortest:8.2f}',
+                f'{retries:8.3f}{self.lost_endpoints:6}',
+                f'{self.count("region_link.bytes") / 1000:9.0f}',
+            ]
+        )
+
+
+HEADING = (
+    f'{"scenario":16}{"policy":18}{"1st ms":>9}{"gap ms":>8}{"prefill":>9}'
+    f'{"resumed":>9}{"sent":>6}{"done":>6}{"refused":>8}{"bad":>5}'
+    f'{"share":>8}{"retries":>8}{"lost":>6}{"link kB":>9}'
+)
+
+
+def _shares_due(
+    offered: dict[str, float], capacity: float
+) -> dict[str, float]:
+    """Weighted max-min shares of *capacity*, nobody above what it offers."""
+    due = dict.fromkeys(offered, 0.0)
+    hungry = set(offered)
+    left = capacity
+    while hungry and left > 0:
+        weights = sum(request_site.SHARES[name] for name in hungry)
+        unit = left / weights
+        filled = {
+            name
+            for name in hungry
+            if offered[name] <= unit * request_site.SHARES[name]
+        }
+        if not filled:
+            for name in hungry:
+                due[name] = unit * request_site.SHARES[name]
+            return due
+        for name in filled:
+            due[name] = offered[name]
+            left -= offered[name]
+        hungry -= filled
+    return due
+
+
+def run(scenario: Scenario, policy: request_site.Policy, seed: int) -> Result:
+    """Run *scenario* against *policy*."""
+    sums = counter_sums.CounterSums()
+    sums.start()
+    try:
+        with request_site.running(policy, sums) as site:
+            script = _script(scenario, site.routers, seed)
+            figures = _load(scenario, site, script)
+            site.sample()
+            lost = site.lost()
+    finally:
+        counters = sums.stop()
+    offered = request_load.offered_tokens(script, scenario.duration_s - WARM_S)
+    return Result(
+        scenario, policy, figures, counters, site.work(), lost, offered
+    )
+
+
+def _script(
+    scenario: Scenario, addresses: list[str], seed: int
+) -> request_load.Script:
+    return request_load.Script(
+        addresses=addresses,
+        model=request_site.MODEL,
+        seed=seed,
+        callers=[
+            request_load.Caller(
+                workspace=name,
+                api_key=request_site.api_key(name),
+                requests_per_s=scenario.rate(name),
+            )
+            for name in request_site.SHARES
+        ],
+        singles=list(scenario.singles),
+        measure_from_s=WARM_S,
+        until_s=scenario.duration_s,
+        give_up_s=GIVE_UP_S,
+    )
+
+
+def _load(
+    scenario: Scenario,
+    site: request_site.Site,
+    script: request_load.Script,
+) -> dict[str, load.Figures]:
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'bench.request_load'],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    ended = threading.Event()
+    acting = threading.Thread(target=_act, args=(scenario, site, ended))
+    acting.start()
+    output, _ = process.communicate(msgspec.json.encode(script))
+    ended.set()
+    acting.join()
+    reports = msgspec.json.decode(output, type=dict[str, load.Report])
+    return {label: report.figures() for label, report in reports.items()}
+
+
+def _act(
+    scenario: Scenario, site: request_site.Site, ended: threading.Event
+) -> None:
+    """Carry out the steps, and sample the engines between them."""
+    begin_s = time.monotonic()
+    left = collections.deque(scenario.steps)
+    while not ended.wait(SAMPLE_INTERVAL_S):
+        site.sample()
+        while left and time.monotonic() - begin_s >= left[0].at_s:
+            left.popleft().act(site)
+
+
+def targets(results: list[Result]) -> list[tuple[str, bool]]:
+    """Each target in words, and whether ours met it."""
+    lines = []
+    for result in results:
+        if result.policy is request_site.Policy.OURS:
+            name = result.scenario.name
+            lines += [
+                (f'{name}: {words}', met) for words, met in _targets_of(result)
+            ]
+    return lines
+
+
+def _targets_of(result: Result) -> typing.Iterator[tuple[str, bool]]:
+    first_s = result.total.first_byte_ms(95) / 1000
+    yield (
+        f'first token p95 within {FIRST_TOKEN_TARGET_S} s: {first_s:.2f} s',
+        first_s <= FIRST_TOKEN_TARGET_S,
+    )
+    gap_ms = result.total.gap_ms(95)
+    yield (
+        f'gap p95 within {GAP_TARGET_MS:.0f} ms: {gap_ms:.1f} ms',
+        gap_ms <= GAP_TARGET_MS,
+    )
+    yield f'no answer lost or wrong: {result.bad}', result.bad == 0
+    yield (
+        f'at most {MOST_LOST_ENDPOINTS} endpoints lost to one request: '
+        f'{result.lost_endpoints}',
+        result.lost_endpoints <= MOST_LOST_ENDPOINTS,
+    )
+
+
+def print_details(result: Result) -> None:
+    """Print shares and outcomes, which don't fit into the row."""
+    shares = ', '.join(
+        f'{name} {reached:.0f}/{due:.0f}'
+        for name, (reached, due) in result.shares().items()
+    )
+    print(f'    tokens/s reached/due: {shares}')
+    total = result.total
+    print(f'    outcomes {dict(total.outcomes)}', flush=True)
+
+
+def main() -> int:
+    """Run the bench; 1 when a target is missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    every = {scenario.name: scenario for scenario in scenarios()}
+    parser.add_argument('--scenario', choices=list(every))
+    parser.add_argument('--seed', type=int, default=1)
+    options = parser.parse_args()
+    chosen = [every[options.scenario]] if options.scenario else every.values()
+    results = []
+    print(f'seed {options.seed}; first token and gap p95 in ms')
+    print(HEADING, flush=True)
+    for scenario in chosen:
+        for policy in request_site.Policy:
+            result = run(scenario, policy, options.seed)
+            results.append(result)
+            print(result.line())
+            print_details(result)
+    met = True
+    for words, reached in targets(results):
+        print(f'{"met" if reached else "missed"}: {words}')
+        met = met and reached
+    return 0 if met else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
