--- /dev/null
+++ b/bench/request_scenarios.py
@@ -0,0 +1,161 @@
+"""The scenarios of the requests bench."""
+
+import dataclasses
+import typing
+
+from bench import request_load
+from bench import request_site
+
+CAPACITY_REQUESTS_PER_S = 40.0
+"""What ten engines carry: 80 slots, about two seconds a request."""
+
+STEADY_PART = 0.6
+OVERLOAD = 2.0
+OVERLOADING = 'club-shops'
+DURATION_S = 10.0
+GIVE_UP_S = 12.0
+FAULT_S = 3.0
+
+RECLAIMED = 'perth-b'
+NOTICE_S = 30.0
+LONG_ANSWERS = 6
+LONG_TOKENS = 900
+LONG_PROMPT_WORDS = 300
+LONG_LABEL = 'long'
+
+SLOW_GAP_S = 0.4
+
+CRASHING_LABEL = 'crashing'
+CRASHING_TEXT = 'crashes-engines'
+CRASH_AFTER_TOKENS = 3
+RESENDS = 20
+RESEND_INTERVAL_S = 0.3
+
+SILENT_ENGINES = 3
+SILENT_STREAMS = 4
+SILENT_AFTER_TOKENS = 5
+
+EVERY_POLICY = tuple(request_site.Policy)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Something that happens in a run, *at_s* after the callers begin."""
+
+    at_s: float
+    act: typing.Callable[[request_site.Site], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """A load script and what goes wrong meanwhile.
+
+    :ivar rates: requests a second where they are not the steady ones
+    :ivar give_up_s: callers give an answer up after so long
+    :ivar expected_bad: labels whose answers may be cut
+    """
+
+    name: str
+    duration_s: float = DURATION_S
+    give_up_s: float = GIVE_UP_S
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    singles: tuple[request_load.Single, ...] = ()
+    steps: tuple[Step, ...] = ()
+    expected_bad: tuple[str, ...] = ()
+    policies: tuple[request_site.Policy, ...] = EVERY_POLICY
+
+    def rate(self, workspace: str) -> float:
+        """The requests a second of *workspace*."""
+        shares = request_site.SHARES
+        part = shares[workspace] / sum(shares.values())
+        steady = CAPACITY_REQUESTS_PER_S * STEADY_PART * part
+        return self.rates.get(workspace, steady)
+
+
+def every() -> list[Scenario]:
+    """All scenarios, in the order of the table."""
+    return [
+        Scenario(name='steady'),
+        Scenario(
+            name='overload',
+            rates={OVERLOADING: OVERLOAD * CAPACITY_REQUESTS_PER_S},
+        ),
+        Scenario(name='reclaim-none', steps=(Step(FAULT_S, _kill_domain),)),
+        Scenario(name='slow', steps=(Step(FAULT_S, _slow_one),)),
+        Scenario(
+            name='crashing',
+            singles=tuple(_crashing()),
+            steps=(Step(0, _crash_on_text),),
+            expected_bad=(CRASHING_LABEL,),
+        ),
+        Scenario(name='silent', steps=(Step(FAULT_S, _silence),)),
+        Scenario(
+            name='reclaim-notice',
+            duration_s=FAULT_S + NOTICE_S + 2,
+            give_up_s=NOTICE_S * 2,
+            singles=tuple(_long_answers()),
+            steps=(
+                Step(FAULT_S, _announce),
+                Step(FAULT_S + NOTICE_S, _kill_domain),
+            ),
+            policies=(
+                request_site.Policy.LEAST_OUTSTANDING,
+                request_site.Policy.OURS,
+            ),
+        ),
+    ]
+
+
+def _kill_domain(site: request_site.Site) -> None:
+    site.kill(site.domain_engines(RECLAIMED))
+
+
+def _announce(site: request_site.Site) -> None:
+    site.leave(site.domain_engines(RECLAIMED), NOTICE_S)
+
+
+def _slow_one(site: request_site.Site) -> None:
+    site.change(site.domain_engines(RECLAIMED)[0], token_gap_s=SLOW_GAP_S)
+
+
+def _crash_on_text(site: request_site.Site) -> None:
+    site.order_fault(
+        site.engines,
+        kind='crash',
+        path_prefix='/v1/completions',
+        count=-1,
+        match=CRASHING_TEXT,
+        after_tokens=CRASH_AFTER_TOKENS,
+    )
+
+
+def _silence(site: request_site.Site) -> None:
+    site.order_fault(
+        list(site.engines)[:SILENT_ENGINES],
+        kind='silent',
+        path_prefix='/v1/completions',
+        count=SILENT_STREAMS,
+        after_tokens=SILENT_AFTER_TOKENS,
+    )
+
+
+def _crashing() -> typing.Iterator[request_load.Single]:
+    for number in range(RESENDS):
+        yield request_load.Single(
+            label=CRASHING_LABEL,
+            api_key=request_site.api_key('schools'),
+            at_s=FAULT_S + number * RESEND_INTERVAL_S,
+            prompt=f'{CRASHING_TEXT} ' * 20,
+            tokens=20,
+        )
+
+
+def _long_answers() -> typing.Iterator[request_load.Single]:
+    for number in range(LONG_ANSWERS):
+        yield request_load.Single(
+            label=LONG_LABEL,
+            api_key=request_site.api_key('uniforms'),
+            at_s=1.0 + number / LONG_ANSWERS,
+            prompt=f'tyre-{number} ' * LONG_PROMPT_WORDS,
+            tokens=LONG_TOKENS,
+        )
--- a/bench/request_site.py
+++ b/bench/request_site.py
@@ -152,8 +152,14 @@
     :ivar routers: addresses for the callers
     """
 
-    def __init__(self, folder: pathlib.Path, statsd: str) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        statsd: str,
+        traces: pathlib.Path | None,
+    ) -> None:
         self._folder = folder
+        self._traces = traces
         self._statsd = statsd
         self._programs: list[Program] = []
         self._vms: dict[str, dict[str, typing.Any]] = {}
@@ -331,9 +337,19 @@
             'node': node,
             **self._place(domain),
             'node_address': tables_address,
-            'observe': {'log_level': 'error', 'statsd': self._statsd},
+            'observe': {
+                'log_level': 'error',
+                'statsd': self._statsd,
+                'traces': self._traces_of(node),
+            },
         }
 
+    def _traces_of(self, node: str) -> dict[str, str]:
+        if self._traces is None:
+            return {'exporter': 'none'}
+        path = self._traces / f'{node}.jsonl'
+        return {'exporter': 'json-lines', 'path': str(path)}
+
     def _publish(self) -> None:
         wanted = {'log_address': self._log.address(), 'author': 'bench'}
         subprocess.run(
@@ -403,11 +419,13 @@
 
 @contextlib.contextmanager
 def running(
-    policy: Policy, sums: counter_sums.CounterSums
+    policy: Policy,
+    sums: counter_sums.CounterSums,
+    traces: pathlib.Path | None = None,
 ) -> typing.Iterator[Site]:
     """A site that is ready, until the end of the block."""
     with tempfile.TemporaryDirectory() as folder:
-        site = Site(pathlib.Path(folder), sums.address)
+        site = Site(pathlib.Path(folder), sums.address, traces)
         try:
             site.start(policy)
             yield site
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -12,6 +12,7 @@
 import argparse
 import collections
 import dataclasses
+import pathlib
 import subprocess
 import sys
 import threading
@@ -23,15 +24,11 @@
 from bench import counter_sums
 from bench import load
 from bench import request_load
+from bench import request_scenarios
 from bench import request_site
 
 WARM_S = 2.0
-GIVE_UP_S = 12.0
 SAMPLE_INTERVAL_S = 0.5
-CAPACITY_REQUESTS_PER_S = 40.0
-"""What ten engines carry: 80 slots, about two seconds a request."""
-
-STEADY_PART = 0.6
 FIRST_TOKEN_TARGET_S = 0.41
 GAP_TARGET_MS = 51.0
 SHARE_TOLERANCE = 0.15
@@ -39,37 +36,6 @@
 PREFIX = 'guavachute.router.'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """Something that happens in a run, *at_s* after the callers begin."""
-
-    at_s: float
-    act: typing.Callable[[request_site.Site], None]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Scenario:
-    """A load script and what goes wrong meanwhile."""
-
-    name: str
-    duration_s: float = 12.0
-    rates: dict[str, float] = dataclasses.field(default_factory=dict)
-    singles: tuple[request_load.Single, ...] = ()
-    steps: tuple[Step, ...] = ()
-
-    def rate(self, workspace: str) -> float:
-        """The requests a second of *workspace*."""
-        shares = request_site.SHARES
-        part = shares[workspace] / sum(shares.values())
-        steady = CAPACITY_REQUESTS_PER_S * STEADY_PART * part
-        return self.rates.get(workspace, steady)
-
-
-def scenarios() -> list[Scenario]:
-    """All scenarios, in the order of the table."""
-    return [Scenario(name='steady')]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Result:
     """What one run of a scenario gave.
@@ -78,7 +44,7 @@
         earlier by what an answer takes
     """
 
-    scenario: Scenario
+    scenario: request_scenarios.Scenario
     policy: request_site.Policy
     figures: dict[str, load.Figures]
     counters: collections.Counter[str]
@@ -102,8 +68,20 @@
     @property
     def bad(self) -> int:
         """Answers that were cut, wrong, or did not come."""
-        results = self.total.results
-        return results['cut'] + results['wrong-text']
+        bad = 0
+        for label, figures in self.figures.items():
+            bad += figures.results['wrong-text']
+            if label not in self.scenario.expected_bad:
+                bad += figures.results['cut']
+                bad += self._failed(figures)
+        return bad
+
+    def _failed(self, figures: load.Figures) -> int:
+        """Error answers that don't say that the request did not run."""
+        if self.policy is not request_site.Policy.OURS:
+            return 0
+        refused = figures.results['refused']
+        return max(0, refused - figures.outcomes['not-run'])
 
     def count(self, name: str) -> int:
         """A counter, summed over the routers."""
@@ -125,14 +103,17 @@
         due = _shares_due(offered, sum(reached.values()))
         return {name: (reached[name], due[name]) for name in reached}
 
+    def shortest_share(self) -> float:
+        """The least of all workspaces' reached part of what is due."""
+        return min(
+            (reached / due for reached, due in self.shares().values() if due),
+            default=0.0,
+        )
+
     def line(self) -> str:
         """The row as printed."""
         total = self.total
         requests = total.results.total()
-        shortest = min(
-            (reached / due for reached, due in self.shares().values() if due),
-            default=0.0,
-        )
         retries = self.count('retries.sent') / max(1, requests)
         return ''.join(
             [
@@ -141,7 +122,7 @@
                 f'{self.work.prefilled_tokens:9}',
                 f'{self.work.recomputed_tokens:9}',
                 f'{requests:6}{total.results["complete"]:6}',
-                f'{self.refused:8}{self.bad:5}{shortest:8.2f}',
+                f'{self.refused:8}{self.bad:5}{self.shortest_share():8.2f}',
                 f'{retries:8.3f}{self.lost_endpoints:6}',
                 f'{self.count("region_link.bytes") / 1000:9.0f}',
             ]
@@ -181,12 +162,17 @@
     return due
 
 
-def run(scenario: Scenario, policy: request_site.Policy, seed: int) -> Result:
-    """Run *scenario* against *policy*."""
+def run(
+    scenario: request_scenarios.Scenario,
+    policy: request_site.Policy,
+    seed: int,
+    traces: pathlib.Path | None = None,
+) -> Result:
+    """Run *scenario* against *policy*; our routers leave *traces*."""
     sums = counter_sums.CounterSums()
     sums.start()
     try:
-        with request_site.running(policy, sums) as site:
+        with request_site.running(policy, sums, traces) as site:
             script = _script(scenario, site.routers, seed)
             figures = _load(scenario, site, script)
             site.sample()
@@ -200,7 +186,7 @@
 
 
 def _script(
-    scenario: Scenario, addresses: list[str], seed: int
+    scenario: request_scenarios.Scenario, addresses: list[str], seed: int
 ) -> request_load.Script:
     return request_load.Script(
         addresses=addresses,
@@ -217,12 +203,12 @@
         singles=list(scenario.singles),
         measure_from_s=WARM_S,
         until_s=scenario.duration_s,
-        give_up_s=GIVE_UP_S,
+        give_up_s=scenario.give_up_s,
     )
 
 
 def _load(
-    scenario: Scenario,
+    scenario: request_scenarios.Scenario,
     site: request_site.Site,
     script: request_load.Script,
 ) -> dict[str, load.Figures]:
@@ -242,7 +228,9 @@
 
 
 def _act(
-    scenario: Scenario, site: request_site.Site, ended: threading.Event
+    scenario: request_scenarios.Scenario,
+    site: request_site.Site,
+    ended: threading.Event,
 ) -> None:
     """Carry out the steps, and sample the engines between them."""
     begin_s = time.monotonic()
@@ -277,6 +265,15 @@
         gap_ms <= GAP_TARGET_MS,
     )
     yield f'no answer lost or wrong: {result.bad}', result.bad == 0
+    if result.scenario.name == 'overload':
+        shortest = result.shortest_share()
+        yield (
+            f'shares within {SHARE_TOLERANCE:.0%} of those due: '
+            f'the shortest gets {shortest:.2f} of it',
+            shortest >= 1 - SHARE_TOLERANCE,
+        )
+    if result.scenario.name != 'crashing':
+        return
     yield (
         f'at most {MOST_LOST_ENDPOINTS} endpoints lost to one request: '
         f'{result.lost_endpoints}',
@@ -291,24 +288,35 @@
         for name, (reached, due) in result.shares().items()
     )
     print(f'    tokens/s reached/due: {shares}')
-    total = result.total
-    print(f'    outcomes {dict(total.outcomes)}', flush=True)
+    for label, figures in result.figures.items():
+        print(
+            f'    {label}: {dict(figures.results)}, '
+            f'outcomes {dict(figures.outcomes)}'
+        )
+    sys.stdout.flush()
 
 
 def main() -> int:
     """Run the bench; 1 when a target is missed."""
     parser = argparse.ArgumentParser(description=__doc__)
-    every = {scenario.name: scenario for scenario in scenarios()}
+    every = {scenario.name: scenario for scenario in request_scenarios.every()}
     parser.add_argument('--scenario', choices=list(every))
+    policies = [policy.value for policy in request_site.Policy]
+    parser.add_argument('--policy', choices=policies)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--traces', type=pathlib.Path, help="folder for our routers' spans"
+    )
     options = parser.parse_args()
     chosen = [every[options.scenario]] if options.scenario else every.values()
     results = []
     print(f'seed {options.seed}; first token and gap p95 in ms')
     print(HEADING, flush=True)
     for scenario in chosen:
-        for policy in request_site.Policy:
-            result = run(scenario, policy, options.seed)
+        for policy in scenario.policies:
+            if options.policy not in (None, policy.value):
+                continue
+            result = run(scenario, policy, options.seed, options.traces)
             results.append(result)
             print(result.line())
             print_details(result)
