Move the carrying out of moves out of the relay's task

Change: exports and moves from leaving endpoints stand in a module of their own; behaviour is the same, its 23 tests pass as before.

--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -12,8 +12,6 @@
 import time
 import typing
 
-import msgspec
-
 from guavachute.decide import answer
 from guavachute.decide import attempts
 from guavachute.decide import crash
@@ -32,6 +30,7 @@
 from guavachute.services.relay import gate
 from guavachute.services.relay import granter
 from guavachute.services.relay import messages
+from guavachute.services.relay import mover
 from guavachute.services.relay import moves
 from guavachute.services.relay import probes
 from guavachute.services.relay import suspects
@@ -46,7 +45,6 @@
 """Looking at all streams takes a millisecond or more, which a first token
 then waits."""
 
-EXPORT_TIMEOUT_S = 5.0
 EXPECTED_GAP_S = 0.051
 PACE_TOKENS = 16
 """The pace of a stream is looked at after so many tokens."""
@@ -54,19 +52,6 @@
 NOT_RUN_STATUSES = frozenset({429, 503})
 
 
-class KvExport(msgspec.Struct):
-    """Asks an engine to export the KV cache of an attempt."""
-
-    attempt_id: str
-    to: str
-
-
-class KvExported(msgspec.Struct):
-    """The engine's answer."""
-
-    kv_handle: str
-
-
 class Relay(task.Task):
     """Moves the bytes of all streams.
 
@@ -125,6 +110,13 @@
             self._probes = probes.Probes(
                 self._exchanges, self._count, self._cut_judged
             )
+            self._mover = mover.Mover(
+                self._moves,
+                self._endpoints,
+                self._exchanges,
+                self._count,
+                self._move,
+            )
             self._connections = connections.Connections(
                 selector, self._endpoint_ready
             )
@@ -529,62 +521,8 @@
         self._attempt_failed(stream, attempts.Ending.SILENT, now_s)
         self._count.add(f'probes.{probe.value}')
 
-    # Moves from endpoints that leave.
-
-    def _move_leaving(self, now_s: float) -> None:
-        for move in self._moves.due(self._streams, now_s):
-            stream = move.stream
-            if stream.moving:
-                continue
-            if move.target is None or stream.work is None:
-                self._move(stream, now_s)
-            else:
-                self._export(stream, move.target, now_s)
-
-    def _export(
-        self,
-        stream: relay_call.Stream,
-        target: ids.EndpointId,
-        now_s: float,
-    ) -> None:
-        entry = self._endpoints.entry(target)
-        assert entry is not None and stream.endpoint is not None
-        assert stream.work is not None
-        stream.moving = True
-        body = KvExport(stream.work.attempt_id, entry.address)
-        self._exchanges.ask(
-            'POST',
-            stream.endpoint.address,
-            '/v1/kv/export',
-            msgspec.json.encode(body),
-            EXPORT_TIMEOUT_S,
-            functools.partial(
-                self._exported, stream, stream.connection, target
-            ),
-            now_s,
-        )
-
-    def _exported(
-        self,
-        stream: relay_call.Stream,
-        connection: upstream.Connection | None,
-        target: ids.EndpointId,
-        found: exchange.Answer,
-    ) -> None:
-        if stream.connection is not connection or stream.ended:
-            return
-        try:
-            exported = msgspec.json.decode(found.body, type=KvExported)
-        except (msgspec.ValidationError, msgspec.DecodeError):
-            self._count.add('moves.export_failed')
-        else:
-            stream.kv_handle = exported.kv_handle
-            stream.target = target
-            self._count.add('moves.exported')
-        self._move(stream, time.monotonic())
-
     def _move(self, stream: relay_call.Stream, now_s: float) -> None:
-        self._count.add('moves.started')
+        """Go on at another endpoint, while the present one still runs."""
         self._abandon_attempt(stream, now_s)
         self._start_attempt(stream, now_s)
 
@@ -723,7 +661,7 @@
         self._callers.sweep(now_s)
         self._exchanges.sweep(now_s)
         self._start_waiting(now_s)
-        self._move_leaving(now_s)
+        self._mover.sweep(self._streams, now_s)
         if self._gate.tick(now_s):
             # Replaced, not changed: another thread reads it.
             self.demand = self._gate.demand()
