--- a/bench/capacity_hours.py
+++ b/bench/capacity_hours.py
@@ -86,7 +86,7 @@
 
 def regions_apart(known: roles.Figures) -> Lines:
     """One region without the log for an hour."""
-    side = target.NODES // target.REGIONS
+    roots = roles.ROOTS // target.REGIONS
     return [
         lines.Line(
             'changes that wait for the region',
@@ -100,10 +100,9 @@
             'bytes over the link when it is back',
             known.change()
             .times(target.CHANGES_PER_HOUR, 'changes')
-            .times(side, 'nodes'),
+            .times(roots, 'roots'),
             'bytes',
-            'every node reads for itself; a relay per region would carry '
-            'them once',
+            'the roots of the domains read, the trees pass it on',
         ),
     ]
 
@@ -115,10 +114,13 @@
     return [
         lines.Line(
             'reads of the herd',
-            lines.plain(f'2 streams × {target.NODES}', 2.0 * target.NODES),
+            lines.plain(
+                f'{target.NODES} claims + {roles.ROOTS} control',
+                target.NODES + roles.ROOTS,
+            ),
             'reads',
-            'repeats are spread by a back-off with jitter; nothing else '
-            'holds the herd back, for relays are not wired yet',
+            'repeats are spread by a back-off with jitter; only roots read '
+            'the control stream, unless their followers give them up',
         ),
         lines.Line(
             'bytes that one node reads',
@@ -129,9 +131,9 @@
         ),
         lines.Line(
             'bytes of the herd',
-            backlog.times(target.NODES, 'nodes'),
+            backlog.times(roles.ROOTS, 'roots'),
             'bytes',
-            'the same',
+            'the same; the trees pass it on within the domains',
         ),
         lines.Line(
             'processor of one node, at the most',
@@ -159,10 +161,11 @@
             'routers go on with their last tables meanwhile',
         ),
         lines.Line(
-            'bytes of the log, all nodes',
+            'bytes of the log, at the most',
             known.snapshot().times(target.NODES, 'nodes'),
             'bytes',
-            'the last snapshot, then at most 500 records',
+            'the last snapshot, then at most 500 records; a node that knows '
+            'no members yet reads the log itself',
         ),
         lines.Line(
             'bytes of the VM list, all nodes',
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -5,6 +5,7 @@
 from bench import capacity_target as target
 from guavachute.decide import lease
 from guavachute.decide import order_commit
+from guavachute.decide import relay_tree
 from guavachute.decide import snapshot_duty
 from guavachute.platform import log_source
 from guavachute.services.fleet import task as fleet_task
@@ -14,6 +15,9 @@
 VM_LIST_PERIOD_S = 1.0
 """The default of the node's setting ``vm_list_interval_s``."""
 
+ROOTS = relay_tree.ROOTS * target.DOMAINS
+"""Nodes that read the control stream from the log itself."""
+
 CORE = lines.Limit(target.NODE_CORE_PERCENT, '% of a core')
 MEMORY = lines.Limit(target.NODE_MIB, 'MiB (64 MB)')
 TRAFFIC = lines.Limit(target.NODE_BYTES_PER_S, 'bytes/s')
@@ -154,7 +158,7 @@
             'traffic of the log',
             known.log_reading(),
             'bytes/s',
-            f'long poll, {log_source.POLL_WAIT_S:.0f} s; whole documents',
+            'from the log, or from a relay; whole documents',
             TRAFFIC,
         ),
         lines.Line(
@@ -230,7 +234,10 @@
 
 
 def relay(known: Figures) -> Lines:
-    """A relay of the log; not wired into the node process yet."""
+    """The relay of the log in each node process."""
+    sent = known.follower().times(relay_tree.FAN_OUT, 'followers')
+    reading = known.log_reading()
+    snapshots = known.snapshot().times(1 / snapshot_duty.PERIOD_S, '/s')
     return [
         lines.Line(
             'traffic to one follower',
@@ -240,17 +247,31 @@
             TRAFFIC,
         ),
         lines.Line(
-            'traffic to a domain',
-            known.follower().times(target.MEMBERS - 1, 'followers'),
+            'traffic to its followers',
+            sent,
+            'bytes/s',
+            f'a tree in each domain, {relay_tree.FAN_OUT} below each node',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'control of a node in the tree, but for the VM list',
+            known.gossip() + reading + sent,
             'bytes/s',
-            'one relay for all nodes of a domain; needs a tree',
+            'membership, its own reading, its followers',
+            TRAFFIC,
+        ),
+        lines.Line(
+            'control of a root, but for the VM list',
+            known.gossip() + reading + sent + snapshots,
+            'bytes/s',
+            'a root reads the snapshots from the log as well',
             TRAFFIC,
         ),
         lines.Line(
             'followers that fit beside membership',
             _followers(known),
             'followers',
-            'the fan-out that the tree may have',
+            f'the tree has up to {relay_tree.FAN_OUT}',
         ),
     ]
 
@@ -376,7 +397,7 @@
             'snapshot: bytes written',
             known.snapshot().times(1 / snapshot_duty.PERIOD_S, '/s'),
             'bytes/s',
-            'one writer; read by all that read the log itself',
+            f'one writer; read by the {ROOTS} roots of the trees',
             TRAFFIC,
         ),
     ]
@@ -424,7 +445,8 @@
     )
     snapshots = 1 / snapshot_duty.PERIOD_S
     appends = target.CHANGES_PER_S + renewals + replaced + snapshots
-    reads = 2 * target.NODES / log_source.POLL_WAIT_S
+    readers = target.NODES + ROOTS
+    reads = readers / log_source.POLL_WAIT_S
     return [
         lines.Line(
             'log: appends without orders',
@@ -442,24 +464,28 @@
         lines.Line(
             'log: reads at rest',
             lines.plain(
-                f'2 streams × {target.NODES} / '
+                f'({target.NODES} claims + {ROOTS} control) / '
                 f'{log_source.POLL_WAIT_S:.0f} s (design)',
                 reads,
             ),
             'reads/s',
-            'every node reads the log itself; relays are not wired yet',
+            'roots read the control stream, the trees pass it on; every '
+            'node reads the claims',
         ),
         lines.Line(
-            'log: bytes read',
-            known.log_reading().times(target.NODES, 'nodes'),
+            'log: bytes read of the control stream',
+            known.log_reading().times(ROOTS, 'roots')
+            + known.snapshot()
+            .times(1 / snapshot_duty.PERIOD_S, '/s')
+            .times(ROOTS, 'roots'),
             'bytes/s',
-            'the same',
+            'changes and snapshots',
         ),
         lines.Line(
             'VM list: bytes read',
             known.vm_list().times(target.NODES, 'nodes, 1/s each'),
             'bytes/s',
-            'the same: every node reads it all',
+            'every node reads it all',
         ),
         lines.Line(
             'weight store: an ordinary day',
