--- a/bench/control_site.py
+++ b/bench/control_site.py
@@ -82,6 +82,11 @@
         self._show_list()
         return desk
 
+    def kill(self) -> None:
+        """End all nodes and routers as failures do."""
+        for program in [*self.nodes.values(), *self.routers.values()]:
+            program.kill()
+
     def _start_all(
         self,
         names: typing.Iterable[str],
