Tell answers given up from cut ones in the requests bench

Cause: an answer that its caller gave up after 12 s, as on a slow endpoint, was counted as cut, though the router went on with it.

Change: such answers are 'late'. They still count as bad.

--- a/bench/request_load.py
+++ b/bench/request_load.py
@@ -23,6 +23,9 @@
 OPEN_CONVERSATIONS = 8
 MOST_STREAMS = 2000
 
+LATE = 'late'
+"""The result of an answer that was given up."""
+
 
 class Caller(msgspec.Struct, frozen=True, kw_only=True):
     """The callers of one workspace: Poisson arrivals, conversations."""
@@ -75,6 +78,7 @@
             requests, MOST_STREAMS, script.measure_from_s, script.until_s
         )
         self._give_up_s = script.give_up_s
+        self._giving_up = False
 
     def _begin_due(self) -> None:
         super()._begin_due()
@@ -86,7 +90,9 @@
             if exchange.first_byte_s is None:
                 # Not a dead idle connection, which would be tried again.
                 exchange.first_byte_s = now_s
+            self._giving_up = True
             self._end(exchange)
+            self._giving_up = False
 
     def _note(
         self, exchange: load_stream.Exchange, figures: load.Figures
@@ -96,6 +102,9 @@
             first_token_s = self._now_s()
         exchange.first_byte_s = first_token_s
         super()._note(exchange, figures)
+        if self._giving_up:
+            figures.results[exchange.result().value] -= 1
+            figures.results[LATE] += 1
 
 
 def _words(chance: random.Random, count: int) -> str:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -67,12 +67,13 @@
 
     @property
     def bad(self) -> int:
-        """Answers that were cut, wrong, or did not come."""
+        """Answers that were cut, wrong, or given up by their callers."""
         bad = 0
         for label, figures in self.figures.items():
             bad += figures.results['wrong-text']
             if label not in self.scenario.expected_bad:
                 bad += figures.results['cut']
+                bad += figures.results[request_load.LATE]
                 bad += self._failed(figures)
         return bad
 
@@ -100,7 +101,7 @@
             name: self.offered_tokens.get(name, 0) / measured_s
             for name in reached
         }
-        due = _shares_due(offered, sum(reached.values()))
+        due = shares_due(offered, sum(reached.values()))
         return {name: (reached[name], due[name]) for name in reached}
 
     def shortest_share(self) -> float:
@@ -136,9 +137,7 @@
 )
 
 
-def _shares_due(
-    offered: dict[str, float], capacity: float
-) -> dict[str, float]:
+def shares_due(offered: dict[str, float], capacity: float) -> dict[str, float]:
     """Weighted max-min shares of *capacity*, nobody above what it offers."""
     due = dict.fromkeys(offered, 0.0)
     hungry = set(offered)
@@ -264,7 +263,7 @@
         f'gap p95 within {GAP_TARGET_MS:.0f} ms: {gap_ms:.1f} ms',
         gap_ms <= GAP_TARGET_MS,
     )
-    yield f'no answer lost or wrong: {result.bad}', result.bad == 0
+    yield f'no answer lost, wrong or given up: {result.bad}', result.bad == 0
     if result.scenario.name == 'overload':
         shortest = result.shortest_share()
         yield (
@@ -291,7 +290,8 @@
     for label, figures in result.figures.items():
         print(
             f'    {label}: {dict(figures.results)}, '
-            f'outcomes {dict(figures.outcomes)}'
+            f'outcomes {dict(figures.outcomes)}, '
+            f'dead idle connections {figures.reconnects}'
         )
     sys.stdout.flush()
 
