Revert "Try: a router's slots by the demand that all have told"

Ruled out as the only cause: newest demand against old sums. Next: how affinity and lagged loads let one engine get 46 attempts on 8 slots within 2 s; and admission, which learns the engines' queueing as start time and then leaves 0.1 s to wait.

--- a/src/guavachute/decide/steering.py
+++ b/src/guavachute/decide/steering.py
@@ -93,7 +93,7 @@
 
     def slots(
         self,
-        told_demand: dict[ids.WorkspaceName, float],
+        own_demand: dict[ids.WorkspaceName, float],
         shares: dict[ids.WorkspaceName, float],
         slots: float,
         live_routers: int,
@@ -103,23 +103,16 @@
 
         Each workspace is due its share of the slots, less what it has no
         use for; of that this router has its part.
-
-        All of it goes by what the routers have told each other. By its
-        newest demand each would take the work that has just come for
-        most of all work, and together they would start several times
-        what the slots hold.
-
-        :param told_demand: this router's, as old as the others' sums
         """
         demand = {
-            name: told_demand.get(name, 0.0)
+            name: own_demand.get(name, 0.0)
             + self._others(name, live_routers, now_s)[0]
             for name in shares
         }
         due = water_fill(slots, demand, shares)
         return {
             name: amount
-            * self.part(name, told_demand.get(name, 0.0), live_routers, now_s)
+            * self.part(name, own_demand.get(name, 0.0), live_routers, now_s)
             for name, amount in due.items()
         }
 
--- a/src/guavachute/services/relay/gate.py
+++ b/src/guavachute/services/relay/gate.py
@@ -70,8 +70,6 @@
         self._expected_tokens: dict[ids.WorkspaceName, float] = {}
         self._numbers = itertools.count()
         self._next_tick_s = 0.0
-        self._counted: dict[ids.WorkspaceName, float] = {}
-        self._told: dict[ids.WorkspaceName, float] = {}
 
     def update(
         self, document: schema.Document, live_routers: int, now_s: float
@@ -214,9 +212,9 @@
             for pool in self._pools.values():
                 pool.queue.charge_elsewhere(workspace, tokens)
 
-    def demand(self) -> dict[ids.WorkspaceName, float]:
+    def demand(self) -> dict[str, float]:
         """Requests that run or wait here, by workspace, for the others."""
-        total: dict[ids.WorkspaceName, float] = {}
+        total: dict[str, float] = {}
         for stream in self._streams.values():
             name = stream.call.workspace
             total[name] = total.get(name, 0.0) + 1
@@ -230,9 +228,6 @@
         if now_s < self._next_tick_s:
             return False
         self._next_tick_s = now_s + TICK_S
-        # What the others know by now is a second old.
-        self._told = self._counted
-        self._counted = self.demand()
         for name, pool in self._pools.items():
             self._tick_pool(name, pool, now_s)
         self._set_limits(now_s)
@@ -303,8 +298,12 @@
             ids.WorkspaceName(each): workspace.share
             for each, workspace in document.workspaces.items()
         }
+        demand = {
+            each: float(pool.queue.waiting(each) + pool.queue.running(each))
+            for each in weights
+        }
         allowed = self._steering.slots(
-            self._told,
+            demand,
             weights,
             self._place.slots(name),
             live,
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -664,10 +664,7 @@
         self._mover.sweep(self._streams, now_s)
         if self._gate.tick(now_s):
             # Replaced, not changed: another thread reads it.
-            self.demand = {
-                str(name): amount
-                for name, amount in self._gate.demand().items()
-            }
+            self.demand = self._gate.demand()
         self._granter.expire(now_s)
         if now_s < self._next_check_s:
             return
