Refuse an exporter without a place; a slow body gets 408

Cause: read through: the settings promised that a file or URL is there, and nothing checked it, so that a router ended with a traceback; the answer to a body that does not come had no test. Change: the settings refuse it in one line; both are tested.

--- a/src/guavachute/settings.py
+++ b/src/guavachute/settings.py
@@ -38,6 +38,13 @@
     path: str | None = None
     url: str | None = None
 
+    def __post_init__(self) -> None:
+        """Refuse an exporter that is not told where to."""
+        if self.exporter == 'json-lines' and self.path is None:
+            raise ValueError('path: got none, expected one for "json-lines"')
+        if self.exporter == 'otlp' and self.url is None:
+            raise ValueError('url: got none, expected one for "otlp"')
+
 
 class Observe(Strict, frozen=True):
     """Logs, counters and traces."""
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -58,6 +58,17 @@
             result = programs.run(module, self.write({'port': 'http'}))
             self.assert_one_line(result, '"http"', '$.port')
 
+    def test_an_exporter_without_a_place_is_refused(self) -> None:
+        wanted = {
+            'node': 'entry-1',
+            'failure_domain': 'perth-a',
+            'region': 'perth',
+            'node_address': '127.0.0.1:1',
+            'observe': {'traces': {'exporter': 'json-lines'}},
+        }
+        result = programs.run('router', self.write(wanted))
+        self.assert_one_line(result, '$.observe.traces', 'path', 'json-lines')
+
     def test_settings_that_are_not_json_are_refused(self) -> None:
         path = self.folder / 'settings.json'
         path.write_text('port: 80')
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -1,5 +1,6 @@
 """The HTTP server survives what happens to its connections."""
 
+import socket
 import unittest
 
 import urllib3
@@ -52,3 +53,21 @@
         served = self.serve(handle)
         self.assertEqual(500, self.ask(served, '/error'))
         self.assertEqual(200, self.ask(served, '/'))
+
+    def test_a_body_that_does_not_come_gets_a_4xx(self) -> None:
+        served = hosting.host(
+            self,
+            server.Server(
+                'http',
+                '127.0.0.1',
+                0,
+                lambda request, exchange: message.Response(200),
+                read_timeout_s=1,
+            ),
+        )
+        with socket.create_connection((served.host, served.port), 20) as raw:
+            raw.sendall(b'POST / HTTP/1.1\r\nHost: x\r\n')
+            raw.sendall(b'Content-Length: 10\r\n\r\nslow')
+            answer = raw.recv(1000)
+        self.assertIn(b' 408 ', answer.split(b'\r\n')[0])
+        self.assertEqual(200, self.ask(served, '/'))
