Leave out events of what an earlier handler has ended

Cause: read through: a caller that hangs up ends its endpoint's connection, and when a token had come in the same turn of the selector, its handler met a stream without a connection, an invariant that stops the router. Change: what is no longer registered, or anew, is left out of the turn. The new test fails without the change and passes with it. Ruled out: a lost token, for what is still ready is reported again.

--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -34,6 +34,7 @@
 from guavachute.services.relay import moves
 from guavachute.services.relay import probes
 from guavachute.services.relay import suspects
+from guavachute.services.relay import turn
 from guavachute.services.relay import upstream
 from guavachute.services.relay import work as relay_work
 from guavachute.services.relay import writing
@@ -130,8 +131,7 @@
                 self.mailbox.fileno(), selectors.EVENT_READ, self._read_mail
             )
             while not self.stopping.is_set():
-                for key, events in selector.select(SWEEP_INTERVAL_S):
-                    key.data(events)
+                turn.run_ready(selector, SWEEP_INTERVAL_S)
                 now_s = time.monotonic()
                 if self._gate.waiting:
                     self._start_queued(now_s)
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -9,6 +9,7 @@
 
 import urllib3
 
+from guavachute.standin import engine_job
 from guavachute.standin import engine_text
 from guavachute.standin import faults
 from tests.support import small_fleet
@@ -182,6 +183,30 @@
         )
         waiting.until(lambda: self._running(fleet) == 0, 'the engine is idle')
 
+    def test_many_that_hang_up_as_tokens_come_end_nobody_else(self) -> None:
+        quick = engine_job.EngineSettings(
+            models=[small_fleet.MODEL],
+            first_token_s=0.0,
+            token_gap_s=0.0005,
+            slots=200,
+            queue_limit=500,
+        )
+        fleet = self.start(engines=1, engine_settings=quick)
+        body = body_of('a plan', tokens=5000)
+
+        def hang_up() -> None:
+            for _ in range(20):
+                response = self.ask(fleet, body)
+                response.read(10)
+                response.close()
+
+        with concurrent.futures.ThreadPoolExecutor(10) as pool:
+            for ended in [pool.submit(hang_up) for _ in range(10)]:
+                ended.result()
+        self.assertIsNone(fleet.router.kernel.broken_task)
+        answer = read_events(self.ask(fleet, body_of('a plan')))
+        self.assert_whole(answer, 'a plan')
+
     def _running(self, fleet: small_fleet.SmallFleet) -> int:
         url = f'http://{fleet.engines[0].address}/v1/load'
         return urllib3.request('GET', url, retries=False).json()['running']
