--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -15,6 +15,7 @@
 from bench import capacity_fit
 from bench import capacity_node
 from bench import fleet
+from guavachute.clients import vm_list
 from guavachute.decide import control_log
 from guavachute.decide import control_reader
 from guavachute.decide import fleet_plan
@@ -22,7 +23,6 @@
 from guavachute.decide import order_commit
 from guavachute.document import schema
 from guavachute import ids
-from guavachute.platform import vm_list
 from guavachute.wire import codec
 from guavachute.wire import log_relay
 from guavachute.wire import order_records
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -3,11 +3,11 @@
 from bench import capacity_fit
 from bench import capacity_lines as lines
 from bench import capacity_target as target
+from guavachute.clients import log_source
 from guavachute.decide import lease
 from guavachute.decide import order_commit
 from guavachute.decide import relay_tree
 from guavachute.decide import snapshot_duty
-from guavachute.platform import log_source
 from guavachute.services.fleet import task as fleet_task
 from guavachute.services import leases
 from guavachute.services import log_relay
--- a/bench/capacity_site.py
+++ b/bench/capacity_site.py
@@ -13,12 +13,12 @@
 from bench import capacity_members
 from bench import processes
 from bench import relay
+from guavachute.clients import log_client
+from guavachute.clients import node_client
 from guavachute.document import check
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import log_client
-from guavachute.platform import node_client
 from guavachute.wire import records
 
 ENVIRONMENT = 'bench'
--- a/bench/control_publish.py
+++ b/bench/control_publish.py
@@ -8,13 +8,13 @@
 from bench import control_site
 from bench import control_tables
 from guavachute.cli import publish
+from guavachute.clients import configuration
+from guavachute.clients import in_force
+from guavachute.clients import log_client
 from guavachute.document import check
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import configuration
-from guavachute.platform import in_force
-from guavachute.platform import log_client
 
 PAUSE_S = 0.1
 TIMEOUT_S = 30.0
--- a/bench/control_rest.py
+++ b/bench/control_rest.py
@@ -9,7 +9,7 @@
 
 from bench import control_site
 from bench import processes
-from guavachute.platform import node_client
+from guavachute.clients import node_client
 from guavachute.wire import status
 
 PEER_BYTES = ('membership.sent_bytes', 'membership.received_bytes')
--- a/bench/log.py
+++ b/bench/log.py
@@ -14,14 +14,14 @@
 
 import msgspec
 
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute.decide import control_reader
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import kernel
 from guavachute.kernel import mailbox
 from guavachute.observe import counters
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.services import log_follower
 from guavachute.services import log_relay
 from guavachute.services import log_relay_source
--- a/bench/order_claims.py
+++ b/bench/order_claims.py
@@ -15,11 +15,11 @@
 
 import msgspec
 
+from guavachute.clients import log_client
 from guavachute.http import message
 from guavachute import ids
 from guavachute.kernel import kernel
 from guavachute.observe import counters
-from guavachute.platform import log_client
 from guavachute.services import claim_gate
 from guavachute.services import order_claims
 from guavachute.services import plain_calls
--- a/src/guavachute/assembly/fleet.py
+++ b/src/guavachute/assembly/fleet.py
@@ -3,12 +3,12 @@
 import random
 import typing
 
+from guavachute.clients import cloud_client
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import cloud_client
 from guavachute.services.fleet import cloud_worker
 from guavachute.services.fleet import engine_orders
 from guavachute.services.fleet import messages
--- a/src/guavachute/assembly/node.py
+++ b/src/guavachute/assembly/node.py
@@ -6,12 +6,12 @@
 import typing
 
 from guavachute.assembly import fleet as fleet_duty
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import kernel
 from guavachute.observe import counters
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.services import claim_server
 from guavachute.services import leases
 from guavachute.services import log_follower
--- a/src/guavachute/cli/demo.py
+++ b/src/guavachute/cli/demo.py
@@ -13,13 +13,13 @@
 
 from guavachute.cli import process
 from guavachute.cli import publish as publish_command
+from guavachute.clients import configuration
+from guavachute.clients import log_client
 from guavachute.demo import fleet
 from guavachute.demo import tour
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute.observe import logs
-from guavachute.platform import configuration
-from guavachute.platform import log_client
 
 PUBLISH_LIMIT_S = 10.0
 
--- a/src/guavachute/cli/fleet_sources.py
+++ b/src/guavachute/cli/fleet_sources.py
@@ -5,13 +5,13 @@
 
 from guavachute.cli import operator_settings
 from guavachute.cli import process
+from guavachute.clients import cloud_client
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute.decide import control_log
 from guavachute.decide import purchases
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import cloud_client
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.wire import records
 
 
--- a/src/guavachute/cli/plan.py
+++ b/src/guavachute/cli/plan.py
@@ -14,6 +14,7 @@
 from guavachute.cli import operator_settings
 from guavachute.cli import process
 from guavachute.cli import validate
+from guavachute.clients import engine_orders
 from guavachute.decide import demand
 from guavachute.decide import fleet_plan
 from guavachute.decide import fleet_text
@@ -23,7 +24,6 @@
 from guavachute.document import schema
 from guavachute import ids
 from guavachute import outcome
-from guavachute.platform import engine_orders
 from guavachute.services.fleet import intents
 from guavachute.wire import records
 
--- a/src/guavachute/cli/publish.py
+++ b/src/guavachute/cli/publish.py
@@ -13,13 +13,13 @@
 from guavachute.cli import operator_settings
 from guavachute.cli import process
 from guavachute.cli import validate
+from guavachute.clients import configuration
+from guavachute.clients import in_force
+from guavachute.clients import log_client
+from guavachute.clients import node_client
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import configuration
-from guavachute.platform import in_force
-from guavachute.platform import log_client
-from guavachute.platform import node_client
 from guavachute.wire import status
 
 DIGEST_CHARACTERS = 12
--- a/src/guavachute/cli/status.py
+++ b/src/guavachute/cli/status.py
@@ -8,8 +8,8 @@
 from guavachute.cli import arguments
 from guavachute.cli import operator_settings
 from guavachute.cli import process
+from guavachute.clients import node_client
 from guavachute import outcome
-from guavachute.platform import node_client
 from guavachute.wire import status
 
 DIGEST_CHARACTERS = 12
--- a/src/guavachute/platform/configuration.py
+++ b/src/guavachute/clients/configuration.py
@@ -12,13 +12,13 @@
 import time
 import typing
 
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute.decide import backoff
 from guavachute.decide import control_log
 from guavachute.decide import control_reader
 from guavachute import ids
 from guavachute import outcome
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.wire import records
 
 TIMEOUT_S = 30.0
--- a/src/guavachute/platform/engine_orders.py
+++ b/src/guavachute/clients/engine_orders.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
+from guavachute.clients import cloud_client
 from guavachute.decide import placement
 from guavachute import ids
 from guavachute import outcome
-from guavachute.platform import cloud_client
 
 READ_TIMEOUT_S = 2.0
 
--- a/src/guavachute/platform/log_source.py
+++ b/src/guavachute/clients/log_source.py
@@ -3,10 +3,10 @@
 import dataclasses
 import typing
 
+from guavachute.clients import log_client
 from guavachute.decide import log_start
 from guavachute import ids
 from guavachute import outcome
-from guavachute.platform import log_client
 from guavachute.wire import records
 
 POLL_WAIT_S = 5.0
--- a/src/guavachute/services/claim_stream.py
+++ b/src/guavachute/services/claim_stream.py
@@ -8,13 +8,13 @@
 import time
 import typing
 
+from guavachute.clients import log_client
 from guavachute.decide import order_commit
 from guavachute.decide import order_snapshot
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute import outcome
-from guavachute.platform import log_client
 from guavachute.wire import order_records
 
 POLL_WAIT_S = 5.0
--- a/src/guavachute/services/fleet/cloud_view.py
+++ b/src/guavachute/services/fleet/cloud_view.py
@@ -6,11 +6,11 @@
 
 import typing
 
+from guavachute.clients import cloud_client
 from guavachute.decide import market
 from guavachute.decide import purchases
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import cloud_client
 from guavachute.services.fleet import intents
 
 OFFERS_EVERY_S = 30.0
--- a/src/guavachute/services/fleet/cloud_worker.py
+++ b/src/guavachute/services/fleet/cloud_worker.py
@@ -5,12 +5,12 @@
 that hands them out.
 """
 
+from guavachute.clients import cloud_client
 from guavachute.decide import purchases
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import logs
 from guavachute import outcome
-from guavachute.platform import cloud_client
 from guavachute.services.fleet import messages
 
 _log = logs.logger('fleet')
--- a/src/guavachute/services/fleet/engine_orders.py
+++ b/src/guavachute/services/fleet/engine_orders.py
@@ -8,6 +8,7 @@
 import itertools
 import time
 
+from guavachute.clients import engine_orders
 from guavachute.decide import fleet_view
 from guavachute.decide import placement
 from guavachute import ids
@@ -15,7 +16,6 @@
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import engine_orders
 from guavachute.services.fleet import messages
 
 ROUND_S = 2.0
--- a/src/guavachute/services/fleet/intents.py
+++ b/src/guavachute/services/fleet/intents.py
@@ -2,12 +2,12 @@
 
 import typing
 
+from guavachute.clients import cloud_client
 from guavachute.decide import allowances
 from guavachute.decide import fleet_plan
 from guavachute.decide import market
 from guavachute.decide import purchases
 from guavachute import ids
-from guavachute.platform import cloud_client
 from guavachute.services.fleet import messages
 from guavachute.wire import records
 
--- a/src/guavachute/services/fleet/picture.py
+++ b/src/guavachute/services/fleet/picture.py
@@ -4,6 +4,7 @@
 import functools
 import typing
 
+from guavachute.clients import vm_list
 from guavachute.decide import demand
 from guavachute.decide import fleet_view
 from guavachute.decide import offered
@@ -13,7 +14,6 @@
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import mailbox
-from guavachute.platform import vm_list
 from guavachute.services.fleet import drains
 from guavachute.services.fleet import messages
 from guavachute.services import log_follower
--- a/src/guavachute/services/fleet/task.py
+++ b/src/guavachute/services/fleet/task.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from guavachute.clients import cloud_client
 from guavachute.decide import allowances
 from guavachute.decide import fleet_plan
 from guavachute.decide import fleet_view
@@ -22,7 +23,6 @@
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import cloud_client
 from guavachute.services.fleet import cloud_view
 from guavachute.services.fleet import drains
 from guavachute.services.fleet import intents
--- a/src/guavachute/services/log_follower.py
+++ b/src/guavachute/services/log_follower.py
@@ -11,6 +11,7 @@
 import selectors
 import typing
 
+from guavachute.clients import log_source
 from guavachute.decide import control_reader
 from guavachute.decide import source_choice
 from guavachute import ids
@@ -20,7 +21,6 @@
 from guavachute.observe import counters as counters_module
 from guavachute.observe import logs
 from guavachute import outcome
-from guavachute.platform import log_source
 from guavachute.wire import records
 
 _log = logs.logger('log-follower')
--- a/src/guavachute/services/log_relay_source.py
+++ b/src/guavachute/services/log_relay_source.py
@@ -4,11 +4,11 @@
 import socket
 import typing
 
+from guavachute.clients import log_source
 from guavachute.decide import peer_proof
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute import outcome
-from guavachute.platform import log_source
 from guavachute.services import peer_connection
 from guavachute.wire import log_relay
 from guavachute.wire import records
--- a/src/guavachute/services/log_tree.py
+++ b/src/guavachute/services/log_tree.py
@@ -6,11 +6,11 @@
 
 import typing
 
+from guavachute.clients import log_source
 from guavachute.decide import membership as membership_state
 from guavachute.decide import relay_tree
 from guavachute import ids
 from guavachute.kernel import task
-from guavachute.platform import log_source
 from guavachute.services import log_follower
 from guavachute.services import log_relay_source
 from guavachute.services import membership
--- a/src/guavachute/services/log_writer.py
+++ b/src/guavachute/services/log_writer.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from guavachute.clients import log_client
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute import outcome
-from guavachute.platform import log_client
 
 MAX_BATCH_RECORDS = 200
 
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from guavachute.clients import vm_list
 from guavachute.decide import address_answer
 from guavachute.decide import demand_sums
 from guavachute.decide import member_table
@@ -23,7 +24,6 @@
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import logs
-from guavachute.platform import vm_list
 from guavachute.services.fleet import messages as fleet_messages
 from guavachute.services import grant_desk
 from guavachute.services import log_follower
--- a/src/guavachute/services/status_text.py
+++ b/src/guavachute/services/status_text.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
+from guavachute.clients import vm_list
 from guavachute.decide import domain_digest
 from guavachute.decide import membership
 from guavachute import ids
-from guavachute.platform import vm_list
 from guavachute.wire import gossip
 from guavachute.wire import records
 from guavachute.wire import status
--- a/src/guavachute/services/vm_watch.py
+++ b/src/guavachute/services/vm_watch.py
@@ -3,12 +3,12 @@
 import dataclasses
 import typing
 
+from guavachute.clients import vm_list
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import logs
 from guavachute import outcome
-from guavachute.platform import vm_list
 
 _log = logs.logger('vm-watch')
 
--- a/tests/cover/test_configuration.py
+++ b/tests/cover/test_configuration.py
@@ -3,10 +3,10 @@
 import threading
 import time
 
+from guavachute.clients import configuration
+from guavachute.clients import in_force
 from guavachute import ids
 from guavachute import outcome
-from guavachute.platform import configuration
-from guavachute.platform import in_force
 from guavachute.standin import faults
 from guavachute.wire import records
 from tests.support import control
--- a/tests/cover/test_fleet_service.py
+++ b/tests/cover/test_fleet_service.py
@@ -4,10 +4,10 @@
 import contextlib
 import unittest
 
+from guavachute.clients import cloud_client
 from guavachute.decide import market
 from guavachute import ids
 from guavachute import outcome
-from guavachute.platform import cloud_client
 from guavachute.services.fleet import drains
 from guavachute.services.fleet import messages
 from guavachute.standin import cloud_ledger
--- a/tests/cover/test_log_follower.py
+++ b/tests/cover/test_log_follower.py
@@ -4,13 +4,13 @@
 import time
 import unittest
 
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute.decide import control_log
 from guavachute.decide import source_choice
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.standin import faults
 from tests.support import control
 from tests.support import waiting
--- a/tests/cover/test_log_poll.py
+++ b/tests/cover/test_log_poll.py
@@ -4,9 +4,9 @@
 import unittest
 import unittest.mock
 
+from guavachute.clients import log_client
 from guavachute import ids
 from guavachute.observe import counters
-from guavachute.platform import log_client
 from guavachute.standin import log_service
 from tests.support import hosting
 
--- a/tests/cover/test_node.py
+++ b/tests/cover/test_node.py
@@ -7,11 +7,11 @@
 import unittest
 
 from guavachute.assembly import node
+from guavachute.clients import configuration
+from guavachute.clients import log_client
 from guavachute.document import check
 from guavachute import ids
 from guavachute.observe import counters
-from guavachute.platform import configuration
-from guavachute.platform import log_client
 from guavachute.standin import log_service
 from guavachute.standin import vm_list
 from guavachute.wire import records
--- a/tests/cover/test_node_state.py
+++ b/tests/cover/test_node_state.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from guavachute.clients import vm_list
 from guavachute.decide import control_log
 from guavachute import ids
 from guavachute.kernel import clock
@@ -12,7 +13,6 @@
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
-from guavachute.platform import vm_list
 from guavachute.services import log_follower
 from guavachute.services import membership
 from guavachute.services import node_state
--- a/tests/cover/test_order_service.py
+++ b/tests/cover/test_order_service.py
@@ -6,12 +6,12 @@
 import unittest
 import unittest.mock
 
+from guavachute.clients import log_client
 from guavachute.http import message
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute.observe import traces
 from guavachute import outcome
-from guavachute.platform import log_client
 from guavachute.services import claim_client
 from guavachute.services import claim_gate
 from guavachute.services import claim_server
--- a/tests/nocover/test_fleet_duty.py
+++ b/tests/nocover/test_fleet_duty.py
@@ -8,10 +8,10 @@
 from guavachute.assembly import fleet as assembly
 from guavachute.cli import fleet_sources
 from guavachute.cli import operator_settings
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute import ids
 from guavachute.observe import counters
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.services import leases
 from guavachute.services import log_follower
 from guavachute.services import log_writer
--- a/tests/support/control.py
+++ b/tests/support/control.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
+from guavachute.clients import log_client
+from guavachute.clients import log_source
 from guavachute.decide import control_log
 from guavachute import ids
 from guavachute.kernel import kernel
 from guavachute.kernel import mailbox
 from guavachute.observe import counters
-from guavachute.platform import log_client
-from guavachute.platform import log_source
 from guavachute.services import leases
 from guavachute.services import log_follower
 from guavachute.services import log_relay
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
+from guavachute.clients import cloud_client
+from guavachute.clients import vm_list
 from guavachute.decide import control_log
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute import outcome
-from guavachute.platform import cloud_client
-from guavachute.platform import vm_list
 from guavachute.services.fleet import cloud_worker
 from guavachute.services.fleet import messages
 from guavachute.services.fleet import task as fleet_task
