--- a/src/guavachute/decide/crash.py
+++ b/src/guavachute/decide/crash.py
@@ -167,12 +167,7 @@
         attempt = self._pop(attempt_id)
         if attempt is None:
             return None
-        name = attempt.fingerprint
-        entry = self._entries.get(name)
-        if entry is None or self.standing(name, now_s) is not Standing.SUSPECT:
-            return None
-        entry.cleared.update(entry.crashes)
-        return _notice(name, entry)
+        return self.absolve(attempt.fingerprint, now_s)
 
     def crashed(
         self, endpoint: ids.EndpointId, crash_id: str, now_s: float
@@ -205,6 +200,23 @@
             notices.append(_notice(name, entry))
         return notices
 
+    def blame(
+        self, name: Fingerprint, crash_id: str, now_s: float
+    ) -> requests.CrashNotice:
+        """An endpoint died while it ran *name*; what others are to know."""
+        entry = self._merge(name, [crash_id], [], False, now_s)
+        return _notice(name, entry)
+
+    def absolve(
+        self, name: Fingerprint, now_s: float
+    ) -> requests.CrashNotice | None:
+        """*name* ran to its end; a notice if it was suspect before."""
+        entry = self._entries.get(name)
+        if entry is None or self.standing(name, now_s) is not Standing.SUSPECT:
+            return None
+        entry.cleared.update(entry.crashes)
+        return _notice(name, entry)
+
     def take(
         self, notice: requests.CrashNotice, now_s: float
     ) -> list[ids.AttemptId]:
--- /dev/null
+++ b/src/guavachute/decide/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about one request: who pays, where it goes, whether again."""
--- /dev/null
+++ b/src/guavachute/decide/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that the entry nodes' news of each other lead to."""
--- /dev/null
+++ b/src/guavachute/domain/__init__.py
@@ -0,0 +1,1 @@
+"""What the entry process decides about, in the project's own words."""
--- /dev/null
+++ b/src/guavachute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process on an entry VM: one loop for callers, endpoints and peers."""
--- /dev/null
+++ b/src/guavachute/entry/control_client.py
@@ -0,0 +1,203 @@
+"""Calls to the store, the cloud, engines' reports and peers."""
+
+import collections
+import dataclasses
+import enum
+import typing
+
+from guavachute.domain import call
+from guavachute.entry import http1
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import transport
+from guavachute import ids
+
+MAX_IDLE_CONNECTIONS = 4
+MAX_IDLE_S = 4.0
+"""An idle connection this old may have gone silent; it is replaced."""
+
+CONNECT_TIMEOUT_S = 0.8
+
+
+class Lost(enum.Enum):
+    """Why a call has no answer."""
+
+    NOT_SENT = 'not-sent'
+    """No connection: the call has had no effect."""
+    NO_ANSWER = 'no-answer'
+    """It may have had its effect, or may have it later."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer, whole."""
+
+    status: int
+    body: bytes
+
+
+Done = typing.Callable[[Reply | Lost], None]
+
+
+class Client:
+    """Calls one address; each call has a connection to itself."""
+
+    def __init__(self, loop: entry_loop.Loop, address: ids.Address) -> None:
+        self._loop = loop
+        self.address = address
+        self._idle: collections.deque[_Channel] = collections.deque()
+
+    def call(
+        self,
+        method: bytes,
+        target: bytes,
+        done: Done,
+        timeout_s: float,
+        body: bytes = b'',
+        headers: typing.Sequence[call.Header] = (),
+    ) -> typing.Callable[[], None]:
+        """Send a request; *done* is called once, later.
+
+        The result gives the call up: *done* is then not called.
+        """
+        lines = [
+            b'%s %s HTTP/1.1' % (method, target),
+            b'Host: %s' % self.address.encode(),
+        ]
+        lines += [b'%s: %s' % header for header in headers]
+        if body or method != b'GET':
+            lines.append(b'Content-Length: %d' % len(body))
+        channel = self._take()
+        channel.begin(
+            b'\r\n'.join(lines) + b'\r\n\r\n' + body, done, timeout_s
+        )
+        return channel.abandon
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.popleft().abandon()
+
+    def _take(self) -> '_Channel':
+        while self._idle:
+            channel = self._idle.pop()
+            if channel.is_usable(self._loop.now_s):
+                return channel
+            channel.abandon()
+        return _Channel(self._loop, self.address, self._give_back)
+
+    def _give_back(self, channel: '_Channel') -> None:
+        self._idle.append(channel)
+        if len(self._idle) > MAX_IDLE_CONNECTIONS:
+            self._idle.popleft().abandon()
+
+
+class _Channel:
+    """A connection that carries one call at a time."""
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        address: ids.Address,
+        give_back: typing.Callable[['_Channel'], None],
+    ) -> None:
+        self._loop = loop
+        self._give_back = give_back
+        self._reader = http1.AnswerReader()
+        self._connection = transport.connect(loop, address)
+        if self._connection is not None:
+            self._connection.owner = self
+        self._done: Done | None = None
+        self._timer: entry_loop.Timer | None = None
+        self._connect_timer: entry_loop.Timer | None = None
+        self._status = 0
+        self._body: list[bytes] = []
+        self._idle_since_s = loop.now_s
+
+    def is_usable(self, now_s: float) -> bool:
+        """Whether another call may be sent here."""
+        return (
+            self._connection is not None
+            and not self._connection.is_closed
+            and now_s - self._idle_since_s < MAX_IDLE_S
+        )
+
+    def begin(self, request: bytes, done: Done, timeout_s: float) -> None:
+        """Send one call."""
+        self._done = done
+        self._body = []
+        if self._connection is None:
+            self._loop.call_after(0, lambda: self._lose(Lost.NOT_SENT))
+            return
+        self._timer = self._loop.call_after(timeout_s, self._time_out)
+        if not self._connection.is_connected:
+            self._connect_timer = self._loop.call_after(
+                min(timeout_s, CONNECT_TIMEOUT_S), self._connect_timed_out
+            )
+        self._connection.write(request)
+
+    def abandon(self) -> None:
+        """Close, and tell nobody."""
+        self._done = None
+        self._cancel_timers()
+        if self._connection is not None:
+            self._connection.close()
+
+    def received(self, data: bytes) -> None:
+        """Bytes of the answer, or bytes that nobody asked for."""
+        for event in self._reader.feed(data):
+            if isinstance(event, http1.AnswerBegan):
+                self._status = event.status
+            elif isinstance(event, http1.AnswerBody):
+                self._body.append(event.data)
+            elif isinstance(event, http1.AnswerEnded):
+                self._finish(event.keeps_alive)
+            else:
+                self._lose(Lost.NO_ANSWER)
+            if self._connection is None or self._connection.is_closed:
+                return
+
+    def ended(self, is_clean: bool) -> None:
+        """The connection is gone."""
+        assert self._connection is not None
+        if is_clean and self._done and self._reader.ends_with_connection:
+            self._finish(keeps_alive=False)
+        elif self._connection.is_connected:
+            self._lose(Lost.NO_ANSWER)
+        else:
+            self._lose(Lost.NOT_SENT)
+
+    def drained(self) -> None:
+        """All bytes are sent."""
+
+    def _finish(self, keeps_alive: bool) -> None:
+        done, self._done = self._done, None
+        self._cancel_timers()
+        reply = Reply(self._status, b''.join(self._body))
+        assert self._connection is not None
+        if done is None or not keeps_alive:
+            self._connection.close()
+        else:
+            self._idle_since_s = self._loop.now_s
+            self._give_back(self)
+        if done is not None:
+            done(reply)
+
+    def _time_out(self) -> None:
+        self._lose(Lost.NO_ANSWER)
+
+    def _connect_timed_out(self) -> None:
+        assert self._connection is not None
+        if not self._connection.is_connected:
+            self._lose(Lost.NOT_SENT)
+
+    def _lose(self, how: Lost) -> None:
+        done, self._done = self._done, None
+        self.abandon()
+        if done is not None:
+            done(how)
+
+    def _cancel_timers(self) -> None:
+        for timer in (self._timer, self._connect_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._connect_timer = None
--- /dev/null
+++ b/src/guavachute/entry/duty.py
@@ -0,0 +1,308 @@
+"""The lease of the duties towards the cloud, and the duties themselves.
+
+The lease is a record under one key of the system's own topic, appended
+on the condition that nothing was appended since. Its offset is the
+fencing token, so no two holders share one and it only grows. What is to
+be reported is decided in that record before it is reported.
+"""
+
+import random
+import typing
+
+from guavachute.decide.duty import usage
+from guavachute.decide import lease
+from guavachute.domain import site as domain_site
+from guavachute.entry import control_client
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import topic_follower
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute import outcome
+from guavachute.platform import cloud
+from guavachute.platform import store
+from guavachute.wire import entry_news
+from guavachute.wire import records
+
+KEY = 'duty'
+TICK_S = 0.25
+CALL_TIMEOUT_S = 1.5
+WRITE_TIMEOUT_S = 1.5
+
+MAX_STAGGER_S = 1.0
+"""Nodes that want a free lease come up to this much apart."""
+
+WRITE_PAUSE_S = 0.5
+"""Least time between two records of one node."""
+
+REPEAT_S = 1.0
+"""Pause before a report without an answer is sent again."""
+
+KEPT_DECISIONS = 6
+"""Windows whose counts stay in the record."""
+
+
+class Orders(typing.Protocol):
+    """What else the holder does while it holds the lease."""
+
+    def act(self, held: 'HeldDuty') -> None:
+        """Called several times a second."""
+
+
+class HeldDuty:
+    """Proof of the lease, for calls to the cloud."""
+
+    def __init__(self, duty: 'Duty', fence: int) -> None:
+        self._duty = duty
+        self.fence = fence
+
+    def call(
+        self, target: bytes, body: bytes, done: control_client.Done
+    ) -> bool:
+        """Call the cloud if the lease still holds; whether it was sent."""
+        return self._duty.call_cloud(target, body, done)
+
+
+class Duty:
+    """Contends for the lease, and acts while it holds it.
+
+    :param totals: the counts of a window over all nodes
+    :param true_time_s: the time of day
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        site: domain_site.Site,
+        cloud_site: domain_site.Cloud,
+        client: control_client.Client,
+        follower: topic_follower.TopicFollower,
+        totals: typing.Callable[[int], usage.Counts],
+        true_time_s: typing.Callable[[], float],
+        orders: Orders | None,
+    ) -> None:
+        self._loop = loop
+        self._site = site
+        self._client = client
+        self._follower = follower
+        self._totals = totals
+        self._true_time_s = true_time_s
+        self._orders = orders
+        self._takes_usage = cloud_site.takes_usage
+        self._cloud = control_client.Client(loop, cloud_site.address)
+        self._contender = lease.Contender(
+            name=KEY,
+            holder=f'{site.node}/{random.SystemRandom().getrandbits(40):x}',
+            duration_s=site.bounds.lease_s,
+            stagger_s=random.uniform(0.0, MAX_STAGGER_S),
+        )
+        self._record: entry_news.DutyRecord | None = None
+        self._term: tuple[str, ids.Offset] | None = None
+        self._is_writing = False
+        self._written_at_s = float('-inf')
+        self._was_held = False
+        self._is_stopping = False
+        self._first_window: int | None = None
+        self._confirmed: set[int] = set()
+        self._calling: dict[int, float] = {}
+        self._refused_fence = -1
+
+    def start(self) -> None:
+        """Begin to contend, not at the same moment as the others."""
+        self._loop.call_after(self._contender.stagger_s, self._tick)
+
+    def stop(self) -> None:
+        """Contend no more; the lease lapses by itself."""
+        self._is_stopping = True
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this node holds the lease now."""
+        return self._held() is not None
+
+    def fold(self, record: store.KeyedRecord) -> None:
+        """The lease's record was read from the topic."""
+        if record.value is None or record.offset is None:
+            return
+        decoded = entry_news.decode_duty(record.value)
+        if isinstance(decoded, outcome.Failure):
+            journal.problem('duty', outcome='unreadable', reason=str(decoded))
+            return
+        if self._term is None or self._term[0] != decoded.holder:
+            self._term = (decoded.holder, record.offset)
+            journal.event(
+                'duty',
+                outcome='holder',
+                holder=decoded.holder,
+                offset=record.offset,
+            )
+        self._record = decoded
+        head = records.LeaseHead(
+            offset=record.offset,
+            term_offset=self._term[1],
+            record_id=ids.RecordId(decoded.record_id),
+            holder=decoded.holder,
+            duration_s=decoded.duration_s,
+        )
+        self._contender = lease.observe(
+            self._contender, head, self._loop.now_s
+        )
+
+    def call_cloud(
+        self, target: bytes, body: bytes, done: control_client.Done
+    ) -> bool:
+        """Call the cloud if the lease holds at this moment."""
+        held = self._held()
+        if held is None:
+            return False
+        fence = held.fencing_number + 1
+        if fence <= self._refused_fence:
+            return False
+
+        def got(reply: control_client.Reply | control_client.Lost) -> None:
+            is_superseded = (
+                isinstance(reply, control_client.Reply)
+                and reply.status == cloud.SUPERSEDED_STATUS
+            )
+            if is_superseded and target == cloud.USAGE_TARGET:
+                self._refused_fence = max(self._refused_fence, fence)
+            done(reply)
+
+        self._cloud.call(
+            b'POST',
+            target,
+            got,
+            CALL_TIMEOUT_S,
+            body=body,
+            headers=[
+                (b'Content-Type', store.JSON),
+                *cloud.duty_headers(self._site.node, fence),
+            ],
+        )
+        return True
+
+    def _held(self) -> lease.Held | None:
+        return lease.held(self._contender, self._loop.now_s)
+
+    def _tick(self) -> None:
+        self._loop.call_after(TICK_S, self._tick)
+        if self._is_stopping or self._follower.end_offset is None:
+            return
+        held = self._held()
+        if (held is not None) != self._was_held:
+            self._was_held = held is not None
+            journal.event('duty', outcome='held' if held else 'not-held')
+        now_s = self._loop.now_s
+        if held is not None:
+            self._report()
+            if self._orders is not None:
+                self._orders.act(HeldDuty(self, held.fencing_number + 1))
+        is_due = now_s >= lease.next_action_s(self._contender)
+        may_write = (
+            not self._is_writing
+            and self._follower.lost_since_s is None
+            and now_s >= self._written_at_s + WRITE_PAUSE_S
+        )
+        if may_write and (is_due or self._has_new_decisions(held)):
+            self._written_at_s = now_s
+            self._write()
+
+    # -- the lease -----------------------------------------------------
+
+    def _has_new_decisions(self, held: lease.Held | None) -> bool:
+        return held is not None and bool(self._undecided())
+
+    def _write(self) -> None:
+        """Append the record that takes, renews or extends the lease."""
+        record_id = ids.RecordId(ids.new_random_id('duty'))
+        self._contender, _ = lease.send(
+            self._contender, record_id, self._loop.now_s
+        )
+        decided = dict(self._record.usage) if self._record else {}
+        if self._held() is not None:
+            decided.update(self._undecided())
+        while len(decided) > KEPT_DECISIONS:
+            del decided[min(decided)]
+        value = entry_news.encode(
+            entry_news.DutyRecord(
+                record_id=record_id,
+                holder=self._contender.holder,
+                duration_s=self._contender.duration_s,
+                usage=decided,
+            )
+        )
+        request = store.append(
+            self._follower.topic,
+            [store.keyed(store.KeyedRecord(KEY, value))],
+            at=self._follower.end_offset,
+        )
+        self._is_writing = True
+        self._client.call(
+            request.method,
+            request.target,
+            self._written,
+            WRITE_TIMEOUT_S,
+            body=request.body,
+            headers=[(b'Content-Type', request.content_type)],
+        )
+
+    def _written(
+        self, reply: control_client.Reply | control_client.Lost
+    ) -> None:
+        self._is_writing = False
+        if isinstance(reply, control_client.Lost):
+            journal.event('duty', outcome='write-lost', reason=reply.value)
+        elif reply.status != 200:
+            journal.event('duty', outcome='write-refused', status=reply.status)
+        # What the topic holds now decides, whatever the answer was.
+        self._follower.read_now()
+
+    # -- usage ---------------------------------------------------------
+
+    def _undecided(self) -> dict[int, usage.Counts]:
+        """Counts of windows that are complete and not decided yet."""
+        if not self._takes_usage:
+            return {}
+        bounds = self._site.bounds
+        true_s = self._true_time_s()
+        if self._first_window is None:
+            self._first_window = usage.window_at(true_s, bounds.usage_window_s)
+        decided = self._record.usage if self._record else {}
+        newest = max(decided, default=-1)
+        found = {}
+        for window in usage.due_windows(
+            true_s, bounds.usage_window_s, bounds.usage_delay_s, newest + 1
+        ):
+            counts = self._totals(window)
+            if counts:
+                found[window] = counts
+        return found
+
+    def _report(self) -> None:
+        """Send the decided counts that nobody has confirmed."""
+        if self._record is None or self._record.holder != (
+            self._contender.holder
+        ):
+            return
+        now_s = self._loop.now_s
+        for window, counts in self._record.usage.items():
+            if window in self._confirmed:
+                continue
+            if now_s - self._calling.get(window, float('-inf')) < REPEAT_S:
+                continue
+            self._calling[window] = now_s
+            self._send_report(window, counts)
+
+    def _send_report(self, window: int, counts: usage.Counts) -> None:
+        def got(reply: control_client.Reply | control_client.Lost) -> None:
+            answer: typing.Any = (
+                reply.value
+                if isinstance(reply, control_client.Lost)
+                else reply.status
+            )
+            journal.event(
+                'usage', outcome=answer, window=window, counts=counts
+            )
+            if answer == 200:
+                self._confirmed.add(window)
+
+        self.call_cloud(cloud.USAGE_TARGET, cloud.usage(window, counts), got)
--- /dev/null
+++ b/src/guavachute/entry/endpoint_book.py
@@ -0,0 +1,190 @@
+"""What this node knows of each endpoint beyond its entry."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from guavachute.decide.ingress import choice
+from guavachute.decide.ingress import endpoint_health
+from guavachute.decide.nodes import endpoint_table
+from guavachute.domain import call
+from guavachute.domain import endpoints
+from guavachute.domain import site as domain_site
+from guavachute import ids
+
+MAX_CACHED_PARTS = 4_000
+"""Parts of prompts remembered for each engine."""
+
+SPEED_WEIGHT = 0.1
+"""Weight of the newest measurement of an engine's prefill speed."""
+
+MIN_MEASURED_TOKENS = 2_000
+"""Shorter prompts say little about the speed of reading them."""
+
+SPEED_RANGE_PER_S = (5_000.0, 500_000.0)
+
+LOAD_FRESH_S = 0.6
+"""An endpoint's own count of its work is used for this long."""
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """Requests and prompt tokens that wait to be read."""
+
+    requests: int = 0
+    waiting_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One incarnation of an endpoint, as this node knows it.
+
+    :ivar own: this node's work there
+    :ivar told_busy: what the endpoint said it runs and holds waiting
+    """
+
+    entry: endpoints.Endpoint
+    own: Work = dataclasses.field(default_factory=Work)
+    health: endpoint_health.EndpointHealth = dataclasses.field(
+        default_factory=endpoint_health.EndpointHealth
+    )
+    prefill_tokens_per_s: float = choice.DEFAULT_PREFILL_TOKENS_PER_S
+    told_busy: int = 0
+    told_at_s: float = float('-inf')
+    cached: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+    def cached_tokens(self, parts: typing.Sequence[call.PromptPart]) -> int:
+        """Tokens at the start of a prompt that the engine should hold."""
+        tokens = 0
+        for part in parts:
+            if part.id not in self.cached:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def read_prompt(self, parts: typing.Sequence[call.PromptPart]) -> None:
+        """The engine has read this prompt."""
+        for part in parts:
+            self.cached[part.id] = None
+            self.cached.move_to_end(part.id)
+        while len(self.cached) > MAX_CACHED_PARTS:
+            self.cached.popitem(last=False)
+
+    def measured(self, tokens: int, duration_s: float) -> None:
+        """It took *duration_s* until *tokens* of prompts were read."""
+        if tokens < MIN_MEASURED_TOKENS or duration_s <= 0:
+            return
+        low, high = SPEED_RANGE_PER_S
+        speed = min(high, max(low, tokens / duration_s))
+        self.prefill_tokens_per_s += SPEED_WEIGHT * (
+            speed - self.prefill_tokens_per_s
+        )
+
+    def told(self, busy: int, now_s: float) -> None:
+        """The endpoint said how many requests it has."""
+        self.told_busy = busy
+        self.told_at_s = now_s
+
+
+class EndpointBook:
+    """The records of all endpoints in the table."""
+
+    def __init__(
+        self, site: domain_site.Site, table: endpoint_table.EndpointTable
+    ) -> None:
+        self._site = site
+        self._table = table
+        self._records: dict[ids.EndpointId, Record] = {}
+        self.others: typing.Callable[[ids.EndpointId], Work] = (
+            lambda endpoint: Work()
+        )
+        """The work of all other nodes at an endpoint."""
+        self.on_died: typing.Callable[[Record], None] = lambda record: None
+        """Called with the record of an incarnation that has ended."""
+
+    def record(self, entry: endpoints.Endpoint) -> Record:
+        """What is known of *entry*; nothing, for a new incarnation."""
+        found = self._records.get(entry.id)
+        if found is None or found.entry.incarnation != entry.incarnation:
+            if found is not None:
+                self.on_died(found)
+            found = self._records[entry.id] = Record(entry)
+        found.entry = entry
+        return found
+
+    def forget_gone(self) -> None:
+        """Drop the records of endpoints that are not in the table."""
+        for endpoint in self._records.keys() - self._table.entries.keys():
+            if not self._records[endpoint].own.requests:
+                del self._records[endpoint]
+
+    def usable(
+        self,
+        service: ids.ServiceName,
+        excluded: typing.Container[ids.EndpointId],
+        now_s: float,
+    ) -> list[Record]:
+        """The endpoints of *service* that a request may be sent to.
+
+        Those that were not reached lately are left out, unless all are.
+        """
+        records = [
+            self.record(entry)
+            for entry in self._table.ready(service)
+            if entry.id not in excluded
+        ]
+        return [item for item in records if not item.health.is_paused(now_s)]
+
+    def candidates(
+        self,
+        records: typing.Sequence[Record],
+        parts: typing.Sequence[call.PromptPart],
+        now_s: float,
+    ) -> list[choice.Candidate]:
+        """What a choice between *records* needs to know."""
+        return [self._candidate(item, parts, now_s) for item in records]
+
+    def work(self) -> dict[ids.EndpointId, Work]:
+        """This node's work at each endpoint, for the other nodes."""
+        return {
+            endpoint: item.own
+            for endpoint, item in self._records.items()
+            if item.own.requests
+        }
+
+    def not_reached(self, record: Record, now_s: float) -> None:
+        """An endpoint could not be reached, or fell silent."""
+        record.health.not_reached(now_s, random.random())
+        self.on_died(record)
+
+    def nearness(self, entry: endpoints.Endpoint) -> choice.Nearness:
+        """How far an endpoint is from this node."""
+        if entry.domain == self._site.domain:
+            return choice.Nearness.SAME_DOMAIN
+        if self._site.region_of.get(entry.domain) == self._site.region:
+            return choice.Nearness.SAME_REGION
+        return choice.Nearness.ELSEWHERE
+
+    def _candidate(
+        self,
+        item: Record,
+        parts: typing.Sequence[call.PromptPart],
+        now_s: float,
+    ) -> choice.Candidate:
+        others = self.others(item.entry.id)
+        running = item.own.requests + others.requests
+        if now_s - item.told_at_s <= LOAD_FRESH_S:
+            running = max(running, item.told_busy)
+        return choice.Candidate(
+            id=item.entry.id,
+            nearness=self.nearness(item.entry),
+            slots=item.entry.slots,
+            running=running,
+            waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
+            cached_tokens=item.cached_tokens(parts),
+            prefill_tokens_per_s=item.prefill_tokens_per_s,
+            is_doubtful=item.health.is_doubtful,
+        )
--- /dev/null
+++ b/src/guavachute/entry/exchange.py
@@ -0,0 +1,561 @@
+"""The life of one request, from the caller to an endpoint and back."""
+
+import enum
+import typing
+
+from guavachute.decide import crash
+from guavachute.decide.ingress import choice
+from guavachute.decide.ingress import event_stream
+from guavachute.domain import call as domain_call
+from guavachute.domain import configuration
+from guavachute.entry import callers
+from guavachute.entry import endpoint_book
+from guavachute.entry import http1
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import upstream
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute import outcome
+from guavachute.platform import requests
+
+MAX_HELD_BYTES = 1_048_576
+"""A whole answer up to this size is held until it is complete, so that
+a broken one can be asked for again."""
+
+RECHECK_S = 0.05
+"""How often a request that waits for an endpoint looks for one."""
+
+WAIT_PART = 0.5
+"""Part of the objective that a request waits for an endpoint to appear."""
+
+MIN_SEND_S = 0.02
+"""With less time left than this, an endpoint could not answer."""
+
+RETRY_SOON_S = 0.25
+"""When to come back after a refusal that passes quickly."""
+
+
+class State(enum.Enum):
+    """How far a request is."""
+
+    WAITING = 'waiting'
+    SENT = 'sent'
+    ANSWERING = 'answering'
+    ENDED = 'ended'
+
+
+class _Answer(enum.Enum):
+    """What is done with the answer that is coming in."""
+
+    NONE = 'none'
+    FOREIGN = 'foreign'
+    """It belongs to another request."""
+    REFUSAL = 'refusal'
+    """The endpoint did not run the request."""
+    HELD = 'held'
+    """Passed on when it is whole."""
+    EVENTS = 'events'
+    """Passed on event by event."""
+
+
+class Process(typing.Protocol):
+    """What an exchange uses of the process that it is in."""
+
+    loop: entry_loop.Loop
+    book: endpoint_book.EndpointBook
+    pool: upstream.Pool
+
+    def may_retry(self, service: ids.ServiceName) -> bool:
+        """Pay for another send to *service*."""
+
+    def request_began(self, exchange: 'Exchange') -> None:
+        """The request began to run."""
+
+    def attempt_lost(
+        self, exchange: 'Exchange', record: endpoint_book.Record
+    ) -> None:
+        """The connection broke while an endpoint had the request."""
+
+    def request_ended(self, exchange: 'Exchange', verdict: str) -> None:
+        """The request has had its answer, or none is owed any more."""
+
+
+class Exchange:
+    """Sends a request to endpoints until its caller has an answer.
+
+    :ivar first_byte_s: when the first byte went to the caller
+    """
+
+    def __init__(
+        self,
+        process: Process,
+        caller: callers.CallerConnection,
+        call: domain_call.Call,
+        route: configuration.Route,
+        service: ids.ServiceName,
+        workspace: configuration.Workspace | None,
+        fingerprint: crash.Fingerprint,
+    ) -> None:
+        self._process = process
+        self._caller = caller
+        self.call = call
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.fingerprint = fingerprint
+        self.state = State.WAITING
+        self.arrived_s = process.loop.now_s
+        longest_s = route.timeout_s
+        if call.deadline_s is not None:
+            longest_s = min(longest_s, call.deadline_s)
+        self.end_s = self.arrived_s + longest_s
+        self.attempts = 0
+        self.first_byte_s: float | None = None
+        self.has_begun = False
+        self._tried: set[ids.EndpointId] = set()
+        self._may_have_run = False
+        self._record: endpoint_book.Record | None = None
+        self._connection: upstream.Connection | None = None
+        self._sent_s = 0.0
+        self._counted_tokens = 0
+        self._backlog_tokens = 0
+        self._answer = _Answer.NONE
+        self._head: requests.AnswerHead | None = None
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+        self._events = event_stream.EventStream()
+        self._last_error: tuple[requests.AnswerHead, bytes] | None = None
+        self._recheck: entry_loop.Timer | None = None
+        self._timer = process.loop.call_at(self.end_s, self._time_out)
+
+    # -- towards the endpoint ------------------------------------------
+
+    def dispatch(self) -> None:
+        """Send the request, or wait for an endpoint, or refuse it."""
+        now_s = self._process.loop.now_s
+        if self.end_s - now_s < MIN_SEND_S:
+            self._give_up(
+                outcome.Failure(outcome.Reason.DEADLINE, 'no time is left')
+            )
+            return
+        records = self._process.book.usable(self.service, self._tried, now_s)
+        chosen = self._choose(records, now_s)
+        if chosen is None:
+            self._await_endpoint(now_s)
+            return
+        if now_s + chosen.first_token_s > self.end_s:
+            late_s = now_s + chosen.first_token_s - self.end_s
+            self._give_up(
+                outcome.Failure(
+                    outcome.Reason.OVERLOADED,
+                    f'the first token would take {chosen.first_token_s:.2f} s',
+                    max(RETRY_SOON_S, late_s),
+                )
+            )
+            return
+        record = next(r for r in records if r.entry.id == chosen.endpoint)
+        self._send(record, chosen, now_s)
+
+    def _choose(
+        self, records: list[endpoint_book.Record], now_s: float
+    ) -> choice.Chosen | None:
+        candidates = self._process.book.candidates(
+            records, self.call.parts, now_s
+        )
+        if self.route.is_model and self.call.tokens is not None:
+            return choice.choose_engine(
+                candidates,
+                self.call.tokens.prompt,
+                self.call.parts,
+                self.route.objective_s,
+            )
+        return choice.choose_plain(candidates)
+
+    def _await_endpoint(self, now_s: float) -> None:
+        waited_s = now_s - self.arrived_s
+        if waited_s < WAIT_PART * self.route.objective_s:
+            self._recheck = self._process.loop.call_after(
+                RECHECK_S, self._dispatch_again
+            )
+            return
+        self._give_up(
+            outcome.Failure(
+                outcome.Reason.NO_CAPACITY,
+                f'no endpoint of {self.service} can be used',
+                RETRY_SOON_S,
+            )
+        )
+
+    def _dispatch_again(self) -> None:
+        if self.state is State.WAITING:
+            self.dispatch()
+
+    def _send(
+        self,
+        record: endpoint_book.Record,
+        chosen: choice.Chosen,
+        now_s: float,
+    ) -> None:
+        self.attempts += 1
+        self._record = record
+        self._sent_s = now_s
+        self._answer = _Answer.NONE
+        if self.state is State.WAITING:
+            self.state = State.SENT
+        prompt = self.call.tokens.prompt if self.call.tokens else 0
+        self._counted_tokens = max(
+            0, prompt - record.cached_tokens(self.call.parts)
+        )
+        record.own.requests += 1
+        record.own.waiting_tokens += self._counted_tokens
+        self._backlog_tokens = record.own.waiting_tokens
+        record.read_prompt(self.call.parts)
+        connection = self._process.pool.take(
+            record.entry.address, is_proven=not self.route.may_run_again
+        )
+        self._connection = connection
+        dispatch = domain_call.Dispatch(
+            endpoint=record.entry.id,
+            address=record.entry.address,
+            workspace=self.workspace.name if self.workspace else None,
+            deadline_s=self.end_s - now_s,
+            urgency=self._urgency() if self.route.is_model else None,
+            resume_after=self._events.last_id or self.call.last_event_id
+            if self.route.is_resumable
+            else None,
+        )
+        journal.event(
+            'dispatch',
+            request=self.call.attempt_id,
+            route=self.route.name,
+            service=self.service,
+            endpoint=record.entry.id,
+            attempt=self.attempts,
+            expected_s=round(chosen.first_token_s, 4),
+            left_s=round(dispatch.deadline_s, 3),
+            load=record.own.requests,
+            load_age_s=round(min(99.0, now_s - record.told_at_s), 3),
+        )
+        connection.begin(
+            requests.encode_for_endpoint(self.call, dispatch), self
+        )
+
+    def _urgency(self) -> int:
+        priority = self.route.priority
+        if self.workspace is not None and self.workspace.priority is not None:
+            priority = self.workspace.priority
+        return max(0, min(9, priority))
+
+    # -- from the endpoint ---------------------------------------------
+
+    def upstream_event(self, event: http1.AnswerEvent) -> None:
+        """A part of the endpoint's answer came."""
+        if isinstance(event, http1.AnswerBegan):
+            self._answer_began(event)
+        elif isinstance(event, http1.AnswerBody):
+            self._answer_body(event.data)
+        elif isinstance(event, http1.AnswerEnded):
+            self._answer_ended(event.keeps_alive)
+        else:
+            self._broken('malformed answer')
+
+    def upstream_ended(self, is_clean: bool, was_connected: bool) -> None:
+        """The connection to the endpoint is gone."""
+        assert self._connection is not None and self._record is not None
+        if is_clean and self._connection.ends_answer:
+            self._answer_ended(keeps_alive=False)
+            return
+        now_s = self._process.loop.now_s
+        if not was_connected:
+            self._process.book.not_reached(self._record, now_s)
+            self._leave_endpoint(keeps_alive=False)
+            self.attempts -= 1
+            self._after_no_send()
+            return
+        self._process.attempt_lost(self, self._record)
+        self._broken('closed' if is_clean else 'reset')
+
+    def _answer_began(self, event: http1.AnswerBegan) -> None:
+        assert self._record is not None and self._connection is not None
+        head = requests.read_answer(event.status, event.headers)
+        if head.attempt_id != self.call.attempt_id:
+            self._answer = _Answer.FOREIGN
+            journal.problem(
+                'answer',
+                outcome='foreign',
+                request=self.call.attempt_id,
+                endpoint=self._record.entry.id,
+                status=head.status,
+                answers=head.attempt_id,
+            )
+            return
+        self._head = head
+        self._held = []
+        self._held_bytes = 0
+        self._connection.idle_timeout_s = head.idle_timeout_s
+        if head.load is not None:
+            self._record.told(
+                head.load.running + head.load.waiting,
+                self._process.loop.now_s,
+            )
+        if head.has_not_run:
+            self._answer = _Answer.REFUSAL
+            return
+        self._may_have_run = True
+        is_success = 200 <= head.status < 300
+        if is_success and (not head.is_signed or head.is_encoded):
+            self._broken('unsigned or encoded answer')
+        elif is_success and self._is_stream:
+            self._answer = _Answer.EVENTS
+        elif self.first_byte_s is not None:
+            # A stream can't go on with an answer of another kind.
+            self._broken(f'status {head.status} in place of a stream')
+        else:
+            self._answer = _Answer.HELD
+            if not self._is_stream:
+                self._note_beginning()
+
+    @property
+    def _is_stream(self) -> bool:
+        return self.route.kind is configuration.RouteKind.STREAMING
+
+    def _answer_body(self, data: bytes) -> None:
+        if self._answer is _Answer.EVENTS:
+            self._pass_events(data)
+        elif self._answer is _Answer.HELD:
+            self._held.append(data)
+            self._held_bytes += len(data)
+            if self._held_bytes > MAX_HELD_BYTES:
+                self._broken('answer is too large to be held')
+
+    def _pass_events(self, data: bytes) -> None:
+        whole = self._events.feed(data)
+        if whole:
+            self._pass_piece(whole)
+        if self._events.is_too_long:
+            self._broken('endless event')
+        elif self._caller.is_congested and self._connection is not None:
+            self._connection.pause()
+
+    def _pass_piece(self, data: bytes) -> None:
+        assert self._head is not None
+        now_s = self._process.loop.now_s
+        if self.first_byte_s is None:
+            self.first_byte_s = now_s
+            self.state = State.ANSWERING
+            self._note_beginning()
+            self._caller.begin_answer(self._head.status, self._head.headers)
+        self._note_first_token(now_s)
+        self._caller.answer_piece(data)
+
+    def _note_first_token(self, now_s: float) -> None:
+        """The prompt has been read by the endpoint."""
+        if self._counted_tokens and self._record is not None:
+            record = self._record
+            record.own.waiting_tokens -= self._counted_tokens
+            self._counted_tokens = 0
+            record.measured(self._backlog_tokens, now_s - self._sent_s)
+
+    def _note_beginning(self) -> None:
+        if not self.has_begun:
+            self.has_begun = True
+            self._process.request_began(self)
+
+    def _answer_ended(self, keeps_alive: bool) -> None:
+        answer = self._answer
+        self._answer = _Answer.NONE
+        if answer is _Answer.REFUSAL:
+            self._refused(keeps_alive)
+        elif answer is _Answer.EVENTS:
+            self._stream_ended(keeps_alive)
+        elif answer is _Answer.HELD:
+            self._whole(keeps_alive)
+        elif not keeps_alive:
+            self._broken('the connection ends before the answer')
+
+    def _stream_ended(self, keeps_alive: bool) -> None:
+        assert self._record is not None and self._head is not None
+        if self._events.has_rest:
+            # The framing is whole, so the endpoint meant to end here.
+            self._pass_piece(self._events.take_rest())
+        self._record.health.succeeded()
+        self._leave_endpoint(keeps_alive)
+        if self.first_byte_s is None:
+            self._caller_answer(self._head, b'')
+            return
+        self._end('served')
+        self._caller.end_answer()
+
+    def _whole(self, keeps_alive: bool) -> None:
+        assert self._record is not None and self._head is not None
+        head, body = self._head, b''.join(self._held)
+        if head.status >= 500:
+            self._record.health.failed()
+            self._leave_endpoint(keeps_alive)
+            self._last_error = (head, body)
+            self._after_failure(f'status {head.status}')
+            return
+        self._record.health.succeeded()
+        self._leave_endpoint(keeps_alive)
+        self._caller_answer(head, body)
+
+    def _refused(self, keeps_alive: bool) -> None:
+        """The endpoint says that the request has not run."""
+        assert self._record is not None and self._head is not None
+        journal.event(
+            'refusal',
+            request=self.call.attempt_id,
+            endpoint=self._record.entry.id,
+            status=self._head.status,
+            attempt=self.attempts,
+        )
+        self._tried.add(self._record.entry.id)
+        self._leave_endpoint(keeps_alive)
+        if self._may_send_again():
+            self.dispatch()
+            return
+        self._give_up(
+            outcome.Failure(
+                outcome.Reason.NO_CAPACITY,
+                'the endpoint refused the request',
+                RETRY_SOON_S,
+            )
+        )
+
+    def _broken(self, reason: str) -> None:
+        """The attempt has no usable answer, and may have run."""
+        assert self._record is not None
+        self._may_have_run = True
+        self._record.health.failed()
+        if not self._is_stream:
+            self._note_beginning()
+        self._leave_endpoint(keeps_alive=False)
+        self._events.take_rest()
+        self._after_failure(reason)
+
+    def _after_failure(self, reason: str) -> None:
+        if self._record is not None:
+            self._tried.add(self._record.entry.id)
+        journal.event(
+            'attempt-failed',
+            request=self.call.attempt_id,
+            endpoint=self._record.entry.id if self._record else None,
+            attempt=self.attempts,
+            reason=reason,
+            passed_events=self._events.events,
+        )
+        if self.route.may_run_again and self._may_send_again():
+            self.dispatch()
+        elif self.first_byte_s is not None:
+            self._end('cut')
+            self._caller.abort()
+        elif self._last_error is not None:
+            self._caller_answer(*self._last_error)
+        else:
+            self._own_answer(
+                502, outcome.Failure(outcome.Reason.LOST_ANSWER, reason)
+            )
+
+    def _after_no_send(self) -> None:
+        """The endpoint was not reached, so another costs nothing."""
+        assert self._record is not None
+        self._tried.add(self._record.entry.id)
+        if self.first_byte_s is None and not self.attempts:
+            self.state = State.WAITING
+        self.dispatch()
+
+    def _may_send_again(self) -> bool:
+        return (
+            self.attempts < self.route.max_attempts
+            and self.end_s - self._process.loop.now_s > MIN_SEND_S
+            and self._process.may_retry(self.service)
+        )
+
+    def _leave_endpoint(self, keeps_alive: bool) -> None:
+        """Take the request off the endpoint's load and connection."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        record = self._record
+        assert record is not None
+        record.own.requests -= 1
+        record.own.waiting_tokens -= self._counted_tokens
+        self._counted_tokens = 0
+        connection.release(keeps_alive)
+
+    # -- towards the caller --------------------------------------------
+
+    def caller_reads(self) -> None:
+        """The caller has taken what was sent."""
+        if self._connection is not None:
+            self._connection.resume()
+
+    def caller_left(self) -> None:
+        """The caller closed: stop the endpoint's work at once."""
+        if self.state is not State.ENDED:
+            self._leave_endpoint(keeps_alive=False)
+            self._end('caller-left')
+
+    def _time_out(self) -> None:
+        if self.state is State.ENDED:
+            return
+        was_sent = self._connection is not None or self._may_have_run
+        self._may_have_run = was_sent
+        self._leave_endpoint(keeps_alive=False)
+        self._give_up(
+            outcome.Failure(
+                outcome.Reason.DEADLINE,
+                f'no answer within {self.end_s - self.arrived_s:.2f} s',
+                RETRY_SOON_S,
+            )
+        )
+
+    def _give_up(self, failure: outcome.Failure) -> None:
+        """Answer that nothing more will be tried."""
+        if self.first_byte_s is not None:
+            self._end('cut', failure)
+            self._caller.abort()
+        elif self._last_error is not None:
+            self._caller_answer(*self._last_error)
+        elif self._may_have_run:
+            timed_out = failure.reason is outcome.Reason.DEADLINE
+            self._own_answer(504 if timed_out else 502, failure)
+        else:
+            self._own_answer(503, failure)
+
+    def _caller_answer(self, head: requests.AnswerHead, body: bytes) -> None:
+        self._end(f'status {head.status}')
+        self._caller.answer(head.status, head.headers, body)
+
+    def _own_answer(self, status: int, failure: outcome.Failure) -> None:
+        self._end(f'own {status}', failure)
+        retry_after_s = failure.retry_after_s if status == 503 else None
+        self._caller.answer(
+            status,
+            requests.own_answer_headers(self.call.attempt_id, retry_after_s),
+            b'',
+        )
+
+    def _end(
+        self, verdict: str, failure: outcome.Failure | None = None
+    ) -> None:
+        now_s = self._process.loop.now_s
+        self.state = State.ENDED
+        self._timer.cancel()
+        if self._recheck is not None:
+            self._recheck.cancel()
+        first_s = self.first_byte_s
+        journal.event(
+            'request',
+            outcome=verdict,
+            reason=str(failure) if failure else None,
+            request=self.call.attempt_id,
+            route=self.route.name,
+            workspace=self.workspace.name if self.workspace else None,
+            endpoint=self._record.entry.id if self._record else None,
+            attempts=self.attempts,
+            first_s=first_s and round(first_s - self.arrived_s, 4),
+            total_s=round(now_s - self.arrived_s, 4),
+            events=self._events.events,
+        )
+        self._process.request_ended(self, verdict)
--- /dev/null
+++ b/src/guavachute/entry/http1.py
@@ -0,0 +1,273 @@
+"""HTTP/1.1 messages as they are read, strictly, by ``httptools``.
+
+The parser refuses what two readers could take apart differently: both
+lengths, two lengths, bare line ends, folded headers, a space before a
+colon. What it refuses ends the connection.
+"""
+
+import dataclasses
+import enum
+import typing
+
+import httptools
+
+from guavachute.domain import call
+
+LAST_CHUNK = b'0\r\n\r\n'
+
+REASONS = {
+    200: b'OK',
+    400: b'Bad Request',
+    401: b'Unauthorized',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    421: b'Misdirected Request',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+class Problem(enum.Enum):
+    """Why a request can't be read; the value is the answer's status."""
+
+    MALFORMED = 400
+    BODY_TOO_LARGE = 413
+    HEAD_TOO_LARGE = 431
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request that has been read whole."""
+
+    method: str
+    target: bytes
+    headers: list[call.Header]
+    body: bytes
+    keeps_alive: bool
+
+
+class RequestReader:
+    """Reads requests off a connection, one after the other.
+
+    :ivar requests: whole requests that nobody has taken yet
+    :ivar problem: why nothing more can be read, if so
+    """
+
+    def __init__(self, max_head_bytes: int, max_body_bytes: int) -> None:
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.requests: list[Request] = []
+        self.problem: Problem | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b''
+        self._headers: list[call.Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._is_in_head = False
+        self._is_in_body = False
+        self._method = ''
+
+    @property
+    def is_amid_request(self) -> bool:
+        """Whether a request has begun and not yet ended."""
+        return self._is_in_head or self._is_in_body
+
+    @property
+    def is_in_head(self) -> bool:
+        """Whether a request's head has begun and not yet ended."""
+        return self._is_in_head
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes off the connection."""
+        if self.problem is not None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.problem = self.problem or Problem.MALFORMED
+        if self._is_in_head:
+            self._head_bytes += len(data)
+            if self._head_bytes > self.max_head_bytes:
+                self.problem = Problem.HEAD_TOO_LARGE
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._target = b''
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._is_in_head = True
+
+    def on_url(self, data: bytes) -> None:
+        """A piece of the target."""
+        self._target += data
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header, or a trailer, which is dropped."""
+        if self._is_in_head:
+            self._headers.append((name, value))
+            self._head_bytes += len(name) + len(value) + 4
+            if self._head_bytes > self.max_head_bytes:
+                self.problem = Problem.HEAD_TOO_LARGE
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        self._is_in_head = False
+        self._is_in_body = True
+        self._method = self._parser.get_method().decode('latin-1')
+        length = next(
+            (v for n, v in self._headers if n.lower() == b'content-length'),
+            b'0',
+        )
+        if int(length) > self.max_body_bytes:
+            self.problem = Problem.BODY_TOO_LARGE
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self.max_body_bytes:
+            self.problem = Problem.BODY_TOO_LARGE
+        elif self.problem is None:
+            self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        self._is_in_body = False
+        if self.problem is None:
+            self.requests.append(
+                Request(
+                    method=self._method,
+                    target=self._target,
+                    headers=self._headers,
+                    body=b''.join(self._body),
+                    keeps_alive=self._parser.should_keep_alive(),
+                )
+            )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerBegan:
+    """The head of an answer is whole."""
+
+    status: int
+    headers: list[call.Header]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerBody:
+    """A piece of the answer's body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnded:
+    """The answer is whole.
+
+    :ivar keeps_alive: whether the connection serves another request
+    """
+
+    keeps_alive: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerMalformed:
+    """What came is no answer; nothing after it can be read."""
+
+
+AnswerEvent = AnswerBegan | AnswerBody | AnswerEnded | AnswerMalformed
+
+
+class AnswerReader:
+    """Reads answers off a connection, one after the other.
+
+    Interim answers (1xx) are skipped.
+    """
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[call.Header] = []
+        self._events: list[AnswerEvent] = []
+        self._status = 0
+        self._is_in_head = False
+        self._is_in_body = False
+
+    @property
+    def is_amid_answer(self) -> bool:
+        """Whether an answer has begun and not yet ended."""
+        return self._is_in_head or self._is_in_body
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the answer's body has no length of its own."""
+        return self._is_in_body and not any(
+            name.lower() in (b'content-length', b'transfer-encoding')
+            for name, _ in self._headers
+        )
+
+    def feed(self, data: bytes) -> list[AnswerEvent]:
+        """What the bytes *data* mean, in their order."""
+        self._events = []
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._events.append(AnswerMalformed())
+        return self._events
+
+    def on_message_begin(self) -> None:
+        """An answer begins."""
+        self._headers = []
+        self._is_in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header, or a trailer, which is dropped."""
+        if self._is_in_head:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        self._is_in_head = False
+        self._is_in_body = True
+        self._status = self._parser.get_status_code()
+        if self._status >= 200:
+            self._events.append(AnswerBegan(self._status, self._headers))
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        self._events.append(AnswerBody(data))
+
+    def on_message_complete(self) -> None:
+        """The answer is whole."""
+        self._is_in_body = False
+        if self._status >= 200:
+            self._events.append(AnswerEnded(self._parser.should_keep_alive()))
+
+
+def encode_head(
+    status: int,
+    headers: typing.Sequence[call.Header],
+    body_bytes: int | None,
+    closes: bool,
+) -> bytes:
+    """The head of an answer; without *body_bytes* the body is chunked."""
+    lines = [b'HTTP/1.1 %d %s' % (status, REASONS.get(status, b'Status'))]
+    lines += [b'%s: %s' % header for header in headers]
+    if body_bytes is None:
+        lines.append(b'Transfer-Encoding: chunked')
+    else:
+        lines.append(b'Content-Length: %d' % body_bytes)
+    if closes:
+        lines.append(b'Connection: close')
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """*data* as one chunk of a chunked body."""
+    return b'%x\r\n%s\r\n' % (len(data), data)
--- /dev/null
+++ b/src/guavachute/entry/ingress.py
@@ -0,0 +1,369 @@
+"""Takes callers' requests and starts their exchanges."""
+
+import typing
+
+from guavachute.decide import crash
+from guavachute.decide.ingress import quota
+from guavachute.decide.ingress import retry_budget
+from guavachute.decide import rendezvous
+from guavachute.domain import call as domain_call
+from guavachute.domain import configuration
+from guavachute.domain import site as domain_site
+from guavachute.entry import callers
+from guavachute.entry import endpoint_book
+from guavachute.entry import exchange
+from guavachute.entry import http1
+from guavachute.entry import known_state
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import peers as entry_peers
+from guavachute.entry import transport
+from guavachute.entry import upstream
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute.observe import metrics as observe_metrics
+from guavachute import outcome
+from guavachute.platform import requests
+from guavachute.wire import requests as wire_requests
+
+NO_CONFIGURATION_RETRY_S = 0.3
+STOPPING_RETRY_S = 0.05
+CRASHING_RETRY_S = 30.0
+
+STOP_SERVE_PART = 0.35
+"""Part of the grace period in which a stopping node serves requests of
+callers that have not learnt yet that it stops."""
+
+BLAME_WINDOW_S = 3.0
+"""A request that lost its connection this long before its endpoint is
+found dead is suspected of having killed it."""
+
+MAX_NOTICES = 20
+"""Notices of crashes that go along with each news."""
+
+NOTICE_KEPT_S = 20.0
+
+
+class Ingress:
+    """The requests of this node's callers.
+
+    :ivar began: called when a workspace's request began to run
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        site: domain_site.Site,
+        state: known_state.KnownState,
+        book: endpoint_book.EndpointBook,
+        peers: entry_peers.Peers,
+        metrics: observe_metrics.Metrics,
+        began: typing.Callable[[ids.WorkspaceName], None],
+    ) -> None:
+        self.loop = loop
+        self.book = book
+        self.pool = upstream.Pool(loop)
+        self._site = site
+        self._state = state
+        self._peers = peers
+        self._metrics = metrics
+        self._began = began
+        self._quotas = quota.Quotas()
+        self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
+        self._crashes = crash.CrashBook()
+        self._lost: list[tuple[float, endpoint_book.Record, exchange.Exchange]]
+        self._lost = []
+        self._notices: dict[str, tuple[float, wire_requests.CrashNotice]] = {}
+        self._callers: set[callers.CallerConnection] = set()
+        self._exchanges: set[exchange.Exchange] = set()
+        self._stopping_since_s: float | None = None
+        assert site.listen.callers is not None
+        self._listener = transport.Listener(
+            loop, site.listen.callers, self._accept
+        )
+        self.address = self._listener.address
+        metrics.gauge('callers', lambda: len(self._callers))
+        metrics.gauge('requests_open', lambda: len(self._exchanges))
+        metrics.gauge('endpoint_connections', lambda: self.pool.opened)
+
+    # -- the callers ---------------------------------------------------
+
+    @property
+    def limits(self) -> configuration.CallerLimits:
+        """What callers may send."""
+        return self._state.limits
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections are closed after their answers."""
+        return self._stopping_since_s is not None
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that have no whole answer yet."""
+        return len(self._exchanges)
+
+    def stop(self) -> None:
+        """Serve what comes for a while, then refuse, to be ended."""
+        self._stopping_since_s = self.loop.now_s
+
+    def close_idle(self) -> None:
+        """Close the connections that serve nothing."""
+        for caller in list(self._callers):
+            caller.close_if_idle()
+
+    def close(self) -> None:
+        """Accept no more, and break off what is left."""
+        self._listener.close()
+        for caller in list(self._callers):
+            caller.abort()
+
+    def _accept(self, connection: transport.Connection) -> None:
+        self._callers.add(
+            callers.CallerConnection(
+                self.loop, connection, self, self._callers.discard
+            )
+        )
+
+    # -- requests ------------------------------------------------------
+
+    def begin(
+        self, caller: callers.CallerConnection, request: http1.Request
+    ) -> exchange.Exchange | None:
+        """Serve a request, or answer why not."""
+        self._metrics.add('requests')
+        call = requests.read_call(
+            request.method, request.target, request.headers
+        )
+        if isinstance(call, outcome.Failure):
+            self._refuse(caller, None, 400, call)
+            return None
+        call.body = request.body
+        refusal = self._refusal_of_node(call)
+        if refusal is not None:
+            self._refuse(caller, call, 503, refusal)
+            return None
+        current = self._state.configuration
+        assert current is not None
+        route = current.route(call.host, call.path)
+        if route is None or not route.targets:
+            self._refuse(caller, call, 404, _failure(
+                outcome.Reason.NOT_FOUND,
+                f'no route for {call.host} in version {current.version}',
+            ))  # fmt: skip
+            return None
+        workspace = current.workspace_by_key.get(
+            call.key or configuration.ApiKey('')
+        )
+        if workspace is None and current.requires_key and not route.is_open:
+            self._refuse(caller, call, 401, _failure(
+                outcome.Reason.UNAUTHENTICATED,
+                f'the key is unknown in version {current.version}',
+            ))  # fmt: skip
+            return None
+        return self._admit(caller, call, route, workspace)
+
+    def _refusal_of_node(
+        self, call: domain_call.Call
+    ) -> outcome.Failure | None:
+        """Why this node takes no requests at all now, if so."""
+        if self._state.configuration is None:
+            return _failure(
+                outcome.Reason.NO_CONFIGURATION,
+                'this node has not read a configuration yet',
+                NO_CONFIGURATION_RETRY_S,
+            )
+        since_s = self._stopping_since_s
+        serves_s = STOP_SERVE_PART * self._site.bounds.stop_grace_s
+        if since_s is not None and self.loop.now_s - since_s > serves_s:
+            return _failure(
+                outcome.Reason.DRAINING, 'this node stops', STOPPING_RETRY_S
+            )
+        return None
+
+    def _admit(
+        self,
+        caller: callers.CallerConnection,
+        call: domain_call.Call,
+        route: configuration.Route,
+        workspace: configuration.Workspace | None,
+    ) -> exchange.Exchange | None:
+        now_s = self.loop.now_s
+        name = workspace.name if workspace else ids.WorkspaceName('')
+        fingerprint = crash.fingerprint(
+            name, call.path, call.body.decode('latin-1')
+        )
+        standing = self._crashes.standing(fingerprint, now_s)
+        if standing is crash.Standing.REFUSED:
+            self._refuse(caller, call, 503, _failure(
+                outcome.Reason.CRASHES_ENDPOINTS,
+                'equal requests crashed endpoints',
+                CRASHING_RETRY_S,
+            ))  # fmt: skip
+            return None
+        if workspace is not None:
+            wait_s = self._quotas.ask(
+                workspace,
+                quota.cost(workspace, call.total_tokens),
+                self._quota_part(workspace.name),
+                now_s,
+            )
+            if wait_s > 0:
+                self._refuse(caller, call, 429, _failure(
+                    outcome.Reason.LIMIT,
+                    f'the quota of {workspace.name} is used up',
+                    wait_s,
+                ))  # fmt: skip
+                return None
+        service = _target(route, call.attempt_id)
+        self._budget(service).requested(now_s)
+        started = exchange.Exchange(
+            self, caller, call, route, service, workspace, fingerprint
+        )
+        self._exchanges.add(started)
+        started.dispatch()
+        return started
+
+    def _quota_part(self, workspace: ids.WorkspaceName) -> float:
+        own = self._quotas.demand_per_s(self.loop.now_s).get(workspace, 0.0)
+        return quota.share(own, self._peers.demand_per_s(workspace))
+
+    def _refuse(
+        self,
+        caller: callers.CallerConnection,
+        call: domain_call.Call | None,
+        status: int,
+        failure: outcome.Failure,
+    ) -> None:
+        """Answer a request that was not sent to any endpoint."""
+        self._metrics.add(f'refused_{status}')
+        attempt_id = call.attempt_id if call else None
+        journal.event(
+            'request',
+            outcome=f'own {status}',
+            reason=str(failure),
+            request=attempt_id,
+            version=self._state.version,
+            retry_after_s=failure.retry_after_s,
+        )
+        caller.answer(
+            status,
+            requests.own_answer_headers(attempt_id, failure.retry_after_s),
+            b'',
+        )
+
+    def demand_per_s(self) -> dict[ids.WorkspaceName, float]:
+        """The demand of each workspace here, for the other nodes."""
+        return self._quotas.demand_per_s(self.loop.now_s)
+
+    # -- what exchanges ask for ----------------------------------------
+
+    def may_retry(self, service: ids.ServiceName) -> bool:
+        """Pay for another send to *service*."""
+        granted = self._budget(service).take(
+            self._peers.count, self.loop.now_s
+        )
+        self._metrics.add('retries' if granted else 'retries_denied')
+        return granted
+
+    def _budget(self, service: ids.ServiceName) -> retry_budget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._site.bounds
+            budget = self._budgets[service] = retry_budget.RetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_allowance,
+                bounds.retry_window_s,
+            )
+        return budget
+
+    def request_began(self, started: exchange.Exchange) -> None:
+        """A request began to run at an endpoint."""
+        if started.workspace is not None:
+            self._began(started.workspace.name)
+
+    def attempt_lost(
+        self, started: exchange.Exchange, record: endpoint_book.Record
+    ) -> None:
+        """A connection broke while an endpoint had a request."""
+        self._lost.append((self.loop.now_s, record, started))
+
+    def request_ended(self, started: exchange.Exchange, verdict: str) -> None:
+        """A request has had its answer, or none is owed any more."""
+        self._exchanges.discard(started)
+        self._metrics.add('ended_' + verdict.replace(' ', '_'))
+        now_s = self.loop.now_s
+        self._metrics.observe_s('request', now_s - started.arrived_s)
+        if started.first_byte_s is not None:
+            self._metrics.observe_s(
+                'first_byte', started.first_byte_s - started.arrived_s
+            )
+        if verdict == 'served' or verdict.startswith('status 2'):
+            notice = self._crashes.absolve(started.fingerprint, now_s)
+            if notice is not None:
+                self._note(notice)
+
+    # -- requests that crash endpoints ---------------------------------
+
+    def endpoint_died(self, record: endpoint_book.Record) -> None:
+        """An incarnation of an endpoint ended without notice."""
+        now_s = self.loop.now_s
+        crash_id = ':'.join(str(part) for part in record.entry.incarnation)
+        for at_s, lost_at, lost in self._lost:
+            if lost_at is record and now_s - at_s <= BLAME_WINDOW_S:
+                journal.event(
+                    'suspect',
+                    request=lost.call.attempt_id,
+                    endpoint=record.entry.id,
+                    age_s=round(now_s - at_s, 3),
+                )
+                self._note(
+                    self._crashes.blame(lost.fingerprint, crash_id, now_s)
+                )
+        self._lost = [item for item in self._lost if item[1] is not record]
+
+    def take_notice(self, notice: wire_requests.CrashNotice) -> None:
+        """Another node knows of a request that crashes endpoints."""
+        self._crashes.take(notice, self.loop.now_s)
+
+    def notices(self) -> list[wire_requests.CrashNotice]:
+        """What the other nodes are to know of such requests."""
+        oldest_s = self.loop.now_s - NOTICE_KEPT_S
+        self._notices = {
+            name: item
+            for name, item in self._notices.items()
+            if item[0] >= oldest_s
+        }
+        newest = sorted(
+            self._notices.values(), key=lambda item: item[0], reverse=True
+        )
+        return [notice for _, notice in newest[:MAX_NOTICES]]
+
+    def _note(self, notice: wire_requests.CrashNotice) -> None:
+        self._notices[notice.fingerprint] = (self.loop.now_s, notice)
+
+    def sweep(self) -> None:
+        """Forget what is old; call it about each second."""
+        self.pool.sweep()
+        oldest_s = self.loop.now_s - BLAME_WINDOW_S
+        self._lost = [item for item in self._lost if item[0] >= oldest_s]
+
+
+def _target(
+    route: configuration.Route, attempt_id: ids.AttemptId
+) -> ids.ServiceName:
+    """The service that the route's split gives to this request."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(target.weight for target in route.targets)
+    place = rendezvous.score(attempt_id, route.name) / 2**64 * total
+    for target in route.targets:
+        place -= target.weight
+        if place < 0:
+            return target.service
+    return route.targets[-1].service
+
+
+def _failure(
+    reason: outcome.Reason, detail: str, retry_after_s: float | None = None
+) -> outcome.Failure:
+    return outcome.Failure(reason, detail, retry_after_s)
--- /dev/null
+++ b/src/guavachute/entry/known_state.py
@@ -0,0 +1,136 @@
+"""The configuration and the endpoints that this node goes by.
+
+Both come from the store, or, while the store turns this node away, from
+a peer that has read more of it. A version never goes back.
+"""
+
+from guavachute.decide.nodes import endpoint_table
+from guavachute.domain import configuration
+from guavachute.entry import loop as entry_loop
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute import outcome
+from guavachute.platform import configuration as platform_configuration
+from guavachute.platform import endpoints as platform_endpoints
+from guavachute.platform import store
+from guavachute.wire import entry_news
+
+NO_OFFSET = ids.Offset(-1)
+
+
+class KnownState:
+    """What has been read, decoded, and the bytes to hand to peers."""
+
+    def __init__(self, loop: entry_loop.Loop) -> None:
+        self._loop = loop
+        self.configuration: configuration.Configuration | None = None
+        self.table = endpoint_table.EndpointTable()
+        self.endpoints_offset = NO_OFFSET
+        """How far the entries have been read, by this node or a peer."""
+        self._configuration_bytes = b''
+        self._endpoint_bytes: dict[str, bytes] = {}
+
+    @property
+    def version(self) -> int:
+        """The configuration's version; 0 while there is none."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def limits(self) -> configuration.CallerLimits:
+        """What callers may send."""
+        if self.configuration is None:
+            return configuration.CallerLimits()
+        return self.configuration.limits
+
+    def fold_operator(
+        self, record: store.KeyedRecord, is_snapshot: bool
+    ) -> None:
+        """A record of the operator's topic."""
+        if record.key == platform_configuration.KEY and record.value:
+            self.take_configuration(record.value, 'store')
+
+    def take_configuration(self, text: bytes, source: str) -> None:
+        """Put a configuration in force unless it is older."""
+        decoded = platform_configuration.decode(text)
+        if isinstance(decoded, outcome.Failure):
+            journal.problem(
+                'configuration', outcome='unreadable', reason=str(decoded)
+            )
+            return
+        if decoded.version <= self.version:
+            return
+        journal.event(
+            'configuration',
+            outcome='in-force',
+            version=decoded.version,
+            before=self.version,
+            source=source,
+        )
+        self.configuration = decoded
+        self._configuration_bytes = text
+
+    def fold_endpoint(
+        self, record: store.KeyedRecord, is_snapshot: bool
+    ) -> None:
+        """A record of the endpoints' topic."""
+        if record.value is None:
+            self._delete_endpoint(record.key)
+        else:
+            self._put_endpoint(record.key, record.value, 'store')
+
+    def _put_endpoint(self, key: str, value: bytes, source: str) -> None:
+        if self._endpoint_bytes.get(key) == value:
+            return
+        decoded = platform_endpoints.decode(key, value)
+        if isinstance(decoded, outcome.Failure):
+            journal.problem(
+                'endpoint', outcome='unreadable', reason=str(decoded)
+            )
+            self._delete_endpoint(key)
+            return
+        self._endpoint_bytes[key] = value
+        before = self.table.entries.get(decoded.id)
+        if self.table.put(decoded) and (
+            before is None
+            or before.state is not decoded.state
+            or before.incarnation != decoded.incarnation
+        ):
+            journal.event(
+                'endpoint',
+                outcome=decoded.state.value,
+                endpoint=key,
+                service=decoded.service,
+                domain=decoded.domain,
+                source=source,
+            )
+
+    def _delete_endpoint(self, key: str) -> None:
+        self._endpoint_bytes.pop(key, None)
+        if self.table.delete(ids.EndpointId(key), self._loop.now_s):
+            journal.event('endpoint', outcome='gone', endpoint=key)
+
+    def expire(self) -> None:
+        """Drop the entries that lapsed and did not come back."""
+        for endpoint in self.table.expire(self._loop.now_s):
+            journal.event('endpoint', outcome='lapsed', endpoint=endpoint)
+
+    def shared(self) -> entry_news.SharedState:
+        """What a peer may take over."""
+        return entry_news.SharedState(
+            configuration=self._configuration_bytes,
+            configuration_version=self.version,
+            endpoints=self._endpoint_bytes,
+            endpoints_offset=self.endpoints_offset,
+        )
+
+    def take_shared(self, state: entry_news.SharedState, source: str) -> None:
+        """Take over what a peer has read beyond this node."""
+        if state.configuration:
+            self.take_configuration(state.configuration, source)
+        if state.endpoints_offset <= self.endpoints_offset:
+            return
+        for key in self._endpoint_bytes.keys() - state.endpoints.keys():
+            self._delete_endpoint(key)
+        for key, value in state.endpoints.items():
+            self._put_endpoint(key, value, source)
+        self.endpoints_offset = ids.Offset(state.endpoints_offset)
--- /dev/null
+++ b/src/guavachute/entry/loop.py
@@ -0,0 +1,121 @@
+"""One selector and its timers: everything of the process runs here.
+
+The parts of the process are services that the loop hosts by name, as
+:class:`guavachute.kernel.kernel.Kernel` hosts tasks: each owns its
+sockets and its state. They share one thread, since only one can run at
+a time on an entry VM and every switch between two costs.
+"""
+
+import heapq
+import itertools
+import selectors
+import typing
+
+from guavachute.kernel import clock
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+
+MAX_WAIT_S = 1.0
+"""Upper bound of one wait, so that a suspended VM notices the time."""
+
+Handler = typing.Callable[[int], None]
+"""Called with the events that a socket is ready for."""
+
+
+class Timer:
+    """A call that is due at some time, unless it is cancelled."""
+
+    __slots__ = ('due_s', 'callback')
+
+    def __init__(
+        self, due_s: float, callback: typing.Callable[[], None]
+    ) -> None:
+        self.due_s = due_s
+        self.callback: typing.Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Forget the call; harmless if it was made."""
+        self.callback = None
+
+
+class Loop:
+    """Waits for sockets and times, and calls what is due."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+        self._running = True
+        self.now_s = clock.now_s()
+        """The time at which the present events were taken."""
+
+    def watch(self, file: typing.Any, events: int, handler: Handler) -> None:
+        """Call *handler* when *file* is ready for *events*."""
+        self._selector.register(file, events, handler)
+
+    def rewatch(self, file: typing.Any, events: int, handler: Handler) -> None:
+        """Wait for other events than before."""
+        self._selector.modify(file, events, handler)
+
+    def unwatch(self, file: typing.Any) -> None:
+        """No longer wait for *file*."""
+        self._selector.unregister(file)
+
+    def call_at(
+        self, due_s: float, callback: typing.Callable[[], None]
+    ) -> Timer:
+        """Call *callback* once, at *due_s* or soon after."""
+        timer = Timer(due_s, callback)
+        heapq.heappush(self._timers, (due_s, next(self._order), timer))
+        return timer
+
+    def call_after(
+        self, delay_s: float, callback: typing.Callable[[], None]
+    ) -> Timer:
+        """Call *callback* once, *delay_s* from now."""
+        return self.call_at(self.now_s + delay_s, callback)
+
+    def every(
+        self, period_s: float, callback: typing.Callable[[], None]
+    ) -> None:
+        """Call *callback* again and again, first after *period_s*."""
+
+        def again() -> None:
+            callback()
+            self.call_after(period_s, again)
+
+        self.call_after(period_s, again)
+
+    def stop(self) -> None:
+        """Return from :meth:`run` after the present events."""
+        self._running = False
+
+    def run(self) -> None:
+        """Serve until :meth:`stop`."""
+        while self._running:
+            self._turn()
+
+    def _turn(self) -> None:
+        ready = self._selector.select(self._wait_s())
+        self.now_s = clock.now_s()
+        for key, events in ready:
+            # An earlier handler of this turn may have closed this one.
+            if self._selector.get_map().get(key.fd) is key:
+                key.data(events)
+        self._call_due()
+
+    def _wait_s(self) -> float:
+        while self._timers and self._timers[0][2].callback is None:
+            heapq.heappop(self._timers)
+        if not self._timers:
+            return MAX_WAIT_S
+        return min(MAX_WAIT_S, max(0.0, self._timers[0][0] - clock.now_s()))
+
+    def _call_due(self) -> None:
+        while self._timers and self._timers[0][0] <= self.now_s:
+            _, _, timer = heapq.heappop(self._timers)
+            callback = timer.callback
+            if callback is not None:
+                timer.callback = None
+                callback()
--- /dev/null
+++ b/src/guavachute/entry/node.py
@@ -0,0 +1,447 @@
+"""The entry process: its parts, and how it starts and stops."""
+
+import contextlib
+import gc
+import time
+import typing
+
+from guavachute.decide.duty import usage
+from guavachute.decide.nodes import addresses
+from guavachute.domain import site as domain_site
+from guavachute.entry import control_client
+from guavachute.entry import duty as entry_duty
+from guavachute.entry import endpoint_book
+from guavachute.entry import ingress as entry_ingress
+from guavachute.entry import known_state
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import peers as entry_peers
+from guavachute.entry import plain_server
+from guavachute.entry import topic_follower
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute.observe import metrics as observe_metrics
+from guavachute import outcome
+from guavachute.platform import configuration as platform_configuration
+from guavachute.platform import directory
+from guavachute.platform import endpoints as platform_endpoints
+from guavachute.platform import store
+from guavachute.wire import entry_news
+
+NODES_TOPIC = 'keyed.guavachute'
+"""The system's own topic: nodes, and the lease of the duties."""
+
+NODE_KEY_PREFIX = 'node/'
+
+CONFIGURATION_WAIT_S = 1.5
+"""How long a read of the configuration waits for news. A connection
+that fell silent is noticed this long after, and a new version is due in
+three seconds."""
+
+ENDPOINTS_PERIOD_S = 0.6
+"""Pause between reads of the endpoints' entries, which change all the
+time; draining endpoints are to be known within three seconds."""
+
+NODES_WAIT_S = 1.5
+
+ADDRESS_TTL_S = 2.0
+"""How long callers keep the addresses that they are given."""
+
+HOUSEKEEPING_S = 0.5
+STATE_CHECK_S = 0.5
+REGISTER_RETRY_S = 1.0
+
+STALE_AFTER_S = 1.0
+"""Without an answer of the store for this long, peers are asked."""
+
+CLOSE_IDLE_AFTER_S = 0.4
+"""From the signal to stop until idle connections are closed."""
+
+STOP_EARLIEST_S = 3.2
+"""A stopping node waits at least so long for callers that still have
+its address."""
+
+STOP_MARGIN_S = 0.5
+"""The process ends this long before it would be killed."""
+
+
+class Node:
+    """Everything that runs in the process, by name."""
+
+    def __init__(self, loop: entry_loop.Loop, site: domain_site.Site) -> None:
+        self.loop = loop
+        self.site = site
+        self.metrics = observe_metrics.Metrics()
+        self.state = known_state.KnownState(loop)
+        self.book = endpoint_book.EndpointBook(site, self.state.table)
+        self.usage_meter = usage.UsageMeter()
+        self.usage_book = usage.UsageBook()
+        self.peers = entry_peers.Peers(loop, site, self._describe, self._told)
+        self.book.others = self.peers.work_at
+        self.ingress = entry_ingress.Ingress(
+            loop,
+            site,
+            self.state,
+            self.book,
+            self.peers,
+            self.metrics,
+            self._began,
+        )
+        self.book.on_died = self.ingress.endpoint_died
+        self._store = control_client.Client(loop, site.store.address)
+        self._operator = self._follow(
+            platform_configuration.TOPIC,
+            self.state.fold_operator,
+            wait_s=CONFIGURATION_WAIT_S,
+        )
+        self._endpoints = self._follow(
+            platform_endpoints.TOPIC,
+            self.state.fold_endpoint,
+            wait_s=0.0,
+            period_s=ENDPOINTS_PERIOD_S,
+        )
+        self._endpoints.on_regained = self._endpoints_regained
+        self._nodes = self._follow(
+            NODES_TOPIC, self._fold_own, wait_s=NODES_WAIT_S
+        )
+        self.duty: entry_duty.Duty | None = None
+        if site.cloud is not None:
+            self.duty = entry_duty.Duty(
+                loop,
+                site,
+                site.cloud,
+                self._store,
+                self._nodes,
+                self.usage_book.total,
+                self.peers.true_time_s,
+                None,
+            )
+        self._is_registered = False
+        self._is_fetching = False
+        self._stopping_since_s: float | None = None
+        self._servers = self._serve()
+
+    # -- start and stop ------------------------------------------------
+
+    def start(self) -> None:
+        """Begin to follow the store, to tell peers and to serve."""
+        for follower in (self._operator, self._endpoints, self._nodes):
+            follower.start()
+        self.peers.start(self.site.seeds)
+        if self.duty is not None:
+            self.duty.start()
+        self._register()
+        self.loop.every(HOUSEKEEPING_S, self._keep_house)
+        self.loop.every(STATE_CHECK_S, self._ask_peers)
+
+    def stop(self) -> None:
+        """Leave: not ready at once, and end when the callers are gone."""
+        if self._stopping_since_s is not None:
+            return
+        self._stopping_since_s = self.loop.now_s
+        journal.event(
+            'stop',
+            outcome='begun',
+            open_requests=self.ingress.open_requests,
+        )
+        self.ingress.stop()
+        if self.duty is not None:
+            self.duty.stop()
+        self.peers.tell()
+        self.loop.call_after(CLOSE_IDLE_AFTER_S, self._check_stop)
+
+    def _check_stop(self) -> None:
+        assert self._stopping_since_s is not None
+        waited_s = self.loop.now_s - self._stopping_since_s
+        latest_s = self.site.bounds.stop_grace_s - STOP_MARGIN_S
+        self.ingress.close_idle()
+        is_done = (
+            waited_s >= STOP_EARLIEST_S and not self.ingress.open_requests
+        )
+        if is_done or waited_s >= latest_s:
+            journal.event(
+                'stop',
+                outcome='done',
+                open_requests=self.ingress.open_requests,
+                waited_s=round(waited_s, 3),
+            )
+            self.loop.stop()
+            return
+        self.loop.call_after(0.1, self._check_stop)
+
+    def close(self) -> None:
+        """Close all that listens."""
+        self.ingress.close()
+        for server in self._servers:
+            server.close()
+        self.peers.stop()
+
+    def reload(self, site: domain_site.Site) -> None:
+        """Take over changed settings, as far as a process can."""
+        if site == self.site:
+            journal.event('reload', outcome='unchanged')
+            return
+        # Addresses and limits of a process are fixed at its start.
+        journal.event('reload', outcome='kept-until-restart')
+
+    # -- what it serves ------------------------------------------------
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come here."""
+        return (
+            self._stopping_since_s is None
+            and self.state.configuration is not None
+            and self.state.endpoints_offset >= 0
+        )
+
+    def _serve(self) -> list[plain_server.PlainServer]:
+        listen = self.site.listen
+        wanted: dict[ids.Address, plain_server.Handler] = {
+            ids.Address(f'{self.site.ip}:{listen.peers_port}'): (
+                self._answer_peer
+            ),
+            ids.Address(f'{self.site.ip}:{listen.metrics_port}'): (
+                self._answer_metrics
+            ),
+        }
+        for address in (listen.readiness, listen.directory):
+            if address is not None:
+                wanted[address] = self._answer_platform
+        return [
+            plain_server.PlainServer(self.loop, address, handler)
+            for address, handler in wanted.items()
+        ]
+
+    def _answer_platform(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        if question.path == directory.READINESS_PATH:
+            return plain_server.Reply(200 if self.is_ready else 503)
+        if question.path == directory.DIRECTORY_PATH:
+            return self._answer_directory(question)
+        return plain_server.NOT_FOUND
+
+    def _answer_directory(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        asker = directory.read_query(question.query)
+        found = addresses.choose(
+            [*self.peers.candidates(), self._own_candidate()],
+            asker.domain,
+            asker.region,
+            self.loop.now_s,
+        )
+        self.metrics.add('address_questions')
+        ttl_s = min(ADDRESS_TTL_S, self.site.bounds.address_ttl_max_s)
+        return plain_server.Reply(
+            200 if found else 503,
+            directory.encode(found, ttl_s),
+            plain_server.JSON,
+        )
+
+    def _own_candidate(self) -> addresses.Candidate:
+        return addresses.Candidate(
+            address=self.ingress.address,
+            domain=self.site.domain,
+            region=self.site.region,
+            is_ready=self.is_ready,
+            heard_s=self.loop.now_s,
+        )
+
+    def _answer_peer(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        if question.path != entry_peers.STATE_TARGET.decode():
+            return plain_server.NOT_FOUND
+        return plain_server.Reply(
+            200,
+            entry_news.encode(self.state.shared()),
+            plain_server.BINARY,
+        )
+
+    def _answer_metrics(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        return plain_server.Reply(200, self.metrics.text())
+
+    # -- the store -----------------------------------------------------
+
+    def _follow(
+        self,
+        topic: str,
+        fold: topic_follower.Fold,
+        wait_s: float,
+        period_s: float = 0.0,
+    ) -> topic_follower.TopicFollower:
+        return topic_follower.TopicFollower(
+            self.loop, self._store, topic, fold, self._changed, wait_s,
+            period_s,
+        )  # fmt: skip
+
+    def _changed(self) -> None:
+        offset = self._endpoints.end_offset
+        if offset is not None and offset > self.state.endpoints_offset:
+            self.state.endpoints_offset = offset
+
+    def _endpoints_regained(self) -> None:
+        """Entries that lapsed meanwhile are soon written again."""
+        self.state.table.returned_s = self.loop.now_s
+
+    def _fold_own(self, record: store.KeyedRecord, is_snapshot: bool) -> None:
+        if record.key == entry_duty.KEY:
+            if self.duty is not None:
+                self.duty.fold(record)
+            return
+        if not record.key.startswith(NODE_KEY_PREFIX):
+            return
+        if record.value is None:
+            self.peers.unlearn(record.key.removeprefix(NODE_KEY_PREFIX))
+            return
+        node = entry_news.decode_node(record.value)
+        if isinstance(node, outcome.Failure):
+            journal.problem('node', outcome='unreadable', reason=str(node))
+            return
+        self.peers.learn(node)
+
+    def _register(self) -> None:
+        """Write this node's entry, so that the others find it."""
+        if self._is_registered:
+            return
+        record = entry_news.NodeRecord(
+            node=self.site.node,
+            run=self.peers.run,
+            peers_address=self.peers.address,
+        )
+        request = store.append(
+            NODES_TOPIC,
+            [
+                store.keyed(
+                    store.KeyedRecord(
+                        NODE_KEY_PREFIX + self.site.node,
+                        entry_news.encode(record),
+                    )
+                )
+            ],
+            at=None,
+        )
+        self._store.call(
+            request.method,
+            request.target,
+            self._registered,
+            REGISTER_RETRY_S,
+            body=request.body,
+            headers=[(b'Content-Type', request.content_type)],
+        )
+
+    def _registered(
+        self, reply: control_client.Reply | control_client.Lost
+    ) -> None:
+        if isinstance(reply, control_client.Reply) and reply.status == 200:
+            self._is_registered = True
+            journal.event('node', outcome='registered')
+            return
+        journal.event('node', outcome='not-registered', reason=str(reply))
+        self.loop.call_after(REGISTER_RETRY_S, self._register)
+
+    # -- the peers -----------------------------------------------------
+
+    def _describe(self, run: int, sequence: int) -> entry_news.NodeNews:
+        newest = usage.window_at(
+            self.peers.true_time_s(), self.site.bounds.usage_window_s
+        )
+        recent = self.usage_meter.recent(newest)
+        self.usage_book.take(f'{self.site.node}/{run}', recent, newest)
+        return entry_news.NodeNews(
+            node=self.site.node,
+            run=run,
+            sequence=sequence,
+            peers_address=self.peers.address,
+            callers_address=self.ingress.address,
+            domain=self.site.domain,
+            region=self.site.region,
+            wall_s=time.time(),
+            is_ready=self.is_ready,
+            configuration_version=self.state.version,
+            endpoints_offset=self.state.endpoints_offset,
+            demand_per_s=self.ingress.demand_per_s(),
+            work={
+                endpoint: entry_news.WorkNews(
+                    work.requests, work.waiting_tokens
+                )
+                for endpoint, work in self.book.work().items()
+            },
+            usage=recent,
+            crashes=self.ingress.notices(),
+        )
+
+    def _told(self, news: entry_news.NodeNews) -> None:
+        newest = usage.window_at(
+            self.peers.true_time_s(), self.site.bounds.usage_window_s
+        )
+        self.usage_book.take(
+            f'{news.node}/{news.run}',
+            news.usage,
+            newest,
+        )
+        for notice in news.crashes:
+            self.ingress.take_notice(notice)
+
+    def _began(self, workspace: ids.WorkspaceName) -> None:
+        window = usage.window_at(
+            self.peers.true_time_s(), self.site.bounds.usage_window_s
+        )
+        self.usage_meter.began(workspace, window)
+
+    def _ask_peers(self) -> None:
+        """Take over what peers know while the store does not answer."""
+        if self._is_fetching:
+            return
+        now_s = self.loop.now_s
+        needs_configuration = self._is_stale(self._operator, now_s)
+        needs_endpoints = self._is_stale(self._endpoints, now_s)
+        for peer in self.peers.heard():
+            news = peer.news
+            if news is None:
+                continue
+            is_newer = (
+                needs_configuration
+                and news.configuration_version > self.state.version
+            ) or (
+                needs_endpoints
+                and news.endpoints_offset > self.state.endpoints_offset
+            )
+            if is_newer:
+                self._is_fetching = True
+                self.peers.fetch_state(peer, self._got_state)
+                return
+
+    def _is_stale(
+        self, follower: topic_follower.TopicFollower, now_s: float
+    ) -> bool:
+        since_s = follower.lost_since_s
+        return since_s is not None and now_s - since_s > STALE_AFTER_S
+
+    def _got_state(self, state: entry_news.SharedState | None) -> None:
+        self._is_fetching = False
+        if state is not None:
+            self.state.take_shared(state, 'peer')
+
+    # -- housekeeping --------------------------------------------------
+
+    def _keep_house(self) -> None:
+        self.state.expire()
+        self.book.forget_gone()
+        self.ingress.sweep()
+
+
+@contextlib.contextmanager
+def running(site: domain_site.Site) -> typing.Iterator[Node]:
+    """A node whose sockets are open; its loop is run by the caller."""
+    node = Node(entry_loop.Loop(), site)
+    # What lives as long as the process need not be looked at again.
+    gc.collect()
+    gc.freeze()
+    try:
+        yield node
+    finally:
+        node.close()
--- /dev/null
+++ b/src/guavachute/entry/plain_server.py
@@ -0,0 +1,80 @@
+"""Short answers to short questions: readiness, addresses, metrics."""
+
+import dataclasses
+import typing
+import urllib.parse
+
+from guavachute.domain import configuration
+from guavachute.entry import callers
+from guavachute.entry import http1
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import transport
+from guavachute import ids
+
+JSON = b'application/json'
+TEXT = b'text/plain; charset=utf-8'
+BINARY = b'application/octet-stream'
+
+_LIMITS = configuration.CallerLimits(max_body_bytes=65_536)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """A request without a body."""
+
+    path: str
+    query: typing.Mapping[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int
+    body: bytes = b''
+    content_type: bytes = TEXT
+
+
+NOT_FOUND = Reply(404, b'not found\n')
+
+Handler = typing.Callable[[Question], Reply]
+
+
+class PlainServer:
+    """Answers each request from a function, at once."""
+
+    is_stopping = False
+    limits = _LIMITS
+
+    def __init__(
+        self, loop: entry_loop.Loop, address: ids.Address, handler: Handler
+    ) -> None:
+        self._loop = loop
+        self._handler = handler
+        self._callers: set[callers.CallerConnection] = set()
+        self._listener = transport.Listener(loop, address, self._accept)
+        self.address = self._listener.address
+
+    def close(self) -> None:
+        """Answer no more."""
+        self._listener.close()
+        for caller in list(self._callers):
+            caller.abort()
+
+    def begin(
+        self, caller: callers.CallerConnection, request: http1.Request
+    ) -> None:
+        """Answer one request."""
+        path, _, query = request.target.decode('latin-1').partition('?')
+        reply = self._handler(
+            Question(path, dict(urllib.parse.parse_qsl(query)))
+        )
+        headers = [(b'Content-Type', reply.content_type)]
+        caller.answer(reply.status, headers, reply.body)
+
+    def _accept(self, connection: transport.Connection) -> None:
+        self._callers.add(
+            callers.CallerConnection(
+                self._loop, connection, self, self._callers.discard
+            )
+        )
--- /dev/null
+++ b/src/guavachute/entry/topic_follower.py
@@ -0,0 +1,218 @@
+"""Follows a topic with keys in the platform's store."""
+
+import random
+import typing
+
+from guavachute.decide import backoff
+from guavachute.entry import control_client
+from guavachute.entry import loop as entry_loop
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute import outcome
+from guavachute.platform import store
+
+RETRY = backoff.Policy(initial_s=0.1, maximum_s=0.8)
+"""Pauses between failed reads; short, for news is due in seconds."""
+
+ANSWER_MARGIN_S = 0.9
+"""How much longer than asked the store may take to answer."""
+
+MIN_PERIOD_S = 0.02
+"""Pause between reads that find records, to take several at once."""
+
+Fold = typing.Callable[[store.KeyedRecord, bool], None]
+"""Called with each record; the flag tells whether it is a snapshot's."""
+
+
+class TopicFollower:
+    """Reads the newest records of a topic, then every new one.
+
+    :param wait_s: how long a read waits for news; 0 reads at *period_s*
+    :param changed: called after one or more records were folded
+    :ivar end_offset: all records before it have been folded; None
+        before the first whole read
+    :ivar fresh_at_s: when the store last answered a read
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        client: control_client.Client,
+        topic: str,
+        fold: Fold,
+        changed: typing.Callable[[], None],
+        wait_s: float,
+        period_s: float = 0.0,
+    ) -> None:
+        self._loop = loop
+        self._client = client
+        self.topic = topic
+        self._fold = fold
+        self._changed = changed
+        self._wait_s = wait_s
+        self._period_s = max(period_s, MIN_PERIOD_S)
+        self._failures = 0
+        self._page_keys: set[str] = set()
+        self._known_keys: set[str] = set()
+        self._snapshot_end: ids.Offset | None = None
+        self._give_up: typing.Callable[[], None] = lambda: None
+        self._timer: entry_loop.Timer | None = None
+        self.end_offset: ids.Offset | None = None
+        self.fresh_at_s: float | None = None
+        self.lost_since_s: float | None = loop.now_s
+        self.on_regained: typing.Callable[[], None] = lambda: None
+        """Called when the store answers again, before its news."""
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._ask_newest(None)
+
+    def read_now(self) -> None:
+        """Read without waiting for the next turn."""
+        self._give_up()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._next()
+
+    def stop(self) -> None:
+        """Read no more."""
+        self._give_up()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _next(self) -> None:
+        if self.end_offset is None:
+            self._ask_newest(None)
+        else:
+            self._ask_records(self.end_offset)
+
+    def _ask_newest(self, after_key: str | None) -> None:
+        if after_key is None:
+            self._snapshot_end = None
+            self._page_keys = set()
+        self._call(store.newest(self.topic, after_key), 0.0, self._got_page)
+
+    def _ask_records(self, offset: ids.Offset) -> None:
+        self._call(
+            store.read(self.topic, offset, self._wait_s),
+            self._wait_s,
+            self._got_records,
+        )
+
+    def _call(
+        self, request: store.Request, wait_s: float, done: control_client.Done
+    ) -> None:
+        self._give_up = self._client.call(
+            request.method, request.target, done, wait_s + ANSWER_MARGIN_S
+        )
+
+    def _got_page(
+        self, reply: control_client.Reply | control_client.Lost
+    ) -> None:
+        page = self._readable(reply, store.decode_newest)
+        if page is None:
+            return
+        if self._snapshot_end is None:
+            # Pages are no snapshot. What changes while they are read
+            # comes again from the end that the first of them names.
+            self._snapshot_end = page.end_offset
+        for record in page.records:
+            self._page_keys.add(record.key)
+            self._fold(record, True)
+        if page.next_key is not None:
+            self._ask_newest(page.next_key)
+            return
+        for key in self._known_keys - self._page_keys:
+            self._fold(store.KeyedRecord(key, None), True)
+        self._known_keys = self._page_keys
+        self.end_offset = self._snapshot_end
+        self._changed()
+        self._schedule(MIN_PERIOD_S)
+
+    def _got_records(
+        self, reply: control_client.Reply | control_client.Lost
+    ) -> None:
+        if (
+            isinstance(reply, control_client.Reply)
+            and reply.status == store.TRIMMED_STATUS
+        ):
+            journal.event('store-read', outcome='trimmed', topic=self.topic)
+            self.end_offset = None
+            self._schedule(MIN_PERIOD_S)
+            return
+        offset = self.end_offset
+        assert offset is not None
+        found = self._readable(
+            reply, lambda body: store.decode_read(body, offset)
+        )
+        if found is None:
+            return
+        if found.end_offset < offset:
+            # The topic is shorter than what was read of it before.
+            journal.problem('store-read', outcome='gap', topic=self.topic)
+            self.end_offset = None
+            self._schedule(MIN_PERIOD_S)
+            return
+        for place, content in enumerate(found.records, start=offset):
+            record = store.split_keyed(content, ids.Offset(place))
+            if isinstance(record, outcome.Failure):
+                journal.problem(
+                    'store-record', outcome=str(record), topic=self.topic
+                )
+                continue
+            if record.value is None:
+                self._known_keys.discard(record.key)
+            else:
+                self._known_keys.add(record.key)
+            self._fold(record, False)
+        self.end_offset = found.next_offset
+        if found.records:
+            self._changed()
+        self._schedule(self._period_s)
+
+    def _readable(
+        self,
+        reply: control_client.Reply | control_client.Lost,
+        decode: typing.Callable[[bytes], typing.Any],
+    ) -> typing.Any:
+        """The decoded answer; None after a failure, which is retried."""
+        if isinstance(reply, control_client.Lost):
+            self._fail(reply.value)
+            return None
+        if reply.status != 200:
+            self._fail(f'status {reply.status}')
+            return None
+        decoded = decode(reply.body)
+        if isinstance(decoded, outcome.Failure):
+            self._fail(str(decoded))
+            return None
+        if self.lost_since_s is not None:
+            journal.event(
+                'dependency',
+                outcome='regained',
+                dependency=f'store {self.topic}',
+                lost_s=round(self._loop.now_s - self.lost_since_s, 3),
+            )
+            self.lost_since_s = None
+            self.on_regained()
+        self._failures = 0
+        self.fresh_at_s = self._loop.now_s
+        return decoded
+
+    def _fail(self, reason: str) -> None:
+        if self.lost_since_s is None:
+            self.lost_since_s = self._loop.now_s
+            journal.problem(
+                'dependency',
+                outcome='lost',
+                dependency=f'store {self.topic}',
+                reason=reason,
+            )
+        self._failures += 1
+        pause_s = backoff.delay_s(RETRY, self._failures, random.random())
+        self._schedule(pause_s)
+
+    def _schedule(self, delay_s: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_after(delay_s, self._next)
--- /dev/null
+++ b/src/guavachute/entry/transport.py
@@ -0,0 +1,269 @@
+"""TCP connections and listeners on the loop."""
+
+import collections
+import errno
+import socket
+import typing
+
+from guavachute.entry import loop as entry_loop
+from guavachute import ids
+
+RECEIVE_BYTES = 65_536
+LISTEN_BACKLOG = 1024
+
+USER_TIMEOUT_MS = 3_000
+"""Sent bytes that stay unacknowledged this long end the connection."""
+
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+"""A silent peer is noticed five seconds after its last byte."""
+
+
+class Owner(typing.Protocol):
+    """What a connection tells the object that uses it."""
+
+    def received(self, data: bytes) -> None:
+        """Bytes came."""
+
+    def ended(self, is_clean: bool) -> None:
+        """The peer closed (*is_clean*) or the connection broke."""
+
+    def drained(self) -> None:
+        """All that was written has been handed to the system."""
+
+
+class Connection:
+    """A non-blocking TCP connection with a queue of unsent bytes.
+
+    After :meth:`close`, or after ``ended`` was called, it is dead and
+    calls its owner no more.
+    """
+
+    def __init__(
+        self, loop: entry_loop.Loop, sock: socket.socket, is_open: bool
+    ) -> None:
+        self._loop = loop
+        self._socket = sock
+        self._is_open = is_open
+        self._is_reading = True
+        self._unsent: collections.deque[memoryview] = collections.deque()
+        self._events = 0
+        self.unsent_bytes = 0
+        self.is_closed = False
+        self.owner: Owner | None = None
+        _set_options(sock)
+        self._watch()
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection has been established."""
+        return self._is_open
+
+    def write(self, data: bytes) -> None:
+        """Send *data*, now or as soon as the peer takes it."""
+        if self.is_closed or not data:
+            return
+        if self._is_open and not self._unsent:
+            sent = self._send(data)
+            if sent is None:
+                return
+            if sent == len(data):
+                return
+            data = data[sent:]
+        self._unsent.append(memoryview(data))
+        self.unsent_bytes += len(data)
+        self._watch()
+
+    def pause(self) -> None:
+        """Read nothing for a while."""
+        self._is_reading = False
+        self._watch()
+
+    def resume(self) -> None:
+        """Read again."""
+        self._is_reading = True
+        self._watch()
+
+    def finish_writing(self) -> None:
+        """Tell the peer that nothing more will come."""
+        if not self.is_closed:
+            try:
+                self._socket.shutdown(socket.SHUT_WR)
+            except OSError:
+                # The peer has gone already, so it needs no telling.
+                self._break()
+
+    def close(self) -> None:
+        """Close; unsent bytes are lost."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        if self._events:
+            self._loop.unwatch(self._socket)
+            self._events = 0
+        self._socket.close()
+        self._unsent.clear()
+        self.owner = None
+
+    def _watch(self) -> None:
+        if self.is_closed:
+            return
+        events = 0
+        if self._is_reading and self._is_open:
+            events |= entry_loop.READ
+        if self._unsent or not self._is_open:
+            events |= entry_loop.WRITE
+        if events == self._events:
+            return
+        if not events:
+            self._loop.unwatch(self._socket)
+        elif not self._events:
+            self._loop.watch(self._socket, events, self._ready)
+        else:
+            self._loop.rewatch(self._socket, events, self._ready)
+        self._events = events
+
+    def _ready(self, events: int) -> None:
+        if events & entry_loop.WRITE:
+            if not self._is_open and not self._finish_connecting():
+                return
+            self._flush()
+        if events & entry_loop.READ and not self.is_closed:
+            self._receive()
+
+    def _finish_connecting(self) -> bool:
+        error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._break()
+            return False
+        self._is_open = True
+        return True
+
+    def _flush(self) -> None:
+        while self._unsent:
+            data = self._unsent[0]
+            sent = self._send(data)
+            if sent is None:
+                return
+            self.unsent_bytes -= sent
+            if sent < len(data):
+                self._unsent[0] = data[sent:]
+                break
+            self._unsent.popleft()
+        self._watch()
+        if not self._unsent and self.owner is not None:
+            self.owner.drained()
+
+    def _send(self, data: bytes | memoryview) -> int | None:
+        try:
+            return self._socket.send(data, socket.MSG_NOSIGNAL)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # The answer to what was sent may still wait to be read, so
+            # the break shows when the loop reads the socket next.
+            self._loop.call_at(self._loop.now_s, self._break)
+            return None
+
+    def _receive(self) -> None:
+        try:
+            data = self._socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self._break()
+            return
+        if data:
+            assert self.owner is not None
+            self.owner.received(data)
+        else:
+            self._end(is_clean=True)
+
+    def _break(self) -> None:
+        if self.is_closed:
+            return
+        self._end(is_clean=False)
+
+    def _end(self, is_clean: bool) -> None:
+        owner = self.owner
+        self.close()
+        if owner is not None:
+            owner.ended(is_clean)
+
+
+def connect(loop: entry_loop.Loop, address: ids.Address) -> Connection | None:
+    """A connection to *address* that is being established.
+
+    None if the system refuses at once, as it does when no descriptor
+    is left.
+    """
+    host, _, port = address.rpartition(':')
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        return None
+    sock.setblocking(False)
+    error = sock.connect_ex((host, int(port)))
+    if error not in (0, errno.EINPROGRESS):
+        sock.close()
+        return None
+    return Connection(loop, sock, is_open=False)
+
+
+class Listener:
+    """Accepts connections and hands them to a callback."""
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        address: ids.Address,
+        accepted: typing.Callable[[Connection], None],
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self._loop = loop
+        self._accepted = accepted
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((host, int(port)))
+        self._socket.listen(LISTEN_BACKLOG)
+        self._socket.setblocking(False)
+        self._is_open = True
+        loop.watch(self._socket, entry_loop.READ, self._ready)
+
+    @property
+    def address(self) -> ids.Address:
+        """Where it listens, with the port that the kernel chose."""
+        host, port = self._socket.getsockname()
+        return ids.Address(f'{host}:{port}')
+
+    def close(self) -> None:
+        """Accept no more; connections that wait are refused."""
+        if self._is_open:
+            self._is_open = False
+            self._loop.unwatch(self._socket)
+            self._socket.close()
+
+    def _ready(self, events: int) -> None:
+        while self._is_open:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError:
+                # None waits, the caller has gone, or no descriptor is
+                # left; the loop comes back while one waits.
+                return
+            sock.setblocking(False)
+            self._accepted(Connection(self._loop, sock, is_open=True))
+
+
+def _set_options(sock: socket.socket) -> None:
+    options = (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
--- /dev/null
+++ b/src/guavachute/entry/upstream.py
@@ -0,0 +1,204 @@
+"""Connections to endpoints: one request at a time on each."""
+
+import collections
+import typing
+
+from guavachute.entry import http1
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import transport
+from guavachute import ids
+
+CONNECT_TIMEOUT_S = 0.5
+"""A lost opening packet is sent again after a second; another endpoint
+is tried before that."""
+
+PROVEN_S = 1.0
+"""A request that must not run twice goes over a kept connection only if
+that answered within this; others may be dead without showing it."""
+
+MAX_IDLE_S = 8.0
+"""Kept connections are closed when they were idle for so long."""
+
+IDLE_MARGIN_S = 1.0
+"""Closed this long before the endpoint says that it will."""
+
+
+class Listener(typing.Protocol):
+    """What a connection tells the request that uses it."""
+
+    def upstream_event(self, event: http1.AnswerEvent) -> None:
+        """A part of an answer came."""
+
+    def upstream_ended(self, is_clean: bool, was_connected: bool) -> None:
+        """The connection is gone."""
+
+
+class Connection:
+    """A connection to an endpoint, kept for further requests."""
+
+    def __init__(
+        self, loop: entry_loop.Loop, address: ids.Address, pool: 'Pool'
+    ) -> None:
+        self.address = address
+        self._loop = loop
+        self._pool = pool
+        self._reader = http1.AnswerReader()
+        self._listener: Listener | None = None
+        self._timer: entry_loop.Timer | None = None
+        self.idle_timeout_s: float | None = None
+        self.idle_since_s = loop.now_s
+        self._transport = transport.connect(loop, address)
+        if self._transport is not None:
+            self._transport.owner = self
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        return self._transport is not None and not self._transport.is_closed
+
+    @property
+    def has_sent_all(self) -> bool:
+        """Whether no byte of the request waits to be sent."""
+        return self._transport is None or not self._transport.unsent_bytes
+
+    @property
+    def ends_answer(self) -> bool:
+        """Whether the present answer ends with the connection."""
+        return self._reader.ends_with_connection
+
+    def begin(self, request: bytes, listener: Listener) -> None:
+        """Send *request*; its answer goes to *listener*."""
+        self._listener = listener
+        if self._transport is None:
+            self._loop.call_after(0, self._never_connected)
+            return
+        if not self._transport.is_connected:
+            self._timer = self._loop.call_after(
+                CONNECT_TIMEOUT_S, self._check_connected
+            )
+        self._transport.write(request)
+
+    def pause(self) -> None:
+        """Read nothing for a while."""
+        if self._transport is not None:
+            self._transport.pause()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._transport is not None:
+            self._transport.resume()
+
+    def release(self, keeps_alive: bool) -> None:
+        """The request is over; keep the connection if it is sound."""
+        self._listener = None
+        if keeps_alive and self.is_usable and self.has_sent_all:
+            self.resume()
+            self.idle_since_s = self._loop.now_s
+            self._pool.put(self)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close, which cancels a request that is under way."""
+        self._listener = None
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def received(self, data: bytes) -> None:
+        """Bytes of an answer, or bytes that belong to no request."""
+        events = self._reader.feed(data)
+        for place, event in enumerate(events, start=1):
+            if self._listener is None:
+                self._pool.remove(self)
+                self.close()
+                return
+            if isinstance(event, http1.AnswerEnded) and (
+                place < len(events) or self._reader.is_amid_answer
+            ):
+                # What follows an answer belongs to no later request.
+                event = http1.AnswerEnded(keeps_alive=False)
+            self._listener.upstream_event(event)
+
+    def ended(self, is_clean: bool) -> None:
+        """The endpoint closed, or the connection broke."""
+        assert self._transport is not None
+        self._end(is_clean, self._transport.is_connected)
+
+    def drained(self) -> None:
+        """All bytes are sent."""
+
+    def _never_connected(self) -> None:
+        self._end(False, False)
+
+    def _check_connected(self) -> None:
+        if self._transport is not None and not self._transport.is_connected:
+            self._transport.close()
+            self._end(False, False)
+
+    def _end(self, is_clean: bool, was_connected: bool) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        listener, self._listener = self._listener, None
+        if listener is None:
+            self._pool.remove(self)
+        else:
+            listener.upstream_ended(is_clean, was_connected)
+
+
+class Pool:
+    """The idle connections, by address."""
+
+    def __init__(self, loop: entry_loop.Loop) -> None:
+        self._loop = loop
+        self._idle: dict[ids.Address, collections.deque[Connection]] = {}
+        self.opened = 0
+        """Connections opened since the start."""
+
+    def take(self, address: ids.Address, is_proven: bool) -> Connection:
+        """An idle connection to *address*, or a new one.
+
+        :param is_proven: only one that answered just now will do
+        """
+        waiting = self._idle.get(address, collections.deque())
+        while waiting:
+            connection = waiting.pop()
+            idle_s = self._loop.now_s - connection.idle_since_s
+            if connection.is_usable and idle_s < _limit_s(
+                connection, is_proven
+            ):
+                return connection
+            connection.close()
+        self.opened += 1
+        return Connection(self._loop, address, self)
+
+    def put(self, connection: Connection) -> None:
+        """Keep *connection* for another request."""
+        self._idle.setdefault(connection.address, collections.deque()).append(
+            connection
+        )
+
+    def remove(self, connection: Connection) -> None:
+        """*connection* can no longer be used."""
+        waiting = self._idle.get(connection.address)
+        if waiting is not None and connection in waiting:
+            waiting.remove(connection)
+
+    def sweep(self) -> None:
+        """Close what has been idle for too long."""
+        for address, waiting in list(self._idle.items()):
+            while waiting:
+                idle_s = self._loop.now_s - waiting[0].idle_since_s
+                if idle_s < _limit_s(waiting[0], False):
+                    break
+                waiting.popleft().close()
+            if not waiting:
+                del self._idle[address]
+
+
+def _limit_s(connection: Connection, is_proven: bool) -> float:
+    limit_s = PROVEN_S if is_proven else MAX_IDLE_S
+    if connection.idle_timeout_s is not None:
+        limit_s = min(limit_s, connection.idle_timeout_s - IDLE_MARGIN_S)
+    return limit_s
--- /dev/null
+++ b/src/guavachute/platform/requests.py
@@ -0,0 +1,245 @@
+"""Requests and answers: the platform's headers.
+
+Two directions: what a caller sends becomes a :class:`call.Call`, and a
+call with its :class:`call.Dispatch` becomes the head that an endpoint
+gets. Of an endpoint's answer, :class:`AnswerHead` holds what decides.
+"""
+
+import dataclasses
+import typing
+
+from guavachute.domain import call
+from guavachute.domain import configuration
+from guavachute import ids
+from guavachute import outcome
+
+ATTEMPT_ID = b'attempt-id'
+
+_KEY_SCHEME = b'token '
+
+# Names that concern one connection only.
+_HOP_BY_HOP = frozenset({
+    b'connection', b'keep-alive', b'proxy-authenticate',
+    b'proxy-authorization', b'proxy-connection', b'te', b'trailer',
+    b'transfer-encoding', b'upgrade', b'content-length', b'host', b'expect',
+})  # fmt: skip
+
+# What the system sets itself, or what is the caller's secret.
+_SET_BY_SYSTEM = frozenset({
+    b'authorization', b'deadline-ms', b'duty-holder', b'expect-instance',
+    b'expect-version', b'fencing-token', b'hold', b'kv-backup', b'kv-fetch',
+    b'kv-from', b'last-event-id', b'pin-ms', b'request-urgency', b'tenant',
+    b'wait-ms',
+})  # fmt: skip
+
+# What a caller can't take off by naming it in "Connection".
+_ALWAYS_SENT = frozenset({
+    ATTEMPT_ID, b'model', b'token-counts', b'prefix-hash', b'length-hint',
+})  # fmt: skip
+
+# A second one of these makes a request ambiguous.
+_ONCE = _ALWAYS_SENT | {b'host', b'authorization', b'deadline-ms'}
+
+MAX_DEADLINE_S = 3600.0
+"""A longer deadline than an hour is read as an hour."""
+
+
+def read_call(
+    method: str, target: bytes, headers: typing.Sequence[call.Header]
+) -> call.Call | outcome.Failure:
+    """The call in a request's head; its body comes later."""
+    values: dict[bytes, bytes] = {}
+    for name, value in headers:
+        lower = name.lower()
+        if lower in _ONCE and lower in values:
+            return _bad(f'header {lower.decode()} came twice')
+        values[lower] = value
+    host = values.get(b'host')
+    if not host:
+        return _bad('header host is missing')
+    attempt = values.get(ATTEMPT_ID)
+    if not attempt:
+        return _bad('header attempt-id is missing')
+    if not target.startswith(b'/'):
+        return _bad(f'target {target[:80]!r} is not a path')
+    named_by_connection = {
+        item.strip().lower()
+        for item in values.get(b'connection', b'').split(b',')
+    } - _ALWAYS_SENT
+    dropped = _HOP_BY_HOP | _SET_BY_SYSTEM | named_by_connection
+    return call.Call(
+        attempt_id=ids.AttemptId(attempt.decode('latin-1')),
+        method=method,
+        target=target,
+        path=target.partition(b'?')[0].decode('latin-1'),
+        host=_host_name(host),
+        key=_key(values.get(b'authorization')),
+        deadline_s=_deadline_s(values.get(b'deadline-ms')),
+        tokens=_token_counts(values.get(b'token-counts')),
+        parts=_parts(values.get(b'prefix-hash')),
+        model=_text(values.get(b'model')),
+        length_hint=_number(values.get(b'length-hint')),
+        last_event_id=values.get(b'last-event-id'),
+        headers=[item for item in headers if item[0].lower() not in dropped]
+        + [(b'Host', host)],
+    )
+
+
+def encode_for_endpoint(sent: call.Call, dispatch: call.Dispatch) -> bytes:
+    """The request as the endpoint gets it, head and body."""
+    lines = [b'%s %s HTTP/1.1' % (sent.method.encode(), sent.target)]
+    lines += [b'%s: %s' % header for header in sent.headers]
+    lines.append(b'Deadline-Ms: %d' % max(1, int(dispatch.deadline_s * 1000)))
+    lines.append(b'Expect-Instance: %s' % dispatch.endpoint.encode('latin-1'))
+    if dispatch.workspace is not None:
+        lines.append(b'Tenant: %s' % dispatch.workspace.encode('latin-1'))
+    if dispatch.urgency is not None:
+        lines.append(b'Request-Urgency: %d' % dispatch.urgency)
+    if dispatch.resume_after is not None:
+        lines.append(b'Last-Event-Id: %s' % dispatch.resume_after)
+    if sent.body or sent.method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
+        lines.append(b'Content-Length: %d' % len(sent.body))
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + sent.body
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """How busy an endpoint says it is."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of an endpoint's answer.
+
+    :ivar attempt_id: of the request that it answers, if it says so
+    :ivar is_signed: whether the endpoint put its signature on it
+    :ivar has_not_run: whether it says that the request did not run
+    :ivar is_encoded: whether the body is not the endpoint's plain one
+    :ivar idle_timeout_s: how long the endpoint keeps the connection
+    :ivar headers: those that go to the caller, as sent
+    """
+
+    status: int
+    attempt_id: ids.AttemptId | None
+    is_signed: bool
+    has_not_run: bool
+    is_encoded: bool
+    load: EndpointLoad | None
+    idle_timeout_s: float | None
+    headers: typing.Sequence[call.Header]
+
+
+def read_answer(
+    status: int, headers: typing.Sequence[call.Header]
+) -> AnswerHead:
+    """What the head of an endpoint's answer says."""
+    values = {name.lower(): value for name, value in headers}
+    attempt = values.get(ATTEMPT_ID)
+    encoding = values.get(b'content-encoding', b'identity')
+    return AnswerHead(
+        status=status,
+        attempt_id=None
+        if attempt is None
+        else ids.AttemptId(attempt.decode('latin-1')),
+        is_signed=b'server-stamp' in values,
+        has_not_run=b'not-executed' in values or status == 421,
+        is_encoded=encoding.strip().lower() != b'identity',
+        load=_load(values.get(b'instance-load')),
+        idle_timeout_s=_idle_timeout_s(values.get(b'keep-alive')),
+        headers=[
+            item
+            for item in headers
+            if item[0].lower() not in _HOP_BY_HOP
+            and item[0].lower() != b'instance-load'
+        ],
+    )
+
+
+def own_answer_headers(
+    attempt_id: ids.AttemptId | None, retry_after_s: float | None
+) -> list[call.Header]:
+    """The headers of an answer of the system's own."""
+    headers: list[call.Header] = []
+    if attempt_id is not None:
+        headers.append((b'Attempt-Id', attempt_id.encode('latin-1')))
+    if retry_after_s is not None:
+        headers.append((b'Retry-After', b'%.2f' % retry_after_s))
+    return headers
+
+
+def _bad(detail: str) -> outcome.Failure:
+    return outcome.Failure(outcome.Reason.BAD_REQUEST, detail)
+
+
+def _host_name(value: bytes) -> str:
+    name = value.decode('latin-1').strip().lower()
+    return name.partition(':')[0]
+
+
+def _key(value: bytes | None) -> configuration.ApiKey | None:
+    if value is None or value[: len(_KEY_SCHEME)].lower() != _KEY_SCHEME:
+        return None
+    return configuration.ApiKey(
+        value[len(_KEY_SCHEME) :].strip().decode('latin-1')
+    )
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode('latin-1')
+
+
+def _number(value: bytes | None) -> int | None:
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value)
+
+
+def _deadline_s(value: bytes | None) -> float | None:
+    try:
+        milliseconds = float(value) if value is not None else None
+    except ValueError:
+        return None
+    if milliseconds is None or not 0 <= milliseconds < float('inf'):
+        return None
+    return min(milliseconds / 1000, MAX_DEADLINE_S)
+
+
+def _token_counts(value: bytes | None) -> call.TokenCounts | None:
+    prompt, _, output = (value or b'').partition(b',')
+    first, second = _number(prompt), _number(output)
+    if first is None or second is None:
+        return None
+    return call.TokenCounts(first, second)
+
+
+def _parts(value: bytes | None) -> tuple[call.PromptPart, ...]:
+    parts: list[call.PromptPart] = []
+    for item in (value or b'').split(b','):
+        name, _, count = item.strip().partition(b':')
+        tokens = _number(count)
+        if not name or tokens is None:
+            return tuple(parts)
+        parts.append(call.PromptPart(name.decode('latin-1'), tokens))
+    return tuple(parts)
+
+
+def _load(value: bytes | None) -> EndpointLoad | None:
+    numbers = [_number(item) for item in (value or b'').split(b',')]
+    if len(numbers) != 3:
+        return None
+    running, waiting, slots = numbers
+    if running is None or waiting is None or slots is None:
+        return None
+    return EndpointLoad(running, waiting, slots)
+
+
+def _idle_timeout_s(value: bytes | None) -> float | None:
+    for item in (value or b'').split(b','):
+        name, _, seconds = item.strip().partition(b'=')
+        if name.lower() == b'timeout':
+            return _number(seconds)
+    return None
--- /dev/null
+++ b/src/guavachute/platform/settings.py
@@ -0,0 +1,189 @@
+"""The settings file that the platform lays down for a process."""
+
+import os
+import pathlib
+import typing
+
+import msgspec
+
+from guavachute.domain import site
+from guavachute import ids
+from guavachute import outcome
+
+PATH_VARIABLE = 'GUAVACHUTE_NODE_FILE'
+"""Environment variable with the path of the settings file."""
+
+METRICS_PORT_OFFSET = 1
+"""The metrics' port, counted from the first port for own use."""
+
+Address = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
+]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Fields(msgspec.Struct, frozen=True, rename='camel'):
+    """Fields are spelled in camel case; unknown ones are ignored."""
+
+
+class _Listen(_Fields, frozen=True):
+    frontend: Address | None = None
+    ready: Address | None = None
+    # The address of "directory" answers which addresses to use.
+    directory: Address | None = None
+
+
+class _Bounds(_Fields, frozen=True):
+    drain_ms: Positive = 3000
+    # graceS is the time from SIGTERM to SIGKILL.
+    grace_s: typing.Annotated[Positive, msgspec.Meta()] = msgspec.field(
+        default=8.0, name='graceS'
+    )
+    config_apply_ms: Positive = 3000
+    retry_ratio: NotNegative = 0.2
+    retry_window_s: Positive = msgspec.field(default=10, name='retryWindowS')
+    retry_allowance: NotNegative = 50
+    quota_window_s: Positive = msgspec.field(default=8, name='quotaWindowS')
+    quota_overshoot: NotNegative = 0.1
+    lease_ms: Positive = 3000
+    usage_window_s: Positive = msgspec.field(default=5, name='usageWindowS')
+    usage_delay_s: Positive = msgspec.field(default=10, name='usageDelayS')
+    ttl_max_s: Positive = msgspec.field(default=5, name='ttl_max_s')
+
+
+class _Store(_Fields, frozen=True):
+    address: Address
+    writes_per_s: Positive = msgspec.field(default=400, name='writesPerS')
+    reads_per_s: Positive = msgspec.field(default=2000, name='readsPerS')
+    record_bytes: int = 262_144
+
+
+class _Cloud(_Fields, frozen=True):
+    address: Address
+    duties: list[str] = []
+    # dutyPerS counts the calls of all nodes together.
+    duty_per_s: Positive = msgspec.field(default=50, name='dutyPerS')
+
+
+class _Limits(_Fields, frozen=True):
+    max_fds: int = 1024
+
+
+class _Settings(_Fields, frozen=True):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    listen: _Listen
+    internal_ports: typing.Annotated[
+        list[int], msgspec.Meta(min_length=2, max_length=2)
+    ]
+    platform: _Store
+    # "seeds" are addresses on at most three machines; the ports of all
+    # machines are the same.
+    seeds: list[Address] = []
+    bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
+    cloud_api: _Cloud | None = None
+    # heartbeatMs is how often endpoints renew their own entries.
+    heartbeat_ms: Positive = 1200
+
+
+def path() -> pathlib.Path | outcome.Failure:
+    """Where the settings file is, by the environment."""
+    name = os.environ.get(PATH_VARIABLE)
+    if not name:
+        return outcome.Failure(
+            outcome.Reason.UNREADABLE,
+            f'{PATH_VARIABLE} is not set, expected the path of the settings',
+        )
+    return pathlib.Path(name)
+
+
+def load(file: pathlib.Path) -> site.Site | outcome.Failure:
+    """The settings in *file*; a failure names the field that is wrong."""
+    try:
+        text = file.read_bytes()
+    except OSError as error:
+        return outcome.Failure(
+            outcome.Reason.UNREADABLE, f'{file}: {error.strerror}'
+        )
+    return decode(text, str(file))
+
+
+def decode(text: bytes, source: str) -> site.Site | outcome.Failure:
+    """The settings in *text*, YAML; *source* names it in errors."""
+    try:
+        fields = msgspec.yaml.decode(text, type=_Settings, strict=False)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        reason = ' '.join(str(error).split())
+        return outcome.Failure(
+            outcome.Reason.BAD_REQUEST, f'{source}: {reason}'
+        )
+    return _to_site(fields)
+
+
+def _to_site(fields: _Settings) -> site.Site:
+    bounds = fields.bounds
+    cloud = fields.cloud_api
+    return site.Site(
+        node=ids.NodeId(fields.node_name),
+        ip=fields.ip,
+        domain=ids.FailureDomain(fields.zone),
+        region=ids.Region(fields.region),
+        region_of={
+            ids.FailureDomain(domain): ids.Region(region)
+            for domain, region in fields.zones.items()
+        },
+        listen=site.Listen(
+            callers=_address(fields.listen.frontend),
+            readiness=_address(fields.listen.ready),
+            directory=_address(fields.listen.directory),
+            peers_port=fields.internal_ports[0],
+            metrics_port=fields.internal_ports[0] + METRICS_PORT_OFFSET,
+        ),
+        store=site.StoreLimits(
+            address=ids.Address(fields.platform.address),
+            writes_per_s=fields.platform.writes_per_s,
+            reads_per_s=fields.platform.reads_per_s,
+            max_record_bytes=fields.platform.record_bytes,
+        ),
+        cloud=None if cloud is None else _cloud(cloud),
+        bounds=site.Bounds(
+            drain_s=bounds.drain_ms / 1000,
+            stop_grace_s=bounds.grace_s,
+            configuration_s=bounds.config_apply_ms / 1000,
+            retry_ratio=bounds.retry_ratio,
+            retry_window_s=bounds.retry_window_s,
+            retry_allowance=bounds.retry_allowance,
+            quota_window_s=bounds.quota_window_s,
+            quota_overshoot=bounds.quota_overshoot,
+            lease_s=bounds.lease_ms / 1000,
+            usage_window_s=bounds.usage_window_s,
+            usage_delay_s=bounds.usage_delay_s,
+            address_ttl_max_s=bounds.ttl_max_s,
+        ),
+        seeds=tuple(
+            ids.Address(
+                f'{seed.rpartition(":")[0]}:{fields.internal_ports[0]}'
+            )
+            for seed in fields.seeds
+        ),
+        heartbeat_s=fields.heartbeat_ms / 1000,
+        max_descriptors=fields.limits.max_fds,
+    )
+
+
+def _cloud(fields: _Cloud) -> site.Cloud:
+    return site.Cloud(
+        address=ids.Address(fields.address),
+        calls_per_s=fields.duty_per_s,
+        takes_usage='usage' in fields.duties,
+        takes_orders='scaling' in fields.duties,
+    )
+
+
+def _address(text: str | None) -> ids.Address | None:
+    return None if text is None else ids.Address(text)
--- /dev/null
+++ b/src/guavachute/wire/entry_news.py
@@ -0,0 +1,124 @@
+"""What entry nodes tell each other, as msgpack datagrams."""
+
+import typing
+
+import msgspec
+
+from guavachute import ids
+from guavachute import outcome
+from guavachute.wire import requests
+
+
+class WorkNews(msgspec.Struct, frozen=True, array_like=True):
+    """A node's work at one endpoint."""
+
+    requests: int
+    waiting_tokens: int
+
+
+class NodeNews(msgspec.Struct, frozen=True, array_like=True):
+    """What one node says of itself, several times a second.
+
+    :ivar run: random, new at each start of the process
+    :ivar sequence: grows with each message of one run
+    :ivar peers_address: where it takes news and serves its state
+    :ivar wall_s: its clock's time of day
+    :ivar configuration_version: 0 while it has none
+    :ivar endpoints_offset: how far it has read the endpoints' entries
+    :ivar demand_per_s: by workspace, in the unit of its quota
+    :ivar work: by endpoint; None in the short form
+    :ivar usage: by window and workspace, requests that began
+    """
+
+    node: str
+    run: int
+    sequence: int
+    peers_address: str
+    callers_address: str
+    domain: str
+    region: str
+    wall_s: float
+    is_ready: bool
+    configuration_version: int
+    endpoints_offset: int
+    demand_per_s: dict[ids.WorkspaceName, float]
+    work: dict[str, WorkNews]
+    usage: dict[int, dict[ids.WorkspaceName, int]]
+    crashes: list[requests.CrashNotice]
+
+
+class NodeRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A node's entry in the store: where to send it news."""
+
+    node: str
+    run: int
+    peers_address: str
+
+
+class DutyRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The lease of the duties, and what its holders decided.
+
+    A holder writes what it will report before it reports it, so that
+    the next one repeats the same counts and no others.
+
+    :ivar record_id: random, of this record
+    :ivar usage: by window, the counts that were decided
+    """
+
+    record_id: str
+    holder: str
+    duration_s: float
+    usage: dict[int, dict[ids.WorkspaceName, int]] = {}
+
+
+class SharedState(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node gives a peer that can't reach the store.
+
+    :ivar configuration: as it lies in the store; empty if there is none
+    :ivar endpoints: entries by id, as they lie in the store
+    """
+
+    configuration: bytes
+    configuration_version: int
+    endpoints: dict[str, bytes]
+    endpoints_offset: int
+
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(message: msgspec.Struct) -> bytes:
+    """*message* as msgpack."""
+    return _encoder.encode(message)
+
+
+def decode_news(data: bytes) -> NodeNews | outcome.Failure:
+    """A datagram from another node."""
+    return _decode(data, NodeNews)
+
+
+def decode_state(data: bytes) -> SharedState | outcome.Failure:
+    """A peer's state."""
+    return _decode(data, SharedState)
+
+
+def decode_node(data: bytes) -> NodeRecord | outcome.Failure:
+    """A node's entry in the store."""
+    return _decode(data, NodeRecord)
+
+
+def decode_duty(data: bytes) -> DutyRecord | outcome.Failure:
+    """The record of the duties' lease."""
+    return _decode(data, DutyRecord)
+
+
+Message = typing.TypeVar('Message', bound=msgspec.Struct)
+
+
+def _decode(data: bytes, expected: type[Message]) -> Message | outcome.Failure:
+    try:
+        return msgspec.msgpack.decode(data, type=expected)
+    except msgspec.MsgspecError as error:
+        return outcome.Failure(
+            outcome.Reason.BAD_REQUEST, f'{expected.__name__}: {error}'
+        )
