--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -1,34 +1,34 @@
-"""A node's part of each workspace's quota.
+"""The workspaces' quotas, which hold over all nodes together.
 
-A quota holds over all nodes. Each node spends from a bucket of its own
-that fills at its part of the rate. The parts follow the nodes' shares
-of the demand that they tell each other, so that a workspace whose
-callers all use one node still gets its whole quota there.
+Each node keeps the level of the whole workspace's bucket: what it
+admitted itself counts at once, what the others admitted counts when
+they tell. Between two messages of a node it is taken to go on at its
+latest rate, so that nodes do not all spend the same refill.
 """
 
+import dataclasses
 import typing
 
 from guavachute.domain import configuration
 from guavachute import ids
 
-EVEN_SHARE = 0.3
-"""The part of a rate that is dealt evenly; the rest follows demand."""
+OVERDRAFT_PART = 0.25
+"""Part of the bound's allowance that a level may go below zero by. The
+rest covers what nodes admit before they hear of each other."""
 
-RATE_MARGIN = 0.97
-"""The nodes' parts add up to this, as their views differ for moments."""
+HALF_LIFE_S = 1.5
+"""After this an old request counts half in a rate."""
 
-MIN_BUCKET_S = 1.0
-"""A bucket holds at least what its rate gives in this time, so that a
-large request is not refused where the workspace's burst is small."""
-
-DEMAND_HALF_LIFE_S = 2.0
-"""After this an old demand counts half."""
+SILENT_AFTER_S = 3.0
+"""A node that was not heard for so long may have got more requests; it
+is taken to spend an even part at least."""
 
 MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 10.0
 
 
-class DemandMeter:
-    """How much per second was asked for lately, whether admitted or not."""
+class RateMeter:
+    """How much per second there was of late."""
 
     __slots__ = ('_sum', '_at_s')
 
@@ -36,113 +36,166 @@
         self._sum = 0.0
         self._at_s = now_s
 
-    def add(self, cost: float, now_s: float) -> None:
-        """Somebody asked for *cost*."""
-        self._sum = self._decayed(now_s) + cost
+    def add(self, amount: float, now_s: float) -> None:
+        """Count *amount*."""
+        self._sum = self._decayed(now_s) + amount
         self._at_s = now_s
 
     def per_s(self, now_s: float) -> float:
         """The rate of late."""
-        return self._decayed(now_s) * 0.6931 / DEMAND_HALF_LIFE_S
+        return self._decayed(now_s) * 0.6931 / HALF_LIFE_S
 
     def _decayed(self, now_s: float) -> float:
         elapsed_s = max(0.0, now_s - self._at_s)
-        return self._sum * 0.5 ** (elapsed_s / DEMAND_HALF_LIFE_S)
+        return self._sum * 0.5 ** (elapsed_s / HALF_LIFE_S)
 
 
-def share(own_per_s: float, others_per_s: typing.Sequence[float]) -> float:
-    """This node's part, 0 to 1, of what all nodes may spend.
+class Spending(typing.NamedTuple):
+    """What one run of one node has admitted of a workspace.
 
-    :param others_per_s: the demand at each other node; one that fell
-        silent counts with what it told last
+    :ivar total: since the start of the run
+    :ivar per_s: of late
     """
-    nodes = 1 + len(others_per_s)
-    total = own_per_s + sum(others_per_s)
-    by_demand = own_per_s / total if total > 0 else 1 / nodes
-    return EVEN_SHARE / nodes + (1 - EVEN_SHARE) * by_demand
+
+    total: float
+    per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Other:
+    """Another node's spending, as it was told last."""
+
+    total: float
+    per_s: float
+    told_s: float
 
 
 class Bucket:
-    """What a workspace has left at this node.
+    """The level of one workspace's quota, as one node sees it.
 
-    The level may fall below zero by one request, which a bucket that is
-    smaller than a request needs to admit any.
+    :param overdraft: how far the level may go below zero
     """
 
-    __slots__ = ('_level', '_filled_s', '_rate_per_s', '_size')
-
     def __init__(
-        self, workspace: configuration.Workspace, part: float, now_s: float
+        self,
+        workspace: configuration.Workspace,
+        overdraft: float,
+        now_s: float,
     ) -> None:
+        self._workspace = workspace
+        self._overdraft = overdraft
         self._level = 0.0
         self._filled_s = now_s
-        self._rate_per_s = 0.0
-        self._size = 0.0
-        self.set_part(workspace, part, now_s)
-        self._level = self._size
+        self._own_total = 0.0
+        self._own_rate = RateMeter(now_s)
+        self._others: dict[str, _Other] = {}
+        self._next_slot_s = now_s
 
-    def set_part(
-        self, workspace: configuration.Workspace, part: float, now_s: float
+    def set_workspace(
+        self, workspace: configuration.Workspace, now_s: float
     ) -> None:
-        """Fill by another quota or part from now on."""
-        self._fill(now_s)
-        self._rate_per_s = workspace.rate_per_s * part * RATE_MARGIN
-        self._size = max(
-            workspace.burst * part, self._rate_per_s * MIN_BUCKET_S
+        """Fill by another quota from now on."""
+        if workspace is not self._workspace:
+            self._fill(now_s)
+            self._workspace = workspace
+            self._level = min(self._level, workspace.burst)
+
+    def spending(self, now_s: float) -> Spending:
+        """What this node admitted, for the others."""
+        return Spending(
+            round(self._own_total, 1), round(self._own_rate.per_s(now_s), 1)
         )
-        self._level = min(self._level, self._size)
+
+    def told(self, source: str, spending: Spending, now_s: float) -> None:
+        """Another node's run told what it admitted."""
+        self._fill(now_s)
+        other = self._others.get(source)
+        if other is None:
+            # Its earlier requests are not known to be recent.
+            self._others[source] = _Other(*spending, now_s)
+            return
+        self._level -= max(0.0, spending.total - other.total)
+        self._others[source] = _Other(*spending, now_s)
+
+    def forget(self, sources: typing.Container[str]) -> None:
+        """Keep only the nodes in *sources*."""
+        for source in list(self._others):
+            if source not in sources:
+                del self._others[source]
+
+    def level(self, now_s: float) -> float:
+        """What is left, with what others will have admitted by now."""
+        self._fill(now_s)
+        return self._level - self._unheard(now_s)
 
     def take(self, cost: float, now_s: float) -> float:
         """Take *cost* and give 0, or how long until it is there."""
-        self._fill(now_s)
-        if self._level >= min(cost, self._size):
+        level = self.level(now_s)
+        size = max(1.0, self._workspace.burst)
+        if level + self._overdraft >= min(cost, size):
             self._level -= cost
+            self._own_total += cost
+            self._own_rate.add(cost, now_s)
             return 0.0
-        if self._rate_per_s <= 0:
-            return 1.0
-        missing = min(cost, self._size) - self._level
-        return max(MIN_RETRY_AFTER_S, missing / self._rate_per_s)
+        return self._slot_s(min(cost, size) - level - self._overdraft, now_s)
 
     def give_back(self, cost: float) -> None:
         """What was taken was not used."""
-        self._level = min(self._size, self._level + cost)
+        self._level = min(self._level + cost, self._workspace.burst)
+        self._own_total -= cost
+
+    def _slot_s(self, missing: float, now_s: float) -> float:
+        """When a refused request should come back, from now.
+
+        Requests that are refused one after the other get times one
+        after the other, for only as many can be admitted.
+        """
+        rate_per_s = self._workspace.rate_per_s
+        wait_s = missing / rate_per_s
+        slot_s = max(now_s + wait_s, self._next_slot_s)
+        nodes = 1 + len(self._others)
+        self._next_slot_s = min(
+            slot_s + wait_s / nodes, now_s + MAX_RETRY_AFTER_S
+        )
+        return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, slot_s - now_s))
+
+    def _unheard(self, now_s: float) -> float:
+        """What the others admitted since they were heard, presumably."""
+        even_per_s = self._workspace.rate_per_s / (1 + len(self._others))
+        total = 0.0
+        for other in self._others.values():
+            age_s = max(0.0, now_s - other.told_s)
+            total += other.per_s * age_s
+            if age_s > SILENT_AFTER_S and other.per_s < even_per_s:
+                total += (even_per_s - other.per_s) * (age_s - SILENT_AFTER_S)
+        return total
 
     def _fill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._filled_s)
         self._level = min(
-            self._size, self._level + elapsed_s * self._rate_per_s
+            self._workspace.burst,
+            self._level + elapsed_s * self._workspace.rate_per_s,
         )
         self._filled_s = max(self._filled_s, now_s)
 
 
 class Quotas:
-    """The buckets and the demand of all workspaces at this node."""
+    """The buckets of all workspaces at one node.
+
+    :param allowance: what the bound allows beyond the quota itself
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, allowance: float) -> None:
+        self._overdraft = allowance * OVERDRAFT_PART
         self._buckets: dict[ids.WorkspaceName, Bucket] = {}
-        self._demand: dict[ids.WorkspaceName, DemandMeter] = {}
 
     def ask(
-        self,
-        workspace: configuration.Workspace,
-        cost: float,
-        part: float,
-        now_s: float,
+        self, workspace: configuration.Workspace, cost: float, now_s: float
     ) -> float:
         """Admit a request (0), or how long until it would be."""
-        meter = self._demand.get(workspace.name)
-        if meter is None:
-            meter = self._demand[workspace.name] = DemandMeter(now_s)
-        meter.add(cost, now_s)
         if workspace.rate_per_s <= 0:
             return 0.0
-        bucket = self._buckets.get(workspace.name)
-        if bucket is None:
-            bucket = Bucket(workspace, part, now_s)
-            self._buckets[workspace.name] = bucket
-        else:
-            bucket.set_part(workspace, part, now_s)
-        return bucket.take(cost, now_s)
+        return self._bucket(workspace, now_s).take(cost, now_s)
 
     def give_back(
         self, workspace: configuration.Workspace, cost: float
@@ -152,13 +205,40 @@
         if bucket is not None:
             bucket.give_back(cost)
 
-    def demand_per_s(self, now_s: float) -> dict[ids.WorkspaceName, float]:
-        """The demand of each workspace, for the other nodes."""
+    def told(
+        self,
+        source: str,
+        workspace: configuration.Workspace,
+        spending: Spending,
+        now_s: float,
+    ) -> None:
+        """A run of another node told what it admitted."""
+        if workspace.rate_per_s > 0:
+            self._bucket(workspace, now_s).told(source, spending, now_s)
+
+    def forget(self, sources: typing.Container[str]) -> None:
+        """Keep what the runs in *sources* told, and nothing else."""
+        for bucket in self._buckets.values():
+            bucket.forget(sources)
+
+    def spending(self, now_s: float) -> dict[ids.WorkspaceName, Spending]:
+        """What this node admitted of each workspace."""
         return {
-            name: round(meter.per_s(now_s), 1)
-            for name, meter in self._demand.items()
+            name: bucket.spending(now_s)
+            for name, bucket in self._buckets.items()
         }
 
+    def _bucket(
+        self, workspace: configuration.Workspace, now_s: float
+    ) -> Bucket:
+        bucket = self._buckets.get(workspace.name)
+        if bucket is None:
+            bucket = Bucket(workspace, self._overdraft, now_s)
+            self._buckets[workspace.name] = bucket
+        else:
+            bucket.set_workspace(workspace, now_s)
+        return bucket
+
 
 def cost(workspace: configuration.Workspace, total_tokens: int) -> float:
     """What a request counts in the workspace's unit."""
--- a/src/guavachute/domain/site.py
+++ b/src/guavachute/domain/site.py
@@ -16,6 +16,8 @@
     :ivar retry_ratio: sends beyond the first, against requests
     :ivar retry_allowance: sends beyond the first that are free in
         each window, over all nodes
+    :ivar quota_allowance: what all nodes together may admit beyond a
+        workspace's quota in a window, in the quota's unit
     :ivar lease_s: a duty may change hands no sooner than this
     :ivar usage_window_s: length of a window of usage
     :ivar usage_delay_s: usage is due this long after its window
@@ -30,6 +32,7 @@
     retry_allowance: float
     quota_window_s: float
     quota_overshoot: float
+    quota_allowance: float
     lease_s: float
     usage_window_s: float
     usage_delay_s: float
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -65,6 +65,9 @@
     book: endpoint_book.EndpointBook
     pool: upstream.Pool
 
+    def request_sent(self, exchange: 'Exchange', tokens_to_read: int) -> None:
+        """A request goes to an endpoint."""
+
     def may_retry(self, service: ids.ServiceName) -> bool:
         """Pay for another send to *service*."""
 
@@ -206,6 +209,7 @@
         self._counted_tokens = max(
             0, prompt - record.cached_tokens(self.call.parts)
         )
+        self._process.request_sent(self, self._counted_tokens)
         record.own.requests += 1
         record.own.waiting_tokens += self._counted_tokens
         self._backlog_tokens = record.own.waiting_tokens
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -1,5 +1,6 @@
 """Takes callers' requests and starts their exchanges."""
 
+import dataclasses
 import typing
 
 from guavachute.decide import crash
@@ -23,6 +24,7 @@
 from guavachute.observe import metrics as observe_metrics
 from guavachute import outcome
 from guavachute.platform import requests
+from guavachute.wire import entry_news
 from guavachute.wire import requests as wire_requests
 
 NO_CONFIGURATION_RETRY_S = 0.3
@@ -43,6 +45,14 @@
 NOTICE_KEPT_S = 20.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Meters:
+    """Tokens that callers ask a service to read and to generate."""
+
+    prompt: quota.RateMeter
+    output: quota.RateMeter
+
+
 class Ingress:
     """The requests of this node's callers.
 
@@ -67,8 +77,9 @@
         self._peers = peers
         self._metrics = metrics
         self._began = began
-        self._quotas = quota.Quotas()
+        self._quotas = quota.Quotas(site.bounds.quota_allowance)
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
+        self._meters: dict[ids.ServiceName, _Meters] = {}
         self._crashes = crash.CrashBook()
         self._lost: list[tuple[float, endpoint_book.Record, exchange.Exchange]]
         self._lost = []
@@ -204,7 +215,6 @@
             wait_s = self._quotas.ask(
                 workspace,
                 quota.cost(workspace, call.total_tokens),
-                self._quota_part(workspace.name),
                 now_s,
             )
             if wait_s > 0:
@@ -223,9 +233,23 @@
         started.dispatch()
         return started
 
-    def _quota_part(self, workspace: ids.WorkspaceName) -> float:
-        own = self._quotas.demand_per_s(self.loop.now_s).get(workspace, 0.0)
-        return quota.share(own, self._peers.demand_per_s(workspace))
+    def request_sent(
+        self, started: exchange.Exchange, tokens_to_read: int
+    ) -> None:
+        """A request goes to an engine, which has to read its prompt."""
+        call, service, now_s = started.call, started.service, self.loop.now_s
+        if call.tokens is None:
+            return
+        meters = self._meters.get(service)
+        if meters is None:
+            meters = self._meters[service] = _Meters(
+                quota.RateMeter(now_s), quota.RateMeter(now_s)
+            )
+        meters.prompt.add(tokens_to_read, now_s)
+        output = call.tokens.output
+        if call.length_hint is not None:
+            output = min(output, call.length_hint)
+        meters.output.add(output, now_s)
 
     def _refuse(
         self,
@@ -251,9 +275,36 @@
             b'',
         )
 
-    def demand_per_s(self) -> dict[ids.WorkspaceName, float]:
-        """The demand of each workspace here, for the other nodes."""
-        return self._quotas.demand_per_s(self.loop.now_s)
+    def spending(self) -> dict[ids.WorkspaceName, tuple[float, float]]:
+        """What was admitted here of each quota, for the other nodes."""
+        return dict(self._quotas.spending(self.loop.now_s))
+
+    def take_spending(self, news: entry_news.NodeNews) -> None:
+        """Another node told what it admitted."""
+        current = self._state.configuration
+        if current is None:
+            return
+        for name, spent in news.spent.items():
+            workspace = current.workspaces.get(name)
+            if workspace is not None:
+                self._quotas.told(
+                    entry_peers.source(news),
+                    workspace,
+                    quota.Spending(*spent),
+                    self.loop.now_s,
+                )
+
+    def load(self) -> dict[ids.ServiceName, entry_news.LoadNews]:
+        """What callers ask of each service here."""
+        now_s = self.loop.now_s
+        return {
+            service: entry_news.LoadNews(
+                round(meters.prompt.per_s(now_s), 1),
+                round(meters.output.per_s(now_s), 1),
+                round(self.book.prefill_tokens_per_s(service), 1),
+            )
+            for service, meters in self._meters.items()
+        }
 
     # -- what exchanges ask for ----------------------------------------
 
@@ -301,6 +352,11 @@
             notice = self._crashes.absolve(started.fingerprint, now_s)
             if notice is not None:
                 self._note(notice)
+        elif verdict == 'own 503' and started.workspace is not None:
+            self._quotas.give_back(
+                started.workspace,
+                quota.cost(started.workspace, started.call.total_tokens),
+            )
 
     # -- requests that crash endpoints ---------------------------------
 
@@ -344,6 +400,7 @@
     def sweep(self) -> None:
         """Forget what is old; call it about each second."""
         self.pool.sweep()
+        self._quotas.forget(self._peers.sources())
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
         self._lost = [item for item in self._lost if item[0] >= oldest_s]
 
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -2,10 +2,13 @@
 
 import contextlib
 import gc
+import statistics
 import time
 import typing
 
+from guavachute.decide.duty import scaling
 from guavachute.decide.duty import usage
+from guavachute.decide.ingress import choice
 from guavachute.decide.nodes import addresses
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
@@ -16,6 +19,7 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import plain_server
+from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.observe import journal
@@ -113,7 +117,11 @@
                 self._nodes,
                 self.usage_book.total,
                 self.peers.true_time_s,
-                None,
+                entry_scaler.Scaler(
+                    loop, self.state, sorted(site.region_of), self._demand
+                )
+                if site.cloud.takes_orders
+                else None,
             )
         self._is_registered = False
         self._is_fetching = False
@@ -363,7 +371,8 @@
             is_ready=self.is_ready,
             configuration_version=self.state.version,
             endpoints_offset=self.state.endpoints_offset,
-            demand_per_s=self.ingress.demand_per_s(),
+            spent=self.ingress.spending(),
+            load=self.ingress.load(),
             work={
                 endpoint: entry_news.WorkNews(
                     work.requests, work.waiting_tokens
@@ -379,13 +388,31 @@
             self.peers.true_time_s(), self.site.bounds.usage_window_s
         )
         self.usage_book.take(
-            f'{news.node}/{news.run}',
+            entry_peers.source(news),
             news.usage,
             newest,
         )
+        self.ingress.take_spending(news)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
 
+    def _demand(self, service: ids.ServiceName) -> scaling.Demand:
+        """What all nodes' callers ask of a service."""
+        own = self.ingress.load().get(service)
+        loads = self.peers.load_of(service) + ([own] if own else [])
+        speeds = [load.prefill_tokens_per_s for load in loads]
+        return scaling.Demand(
+            prompt_tokens_per_s=sum(
+                item.prompt_tokens_per_s for item in loads
+            ),
+            output_tokens_per_s=sum(
+                item.output_tokens_per_s for item in loads
+            ),
+            prefill_tokens_per_s=statistics.median(speeds)
+            if speeds
+            else choice.DEFAULT_PREFILL_TOKENS_PER_S,
+        )
+
     def _began(self, workspace: ids.WorkspaceName) -> None:
         window = usage.window_at(
             self.peers.true_time_s(), self.site.bounds.usage_window_s
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -50,6 +50,11 @@
         self.added_s = 0.0
 
 
+def source(news: entry_news.NodeNews) -> str:
+    """The name of one run of one node."""
+    return f'{news.node}/{news.run}'
+
+
 Told = typing.Callable[[entry_news.NodeNews], None]
 
 
@@ -116,12 +121,20 @@
         """Nodes that count as running, with this one."""
         return 1 + len(self.heard(DEMAND_KEPT_S))
 
-    def demand_per_s(self, workspace: ids.WorkspaceName) -> list[float]:
-        """What each other node tells of a workspace's demand."""
-        return [
-            peer.news.demand_per_s.get(workspace, 0.0)
+    def sources(self) -> set[str]:
+        """The runs of nodes that count as running."""
+        return {
+            source(peer.news)
             for peer in self.heard(DEMAND_KEPT_S)
             if peer.news is not None
+        }
+
+    def load_of(self, service: ids.ServiceName) -> list[entry_news.LoadNews]:
+        """What the other nodes' callers ask of a service."""
+        return [
+            peer.news.load[service]
+            for peer in self.heard(DEMAND_KEPT_S)
+            if peer.news is not None and service in peer.news.load
         ]
 
     def work_at(self, endpoint: ids.EndpointId) -> endpoint_book.Work:
--- /dev/null
+++ b/src/guavachute/entry/scaler.py
@@ -0,0 +1,145 @@
+"""Orders endpoints while this node holds the duties."""
+
+import dataclasses
+import typing
+
+from guavachute.decide.duty import scaling
+from guavachute.domain import configuration
+from guavachute.entry import control_client
+from guavachute.entry import duty as entry_duty
+from guavachute.entry import known_state
+from guavachute.entry import loop as entry_loop
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute.platform import cloud
+
+REPEAT_S = 2.0
+"""Pause before an order that was refused or lost is sent again."""
+
+REFRESH_S = 30.0
+"""An order that was taken is sent again after this, since one that was
+answered late may have replaced it."""
+
+Demands = typing.Callable[[ids.ServiceName], scaling.Demand]
+
+
+@dataclasses.dataclass(slots=True)
+class _Order:
+    """The latest order of one kind."""
+
+    wanted: int
+    sent_s: float
+    is_taken: bool = False
+
+
+class Scaler:
+    """Keeps the orders of each service at what is needed."""
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        state: known_state.KnownState,
+        domains: typing.Sequence[ids.FailureDomain],
+        demand: Demands,
+    ) -> None:
+        self._loop = loop
+        self._state = state
+        self._domains = domains
+        self._demand = demand
+        self._needs: dict[ids.ServiceName, scaling.Need] = {}
+        self._orders: dict[tuple[ids.ServiceName, scaling.Kind], _Order] = {}
+
+    def act(self, held: entry_duty.HeldDuty) -> None:
+        """Send the orders that differ from the wish."""
+        current = self._state.configuration
+        if current is None or self._state.endpoints_offset < 0:
+            return
+        for service in current.services.values():
+            if service.scaling is not None:
+                self._act_for(held, service, service.scaling)
+
+    def _act_for(
+        self,
+        held: entry_duty.HeldDuty,
+        service: configuration.Service,
+        bounds: configuration.Scaling,
+    ) -> None:
+        now_s = self._loop.now_s
+        need = self._needs.get(service.name)
+        if need is None:
+            need = self._needs[service.name] = scaling.Need(now_s)
+        demand = self._demand(service.name)
+        on_demand = sum(
+            1
+            for entry in self._state.table.ready(service.name)
+            if not entry.is_reclaimable
+        )
+        engines = need.update(scaling.needed(demand), on_demand, now_s)
+        wished = scaling.wish(bounds, self._domains, engines)
+        # Engines are ordered before others are given up.
+        for kind, wanted in sorted(
+            wished.items(), key=lambda item: not item[0].is_reclaimable
+        ):
+            order = self._orders.get((service.name, kind))
+            if order is not None and not self._is_due(order, wanted, now_s):
+                continue
+            if not kind.is_reclaimable and not self._may_shrink(
+                service, wished
+            ):
+                continue
+            self._send(held, service.name, kind, wanted, demand)
+
+    def _is_due(self, order: _Order, wanted: int, now_s: float) -> bool:
+        age_s = now_s - order.sent_s
+        if order.wanted != wanted:
+            return order.is_taken or age_s >= REPEAT_S
+        return age_s >= (REFRESH_S if order.is_taken else REPEAT_S)
+
+    def _may_shrink(
+        self, service: configuration.Service, wished: scaling.Wish
+    ) -> bool:
+        """Whether the reclaimable endpoints that replace others serve."""
+        ready = sum(
+            1
+            for entry in self._state.table.ready(service.name)
+            if entry.is_reclaimable
+        )
+        wanted = sum(
+            count for kind, count in wished.items() if kind.is_reclaimable
+        )
+        return 2 * ready >= wanted
+
+    def _send(
+        self,
+        held: entry_duty.HeldDuty,
+        service: ids.ServiceName,
+        kind: scaling.Kind,
+        wanted: int,
+        demand: scaling.Demand,
+    ) -> None:
+        order = _Order(wanted, self._loop.now_s)
+        self._orders[(service, kind)] = order
+
+        def got(reply: control_client.Reply | control_client.Lost) -> None:
+            answer: typing.Any = (
+                reply.value
+                if isinstance(reply, control_client.Lost)
+                else reply.status
+            )
+            order.is_taken = answer == 200
+            journal.event(
+                'order',
+                outcome=answer,
+                service=service,
+                domain=kind.domain,
+                is_reclaimable=kind.is_reclaimable,
+                wanted=wanted,
+                need=scaling.needed(demand),
+                demand=dataclasses.asdict(demand),
+            )
+
+        held.call(
+            cloud.ORDER_TARGET,
+            cloud.order(service, kind.domain, wanted, kind.is_reclaimable),
+            got,
+        )
--- a/src/guavachute/platform/settings.py
+++ b/src/guavachute/platform/settings.py
@@ -46,6 +46,7 @@
     retry_allowance: NotNegative = 50
     quota_window_s: Positive = msgspec.field(default=8, name='quotaWindowS')
     quota_overshoot: NotNegative = 0.1
+    quota_allowance: NotNegative = 0
     lease_ms: Positive = 3000
     usage_window_s: Positive = msgspec.field(default=5, name='usageWindowS')
     usage_delay_s: Positive = msgspec.field(default=10, name='usageDelayS')
@@ -160,6 +161,7 @@
             retry_allowance=bounds.retry_allowance,
             quota_window_s=bounds.quota_window_s,
             quota_overshoot=bounds.quota_overshoot,
+            quota_allowance=bounds.quota_allowance,
             lease_s=bounds.lease_ms / 1000,
             usage_window_s=bounds.usage_window_s,
             usage_delay_s=bounds.usage_delay_s,
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -16,6 +16,14 @@
     waiting_tokens: int
 
 
+class LoadNews(msgspec.Struct, frozen=True, array_like=True):
+    """What a node's callers ask of a service."""
+
+    prompt_tokens_per_s: float
+    output_tokens_per_s: float
+    prefill_tokens_per_s: float
+
+
 class NodeNews(msgspec.Struct, frozen=True, array_like=True):
     """What one node says of itself, several times a second.
 
@@ -25,7 +33,9 @@
     :ivar wall_s: its clock's time of day
     :ivar configuration_version: 0 while it has none
     :ivar endpoints_offset: how far it has read the endpoints' entries
-    :ivar demand_per_s: by workspace, in the unit of its quota
+    :ivar spent: by workspace, what it admitted since its start and what
+        it admits per second, in the unit of the quota
+    :ivar load: by service, what callers ask for
     :ivar work: by endpoint; None in the short form
     :ivar usage: by window and workspace, requests that began
     """
@@ -41,7 +51,8 @@
     is_ready: bool
     configuration_version: int
     endpoints_offset: int
-    demand_per_s: dict[ids.WorkspaceName, float]
+    spent: dict[ids.WorkspaceName, tuple[float, float]]
+    load: dict[ids.ServiceName, LoadNews]
     work: dict[str, WorkNews]
     usage: dict[int, dict[ids.WorkspaceName, int]]
     crashes: list[requests.CrashNotice]
