--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -2,9 +2,9 @@
 
 Reclaimable endpoints cost a fraction of on-demand ones, but a failure
 domain can lose all of them within seconds, and none can be had for a
-while after that. So each domain gets enough reclaimable ones that the
-demand is met when the others have lost theirs, as long as this is
-cheaper than on-demand ones, and a few on-demand ones stay as a floor.
+while after that. So there are more reclaimable ones than the demand
+needs, spread such that one domain's loss is borne, and what is short
+after further losses is ordered on demand as soon as it is announced.
 """
 
 import dataclasses
@@ -14,27 +14,32 @@
 from guavachute.domain import configuration
 from guavachute import ids
 
-TARGET_USE = 0.55
-"""Part of an engine's time that the demand may take; the rest keeps the
-time to the first token short when long prompts meet."""
+NORMAL_USE = 0.55
+"""Part of the engines' time that the demand takes at best; the rest
+keeps the time to the first token short when long prompts meet."""
 
-STEP_S = 0.0055
-"""Assumed time of a decoding step, in which a batch gets a token each."""
+TIGHT_USE = 0.75
+"""The same while reclaimable engines can't be had."""
 
-BATCH = 16
-"""Assumed requests that share a step at the wanted use."""
+READ_TOKENS_PER_S = 60_000.0
+"""Assumed speed of an engine that reads prompts between the tokens of
+running requests."""
+
+TOKEN_S = 0.00031
+"""Assumed time of one generated token, as a part of a shared step."""
 
 SHRINK_AFTER_S = 12.0
-"""A wish is lowered only when the need was lower for so long."""
+"""A wish is lowered only when the demand was lower for so long."""
 
-FOUND_PART = 0.6
-"""Part of the endpoints found at the start that is kept at first."""
+FOUND_USE = 0.8
+"""What part of the on-demand engines found at the start is taken to be
+needed, before the demand has been seen."""
 
 FOUND_S = 40.0
-"""How long that part is kept."""
+"""For how long that is assumed."""
 
-LOST_DOMAINS = 2
-"""Domains that may lose their reclaimable endpoints at the same time."""
+LOST_DOMAINS = 1
+"""Domains whose reclaimable endpoints may go without a shortage."""
 
 ON_DEMAND_FLOOR = 1
 """On-demand endpoints that are kept for the case that all others go."""
@@ -56,97 +61,89 @@
 
     :ivar prompt_tokens_per_s: that have to be read
     :ivar output_tokens_per_s: that are generated
-    :ivar prefill_tokens_per_s: how fast one engine reads
     """
 
     prompt_tokens_per_s: float
     output_tokens_per_s: float
-    prefill_tokens_per_s: float
-
 
-def needed(demand: Demand) -> int:
-    """Engines that serve *demand* without making callers wait."""
-    reading = demand.prompt_tokens_per_s / demand.prefill_tokens_per_s
-    decoding = demand.output_tokens_per_s * STEP_S / BATCH
-    return math.ceil((reading + decoding) / TARGET_USE)
+    @property
+    def busy_engines(self) -> float:
+        """Engines that would be busy all the time."""
+        return (
+            self.prompt_tokens_per_s / READ_TOKENS_PER_S
+            + self.output_tokens_per_s * TOKEN_S
+        )
 
 
 def wish(
     scaling: configuration.Scaling,
     domains: typing.Sequence[ids.FailureDomain],
-    engines: int,
+    busy_engines: float,
+    reclaimable_ready: int,
 ) -> Wish:
-    """The orders that serve a need of so many *engines*."""
-    floor = min(ON_DEMAND_FLOOR, engines) if engines else 0
-    cheapest = sorted(
+    """The orders for a demand that keeps so many engines busy.
+
+    :param reclaimable_ready: reclaimable endpoints that serve and have
+        not been told to leave
+    """
+    by_price = sorted(
         domains, key=lambda name: (scaling.price_by_domain.get(name, 1), name)
     )
-    wished: Wish = {}
+    engines = math.ceil(busy_engines / NORMAL_USE)
     if scaling.spot_price_ratio is None:
-        _deal(wished, scaling, cheapest, max(engines, 1), False)
-        return wished
+        return _dealt(by_price, max(1, engines), False, scaling)
+    short = math.ceil(busy_engines / TIGHT_USE) - reclaimable_ready
+    wished = _dealt(by_price, max(ON_DEMAND_FLOOR, short), False, scaling)
     surviving = max(1, len(domains) - LOST_DOMAINS)
-    per_domain = math.ceil(max(0, engines - floor) / surviving)
-    for place, domain in enumerate(cheapest):
-        on_demand = floor if place == 0 else 0
-        room = scaling.max_per_domain - on_demand
-        reclaimable = min(
-            room, max(per_domain, scaling.min_per_domain - on_demand)
+    per_domain = math.ceil(max(0, engines - ON_DEMAND_FLOOR) / surviving)
+    for domain in by_price:
+        on_demand = wished[Kind(domain, False)]
+        wished[Kind(domain, True)] = max(
+            scaling.min_per_domain - on_demand,
+            min(scaling.max_per_domain - on_demand, per_domain),
+            0,
         )
-        wished[Kind(domain, False)] = on_demand
-        wished[Kind(domain, True)] = reclaimable
     return wished
 
 
-def _deal(
-    wished: Wish,
-    scaling: configuration.Scaling,
+def _dealt(
     domains: typing.Sequence[ids.FailureDomain],
     engines: int,
     is_reclaimable: bool,
-) -> None:
-    """Spread *engines* evenly, the cheapest domains first."""
-    for domain in domains:
-        wished[Kind(domain, is_reclaimable)] = scaling.min_per_domain
-    left = engines - sum(wished.values())
-    while left > 0:
-        open_domains = [
-            domain
-            for domain in domains
-            if wished[Kind(domain, is_reclaimable)] < scaling.max_per_domain
-        ]
-        if not open_domains:
-            return
-        domain = min(
-            open_domains, key=lambda name: wished[Kind(name, is_reclaimable)]
-        )
-        wished[Kind(domain, is_reclaimable)] += 1
-        left -= 1
+    scaling: configuration.Scaling,
+) -> Wish:
+    """*engines* spread evenly, more to the first of *domains*."""
+    wished: Wish = {}
+    left = engines
+    for place, domain in enumerate(domains):
+        count = min(-(-left // (len(domains) - place)), scaling.max_per_domain)
+        wished[Kind(domain, is_reclaimable)] = count
+        left -= count
+    return wished
 
 
 class Need:
-    """The need over time: up at once, down only after a while.
-
-    Until the demand has been seen for a while, a part of the on-demand
-    endpoints that were there before any order is taken as needed.
-    """
+    """The demand over time: up at once, down only after a while."""
 
     def __init__(self, now_s: float) -> None:
-        self._recent: list[tuple[float, int]] = []
+        self._recent: list[tuple[float, float]] = []
         self._found = 0
         self._found_until_s = now_s + FOUND_S
 
-    def update(self, engines: int, on_demand: int, now_s: float) -> int:
-        """The highest need of late, with *engines* now.
+    def update(
+        self, busy_engines: float, on_demand: int, now_s: float
+    ) -> float:
+        """The highest demand of late, with *busy_engines* now.
 
-        :param on_demand: endpoints of that kind that are there
+        Until the demand has been seen for a while, it is judged by the
+        on-demand endpoints that are there.
         """
         self._found = max(self._found, on_demand)
         self._recent = [
             item for item in self._recent if now_s - item[0] < SHRINK_AFTER_S
         ]
-        self._recent.append((now_s, engines))
+        self._recent.append((now_s, busy_engines))
         highest = max(item[1] for item in self._recent)
         if now_s < self._found_until_s:
-            return max(highest, math.ceil(self._found * FOUND_PART))
+            return max(highest, self._found * FOUND_USE * NORMAL_USE)
         return highest
--- a/src/guavachute/entry/endpoint_book.py
+++ b/src/guavachute/entry/endpoint_book.py
@@ -147,17 +147,6 @@
         """What a choice between *records* needs to know."""
         return [self._candidate(item, parts, now_s) for item in records]
 
-    def prefill_tokens_per_s(self, service: ids.ServiceName) -> float:
-        """How fast the engines of a service read prompts, on average."""
-        speeds = [
-            item.prefill_tokens_per_s
-            for item in self._records.values()
-            if item.entry.service == service
-        ]
-        if not speeds:
-            return choice.DEFAULT_PREFILL_TOKENS_PER_S
-        return sum(speeds) / len(speeds)
-
     def work(self) -> dict[ids.EndpointId, Work]:
         """This node's work at each endpoint, for the other nodes."""
         return {
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -301,7 +301,6 @@
             service: entry_news.LoadNews(
                 round(meters.prompt.per_s(now_s), 1),
                 round(meters.output.per_s(now_s), 1),
-                round(self.book.prefill_tokens_per_s(service), 1),
             )
             for service, meters in self._meters.items()
         }
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -2,13 +2,11 @@
 
 import contextlib
 import gc
-import statistics
 import time
 import typing
 
 from guavachute.decide.duty import scaling
 from guavachute.decide.duty import usage
-from guavachute.decide.ingress import choice
 from guavachute.decide.nodes import addresses
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
@@ -400,7 +398,6 @@
         """What all nodes' callers ask of a service."""
         own = self.ingress.load().get(service)
         loads = self.peers.load_of(service) + ([own] if own else [])
-        speeds = [load.prefill_tokens_per_s for load in loads]
         return scaling.Demand(
             prompt_tokens_per_s=sum(
                 item.prompt_tokens_per_s for item in loads
@@ -408,9 +405,6 @@
             output_tokens_per_s=sum(
                 item.output_tokens_per_s for item in loads
             ),
-            prefill_tokens_per_s=statistics.median(speeds)
-            if speeds
-            else choice.DEFAULT_PREFILL_TOKENS_PER_S,
         )
 
     def _began(self, workspace: ids.WorkspaceName) -> None:
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -1,5 +1,6 @@
 """Orders endpoints while this node holds the duties."""
 
+import collections
 import dataclasses
 import typing
 
@@ -13,6 +14,10 @@
 from guavachute.observe import journal
 from guavachute.platform import cloud
 
+SETTLE_S = 3.5
+"""From the start of the process until the endpoints that live have
+written their entries, so that none is given up unseen."""
+
 REPEAT_S = 2.0
 """Pause before an order that was refused or lost is sent again."""
 
@@ -46,6 +51,7 @@
         self._state = state
         self._domains = domains
         self._demand = demand
+        self._started_s = loop.now_s
         self._needs: dict[ids.ServiceName, scaling.Need] = {}
         self._orders: dict[tuple[ids.ServiceName, scaling.Kind], _Order] = {}
 
@@ -54,6 +60,8 @@
         current = self._state.configuration
         if current is None or self._state.endpoints_offset < 0:
             return
+        if self._loop.now_s - self._started_s < SETTLE_S:
+            return
         for service in current.services.values():
             if service.scaling is not None:
                 self._act_for(held, service, service.scaling)
@@ -69,13 +77,12 @@
         if need is None:
             need = self._needs[service.name] = scaling.Need(now_s)
         demand = self._demand(service.name)
-        on_demand = sum(
-            1
+        ready = collections.Counter(
+            entry.is_reclaimable
             for entry in self._state.table.ready(service.name)
-            if not entry.is_reclaimable
         )
-        engines = need.update(scaling.needed(demand), on_demand, now_s)
-        wished = scaling.wish(bounds, self._domains, engines)
+        busy_engines = need.update(demand.busy_engines, ready[False], now_s)
+        wished = scaling.wish(bounds, self._domains, busy_engines, ready[True])
         # Engines are ordered before others are given up.
         for kind, wanted in sorted(
             wished.items(), key=lambda item: not item[0].is_reclaimable
@@ -83,10 +90,6 @@
             order = self._orders.get((service.name, kind))
             if order is not None and not self._is_due(order, wanted, now_s):
                 continue
-            if not kind.is_reclaimable and not self._may_shrink(
-                service, wished
-            ):
-                continue
             self._send(held, service.name, kind, wanted, demand)
 
     def _is_due(self, order: _Order, wanted: int, now_s: float) -> bool:
@@ -95,20 +98,6 @@
             return order.is_taken or age_s >= REPEAT_S
         return age_s >= (REFRESH_S if order.is_taken else REPEAT_S)
 
-    def _may_shrink(
-        self, service: configuration.Service, wished: scaling.Wish
-    ) -> bool:
-        """Whether the reclaimable endpoints that replace others serve."""
-        ready = sum(
-            1
-            for entry in self._state.table.ready(service.name)
-            if entry.is_reclaimable
-        )
-        wanted = sum(
-            count for kind, count in wished.items() if kind.is_reclaimable
-        )
-        return 2 * ready >= wanted
-
     def _send(
         self,
         held: entry_duty.HeldDuty,
@@ -134,7 +123,6 @@
                 domain=kind.domain,
                 is_reclaimable=kind.is_reclaimable,
                 wanted=wanted,
-                need=scaling.needed(demand),
                 demand=dataclasses.asdict(demand),
             )
 
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -21,7 +21,6 @@
 
     prompt_tokens_per_s: float
     output_tokens_per_s: float
-    prefill_tokens_per_s: float
 
 
 class NodeNews(msgspec.Struct, frozen=True, array_like=True):
