Giving up an ended call no longer ends the next one on its connection

One node followed nothing of a topic any more after a write of the duty, without a lost dependency in its log. A follower keeps the handle of its latest call; the kept connection had gone on to another follower's call, and reading again after the write gave that one up, whose reader then waited for ever. Test: test_giving_up_an_ended_call_spares_the_next_one, fails without the check.

--- a/src/guavachute/entry/control_client.py
+++ b/src/guavachute/entry/control_client.py
@@ -37,6 +37,9 @@
 
 Done = typing.Callable[[Reply | Lost], None]
 
+GiveUp = typing.Callable[[], None]
+"""Gives a call up, if it has not ended: nobody is told of its end."""
+
 
 class Client:
     """Calls one address; each call has a connection to itself."""
@@ -54,7 +57,7 @@
         timeout_s: float,
         body: bytes = b'',
         headers: typing.Sequence[call.Header] = (),
-    ) -> typing.Callable[[], None]:
+    ) -> GiveUp:
         """Send a request; *done* is called once, later.
 
         The result gives the call up: *done* is then not called.
@@ -67,10 +70,8 @@
         if body or method != b'GET':
             lines.append(b'Content-Length: %d' % len(body))
         channel = self._take()
-        channel.begin(
-            b'\r\n'.join(lines) + b'\r\n\r\n' + body, done, timeout_s
-        )
-        return channel.abandon
+        request = b'\r\n'.join(lines) + b'\r\n\r\n' + body
+        return channel.begin(request, done, timeout_s)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -109,6 +110,7 @@
         self._done: Done | None = None
         self._timer: entry_loop.Timer | None = None
         self._connect_timer: entry_loop.Timer | None = None
+        self._calls = 0
         self._status = 0
         self._body: list[bytes] = []
         self._idle_since_s = loop.now_s
@@ -121,19 +123,27 @@
             and now_s - self._idle_since_s < MAX_IDLE_S
         )
 
-    def begin(self, request: bytes, done: Done, timeout_s: float) -> None:
-        """Send one call."""
+    def begin(self, request: bytes, done: Done, timeout_s: float) -> GiveUp:
+        """Send one call; the result gives up this call and no later one."""
+        self._calls += 1
+        call_number = self._calls
         self._done = done
         self._body = []
+
+        def give_up() -> None:
+            if self._done is not None and self._calls == call_number:
+                self.abandon()
+
         if self._connection is None:
             self._loop.call_after(0, lambda: self._lose(Lost.NOT_SENT))
-            return
+            return give_up
         self._timer = self._loop.call_after(timeout_s, self._time_out)
         if not self._connection.is_connected:
             self._connect_timer = self._loop.call_after(
                 min(timeout_s, CONNECT_TIMEOUT_S), self._connect_timed_out
             )
         self._connection.write(request)
+        return give_up
 
     def abandon(self) -> None:
         """Close, and tell nobody."""
--- a/src/guavachute/entry/loop.py
+++ b/src/guavachute/entry/loop.py
@@ -91,6 +91,10 @@
         """Return from :meth:`run` after the present events."""
         self._running = False
 
+    def resume(self) -> None:
+        """Let :meth:`run` be called once more after a stop."""
+        self._running = True
+
     def run(self) -> None:
         """Serve until :meth:`stop`."""
         while self._running:
