Stand-ins by the platform's protocol, and the whole path tested on one loop

Found by them: a node that starts refused its first requests with 429, since it took each quota as used up; a second Host or id left the connection open for what followed; an answer to another request in one piece with the right one ended the right one with 502; a node without peers reported no usage.

--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -3,7 +3,8 @@
 Each node keeps the level of the whole workspace's bucket: what it
 admitted itself counts at once, what the others admitted counts when
 they tell. Between two messages of a node it is taken to go on at its
-latest rate, so that nodes do not all spend the same refill.
+latest rate, so that nodes do not all spend the same refill. A node that
+has just started takes a bucket as full until it hears otherwise.
 """
 
 import dataclasses
@@ -23,6 +24,9 @@
 """A node that was not heard for so long may have got more requests; it
 is taken to spend an even part at least."""
 
+YOUNG_S = 2.0
+"""A bucket that is younger takes over the level that others tell."""
+
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 10.0
 
@@ -55,10 +59,12 @@
 
     :ivar total: since the start of the run
     :ivar per_s: of late
+    :ivar level: what the run takes the workspace to have left
     """
 
     total: float
     per_s: float
+    level: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,7 +90,8 @@
     ) -> None:
         self._workspace = workspace
         self._overdraft = overdraft
-        self._level = 0.0
+        self._level = workspace.burst
+        self._started_s = now_s
         self._filled_s = now_s
         self._own_total = 0.0
         self._own_rate = RateMeter(now_s)
@@ -103,7 +110,9 @@
     def spending(self, now_s: float) -> Spending:
         """What this node admitted, for the others."""
         return Spending(
-            round(self._own_total, 1), round(self._own_rate.per_s(now_s), 1)
+            round(self._own_total, 1),
+            round(self._own_rate.per_s(now_s), 1),
+            round(self.level(now_s), 1),
         )
 
     def told(self, source: str, spending: Spending, now_s: float) -> None:
@@ -111,11 +120,12 @@
         self._fill(now_s)
         other = self._others.get(source)
         if other is None:
-            # Its earlier requests are not known to be recent.
-            self._others[source] = _Other(*spending, now_s)
-            return
-        self._level -= max(0.0, spending.total - other.total)
-        self._others[source] = _Other(*spending, now_s)
+            # What it admitted before is in the level that it tells.
+            if now_s - self._started_s < YOUNG_S:
+                self._level = min(self._level, spending.level)
+        else:
+            self._level -= max(0.0, spending.total - other.total)
+        self._others[source] = _Other(spending.total, spending.per_s, now_s)
 
     def forget(self, sources: typing.Container[str]) -> None:
         """Keep only the nodes in *sources*."""
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -122,9 +122,13 @@
         status: int,
         headers: typing.Sequence[call.Header],
         body: bytes,
+        closes: bool = False,
     ) -> None:
-        """Answer the present request, whole."""
-        self._closes = self._closes or self._process.is_stopping
+        """Answer the present request, whole.
+
+        :param closes: serve nothing more on this connection
+        """
+        self._closes = self._closes or closes or self._process.is_stopping
         head = http1.encode_head(status, headers, len(body), self._closes)
         self._connection.write(head + body)
         self._finish()
--- a/src/guavachute/entry/control_client.py
+++ b/src/guavachute/entry/control_client.py
@@ -48,6 +48,7 @@
         self._loop = loop
         self.address = address
         self._idle: collections.deque[_Channel] = collections.deque()
+        self._channels: set[_Channel] = set()
 
     def call(
         self,
@@ -74,9 +75,10 @@
         return channel.begin(request, done, timeout_s)
 
     def close(self) -> None:
-        """Close the idle connections."""
-        while self._idle:
-            self._idle.popleft().abandon()
+        """Close all connections; calls that wait are given up."""
+        for channel in list(self._channels):
+            channel.abandon()
+        self._idle.clear()
 
     def _take(self) -> '_Channel':
         while self._idle:
@@ -84,7 +86,11 @@
             if channel.is_usable(self._loop.now_s):
                 return channel
             channel.abandon()
-        return _Channel(self._loop, self.address, self._give_back)
+        channel = _Channel(
+            self._loop, self.address, self._give_back, self._channels.discard
+        )
+        self._channels.add(channel)
+        return channel
 
     def _give_back(self, channel: '_Channel') -> None:
         self._idle.append(channel)
@@ -100,8 +106,10 @@
         loop: entry_loop.Loop,
         address: ids.Address,
         give_back: typing.Callable[['_Channel'], None],
+        forget: typing.Callable[['_Channel'], None],
     ) -> None:
         self._loop = loop
+        self._forget = forget
         self._give_back = give_back
         self._reader = http1.AnswerReader()
         self._connection = transport.connect(loop, address)
@@ -148,6 +156,7 @@
     def abandon(self) -> None:
         """Close, and tell nobody."""
         self._done = None
+        self._forget(self)
         self._cancel_timers()
         if self._connection is not None:
             self._connection.close()
@@ -185,7 +194,7 @@
         reply = Reply(self._status, b''.join(self._body))
         assert self._connection is not None
         if done is None or not keeps_alive:
-            self._connection.close()
+            self.abandon()
         else:
             self._idle_since_s = self._loop.now_s
             self._give_back(self)
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -114,6 +114,11 @@
         """Contend no more; the lease lapses by itself."""
         self._is_stopping = True
 
+    def close(self) -> None:
+        """Contend no more, and close the connections."""
+        self.stop()
+        self._cloud.close()
+
     @property
     def is_held(self) -> bool:
         """Whether this node holds the lease now."""
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -374,8 +374,8 @@
             self._stream_ended(keeps_alive)
         elif answer is _Answer.HELD:
             self._whole(keeps_alive)
-        elif not keeps_alive:
-            self._broken('the connection ends before the answer')
+        # Otherwise it was another request's; this one's may follow, or
+        # the end of the connection.
 
     def _stream_ended(self, keeps_alive: bool) -> None:
         assert self._record is not None and self._head is not None
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -127,6 +127,7 @@
         self._listener.close()
         for caller in list(self._callers):
             caller.abort()
+        self.pool.close()
 
     def _accept(self, connection: transport.Connection) -> None:
         self._callers.add(
@@ -273,9 +274,13 @@
             status,
             requests.own_answer_headers(attempt_id, failure.retry_after_s),
             b'',
+            # Where a request is ambiguous, so is what follows it.
+            closes=status == 400,
         )
 
-    def spending(self) -> dict[ids.WorkspaceName, tuple[float, float]]:
+    def spending(
+        self,
+    ) -> dict[ids.WorkspaceName, tuple[float, float, float]]:
         """What was admitted here of each quota, for the other nodes."""
         return dict(self._quotas.spending(self.loop.now_s))
 
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -113,7 +113,7 @@
                 site.cloud,
                 self._store,
                 self._nodes,
-                self.usage_book.total,
+                self._usage_total,
                 self.peers.true_time_s,
                 entry_scaler.Scaler(
                     loop, self.state, sorted(site.region_of), self._demand
@@ -179,7 +179,12 @@
         self.ingress.close()
         for server in self._servers:
             server.close()
-        self.peers.stop()
+        for follower in (self._operator, self._endpoints, self._nodes):
+            follower.stop()
+        if self.duty is not None:
+            self.duty.close()
+        self._store.close()
+        self.peers.close()
 
     def reload(self, site: domain_site.Site) -> None:
         """Take over changed settings, as far as a process can."""
@@ -231,12 +236,7 @@
         self, question: plain_server.Question
     ) -> plain_server.Reply:
         asker = directory.read_query(question.query)
-        found = addresses.choose(
-            [*self.peers.candidates(), self._own_candidate()],
-            asker.domain,
-            asker.region,
-            self.loop.now_s,
-        )
+        found = self.addresses_for(asker.domain, asker.region)
         self.metrics.add('address_questions')
         ttl_s = min(ADDRESS_TTL_S, self.site.bounds.address_ttl_max_s)
         return plain_server.Reply(
@@ -245,6 +245,17 @@
             plain_server.JSON,
         )
 
+    def addresses_for(
+        self, domain: ids.FailureDomain, region: ids.Region
+    ) -> list[ids.Address]:
+        """The nodes that a caller in *domain* is to use."""
+        return addresses.choose(
+            [*self.peers.candidates(), self._own_candidate()],
+            domain,
+            region,
+            self.loop.now_s,
+        )
+
     def _own_candidate(self) -> addresses.Candidate:
         return addresses.Candidate(
             address=self.ingress.address,
@@ -352,11 +363,7 @@
     # -- the peers -----------------------------------------------------
 
     def _describe(self, run: int, sequence: int) -> entry_news.NodeNews:
-        newest = usage.window_at(
-            self.peers.true_time_s(), self.site.bounds.usage_window_s
-        )
-        recent = self.usage_meter.recent(newest)
-        self.usage_book.take(f'{self.site.node}/{run}', recent, newest)
+        recent = self.usage_meter.recent(self._window())
         return entry_news.NodeNews(
             node=self.site.node,
             run=run,
@@ -382,13 +389,8 @@
         )
 
     def _told(self, news: entry_news.NodeNews) -> None:
-        newest = usage.window_at(
-            self.peers.true_time_s(), self.site.bounds.usage_window_s
-        )
         self.usage_book.take(
-            entry_peers.source(news),
-            news.usage,
-            newest,
+            entry_peers.source(news), news.usage, self._window()
         )
         self.ingress.take_spending(news)
         for notice in news.crashes:
@@ -408,10 +410,23 @@
         )
 
     def _began(self, workspace: ids.WorkspaceName) -> None:
-        window = usage.window_at(
+        self.usage_meter.began(workspace, self._window())
+
+    def _window(self) -> int:
+        """The window of usage that the present moment is in."""
+        return usage.window_at(
             self.peers.true_time_s(), self.site.bounds.usage_window_s
         )
-        self.usage_meter.began(workspace, window)
+
+    def _usage_total(self, window: int) -> usage.Counts:
+        """The requests that began in *window*, over all nodes."""
+        newest = self._window()
+        self.usage_book.take(
+            f'{self.site.node}/{self.peers.run}',
+            self.usage_meter.recent(newest),
+            newest,
+        )
+        return self.usage_book.total(window)
 
     def _ask_peers(self) -> None:
         """Take over what peers know while the store does not answer."""
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -80,6 +80,7 @@
         self.address = ids.Address(f'{site.ip}:{site.listen.peers_port}')
         self._sequence = 0
         self._turn = 0
+        self._is_closed = False
         self._peers: dict[str, Peer] = {}
         self._seeds: list[ids.Address] = []
         self._clients: dict[ids.Address, control_client.Client] = {}
@@ -93,10 +94,13 @@
         self._seeds = [seed for seed in seeds if seed != self.address]
         self._loop.call_after(0.0, self._tick)
 
-    def stop(self) -> None:
-        """Send no more."""
+    def close(self) -> None:
+        """Send and hear no more."""
+        self._is_closed = True
         self._loop.unwatch(self._socket)
         self._socket.close()
+        for client in self._clients.values():
+            client.close()
 
     def learn(self, record: entry_news.NodeRecord) -> None:
         """A node has an entry in the store."""
@@ -246,6 +250,8 @@
     def _send_to(self, to: typing.Sequence[ids.Address]) -> None:
         if not to:
             return
+        if self._is_closed:
+            return
         self._sequence += 1
         data = entry_news.encode(self._describe(self.run, self._sequence))
         for address in to:
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -196,6 +196,13 @@
             if not waiting:
                 del self._idle[address]
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        for waiting in self._idle.values():
+            while waiting:
+                waiting.popleft().close()
+        self._idle.clear()
+
 
 def _limit_s(connection: Connection, is_proven: bool) -> float:
     limit_s = PROVEN_S if is_proven else MAX_IDLE_S
--- /dev/null
+++ b/src/guavachute/standin/platform/cloud.py
@@ -0,0 +1,66 @@
+"""A stand-in of the cloud's API: usage reports and orders."""
+
+import dataclasses
+import typing
+
+import msgspec
+
+from guavachute.entry import loop as entry_loop
+from guavachute.standin.platform import server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloudCall:
+    """A call that was accepted."""
+
+    target: str
+    holder: str
+    fence: int
+    body: typing.Any
+
+
+class Cloud:
+    """Accepts calls whose fencing token is not lower than one seen.
+
+    :ivar calls: those that were accepted, oldest first
+    :ivar is_losing_answers: whether calls are done and not answered
+    """
+
+    def __init__(self, loop: entry_loop.Loop) -> None:
+        self._server = server.Server(loop, self._serve)
+        self._highest: dict[str, int] = {}
+        self.address = self._server.address
+        self.calls: list[CloudCall] = []
+        self.refused = 0
+        self.is_losing_answers = False
+
+    def close(self) -> None:
+        """Serve no more."""
+        self._server.close()
+
+    def usage(self) -> list[tuple[int, dict[str, int]]]:
+        """Window and counts of each report, oldest first."""
+        return [
+            (item.body['windowId'], item.body['counts'])
+            for item in self.calls
+            if item.target == '/usage'
+        ]
+
+    def _serve(self, answer: server.Answer) -> None:
+        target = answer.request.target.decode()
+        fence = int(answer.header(b'Fencing-Token') or b'-1')
+        body = msgspec.json.decode(answer.request.body)
+        subject = target
+        if target == '/desired-capacity':
+            subject += f'/{body["service"]}/{body["zone"]}'
+        if fence < self._highest.get(subject, -1):
+            self.refused += 1
+            answer.reply(409)
+            return
+        self._highest[subject] = fence
+        holder = (answer.header(b'Duty-Holder') or b'').decode()
+        self.calls.append(CloudCall(target, holder, fence, body))
+        if self.is_losing_answers:
+            answer.drop()
+        else:
+            answer.reply(200)
--- /dev/null
+++ b/src/guavachute/standin/platform/engine.py
@@ -0,0 +1,210 @@
+"""A stand-in of an endpoint: a model engine or a plain service."""
+
+import dataclasses
+import enum
+import typing
+
+import msgspec
+
+from guavachute.entry import http1
+from guavachute.entry import loop as entry_loop
+from guavachute.standin.platform import server
+from guavachute.standin.platform import store as standin_store
+
+STAMP = b'stamp-of-'
+
+
+class Behaviour(enum.Enum):
+    """How the endpoint answers."""
+
+    SOUND = 'sound'
+    SHED = 'shed'
+    """It is full and has not run the request."""
+    FAIL = 'fail'
+    """It ran the request and answers with a failure of its own."""
+    LOSE = 'lose'
+    """It ran the request, and the connection closes without an answer."""
+    BREAK = 'break'
+    """The answer breaks off in the middle of an event or body."""
+    EXTRA = 'extra'
+    """After the answer comes a second one to the same request."""
+    FOREIGN_FIRST = 'foreign-first'
+    """Before the answer comes one to another request."""
+    UNSIGNED = 'unsigned'
+    UNFRAMED = 'unframed'
+    """The answer has no length and ends with its connection."""
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A request that the endpoint began to run."""
+
+    attempt_id: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    is_cancelled: bool = False
+
+
+class Engine:
+    """One endpoint, registered in the store under its id.
+
+    :ivar runs: the requests that it ran
+    :ivar events: how many events a stream has
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        store: standin_store.Store,
+        name: str,
+        service: str,
+        domain: str,
+        events: int = 0,
+        slots: int = 8,
+    ) -> None:
+        self._loop = loop
+        self._store = store
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.events = events
+        self.slots = slots
+        self.behaviour = Behaviour.SOUND
+        self.event_pause_s = 0.0
+        self.runs: list[Run] = []
+        self.refused = 0
+        self._sequence = 0
+        self._server = server.Server(loop, self._serve)
+        self.address = self._server.address
+
+    def register(self, state: str = 'ready', **fields: typing.Any) -> None:
+        """Write the endpoint's entry."""
+        self._sequence += 1
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.domain,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': state,
+            'coldRemainingMs': 0,
+            'sequence': self._sequence,
+            'born': 1,
+            **fields,
+        }
+        self._store.put(
+            standin_store.ENDPOINTS_TOPIC,
+            self.name,
+            msgspec.json.encode(entry),
+        )
+
+    def unregister(self) -> None:
+        """The entry is gone."""
+        self._store.put(standin_store.ENDPOINTS_TOPIC, self.name, None)
+
+    def close(self) -> None:
+        """End, with all connections."""
+        self._server.close()
+
+    def break_connections(self) -> None:
+        """Close all connections, and go on."""
+        self._server.break_connections()
+
+    def _serve(self, answer: server.Answer) -> None:
+        expected = answer.header(b'Expect-Instance')
+        if expected is not None and expected.decode() != self.name:
+            answer.reply(421, b'', self._headers(answer, ran=False))
+            return
+        if self.behaviour is Behaviour.SHED:
+            self.refused += 1
+            answer.reply(503, b'', self._headers(answer, ran=False))
+            return
+        run = Run(
+            (answer.header(b'Attempt-Id') or b'').decode(),
+            answer.request.target.decode(),
+            {
+                name.decode().lower(): value.decode()
+                for name, value in answer.request.headers
+            },
+            answer.request.body,
+        )
+        self.runs.append(run)
+        answer.on_abandoned = lambda: setattr(run, 'is_cancelled', True)
+        self._answer(answer)
+
+    def _answer(self, answer: server.Answer) -> None:
+        if self.behaviour is Behaviour.SILENT:
+            return
+        if self.behaviour is Behaviour.LOSE:
+            answer.drop()
+        elif self.behaviour is Behaviour.FAIL:
+            answer.reply(500, b'failed', self._headers(answer))
+        elif self.events:
+            self._stream(answer)
+        else:
+            self._whole(answer)
+
+    def _whole(self, answer: server.Answer) -> None:
+        body = b'answer of ' + self.name.encode()
+        headers = self._headers(answer)
+        if self.behaviour is Behaviour.UNSIGNED:
+            headers = [item for item in headers if item[0] != b'Server-Stamp']
+        head = http1.encode_head(200, headers, len(body), False)
+        if self.behaviour is Behaviour.BREAK:
+            answer.raw(head + body[:5])
+            self._loop.call_after(0.01, answer.drop)
+        elif self.behaviour is Behaviour.FOREIGN_FIRST:
+            foreign = [(b'Attempt-Id', b'another'), *headers[1:]]
+            answer.raw(http1.encode_head(200, foreign, 5, False) + b'other')
+            answer.reply(200, body, headers)
+        elif self.behaviour is Behaviour.EXTRA:
+            answer.raw(head + body)
+            answer.reply(200, body, headers)
+        elif self.behaviour is Behaviour.UNFRAMED:
+            lines = [b'HTTP/1.1 200 OK']
+            lines += [b'%s: %s' % item for item in headers]
+            answer.raw(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
+            answer.connection.finish_writing()
+        else:
+            answer.reply(200, body, headers)
+
+    def _stream(self, answer: server.Answer) -> None:
+        first = int(answer.header(b'Last-Event-Id') or b'0') + 1
+        answer.caller.begin_answer(200, self._headers(answer))
+        self._send_event(answer, first)
+
+    def _send_event(self, answer: server.Answer, number: int) -> None:
+        if answer.is_abandoned:
+            return
+        if number > self.events:
+            answer.caller.end_answer()
+            return
+        event = b'id: %d\ndata: %s-%d\n\n' % (
+            number,
+            self.name.encode(),
+            number,
+        )
+        if self.behaviour is Behaviour.BREAK and number == self.events:
+            answer.caller.answer_piece(event[:9])
+            self._loop.call_after(0.01, answer.drop)
+            return
+        answer.caller.answer_piece(event)
+        self._loop.call_after(
+            self.event_pause_s, lambda: self._send_event(answer, number + 1)
+        )
+
+    def _headers(
+        self, answer: server.Answer, ran: bool = True
+    ) -> list[tuple[bytes, bytes]]:
+        headers = [(b'Attempt-Id', answer.header(b'Attempt-Id') or b'')]
+        if ran:
+            headers.append((b'Server-Stamp', STAMP + self.name.encode()))
+        else:
+            headers.append((b'Not-Executed', b'1'))
+        headers.append((b'Instance-Id', self.name.encode()))
+        headers.append(
+            (b'Instance-Load', b'%d,0,%d' % (len(self.runs), self.slots))
+        )
+        return headers
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -32,8 +32,9 @@
     :ivar wall_s: its clock's time of day
     :ivar configuration_version: 0 while it has none
     :ivar endpoints_offset: how far it has read the endpoints' entries
-    :ivar spent: by workspace, what it admitted since its start and what
-        it admits per second, in the unit of the quota
+    :ivar spent: by workspace, what it admitted since its start, what
+        it admits per second and what it takes to be left, in the unit of
+        the quota
     :ivar load: by service, what callers ask for
     :ivar work: by endpoint; None in the short form
     :ivar usage: by window and workspace, requests that began
@@ -50,7 +51,7 @@
     is_ready: bool
     configuration_version: int
     endpoints_offset: int
-    spent: dict[ids.WorkspaceName, tuple[float, float]]
+    spent: dict[ids.WorkspaceName, tuple[float, float, float]]
     load: dict[ids.ServiceName, LoadNews]
     work: dict[str, WorkNews]
     usage: dict[int, dict[ids.WorkspaceName, int]]
--- /dev/null
+++ b/tests/cover/test_entry_node.py
@@ -0,0 +1,245 @@
+"""Nodes among each other, the store and the cloud, sound and not."""
+
+import typing
+import unittest
+
+from guavachute.decide.nodes import endpoint_table
+from guavachute.entry import node as entry_node
+from guavachute import ids
+from guavachute.standin.platform import store as standin_store
+from tests.support import looping
+from tests.support import platform_site
+
+Fault = standin_store.Fault
+
+
+class NodeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+        self.addCleanup(self.site.close)
+        self.site.configure(1)
+        self.plain = self.site.add_engine('e1', platform_site.PLAIN_SERVICE)
+
+    def until(self, condition: typing.Callable[[], object]) -> None:
+        looping.run_until(self.site.loop, condition)
+
+    def two_nodes(self) -> tuple[entry_node.Node, entry_node.Node]:
+        first, second = self.site.ready_node(), self.site.ready_node()
+        self.until(lambda: first.peers.heard() and second.peers.heard())
+        return first, second
+
+
+class ConfigurationTest(NodeTest):
+    def test_a_new_version_comes_into_force(self) -> None:
+        node = self.site.ready_node()
+        self.site.configure(5, tenants=[])
+        self.until(lambda: node.state.version == 5)
+        self.assertEqual(401, self.site.ask(node, '/order/a').status)
+
+    def test_an_older_version_never_comes_back(self) -> None:
+        node = self.site.ready_node()
+        self.site.configure(5)
+        self.until(lambda: node.state.version == 5)
+        self.site.configure(3)
+        looping.run_for(self.site.loop, 0.2)
+        self.assertEqual(5, node.state.version)
+
+    def test_one_that_cannot_be_read_changes_nothing(self) -> None:
+        node = self.site.ready_node()
+        self.site.store.put('keyed.op', 'config', b'{"version": "many"}')
+        looping.run_for(self.site.loop, 0.2)
+        self.assertEqual(1, node.state.version)
+        self.assertEqual(200, self.site.ask(node, '/order/a').status)
+
+    def test_history_that_is_gone_is_read_as_the_newest(self) -> None:
+        node = self.site.ready_node()
+        self.site.store.fault = Fault.BUSY
+        looping.run_for(self.site.loop, 0.3)
+        self.site.configure(7)
+        for topic in ('keyed.op', 'keyed.servers'):
+            self.site.store.drop_history(topic)
+        self.site.store.fault = Fault.NONE
+        self.until(lambda: node.state.version == 7)
+
+    def test_many_records_come_in_pages(self) -> None:
+        self.site.store.page_items = 2
+        for number in range(5):
+            self.site.add_engine(f'more-{number}', 'drafts', events=1)
+        node = self.site.ready_node()
+        self.assertEqual(6, len(node.state.table.entries))
+
+    def test_a_node_that_the_store_turns_away_asks_its_peers(self) -> None:
+        first = self.site.ready_node()
+        lost = self.site.add_node(
+            store=ids.Address('127.0.0.9:9'),
+            seeds=(first.peers.address,),
+        )
+        self.until(lambda: lost.is_ready)
+        self.assertEqual(1, lost.state.version)
+        self.assertEqual(200, self.site.ask(lost, '/order/a').status)
+        self.site.configure(9)
+        self.until(lambda: lost.state.version == 9)
+
+
+class EndpointTest(NodeTest):
+    def test_a_draining_endpoint_gets_nothing_new(self) -> None:
+        node = self.site.ready_node()
+        other = self.site.add_engine('e2', platform_site.PLAIN_SERVICE)
+        self.plain.register(state='draining')
+        self.until(
+            lambda: (
+                [
+                    entry.id
+                    for entry in node.state.table.ready(
+                        ids.ServiceName(platform_site.PLAIN_SERVICE)
+                    )
+                ]
+                == ['e2']
+            )
+        )
+        for _ in range(3):
+            self.site.ask(node, '/order/a')
+        self.assertEqual((0, 3), (len(self.plain.runs), len(other.runs)))
+
+    def test_entries_of_other_writers_name_no_endpoint(self) -> None:
+        for key, value in (
+            ('no-json', b'\xff\x00'),
+            ('bare', b'{}'),
+            ('odd', b'{"service":"desk","address":7}'),
+        ):
+            self.site.store.put('keyed.servers', key, value)
+        node = self.site.ready_node()
+        self.assertEqual(['e1'], list(node.state.table.entries))
+
+    def test_an_entry_that_lapsed_in_an_outage_may_come_back(self) -> None:
+        node = self.site.ready_node()
+        self.site.store.fault = Fault.BUSY
+        looping.run_for(self.site.loop, 1.0)
+        self.plain.unregister()
+        self.site.store.fault = Fault.NONE
+        looping.run_for(self.site.loop, 1.2)
+        self.assertEqual(200, self.site.ask(node, '/order/a').status)
+        self.plain.register()
+        looping.run_for(self.site.loop, endpoint_table.RETURN_GRACE_S + 0.8)
+        self.assertEqual(200, self.site.ask(node, '/order/a').status)
+
+    def test_an_entry_that_is_deleted_is_gone(self) -> None:
+        node = self.site.ready_node()
+        self.plain.unregister()
+        self.until(lambda: not node.state.table.entries)
+
+    def test_an_id_that_starts_again_is_a_new_endpoint(self) -> None:
+        node = self.site.ready_node()
+        self.site.ask(node, '/order/a')
+        entry = node.state.table.entries[ids.EndpointId('e1')]
+        before = node.book.record(entry)
+        before.health.failed()
+        self.plain.register(born=2)
+        self.until(
+            lambda: (
+                node.state.table.entries[ids.EndpointId('e1')].start_ms == 2
+            )
+        )
+        after = node.book.record(
+            node.state.table.entries[ids.EndpointId('e1')]
+        )
+        self.assertIsNot(before, after)
+        self.assertEqual(0.0, after.health.failed_share)
+
+
+class StopTest(NodeTest):
+    def test_a_stopping_node_is_named_no_more(self) -> None:
+        first, second = self.two_nodes()
+        self.until(lambda: len(_named(second)) == 2)
+        first.stop()
+        self.assertFalse(first.is_ready)
+        self.until(lambda: _named(second) == [second.ingress.address])
+
+    def test_a_stop_cuts_no_request(self) -> None:
+        engine = self.site.add_engine(
+            'e2', platform_site.MODEL_SERVICE, events=5
+        )
+        engine.event_pause_s = 0.1
+        node = self.site.ready_node()
+        caller = self.site.send(node, '/stream/a')
+        self.until(lambda: caller.reply.body)
+        node.stop()
+        self.until(lambda: caller.reply.has_ended)
+        self.assertTrue(caller.reply.is_whole)
+        self.until(lambda: caller.reply.is_closed)
+
+    def test_late_callers_of_a_stopping_node_are_sent_elsewhere(self) -> None:
+        node = self.site.ready_node(bounds={'stop_grace_s': 0.5})
+        node.stop()
+        self.assertEqual(200, self.site.ask(node, '/order/a').status)
+        looping.run_for(self.site.loop, 0.2)
+        reply = self.site.ask(node, '/order/a')
+        self.assertEqual(503, reply.status)
+        self.assertEqual('close', reply.headers['connection'])
+        self.assertEqual(1, len(self.plain.runs))
+
+
+class DutyTest(NodeTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.cloud = self.site.cloud
+
+    def reports(self) -> dict[int, list[dict[str, int]]]:
+        found: dict[int, list[dict[str, int]]] = {}
+        for window, counts in self.cloud.usage():
+            found.setdefault(window, []).append(counts)
+        return found
+
+    def test_requests_of_all_nodes_are_reported_once(self) -> None:
+        nodes = self.two_nodes()
+        for node in nodes:
+            self.site.ask(node, '/order/a')
+        self.site.ask(nodes[0], '/order/a', key=platform_site.OTHER_KEY)
+        self.until(lambda: sum(
+            sum(counts[0].values()) for counts in self.reports().values()
+        ) == 3)  # fmt: skip
+        totals: dict[str, int] = {}
+        for counts in self.reports().values():
+            self.assertEqual([counts[0]] * len(counts), counts)
+            for name, count in counts[0].items():
+                totals[name] = totals.get(name, 0) + count
+        self.assertEqual({'botany': 2, 'zoology': 1}, totals)
+
+    def test_a_report_without_an_answer_is_repeated_unchanged(self) -> None:
+        node = self.site.ready_node()
+        self.cloud.is_losing_answers = True
+        self.site.ask(node, '/order/a')
+        self.until(
+            lambda: any(len(item) >= 2 for item in self.reports().values())
+        )
+        for counts in self.reports().values():
+            self.assertEqual([counts[0]] * len(counts), counts)
+
+    def test_the_duties_go_on_when_their_holder_is_gone(self) -> None:
+        first, second = self.two_nodes()
+        self.until(lambda: _holds(first) or _holds(second))
+        holder, other = (first, second) if _holds(first) else (second, first)
+        assert holder.duty is not None
+        holder.duty.stop()
+        self.site.ask(other, '/order/a')
+        self.until(lambda: _holds(other))
+        self.until(
+            lambda: any(
+                call.holder == other.site.node for call in self.cloud.calls
+            )
+        )
+        fences = [call.fence for call in self.cloud.calls]
+        self.assertEqual(sorted(fences), fences)
+
+    def test_a_write_whose_answer_is_lost_still_counts(self) -> None:
+        self.site.store.fault = Fault.LOST_ANSWERS
+        node = self.site.add_node()
+        self.until(lambda: _holds(node))
+
+
+def _holds(node: entry_node.Node) -> bool:
+    return node.duty is not None and node.duty.is_held
+
+
+def _named(node: entry_node.Node) -> list[ids.Address]:
+    return node.addresses_for(node.site.domain, node.site.region)
--- /dev/null
+++ b/tests/cover/test_entry_requests.py
@@ -0,0 +1,306 @@
+"""Requests through a whole node, against sound and faulty endpoints."""
+
+import unittest
+
+from guavachute.standin.platform import engine as standin_engine
+from tests.support import looping
+from tests.support import platform_site
+
+Behaviour = standin_engine.Behaviour
+
+
+class RequestTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+        self.addCleanup(self.site.close)
+        self.site.configure(1)
+
+    def engine(self, name: str, events: int = 0) -> standin_engine.Engine:
+        service = (
+            platform_site.MODEL_SERVICE
+            if events
+            else platform_site.PLAIN_SERVICE
+        )
+        return self.site.add_engine(name, service, events)
+
+
+class ForwardingTest(RequestTest):
+    def test_an_answer_comes_back_as_the_endpoint_gave_it(self) -> None:
+        self.engine('e1')
+        reply = self.site.ask(self.site.ready_node(), '/order/new?x=1')
+        self.assertEqual(200, reply.status)
+        self.assertEqual(b'answer of e1', reply.body)
+        self.assertEqual('stamp-of-e1', reply.headers['server-stamp'])
+        self.assertNotIn('instance-load', reply.headers)
+
+    def test_the_endpoint_gets_the_workspace_and_not_the_key(self) -> None:
+        engine = self.engine('e1')
+        self.site.ask(
+            self.site.ready_node(),
+            '/order/new',
+            Tenant='zoology',
+            Hold='h',
+            Kv_From='x',
+            Expect_Instance='other',
+            Custom='kept',
+            Connection='Custom-Hop, Model, keep-alive',
+            Custom_Hop='dropped',
+            Model='m',
+        )
+        (run,) = engine.runs
+        self.assertEqual('botany', run.headers['tenant'])
+        self.assertEqual('e1', run.headers['expect-instance'])
+        self.assertEqual('kept', run.headers['custom'])
+        self.assertEqual('m', run.headers['model'])
+        self.assertLessEqual(int(run.headers['deadline-ms']), 3_000)
+        for name in ('authorization', 'hold', 'kv-from', 'custom-hop'):
+            self.assertNotIn(name, run.headers)
+        self.assertEqual(b'question', run.body)
+
+    def test_events_come_as_they_are_made(self) -> None:
+        engine = self.engine('e1', events=3)
+        engine.event_pause_s = 0.05
+        caller = self.site.send(self.site.ready_node(), '/stream/a')
+        looping.run_until(self.site.loop, lambda: b'e1-1' in caller.reply.body)
+        self.assertFalse(caller.reply.is_whole)
+        looping.run_until(self.site.loop, lambda: caller.reply.is_whole)
+        self.assertEqual(3, caller.reply.body.count(b'\n\n'))
+        caller.close()
+
+    def test_a_connection_serves_request_after_request(self) -> None:
+        self.engine('e1')
+        node = self.site.ready_node()
+        caller = platform_site.CallerSocket(
+            self.site.loop, node.ingress.address
+        )
+        for number in range(3):
+            caller.send(
+                platform_site.request_bytes('/order/a', f'again-{number}')
+            )
+            looping.run_until(self.site.loop, lambda: caller.reply.is_whole)
+            self.assertEqual(200, caller.reply.status)
+        caller.close()
+
+    def test_an_endpoint_stops_when_its_caller_leaves(self) -> None:
+        engine = self.engine('e1')
+        engine.behaviour = Behaviour.SILENT
+        caller = self.site.send(self.site.ready_node(), '/order/a')
+        looping.run_until(self.site.loop, lambda: engine.runs)
+        caller.close()
+        looping.run_until(
+            self.site.loop, lambda: engine.runs[0].is_cancelled, timeout_s=0.5
+        )
+
+
+class RefusalTest(RequestTest):
+    def test_what_no_route_serves_is_not_found(self) -> None:
+        self.engine('e1')
+        reply = self.site.ask(self.site.ready_node(), '/nowhere/a')
+        self.assertEqual(404, reply.status)
+
+    def test_an_unknown_key_is_refused(self) -> None:
+        engine = self.engine('e1')
+        reply = self.site.ask(
+            self.site.ready_node(), '/order/a', key='wrong-key'
+        )
+        self.assertEqual(401, reply.status)
+        self.assertEqual([], engine.runs)
+
+    def test_without_a_configuration_nothing_is_called_unknown(self) -> None:
+        self.site.store.put('keyed.op', 'config', None)
+        node = self.site.add_node()
+        reply = self.site.ask(node, '/order/a')
+        self.assertEqual(503, reply.status)
+        self.assertGreater(float(reply.headers['retry-after']), 0)
+
+    def test_without_an_endpoint_the_caller_may_come_back(self) -> None:
+        node = self.site.ready_node()
+        reply = self.site.ask(node, '/lookup/a', method='GET')
+        self.assertEqual(503, reply.status)
+        self.assertGreater(float(reply.headers['retry-after']), 0)
+
+    def test_a_used_up_quota_says_when_to_come_back(self) -> None:
+        engine = self.engine('e1', events=2)
+        tenant = {
+            'name': 'botany', 'apiKeys': [platform_site.KEY],
+            'unit': 'tokens', 'uncachedTokens': 100,
+            'ratePerS': 1_000, 'burst': 1_000,
+        }  # fmt: skip
+        self.site.configure(2, tenants=[tenant])
+        node = self.site.ready_node()
+        replies = [
+            self.site.ask(node, '/stream/a', Token_Counts='900,100')
+            for _ in range(3)
+        ]
+        refused = [reply for reply in replies if reply.status == 429]
+        self.assertTrue(refused)
+        self.assertEqual(len(engine.runs), 3 - len(refused))
+        for reply in refused:
+            self.assertGreater(float(reply.headers['retry-after']), 0)
+
+    def test_a_body_beyond_the_limit_is_refused(self) -> None:
+        engine = self.engine('e1')
+        reply = self.site.ask(
+            self.site.ready_node(), '/order/a', body=b'x' * 70_000
+        )
+        self.assertEqual(413, reply.status)
+        self.assertEqual([], engine.runs)
+
+    def test_a_head_beyond_the_limit_is_refused(self) -> None:
+        reply = self.site.ask(
+            self.site.ready_node(), '/order/a', Filler='x' * 5_000
+        )
+        self.assertEqual(431, reply.status)
+
+    def test_a_head_that_does_not_end_times_out(self) -> None:
+        node = self.site.ready_node()
+        caller = platform_site.CallerSocket(
+            self.site.loop, node.ingress.address
+        )
+        caller.send(b'POST /order/a HTTP/1.1\r\nHost: x\r\n')
+        looping.run_until(self.site.loop, lambda: caller.reply.is_whole)
+        self.assertEqual(408, caller.reply.status)
+        caller.close()
+
+    def test_smuggled_requests_reach_no_endpoint(self) -> None:
+        engine = self.engine('e1')
+        node = self.site.ready_node()
+        hidden = platform_site.request_bytes('/order/hidden', 'hidden')
+        good = platform_site.request_bytes('/order/a', 'outer', body=b'')
+        head = good.removesuffix(b'\r\n\r\n')
+        for spoilt in (
+            head + b'\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            head + b'\r\nContent-Length: 5\r\n\r\n',
+            head + b'\nX: y\r\n\r\n',
+            head + b'\r\nX : y\r\n\r\n',
+            head + b'\r\nX: a\r\n folded\r\n\r\n',
+            head + b'\r\nX: a\rb\r\n\r\n',
+            head + b'\r\nHost: elsewhere.example\r\n\r\n',
+            head + b'\r\nAttempt-Id: second\r\n\r\n',
+        ):
+            caller = platform_site.CallerSocket(
+                self.site.loop, node.ingress.address
+            )
+            caller.send(spoilt + hidden)
+            looping.run_until(
+                self.site.loop, lambda: caller.reply.status or
+                caller.reply.is_closed,
+            )  # fmt: skip
+            with self.subTest(request=spoilt):
+                self.assertEqual(400, caller.reply.status)
+            caller.close()
+        self.assertEqual([], engine.runs)
+
+
+class FaultTest(RequestTest):
+    def test_a_lost_order_is_unknown_and_never_called_unrun(self) -> None:
+        engines = [self.engine('e1'), self.engine('e2')]
+        for engine in engines:
+            engine.behaviour = Behaviour.LOSE
+        reply = self.site.ask(self.site.ready_node(), '/order/a')
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, sum(len(engine.runs) for engine in engines))
+
+    def test_a_shed_order_goes_to_another_endpoint(self) -> None:
+        full, free = self.engine('e1'), self.engine('e2')
+        full.behaviour = Behaviour.SHED
+        node = self.site.ready_node()
+        statuses = {self.site.ask(node, '/order/a').status for _ in range(4)}
+        self.assertEqual({200}, statuses)
+        self.assertEqual(4, len(free.runs))
+
+    def test_an_order_that_all_shed_has_not_run(self) -> None:
+        for name in ('e1', 'e2', 'e3'):
+            self.engine(name).behaviour = Behaviour.SHED
+        reply = self.site.ask(self.site.ready_node(), '/order/a')
+        self.assertEqual(503, reply.status)
+        self.assertIn('retry-after', reply.headers)
+        self.assertEqual(2, sum(item.refused for item in self.site.engines))
+
+    def test_a_lookup_is_asked_for_again_elsewhere(self) -> None:
+        for behaviour in (Behaviour.FAIL, Behaviour.LOSE, Behaviour.BREAK):
+            with self.subTest(behaviour=behaviour):
+                site = platform_site.PlatformSite()
+                self.addCleanup(site.close)
+                site.configure(1)
+                bad = site.add_engine('e1', platform_site.PLAIN_SERVICE)
+                site.add_engine('e2', platform_site.PLAIN_SERVICE)
+                bad.behaviour = behaviour
+                node = site.ready_node()
+                replies = [
+                    site.ask(node, '/lookup/a', method='GET', body=b'')
+                    for _ in range(3)
+                ]
+                self.assertEqual([200] * 3, [item.status for item in replies])
+                self.assertTrue(bad.runs)
+
+    def test_an_endpoints_failure_reaches_the_caller(self) -> None:
+        self.engine('e1').behaviour = Behaviour.FAIL
+        reply = self.site.ask(self.site.ready_node(), '/order/a')
+        self.assertEqual(500, reply.status)
+        self.assertEqual('stamp-of-e1', reply.headers['server-stamp'])
+
+    def test_an_unsigned_success_is_no_success(self) -> None:
+        self.engine('e1').behaviour = Behaviour.UNSIGNED
+        reply = self.site.ask(self.site.ready_node(), '/order/a')
+        self.assertEqual(502, reply.status)
+
+    def test_an_answer_without_length_is_whole_when_it_closes(self) -> None:
+        self.engine('e1').behaviour = Behaviour.UNFRAMED
+        reply = self.site.ask(self.site.ready_node(), '/order/a')
+        self.assertEqual((200, b'answer of e1'), (reply.status, reply.body))
+
+    def test_answers_to_other_requests_are_left_out(self) -> None:
+        engine = self.engine('e1')
+        node = self.site.ready_node()
+        for behaviour in (Behaviour.FOREIGN_FIRST, Behaviour.EXTRA):
+            engine.behaviour = behaviour
+            for _ in range(3):
+                reply = self.site.ask(node, '/order/a')
+                self.assertEqual(
+                    (200, b'answer of e1'), (reply.status, reply.body)
+                )
+
+    def test_a_cut_stream_does_not_look_complete(self) -> None:
+        self.engine('e1', events=4).behaviour = Behaviour.BREAK
+        caller = self.site.send(self.site.ready_node(), '/stream/a')
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertFalse(caller.reply.is_whole)
+        self.assertEqual(3, caller.reply.body.count(b'\n\n'))
+
+    def test_a_resumable_stream_goes_on_without_gap_or_repeat(self) -> None:
+        bad = self.engine('e1', events=4)
+        good = self.engine('e2', events=4)
+        bad.behaviour = Behaviour.BREAK
+        node = self.site.ready_node()
+        # Requests go to either; both kinds have to end whole.
+        for _ in range(4):
+            reply = self.site.ask(node, '/resumable/a')
+            self.assertTrue(reply.is_whole)
+            ids = [
+                line
+                for line in reply.body.split(b'\n')
+                if line.startswith(b'id:')
+            ]
+            self.assertEqual([b'id: 1', b'id: 2', b'id: 3', b'id: 4'], ids)
+        resumed = [
+            run.headers['last-event-id']
+            for run in good.runs
+            if 'last-event-id' in run.headers
+        ]
+        self.assertEqual(['3'] * len(bad.runs), resumed)
+
+    def test_a_silent_endpoint_is_answered_for_at_the_timeout(self) -> None:
+        self.engine('e1').behaviour = Behaviour.SILENT
+        reply = self.site.ask(
+            self.site.ready_node(), '/order/a', Deadline_Ms='300'
+        )
+        self.assertEqual(504, reply.status)
+
+    def test_an_address_that_another_endpoint_has_runs_nothing(self) -> None:
+        engine = self.engine('e1')
+        node = self.site.ready_node()
+        engine.name = 'e9'
+        reply = self.site.ask(node, '/order/a')
+        self.assertEqual(503, reply.status)
+        self.assertEqual([], engine.runs)
--- /dev/null
+++ b/tests/support/platform_site.py
@@ -0,0 +1,353 @@
+"""Entry nodes and stand-ins of the platform, all on one loop."""
+
+import contextlib
+import itertools
+import socket
+import typing
+
+import httptools
+import msgspec
+
+from guavachute.domain import site as domain_site
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import node as entry_node
+from guavachute import ids
+from guavachute.standin.platform import cloud as standin_cloud
+from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import store as standin_store
+from tests.support import looping
+
+HOST = 'calls.example'
+KEY = 'key-of-botany'
+OTHER_KEY = 'key-of-zoology'
+MODEL_SERVICE = 'drafts'
+PLAIN_SERVICE = 'desk'
+IDLE_TIMEOUT_MS = 5_000
+
+ROUTES = (
+    ('stream', '/stream/', 'streaming', MODEL_SERVICE, False),
+    ('resumable', '/resumable/', 'streaming', MODEL_SERVICE, True),
+    ('order', '/order/', 'non_idempotent', PLAIN_SERVICE, False),
+    ('lookup', '/lookup/', 'idempotent', PLAIN_SERVICE, False),
+)
+
+
+def configuration(version: int, **changes: typing.Any) -> bytes:
+    """An operator's configuration; *changes* replace top-level fields."""
+    fields = {
+        'version': version,
+        'routes': [
+            {
+                'name': name,
+                'host': HOST,
+                'pathPrefix': prefix,
+                'type': kind,
+                'timeoutMs': 4_000,
+                'sloMs': 1_000,
+                'priority': 1,
+                'service': service,
+                'maxAttempts': 2,
+                'anonymous': False,
+                'sticky': service == MODEL_SERVICE,
+                'resumable': resumable,
+                'gapSloMs': 500,
+            }
+            for name, prefix, kind, service, resumable in ROUTES
+        ],
+        'services': [
+            {
+                'name': MODEL_SERVICE,
+                'healthPath': '/healthz',
+                'maxConns': 100,
+                'engine': {'slots': 8, 'kvCapacity': 100_000},
+            },
+            {
+                'name': PLAIN_SERVICE,
+                'healthPath': '/healthz',
+                'maxConns': 100,
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 4_096,
+            'maxBodyBytes': 65_536,
+            'headerTimeoutMs': 300,
+            'idleTimeoutMs': IDLE_TIMEOUT_MS,
+        },
+        'tenants': [
+            _tenant('botany', KEY),
+            _tenant('zoology', OTHER_KEY),
+        ],
+    }
+    return msgspec.json.encode({**fields, **changes})
+
+
+def _tenant(name: str, key: str) -> dict[str, typing.Any]:
+    return {
+        'name': name,
+        'apiKeys': [key],
+        'unit': 'tokens',
+        'uncachedTokens': 100,
+        'ratePerS': 1_000_000,
+        'burst': 1_000_000,
+    }
+
+
+class Reply:
+    """What a caller got on its connection.
+
+    :ivar is_whole: whether the answer ended as its framing says
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b''
+        self.is_whole = False
+        self.is_closed = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing more will come."""
+        return self.is_whole or self.is_closed
+
+
+class PlatformSite:
+    """The stand-ins, and nodes that are added as the test needs them."""
+
+    def __init__(self) -> None:
+        self.loop = entry_loop.Loop()
+        self.store = standin_store.Store(self.loop)
+        self.cloud = standin_cloud.Cloud(self.loop)
+        self.nodes: list[entry_node.Node] = []
+        self.engines: list[standin_engine.Engine] = []
+        self._numbers = itertools.count(1)
+        self._stack = contextlib.ExitStack()
+
+    def close(self) -> None:
+        """End everything."""
+        self._stack.close()
+        for engine in self.engines:
+            engine.close()
+        self.cloud.close()
+        self.store.close()
+
+    def configure(self, version: int, **changes: typing.Any) -> None:
+        """The operator writes a configuration."""
+        self.store.put(
+            standin_store.OPERATOR_TOPIC,
+            'config',
+            configuration(version, **changes),
+        )
+
+    def add_engine(
+        self, name: str, service: str, events: int = 0
+    ) -> standin_engine.Engine:
+        """An endpoint that is registered and sound."""
+        engine = standin_engine.Engine(
+            self.loop, self.store, name, service, 'here-a', events
+        )
+        self.engines.append(engine)
+        engine.register()
+        return engine
+
+    def add_node(self, **changes: typing.Any) -> entry_node.Node:
+        """A node that has started; *changes* replace settings."""
+        number = next(self._numbers)
+        site = node_settings(
+            f'edge-{number}',
+            f'127.0.0.{number}',
+            changes.pop('store', self.store.address),
+            self.cloud.address,
+            **changes,
+        )
+        node = entry_node.Node(self.loop, site)
+        self._stack.callback(node.close)
+        self.nodes.append(node)
+        node.start()
+        return node
+
+    def ready_node(self, **changes: typing.Any) -> entry_node.Node:
+        """A node that is ready and knows all endpoints."""
+        node = self.add_node(**changes)
+        looping.run_until(
+            self.loop,
+            lambda: (
+                node.is_ready
+                and len(node.state.table.entries) >= len(self.engines)
+            ),
+        )
+        return node
+
+    def send(
+        self,
+        node: entry_node.Node,
+        path: str,
+        method: str = 'POST',
+        body: bytes = b'question',
+        key: str | None = KEY,
+        **headers: str,
+    ) -> 'CallerSocket':
+        """Send a request over a connection of its own."""
+        caller = CallerSocket(self.loop, node.ingress.address)
+        self._stack.callback(caller.close)
+        caller.send(request_bytes(
+            path, f'attempt-{next(self._numbers)}', method, body, key,
+            **headers,
+        ))  # fmt: skip
+        return caller
+
+    def ask(
+        self, node: entry_node.Node, path: str, **options: typing.Any
+    ) -> Reply:
+        """Send a request and wait for the end of its answer."""
+        caller = self.send(node, path, **options)
+        looping.run_until(self.loop, lambda: caller.reply.has_ended)
+        caller.close()
+        return caller.reply
+
+
+def request_bytes(
+    path: str,
+    attempt_id: str,
+    method: str = 'POST',
+    body: bytes = b'question',
+    key: str | None = KEY,
+    **headers: str,
+) -> bytes:
+    """A request as a caller sends it."""
+    fields = {
+        'Host': HOST,
+        'Attempt-Id': attempt_id,
+        'Deadline-Ms': '3000',
+        'Content-Length': str(len(body)),
+    }
+    if key is not None:
+        fields['Authorization'] = f'Token {key}'
+    fields.update(
+        {name.replace('_', '-'): value for name, value in headers.items()}
+    )
+    lines = [f'{method} {path} HTTP/1.1']
+    lines += [f'{name}: {value}' for name, value in fields.items()]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+class CallerSocket:
+    """A caller's connection on the loop."""
+
+    def __init__(self, loop: entry_loop.Loop, address: ids.Address) -> None:
+        self._loop = loop
+        self.reply = Reply()
+        self._parser = httptools.HttpResponseParser(self)
+        host, _, port = address.rpartition(':')
+        self._socket = socket.create_connection((host, int(port)))
+        self._socket.setblocking(False)
+        self._is_open = True
+        loop.watch(self._socket, entry_loop.READ, self._ready)
+
+    def send(self, data: bytes) -> None:
+        """Send bytes; a new answer is awaited."""
+        self.reply = Reply()
+        self._socket.sendall(data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._is_open:
+            self._is_open = False
+            self._loop.unwatch(self._socket)
+            self._socket.close()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header of the answer."""
+        self.reply.headers[name.decode().lower()] = value.decode()
+
+    def on_headers_complete(self) -> None:
+        """The head is whole."""
+        self.reply.status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body."""
+        self.reply.body += data
+
+    def on_message_complete(self) -> None:
+        """The answer is whole."""
+        self.reply.is_whole = True
+
+    def _ready(self, events: int) -> None:
+        try:
+            data = self._socket.recv(65_536)
+        except ConnectionError:
+            data = b''
+        if data:
+            self._parser.feed_data(data)
+        else:
+            self.reply.is_closed = True
+            self.close()
+
+
+def node_settings(
+    name: str,
+    ip: str,
+    store: ids.Address,
+    cloud: ids.Address | None,
+    **changes: typing.Any,
+) -> domain_site.Site:
+    """A node's settings with ports that are free at *ip*."""
+    bounds = {
+        'drain_s': 3.0,
+        'stop_grace_s': 8.0,
+        'configuration_s': 3.0,
+        'retry_ratio': 0.2,
+        'retry_window_s': 10.0,
+        'retry_allowance': 50.0,
+        'quota_window_s': 8.0,
+        'quota_overshoot': 0.1,
+        'quota_allowance': 0.0,
+        'lease_s': 2.0,
+        'usage_window_s': 1.0,
+        'usage_delay_s': 30.0,
+        'address_ttl_max_s': 5.0,
+    }
+    bounds.update(changes.pop('bounds', {}))
+    fields: dict[str, typing.Any] = {
+        'node': ids.NodeId(name),
+        'ip': ip,
+        'domain': ids.FailureDomain('here-a'),
+        'region': ids.Region('here'),
+        'region_of': {
+            ids.FailureDomain('here-a'): ids.Region('here'),
+            ids.FailureDomain('here-b'): ids.Region('here'),
+        },
+        'listen': domain_site.Listen(
+            callers=ids.Address(f'{ip}:0'),
+            readiness=ids.Address(f'{ip}:0'),
+            directory=None,
+            peers_port=free_port(ip),
+            metrics_port=0,
+        ),
+        'store': domain_site.StoreLimits(store, 400, 2_000, 262_144),
+        'cloud': None
+        if cloud is None
+        else domain_site.Cloud(cloud, 50, True, False),
+        'bounds': domain_site.Bounds(**bounds),
+        'seeds': (),
+        'heartbeat_s': 1.2,
+        'max_descriptors': 1_024,
+    }
+    fields.update(changes)
+    return domain_site.Site(**fields)
+
+
+def free_port(ip: str) -> int:
+    """A port at *ip* that is free for TCP and UDP."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+        ):
+            stream.bind((ip, 0))
+            port = int(stream.getsockname()[1])
+            try:
+                datagram.bind((ip, port))
+            except OSError:
+                continue
+            return port
