--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -41,6 +41,10 @@
 LOST_DOMAINS = 1
 """Domains whose reclaimable endpoints may go without a shortage."""
 
+RECLAIMABLE_ROOM = 2
+"""Endpoints of each domain that are never ordered on demand, so that
+reclaimable ones can come back and take over from on-demand ones."""
+
 ON_DEMAND_FLOOR = 1
 """On-demand endpoints that are kept for the case that all others go."""
 
@@ -91,9 +95,10 @@
     )
     engines = math.ceil(busy_engines / NORMAL_USE)
     if scaling.spot_price_ratio is None:
-        return _dealt(by_price, max(1, engines), False, scaling)
+        return _dealt(by_price, max(1, engines), False, scaling.max_per_domain)
     short = math.ceil(busy_engines / TIGHT_USE) - reclaimable_ready
-    wished = _dealt(by_price, max(ON_DEMAND_FLOOR, short), False, scaling)
+    most = max(1, scaling.max_per_domain - RECLAIMABLE_ROOM)
+    wished = _dealt(by_price, max(ON_DEMAND_FLOOR, short), False, most)
     surviving = max(1, len(domains) - LOST_DOMAINS)
     per_domain = math.ceil(max(0, engines - ON_DEMAND_FLOOR) / surviving)
     for domain in by_price:
@@ -110,13 +115,16 @@
     domains: typing.Sequence[ids.FailureDomain],
     engines: int,
     is_reclaimable: bool,
-    scaling: configuration.Scaling,
+    most: int,
 ) -> Wish:
-    """*engines* spread evenly, more to the first of *domains*."""
+    """*engines* spread evenly, more to the first of *domains*.
+
+    :param most: in one domain
+    """
     wished: Wish = {}
     left = engines
     for place, domain in enumerate(domains):
-        count = min(-(-left // (len(domains) - place)), scaling.max_per_domain)
+        count = min(-(-left // (len(domains) - place)), most)
         wished[Kind(domain, is_reclaimable)] = count
         left -= count
     return wished
--- a/src/guavachute/domain/call.py
+++ b/src/guavachute/domain/call.py
@@ -74,6 +74,7 @@
     :ivar deadline_s: what is left of the caller's time
     :ivar urgency: 0 (first) to 9; None leaves it to the endpoint
     :ivar resume_after: the event after which a stream is to go on
+    :ivar origin: the copy of KV cache that the run is to go on from
     """
 
     endpoint: ids.EndpointId
@@ -82,3 +83,4 @@
     deadline_s: float
     urgency: int | None
     resume_after: bytes | None
+    origin: str | None = None
--- a/src/guavachute/entry/endpoint_book.py
+++ b/src/guavachute/entry/endpoint_book.py
@@ -104,6 +104,8 @@
         """The work of all other nodes at an endpoint."""
         self.on_died: typing.Callable[[Record], None] = lambda record: None
         """Called with the record of an incarnation that has ended."""
+        self.on_leaving: typing.Callable[[Record], None] = lambda record: None
+        """Called with the record of an endpoint that begins to drain."""
 
     def record(self, entry: endpoints.Endpoint) -> Record:
         """What is known of *entry*; nothing, for a new incarnation."""
@@ -112,9 +114,20 @@
             if found is not None:
                 self.on_died(found)
             found = self._records[entry.id] = Record(entry)
+        elif (
+            found.entry.state is endpoints.EndpointState.READY
+            and entry.state is endpoints.EndpointState.DRAINING
+        ):
+            found.entry = entry
+            self.on_leaving(found)
         found.entry = entry
         return found
 
+    def take_changes(self) -> None:
+        """Notice what changed in the table, such as who is leaving."""
+        for entry in self._table.entries.values():
+            self.record(entry)
+
     def forget_gone(self) -> None:
         """Drop the records of endpoints that are not in the table."""
         for endpoint in self._records.keys() - self._table.entries.keys():
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -16,6 +16,7 @@
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute import outcome
+from guavachute.platform import moves
 from guavachute.platform import requests
 
 MAX_HELD_BYTES = 1_048_576
@@ -44,6 +45,14 @@
     ENDED = 'ended'
 
 
+class _Move(enum.Enum):
+    """Whether the run is on its way to another endpoint."""
+
+    NONE = 'none'
+    ASKED = 'asked'
+    """The endpoint was told to stop the run and copy its memory."""
+
+
 class _Answer(enum.Enum):
     """What is done with the answer that is coming in."""
 
@@ -71,6 +80,15 @@
     def may_retry(self, service: ids.ServiceName) -> bool:
         """Pay for another send to *service*."""
 
+    def move_run(
+        self,
+        attempt_id: ids.AttemptId,
+        source: ids.Address,
+        target: ids.Address,
+        done: typing.Callable[[moves.Moved | outcome.Failure], None],
+    ) -> None:
+        """Have an engine stop a run and copy its memory to another."""
+
     def request_began(self, exchange: 'Exchange') -> None:
         """The request began to run."""
 
@@ -122,6 +140,7 @@
         self._sent_s = 0.0
         self._counted_tokens = 0
         self._backlog_tokens = 0
+        self._move = _Move.NONE
         self._answer = _Answer.NONE
         self._head: requests.AnswerHead | None = None
         self._held: list[bytes] = []
@@ -198,8 +217,10 @@
         record: endpoint_book.Record,
         chosen: choice.Chosen,
         now_s: float,
+        origin: str | None = None,
     ) -> None:
-        self.attempts += 1
+        if origin is None:
+            self.attempts += 1
         self._record = record
         self._sent_s = now_s
         self._answer = _Answer.NONE
@@ -225,8 +246,9 @@
             deadline_s=self.end_s - now_s,
             urgency=self._urgency() if self.route.is_model else None,
             resume_after=self._events.last_id or self.call.last_event_id
-            if self.route.is_resumable
+            if self.route.is_resumable or origin is not None
             else None,
+            origin=origin,
         )
         journal.event(
             'dispatch',
@@ -250,6 +272,89 @@
             priority = self.workspace.priority
         return max(0, min(9, priority))
 
+    # -- to another endpoint -------------------------------------------
+
+    @property
+    def endpoint(self) -> ids.EndpointId | None:
+        """Where the request is now."""
+        if self._connection is None or self._record is None:
+            return None
+        return self._record.entry.id
+
+    def move_away(self) -> None:
+        """Have a stream go on elsewhere, as its endpoint will end.
+
+        Nothing is done for a request that has had no event yet: its
+        endpoint may not have begun to run it.
+        """
+        record = self._record
+        if (
+            self._answer is not _Answer.EVENTS
+            or self._events.last_id is None
+            or self._move is not _Move.NONE
+            or record is None
+        ):
+            return
+        now_s = self._process.loop.now_s
+        records = self._process.book.usable(
+            self.service, {record.entry.id}, now_s
+        )
+        chosen = self._choose(records, now_s)
+        if chosen is None:
+            return
+        target = next(r for r in records if r.entry.id == chosen.endpoint)
+        self._move = _Move.ASKED
+        journal.event(
+            'move',
+            outcome='asked',
+            request=self.call.attempt_id,
+            source=record.entry.id,
+            target=target.entry.id,
+            passed_events=self._events.events,
+        )
+        self._process.move_run(
+            self.call.attempt_id,
+            record.entry.address,
+            target.entry.address,
+            lambda moved: self._moved(moved, record, target),
+        )
+
+    def _moved(
+        self,
+        moved: moves.Moved | outcome.Failure,
+        source: endpoint_book.Record,
+        target: endpoint_book.Record,
+    ) -> None:
+        if self.state is State.ENDED or self._move is not _Move.ASKED:
+            return
+        self._move = _Move.NONE
+        if isinstance(moved, outcome.Failure):
+            journal.event(
+                'move',
+                outcome='failed',
+                request=self.call.attempt_id,
+                reason=str(moved),
+            )
+            if self._connection is None:
+                self._after_failure('the source stopped, and no copy is left')
+            return
+        self._leave_endpoint(keeps_alive=False)
+        self._events.take_rest()
+        journal.event(
+            'move',
+            outcome='copied',
+            request=self.call.attempt_id,
+            target=target.entry.id,
+            made_events=moved.events,
+            passed_events=self._events.events,
+        )
+        self._send(
+            target,
+            choice.Chosen(target.entry.id, 0.0),
+            self._process.loop.now_s,
+            origin=moves.origin(source.entry.address, moved),
+        )
+
     # -- from the endpoint ---------------------------------------------
 
     def upstream_event(self, event: http1.AnswerEvent) -> None:
@@ -260,12 +365,19 @@
             self._answer_body(event.data)
         elif isinstance(event, http1.AnswerEnded):
             self._answer_ended(event.keeps_alive)
+        elif self._move is _Move.ASKED:
+            self._leave_endpoint(keeps_alive=False)
         else:
             self._broken('malformed answer')
 
     def upstream_ended(self, is_clean: bool, was_connected: bool) -> None:
         """The connection to the endpoint is gone."""
         assert self._connection is not None and self._record is not None
+        if self._move is _Move.ASKED:
+            # The source stopped, as it was told; the copy's answer tells
+            # where the run goes on.
+            self._leave_endpoint(keeps_alive=False)
+            return
         if is_clean and self._connection.ends_answer:
             self._answer_ended(keeps_alive=False)
             return
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -11,18 +11,21 @@
 from guavachute.domain import configuration
 from guavachute.domain import site as domain_site
 from guavachute.entry import callers
+from guavachute.entry import control_client
 from guavachute.entry import endpoint_book
 from guavachute.entry import exchange
 from guavachute.entry import http1
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
+from guavachute.entry import plain_server
 from guavachute.entry import transport
 from guavachute.entry import upstream
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
 from guavachute import outcome
+from guavachute.platform import moves
 from guavachute.platform import requests
 from guavachute.wire import entry_news
 from guavachute.wire import requests as wire_requests
@@ -35,6 +38,11 @@
 """Part of the grace period in which a stopping node serves requests of
 callers that have not learnt yet that it stops."""
 
+MOVE_TIMEOUT_S = 1.0
+MOVE_BEFORE_S = 1.6
+"""Runs are moved this long before their endpoint ends. The news of that
+is up to a second old, and a run goes on for a while at its target."""
+
 BLAME_WINDOW_S = 3.0
 """A request that lost its connection this long before its endpoint is
 found dead is suspected of having killed it."""
@@ -362,6 +370,52 @@
                 quota.cost(started.workspace, started.call.total_tokens),
             )
 
+    # -- endpoints that leave ------------------------------------------
+
+    def move_run(
+        self,
+        attempt_id: ids.AttemptId,
+        source: ids.Address,
+        target: ids.Address,
+        done: typing.Callable[[moves.Moved | outcome.Failure], None],
+    ) -> None:
+        """Have an engine stop a run and copy its memory to another."""
+        client = control_client.Client(self.loop, source)
+
+        def got(reply: control_client.Reply | control_client.Lost) -> None:
+            client.close()
+            if isinstance(reply, control_client.Lost):
+                done(_failure(outcome.Reason.LOST_ANSWER, reply.value))
+            elif reply.status != 200:
+                done(_failure(
+                    outcome.Reason.NO_CAPACITY, f'status {reply.status}'
+                ))  # fmt: skip
+            else:
+                done(moves.decode(reply.body))
+
+        self._metrics.add('moves')
+        client.call(
+            b'POST',
+            moves.TARGET,
+            got,
+            MOVE_TIMEOUT_S,
+            body=moves.encode(attempt_id, target),
+            headers=[(b'Content-Type', plain_server.JSON)],
+        )
+
+    def endpoint_leaves(self, record: endpoint_book.Record) -> None:
+        """An endpoint is told to leave; what runs there is moved in time."""
+        leaves_in_s = record.entry.leaves_in_s or self._site.bounds.drain_s
+        self.loop.call_after(
+            max(0.0, leaves_in_s - MOVE_BEFORE_S),
+            lambda: self._move_from(record.entry.id),
+        )
+
+    def _move_from(self, endpoint: ids.EndpointId) -> None:
+        for started in list(self._exchanges):
+            if started.endpoint == endpoint:
+                started.move_away()
+
     # -- requests that crash endpoints ---------------------------------
 
     def endpoint_died(self, record: endpoint_book.Record) -> None:
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -89,6 +89,7 @@
             self._began,
         )
         self.book.on_died = self.ingress.endpoint_died
+        self.book.on_leaving = self.ingress.endpoint_leaves
         self._store = control_client.Client(loop, site.store.address)
         self._operator = self._follow(
             platform_configuration.TOPIC,
@@ -299,6 +300,7 @@
         offset = self._endpoints.end_offset
         if offset is not None and offset > self.state.endpoints_offset:
             self.state.endpoints_offset = offset
+        self.book.take_changes()
 
     def _endpoints_regained(self) -> None:
         """Entries that lapsed meanwhile are soon written again."""
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -97,6 +97,8 @@
         lines.append(b'Request-Urgency: %d' % dispatch.urgency)
     if dispatch.resume_after is not None:
         lines.append(b'Last-Event-Id: %s' % dispatch.resume_after)
+    if dispatch.origin is not None:
+        lines.append(b'Kv-From: %s' % dispatch.origin.encode('latin-1'))
     if sent.body or sent.method not in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
         lines.append(b'Content-Length: %d' % len(sent.body))
     return b'\r\n'.join(lines) + b'\r\n\r\n' + sent.body
