A few nodes of each region read the store and tell the others

Now two readers a region; the others learn of changes by news and fetch them, and read by themselves when no reader is heard.

--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -101,6 +101,7 @@
         self._written_at_s = float('-inf')
         self._was_held = False
         self._is_stopping = False
+        self._is_contending = True
         self._first_window: int | None = None
         self._confirmed: set[int] = set()
         self._calling: dict[int, float] = {}
@@ -110,6 +111,10 @@
         """Begin to contend, not at the same moment as the others."""
         self._loop.call_after(self._contender.stagger_s, self._tick)
 
+    def set_contending(self, is_contending: bool) -> None:
+        """Whether to take the lease when it is free, or only to keep it."""
+        self._is_contending = is_contending
+
     def stop(self) -> None:
         """Contend no more; the lease lapses by itself."""
         self._is_stopping = True
@@ -203,7 +208,8 @@
                 self._orders.act(HeldDuty(self, held.fencing_number + 1))
         is_due = now_s >= lease.next_action_s(self._contender)
         may_write = (
-            not self._is_writing
+            (self._is_contending or held is not None)
+            and not self._is_writing
             and self._follower.lost_since_s is None
             and now_s >= self._written_at_s + WRITE_PAUSE_S
         )
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -4,6 +4,8 @@
 a peer that has read more of it. A version never goes back.
 """
 
+import typing
+
 from guavachute.decide.nodes import endpoint_table
 from guavachute.domain import configuration
 from guavachute.entry import loop as entry_loop
@@ -27,6 +29,11 @@
         self.table = endpoint_table.EndpointTable()
         self.endpoints_offset = NO_OFFSET
         """How far the entries have been read, by this node or a peer."""
+        self.endpoints_version = NO_OFFSET
+        """The newest entry that changed what the table says. Most entries
+        are only renewed, and need not be passed on."""
+        self.on_changed: typing.Callable[[], None] = lambda: None
+        """Called when the configuration or the table has changed."""
         self._configuration_bytes = b''
         self._endpoint_bytes: dict[str, bytes] = {}
 
@@ -68,26 +75,30 @@
         )
         self.configuration = decoded
         self._configuration_bytes = text
+        self.on_changed()
 
     def fold_endpoint(
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
         """A record of the endpoints' topic."""
         if record.value is None:
-            self._delete_endpoint(record.key)
+            has_changed = self._delete_endpoint(record.key)
         else:
-            self._put_endpoint(record.key, record.value, 'store')
+            has_changed = self._put_endpoint(record.key, record.value, 'store')
+        if has_changed and record.offset is not None:
+            self.endpoints_version = max(self.endpoints_version, record.offset)
+            self.on_changed()
 
-    def _put_endpoint(self, key: str, value: bytes, source: str) -> None:
+    def _put_endpoint(self, key: str, value: bytes, source: str) -> bool:
+        """Take an entry; whether the table says something new by it."""
         if self._endpoint_bytes.get(key) == value:
-            return
+            return False
         decoded = platform_endpoints.decode(key, value)
         if isinstance(decoded, outcome.Failure):
             journal.problem(
                 'endpoint', outcome='unreadable', reason=str(decoded)
             )
-            self._delete_endpoint(key)
-            return
+            return self._delete_endpoint(key)
         self._endpoint_bytes[key] = value
         before = self.table.entries.get(decoded.id)
         if self.table.put(decoded) and (
@@ -103,11 +114,16 @@
                 domain=decoded.domain,
                 source=source,
             )
+            return True
+        return False
 
-    def _delete_endpoint(self, key: str) -> None:
+    def _delete_endpoint(self, key: str) -> bool:
+        """Drop an entry; whether its endpoint is taken as gone."""
         self._endpoint_bytes.pop(key, None)
         if self.table.delete(ids.EndpointId(key), self._loop.now_s):
             journal.event('endpoint', outcome='gone', endpoint=key)
+            return True
+        return False
 
     def expire(self) -> None:
         """Drop the entries that lapsed and did not come back."""
@@ -121,16 +137,20 @@
             configuration_version=self.version,
             endpoints=self._endpoint_bytes,
             endpoints_offset=self.endpoints_offset,
+            endpoints_version=self.endpoints_version,
         )
 
     def take_shared(self, state: entry_news.SharedState, source: str) -> None:
         """Take over what a peer has read beyond this node."""
         if state.configuration:
             self.take_configuration(state.configuration, source)
-        if state.endpoints_offset <= self.endpoints_offset:
+        if state.endpoints_version <= self.endpoints_version:
             return
         for key in self._endpoint_bytes.keys() - state.endpoints.keys():
             self._delete_endpoint(key)
         for key, value in state.endpoints.items():
             self._put_endpoint(key, value, source)
-        self.endpoints_offset = ids.Offset(state.endpoints_offset)
+        self.endpoints_offset = max(
+            self.endpoints_offset, state.endpoints_offset
+        )
+        self.endpoints_version = state.endpoints_version
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -8,6 +8,7 @@
 from guavachute.decide.duty import scaling
 from guavachute.decide.duty import usage
 from guavachute.decide.nodes import addresses
+from guavachute.decide.nodes import readers
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute.entry import duty as entry_duty
@@ -34,16 +35,17 @@
 
 NODE_KEY_PREFIX = 'node/'
 
-CONFIGURATION_WAIT_S = 1.5
-"""How long a read of the configuration waits for news. A connection
-that fell silent is noticed this long after, and a new version is due in
-three seconds."""
+READER_WAIT_S = 1.5
+"""How long a reader's call waits for news. A connection that fell silent
+is noticed this long after, and a new version is due in three seconds."""
 
-ENDPOINTS_PERIOD_S = 0.6
-"""Pause between reads of the endpoints' entries, which change all the
-time; draining endpoints are to be known within three seconds."""
+READER_PERIOD_S = 0.6
+"""Pause between a reader's reads of the endpoints' entries, which change
+all the time; draining endpoints are to be known in three seconds."""
 
-NODES_WAIT_S = 1.5
+FOLLOWER_WAIT_S = 8.0
+FOLLOWER_PERIOD_S = 8.0
+"""The same for nodes that learn from readers what is new."""
 
 ADDRESS_TTL_S = 2.0
 """How long callers keep the addresses that they are given."""
@@ -52,6 +54,12 @@
 STATE_CHECK_S = 0.5
 REGISTER_RETRY_S = 1.0
 
+READER_SILENT_S = 1.2
+"""A reader that was not heard for this long is replaced."""
+
+TELL_AFTER_S = 0.02
+"""Several changes that are read together are told together."""
+
 STALE_AFTER_S = 1.0
 """Without an answer of the store for this long, peers are asked."""
 
@@ -94,17 +102,17 @@
         self._operator = self._follow(
             platform_configuration.TOPIC,
             self.state.fold_operator,
-            wait_s=CONFIGURATION_WAIT_S,
+            wait_s=READER_WAIT_S,
         )
         self._endpoints = self._follow(
             platform_endpoints.TOPIC,
             self.state.fold_endpoint,
             wait_s=0.0,
-            period_s=ENDPOINTS_PERIOD_S,
+            period_s=READER_PERIOD_S,
         )
         self._endpoints.on_regained = self._endpoints_regained
         self._nodes = self._follow(
-            NODES_TOPIC, self._fold_own, wait_s=NODES_WAIT_S
+            NODES_TOPIC, self._fold_own, wait_s=READER_WAIT_S
         )
         self.duty: entry_duty.Duty | None = None
         if site.cloud is not None:
@@ -122,6 +130,9 @@
                 if site.cloud.takes_orders
                 else None,
             )
+        self.state.on_changed = self._state_changed
+        self._is_reader = True
+        self._is_telling = False
         self._is_registered = False
         self._is_fetching = False
         self._stopping_since_s: float | None = None
@@ -377,7 +388,8 @@
             wall_s=time.time(),
             is_ready=self.is_ready,
             configuration_version=self.state.version,
-            endpoints_offset=self.state.endpoints_offset,
+            endpoints_version=self.state.endpoints_version,
+            reaches_store=self._reaches_store,
             spent=self.ingress.spending(),
             load=self.ingress.load(),
             work={
@@ -397,6 +409,7 @@
         self.ingress.take_spending(news)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
+        self._ask_peers()
 
     def _demand(self, service: ids.ServiceName) -> scaling.Demand:
         """What all nodes' callers ask of a service."""
@@ -435,8 +448,12 @@
         if self._is_fetching:
             return
         now_s = self.loop.now_s
-        needs_configuration = self._is_stale(self._operator, now_s)
-        needs_endpoints = self._is_stale(self._endpoints, now_s)
+        needs_configuration = not self._is_reader or self._is_stale(
+            self._operator, now_s
+        )
+        needs_endpoints = not self._is_reader or self._is_stale(
+            self._endpoints, now_s
+        )
         for peer in self.peers.heard():
             news = peer.news
             if news is None:
@@ -446,7 +463,7 @@
                 and news.configuration_version > self.state.version
             ) or (
                 needs_endpoints
-                and news.endpoints_offset > self.state.endpoints_offset
+                and news.endpoints_version > self.state.endpoints_version
             )
             if is_newer:
                 self._is_fetching = True
@@ -463,10 +480,66 @@
         self._is_fetching = False
         if state is not None:
             self.state.take_shared(state, 'peer')
+            self._endpoints.skip_to(self.state.endpoints_offset)
+            self.book.take_changes()
+
+    # -- who reads the store -------------------------------------------
+
+    @property
+    def _reaches_store(self) -> bool:
+        return all(
+            follower.lost_since_s is None
+            for follower in (self._operator, self._endpoints, self._nodes)
+        )
+
+    def _choose_readers(self) -> None:
+        """Read the store closely, or leave that to others."""
+        own = readers.Candidate(self.site.node, self.site.region, True, True)
+        others = [
+            readers.Candidate(
+                ids.NodeId(peer.news.node),
+                ids.Region(peer.news.region),
+                peer.news.reaches_store,
+                peer.news.is_ready,
+            )
+            for peer in self.peers.heard(READER_SILENT_S)
+            if peer.news is not None
+        ]
+        is_reader = readers.is_reader(own, others)
+        holds_duty = self.duty is not None and self.duty.is_held
+        if self.duty is not None:
+            self.duty.set_contending(is_reader)
+        self._set_reader(is_reader or holds_duty)
+
+    def _set_reader(self, is_reader: bool) -> None:
+        if is_reader == self._is_reader:
+            return
+        self._is_reader = is_reader
+        journal.event('reader', outcome='begun' if is_reader else 'ended')
+        if is_reader:
+            wait_s, period_s = READER_WAIT_S, READER_PERIOD_S
+        else:
+            wait_s, period_s = FOLLOWER_WAIT_S, FOLLOWER_PERIOD_S
+        self._operator.set_pace(wait_s, 0.0)
+        self._nodes.set_pace(
+            0.0 if not is_reader else wait_s, 0.0 if is_reader else period_s
+        )
+        self._endpoints.set_pace(0.0, period_s)
+
+    def _state_changed(self) -> None:
+        """Tell the other nodes soon that there is news to fetch."""
+        if self._is_reader and not self._is_telling:
+            self._is_telling = True
+            self.loop.call_after(TELL_AFTER_S, self._tell)
+
+    def _tell(self) -> None:
+        self._is_telling = False
+        self.peers.tell()
 
     # -- housekeeping --------------------------------------------------
 
     def _keep_house(self) -> None:
+        self._choose_readers()
         self.state.expire()
         self.book.forget_gone()
         self.ingress.sweep()
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -67,6 +67,20 @@
         """Begin to read."""
         self._ask_newest(None)
 
+    def set_pace(self, wait_s: float, period_s: float) -> None:
+        """Read at another pace; at once, if that is a faster one."""
+        before_s = self._wait_s + self._period_s
+        self._wait_s = wait_s
+        self._period_s = max(period_s, MIN_PERIOD_S)
+        if wait_s + period_s < before_s and self.end_offset is not None:
+            self.read_now()
+
+    def skip_to(self, offset: ids.Offset) -> None:
+        """What is before *offset* has become known in another way."""
+        if self.end_offset is not None and offset > self.end_offset:
+            self.end_offset = offset
+            self.read_now()
+
     def read_now(self) -> None:
         """Read without waiting for the next turn."""
         self._give_up()
@@ -165,7 +179,8 @@
             else:
                 self._known_keys.add(record.key)
             self._fold(record, False)
-        self.end_offset = found.next_offset
+        if self.end_offset == offset:
+            self.end_offset = found.next_offset
         if found.records:
             self._changed()
         self._schedule(self._period_s)
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -31,7 +31,9 @@
     :ivar peers_address: where it takes news and serves its state
     :ivar wall_s: its clock's time of day
     :ivar configuration_version: 0 while it has none
-    :ivar endpoints_offset: how far it has read the endpoints' entries
+    :ivar endpoints_version: offset of the newest entry that changed
+        what it knows of the endpoints
+    :ivar reaches_store: whether the store answers it
     :ivar spent: by workspace, what it admitted since its start, what
         it admits per second and what it takes to be left, in the unit of
         the quota
@@ -50,7 +52,8 @@
     wall_s: float
     is_ready: bool
     configuration_version: int
-    endpoints_offset: int
+    endpoints_version: int
+    reaches_store: bool
     spent: dict[ids.WorkspaceName, tuple[float, float, float]]
     load: dict[ids.ServiceName, LoadNews]
     work: dict[str, WorkNews]
@@ -87,12 +90,15 @@
 
     :ivar configuration: as it lies in the store; empty if there is none
     :ivar endpoints: entries by id, as they lie in the store
+    :ivar endpoints_offset: how far the entries have been read
+    :ivar endpoints_version: the newest that changed anything
     """
 
     configuration: bytes
     configuration_version: int
     endpoints: dict[str, bytes]
-    endpoints_offset: int
+    endpoints_offset: ids.Offset
+    endpoints_version: ids.Offset
 
 
 _encoder = msgspec.msgpack.Encoder()
