--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -3,8 +3,9 @@
 Reclaimable endpoints cost a fraction of on-demand ones, but a failure
 domain can lose all of them within seconds, and none can be had for a
 while after that. So there are more reclaimable ones than the demand
-needs, spread such that one domain's loss is borne, and what is short
-after further losses is ordered on demand as soon as it is announced.
+needs, spread such that one domain's loss is borne. Once a domain has
+lost its own, on-demand ones are ordered such that the loss of one more
+domain still leaves enough to serve everybody, if slowly.
 """
 
 import dataclasses
@@ -83,12 +84,15 @@
     scaling: configuration.Scaling,
     domains: typing.Sequence[ids.FailureDomain],
     busy_engines: float,
-    reclaimable_ready: int,
+    reclaimable_ready: typing.Mapping[ids.FailureDomain, int],
+    is_reclaiming: bool,
 ) -> Wish:
     """The orders for a demand that keeps so many engines busy.
 
-    :param reclaimable_ready: reclaimable endpoints that serve and have
-        not been told to leave
+    :param reclaimable_ready: reclaimable endpoints of each domain that
+        serve and have not been told to leave
+    :param is_reclaiming: whether a domain lost its endpoints of late, so
+        that others may follow while none can be had
     """
     by_price = sorted(
         domains, key=lambda name: (scaling.price_by_domain.get(name, 1), name)
@@ -96,7 +100,11 @@
     engines = math.ceil(busy_engines / NORMAL_USE)
     if scaling.spot_price_ratio is None:
         return _dealt(by_price, max(1, engines), False, scaling.max_per_domain)
-    short = math.ceil(busy_engines / TIGHT_USE) - reclaimable_ready
+    ready = sum(reclaimable_ready.values())
+    short = math.ceil(busy_engines / TIGHT_USE) - ready
+    if is_reclaiming:
+        left = ready - max(reclaimable_ready.values(), default=0)
+        short = max(short, math.ceil(busy_engines) - left)
     most = max(1, scaling.max_per_domain - RECLAIMABLE_ROOM)
     wished = _dealt(by_price, max(ON_DEMAND_FLOOR, short), False, most)
     surviving = max(1, len(domains) - LOST_DOMAINS)
--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -34,6 +34,7 @@
 the narrow link, and its prompts are held there once more."""
 
 DOUBTFUL_PENALTY_S = 1.0
+LEAVING_PENALTY_S = 0.5
 
 
 class Nearness(enum.IntEnum):
@@ -50,6 +51,8 @@
 
     :ivar running: requests there, this node's and the others'
     :ivar waiting_tokens: prompt tokens that are still to be read
+    :ivar is_leaving: whether it will end soon; what runs there then has
+        to be moved
     :ivar cached_tokens: of this request's prompt, believed to be held
     """
 
@@ -61,6 +64,7 @@
     cached_tokens: int
     prefill_tokens_per_s: float
     is_doubtful: bool
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,6 +128,7 @@
         candidates,
         key=lambda item: (
             item.running >= item.slots,
+            item.is_leaving,
             item.is_doubtful,
             item.nearness is Nearness.ELSEWHERE,
             item.running / max(1, item.slots),
@@ -140,6 +145,8 @@
         penalty_s += ELSEWHERE_PENALTY_S
     if candidate.is_doubtful:
         penalty_s += DOUBTFUL_PENALTY_S
+    if candidate.is_leaving:
+        penalty_s += LEAVING_PENALTY_S
     return penalty_s
 
 
--- a/src/guavachute/entry/endpoint_book.py
+++ b/src/guavachute/entry/endpoint_book.py
@@ -24,6 +24,10 @@
 
 SPEED_RANGE_PER_S = (5_000.0, 500_000.0)
 
+CLOSES_BEFORE_END_S = 1.6
+"""A leaving endpoint gets no new work this long before it may end. That
+it leaves was read up to a second late."""
+
 LOAD_FRESH_S = 0.6
 """An endpoint's own count of its work is used for this long."""
 
@@ -41,6 +45,7 @@
     """One incarnation of an endpoint, as this node knows it.
 
     :ivar own: this node's work there
+    :ivar closes_at_s: until when it gets new work although it leaves
     :ivar told_busy: what the endpoint said it runs and holds waiting
     """
 
@@ -52,10 +57,16 @@
     prefill_tokens_per_s: float = choice.DEFAULT_PREFILL_TOKENS_PER_S
     told_busy: int = 0
     told_at_s: float = float('-inf')
+    closes_at_s: float = float('-inf')
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the endpoint said that it will end."""
+        return self.entry.state is endpoints.EndpointState.DRAINING
+
     def cached_tokens(self, parts: typing.Sequence[call.PromptPart]) -> int:
         """Tokens at the start of a prompt that the engine should hold."""
         tokens = 0
@@ -93,9 +104,13 @@
     """The records of all endpoints in the table."""
 
     def __init__(
-        self, site: domain_site.Site, table: endpoint_table.EndpointTable
+        self,
+        site: domain_site.Site,
+        table: endpoint_table.EndpointTable,
+        now_s: typing.Callable[[], float],
     ) -> None:
         self._site = site
+        self._now_s = now_s
         self._table = table
         self._records: dict[ids.EndpointId, Record] = {}
         self.others: typing.Callable[[ids.EndpointId], Work] = (
@@ -114,13 +129,13 @@
             if found is not None:
                 self.on_died(found)
             found = self._records[entry.id] = Record(entry)
-        elif (
-            found.entry.state is endpoints.EndpointState.READY
-            and entry.state is endpoints.EndpointState.DRAINING
-        ):
-            found.entry = entry
-            self.on_leaving(found)
+        was_leaving = found.is_leaving
         found.entry = entry
+        if found.is_leaving and not was_leaving:
+            drain_s = self._site.bounds.drain_s
+            ends_in_s = min(entry.leaves_in_s or drain_s, drain_s)
+            found.closes_at_s = self._now_s() + ends_in_s - CLOSES_BEFORE_END_S
+            self.on_leaving(found)
         return found
 
     def take_changes(self) -> None:
@@ -144,12 +159,20 @@
 
         Those that were not reached lately are left out, unless all are.
         """
-        records = [
-            self.record(entry)
-            for entry in self._table.ready(service)
-            if entry.id not in excluded
+        return [
+            item
+            for item in self._records.values()
+            if item.entry.service == service
+            and item.entry.id not in excluded
+            and self._takes_work(item, now_s)
+            and not item.health.is_paused(now_s)
         ]
-        return [item for item in records if not item.health.is_paused(now_s)]
+
+    def _takes_work(self, item: Record, now_s: float) -> bool:
+        """Whether a request may go there; for a while also if it leaves."""
+        return item.entry.id in self._table.entries and (
+            not item.is_leaving or now_s < item.closes_at_s
+        )
 
     def candidates(
         self,
@@ -200,4 +223,5 @@
             cached_tokens=item.cached_tokens(parts),
             prefill_tokens_per_s=item.prefill_tokens_per_s,
             is_doubtful=item.health.is_doubtful,
+            is_leaving=item.is_leaving,
         )
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -39,9 +39,9 @@
 callers that have not learnt yet that it stops."""
 
 MOVE_TIMEOUT_S = 1.0
-MOVE_BEFORE_S = 1.6
-"""Runs are moved this long before their endpoint ends. The news of that
-is up to a second old, and a run goes on for a while at its target."""
+MOVES_BEFORE_END_S = (1.6, 1.1, 0.6)
+"""Runs are moved this long before their endpoint ends; those that had no
+event yet are moved at a later one. The news is up to a second old."""
 
 BLAME_WINDOW_S = 3.0
 """A request that lost its connection this long before its endpoint is
@@ -406,10 +406,11 @@
     def endpoint_leaves(self, record: endpoint_book.Record) -> None:
         """An endpoint is told to leave; what runs there is moved in time."""
         leaves_in_s = record.entry.leaves_in_s or self._site.bounds.drain_s
-        self.loop.call_after(
-            max(0.0, leaves_in_s - MOVE_BEFORE_S),
-            lambda: self._move_from(record.entry.id),
-        )
+        for before_end_s in MOVES_BEFORE_END_S:
+            self.loop.call_after(
+                max(0.0, leaves_in_s - before_end_s),
+                lambda: self._move_from(record.entry.id),
+            )
 
     def _move_from(self, endpoint: ids.EndpointId) -> None:
         for started in list(self._exchanges):
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -82,7 +82,9 @@
         self.site = site
         self.metrics = observe_metrics.Metrics()
         self.state = known_state.KnownState(loop)
-        self.book = endpoint_book.EndpointBook(site, self.state.table)
+        self.book = endpoint_book.EndpointBook(
+            site, self.state.table, lambda: loop.now_s
+        )
         self.usage_meter = usage.UsageMeter()
         self.usage_book = usage.UsageBook()
         self.peers = entry_peers.Peers(loop, site, self._describe, self._told)
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -6,6 +6,7 @@
 
 from guavachute.decide.duty import scaling
 from guavachute.domain import configuration
+from guavachute.domain import endpoints
 from guavachute.entry import control_client
 from guavachute.entry import duty as entry_duty
 from guavachute.entry import known_state
@@ -21,6 +22,9 @@
 REPEAT_S = 2.0
 """Pause before an order that was refused or lost is sent again."""
 
+RECLAIMING_S = 12.0
+"""After a reclaim, another one is expected for this long."""
+
 REFRESH_S = 30.0
 """An order that was taken is sent again after this, since one that was
 answered late may have replaced it."""
@@ -52,6 +56,7 @@
         self._domains = domains
         self._demand = demand
         self._started_s = loop.now_s
+        self._reclaimed_s: dict[ids.ServiceName, float] = {}
         self._needs: dict[ids.ServiceName, scaling.Need] = {}
         self._orders: dict[tuple[ids.ServiceName, scaling.Kind], _Order] = {}
 
@@ -77,12 +82,18 @@
         if need is None:
             need = self._needs[service.name] = scaling.Need(now_s)
         demand = self._demand(service.name)
-        ready = collections.Counter(
-            entry.is_reclaimable
-            for entry in self._state.table.ready(service.name)
+        ready = list(self._state.table.ready(service.name))
+        on_demand = sum(1 for entry in ready if not entry.is_reclaimable)
+        busy_engines = need.update(demand.busy_engines, on_demand, now_s)
+        wished = scaling.wish(
+            bounds,
+            self._domains,
+            busy_engines,
+            collections.Counter(
+                entry.domain for entry in ready if entry.is_reclaimable
+            ),
+            self._is_reclaiming(service.name, now_s),
         )
-        busy_engines = need.update(demand.busy_engines, ready[False], now_s)
-        wished = scaling.wish(bounds, self._domains, busy_engines, ready[True])
         # Engines are ordered before others are given up.
         for kind, wanted in sorted(
             wished.items(), key=lambda item: not item[0].is_reclaimable
@@ -92,6 +103,19 @@
                 continue
             self._send(held, service.name, kind, wanted, demand)
 
+    def _is_reclaiming(self, service: ids.ServiceName, now_s: float) -> bool:
+        """Whether reclaimable endpoints were taken away of late."""
+        for entry in self._state.table.entries.values():
+            if (
+                entry.service == service
+                and entry.is_reclaimable
+                and entry.state is endpoints.EndpointState.DRAINING
+                and entry.leaves_in_s is not None
+            ):
+                self._reclaimed_s[service] = now_s
+        last_s = self._reclaimed_s.get(service, float('-inf'))
+        return now_s - last_s < RECLAIMING_S
+
     def _is_due(self, order: _Order, wanted: int, now_s: float) -> bool:
         age_s = now_s - order.sent_s
         if order.wanted != wanted:
