An event that its engine did not end is dropped before the next engine goes on

Ruled out: garbled bytes of the engine (its run was recorded as crashed, not garbled). Test: test_a_lost_move_leaves_no_half_event, fails before with 'id: 1' twice.

--- a/src/guavachute/decide/ingress/event_stream.py
+++ b/src/guavachute/decide/ingress/event_stream.py
@@ -51,6 +51,10 @@
         rest, self._rest = self._rest, b''
         return rest
 
+    def drop_rest(self) -> None:
+        """Forget an event that has begun and not ended."""
+        self._rest = b''
+
     def _note(self, whole: bytes) -> None:
         self.events += whole.count(_END)
         start = whole.rfind(b'\nid:')
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -224,6 +224,8 @@
         self._record = record
         self._sent_s = now_s
         self._answer = _Answer.NONE
+        # An event that its engine did not end is made again by the next.
+        self._events.drop_rest()
         if self.state is State.WAITING:
             self.state = State.SENT
         prompt = self.call.tokens.prompt if self.call.tokens else 0
@@ -339,7 +341,6 @@
                 self._after_failure('the source stopped, and no copy is left')
             return
         self._leave_endpoint(keeps_alive=False)
-        self._events.take_rest()
         journal.event(
             'move',
             outcome='copied',
@@ -546,7 +547,6 @@
         if not self._is_stream:
             self._note_beginning()
         self._leave_endpoint(keeps_alive=False)
-        self._events.take_rest()
         self._after_failure(reason)
 
     def _after_failure(self, reason: str) -> None:
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -34,6 +34,8 @@
     UNFRAMED = 'unframed'
     """The answer has no length and ends with its connection."""
     SILENT = 'silent'
+    LOSE_MOVES = 'lose-moves'
+    """A run that is to be moved breaks off in the middle of an event."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +78,8 @@
         self.runs: list[Run] = []
         self.refused = 0
         self._sequence = 0
+        self._streams: dict[str, server.Answer] = {}
+        self._made: dict[str, int] = {}
         self._server = server.Server(loop, self._serve)
         self.address = self._server.address
 
@@ -113,6 +117,9 @@
         self._server.break_connections()
 
     def _serve(self, answer: server.Answer) -> None:
+        if answer.request.target == b'/guavachute/kv-move':
+            self._move(answer)
+            return
         expected = answer.header(b'Expect-Instance')
         if expected is not None and expected.decode() != self.name:
             answer.reply(421, b'', self._headers(answer, ran=False))
@@ -146,6 +153,27 @@
         else:
             self._whole(answer)
 
+    def _move(self, answer: server.Answer) -> None:
+        """Stop a run; its stream ends without an end."""
+        wanted = msgspec.json.decode(answer.request.body)
+        stream = self._streams.pop(wanted['id'], None)
+        if stream is None:
+            answer.reply(404)
+            return
+        made = self._made[wanted['id']]
+        if self.behaviour is Behaviour.LOSE_MOVES:
+            stream.caller.answer_piece(b'id: %d\ndata: half' % (made + 1))
+            self._loop.call_after(0.01, stream.drop)
+            self._loop.call_after(0.05, lambda: answer.reply(503))
+            return
+        stream.drop()
+        self._loop.call_after(
+            0.01,
+            lambda: answer.reply(
+                200, msgspec.json.encode({'handle': 'h1', 'created': made})
+            ),
+        )
+
     def _whole(self, answer: server.Answer) -> None:
         body = b'answer of ' + self.name.encode()
         headers = self._headers(answer)
@@ -176,9 +204,14 @@
         self._send_event(answer, first)
 
     def _send_event(self, answer: server.Answer, number: int) -> None:
+        name = (answer.header(b'Attempt-Id') or b'').decode()
         if answer.is_abandoned:
+            self._streams.pop(name, None)
             return
+        self._streams[name] = answer
+        self._made[name] = number - 1
         if number > self.events:
+            del self._streams[name]
             answer.caller.end_answer()
             return
         event = b'id: %d\ndata: %s-%d\n\n' % (
@@ -191,6 +224,7 @@
             self._loop.call_after(0.01, answer.drop)
             return
         answer.caller.answer_piece(event)
+        self._made[name] = number
         self._loop.call_after(
             self.event_pause_s, lambda: self._send_event(answer, number + 1)
         )
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -192,6 +192,51 @@
         self.assertEqual([], engine.runs)
 
 
+def event_ids(body: bytes) -> list[bytes]:
+    return [line for line in body.split(b'\n') if line.startswith(b'id:')]
+
+
+class MoveTest(RequestTest):
+    """Streams whose engine is reclaimed while it runs them."""
+
+    IDS = [b'id: %d' % number for number in range(1, 13)]
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.first = self.engine('e1', events=12)
+        self.node = self.site.ready_node()
+        self.first.event_pause_s = 0.05
+
+    def reclaim_amid(self, path: str) -> platform_site.CallerSocket:
+        caller = self.site.send(self.node, path)
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        return caller
+
+    def test_a_run_goes_on_with_its_memory_elsewhere(self) -> None:
+        caller = self.reclaim_amid('/stream/a')
+        self.assertTrue(caller.reply.is_whole)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        (run,) = self.second.runs
+        self.assertEqual(f'{self.first.address}/h1', run.headers['kv-from'])
+        self.assertEqual(run.attempt_id, self.first.runs[0].attempt_id)
+
+    def test_a_lost_move_leaves_no_half_event_in_a_stream(self) -> None:
+        self.first.behaviour = Behaviour.LOSE_MOVES
+        caller = self.reclaim_amid('/resumable/a')
+        self.assertTrue(caller.reply.is_whole)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        self.assertNotIn(b'half', caller.reply.body)
+
+    def test_a_lost_move_cuts_what_may_not_run_again(self) -> None:
+        self.first.behaviour = Behaviour.LOSE_MOVES
+        caller = self.reclaim_amid('/stream/a')
+        self.assertFalse(caller.reply.is_whole)
+        self.assertEqual([], self.second.runs)
+
+
 class FaultTest(RequestTest):
     def test_a_lost_order_is_unknown_and_never_called_unrun(self) -> None:
         engines = [self.engine('e1'), self.engine('e2')]
@@ -277,12 +322,10 @@
         for _ in range(4):
             reply = self.site.ask(node, '/resumable/a')
             self.assertTrue(reply.is_whole)
-            ids = [
-                line
-                for line in reply.body.split(b'\n')
-                if line.startswith(b'id:')
-            ]
-            self.assertEqual([b'id: 1', b'id: 2', b'id: 3', b'id: 4'], ids)
+            self.assertEqual(
+                [b'id: 1', b'id: 2', b'id: 3', b'id: 4'],
+                event_ids(reply.body),
+            )
         resumed = [
             run.headers['last-event-id']
             for run in good.runs
