--- a/src/guavachute/decide/duty/usage.py
+++ b/src/guavachute/decide/duty/usage.py
@@ -12,8 +12,13 @@
 KEPT_WINDOWS = 8
 """Windows that are counted and told at a time, the present one last."""
 
-SETTLE_S = 2.5
-"""From the end of a window until its counts are taken as complete."""
+SETTLE_MIN_S = 0.4
+"""From the end of a window until its counts may be complete: requests
+are counted at the engine's first answer, which takes a moment to come."""
+
+SETTLE_MAX_S = 6.0
+"""From the end of a window until it is reported without the counts of
+nodes that have fallen silent."""
 
 Counts = dict[ids.WorkspaceName, int]
 
@@ -79,12 +84,22 @@
 
 
 def due_windows(
-    true_time_s: float, window_s: float, delay_s: float, first: int
+    true_time_s: float,
+    all_told_s: float,
+    window_s: float,
+    delay_s: float,
+    first: int,
 ) -> range:
     """The windows that are complete and whose reports are not late.
 
-    :param first: the first window that this system has counted
+    :param all_told_s: every other node has told of its counts after this
+        time of day
+    :param first: the first window that is wanted
     """
-    settled = window_at(true_time_s - SETTLE_S, window_s)
+    complete_s = max(
+        true_time_s - SETTLE_MAX_S,
+        min(true_time_s, all_told_s) - SETTLE_MIN_S,
+    )
+    settled = window_at(complete_s, window_s)
     oldest = window_at(true_time_s - delay_s, window_s) - 1
     return range(max(first, oldest), settled)
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -67,6 +67,8 @@
 
     :param totals: the counts of a window over all nodes
     :param true_time_s: the time of day
+    :param all_told_s: the time of day after which all nodes have told of
+        their counts
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         follower: topic_follower.TopicFollower,
         totals: typing.Callable[[int], usage.Counts],
         true_time_s: typing.Callable[[], float],
+        all_told_s: typing.Callable[[], float],
         orders: Orders | None,
     ) -> None:
         self._loop = loop
@@ -86,6 +89,7 @@
         self._follower = follower
         self._totals = totals
         self._true_time_s = true_time_s
+        self._all_told_s = all_told_s
         self._orders = orders
         self._takes_usage = cloud_site.takes_usage
         self._cloud = control_client.Client(loop, cloud_site.address)
@@ -281,7 +285,11 @@
         newest = max(decided, default=-1)
         found = {}
         for window in usage.due_windows(
-            true_s, bounds.usage_window_s, bounds.usage_delay_s, newest + 1
+            true_s,
+            self._all_told_s(),
+            bounds.usage_window_s,
+            bounds.usage_delay_s,
+            newest + 1,
         ):
             counts = self._totals(window)
             if counts:
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -54,6 +54,9 @@
 STATE_CHECK_S = 0.5
 REGISTER_RETRY_S = 1.0
 
+USAGE_SILENT_S = 12.0
+"""A node that was not heard for so long counts no requests any more."""
+
 READER_SILENT_S = 1.2
 """A reader that was not heard for this long is replaced."""
 
@@ -126,6 +129,7 @@
                 self._nodes,
                 self._usage_total,
                 self.peers.true_time_s,
+                self._all_told_s,
                 entry_scaler.Scaler(
                     loop, self.state, sorted(site.region_of), self._demand
                 )
@@ -435,6 +439,15 @@
             self.peers.true_time_s(), self.site.bounds.usage_window_s
         )
 
+    def _all_told_s(self) -> float:
+        """All running nodes have told of their counts after this time."""
+        now_s = self.loop.now_s
+        oldest_s = min(
+            (peer.heard_s for peer in self.peers.heard(USAGE_SILENT_S)),
+            default=now_s,
+        )
+        return self.peers.true_time_s() - (now_s - oldest_s)
+
     def _usage_total(self, window: int) -> usage.Counts:
         """The requests that began in *window*, over all nodes."""
         newest = self._window()
