--- a/src/guavachute/decide/duty/usage.py
+++ b/src/guavachute/decide/duty/usage.py
@@ -16,9 +16,13 @@
 """From the end of a window until its counts may be complete: requests
 are counted at the engine's first answer, which takes a moment to come."""
 
-SETTLE_MAX_S = 6.0
+SETTLE_MAX_S = 4.0
 """From the end of a window until it is reported without the counts of
-nodes that have fallen silent."""
+nodes that fell silent during it."""
+
+GONE_BEFORE_S = 2.0
+"""A node that fell silent this long before a window began is not waited
+for: it has most likely ended."""
 
 Counts = dict[ids.WorkspaceName, int]
 
@@ -85,21 +89,34 @@
 
 def due_windows(
     true_time_s: float,
-    all_told_s: float,
+    told_s: typing.Sequence[float],
     window_s: float,
     delay_s: float,
     first: int,
-) -> range:
+) -> list[int]:
     """The windows that are complete and whose reports are not late.
 
-    :param all_told_s: every other node has told of its counts after this
-        time of day
+    :param told_s: the time of day at which each other node told last
     :param first: the first window that is wanted
     """
-    complete_s = max(
-        true_time_s - SETTLE_MAX_S,
-        min(true_time_s, all_told_s) - SETTLE_MIN_S,
-    )
-    settled = window_at(complete_s, window_s)
     oldest = window_at(true_time_s - delay_s, window_s) - 1
-    return range(max(first, oldest), settled)
+    present = window_at(true_time_s, window_s)
+    due = []
+    for window in range(max(first, oldest), present):
+        if not _is_complete(window, true_time_s, told_s, window_s):
+            break
+        due.append(window)
+    return due
+
+
+def _is_complete(
+    window: int,
+    true_time_s: float,
+    told_s: typing.Sequence[float],
+    window_s: float,
+) -> bool:
+    start_s, end_s = window * window_s, (window + 1) * window_s
+    if true_time_s >= end_s + SETTLE_MAX_S:
+        return True
+    awaited_s = [at_s for at_s in told_s if at_s > start_s - GONE_BEFORE_S]
+    return min([true_time_s, *awaited_s]) >= end_s + SETTLE_MIN_S
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -67,8 +67,7 @@
 
     :param totals: the counts of a window over all nodes
     :param true_time_s: the time of day
-    :param all_told_s: the time of day after which all nodes have told of
-        their counts
+    :param told_s: the time of day at which each other node told last
     """
 
     def __init__(
@@ -80,7 +79,7 @@
         follower: topic_follower.TopicFollower,
         totals: typing.Callable[[int], usage.Counts],
         true_time_s: typing.Callable[[], float],
-        all_told_s: typing.Callable[[], float],
+        told_s: typing.Callable[[], list[float]],
         orders: Orders | None,
     ) -> None:
         self._loop = loop
@@ -89,7 +88,7 @@
         self._follower = follower
         self._totals = totals
         self._true_time_s = true_time_s
-        self._all_told_s = all_told_s
+        self._told_s = told_s
         self._orders = orders
         self._takes_usage = cloud_site.takes_usage
         self._cloud = control_client.Client(loop, cloud_site.address)
@@ -286,7 +285,7 @@
         found = {}
         for window in usage.due_windows(
             true_s,
-            self._all_told_s(),
+            self._told_s(),
             bounds.usage_window_s,
             bounds.usage_delay_s,
             newest + 1,
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -54,9 +54,6 @@
 STATE_CHECK_S = 0.5
 REGISTER_RETRY_S = 1.0
 
-USAGE_SILENT_S = 12.0
-"""A node that was not heard for so long counts no requests any more."""
-
 READER_SILENT_S = 1.2
 """A reader that was not heard for this long is replaced."""
 
@@ -129,7 +126,7 @@
                 self._nodes,
                 self._usage_total,
                 self.peers.true_time_s,
-                self._all_told_s,
+                self._told_s,
                 entry_scaler.Scaler(
                     loop, self.state, sorted(site.region_of), self._demand
                 )
@@ -439,14 +436,13 @@
             self.peers.true_time_s(), self.site.bounds.usage_window_s
         )
 
-    def _all_told_s(self) -> float:
-        """All running nodes have told of their counts after this time."""
-        now_s = self.loop.now_s
-        oldest_s = min(
-            (peer.heard_s for peer in self.peers.heard(USAGE_SILENT_S)),
-            default=now_s,
-        )
-        return self.peers.true_time_s() - (now_s - oldest_s)
+    def _told_s(self) -> list[float]:
+        """The time of day at which each other node told last."""
+        offset_s = self.peers.true_time_s() - self.loop.now_s
+        return [
+            peer.heard_s + offset_s
+            for peer in self.peers.heard(self.site.bounds.usage_delay_s * 2)
+        ]
 
     def _usage_total(self, window: int) -> usage.Counts:
         """The requests that began in *window*, over all nodes."""
