--- /dev/null
+++ b/tests/cover/test_duty_decisions.py
@@ -0,0 +1,175 @@
+"""Decisions of the duties' holder, by the loads that they answer."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from guavachute.decide.duty import scaling
+from guavachute.decide.duty import usage
+from guavachute.domain import configuration
+from guavachute import ids
+
+DOMAINS = [ids.FailureDomain(name) for name in ('cheap', 'dear', 'mid')]
+PRICES = {DOMAINS[0]: 0.8, DOMAINS[1]: 1.25, DOMAINS[2]: 1.0}
+
+
+def bounds(
+    most: int = 6, spot_price_ratio: float | None = 0.15
+) -> configuration.Scaling:
+    return configuration.Scaling(
+        min_per_domain=1,
+        max_per_domain=most,
+        start_s=4.0,
+        spot_price_ratio=spot_price_ratio,
+        price_by_domain=PRICES,
+    )
+
+
+def count(wished: scaling.Wish, is_reclaimable: bool) -> int:
+    return sum(
+        number
+        for kind, number in wished.items()
+        if kind.is_reclaimable is is_reclaimable
+    )
+
+
+class ScalingTest(unittest.TestCase):
+    """Waves that take all reclaimable endpoints of a domain."""
+
+    def wish(
+        self,
+        busy: float,
+        ready: dict[ids.FailureDomain, int],
+        is_reclaiming: bool = False,
+        most: int = 6,
+    ) -> scaling.Wish:
+        return scaling.wish(bounds(most), DOMAINS, busy, ready, is_reclaiming)
+
+    def test_in_peace_nearly_all_are_reclaimable(self) -> None:
+        wished = self.wish(4.0, dict.fromkeys(DOMAINS, 4))
+        self.assertEqual(
+            scaling.ON_DEMAND_FLOOR, count(wished, is_reclaimable=False)
+        )
+        self.assertGreater(count(wished, is_reclaimable=True), 8)
+
+    def test_the_loss_of_any_one_domain_leaves_what_is_needed(self) -> None:
+        wished = self.wish(3.0, dict.fromkeys(DOMAINS, 4))
+        for lost in DOMAINS:
+            left = sum(
+                number
+                for kind, number in wished.items()
+                if not (kind.is_reclaimable and kind.domain == lost)
+            )
+            self.assertGreaterEqual(left, 3.0 / scaling.NORMAL_USE)
+
+    def test_after_a_wave_another_one_is_prepared_for(self) -> None:
+        ready = {DOMAINS[1]: 4, DOMAINS[2]: 4}
+        before = count(self.wish(6.0, ready), is_reclaimable=False)
+        after = count(self.wish(6.0, ready, True), is_reclaimable=False)
+        self.assertGreaterEqual(after + 4, 6.0)
+        self.assertGreaterEqual(after, before)
+
+    def test_what_is_short_is_ordered_on_demand(self) -> None:
+        wished = self.wish(4.0, {}, True)
+        self.assertGreaterEqual(
+            count(wished, is_reclaimable=False), 4.0 / scaling.TIGHT_USE
+        )
+
+    def test_on_demand_orders_leave_room_for_reclaimable_ones(self) -> None:
+        wished = self.wish(40.0, {}, True)
+        for domain in DOMAINS:
+            on_demand = wished[scaling.Kind(domain, False)]
+            reclaimable = wished[scaling.Kind(domain, True)]
+            self.assertLessEqual(on_demand + reclaimable, 6)
+            self.assertGreaterEqual(reclaimable, scaling.RECLAIMABLE_ROOM)
+
+    @hypothesis.given(
+        busy=strategies.floats(0, 60),
+        most=strategies.integers(1, 12),
+        ready=strategies.lists(
+            strategies.integers(0, 12), min_size=3, max_size=3
+        ),
+        is_reclaiming=strategies.booleans(),
+    )
+    def test_the_bounds_of_each_domain_hold(
+        self, busy: float, most: int, ready: list[int], is_reclaiming: bool
+    ) -> None:
+        wished = self.wish(
+            busy, dict(zip(DOMAINS, ready, strict=True)), is_reclaiming, most
+        )
+        for domain in DOMAINS:
+            both = [
+                wished[scaling.Kind(domain, kind)] for kind in (True, False)
+            ]
+            self.assertGreaterEqual(min(both), 0)
+            self.assertTrue(1 <= sum(both) <= most)
+
+    def test_without_reclaimable_ones_all_are_on_demand(self) -> None:
+        wished = scaling.wish(
+            bounds(spot_price_ratio=None), DOMAINS, 3.0, {}, False
+        )
+        self.assertEqual(0, count(wished, is_reclaimable=True))
+        self.assertEqual(6, count(wished, is_reclaimable=False))
+
+    def test_a_lower_demand_lowers_the_need_only_after_a_while(self) -> None:
+        need = scaling.Need(0.0)
+        late_s = scaling.FOUND_S + 1
+        need.update(8.0, 0, late_s)
+        self.assertEqual(8.0, need.update(2.0, 0, late_s + 1))
+        self.assertEqual(
+            2.0, need.update(2.0, 0, late_s + scaling.SHRINK_AFTER_S + 2)
+        )
+
+    def test_before_any_demand_the_endpoints_found_are_the_guide(self) -> None:
+        need = scaling.Need(0.0)
+        need.update(0.0, 9, 1.0)
+        self.assertGreater(need.update(0.0, 0, 2.0), 3.0)
+
+
+WINDOW_S = 5.0
+DELAY_S = 10.0
+
+
+class UsageTest(unittest.TestCase):
+    """Nodes that stop, fall silent and start again amid a window."""
+
+    def due(self, now_s: float, *told_s: float, first: int = 0) -> list[int]:
+        return usage.due_windows(now_s, told_s, WINDOW_S, DELAY_S, first)
+
+    def test_a_window_is_due_once_every_node_has_told(self) -> None:
+        self.assertEqual([], self.due(5.1, 5.1))
+        self.assertEqual([], self.due(5.6, 5.6, 4.9))
+        self.assertEqual([0], self.due(5.6, 5.6, 5.5))
+
+    def test_a_silent_node_is_waited_for_a_few_seconds(self) -> None:
+        silent_s = 3.0
+        self.assertEqual([], self.due(7.0, 7.0, silent_s))
+        after_s = WINDOW_S + usage.SETTLE_MAX_S
+        self.assertEqual([0], self.due(after_s, after_s, silent_s))
+
+    def test_a_node_that_was_gone_before_is_not_waited_for(self) -> None:
+        self.assertEqual([1, 2], self.due(15.5, 15.5, 1.0, first=1))
+
+    def test_windows_are_reported_in_order(self) -> None:
+        self.assertEqual([], self.due(8.9, 8.9, 4.9))
+        self.assertEqual([0], self.due(12.0, 12.0, 9.0))
+        self.assertEqual([1, 2], self.due(15.5, 15.5, first=1))
+
+    def test_counts_of_one_run_only_grow(self) -> None:
+        book = usage.UsageBook()
+        name = ids.WorkspaceName('botany')
+        book.take('n1/1', {3: {name: 5}}, 3)
+        book.take('n1/1', {3: {name: 4}}, 3)
+        book.take('n1/2', {3: {name: 2}}, 3)
+        book.take('n2/1', {3: {name: 1}}, 3)
+        self.assertEqual({name: 8}, book.total(3))
+
+    def test_old_windows_are_forgotten(self) -> None:
+        book, meter = usage.UsageBook(), usage.UsageMeter()
+        name = ids.WorkspaceName('botany')
+        for window in range(60):
+            meter.began(name, window)
+            book.take('n', meter.recent(window), window)
+        self.assertEqual({}, book.total(1))
+        self.assertLessEqual(len(meter.recent(59)), usage.KEPT_WINDOWS)
--- /dev/null
+++ b/tests/cover/test_ingress_decisions.py
@@ -0,0 +1,321 @@
+"""Decisions about one request, by the loads that they answer."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from guavachute.decide.ingress import choice
+from guavachute.decide.ingress import endpoint_health
+from guavachute.decide.ingress import event_stream
+from guavachute.decide.ingress import quota
+from guavachute.decide.ingress import retry_budget
+from guavachute.domain import call
+from guavachute.domain import configuration
+from guavachute import ids
+
+RATE_PER_S = 1_000.0
+ALLOWANCE = 4_000.0
+OVERSHOOT = 0.1
+WINDOW_S = 8.0
+
+
+def workspace(
+    rate_per_s: float = RATE_PER_S, burst: float = RATE_PER_S
+) -> configuration.Workspace:
+    return configuration.Workspace(
+        name=ids.WorkspaceName('botany'),
+        priority=None,
+        rate_per_s=rate_per_s,
+        burst=burst,
+        counts_tokens=True,
+        default_cost=100.0,
+    )
+
+
+class Cluster:
+    """Nodes that share one workspace's quota and hear of each other."""
+
+    def __init__(self, nodes: int, hear_every_s: float) -> None:
+        self.quotas = [quota.Quotas(ALLOWANCE) for _ in range(nodes)]
+        self.hear_every_s = hear_every_s
+        self.workspace = workspace()
+        self.admitted: list[tuple[float, float]] = []
+        self.retry_after_s: list[float] = []
+
+    def play(
+        self, duration_s: float, demand_per_s: float, cost: float
+    ) -> None:
+        """Ask evenly at all nodes for *duration_s*."""
+        step_s = cost / demand_per_s
+        next_hear_s = 0.0
+        asked = 0
+        while asked * step_s < duration_s:
+            now_s = asked * step_s
+            if now_s >= next_hear_s:
+                next_hear_s += self.hear_every_s
+                self._tell(now_s)
+            node = self.quotas[asked % len(self.quotas)]
+            wait_s = node.ask(self.workspace, cost, now_s)
+            if wait_s:
+                self.retry_after_s.append(wait_s)
+            else:
+                self.admitted.append((now_s, cost))
+            asked += 1
+
+    def most_in_window(self) -> float:
+        """The most that was admitted in any window."""
+        return max(
+            sum(
+                cost
+                for at_s, cost in self.admitted
+                if start_s <= at_s < start_s + WINDOW_S
+            )
+            for start_s, _ in self.admitted
+        )
+
+    def _tell(self, now_s: float) -> None:
+        spending = [
+            node.spending(now_s).get(self.workspace.name)
+            for node in self.quotas
+        ]
+        for hearing, node in enumerate(self.quotas):
+            for telling, spent in enumerate(spending):
+                if hearing != telling and spent is not None:
+                    node.told(f'n{telling}', self.workspace, spent, now_s)
+
+
+BOUND = (RATE_PER_S * WINDOW_S + RATE_PER_S) * (1 + OVERSHOOT) + ALLOWANCE
+
+
+class QuotaTest(unittest.TestCase):
+    """One workspace sends many times its quota, through every node."""
+
+    def test_a_hot_workspace_stays_in_its_quota_over_all_nodes(self) -> None:
+        for nodes in (1, 7, 9):
+            for times in (2, 8):
+                with self.subTest(nodes=nodes, times=times):
+                    cluster = Cluster(nodes, hear_every_s=0.25)
+                    cluster.play(30.0, times * RATE_PER_S, cost=40.0)
+                    self.assertLessEqual(cluster.most_in_window(), BOUND)
+
+    def test_a_quota_is_used_and_not_cut_into_parts(self) -> None:
+        cluster = Cluster(9, hear_every_s=0.25)
+        cluster.play(30.0, 4 * RATE_PER_S, cost=40.0)
+        admitted = sum(cost for _, cost in cluster.admitted)
+        self.assertGreater(admitted, 0.9 * 30.0 * RATE_PER_S)
+
+    def test_large_requests_within_the_quota_are_admitted(self) -> None:
+        cluster = Cluster(9, hear_every_s=0.25)
+        cluster.play(30.0, 0.5 * RATE_PER_S, cost=0.9 * RATE_PER_S)
+        self.assertEqual([], cluster.retry_after_s)
+
+    def test_refused_callers_are_sent_back_one_after_the_other(self) -> None:
+        quotas = quota.Quotas(0.0)
+        limited = workspace()
+        self.assertEqual(0.0, quotas.ask(limited, 1_000.0, 0.0))
+        waits = [quotas.ask(limited, 500.0, 0.0) for _ in range(4)]
+        self.assertEqual(sorted(waits), waits)
+        self.assertEqual(len(set(waits)), len(waits))
+
+    def test_a_starting_node_takes_over_the_level_of_the_others(self) -> None:
+        limited = workspace()
+        old, new = quota.Quotas(0.0), quota.Quotas(0.0)
+        old.ask(limited, 1_000.0, 10.0)
+        spent = old.spending(10.0)[limited.name]
+        new.told('old', limited, spent, 10.0)
+        self.assertGreater(new.ask(limited, 500.0, 10.0), 0.0)
+
+    def test_what_did_not_run_is_given_back(self) -> None:
+        quotas = quota.Quotas(0.0)
+        limited = workspace()
+        quotas.ask(limited, 1_000.0, 0.0)
+        quotas.give_back(limited, 1_000.0)
+        self.assertEqual(0.0, quotas.ask(limited, 1_000.0, 0.0))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """All of a service's endpoints fail for a while."""
+
+    RATIO = 0.2
+    RETRY_ALLOWANCE = 54.0
+    WINDOW_S = 10.0
+
+    @hypothesis.given(
+        rates=strategies.lists(
+            strategies.integers(0, 40), min_size=1, max_size=9
+        ),
+        seconds=strategies.integers(5, 30),
+    )
+    def test_the_bound_holds_over_all_nodes_in_every_window(
+        self, rates: list[int], seconds: int
+    ) -> None:
+        budgets = [
+            retry_budget.RetryBudget(
+                self.RATIO, self.RETRY_ALLOWANCE, self.WINDOW_S
+            )
+            for _ in rates
+        ]
+        requests, retries = [], []
+        for second in range(seconds):
+            for budget, rate in zip(budgets, rates, strict=True):
+                for place in range(rate):
+                    now_s = second + place / max(1, rate)
+                    budget.requested(now_s)
+                    requests.append(now_s)
+                    if budget.take(len(rates), now_s):
+                        retries.append(now_s)
+        for start_s in range(-10, seconds):
+            end_s = start_s + self.WINDOW_S
+            sent = sum(1 for at_s in retries if start_s <= at_s < end_s)
+            asked = sum(1 for at_s in requests if start_s <= at_s < end_s)
+            before = sum(
+                1
+                for at_s in requests
+                if start_s - self.WINDOW_S <= at_s < start_s
+            )
+            self.assertLessEqual(
+                sent,
+                self.RATIO * max(asked, before) + self.RETRY_ALLOWANCE,
+            )
+
+
+def candidate(name: str, **changes: object) -> choice.Candidate:
+    fields: dict[str, object] = {
+        'id': ids.EndpointId(name),
+        'nearness': choice.Nearness.SAME_DOMAIN,
+        'slots': 8,
+        'running': 0,
+        'waiting_tokens': 0,
+        'cached_tokens': 0,
+        'prefill_tokens_per_s': 50_000.0,
+        'is_doubtful': False,
+    }
+    return choice.Candidate(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def parts(subject: str) -> tuple[call.PromptPart, ...]:
+    return (
+        call.PromptPart('system', 500),
+        call.PromptPart(subject, 5_000),
+        call.PromptPart('own', 1_000),
+    )
+
+
+class ChoiceTest(unittest.TestCase):
+    """Long prompts with shared parts, and engines that are unequal."""
+
+    def choose(
+        self, candidates: list[choice.Candidate], subject: str = 's1'
+    ) -> str:
+        chosen = choice.choose_engine(candidates, 6_500, parts(subject), 1.0)
+        assert chosen is not None
+        return chosen.endpoint
+
+    def test_requests_of_one_subject_meet_at_one_engine(self) -> None:
+        engines = [candidate(f'e{number}') for number in range(9)]
+        chosen = {self.choose(engines, 'hot') for _ in range(20)}
+        self.assertEqual(1, len(chosen))
+        subjects = {self.choose(engines, f's{n}') for n in range(60)}
+        self.assertGreater(len(subjects), 5)
+
+    def test_a_hot_subject_spills_before_its_engine_is_late(self) -> None:
+        engines = [candidate(f'e{number}') for number in range(3)]
+        home = self.choose(engines, 'hot')
+        busy = [
+            candidate(item.id, waiting_tokens=40_000 if item.id == home else 0)
+            for item in engines
+        ]
+        self.assertNotEqual(home, self.choose(busy, 'hot'))
+
+    def test_the_far_region_is_used_when_the_near_one_is_late(self) -> None:
+        far = candidate('far', nearness=choice.Nearness.ELSEWHERE)
+        self.assertEqual('near', self.choose([candidate('near'), far]))
+        late = candidate('near', waiting_tokens=60_000)
+        self.assertEqual('far', self.choose([late, far]))
+
+    def test_engines_that_fail_or_leave_come_last(self) -> None:
+        sound = candidate('sound', waiting_tokens=10_000)
+        for other in (
+            candidate('doubtful', is_doubtful=True),
+            candidate('leaving', is_leaving=True),
+        ):
+            self.assertEqual('sound', self.choose([sound, other]))
+            self.assertEqual(other.id, self.choose([other]))
+
+    def test_plain_requests_go_where_slots_are_free(self) -> None:
+        full = candidate('full', slots=6, running=6)
+        busy = candidate('busy', slots=6, running=3)
+        far = candidate('far', slots=6, nearness=choice.Nearness.ELSEWHERE)
+        for given, wanted in (
+            ([full, busy, far], 'busy'),
+            ([full, far], 'far'),
+            ([full], 'full'),
+        ):
+            chosen = choice.choose_plain(given)
+            assert chosen is not None
+            self.assertEqual(wanted, chosen.endpoint)
+        self.assertIsNone(choice.choose_plain([]))
+
+
+class EndpointHealthTest(unittest.TestCase):
+    """Endpoints whose health checks say other than their answers."""
+
+    def test_pauses_grow_and_end_with_a_success(self) -> None:
+        health = endpoint_health.EndpointHealth()
+        pauses = []
+        for _ in range(4):
+            health.not_reached(0.0, 1.0)
+            pauses.append(health.paused_until_s)
+        self.assertEqual(sorted(pauses), pauses)
+        self.assertTrue(health.is_paused(0.1))
+        health.succeeded()
+        self.assertFalse(health.is_paused(0.1))
+
+    def test_one_that_fails_every_other_request_is_doubtful(self) -> None:
+        health = endpoint_health.EndpointHealth()
+        for _ in range(10):
+            health.succeeded()
+            health.failed()
+        self.assertTrue(health.is_doubtful)
+        for _ in range(10):
+            health.succeeded()
+        self.assertFalse(health.is_doubtful)
+
+
+class EventStreamTest(unittest.TestCase):
+    """Events that come in pieces of any size."""
+
+    @hypothesis.given(
+        count=strategies.integers(1, 12),
+        cuts=strategies.lists(strategies.integers(1, 40), min_size=1),
+    )
+    def test_only_whole_events_pass_and_none_is_lost(
+        self, count: int, cuts: list[int]
+    ) -> None:
+        data = b''.join(
+            b'id: %d\ndata: x%d\n\n' % (number, number)
+            for number in range(1, count + 1)
+        )
+        stream = event_stream.EventStream()
+        passed, position, turn = b'', 0, 0
+        while position < len(data):
+            size = cuts[turn % len(cuts)]
+            turn += 1
+            whole = stream.feed(data[position : position + size])
+            position += size
+            self.assertTrue(not whole or whole.endswith(b'\n\n'))
+            passed += whole
+        self.assertEqual(data, passed)
+        self.assertEqual((b'%d' % count, count), (
+            stream.last_id, stream.events,
+        ))  # fmt: skip
+
+    def test_a_half_event_is_dropped(self) -> None:
+        stream = event_stream.EventStream()
+        stream.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+        stream.drop_rest()
+        self.assertEqual(b'1', stream.last_id)
+        self.assertEqual(
+            b'id: 2\ndata: b\n\n', stream.feed(b'id: 2\ndata: b\n\n')
+        )
--- /dev/null
+++ b/tests/cover/test_node_decisions.py
@@ -0,0 +1,174 @@
+"""Decisions that nodes come to from each other's news."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from guavachute.decide.nodes import addresses
+from guavachute.decide.nodes import clock
+from guavachute.decide.nodes import endpoint_table
+from guavachute.decide.nodes import readers
+from guavachute.domain import endpoints
+from guavachute import ids
+
+
+class ClockTest(unittest.TestCase):
+    """The time of day jumps on some of the nodes."""
+
+    @hypothesis.given(
+        sound=strategies.integers(4, 8),
+        jumps=strategies.lists(strategies.floats(-9, 9), max_size=3),
+        own_jump=strategies.floats(-9, 9),
+    )
+    def test_a_minority_of_jumps_moves_the_time_by_little(
+        self, sound: int, jumps: list[float], own_jump: float
+    ) -> None:
+        readings = [
+            clock.Reading(1_000 + place / 1_000, 50.0)
+            for place in range(sound)
+        ]
+        readings += [clock.Reading(1_000 + jump, 50.0) for jump in jumps]
+        offset_s = clock.agreed_offset_s(1_000 + own_jump, readings, 50.5)
+        if 2 * (len(jumps) + 1) < len(readings) + 1:
+            self.assertAlmostEqual(1_000, offset_s, delta=0.02)
+
+    def test_old_readings_are_left_out(self) -> None:
+        old = clock.Reading(5_000.0, 0.0)
+        self.assertEqual(1_000.0, clock.agreed_offset_s(1_000.0, [old], 60.0))
+
+
+def named(
+    name: str,
+    domain: str,
+    region: str,
+    is_ready: bool = True,
+    age_s: float = 0,
+) -> addresses.Candidate:
+    return addresses.Candidate(
+        ids.Address(name),
+        ids.FailureDomain(domain),
+        ids.Region(region),
+        is_ready,
+        100.0 - age_s,
+    )
+
+
+class AddressesTest(unittest.TestCase):
+    """Nodes stop, die or are far away."""
+
+    def choose(self, *candidates: addresses.Candidate) -> list[str]:
+        return list(addresses.choose(
+            candidates, ids.FailureDomain('a'), ids.Region('r'), 100.0
+        ))  # fmt: skip
+
+    def test_near_nodes_are_named_alone_if_they_are_enough(self) -> None:
+        self.assertEqual(
+            ['n1', 'n2'],
+            self.choose(
+                named('n1', 'a', 'r'), named('n2', 'a', 'r'),
+                named('n3', 'b', 'r'), named('n4', 'c', 's'),
+            ),
+        )  # fmt: skip
+
+    def test_farther_nodes_fill_up(self) -> None:
+        self.assertEqual(
+            ['n1', 'n3'],
+            self.choose(
+                named('n1', 'a', 'r'), named('n3', 'b', 'r'),
+                named('n4', 'c', 's'),
+            ),
+        )  # fmt: skip
+
+    def test_silent_and_stopping_nodes_are_not_named(self) -> None:
+        self.assertEqual(
+            ['n4'],
+            self.choose(
+                named('n1', 'a', 'r', is_ready=False),
+                named('n2', 'a', 'r', age_s=addresses.SILENT_AFTER_S + 0.1),
+                named('n4', 'c', 's'),
+            ),
+        )
+
+
+def reader(
+    name: str, region: str = 'r', reaches: bool = True, stays: bool = True
+) -> readers.Candidate:
+    return readers.Candidate(
+        ids.NodeId(name), ids.Region(region), reaches, stays
+    )
+
+
+class ReadersTest(unittest.TestCase):
+    """Readers that die, stop, or are turned away by the store."""
+
+    def count(self, nodes: list[readers.Candidate]) -> int:
+        return sum(
+            readers.is_reader(node, [n for n in nodes if n is not node])
+            for node in nodes
+        )
+
+    def test_a_region_has_two_readers_however_large_it_is(self) -> None:
+        for size in (2, 9, 300):
+            nodes = [reader(f'n{number}') for number in range(size)]
+            self.assertEqual(readers.READERS_PER_REGION, self.count(nodes))
+
+    def test_a_node_that_hears_nobody_reads_for_itself(self) -> None:
+        self.assertTrue(readers.is_reader(reader('n1'), []))
+        far = [reader(f'f{number}', region='s') for number in range(5)]
+        self.assertTrue(readers.is_reader(reader('n1'), far))
+
+    def test_nodes_that_can_read_take_over_from_those_that_cannot(
+        self,
+    ) -> None:
+        own = reader('own')
+        for lost in (
+            {'reaches': False},
+            {'stays': False},
+        ):
+            others = [reader(f'n{number}', **lost) for number in range(9)]
+            self.assertTrue(readers.is_reader(own, others))
+
+
+def endpoint(name: str, state: str = 'ready') -> endpoints.Endpoint:
+    return endpoints.Endpoint(
+        id=ids.EndpointId(name),
+        service=ids.ServiceName('s'),
+        address=ids.Address('10.0.0.1:80'),
+        domain=ids.FailureDomain('a'),
+        slots=4,
+        state=endpoints.EndpointState(state),
+        start_ms=1,
+        is_reclaimable=False,
+        leaves_in_s=None,
+    )
+
+
+class EndpointTableTest(unittest.TestCase):
+    """Entries lapse while the store is away."""
+
+    def setUp(self) -> None:
+        self.table = endpoint_table.EndpointTable()
+        self.table.put(endpoint('e1'))
+        self.name = ids.EndpointId('e1')
+
+    def test_a_deleted_entry_is_gone_at_once(self) -> None:
+        self.assertTrue(self.table.delete(self.name, 50.0))
+        self.assertEqual({}, self.table.entries)
+
+    def test_after_an_outage_a_lapsed_entry_has_time_to_come_back(
+        self,
+    ) -> None:
+        self.table.returned_s = 50.0
+        self.assertFalse(self.table.delete(self.name, 50.1))
+        self.assertEqual([], self.table.expire(51.0))
+        self.table.put(endpoint('e1'))
+        self.assertEqual([], self.table.expire(60.0))
+        self.assertIn(self.name, self.table.entries)
+
+    def test_one_that_does_not_come_back_is_gone(self) -> None:
+        self.table.returned_s = 50.0
+        self.table.delete(self.name, 50.1)
+        late_s = 50.0 + endpoint_table.RETURN_GRACE_S
+        self.assertEqual([self.name], self.table.expire(late_s))
+        self.assertEqual({}, self.table.entries)
