--- a/src/guavachute/domain/endpoints.py
+++ b/src/guavachute/domain/endpoints.py
@@ -45,12 +45,16 @@
     """Load of an engine, as of some hundred milliseconds ago.
 
     :ivar memory_used_tokens: KV cache that can't be dropped
+    :ivar state: None if it does not say
+    :ivar leaves_in_s: time left until it ends, if that is known
     """
 
     running: int
     waiting: int
     memory_used_tokens: int
     memory_total_tokens: int
+    state: EndpointState | None = None
+    leaves_in_s: float | None = None
 
 
 Endpoints = typing.Mapping[ids.EndpointId, Endpoint]
--- a/src/guavachute/entry/endpoint_book.py
+++ b/src/guavachute/entry/endpoint_book.py
@@ -183,6 +183,14 @@
         """What a choice between *records* needs to know."""
         return [self._candidate(item, parts, now_s) for item in records]
 
+    def with_runs(self) -> list[Record]:
+        """The engines that this node has model requests at."""
+        return [
+            item
+            for item in self._records.values()
+            if item.own.requests and item.cached
+        ]
+
     def work(self) -> dict[ids.EndpointId, Work]:
         """This node's work at each endpoint, for the other nodes."""
         return {
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -8,6 +8,7 @@
 
 from guavachute.decide.nodes import endpoint_table
 from guavachute.domain import configuration
+from guavachute.domain import endpoints
 from guavachute.entry import loop as entry_loop
 from guavachute import ids
 from guavachute.observe import journal
@@ -125,6 +126,18 @@
             return True
         return False
 
+    def endpoint_leaves(self, entry: endpoints.Endpoint) -> None:
+        """An endpoint said by itself that it will end."""
+        if entry.id in self.table.entries and self.table.put(entry):
+            journal.event(
+                'endpoint',
+                outcome=entry.state.value,
+                endpoint=entry.id,
+                service=entry.service,
+                domain=entry.domain,
+                source='report',
+            )
+
     def expire(self) -> None:
         """Drop the entries that lapsed and did not come back."""
         for endpoint in self.table.expire(self._loop.now_s):
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -9,6 +9,7 @@
 from guavachute.decide.duty import usage
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import readers
+from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute.entry import duty as entry_duty
@@ -18,6 +19,7 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import plain_server
+from guavachute.entry import report_watch
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import topic_follower
 from guavachute import ids
@@ -136,6 +138,12 @@
         self.state.on_changed = self._state_changed
         self._is_reader = True
         self._is_telling = False
+        self._reports = report_watch.ReportWatch(
+            loop,
+            self.book,
+            lambda: self._endpoints.lost_since_s is not None,
+            self._endpoint_leaves,
+        )
         self._is_registered = False
         self._is_fetching = False
         self._stopping_since_s: float | None = None
@@ -150,6 +158,7 @@
         self.peers.start(self.site.seeds)
         if self.duty is not None:
             self.duty.start()
+        self._reports.start()
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._keep_house)
         self.loop.every(STATE_CHECK_S, self._ask_peers)
@@ -198,6 +207,7 @@
             follower.stop()
         if self.duty is not None:
             self.duty.close()
+        self._reports.close()
         self._store.close()
         self.peers.close()
 
@@ -454,6 +464,10 @@
         )
         return self.usage_book.total(window)
 
+    def _endpoint_leaves(self, entry: endpoints.Endpoint) -> None:
+        self.state.endpoint_leaves(entry)
+        self.book.take_changes()
+
     def _ask_peers(self) -> None:
         """Take over what peers know while the store does not answer."""
         if self._is_fetching:
--- /dev/null
+++ b/src/guavachute/entry/report_watch.py
@@ -0,0 +1,88 @@
+"""Asks engines themselves whether they leave, while the store is away.
+
+The notice of a reclaim is an entry in the store. When the store does not
+answer, the runs on an engine would end with it unnoticed.
+"""
+
+import dataclasses
+import typing
+
+from guavachute.domain import endpoints
+from guavachute.entry import control_client
+from guavachute.entry import endpoint_book
+from guavachute.entry import loop as entry_loop
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute import outcome
+from guavachute.platform import endpoints as platform_endpoints
+
+PERIOD_S = 0.5
+TIMEOUT_S = 0.4
+
+
+class ReportWatch:
+    """Reads the reports of the engines that this node has runs on.
+
+    :param is_needed: whether the store is away now
+    :param leaving: called with the entry of an engine that will end
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        book: endpoint_book.EndpointBook,
+        is_needed: typing.Callable[[], bool],
+        leaving: typing.Callable[[endpoints.Endpoint], None],
+    ) -> None:
+        self._loop = loop
+        self._book = book
+        self._is_needed = is_needed
+        self._leaving = leaving
+        self._clients: dict[ids.Address, control_client.Client] = {}
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._loop.every(PERIOD_S, self._ask)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+
+    def _ask(self) -> None:
+        if not self._is_needed():
+            self.close()
+            return
+        for record in self._book.with_runs():
+            if not record.is_leaving:
+                self._ask_one(record)
+
+    def _ask_one(self, record: endpoint_book.Record) -> None:
+        def got(reply: control_client.Reply | control_client.Lost) -> None:
+            if isinstance(reply, control_client.Lost) or reply.status != 200:
+                # An engine that does not answer shows by its runs.
+                return
+            report = platform_endpoints.decode_report(reply.body)
+            if isinstance(report, outcome.Failure):
+                journal.problem(
+                    'report',
+                    outcome='unreadable',
+                    endpoint=record.entry.id,
+                    reason=str(report),
+                )
+            elif report.state is endpoints.EndpointState.DRAINING:
+                self._leaving(
+                    dataclasses.replace(
+                        record.entry,
+                        state=endpoints.EndpointState.DRAINING,
+                        leaves_in_s=report.leaves_in_s,
+                    )
+                )
+
+        address = record.entry.address
+        client = self._clients.get(address)
+        if client is None:
+            client = control_client.Client(self._loop, address)
+            self._clients[address] = client
+        client.call(b'GET', platform_endpoints.REPORT_TARGET, got, TIMEOUT_S)
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -36,8 +36,11 @@
     # Both memory fields count tokens; "kvUsed" is what can't be dropped.
     kv_used: float = 0
     kv_total: float = 0
-    born: int = 0
+    state: str | None = None
+    leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
+
 
+_STATES = {state.value: state for state in endpoints.EndpointState}
 
 _entries = msgspec.json.Decoder(_Entry)
 _reports = msgspec.json.Decoder(_Report, strict=False)
@@ -60,9 +63,7 @@
         state=endpoints.EndpointState(entry.state),
         start_ms=entry.born,
         is_reclaimable=entry.spot,
-        leaves_in_s=None
-        if entry.leaves_ms is None
-        else entry.leaves_ms / 1000,
+        leaves_in_s=_seconds(entry.leaves_ms),
     )
 
 
@@ -79,4 +80,10 @@
         waiting=report.queued,
         memory_used_tokens=int(report.kv_used),
         memory_total_tokens=int(report.kv_total),
+        state=_STATES.get(report.state or ''),
+        leaves_in_s=_seconds(report.leaves_ms),
     )
+
+
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -76,6 +76,11 @@
         self.behaviour = Behaviour.SOUND
         self.event_pause_s = 0.0
         self.runs: list[Run] = []
+        self.report: dict[str, typing.Any] = {
+            'active': 0,
+            'queued': 0,
+            'state': 'ready',
+        }
         self.refused = 0
         self._sequence = 0
         self._streams: dict[str, server.Answer] = {}
@@ -120,6 +125,9 @@
         if answer.request.target == b'/guavachute/kv-move':
             self._move(answer)
             return
+        if answer.request.target == b'/guavachute/report':
+            answer.reply(200, msgspec.json.encode(self.report))
+            return
         expected = answer.header(b'Expect-Instance')
         if expected is not None and expected.decode() != self.name:
             answer.reply(421, b'', self._headers(answer, ran=False))
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -3,6 +3,7 @@
 import unittest
 
 from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import store as standin_store
 from tests.support import looping
 from tests.support import platform_site
 
@@ -223,6 +224,26 @@
         self.assertEqual(f'{self.first.address}/h1', run.headers['kv-from'])
         self.assertEqual(run.attempt_id, self.first.runs[0].attempt_id)
 
+    def test_a_reclaim_is_noticed_while_the_store_is_away(self) -> None:
+        self.second = self.engine('e2', events=12)
+        looping.run_until(
+            self.site.loop, lambda: len(self.node.state.table.entries) == 2
+        )
+        self.second.event_pause_s = self.first.event_pause_s = 0.2
+        self.site.store.fault = standin_store.Fault.BUSY
+        caller = self.site.send(
+            self.node, '/stream/a', Token_Counts='10,12', Prefix_Hash='a:10'
+        )
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        ran, other = sorted(
+            (self.first, self.second), key=lambda item: -len(item.runs)
+        )
+        ran.report.update(state='draining', leaves_ms=500)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertTrue(caller.reply.is_whole)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        self.assertIn('kv-from', other.runs[0].headers)
+
     def test_a_lost_move_leaves_no_half_event_in_a_stream(self) -> None:
         self.first.behaviour = Behaviour.LOSE_MOVES
         caller = self.reclaim_amid('/resumable/a')
