--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -15,11 +15,11 @@
 from guavachute.domain import configuration
 from guavachute import ids
 
-NORMAL_USE = 0.7
+NORMAL_USE = 0.8
 """Part of the engines' time that the demand takes at best; the rest
 keeps the time to the first token short when long prompts meet."""
 
-TIGHT_USE = 0.9
+TIGHT_USE = 1.0
 """The same while reclaimable engines can't be had."""
 
 READ_TOKENS_PER_S = 60_000.0
