--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -8,6 +8,7 @@
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
+from guavachute.observe import journal
 
 MAX_PIPELINED = 8
 """Requests that may wait behind the one that is served."""
@@ -50,6 +51,14 @@
         """Serve a request; None if it has been answered already."""
 
 
+_REFUSALS = {
+    400: 'the request is malformed',
+    408: 'the request did not come to its end in time',
+    413: 'the body is larger than the configuration allows',
+    431: 'the head is larger than the configuration allows',
+}
+
+
 class _State(enum.Enum):
     IDLE = 'idle'
     READING = 'reading'
@@ -83,11 +92,6 @@
         connection.owner = self
         self._wait(limits.idle_timeout_s)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is under way."""
-        return self._state is _State.IDLE
-
     @property
     def is_congested(self) -> bool:
         """Whether the caller reads more slowly than it is sent to."""
@@ -208,6 +212,10 @@
             self._wait(self._process.limits.idle_timeout_s)
 
     def _refuse(self, status: int) -> None:
+        """Answer what can't be read as a request, and close."""
+        journal.event(
+            'request', outcome=f'own {status}', reason=_REFUSALS[status]
+        )
         self._connection.write(http1.encode_head(status, (), 0, True))
         self._linger()
 
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -14,6 +14,7 @@
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import store_writer
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.observe import journal
@@ -244,19 +245,14 @@
                 usage=decided,
             )
         )
-        request = store.append(
-            self._follower.topic,
-            [store.keyed(store.KeyedRecord(KEY, value))],
-            at=self._follower.end_offset,
-        )
         self._is_writing = True
-        self._client.call(
-            request.method,
-            request.target,
+        store_writer.append(
+            self._client,
+            self._follower.topic,
+            store.KeyedRecord(KEY, value),
+            self._follower.end_offset,
             self._written,
             WRITE_TIMEOUT_S,
-            body=request.body,
-            headers=[(b'Content-Type', request.content_type)],
         )
 
     def _written(
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -21,6 +21,7 @@
 from guavachute.entry import plain_server
 from guavachute.entry import report_watch
 from guavachute.entry import scaler as entry_scaler
+from guavachute.entry import store_writer
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.observe import journal
@@ -355,25 +356,15 @@
             run=self.peers.run,
             peers_address=self.peers.address,
         )
-        request = store.append(
+        store_writer.append(
+            self._store,
             NODES_TOPIC,
-            [
-                store.keyed(
-                    store.KeyedRecord(
-                        NODE_KEY_PREFIX + self.site.node,
-                        entry_news.encode(record),
-                    )
-                )
-            ],
-            at=None,
-        )
-        self._store.call(
-            request.method,
-            request.target,
+            store.KeyedRecord(
+                NODE_KEY_PREFIX + self.site.node, entry_news.encode(record)
+            ),
+            None,
             self._registered,
             REGISTER_RETRY_S,
-            body=request.body,
-            headers=[(b'Content-Type', request.content_type)],
         )
 
     def _registered(
--- /dev/null
+++ b/src/guavachute/entry/store_writer.py
@@ -0,0 +1,29 @@
+"""Writes records under a key of a topic of the system's own."""
+
+from guavachute.entry import control_client
+from guavachute import ids
+from guavachute.platform import store
+
+
+def append(
+    client: control_client.Client,
+    topic: str,
+    record: store.KeyedRecord,
+    at: ids.Offset | None,
+    done: control_client.Done,
+    timeout_s: float,
+) -> None:
+    """Append *record*; with *at*, only if the topic ends there.
+
+    A call that is lost may have had its effect, or have it later while
+    its condition holds.
+    """
+    request = store.append(topic, [store.keyed(record)], at)
+    client.call(
+        request.method,
+        request.target,
+        done,
+        timeout_s,
+        body=request.body,
+        headers=[(b'Content-Type', request.content_type)],
+    )
--- a/src/guavachute/platform/moves.py
+++ b/src/guavachute/platform/moves.py
@@ -8,7 +8,6 @@
 from guavachute import outcome
 
 TARGET = b'/guavachute/kv-move'
-NO_SUCH_RUN_STATUS = 404
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/guavachute/platform/store.py
+++ b/src/guavachute/platform/store.py
@@ -14,7 +14,6 @@
 _LENGTH = struct.Struct('>I')
 _READ_HEAD = struct.Struct('>QQ')
 
-CONFLICT_STATUSES = frozenset({409, 412})
 TRIMMED_STATUS = 410
 JSON = b'application/json'
 BINARY = b'application/octet-stream'
@@ -67,14 +66,6 @@
     end_offset: ids.Offset
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Trimmed:
-    """What was asked for has been deleted."""
-
-
-TRIMMED = Trimmed()
-
-
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str
     offset: int
@@ -87,13 +78,7 @@
     end_offset: int
 
 
-class _Appended(msgspec.Struct, frozen=True, rename='camel'):
-    offset: int
-    end_offset: int
-
-
 _pages = msgspec.json.Decoder(_NewestPage)
-_appends = msgspec.json.Decoder(_Appended)
 
 
 def newest(topic: str, after_key: str | None = None) -> Request:
@@ -190,14 +175,6 @@
     return Records(records, ids.Offset(from_offset + len(records)), end_offset)
 
 
-def decode_append(body: bytes) -> ids.Offset | outcome.Failure:
-    """The offset of the first record that was appended."""
-    try:
-        return ids.Offset(_appends.decode(body).offset)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _unreadable(f'append: {error}')
-
-
 def _target(name: str, query: dict[str, typing.Any]) -> bytes:
     text = urllib.parse.urlencode(query)
     return f'/guavachute/{name}?{text}'.encode()
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -289,7 +289,6 @@
         for decode in (
             lambda: store.decode_read(data, ids.Offset(0)),
             lambda: store.decode_newest(data),
-            lambda: store.decode_append(data),
             lambda: store.split_keyed(data, ids.Offset(0)),
         ):
             decode()
