--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -6,7 +6,6 @@
 import typing
 
 from guavachute.decide.duty import scaling
-from guavachute.decide.duty import usage
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import readers
 from guavachute.domain import endpoints
@@ -18,17 +17,17 @@
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
-from guavachute.entry import plain_server
+from guavachute.entry import questions
 from guavachute.entry import report_watch
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import store_writer
 from guavachute.entry import topic_follower
+from guavachute.entry import usage_counts
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
 from guavachute import outcome
 from guavachute.platform import configuration as platform_configuration
-from guavachute.platform import directory
 from guavachute.platform import endpoints as platform_endpoints
 from guavachute.platform import store
 from guavachute.wire import entry_news
@@ -50,9 +49,6 @@
 FOLLOWER_PERIOD_S = 8.0
 """The same for nodes that learn from readers what is new."""
 
-ADDRESS_TTL_S = 2.0
-"""How long callers keep the addresses that they are given."""
-
 HOUSEKEEPING_S = 0.5
 STATE_CHECK_S = 0.5
 REGISTER_RETRY_S = 1.0
@@ -88,9 +84,8 @@
         self.book = endpoint_book.EndpointBook(
             site, self.state.table, lambda: loop.now_s
         )
-        self.usage_meter = usage.UsageMeter()
-        self.usage_book = usage.UsageBook()
         self.peers = entry_peers.Peers(loop, site, self._describe, self._told)
+        self.usage = usage_counts.UsageCounts(site, self.peers)
         self.book.others = self.peers.work_at
         self.ingress = entry_ingress.Ingress(
             loop,
@@ -99,7 +94,7 @@
             self.book,
             self.peers,
             self.metrics,
-            self._began,
+            self.usage.began,
         )
         self.book.on_died = self.ingress.endpoint_died
         self.book.on_leaving = self.ingress.endpoint_leaves
@@ -127,9 +122,9 @@
                 site.cloud,
                 self._store,
                 self._nodes,
-                self._usage_total,
+                self.usage.total,
                 self.peers.true_time_s,
-                self._told_s,
+                self.usage.told_s,
                 entry_scaler.Scaler(
                     loop, self.state, sorted(site.region_of), self._demand
                 )
@@ -148,7 +143,14 @@
         self._is_registered = False
         self._is_fetching = False
         self._stopping_since_s: float | None = None
-        self._servers = self._serve()
+        self._questions = questions.Questions(
+            loop,
+            site,
+            self.state,
+            self.metrics,
+            lambda: self.is_ready,
+            self.addresses_for,
+        )
 
     # -- start and stop ------------------------------------------------
 
@@ -202,8 +204,7 @@
     def close(self) -> None:
         """Close all that listens."""
         self.ingress.close()
-        for server in self._servers:
-            server.close()
+        self._questions.close()
         for follower in (self._operator, self._endpoints, self._nodes):
             follower.stop()
         if self.duty is not None:
@@ -231,46 +232,6 @@
             and self.state.endpoints_offset >= 0
         )
 
-    def _serve(self) -> list[plain_server.PlainServer]:
-        listen = self.site.listen
-        wanted: dict[ids.Address, plain_server.Handler] = {
-            ids.Address(f'{self.site.ip}:{listen.peers_port}'): (
-                self._answer_peer
-            ),
-            ids.Address(f'{self.site.ip}:{listen.metrics_port}'): (
-                self._answer_metrics
-            ),
-        }
-        for address in (listen.readiness, listen.directory):
-            if address is not None:
-                wanted[address] = self._answer_platform
-        return [
-            plain_server.PlainServer(self.loop, address, handler)
-            for address, handler in wanted.items()
-        ]
-
-    def _answer_platform(
-        self, question: plain_server.Question
-    ) -> plain_server.Reply:
-        if question.path == directory.READINESS_PATH:
-            return plain_server.Reply(200 if self.is_ready else 503)
-        if question.path == directory.DIRECTORY_PATH:
-            return self._answer_directory(question)
-        return plain_server.NOT_FOUND
-
-    def _answer_directory(
-        self, question: plain_server.Question
-    ) -> plain_server.Reply:
-        asker = directory.read_query(question.query)
-        found = self.addresses_for(asker.domain, asker.region)
-        self.metrics.add('address_questions')
-        ttl_s = min(ADDRESS_TTL_S, self.site.bounds.address_ttl_max_s)
-        return plain_server.Reply(
-            200 if found else 503,
-            directory.encode(found, ttl_s),
-            plain_server.JSON,
-        )
-
     def addresses_for(
         self, domain: ids.FailureDomain, region: ids.Region
     ) -> list[ids.Address]:
@@ -291,22 +252,6 @@
             heard_s=self.loop.now_s,
         )
 
-    def _answer_peer(
-        self, question: plain_server.Question
-    ) -> plain_server.Reply:
-        if question.path != entry_peers.STATE_TARGET.decode():
-            return plain_server.NOT_FOUND
-        return plain_server.Reply(
-            200,
-            entry_news.encode(self.state.shared()),
-            plain_server.BINARY,
-        )
-
-    def _answer_metrics(
-        self, question: plain_server.Question
-    ) -> plain_server.Reply:
-        return plain_server.Reply(200, self.metrics.text())
-
     # -- the store -----------------------------------------------------
 
     def _follow(
@@ -380,7 +325,6 @@
     # -- the peers -----------------------------------------------------
 
     def _describe(self, run: int, sequence: int) -> entry_news.NodeNews:
-        recent = self.usage_meter.recent(self._window())
         return entry_news.NodeNews(
             node=self.site.node,
             run=run,
@@ -402,14 +346,12 @@
                 )
                 for endpoint, work in self.book.work().items()
             },
-            usage=recent,
+            usage=self.usage.recent(),
             crashes=self.ingress.notices(),
         )
 
     def _told(self, news: entry_news.NodeNews) -> None:
-        self.usage_book.take(
-            entry_peers.source(news), news.usage, self._window()
-        )
+        self.usage.take(news)
         self.ingress.take_spending(news)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
@@ -428,33 +370,6 @@
             ),
         )
 
-    def _began(self, workspace: ids.WorkspaceName) -> None:
-        self.usage_meter.began(workspace, self._window())
-
-    def _window(self) -> int:
-        """The window of usage that the present moment is in."""
-        return usage.window_at(
-            self.peers.true_time_s(), self.site.bounds.usage_window_s
-        )
-
-    def _told_s(self) -> list[float]:
-        """The time of day at which each other node told last."""
-        offset_s = self.peers.true_time_s() - self.loop.now_s
-        return [
-            peer.heard_s + offset_s
-            for peer in self.peers.heard(self.site.bounds.usage_delay_s * 2)
-        ]
-
-    def _usage_total(self, window: int) -> usage.Counts:
-        """The requests that began in *window*, over all nodes."""
-        newest = self._window()
-        self.usage_book.take(
-            f'{self.site.node}/{self.peers.run}',
-            self.usage_meter.recent(newest),
-            newest,
-        )
-        return self.usage_book.total(window)
-
     def _endpoint_leaves(self, entry: endpoints.Endpoint) -> None:
         self.state.endpoint_leaves(entry)
         self.book.take_changes()
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -167,6 +167,10 @@
 
     def true_time_s(self) -> float:
         """The time of day that most nodes' clocks agree on."""
+        return self._loop.now_s + self.true_offset_s()
+
+    def true_offset_s(self) -> float:
+        """What to add to the loop's time for the time of day."""
         now_s = self._loop.now_s
         readings = [
             agreed_clock.Reading(peer.news.wall_s - peer.heard_s, peer.heard_s)
@@ -174,9 +178,7 @@
             if peer.news is not None
         ]
         own_offset_s = time.time() - now_s
-        return now_s + agreed_clock.agreed_offset_s(
-            own_offset_s, readings, now_s
-        )
+        return agreed_clock.agreed_offset_s(own_offset_s, readings, now_s)
 
     def tell(self) -> None:
         """Send news to every node now."""
--- /dev/null
+++ b/src/guavachute/entry/questions.py
@@ -0,0 +1,101 @@
+"""Short questions that others ask a node: is it ready, whom to use."""
+
+import typing
+
+from guavachute.domain import site as domain_site
+from guavachute.entry import known_state
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import peers as entry_peers
+from guavachute.entry import plain_server
+from guavachute import ids
+from guavachute.observe import metrics as observe_metrics
+from guavachute.platform import directory
+from guavachute.wire import entry_news
+
+ADDRESS_TTL_S = 2.0
+"""How long callers keep the addresses that they are given."""
+
+AddressesFor = typing.Callable[
+    [ids.FailureDomain, ids.Region], list[ids.Address]
+]
+
+
+class Questions:
+    """Answers the platform, callers, peers and metrics' collectors.
+
+    :param is_ready: whether callers should come here
+    :param addresses_for: the nodes that a caller somewhere is to use
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        site: domain_site.Site,
+        state: known_state.KnownState,
+        metrics: observe_metrics.Metrics,
+        is_ready: typing.Callable[[], bool],
+        addresses_for: AddressesFor,
+    ) -> None:
+        self._site = site
+        self._state = state
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._addresses_for = addresses_for
+        self._servers = [
+            plain_server.PlainServer(loop, address, handler)
+            for address, handler in self._handlers().items()
+        ]
+
+    def close(self) -> None:
+        """Answer no more."""
+        for server in self._servers:
+            server.close()
+
+    def _handlers(self) -> dict[ids.Address, plain_server.Handler]:
+        listen, ip = self._site.listen, self._site.ip
+        handlers: dict[ids.Address, plain_server.Handler] = {
+            ids.Address(f'{ip}:{listen.peers_port}'): self._answer_peer,
+            ids.Address(f'{ip}:{listen.metrics_port}'): self._answer_metrics,
+        }
+        for address in (listen.readiness, listen.directory):
+            if address is not None:
+                handlers[address] = self._answer_platform
+        return handlers
+
+    def _answer_platform(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        if question.path == directory.READINESS_PATH:
+            return plain_server.Reply(200 if self._is_ready() else 503)
+        if question.path == directory.DIRECTORY_PATH:
+            return self._answer_directory(question)
+        return plain_server.NOT_FOUND
+
+    def _answer_directory(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        asker = directory.read_query(question.query)
+        found = self._addresses_for(asker.domain, asker.region)
+        self._metrics.add('address_questions')
+        ttl_s = min(ADDRESS_TTL_S, self._site.bounds.address_ttl_max_s)
+        return plain_server.Reply(
+            200 if found else 503,
+            directory.encode(found, ttl_s),
+            plain_server.JSON,
+        )
+
+    def _answer_peer(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        if question.path != entry_peers.STATE_TARGET.decode():
+            return plain_server.NOT_FOUND
+        return plain_server.Reply(
+            200,
+            entry_news.encode(self._state.shared()),
+            plain_server.BINARY,
+        )
+
+    def _answer_metrics(
+        self, question: plain_server.Question
+    ) -> plain_server.Reply:
+        return plain_server.Reply(200, self._metrics.text())
