--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -1,6 +1,6 @@
 """The configuration and the endpoints that this node goes by.
 
-Both come from the store, or, while the store turns this node away, from
+Both come from the store, or, while the store refuses this node, from
 a peer that has read more of it. A version never goes back.
 """
 
