--- a/src/guavachute/clients/log_client.py
+++ b/src/guavachute/clients/log_client.py
@@ -96,6 +96,8 @@
         self._counters = counters
         self._jitter = jitter
         self._cancelled = threading.Event()
+        # A descriptor may get another use as soon as it is closed.
+        self._open_lock = threading.Lock()
 
     def append(
         self,
@@ -180,14 +182,15 @@
     def cancel(self) -> None:
         """Make what runs and what follows fail at once."""
         self._cancelled.set()
-        connected = self._connection.sock
-        if connected is not None:
-            with contextlib.suppress(OSError):
+        with self._open_lock, contextlib.suppress(OSError):
+            connected = self._connection.sock
+            if connected is not None:
                 connected.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Close the connection."""
-        self._connection.close()
+        with self._open_lock:
+            self._connection.close()
 
     def _append_once(
         self, path: str, body: bytes, deadline_s: float
@@ -240,7 +243,7 @@
                 connection.timeout = min(timeout_s, CONNECT_TIMEOUT_S)
                 connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            connection.close()
+            self.close()
             return outcome.Failure(outcome.Reason.UNAVAILABLE, str(error))
         try:
             connection.sock.settimeout(timeout_s)
@@ -253,7 +256,7 @@
                 headers={'Content-Type': 'application/json'},
             )
         except _TRANSPORT_ERRORS as error:
-            connection.close()
+            self.close()
             return _lost(f'{type(error).__name__}: {error}')
         return None
 
@@ -266,7 +269,7 @@
                 _seconds(response.headers.get('Retry-After')),
             )
         except _TRANSPORT_ERRORS as error:
-            self._connection.close()
+            self.close()
             return _lost(f'{type(error).__name__}: {error}')
 
 
--- a/tests/cover/test_log_poll.py
+++ b/tests/cover/test_log_poll.py
@@ -1,6 +1,7 @@
 """A long poll may take longer than a connection may."""
 
 import random
+import threading
 import unittest
 import unittest.mock
 
@@ -21,3 +22,26 @@
         with unittest.mock.patch.object(log_client, 'CONNECT_TIMEOUT_S', 0.1):
             page = client.read('quiet', ids.Offset(0), wait_s=0.5)
         self.assertIsInstance(page, log_client.Page)
+
+    def test_a_cancelled_connection_is_not_closed_under_the_call(
+        self,
+    ) -> None:
+        """Else the call may meet what got the descriptor next."""
+        client = log_client.LogClient(
+            '127.0.0.1:1', counters.Counters(), random.Random(1)
+        )
+        closed_meanwhile = []
+        closer = threading.Thread(target=client.close)
+        opened = unittest.mock.Mock()
+
+        def shutdown(how: int) -> None:
+            closer.start()
+            closer.join(0.2)
+            closed_meanwhile.append(opened.close.called)
+
+        opened.shutdown = shutdown
+        client._connection.sock = opened
+        client.cancel()
+        closer.join()
+        self.assertEqual([False], closed_meanwhile)
+        opened.close.assert_called_once()
