Quotas and retry budgets count nodes that may be out of reach; models of both, and of the duty

Cause: a node that had heard nobody for 10 s took itself to be alone. It spent the whole refill of each quota and the whole allowance of the retry budget, while the others went on; nodes that were started again within a window had their allowance anew. Now: all known nodes count while more than a quarter of them is unheard; a silent node keeps its even share of the refill, which is credited when it tells again; each run uses half of its share of the retry budget. Also: the holder's record is put together by decide.duty.usage; the scaler takes the duty itself, and HeldDuty is gone.

--- /dev/null
+++ b/spec/retry_model.py
@@ -0,0 +1,182 @@
+"""The retry budget over nodes, in windows that slide.
+
+Two nodes serve callers of one service. In each step of time callers may
+come to either, all at once or not at all, and each node sends again as
+often as its budget grants. The nodes are cut off from each other, and
+each may start again with an empty memory once in a window.
+
+The rules are those of ``decide.ingress.retry_budget`` and
+``decide.nodes.counting``.
+"""
+
+import dataclasses
+import typing
+import unittest.mock
+
+from guavachute.decide.ingress import retry_budget
+from guavachute.decide.nodes import counting
+from spec import checking
+
+NODES = ('a', 'b')
+WINDOW_STEPS = 2
+RATIO = 0.5
+ALLOWANCE = 4.0
+BURST = 4
+"""Requests that come to a node at once."""
+
+FIELDS = ('nodes', 'requests', 'repeats')
+BOUND = 'in no window are there more repeats than the bound allows'
+
+Count = tuple[int, int]
+"""Requests and repeats of one step."""
+
+
+class Node(typing.NamedTuple):
+    """What a run of a node remembers, and how old it is.
+
+    :ivar steps: its counts, the present step last
+    :ivar age: steps since it started, up to a window
+    """
+
+    steps: tuple[Count, ...] = ((0, 0),) * WINDOW_STEPS
+    age: int = WINDOW_STEPS
+
+
+def _all_known(last_heard_s: dict[str, float], now_s: float) -> set[str]:
+    return counting.counted(last_heard_s, now_s)
+
+
+def _all_heard(last_heard_s: dict[str, float], now_s: float) -> set[str]:
+    """As if only the nodes that are heard shared the allowance."""
+    return {
+        name
+        for name, at_s in last_heard_s.items()
+        if now_s - at_s <= counting.COUNTED_S
+    }
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rules:
+    """What the variants replace."""
+
+    counted: typing.Callable[[dict[str, float], float], set[str]] = _all_known
+    used_part: float = retry_budget.USED_PART
+
+
+class RetryModel:
+    """The transitions under one set of rules."""
+
+    def __init__(self, rules: Rules) -> None:
+        self._rules = rules
+
+    def successors(self, state: checking.State) -> checking.Successors:
+        """All that may happen next."""
+        nodes, requests, repeats = state
+        yield (
+            'time passes',
+            (
+                tuple(sorted(_aged(node) for node in nodes)),
+                (*requests[1:], 0),
+                (*repeats[1:], 0),
+            ),
+        )
+        for place, name in enumerate(NODES):
+            node: Node = nodes[place]
+            if not node.steps[-1][0]:
+                asked = _put(nodes, place, _counted(node, (BURST, 0)))
+                yield (
+                    f'requests come to {name}',
+                    (asked, _plus(requests, BURST), repeats),
+                )
+            if self._may_repeat(node):
+                sent = _put(nodes, place, _counted(node, (0, 1)))
+                yield (
+                    f'{name} sends again',
+                    (sent, requests, _plus(repeats, 1)),
+                )
+            if node.age >= WINDOW_STEPS and any(map(any, node.steps)):
+                started = _put(nodes, place, Node(age=0))
+                yield f'{name} starts again', (started, requests, repeats)
+
+    def _may_repeat(self, node: Node) -> bool:
+        budget = retry_budget.RetryBudget(
+            RATIO, ALLOWANCE, float(WINDOW_STEPS)
+        )
+        heard_s = -2 * counting.COUNTED_S
+        others = self._rules.counted({'other': heard_s}, 0.0)
+        with unittest.mock.patch.object(
+            retry_budget, 'USED_PART', self._rules.used_part
+        ):
+            for step, (requests, repeats) in enumerate(node.steps):
+                for _ in range(requests):
+                    budget.requested(float(step))
+                for _ in range(repeats):
+                    # It was granted then, so it is granted again, but
+                    # for requests that are forgotten by now.
+                    budget.take(1, float(step))
+            return budget.take(1 + len(others), float(WINDOW_STEPS - 1))
+
+
+def _aged(node: Node) -> Node:
+    return Node((*node.steps[1:], (0, 0)), min(WINDOW_STEPS, node.age + 1))
+
+
+def _counted(node: Node, count: Count) -> Node:
+    requests, repeats = node.steps[-1]
+    newest = (requests + count[0], repeats + count[1])
+    return node._replace(steps=(*node.steps[:-1], newest))
+
+
+def _plus(steps: tuple[int, ...], number: int) -> tuple[int, ...]:
+    return (*steps[:-1], steps[-1] + number)
+
+
+def _put(nodes: tuple[Node, ...], place: int, node: Node) -> typing.Any:
+    # Which node is which makes no difference.
+    return tuple(sorted((*nodes[:place], node, *nodes[place + 1 :])))
+
+
+def _in_bound(state: dict[str, typing.Any]) -> bool:
+    """For the window that ends now.
+
+    Its requests are counted in it, in the one before it or in the one
+    half a window before it, whichever has most.
+    """
+    by_step: tuple[int, ...] = state['requests']
+    requests = max(
+        sum(by_step[-WINDOW_STEPS - earlier : len(by_step) - earlier])
+        for earlier in (0, WINDOW_STEPS // 2, WINDOW_STEPS)
+    )
+    return sum(state['repeats']) <= RATIO * requests + ALLOWANCE
+
+
+def _model(name: str, rules: Rules, breaks: str | None) -> checking.Model:
+    return checking.Model(
+        name=name,
+        fields=FIELDS,
+        initial=(
+            (Node(),) * len(NODES),
+            (0,) * (2 * WINDOW_STEPS),
+            (0,) * WINDOW_STEPS,
+        ),
+        successors=RetryModel(rules).successors,
+        properties={BOUND: _in_bound},
+        breaks=breaks,
+    )
+
+
+def models() -> list[checking.Model]:
+    """The real rules and the broken variants."""
+    return [
+        _model('retry budget', Rules(), None),
+        _model(
+            'a node that hears nobody takes the whole allowance',
+            Rules(counted=_all_heard),
+            BOUND,
+        ),
+        _model(
+            'each run of a node uses all of its share',
+            Rules(used_part=1.0),
+            BOUND,
+        ),
+    ]
--- a/spec/run.py
+++ b/spec/run.py
@@ -6,8 +6,11 @@
 
 from spec import checking
 from spec import claims_model
+from spec import duty_model
 from spec import fold_model
 from spec import lease_model
+from spec import quota_model
+from spec import retry_model
 
 WORKERS = 4
 
@@ -18,6 +21,9 @@
         *fold_model.models(),
         *lease_model.models(),
         *claims_model.models(),
+        *duty_model.models(),
+        *retry_model.models(),
+        *quota_model.models(),
     ]
 
 
--- a/src/guavachute/decide/duty/usage.py
+++ b/src/guavachute/decide/duty/usage.py
@@ -20,6 +20,9 @@
 """From the end of a window until it is reported without the counts of
 nodes that fell silent during it."""
 
+KEPT_DECISIONS = 6
+"""Windows whose counts stay in the record of the duty."""
+
 GONE_BEFORE_S = 2.0
 """A node that fell silent this long before a window began is not waited
 for: it has most likely ended."""
@@ -87,6 +90,22 @@
         return totals
 
 
+def decided(
+    before: typing.Mapping[int, Counts], found: typing.Mapping[int, Counts]
+) -> dict[int, Counts]:
+    """What a holder's next record says is to be reported.
+
+    What was decided before stays as it is, so that every holder reports
+    the same of a window.
+
+    :param before: what the newest record says
+    :param found: the holder's own counts of windows that are complete
+    """
+    windows = {**found, **before}
+    newest = sorted(windows)[-KEPT_DECISIONS:]
+    return {window: windows[window] for window in newest}
+
+
 def due_windows(
     true_time_s: float,
     told_s: typing.Sequence[float],
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -3,8 +3,10 @@
 Each node keeps the level of the whole workspace's bucket: what it
 admitted itself counts at once, what the others admitted counts when
 they tell. Between two messages of a node it is taken to go on at its
-latest rate, so that nodes do not all spend the same refill. A node that
-has just started takes a bucket as full until it hears otherwise.
+latest rate, so that nodes do not all spend the same refill. Of nodes
+that may be serving callers unheard, each is left an even share of the
+refill. A node that has just started takes a bucket as full until it
+hears otherwise.
 """
 
 import dataclasses
@@ -21,8 +23,8 @@
 """After this an old request counts half in a rate."""
 
 SILENT_AFTER_S = 3.0
-"""A node that was not heard for so long may have got more requests; it
-is taken to spend an even part at least."""
+"""A node's latest rate is taken to go on for no longer than this; then
+its even share is set aside instead."""
 
 YOUNG_S = 2.0
 """A bucket that is younger takes over the level that others tell."""
@@ -67,6 +69,16 @@
     level: float
 
 
+class Others(typing.NamedTuple):
+    """The runs of other nodes that count as serving callers.
+
+    :ivar silent: those of them that were not heard for a while
+    """
+
+    sources: typing.AbstractSet[str]
+    silent: typing.AbstractSet[str]
+
+
 @dataclasses.dataclass(slots=True)
 class _Other:
     """Another node's spending, as it was told last."""
@@ -96,6 +108,9 @@
         self._own_total = 0.0
         self._own_rate = RateMeter(now_s)
         self._others: dict[str, _Other] = {}
+        self._nodes = 1
+        self._silent: typing.Collection[str] = ()
+        self._set_aside: dict[str, float] = {}
         self._next_slot_s = now_s
 
     def set_workspace(
@@ -124,14 +139,19 @@
             if now_s - self._started_s < YOUNG_S:
                 self._level = min(self._level, spending.level)
         else:
-            self._level -= max(0.0, spending.total - other.total)
+            spent = max(0.0, spending.total - other.total)
+            self._level -= max(0.0, spent - self._set_aside.get(source, 0.0))
+        self._set_aside.pop(source, None)
         self._others[source] = _Other(spending.total, spending.per_s, now_s)
 
-    def forget(self, sources: typing.Container[str]) -> None:
-        """Keep only the nodes in *sources*."""
-        for source in list(self._others):
-            if source not in sources:
-                del self._others[source]
+    def heed(self, others: 'Others', now_s: float) -> None:
+        """Share the quota with these runs of other nodes, and no more."""
+        self._fill(now_s)
+        self._nodes = 1 + len(others.sources)
+        self._silent = others.silent
+        for known in (self._others, self._set_aside):
+            for source in known.keys() - others.sources:
+                del known[source]
 
     def level(self, now_s: float) -> float:
         """What is left, with what others will have admitted by now."""
@@ -163,29 +183,27 @@
         rate_per_s = self._workspace.rate_per_s
         wait_s = missing / rate_per_s
         slot_s = max(now_s + wait_s, self._next_slot_s)
-        nodes = 1 + len(self._others)
         self._next_slot_s = min(
-            slot_s + wait_s / nodes, now_s + MAX_RETRY_AFTER_S
+            slot_s + wait_s / self._nodes, now_s + MAX_RETRY_AFTER_S
         )
         return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, slot_s - now_s))
 
     def _unheard(self, now_s: float) -> float:
         """What the others admitted since they were heard, presumably."""
-        even_per_s = self._workspace.rate_per_s / (1 + len(self._others))
-        total = 0.0
-        for other in self._others.values():
-            age_s = max(0.0, now_s - other.told_s)
-            total += other.per_s * age_s
-            if age_s > SILENT_AFTER_S and other.per_s < even_per_s:
-                total += (even_per_s - other.per_s) * (age_s - SILENT_AFTER_S)
-        return total
+        return sum(
+            other.per_s * max(0.0, min(SILENT_AFTER_S, now_s - other.told_s))
+            for other in self._others.values()
+        )
 
     def _fill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._filled_s)
-        self._level = min(
-            self._workspace.burst,
-            self._level + elapsed_s * self._workspace.rate_per_s,
-        )
+        filled = elapsed_s * self._workspace.rate_per_s
+        share = filled / self._nodes
+        for source in self._silent:
+            filled -= share
+            set_aside = self._set_aside.get(source, 0.0)
+            self._set_aside[source] = set_aside + share
+        self._level = min(self._workspace.burst, self._level + filled)
         self._filled_s = max(self._filled_s, now_s)
 
 
@@ -197,6 +215,7 @@
 
     def __init__(self, allowance: float) -> None:
         self._overdraft = allowance * OVERDRAFT_PART
+        self._shared_with = Others(frozenset(), frozenset())
         self._buckets: dict[ids.WorkspaceName, Bucket] = {}
 
     def ask(
@@ -226,10 +245,11 @@
         if workspace.rate_per_s > 0:
             self._bucket(workspace, now_s).told(source, spending, now_s)
 
-    def forget(self, sources: typing.Container[str]) -> None:
-        """Keep what the runs in *sources* told, and nothing else."""
+    def heed(self, others: Others, now_s: float) -> None:
+        """Share the quotas with these runs of other nodes, and no more."""
+        self._shared_with = others
         for bucket in self._buckets.values():
-            bucket.forget(sources)
+            bucket.heed(others, now_s)
 
     def spending(self, now_s: float) -> dict[ids.WorkspaceName, Spending]:
         """What this node admitted of each workspace."""
@@ -244,6 +264,7 @@
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
             bucket = Bucket(workspace, self._overdraft, now_s)
+            bucket.heed(self._shared_with, now_s)
             self._buckets[workspace.name] = bucket
         else:
             bucket.set_workspace(workspace, now_s)
--- a/src/guavachute/decide/ingress/retry_budget.py
+++ b/src/guavachute/decide/ingress/retry_budget.py
@@ -1,15 +1,17 @@
 """How many sends beyond the first a node may make to a service.
 
 The bound holds over all nodes in each window: a ratio of the requests,
-and an allowance. Each node keeps to the ratio of its own requests and
-to an even part of the allowance, so no node needs to hear another.
+and an allowance. Each node keeps to a part of the ratio of its own
+requests and of an even share of the allowance, so no node needs to hear
+another; only their number has to be known.
 """
 
 import collections
 
-SAFETY = 0.8
-"""Part of the bound that is used: windows slide, and the nodes' number
-is known only after a while."""
+USED_PART = 0.5
+"""Part of the bound that is used. Requests may move from one node to
+another between two windows, and a node that starts again within a
+window has its share anew; either may double what is spent in it."""
 
 
 class RetryBudget:
@@ -32,10 +34,10 @@
     def take(self, nodes: int, now_s: float) -> bool:
         """Pay for another send; False when the budget is spent.
 
-        :param nodes: entry nodes that share the allowance
+        :param nodes: entry nodes that share the allowance, at least
         """
         self._forget(now_s)
-        bound = SAFETY * (
+        bound = USED_PART * (
             self._ratio * len(self._requests) + self._allowance / max(1, nodes)
         )
         if len(self._retries) + 1 > bound:
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -38,31 +38,14 @@
 REPEAT_S = 1.0
 """Pause before a report without an answer is sent again."""
 
-KEPT_DECISIONS = 6
-"""Windows whose counts stay in the record."""
-
 
 class Orders(typing.Protocol):
     """What else the holder does while it holds the lease."""
 
-    def act(self, held: 'HeldDuty') -> None:
+    def act(self, duty: 'Duty') -> None:
         """Called several times a second."""
 
 
-class HeldDuty:
-    """Proof of the lease, for calls to the cloud."""
-
-    def __init__(self, duty: 'Duty', fence: int) -> None:
-        self._duty = duty
-        self.fence = fence
-
-    def call(
-        self, target: bytes, body: bytes, done: control_client.Done
-    ) -> bool:
-        """Call the cloud if the lease still holds; whether it was sent."""
-        return self._duty.call_cloud(target, body, done)
-
-
 class Duty:
     """Contends for the lease, and acts while it holds it.
 
@@ -164,7 +147,7 @@
     def call_cloud(
         self, target: bytes, body: bytes, done: control_client.Done
     ) -> bool:
-        """Call the cloud if the lease holds at this moment."""
+        """Call the cloud if the lease holds now; whether it was sent."""
         held = self._held()
         if held is None:
             return False
@@ -209,7 +192,7 @@
         if held is not None:
             self._report()
             if self._orders is not None:
-                self._orders.act(HeldDuty(self, held.fencing_number + 1))
+                self._orders.act(self)
         is_due = now_s >= lease.next_action_s(self._contender)
         may_write = (
             (self._is_contending or held is not None)
@@ -232,17 +215,14 @@
         self._contender, _ = lease.send(
             self._contender, record_id, self._loop.now_s
         )
-        decided = dict(self._record.usage) if self._record else {}
-        if self._held() is not None:
-            decided.update(self._undecided())
-        while len(decided) > KEPT_DECISIONS:
-            del decided[min(decided)]
+        before = self._record.usage if self._record else {}
+        found = self._undecided() if self._held() is not None else {}
         value = entry_news.encode(
             entry_news.DutyRecord(
                 record_id=record_id,
                 holder=self._contender.holder,
                 duration_s=self._contender.duration_s,
-                usage=decided,
+                usage=usage.decided(before, found),
             )
         )
         self._is_writing = True
@@ -276,8 +256,8 @@
         true_s = self._true_time_s()
         if self._first_window is None:
             self._first_window = usage.window_at(true_s, bounds.usage_window_s)
-        decided = self._record.usage if self._record else {}
-        newest = max(decided, default=-1)
+        before = self._record.usage if self._record else {}
+        newest = max(before, default=-1)
         found = {}
         for window in usage.due_windows(
             true_s,
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -459,7 +459,8 @@
     def sweep(self) -> None:
         """Forget what is old; call it about each second."""
         self.pool.sweep()
-        self._quotas.forget(self._peers.sources())
+        runs, silent = self._peers.counted_runs(quota.SILENT_AFTER_S)
+        self._quotas.heed(quota.Others(runs, silent), self.loop.now_s)
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
         self._lost = [item for item in self._lost if item[0] >= oldest_s]
 
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -8,6 +8,7 @@
 
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import clock as agreed_clock
+from guavachute.decide.nodes import counting
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute.entry import endpoint_book
@@ -37,7 +38,7 @@
 STATE_TIMEOUT_S = 1.0
 
 DEMAND_KEPT_S = 10.0
-"""A silent node counts as still spending for so long."""
+"""What a silent node's callers asked for still counts for so long."""
 
 
 class Peer:
@@ -122,16 +123,32 @@
 
     @property
     def count(self) -> int:
-        """Nodes that count as running, with this one."""
-        return 1 + len(self.heard(DEMAND_KEPT_S))
-
-    def sources(self) -> set[str]:
-        """The runs of nodes that count as running."""
-        return {
-            source(peer.news)
-            for peer in self.heard(DEMAND_KEPT_S)
-            if peer.news is not None
-        }
+        """Nodes that count as serving callers, with this one."""
+        return 1 + len(self._counted())
+
+    def counted_runs(self, silent_after_s: float) -> tuple[set[str], set[str]]:
+        """The runs of other nodes that count, and the silent of them.
+
+        A node that was never heard goes by its name alone.
+        """
+        oldest_s = self._loop.now_s - silent_after_s
+        runs, silent = set(), set()
+        for node in self._counted():
+            peer = self._peers[node]
+            run = node if peer.news is None else source(peer.news)
+            runs.add(run)
+            if peer.heard_s < oldest_s:
+                silent.add(run)
+        return runs, silent
+
+    def _counted(self) -> set[str]:
+        return counting.counted(
+            {
+                node: max(peer.heard_s, peer.added_s)
+                for node, peer in self._peers.items()
+            },
+            self._loop.now_s,
+        )
 
     def load_of(self, service: ids.ServiceName) -> list[entry_news.LoadNews]:
         """What the other nodes' callers ask of a service."""
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -60,7 +60,7 @@
         self._needs: dict[ids.ServiceName, scaling.Need] = {}
         self._orders: dict[tuple[ids.ServiceName, scaling.Kind], _Order] = {}
 
-    def act(self, held: entry_duty.HeldDuty) -> None:
+    def act(self, duty: entry_duty.Duty) -> None:
         """Send the orders that differ from the wish."""
         current = self._state.configuration
         if current is None or self._state.endpoints_offset < 0:
@@ -69,11 +69,11 @@
             return
         for service in current.services.values():
             if service.scaling is not None:
-                self._act_for(held, service, service.scaling)
+                self._act_for(duty, service, service.scaling)
 
     def _act_for(
         self,
-        held: entry_duty.HeldDuty,
+        duty: entry_duty.Duty,
         service: configuration.Service,
         bounds: configuration.Scaling,
     ) -> None:
@@ -101,7 +101,7 @@
             order = self._orders.get((service.name, kind))
             if order is not None and not self._is_due(order, wanted, now_s):
                 continue
-            self._send(held, service.name, kind, wanted, demand)
+            self._send(duty, service.name, kind, wanted, demand)
 
     def _is_reclaiming(self, service: ids.ServiceName, now_s: float) -> bool:
         """Whether reclaimable endpoints were taken away of late."""
@@ -124,7 +124,7 @@
 
     def _send(
         self,
-        held: entry_duty.HeldDuty,
+        duty: entry_duty.Duty,
         service: ids.ServiceName,
         kind: scaling.Kind,
         wanted: int,
@@ -150,7 +150,7 @@
                 demand=dataclasses.asdict(demand),
             )
 
-        held.call(
+        duty.call_cloud(
             cloud.ORDER_TARGET,
             cloud.order(service, kind.domain, wanted, kind.is_reclaimable),
             got,
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -43,15 +43,27 @@
         self.admitted: list[tuple[float, float]] = []
         self.retry_after_s: list[float] = []
 
+    def cut_all_off(self, now_s: float) -> None:
+        """From now on no node hears another."""
+        self.hear_every_s = float('inf')
+        names = {f'n{place}' for place in range(len(self.quotas))}
+        for place, node in enumerate(self.quotas):
+            others = names - {f'n{place}'}
+            node.heed(quota.Others(others, others), now_s)
+
     def play(
-        self, duration_s: float, demand_per_s: float, cost: float
+        self,
+        duration_s: float,
+        demand_per_s: float,
+        cost: float,
+        start_s: float = 0.0,
     ) -> None:
         """Ask evenly at all nodes for *duration_s*."""
         step_s = cost / demand_per_s
-        next_hear_s = 0.0
+        next_hear_s = start_s
         asked = 0
         while asked * step_s < duration_s:
-            now_s = asked * step_s
+            now_s = start_s + asked * step_s
             if now_s >= next_hear_s:
                 next_hear_s += self.hear_every_s
                 self._tell(now_s)
@@ -133,6 +145,39 @@
         quotas.give_back(limited, 1_000.0)
         self.assertEqual(0.0, quotas.ask(limited, 1_000.0, 0.0))
 
+    def test_nodes_that_hear_nobody_keep_to_even_shares(self) -> None:
+        cluster = Cluster(9, hear_every_s=0.25)
+        cluster.play(10.0, 4 * RATE_PER_S, cost=40.0)
+        cluster.cut_all_off(10.0)
+        cluster.play(30.0, 4 * RATE_PER_S, cost=40.0, start_s=10.0)
+        self.assertLessEqual(cluster.most_in_window(), BOUND)
+
+    def test_a_node_that_knows_only_names_leaves_them_their_shares(
+        self,
+    ) -> None:
+        alone = quota.Quotas(0.0)
+        names = {f'n{place}' for place in range(8)}
+        alone.heed(quota.Others(names, names), 0.0)
+        limited = workspace()
+        admitted = sum(
+            10.0
+            for step in range(9_000)
+            if not alone.ask(limited, 10.0, step / 100)
+        )
+        self.assertLessEqual(admitted, RATE_PER_S + 90 * RATE_PER_S / 9 + 10)
+
+    def test_what_was_set_aside_is_not_taken_off_twice(self) -> None:
+        quotas = quota.Quotas(0.0)
+        limited = workspace()
+        quotas.ask(limited, 1_000.0, 0.0)
+        other = quota.Spending(0.0, 0.0, 0.0)
+        quotas.told('other', limited, other, 0.0)
+        quotas.heed(quota.Others({'other'}, {'other'}), 0.0)
+        self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
+        spent = quota.Spending(500.0, 0.0, 0.0)
+        quotas.told('other', limited, spent, 1.0)
+        self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
+
 
 class RetryBudgetTest(unittest.TestCase):
     """All of a service's endpoints fail for a while."""
--- a/tests/cover/test_node_decisions.py
+++ b/tests/cover/test_node_decisions.py
@@ -7,6 +7,7 @@
 
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import clock
+from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
 from guavachute.decide.nodes import readers
 from guavachute.domain import endpoints
@@ -172,3 +173,29 @@
         late_s = 50.0 + endpoint_table.RETURN_GRACE_S
         self.assertEqual([self.name], self.table.expire(late_s))
         self.assertEqual({}, self.table.entries)
+
+
+class CountingTest(unittest.TestCase):
+    """Nodes fall silent: some have ended, some are behind a cut."""
+
+    def heard(self, ages_s: list[float]) -> dict[str, float]:
+        return {
+            f'edge-{place}': 100.0 - age_s
+            for place, age_s in enumerate(ages_s)
+        }
+
+    def test_a_node_that_ended_counts_no_more_after_a_while(self) -> None:
+        known = self.heard([0.2] * 7 + [counting.COUNTED_S + 1])
+        self.assertEqual(7, len(counting.counted(known, 100.0)))
+
+    def test_one_that_fell_silent_just_now_still_counts(self) -> None:
+        known = self.heard([0.2] * 7 + [counting.COUNTED_S - 1])
+        self.assertEqual(8, len(counting.counted(known, 100.0)))
+
+    def test_a_node_that_hears_nobody_counts_all_that_it_knows(self) -> None:
+        known = self.heard([30.0] * 8)
+        self.assertEqual(8, len(counting.counted(known, 100.0)))
+
+    def test_both_halves_of_a_cut_count_the_other(self) -> None:
+        known = self.heard([0.2] * 4 + [30.0] * 4)
+        self.assertEqual(8, len(counting.counted(known, 100.0)))
