Peers pass on what changed, and a node that is told reads nothing itself

Each time a peer told of a change, 86 nodes fetched all entries from it and then read the store at once. Datagrams were lost on the links that this filled. Now: a peer's answer holds the changes after the version that was asked with (decide/nodes/change_log), the configuration only if it is newer, and a follower goes on at its own pace from the offset it was told.

--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from guavachute.decide.nodes import change_log
 from guavachute.decide.nodes import endpoint_table
 from guavachute.domain import configuration
 from guavachute.domain import endpoints
@@ -37,6 +38,7 @@
         """Called when the configuration or the table has changed."""
         self._configuration_bytes = b''
         self._endpoint_bytes: dict[str, bytes] = {}
+        self._changes = change_log.ChangeLog()
 
     @property
     def version(self) -> int:
@@ -87,9 +89,22 @@
         else:
             has_changed = self._put_endpoint(record.key, record.value, 'store')
         if has_changed and record.offset is not None:
-            self.endpoints_version = max(self.endpoints_version, record.offset)
+            self._note_change(record.key, record.offset)
             self.on_changed()
 
+    def have_read(self, offset: ids.Offset) -> None:
+        """The entries before *offset* have been folded."""
+        self._changes.begin(offset)
+        self.endpoints_offset = max(self.endpoints_offset, offset)
+
+    def _note_change(self, key: str, offset: ids.Offset) -> None:
+        """Tell peers of the change as one of *offset*."""
+        if key in self._endpoint_bytes:
+            self._changes.changed(key, offset)
+        else:
+            self._changes.removed(key, offset)
+        self.endpoints_version = max(self.endpoints_version, offset)
+
     def _put_endpoint(self, key: str, value: bytes, source: str) -> bool:
         """Take an entry; whether the table says something new by it."""
         if self._endpoint_bytes.get(key) == value:
@@ -143,12 +158,26 @@
         for endpoint in self.table.expire(self._loop.now_s):
             journal.event('endpoint', outcome='lapsed', endpoint=endpoint)
 
-    def shared(self) -> entry_news.SharedState:
-        """What a peer may take over."""
+    def shared(
+        self, configuration_version: int, endpoints_version: ids.Offset
+    ) -> entry_news.SharedState:
+        """What a peer that has these versions may take over."""
+        changes = self._changes.since(endpoints_version)
+        is_whole = changes is None
+        if changes is None:
+            changes = self._changes.all()
+        is_newer = self.version > configuration_version
         return entry_news.SharedState(
-            configuration=self._configuration_bytes,
+            configuration=self._configuration_bytes if is_newer else b'',
             configuration_version=self.version,
-            endpoints=self._endpoint_bytes,
+            endpoints={
+                key: entry_news.EntryNews(offset, self._endpoint_bytes[key])
+                for key, offset in changes.changed.items()
+                # Entries that lapsed in an outage may come back.
+                if key in self._endpoint_bytes
+            },
+            removed=changes.removed,
+            is_whole=is_whole,
             endpoints_offset=self.endpoints_offset,
             endpoints_version=self.endpoints_version,
         )
@@ -159,11 +188,16 @@
             self.take_configuration(state.configuration, source)
         if state.endpoints_version <= self.endpoints_version:
             return
-        for key in self._endpoint_bytes.keys() - state.endpoints.keys():
-            self._delete_endpoint(key)
-        for key, value in state.endpoints.items():
-            self._put_endpoint(key, value, source)
-        self.endpoints_offset = max(
-            self.endpoints_offset, state.endpoints_offset
-        )
+        gone = dict(state.removed)
+        if state.is_whole:
+            for key in self._endpoint_bytes.keys() - state.endpoints.keys():
+                gone[key] = state.endpoints_version
+        for key, offset in gone.items():
+            if self._delete_endpoint(key):
+                self._note_change(key, offset)
+        for key, entry in state.endpoints.items():
+            if self._put_endpoint(key, entry.value, source):
+                self._note_change(key, entry.offset)
+        if state.is_whole or self.endpoints_offset != NO_OFFSET:
+            self.have_read(state.endpoints_offset)
         self.endpoints_version = state.endpoints_version
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -267,9 +267,8 @@
         )  # fmt: skip
 
     def _changed(self) -> None:
-        offset = self._endpoints.end_offset
-        if offset is not None and offset > self.state.endpoints_offset:
-            self.state.endpoints_offset = offset
+        if self._endpoints.end_offset is not None:
+            self.state.have_read(self._endpoints.end_offset)
         self.book.take_changes()
 
     def _endpoints_regained(self) -> None:
@@ -398,7 +397,12 @@
             )
             if is_newer:
                 self._is_fetching = True
-                self.peers.fetch_state(peer, self._got_state)
+                self.peers.fetch_state(
+                    peer,
+                    self.state.version,
+                    self.state.endpoints_version,
+                    self._got_state,
+                )
                 return
 
     def _is_stale(
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -34,7 +34,7 @@
 """A node that was not heard for this long is forgotten."""
 
 MAX_DATAGRAM_BYTES = 65_000
-STATE_TARGET = b'/state'
+STATE_PATH = '/state'
 STATE_TIMEOUT_S = 1.0
 
 DEMAND_KEPT_S = 10.0
@@ -204,9 +204,11 @@
     def fetch_state(
         self,
         peer: Peer,
+        configuration_version: int,
+        endpoints_version: ids.Offset,
         done: typing.Callable[[entry_news.SharedState | None], None],
     ) -> None:
-        """Ask *peer* for what it has read of the store."""
+        """Ask *peer* what it has read beyond these versions."""
 
         def got(reply: control_client.Reply | control_client.Lost) -> None:
             if isinstance(reply, control_client.Lost) or reply.status != 200:
@@ -228,7 +230,9 @@
         if client is None:
             client = control_client.Client(self._loop, peer.address)
             self._clients[peer.address] = client
-        client.call(b'GET', STATE_TARGET, got, STATE_TIMEOUT_S)
+        query = f'?c={configuration_version}&e={endpoints_version}'
+        target = (STATE_PATH + query).encode()
+        client.call(b'GET', target, got, STATE_TIMEOUT_S)
 
     def _peer(self, node: str, address: ids.Address) -> Peer:
         peer = self._peers.get(node)
--- a/src/guavachute/entry/plain_server.py
+++ b/src/guavachute/entry/plain_server.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 import typing
-import urllib.parse
 
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
+from guavachute.http import message
 from guavachute import ids
 
 JSON = b'application/json'
@@ -66,9 +66,7 @@
     ) -> None:
         """Answer one request."""
         path, _, query = request.target.decode('latin-1').partition('?')
-        reply = self._handler(
-            Question(path, dict(urllib.parse.parse_qsl(query)))
-        )
+        reply = self._handler(Question(path, message.parse_query(query)))
         headers = [(b'Content-Type', reply.content_type)]
         caller.answer(reply.status, headers, reply.body)
 
--- a/src/guavachute/entry/questions.py
+++ b/src/guavachute/entry/questions.py
@@ -87,12 +87,16 @@
     def _answer_peer(
         self, question: plain_server.Question
     ) -> plain_server.Reply:
-        if question.path != entry_peers.STATE_TARGET.decode():
+        if question.path != entry_peers.STATE_PATH:
             return plain_server.NOT_FOUND
+        try:
+            known = [int(question.query[name]) for name in ('c', 'e')]
+        except (KeyError, ValueError):
+            # Another release asks in its own way: it gets everything.
+            known = [0, known_state.NO_OFFSET]
+        state = self._state.shared(known[0], ids.Offset(known[1]))
         return plain_server.Reply(
-            200,
-            entry_news.encode(self._state.shared()),
-            plain_server.BINARY,
+            200, entry_news.encode(state), plain_server.BINARY
         )
 
     def _answer_metrics(
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -56,6 +56,7 @@
         self._known_keys: set[str] = set()
         self._snapshot_end: ids.Offset | None = None
         self._give_up: typing.Callable[[], None] = lambda: None
+        self._is_asking = False
         self._timer: entry_loop.Timer | None = None
         self.end_offset: ids.Offset | None = None
         self.fresh_at_s: float | None = None
@@ -77,9 +78,13 @@
 
     def skip_to(self, offset: ids.Offset) -> None:
         """What is before *offset* has become known in another way."""
-        if self.end_offset is not None and offset > self.end_offset:
-            self.end_offset = offset
-            self.read_now()
+        if self.end_offset is None or offset <= self.end_offset:
+            return
+        self.end_offset = offset
+        if self._is_asking:
+            # Its records are older than what is known now.
+            self._give_up()
+            self._schedule(self._period_s)
 
     def read_now(self) -> None:
         """Read without waiting for the next turn."""
@@ -116,8 +121,13 @@
     def _call(
         self, request: store.Request, wait_s: float, done: control_client.Done
     ) -> None:
+        def got(reply: control_client.Reply | control_client.Lost) -> None:
+            self._is_asking = False
+            done(reply)
+
+        self._is_asking = True
         self._give_up = self._client.call(
-            request.method, request.target, done, wait_s + ANSWER_MARGIN_S
+            request.method, request.target, got, wait_s + ANSWER_MARGIN_S
         )
 
     def _got_page(
@@ -137,7 +147,8 @@
             self._ask_newest(page.next_key)
             return
         for key in self._known_keys - self._page_keys:
-            self._fold(store.KeyedRecord(key, None), True)
+            gone = store.KeyedRecord(key, None, self._snapshot_end)
+            self._fold(gone, True)
         self._known_keys = self._page_keys
         self.end_offset = self._snapshot_end
         self._changed()
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -85,18 +85,29 @@
     usage: dict[int, dict[ids.WorkspaceName, int]] = {}
 
 
+class EntryNews(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint's entry as it lies in the store, and its offset."""
+
+    offset: ids.Offset
+    value: bytes
+
+
 class SharedState(msgspec.Struct, frozen=True, kw_only=True):
-    """What a node gives a peer that can't reach the store.
+    """What a node has read of the store beyond what a peer has.
 
-    :ivar configuration: as it lies in the store; empty if there is none
-    :ivar endpoints: entries by id, as they lie in the store
+    :ivar configuration: as it lies in the store; empty if it is no newer
+    :ivar endpoints: entries by id that changed
+    :ivar removed: ids whose entries are gone, with the offset of that
+    :ivar is_whole: whether *endpoints* are all that there are
     :ivar endpoints_offset: how far the entries have been read
     :ivar endpoints_version: the newest that changed anything
     """
 
     configuration: bytes
     configuration_version: int
-    endpoints: dict[str, bytes]
+    endpoints: dict[str, EntryNews]
+    removed: dict[str, ids.Offset]
+    is_whole: bool
     endpoints_offset: ids.Offset
     endpoints_version: ids.Offset
 
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -4,7 +4,10 @@
 import unittest
 
 from guavachute.decide.nodes import endpoint_table
+from guavachute.entry import control_client
+from guavachute.entry import known_state
 from guavachute.entry import node as entry_node
+from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.standin.platform import store as standin_store
 from tests.support import looping
@@ -147,6 +150,54 @@
         self.assertEqual(0.0, after.health.failed_share)
 
 
+class SharedStateTest(NodeTest):
+    """Many nodes learn from few readers what is new in the store."""
+
+    def state(self) -> known_state.KnownState:
+        return known_state.KnownState(self.site.loop)
+
+    def test_a_peer_gets_what_it_lacks_and_no_more(self) -> None:
+        for number in range(20):
+            self.site.add_engine(f'more-{number}', 'drafts', events=1)
+        node = self.site.ready_node()
+        first = node.state.shared(0, known_state.NO_OFFSET)
+        self.assertTrue(first.is_whole)
+        self.assertEqual(21, len(first.endpoints))
+        peer = self.state()
+        peer.take_shared(first, 'peer')
+        self.plain.register(state='draining')
+        self.site.engines[3].unregister()
+        self.until(lambda: len(node.state.table.entries) == 20)
+        second = node.state.shared(peer.version, peer.endpoints_version)
+        self.assertEqual(b'', second.configuration)
+        self.assertEqual(['e1'], list(second.endpoints))
+        self.assertEqual([self.site.engines[3].name], list(second.removed))
+        peer.take_shared(second, 'peer')
+        self.assertEqual(node.state.table.entries, peer.table.entries)
+        self.assertEqual(node.state.endpoints_version, peer.endpoints_version)
+
+    def test_news_from_a_peer_costs_no_call_to_the_store(self) -> None:
+        follower = topic_follower.TopicFollower(
+            self.site.loop,
+            control_client.Client(self.site.loop, self.site.store.address),
+            standin_store.ENDPOINTS_TOPIC,
+            lambda record, is_snapshot: None,
+            lambda: None,
+            wait_s=0.0,
+            period_s=30.0,
+        )
+        self.addCleanup(follower.stop)
+        follower.start()
+        self.until(lambda: follower.end_offset is not None)
+        looping.run_for(self.site.loop, 0.2)
+        calls = len(self.site.store.calls)
+        assert follower.end_offset is not None
+        for further in range(1, 4):
+            follower.skip_to(ids.Offset(follower.end_offset + further))
+            looping.run_for(self.site.loop, 0.1)
+        self.assertEqual(calls, len(self.site.store.calls))
+
+
 class StopTest(NodeTest):
     def test_a_stopping_node_is_named_no_more(self) -> None:
         first, second = self.two_nodes()
--- a/tests/cover/test_node_decisions.py
+++ b/tests/cover/test_node_decisions.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from guavachute.decide.nodes import addresses
+from guavachute.decide.nodes import change_log
 from guavachute.decide.nodes import clock
 from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
@@ -199,3 +200,50 @@
     def test_both_halves_of_a_cut_count_the_other(self) -> None:
         known = self.heard([0.2] * 4 + [30.0] * 4)
         self.assertEqual(8, len(counting.counted(known, 100.0)))
+
+
+class ChangeLogTest(unittest.TestCase):
+    """Peers ask for what they missed while most of it is unchanged."""
+
+    @hypothesis.given(
+        steps=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from('abcd'), strategies.booleans()
+            ),
+            max_size=30,
+        ),
+        known=strategies.integers(0, 30),
+    )
+    def test_what_came_after_an_offset_completes_what_was_known(
+        self, steps: list[tuple[str, bool]], known: int
+    ) -> None:
+        log = change_log.ChangeLog()
+        log.begin(ids.Offset(0))
+        before: dict[str, int] = {}
+        after: dict[str, int] = {}
+        for offset, (key, is_removed) in enumerate(steps):
+            states = [after] if offset > known else [after, before]
+            for state in states:
+                if is_removed:
+                    state.pop(key, None)
+                else:
+                    state[key] = offset
+            note = log.removed if is_removed else log.changed
+            note(key, ids.Offset(offset))
+        changes = log.since(ids.Offset(known))
+        assert changes is not None
+        before.update(changes.changed)
+        for key in changes.removed:
+            before.pop(key, None)
+        self.assertEqual(after, before)
+
+    def test_what_is_too_old_to_be_known_is_said_so(self) -> None:
+        log = change_log.ChangeLog()
+        self.assertIsNone(log.since(ids.Offset(0)))
+        log.begin(ids.Offset(50))
+        self.assertIsNone(log.since(ids.Offset(48)))
+        self.assertIsNotNone(log.since(ids.Offset(49)))
+        for number in range(change_log.KEPT_REMOVALS + 5):
+            log.removed(f'key-{number}', ids.Offset(100 + number))
+        self.assertIsNone(log.since(ids.Offset(99)))
+        self.assertIsNotNone(log.since(ids.Offset(200)))
