--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -39,6 +39,7 @@
         self._configuration_bytes = b''
         self._endpoint_bytes: dict[str, bytes] = {}
         self._changes = change_log.ChangeLog()
+        self._untold_lapses: set[str] = set()
 
     @property
     def version(self) -> int:
@@ -157,6 +158,15 @@
         """Drop the entries that lapsed and did not come back."""
         for endpoint in self.table.expire(self._loop.now_s):
             journal.event('endpoint', outcome='lapsed', endpoint=endpoint)
+            self._untold_lapses.add(endpoint)
+        newest = ids.Offset(self.endpoints_offset - 1)
+        if self._untold_lapses and newest > self.endpoints_version:
+            # No record says so. The newest one, which changed nothing,
+            # lends its offset, so that peers find the lapses new.
+            for key in self._untold_lapses:
+                self._note_change(key, newest)
+            self._untold_lapses.clear()
+            self.on_changed()
 
     def shared(
         self, configuration_version: int, endpoints_version: ids.Offset
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -168,6 +168,11 @@
         self.plain.register(state='draining')
         self.site.engines[3].unregister()
         self.until(lambda: len(node.state.table.entries) == 20)
+        # An entry may lapse without a record that says so.
+        self.site.engines[5].register()
+        self.until(
+            lambda: node.state.shared(0, peer.endpoints_version).removed
+        )
         second = node.state.shared(peer.version, peer.endpoints_version)
         self.assertEqual(b'', second.configuration)
         self.assertEqual(['e1'], list(second.endpoints))
@@ -177,9 +182,11 @@
         self.assertEqual(node.state.endpoints_version, peer.endpoints_version)
 
     def test_news_from_a_peer_costs_no_call_to_the_store(self) -> None:
+        client = control_client.Client(self.site.loop, self.site.store.address)
+        self.addCleanup(client.close)
         follower = topic_follower.TopicFollower(
             self.site.loop,
-            control_client.Client(self.site.loop, self.site.store.address),
+            client,
             standin_store.ENDPOINTS_TOPIC,
             lambda record, is_snapshot: None,
             lambda: None,
