Where there are many nodes, regions tell each other sums

Every node told every other; a far node that was taken as silent was told each 2 s, which is the limit of silence, so both stayed silent by turns. Now, beyond 24 nodes (decide/nodes/rounds): a node tells 24 of its region at a time, and the readers always; readers tell the other regions' readers what they have added up (spending, load, usage, some addresses). Followers read the store less often the more of them there are. Tests: five nodes in two regions with the limit set low (usage reported once, one quota, addresses beyond); rounds.

--- a/spec/quota_model.py
+++ b/spec/quota_model.py
@@ -101,7 +101,7 @@
         """The node's state, after all that it heard and admitted."""
         quotas = quota.Quotas(ALLOWANCE)
         heard_s = float('-inf')
-        other = frozenset({'other'})
+        other = {'other': 1}
         for number, step in enumerate(node[: now + 1]):
             now_s = number * STEP_S
             if step.heard is not None:
@@ -111,7 +111,7 @@
             if not is_silent:
                 quotas.heed(quota.Others(other, frozenset()), now_s)
             elif self._rules.counts_silent:
-                quotas.heed(quota.Others(other, other), now_s)
+                quotas.heed(quota.Others(other, other.keys()), now_s)
             for _ in range(step.admitted):
                 quotas.ask(WORKSPACE, 1.0, now_s)
         return quotas
--- a/src/guavachute/decide/duty/usage.py
+++ b/src/guavachute/decide/duty/usage.py
@@ -81,10 +81,14 @@
         ]:
             del self._told[window]
 
-    def total(self, window: int) -> Counts:
-        """The sum over all nodes that told of *window*."""
+    def total(
+        self, window: int, without: typing.Container[str] = ()
+    ) -> Counts:
+        """The sum over all that told of *window* but those left out."""
         totals: Counts = {}
-        for counts in self._told.get(window, {}).values():
+        for source, counts in self._told.get(window, {}).items():
+            if source in without:
+                continue
             for name, count in counts.items():
                 totals[name] = totals.get(name, 0) + count
         return totals
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -72,10 +72,11 @@
 class Others(typing.NamedTuple):
     """The runs of other nodes that count as serving callers.
 
-    :ivar silent: those of them that were not heard for a while
+    :ivar nodes: by source, how many nodes it tells of
+    :ivar silent: sources that were not heard for a while
     """
 
-    sources: typing.AbstractSet[str]
+    nodes: typing.Mapping[str, int]
     silent: typing.AbstractSet[str]
 
 
@@ -109,7 +110,7 @@
         self._own_rate = RateMeter(now_s)
         self._others: dict[str, _Other] = {}
         self._nodes = 1
-        self._silent: typing.Collection[str] = ()
+        self._silent: dict[str, int] = {}
         self._set_aside: dict[str, float] = {}
         self._next_slot_s = now_s
 
@@ -147,10 +148,12 @@
     def heed(self, others: 'Others', now_s: float) -> None:
         """Share the quota with these runs of other nodes, and no more."""
         self._fill(now_s)
-        self._nodes = 1 + len(others.sources)
-        self._silent = others.silent
+        self._nodes = 1 + sum(others.nodes.values())
+        self._silent = {
+            source: others.nodes[source] for source in others.silent
+        }
         for known in (self._others, self._set_aside):
-            for source in known.keys() - others.sources:
+            for source in known.keys() - others.nodes.keys():
                 del known[source]
 
     def level(self, now_s: float) -> float:
@@ -199,10 +202,10 @@
         elapsed_s = max(0.0, now_s - self._filled_s)
         filled = elapsed_s * self._workspace.rate_per_s
         share = filled / self._nodes
-        for source in self._silent:
-            filled -= share
+        for source, nodes in self._silent.items():
+            filled -= nodes * share
             set_aside = self._set_aside.get(source, 0.0)
-            self._set_aside[source] = set_aside + share
+            self._set_aside[source] = set_aside + nodes * share
         self._level = min(self._workspace.burst, self._level + filled)
         self._filled_s = max(self._filled_s, now_s)
 
@@ -215,7 +218,7 @@
 
     def __init__(self, allowance: float) -> None:
         self._overdraft = allowance * OVERDRAFT_PART
-        self._shared_with = Others(frozenset(), frozenset())
+        self._shared_with = Others({}, frozenset())
         self._buckets: dict[ids.WorkspaceName, Bucket] = {}
 
     def ask(
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -292,18 +292,22 @@
         """What was admitted here of each quota, for the other nodes."""
         return dict(self._quotas.spending(self.loop.now_s))
 
-    def take_spending(self, news: entry_news.NodeNews) -> None:
-        """Another node told what it admitted."""
+    def take_spending(
+        self,
+        source: str,
+        spent: typing.Mapping[ids.WorkspaceName, tuple[float, float, float]],
+    ) -> None:
+        """A run of another node told what it admitted."""
         current = self._state.configuration
         if current is None:
             return
-        for name, spent in news.spent.items():
+        for name, item in spent.items():
             workspace = current.workspaces.get(name)
             if workspace is not None:
                 self._quotas.told(
-                    entry_peers.source(news),
+                    source,
                     workspace,
-                    quota.Spending(*spent),
+                    quota.Spending(*item),
                     self.loop.now_s,
                 )
 
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -18,6 +18,7 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import questions
+from guavachute.entry import region_sums
 from guavachute.entry import report_watch
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import store_writer
@@ -45,10 +46,15 @@
 """Pause between a reader's reads of the endpoints' entries, which change
 all the time; draining endpoints are to be known in three seconds."""
 
-FOLLOWER_WAIT_S = 8.0
 FOLLOWER_PERIOD_S = 8.0
 """The same for nodes that learn from readers what is new."""
 
+FOLLOWERS_AT_PERIOD = 12
+"""With more nodes than this, each reads less often."""
+
+MAX_WAIT_S = 20.0
+"""The store holds a call for news no longer than half a minute."""
+
 HOUSEKEEPING_S = 0.5
 STATE_CHECK_S = 0.5
 REGISTER_RETRY_S = 1.0
@@ -56,6 +62,9 @@
 READER_SILENT_S = 1.2
 """A reader that was not heard for this long is replaced."""
 
+READY_TOLD = 6
+"""Ready nodes that another region's callers may be sent to."""
+
 TELL_AFTER_S = 0.02
 """Several changes that are read together are told together."""
 
@@ -84,7 +93,8 @@
         self.book = endpoint_book.EndpointBook(
             site, self.state.table, lambda: loop.now_s
         )
-        self.peers = entry_peers.Peers(loop, site, self._describe, self._told)
+        self.peers = entry_peers.Peers(loop, site, self)
+        self._sums = region_sums.SpendingSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
         self.book.others = self.peers.work_at
         self.ingress = entry_ingress.Ingress(
@@ -299,6 +309,7 @@
             node=self.site.node,
             run=self.peers.run,
             peers_address=self.peers.address,
+            region=self.site.region,
         )
         store_writer.append(
             self._store,
@@ -323,7 +334,8 @@
 
     # -- the peers -----------------------------------------------------
 
-    def _describe(self, run: int, sequence: int) -> entry_news.NodeNews:
+    def describe(self, run: int, sequence: int) -> entry_news.NodeNews:
+        """This node's news of the moment."""
         return entry_news.NodeNews(
             node=self.site.node,
             run=run,
@@ -334,6 +346,7 @@
             region=self.site.region,
             wall_s=time.time(),
             is_ready=self.is_ready,
+            is_reader=self._is_reader,
             configuration_version=self.state.version,
             endpoints_version=self.state.endpoints_version,
             reaches_store=self._reaches_store,
@@ -349,13 +362,58 @@
             crashes=self.ingress.notices(),
         )
 
-    def _told(self, news: entry_news.NodeNews) -> None:
+    def describe_region(
+        self, run: int, sequence: int, readers: list[str]
+    ) -> entry_news.RegionNews:
+        """What this node adds up of its region."""
+        near = [
+            peer.news
+            for peer in self.peers.heard()
+            if peer.news is not None and peer.news.region == self.site.region
+        ]
+        spent = self.ingress.spending()
+        self._sums.take('own', spent)
+        now_s = self.loop.now_s
+        return entry_news.RegionNews(
+            region=self.site.region,
+            node=self.site.node,
+            run=run,
+            sequence=sequence,
+            readers=readers,
+            nodes=1 + len(near),
+            ready=[
+                (news.callers_address, news.domain)
+                for news in near
+                if news.is_ready
+            ][:READY_TOLD],
+            wall_s=time.time(),
+            spent=self._sums.sums(spent, [news.spent for news in near]),
+            load=region_sums.added_load(
+                [self.ingress.load(), *[news.load for news in near]]
+            ),
+            usage=self.usage.of_region(),
+            told_ago_ds=[
+                round(10 * (now_s - at_s)) for at_s in self.usage.told_near_s()
+            ],
+            crashes=self.ingress.notices(),
+        )
+
+    def told(self, news: entry_news.NodeNews) -> None:
+        """Another node told its news."""
         self.usage.take(news)
-        self.ingress.take_spending(news)
+        self._sums.take(entry_peers.source(news), news.spent)
+        self.ingress.take_spending(entry_peers.source(news), news.spent)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
         self._ask_peers()
 
+    def told_of_region(self, news: entry_news.RegionNews) -> None:
+        """A reader of another region told its sums."""
+        self.usage.take_region(news)
+        self.ingress.take_spending(entry_peers.region_source(news), news.spent)
+        for notice in news.crashes:
+            self.ingress.take_notice(notice)
+
     def _demand(self, service: ids.ServiceName) -> scaling.Demand:
         """What all nodes' callers ask of a service."""
         own = self.ingress.load().get(service)
@@ -449,12 +507,16 @@
     def _set_reader(self, is_reader: bool) -> None:
         if is_reader == self._is_reader:
             return
-        self._is_reader = is_reader
+        self._is_reader = self.peers.is_reader = is_reader
         journal.event('reader', outcome='begun' if is_reader else 'ended')
         if is_reader:
             wait_s, period_s = READER_WAIT_S, READER_PERIOD_S
         else:
-            wait_s, period_s = FOLLOWER_WAIT_S, FOLLOWER_PERIOD_S
+            # Calls to the store shall not grow with the nodes.
+            period_s = FOLLOWER_PERIOD_S * max(
+                1.0, self.peers.count / FOLLOWERS_AT_PERIOD
+            )
+            wait_s = min(period_s, MAX_WAIT_S)
         self._operator.set_pace(wait_s, 0.0)
         self._nodes.set_pace(
             0.0 if not is_reader else wait_s, 0.0 if is_reader else period_s
--- a/src/guavachute/entry/usage_counts.py
+++ b/src/guavachute/entry/usage_counts.py
@@ -31,25 +31,56 @@
 
     def take(self, news: entry_news.NodeNews) -> None:
         """Another node told its counts."""
-        self._book.take(entry_peers.source(news), news.usage, self._window())
+        if news.usage:
+            self._book.take(
+                entry_peers.source(news), news.usage, self._window()
+            )
+
+    def take_region(self, news: entry_news.RegionNews) -> None:
+        """The counts of another region's nodes, added up there.
+
+        Its readers count the same requests, so they are one source.
+        """
+        self._book.take(news.region, news.usage, self._window())
 
     def total(self, window: int) -> usage.Counts:
         """The requests that began in *window*, over all nodes."""
-        newest = self._window()
-        self._book.take(
-            f'{self._site.node}/{self._peers.run}',
-            self._meter.recent(newest),
-            newest,
-        )
+        self._take_own()
         return self._book.total(window)
 
+    def of_region(self) -> dict[int, usage.Counts]:
+        """The newest windows, over the nodes of this node's region."""
+        self._take_own()
+        newest = self._window()
+        regions = set(self._site.region_of.values())
+        totals = {
+            window: self._book.total(window, without=regions)
+            for window in range(newest - TOLD_WINDOWS + 1, newest + 1)
+        }
+        return {window: total for window, total in totals.items() if total}
+
     def told_s(self) -> list[float]:
         """The time of day at which each other node told last."""
         offset_s = self._peers.true_offset_s()
+        told_s = [at_s + offset_s for at_s in self.told_near_s()]
+        for news, heard_s in self._peers.regions():
+            told_s += [
+                heard_s + offset_s - ago / 10 for ago in news.told_ago_ds
+            ]
+        return told_s
+
+    def told_near_s(self) -> list[float]:
+        """When each other node told last, by the loop's clock."""
         oldest_s = TOLD_WINDOWS * self._site.bounds.usage_window_s
-        return [
-            peer.heard_s + offset_s for peer in self._peers.heard(oldest_s)
-        ]
+        return [peer.heard_s for peer in self._peers.heard(oldest_s)]
+
+    def _take_own(self) -> None:
+        newest = self._window()
+        self._book.take(
+            f'{self._site.node}/{self._peers.run}',
+            self._meter.recent(newest),
+            newest,
+        )
 
     def _window(self) -> int:
         """The window of usage that the present moment is in."""
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -23,13 +23,43 @@
     output_tokens_per_s: float
 
 
-class NodeNews(msgspec.Struct, frozen=True, array_like=True):
+class RegionNews(msgspec.Struct, frozen=True, array_like=True, tag='region'):
+    """What a reader says of all nodes of its region, added up.
+
+    Between regions only these go, where there are many nodes.
+
+    :ivar node: the reader that added up, in its *run*
+    :ivar readers: where the region's readers take news
+    :ivar nodes: how many nodes the region has, as far as is known
+    :ivar ready: callers' address and failure domain of some ready nodes
+    :ivar spent: as in :class:`NodeNews`, of all the nodes
+    :ivar usage: of the newest windows
+    :ivar told_ago_ds: how long ago each node told, in tenths of a second
+    """
+
+    region: str
+    node: str
+    run: int
+    sequence: int
+    readers: list[str]
+    nodes: int
+    ready: list[tuple[str, str]]
+    wall_s: float
+    spent: dict[ids.WorkspaceName, tuple[float, float, float]]
+    load: dict[ids.ServiceName, LoadNews]
+    usage: dict[int, dict[ids.WorkspaceName, int]]
+    told_ago_ds: list[int]
+    crashes: list[requests.CrashNotice]
+
+
+class NodeNews(msgspec.Struct, frozen=True, array_like=True, tag='node'):
     """What one node says of itself, several times a second.
 
     :ivar run: random, new at each start of the process
     :ivar sequence: grows with each message of one run
     :ivar peers_address: where it takes news and serves its state
     :ivar wall_s: its clock's time of day
+    :ivar is_reader: whether it reads the store closely, and adds up
     :ivar configuration_version: 0 while it has none
     :ivar endpoints_version: offset of the newest entry that changed
         what it knows of the endpoints
@@ -38,8 +68,10 @@
         it admits per second and what it takes to be left, in the unit of
         the quota
     :ivar load: by service, what callers ask for
-    :ivar work: by endpoint; None in the short form
-    :ivar usage: by window and workspace, requests that began
+    :ivar work: by endpoint
+    :ivar usage: by window and workspace, requests that began; where
+        there are many nodes, only readers are told
+    :ivar beyond: a reader passes on what it hears of other regions
     """
 
     node: str
@@ -51,6 +83,7 @@
     region: str
     wall_s: float
     is_ready: bool
+    is_reader: bool
     configuration_version: int
     endpoints_version: int
     reaches_store: bool
@@ -59,6 +92,10 @@
     work: dict[str, WorkNews]
     usage: dict[int, dict[ids.WorkspaceName, int]]
     crashes: list[requests.CrashNotice]
+    beyond: list[RegionNews] = []
+
+
+News = NodeNews | RegionNews
 
 
 class NodeRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -67,6 +104,7 @@
     node: str
     run: int
     peers_address: str
+    region: str = ''
 
 
 class DutyRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -120,9 +158,15 @@
     return _encoder.encode(message)
 
 
-def decode_news(data: bytes) -> NodeNews | outcome.Failure:
+_news_decoder = msgspec.msgpack.Decoder(News)
+
+
+def decode_news(data: bytes) -> News | outcome.Failure:
     """A datagram from another node."""
-    return _decode(data, NodeNews)
+    try:
+        return _news_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'news: {error}')
 
 
 def decode_state(data: bytes) -> SharedState | outcome.Failure:
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -2,8 +2,10 @@
 
 import typing
 import unittest
+import unittest.mock
 
 from guavachute.decide.nodes import endpoint_table
+from guavachute.decide.nodes import rounds
 from guavachute.entry import control_client
 from guavachute.entry import known_state
 from guavachute.entry import node as entry_node
@@ -295,6 +297,85 @@
         self.until(lambda: _holds(node))
 
 
+class ManyNodesTest(NodeTest):
+    """So many nodes that regions tell each other sums only."""
+
+    REGION_OF = {
+        ids.FailureDomain('here-a'): ids.Region('here'),
+        ids.FailureDomain('there-a'): ids.Region('there'),
+    }
+
+    def setUp(self) -> None:
+        super().setUp()
+        patch = unittest.mock.patch.object(rounds, 'FEW_NODES', 2)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.near = [self.node_in('here') for _ in range(3)]
+        self.far = [self.node_in('there') for _ in range(2)]
+        self.until(lambda: all(
+            node.is_ready and len(node.peers.regions()) == 1
+            for node in [*self.near, *self.far]
+        ))  # fmt: skip
+
+    def node_in(self, region: str) -> entry_node.Node:
+        return self.site.add_node(
+            region=ids.Region(region),
+            domain=ids.FailureDomain(f'{region}-a'),
+            region_of=self.REGION_OF,
+        )
+
+    def test_a_node_hears_its_own_region_and_sums_of_the_other(self) -> None:
+        for node in self.near:
+            heard = {
+                peer.news.region
+                for peer in node.peers.heard()
+                if peer.news is not None
+            }
+            self.assertEqual({'here'}, heard)
+        self.until(lambda: all(
+            node.peers.count == 5 for node in [*self.near, *self.far]
+        ))  # fmt: skip
+
+    def test_requests_of_all_regions_are_reported_once(self) -> None:
+        for node in [*self.near, *self.far]:
+            self.assertEqual(200, self.site.ask(node, '/order/a').status)
+
+        def reported() -> int:
+            counts = dict(self.site.cloud.usage())
+            return sum(sum(item.values()) for item in counts.values())
+
+        self.until(lambda: reported() >= 5)
+        looping.run_for(self.site.loop, 1.5)
+        self.assertEqual(5, reported())
+
+    def test_the_other_region_spends_from_the_same_quota(self) -> None:
+        tight = {
+            'name': 'botany',
+            'apiKeys': [platform_site.KEY],
+            'unit': 'tokens',
+            'uncachedTokens': 100,
+            'ratePerS': 1,
+            'burst': 250,
+        }
+        self.site.configure(2, tenants=[tight])
+        nodes = [*self.near, *self.far]
+        self.until(lambda: all(node.state.version == 2 for node in nodes))
+        # Sums count what is admitted once their reader knows of a node.
+        for node in nodes:
+            node.ingress.spending()
+        statuses = []
+        for node in (self.far[0], self.near[0], self.far[1], self.near[1]):
+            statuses.append(self.site.ask(node, '/order/a').status)
+            looping.run_for(self.site.loop, 1.2)
+        self.assertEqual([200, 200, 429, 429], statuses)
+
+    def test_callers_are_sent_beyond_when_the_region_has_no_node(self) -> None:
+        for node in self.near[1:]:
+            node.stop()
+        far = {node.ingress.address for node in self.far}
+        self.until(lambda: far & set(_named(self.near[0])))
+
+
 def _holds(node: entry_node.Node) -> bool:
     return node.duty is not None and node.duty.is_held
 
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -49,7 +49,7 @@
         names = {f'n{place}' for place in range(len(self.quotas))}
         for place, node in enumerate(self.quotas):
             others = names - {f'n{place}'}
-            node.heed(quota.Others(others, others), now_s)
+            node.heed(quota.Others(dict.fromkeys(others, 1), others), now_s)
 
     def play(
         self,
@@ -157,7 +157,7 @@
     ) -> None:
         alone = quota.Quotas(0.0)
         names = {f'n{place}' for place in range(8)}
-        alone.heed(quota.Others(names, names), 0.0)
+        alone.heed(quota.Others(dict.fromkeys(names, 1), names), 0.0)
         limited = workspace()
         admitted = sum(
             10.0
@@ -172,7 +172,7 @@
         quotas.ask(limited, 1_000.0, 0.0)
         other = quota.Spending(0.0, 0.0, 0.0)
         quotas.told('other', limited, other, 0.0)
-        quotas.heed(quota.Others({'other'}, {'other'}), 0.0)
+        quotas.heed(quota.Others({'other': 1}, {'other'}), 0.0)
         self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
         spent = quota.Spending(500.0, 0.0, 0.0)
         quotas.told('other', limited, spent, 1.0)
--- a/tests/cover/test_node_decisions.py
+++ b/tests/cover/test_node_decisions.py
@@ -11,6 +11,7 @@
 from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
 from guavachute.decide.nodes import readers
+from guavachute.decide.nodes import rounds
 from guavachute.domain import endpoints
 from guavachute import ids
 
@@ -247,3 +248,26 @@
             log.removed(f'key-{number}', ids.Offset(100 + number))
         self.assertIsNone(log.since(ids.Offset(99)))
         self.assertIsNotNone(log.since(ids.Offset(200)))
+
+
+class RoundsTest(unittest.TestCase):
+    """Hundreds of nodes, each of which may send only so much."""
+
+    def test_each_node_of_a_region_is_told_once_in_a_round(self) -> None:
+        for near in (1, 24, 25, 43, 150, 329):
+            names = list(range(near))
+            turns = round(rounds.round_s(2 * near, near) / rounds.PERIOD_S)
+            told = [
+                name
+                for turn in range(turns)
+                for name in rounds.in_turn(names, turn)
+            ]
+            self.assertEqual(set(names), set(told))
+            self.assertLessEqual(
+                len(told), turns * max(rounds.TOLD_AT_A_TIME, 1)
+            )
+
+    def test_what_a_node_sends_does_not_grow_with_the_nodes(self) -> None:
+        for near in (30, 330):
+            told = rounds.in_turn(list(range(near)), 7)
+            self.assertEqual(rounds.TOLD_AT_A_TIME, len(told))
