--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -33,11 +33,19 @@
 """A wish is lowered only when the demand was lower for so long."""
 
 FOUND_USE = 0.8
-"""What part of the on-demand engines found at the start is taken to be
-needed, before the demand has been seen."""
+"""What part of the engines found at the start is taken to be needed,
+before the demand has been seen."""
+
+FOUND_WITHIN_S = 3.0
+"""Engines seen within this after the start count as found; later ones
+were ordered since."""
 
 FOUND_S = 40.0
-"""For how long that is assumed."""
+"""For how long they are the guide, if there is no demand at all."""
+
+DEMAND_SEEN_S = 6.0
+"""After this long with callers, the measured demand is the guide; a rate
+takes some seconds to be measured."""
 
 LOST_DOMAINS = 1
 """Domains whose reclaimable endpoints may go without a shortage."""
@@ -139,27 +147,40 @@
 
 
 class Need:
-    """The demand over time: up at once, down only after a while."""
+    """The demand over time: up at once, down only after a while.
 
-    def __init__(self, now_s: float) -> None:
+    :param started_s: when this process, and so its measuring, began
+    """
+
+    def __init__(self, started_s: float) -> None:
+        self._started_s = started_s
         self._recent: list[tuple[float, float]] = []
         self._found = 0
-        self._found_until_s = now_s + FOUND_S
+        self._seen_since_s: float | None = None
 
-    def update(
-        self, busy_engines: float, on_demand: int, now_s: float
-    ) -> float:
+    def update(self, busy_engines: float, ready: int, now_s: float) -> float:
         """The highest demand of late, with *busy_engines* now.
 
         Until the demand has been seen for a while, it is judged by the
-        on-demand endpoints that are there.
+        endpoints that are there, whatever their kind: this process may
+        have started again amid the day.
+
+        :param ready: endpoints that serve
         """
-        self._found = max(self._found, on_demand)
+        if now_s - self._started_s <= FOUND_WITHIN_S:
+            self._found = max(self._found, ready)
+        if busy_engines and self._seen_since_s is None:
+            self._seen_since_s = now_s
         self._recent = [
             item for item in self._recent if now_s - item[0] < SHRINK_AFTER_S
         ]
         self._recent.append((now_s, busy_engines))
         highest = max(item[1] for item in self._recent)
-        if now_s < self._found_until_s:
-            return max(highest, self._found * FOUND_USE * NORMAL_USE)
-        return highest
+        if self._is_measured(now_s):
+            return highest
+        return max(highest, self._found * FOUND_USE * NORMAL_USE)
+
+    def _is_measured(self, now_s: float) -> bool:
+        if self._seen_since_s is None:
+            return now_s - self._started_s > FOUND_S
+        return now_s - self._seen_since_s > DEMAND_SEEN_S
--- a/src/guavachute/decide/ingress/endpoint_health.py
+++ b/src/guavachute/decide/ingress/endpoint_health.py
@@ -1,46 +1,60 @@
-"""What the results of its own sends tell a node of an endpoint.
+"""What the results of sends tell of an endpoint.
 
 Endpoints may say that they are well while they fail, so only results
-count. One that was not reached is left out for a growing pause; one
-that fails a part of its requests is used less.
+count. One that was not reached is left out for a growing pause. One that
+fails a part of its requests is used last for a while; a single node may
+see too few of its results, so all nodes' results count.
 """
 
 import dataclasses
+import typing
 
 from guavachute.decide import backoff
 
 PAUSE = backoff.Policy(initial_s=0.4, maximum_s=3.0)
 """How long an endpoint is left out after failures in a row."""
 
-ERROR_WEIGHT = 0.15
-"""Weight of the newest result in the moving share of failures."""
+HALF_LIFE_S = 6.0
+"""After this an old result counts half; then the endpoint is tried
+again."""
 
-DOUBTFUL_SHARE = 0.3
+DOUBTFUL_SHARE = 0.25
 """An endpoint with a larger share of failures is used last."""
 
+DOUBTFUL_FAILURES = 1.8
+"""Fewer failures of late say nothing yet: two in a row within a second
+count as this many."""
+
+
+class Results(typing.NamedTuple):
+    """Requests of late at an endpoint; old ones count less."""
+
+    failed: float = 0.0
+    answered: float = 0.0
+
 
 @dataclasses.dataclass(slots=True)
 class EndpointHealth:
     """The results of one endpoint, as one node saw them.
 
-    :ivar failed_share: moving share of requests that it failed
     :ivar unreached: connections in a row that were not established or
         that fell silent
     """
 
-    failed_share: float = 0.0
     unreached: int = 0
     paused_until_s: float = 0.0
+    _results: Results = Results()
+    _counted_s: float = 0.0
 
-    def succeeded(self) -> None:
+    def succeeded(self, now_s: float) -> None:
         """A whole answer came."""
         self.unreached = 0
         self.paused_until_s = 0.0
-        self.failed_share *= 1 - ERROR_WEIGHT
+        self._count(0.0, now_s)
 
-    def failed(self) -> None:
+    def failed(self, now_s: float) -> None:
         """It answered with a failure of its own, or broke off."""
-        self.failed_share += ERROR_WEIGHT * (1 - self.failed_share)
+        self._count(1.0, now_s)
 
     def not_reached(self, now_s: float, fraction: float) -> None:
         """It could not be connected to, or is silent.
@@ -56,7 +70,27 @@
         """Whether nothing should be sent there now."""
         return now_s < self.paused_until_s
 
-    @property
-    def is_doubtful(self) -> bool:
-        """Whether it fails so much that others are better."""
-        return self.failed_share > DOUBTFUL_SHARE
+    def results(self, now_s: float) -> Results:
+        """This node's results, for the others too."""
+        elapsed_s = max(0.0, now_s - self._counted_s)
+        kept = 0.5 ** (elapsed_s / HALF_LIFE_S)
+        return Results(
+            self._results.failed * kept, self._results.answered * kept
+        )
+
+    def is_doubtful(self, others: Results, now_s: float) -> bool:
+        """Whether it fails so much that other endpoints are better.
+
+        :param others: the results of the other nodes
+        """
+        own = self.results(now_s)
+        failed = own.failed + others.failed
+        answered = own.answered + others.answered
+        return (
+            failed >= DOUBTFUL_FAILURES and failed > DOUBTFUL_SHARE * answered
+        )
+
+    def _count(self, failed: float, now_s: float) -> None:
+        before = self.results(now_s)
+        self._results = Results(before.failed + failed, before.answered + 1.0)
+        self._counted_s = now_s
--- a/src/guavachute/entry/endpoint_book.py
+++ b/src/guavachute/entry/endpoint_book.py
@@ -28,16 +28,25 @@
 """A leaving endpoint gets no new work this long before it may end. That
 it leaves was read up to a second late."""
 
+LEAST_TOLD = 0.5
+"""Results of an endpoint that count less in sum are not told."""
+
 LOAD_FRESH_S = 0.6
 """An endpoint's own count of its work is used for this long."""
 
 
 @dataclasses.dataclass(slots=True)
 class Work:
-    """Requests and prompt tokens that wait to be read."""
+    """Requests, prompt tokens that wait to be read, and results.
+
+    :ivar failed: requests of late that failed; old ones count less
+    :ivar answered: all requests of late that had a result
+    """
 
     requests: int = 0
     waiting_tokens: int = 0
+    failed: float = 0.0
+    answered: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -192,12 +201,16 @@
         ]
 
     def work(self) -> dict[ids.EndpointId, Work]:
-        """This node's work at each endpoint, for the other nodes."""
-        return {
-            endpoint: item.own
-            for endpoint, item in self._records.items()
-            if item.own.requests
-        }
+        """This node's work and results, for the other nodes."""
+        now_s = self._now_s()
+        found = {}
+        for endpoint, item in self._records.items():
+            results = item.health.results(now_s)
+            if item.own.requests or results.answered >= LEAST_TOLD:
+                found[endpoint] = Work(
+                    item.own.requests, item.own.waiting_tokens, *results
+                )
+        return found
 
     def not_reached(self, record: Record, now_s: float) -> None:
         """An endpoint could not be reached, or fell silent."""
@@ -230,6 +243,8 @@
             waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
             cached_tokens=item.cached_tokens(parts),
             prefill_tokens_per_s=item.prefill_tokens_per_s,
-            is_doubtful=item.health.is_doubtful,
+            is_doubtful=item.health.is_doubtful(
+                endpoint_health.Results(others.failed, others.answered), now_s
+            ),
             is_leaving=item.is_leaving,
         )
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -495,7 +495,7 @@
         if self._events.has_rest:
             # The framing is whole, so the endpoint meant to end here.
             self._pass_piece(self._events.take_rest())
-        self._record.health.succeeded()
+        self._record.health.succeeded(self._process.loop.now_s)
         self._leave_endpoint(keeps_alive)
         if self.first_byte_s is None:
             self._caller_answer(self._head, b'')
@@ -507,12 +507,12 @@
         assert self._record is not None and self._head is not None
         head, body = self._head, b''.join(self._held)
         if head.status >= 500:
-            self._record.health.failed()
+            self._record.health.failed(self._process.loop.now_s)
             self._leave_endpoint(keeps_alive)
             self._last_error = (head, body)
             self._after_failure(f'status {head.status}')
             return
-        self._record.health.succeeded()
+        self._record.health.succeeded(self._process.loop.now_s)
         self._leave_endpoint(keeps_alive)
         self._caller_answer(head, body)
 
@@ -543,7 +543,7 @@
         """The attempt has no usable answer, and may have run."""
         assert self._record is not None
         self._may_have_run = True
-        self._record.health.failed()
+        self._record.health.failed(self._process.loop.now_s)
         if not self._is_stream:
             self._note_beginning()
         self._leave_endpoint(keeps_alive=False)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -46,6 +46,10 @@
 """Pause between a reader's reads of the endpoints' entries, which change
 all the time; draining endpoints are to be known in three seconds."""
 
+NODES_PERIOD_S = 0.3
+"""Least pause between reads of the nodes' entries: all nodes write theirs
+at about the same time."""
+
 FOLLOWER_PERIOD_S = 8.0
 """The same for nodes that learn from readers what is new."""
 
@@ -122,7 +126,10 @@
         )
         self._endpoints.on_regained = self._endpoints_regained
         self._nodes = self._follow(
-            NODES_TOPIC, self._fold_own, wait_s=READER_WAIT_S
+            NODES_TOPIC,
+            self._fold_own,
+            wait_s=READER_WAIT_S,
+            period_s=NODES_PERIOD_S,
         )
         self.duty: entry_duty.Duty | None = None
         if site.cloud is not None:
@@ -354,7 +361,10 @@
             load=self.ingress.load(),
             work={
                 endpoint: entry_news.WorkNews(
-                    work.requests, work.waiting_tokens
+                    work.requests,
+                    work.waiting_tokens,
+                    round(10 * work.failed),
+                    round(10 * work.answered),
                 )
                 for endpoint, work in self.book.work().items()
             },
@@ -519,7 +529,8 @@
             wait_s = min(period_s, MAX_WAIT_S)
         self._operator.set_pace(wait_s, 0.0)
         self._nodes.set_pace(
-            0.0 if not is_reader else wait_s, 0.0 if is_reader else period_s
+            0.0 if not is_reader else wait_s,
+            NODES_PERIOD_S if is_reader else period_s,
         )
         self._endpoints.set_pace(0.0, period_s)
 
@@ -539,6 +550,7 @@
         self._choose_readers()
         self.state.expire()
         self.book.forget_gone()
+        self.peers.forget_endpoints(self.state.table.entries)
         self.ingress.sweep()
 
 
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -395,6 +395,14 @@
             journal.event('peer', outcome='known', peer=node, address=address)
         return peer
 
+    def forget_endpoints(
+        self, living: typing.Container[ids.EndpointId]
+    ) -> None:
+        """Drop the sums of endpoints that are gone and have no work."""
+        for endpoint, work in list(self._work.items()):
+            if endpoint not in living and not work.requests:
+                del self._work[endpoint]
+
     def _forget_old(self) -> None:
         now_s = self._loop.now_s
         silent_s = now_s - SILENT_AFTER_S - self.late_s
@@ -410,15 +418,22 @@
     ) -> None:
         """Replace what the sums hold of a node's work."""
         for endpoint, item in peer.counted_work.items():
-            total = self._work[endpoint]
-            total.requests -= item.requests
-            total.waiting_tokens -= item.waiting_tokens
-            if not total.requests and not total.waiting_tokens:
-                del self._work[endpoint]
+            total = self._work.setdefault(endpoint, endpoint_book.Work())
+            # The sums of an endpoint that was gone began anew.
+            total.requests = max(0, total.requests - item.requests)
+            total.waiting_tokens = max(
+                0, total.waiting_tokens - item.waiting_tokens
+            )
+            total.failed = max(0.0, total.failed - item.failed_tenths / 10)
+            total.answered = max(
+                0.0, total.answered - item.answered_tenths / 10
+            )
         for endpoint, item in work.items():
             total = self._work.setdefault(endpoint, endpoint_book.Work())
             total.requests += item.requests
             total.waiting_tokens += item.waiting_tokens
+            total.failed += item.failed_tenths / 10
+            total.answered += item.answered_tenths / 10
         peer.counted_work = work
 
     # -- sending -------------------------------------------------------
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -10,10 +10,17 @@
 
 
 class WorkNews(msgspec.Struct, frozen=True, array_like=True):
-    """A node's work at one endpoint."""
+    """A node's work at one endpoint, and its results there of late.
+
+    :ivar failed_tenths: failures of late, in tenths, as old ones count
+        less
+    :ivar answered_tenths: all results of late
+    """
 
     requests: int
     waiting_tokens: int
+    failed_tenths: int = 0
+    answered_tenths: int = 0
 
 
 class LoadNews(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/cover/test_duty_decisions.py
+++ b/tests/cover/test_duty_decisions.py
@@ -133,6 +133,27 @@
         need.update(0.0, 9, 1.0)
         self.assertGreater(need.update(0.0, 0, 2.0), 3.0)
 
+    def test_a_holder_that_starts_amid_the_day_gives_nothing_up(self) -> None:
+        """All nodes are killed; the first demand is measured too low."""
+        need = scaling.Need(100.0)
+        for second, measured in enumerate((0.0, 0.0, 1.0, 4.0, 9.0), 1):
+            needed = need.update(measured, 20, 100.0 + second)
+            self.assertGreaterEqual(needed, 0.6 * 20)
+
+    def test_engines_ordered_since_the_start_are_no_guide(self) -> None:
+        need = scaling.Need(0.0)
+        need.update(0.0, 10, 1.0)
+        before = need.update(0.0, 10, scaling.FOUND_WITHIN_S)
+        later_s = scaling.FOUND_WITHIN_S + 2
+        self.assertEqual(before, need.update(0.0, 24, later_s))
+
+    def test_the_measured_demand_counts_once_callers_were_there(self) -> None:
+        need = scaling.Need(0.0)
+        need.update(0.0, 20, 1.0)
+        need.update(3.0, 20, 12.0)
+        late_s = 12.0 + scaling.DEMAND_SEEN_S + 1
+        self.assertEqual(3.0, need.update(3.0, 20, late_s))
+
 
 WINDOW_S = 5.0
 DELAY_S = 10.0
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -138,7 +138,7 @@
         self.site.ask(node, '/order/a')
         entry = node.state.table.entries[ids.EndpointId('e1')]
         before = node.book.record(entry)
-        before.health.failed()
+        before.health.failed(self.site.loop.now_s)
         self.plain.register(born=2)
         self.until(
             lambda: (
@@ -149,7 +149,8 @@
             node.state.table.entries[ids.EndpointId('e1')]
         )
         self.assertIsNot(before, after)
-        self.assertEqual(0.0, after.health.failed_share)
+        now_s = self.site.loop.now_s
+        self.assertEqual(0.0, after.health.results(now_s).failed)
 
 
 class SharedStateTest(NodeTest):
@@ -207,6 +208,35 @@
         self.assertEqual(calls, len(self.site.store.calls))
 
 
+class SharedResultsTest(NodeTest):
+    """An endpoint fails, and each node sees few of its results."""
+
+    def test_failures_that_another_node_saw_count(self) -> None:
+        first, second = self.two_nodes()
+        self.site.add_engine('e2', platform_site.PLAIN_SERVICE)
+        entry = first.state.table.entries[ids.EndpointId('e1')]
+        self.until(lambda: all(
+            len(node.state.table.entries) == 2 for node in (first, second)
+        ))  # fmt: skip
+        now_s = self.site.loop.now_s
+        for _ in range(3):
+            first.book.record(entry).health.failed(now_s)
+
+        def is_doubtful() -> bool:
+            now_s = self.site.loop.now_s
+            records = second.book.usable(entry.service, (), now_s)
+            return any(
+                item.is_doubtful
+                for item in second.book.candidates(records, (), now_s)
+                if item.id == entry.id
+            )
+
+        self.until(is_doubtful)
+        for _ in range(3):
+            self.assertEqual(200, self.site.ask(second, '/order/a').status)
+        self.assertEqual([], self.plain.runs)
+
+
 class StopTest(NodeTest):
     def test_a_stopping_node_is_named_no_more(self) -> None:
         first, second = self.two_nodes()
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -303,6 +303,9 @@
         self.assertIsNone(choice.choose_plain([]))
 
 
+NO_RESULTS = endpoint_health.Results()
+
+
 class EndpointHealthTest(unittest.TestCase):
     """Endpoints whose health checks say other than their answers."""
 
@@ -314,18 +317,38 @@
             pauses.append(health.paused_until_s)
         self.assertEqual(sorted(pauses), pauses)
         self.assertTrue(health.is_paused(0.1))
-        health.succeeded()
+        health.succeeded(0.1)
         self.assertFalse(health.is_paused(0.1))
 
     def test_one_that_fails_every_other_request_is_doubtful(self) -> None:
         health = endpoint_health.EndpointHealth()
-        for _ in range(10):
-            health.succeeded()
-            health.failed()
-        self.assertTrue(health.is_doubtful)
-        for _ in range(10):
-            health.succeeded()
-        self.assertFalse(health.is_doubtful)
+        for second in range(10):
+            health.succeeded(float(second))
+            health.failed(second + 0.5)
+        self.assertTrue(health.is_doubtful(NO_RESULTS, 10.0))
+        for second in range(10, 20):
+            health.succeeded(float(second))
+        self.assertFalse(health.is_doubtful(NO_RESULTS, 20.0))
+
+    def test_one_that_is_not_used_any_more_is_tried_again(self) -> None:
+        health = endpoint_health.EndpointHealth()
+        for _ in range(4):
+            health.failed(0.0)
+        self.assertTrue(health.is_doubtful(NO_RESULTS, 1.0))
+        self.assertFalse(health.is_doubtful(NO_RESULTS, 10.0))
+
+    def test_few_failures_at_each_of_many_nodes_count_together(self) -> None:
+        health = endpoint_health.EndpointHealth()
+        health.succeeded(0.0)
+        self.assertFalse(health.is_doubtful(NO_RESULTS, 0.0))
+        others = endpoint_health.Results(failed=3.0, answered=7.0)
+        self.assertTrue(health.is_doubtful(others, 0.0))
+
+    def test_a_failure_among_many_answers_says_nothing(self) -> None:
+        health = endpoint_health.EndpointHealth()
+        health.failed(0.0)
+        others = endpoint_health.Results(failed=3.0, answered=80.0)
+        self.assertFalse(health.is_doubtful(others, 0.0))
 
 
 class EventStreamTest(unittest.TestCase):
