Judge the demand by all engines first found; read the nodes' topic at once where nodes are few

Seen in the orders: at 1.5 s the engines had not written their entries, so all were given up before the callers came; and the lease's record was read 0.3 s late.

--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -36,10 +36,6 @@
 """What part of the engines found at the start is taken to be needed,
 before the demand has been seen."""
 
-FOUND_WITHIN_S = 3.0
-"""Engines seen within this after the start count as found; later ones
-were ordered since."""
-
 FOUND_S = 40.0
 """For how long they are the guide, if there is no demand at all."""
 
@@ -147,13 +143,10 @@
 
 
 class Need:
-    """The demand over time: up at once, down only after a while.
-
-    :param started_s: when this process, and so its measuring, began
-    """
+    """The demand over time: up at once, down only after a while."""
 
-    def __init__(self, started_s: float) -> None:
-        self._started_s = started_s
+    def __init__(self) -> None:
+        self._first_s: float | None = None
         self._recent: list[tuple[float, float]] = []
         self._found = 0
         self._seen_since_s: float | None = None
@@ -162,13 +155,14 @@
         """The highest demand of late, with *busy_engines* now.
 
         Until the demand has been seen for a while, it is judged by the
-        endpoints that are there, whatever their kind: this process may
-        have started again amid the day.
+        endpoints that were there first, whatever their kind: this
+        process may have started again amid the day.
 
         :param ready: endpoints that serve
         """
-        if now_s - self._started_s <= FOUND_WITHIN_S:
-            self._found = max(self._found, ready)
+        if self._first_s is None:
+            self._first_s = now_s
+            self._found = ready
         if busy_engines and self._seen_since_s is None:
             self._seen_since_s = now_s
         self._recent = [
@@ -176,11 +170,10 @@
         ]
         self._recent.append((now_s, busy_engines))
         highest = max(item[1] for item in self._recent)
-        if self._is_measured(now_s):
+        if self._seen_since_s is None:
+            is_measured = now_s - self._first_s > FOUND_S
+        else:
+            is_measured = now_s - self._seen_since_s > DEMAND_SEEN_S
+        if is_measured:
             return highest
         return max(highest, self._found * FOUND_USE * NORMAL_USE)
-
-    def _is_measured(self, now_s: float) -> bool:
-        if self._seen_since_s is None:
-            return now_s - self._started_s > FOUND_S
-        return now_s - self._seen_since_s > DEMAND_SEEN_S
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -8,6 +8,7 @@
 from guavachute.decide.duty import scaling
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import readers
+from guavachute.decide.nodes import rounds
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
@@ -46,9 +47,9 @@
 """Pause between a reader's reads of the endpoints' entries, which change
 all the time; draining endpoints are to be known in three seconds."""
 
-NODES_PERIOD_S = 0.3
-"""Least pause between reads of the nodes' entries: all nodes write theirs
-at about the same time."""
+CROWDED_PERIOD_S = 0.3
+"""Least pause between reads of the nodes' entries while all of them start
+and where they are many: each entry would wake every reader."""
 
 FOLLOWER_PERIOD_S = 8.0
 """The same for nodes that learn from readers what is new."""
@@ -129,7 +130,7 @@
             NODES_TOPIC,
             self._fold_own,
             wait_s=READER_WAIT_S,
-            period_s=NODES_PERIOD_S,
+            period_s=CROWDED_PERIOD_S,
         )
         self.duty: entry_duty.Duty | None = None
         if site.cloud is not None:
@@ -513,6 +514,11 @@
         if self.duty is not None:
             self.duty.set_contending(is_reader)
         self._set_reader(is_reader or holds_duty)
+        if self._is_reader:
+            is_crowded = not rounds.are_few(self.peers.count)
+            self._nodes.set_pace(
+                READER_WAIT_S, CROWDED_PERIOD_S if is_crowded else 0.0
+            )
 
     def _set_reader(self, is_reader: bool) -> None:
         if is_reader == self._is_reader:
@@ -528,10 +534,8 @@
             )
             wait_s = min(period_s, MAX_WAIT_S)
         self._operator.set_pace(wait_s, 0.0)
-        self._nodes.set_pace(
-            0.0 if not is_reader else wait_s,
-            NODES_PERIOD_S if is_reader else period_s,
-        )
+        if not is_reader:
+            self._nodes.set_pace(0.0, period_s)
         self._endpoints.set_pace(0.0, period_s)
 
     def _state_changed(self) -> None:
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -15,9 +15,9 @@
 from guavachute.observe import journal
 from guavachute.platform import cloud
 
-SETTLE_S = 1.5
+SETTLE_S = 3.5
 """From the start of the process until the endpoints that live have
-written their entries, which they do each second or so."""
+written their entries, so that none is given up unseen."""
 
 REPEAT_S = 2.0
 """Pause before an order that was refused or lost is sent again."""
@@ -80,7 +80,7 @@
         now_s = self._loop.now_s
         need = self._needs.get(service.name)
         if need is None:
-            need = self._needs[service.name] = scaling.Need(self._started_s)
+            need = self._needs[service.name] = scaling.Need()
         demand = self._demand(service.name)
         ready = list(self._state.table.ready(service.name))
         busy_engines = need.update(demand.busy_engines, len(ready), now_s)
