--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -73,7 +73,8 @@
         before_s = self._wait_s + self._period_s
         self._wait_s = wait_s
         self._period_s = max(period_s, MIN_PERIOD_S)
-        if wait_s + period_s < before_s and self.end_offset is not None:
+        is_faster = self._wait_s + self._period_s < before_s
+        if is_faster and self.end_offset is not None:
             self.read_now()
 
     def skip_to(self, offset: ids.Offset) -> None:
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -4,6 +4,7 @@
 import unittest
 import unittest.mock
 
+from guavachute.decide import lease
 from guavachute.decide.nodes import endpoint_table
 from guavachute.decide.nodes import rounds
 from guavachute.entry import control_client
@@ -208,6 +209,27 @@
         self.assertEqual(calls, len(self.site.store.calls))
 
 
+class PaceTest(NodeTest):
+    def test_a_calm_site_is_read_by_few_long_calls(self) -> None:
+        node = self.site.ready_node()
+        looping.run_for(self.site.loop, 1.0)
+        self.assertTrue(node.is_ready)
+        del self.site.store.calls[:]
+        looping.run_for(self.site.loop, 3.0)
+        operator = [
+            call for call in self.site.store.calls if 'keyed.op' in call
+        ]
+        # Each renewal of the lease is read back, and ends a call.
+        nodes = [
+            call
+            for call in self.site.store.calls
+            if 'keyed.guavachute' in call and 'log-read' in call
+        ]
+        self.assertLessEqual(len(operator), 3)
+        renewals = 3.0 * lease.RENEWALS_PER_DURATION / 2.0
+        self.assertLessEqual(len(nodes), 2 * renewals + 2)
+
+
 class SharedResultsTest(NodeTest):
     """An endpoint fails, and each node sees few of its results."""
 
