A fault soak of the real entry processes

The processes that the platform runs are started on loopback addresses against the stand-ins; a proxy delays, resets, cuts one way or silences the ways to the store and the endpoints; signals stop, pause, kill and restart processes; the store, the cloud, endpoints and configurations misbehave, several at a time, in an order that the seed gives. Clients keep their connections until the process is gone.

Three broken variants of the program are caught: an order sent twice, a false "not run", a configuration that goes back.

--- a/build.sh
+++ b/build.sh
@@ -5,7 +5,7 @@
 
 readonly ENVIRONMENT=.venv
 readonly STAMP="$ENVIRONMENT/.installed"
-readonly SOURCES=(src tests bench spec)
+readonly SOURCES=(src tests bench spec soak)
 
 usage() {
     cat <<'TEXT'
@@ -17,6 +17,7 @@
   check         formatter, linter, types and generated pages
   format        format the sources
   spec          check the specification's models
+  soak          play seeds of the fault soak (--seeds N, --help)
   bench NAME    run the benchmark bench/NAME.py
   lock          resolve the dependencies again into constraints.txt
 TEXT
@@ -71,6 +72,7 @@
     check) check ;;
     format) python -m ruff format "${SOURCES[@]}" ;;
     spec) python -m spec.run "$@" ;;
+    soak) python -m soak.run "$@" ;;
     bench) name=$1; shift; python -m "bench.$name" "$@" ;;
     lock) lock ;;
     help|-h|--help) usage ;;
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the entry processes, with faults from outside."""
--- /dev/null
+++ b/soak/broken.py
@@ -0,0 +1,62 @@
+"""Runs the entry program with one promise broken: ``soak.broken NAME``.
+
+The soak has to catch each of these.
+"""
+
+import sys
+import typing
+
+from guavachute.domain import configuration
+from guavachute.entry import exchange
+from guavachute.entry import known_state
+from guavachute.entry import program
+from guavachute import outcome
+
+
+def order_twice() -> None:
+    """A request that may run once is sent again after a failure."""
+    configuration.Route.may_run_again = property(  # type: ignore[assignment]
+        lambda route: True
+    )
+
+
+def false_not_run() -> None:
+    """What may have run is answered as not run."""
+
+    real = exchange.Exchange._after_failure
+
+    def after_failure(self: typing.Any, reason: str) -> None:
+        if self.first_byte_s is None:
+            lost = outcome.Failure(outcome.Reason.LOST_ANSWER, reason)
+            self._own_answer(503, lost)
+        else:
+            real(self, reason)
+
+    setattr(exchange.Exchange, '_after_failure', after_failure)
+
+
+def configuration_back() -> None:
+    """Each third configuration is the one of two before."""
+    real = known_state.KnownState.take_configuration
+    texts: list[bytes] = []
+
+    def take(self: typing.Any, text: bytes, source: str) -> None:
+        texts.append(text)
+        if len(texts) % 3 == 0:
+            self.configuration = None
+            text = texts[-3]
+        real(self, text, source)
+
+    setattr(known_state.KnownState, 'take_configuration', take)
+
+
+VARIANTS: dict[str, typing.Callable[[], None]] = {
+    'order-twice': order_twice,
+    'false-not-run': false_not_run,
+    'configuration-back': configuration_back,
+}
+
+
+if __name__ == '__main__':
+    VARIANTS[sys.argv[1]]()
+    sys.exit(program.run(None))
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,179 @@
+"""Clients that use their connections until the process is gone."""
+
+import itertools
+import random
+import typing
+
+from guavachute.entry import loop as entry_loop
+from soak import programs
+from soak import promises
+from tests.support import platform_site
+
+STREAM_EVENTS = 6
+ANSWER_TIMEOUT_S = 4.5
+"""Beyond the deadline that requests bear."""
+
+PAUSE_S = 0.04
+"""Between an answer and the next request, about."""
+
+PROBE_PART = 0.15
+"""Part of the requests that ask for a version's own route."""
+
+ROUTES = (
+    promises.Route('/stream/', STREAM_EVENTS, may_run_again=False),
+    promises.Route('/resumable/', STREAM_EVENTS, may_run_again=True),
+    promises.Route('/order/', 0, may_run_again=False),
+    promises.Route('/lookup/', 0, may_run_again=True),
+)
+PROBE = promises.Route('/v', 0, may_run_again=True)
+KEYS = {
+    'botany': platform_site.KEY,
+    'zoology': platform_site.OTHER_KEY,
+}
+
+
+class World(typing.Protocol):
+    """What clients need of the play."""
+
+    loop: entry_loop.Loop
+    rng: random.Random
+    programs: list[programs.Program]
+    version: int
+
+    def is_planned_only(self) -> bool:
+        """Whether nothing but planned work goes on now."""
+
+
+class Client:
+    """Sends one request after the other, and keeps what came of them."""
+
+    def __init__(
+        self,
+        world: World,
+        numbers: typing.Iterator[int],
+        attempts: list[promises.Attempt],
+    ) -> None:
+        self._world = world
+        self._numbers = numbers
+        self._attempts = attempts
+        self._socket: platform_site.CallerSocket | None = None
+        self._program: programs.Program | None = None
+        self._incarnation = ''
+        self._attempt: promises.Attempt | None = None
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Begin, not at the same moment as the others."""
+        self._world.loop.call_after(
+            self._world.rng.uniform(0.0, PAUSE_S), self._next
+        )
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._is_stopped = True
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether an answer is still to come."""
+        return self._attempt is not None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _next(self) -> None:
+        if self._is_stopped:
+            return
+        if self._socket is not None and self._socket.reply.is_closed:
+            self.close()
+        if self._socket is None and not self._connect():
+            self._world.loop.call_after(5 * PAUSE_S, self._next)
+            return
+        self._send()
+
+    def _connect(self) -> bool:
+        running = [item for item in self._world.programs if item.is_running]
+        if not running:
+            return False
+        program = self._world.rng.choice(running)
+        address = program.site.listen.callers
+        assert address is not None
+        try:
+            self._socket = platform_site.CallerSocket(
+                self._world.loop, address
+            )
+        except OSError:
+            return False
+        self._program, self._incarnation = program, program.incarnation
+        return True
+
+    def _send(self) -> None:
+        assert self._socket is not None and self._program is not None
+        world = self._world
+        route = world.rng.choice(ROUTES)
+        target = f'{route.path}{world.rng.randrange(9)}'
+        if world.rng.random() < PROBE_PART:
+            route = PROBE
+            target = f'/v{world.rng.randint(1, world.version)}/x'
+        workspace = world.rng.choice(sorted(KEYS))
+        attempt = promises.Attempt(
+            attempt_id=f'attempt-{next(self._numbers)}',
+            route=route,
+            target=target,
+            body=b'question %d' % world.rng.randrange(1_000),
+            workspace=workspace,
+            incarnation=self._incarnation,
+            sent_s=world.loop.now_s,
+            version=world.version,
+            is_planned=world.is_planned_only(),
+        )
+        self._attempt = attempt
+        self._attempts.append(attempt)
+        data = platform_site.request_bytes(
+            target, attempt.attempt_id, 'POST', attempt.body, KEYS[workspace]
+        )
+        try:
+            self._socket.send(data)
+        except OSError:
+            self.close()
+            self._ended(attempt)
+            return
+        self._watch(attempt, world.loop.now_s + ANSWER_TIMEOUT_S)
+
+    def _watch(self, attempt: promises.Attempt, end_s: float) -> None:
+        assert self._socket is not None
+        reply = self._socket.reply
+        if not reply.has_ended and self._world.loop.now_s < end_s:
+            self._world.loop.call_after(
+                0.005, lambda: self._watch(attempt, end_s)
+            )
+            return
+        attempt.status = reply.status
+        attempt.headers = reply.headers
+        attempt.answer = reply.body
+        attempt.is_whole = reply.is_whole
+        attempt.is_malformed = reply.is_malformed
+        if not self._world.is_planned_only():
+            attempt.is_planned = False
+        if not reply.is_whole or reply.headers.get('connection') == 'close':
+            self.close()
+        self._ended(attempt)
+
+    def _ended(self, attempt: promises.Attempt) -> None:
+        attempt.ended_s = self._world.loop.now_s
+        self._attempt = None
+        if self._socket is not None and self._socket.reply.is_closed:
+            self.close()
+        self._world.loop.call_after(
+            self._world.rng.uniform(0.5, 1.5) * PAUSE_S, self._next
+        )
+
+
+def clients(
+    world: World, number: int, attempts: list[promises.Attempt]
+) -> list[Client]:
+    """*number* clients whose attempts have ids of their own."""
+    numbers = itertools.count(1)
+    return [Client(world, numbers, attempts) for _ in range(number)]
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,351 @@
+"""One seed: a small site, faults, and the promises afterwards."""
+
+import dataclasses
+import pathlib
+import random
+import time
+import typing
+
+import msgspec
+
+from guavachute.domain import site as domain_site
+from guavachute.entry import control_client
+from guavachute import ids
+from guavachute.platform import directory
+from guavachute.standin.platform import engine as standin_engine
+from soak import clients as soak_clients
+from soak import faults
+from soak import programs
+from soak import promises
+from soak import proxy
+from tests.support import looping
+from tests.support import platform_site
+
+FAULTS_S = 8.0
+READY_S = 20.0
+"""From the start of the processes, or the end of the faults, until all
+are ready; many processes start more slowly."""
+
+CALM_S = 4.0
+"""Without disturbance for this long, bounds hold again."""
+
+IN_FORCE_S = 3.0
+SERVED_PART = 0.9
+"""Of the requests sent in calm; the rest leaves room for one slow answer
+among few."""
+
+HEARTBEAT_S = 1.0
+CLIENTS_PER_NODE = 3
+MOST_CLIENTS = 60
+PLAIN_ENGINES = 3
+MODEL_ENGINES = 3
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What one seed gave.
+
+    :ivar failures: promises that were not kept, one line each
+    """
+
+    seed: int
+    failures: list[str]
+    attempts: int
+    served: int
+    folder: pathlib.Path
+
+
+class Play:
+    """The site of one seed, and what goes on there."""
+
+    def __init__(
+        self,
+        seed: int,
+        nodes: int,
+        folder: pathlib.Path,
+        variant: str | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.site = platform_site.PlatformSite()
+        self.loop = self.site.loop
+        self.store, self.cloud = self.site.store, self.site.cloud
+        self.engines = self.site.engines
+        self.version = 0
+        self.attempts: list[promises.Attempt] = []
+        self.engine_links: list[proxy.Proxy] = []
+        self.store_links: list[proxy.Proxy] = []
+        self.programs: list[programs.Program] = []
+        self.faults = faults.Faults(self)
+        self._born: dict[str, int] = {}
+        self._probes: dict[ids.Address, control_client.Client] = {}
+        self._planned_from_s = float('inf')
+        self._host = f'127.{1 + seed % 250}'
+        self.change_configuration()
+        for number in range(PLAIN_ENGINES + MODEL_ENGINES):
+            self._add_engine(number)
+        self._add_programs(nodes, folder, variant)
+        self.clients = soak_clients.clients(
+            self, min(MOST_CLIENTS, CLIENTS_PER_NODE * nodes), self.attempts
+        )
+
+    def close(self) -> None:
+        """End everything that was started."""
+        for client in self.clients:
+            client.close()
+        for program in self.programs:
+            program.go_on()
+            program.kill()
+        for probe in self._probes.values():
+            probe.close()
+        for link in [*self.engine_links, *self.store_links]:
+            link.close()
+        self.site.close()
+
+    # -- the site ------------------------------------------------------
+
+    def change_configuration(self) -> None:
+        """The operator writes the next version, with a route of its own."""
+        self.version += 1
+        fields = msgspec.json.decode(platform_site.configuration(self.version))
+        pattern = next(
+            route for route in fields['routes'] if route['name'] == 'lookup'
+        )
+        fields['routes'] += [
+            {**pattern, 'name': f'v{number}', 'pathPrefix': f'/v{number}/'}
+            for number in range(1, self.version + 1)
+        ]
+        self.site.configure(self.version, routes=fields['routes'])
+
+    def restart_engine(self, engine: standin_engine.Engine) -> None:
+        """An engine crashes and starts again."""
+        self._born[engine.name] = self._born.get(engine.name, 1) + 1
+        engine.break_connections()
+        self._register(engine)
+
+    def is_planned_only(self) -> bool:
+        """Whether nothing but planned work goes on now."""
+        return self.loop.now_s >= self._planned_from_s
+
+    def _add_engine(self, number: int) -> None:
+        is_plain = number < PLAIN_ENGINES
+        engine = self.site.add_engine(
+            f'e{number}',
+            platform_site.PLAIN_SERVICE
+            if is_plain
+            else platform_site.MODEL_SERVICE,
+            events=0 if is_plain else soak_clients.STREAM_EVENTS,
+        )
+        engine.event_pause_s = 0.05
+        link = proxy.Proxy(
+            self.loop, ids.Address(engine.address), f'{self._host}.1.1'
+        )
+        self.engine_links.append(link)
+        self._register(engine)
+
+    def _register(self, engine: standin_engine.Engine) -> None:
+        place = self.engines.index(engine)
+        engine.register(
+            address=self.engine_links[place].address,
+            born=self._born.get(engine.name, 1),
+        )
+
+    def _add_programs(
+        self, nodes: int, folder: pathlib.Path, variant: str | None
+    ) -> None:
+        for number in range(nodes):
+            link = proxy.Proxy(
+                self.loop, self.store.address, f'{self._host}.1.1'
+            )
+            self.store_links.append(link)
+            ip = f'{self._host}.{2 + number // 200}.{1 + number % 200}'
+            ports = {
+                name: platform_site.free_port(ip)
+                for name in ('callers', 'readiness', 'peers')
+            }
+            site = platform_site.node_settings(
+                f'edge-{number}',
+                ip,
+                link.address,
+                self.cloud.address,
+                listen=domain_site.Listen(
+                    callers=ids.Address(f'{ip}:{ports["callers"]}'),
+                    readiness=ids.Address(f'{ip}:{ports["readiness"]}'),
+                    directory=None,
+                    peers_port=ports['peers'],
+                    metrics_port=0,
+                ),
+            )
+            self.programs.append(programs.Program(site, folder, variant))
+
+    # -- the course ----------------------------------------------------
+
+    def play(self) -> list[str]:
+        """Play the seed; the promises that were not kept."""
+        self._heartbeat()
+        self._watch()
+        for program in self.programs:
+            program.start()
+        failures = self._until_all_are_ready('at the start')
+        for client in self.clients:
+            client.start()
+        self.faults.start()
+        looping.run_for(self.loop, FAULTS_S)
+        self.faults.end()
+        for program in self.programs:
+            if not program.is_running:
+                program.start()
+        failures += self._until_all_are_ready('after the faults')
+        looping.run_for(self.loop, CALM_S)
+        failures += self._check_calm()
+        failures += self._check_planned_work()
+        failures += self._check_end()
+        failures += [
+            f'a process ended by itself: {end}'
+            for program in self.programs
+            for end in program.ended
+        ]
+        runs: dict[str, list[standin_engine.Run]] = {}
+        for engine in self.engines:
+            for run in engine.runs:
+                runs.setdefault(run.attempt_id, []).append(run)
+        failures += promises.broken(self.attempts, runs)
+        return failures + promises.broken_duties(self.cloud.calls)
+
+    def _heartbeat(self) -> None:
+        self.loop.call_after(HEARTBEAT_S, self._heartbeat)
+        for engine in self.engines:
+            self._register(engine)
+
+    def _watch(self) -> None:
+        self.loop.call_after(0.05, self._watch)
+        for program in self.programs:
+            program.watch()
+
+    def _until_all_are_ready(self, when: str) -> list[str]:
+        ready: set[ids.Address] = set()
+
+        def ask(address: ids.Address) -> None:
+            client = self._probes.get(address)
+            if client is None:
+                client = control_client.Client(self.loop, address)
+                self._probes[address] = client
+
+            def got(
+                reply: control_client.Reply | control_client.Lost,
+            ) -> None:
+                if (
+                    isinstance(reply, control_client.Reply)
+                    and reply.status == 200
+                ):
+                    ready.add(address)
+                else:
+                    self.loop.call_after(0.2, lambda: ask(address))
+
+            path = directory.READINESS_PATH.encode()
+            client.call(b'GET', path, got, 1.0)
+
+        for program in self.programs:
+            address = program.site.listen.readiness
+            assert address is not None
+            ask(address)
+        wait_s = READY_S + 0.2 * len(self.programs)
+        if self._holds_within(
+            lambda: len(ready) == len(self.programs), wait_s
+        ):
+            return []
+        return [f'only {len(ready)} nodes are ready {when}']
+
+    def _holds_within(
+        self, condition: typing.Callable[[], bool], limit_s: float
+    ) -> bool:
+        try:
+            looping.run_until(self.loop, condition, limit_s)
+        except AssertionError:
+            return False
+        return True
+
+    def _check_calm(self) -> list[str]:
+        """Requests are served, and a new version comes into force."""
+        begin_s = self.loop.now_s
+        self.change_configuration()
+        target = f'/v{self.version}/'
+        looping.run_for(self.loop, IN_FORCE_S + 2.0)
+        sent = [
+            item
+            for item in self.attempts
+            if item.sent_s >= begin_s and item.ended_s
+        ]
+        failures = [
+            f'{item.incarnation} does not know {target} '
+            f'{item.sent_s - begin_s:.1f} s after it was written'
+            for item in sent
+            if item.target.startswith(target)
+            and item.sent_s > begin_s + IN_FORCE_S
+            and item.status == 404
+        ]
+        proper = [item for item in sent if not item.target.startswith(target)]
+        served = sum(1 for item in proper if item.status == 200)
+        if served < SERVED_PART * len(proper) or not proper:
+            failures.append(f'{served} of {len(proper)} served in calm')
+        return failures
+
+    def _check_planned_work(self) -> list[str]:
+        """A node that is stopped in calm cuts nothing."""
+        self._planned_from_s = self.loop.now_s
+        program = self.rng.choice(self.programs)
+        self.faults.log.append(f'{self.loop.now_s:.3f} stop in calm')
+        program.stop()
+        grace_s = program.site.bounds.stop_grace_s
+        has_ended = self._holds_within(lambda: not program.is_running, grace_s)
+        program.kill()
+        program.start()
+        if has_ended:
+            return []
+        return [f'{program.incarnation} runs {grace_s} s after SIGTERM']
+
+    def _check_end(self) -> list[str]:
+        """All answers come, and every process ends when it is told to."""
+        for client in self.clients:
+            client.stop()
+        answered = self._holds_within(
+            lambda: not any(client.is_waiting for client in self.clients),
+            2 * soak_clients.ANSWER_TIMEOUT_S,
+        )
+        failures = [] if answered else ['clients still wait at the end']
+        for client in self.clients:
+            client.close()
+        for program in self.programs:
+            program.stop()
+        bound_s = max(item.site.bounds.stop_grace_s for item in self.programs)
+        if not self._holds_within(
+            lambda: not any(item.is_running for item in self.programs),
+            bound_s,
+        ):
+            failures.append(f'processes run {bound_s} s after SIGTERM')
+        return failures
+
+
+def play(
+    seed: int, nodes: int, folder: pathlib.Path, variant: str | None = None
+) -> Outcome:
+    """Play one seed with *nodes* entry processes; logs go to *folder*."""
+    folder.mkdir(parents=True, exist_ok=True)
+    world = Play(seed, nodes, folder, variant)
+    began_s = time.monotonic()
+    try:
+        failures = world.play()
+    finally:
+        world.close()
+    lines = [
+        f'seed {seed}, {nodes} processes, {time.monotonic() - began_s:.0f} s',
+        *world.faults.log,
+        *[f'FAILED {line}' for line in failures],
+        *[
+            f'{item.sent_s:.3f} {item.attempt_id} {item.target} '
+            f'{item.incarnation} {item.status} whole={item.is_whole}'
+            for item in world.attempts
+        ],
+    ]
+    (folder / 'play.txt').write_text('\n'.join(lines) + '\n')
+    served = sum(1 for item in world.attempts if item.status == 200)
+    return Outcome(seed, failures, len(world.attempts), served, folder)
--- /dev/null
+++ b/soak/regressions.py
@@ -0,0 +1,3 @@
+"""Seeds that failed once, each with its cause."""
+
+SEEDS: dict[int, str] = {}
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,96 @@
+"""``./build.sh soak``: many seeds, some at the same time."""
+
+import concurrent.futures
+import dataclasses
+import pathlib
+import shutil
+import sys
+import tempfile
+import typing
+
+import cappa
+
+from guavachute.cli import process
+from soak import broken
+from soak import play
+from soak import regressions
+
+AT_ONCE = 4
+"""Seeds that are played at the same time."""
+
+
+@cappa.command(name='soak')
+@dataclasses.dataclass
+class SoakCommand:
+    """Play seeds of the fault soak; the failed ones keep their logs."""
+
+    seeds: typing.Annotated[int, cappa.Arg(long=True)] = 4
+    """How many seeds."""
+    seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
+    """The first of them."""
+    processes: typing.Annotated[int, cappa.Arg(long=True)] = 4
+    """Entry processes of each seed."""
+    variant: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+    """Run this broken variant of the program, which must be caught."""
+    regressions: typing.Annotated[bool, cappa.Arg(long=True)] = False
+    """Play the seeds that failed once as well."""
+
+
+def run(command: SoakCommand) -> int:
+    """Play; 0 if all promises were kept, or each broken one caught."""
+    if command.variant not in (None, *broken.VARIANTS):
+        process.fail(
+            f'no variant {command.variant}, there are '
+            + ', '.join(broken.VARIANTS),
+            process.EXIT_USAGE,
+        )
+    seeds = list(range(command.seed, command.seed + command.seeds))
+    if command.regressions:
+        seeds += sorted(regressions.SEEDS)
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
+    at_once = max(1, min(AT_ONCE, 4 * AT_ONCE // command.processes))
+    bad = 0
+    with concurrent.futures.ProcessPoolExecutor(at_once) as workers:
+        plays = [
+            workers.submit(
+                play.play,
+                seed,
+                command.processes,
+                folder / str(seed),
+                command.variant,
+            )
+            for seed in seeds
+        ]
+        for done in concurrent.futures.as_completed(plays):
+            bad += _tell(done.result())
+    print(f'{len(seeds)} seeds, {bad} with broken promises', flush=True)
+    if command.variant is not None:
+        return 0 if bad else 1
+    if not bad:
+        shutil.rmtree(folder)
+    return 1 if bad else 0
+
+
+def _tell(played: play.Outcome) -> bool:
+    """Print the outcome of a seed; whether a promise was broken."""
+    print(
+        f'seed {played.seed}: {played.attempts} requests, '
+        f'{played.served} served, {len(played.failures)} failures',
+        flush=True,
+    )
+    for line in played.failures[:20]:
+        print(f'  {line}')
+    if not played.failures:
+        shutil.rmtree(played.folder)
+        return False
+    print(f'  logs: {played.folder}')
+    return True
+
+
+def main() -> None:
+    """The console script."""
+    sys.exit(run(process.parse(SoakCommand)))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/nocover/test_soak.py
@@ -0,0 +1,206 @@
+"""The soak: one short seed, its checks, and what it found."""
+
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from guavachute.platform import settings
+from guavachute.standin.platform import cloud as standin_cloud
+from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import settings as standin_settings
+from soak import clients
+from soak import play
+from soak import programs
+from soak import promises
+from tests.support import platform_site
+
+STREAM, RESUMABLE, ORDER, LOOKUP = clients.ROUTES
+
+
+def attempt(route: promises.Route, **changes: object) -> promises.Attempt:
+    fields: dict[str, object] = {
+        'attempt_id': 'a1',
+        'route': route,
+        'target': route.path + '1',
+        'body': b'question',
+        'workspace': 'botany',
+        'incarnation': 'edge-0/1',
+        'sent_s': 1.0,
+        'version': 1,
+        'status': 200,
+        'headers': {
+            'attempt-id': 'a1',
+            'server-stamp': promises.STAMP + 'e1',
+        },
+        'answer': b'answer of e1',
+        'is_whole': True,
+        'ended_s': 2.0,
+    }
+    return promises.Attempt(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def run_of(sent: promises.Attempt, **headers: str) -> standin_engine.Run:
+    return standin_engine.Run(
+        sent.attempt_id,
+        sent.target,
+        {'tenant': sent.workspace, **headers},
+        sent.body,
+    )
+
+
+def events(*sources: str) -> bytes:
+    return b''.join(
+        b'id: %d\ndata: %s-%d\n\n' % (number, source.encode(), number)
+        for number, source in enumerate(sources, start=1)
+    )
+
+
+class PromisesTest(unittest.TestCase):
+    """Each check, on an attempt that keeps it and one that does not."""
+
+    def broken(
+        self, sent: promises.Attempt, *runs: standin_engine.Run
+    ) -> list[str]:
+        return promises.broken([sent], {sent.attempt_id: runs})
+
+    def assert_broken(
+        self, reason: str, sent: promises.Attempt, *runs: standin_engine.Run
+    ) -> None:
+        found = self.broken(sent, *runs)
+        self.assertTrue(any(reason in line for line in found), found)
+
+    def test_a_sound_answer_breaks_nothing(self) -> None:
+        sent = attempt(ORDER)
+        self.assertEqual([], self.broken(sent, run_of(sent)))
+        whole = attempt(STREAM, answer=events(*['e1'] * 6))
+        self.assertEqual([], self.broken(whole, run_of(whole)))
+        resumed = attempt(
+            RESUMABLE, answer=events(*'e1 e1 e2 e2 e2 e2'.split())
+        )
+        self.assertEqual(
+            [], self.broken(resumed, run_of(resumed), run_of(resumed))
+        )
+
+    def test_an_order_that_ran_twice(self) -> None:
+        sent = attempt(ORDER)
+        self.assert_broken('twice', sent, run_of(sent), run_of(sent))
+
+    def test_a_refusal_of_what_ran(self) -> None:
+        sent = attempt(ORDER, status=503, headers={}, answer=b'')
+        self.assert_broken('false "not run"', sent, run_of(sent))
+        self.assertEqual([], self.broken(sent))
+
+    def test_answers_that_no_endpoint_made(self) -> None:
+        for changes in (
+            {'headers': {'attempt-id': 'a1'}},
+            {'headers': {'server-stamp': promises.STAMP + 'e1'}},
+            {'answer': b'answer of e2'},
+            {'is_malformed': True},
+        ):
+            sent = attempt(LOOKUP, **changes)
+            self.assertTrue(self.broken(sent, run_of(sent)), changes)
+
+    def test_streams_with_holes_doubles_and_strangers(self) -> None:
+        pieces = events(*['e1'] * 6).split(b'\n\n')
+        for wrong in (
+            [*pieces[:2], *pieces[3:]],
+            [*pieces[:2], pieces[1], *pieces[2:]],
+            pieces[:4] + [b''],
+            events(*'e1 e1 e2 e2 e2 e2'.split()).split(b'\n\n'),
+        ):
+            sent = attempt(STREAM, answer=b'\n\n'.join(wrong))
+            self.assertTrue(self.broken(sent, run_of(sent)), wrong)
+
+    def test_requests_that_were_changed_or_invented(self) -> None:
+        sent = attempt(ORDER)
+        self.assert_broken(
+            'key', sent, run_of(sent, authorization='Token secret')
+        )
+        self.assert_broken('run for', sent, run_of(sent, tenant='zoology'))
+        stranger = attempt(ORDER, attempt_id='a2')
+        found = promises.broken([sent], {'a2': [run_of(stranger)]})
+        self.assertIn('unasked: a2 ran, and nobody sent it', found)
+
+    def test_a_configuration_that_goes_back(self) -> None:
+        def probe(
+            version: int, status: int, sent_s: float
+        ) -> promises.Attempt:
+            return attempt(
+                clients.PROBE,
+                target=f'/v{version}/x',
+                status=status,
+                headers={},
+                answer=b'',
+                sent_s=sent_s,
+                ended_s=sent_s + 0.1,
+            )
+
+        forward = [probe(2, 404, 1.0), probe(2, 503, 2.0), probe(3, 404, 3.0)]
+        self.assertEqual([], promises.broken(forward, {}))
+        back = [*forward, probe(1, 404, 4.0)]
+        self.assertIn('went back', promises.broken(back, {})[0])
+
+    def test_planned_work_that_cuts_an_answer(self) -> None:
+        sent = attempt(ORDER, status=0, headers={}, is_whole=False)
+        sent.is_planned = True
+        self.assert_broken('cut by planned work', sent, run_of(sent))
+        self.assertEqual([], self.broken(sent))
+
+    def test_duties_with_two_holders_or_two_counts(self) -> None:
+        def usage(
+            holder: str, fence: int, count: int
+        ) -> standin_cloud.CloudCall:
+            body = {'windowId': 7, 'counts': {'botany': count}}
+            return standin_cloud.CloudCall('/usage', holder, fence, body)
+
+        sound = [usage('a', 1, 3), usage('a', 1, 3), usage('b', 4, 3)]
+        self.assertEqual([], promises.broken_duties(sound))
+        for wrong in (usage('b', 1, 3), usage('b', 5, 4)):
+            self.assertTrue(promises.broken_duties([*sound, wrong]))
+
+
+class ProgramTest(unittest.TestCase):
+    def test_changed_settings_do_not_end_a_process_that_starts(self) -> None:
+        """SIGHUP ends a process that has not said otherwise."""
+        site = platform_site.PlatformSite()
+        self.addCleanup(site.close)
+        wanted = platform_site.node_settings(
+            'edge-1', '127.0.0.1', site.store.address, None
+        )
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / 'settings.yaml'
+            file.write_bytes(standin_settings.encode(wanted))
+            process = subprocess.Popen(
+                [sys.executable, *programs.REAL],
+                env={settings.PATH_VARIABLE: str(file)},
+                stdout=subprocess.PIPE,
+            )
+            self.addCleanup(process.wait)
+            self.addCleanup(process.kill)
+            assert process.stdout is not None
+            self.addCleanup(process.stdout.close)
+            status = pathlib.Path(f'/proc/{process.pid}/status')
+            end_s = time.monotonic() + 20
+            while not _ignores(status, signal.SIGHUP):
+                self.assertLess(time.monotonic(), end_s, 'SIGHUP would end it')
+            process.send_signal(signal.SIGHUP)
+            self.assertIn(b'listening', process.stdout.readline())
+
+
+def _ignores(status: pathlib.Path, number: signal.Signals) -> bool:
+    for line in status.read_text().splitlines():
+        if line.startswith('SigIgn:'):
+            return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+    return False
+
+
+class SeedTest(unittest.TestCase):
+    def test_a_seed_keeps_all_promises(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            played = play.play(1, 3, pathlib.Path(folder))
+        self.assertEqual([], played.failures)
+        self.assertGreater(played.served, 100)
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -96,6 +96,7 @@
     """What a caller got on its connection.
 
     :ivar is_whole: whether the answer ended as its framing says
+    :ivar is_malformed: whether bytes came that are no answer
     """
 
     def __init__(self) -> None:
@@ -103,6 +104,7 @@
         self.headers: dict[str, str] = {}
         self.body = b''
         self.is_whole = False
+        self.is_malformed = False
         self.is_closed = False
 
     @property
@@ -277,9 +279,12 @@
             data = self._socket.recv(65_536)
         except ConnectionError:
             data = b''
-        if data:
+        try:
             self._parser.feed_data(data)
-        else:
+        except httptools.HttpParserError:
+            self.reply.is_malformed = True
+            data = b''
+        if not data:
             self.reply.is_closed = True
             self.close()
 
