Keep who is known apart from how news travel; drop the entries of nodes that ended

Readers drop the entries of nodes that were not heard for a minute, unless so many are silent that they may be out of reach themselves (test first: the entry stayed).

--- a/soak/programs.py
+++ b/soak/programs.py
@@ -53,7 +53,10 @@
         new.replace(self._file)
 
     def start(self) -> None:
-        """Start the process; what it prints goes to the seed's folder."""
+        """Start the process unless it runs; its logs go to the folder."""
+        if self.is_running:
+            return
+        self.watch()
         self.run += 1
         self._is_ending = False
         arguments = REAL
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -327,7 +327,7 @@
     def may_retry(self, service: ids.ServiceName) -> bool:
         """Pay for another send to *service*."""
         granted = self._budget(service).take(
-            self._peers.count, self.loop.now_s
+            self._peers.table.count, self.loop.now_s
         )
         self._metrics.add('retries' if granted else 'retries_denied')
         return granted
@@ -463,7 +463,7 @@
     def sweep(self) -> None:
         """Forget what is old; call it about each second."""
         self.pool.sweep()
-        runs, silent = self._peers.counted_runs(quota.SILENT_AFTER_S)
+        runs, silent = self._peers.table.counted_runs(quota.SILENT_AFTER_S)
         self._quotas.heed(quota.Others(runs, silent), self.loop.now_s)
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
         self._lost = [item for item in self._lost if item[0] >= oldest_s]
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -17,6 +17,7 @@
 from guavachute.entry import ingress as entry_ingress
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import peer_table
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import questions
 from guavachute.entry import region_sums
@@ -70,6 +71,11 @@
 READY_TOLD = 6
 """Ready nodes that another region's callers may be sent to."""
 
+ENDED_AFTER_S = 60.0
+"""The entry of a node that was not heard for this long is dropped."""
+
+DROP_PERIOD_S = 5.0
+
 TELL_AFTER_S = 0.02
 """Several changes that are read together are told together."""
 
@@ -101,7 +107,7 @@
         self.peers = entry_peers.Peers(loop, site, self)
         self._sums = region_sums.SpendingSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
-        self.book.others = self.peers.work_at
+        self.book.others = self.peers.table.work_at
         self.ingress = entry_ingress.Ingress(
             loop,
             site,
@@ -141,7 +147,7 @@
                 self._store,
                 self._nodes,
                 self.usage.total,
-                self.peers.true_time_s,
+                self.peers.table.true_time_s,
                 self.usage.told_s,
                 entry_scaler.Scaler(
                     loop, self.state, sorted(site.region_of), self._demand
@@ -183,6 +189,7 @@
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._keep_house)
         self.loop.every(STATE_CHECK_S, self._ask_peers)
+        self.loop.every(DROP_PERIOD_S, self._drop_ended)
 
     def stop(self) -> None:
         """Leave: not ready at once, and end when the callers are gone."""
@@ -255,7 +262,7 @@
     ) -> list[ids.Address]:
         """The nodes that a caller in *domain* is to use."""
         return addresses.choose(
-            [*self.peers.candidates(), self._own_candidate()],
+            [*self.peers.table.candidates(), self._own_candidate()],
             domain,
             region,
             self.loop.now_s,
@@ -301,7 +308,7 @@
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
         if record.value is None:
-            self.peers.unlearn(record.key.removeprefix(NODE_KEY_PREFIX))
+            self.peers.table.remove(record.key.removeprefix(NODE_KEY_PREFIX))
             return
         node = entry_news.decode_node(record.value)
         if isinstance(node, outcome.Failure):
@@ -340,6 +347,26 @@
         journal.event('node', outcome='not-registered', reason=str(reply))
         self.loop.call_after(REGISTER_RETRY_S, self._register)
 
+    def _drop_ended(self) -> None:
+        """Drop the entries of nodes that have ended for good.
+
+        A node that lives after all is still told the others' news, and
+        tells its own.
+        """
+        if not self._is_reader:
+            return
+        for node in self.peers.table.ended(ENDED_AFTER_S):
+            journal.event('node', outcome='dropped', peer=node)
+            store_writer.append(
+                self._store,
+                NODES_TOPIC,
+                store.KeyedRecord(NODE_KEY_PREFIX + node, None),
+                None,
+                # The next round sees whether it is done.
+                lambda reply: None,
+                REGISTER_RETRY_S,
+            )
+
     # -- the peers -----------------------------------------------------
 
     def describe(self, run: int, sequence: int) -> entry_news.NodeNews:
@@ -379,7 +406,7 @@
         """What this node adds up of its region."""
         near = [
             peer.news
-            for peer in self.peers.heard()
+            for peer in self.peers.table.heard()
             if peer.news is not None and peer.news.region == self.site.region
         ]
         spent = self.ingress.spending()
@@ -412,8 +439,8 @@
     def told(self, news: entry_news.NodeNews) -> None:
         """Another node told its news."""
         self.usage.take(news)
-        self._sums.take(entry_peers.source(news), news.spent)
-        self.ingress.take_spending(entry_peers.source(news), news.spent)
+        self._sums.take(peer_table.source(news), news.spent)
+        self.ingress.take_spending(peer_table.source(news), news.spent)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
         self._ask_peers()
@@ -421,14 +448,14 @@
     def told_of_region(self, news: entry_news.RegionNews) -> None:
         """A reader of another region told its sums."""
         self.usage.take_region(news)
-        self.ingress.take_spending(entry_peers.region_source(news), news.spent)
+        self.ingress.take_spending(peer_table.region_source(news), news.spent)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
 
     def _demand(self, service: ids.ServiceName) -> scaling.Demand:
         """What all nodes' callers ask of a service."""
         own = self.ingress.load().get(service)
-        loads = self.peers.load_of(service) + ([own] if own else [])
+        loads = self.peers.table.load_of(service) + ([own] if own else [])
         return scaling.Demand(
             prompt_tokens_per_s=sum(
                 item.prompt_tokens_per_s for item in loads
@@ -453,7 +480,7 @@
         needs_endpoints = not self._is_reader or self._is_stale(
             self._endpoints, now_s
         )
-        for peer in self.peers.heard():
+        for peer in self.peers.table.heard():
             news = peer.news
             if news is None:
                 continue
@@ -506,7 +533,7 @@
                 peer.news.reaches_store,
                 peer.news.is_ready,
             )
-            for peer in self.peers.heard(READER_SILENT_S)
+            for peer in self.peers.table.heard(READER_SILENT_S)
             if peer.news is not None
         ]
         is_reader = readers.is_reader(own, others)
@@ -515,7 +542,7 @@
             self.duty.set_contending(is_reader)
         self._set_reader(is_reader or holds_duty)
         if self._is_reader:
-            is_crowded = not rounds.are_few(self.peers.count)
+            is_crowded = not rounds.are_few(self.peers.table.count)
             self._nodes.set_pace(
                 READER_WAIT_S, CROWDED_PERIOD_S if is_crowded else 0.0
             )
@@ -530,7 +557,7 @@
         else:
             # Calls to the store shall not grow with the nodes.
             period_s = FOLLOWER_PERIOD_S * max(
-                1.0, self.peers.count / FOLLOWERS_AT_PERIOD
+                1.0, self.peers.table.count / FOLLOWERS_AT_PERIOD
             )
             wait_s = min(period_s, MAX_WAIT_S)
         self._operator.set_pace(wait_s, 0.0)
@@ -554,7 +581,7 @@
         self._choose_readers()
         self.state.expire()
         self.book.forget_gone()
-        self.peers.forget_endpoints(self.state.table.entries)
+        self.peers.table.forget_endpoints(self.state.table.entries)
         self.ingress.sweep()
 
 
--- /dev/null
+++ b/src/guavachute/entry/peer_table.py
@@ -0,0 +1,408 @@
+"""The other entry nodes, by what they told, and what follows from it."""
+
+import time
+import typing
+
+from guavachute.decide.nodes import addresses
+from guavachute.decide.nodes import clock as agreed_clock
+from guavachute.decide.nodes import counting
+from guavachute.decide.nodes import rounds
+from guavachute.entry import endpoint_book
+from guavachute import ids
+from guavachute.observe import journal
+from guavachute.wire import entry_news
+
+SILENT_AFTER_S = 2.0
+"""A node that was not heard for this long counts as silent; longer, as
+far as nodes are told in turns."""
+
+REGION_SILENT_S = 3.0
+"""A region whose readers were not heard for this long is silent."""
+
+CLOCK_CHECK_S = 0.1
+"""How often the nodes' clocks are compared."""
+
+FORGET_AFTER_S = 120.0
+"""A node that has no entry in the store and was not heard for this long
+is forgotten."""
+
+DEMAND_KEPT_S = 10.0
+"""What a silent node's callers asked for still counts for so long."""
+
+
+_NO_WORK = endpoint_book.Work()
+
+
+class Peer:
+    """Another node, by its latest news.
+
+    :ivar is_listed: whether it has an entry in the store
+    :ivar counted_work: its work as it is counted in the sums
+    """
+
+    def __init__(self, address: ids.Address, region: str) -> None:
+        self.address = address
+        self.region = region
+        self.news: entry_news.NodeNews | None = None
+        self.heard_s = float('-inf')
+        self.added_s = 0.0
+        self.is_listed = False
+        self.counted_work: typing.Mapping[str, entry_news.WorkNews] = {}
+
+
+class RegionTold(typing.NamedTuple):
+    """What a reader of another region said, and when."""
+
+    news: entry_news.RegionNews
+    heard_s: float
+
+
+def source(news: entry_news.NodeNews) -> str:
+    """The name of one run of one node."""
+    return f'{news.node}/{news.run}'
+
+
+def region_source(news: entry_news.RegionNews) -> str:
+    """The name of what one run of a reader adds up."""
+    return f'{news.region}:{news.node}/{news.run}'
+
+
+class PeerTable:
+    """The nodes that are known, and those that were heard.
+
+    :param now_s: the loop's time
+    """
+
+    def __init__(
+        self, region: ids.Region, now_s: typing.Callable[[], float]
+    ) -> None:
+        self._own_region = region
+        self._now_s = now_s
+        self._peers: dict[str, Peer] = {}
+        self._regions: dict[str, dict[str, RegionTold]] = {}
+        self._work: dict[str, endpoint_book.Work] = {}
+        self._offset_s = 0.0
+        self._offset_read_s = float('-inf')
+
+    # -- who is known --------------------------------------------------
+
+    @property
+    def are_few(self) -> bool:
+        """Whether all nodes tell each other everything."""
+        return rounds.are_few(1 + len(self._peers))
+
+    def all(self) -> list[Peer]:
+        """Every other node that is known."""
+        return list(self._peers.values())
+
+    def near(self) -> list[Peer]:
+        """Those of this node's region."""
+        return [peer for peer in self._peers.values() if self.is_near(peer)]
+
+    def is_near(self, peer: Peer) -> bool:
+        """Whether a node is of this node's region."""
+        return peer.region == self._own_region
+
+    def far_nodes(self) -> dict[str, list[Peer]]:
+        """The nodes of each other region."""
+        found: dict[str, list[Peer]] = {}
+        for peer in self._peers.values():
+            if not self.is_near(peer):
+                found.setdefault(peer.region, []).append(peer)
+        return found
+
+    def readers(self) -> list[Peer]:
+        """The nodes heard of late that read the store closely."""
+        return [
+            peer
+            for peer in self.heard()
+            if peer.news is not None and peer.news.is_reader
+        ]
+
+    def add(
+        self, node: str, address: ids.Address, region: str, is_listed: bool
+    ) -> Peer:
+        """A node is there, at this address from now on."""
+        peer = self._peers.get(node)
+        if peer is None or peer.address != address:
+            if peer is not None:
+                self._count_work(peer, {})
+            peer = self._peers[node] = Peer(address, region)
+            peer.added_s = self._now_s()
+            journal.event('peer', outcome='known', peer=node, address=address)
+        peer.is_listed = peer.is_listed or is_listed
+        return peer
+
+    def remove(self, node: str) -> None:
+        """A node is gone."""
+        peer = self._peers.pop(node, None)
+        if peer is not None:
+            self._count_work(peer, {})
+
+    def heard(self, within_s: float = SILENT_AFTER_S) -> list[Peer]:
+        """The nodes that told their news of late.
+
+        :param within_s: for nodes that are told at each turn; longer,
+            as far as they are told less often
+        """
+        oldest_s = self._now_s() - within_s - self.late_s
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.news is not None and peer.heard_s >= oldest_s
+        ]
+
+    @property
+    def late_s(self) -> float:
+        """How much longer than with few nodes news may take to come."""
+        round_s = rounds.round_s(len(self._peers), len(self.near()))
+        return 2 * (round_s - rounds.PERIOD_S)
+
+    @property
+    def count(self) -> int:
+        """Nodes that count as serving callers, with this one."""
+        return 1 + sum(self.counted_runs()[0].values())
+
+    def counted_runs(
+        self, silent_after_s: float = SILENT_AFTER_S
+    ) -> tuple[dict[str, int], set[str]]:
+        """The sources that count, by their nodes, and the silent ones.
+
+        A node that was never heard goes by its name alone.
+        """
+        runs: dict[str, int] = {}
+        silent = set()
+        oldest_s = self._now_s() - silent_after_s - self.late_s
+        for node in self._counted():
+            peer = self._peers[node]
+            run = node if peer.news is None else source(peer.news)
+            runs[run] = 1
+            if peer.heard_s < oldest_s:
+                silent.add(run)
+        if not self.are_few:
+            for region, far in self.far_nodes().items():
+                chosen = self.region(region)
+                if chosen is None:
+                    runs[region] = len(far)
+                    silent.add(region)
+                    continue
+                run = region_source(chosen.news)
+                runs[run] = max(1, chosen.news.nodes)
+                if chosen.heard_s < self._now_s() - REGION_SILENT_S:
+                    silent.add(run)
+        return runs, silent
+
+    def ended(self, silent_s: float) -> list[str]:
+        """Nodes of this region with an entry that have surely ended."""
+        oldest_s = self._now_s() - silent_s
+        near = {
+            node: max(peer.heard_s, peer.added_s)
+            for node, peer in self._peers.items()
+            if self.is_near(peer)
+        }
+        counted = counting.counted(near, self._now_s())
+        return [
+            node
+            for node, last_s in near.items()
+            if node not in counted
+            and last_s < oldest_s
+            and self._peers[node].is_listed
+        ]
+
+    # -- what was told -------------------------------------------------
+
+    def take(self, news: entry_news.NodeNews) -> bool:
+        """A node told its news; whether they are newer than before."""
+        peer = self.add(
+            news.node, ids.Address(news.peers_address), news.region, False
+        )
+        before = peer.news
+        if (
+            before is not None
+            and before.run == news.run
+            and before.sequence >= news.sequence
+        ):
+            return False
+        now_s = self._now_s()
+        if now_s - peer.heard_s > SILENT_AFTER_S + self.late_s:
+            journal.event('peer', outcome='heard', peer=news.node)
+        peer.news = news
+        peer.region = news.region
+        peer.heard_s = now_s
+        self._count_work(peer, news.work)
+        return True
+
+    def take_region(self, news: entry_news.RegionNews) -> bool:
+        """A reader told of its region; whether it is the one listened to.
+
+        Of a region's readers one is listened to as long as it is heard,
+        since they add up the same.
+        """
+        if news.region == self._own_region:
+            return False
+        told = self._regions.setdefault(news.region, {})
+        before = told.get(news.node)
+        if (
+            before is not None
+            and before.news.run == news.run
+            and before.news.sequence >= news.sequence
+        ):
+            return False
+        now_s = self._now_s()
+        told[news.node] = RegionTold(news, now_s)
+        for node, item in list(told.items()):
+            if item.heard_s < now_s - FORGET_AFTER_S:
+                del told[node]
+        chosen = self.region(news.region)
+        return chosen is not None and chosen.news is news
+
+    def readers_told(self, region: str) -> list[str]:
+        """Where readers of another region take news, as they told."""
+        oldest_s = self._now_s() - REGION_SILENT_S
+        found = [
+            address
+            for item in self._regions.get(region, {}).values()
+            if item.heard_s >= oldest_s
+            for address in item.news.readers
+        ]
+        return list(dict.fromkeys(found))
+
+    def region(self, region: str) -> RegionTold | None:
+        """One of a region's readers, the same as long as it is heard."""
+        readers = self._regions.get(region, {})
+        oldest_s = self._now_s() - REGION_SILENT_S
+        heard = [
+            node for node, item in readers.items() if item.heard_s >= oldest_s
+        ]
+        if heard:
+            return readers[min(heard)]
+        return max(
+            readers.values(), key=lambda item: item.heard_s, default=None
+        )
+
+    def regions(self) -> list[tuple[entry_news.RegionNews, float]]:
+        """The latest sums of each other region, and when they came."""
+        chosen = [self.region(region) for region in self._regions]
+        oldest_s = self._now_s() - DEMAND_KEPT_S
+        return [
+            (item.news, item.heard_s)
+            for item in chosen
+            if item is not None and item.heard_s >= oldest_s
+        ]
+
+    def load_of(self, service: ids.ServiceName) -> list[entry_news.LoadNews]:
+        """What the other nodes' callers ask of a service."""
+        loads: list[typing.Mapping[ids.ServiceName, entry_news.LoadNews]] = [
+            peer.news.load
+            for peer in self.heard(DEMAND_KEPT_S)
+            if peer.news is not None
+        ]
+        loads += [news.load for news, _ in self.regions()]
+        return [load[service] for load in loads if service in load]
+
+    def work_at(self, endpoint: ids.EndpointId) -> endpoint_book.Work:
+        """The other nodes' work at an endpoint."""
+        return self._work.get(endpoint, _NO_WORK)
+
+    def candidates(self) -> list[addresses.Candidate]:
+        """The other nodes, for callers that ask for addresses."""
+        late_s = self.late_s
+        found = [
+            addresses.Candidate(
+                address=ids.Address(peer.news.callers_address),
+                domain=ids.FailureDomain(peer.news.domain),
+                region=ids.Region(peer.news.region),
+                is_ready=peer.news.is_ready,
+                heard_s=peer.heard_s + late_s,
+            )
+            for peer in self._peers.values()
+            if peer.news is not None
+        ]
+        for news, heard_s in self.regions():
+            found += [
+                addresses.Candidate(
+                    address=ids.Address(address),
+                    domain=ids.FailureDomain(domain),
+                    region=ids.Region(news.region),
+                    is_ready=True,
+                    heard_s=heard_s + late_s,
+                )
+                for address, domain in news.ready
+            ]
+        return found
+
+    def true_time_s(self) -> float:
+        """The time of day that most nodes' clocks agree on."""
+        return self._now_s() + self.true_offset_s()
+
+    def true_offset_s(self) -> float:
+        """What to add to the loop's time for the time of day."""
+        now_s = self._now_s()
+        if now_s - self._offset_read_s < CLOCK_CHECK_S:
+            return self._offset_s
+        readings = [
+            agreed_clock.Reading(peer.news.wall_s - peer.heard_s, peer.heard_s)
+            for peer in self._peers.values()
+            if peer.news is not None
+        ]
+        own_offset_s = time.time() - now_s
+        self._offset_read_s = now_s
+        self._offset_s = agreed_clock.agreed_offset_s(
+            own_offset_s, readings, now_s
+        )
+        return self._offset_s
+
+    # -- housekeeping --------------------------------------------------
+
+    def forget_endpoints(
+        self, living: typing.Container[ids.EndpointId]
+    ) -> None:
+        """Drop the sums of endpoints that are gone and have no work."""
+        for endpoint, work in list(self._work.items()):
+            if endpoint not in living and not work.requests:
+                del self._work[endpoint]
+
+    def forget_old(self) -> None:
+        """Drop what silent nodes told; call it with each round."""
+        now_s = self._now_s()
+        silent_s = now_s - SILENT_AFTER_S - self.late_s
+        for node, peer in list(self._peers.items()):
+            if peer.heard_s < silent_s and peer.counted_work:
+                self._count_work(peer, {})
+            last_s = max(peer.heard_s, peer.added_s)
+            if not peer.is_listed and last_s < now_s - FORGET_AFTER_S:
+                self.remove(node)
+
+    def _counted(self) -> set[str]:
+        are_few = self.are_few
+        return counting.counted(
+            {
+                node: max(peer.heard_s, peer.added_s)
+                for node, peer in self._peers.items()
+                if are_few or self.is_near(peer)
+            },
+            self._now_s(),
+        )
+
+    def _count_work(
+        self, peer: Peer, work: typing.Mapping[str, entry_news.WorkNews]
+    ) -> None:
+        """Replace what the sums hold of a node's work."""
+        for endpoint, item in peer.counted_work.items():
+            total = self._work.setdefault(endpoint, endpoint_book.Work())
+            # The sums of an endpoint that was gone began anew.
+            total.requests = max(0, total.requests - item.requests)
+            total.waiting_tokens = max(
+                0, total.waiting_tokens - item.waiting_tokens
+            )
+            total.failed = max(0.0, total.failed - item.failed_tenths / 10)
+            total.answered = max(
+                0.0, total.answered - item.answered_tenths / 10
+            )
+        for endpoint, item in work.items():
+            total = self._work.setdefault(endpoint, endpoint_book.Work())
+            total.requests += item.requests
+            total.waiting_tokens += item.waiting_tokens
+            total.failed += item.failed_tenths / 10
+            total.answered += item.answered_tenths / 10
+        peer.counted_work = work
--- a/src/guavachute/entry/usage_counts.py
+++ b/src/guavachute/entry/usage_counts.py
@@ -2,6 +2,7 @@
 
 from guavachute.decide.duty import usage
 from guavachute.domain import site as domain_site
+from guavachute.entry import peer_table
 from guavachute.entry import peers as entry_peers
 from guavachute import ids
 from guavachute.wire import entry_news
@@ -33,7 +34,7 @@
         """Another node told its counts."""
         if news.usage:
             self._book.take(
-                entry_peers.source(news), news.usage, self._window()
+                peer_table.source(news), news.usage, self._window()
             )
 
     def take_region(self, news: entry_news.RegionNews) -> None:
@@ -61,9 +62,9 @@
 
     def told_s(self) -> list[float]:
         """The time of day at which each other node told last."""
-        offset_s = self._peers.true_offset_s()
+        offset_s = self._peers.table.true_offset_s()
         told_s = [at_s + offset_s for at_s in self.told_near_s()]
-        for news, heard_s in self._peers.regions():
+        for news, heard_s in self._peers.table.regions():
             told_s += [
                 heard_s + offset_s - ago / 10 for ago in news.told_ago_ds
             ]
@@ -72,7 +73,7 @@
     def told_near_s(self) -> list[float]:
         """When each other node told last, by the loop's clock."""
         oldest_s = TOLD_WINDOWS * self._site.bounds.usage_window_s
-        return [peer.heard_s for peer in self._peers.heard(oldest_s)]
+        return [peer.heard_s for peer in self._peers.table.heard(oldest_s)]
 
     def _take_own(self) -> None:
         newest = self._window()
@@ -85,5 +86,5 @@
     def _window(self) -> int:
         """The window of usage that the present moment is in."""
         return usage.window_at(
-            self._peers.true_time_s(), self._site.bounds.usage_window_s
+            self._peers.table.true_time_s(), self._site.bounds.usage_window_s
         )
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -5,6 +5,7 @@
 import unittest.mock
 
 from guavachute.decide import lease
+from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
 from guavachute.decide.nodes import rounds
 from guavachute.entry import control_client
@@ -31,7 +32,9 @@
 
     def two_nodes(self) -> tuple[entry_node.Node, entry_node.Node]:
         first, second = self.site.ready_node(), self.site.ready_node()
-        self.until(lambda: first.peers.heard() and second.peers.heard())
+        self.until(
+            lambda: first.peers.table.heard() and second.peers.table.heard()
+        )
         return first, second
 
 
@@ -209,6 +212,29 @@
         self.assertEqual(calls, len(self.site.store.calls))
 
 
+class EndedNodeTest(NodeTest):
+    def test_the_entry_of_a_node_that_ended_is_dropped(self) -> None:
+        patches = [
+            unittest.mock.patch.object(entry_node, 'ENDED_AFTER_S', 0.5),
+            unittest.mock.patch.object(entry_node, 'DROP_PERIOD_S', 0.2),
+            unittest.mock.patch.object(counting, 'COUNTED_S', 0.4),
+        ]
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+        nodes = [self.site.ready_node() for _ in range(5)]
+        topic, key = entry_node.NODES_TOPIC, f'node/{nodes[0].site.node}'
+        self.until(lambda: self.site.store.newest(topic, key))
+        self.until(lambda: all(
+            len(node.peers.table.heard()) == 4 for node in nodes
+        ))  # fmt: skip
+        nodes[0].peers.close()
+        self.until(lambda: self.site.store.newest(topic, key) is None)
+        self.until(lambda: all(
+            len(node.peers.table.all()) == 3 for node in nodes[1:]
+        ))  # fmt: skip
+
+
 class PaceTest(NodeTest):
     def test_a_calm_site_is_read_by_few_long_calls(self) -> None:
         node = self.site.ready_node()
@@ -365,7 +391,7 @@
         self.near = [self.node_in('here') for _ in range(3)]
         self.far = [self.node_in('there') for _ in range(2)]
         self.until(lambda: all(
-            node.is_ready and len(node.peers.regions()) == 1
+            node.is_ready and len(node.peers.table.regions()) == 1
             for node in [*self.near, *self.far]
         ))  # fmt: skip
 
@@ -380,12 +406,12 @@
         for node in self.near:
             heard = {
                 peer.news.region
-                for peer in node.peers.heard()
+                for peer in node.peers.table.heard()
                 if peer.news is not None
             }
             self.assertEqual({'here'}, heard)
         self.until(lambda: all(
-            node.peers.count == 5 for node in [*self.near, *self.far]
+            node.peers.table.count == 5 for node in [*self.near, *self.far]
         ))  # fmt: skip
 
     def test_requests_of_all_regions_are_reported_once(self) -> None:
