--- a/bench/cache_model.py
+++ b/bench/cache_model.py
@@ -4,9 +4,9 @@
 import typing
 
 from bench import prompts
-from guavachute.decide import load
-from guavachute.decide import prefix_index
-from guavachute.decide import routing
+from guavachute.decide.requests import load
+from guavachute.decide.requests import prefix_index
+from guavachute.decide.requests import routing
 from guavachute import ids
 
 SLOTS = 16
--- a/bench/capacity_control.py
+++ b/bench/capacity_control.py
@@ -16,11 +16,11 @@
 from bench import capacity_node
 from bench import fleet
 from guavachute.clients import vm_list
-from guavachute.decide import control_log
-from guavachute.decide import control_reader
-from guavachute.decide import fleet_plan
-from guavachute.decide import order_claims
-from guavachute.decide import order_commit
+from guavachute.decide.control import control_log
+from guavachute.decide.control import control_reader
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.orders import order_claims
+from guavachute.decide.orders import order_commit
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.wire import codec
--- a/bench/capacity_hours.py
+++ b/bench/capacity_hours.py
@@ -5,7 +5,7 @@
 from bench import capacity_lines as lines
 from bench import capacity_roles as roles
 from bench import capacity_target as target
-from guavachute.decide import order_commit
+from guavachute.decide.orders import order_commit
 from guavachute.services.fleet import task as fleet_task
 
 Lines = list[lines.Line]
--- a/bench/capacity_roles.py
+++ b/bench/capacity_roles.py
@@ -4,10 +4,10 @@
 from bench import capacity_lines as lines
 from bench import capacity_target as target
 from guavachute.clients import log_source
+from guavachute.decide.control import relay_tree
+from guavachute.decide.control import snapshot_duty
 from guavachute.decide import lease
-from guavachute.decide import order_commit
-from guavachute.decide import relay_tree
-from guavachute.decide import snapshot_duty
+from guavachute.decide.orders import order_commit
 from guavachute.services.fleet import task as fleet_task
 from guavachute.services import leases
 from guavachute.services import log_relay
--- a/bench/decision_time.py
+++ b/bench/decision_time.py
@@ -5,11 +5,11 @@
 import typing
 
 from bench import prompts
-from guavachute.decide import load
-from guavachute.decide import prefix_index
-from guavachute.decide import routing
-from guavachute.decide import shares
-from guavachute.decide import subset
+from guavachute.decide.requests import load
+from guavachute.decide.requests import prefix_index
+from guavachute.decide.requests import routing
+from guavachute.decide.requests import shares
+from guavachute.decide.requests import subset
 from guavachute import ids
 
 FLEETS = (13, 280, 2800)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,11 +18,11 @@
 
 from bench import fleet_policies
 from bench import fleet_traces
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import market
-from guavachute.decide import placement
-from guavachute.decide import replacement_wave
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import replacement_wave
 from guavachute.document import schema
 from guavachute import ids
 
--- a/bench/fleet_policies.py
+++ b/bench/fleet_policies.py
@@ -7,11 +7,11 @@
 import random
 
 from bench import fleet_traces
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import market
-from guavachute.decide import pace
-from guavachute.decide import reclaim_rate
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import reclaim_rate
+from guavachute.decide.requests import pace
 from guavachute.document import schema
 from guavachute import ids
 
--- a/bench/fleet_traces.py
+++ b/bench/fleet_traces.py
@@ -11,7 +11,7 @@
 import math
 import random
 
-from guavachute.decide import market
+from guavachute.decide.fleet import market
 from guavachute import ids
 
 STEP_S = 30.0
--- a/bench/log.py
+++ b/bench/log.py
@@ -16,7 +16,7 @@
 
 from guavachute.clients import log_client
 from guavachute.clients import log_source
-from guavachute.decide import control_reader
+from guavachute.decide.control import control_reader
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import kernel
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from guavachute.decide import member_news
-from guavachute.decide import member_table
-from guavachute.decide import membership
+from guavachute.decide.members import member_news
+from guavachute.decide.members import member_table
+from guavachute.decide.members import membership
 from guavachute.wire import codec
 from guavachute.wire import gossip
 
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,8 +14,8 @@
 
 from bench import cache_model
 from bench import prompts
-from guavachute.decide import prefix_index
-from guavachute.decide import routing
+from guavachute.decide.requests import prefix_index
+from guavachute.decide.requests import routing
 from guavachute import outcome
 
 REQUESTS = 6_000
--- a/bench/share_trace.py
+++ b/bench/share_trace.py
@@ -10,8 +10,8 @@
 import random
 import typing
 
-from guavachute.decide import admission
-from guavachute.decide import shares
+from guavachute.decide.requests import admission
+from guavachute.decide.requests import shares
 from guavachute import ids
 from guavachute import outcome
 
--- a/spec/claims_model.py
+++ b/spec/claims_model.py
@@ -5,9 +5,9 @@
 once. A router dies at any moment; the caller then sends the order again.
 Two committers read the log with different lags.
 
-The fold is that of ``decide.order_claims``. When a router dispatches,
+The fold is that of ``decide.orders.order_claims``. When a router dispatches,
 gives up or is told is written here once more, as the rule that
-``decide.order_commit`` and the routers follow.
+``decide.orders.order_commit`` and the routers follow.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 import functools
 import typing
 
-from guavachute.decide import order_claims
+from guavachute.decide.orders import order_claims
 from guavachute import ids
 from guavachute.wire import order_records
 from spec import checking
--- a/spec/fold_model.py
+++ b/spec/fold_model.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from guavachute.decide import control_log
-from guavachute.decide import control_reader
-from guavachute.decide import log_start
+from guavachute.decide.control import control_log
+from guavachute.decide.control import control_reader
+from guavachute.decide.control import log_start
 from guavachute import ids
 from guavachute.wire import records
 from spec import checking
--- a/spec/lease_model.py
+++ b/spec/lease_model.py
@@ -6,7 +6,7 @@
 process reads the log with any lag. An order is checked against the lease
 and sent at once, or after a pause between the check and the sending.
 
-The rules are those of ``decide.lease`` and ``decide.control_log``.
+The rules are those of ``decide.lease`` and ``decide.control.control_log``.
 """
 
 import collections.abc
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute.decide import lease
 from guavachute import ids
 from guavachute.wire import records
--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from guavachute.decide import address_answer
+from guavachute.decide.members import address_answer
 from guavachute.document import schema
 from guavachute.http import server
 from guavachute import ids
--- a/src/guavachute/cli/explain.py
+++ b/src/guavachute/cli/explain.py
@@ -8,8 +8,8 @@
 from guavachute.cli import arguments
 from guavachute.cli import fleet_sources
 from guavachute.cli import operator_settings
-from guavachute.decide import fleet_text
-from guavachute.decide import purchases
+from guavachute.decide.fleet import fleet_text
+from guavachute.decide.fleet import purchases
 from guavachute import ids
 
 
--- a/src/guavachute/cli/fleet_sources.py
+++ b/src/guavachute/cli/fleet_sources.py
@@ -8,8 +8,8 @@
 from guavachute.clients import cloud_client
 from guavachute.clients import log_client
 from guavachute.clients import log_source
-from guavachute.decide import control_log
-from guavachute.decide import purchases
+from guavachute.decide.control import control_log
+from guavachute.decide.fleet import purchases
 from guavachute.observe import counters
 from guavachute import outcome
 from guavachute.wire import records
--- a/src/guavachute/cli/plan.py
+++ b/src/guavachute/cli/plan.py
@@ -15,11 +15,11 @@
 from guavachute.cli import process
 from guavachute.cli import validate
 from guavachute.clients import engine_orders
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import fleet_text
-from guavachute.decide import fleet_view
-from guavachute.decide import purchases
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import fleet_text
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import purchases
 from guavachute.document import check
 from guavachute.document import schema
 from guavachute import ids
--- a/src/guavachute/clients/cloud_client.py
+++ b/src/guavachute/clients/cloud_client.py
@@ -12,8 +12,8 @@
 import msgspec
 import urllib3
 
-from guavachute.decide import market
-from guavachute.decide import purchases
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
 from guavachute import ids
 from guavachute import outcome
 
--- a/src/guavachute/clients/configuration.py
+++ b/src/guavachute/clients/configuration.py
@@ -15,8 +15,8 @@
 from guavachute.clients import log_client
 from guavachute.clients import log_source
 from guavachute.decide import backoff
-from guavachute.decide import control_log
-from guavachute.decide import control_reader
+from guavachute.decide.control import control_log
+from guavachute.decide.control import control_reader
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import records
--- a/src/guavachute/clients/engine_orders.py
+++ b/src/guavachute/clients/engine_orders.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from guavachute.clients import cloud_client
-from guavachute.decide import placement
+from guavachute.decide.fleet import placement
 from guavachute import ids
 from guavachute import outcome
 
--- a/src/guavachute/clients/log_source.py
+++ b/src/guavachute/clients/log_source.py
@@ -4,7 +4,7 @@
 import typing
 
 from guavachute.clients import log_client
-from guavachute.decide import log_start
+from guavachute.decide.control import log_start
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import records
--- /dev/null
+++ b/src/guavachute/decide/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control log: its fold, its readers and their sources."""
--- a/src/guavachute/decide/control_reader.py
+++ b/src/guavachute/decide/control/control_reader.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import records
--- a/src/guavachute/decide/crash.py
+++ b/src/guavachute/decide/crash.py
@@ -11,7 +11,7 @@
 entry of one fingerprint. Notices may come late, twice and in any order.
 The first one has to reach the other routers before the second crash,
 which the second attempt's own duration gives; from then on
-:mod:`guavachute.decide.crash_grants` keeps the attempts one after
+:mod:`guavachute.decide.requests.crash_grants` keeps the attempts one after
 another, so a resend that overtakes the second notice is not run either.
 
 Its limit: equal requests that are all running in different routers
--- a/src/guavachute/decide/demand_sums.py
+++ b/src/guavachute/decide/fleet/demand_sums.py
@@ -1,6 +1,6 @@
 """The demand of all routers, as one node knows it."""
 
-from guavachute.decide import membership
+from guavachute.decide.members import membership
 from guavachute.wire import requests
 from guavachute.wire import tables
 
--- a/src/guavachute/decide/fleet_plan.py
+++ b/src/guavachute/decide/fleet/fleet_plan.py
@@ -12,14 +12,14 @@
 import math
 import typing
 
-from guavachute.decide import demand
-from guavachute.decide import market
-from guavachute.decide import market_plan
-from guavachute.decide import pace
-from guavachute.decide import placement
-from guavachute.decide import reclaim_rate
-from guavachute.decide import replacement_wave
-from guavachute.decide import rollout
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import market_plan
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import reclaim_rate
+from guavachute.decide.fleet import replacement_wave
+from guavachute.decide.fleet import rollout
+from guavachute.decide.requests import pace
 from guavachute.document import schema
 from guavachute import ids
 
--- a/src/guavachute/decide/fleet_text.py
+++ b/src/guavachute/decide/fleet/fleet_text.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from guavachute.decide import fleet_plan
-from guavachute.decide import market
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import market
 
 
 class OfferChange(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/guavachute/decide/fleet_view.py
+++ b/src/guavachute/decide/fleet/fleet_view.py
@@ -8,12 +8,12 @@
 import dataclasses
 import typing
 
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import placement
-from guavachute.decide import purchases
-from guavachute.decide import replacement_wave
-from guavachute.decide import rollout
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import purchases
+from guavachute.decide.fleet import replacement_wave
+from guavachute.decide.fleet import rollout
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.wire import records
--- a/src/guavachute/decide/market_plan.py
+++ b/src/guavachute/decide/fleet/market_plan.py
@@ -26,7 +26,7 @@
 import math
 import typing
 
-from guavachute.decide import market
+from guavachute.decide.fleet import market
 
 SMALL_POOL_ENGINES = 40
 """Up to this size every limit per failure domain is tried."""
--- a/src/guavachute/decide/placement.py
+++ b/src/guavachute/decide/fleet/placement.py
@@ -15,7 +15,7 @@
 import enum
 import math
 
-from guavachute.decide import rollout
+from guavachute.decide.fleet import rollout
 from guavachute import ids
 
 MIN_ENGINES_PER_ROLE = 2
--- a/src/guavachute/decide/purchases.py
+++ b/src/guavachute/decide/fleet/purchases.py
@@ -18,7 +18,7 @@
 import dataclasses
 import typing
 
-from guavachute.decide import market
+from guavachute.decide.fleet import market
 from guavachute import ids
 from guavachute.wire import records
 
--- a/src/guavachute/decide/reclaim_rate.py
+++ b/src/guavachute/decide/fleet/reclaim_rate.py
@@ -8,7 +8,7 @@
 A wave that takes a whole failure domain is counted apart, against the
 hours in which the domain was watched: it is one event, but it takes each
 of the domain's VMs. That the domain goes at once is a constraint of
-:mod:`guavachute.decide.market`; here it only adds to the expected cost.
+:mod:`guavachute.decide.fleet.market`; here it only adds to the expected cost.
 """
 
 import dataclasses
--- a/src/guavachute/decide/replacement_wave.py
+++ b/src/guavachute/decide/fleet/replacement_wave.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-from guavachute.decide import market
+from guavachute.decide.fleet import market
 from guavachute import ids
 
 
--- a/src/guavachute/decide/address_answer.py
+++ b/src/guavachute/decide/members/address_answer.py
@@ -10,7 +10,7 @@
 import dataclasses
 import typing
 
-from guavachute.decide import membership
+from guavachute.decide.members import membership
 from guavachute.decide import rendezvous
 
 MAXIMUM_ADDRESSES = 6
--- a/src/guavachute/decide/failure_detector.py
+++ b/src/guavachute/decide/members/failure_detector.py
@@ -9,9 +9,9 @@
 import random
 import typing
 
-from guavachute.decide import member_news
-from guavachute.decide import member_table
-from guavachute.decide import suspicion
+from guavachute.decide.members import member_news
+from guavachute.decide.members import member_table
+from guavachute.decide.members import suspicion
 from guavachute.wire import gossip
 
 PAUSE_PERIODS = 3
--- a/src/guavachute/decide/member_news.py
+++ b/src/guavachute/decide/members/member_news.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from guavachute.decide import dissemination
-from guavachute.decide import domain_digest
-from guavachute.decide import member_table
-from guavachute.decide import suspicion
+from guavachute.decide.members import dissemination
+from guavachute.decide.members import domain_digest
+from guavachute.decide.members import member_table
+from guavachute.decide.members import suspicion
 from guavachute.wire import gossip
 
 STATUS_SENDS = 3
@@ -34,7 +34,8 @@
 class News:
     """The state that the parts of the membership protocol share.
 
-    :param incarnation: see :class:`guavachute.decide.membership.Membership`
+    :param incarnation: see
+        :class:`guavachute.decide.members.membership.Membership`
     """
 
     def __init__(
--- a/src/guavachute/decide/member_table.py
+++ b/src/guavachute/decide/members/member_table.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from guavachute.decide import suspicion
+from guavachute.decide.members import suspicion
 from guavachute.wire import gossip
 
 
--- a/src/guavachute/decide/membership.py
+++ b/src/guavachute/decide/members/membership.py
@@ -11,11 +11,11 @@
 import random
 import typing
 
-from guavachute.decide import domain_digest
-from guavachute.decide import failure_detector
-from guavachute.decide import member_news
-from guavachute.decide import member_table
-from guavachute.decide import suspicion
+from guavachute.decide.members import domain_digest
+from guavachute.decide.members import failure_detector
+from guavachute.decide.members import member_news
+from guavachute.decide.members import member_table
+from guavachute.decide.members import suspicion
 from guavachute.wire import gossip
 
 LEAVE_PEERS = 5
--- /dev/null
+++ b/src/guavachute/decide/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that run once: their keys and claims."""
--- a/src/guavachute/decide/order_commit.py
+++ b/src/guavachute/decide/orders/order_commit.py
@@ -19,7 +19,7 @@
 import enum
 import typing
 
-from guavachute.decide import order_claims
+from guavachute.decide.orders import order_claims
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import order_records
--- a/src/guavachute/decide/order_snapshot.py
+++ b/src/guavachute/decide/orders/order_snapshot.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from guavachute.decide import order_claims
+from guavachute.decide.orders import order_claims
 from guavachute.wire import order_records
 
 KEYS_OF_A_PART = 500
--- a/src/guavachute/decide/allowances.py
+++ b/src/guavachute/decide/requests/allowances.py
@@ -16,8 +16,8 @@
 
 import xxhash
 
-from guavachute.decide import market
-from guavachute.decide import purchases
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
 from guavachute import ids
 from guavachute.wire import records
 
--- a/src/guavachute/decide/crash_grants.py
+++ b/src/guavachute/decide/requests/crash_grants.py
@@ -11,7 +11,7 @@
 import typing
 
 from guavachute.decide import crash
-from guavachute.decide import subset
+from guavachute.decide.requests import subset
 from guavachute.wire import requests
 
 GRANT_S = 60.0
--- a/src/guavachute/decide/limits.py
+++ b/src/guavachute/decide/requests/limits.py
@@ -1,8 +1,8 @@
 """The most that a workspace may use: rate, concurrency and tokens.
 
 The limits hold over all routers; each enforces its part, which
-:mod:`guavachute.decide.steering` gives. Tokens are known only after the
-answer, so the token limit lets the bucket go below zero and refuses
+:mod:`guavachute.decide.requests.steering` gives. Tokens are known only
+after the answer, so the token limit lets the bucket go below zero and refuses
 until it has filled up again.
 """
 
--- a/src/guavachute/decide/offered.py
+++ b/src/guavachute/decide/requests/offered.py
@@ -10,7 +10,7 @@
 import dataclasses
 import typing
 
-from guavachute.decide import replacement_wave
+from guavachute.decide.fleet import replacement_wave
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.wire import requests
--- a/src/guavachute/decide/retry.py
+++ b/src/guavachute/decide/requests/retry.py
@@ -5,7 +5,8 @@
 from both. When many attempts fail at once the budgets are soon empty
 and the load on what still works stays bounded. Streams cut because
 their endpoint left are resumed outside the budgets: they were accepted,
-the platform took the VM, and :mod:`guavachute.decide.reclaim` paces them.
+the platform took the VM, and :mod:`guavachute.decide.fleet.reclaim`
+paces them.
 """
 
 import enum
--- a/src/guavachute/decide/routing.py
+++ b/src/guavachute/decide/requests/routing.py
@@ -12,8 +12,8 @@
 import math
 import typing
 
-from guavachute.decide import load
-from guavachute.decide import subset
+from guavachute.decide.requests import load
+from guavachute.decide.requests import subset
 from guavachute import ids
 from guavachute import outcome
 
--- a/src/guavachute/services/claim_client.py
+++ b/src/guavachute/services/claim_client.py
@@ -12,7 +12,7 @@
 import time
 import typing
 
-from guavachute.decide import order_commit
+from guavachute.decide.orders import order_commit
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.observe import counters
--- a/src/guavachute/services/claim_gate.py
+++ b/src/guavachute/services/claim_gate.py
@@ -10,8 +10,8 @@
 import time
 import urllib.parse
 
-from guavachute.decide import order_commit
-from guavachute.decide import order_keys
+from guavachute.decide.orders import order_commit
+from guavachute.decide.orders import order_keys
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute import outcome
--- a/src/guavachute/services/claim_stream.py
+++ b/src/guavachute/services/claim_stream.py
@@ -9,8 +9,8 @@
 import typing
 
 from guavachute.clients import log_client
-from guavachute.decide import order_commit
-from guavachute.decide import order_snapshot
+from guavachute.decide.orders import order_commit
+from guavachute.decide.orders import order_snapshot
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
--- a/src/guavachute/services/engine_watch.py
+++ b/src/guavachute/services/engine_watch.py
@@ -12,7 +12,7 @@
 import msgspec
 import urllib3
 
-from guavachute.decide import prefix_index
+from guavachute.decide.requests import prefix_index
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
--- a/src/guavachute/services/fleet/cloud_view.py
+++ b/src/guavachute/services/fleet/cloud_view.py
@@ -7,8 +7,8 @@
 import typing
 
 from guavachute.clients import cloud_client
-from guavachute.decide import market
-from guavachute.decide import purchases
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
 from guavachute.observe import counters
 from guavachute import outcome
 from guavachute.services.fleet import intents
--- a/src/guavachute/services/fleet/cloud_worker.py
+++ b/src/guavachute/services/fleet/cloud_worker.py
@@ -6,7 +6,7 @@
 """
 
 from guavachute.clients import cloud_client
-from guavachute.decide import purchases
+from guavachute.decide.fleet import purchases
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import logs
--- a/src/guavachute/services/fleet/drains.py
+++ b/src/guavachute/services/fleet/drains.py
@@ -2,10 +2,10 @@
 
 import typing
 
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import fleet_view
-from guavachute.decide import purchases
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import purchases
 from guavachute.document import schema
 from guavachute import ids
 from guavachute import outcome
--- a/src/guavachute/services/fleet/engine_orders.py
+++ b/src/guavachute/services/fleet/engine_orders.py
@@ -9,8 +9,8 @@
 import time
 
 from guavachute.clients import engine_orders
-from guavachute.decide import fleet_view
-from guavachute.decide import placement
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import placement
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
--- a/src/guavachute/services/fleet/intents.py
+++ b/src/guavachute/services/fleet/intents.py
@@ -3,10 +3,10 @@
 import typing
 
 from guavachute.clients import cloud_client
-from guavachute.decide import allowances
-from guavachute.decide import fleet_plan
-from guavachute.decide import market
-from guavachute.decide import purchases
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
+from guavachute.decide.requests import allowances
 from guavachute import ids
 from guavachute.services.fleet import messages
 from guavachute.wire import records
--- a/src/guavachute/services/fleet/messages.py
+++ b/src/guavachute/services/fleet/messages.py
@@ -3,12 +3,12 @@
 import dataclasses
 import typing
 
-from guavachute.decide import fleet_view
-from guavachute.decide import market
-from guavachute.decide import placement
-from guavachute.decide import purchases
-from guavachute.decide import replacement_wave
-from guavachute.decide import rollout
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import purchases
+from guavachute.decide.fleet import replacement_wave
+from guavachute.decide.fleet import rollout
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute import outcome
--- a/src/guavachute/services/fleet/picture.py
+++ b/src/guavachute/services/fleet/picture.py
@@ -5,11 +5,11 @@
 import typing
 
 from guavachute.clients import vm_list
-from guavachute.decide import demand
-from guavachute.decide import fleet_view
-from guavachute.decide import offered
-from guavachute.decide import purchases
-from guavachute.decide import replacement_wave
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import purchases
+from guavachute.decide.fleet import replacement_wave
+from guavachute.decide.requests import offered
 from guavachute.document import check
 from guavachute.document import schema
 from guavachute import ids
--- a/src/guavachute/services/fleet/placer.py
+++ b/src/guavachute/services/fleet/placer.py
@@ -7,11 +7,11 @@
 
 import typing
 
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import fleet_view
-from guavachute.decide import placement
-from guavachute.decide import weights_schedule
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import weights_schedule
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import mailbox
--- a/src/guavachute/services/fleet/purchasing.py
+++ b/src/guavachute/services/fleet/purchasing.py
@@ -8,9 +8,9 @@
 import random
 import typing
 
-from guavachute.decide import market
-from guavachute.decide import pace
-from guavachute.decide import purchases
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
+from guavachute.decide.requests import pace
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.observe import counters
--- a/src/guavachute/services/fleet/reclaims.py
+++ b/src/guavachute/services/fleet/reclaims.py
@@ -3,9 +3,9 @@
 import collections
 import dataclasses
 
-from guavachute.decide import market
-from guavachute.decide import purchases
-from guavachute.decide import reclaim_rate
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
+from guavachute.decide.fleet import reclaim_rate
 from guavachute.wire import records
 
 GATHER_S = 30.0
--- a/src/guavachute/services/fleet/rollouts.py
+++ b/src/guavachute/services/fleet/rollouts.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from guavachute.decide import fleet_view
-from guavachute.decide import rollout
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import rollout
 from guavachute import ids
 from guavachute.services.fleet import messages
 from guavachute.wire import records
--- a/src/guavachute/services/fleet/task.py
+++ b/src/guavachute/services/fleet/task.py
@@ -13,10 +13,10 @@
 import typing
 
 from guavachute.clients import cloud_client
-from guavachute.decide import allowances
-from guavachute.decide import fleet_plan
-from guavachute.decide import fleet_view
-from guavachute.decide import purchases
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import purchases
+from guavachute.decide.requests import allowances
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import mailbox
--- a/src/guavachute/services/grant_desk.py
+++ b/src/guavachute/services/grant_desk.py
@@ -5,9 +5,9 @@
 """
 
 from guavachute.decide import crash
-from guavachute.decide import crash_grants
-from guavachute.decide import domain_digest
-from guavachute.decide import membership
+from guavachute.decide.members import domain_digest
+from guavachute.decide.members import membership
+from guavachute.decide.requests import crash_grants
 from guavachute.wire import gossip
 from guavachute.wire import requests
 
--- a/src/guavachute/services/log_follower.py
+++ b/src/guavachute/services/log_follower.py
@@ -12,8 +12,8 @@
 import typing
 
 from guavachute.clients import log_source
-from guavachute.decide import control_reader
-from guavachute.decide import source_choice
+from guavachute.decide.control import control_reader
+from guavachute.decide.control import source_choice
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import mailbox
--- a/src/guavachute/services/log_relay.py
+++ b/src/guavachute/services/log_relay.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from guavachute.decide import control_reader
-from guavachute.decide import peer_proof
+from guavachute.decide.control import control_reader
+from guavachute.decide.members import peer_proof
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import task
--- a/src/guavachute/services/log_relay_source.py
+++ b/src/guavachute/services/log_relay_source.py
@@ -5,7 +5,7 @@
 import typing
 
 from guavachute.clients import log_source
-from guavachute.decide import peer_proof
+from guavachute.decide.members import peer_proof
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute import outcome
--- a/src/guavachute/services/log_tree.py
+++ b/src/guavachute/services/log_tree.py
@@ -1,14 +1,14 @@
 """Keeps the follower's sources in step with who is there.
 
 The nodes of a failure domain form a tree: a few read the log, the others
-follow a relay; see :mod:`guavachute.decide.relay_tree`.
+follow a relay; see :mod:`guavachute.decide.control.relay_tree`.
 """
 
 import typing
 
 from guavachute.clients import log_source
-from guavachute.decide import membership as membership_state
-from guavachute.decide import relay_tree
+from guavachute.decide.control import relay_tree
+from guavachute.decide.members import membership as membership_state
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.services import log_follower
--- a/src/guavachute/services/membership.py
+++ b/src/guavachute/services/membership.py
@@ -13,10 +13,10 @@
 
 import msgspec
 
-from guavachute.decide import member_news
-from guavachute.decide import member_table
-from guavachute.decide import membership
-from guavachute.decide import suspicion
+from guavachute.decide.members import member_news
+from guavachute.decide.members import member_table
+from guavachute.decide.members import membership
+from guavachute.decide.members import suspicion
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
--- a/src/guavachute/services/node_state.py
+++ b/src/guavachute/services/node_state.py
@@ -13,10 +13,10 @@
 import msgspec
 
 from guavachute.clients import vm_list
-from guavachute.decide import address_answer
-from guavachute.decide import demand_sums
-from guavachute.decide import member_table
-from guavachute.decide import membership as membership_state
+from guavachute.decide.fleet import demand_sums
+from guavachute.decide.members import address_answer
+from guavachute.decide.members import member_table
+from guavachute.decide.members import membership as membership_state
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.kernel import kernel
--- a/src/guavachute/services/order_claims.py
+++ b/src/guavachute/services/order_claims.py
@@ -7,10 +7,10 @@
 import time
 import typing
 
-from guavachute.decide import order_claims
-from guavachute.decide import order_commit
-from guavachute.decide import order_keys
-from guavachute.decide import order_snapshot
+from guavachute.decide.orders import order_claims
+from guavachute.decide.orders import order_commit
+from guavachute.decide.orders import order_keys
+from guavachute.decide.orders import order_snapshot
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
--- a/src/guavachute/services/peer_connection.py
+++ b/src/guavachute/services/peer_connection.py
@@ -12,7 +12,7 @@
 import socket
 import typing
 
-from guavachute.decide import peer_proof
+from guavachute.decide.members import peer_proof
 from guavachute import outcome
 from guavachute.wire import codec
 from guavachute.wire import gossip
--- a/src/guavachute/services/peer_connections.py
+++ b/src/guavachute/services/peer_connections.py
@@ -10,8 +10,8 @@
 import socket
 import time
 
-from guavachute.decide import member_news
-from guavachute.decide import peer_proof
+from guavachute.decide.members import member_news
+from guavachute.decide.members import peer_proof
 from guavachute.observe import counters
 from guavachute.observe import logs
 from guavachute import outcome
--- a/src/guavachute/services/relay/call.py
+++ b/src/guavachute/services/relay/call.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from guavachute.decide import answer
-from guavachute.decide import attempts
-from guavachute.decide import silence
+from guavachute.decide.requests import answer
+from guavachute.decide.requests import attempts
+from guavachute.decide.requests import silence
 from guavachute import ids
 from guavachute.observe import traces
 from guavachute.services.relay import downstream
--- a/src/guavachute/services/relay/endpoints.py
+++ b/src/guavachute/services/relay/endpoints.py
@@ -7,12 +7,12 @@
 import dataclasses
 import typing
 
-from guavachute.decide import health
-from guavachute.decide import limits
-from guavachute.decide import load
-from guavachute.decide import prefix_index
-from guavachute.decide import routing
-from guavachute.decide import subset
+from guavachute.decide.requests import health
+from guavachute.decide.requests import limits
+from guavachute.decide.requests import load
+from guavachute.decide.requests import prefix_index
+from guavachute.decide.requests import routing
+from guavachute.decide.requests import subset
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.observe import counters
--- a/src/guavachute/services/relay/gate.py
+++ b/src/guavachute/services/relay/gate.py
@@ -7,13 +7,13 @@
 
 import itertools
 
-from guavachute.decide import account
-from guavachute.decide import admission
 from guavachute.decide import crash
-from guavachute.decide import limits
-from guavachute.decide import prefix
-from guavachute.decide import shares
-from guavachute.decide import steering
+from guavachute.decide.requests import account
+from guavachute.decide.requests import admission
+from guavachute.decide.requests import limits
+from guavachute.decide.requests import prefix
+from guavachute.decide.requests import shares
+from guavachute.decide.requests import steering
 from guavachute.document import schema
 from guavachute import ids
 from guavachute.observe import counters
--- a/src/guavachute/services/relay/messages.py
+++ b/src/guavachute/services/relay/messages.py
@@ -3,7 +3,7 @@
 import dataclasses
 import threading
 
-from guavachute.decide import prefix_index
+from guavachute.decide.requests import prefix_index
 from guavachute.services import view as view_module
 
 
--- a/src/guavachute/services/relay/moves.py
+++ b/src/guavachute/services/relay/moves.py
@@ -1,6 +1,6 @@
 """Moves streams away from endpoints that leave; owned by the relay's task.
 
-Around :mod:`guavachute.decide.reclaim`, which is asked anew each
+Around :mod:`guavachute.decide.fleet.reclaim`, which is asked anew each
 :data:`INTERVAL_S`, so that only what starts before the next look is
 acted upon and the rest follows what has changed since.
 """
@@ -8,7 +8,7 @@
 import dataclasses
 import typing
 
-from guavachute.decide import reclaim
+from guavachute.decide.fleet import reclaim
 from guavachute import ids
 from guavachute.services.relay import call as relay_call
 from guavachute.services.relay import endpoints
--- a/src/guavachute/services/relay/task.py
+++ b/src/guavachute/services/relay/task.py
@@ -12,11 +12,11 @@
 import time
 import typing
 
-from guavachute.decide import answer
-from guavachute.decide import attempts
 from guavachute.decide import crash
-from guavachute.decide import retry
-from guavachute.decide import silence
+from guavachute.decide.requests import answer
+from guavachute.decide.requests import attempts
+from guavachute.decide.requests import retry
+from guavachute.decide.requests import silence
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.observe import counters
@@ -462,7 +462,7 @@
         """Whether the budgets allow another attempt.
 
         An answer that has begun, or whose endpoint is gone, goes on in
-        any case; :mod:`guavachute.decide.retry` says why.
+        any case; :mod:`guavachute.decide.requests.retry` says why.
         """
         if stream.answer.next_index or ending not in (
             attempts.Ending.REFUSED,
--- a/src/guavachute/services/relay/work.py
+++ b/src/guavachute/services/relay/work.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from guavachute.decide import account
 from guavachute.decide import crash
-from guavachute.decide import prefix
-from guavachute.decide import shares
+from guavachute.decide.requests import account
+from guavachute.decide.requests import prefix
+from guavachute.decide.requests import shares
 from guavachute import ids
 
 CHARACTERS_PER_TOKEN = 4
--- a/src/guavachute/services/request_checks.py
+++ b/src/guavachute/services/request_checks.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from guavachute.decide import answer
-from guavachute.decide import prefix
+from guavachute.decide.requests import answer
+from guavachute.decide.requests import prefix
 from guavachute import ids
 from guavachute import outcome
 
--- a/src/guavachute/services/snapshots.py
+++ b/src/guavachute/services/snapshots.py
@@ -7,7 +7,7 @@
 import time
 import typing
 
-from guavachute.decide import snapshot_duty
+from guavachute.decide.control import snapshot_duty
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import task
--- a/src/guavachute/services/status_text.py
+++ b/src/guavachute/services/status_text.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from guavachute.clients import vm_list
-from guavachute.decide import domain_digest
-from guavachute.decide import membership
+from guavachute.decide.members import domain_digest
+from guavachute.decide.members import membership
 from guavachute import ids
 from guavachute.wire import gossip
 from guavachute.wire import records
--- a/src/guavachute/services/view.py
+++ b/src/guavachute/services/view.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavachute.decide import address_answer
+from guavachute.decide.members import address_answer
 from guavachute.document import schema
 from guavachute.http import message
 from guavachute import ids
--- a/src/guavachute/standin/engine.py
+++ b/src/guavachute/standin/engine.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from guavachute.decide import prefix
+from guavachute.decide.requests import prefix
 from guavachute.http import message
 from guavachute.http import server
 from guavachute import ids
--- a/src/guavachute/standin/engine_batch.py
+++ b/src/guavachute/standin/engine_batch.py
@@ -9,7 +9,7 @@
 import heapq
 import itertools
 
-from guavachute.decide import prefix
+from guavachute.decide.requests import prefix
 from guavachute.standin import engine_cache
 from guavachute.standin import engine_job
 from guavachute.standin import engine_text
--- a/src/guavachute/standin/engine_job.py
+++ b/src/guavachute/standin/engine_job.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavachute.decide import prefix
+from guavachute.decide.requests import prefix
 from guavachute.http import server
 from guavachute.standin import engine_text
 from guavachute.standin import faults
--- a/src/guavachute/wire/gossip.py
+++ b/src/guavachute/wire/gossip.py
@@ -146,7 +146,7 @@
 
 
 class Proof(msgspec.Struct, frozen=True, array_like=True, tag='proof'):
-    """Answers the peer's challenge; see ``decide.peer_proof``."""
+    """Answers the peer's challenge; see ``decide.members.peer_proof``."""
 
     mac: str
 
--- a/src/guavachute/wire/order_records.py
+++ b/src/guavachute/wire/order_records.py
@@ -54,7 +54,7 @@
 
 
 class KeyEntry(msgspec.Struct, frozen=True, array_like=True):
-    """All that is remembered of one key; see ``decide.order_claims``."""
+    """What is remembered of a key; see ``decide.orders.order_claims``."""
 
     key_digest: str
     body_digest: str
--- a/src/guavachute/wire/records.py
+++ b/src/guavachute/wire/records.py
@@ -6,7 +6,7 @@
 
 A record that changes something names what it supersedes by offset, so
 that every reader decides alike which of two rivals came first; see
-:mod:`guavachute.decide.control_log`.
+:mod:`guavachute.decide.control.control_log`.
 """
 
 import typing
--- a/tests/cover/test_address_answer.py
+++ b/tests/cover/test_address_answer.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import address_answer
+from guavachute.decide.members import address_answer
 
 DOMAINS = {'perth-a': 'perth', 'perth-b': 'perth', 'bunbury-a': 'bunbury'}
 
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import admission
-from guavachute.decide import limits
+from guavachute.decide.requests import admission
+from guavachute.decide.requests import limits
 from guavachute.document import schema
 from guavachute import outcome
 
--- a/tests/cover/test_answer.py
+++ b/tests/cover/test_answer.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import answer
+from guavachute.decide.requests import answer
 from guavachute import ids
 
 REQUEST = ids.RequestId('req-1')
--- a/tests/cover/test_attempts.py
+++ b/tests/cover/test_attempts.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import attempts
+from guavachute.decide.requests import attempts
 from guavachute import outcome
 
 HARMLESS = {attempts.Ending.UNREACHED, attempts.Ending.REFUSED}
--- a/tests/cover/test_control_log.py
+++ b/tests/cover/test_control_log.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 import msgspec
 
-from guavachute.decide import control_log
-from guavachute.decide import control_reader
-from guavachute.decide import log_start
+from guavachute.decide.control import control_log
+from guavachute.decide.control import control_reader
+from guavachute.decide.control import log_start
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import records
--- a/tests/cover/test_crash.py
+++ b/tests/cover/test_crash.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from guavachute.decide import crash
-from guavachute.decide import crash_grants
+from guavachute.decide.requests import crash_grants
 from guavachute import ids
 from guavachute.wire import requests
 
--- a/tests/cover/test_engine_placement.py
+++ b/tests/cover/test_engine_placement.py
@@ -3,13 +3,13 @@
 import contextlib
 import unittest
 
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import fleet_view
-from guavachute.decide import market
-from guavachute.decide import placement
-from guavachute.decide import purchases
-from guavachute.decide import rollout
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import fleet_view
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import purchases
+from guavachute.decide.fleet import rollout
 from guavachute.document import check
 from guavachute import ids
 from guavachute.kernel import mailbox
--- a/tests/cover/test_fleet_cli.py
+++ b/tests/cover/test_fleet_cli.py
@@ -11,7 +11,7 @@
 
 from guavachute.cli import explain
 from guavachute.cli import plan
-from guavachute.decide import purchases
+from guavachute.decide.fleet import purchases
 from guavachute import ids
 from guavachute.standin import log_service
 from guavachute.wire import records
--- a/tests/cover/test_fleet_decisions.py
+++ b/tests/cover/test_fleet_decisions.py
@@ -6,13 +6,13 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import demand
-from guavachute.decide import market
-from guavachute.decide import pace
-from guavachute.decide import placement
-from guavachute.decide import replacement_wave
-from guavachute.decide import rollout
-from guavachute.decide import weights_schedule
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import placement
+from guavachute.decide.fleet import replacement_wave
+from guavachute.decide.fleet import rollout
+from guavachute.decide.fleet import weights_schedule
+from guavachute.decide.requests import pace
 from guavachute import ids
 
 START = demand.StartUp(120.0, 10.0, 5)
--- a/tests/cover/test_fleet_engines.py
+++ b/tests/cover/test_fleet_engines.py
@@ -4,7 +4,7 @@
 import threading
 import unittest
 
-from guavachute.decide import demand
+from guavachute.decide.fleet import demand
 from guavachute import ids
 from guavachute.services.fleet import engine_orders
 from guavachute.services.fleet import messages
--- a/tests/cover/test_fleet_plan.py
+++ b/tests/cover/test_fleet_plan.py
@@ -3,12 +3,12 @@
 import collections
 import unittest
 
-from guavachute.decide import demand
-from guavachute.decide import fleet_plan
-from guavachute.decide import fleet_text
-from guavachute.decide import market
-from guavachute.decide import pace
-from guavachute.decide import placement
+from guavachute.decide.fleet import demand
+from guavachute.decide.fleet import fleet_plan
+from guavachute.decide.fleet import fleet_text
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import placement
+from guavachute.decide.requests import pace
 from guavachute.document import schema
 from guavachute import ids
 
--- a/tests/cover/test_fleet_service.py
+++ b/tests/cover/test_fleet_service.py
@@ -5,7 +5,7 @@
 import unittest
 
 from guavachute.clients import cloud_client
-from guavachute.decide import market
+from guavachute.decide.fleet import market
 from guavachute import ids
 from guavachute import outcome
 from guavachute.services.fleet import drains
--- a/tests/cover/test_grants.py
+++ b/tests/cover/test_grants.py
@@ -3,8 +3,8 @@
 import unittest
 
 from guavachute.decide import crash
-from guavachute.decide import domain_digest
-from guavachute.decide import membership
+from guavachute.decide.members import domain_digest
+from guavachute.decide.members import membership
 from guavachute.services import grant_desk
 from guavachute.services.relay import granter
 from guavachute.wire import gossip
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import health
+from guavachute.decide.requests import health
 from guavachute import ids
 
 NAMES = [ids.EndpointId(f'vm-{number}') for number in range(6)]
--- a/tests/cover/test_leases.py
+++ b/tests/cover/test_leases.py
@@ -7,9 +7,9 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
+from guavachute.decide.control import snapshot_duty
 from guavachute.decide import lease
-from guavachute.decide import snapshot_duty
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import kernel
--- a/tests/cover/test_log_follower.py
+++ b/tests/cover/test_log_follower.py
@@ -6,8 +6,8 @@
 
 from guavachute.clients import log_client
 from guavachute.clients import log_source
-from guavachute.decide import control_log
-from guavachute.decide import source_choice
+from guavachute.decide.control import control_log
+from guavachute.decide.control import source_choice
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
--- a/tests/cover/test_market.py
+++ b/tests/cover/test_market.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import market
-from guavachute.decide import market_plan
-from guavachute.decide import reclaim_rate
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import market_plan
+from guavachute.decide.fleet import reclaim_rate
 from guavachute import ids
 
 ENGINE = 100.0
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -7,10 +7,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from guavachute.decide import member_news
-from guavachute.decide import member_table
-from guavachute.decide import membership
-from guavachute.decide import suspicion
+from guavachute.decide.members import member_news
+from guavachute.decide.members import member_table
+from guavachute.decide.members import membership
+from guavachute.decide.members import suspicion
 from guavachute.wire import codec
 from guavachute.wire import gossip
 
--- a/tests/cover/test_membership_service.py
+++ b/tests/cover/test_membership_service.py
@@ -5,9 +5,9 @@
 import typing
 import unittest
 
-from guavachute.decide import member_table
-from guavachute.decide import membership as membership_state
-from guavachute.decide import suspicion
+from guavachute.decide.members import member_table
+from guavachute.decide.members import membership as membership_state
+from guavachute.decide.members import suspicion
 from guavachute.kernel import mailbox
 from guavachute.observe import counters
 from guavachute.services import membership
--- a/tests/cover/test_node_state.py
+++ b/tests/cover/test_node_state.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from guavachute.clients import vm_list
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute import ids
 from guavachute.kernel import clock
 from guavachute.kernel import kernel
--- a/tests/cover/test_offered.py
+++ b/tests/cover/test_offered.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from guavachute.decide import offered
+from guavachute.decide.requests import offered
 from guavachute.document import check
 from guavachute import ids
 from guavachute.wire import requests
--- a/tests/cover/test_order_claims.py
+++ b/tests/cover/test_order_claims.py
@@ -9,10 +9,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from guavachute.decide import order_claims
-from guavachute.decide import order_commit
-from guavachute.decide import order_keys
-from guavachute.decide import order_snapshot
+from guavachute.decide.orders import order_claims
+from guavachute.decide.orders import order_commit
+from guavachute.decide.orders import order_keys
+from guavachute.decide.orders import order_snapshot
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import order_records
--- a/tests/cover/test_prefix_index.py
+++ b/tests/cover/test_prefix_index.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import prefix_index
+from guavachute.decide.requests import prefix_index
 from guavachute import ids
 
 ONE = ids.EndpointId('vm-1')
--- a/tests/cover/test_purchase_records.py
+++ b/tests/cover/test_purchase_records.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute import ids
 from guavachute.wire import records
 
--- a/tests/cover/test_purchases.py
+++ b/tests/cover/test_purchases.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import allowances
-from guavachute.decide import market
-from guavachute.decide import purchases
+from guavachute.decide.fleet import market
+from guavachute.decide.fleet import purchases
+from guavachute.decide.requests import allowances
 from guavachute import ids
 from guavachute.wire import records
 
--- a/tests/cover/test_reclaim.py
+++ b/tests/cover/test_reclaim.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import reclaim
+from guavachute.decide.fleet import reclaim
 from guavachute import ids
 
 HERE = ids.Region('perth')
--- a/tests/cover/test_relay_tree.py
+++ b/tests/cover/test_relay_tree.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import relay_tree
+from guavachute.decide.control import relay_tree
 from guavachute import ids
 
 PERTH = ids.Region('perth')
--- a/tests/cover/test_request_checks.py
+++ b/tests/cover/test_request_checks.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from guavachute.decide import prefix
+from guavachute.decide.requests import prefix
 from guavachute.services import request_checks
 from guavachute.standin import engine_job
 
--- a/tests/cover/test_retry.py
+++ b/tests/cover/test_retry.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import retry
-from guavachute.decide import silence
+from guavachute.decide.requests import retry
+from guavachute.decide.requests import silence
 from guavachute import ids
 from guavachute import outcome
 
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -6,9 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import load
-from guavachute.decide import routing
-from guavachute.decide import subset
+from guavachute.decide.requests import load
+from guavachute.decide.requests import routing
+from guavachute.decide.requests import subset
 from guavachute import ids
 from guavachute import outcome
 
--- a/tests/cover/test_shares.py
+++ b/tests/cover/test_shares.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import account
-from guavachute.decide import shares
+from guavachute.decide.requests import account
+from guavachute.decide.requests import shares
 from guavachute import ids
 from guavachute import outcome
 
--- a/tests/cover/test_steering.py
+++ b/tests/cover/test_steering.py
@@ -5,10 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from guavachute.decide import demand_sums
-from guavachute.decide import domain_digest
-from guavachute.decide import membership
-from guavachute.decide import steering
+from guavachute.decide.fleet import demand_sums
+from guavachute.decide.members import domain_digest
+from guavachute.decide.members import membership
+from guavachute.decide.requests import steering
 from guavachute import ids
 from guavachute.wire import gossip
 from guavachute.wire import requests
--- a/tests/nocover/test_fleet_duty.py
+++ b/tests/nocover/test_fleet_duty.py
@@ -10,7 +10,7 @@
 from guavachute.assembly import fleet as assembly
 from guavachute.clients import log_client
 from guavachute.clients import log_source
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute import ids
 from guavachute.observe import counters
 from guavachute import outcome
--- a/tests/support/control.py
+++ b/tests/support/control.py
@@ -8,7 +8,7 @@
 
 from guavachute.clients import log_client
 from guavachute.clients import log_source
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute import ids
 from guavachute.kernel import kernel
 from guavachute.kernel import mailbox
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -10,7 +10,7 @@
 
 from guavachute.clients import cloud_client
 from guavachute.clients import vm_list
-from guavachute.decide import control_log
+from guavachute.decide.control import control_log
 from guavachute import ids
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
