Ask another peer when one does not answer

The test with a silent peer first in the list never got the state (failed before). Now: any of them, and not the one that gave no answer of late; the wait is 0.6 s.

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import gc
+import random
 import time
 import typing
 
@@ -79,6 +80,10 @@
 TELL_AFTER_S = 0.02
 """Several changes that are read together are told together."""
 
+AVOIDED_S = 5.0
+"""A peer that gave no answer is not asked for so long, if others have as
+much to tell."""
+
 STALE_AFTER_S = 1.0
 """Without an answer of the store for this long, peers are asked."""
 
@@ -480,26 +485,46 @@
         needs_endpoints = not self._is_reader or self._is_stale(
             self._endpoints, now_s
         )
-        for peer in self.peers.table.heard():
-            news = peer.news
-            if news is None:
-                continue
-            is_newer = (
-                needs_configuration
-                and news.configuration_version > self.state.version
-            ) or (
-                needs_endpoints
-                and news.endpoints_version > self.state.endpoints_version
-            )
-            if is_newer:
-                self._is_fetching = True
-                self.peers.fetch_state(
-                    peer,
-                    self.state.version,
-                    self.state.endpoints_version,
-                    self._got_state,
+        newer = [
+            peer
+            for peer in self.peers.table.heard()
+            if peer.news is not None
+            and (
+                (
+                    needs_configuration
+                    and peer.news.configuration_version > self.state.version
+                )
+                or (
+                    needs_endpoints
+                    and peer.news.endpoints_version
+                    > self.state.endpoints_version
                 )
+            )
+        ]
+        if not newer:
+            return
+        answering = [
+            peer for peer in newer if now_s >= peer.no_answer_s + AVOIDED_S
+        ]
+        self._fetch(random.choice(answering or newer))
+
+    def _fetch(self, peer: peer_table.Peer) -> None:
+        """Take over what a peer has read beyond this node."""
+        self._is_fetching = True
+
+        def got(state: entry_news.SharedState | None) -> None:
+            self._is_fetching = False
+            if state is None:
+                # With the next news another peer is asked.
+                peer.no_answer_s = self.loop.now_s
                 return
+            self.state.take_shared(state, 'peer')
+            self._endpoints.skip_to(self.state.endpoints_offset)
+            self.book.take_changes()
+
+        self.peers.fetch_state(
+            peer, self.state.version, self.state.endpoints_version, got
+        )
 
     def _is_stale(
         self, follower: topic_follower.TopicFollower, now_s: float
@@ -507,13 +532,6 @@
         since_s = follower.lost_since_s
         return since_s is not None and now_s - since_s > STALE_AFTER_S
 
-    def _got_state(self, state: entry_news.SharedState | None) -> None:
-        self._is_fetching = False
-        if state is not None:
-            self.state.take_shared(state, 'peer')
-            self._endpoints.skip_to(self.state.endpoints_offset)
-            self.book.take_changes()
-
     # -- who reads the store -------------------------------------------
 
     @property
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -38,6 +38,7 @@
 
     :ivar is_listed: whether it has an entry in the store
     :ivar counted_work: its work as it is counted in the sums
+    :ivar no_answer_s: when it last left a question without an answer
     """
 
     def __init__(self, address: ids.Address, region: str) -> None:
@@ -47,6 +48,7 @@
         self.heard_s = float('-inf')
         self.added_s = 0.0
         self.is_listed = False
+        self.no_answer_s = float('-inf')
         self.counted_work: typing.Mapping[str, entry_news.WorkNews] = {}
 
 
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -19,7 +19,9 @@
 
 MAX_DATAGRAM_BYTES = 65_000
 STATE_PATH = '/state'
-STATE_TIMEOUT_S = 1.0
+STATE_TIMEOUT_S = 0.6
+"""Another peer is asked after this; a draining endpoint is to be known
+everywhere in three seconds."""
 
 
 class Owner(typing.Protocol):
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -1,9 +1,12 @@
 """Nodes among each other, the store and the cloud, sound and not."""
 
+import socket
 import typing
 import unittest
 import unittest.mock
 
+import msgspec
+
 from guavachute.decide import lease
 from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
@@ -14,6 +17,7 @@
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.standin.platform import store as standin_store
+from guavachute.wire import entry_news
 from tests.support import looping
 from tests.support import platform_site
 
@@ -157,6 +161,40 @@
         self.assertEqual(0.0, after.health.results(now_s).failed)
 
 
+class SilentPeerTest(NodeTest):
+    """A peer tells of newer versions, and then does not answer."""
+
+    def test_another_peer_is_asked(self) -> None:
+        first = self.site.ready_node()
+        lost = self.site.add_node(store=ids.Address('127.0.0.9:9'))
+        silent = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(silent.close)
+        address = '127.0.0.1:%d' % silent.getsockname()[1]
+
+        def tell(sequence: int) -> None:
+            news = msgspec.structs.replace(
+                first.describe(first.peers.run, sequence),
+                node='edge-0',
+                peers_address=address,
+                configuration_version=99,
+                endpoints_version=999,
+            )
+            lost.peers.table.take(news)
+            self.site.loop.call_after(0.1, lambda: tell(sequence + 1))
+
+        tell(1)
+        lost.peers.learn(
+            entry_news.NodeRecord(
+                node=first.site.node,
+                run=first.peers.run,
+                peers_address=first.peers.address,
+                region='here',
+            )
+        )
+        self.until(lambda: lost.is_ready)
+        self.assertEqual(1, lost.state.version)
+
+
 class SharedStateTest(NodeTest):
     """Many nodes learn from few readers what is new in the store."""
 
