--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -520,6 +520,10 @@
                 return
             self.state.take_shared(state, 'peer')
             self._endpoints.skip_to(self.state.endpoints_offset)
+            if self.peers.table.are_few:
+                # Where calls are few, what the peer may have missed of a
+                # store that it has just lost is looked up at once.
+                self._endpoints.read_now()
             self.book.take_changes()
 
         self.peers.fetch_state(
