Pass on deletions that are not believed here

Now each deletion and return is told at its own offset, whether or not it is believed here. Test: a deletion in that time and a later change, passed on to a peer (failed before). The loan of offsets for lapses is gone.

--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -39,7 +39,6 @@
         self._configuration_bytes = b''
         self._endpoint_bytes: dict[str, bytes] = {}
         self._changes = change_log.ChangeLog()
-        self._untold_lapses: set[str] = set()
 
     @property
     def version(self) -> int:
@@ -85,10 +84,15 @@
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
         """A record of the endpoints' topic."""
+        was_known = record.key in self._endpoint_bytes
         if record.value is None:
-            has_changed = self._delete_endpoint(record.key)
+            self._delete_endpoint(record.key)
+            has_changed = was_known
         else:
-            has_changed = self._put_endpoint(record.key, record.value, 'store')
+            has_changed = (
+                self._put_endpoint(record.key, record.value, 'store')
+                or not was_known
+            )
         if has_changed and record.offset is not None:
             self._note_change(record.key, record.offset)
             self.on_changed()
@@ -99,7 +103,12 @@
         self.endpoints_offset = max(self.endpoints_offset, offset)
 
     def _note_change(self, key: str, offset: ids.Offset) -> None:
-        """Tell peers of the change as one of *offset*."""
+        """Tell peers of the change as one of *offset*.
+
+        A deletion that is not believed here, after an outage of the
+        store, is told as well: a peer that takes over this node's
+        version has to know all that came before it.
+        """
         if key in self._endpoint_bytes:
             self._changes.changed(key, offset)
         else:
@@ -158,15 +167,6 @@
         """Drop the entries that lapsed and did not come back."""
         for endpoint in self.table.expire(self._loop.now_s):
             journal.event('endpoint', outcome='lapsed', endpoint=endpoint)
-            self._untold_lapses.add(endpoint)
-        newest = ids.Offset(self.endpoints_offset - 1)
-        if self._untold_lapses and newest > self.endpoints_version:
-            # No record says so. The newest one, which changed nothing,
-            # lends its offset, so that peers find the lapses new.
-            for key in self._untold_lapses:
-                self._note_change(key, newest)
-            self._untold_lapses.clear()
-            self.on_changed()
 
     def shared(
         self, configuration_version: int, endpoints_version: ids.Offset
@@ -203,10 +203,13 @@
             for key in self._endpoint_bytes.keys() - state.endpoints.keys():
                 gone[key] = state.endpoints_version
         for key, offset in gone.items():
-            if self._delete_endpoint(key):
+            was_known = key in self._endpoint_bytes
+            self._delete_endpoint(key)
+            if was_known:
                 self._note_change(key, offset)
         for key, entry in state.endpoints.items():
-            if self._put_endpoint(key, entry.value, source):
+            was_known = key in self._endpoint_bytes
+            if self._put_endpoint(key, entry.value, source) or not was_known:
                 self._note_change(key, entry.offset)
         if state.is_whole or self.endpoints_offset != NO_OFFSET:
             self.have_read(state.endpoints_offset)
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -226,6 +226,22 @@
         self.assertEqual(node.state.table.entries, peer.table.entries)
         self.assertEqual(node.state.endpoints_version, peer.endpoints_version)
 
+    def test_a_deletion_that_is_not_believed_here_is_passed_on(self) -> None:
+        """The store was away from this node alone, and is back."""
+        node = self.site.ready_node()
+        peer = self.state()
+        peer.take_shared(node.state.shared(0, known_state.NO_OFFSET), 'peer')
+        node.state.table.returned_s = self.site.loop.now_s
+        self.plain.unregister()
+        # A later change carries the version beyond the deletion.
+        self.site.add_engine('e2', platform_site.PLAIN_SERVICE)
+        self.until(lambda: 'e2' in node.state.table.entries)
+        self.assertIn('e1', node.state.table.entries)
+        peer.take_shared(
+            node.state.shared(peer.version, peer.endpoints_version), 'peer'
+        )
+        self.assertEqual(['e2'], list(peer.table.entries))
+
     def test_news_from_a_peer_costs_no_call_to_the_store(self) -> None:
         client = control_client.Client(self.site.loop, self.site.store.address)
         self.addCleanup(client.close)
