--- a/soak/play.py
+++ b/soak/play.py
@@ -1,6 +1,7 @@
 """One seed: a small site, faults, and the promises afterwards."""
 
 import dataclasses
+import os
 import pathlib
 import random
 import time
@@ -79,7 +80,8 @@
         self._born: dict[str, int] = {}
         self._probes: dict[ids.Address, control_client.Client] = {}
         self._planned_from_s = float('inf')
-        self._host = f'127.{1 + seed % 250}'
+        # Two soaks on one machine, even of one seed, share no address.
+        self._host = f'127.{1 + (seed + os.getpid()) % 250}'
         self.change_configuration()
         for number in range(PLAIN_ENGINES + MODEL_ENGINES):
             self._add_engine(number)
