--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: one short seed, its checks, and what it found."""
 
+import os
 import pathlib
 import signal
 import subprocess
@@ -168,8 +169,11 @@
         """SIGHUP ends a process that has not said otherwise."""
         site = platform_site.PlatformSite()
         self.addCleanup(site.close)
+        # An address of its own, since the port after a free one, where
+        # the metrics are served, need not be free.
+        ip = '127.9.%d.%d' % divmod(os.getpid() % 62_500, 250)
         wanted = platform_site.node_settings(
-            'edge-1', '127.0.0.1', site.store.address, None
+            'edge-1', ip, site.store.address, None
         )
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder) / 'settings.yaml'
