Tell peers what the store has, whatever is believed here

Cause, found on reading the change: a node told peers of an entry only if its own table said something new by it. An endpoint that had told the node itself that it leaves was draining there already, so the store's notice was no news and was withheld, while later changes carried the version past it. Now what peers are told follows from the entries as written, by one function for the store and for peers; the table of beliefs has no part in it. Test: a notice that was known before is passed on (failed before).

--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -22,6 +22,19 @@
 NO_OFFSET = ids.Offset(-1)
 
 
+class _Written(typing.NamedTuple):
+    """An entry as it lies in the store, and what it says."""
+
+    value: bytes
+    state: endpoints.EndpointState
+    incarnation: tuple[ids.EndpointId, int, ids.Address]
+
+
+def _meaning(written: _Written | None) -> typing.Any:
+    """What peers have to know of an entry; most are only renewed."""
+    return written and written[1:]
+
+
 class KnownState:
     """What has been read, decoded, and the bytes to hand to peers."""
 
@@ -37,7 +50,7 @@
         self.on_changed: typing.Callable[[], None] = lambda: None
         """Called when the configuration or the table has changed."""
         self._configuration_bytes = b''
-        self._endpoint_bytes: dict[str, bytes] = {}
+        self._written: dict[str, _Written] = {}
         self._changes = change_log.ChangeLog()
 
     @property
@@ -84,17 +97,8 @@
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
         """A record of the endpoints' topic."""
-        was_known = record.key in self._endpoint_bytes
-        if record.value is None:
-            self._delete_endpoint(record.key)
-            has_changed = was_known
-        else:
-            has_changed = (
-                self._put_endpoint(record.key, record.value, 'store')
-                or not was_known
-            )
-        if has_changed and record.offset is not None:
-            self._note_change(record.key, record.offset)
+        assert record.offset is not None, 'a record of a topic has a place'
+        if self._take_entry(record.key, record.value, record.offset, 'store'):
             self.on_changed()
 
     def have_read(self, offset: ids.Offset) -> None:
@@ -102,30 +106,44 @@
         self._changes.begin(offset)
         self.endpoints_offset = max(self.endpoints_offset, offset)
 
-    def _note_change(self, key: str, offset: ids.Offset) -> None:
-        """Tell peers of the change as one of *offset*.
+    def _take_entry(
+        self, key: str, value: bytes | None, offset: ids.Offset, source: str
+    ) -> bool:
+        """Take what the store has under *key*; whether that is news.
 
-        A deletion that is not believed here, after an outage of the
-        store, is told as well: a peer that takes over this node's
-        version has to know all that came before it.
+        What peers are told is what the store has, whether or not it is
+        believed here: a peer that takes over this node's version has to
+        know all that came before it.
         """
-        if key in self._endpoint_bytes:
-            self._changes.changed(key, offset)
+        before = self._written.get(key)
+        if value is None:
+            self._drop(key)
         else:
+            self._put(key, value, source)
+        after = self._written.get(key)
+        if _meaning(before) == _meaning(after):
+            return False
+        if after is None:
             self._changes.removed(key, offset)
+        else:
+            self._changes.changed(key, offset)
         self.endpoints_version = max(self.endpoints_version, offset)
+        return True
 
-    def _put_endpoint(self, key: str, value: bytes, source: str) -> bool:
-        """Take an entry; whether the table says something new by it."""
-        if self._endpoint_bytes.get(key) == value:
-            return False
+    def _put(self, key: str, value: bytes, source: str) -> None:
+        written = self._written.get(key)
+        if written is not None and written.value == value:
+            return
         decoded = platform_endpoints.decode(key, value)
         if isinstance(decoded, outcome.Failure):
             journal.problem(
                 'endpoint', outcome='unreadable', reason=str(decoded)
             )
-            return self._delete_endpoint(key)
-        self._endpoint_bytes[key] = value
+            self._drop(key)
+            return
+        self._written[key] = _Written(
+            value, decoded.state, decoded.incarnation
+        )
         before = self.table.entries.get(decoded.id)
         if self.table.put(decoded) and (
             before is None
@@ -140,16 +158,11 @@
                 domain=decoded.domain,
                 source=source,
             )
-            return True
-        return False
 
-    def _delete_endpoint(self, key: str) -> bool:
-        """Drop an entry; whether its endpoint is taken as gone."""
-        self._endpoint_bytes.pop(key, None)
+    def _drop(self, key: str) -> None:
+        self._written.pop(key, None)
         if self.table.delete(ids.EndpointId(key), self._loop.now_s):
             journal.event('endpoint', outcome='gone', endpoint=key)
-            return True
-        return False
 
     def endpoint_leaves(self, entry: endpoints.Endpoint) -> None:
         """An endpoint said by itself that it will end."""
@@ -181,10 +194,8 @@
             configuration=self._configuration_bytes if is_newer else b'',
             configuration_version=self.version,
             endpoints={
-                key: entry_news.EntryNews(offset, self._endpoint_bytes[key])
+                key: entry_news.EntryNews(offset, self._written[key].value)
                 for key, offset in changes.changed.items()
-                # Entries that lapsed in an outage may come back.
-                if key in self._endpoint_bytes
             },
             removed=changes.removed,
             is_whole=is_whole,
@@ -200,17 +211,12 @@
             return
         gone = dict(state.removed)
         if state.is_whole:
-            for key in self._endpoint_bytes.keys() - state.endpoints.keys():
+            for key in self._written.keys() - state.endpoints.keys():
                 gone[key] = state.endpoints_version
         for key, offset in gone.items():
-            was_known = key in self._endpoint_bytes
-            self._delete_endpoint(key)
-            if was_known:
-                self._note_change(key, offset)
+            self._take_entry(key, None, offset, source)
         for key, entry in state.endpoints.items():
-            was_known = key in self._endpoint_bytes
-            if self._put_endpoint(key, entry.value, source) or not was_known:
-                self._note_change(key, entry.offset)
+            self._take_entry(key, entry.value, entry.offset, source)
         if state.is_whole or self.endpoints_offset != NO_OFFSET:
             self.have_read(state.endpoints_offset)
         self.endpoints_version = state.endpoints_version
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -1,5 +1,6 @@
 """Nodes among each other, the store and the cloud, sound and not."""
 
+import dataclasses
 import socket
 import typing
 import unittest
@@ -11,6 +12,7 @@
 from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
 from guavachute.decide.nodes import rounds
+from guavachute.domain import endpoints
 from guavachute.entry import control_client
 from guavachute.entry import known_state
 from guavachute.entry import node as entry_node
@@ -242,6 +244,24 @@
         )
         self.assertEqual(['e2'], list(peer.table.entries))
 
+    def test_a_notice_that_was_known_before_is_passed_on(self) -> None:
+        """The endpoint had told this node itself that it leaves."""
+        node = self.site.ready_node()
+        peer = self.state()
+        peer.take_shared(node.state.shared(0, known_state.NO_OFFSET), 'peer')
+        entry = node.state.table.entries[ids.EndpointId('e1')]
+        node.state.endpoint_leaves(
+            dataclasses.replace(entry, state=endpoints.EndpointState.DRAINING)
+        )
+        self.plain.register(state='draining')
+        self.site.add_engine('e2', platform_site.PLAIN_SERVICE)
+        self.until(lambda: 'e2' in node.state.table.entries)
+        peer.take_shared(
+            node.state.shared(peer.version, peer.endpoints_version), 'peer'
+        )
+        told = peer.table.entries[ids.EndpointId('e1')]
+        self.assertIs(endpoints.EndpointState.DRAINING, told.state)
+
     def test_news_from_a_peer_costs_no_call_to_the_store(self) -> None:
         client = control_client.Client(self.site.loop, self.site.store.address)
         self.addCleanup(client.close)
