Use one piece of code for what stood twice; keep the platform's names in the adapter

The six models' put, the decaying sums of rates and results, and the media types stand once now. The soak spells no name of the wire: the stand-ins say whose request a run is and where an answer comes from, and the site's test support makes the routes. The system's topic is named in the adapter. With few nodes the lateness of news is no longer worked out per datagram.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 import typing
 
 from guavachute.entry import loop as entry_loop
+from guavachute.platform import store
 from guavachute.standin.platform import cloud as standin_cloud
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
@@ -194,7 +195,7 @@
 
     def _history(self) -> None:
         self._note('history gone')
-        for topic in ('keyed.guavachute', standin_store.ENDPOINTS_TOPIC):
+        for topic in (store.OWN_TOPIC, standin_store.ENDPOINTS_TOPIC):
             self._world.store.drop_history(topic)
 
     def _cloud(self) -> Undo:
--- a/soak/play.py
+++ b/soak/play.py
@@ -7,8 +7,6 @@
 import time
 import typing
 
-import msgspec
-
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute import ids
@@ -35,6 +33,9 @@
 """Of the requests sent in calm; the rest leaves room for one slow answer
 among few."""
 
+PROBED_AS = ('idempotent', platform_site.PLAIN_SERVICE, False)
+"""What the route is that each version adds."""
+
 HEARTBEAT_S = 1.0
 CLIENTS_PER_NODE = 3
 MOST_CLIENTS = 60
@@ -80,7 +81,7 @@
         self._born: dict[str, int] = {}
         self._probes: dict[ids.Address, control_client.Client] = {}
         self._planned_from_s = float('inf')
-        # Two soaks on one machine, even of one seed, share no address.
+        # Two soaks side by side, even of one seed, share no address.
         self._host = f'127.{1 + (seed + os.getpid()) % 250}'
         self.change_configuration()
         for number in range(PLAIN_ENGINES + MODEL_ENGINES):
@@ -108,15 +109,12 @@
     def change_configuration(self) -> None:
         """The operator writes the next version, with a route of its own."""
         self.version += 1
-        fields = msgspec.json.decode(platform_site.configuration(self.version))
-        pattern = next(
-            route for route in fields['routes'] if route['name'] == 'lookup'
-        )
-        fields['routes'] += [
-            {**pattern, 'name': f'v{number}', 'pathPrefix': f'/v{number}/'}
+        own = [
+            (f'v{number}', f'/v{number}/', *PROBED_AS)
             for number in range(1, self.version + 1)
         ]
-        self.site.configure(self.version, routes=fields['routes'])
+        routes = [*platform_site.ROUTES, *own]
+        self.site.configure(self.version, own_routes=routes)
 
     def restart_engine(self, engine: standin_engine.Engine) -> None:
         """An engine crashes and starts again."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,8 +10,6 @@
 NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that the request has not run, nor ever will."""
 
-STAMP = standin_engine.STAMP.decode()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
@@ -119,9 +117,9 @@
     for run in runs:
         if (run.target, run.body) != (attempt.target, attempt.body):
             return 'changed on the way'
-        if run.headers.get('tenant') != attempt.workspace:
-            return f'run for {run.headers.get("tenant")}'
-        if 'authorization' in run.headers:
+        if run.workspace != attempt.workspace:
+            return f'run for {run.workspace}'
+        if run.shows_key:
             return 'the key was passed on'
     return None
 
@@ -130,18 +128,18 @@
     attempt: Attempt, runs: typing.Sequence[standin_engine.Run]
 ) -> str | None:
     """What reaches the caller is what an endpoint made for it."""
-    stamp = attempt.headers.get('server-stamp')
+    origin = standin_engine.origin(attempt.headers)
     if attempt.is_malformed:
         return 'bytes that are no answer'
     if not attempt.status:
         return None
-    if stamp is None:
+    engine = origin.endpoint
+    if engine is None:
         if 200 <= attempt.status < 300:
             return 'a success without a stamp'
         return None
-    if attempt.headers.get('attempt-id') != attempt.attempt_id:
+    if origin.attempt_id != attempt.attempt_id:
         return 'the answer to another request'
-    engine = stamp.removeprefix(STAMP)
     if attempt.status == 500:
         return None if attempt.answer == b'failed' else 'a changed failure'
     if not attempt.route.events:
--- a/spec/checking.py
+++ b/spec/checking.py
@@ -37,6 +37,13 @@
     lines: list[str]
 
 
+def put(
+    values: tuple[typing.Any, ...], place: int, value: typing.Any
+) -> tuple[typing.Any, ...]:
+    """*values* with *value* at *place*."""
+    return (*values[:place], value, *values[place + 1 :])
+
+
 def check(model: Model) -> Report:
     """Check the real rules, or see whether a variant is caught."""
     if model.breaks is None:
--- a/spec/claims_model.py
+++ b/spec/claims_model.py
@@ -117,7 +117,7 @@
         log, read, phases, runs, told = state
         for committer, place in enumerate(read):
             if place < len(log):
-                further = _put(read, committer, place + 1)
+                further = checking.put(read, committer, place + 1)
                 yield (
                     f'committer {committer} reads',
                     (log, further, phases, runs, told),
@@ -132,9 +132,9 @@
                     (
                         log,
                         read,
-                        _put(phases, place, new),
-                        _put(runs, place, runs[place] + ran),
-                        _put(told, place, told[place] or tells),
+                        checking.put(phases, place, new),
+                        checking.put(runs, place, runs[place] + ran),
+                        checking.put(told, place, told[place] or tells),
                     ),
                 )
             for kind in self._records(phase):
@@ -187,12 +187,6 @@
             yield 'answer'
 
 
-def _put(
-    values: tuple[typing.Any, ...], place: int, value: typing.Any
-) -> tuple[typing.Any, ...]:
-    return (*values[:place], value, *values[place + 1 :])
-
-
 def _not_run_is_true(state: dict[str, typing.Any]) -> bool:
     return not any(
         told and runs
--- a/spec/duty_model.py
+++ b/spec/duty_model.py
@@ -159,7 +159,7 @@
             (
                 now,
                 topic,
-                _put(nodes, place, sent),
+                checking.put(nodes, place, sent),
                 (*appends, Append(node.read, record)),
                 calls,
                 cloud,
@@ -188,7 +188,7 @@
             (
                 now,
                 topic,
-                _put(nodes, place, called),
+                checking.put(nodes, place, called),
                 appends,
                 (*calls, call),
                 cloud,
@@ -227,7 +227,7 @@
     )
     contender = lease.observe(node.contender, head, now * STEP_S)
     seen = node._replace(contender=contender, read=read)
-    return (now, topic, _put(nodes, place, seen), *rest)
+    return (now, topic, checking.put(nodes, place, seen), *rest)
 
 
 def _decided(topic: tuple[Record, ...]) -> dict[int, usage.Counts]:
@@ -236,10 +236,6 @@
     return {WINDOW: {WORKSPACE: topic[-1].counts}}
 
 
-def _put(nodes: tuple[Node, ...], place: int, node: Node) -> typing.Any:
-    return (*nodes[:place], node, *nodes[place + 1 :])
-
-
 def _one_report(state: dict[str, typing.Any]) -> bool:
     return len(state['cloud'].counts) <= 1
 
--- a/spec/fold_model.py
+++ b/spec/fold_model.py
@@ -145,7 +145,13 @@
                 began = operator._replace(base=len(log))
                 yield (
                     f'{name} reads the head',
-                    (log, first, _put(operators, place, began), readers, back),
+                    (
+                        log,
+                        first,
+                        checking.put(operators, place, began),
+                        readers,
+                        back,
+                    ),
                 )
             elif not operator.verdict:
                 yield from self._publish(state, place, name)
@@ -168,7 +174,7 @@
         told = operator._replace(verdict='accepted' if accepted else 'lost')
         yield (
             f'{name} is told {told.verdict}',
-            (log, first, _put(operators, place, told), readers, back),
+            (log, first, checking.put(operators, place, told), readers, back),
         )
 
     def _land(
@@ -181,7 +187,7 @@
         return (
             (*log, (name, head_offset)),
             first,
-            _put(operators, place, landed),
+            checking.put(operators, place, landed),
             readers,
             back,
         )
@@ -197,14 +203,14 @@
                         log,
                         first,
                         operators,
-                        _put(readers, place, new),
+                        checking.put(readers, place, new),
                         back or worse,
                     ),
                 )
             # Reader 0 writes the snapshots and lives on: the models stay
             # small, and its restart would be like the other's.
             if reader is not None and place == 1:
-                gone = _put(readers, place, None)
+                gone = checking.put(readers, place, None)
                 yield (
                     f'reader {place} dies',
                     (log, first, operators, gone, back),
@@ -280,12 +286,6 @@
         return self._fold_all(short_of(state), log)[0]
 
 
-def _put(
-    values: tuple[typing.Any, ...], place: int, value: typing.Any
-) -> tuple[typing.Any, ...]:
-    return (*values[:place], value, *values[place + 1 :])
-
-
 def _fold_without_compare(
     state: records.ControlState,
     offset: ids.Offset,
--- a/spec/lease_model.py
+++ b/spec/lease_model.py
@@ -117,8 +117,10 @@
             (
                 now,
                 heads,
-                _put(contenders, place, contender),
-                _put(seen, place, seen[place]._replace(sent=number + 1)),
+                checking.put(contenders, place, contender),
+                checking.put(
+                    seen, place, seen[place]._replace(sent=number + 1)
+                ),
                 (*sent, record),
                 orders,
                 engine,
@@ -133,7 +135,7 @@
         contender = contenders[place]
         times = dict(contender.sent) | {record.record_id: now * STEP_S}
         counted = dataclasses.replace(contender, sent=tuple(times.items()))
-        changed = _put(contenders, place, counted)
+        changed = checking.put(contenders, place, counted)
         yield (
             f'{record.record_id} is sent again',
             (now, heads, changed, seen, sent, orders, engine),
@@ -148,8 +150,8 @@
         return (
             now,
             heads,
-            _put(contenders, place, contender),
-            _put(seen, place, seen[place]._replace(read=index)),
+            checking.put(contenders, place, contender),
+            checking.put(seen, place, seen[place]._replace(read=index)),
             sent,
             orders,
             engine,
@@ -194,7 +196,7 @@
             held = lease.held(contenders[place], now * STEP_S)
             if held is not None:
                 order = Order(held.fencing_number, held.term_offset)
-                checked = _put(orders, place, order)
+                checked = checking.put(orders, place, order)
                 yield (
                     f'{name} checks the lease',
                     (now, heads, contenders, seen, sent, checked, engine),
@@ -208,7 +210,7 @@
                 max(order.term, engine.term),
                 went_back,
             )
-        done = _put(orders, place, None)
+        done = checking.put(orders, place, None)
         yield (
             f'{name} orders with {order.fence}',
             (now, heads, contenders, seen, sent, done, taken),
@@ -226,12 +228,6 @@
         yield
 
 
-def _put(
-    values: tuple[typing.Any, ...], place: int, value: typing.Any
-) -> tuple[typing.Any, ...]:
-    return (*values[:place], value, *values[place + 1 :])
-
-
 def _observe_from_the_reading(
     contender: lease.Contender,
     head: records.LeaseHead | None,
--- a/spec/quota_model.py
+++ b/spec/quota_model.py
@@ -84,7 +84,7 @@
                     heard = (*node[:-1], newest._replace(heard=spending))
                     yield (
                         f'{name} hears the other',
-                        (now, _put(nodes, place, heard)),
+                        (now, checking.put(nodes, place, heard)),
                     )
             quotas = self._quotas(node, now)
             admitted = 0
@@ -94,7 +94,7 @@
                 more = newest._replace(admitted=newest.admitted + admitted)
                 yield (
                     f'{name} admits {admitted}',
-                    (now, _put(nodes, place, (*node[:-1], more))),
+                    (now, checking.put(nodes, place, (*node[:-1], more))),
                 )
 
     def _quotas(self, node: Node, now: int) -> quota.Quotas:
@@ -117,10 +117,6 @@
         return quotas
 
 
-def _put(nodes: tuple[Node, ...], place: int, node: Node) -> typing.Any:
-    return (*nodes[:place], node, *nodes[place + 1 :])
-
-
 def _in_bound(state: dict[str, typing.Any]) -> bool:
     """For the window that ends now."""
     admitted = sum(
--- a/spec/retry_model.py
+++ b/spec/retry_model.py
@@ -133,7 +133,7 @@
 
 def _put(nodes: tuple[Node, ...], place: int, node: Node) -> typing.Any:
     # Which node is which makes no difference.
-    return tuple(sorted((*nodes[:place], node, *nodes[place + 1 :])))
+    return tuple(sorted(checking.put(nodes, place, node)))
 
 
 def _in_bound(state: dict[str, typing.Any]) -> bool:
--- a/src/guavachute/decide/ingress/endpoint_health.py
+++ b/src/guavachute/decide/ingress/endpoint_health.py
@@ -10,6 +10,7 @@
 import typing
 
 from guavachute.decide import backoff
+from guavachute.decide import decay
 
 PAUSE = backoff.Policy(initial_s=0.4, maximum_s=3.0)
 """How long an endpoint is left out after failures in a row."""
@@ -43,18 +44,23 @@
 
     unreached: int = 0
     paused_until_s: float = 0.0
-    _results: Results = Results()
-    _counted_s: float = 0.0
+    _failed: decay.DecayingSum = dataclasses.field(
+        default_factory=lambda: decay.DecayingSum(HALF_LIFE_S, 0.0)
+    )
+    _answered: decay.DecayingSum = dataclasses.field(
+        default_factory=lambda: decay.DecayingSum(HALF_LIFE_S, 0.0)
+    )
 
     def succeeded(self, now_s: float) -> None:
         """A whole answer came."""
         self.unreached = 0
         self.paused_until_s = 0.0
-        self._count(0.0, now_s)
+        self._answered.add(1.0, now_s)
 
     def failed(self, now_s: float) -> None:
         """It answered with a failure of its own, or broke off."""
-        self._count(1.0, now_s)
+        self._answered.add(1.0, now_s)
+        self._failed.add(1.0, now_s)
 
     def not_reached(self, now_s: float, fraction: float) -> None:
         """It could not be connected to, or is silent.
@@ -72,11 +78,7 @@
 
     def results(self, now_s: float) -> Results:
         """This node's results, for the others too."""
-        elapsed_s = max(0.0, now_s - self._counted_s)
-        kept = 0.5 ** (elapsed_s / HALF_LIFE_S)
-        return Results(
-            self._results.failed * kept, self._results.answered * kept
-        )
+        return Results(self._failed.value(now_s), self._answered.value(now_s))
 
     def is_doubtful(self, others: Results, now_s: float) -> bool:
         """Whether it fails so much that other endpoints are better.
@@ -89,8 +91,3 @@
         return (
             failed >= DOUBTFUL_FAILURES and failed > DOUBTFUL_SHARE * answered
         )
-
-    def _count(self, failed: float, now_s: float) -> None:
-        before = self.results(now_s)
-        self._results = Results(before.failed + failed, before.answered + 1.0)
-        self._counted_s = now_s
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -10,8 +10,10 @@
 """
 
 import dataclasses
+import math
 import typing
 
+from guavachute.decide import decay
 from guavachute.domain import configuration
 from guavachute import ids
 
@@ -36,24 +38,18 @@
 class RateMeter:
     """How much per second there was of late."""
 
-    __slots__ = ('_sum', '_at_s')
+    __slots__ = ('_recent',)
 
     def __init__(self, now_s: float) -> None:
-        self._sum = 0.0
-        self._at_s = now_s
+        self._recent = decay.DecayingSum(HALF_LIFE_S, now_s)
 
     def add(self, amount: float, now_s: float) -> None:
         """Count *amount*."""
-        self._sum = self._decayed(now_s) + amount
-        self._at_s = now_s
+        self._recent.add(amount, now_s)
 
     def per_s(self, now_s: float) -> float:
         """The rate of late."""
-        return self._decayed(now_s) * 0.6931 / HALF_LIFE_S
-
-    def _decayed(self, now_s: float) -> float:
-        elapsed_s = max(0.0, now_s - self._at_s)
-        return self._sum * 0.5 ** (elapsed_s / HALF_LIFE_S)
+        return self._recent.value(now_s) * math.log(2) / HALF_LIFE_S
 
 
 class Spending(typing.NamedTuple):
--- a/src/guavachute/domain/call.py
+++ b/src/guavachute/domain/call.py
@@ -9,6 +9,10 @@
 Header = tuple[bytes, bytes]
 """Name as sent, and value."""
 
+JSON = b'application/json'
+TEXT = b'text/plain; charset=utf-8'
+BINARY = b'application/octet-stream'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -11,6 +11,7 @@
 
 from guavachute.decide.duty import usage
 from guavachute.decide import lease
+from guavachute.domain import call
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute.entry import loop as entry_loop
@@ -171,7 +172,7 @@
             CALL_TIMEOUT_S,
             body=body,
             headers=[
-                (b'Content-Type', store.JSON),
+                (b'Content-Type', call.JSON),
                 *cloud.duty_headers(self._site.node, fence),
             ],
         )
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -18,7 +18,6 @@
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
-from guavachute.entry import plain_server
 from guavachute.entry import transport
 from guavachute.entry import upstream
 from guavachute import ids
@@ -404,7 +403,7 @@
             got,
             MOVE_TIMEOUT_S,
             body=moves.encode(attempt_id, target),
-            headers=[(b'Content-Type', plain_server.JSON)],
+            headers=[(b'Content-Type', domain_call.JSON)],
         )
 
     def endpoint_leaves(self, record: endpoint_book.Record) -> None:
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -36,9 +36,6 @@
 from guavachute.platform import store
 from guavachute.wire import entry_news
 
-NODES_TOPIC = 'keyed.guavachute'
-"""The system's own topic: nodes, and the lease of the duties."""
-
 NODE_KEY_PREFIX = 'node/'
 
 READER_WAIT_S = 1.5
@@ -138,7 +135,7 @@
         )
         self._endpoints.on_regained = self._endpoints_regained
         self._nodes = self._follow(
-            NODES_TOPIC,
+            store.OWN_TOPIC,
             self._fold_own,
             wait_s=READER_WAIT_S,
             period_s=CROWDED_PERIOD_S,
@@ -333,7 +330,7 @@
         )
         store_writer.append(
             self._store,
-            NODES_TOPIC,
+            store.OWN_TOPIC,
             store.KeyedRecord(
                 NODE_KEY_PREFIX + self.site.node, entry_news.encode(record)
             ),
@@ -364,7 +361,7 @@
             journal.event('node', outcome='dropped', peer=node)
             store_writer.append(
                 self._store,
-                NODES_TOPIC,
+                store.OWN_TOPIC,
                 store.KeyedRecord(NODE_KEY_PREFIX + node, None),
                 None,
                 # The next round sees whether it is done.
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -157,7 +157,9 @@
     @property
     def late_s(self) -> float:
         """How much longer than with few nodes news may take to come."""
-        round_s = rounds.round_s(len(self._peers), len(self.near()))
+        if self.are_few:
+            return 0.0
+        round_s = rounds.round_s(1 + len(self._peers), len(self.near()))
         return 2 * (round_s - rounds.PERIOD_S)
 
     @property
--- a/src/guavachute/entry/plain_server.py
+++ b/src/guavachute/entry/plain_server.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry import http1
@@ -11,10 +12,6 @@
 from guavachute.http import message
 from guavachute import ids
 
-JSON = b'application/json'
-TEXT = b'text/plain; charset=utf-8'
-BINARY = b'application/octet-stream'
-
 _LIMITS = configuration.CallerLimits(max_body_bytes=65_536)
 
 
@@ -32,7 +29,7 @@
 
     status: int
     body: bytes = b''
-    content_type: bytes = TEXT
+    content_type: bytes = call.TEXT
 
 
 NOT_FOUND = Reply(404, b'not found\n')
--- a/src/guavachute/entry/questions.py
+++ b/src/guavachute/entry/questions.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from guavachute.domain import call
 from guavachute.domain import site as domain_site
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
@@ -81,7 +82,7 @@
         return plain_server.Reply(
             200 if found else 503,
             directory.encode(found, ttl_s),
-            plain_server.JSON,
+            call.JSON,
         )
 
     def _answer_peer(
@@ -95,9 +96,7 @@
             # Another release asks in its own way: it gets everything.
             known = [0, known_state.NO_OFFSET]
         state = self._state.shared(known[0], ids.Offset(known[1]))
-        return plain_server.Reply(
-            200, entry_news.encode(state), plain_server.BINARY
-        )
+        return plain_server.Reply(200, entry_news.encode(state), call.BINARY)
 
     def _answer_metrics(
         self, question: plain_server.Question
--- a/src/guavachute/platform/store.py
+++ b/src/guavachute/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from guavachute.domain import call
 from guavachute import ids
 from guavachute import outcome
 
@@ -15,8 +16,9 @@
 _READ_HEAD = struct.Struct('>QQ')
 
 TRIMMED_STATUS = 410
-JSON = b'application/json'
-BINARY = b'application/octet-stream'
+OWN_TOPIC = 'keyed.guavachute'
+"""The system's own topic. Of a topic with this beginning the store keeps
+the newest record of each key."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,7 +28,7 @@
     method: bytes
     target: bytes
     body: bytes = b''
-    content_type: bytes = BINARY
+    content_type: bytes = call.BINARY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -48,6 +48,37 @@
     body: bytes
     is_cancelled: bool = False
 
+    @property
+    def workspace(self) -> str | None:
+        """Whose request it is, as the endpoint was told."""
+        return self.headers.get('tenant')
+
+    @property
+    def shows_key(self) -> bool:
+        """Whether the endpoint was shown a caller's key."""
+        return 'authorization' in self.headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """What an answer's headers say of where it comes from.
+
+    :ivar endpoint: the one that made it; None if none signed it
+    :ivar attempt_id: the request that it answers, if it says so
+    """
+
+    endpoint: str | None
+    attempt_id: str | None
+
+
+def origin(headers: typing.Mapping[str, str]) -> Origin:
+    """Where an answer with *headers* (names in lower case) comes from."""
+    stamp = headers.get('server-stamp')
+    return Origin(
+        None if stamp is None else stamp.removeprefix(STAMP.decode()),
+        headers.get('attempt-id'),
+    )
+
 
 class Engine:
     """One endpoint, registered in the store under its id.
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -18,6 +18,7 @@
 from guavachute.entry import node as entry_node
 from guavachute.entry import topic_follower
 from guavachute import ids
+from guavachute.platform import store
 from guavachute.standin.platform import store as standin_store
 from guavachute.wire import entry_news
 from tests.support import looping
@@ -297,7 +298,7 @@
             patch.start()
             self.addCleanup(patch.stop)
         nodes = [self.site.ready_node() for _ in range(5)]
-        topic, key = entry_node.NODES_TOPIC, f'node/{nodes[0].site.node}'
+        topic, key = store.OWN_TOPIC, f'node/{nodes[0].site.node}'
         self.until(lambda: self.site.store.newest(topic, key))
         self.until(lambda: all(
             len(node.peers.table.heard()) == 4 for node in nodes
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -19,6 +19,7 @@
 from soak import promises
 from tests.support import platform_site
 
+STAMP = standin_engine.STAMP.decode()
 STREAM, RESUMABLE, ORDER, LOOKUP = clients.ROUTES
 
 
@@ -35,7 +36,7 @@
         'status': 200,
         'headers': {
             'attempt-id': 'a1',
-            'server-stamp': promises.STAMP + 'e1',
+            'server-stamp': STAMP + 'e1',
         },
         'answer': b'answer of e1',
         'is_whole': True,
@@ -98,7 +99,7 @@
     def test_answers_that_no_endpoint_made(self) -> None:
         for changes in (
             {'headers': {'attempt-id': 'a1'}},
-            {'headers': {'server-stamp': promises.STAMP + 'e1'}},
+            {'headers': {'server-stamp': STAMP + 'e1'}},
             {'answer': b'answer of e2'},
             {'is_malformed': True},
         ):
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -32,8 +32,15 @@
 )
 
 
-def configuration(version: int, **changes: typing.Any) -> bytes:
-    """An operator's configuration; *changes* replace top-level fields."""
+def configuration(
+    version: int,
+    own_routes: typing.Sequence[tuple[str, str, str, str, bool]] = ROUTES,
+    **changes: typing.Any,
+) -> bytes:
+    """An operator's configuration; *changes* replace top-level fields.
+
+    :param own_routes: name, prefix, kind, service and whether it resumes
+    """
     fields = {
         'version': version,
         'routes': [
@@ -52,7 +59,7 @@
                 'resumable': resumable,
                 'gapSloMs': 500,
             }
-            for name, prefix, kind, service, resumable in ROUTES
+            for name, prefix, kind, service, resumable in own_routes
         ],
         'services': [
             {
