Run nothing again whose copy was refused or not reached

A stream that was moved with its KV cache went on as a fresh request at a third engine when the engine with the copy refused it, or could not be connected to: both are paths for requests that have not run. It joined pieces of two runs.

Ruled out: a request on a kept connection (it counts as connected), and a source that crashes while it is asked (tested before, cuts). Before: two of the new tests fail; after: they pass.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -141,6 +141,7 @@
         self._counted_tokens = 0
         self._backlog_tokens = 0
         self._move = _Move.NONE
+        self._goes_on_from_copy = False
         self._answer = _Answer.NONE
         self._head: requests.AnswerHead | None = None
         self._held: list[bytes] = []
@@ -219,6 +220,7 @@
         now_s: float,
         origin: str | None = None,
     ) -> None:
+        self._goes_on_from_copy = origin is not None
         if origin is None:
             self.attempts += 1
         self._record = record
@@ -386,7 +388,6 @@
         if not was_connected:
             self._process.book.not_reached(self._record, now_s)
             self._leave_endpoint(keeps_alive=False)
-            self.attempts -= 1
             self._after_no_send()
             return
         self._process.attempt_lost(self, self._record)
@@ -526,8 +527,11 @@
             status=self._head.status,
             attempt=self.attempts,
         )
-        self._tried.add(self._record.entry.id)
         self._leave_endpoint(keeps_alive)
+        if self._has_run_once:
+            self._after_failure('the copy of the run was refused')
+            return
+        self._tried.add(self._record.entry.id)
         if self._may_send_again():
             self.dispatch()
             return
@@ -575,11 +579,25 @@
     def _after_no_send(self) -> None:
         """The endpoint was not reached, so another costs nothing."""
         assert self._record is not None
+        if self._has_run_once:
+            self._after_failure('the copy of the run was not reached')
+            return
         self._tried.add(self._record.entry.id)
+        if not self._goes_on_from_copy:
+            self.attempts -= 1
         if self.first_byte_s is None and not self.attempts:
             self.state = State.WAITING
         self.dispatch()
 
+    @property
+    def _has_run_once(self) -> bool:
+        """Whether only the copy of its run may still be run.
+
+        The endpoint that holds the copy says only that it did not go on
+        from it, not that the run before it never was.
+        """
+        return self._may_have_run and not self.route.may_run_again
+
     def _may_send_again(self) -> bool:
         return (
             self.attempts < self.route.max_attempts
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -85,6 +85,7 @@
 
     :ivar runs: the requests that it ran
     :ivar events: how many events a stream has
+    :ivar on_moved: called when a run has been copied elsewhere
     """
 
     def __init__(
@@ -113,6 +114,7 @@
             'state': 'ready',
         }
         self.refused = 0
+        self.on_moved: typing.Callable[[], None] = lambda: None
         self._sequence = 0
         self._streams: dict[str, server.Answer] = {}
         self._made: dict[str, int] = {}
@@ -206,11 +208,12 @@
             self._loop.call_after(0.05, lambda: answer.reply(503))
             return
         stream.drop()
-        self._loop.call_after(
-            0.01,
-            lambda: answer.reply(
-                200, msgspec.json.encode({'handle': 'h1', 'created': made})
-            ),
+        self._loop.call_after(0.01, lambda: self._moved(answer, made))
+
+    def _moved(self, answer: server.Answer, made: int) -> None:
+        self.on_moved()
+        answer.reply(
+            200, msgspec.json.encode({'handle': 'h1', 'created': made})
         )
 
     def _whole(self, answer: server.Answer) -> None:
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -257,6 +257,42 @@
         self.assertFalse(caller.reply.is_whole)
         self.assertEqual([], self.second.runs)
 
+    def lose_copy(self, path: str) -> platform_site.CallerSocket:
+        """The copy is made, and its engine is gone before it is used."""
+        caller = self.site.send(self.node, path)
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        self.third = self.engine('e3', events=12)
+        self.first.on_moved = self.second.close
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual([], self.second.runs)
+        return caller
+
+    def test_a_run_whose_copy_is_out_of_reach_is_not_run_again(self) -> None:
+        caller = self.lose_copy('/stream/a')
+        self.assertFalse(caller.reply.is_whole)
+        self.assertEqual([], self.third.runs)
+
+    def test_a_resumable_run_goes_on_without_its_copy(self) -> None:
+        caller = self.lose_copy('/resumable/a')
+        self.assertTrue(caller.reply.is_whole)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        (run,) = self.third.runs
+        self.assertNotIn('kv-from', run.headers)
+
+    def test_a_run_whose_copy_is_refused_is_not_run_again(self) -> None:
+        caller = self.site.send(self.node, '/stream/a')
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        self.third = self.engine('e3', events=12)
+        self.second.behaviour = Behaviour.SHED
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual(1, self.second.refused)
+        self.assertFalse(caller.reply.is_whole)
+        self.assertEqual([], self.third.runs)
+
 
 class FaultTest(RequestTest):
     def test_a_lost_order_is_unknown_and_never_called_unrun(self) -> None:
