Export a cache in the test only once the stream has its first token

The test exported the KV cache of a stream that runs but has no token yet, where the machine is busy; the resumed request then recomputes the one token. With an engine that takes 0.2 s to its first token it failed each time (0 != 1), and passes with the wait. The test now starts that engine, so the case is played each time. Ruled out: the stand-in's export itself, which is right in both cases.

--- a/tests/cover/test_standin_engine.py
+++ b/tests/cover/test_standin_engine.py
@@ -41,14 +41,20 @@
         )
 
     def hold_slot(self, served: engine.Engine) -> None:
-        """Leave a stream running that no one reads."""
+        """Leave a stream running that no one reads, past its first token."""
         threading.Thread(
             target=self.complete,
             args=[served, 'held'],
             kwargs={'max_tokens': 10**9},
             daemon=True,
         ).start()
-        waiting.until(lambda: served.streams.load.running, 'a stream')
+        waiting.until(
+            lambda: (
+                served.streams.load.running
+                and served.streams.load.generated_tokens
+            ),
+            'a token of a stream',
+        )
 
 
 class EngineTest(EngineCase):
@@ -115,12 +121,19 @@
         connection = http.client.HTTPConnection(served.address, timeout=20)
         body = {'model': 'demo', 'prompt': 'x', 'max_tokens': 10**9}
         connection.request('POST', COMPLETIONS, json.dumps(body))
-        waiting.until(lambda: served.streams.load.running, 'a stream')
+        waiting.until(
+            lambda: (
+                served.streams.load.running
+                and served.streams.load.generated_tokens
+            ),
+            'a token of a stream',
+        )
         connection.close()
         waiting.until(lambda: not served.streams.load.running, 'its end')
 
     def test_an_exported_cache_saves_the_recomputation(self) -> None:
-        source = self.start()
+        # Slow to its first token, which has to be in the exported cache.
+        source = self.start(first_token_s=0.2)
         self.hold_slot(source)
         target = self.start()
         order = {'attempt_id': 'held', 'to': target.address}
