Do not follow a step of the clock that is taken back

Where the time of day steps on most nodes at once, the median of their clocks steps too, and usage is counted in the wrong windows. Ruled out: a lost report (each was sent), a wrong median with a minority (tested before).

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -3,7 +3,6 @@
 import contextlib
 import gc
 import random
-import time
 import typing
 
 from guavachute.decide.duty import scaling
@@ -381,7 +380,7 @@
             callers_address=self.ingress.address,
             domain=self.site.domain,
             region=self.site.region,
-            wall_s=time.time(),
+            wall_s=self.peers.table.own_wall_s(),
             is_ready=self.is_ready,
             is_reader=self._is_reader,
             configuration_version=self.state.version,
@@ -426,7 +425,7 @@
                 for news in near
                 if news.is_ready
             ][:READY_TOLD],
-            wall_s=time.time(),
+            wall_s=self.peers.table.own_wall_s(),
             spent=self._sums.sums(spent, [news.spent for news in near]),
             load=region_sums.added_load(
                 [self.ingress.load(), *[news.load for news in near]]
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -83,6 +83,7 @@
         self._peers: dict[str, Peer] = {}
         self._regions: dict[str, dict[str, RegionTold]] = {}
         self._work: dict[str, endpoint_book.Work] = {}
+        self._clock = agreed_clock.OwnClock()
         self._offset_s = 0.0
         self._offset_read_s = float('-inf')
 
@@ -335,6 +336,11 @@
             ]
         return found
 
+    def own_wall_s(self) -> float:
+        """The time of day by this node's clock alone."""
+        now_s = self._now_s()
+        return now_s + self._clock.offset_s(time.time(), now_s)
+
     def true_time_s(self) -> float:
         """The time of day that most nodes' clocks agree on."""
         return self._now_s() + self.true_offset_s()
@@ -349,10 +355,9 @@
             for peer in self._peers.values()
             if peer.news is not None
         ]
-        own_offset_s = time.time() - now_s
         self._offset_read_s = now_s
         self._offset_s = agreed_clock.agreed_offset_s(
-            own_offset_s, readings, now_s
+            self._clock.offset_s(time.time(), now_s), readings, now_s
         )
         return self._offset_s
 
--- a/tests/cover/test_node_decisions.py
+++ b/tests/cover/test_node_decisions.py
@@ -36,6 +36,33 @@
         if 2 * (len(jumps) + 1) < len(readings) + 1:
             self.assertAlmostEqual(1_000, offset_s, delta=0.02)
 
+    @hypothesis.given(
+        step_s=strategies.floats(0.5, 9) | strategies.floats(-9, -0.5),
+        lasts_s=strategies.floats(0.5, clock.STEP_BELIEVED_S - 1),
+    )
+    def test_a_step_that_is_taken_back_is_not_followed(
+        self, step_s: float, lasts_s: float
+    ) -> None:
+        """All clocks may step at once, so the median alone won't do."""
+        own = clock.OwnClock()
+        for tenths in range(400):
+            now_s = tenths / 10
+            steps = step_s if 2 <= now_s < 2 + lasts_s else 0.0
+            offset_s = own.offset_s(1_000 + now_s + steps, now_s)
+            self.assertAlmostEqual(1_000, offset_s, places=6)
+
+    def test_a_clock_that_stays_where_it_stepped_is_followed(self) -> None:
+        own = clock.OwnClock()
+        own.offset_s(1_005.0, 0.0)
+        for tenths in range(400):
+            offset_s = own.offset_s(1_000 + tenths / 10, tenths / 10)
+        self.assertAlmostEqual(1_000, offset_s, places=6)
+
+    def test_small_corrections_are_followed_at_once(self) -> None:
+        own = clock.OwnClock()
+        own.offset_s(1_000.0, 0.0)
+        self.assertAlmostEqual(1_000.01, own.offset_s(1_005.01, 5.0))
+
     def test_old_readings_are_left_out(self) -> None:
         old = clock.Reading(5_000.0, 0.0)
         self.assertEqual(1_000.0, clock.agreed_offset_s(1_000.0, [old], 60.0))
