Large configurations and full restarts on slow links: pass on less, count from the start

Cause: a version with 1,676 routes more. Each follower of the region without the store held a long call to the store, so it crossed the narrow link 27 times; peers that were asked for it gave no answer within 0.6 s (149 times in 6 s), and news of endpoints, asked for in the same question, waited with it. 26.3 to 30.6 s until all nodes of that region had it, due at 30.1 s. Now a peer sends the configuration deflated (under a tenth), apart from the endpoints, may take 1.5 s for it, and followers of many nodes hold no call; a node that stays behind for 2 s reads the store itself. Ruled out: the store (acked at 26.1 s, in force near it at once), the time to decode it.

Cause: all nodes are killed while a workspace asks for five times its quota. Each takes the bucket as full again, and the first that it hears of another run was only compared with its own level, not taken off. Now what a run admitted that is no older counts from its start, and other regions are told at each turn of the first three seconds. Ruled out: the time of 0.25 s between news alone (9 nodes: 11,200 before).

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -10,6 +10,7 @@
 from guavachute.entry import exchange
 from guavachute.entry import known_state
 from guavachute.entry import program
+from guavachute import ids
 from guavachute import outcome
 
 
@@ -40,12 +41,14 @@
     real = known_state.KnownState.take_configuration
     texts: list[bytes] = []
 
-    def take(self: typing.Any, text: bytes, source: str) -> None:
+    def take(
+        self: typing.Any, text: bytes, source: str, next_offset: ids.Offset
+    ) -> None:
         texts.append(text)
         if len(texts) % 3 == 0:
             self.configuration = None
             text = texts[-3]
-        real(self, text, source)
+        real(self, text, source, next_offset)
 
     setattr(known_state.KnownState, 'take_configuration', take)
 
--- a/spec/quota_model.py
+++ b/spec/quota_model.py
@@ -99,14 +99,14 @@
 
     def _quotas(self, node: Node, now: int) -> quota.Quotas:
         """The node's state, after all that it heard and admitted."""
-        quotas = quota.Quotas(ALLOWANCE)
+        quotas = quota.Quotas(ALLOWANCE, 0.0)
         heard_s = float('-inf')
         other = {'other': 1}
         for number, step in enumerate(node[: now + 1]):
             now_s = number * STEP_S
             if step.heard is not None:
                 heard_s = now_s
-                quotas.told('other', WORKSPACE, step.heard, now_s)
+                quotas.told('other', WORKSPACE, step.heard, now_s, now_s)
             is_silent = now_s - heard_s > quota.SILENT_AFTER_S
             if not is_silent:
                 quotas.heed(quota.Others(other, frozenset()), now_s)
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -6,7 +6,8 @@
 latest rate, so that nodes do not all spend the same refill. Of nodes
 that may be serving callers unheard, each is left an even share of the
 refill. A node that has just started takes a bucket as full until it
-hears otherwise.
+hears otherwise. What runs that began with it have admitted counts from
+their start, for all of them took the bucket as full.
 """
 
 import dataclasses
@@ -29,7 +30,8 @@
 its even share is set aside instead."""
 
 YOUNG_S = 2.0
-"""A bucket that is younger takes over the level that others tell."""
+"""A bucket that is younger takes over the level that others tell; runs
+that began this close to each other began together."""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 10.0
@@ -127,16 +129,26 @@
             round(self.level(now_s), 1),
         )
 
-    def told(self, source: str, spending: Spending, now_s: float) -> None:
-        """Another node's run told what it admitted."""
+    def told(
+        self,
+        source: str,
+        spending: Spending,
+        began_with_this: bool,
+        now_s: float,
+    ) -> None:
+        """Another node's run told what it admitted.
+
+        :param began_with_this: whether it is no older than this run
+        """
         self._fill(now_s)
         other = self._others.get(source)
-        if other is None:
+        if other is None and not began_with_this:
             # What it admitted before is in the level that it tells.
             if now_s - self._started_s < YOUNG_S:
                 self._level = min(self._level, spending.level)
         else:
-            spent = max(0.0, spending.total - other.total)
+            before = other.total if other else 0.0
+            spent = max(0.0, spending.total - before)
             self._level -= max(0.0, spent - self._set_aside.get(source, 0.0))
         self._set_aside.pop(source, None)
         self._others[source] = _Other(spending.total, spending.per_s, now_s)
@@ -210,10 +222,12 @@
     """The buckets of all workspaces at one node.
 
     :param allowance: what the bound allows beyond the quota itself
+    :param started_s: when this run of the node began
     """
 
-    def __init__(self, allowance: float) -> None:
+    def __init__(self, allowance: float, started_s: float) -> None:
         self._overdraft = allowance * OVERDRAFT_PART
+        self._started_s = started_s
         self._shared_with = Others({}, frozenset())
         self._buckets: dict[ids.WorkspaceName, Bucket] = {}
 
@@ -238,11 +252,18 @@
         source: str,
         workspace: configuration.Workspace,
         spending: Spending,
+        run_age_s: float,
         now_s: float,
     ) -> None:
-        """A run of another node told what it admitted."""
+        """A run of another node told what it admitted.
+
+        :param run_age_s: how long ago that run began
+        """
         if workspace.rate_per_s > 0:
-            self._bucket(workspace, now_s).told(source, spending, now_s)
+            own_age_s = now_s - self._started_s
+            self._bucket(workspace, now_s).told(
+                source, spending, run_age_s <= own_age_s + YOUNG_S, now_s
+            )
 
     def heed(self, others: Others, now_s: float) -> None:
         """Share the quotas with these runs of other nodes, and no more."""
--- a/src/guavachute/decide/nodes/rounds.py
+++ b/src/guavachute/decide/nodes/rounds.py
@@ -26,6 +26,11 @@
 REGIONS_EVERY = 2
 """Readers tell the other regions' readers every so manieth time."""
 
+FIRST_TURNS = 12
+"""So many times after its start, a node tells the other regions each time:
+it may have started together with all others, which know nothing of what
+it admits."""
+
 READERS_TOLD = 2
 """Readers of each other region that are told."""
 
@@ -47,6 +52,11 @@
     return PERIOD_S * max(1, math.ceil(near / TOLD_AT_A_TIME))
 
 
+def is_far_due(turn: int, every: int) -> bool:
+    """Whether other regions are told at this turn of a node."""
+    return turn <= FIRST_TURNS or turn % every == 0
+
+
 def in_turn(names: typing.Sequence[Name], turn: int) -> list[Name]:
     """Those of *names* that are told at this turn."""
     if len(names) <= TOLD_AT_A_TIME:
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -84,7 +84,7 @@
         self._peers = peers
         self._metrics = metrics
         self._began = began
-        self._quotas = quota.Quotas(site.bounds.quota_allowance)
+        self._quotas = quota.Quotas(site.bounds.quota_allowance, loop.now_s)
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._meters: dict[ids.ServiceName, _Meters] = {}
         self._crashes = crash.CrashBook()
@@ -295,8 +295,12 @@
         self,
         source: str,
         spent: typing.Mapping[ids.WorkspaceName, tuple[float, float, float]],
+        run_age_s: float,
     ) -> None:
-        """A run of another node told what it admitted."""
+        """A run of another node told what it admitted.
+
+        :param run_age_s: how long ago that run began
+        """
         current = self._state.configuration
         if current is None:
             return
@@ -307,6 +311,7 @@
                     source,
                     workspace,
                     quota.Spending(*item),
+                    run_age_s,
                     self.loop.now_s,
                 )
 
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -49,7 +49,10 @@
         are only renewed, and need not be passed on."""
         self.on_changed: typing.Callable[[], None] = lambda: None
         """Called when the configuration or the table has changed."""
+        self.configuration_offset = NO_OFFSET
+        """The place after the configuration's record in its topic."""
         self._configuration_bytes = b''
+        self._deflated: bytes | None = None
         self._written: dict[str, _Written] = {}
         self._changes = change_log.ChangeLog()
 
@@ -70,10 +73,18 @@
     ) -> None:
         """A record of the operator's topic."""
         if record.key == platform_configuration.KEY and record.value:
-            self.take_configuration(record.value, 'store')
+            assert record.offset is not None, 'a record of a topic has a place'
+            self.take_configuration(
+                record.value, 'store', ids.Offset(record.offset + 1)
+            )
+
+    def take_configuration(
+        self, text: bytes, source: str, next_offset: ids.Offset
+    ) -> None:
+        """Put a configuration in force unless it is older.
 
-    def take_configuration(self, text: bytes, source: str) -> None:
-        """Put a configuration in force unless it is older."""
+        :param next_offset: the place after its record in the topic
+        """
         decoded = platform_configuration.decode(text)
         if isinstance(decoded, outcome.Failure):
             journal.problem(
@@ -91,6 +102,8 @@
         )
         self.configuration = decoded
         self._configuration_bytes = text
+        self._deflated = None
+        self.configuration_offset = next_offset
         self.on_changed()
 
     def fold_endpoint(
@@ -181,42 +194,65 @@
         for endpoint in self.table.expire(self._loop.now_s):
             journal.event('endpoint', outcome='lapsed', endpoint=endpoint)
 
-    def shared(
-        self, configuration_version: int, endpoints_version: ids.Offset
-    ) -> entry_news.SharedState:
-        """What a peer that has these versions may take over."""
-        changes = self._changes.since(endpoints_version)
+    def shared_configuration(
+        self, version: int
+    ) -> entry_news.SharedConfiguration | None:
+        """The configuration, for a peer that has an older *version*."""
+        if self.version <= version:
+            return None
+        if self._deflated is None:
+            self._deflated = entry_news.deflate(self._configuration_bytes)
+        return entry_news.SharedConfiguration(
+            deflated=self._deflated,
+            version=self.version,
+            next_offset=self.configuration_offset,
+        )
+
+    def shared_endpoints(
+        self, version: ids.Offset
+    ) -> entry_news.SharedEndpoints:
+        """What a peer that has this *version* may take over."""
+        changes = self._changes.since(version)
         is_whole = changes is None
         if changes is None:
             changes = self._changes.all()
-        is_newer = self.version > configuration_version
-        return entry_news.SharedState(
-            configuration=self._configuration_bytes if is_newer else b'',
-            configuration_version=self.version,
-            endpoints={
+        return entry_news.SharedEndpoints(
+            changed={
                 key: entry_news.EntryNews(offset, self._written[key].value)
                 for key, offset in changes.changed.items()
             },
             removed=changes.removed,
             is_whole=is_whole,
-            endpoints_offset=self.endpoints_offset,
-            endpoints_version=self.endpoints_version,
+            offset=self.endpoints_offset,
+            version=self.endpoints_version,
         )
 
-    def take_shared(self, state: entry_news.SharedState, source: str) -> None:
+    def take_shared_configuration(
+        self, shared: entry_news.SharedConfiguration
+    ) -> None:
+        """Take over a peer's configuration if it is newer."""
+        text = entry_news.inflate(shared.deflated)
+        if isinstance(text, outcome.Failure):
+            journal.problem(
+                'configuration', outcome='unreadable', reason=str(text)
+            )
+            return
+        self.take_configuration(text, 'peer', shared.next_offset)
+
+    def take_shared_endpoints(
+        self, shared: entry_news.SharedEndpoints
+    ) -> None:
         """Take over what a peer has read beyond this node."""
-        if state.configuration:
-            self.take_configuration(state.configuration, source)
-        if state.endpoints_version <= self.endpoints_version:
+        if shared.version <= self.endpoints_version:
             return
-        gone = dict(state.removed)
-        if state.is_whole:
-            for key in self._written.keys() - state.endpoints.keys():
-                gone[key] = state.endpoints_version
+        gone = dict(shared.removed)
+        if shared.is_whole:
+            for key in self._written.keys() - shared.changed.keys():
+                gone[key] = shared.version
         for key, offset in gone.items():
-            self._take_entry(key, None, offset, source)
-        for key, entry in state.endpoints.items():
-            self._take_entry(key, entry.value, entry.offset, source)
-        if state.is_whole or self.endpoints_offset != NO_OFFSET:
-            self.have_read(state.endpoints_offset)
-        self.endpoints_version = state.endpoints_version
+            self._take_entry(key, None, offset, 'peer')
+        for key, entry in shared.changed.items():
+            self._take_entry(key, entry.value, entry.offset, 'peer')
+        if shared.is_whole or self.endpoints_offset != NO_OFFSET:
+            self.have_read(shared.offset)
+        self.endpoints_version = shared.version
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import gc
-import random
 import typing
 
 from guavachute.decide.duty import scaling
@@ -11,6 +10,7 @@
 from guavachute.decide.nodes import rounds
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
+from guavachute.entry import catch_up
 from guavachute.entry import control_client
 from guavachute.entry import duty as entry_duty
 from guavachute.entry import endpoint_book
@@ -76,10 +76,6 @@
 TELL_AFTER_S = 0.02
 """Several changes that are read together are told together."""
 
-AVOIDED_S = 5.0
-"""A peer that gave no answer is not asked for so long, if others have as
-much to tell."""
-
 STALE_AFTER_S = 1.0
 """Without an answer of the store for this long, peers are asked."""
 
@@ -99,6 +95,7 @@
 
     def __init__(self, loop: entry_loop.Loop, site: domain_site.Site) -> None:
         self.loop = loop
+        self._started_s = loop.now_s
         self.site = site
         self.metrics = observe_metrics.Metrics()
         self.state = known_state.KnownState(loop)
@@ -166,7 +163,9 @@
             self._endpoint_leaves,
         )
         self._is_registered = False
-        self._is_fetching = False
+        self._catch_up = catch_up.CatchUp(
+            loop, self.peers.table, self._subjects()
+        )
         self._stopping_since_s: float | None = None
         self._questions = questions.Questions(
             loop,
@@ -189,7 +188,7 @@
         self._reports.start()
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._keep_house)
-        self.loop.every(STATE_CHECK_S, self._ask_peers)
+        self.loop.every(STATE_CHECK_S, self._catch_up.ask)
         self.loop.every(DROP_PERIOD_S, self._drop_ended)
 
     def stop(self) -> None:
@@ -370,6 +369,10 @@
 
     # -- the peers -----------------------------------------------------
 
+    @property
+    def _age_s(self) -> float:
+        return self.loop.now_s - self._started_s
+
     def describe(self, run: int, sequence: int) -> entry_news.NodeNews:
         """This node's news of the moment."""
         return entry_news.NodeNews(
@@ -380,6 +383,7 @@
             callers_address=self.ingress.address,
             domain=self.site.domain,
             region=self.site.region,
+            age_s=round(self._age_s, 3),
             wall_s=self.peers.table.own_wall_s(),
             is_ready=self.is_ready,
             is_reader=self._is_reader,
@@ -411,7 +415,7 @@
             if peer.news is not None and peer.news.region == self.site.region
         ]
         spent = self.ingress.spending()
-        self._sums.take('own', spent)
+        self._sums.take('own', spent, True)
         now_s = self.loop.now_s
         return entry_news.RegionNews(
             region=self.site.region,
@@ -440,16 +444,20 @@
     def told(self, news: entry_news.NodeNews) -> None:
         """Another node told its news."""
         self.usage.take(news)
-        self._sums.take(peer_table.source(news), news.spent)
-        self.ingress.take_spending(peer_table.source(news), news.spent)
+        source = peer_table.source(news)
+        self._sums.take(source, news.spent, news.age_s <= self._age_s)
+        self.ingress.take_spending(source, news.spent, news.age_s)
         for notice in news.crashes:
             self.ingress.take_notice(notice)
-        self._ask_peers()
+        self._catch_up.ask()
 
     def told_of_region(self, news: entry_news.RegionNews) -> None:
         """A reader of another region told its sums."""
         self.usage.take_region(news)
-        self.ingress.take_spending(peer_table.region_source(news), news.spent)
+        # The sums of another reader may have counted for the region before.
+        self.ingress.take_spending(
+            peer_table.region_source(news), news.spent, float('inf')
+        )
         for notice in news.crashes:
             self.ingress.take_notice(notice)
 
@@ -470,61 +478,55 @@
         self.state.endpoint_leaves(entry)
         self.book.take_changes()
 
-    def _ask_peers(self) -> None:
-        """Take over what peers know while the store does not answer."""
-        if self._is_fetching:
-            return
-        now_s = self.loop.now_s
-        needs_configuration = not self._is_reader or self._is_stale(
-            self._operator, now_s
-        )
-        needs_endpoints = not self._is_reader or self._is_stale(
-            self._endpoints, now_s
-        )
-        newer = [
-            peer
-            for peer in self.peers.table.heard()
-            if peer.news is not None
-            and (
-                (
-                    needs_configuration
-                    and peer.news.configuration_version > self.state.version
-                )
-                or (
-                    needs_endpoints
-                    and peer.news.endpoints_version
-                    > self.state.endpoints_version
-                )
-            )
-        ]
-        if not newer:
-            return
-        answering = [
-            peer for peer in newer if now_s >= peer.no_answer_s + AVOIDED_S
+    def _subjects(self) -> list[catch_up.Subject]:
+        """What is taken over from peers."""
+        return [
+            catch_up.Subject(
+                is_needed=lambda: self._needs_peers(self._operator),
+                own_version=lambda: self.state.version,
+                told_version=lambda news: news.configuration_version,
+                fetch=self._fetch_configuration,
+                read_store=self._operator.read_now,
+            ),
+            catch_up.Subject(
+                is_needed=lambda: self._needs_peers(self._endpoints),
+                own_version=lambda: self.state.endpoints_version,
+                told_version=lambda news: news.endpoints_version,
+                fetch=self._fetch_endpoints,
+                read_store=self._endpoints.read_now,
+            ),
         ]
-        self._fetch(random.choice(answering or newer))
-
-    def _fetch(self, peer: peer_table.Peer) -> None:
-        """Take over what a peer has read beyond this node."""
-        self._is_fetching = True
-
-        def got(state: entry_news.SharedState | None) -> None:
-            self._is_fetching = False
-            if state is None:
-                # With the next news another peer is asked.
-                peer.no_answer_s = self.loop.now_s
-                return
-            self.state.take_shared(state, 'peer')
-            self._endpoints.skip_to(self.state.endpoints_offset)
-            if self.peers.table.are_few:
-                # Where calls are few, what the peer may have missed of a
-                # store that it has just lost is looked up at once.
-                self._endpoints.read_now()
-            self.book.take_changes()
-
-        self.peers.fetch_state(
-            peer, self.state.version, self.state.endpoints_version, got
-        )
+
+    def _needs_peers(self, follower: topic_follower.TopicFollower) -> bool:
+        """Whether others know sooner than *follower* what is new."""
+        return not self._is_reader or self._is_stale(follower, self.loop.now_s)
+
+    def _fetch_configuration(
+        self, peer: peer_table.Peer, done: catch_up.Done
+    ) -> None:
+        def got(shared: entry_news.SharedConfiguration | None) -> None:
+            if shared is not None:
+                self.state.take_shared_configuration(shared)
+                self._operator.skip_to(self.state.configuration_offset)
+            done(shared is not None)
+
+        self.peers.fetch_configuration(peer, self.state.version, got)
+
+    def _fetch_endpoints(
+        self, peer: peer_table.Peer, done: catch_up.Done
+    ) -> None:
+        def got(shared: entry_news.SharedEndpoints | None) -> None:
+            if shared is not None:
+                self.state.take_shared_endpoints(shared)
+                self._endpoints.skip_to(self.state.endpoints_offset)
+                if self.peers.table.are_few:
+                    # Where calls are few, what the peer may have missed of
+                    # a store that it has just lost is looked up at once.
+                    self._endpoints.read_now()
+                self.book.take_changes()
+            done(shared is not None)
+
+        self.peers.fetch_endpoints(peer, self.state.endpoints_version, got)
 
     def _is_stale(
         self, follower: topic_follower.TopicFollower, now_s: float
@@ -559,29 +561,36 @@
         if self.duty is not None:
             self.duty.set_contending(is_reader)
         self._set_reader(is_reader or holds_duty)
-        if self._is_reader:
-            is_crowded = not rounds.are_few(self.peers.table.count)
-            self._nodes.set_pace(
-                READER_WAIT_S, CROWDED_PERIOD_S if is_crowded else 0.0
-            )
+        self._set_paces()
 
     def _set_reader(self, is_reader: bool) -> None:
         if is_reader == self._is_reader:
             return
         self._is_reader = self.peers.is_reader = is_reader
         journal.event('reader', outcome='begun' if is_reader else 'ended')
-        if is_reader:
-            wait_s, period_s = READER_WAIT_S, READER_PERIOD_S
-        else:
-            # Calls to the store shall not grow with the nodes.
-            period_s = FOLLOWER_PERIOD_S * max(
-                1.0, self.peers.table.count / FOLLOWERS_AT_PERIOD
+
+    def _set_paces(self) -> None:
+        """Read each topic as often as this node's part asks."""
+        are_few = rounds.are_few(self.peers.table.count)
+        if self._is_reader:
+            self._operator.set_pace(READER_WAIT_S, 0.0)
+            self._endpoints.set_pace(0.0, READER_PERIOD_S)
+            self._nodes.set_pace(
+                READER_WAIT_S, 0.0 if are_few else CROWDED_PERIOD_S
             )
-            wait_s = min(period_s, MAX_WAIT_S)
-        self._operator.set_pace(wait_s, 0.0)
-        if not is_reader:
-            self._nodes.set_pace(0.0, period_s)
+            return
+        # Calls to the store shall not grow with the nodes.
+        period_s = FOLLOWER_PERIOD_S * max(
+            1.0, self.peers.table.count / FOLLOWERS_AT_PERIOD
+        )
         self._endpoints.set_pace(0.0, period_s)
+        self._nodes.set_pace(0.0, period_s)
+        if are_few:
+            self._operator.set_pace(min(period_s, MAX_WAIT_S), 0.0)
+        else:
+            # A large configuration would cross the link between the
+            # regions for all of them at once; peers pass it on instead.
+            self._operator.set_pace(0.0, period_s)
 
     def _state_changed(self) -> None:
         """Tell the other nodes soon that there is news to fetch."""
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -18,11 +18,21 @@
 from guavachute.wire import entry_news
 
 MAX_DATAGRAM_BYTES = 65_000
-STATE_PATH = '/state'
-STATE_TIMEOUT_S = 0.6
+CONFIGURATION_PATH = '/configuration'
+CONFIGURATION_TIMEOUT_S = 1.5
+"""A large one over a slow link, which others ask for at the same time,
+takes about a second."""
+
+ENDPOINTS_PATH = '/endpoints'
+ENDPOINTS_TIMEOUT_S = 0.6
 """Another peer is asked after this; a draining endpoint is to be known
 everywhere in three seconds."""
 
+VERSION_FIELD = 'beyond'
+"""Names the version that the asking node has."""
+
+Shared = typing.TypeVar('Shared')
+
 
 class Owner(typing.Protocol):
     """What the peers need of the process."""
@@ -97,38 +107,68 @@
         are_few = self.table.are_few
         self._send_news(self.table.all() if are_few else self.table.near())
 
-    def fetch_state(
+    def fetch_configuration(
+        self,
+        peer: peer_table.Peer,
+        version: int,
+        done: typing.Callable[[entry_news.SharedConfiguration | None], None],
+    ) -> None:
+        """Ask *peer* for a configuration that is newer than *version*."""
+        self._fetch(
+            peer,
+            f'{CONFIGURATION_PATH}?{VERSION_FIELD}={version}',
+            CONFIGURATION_TIMEOUT_S,
+            entry_news.decode_configuration,
+            done,
+        )
+
+    def fetch_endpoints(
         self,
         peer: peer_table.Peer,
-        configuration_version: int,
-        endpoints_version: ids.Offset,
-        done: typing.Callable[[entry_news.SharedState | None], None],
+        version: ids.Offset,
+        done: typing.Callable[[entry_news.SharedEndpoints | None], None],
     ) -> None:
-        """Ask *peer* what it has read beyond these versions."""
+        """Ask *peer* what it knows of the endpoints beyond *version*."""
+        self._fetch(
+            peer,
+            f'{ENDPOINTS_PATH}?{VERSION_FIELD}={version}',
+            ENDPOINTS_TIMEOUT_S,
+            entry_news.decode_endpoints,
+            done,
+        )
 
+    def _fetch(
+        self,
+        peer: peer_table.Peer,
+        target: str,
+        timeout_s: float,
+        decode: typing.Callable[[bytes], Shared | outcome.Failure],
+        done: typing.Callable[[Shared | None], None],
+    ) -> None:
         def got(reply: control_client.Reply | control_client.Lost) -> None:
             if isinstance(reply, control_client.Lost) or reply.status != 200:
                 journal.event(
-                    'peer-state', outcome='no-answer', peer=peer.address
+                    'peer-state',
+                    outcome='no-answer',
+                    peer=peer.address,
+                    target=target,
                 )
                 done(None)
                 return
-            state = entry_news.decode_state(reply.body)
-            if isinstance(state, outcome.Failure):
+            shared = decode(reply.body)
+            if isinstance(shared, outcome.Failure):
                 journal.problem(
-                    'peer-state', outcome='unreadable', reason=str(state)
+                    'peer-state', outcome='unreadable', reason=str(shared)
                 )
                 done(None)
                 return
-            done(state)
+            done(shared)
 
         client = self._clients.get(peer.address)
         if client is None:
             client = control_client.Client(self._loop, peer.address)
             self._clients[peer.address] = client
-        query = f'?c={configuration_version}&e={endpoints_version}'
-        target = (STATE_PATH + query).encode()
-        client.call(b'GET', target, got, STATE_TIMEOUT_S)
+        client.call(b'GET', target.encode(), got, timeout_s)
 
     # -- sending -------------------------------------------------------
 
@@ -146,7 +186,8 @@
                 peer for peer in self.table.readers() if peer not in told
             ]
             self._send_news([*told, *readers])
-            if self.is_reader and self._turn % rounds.REGIONS_EVERY == 0:
+            is_due = rounds.is_far_due(self._turn, rounds.REGIONS_EVERY)
+            if self.is_reader and is_due:
                 self._tell_regions()
         if not self.table.heard():
             self._send_to(self._seeds, self._describe())
@@ -156,7 +197,7 @@
         is_silent = silent_s > peer_table.SILENT_AFTER_S
         if self.table.is_near(peer) and not is_silent:
             return True
-        return self._turn % rounds.FAR_EVERY == 0
+        return rounds.is_far_due(self._turn, rounds.FAR_EVERY)
 
     def _send_news(self, peers: typing.Sequence[peer_table.Peer]) -> None:
         """Tell *peers*; where they are many, only readers get it all."""
--- a/src/guavachute/entry/questions.py
+++ b/src/guavachute/entry/questions.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import msgspec
+
 from guavachute.domain import call
 from guavachute.domain import site as domain_site
 from guavachute.entry import known_state
@@ -88,15 +90,19 @@
     def _answer_peer(
         self, question: plain_server.Question
     ) -> plain_server.Reply:
-        if question.path != entry_peers.STATE_PATH:
-            return plain_server.NOT_FOUND
         try:
-            known = [int(question.query[name]) for name in ('c', 'e')]
+            version = int(question.query[entry_peers.VERSION_FIELD])
         except (KeyError, ValueError):
             # Another release asks in its own way: it gets everything.
-            known = [0, known_state.NO_OFFSET]
-        state = self._state.shared(known[0], ids.Offset(known[1]))
-        return plain_server.Reply(200, entry_news.encode(state), call.BINARY)
+            version = known_state.NO_OFFSET
+        shared: msgspec.Struct | None = None
+        if question.path == entry_peers.CONFIGURATION_PATH:
+            shared = self._state.shared_configuration(version)
+        elif question.path == entry_peers.ENDPOINTS_PATH:
+            shared = self._state.shared_endpoints(ids.Offset(version))
+        if shared is None:
+            return plain_server.NOT_FOUND
+        return plain_server.Reply(200, entry_news.encode(shared), call.BINARY)
 
     def _answer_metrics(
         self, question: plain_server.Question
--- a/src/guavachute/entry/region_sums.py
+++ b/src/guavachute/entry/region_sums.py
@@ -15,13 +15,17 @@
         self._last: dict[tuple[str, ids.WorkspaceName], float] = {}
         self._totals: dict[ids.WorkspaceName, float] = {}
 
-    def take(self, source: str, spent: Spent) -> None:
+    def take(self, source: str, spent: Spent, is_younger: bool) -> None:
         """A run of a node told what it has admitted since its start.
 
-        What it admitted before it was first heard is not counted.
+        What an older run admitted before it was first heard is not
+        counted.
+
+        :param is_younger: whether that run began after this one
         """
         for name, (total, _, _) in spent.items():
-            before = self._last.get((source, name), total)
+            first = 0.0 if is_younger else total
+            before = self._last.get((source, name), first)
             self._last[(source, name)] = total
             self._totals[name] = self._totals.get(name, 0.0) + max(
                 0.0, total - before
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -1,6 +1,7 @@
 """What entry nodes tell each other, as msgpack datagrams."""
 
 import typing
+import zlib
 
 import msgspec
 
@@ -65,6 +66,7 @@
     :ivar run: random, new at each start of the process
     :ivar sequence: grows with each message of one run
     :ivar peers_address: where it takes news and serves its state
+    :ivar age_s: how long ago the run began
     :ivar wall_s: its clock's time of day
     :ivar is_reader: whether it reads the store closely, and adds up
     :ivar configuration_version: 0 while it has none
@@ -88,6 +90,7 @@
     callers_address: str
     domain: str
     region: str
+    age_s: float
     wall_s: float
     is_ready: bool
     is_reader: bool
@@ -137,24 +140,33 @@
     value: bytes
 
 
-class SharedState(msgspec.Struct, frozen=True, kw_only=True):
-    """What a node has read of the store beyond what a peer has.
+class SharedConfiguration(msgspec.Struct, frozen=True, kw_only=True):
+    """The configuration that a node has, for peers that lack it.
 
-    :ivar configuration: as it lies in the store; empty if it is no newer
-    :ivar endpoints: entries by id that changed
+    :ivar deflated: as it lies in the store, deflated
+    :ivar next_offset: the place after its record in the store's topic
+    """
+
+    deflated: bytes
+    version: int
+    next_offset: ids.Offset
+
+
+class SharedEndpoints(msgspec.Struct, frozen=True, kw_only=True):
+    """The entries that a node has read beyond what a peer has.
+
+    :ivar changed: entries by id that changed
     :ivar removed: ids whose entries are gone, with the offset of that
-    :ivar is_whole: whether *endpoints* are all that there are
-    :ivar endpoints_offset: how far the entries have been read
-    :ivar endpoints_version: the newest that changed anything
+    :ivar is_whole: whether *changed* are all that there are
+    :ivar offset: how far the entries have been read
+    :ivar version: the newest that changed anything
     """
 
-    configuration: bytes
-    configuration_version: int
-    endpoints: dict[str, EntryNews]
+    changed: dict[str, EntryNews]
     removed: dict[str, ids.Offset]
     is_whole: bool
-    endpoints_offset: ids.Offset
-    endpoints_version: ids.Offset
+    offset: ids.Offset
+    version: ids.Offset
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -176,9 +188,29 @@
         return outcome.Failure(outcome.Reason.BAD_REQUEST, f'news: {error}')
 
 
-def decode_state(data: bytes) -> SharedState | outcome.Failure:
-    """A peer's state."""
-    return _decode(data, SharedState)
+def decode_configuration(
+    data: bytes,
+) -> SharedConfiguration | outcome.Failure:
+    """A peer's configuration, which is still deflated."""
+    return _decode(data, SharedConfiguration)
+
+
+def decode_endpoints(data: bytes) -> SharedEndpoints | outcome.Failure:
+    """What a peer knows of the endpoints."""
+    return _decode(data, SharedEndpoints)
+
+
+def deflate(text: bytes) -> bytes:
+    """*text* in fewer bytes; routes look much alike."""
+    return zlib.compress(text)
+
+
+def inflate(deflated: bytes) -> bytes | outcome.Failure:
+    """What was deflated."""
+    try:
+        return zlib.decompress(deflated)
+    except zlib.error as error:
+        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'inflate: {error}')
 
 
 def decode_node(data: bytes) -> NodeRecord | outcome.Failure:
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -11,11 +11,15 @@
 from guavachute.decide import lease
 from guavachute.decide.nodes import counting
 from guavachute.decide.nodes import endpoint_table
+from guavachute.decide.nodes import readers
 from guavachute.decide.nodes import rounds
+from guavachute.domain import call
 from guavachute.domain import endpoints
 from guavachute.entry import control_client
 from guavachute.entry import known_state
 from guavachute.entry import node as entry_node
+from guavachute.entry import peers as entry_peers
+from guavachute.entry import plain_server
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.platform import store
@@ -208,24 +212,28 @@
         for number in range(20):
             self.site.add_engine(f'more-{number}', 'drafts', events=1)
         node = self.site.ready_node()
-        first = node.state.shared(0, known_state.NO_OFFSET)
+        first = node.state.shared_endpoints(known_state.NO_OFFSET)
         self.assertTrue(first.is_whole)
-        self.assertEqual(21, len(first.endpoints))
+        self.assertEqual(21, len(first.changed))
         peer = self.state()
-        peer.take_shared(first, 'peer')
+        peer.take_shared_endpoints(first)
+        configuration = node.state.shared_configuration(0)
+        assert configuration is not None
+        peer.take_shared_configuration(configuration)
+        self.assertEqual(node.state.configuration, peer.configuration)
+        self.assertIsNone(node.state.shared_configuration(peer.version))
         self.plain.register(state='draining')
         self.site.engines[3].unregister()
         self.until(lambda: len(node.state.table.entries) == 20)
         # An entry may lapse without a record that says so.
         self.site.engines[5].register()
         self.until(
-            lambda: node.state.shared(0, peer.endpoints_version).removed
+            lambda: node.state.shared_endpoints(peer.endpoints_version).removed
         )
-        second = node.state.shared(peer.version, peer.endpoints_version)
-        self.assertEqual(b'', second.configuration)
-        self.assertEqual(['e1'], list(second.endpoints))
+        second = node.state.shared_endpoints(peer.endpoints_version)
+        self.assertEqual(['e1'], list(second.changed))
         self.assertEqual([self.site.engines[3].name], list(second.removed))
-        peer.take_shared(second, 'peer')
+        peer.take_shared_endpoints(second)
         self.assertEqual(node.state.table.entries, peer.table.entries)
         self.assertEqual(node.state.endpoints_version, peer.endpoints_version)
 
@@ -233,15 +241,17 @@
         """The store was away from this node alone, and is back."""
         node = self.site.ready_node()
         peer = self.state()
-        peer.take_shared(node.state.shared(0, known_state.NO_OFFSET), 'peer')
+        peer.take_shared_endpoints(
+            node.state.shared_endpoints(known_state.NO_OFFSET)
+        )
         node.state.table.returned_s = self.site.loop.now_s
         self.plain.unregister()
         # A later change carries the version beyond the deletion.
         self.site.add_engine('e2', platform_site.PLAIN_SERVICE)
         self.until(lambda: 'e2' in node.state.table.entries)
         self.assertIn('e1', node.state.table.entries)
-        peer.take_shared(
-            node.state.shared(peer.version, peer.endpoints_version), 'peer'
+        peer.take_shared_endpoints(
+            node.state.shared_endpoints(peer.endpoints_version)
         )
         self.assertEqual(['e2'], list(peer.table.entries))
 
@@ -249,7 +259,9 @@
         """The endpoint had told this node itself that it leaves."""
         node = self.site.ready_node()
         peer = self.state()
-        peer.take_shared(node.state.shared(0, known_state.NO_OFFSET), 'peer')
+        peer.take_shared_endpoints(
+            node.state.shared_endpoints(known_state.NO_OFFSET)
+        )
         entry = node.state.table.entries[ids.EndpointId('e1')]
         node.state.endpoint_leaves(
             dataclasses.replace(entry, state=endpoints.EndpointState.DRAINING)
@@ -257,8 +269,8 @@
         self.plain.register(state='draining')
         self.site.add_engine('e2', platform_site.PLAIN_SERVICE)
         self.until(lambda: 'e2' in node.state.table.entries)
-        peer.take_shared(
-            node.state.shared(peer.version, peer.endpoints_version), 'peer'
+        peer.take_shared_endpoints(
+            node.state.shared_endpoints(peer.endpoints_version)
         )
         told = peer.table.entries[ids.EndpointId('e1')]
         self.assertIs(endpoints.EndpointState.DRAINING, told.state)
@@ -287,6 +299,82 @@
         self.assertEqual(calls, len(self.site.store.calls))
 
 
+class LargeConfigurationTest(NodeTest):
+    """Many routes at once, on slow links, where there are many nodes."""
+
+    def routes(self, count: int) -> list[typing.Any]:
+        return [
+            (f'route-{n:x}', f'/{n * 7919 % 65_536:x}/', 'idempotent',
+             platform_site.PLAIN_SERVICE, False)
+            for n in range(count)
+        ]  # fmt: skip
+
+    def test_a_peer_sends_it_in_a_tenth_of_the_bytes(self) -> None:
+        text = platform_site.configuration(2, self.routes(1_500))
+        state = known_state.KnownState(self.site.loop)
+        state.take_configuration(text, 'store', ids.Offset(1))
+        shared = state.shared_configuration(1)
+        assert shared is not None
+        self.assertLess(len(entry_news.encode(shared)), len(text) / 10)
+        peer = known_state.KnownState(self.site.loop)
+        peer.take_shared_configuration(shared)
+        self.assertEqual(state.configuration, peer.configuration)
+
+    def test_it_does_not_hold_up_news_of_endpoints(self) -> None:
+        """The peer's configuration takes longer than a notice may."""
+        first = self.site.ready_node()
+        lost = self.site.add_node(store=ids.Address('127.0.0.9:9'))
+        asked = []
+
+        def answer(question: plain_server.Question) -> plain_server.Reply:
+            asked.append(question.path)
+            if question.path == entry_peers.CONFIGURATION_PATH:
+                slow = b'.' * 50_000_000
+                return plain_server.Reply(200, slow, call.BINARY)
+            shared = first.state.shared_endpoints(known_state.NO_OFFSET)
+            return plain_server.Reply(
+                200, entry_news.encode(shared), call.BINARY
+            )
+
+        server = plain_server.PlainServer(
+            self.site.loop, ids.Address('127.0.0.1:0'), answer
+        )
+        self.addCleanup(server.close)
+        self.until(lambda: first.state.endpoints_version >= 0)
+        lost.peers.table.take(
+            msgspec.structs.replace(
+                first.describe(first.peers.run, 1),
+                node='edge-0',
+                peers_address=server.address,
+            )
+        )
+        self.until(lambda: 'e1' in lost.state.table.entries)
+        self.assertEqual(0, lost.state.version)
+        self.assertIn(entry_peers.CONFIGURATION_PATH, asked)
+
+    def test_the_store_is_asked_by_few_of_many_nodes(self) -> None:
+        patches = [
+            unittest.mock.patch.object(rounds, 'FEW_NODES', 2),
+            unittest.mock.patch.object(readers, 'READERS_PER_REGION', 1),
+        ]
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+        nodes = [self.site.ready_node() for _ in range(4)]
+        self.until(
+            lambda: sum(not node.peers.is_reader for node in nodes) >= 2
+        )
+        looping.run_for(self.site.loop, 1.0)
+        del self.site.store.calls[:]
+        self.site.configure(2)
+        self.until(lambda: all(node.state.version == 2 for node in nodes))
+        reads = [
+            target for target in self.site.store.calls if 'keyed.op' in target
+        ]
+        # The reader's, and that of the duties' holder.
+        self.assertLessEqual(len(reads), 2)
+
+
 class EndedNodeTest(NodeTest):
     def test_the_entry_of_a_node_that_ended_is_dropped(self) -> None:
         patches = [
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -36,19 +36,34 @@
 class Cluster:
     """Nodes that share one workspace's quota and hear of each other."""
 
-    def __init__(self, nodes: int, hear_every_s: float) -> None:
-        self.quotas = [quota.Quotas(ALLOWANCE) for _ in range(nodes)]
+    def __init__(
+        self,
+        nodes: int,
+        hear_every_s: float,
+        allowance: float = ALLOWANCE,
+    ) -> None:
         self.hear_every_s = hear_every_s
+        self.allowance = allowance
+        self.start_all(nodes, 0.0)
         self.workspace = workspace()
         self.admitted: list[tuple[float, float]] = []
         self.retry_after_s: list[float] = []
 
+    def start_all(self, nodes: int, now_s: float) -> None:
+        """All nodes start, and know nothing of before."""
+        self.started_s = now_s
+        self.quotas = [
+            quota.Quotas(self.allowance, now_s) for _ in range(nodes)
+        ]
+
     def cut_all_off(self, now_s: float) -> None:
         """From now on no node hears another."""
         self.hear_every_s = float('inf')
-        names = {f'n{place}' for place in range(len(self.quotas))}
+        names = {
+            f'n{place}/{self.started_s}' for place in range(len(self.quotas))
+        }
         for place, node in enumerate(self.quotas):
-            others = names - {f'n{place}'}
+            others = names - {f'n{place}/{self.started_s}'}
             node.heed(quota.Others(dict.fromkeys(others, 1), others), now_s)
 
     def play(
@@ -94,7 +109,13 @@
         for hearing, node in enumerate(self.quotas):
             for telling, spent in enumerate(spending):
                 if hearing != telling and spent is not None:
-                    node.told(f'n{telling}', self.workspace, spent, now_s)
+                    node.told(
+                        f'n{telling}/{self.started_s}',
+                        self.workspace,
+                        spent,
+                        now_s - self.started_s,
+                        now_s,
+                    )
 
 
 BOUND = (RATE_PER_S * WINDOW_S + RATE_PER_S) * (1 + OVERSHOOT) + ALLOWANCE
@@ -111,6 +132,28 @@
                     cluster.play(30.0, times * RATE_PER_S, cost=40.0)
                     self.assertLessEqual(cluster.most_in_window(), BOUND)
 
+    def test_nodes_that_start_at_once_share_one_full_bucket(self) -> None:
+        """All are killed while a workspace asks for six times its quota."""
+        allowance = 0.6 * RATE_PER_S
+        bound = BOUND - ALLOWANCE + allowance
+        for nodes, hear_every_s in ((9, 0.25), (60, 0.25), (60, 0.5)):
+            with self.subTest(nodes=nodes, hear_every_s=hear_every_s):
+                cluster = Cluster(nodes, hear_every_s, allowance)
+                cluster.play(10.0, 6 * RATE_PER_S, cost=40.0)
+                cluster.start_all(nodes, 11.0)
+                cluster.play(10.0, 6 * RATE_PER_S, cost=40.0, start_s=11.0)
+                self.assertLessEqual(cluster.most_in_window(), bound)
+
+    def test_a_node_that_starts_alone_does_not_count_the_past(self) -> None:
+        """The others have admitted in a day what is long filled again."""
+        limited = workspace()
+        old, new = quota.Quotas(0.0, 0.0), quota.Quotas(0.0, 100.0)
+        for second in range(100):
+            old.ask(limited, 100.0, float(second))
+        spent = old.spending(100.0)[limited.name]
+        new.told('old', limited, spent, 100.0, 100.0)
+        self.assertEqual(0.0, new.ask(limited, 900.0, 100.0))
+
     def test_a_quota_is_used_and_not_cut_into_parts(self) -> None:
         cluster = Cluster(9, hear_every_s=0.25)
         cluster.play(30.0, 4 * RATE_PER_S, cost=40.0)
@@ -123,7 +166,7 @@
         self.assertEqual([], cluster.retry_after_s)
 
     def test_refused_callers_are_sent_back_one_after_the_other(self) -> None:
-        quotas = quota.Quotas(0.0)
+        quotas = quota.Quotas(0.0, 0.0)
         limited = workspace()
         self.assertEqual(0.0, quotas.ask(limited, 1_000.0, 0.0))
         waits = [quotas.ask(limited, 500.0, 0.0) for _ in range(4)]
@@ -132,14 +175,14 @@
 
     def test_a_starting_node_takes_over_the_level_of_the_others(self) -> None:
         limited = workspace()
-        old, new = quota.Quotas(0.0), quota.Quotas(0.0)
+        old, new = quota.Quotas(0.0, 0.0), quota.Quotas(0.0, 10.0)
         old.ask(limited, 1_000.0, 10.0)
         spent = old.spending(10.0)[limited.name]
-        new.told('old', limited, spent, 10.0)
+        new.told('old', limited, spent, 10.0, 10.0)
         self.assertGreater(new.ask(limited, 500.0, 10.0), 0.0)
 
     def test_what_did_not_run_is_given_back(self) -> None:
-        quotas = quota.Quotas(0.0)
+        quotas = quota.Quotas(0.0, 0.0)
         limited = workspace()
         quotas.ask(limited, 1_000.0, 0.0)
         quotas.give_back(limited, 1_000.0)
@@ -155,7 +198,7 @@
     def test_a_node_that_knows_only_names_leaves_them_their_shares(
         self,
     ) -> None:
-        alone = quota.Quotas(0.0)
+        alone = quota.Quotas(0.0, 0.0)
         names = {f'n{place}' for place in range(8)}
         alone.heed(quota.Others(dict.fromkeys(names, 1), names), 0.0)
         limited = workspace()
@@ -167,15 +210,15 @@
         self.assertLessEqual(admitted, RATE_PER_S + 90 * RATE_PER_S / 9 + 10)
 
     def test_what_was_set_aside_is_not_taken_off_twice(self) -> None:
-        quotas = quota.Quotas(0.0)
+        quotas = quota.Quotas(0.0, 0.0)
         limited = workspace()
         quotas.ask(limited, 1_000.0, 0.0)
         other = quota.Spending(0.0, 0.0, 0.0)
-        quotas.told('other', limited, other, 0.0)
+        quotas.told('other', limited, other, 0.0, 0.0)
         quotas.heed(quota.Others({'other': 1}, {'other'}), 0.0)
         self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
         spent = quota.Spending(500.0, 0.0, 0.0)
-        quotas.told('other', limited, spent, 1.0)
+        quotas.told('other', limited, spent, 1.0, 1.0)
         self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
 
 
