--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -1,6 +1,7 @@
 """Takes callers' requests and starts their exchanges."""
 
 import dataclasses
+import math
 import typing
 
 from guavachute.decide import crash
@@ -244,7 +245,7 @@
     def request_sent(
         self, started: exchange.Exchange, tokens_to_read: int
     ) -> None:
-        """A request goes to an engine, which has to read its prompt."""
+        """A request is for an engine, which has to read its prompt."""
         call, service, now_s = started.call, started.service, self.loop.now_s
         if call.tokens is None:
             return
@@ -259,6 +260,12 @@
             output = min(output, call.length_hint)
         meters.output.add(output, now_s)
 
+    def shortest_objective_s(self, service: ids.ServiceName) -> float:
+        """The shortest objective of the requests to *service*."""
+        current = self._state.configuration
+        assert current is not None
+        return current.shortest_objective_s.get(service, math.inf)
+
     def _refuse(
         self,
         caller: callers.CallerConnection,
