--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -69,14 +69,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chosen:
-    """The endpoint to send to, and when its first token is expected.
-
-    :ivar queue_s: the part of that for which others' prompts are read
-    """
+    """The endpoint to send to, and when its first token is expected."""
 
     endpoint: ids.EndpointId
     first_token_s: float
-    queue_s: float = 0.0
 
 
 def shared_key(parts: typing.Sequence[call.PromptPart]) -> str | None:
@@ -86,18 +82,14 @@
     return parts[0].id if parts else None
 
 
-def queue_s(candidate: Candidate) -> float:
-    """How long a request would wait before its prompt is read."""
-    reading_s = candidate.waiting_tokens / candidate.prefill_tokens_per_s
-    full = max(0, candidate.running + 1 - candidate.slots)
-    return reading_s + full * SLOT_WAIT_S
-
-
 def first_token_s(candidate: Candidate, prompt_tokens: int) -> float:
     """When the first token of a request would come from *candidate*."""
     to_read = max(0, prompt_tokens - candidate.cached_tokens)
-    reading_s = to_read / candidate.prefill_tokens_per_s
-    return queue_s(candidate) + reading_s + STEP_S
+    reading_s = (
+        candidate.waiting_tokens + to_read
+    ) / candidate.prefill_tokens_per_s
+    full = max(0, candidate.running + 1 - candidate.slots)
+    return reading_s + STEP_S + full * SLOT_WAIT_S
 
 
 def choose_engine(
@@ -125,9 +117,7 @@
             if costs[candidate.id] <= bound_s:
                 chosen = candidate
                 break
-    return Chosen(
-        chosen.id, first_token_s(chosen, prompt_tokens), queue_s(chosen)
-    )
+    return Chosen(chosen.id, first_token_s(chosen, prompt_tokens))
 
 
 def choose_plain(candidates: typing.Sequence[Candidate]) -> Chosen | None:
--- a/src/guavachute/domain/configuration.py
+++ b/src/guavachute/domain/configuration.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import enum
-import functools
 import typing
 
 from guavachute import ids
@@ -135,7 +134,7 @@
     idle_timeout_s: float = 15.0
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """One version, whole.
 
@@ -151,19 +150,6 @@
     requires_key: bool
     limits: CallerLimits
 
-    @functools.cached_property
-    def shortest_objective_s(self) -> typing.Mapping[ids.ServiceName, float]:
-        """By service, the shortest objective of its routes."""
-        found: dict[ids.ServiceName, float] = {}
-        for prefixes in self.routes_by_host.values():
-            for route in prefixes.values():
-                for target in route.targets:
-                    found[target.service] = min(
-                        route.objective_s,
-                        found.get(target.service, route.objective_s),
-                    )
-        return found
-
     def route(self, host: str, path: str) -> Route | None:
         """The route with the longest prefix of *path* on *host*."""
         prefixes = self.routes_by_host.get(host)
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -6,7 +6,6 @@
 from guavachute.decide import crash
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import event_stream
-from guavachute.decide.ingress import postponement
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
 from guavachute.entry import callers
@@ -76,10 +75,7 @@
     pool: upstream.Pool
 
     def request_sent(self, exchange: 'Exchange', tokens_to_read: int) -> None:
-        """A request goes to an endpoint, or waits for one."""
-
-    def shortest_objective_s(self, service: ids.ServiceName) -> float:
-        """The shortest objective of the requests to *service*."""
+        """A request goes to an endpoint."""
 
     def may_retry(self, service: ids.ServiceName) -> bool:
         """Pay for another send to *service*."""
@@ -142,7 +138,6 @@
         self._record: endpoint_book.Record | None = None
         self._connection: upstream.Connection | None = None
         self._sent_s = 0.0
-        self._is_counted = False
         self._counted_tokens = 0
         self._backlog_tokens = 0
         self._move = _Move.NONE
@@ -182,42 +177,8 @@
             )
             return
         record = next(r for r in records if r.entry.id == chosen.endpoint)
-        if self._is_postponed(record, chosen, now_s):
-            self._recheck = self._process.loop.call_after(
-                RECHECK_S, self._dispatch_again
-            )
-            return
         self._send(record, chosen, now_s)
 
-    def _is_postponed(
-        self,
-        record: endpoint_book.Record,
-        chosen: choice.Chosen,
-        now_s: float,
-    ) -> bool:
-        """Whether the request waits here for an engine's queue to shrink."""
-        if self.state is not State.WAITING or self._tried:
-            return False
-        is_postponed = postponement.is_postponed(
-            chosen.queue_s,
-            chosen.first_token_s,
-            now_s - self.arrived_s,
-            self.route.objective_s,
-            self._process.shortest_objective_s(self.service),
-        )
-        if is_postponed and not self._is_counted:
-            # It is asked for from now on, not when an engine is free.
-            self._count_demand(record)
-        return is_postponed
-
-    def _count_demand(self, record: endpoint_book.Record) -> None:
-        self._is_counted = True
-        self._process.request_sent(self, self._tokens_to_read(record))
-
-    def _tokens_to_read(self, record: endpoint_book.Record) -> int:
-        prompt = self.call.tokens.prompt if self.call.tokens else 0
-        return max(0, prompt - record.cached_tokens(self.call.parts))
-
     def _choose(
         self, records: list[endpoint_book.Record], now_s: float
     ) -> choice.Chosen | None:
@@ -269,10 +230,11 @@
         self._events.drop_rest()
         if self.state is State.WAITING:
             self.state = State.SENT
-        self._counted_tokens = self._tokens_to_read(record)
-        if not self._is_counted:
-            self._count_demand(record)
-        self._is_counted = False
+        prompt = self.call.tokens.prompt if self.call.tokens else 0
+        self._counted_tokens = max(
+            0, prompt - record.cached_tokens(self.call.parts)
+        )
+        self._process.request_sent(self, self._counted_tokens)
         record.own.requests += 1
         record.own.waiting_tokens += self._counted_tokens
         self._backlog_tokens = record.own.waiting_tokens
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -1,7 +1,6 @@
 """Takes callers' requests and starts their exchanges."""
 
 import dataclasses
-import math
 import typing
 
 from guavachute.decide import crash
@@ -245,7 +244,7 @@
     def request_sent(
         self, started: exchange.Exchange, tokens_to_read: int
     ) -> None:
-        """A request is for an engine, which has to read its prompt."""
+        """A request goes to an engine, which has to read its prompt."""
         call, service, now_s = started.call, started.service, self.loop.now_s
         if call.tokens is None:
             return
@@ -260,12 +259,6 @@
             output = min(output, call.length_hint)
         meters.output.add(output, now_s)
 
-    def shortest_objective_s(self, service: ids.ServiceName) -> float:
-        """The shortest objective of the requests to *service*."""
-        current = self._state.configuration
-        assert current is not None
-        return current.shortest_objective_s.get(service, math.inf)
-
     def _refuse(
         self,
         caller: callers.CallerConnection,
