Move streams in the time that reclaimed engines have, and count regions from the start

Streams cut at reclaims. Nodes with runs there now ask the engine's report once and move them 1.1 s before its end; runs on an engine whose entry is gone are moved at once; no run is moved to an engine that leaves too (each such copy was refused). Endpoints whose deletion is not believed yet are used last: a node that has just started sent them work until they ended.

Cause: what the other region admitted since the common start was left out, and a region's reader was listened to for 3 s after it fell silent, though nearly all nodes read for the first half second only: after the restart no region heard the other from 14.0 to 17.0 s. Sums now count from the start, once for all readers of a region; a silent reader is left after 1.2 s.

--- a/spec/quota_model.py
+++ b/spec/quota_model.py
@@ -17,6 +17,7 @@
 from spec import checking
 
 NODES = ('a', 'b')
+OTHER = quota.Source('other', 'other')
 STEP_S = 1.0
 WINDOW_STEPS = 3
 MOST_STEPS = 3
@@ -106,7 +107,7 @@
             now_s = number * STEP_S
             if step.heard is not None:
                 heard_s = now_s
-                quotas.told('other', WORKSPACE, step.heard, now_s, now_s)
+                quotas.told(OTHER, WORKSPACE, step.heard, now_s, now_s)
             is_silent = now_s - heard_s > quota.SILENT_AFTER_S
             if not is_silent:
                 quotas.heed(quota.Others(other, frozenset()), now_s)
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -67,6 +67,18 @@
     level: float
 
 
+class Source(typing.NamedTuple):
+    """Who tells what was admitted.
+
+    :ivar run: the run that tells it
+    :ivar of: whose admissions these are; several runs may tell of the
+        same ones
+    """
+
+    run: str
+    of: str
+
+
 class Others(typing.NamedTuple):
     """The runs of other nodes that count as serving callers.
 
@@ -107,6 +119,7 @@
         self._own_total = 0.0
         self._own_rate = RateMeter(now_s)
         self._others: dict[str, _Other] = {}
+        self._counted: dict[str, float] = {}
         self._nodes = 1
         self._silent: dict[str, int] = {}
         self._set_aside: dict[str, float] = {}
@@ -131,7 +144,7 @@
 
     def told(
         self,
-        source: str,
+        source: Source,
         spending: Spending,
         began_with_this: bool,
         now_s: float,
@@ -141,17 +154,27 @@
         :param began_with_this: whether it is no older than this run
         """
         self._fill(now_s)
-        other = self._others.get(source)
+        other = self._others.get(source.run)
         if other is None and not began_with_this:
             # What it admitted before is in the level that it tells.
             if now_s - self._started_s < YOUNG_S:
                 self._level = min(self._level, spending.level)
         else:
-            before = other.total if other else 0.0
+            before = (
+                other.total if other else self._counted.get(source.of, 0.0)
+            )
             spent = max(0.0, spending.total - before)
-            self._level -= max(0.0, spent - self._set_aside.get(source, 0.0))
-        self._set_aside.pop(source, None)
-        self._others[source] = _Other(spending.total, spending.per_s, now_s)
+            self._level -= max(
+                0.0, spent - self._set_aside.get(source.run, 0.0)
+            )
+        if began_with_this:
+            self._counted[source.of] = max(
+                spending.total, self._counted.get(source.of, 0.0)
+            )
+        self._set_aside.pop(source.run, None)
+        self._others[source.run] = _Other(
+            spending.total, spending.per_s, now_s
+        )
 
     def heed(self, others: 'Others', now_s: float) -> None:
         """Share the quota with these runs of other nodes, and no more."""
@@ -249,7 +272,7 @@
 
     def told(
         self,
-        source: str,
+        source: Source,
         workspace: configuration.Workspace,
         spending: Spending,
         run_age_s: float,
--- a/src/guavachute/decide/nodes/endpoint_table.py
+++ b/src/guavachute/decide/nodes/endpoint_table.py
@@ -48,6 +48,10 @@
         del self.entries[endpoint]
         return True
 
+    def may_be_gone(self, endpoint: ids.EndpointId) -> bool:
+        """Whether its entry is gone, which is not believed yet."""
+        return endpoint in self._lapsed
+
     def expire(self, now_s: float) -> list[ids.EndpointId]:
         """Drop the lapsed entries that did not come back."""
         gone = [name for name, due_s in self._lapsed.items() if now_s >= due_s]
--- a/src/guavachute/entry/endpoint_book.py
+++ b/src/guavachute/entry/endpoint_book.py
@@ -55,6 +55,8 @@
 
     :ivar own: this node's work there
     :ivar closes_at_s: until when it gets new work although it leaves
+    :ivar is_gone: whether its entry is gone, though it may still run
+        what it had begun
     :ivar told_busy: what the endpoint said it runs and holds waiting
     """
 
@@ -67,6 +69,7 @@
     told_busy: int = 0
     told_at_s: float = float('-inf')
     closes_at_s: float = float('-inf')
+    is_gone: bool = False
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -129,7 +132,8 @@
         self.on_died: typing.Callable[[Record], None] = lambda record: None
         """Called with the record of an incarnation that has ended."""
         self.on_leaving: typing.Callable[[Record], None] = lambda record: None
-        """Called with the record of an endpoint that begins to drain."""
+        """Called with the record of an endpoint that begins to drain, or
+        whose entry is gone while requests of this node run there."""
 
     def record(self, entry: endpoints.Endpoint) -> Record:
         """What is known of *entry*; nothing, for a new incarnation."""
@@ -140,6 +144,7 @@
             found = self._records[entry.id] = Record(entry)
         was_leaving = found.is_leaving
         found.entry = entry
+        found.is_gone = False
         if found.is_leaving and not was_leaving:
             drain_s = self._site.bounds.drain_s
             ends_in_s = min(entry.leaves_in_s or drain_s, drain_s)
@@ -151,6 +156,11 @@
         """Notice what changed in the table, such as who is leaving."""
         for entry in self._table.entries.values():
             self.record(entry)
+        for endpoint in self._records.keys() - self._table.entries.keys():
+            record = self._records[endpoint]
+            if record.own.requests and not record.is_gone:
+                record.is_gone = True
+                self.on_leaving(record)
 
     def forget_gone(self) -> None:
         """Drop the records of endpoints that are not in the table."""
@@ -243,7 +253,8 @@
             waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
             cached_tokens=item.cached_tokens(parts),
             prefill_tokens_per_s=item.prefill_tokens_per_s,
-            is_doubtful=item.health.is_doubtful(
+            is_doubtful=self._table.may_be_gone(item.entry.id)
+            or item.health.is_doubtful(
                 endpoint_health.Results(others.failed, others.answered), now_s
             ),
             is_leaving=item.is_leaving,
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -300,9 +300,13 @@
         ):
             return
         now_s = self._process.loop.now_s
-        records = self._process.book.usable(
-            self.service, {record.entry.id}, now_s
-        )
+        records = [
+            item
+            for item in self._process.book.usable(
+                self.service, {record.entry.id}, now_s
+            )
+            if not item.is_leaving
+        ]
         chosen = self._choose(records, now_s)
         if chosen is None:
             return
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -38,9 +38,13 @@
 callers that have not learnt yet that it stops."""
 
 MOVE_TIMEOUT_S = 1.0
-MOVES_BEFORE_END_S = (1.6, 1.1, 0.6)
+MOVES_BEFORE_END_S = (1.1, 0.6)
 """Runs are moved this long before their endpoint ends; those that had no
-event yet are moved at a later one. The news is up to a second old."""
+event yet are moved at a later one. Many copies of one engine's runs wait
+for each other; a run that ends by itself needs none."""
+
+NOTICE_AGE_S = 0.5
+"""A notice out of the store was given up to this much earlier."""
 
 BLAME_WINDOW_S = 3.0
 """A request that lost its connection this long before its endpoint is
@@ -293,7 +297,7 @@
 
     def take_spending(
         self,
-        source: str,
+        source: quota.Source,
         spent: typing.Mapping[ids.WorkspaceName, tuple[float, float, float]],
         run_age_s: float,
     ) -> None:
@@ -411,9 +415,13 @@
             headers=[(b'Content-Type', domain_call.JSON)],
         )
 
-    def endpoint_leaves(self, record: endpoint_book.Record) -> None:
-        """An endpoint is told to leave; what runs there is moved in time."""
-        leaves_in_s = record.entry.leaves_in_s or self._site.bounds.drain_s
+    def endpoint_leaves(
+        self, record: endpoint_book.Record, leaves_in_s: float
+    ) -> None:
+        """An endpoint will end; what runs there is moved in time.
+
+        :param leaves_in_s: from now; at the earliest, if it is not known
+        """
         for before_end_s in MOVES_BEFORE_END_S:
             self.loop.call_after(
                 max(0.0, leaves_in_s - before_end_s),
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -169,6 +169,7 @@
                 endpoint=key,
                 service=decoded.service,
                 domain=decoded.domain,
+                leaves_in_s=decoded.leaves_in_s,
                 source=source,
             )
 
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import gc
+import math
 import typing
 
 from guavachute.decide.duty import scaling
+from guavachute.decide.ingress import quota
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import readers
 from guavachute.decide.nodes import rounds
@@ -116,7 +118,7 @@
             self.usage.began,
         )
         self.book.on_died = self.ingress.endpoint_died
-        self.book.on_leaving = self.ingress.endpoint_leaves
+        self.book.on_leaving = self._record_leaves
         self._store = control_client.Client(loop, site.store.address)
         self._operator = self._follow(
             platform_configuration.TOPIC,
@@ -423,6 +425,7 @@
             run=run,
             sequence=sequence,
             readers=readers,
+            age_s=round(self._age_s, 3),
             nodes=1 + len(near),
             ready=[
                 (news.callers_address, news.domain)
@@ -445,8 +448,11 @@
         """Another node told its news."""
         self.usage.take(news)
         source = peer_table.source(news)
-        self._sums.take(source, news.spent, news.age_s <= self._age_s)
-        self.ingress.take_spending(source, news.spent, news.age_s)
+        began_with_this = news.age_s <= self._age_s + quota.YOUNG_S
+        self._sums.take(source, news.spent, began_with_this)
+        self.ingress.take_spending(
+            quota.Source(source, source), news.spent, news.age_s
+        )
         for notice in news.crashes:
             self.ingress.take_notice(notice)
         self._catch_up.ask()
@@ -454,9 +460,14 @@
     def told_of_region(self, news: entry_news.RegionNews) -> None:
         """A reader of another region told its sums."""
         self.usage.take_region(news)
-        # The sums of another reader may have counted for the region before.
+        age_s = news.age_s
+        if age_s < self._age_s - quota.YOUNG_S:
+            # Another reader counted the region before this one started.
+            age_s = math.inf
         self.ingress.take_spending(
-            peer_table.region_source(news), news.spent, float('inf')
+            quota.Source(peer_table.region_source(news), news.region),
+            news.spent,
+            age_s,
         )
         for notice in news.crashes:
             self.ingress.take_notice(notice)
@@ -474,6 +485,44 @@
             ),
         )
 
+    def _record_leaves(self, record: endpoint_book.Record) -> None:
+        """Find out how much time is left to move what runs there."""
+        entry = record.entry
+        if record.is_gone:
+            # It has stopped taking work, and may end at any time.
+            self.ingress.endpoint_leaves(record, 0.0)
+        elif (
+            entry.is_reclaimable
+            and entry.leaves_in_s is None
+            and record.own.requests
+        ):
+            self._reports.ask(
+                record, lambda report: self._report_of_leaving(record, report)
+            )
+        else:
+            noticed_for_s = entry.leaves_in_s or self.site.bounds.drain_s
+            self.ingress.endpoint_leaves(
+                record, noticed_for_s - entry_ingress.NOTICE_AGE_S
+            )
+
+    def _report_of_leaving(
+        self,
+        record: endpoint_book.Record,
+        report: endpoints.EngineReport | None,
+    ) -> None:
+        """A reclaimed engine has told when it ends, or nothing."""
+        # Without an answer it may end at any time.
+        leaves_in_s = report.leaves_in_s if report is not None else 0.0
+        journal.event(
+            'endpoint',
+            outcome='ends',
+            endpoint=record.entry.id,
+            leaves_in_s=leaves_in_s,
+        )
+        if leaves_in_s is None:
+            leaves_in_s = self.site.bounds.drain_s
+        self.ingress.endpoint_leaves(record, leaves_in_s)
+
     def _endpoint_leaves(self, entry: endpoints.Endpoint) -> None:
         self.state.endpoint_leaves(entry)
         self.book.take_changes()
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -19,6 +19,10 @@
 REGION_SILENT_S = 3.0
 """A region whose readers were not heard for this long is silent."""
 
+REGION_LEFT_S = 1.2
+"""A region's reader that was not heard for this long is left for another
+that was: it may have stopped reading, as nearly all do after a start."""
+
 CLOCK_CHECK_S = 0.1
 """How often the nodes' clocks are compared."""
 
@@ -275,7 +279,7 @@
     def region(self, region: str) -> RegionTold | None:
         """One of a region's readers, the same as long as it is heard."""
         readers = self._regions.get(region, {})
-        oldest_s = self._now_s() - REGION_SILENT_S
+        oldest_s = self._now_s() - REGION_LEFT_S
         heard = [
             node for node, item in readers.items() if item.heard_s >= oldest_s
         ]
--- a/src/guavachute/entry/region_sums.py
+++ b/src/guavachute/entry/region_sums.py
@@ -15,16 +15,16 @@
         self._last: dict[tuple[str, ids.WorkspaceName], float] = {}
         self._totals: dict[ids.WorkspaceName, float] = {}
 
-    def take(self, source: str, spent: Spent, is_younger: bool) -> None:
+    def take(self, source: str, spent: Spent, began_with_this: bool) -> None:
         """A run of a node told what it has admitted since its start.
 
         What an older run admitted before it was first heard is not
         counted.
 
-        :param is_younger: whether that run began after this one
+        :param began_with_this: whether that run is no older than this one
         """
         for name, (total, _, _) in spent.items():
-            first = 0.0 if is_younger else total
+            first = 0.0 if began_with_this else total
             before = self._last.get((source, name), first)
             self._last[(source, name)] = total
             self._totals[name] = self._totals.get(name, 0.0) + max(
--- a/src/guavachute/entry/report_watch.py
+++ b/src/guavachute/entry/report_watch.py
@@ -1,7 +1,8 @@
-"""Asks engines themselves whether they leave, while the store is away.
+"""Asks engines themselves whether and when they leave.
 
-The notice of a reclaim is an entry in the store. When the store does not
-answer, the runs on an engine would end with it unnoticed.
+The notice of a reclaim is an entry in the store, which does not say how
+much time is left; the engine's report does. While the store does not
+answer, only the reports tell of a reclaim at all.
 """
 
 import dataclasses
@@ -19,6 +20,9 @@
 PERIOD_S = 0.5
 TIMEOUT_S = 0.4
 
+Done = typing.Callable[[endpoints.EngineReport | None], None]
+"""Called with an engine's report; None if it gave none."""
+
 
 class ReportWatch:
     """Reads the reports of the engines that this node has runs on.
@@ -59,19 +63,12 @@
                 self._ask_one(record)
 
     def _ask_one(self, record: endpoint_book.Record) -> None:
-        def got(reply: control_client.Reply | control_client.Lost) -> None:
-            if isinstance(reply, control_client.Lost) or reply.status != 200:
-                # An engine that does not answer shows by its runs.
-                return
-            report = platform_endpoints.decode_report(reply.body)
-            if isinstance(report, outcome.Failure):
-                journal.problem(
-                    'report',
-                    outcome='unreadable',
-                    endpoint=record.entry.id,
-                    reason=str(report),
-                )
-            elif report.state is endpoints.EndpointState.DRAINING:
+        def got(report: endpoints.EngineReport | None) -> None:
+            # An engine that does not answer shows by its runs.
+            if (
+                report is not None
+                and report.state is endpoints.EndpointState.DRAINING
+            ):
                 self._leaving(
                     dataclasses.replace(
                         record.entry,
@@ -85,4 +82,42 @@
         if client is None:
             client = control_client.Client(self._loop, address)
             self._clients[address] = client
-        client.call(b'GET', platform_endpoints.REPORT_TARGET, got, TIMEOUT_S)
+        _ask_for_report(client, record.entry.id, got)
+
+    def ask(self, record: endpoint_book.Record, done: Done) -> None:
+        """Ask one engine once."""
+        client = control_client.Client(self._loop, record.entry.address)
+
+        def got(report: endpoints.EngineReport | None) -> None:
+            client.close()
+            done(report)
+
+        _ask_for_report(client, record.entry.id, got)
+
+
+def _ask_for_report(
+    client: control_client.Client, endpoint: ids.EndpointId, done: Done
+) -> None:
+    def got(reply: control_client.Reply | control_client.Lost) -> None:
+        if isinstance(reply, control_client.Lost) or reply.status != 200:
+            journal.event(
+                'report',
+                outcome='no-answer',
+                endpoint=endpoint,
+                reason=str(reply),
+            )
+            done(None)
+            return
+        report = platform_endpoints.decode_report(reply.body)
+        if isinstance(report, outcome.Failure):
+            journal.problem(
+                'report',
+                outcome='unreadable',
+                endpoint=endpoint,
+                reason=str(report),
+            )
+            done(None)
+            return
+        done(report)
+
+    client.call(b'GET', platform_endpoints.REPORT_TARGET, got, TIMEOUT_S)
--- a/src/guavachute/wire/entry_news.py
+++ b/src/guavachute/wire/entry_news.py
@@ -38,6 +38,7 @@
 
     :ivar node: the reader that added up, in its *run*
     :ivar readers: where the region's readers take news
+    :ivar age_s: how long ago the run began
     :ivar nodes: how many nodes the region has, as far as is known
     :ivar ready: callers' address and failure domain of some ready nodes
     :ivar spent: as in :class:`NodeNews`, of all the nodes
@@ -50,6 +51,7 @@
     run: int
     sequence: int
     readers: list[str]
+    age_s: float
     nodes: int
     ready: list[tuple[str, str]]
     wall_s: float
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -448,6 +448,22 @@
         self.assertEqual([], self.plain.runs)
 
 
+class UnbelievedDeletionTest(NodeTest):
+    """A node that has just started does not know why an entry is gone."""
+
+    def test_other_endpoints_are_used_first(self) -> None:
+        node = self.site.ready_node()
+        for name in ('e2', 'e3'):
+            self.site.add_engine(name, platform_site.PLAIN_SERVICE)
+        self.until(lambda: len(node.state.table.entries) == 3)
+        node.state.table.returned_s = self.site.loop.now_s
+        self.plain.unregister()
+        self.until(lambda: node.state.table.may_be_gone(ids.EndpointId('e1')))
+        for _ in range(6):
+            self.assertEqual(200, self.site.ask(node, '/order/a').status)
+        self.assertEqual([], self.plain.runs)
+
+
 class StopTest(NodeTest):
     def test_a_stopping_node_is_named_no_more(self) -> None:
         first, second = self.two_nodes()
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -257,6 +257,32 @@
         self.assertFalse(caller.reply.is_whole)
         self.assertEqual([], self.second.runs)
 
+    def test_the_report_tells_when_a_reclaimed_engine_ends(self) -> None:
+        """The notice in the store does not say it; the drain is longer."""
+        caller = self.site.send(self.node, '/stream/a')
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        self.first.report.update(state='draining', leaves_ms=1_200)
+        self.first.register(state='draining', spot=True)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        self.assertIn('kv-from', self.second.runs[0].headers)
+
+    def test_a_run_leaves_an_engine_whose_entry_is_gone(self) -> None:
+        """Some never say that they drain, and serve on for a while."""
+        self.first.event_pause_s = 0.15
+        caller = self.site.send(self.node, '/stream/a')
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        looping.run_until(
+            self.site.loop, lambda: len(self.node.state.table.entries) == 2
+        )
+        self.node.state.table.returned_s = float('-inf')
+        self.first.unregister()
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        self.assertIn('kv-from', self.second.runs[0].headers)
+
     def lose_copy(self, path: str) -> platform_site.CallerSocket:
         """The copy is made, and its engine is gone before it is used."""
         caller = self.site.send(self.node, path)
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -33,6 +33,11 @@
     )
 
 
+def named(run: str) -> quota.Source:
+    """A node that tells of itself."""
+    return quota.Source(run, run)
+
+
 class Cluster:
     """Nodes that share one workspace's quota and hear of each other."""
 
@@ -110,7 +115,7 @@
             for telling, spent in enumerate(spending):
                 if hearing != telling and spent is not None:
                     node.told(
-                        f'n{telling}/{self.started_s}',
+                        named(f'n{telling}/{self.started_s}'),
                         self.workspace,
                         spent,
                         now_s - self.started_s,
@@ -144,6 +149,18 @@
                 cluster.play(10.0, 6 * RATE_PER_S, cost=40.0, start_s=11.0)
                 self.assertLessEqual(cluster.most_in_window(), bound)
 
+    def test_two_readers_of_a_region_count_once(self) -> None:
+        """Both started with this node, and each adds its region up."""
+        limited = workspace()
+        quotas = quota.Quotas(0.0, 0.0)
+        for place, total in enumerate((400.0, 450.0, 500.0)):
+            sums = quota.Spending(total, 0.0, RATE_PER_S)
+            source = quota.Source(f'reader-{place % 2}', 'region')
+            quotas.heed(quota.Others({source.run: 9}, frozenset()), 0.5)
+            quotas.told(source, limited, sums, 0.5, 0.5)
+        level = quotas.spending(0.5)[limited.name].level
+        self.assertEqual(RATE_PER_S - 500.0, level)
+
     def test_a_node_that_starts_alone_does_not_count_the_past(self) -> None:
         """The others have admitted in a day what is long filled again."""
         limited = workspace()
@@ -151,7 +168,7 @@
         for second in range(100):
             old.ask(limited, 100.0, float(second))
         spent = old.spending(100.0)[limited.name]
-        new.told('old', limited, spent, 100.0, 100.0)
+        new.told(named('old'), limited, spent, 100.0, 100.0)
         self.assertEqual(0.0, new.ask(limited, 900.0, 100.0))
 
     def test_a_quota_is_used_and_not_cut_into_parts(self) -> None:
@@ -178,7 +195,7 @@
         old, new = quota.Quotas(0.0, 0.0), quota.Quotas(0.0, 10.0)
         old.ask(limited, 1_000.0, 10.0)
         spent = old.spending(10.0)[limited.name]
-        new.told('old', limited, spent, 10.0, 10.0)
+        new.told(named('old'), limited, spent, 10.0, 10.0)
         self.assertGreater(new.ask(limited, 500.0, 10.0), 0.0)
 
     def test_what_did_not_run_is_given_back(self) -> None:
@@ -214,11 +231,11 @@
         limited = workspace()
         quotas.ask(limited, 1_000.0, 0.0)
         other = quota.Spending(0.0, 0.0, 0.0)
-        quotas.told('other', limited, other, 0.0, 0.0)
+        quotas.told(named('other'), limited, other, 0.0, 0.0)
         quotas.heed(quota.Others({'other': 1}, {'other'}), 0.0)
         self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
         spent = quota.Spending(500.0, 0.0, 0.0)
-        quotas.told('other', limited, spent, 1.0, 1.0)
+        quotas.told(named('other'), limited, spent, 1.0, 1.0)
         self.assertAlmostEqual(500.0, quotas.spending(1.0)['botany'].level)
 
 
--- /dev/null
+++ b/tests/cover/test_peer_table.py
@@ -0,0 +1,61 @@
+"""What a node makes of the news of others."""
+
+import unittest
+
+from guavachute.entry import peer_table
+from guavachute import ids
+from guavachute.wire import entry_news
+
+
+def region_news(
+    node: str, sequence: int, region: str = 'there'
+) -> entry_news.RegionNews:
+    return entry_news.RegionNews(
+        region=region,
+        node=node,
+        run=1,
+        sequence=sequence,
+        readers=[],
+        age_s=0.0,
+        nodes=9,
+        ready=[],
+        wall_s=0.0,
+        spent={},
+        load={},
+        usage={},
+        told_ago_ds=[],
+        crashes=[],
+    )
+
+
+class ListenedReaderTest(unittest.TestCase):
+    """Of several readers of a region, which add up the same, one counts."""
+
+    def setUp(self) -> None:
+        self.now_s = 100.0
+        self.table = peer_table.PeerTable(
+            ids.Region('here'), lambda: self.now_s
+        )
+
+    def hear(self, *nodes: str, until_s: float) -> list[str]:
+        """Each of *nodes* tells every 0.25 s; those that were listened to."""
+        listened = []
+        while self.now_s < until_s:
+            self.now_s += 0.25
+            for node in nodes:
+                self.table.take_region(
+                    region_news(node, int(self.now_s * 100))
+                )
+            ((news, _),) = self.table.regions()
+            listened.append(news.node)
+        return listened
+
+    def test_the_same_one_is_listened_to_while_it_tells(self) -> None:
+        listened = self.hear('b', 'a', 'c', until_s=110.0)
+        self.assertEqual({'a'}, set(listened))
+
+    def test_one_that_stopped_reading_is_left_within_seconds(self) -> None:
+        """After a start all nodes tell of their region, and most stop."""
+        self.hear('a', until_s=100.25)
+        listened = self.hear('b', 'c', until_s=101.75)
+        self.assertEqual('b', listened[-1])
