--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -32,7 +32,7 @@
 SHRINK_AFTER_S = 12.0
 """A wish is lowered only when the demand was lower for so long."""
 
-FOUND_USE = 1.0
+FOUND_USE = 0.8
 """What part of the engines found at the start is taken to be needed,
 before the demand has been seen."""
 
@@ -63,8 +63,6 @@
 
 Wish = dict[Kind, int]
 
-ByDomain = typing.Mapping[ids.FailureDomain, int]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
@@ -86,33 +84,17 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Supply:
-    """The endpoints of a service that are there or on their way.
-
-    :ivar serving: reclaimable ones of each domain that serve and have
-        not been told to leave
-    :ivar coming: these, with those that are starting
-    :ivar on_demand: how many on-demand ones are ordered
-    """
-
-    serving: ByDomain
-    coming: ByDomain
-    on_demand: int
-
-
 def wish(
     scaling: configuration.Scaling,
     domains: typing.Sequence[ids.FailureDomain],
     busy_engines: float,
-    supply: Supply,
+    reclaimable_ready: typing.Mapping[ids.FailureDomain, int],
     is_reclaiming: bool,
 ) -> Wish:
     """The orders for a demand that keeps so many engines busy.
 
-    On-demand endpoints are not ordered in place of reclaimable ones that
-    are starting, and not given up before these serve.
-
+    :param reclaimable_ready: reclaimable endpoints of each domain that
+        serve and have not been told to leave
     :param is_reclaiming: whether a domain lost its endpoints of late, so
         that others may follow while none can be had
     """
@@ -122,9 +104,11 @@
     engines = math.ceil(busy_engines / NORMAL_USE)
     if scaling.spot_price_ratio is None:
         return _dealt(by_price, max(1, engines), False, scaling.max_per_domain)
-    least = _short(busy_engines, supply.coming, is_reclaiming)
-    most_needed = _short(busy_engines, supply.serving, is_reclaiming)
-    short = min(max(supply.on_demand, least), most_needed)
+    ready = sum(reclaimable_ready.values())
+    short = math.ceil(busy_engines / TIGHT_USE) - ready
+    if is_reclaiming:
+        left = ready - max(reclaimable_ready.values(), default=0)
+        short = max(short, math.ceil(busy_engines) - left)
     most = max(1, scaling.max_per_domain - RECLAIMABLE_ROOM)
     wished = _dealt(by_price, max(ON_DEMAND_FLOOR, short), False, most)
     surviving = max(1, len(domains) - LOST_DOMAINS)
@@ -139,18 +123,6 @@
     return wished
 
 
-def _short(
-    busy_engines: float, reclaimable: ByDomain, is_reclaiming: bool
-) -> int:
-    """On-demand endpoints that are needed beside the reclaimable ones."""
-    there = sum(reclaimable.values())
-    short = math.ceil(busy_engines / TIGHT_USE) - there
-    if is_reclaiming:
-        left = there - max(reclaimable.values(), default=0)
-        short = max(short, math.ceil(busy_engines) - left)
-    return short
-
-
 def _dealt(
     domains: typing.Sequence[ids.FailureDomain],
     engines: int,
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -25,10 +25,6 @@
 RECLAIMING_S = 12.0
 """After a reclaim, another one is expected for this long."""
 
-START_MARGIN_S = 1.5
-"""How much longer than it should an ordered endpoint may take to serve
-and to be seen, before it is given up."""
-
 REFRESH_S = 30.0
 """An order that was taken is sent again after this, since one that was
 answered late may have replaced it."""
@@ -38,15 +34,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Order:
-    """The latest order of one kind.
-
-    :ivar is_refused: whether it was answered, and not taken
-    """
+    """The latest order of one kind."""
 
     wanted: int
     sent_s: float
     is_taken: bool = False
-    is_refused: bool = False
 
 
 class Scaler:
@@ -92,65 +84,23 @@
         demand = self._demand(service.name)
         ready = list(self._state.table.ready(service.name))
         busy_engines = need.update(demand.busy_engines, len(ready), now_s)
-        is_reclaiming = self._is_reclaiming(service.name, now_s)
-        # Reclaimable ones first: what was ordered just now, and is not
-        # refused, need not be ordered on demand.
-        for is_reclaimable in (True, False):
-            wished = scaling.wish(
-                bounds,
-                self._domains,
-                busy_engines,
-                self._supply(service.name, bounds, ready, now_s),
-                is_reclaiming,
-            )
-            for kind, wanted in wished.items():
-                if kind.is_reclaimable is not is_reclaimable:
-                    continue
-                order = self._orders.get((service.name, kind))
-                if order is None or self._is_due(order, wanted, now_s):
-                    self._send(duty, service.name, kind, wanted, demand)
-
-    def _supply(
-        self,
-        service: ids.ServiceName,
-        bounds: configuration.Scaling,
-        ready: typing.Iterable[endpoints.Endpoint],
-        now_s: float,
-    ) -> scaling.Supply:
-        serving = collections.Counter(
-            entry.domain for entry in ready if entry.is_reclaimable
-        )
-        coming = collections.Counter(serving)
-        # A holder that has ordered nothing yet goes by what it finds.
-        found = collections.Counter(
-            entry.domain for entry in ready if not entry.is_reclaimable
-        )
-        on_demand = 0
-        for domain in self._domains:
-            order = self._orders.get((service, scaling.Kind(domain, False)))
-            on_demand += found[domain] if order is None else order.wanted
-            order = self._orders.get((service, scaling.Kind(domain, True)))
-            starts_in_s = bounds.start_s + START_MARGIN_S
-            if (
-                order is not None
-                and not order.is_refused
-                and now_s - order.sent_s < starts_in_s
-                and not self._is_losing(service, domain)
-            ):
-                coming[domain] = max(serving[domain], order.wanted)
-        return scaling.Supply(serving, coming, on_demand)
-
-    def _is_losing(
-        self, service: ids.ServiceName, domain: ids.FailureDomain | None = None
-    ) -> bool:
-        """Whether reclaimable endpoints leave now, of *domain* or any."""
-        return any(
-            entry.service == service
-            and entry.is_reclaimable
-            and entry.state is endpoints.EndpointState.DRAINING
-            and domain in (None, entry.domain)
-            for entry in self._state.table.entries.values()
+        wished = scaling.wish(
+            bounds,
+            self._domains,
+            busy_engines,
+            collections.Counter(
+                entry.domain for entry in ready if entry.is_reclaimable
+            ),
+            self._is_reclaiming(service.name, now_s),
         )
+        # Engines are ordered before others are given up.
+        for kind, wanted in sorted(
+            wished.items(), key=lambda item: not item[0].is_reclaimable
+        ):
+            order = self._orders.get((service.name, kind))
+            if order is not None and not self._is_due(order, wanted, now_s):
+                continue
+            self._send(duty, service.name, kind, wanted, demand)
 
     def _is_reclaiming(self, service: ids.ServiceName, now_s: float) -> bool:
         """Whether reclaimable endpoints were taken away of late."""
@@ -189,7 +139,6 @@
                 else reply.status
             )
             order.is_taken = answer == 200
-            order.is_refused = answer == cloud.SUPERSEDED_STATUS
             journal.event(
                 'order',
                 outcome=answer,
