Do not read the store anew when only the number of nodes has changed

The pace of a follower depends on the number of nodes; since it is set with each look, a node that fell silent made the others read three topics at once. Found by reading the change; the test fails without the fix (three reads).

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -157,6 +157,7 @@
             )
         self.state.on_changed = self._state_changed
         self._is_reader = True
+        self._paced_as: tuple[bool, bool] | None = None
         self._is_telling = False
         self._reports = report_watch.ReportWatch(
             loop,
@@ -621,6 +622,11 @@
     def _set_paces(self) -> None:
         """Read each topic as often as this node's part asks."""
         are_few = rounds.are_few(self.peers.table.count)
+        if self._paced_as == (self._is_reader, are_few):
+            # The number of nodes alone changes often, and is no reason to
+            # read at once.
+            return
+        self._paced_as = (self._is_reader, are_few)
         if self._is_reader:
             self._operator.set_pace(READER_WAIT_S, 0.0)
             self._endpoints.set_pace(0.0, READER_PERIOD_S)
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -418,6 +418,31 @@
         renewals = 3.0 * lease.RENEWALS_PER_DURATION / 2.0
         self.assertLessEqual(len(nodes), 2 * renewals + 2)
 
+    def test_a_node_that_ends_is_no_reason_to_read(self) -> None:
+        """The others' pace depends on the number of nodes."""
+        patches = [
+            unittest.mock.patch.object(rounds, 'FEW_NODES', 2),
+            unittest.mock.patch.object(readers, 'READERS_PER_REGION', 1),
+            unittest.mock.patch.object(entry_node, 'FOLLOWERS_AT_PERIOD', 1),
+        ]
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+        nodes = [self.site.ready_node() for _ in range(4)]
+        self.until(
+            lambda: sum(not node.peers.is_reader for node in nodes) >= 2
+        )
+        follower = next(node for node in nodes if not node.peers.is_reader)
+        looping.run_for(self.site.loop, 1.0)
+        with unittest.mock.patch.object(
+            topic_follower.TopicFollower, 'read_now', autospec=True
+        ) as read_now:
+            gone = next(node for node in nodes if node is not follower)
+            follower.peers.table.remove(gone.site.node)
+            self.assertLess(follower.peers.table.count, 4)
+            follower._choose_readers()
+        self.assertEqual([], read_now.mock_calls)
+
 
 class SharedResultsTest(NodeTest):
     """An endpoint fails, and each node sees few of its results."""
