--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import socket
+import types
 import typing
 import unittest
 import unittest.mock
@@ -48,6 +49,23 @@
         )
         return first, second
 
+    def replace(self, module: types.ModuleType, **constants: float) -> None:
+        """Give a module's constants other values until the test's end."""
+        for name, value in constants.items():
+            patch = unittest.mock.patch.object(module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def nodes_with_one_reader(self) -> list[entry_node.Node]:
+        """Four nodes that count as many; the holder may read as well."""
+        self.replace(rounds, FEW_NODES=2)
+        self.replace(readers, READERS_PER_REGION=1)
+        nodes = [self.site.ready_node() for _ in range(4)]
+        self.until(
+            lambda: sum(not node.peers.is_reader for node in nodes) >= 2
+        )
+        return nodes
+
 
 class ConfigurationTest(NodeTest):
     def test_a_new_version_comes_into_force(self) -> None:
@@ -353,17 +371,7 @@
         self.assertIn(entry_peers.CONFIGURATION_PATH, asked)
 
     def test_the_store_is_asked_by_few_of_many_nodes(self) -> None:
-        patches = [
-            unittest.mock.patch.object(rounds, 'FEW_NODES', 2),
-            unittest.mock.patch.object(readers, 'READERS_PER_REGION', 1),
-        ]
-        for patch in patches:
-            patch.start()
-            self.addCleanup(patch.stop)
-        nodes = [self.site.ready_node() for _ in range(4)]
-        self.until(
-            lambda: sum(not node.peers.is_reader for node in nodes) >= 2
-        )
+        nodes = self.nodes_with_one_reader()
         looping.run_for(self.site.loop, 1.0)
         del self.site.store.calls[:]
         self.site.configure(2)
@@ -377,14 +385,8 @@
 
 class EndedNodeTest(NodeTest):
     def test_the_entry_of_a_node_that_ended_is_dropped(self) -> None:
-        patches = [
-            unittest.mock.patch.object(entry_node, 'ENDED_AFTER_S', 0.5),
-            unittest.mock.patch.object(entry_node, 'DROP_PERIOD_S', 0.2),
-            unittest.mock.patch.object(counting, 'COUNTED_S', 0.4),
-        ]
-        for patch in patches:
-            patch.start()
-            self.addCleanup(patch.stop)
+        self.replace(entry_node, ENDED_AFTER_S=0.5, DROP_PERIOD_S=0.2)
+        self.replace(counting, COUNTED_S=0.4)
         nodes = [self.site.ready_node() for _ in range(5)]
         topic, key = store.OWN_TOPIC, f'node/{nodes[0].site.node}'
         self.until(lambda: self.site.store.newest(topic, key))
@@ -420,18 +422,8 @@
 
     def test_a_node_that_ends_is_no_reason_to_read(self) -> None:
         """The others' pace depends on the number of nodes."""
-        patches = [
-            unittest.mock.patch.object(rounds, 'FEW_NODES', 2),
-            unittest.mock.patch.object(readers, 'READERS_PER_REGION', 1),
-            unittest.mock.patch.object(entry_node, 'FOLLOWERS_AT_PERIOD', 1),
-        ]
-        for patch in patches:
-            patch.start()
-            self.addCleanup(patch.stop)
-        nodes = [self.site.ready_node() for _ in range(4)]
-        self.until(
-            lambda: sum(not node.peers.is_reader for node in nodes) >= 2
-        )
+        self.replace(entry_node, FOLLOWERS_AT_PERIOD=1)
+        nodes = self.nodes_with_one_reader()
         follower = next(node for node in nodes if not node.peers.is_reader)
         looping.run_for(self.site.loop, 1.0)
         with unittest.mock.patch.object(
