Handle an update of a peer without looking at all other nodes

Cause: each received update scanned all peers for newer versions, and computed the nodes of each region again for the age at which a node counts as silent; each address query listed all nodes. A node among 195 receives about a hundred updates a second, so its cost grew with the fleet. Ruled out: decoding (16 us of 680 us for an update) and the size of an update (the same at 9 and 195 nodes). A datagram is now one read of the socket, not two.

--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -60,11 +60,22 @@
         self._states = states
 
     def check(self) -> None:
-        """Fetch newer versions that peers have; called after each update."""
+        """Fetch newer versions that any peer has; called periodically."""
         for state in self._states:
             if state.is_needed():
                 self._check_state(state)
 
+    def check_update(self, update: node_updates.NodeUpdate) -> None:
+        """Fetch newer versions that *update* names.
+
+        Called with each received update, so it doesn't look at other peers
+        unless this one has a newer version.
+        """
+        for state in self._states:
+            is_newer = state.peer_version(update) > state.own_version()
+            if is_newer and state.is_needed():
+                self._check_state(state)
+
     def _check_state(self, state: VersionedState) -> None:
         now_s = self._loop.now_s
         own_version = state.own_version()
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -88,6 +88,10 @@
 STALE_AFTER_S = 1.0
 """After this long without an answer of the store, peers are queried."""
 
+ADDRESSES_TTL_S = 0.1
+"""The addresses for callers of a domain are computed at most this often. The
+callers themselves keep an answer for seconds."""
+
 CLOSE_IDLE_AFTER_S = 0.4
 """Time from the signal to stop until idle connections are closed."""
 
@@ -180,6 +184,10 @@
             self._apply_leave_report,
         )
         self._is_registered = False
+        self._addresses: dict[
+            tuple[ids.FailureDomain, ids.Region, bool],
+            tuple[float, list[ids.Address]],
+        ] = {}
         self._catch_up = catch_up.CatchUp(
             loop, self.peers.table, self._versioned_states()
         )
@@ -282,12 +290,22 @@
         self, domain: ids.FailureDomain, region: ids.Region
     ) -> list[ids.Address]:
         """The addresses of nodes that a caller in *domain* should use."""
-        return addresses.choose(
-            [*self.peers.table.candidates(), self._own_candidate()],
-            domain,
-            region,
-            self.loop.now_s,
-        )
+        now_s = self.loop.now_s
+        if self.site.region_of.get(domain) != region:
+            # Callers may name any location, so only real ones are kept.
+            domain = ids.FailureDomain('')
+        # Whether this node is ready has to be right at once.
+        key = domain, region, self.is_ready
+        computed_s, found = self._addresses.get(key, (float('-inf'), []))
+        if now_s - computed_s >= ADDRESSES_TTL_S:
+            found = addresses.choose(
+                [*self.peers.table.candidates(), self._own_candidate()],
+                domain,
+                region,
+                now_s,
+            )
+            self._addresses[key] = now_s, found
+        return found
 
     def _own_candidate(self) -> addresses.Candidate:
         return addresses.Candidate(
@@ -484,7 +502,7 @@
         )
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
-        self._catch_up.check()
+        self._catch_up.check_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         """Apply the update of a reader of another region."""
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -93,6 +93,8 @@
         self._own_region = region
         self._now_s = now_s
         self._peers: dict[str, Peer] = {}
+        self._by_region: dict[str, list[Peer]] | None = None
+        self._extra_age_s: float | None = None
         self._regions: dict[str, dict[str, ReceivedRegionUpdate]] = {}
         self._work: dict[str, endpoint_registry.Work] = {}
         self._clock = agreed_clock.OwnClock()
@@ -112,7 +114,7 @@
 
     def local_peers(self) -> list[Peer]:
         """The known nodes of this node's region."""
-        return [peer for peer in self._peers.values() if self.is_local(peer)]
+        return list(self._peers_by_region().get(self._own_region, ()))
 
     def is_local(self, peer: Peer) -> bool:
         """Whether a node is in this node's region."""
@@ -120,11 +122,23 @@
 
     def remote_peers(self) -> dict[str, list[Peer]]:
         """The known nodes of each other region."""
-        found: dict[str, list[Peer]] = {}
-        for peer in self._peers.values():
-            if not self.is_local(peer):
-                found.setdefault(peer.region, []).append(peer)
-        return found
+        return {
+            region: list(peers)
+            for region, peers in self._peers_by_region().items()
+            if region != self._own_region
+        }
+
+    def _peers_by_region(self) -> typing.Mapping[str, typing.Sequence[Peer]]:
+        if self._by_region is None:
+            self._by_region = {}
+            for peer in self._peers.values():
+                self._by_region.setdefault(peer.region, []).append(peer)
+        return self._by_region
+
+    def _handle_nodes_changed(self) -> None:
+        """Discard what was computed from the set of nodes."""
+        self._by_region = None
+        self._extra_age_s = None
 
     def readers(self) -> list[Peer]:
         """The active nodes that read the store closely."""
@@ -147,6 +161,7 @@
                 self._count_work(peer, {})
             peer = self._peers[node] = Peer(address, region)
             peer.added_s = self._now_s()
+            self._handle_nodes_changed()
             journal.event('peer', outcome='known', peer=node, address=address)
         peer.is_listed = peer.is_listed or is_listed
         return peer
@@ -155,6 +170,7 @@
         """Remove a node and its work; harmless if it is unknown."""
         peer = self._peers.pop(node, None)
         if peer is not None:
+            self._handle_nodes_changed()
             self._count_work(peer, {})
 
     def active_peers(self, within_s: float = SILENT_AFTER_S) -> list[Peer]:
@@ -173,10 +189,14 @@
     @property
     def extra_age_s(self) -> float:
         """How much older updates may be than with few nodes, in seconds."""
-        if self.are_few:
-            return 0.0
-        round_s = rounds.round_s(1 + len(self._peers), len(self.local_peers()))
-        return 2 * (round_s - rounds.PERIOD_S)
+        if self._extra_age_s is None:
+            round_s = rounds.round_s(
+                1 + len(self._peers), len(self.local_peers())
+            )
+            self._extra_age_s = (
+                0.0 if self.are_few else 2 * (round_s - rounds.PERIOD_S)
+            )
+        return self._extra_age_s
 
     @property
     def count(self) -> int:
@@ -255,7 +275,9 @@
         if now_s - peer.last_update_s > SILENT_AFTER_S + self.extra_age_s:
             journal.event('peer', outcome='heard', peer=update.node)
         peer.update = update
-        peer.region = update.region
+        if peer.region != update.region:
+            peer.region = update.region
+            self._handle_nodes_changed()
         peer.last_update_s = now_s
         self._count_work(peer, update.work)
         return True
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -297,29 +297,27 @@
     # -- receiving -----------------------------------------------------
 
     def _receive(self, events: int) -> None:
-        while True:
-            try:
-                data = self._socket.recv(MAX_DATAGRAM_BYTES)
-            except OSError:
-                # No datagram is left. An error of an earlier datagram is
-                # ignored, as updates are not acknowledged.
-                return
-            update = node_updates.decode_update(data)
-            if isinstance(update, outcome.Failure):
-                journal.problem(
-                    'peer', outcome='unreadable', reason=str(update)
-                )
-            elif isinstance(update, node_updates.RegionUpdate):
-                if not self.is_reader:
-                    self._send_to(self._local_reader_addresses(), update)
-                self._handle_region_update(update)
-            elif (
-                update.node != self._site.node
-                and self.table.merge_node_update(update)
-            ):
-                self._owner.handle_node_update(update)
-                for beyond in update.region_updates:
-                    self._handle_region_update(beyond)
+        # One datagram per turn of the loop: datagrams mostly arrive one by
+        # one, and a second read would only find that there is no other.
+        try:
+            data = self._socket.recv(MAX_DATAGRAM_BYTES)
+        except OSError:
+            # An error of an earlier datagram is ignored, as updates are not
+            # acknowledged.
+            return
+        update = node_updates.decode_update(data)
+        if isinstance(update, outcome.Failure):
+            journal.problem('peer', outcome='unreadable', reason=str(update))
+        elif isinstance(update, node_updates.RegionUpdate):
+            if not self.is_reader:
+                self._send_to(self._local_reader_addresses(), update)
+            self._handle_region_update(update)
+        elif update.node != self._site.node and self.table.merge_node_update(
+            update
+        ):
+            self._owner.handle_node_update(update)
+            for beyond in update.region_updates:
+                self._handle_region_update(beyond)
 
     def _handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         if self.table.merge_region_update(update):
