Serve on when the store comes back from a copy in a new era

Cause: offsets were taken to grow for ever. After a copy they go back and are assigned again: the fencing token (an offset) would fall or be shared by two holders, followers would read from an offset of another record, and peers would take older state for newer. Change: the store's client tells the era of each answer, drops those of an earlier one and those of calls from before a change. A lease's record names the era it was written in and is no lease in another; without a record of the era a challenger waits a whole lease, the holder contends at once, and a holder that is new does not decide windows that ended before. Entries tell their writes apart: an older one changes nothing, and an endpoint that is gone is back only when it writes again; one that the copy lacks has two seconds. Nodes write their entries again within two seconds. A reader behind its peers fetches from them.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -42,13 +42,16 @@
     texts: list[bytes] = []
 
     def apply_configuration(
-        self: typing.Any, text: bytes, source: str, next_offset: ids.Offset
+        self: typing.Any,
+        text: bytes,
+        source: str,
+        next_position: ids.LogPosition,
     ) -> None:
         texts.append(text)
         if len(texts) % 3 == 0:
             self.configuration = None
             text = texts[-3]
-        real(self, text, source, next_offset)
+        real(self, text, source, next_position)
 
     setattr(known_state.KnownState, 'apply_configuration', apply_configuration)
 
--- a/src/guavachute/decide/duty/usage.py
+++ b/src/guavachute/decide/duty/usage.py
@@ -24,6 +24,9 @@
 KEPT_DECISIONS = 6
 """Number of windows whose counts are kept in the duty's record."""
 
+REMEMBERED_DECISIONS = 4 * KEPT_DECISIONS
+"""Number of windows whose counts a process remembers."""
+
 GONE_BEFORE_S = 2.0
 """A node whose last update came more than this before the start of a
 window isn't waited for: it has most likely ended."""
@@ -126,6 +129,19 @@
     return {window: windows[window] for window in newest}
 
 
+def merge_decisions(
+    known: typing.Mapping[int, Counts], recorded: typing.Mapping[int, Counts]
+) -> dict[int, Counts]:
+    """The decided counts that a process remembers, also of lost records.
+
+    :param known: the counts that it remembered before
+    :param recorded: the counts in a record that it read
+    """
+    windows = {**known, **recorded}
+    newest = sorted(windows)[-REMEMBERED_DECISIONS:]
+    return {window: windows[window] for window in newest}
+
+
 def due_windows(
     true_time_s: float,
     last_report_s: typing.Sequence[float],
--- a/src/guavachute/decide/lease.py
+++ b/src/guavachute/decide/lease.py
@@ -88,6 +88,20 @@
     return Held(head.offset, head.term_offset, until_s)
 
 
+def void(contender: Contender, now_s: float) -> Contender:
+    """Discard the records of the lease, which the log has lost.
+
+    Another process may hold the lease by a lost record, for as long as a
+    challenger would wait. A process that holds it now need not wait: all
+    others do, from when they learnt of the loss.
+    """
+    was_held = held(contender, now_s) is not None
+    wait_s = 0.0 if was_held else challenge_after_s(contender.duration_s)
+    return dataclasses.replace(
+        contender, head=None, head_read_s=now_s + wait_s, sent=()
+    )
+
+
 def usable_s(duration_s: float) -> float:
     """How long a holder may act after it sent its record."""
     return duration_s * (1 - CLOCK_RATE_ERROR) - MARGIN_S
--- a/src/guavachute/decide/nodes/change_log.py
+++ b/src/guavachute/decide/nodes/change_log.py
@@ -1,4 +1,4 @@
-"""Records which keys of a topic changed after an offset.
+"""Records which keys of a topic changed after a position.
 
 With it, a node sends a peer only the changes that the peer has not read.
 """
@@ -15,58 +15,58 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Changed and removed keys, each with the offset of its change."""
+    """Changed and removed keys, each with the position of its change."""
 
-    changed: dict[str, ids.Offset]
-    removed: dict[str, ids.Offset]
+    changed: dict[str, ids.LogPosition]
+    removed: dict[str, ids.LogPosition]
 
 
 class ChangeLog:
-    """Keeps the offset of the latest change of each key."""
+    """Keeps the position of the latest change of each key."""
 
     def __init__(self) -> None:
-        self._changed: dict[str, ids.Offset] = {}
-        self._removed: collections.OrderedDict[str, ids.Offset] = (
+        self._changed: dict[str, ids.LogPosition] = {}
+        self._removed: collections.OrderedDict[str, ids.LogPosition] = (
             collections.OrderedDict()
         )
-        self._complete_from: ids.Offset | None = None
+        self._complete_from: ids.LogPosition | None = None
 
-    def set_complete_from(self, offset: ids.Offset) -> None:
-        """Declare that all removals from *offset* on will be recorded.
+    def set_complete_from(self, position: ids.LogPosition) -> None:
+        """Declare that all removals from *position* on will be recorded.
 
         Only the first call has an effect.
         """
         if self._complete_from is None:
-            self._complete_from = offset
+            self._complete_from = position
 
-    def record_change(self, key: str, offset: ids.Offset) -> None:
+    def record_change(self, key: str, position: ids.LogPosition) -> None:
         """Record a new value of *key*."""
-        self._changed[key] = offset
+        self._changed[key] = position
         self._removed.pop(key, None)
 
-    def record_removal(self, key: str, offset: ids.Offset) -> None:
+    def record_removal(self, key: str, position: ids.LogPosition) -> None:
         """Record the removal of *key*."""
         self._changed.pop(key, None)
-        self._removed[key] = offset
+        self._removed[key] = position
         self._removed.move_to_end(key)
         while len(self._removed) > KEPT_REMOVALS:
-            _, offset = self._removed.popitem(last=False)
-            self._complete_from = ids.Offset(offset + 1)
+            _, position = self._removed.popitem(last=False)
+            self._complete_from = ids.LogPosition(position + 1)
 
     def all(self) -> Changes:
         """All present keys, without removals."""
         return Changes(dict(self._changed), {})
 
-    def since(self, offset: ids.Offset) -> Changes | None:
-        """The changes after *offset*; None if they are incomplete."""
-        if self._complete_from is None or offset + 1 < self._complete_from:
+    def since(self, position: ids.LogPosition) -> Changes | None:
+        """The changes after *position*; None if they are incomplete."""
+        if self._complete_from is None or position + 1 < self._complete_from:
             return None
         return Changes(
-            _after(self._changed, offset), _after(self._removed, offset)
+            _after(self._changed, position), _after(self._removed, position)
         )
 
 
 def _after(
-    offsets: typing.Mapping[str, ids.Offset], offset: ids.Offset
-) -> dict[str, ids.Offset]:
-    return {key: at for key, at in offsets.items() if at > offset}
+    positions: typing.Mapping[str, ids.LogPosition], position: ids.LogPosition
+) -> dict[str, ids.LogPosition]:
+    return {key: at for key, at in positions.items() if at > position}
--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -16,6 +16,10 @@
 """A peer that did not answer is not queried for this long, if others have a
 newer version too."""
 
+FETCH_ANYWAY_AFTER_S = 1.0
+"""A node that reads the store closely fetches from peers too if it is behind
+them for this long: the store may have lost what they know."""
+
 READ_STORE_AFTER_S = 2.0
 """A node that is behind its peers for this long reads the store itself, as
 changes have to be known within three seconds."""
@@ -62,8 +66,7 @@
     def check(self) -> None:
         """Fetch newer versions that any peer has; called periodically."""
         for state in self._states:
-            if state.is_needed():
-                self._check_state(state)
+            self._check_state(state)
 
     def check_update(self, update: node_updates.NodeUpdate) -> None:
         """Fetch newer versions that *update* names.
@@ -77,6 +80,7 @@
                 self._check_state(state)
 
     def _check_state(self, state: VersionedState) -> None:
+        """Fetch *state* if a peer has a newer version and it is needed."""
         now_s = self._loop.now_s
         own_version = state.own_version()
         newer = [
@@ -92,8 +96,10 @@
             state.behind_since_s = now_s
         elif now_s - state.behind_since_s > READ_STORE_AFTER_S:
             state.behind_since_s = now_s
-            state.read_store()
-        if state.is_fetching:
+            if state.is_needed():
+                state.read_store()
+        is_late = now_s - state.behind_since_s > FETCH_ANYWAY_AFTER_S
+        if state.is_fetching or not (is_late or state.is_needed()):
             return
         answering = [
             peer
--- a/src/guavachute/entry/control_client.py
+++ b/src/guavachute/entry/control_client.py
@@ -25,6 +25,9 @@
     """No connection was established, so the call has had no effect."""
     NO_ANSWER = 'no-answer'
     """The call may have had its effect, or may have it later."""
+    OTHER_ERA = 'other-era'
+    """The store has come back from a copy since the call was sent, or the
+    answer is from before that. The effect of the call may be lost."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +36,9 @@
 
     status: int
     body: bytes
+    headers: typing.Sequence[call.Header] = dataclasses.field(
+        default=(), compare=False
+    )
 
 
 Done = typing.Callable[[Reply | CallFailure], None]
@@ -123,6 +129,7 @@
         self._connect_timer: entry_loop.Timer | None = None
         self._calls = 0
         self._status = 0
+        self._headers: list[call.Header] = []
         self._body: list[bytes] = []
         self._idle_since_s = loop.now_s
 
@@ -169,6 +176,7 @@
         for event in self._reader.feed(data):
             if isinstance(event, http1.AnswerStarted):
                 self._status = event.status
+                self._headers = event.headers
             elif isinstance(event, http1.AnswerBody):
                 self._body.append(event.data)
             elif isinstance(event, http1.AnswerEnded):
@@ -194,7 +202,7 @@
     def _finish(self, keeps_alive: bool) -> None:
         done, self._done = self._done, None
         self._cancel_timers()
-        reply = Reply(self._status, b''.join(self._body))
+        reply = Reply(self._status, b''.join(self._body), self._headers)
         assert self._connection is not None
         if done is None or not keeps_alive:
             self.abort()
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -2,9 +2,13 @@
 
 The duties are usage reports and orders to the cloud. The lease is a record
 under one key of the system's own topic, appended on the condition that nothing
-was appended since the last read. Its offset plus one is the fencing token, so
-no two holders share a token, and tokens only grow. The counts to report are
+was appended since the last read. Its position plus one is the fencing token,
+so no two holders share a token, and tokens only grow, also when the store has
+come back from a copy and assigns offsets again. The counts to report are
 decided in that record before they are sent.
+
+When the store has come back from a copy, no earlier record is a lease. Nobody
+acts until a record of the new era is read.
 """
 
 import random
@@ -13,9 +17,11 @@
 from guavachute.decide.duty import usage
 from guavachute.decide import lease
 from guavachute.domain import call
+from guavachute.domain import log_position
 from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import store_client
 from guavachute.entry import store_writer
 from guavachute.entry import topic_follower
 from guavachute import ids
@@ -64,7 +70,7 @@
         loop: entry_loop.Loop,
         site: domain_site.Site,
         cloud_site: domain_site.Cloud,
-        client: control_client.Client,
+        client: store_client.StoreClient,
         follower: topic_follower.TopicFollower,
         totals: typing.Callable[[int], usage.Counts],
         true_time_s: typing.Callable[[], float],
@@ -89,12 +95,13 @@
         )
         self._record: node_updates.DutyRecord | None = None
         self._term: tuple[str, ids.Offset] | None = None
+        self._decided: dict[int, usage.Counts] = {}
+        self._first_reportable_window = 0
         self._is_writing = False
         self._written_at_s = float('-inf')
         self._was_held = False
         self._is_stopping = False
         self._is_contending = True
-        self._first_window: int | None = None
         self._confirmed: set[int] = set()
         self._report_sent_s: dict[int, float] = {}
         self._refused_fence = -1
@@ -121,25 +128,54 @@
         """Whether this node holds the lease now."""
         return self._held() is not None
 
+    def handle_new_era(self) -> None:
+        """Give up the lease, as the store may have lost its records.
+
+        Another holder may have decided counts that the store has lost, so this
+        node does not decide windows that have ended by now, unless it is the
+        one that held the lease.
+        """
+        now_s = self._loop.now_s
+        if self._held() is None:
+            self._first_reportable_window = usage.window_at(
+                self._true_time_s(), self._site.bounds.usage_window_s
+            )
+        self._contender = lease.void(self._contender, now_s)
+        self._term = None
+        journal.event('duty', outcome='void', era=self._client.era)
+
     def fold(self, record: store.KeyedRecord) -> None:
         """Fold a record of the lease's key."""
-        if record.value is None or record.offset is None:
+        if record.value is None or record.position is None:
             return
         decoded = node_updates.decode_duty(record.value)
         if isinstance(decoded, outcome.Failure):
             journal.problem('duty', outcome='unreadable', reason=str(decoded))
             return
+        self._decided = usage.merge_decisions(self._decided, decoded.usage)
+        if decoded.era != log_position.unpack(record.position).era:
+            journal.event(
+                'duty',
+                outcome='other-era',
+                holder=decoded.holder,
+                era=decoded.era,
+                position=record.position,
+            )
+            return
+        # Fencing tokens have to grow over all eras, as positions do.
+        offset = ids.Offset(record.position)
         if self._term is None or self._term[0] != decoded.holder:
-            self._term = (decoded.holder, record.offset)
+            self._term = (decoded.holder, offset)
             journal.event(
                 'duty',
                 outcome='holder',
                 holder=decoded.holder,
-                offset=record.offset,
+                offset=offset,
             )
         self._record = decoded
+        self._first_reportable_window = decoded.first_window
         head = records.LeaseHead(
-            offset=record.offset,
+            offset=offset,
             term_offset=self._term[1],
             record_id=ids.RecordId(decoded.record_id),
             holder=decoded.holder,
@@ -227,14 +263,15 @@
         self._contender, _ = lease.build_record(
             self._contender, record_id, self._loop.now_s
         )
-        before = self._record.usage if self._record else {}
         found = self._undecided_counts() if self._held() is not None else {}
         value = node_updates.encode(
             node_updates.DutyRecord(
                 record_id=record_id,
                 holder=self._contender.holder,
                 duration_s=self._contender.duration_s,
-                usage=usage.final_counts(before, found),
+                usage=usage.final_counts(self._decided, found),
+                era=self._client.era,
+                first_window=self._first_reportable_window,
             )
         )
         self._is_writing = True
@@ -266,17 +303,14 @@
             return {}
         bounds = self._site.bounds
         true_s = self._true_time_s()
-        if self._first_window is None:
-            self._first_window = usage.window_at(true_s, bounds.usage_window_s)
-        before = self._record.usage if self._record else {}
-        newest = max(before, default=-1)
+        newest = max(self._decided, default=-1)
         found = {}
         for window in usage.due_windows(
             true_s,
             self._last_update_times_s(),
             bounds.usage_window_s,
             bounds.usage_delay_s,
-            newest + 1,
+            max(newest + 1, self._first_reportable_window),
         ):
             counts = self._totals(window)
             if counts:
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -8,8 +8,10 @@
 
 from guavachute.decide.nodes import change_log
 from guavachute.decide.nodes import endpoint_table
+from guavachute.decide.nodes import entry_writes
 from guavachute.domain import configuration
 from guavachute.domain import endpoints
+from guavachute.domain import log_position
 from guavachute.entry import loop as entry_loop
 from guavachute import ids
 from guavachute.observe import journal
@@ -19,8 +21,6 @@
 from guavachute.platform import store
 from guavachute.wire import node_updates
 
-NO_OFFSET = ids.Offset(-1)
-
 
 class _StoredEntry(typing.NamedTuple):
     """An entry as it is stored, and the fields that matter to peers."""
@@ -45,20 +45,23 @@
         self._loop = loop
         self.configuration: configuration.Configuration | None = None
         self.table = endpoint_table.EndpointTable()
-        self.endpoints_offset = NO_OFFSET
-        """All entries before this offset were folded, by this node or a
+        self.endpoints_position = log_position.NO_POSITION
+        """All entries before this position were folded, by this node or a
         peer."""
-        self.endpoints_version = NO_OFFSET
-        """The offset of the newest record that changed the table. Most records
-        only renew an entry, and need not be passed on."""
+        self.endpoints_version = log_position.NO_POSITION
+        """The position of the newest record that changed the table. Most
+        records only renew an entry, and need not be passed on."""
         self.on_changed: typing.Callable[[], None] = lambda: None
         """Called when the configuration or the table has changed."""
-        self.configuration_offset = NO_OFFSET
-        """The offset after the record of the configuration in its topic."""
+        self.configuration_position = log_position.NO_POSITION
+        """The position after the record of the configuration in its topic."""
         self._configuration_bytes = b''
         self._deflated: bytes | None = None
         self._stored: dict[str, _StoredEntry] = {}
         self._changes = change_log.ChangeLog()
+        self._writes = entry_writes.EntryWrites()
+        self.on_unproven: typing.Callable[[], None] = lambda: None
+        """Called when an entry was ignored that a later write may confirm."""
 
     @property
     def version(self) -> int:
@@ -77,22 +80,22 @@
     ) -> None:
         """Fold a record of the operator's topic."""
         if record.key == platform_configuration.KEY and record.value:
-            assert record.offset is not None, (
-                'a record of a topic has an offset'
+            assert record.position is not None, (
+                'a record of a topic has a position'
             )
             self.apply_configuration(
-                record.value, 'store', ids.Offset(record.offset + 1)
+                record.value, 'store', ids.LogPosition(record.position + 1)
             )
 
     def apply_configuration(
-        self, text: bytes, source: str, next_offset: ids.Offset
+        self, text: bytes, source: str, next_position: ids.LogPosition
     ) -> None:
         """Apply an encoded configuration if its version is newer.
 
         One that can't be decoded is logged and ignored.
 
         :param source: where it came from, for the log
-        :param next_offset: the offset after its record in the topic
+        :param next_position: the position after its record in the topic
         """
         decoded = platform_configuration.decode(text)
         if isinstance(decoded, outcome.Failure):
@@ -112,24 +115,38 @@
         self.configuration = decoded
         self._configuration_bytes = text
         self._deflated = None
-        self.configuration_offset = next_offset
+        self.configuration_position = next_position
         self.on_changed()
 
     def fold_endpoint(
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
         """Fold a record of the endpoints' topic."""
-        assert record.offset is not None, 'a record of a topic has an offset'
-        if self._apply_entry(record.key, record.value, record.offset, 'store'):
+        assert record.position is not None, (
+            'a record of a topic has a position'
+        )
+        if self._apply_entry(
+            record.key, record.value, record.position, 'store', is_snapshot
+        ):
             self.on_changed()
 
-    def advance_offset(self, offset: ids.Offset) -> None:
-        """Record that all entries before *offset* have been folded."""
-        self._changes.set_complete_from(offset)
-        self.endpoints_offset = max(self.endpoints_offset, offset)
+    def handle_new_era(self) -> None:
+        """The store has lost its latest records; what was known stays."""
+        self.table.store_returned_s = self._loop.now_s
+        self._writes.handle_new_era()
+
+    def advance_position(self, position: ids.LogPosition) -> None:
+        """Record that all entries before *position* have been folded."""
+        self._changes.set_complete_from(position)
+        self.endpoints_position = max(self.endpoints_position, position)
 
     def _apply_entry(
-        self, key: str, value: bytes | None, offset: ids.Offset, source: str
+        self,
+        key: str,
+        value: bytes | None,
+        position: ids.LogPosition,
+        source: str,
+        is_snapshot: bool = False,
     ) -> bool:
         """Apply the stored value of *key*; True if peers have to know it.
 
@@ -141,18 +158,20 @@
         if value is None:
             self._remove_entry(key)
         else:
-            self._store_entry(key, value, source)
+            self._store_entry(key, value, source, is_snapshot)
         after = self._stored.get(key)
         if _peer_relevant(before) == _peer_relevant(after):
             return False
         if after is None:
-            self._changes.record_removal(key, offset)
+            self._changes.record_removal(key, position)
         else:
-            self._changes.record_change(key, offset)
-        self.endpoints_version = max(self.endpoints_version, offset)
+            self._changes.record_change(key, position)
+        self.endpoints_version = max(self.endpoints_version, position)
         return True
 
-    def _store_entry(self, key: str, value: bytes, source: str) -> None:
+    def _store_entry(
+        self, key: str, value: bytes, source: str, is_snapshot: bool
+    ) -> None:
         stored = self._stored.get(key)
         if stored is not None and stored.value == value:
             return
@@ -163,6 +182,20 @@
             )
             self._remove_entry(key)
             return
+        write = entry_writes.Write(decoded.start_ms, decoded.writes)
+        if self._writes.is_outdated(decoded.id, write, is_snapshot):
+            journal.event(
+                'endpoint',
+                outcome='outdated',
+                endpoint=key,
+                write=write.number,
+                state=decoded.state.value,
+                source=source,
+            )
+            if stored is None:
+                self.on_unproven()
+            return
+        self._writes.record(decoded.id, write)
         self._stored[key] = _StoredEntry(
             value, decoded.state, decoded.incarnation
         )
@@ -184,6 +217,7 @@
 
     def _remove_entry(self, key: str) -> None:
         self._stored.pop(key, None)
+        self._writes.record_removal(ids.EndpointId(key))
         if self.table.delete(ids.EndpointId(key), self._loop.now_s):
             journal.event('endpoint', outcome='gone', endpoint=key)
 
@@ -218,11 +252,11 @@
         return node_updates.SharedConfiguration(
             deflated=self._deflated,
             version=self.version,
-            next_offset=self.configuration_offset,
+            next_position=self.configuration_position,
         )
 
     def shared_endpoints(
-        self, version: ids.Offset
+        self, version: ids.LogPosition
     ) -> node_updates.SharedEndpoints:
         """The changes of the endpoints since *version*, for a peer.
 
@@ -234,12 +268,12 @@
             changes = self._changes.all()
         return node_updates.SharedEndpoints(
             changed={
-                key: node_updates.StoreEntry(offset, self._stored[key].value)
-                for key, offset in changes.changed.items()
+                key: node_updates.StoreEntry(position, self._stored[key].value)
+                for key, position in changes.changed.items()
             },
             removed=changes.removed,
             is_whole=is_whole,
-            offset=self.endpoints_offset,
+            position=self.endpoints_position,
             version=self.endpoints_version,
         )
 
@@ -253,7 +287,7 @@
                 'configuration', outcome='unreadable', reason=str(text)
             )
             return
-        self.apply_configuration(text, 'peer', shared.next_offset)
+        self.apply_configuration(text, 'peer', shared.next_position)
 
     def merge_shared_endpoints(
         self, shared: node_updates.SharedEndpoints
@@ -265,10 +299,13 @@
         if shared.is_whole:
             for key in self._stored.keys() - shared.changed.keys():
                 removed[key] = shared.version
-        for key, offset in removed.items():
-            self._apply_entry(key, None, offset, 'peer')
+        for key, position in removed.items():
+            self._apply_entry(key, None, position, 'peer')
         for key, entry in shared.changed.items():
-            self._apply_entry(key, entry.value, entry.offset, 'peer')
-        if shared.is_whole or self.endpoints_offset != NO_OFFSET:
-            self.advance_offset(shared.offset)
+            self._apply_entry(key, entry.value, entry.position, 'peer')
+        if (
+            shared.is_whole
+            or self.endpoints_position != log_position.NO_POSITION
+        ):
+            self.advance_position(shared.position)
         self.endpoints_version = shared.version
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -3,6 +3,7 @@
 import contextlib
 import gc
 import math
+import random
 import typing
 
 from guavachute.decide.duty import scaling
@@ -25,6 +26,7 @@
 from guavachute.entry import region_sums
 from guavachute.entry import report_watch
 from guavachute.entry import scaler as entry_scaler
+from guavachute.entry import store_client
 from guavachute.entry import store_writer
 from guavachute.entry import topic_follower
 from guavachute.entry import usage_counts
@@ -68,6 +70,13 @@
 STATE_CHECK_S = 0.5
 REGISTER_RETRY_S = 1.0
 
+REGISTER_SPREAD_S = 2.0
+"""Within this time after a new era of the store, all nodes write their entries
+again."""
+
+CONFIRM_AFTER_S = 2.0
+"""Endpoints that live have written again this long after a new era."""
+
 READER_SILENT_S = 1.2
 """A reader from which no update came for this long is replaced."""
 
@@ -134,7 +143,8 @@
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
         self.registry.on_leaving = self._handle_leaving
-        self._store = control_client.Client(loop, site.store.address)
+        self._store = store_client.StoreClient(loop, site.store.address)
+        self._store.on_new_era.append(self._handle_new_era)
         self._operator = self._follow(
             platform_configuration.TOPIC,
             self.state.fold_operator,
@@ -174,6 +184,8 @@
                 else None,
             )
         self.state.on_changed = self._schedule_update
+        self.state.on_unproven = self._schedule_confirmation
+        self._is_confirmation_scheduled = False
         self._is_reader = True
         self._interval_basis: tuple[bool, bool] | None = None
         self._is_update_scheduled = False
@@ -283,7 +295,7 @@
         return (
             self._stopping_since_s is None
             and self.state.configuration is not None
-            and self.state.endpoints_offset >= 0
+            and self.state.endpoints_position >= 0
         )
 
     def addresses_for(
@@ -331,14 +343,45 @@
         )  # fmt: skip
 
     def _apply_folded(self) -> None:
-        if self._endpoints.end_offset is not None:
-            self.state.advance_offset(self._endpoints.end_offset)
+        end = self._endpoints.end_position
+        if end is not None:
+            self.state.advance_position(end)
         self.registry.apply_table_changes()
 
     def _handle_store_recovery(self) -> None:
         """Let entries that expired in the outage be written again first."""
         self.state.table.store_returned_s = self.loop.now_s
 
+    def _handle_new_era(self, was_known: bool) -> None:
+        """Start to follow a store that has come back from a copy.
+
+        :param was_known: whether another era was known before
+        """
+        if self.duty is not None:
+            self.duty.handle_new_era()
+        if not was_known:
+            return
+        self.state.handle_new_era()
+        for follower in (self._operator, self._endpoints, self._nodes):
+            follower.handle_new_era(self._is_reader)
+        # The entry of this node may be lost. All nodes write theirs again, but
+        # not all at once.
+        self._is_registered = False
+        self.loop.call_after(
+            random.uniform(0.0, REGISTER_SPREAD_S), self._register
+        )
+        self._broadcast_update()
+
+    def _schedule_confirmation(self) -> None:
+        """Read the endpoints again soon, for writes that confirm entries."""
+        if not self._is_confirmation_scheduled:
+            self._is_confirmation_scheduled = True
+            self.loop.call_after(CONFIRM_AFTER_S, self._read_confirmations)
+
+    def _read_confirmations(self) -> None:
+        self._is_confirmation_scheduled = False
+        self._endpoints.read_now()
+
     def _fold_own_topic(
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
@@ -349,7 +392,12 @@
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
         if record.value is None:
-            self.peers.table.remove(record.key.removeprefix(NODE_KEY_PREFIX))
+            node_name = record.key.removeprefix(NODE_KEY_PREFIX)
+            if is_snapshot:
+                # The store may have lost the entry with its latest records.
+                self.peers.table.unlist(node_name)
+            else:
+                self.peers.table.remove(node_name)
             return
         node = node_updates.decode_node(record.value)
         if isinstance(node, outcome.Failure):
@@ -447,6 +495,7 @@
             },
             usage=self.usage.recent(),
             crashes=self.ingress.crash_notices(),
+            store_era=self._store.told_era,
         )
 
     def region_update(
@@ -493,6 +542,8 @@
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
         """Apply the update of another node."""
+        if update.store_era is not None:
+            self._store.observe_era(update.store_era, update.node)
         self.usage.merge_node_update(update)
         source = peer_table.source(update)
         is_no_older = update.age_s <= self._age_s + quota.STARTUP_WINDOW_S
@@ -612,7 +663,7 @@
         ) -> None:
             if shared is not None:
                 self.state.merge_shared_configuration(shared)
-                self._operator.skip_to(self.state.configuration_offset)
+                self._operator.skip_to(self.state.configuration_position)
             done(shared is not None)
 
         self.peers.fetch_configuration(peer, self.state.version, merge_shared)
@@ -623,7 +674,7 @@
         def merge_shared(shared: node_updates.SharedEndpoints | None) -> None:
             if shared is not None:
                 self.state.merge_shared_endpoints(shared)
-                self._endpoints.skip_to(self.state.endpoints_offset)
+                self._endpoints.skip_to(self.state.endpoints_position)
                 if self.peers.table.are_few:
                     # The peer may have missed records of a store that it has
                     # just lost. With few nodes, calls are few, so this node
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -173,6 +173,20 @@
             self._handle_nodes_changed()
             self._count_work(peer, {})
 
+    def unlist(self, node: str) -> None:
+        """Handle that the store lists a node no more.
+
+        It is removed unless it still sends updates.
+        """
+        peer = self._peers.get(node)
+        if peer is None:
+            return
+        oldest_s = self._now_s() - SILENT_AFTER_S - self.extra_age_s
+        if peer.last_update_s >= oldest_s:
+            peer.is_listed = False
+        else:
+            self.remove(node)
+
     def active_peers(self, within_s: float = SILENT_AFTER_S) -> list[Peer]:
         """The nodes from which an update came recently.
 
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -140,7 +140,7 @@
     def fetch_endpoints(
         self,
         peer: peer_table.Peer,
-        version: ids.Offset,
+        version: ids.LogPosition,
         done: typing.Callable[[node_updates.SharedEndpoints | None], None],
     ) -> None:
         """Request the changes of the endpoints since *version* from *peer*.
--- a/src/guavachute/entry/query_server.py
+++ b/src/guavachute/entry/query_server.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from guavachute.domain import call
+from guavachute.domain import log_position
 from guavachute.domain import site as domain_site
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
@@ -95,12 +96,12 @@
             version = int(request.query[entry_peers.VERSION_FIELD])
         except (KeyError, ValueError):
             # Another release may query in another way; it gets everything.
-            version = known_state.NO_OFFSET
+            version = log_position.NO_POSITION
         shared: msgspec.Struct | None = None
         if request.path == entry_peers.CONFIGURATION_PATH:
             shared = self._state.shared_configuration(version)
         elif request.path == entry_peers.ENDPOINTS_PATH:
-            shared = self._state.shared_endpoints(ids.Offset(version))
+            shared = self._state.shared_endpoints(ids.LogPosition(version))
         if shared is None:
             return plain_server.NOT_FOUND
         return plain_server.Reply(
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -70,7 +70,7 @@
     def run(self, duty: entry_duty.Duty) -> None:
         """Send the orders that differ from the desired numbers."""
         current = self._state.configuration
-        if current is None or self._state.endpoints_offset < 0:
+        if current is None or self._state.endpoints_position < 0:
             return
         if self._loop.now_s - self._started_s < SETTLE_S:
             return
--- a/src/guavachute/entry/store_writer.py
+++ b/src/guavachute/entry/store_writer.py
@@ -1,12 +1,13 @@
 """Appends records with keys to the system's own topics."""
 
 from guavachute.entry import control_client
+from guavachute.entry import store_client
 from guavachute import ids
 from guavachute.platform import store
 
 
 def append(
-    client: control_client.Client,
+    client: store_client.StoreClient,
     topic: str,
     record: store.KeyedRecord,
     at: ids.Offset | None,
@@ -19,11 +20,4 @@
     condition holds.
     """
     request = store.append(topic, [store.encode_keyed(record)], at)
-    client.call(
-        request.method,
-        request.target,
-        done,
-        timeout_s,
-        body=request.body,
-        headers=[(b'Content-Type', request.content_type)],
-    )
+    client.call(request, done, timeout_s)
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -4,8 +4,10 @@
 import typing
 
 from guavachute.decide import backoff
+from guavachute.domain import log_position
 from guavachute.entry import control_client
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import store_client
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute import outcome
@@ -30,15 +32,16 @@
     """Reads the newest record of each key of a topic, then all new records.
 
     Failed reads are retried until :meth:`stop`. If the records after the
-    offset are gone, the newest record of each key is read again; a key that is
-    then missing is folded as a deletion.
+    offset are gone, or the store has come back from a copy, the newest record
+    of each key is read again; a key that is then missing is folded as a
+    deletion.
 
     :param wait_s: how long a read waits for new records at the store; 0 to
         read every *period_s*
     :param period_s: the pause between reads
     :param on_folded: called after one or more records were folded
-    :ivar end_offset: all records before it have been folded; None before the
-        first complete snapshot
+    :ivar end_offset: all records before it have been folded, in the store's
+        present era; None before the first complete snapshot of the era
     :ivar last_reply_s: loop time at which the store last answered a read
     :ivar lost_since_s: loop time since which reads fail; None if they do not
     """
@@ -46,7 +49,7 @@
     def __init__(
         self,
         loop: entry_loop.Loop,
-        client: control_client.Client,
+        client: store_client.StoreClient,
         topic: str,
         fold: Fold,
         on_folded: typing.Callable[[], None],
@@ -87,16 +90,38 @@
         if is_shorter and self.end_offset is not None:
             self.read_now()
 
-    def skip_to(self, offset: ids.Offset) -> None:
-        """Skip the records before *offset*, which came from a peer."""
-        if self.end_offset is None or offset <= self.end_offset:
+    @property
+    def end_position(self) -> ids.LogPosition | None:
+        """The position of :attr:`end_offset`."""
+        if self.end_offset is None:
+            return None
+        return log_position.pack(self._client.era, self.end_offset)
+
+    def skip_to(self, position: ids.LogPosition) -> None:
+        """Skip the records before *position*, which came from a peer."""
+        end = self.end_position
+        if end is None or position <= end:
+            return
+        place = log_position.unpack(position)
+        if place.era != self._client.era:
             return
-        self.end_offset = offset
+        self.end_offset = place.offset
         if self._is_reading:
             # The records of the pending read are already known.
             self._cancel_read()
             self._schedule(self._period_s)
 
+    def handle_new_era(self, reads_now: bool) -> None:
+        """Start again from a snapshot, as the store has lost records.
+
+        :param reads_now: whether to read it at once, and not after the usual
+            pause
+        """
+        self._cancel_read()
+        self._is_reading = False
+        self.end_offset = None
+        self._schedule(0.0 if reads_now else self._period_s + self._wait_s)
+
     def read_now(self) -> None:
         """Start a read now, in place of a pending one."""
         self._cancel_read()
@@ -140,16 +165,16 @@
 
         self._is_reading = True
         self._cancel_read = self._client.call(
-            request.method,
-            request.target,
-            handle_reply,
-            wait_s + ANSWER_MARGIN_S,
+            request, handle_reply, wait_s + ANSWER_MARGIN_S
         )
 
     def _handle_page(
         self, reply: control_client.Reply | control_client.CallFailure
     ) -> None:
-        page = self._decode_reply(reply, store.decode_newest)
+        era = self._client.era
+        page = self._decode_reply(
+            reply, lambda body: store.decode_newest(body, era)
+        )
         if page is None:
             return
         if self._snapshot_end is None:
@@ -164,7 +189,9 @@
             self._request_page(page.next_key)
             return
         for key in self._known_keys - self._page_keys:
-            gone = store.KeyedRecord(key, None, self._snapshot_end)
+            gone = store.KeyedRecord(
+                key, None, log_position.pack(era, self._snapshot_end)
+            )
             self._fold(gone, True)
         self._known_keys = self._page_keys
         self.end_offset = self._snapshot_end
@@ -183,7 +210,9 @@
             self._schedule(MIN_PERIOD_S)
             return
         offset = self.end_offset
-        assert offset is not None
+        if offset is None:
+            # The store has begun a new era, and a snapshot is due.
+            return
         found = self._decode_reply(
             reply, lambda body: store.decode_read(body, offset)
         )
@@ -196,7 +225,10 @@
             self._schedule(MIN_PERIOD_S)
             return
         for record_offset, content in enumerate(found.records, start=offset):
-            record = store.decode_keyed(content, ids.Offset(record_offset))
+            record = store.decode_keyed(
+                content,
+                log_position.pack(self._client.era, ids.Offset(record_offset)),
+            )
             if isinstance(record, outcome.Failure):
                 journal.problem(
                     'store-record', outcome=str(record), topic=self.topic
@@ -219,6 +251,11 @@
         decode: typing.Callable[[bytes], typing.Any],
     ) -> typing.Any:
         """The decoded reply; None after a failure, which is retried."""
+        if reply is control_client.CallFailure.OTHER_ERA:
+            # A new era has scheduled a read already; a late answer has not.
+            if self._timer is None or self._timer.callback is None:
+                self._schedule(MIN_PERIOD_S)
+            return None
         if isinstance(reply, control_client.CallFailure):
             self._handle_failure(reply.value)
             return None
--- a/src/guavachute/ids.py
+++ b/src/guavachute/ids.py
@@ -17,6 +17,11 @@
 
 EnvironmentName = typing.NewType('EnvironmentName', str)
 FailureDomain = typing.NewType('FailureDomain', str)
+
+LogPosition = typing.NewType('LogPosition', int)
+"""The place of a record in a topic of the platform's store, over all eras of
+the store; see :mod:`guavachute.domain.log_position`."""
+
 ModelName = typing.NewType('ModelName', str)
 
 NodeId = typing.NewType('NodeId', str)
@@ -29,6 +34,10 @@
 RecordId = typing.NewType('RecordId', str)
 Region = typing.NewType('Region', str)
 RequestId = typing.NewType('RequestId', str)
+StoreEra = typing.NewType('StoreEra', int)
+"""How often the platform's store has lost its latest records; grows by one
+each time."""
+
 ServiceName = typing.NewType('ServiceName', str)
 VmId = typing.NewType('VmId', str)
 WorkspaceName = typing.NewType('WorkspaceName', str)
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -64,6 +64,7 @@
         start_ms=entry.born,
         is_reclaimable=entry.spot,
         leaves_in_s=_seconds(entry.leaves_ms),
+        writes=entry.sequence,
     )
 
 
--- a/src/guavachute/platform/store.py
+++ b/src/guavachute/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from guavachute.domain import call
+from guavachute.domain import log_position
 from guavachute import ids
 from guavachute import outcome
 
@@ -20,6 +21,10 @@
 _READ_HEAD = struct.Struct('>QQ')
 
 TRIMMED_STATUS = 410
+"""The records that were to be read are gone, or don't exist in this era."""
+
+_ERA = b'store-era'
+
 OWN_TOPIC = 'keyed.guavachute'
 """The topic of this system. For topics whose names start with ``keyed.``,
 the store keeps the latest record of each key."""
@@ -43,12 +48,12 @@
     """A record of a keyed topic.
 
     :ivar value: None if the record deletes the key
-    :ivar offset: its offset in the topic; None if not known
+    :ivar position: its place in the topic; None if not known
     """
 
     key: str
     value: bytes | None
-    offset: ids.Offset | None = None
+    position: ids.LogPosition | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,10 +145,21 @@
     return bytes([len(key)]) + key + (record.value or b'')
 
 
+def era_of(headers: typing.Sequence[call.Header]) -> ids.StoreEra | None:
+    """The era of the store that an answer with *headers* comes from.
+
+    None if the store doesn't tell it.
+    """
+    for name, value in headers:
+        if name.lower() == _ERA and value.strip().isdigit():
+            return ids.StoreEra(int(value))
+    return None
+
+
 def decode_keyed(
-    content: bytes, offset: ids.Offset
+    content: bytes, position: ids.LogPosition
 ) -> KeyedRecord | outcome.Failure:
-    """Decode the content of the record at *offset* of a keyed topic."""
+    """Decode the content of the record at *position* of a keyed topic."""
     size = content[0] if content else 0
     if not content or len(content) < 1 + size:
         return _unreadable('record is shorter than its key')
@@ -151,18 +167,18 @@
         key = content[1 : 1 + size].decode()
     except UnicodeDecodeError as error:
         return _unreadable(f'key: {error}')
-    return KeyedRecord(key, content[1 + size :] or None, offset)
+    return KeyedRecord(key, content[1 + size :] or None, position)
 
 
-def decode_newest(body: bytes) -> Newest | outcome.Failure:
-    """Decode the answer to :func:`newest`."""
+def decode_newest(body: bytes, era: ids.StoreEra) -> Newest | outcome.Failure:
+    """Decode the answer to :func:`newest` of the store in *era*."""
     try:
         page = _pages.decode(body)
         records = [
             KeyedRecord(
                 item.key,
                 base64.b64decode(item.value) if item.value else None,
-                ids.Offset(item.offset),
+                log_position.pack(era, ids.Offset(item.offset)),
             )
             for item in page.items
         ]
--- a/src/guavachute/standin/platform/store.py
+++ b/src/guavachute/standin/platform/store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's store: a log with topics and keys."""
 
 import base64
+import copy
 import dataclasses
 import enum
 import struct
@@ -9,6 +10,7 @@
 
 import msgspec
 
+from guavachute.domain import call
 from guavachute.entry import loop as entry_loop
 from guavachute.standin.platform import server
 
@@ -48,6 +50,7 @@
     :ivar fault: what is wrong with the store
     :ivar page_items: the most items in one page of newest values
     :ivar calls: path and query of each call, oldest first
+    :ivar era: how often the store has come back from a copy, from 1
     """
 
     def __init__(self, loop: entry_loop.Loop) -> None:
@@ -59,6 +62,8 @@
         self.fault = Fault.NONE
         self.page_items = PAGE_ITEMS
         self.calls: list[str] = []
+        self.era = 1
+        self._copy: dict[str, _Topic] = {}
 
     def close(self) -> None:
         """Stop listening and close all connections."""
@@ -85,6 +90,20 @@
         found.first_offset = found.end_offset
         found.records.clear()
 
+    def make_copy(self) -> None:
+        """Keep a copy of all topics, for :meth:`restore_copy`."""
+        self._copy = copy.deepcopy(self._topics)
+
+    def restore_copy(self) -> None:
+        """Come back from the latest copy, in a new era.
+
+        Without a copy, all records are lost. Open calls get no response.
+        """
+        self._topics = copy.deepcopy(self._copy)
+        self.era += 1
+        self._waiting.clear()
+        self._server.abort_connections()
+
     def _topic(self, name: str) -> _Topic:
         return self._topics.setdefault(name, _Topic())
 
@@ -108,7 +127,7 @@
         target = answer.request.target.decode()
         self.calls.append(target)
         if self.fault is Fault.BUSY:
-            answer.reply(503)
+            self._reply(answer, 503)
             return
         if self.fault is Fault.SILENT:
             return
@@ -122,14 +141,14 @@
         elif name == 'log-read':
             self._serve_read(answer, query)
         else:
-            answer.reply(404)
+            self._reply(answer, 404)
 
     def _serve_append(
         self, answer: server.Answer, query: dict[str, str]
     ) -> None:
         name = query['topic']
         if name in (OPERATOR_TOPIC, ENDPOINTS_TOPIC):
-            answer.reply(403)
+            self._reply(answer, 403)
             return
         topic = self._topic(name)
         if 'at' in query and int(query['at']) != topic.end_offset:
@@ -174,7 +193,7 @@
     ) -> None:
         name, offset = query['topic'], int(query['from'])
         topic = self._topic(name)
-        if offset < topic.first_offset:
+        if not topic.first_offset <= offset <= topic.end_offset:
             self._reply_json(answer, {'firstOffset': topic.first_offset}, 410)
             return
         wait_ms = int(query.get('waitMs', '0'))
@@ -203,16 +222,25 @@
         found = topic.records[offset - topic.first_offset :]
         body = struct.pack('>QQ', topic.end_offset, topic.first_offset)
         body += b''.join(struct.pack('>I', len(item)) + item for item in found)
-        answer.reply(200, body)
+        self._reply(answer, 200, body)
 
     def _reply_json(
         self, answer: server.Answer, value: typing.Any, status: int = 200
     ) -> None:
-        answer.reply(
-            status,
-            msgspec.json.encode(value),
-            [(b'Content-Type', b'application/json')],
-        )
+        self._reply(answer, status, msgspec.json.encode(value), call.JSON)
+
+    def _reply(
+        self,
+        answer: server.Answer,
+        status: int,
+        body: bytes = b'',
+        content_type: bytes = call.BINARY,
+    ) -> None:
+        headers = [
+            (b'Content-Type', content_type),
+            (b'Store-Era', b'%d' % self.era),
+        ]
+        answer.reply(status, body, headers)
 
 
 def _split(body: bytes) -> list[bytes]:
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -89,7 +89,7 @@
     :ivar is_reader: whether it is a reader, which reads the store closely
         and computes the sums of its region
     :ivar configuration_version: 0 while it has none
-    :ivar endpoints_version: offset of the newest entry in the store that
+    :ivar endpoints_version: position of the newest entry in the store that
         changed the endpoints that the node knows
     :ivar reaches_store: whether the store answers the node
     :ivar spent: by workspace, the amount admitted since the start, the
@@ -101,6 +101,10 @@
         started. If there are many nodes, it is sent to readers only
     :ivar crashes: reports of requests that crashed endpoints
     :ivar region_updates: updates of other regions that a reader passes on
+    :ivar store_era: the latest era of the store that the node knows; None if
+        it knows none
+    :ivar leaving: endpoints that have told the node that they leave, with the
+        start of their incarnation as Unix time in milliseconds
     """
 
     node: str
@@ -123,6 +127,8 @@
     usage: dict[int, dict[ids.WorkspaceName, int]]
     crashes: list[requests.CrashNotice]
     region_updates: list[RegionUpdate] = []
+    store_era: ids.StoreEra | None = None
+    leaving: list[tuple[ids.EndpointId, int]] = []
 
 
 Update = NodeUpdate | RegionUpdate
@@ -146,18 +152,24 @@
     :ivar record_id: random, different for each record
     :ivar holder: the process that holds the lease, unique to each start
     :ivar usage: the counts to report, by window and workspace
+    :ivar era: the store's era that the holder knew. In another era the record
+        is no lease: the store has lost it, or appended it late.
+    :ivar first_window: windows before this one are reported only if *usage*
+        has them, as the store may have lost what was decided about them
     """
 
     record_id: str
     holder: str
     duration_s: float
     usage: dict[int, dict[ids.WorkspaceName, int]] = {}
+    era: ids.StoreEra = ids.StoreEra(0)
+    first_window: int = 0
 
 
 class StoreEntry(msgspec.Struct, frozen=True, array_like=True):
-    """The stored bytes of an endpoint's entry, and its offset."""
+    """The stored bytes of an endpoint's entry, and its position."""
 
-    offset: ids.Offset
+    position: ids.LogPosition
     value: bytes
 
 
@@ -165,29 +177,29 @@
     """A node's configuration, for peers that do not have it.
 
     :ivar deflated: the stored bytes, deflated
-    :ivar next_offset: the offset after its record in the store's topic
+    :ivar next_position: the position after its record in the store's topic
     """
 
     deflated: bytes
     version: int
-    next_offset: ids.Offset
+    next_position: ids.LogPosition
 
 
 class SharedEndpoints(msgspec.Struct, frozen=True, kw_only=True):
     """The endpoint entries that a node has read and a peer has not.
 
     :ivar changed: changed entries, by endpoint id
-    :ivar removed: offsets of the removals, by endpoint id
+    :ivar removed: positions of the removals, by endpoint id
     :ivar is_whole: whether *changed* contains all existing entries
-    :ivar offset: the offset up to which the entries have been read
-    :ivar version: offset of the newest entry that changed anything
+    :ivar position: the position up to which the entries have been read
+    :ivar version: position of the newest entry that changed anything
     """
 
     changed: dict[str, StoreEntry]
-    removed: dict[str, ids.Offset]
+    removed: dict[str, ids.LogPosition]
     is_whole: bool
-    offset: ids.Offset
-    version: ids.Offset
+    position: ids.LogPosition
+    version: ids.LogPosition
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -16,11 +16,12 @@
 from guavachute.decide.nodes import rounds
 from guavachute.domain import call
 from guavachute.domain import endpoints
-from guavachute.entry import control_client
+from guavachute.domain import log_position
 from guavachute.entry import known_state
 from guavachute.entry import node as entry_node
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import plain_server
+from guavachute.entry import store_client
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.platform import store
@@ -237,7 +238,7 @@
         for number in range(20):
             self.site.add_engine(f'more-{number}', 'drafts', events=1)
         node = self.site.ready_node()
-        first = node.state.shared_endpoints(known_state.NO_OFFSET)
+        first = node.state.shared_endpoints(log_position.NO_POSITION)
         self.assertTrue(first.is_whole)
         self.assertEqual(21, len(first.changed))
         peer = self.state()
@@ -267,7 +268,7 @@
         node = self.site.ready_node()
         peer = self.state()
         peer.merge_shared_endpoints(
-            node.state.shared_endpoints(known_state.NO_OFFSET)
+            node.state.shared_endpoints(log_position.NO_POSITION)
         )
         node.state.table.store_returned_s = self.site.loop.now_s
         self.plain.unregister()
@@ -285,7 +286,7 @@
         node = self.site.ready_node()
         peer = self.state()
         peer.merge_shared_endpoints(
-            node.state.shared_endpoints(known_state.NO_OFFSET)
+            node.state.shared_endpoints(log_position.NO_POSITION)
         )
         entry = node.state.table.entries[ids.EndpointId('e1')]
         node.state.apply_leave_report(
@@ -301,7 +302,9 @@
         self.assertIs(endpoints.EndpointState.DRAINING, shared.state)
 
     def test_news_from_a_peer_costs_no_call_to_the_store(self) -> None:
-        client = control_client.Client(self.site.loop, self.site.store.address)
+        client = store_client.StoreClient(
+            self.site.loop, self.site.store.address
+        )
         self.addCleanup(client.close)
         follower = topic_follower.TopicFollower(
             self.site.loop,
@@ -317,9 +320,9 @@
         self.until(lambda: follower.end_offset is not None)
         looping.run_for(self.site.loop, 0.2)
         calls = len(self.site.store.calls)
-        assert follower.end_offset is not None
+        assert follower.end_position is not None
         for further in range(1, 4):
-            follower.skip_to(ids.Offset(follower.end_offset + further))
+            follower.skip_to(ids.LogPosition(follower.end_position + further))
             looping.run_for(self.site.loop, 0.1)
         self.assertEqual(calls, len(self.site.store.calls))
 
@@ -337,7 +340,7 @@
     def test_a_peer_sends_it_in_a_tenth_of_the_bytes(self) -> None:
         text = platform_site.configuration(2, self.routes(1_500))
         state = known_state.KnownState(self.site.loop)
-        state.apply_configuration(text, 'store', ids.Offset(1))
+        state.apply_configuration(text, 'store', ids.LogPosition(1))
         shared = state.shared_configuration(1)
         assert shared is not None
         self.assertLess(len(node_updates.encode(shared)), len(text) / 10)
@@ -356,7 +359,7 @@
             if request.path == entry_peers.CONFIGURATION_PATH:
                 slow = b'.' * 50_000_000
                 return plain_server.Reply(200, slow, call.BINARY)
-            shared = first.state.shared_endpoints(known_state.NO_OFFSET)
+            shared = first.state.shared_endpoints(log_position.NO_POSITION)
             return plain_server.Reply(
                 200, node_updates.encode(shared), call.BINARY
             )
--- a/tests/cover/test_node_decisions.py
+++ b/tests/cover/test_node_decisions.py
@@ -248,7 +248,7 @@
         self, steps: list[tuple[str, bool]], known: int
     ) -> None:
         log = change_log.ChangeLog()
-        log.set_complete_from(ids.Offset(0))
+        log.set_complete_from(ids.LogPosition(0))
         before: dict[str, int] = {}
         after: dict[str, int] = {}
         for offset, (key, is_removed) in enumerate(steps):
@@ -259,8 +259,8 @@
                 else:
                     state[key] = offset
             record = log.record_removal if is_removed else log.record_change
-            record(key, ids.Offset(offset))
-        changes = log.since(ids.Offset(known))
+            record(key, ids.LogPosition(offset))
+        changes = log.since(ids.LogPosition(known))
         assert changes is not None
         before.update(changes.changed)
         for key in changes.removed:
@@ -269,14 +269,14 @@
 
     def test_what_is_too_old_to_be_known_is_said_so(self) -> None:
         log = change_log.ChangeLog()
-        self.assertIsNone(log.since(ids.Offset(0)))
-        log.set_complete_from(ids.Offset(50))
-        self.assertIsNone(log.since(ids.Offset(48)))
-        self.assertIsNotNone(log.since(ids.Offset(49)))
+        self.assertIsNone(log.since(ids.LogPosition(0)))
+        log.set_complete_from(ids.LogPosition(50))
+        self.assertIsNone(log.since(ids.LogPosition(48)))
+        self.assertIsNotNone(log.since(ids.LogPosition(49)))
         for number in range(change_log.KEPT_REMOVALS + 5):
-            log.record_removal(f'key-{number}', ids.Offset(100 + number))
-        self.assertIsNone(log.since(ids.Offset(99)))
-        self.assertIsNotNone(log.since(ids.Offset(200)))
+            log.record_removal(f'key-{number}', ids.LogPosition(100 + number))
+        self.assertIsNone(log.since(ids.LogPosition(99)))
+        self.assertIsNotNone(log.since(ids.LogPosition(200)))
 
 
 class RoundsTest(unittest.TestCase):
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -279,18 +279,18 @@
         self, key: str, value: bytes
     ) -> None:
         hypothesis.assume(len(key.encode('utf-8', 'replace')) < 256)
-        record = store.KeyedRecord(key, value, ids.Offset(7))
+        record = store.KeyedRecord(key, value, ids.LogPosition(7))
         self.assertEqual(
             record,
-            store.decode_keyed(store.encode_keyed(record), ids.Offset(7)),
+            store.decode_keyed(store.encode_keyed(record), ids.LogPosition(7)),
         )
 
     @hypothesis.given(data=strategies.binary(max_size=80))
     def test_any_bytes_are_read_or_refused(self, data: bytes) -> None:
         for decode in (
             lambda: store.decode_read(data, ids.Offset(0)),
-            lambda: store.decode_newest(data),
-            lambda: store.decode_keyed(data, ids.Offset(0)),
+            lambda: store.decode_newest(data, ids.StoreEra(1)),
+            lambda: store.decode_keyed(data, ids.LogPosition(0)),
         ):
             decode()
 
