Follow what endpoints say in their answers: that they leave, or want a pause

Cause: only the store told that an endpoint leaves, so a node went on sending while the store was away or showed an older entry; a 503 with Retry-After was treated as any other rejection, so an engine that wanted no requests got more from the same node. Change: an announced end binds the node from the answer on, whatever the store shows, until the endpoint starts again; peers are told, runs there go on and are moved in time. A named pause is kept: no request, report or move; connections that are still being established are given up and their requests sent elsewhere. If all endpoints of a service pause, callers hear at once when the first one wants requests again, spread over half of the pause. Values that make no sense are bounded and logged.

--- a/src/guavachute/entry/control_client.py
+++ b/src/guavachute/entry/control_client.py
@@ -37,7 +37,7 @@
     status: int
     body: bytes
     headers: typing.Sequence[call.Header] = dataclasses.field(
-        default=(), compare=False
+        default=(), compare=False, repr=False
     )
 
 
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+from guavachute.decide.ingress import announcements
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import endpoint_health
 from guavachute.decide.nodes import endpoint_table
@@ -12,6 +13,8 @@
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
 from guavachute import ids
+from guavachute.observe import journal
+from guavachute.platform import requests
 
 MAX_CACHED_PARTS = 4_000
 """Upper bound of the prompt parts that are remembered as cached by one
@@ -62,6 +65,8 @@
     :ivar own: the work of this node at the endpoint
     :ivar accepts_until_s: loop time until which it gets new work although it
         is leaving
+    :ivar has_announced_end: whether it told in an answer that it will end, so
+        that it gets no new work
     :ivar is_gone: whether its entry is gone; the endpoint may still run the
         requests that it has started
     :ivar reported_requests: the running and waiting requests in the endpoint's
@@ -80,6 +85,7 @@
     reported_requests: int = 0
     reported_at_s: float = float('-inf')
     accepts_until_s: float = float('-inf')
+    has_announced_end: bool = False
     is_gone: bool = False
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -88,7 +94,15 @@
     @property
     def is_leaving(self) -> bool:
         """Whether the endpoint has announced that it will end."""
-        return self.entry.state is endpoints.EndpointState.DRAINING
+        return (
+            self.has_announced_end
+            or self.entry.state is endpoints.EndpointState.DRAINING
+        )
+
+    @property
+    def incarnation(self) -> announcements.Incarnation:
+        """Identifies this incarnation in announcements."""
+        return announcements.Incarnation(self.entry.id, self.entry.start_ms)
 
     def cached_tokens(self, parts: typing.Sequence[call.PromptPart]) -> int:
         """Tokens at the start of a prompt that the engine should have cached.
@@ -144,6 +158,7 @@
         self._now_s = now_s
         self._table = table
         self._records: dict[ids.EndpointId, EndpointRecord] = {}
+        self._announcements = announcements.Announcements()
         self.work_of_others: typing.Callable[[ids.EndpointId], Work] = (
             lambda endpoint: Work()
         )
@@ -166,6 +181,9 @@
             if found is not None:
                 self.on_died(found)
             found = self._records[entry.id] = EndpointRecord(entry)
+            found.has_announced_end = self._announcements.is_leaving(
+                found.incarnation
+            )
         was_leaving = found.is_leaving
         found.entry = entry
         found.is_gone = False
@@ -211,13 +229,125 @@
             and item.entry.id not in excluded
             and self._accepts_work(item, now_s)
             and not item.health.is_paused(now_s)
+            and not self.pause_s(item, now_s)
         ]
 
     def _accepts_work(self, item: EndpointRecord, now_s: float) -> bool:
         """Whether the endpoint accepts work, for a while also if it leaves."""
-        return item.entry.id in self._table.entries and (
-            not item.is_leaving or now_s < item.accepts_until_s
+        return (
+            item.entry.id in self._table.entries
+            and not item.has_announced_end
+            and (not item.is_leaving or now_s < item.accepts_until_s)
+        )
+
+    # -- what endpoints say of themselves ------------------------------
+
+    def apply_announcement(
+        self,
+        record: EndpointRecord,
+        announced: requests.Announcement,
+        now_s: float,
+    ) -> bool:
+        """Apply what an endpoint says in an answer.
+
+        Returns whether it wants no request for a while.
+        """
+        if announced.is_leaving:
+            self._handle_announced_end(record, 'answer', now_s)
+        if announced.retry_after_s is None:
+            return False
+        pause_s = announcements.bounded_pause_s(announced.retry_after_s)
+        if pause_s != announced.retry_after_s:
+            journal.problem(
+                'endpoint',
+                outcome='pause-bounded',
+                endpoint=record.entry.id,
+                announced_s=str(announced.retry_after_s),
+                pause_s=pause_s,
+            )
+        is_longer = self._announcements.record_pause(
+            record.incarnation, now_s + pause_s
+        )
+        if pause_s and is_longer:
+            journal.event(
+                'endpoint',
+                outcome='paused',
+                endpoint=record.entry.id,
+                reason='the endpoint wants no requests',
+                pause_s=pause_s,
+            )
+        return pause_s > 0
+
+    def apply_notices(
+        self,
+        notices: typing.Iterable[tuple[ids.EndpointId, int]],
+        source: str,
+        now_s: float,
+    ) -> None:
+        """Apply that endpoints have told another node that they leave."""
+        for endpoint, start_ms in notices:
+            record = self._records.get(endpoint)
+            if record is not None and record.entry.start_ms == start_ms:
+                self._handle_announced_end(record, source, now_s)
+            else:
+                self._announcements.record_leaving(
+                    announcements.Incarnation(endpoint, start_ms), now_s
+                )
+
+    def notices(self, now_s: float) -> list[tuple[ids.EndpointId, int]]:
+        """The endpoints that announced their end, for the other nodes."""
+        return [
+            (item.endpoint, item.start_ms)
+            for item in self._announcements.notices(now_s)
+        ]
+
+    def pause_s(self, record: EndpointRecord, now_s: float) -> float:
+        """For how long an endpoint wants no request; 0 if it wants them."""
+        return self._announcements.pause_s(record.incarnation, now_s)
+
+    def service_pause_s(
+        self, service: ids.ServiceName, now_s: float
+    ) -> float | None:
+        """The time until an endpoint of *service* wants requests again.
+
+        None if one may want them now, or there is none.
+        """
+        pauses_s = [
+            self.pause_s(item, now_s)
+            for item in self._records.values()
+            if item.entry.service == service
+            and self._accepts_work(item, now_s)
+        ]
+        return min(pauses_s, default=0.0) or None
+
+    def log_ended_pauses(self, now_s: float) -> None:
+        """Log the endpoints that want requests again."""
+        for incarnation in self._announcements.pop_ended_pauses(now_s):
+            journal.event(
+                'endpoint',
+                outcome='resumed',
+                endpoint=incarnation.endpoint,
+                reason='the pause that it wanted is over',
+            )
+
+    def _handle_announced_end(
+        self, record: EndpointRecord, source: str, now_s: float
+    ) -> None:
+        self._announcements.record_leaving(record.incarnation, now_s)
+        if record.has_announced_end:
+            return
+        was_leaving = record.is_leaving
+        record.has_announced_end = True
+        journal.event(
+            'endpoint',
+            outcome='leaving',
+            endpoint=record.entry.id,
+            service=record.entry.service,
+            domain=record.entry.domain,
+            source=source,
         )
+        if not was_leaving:
+            self.on_leaving(record)
 
     def candidates(
         self,
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -1,9 +1,11 @@
 """Serves one request: chooses endpoints, retries and forwards the answer."""
 
 import enum
+import random
 import typing
 
 from guavachute.decide import crash
+from guavachute.decide.ingress import announcements
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import event_stream
 from guavachute.domain import call as domain_call
@@ -110,6 +112,13 @@
     ) -> None:
         """The connection broke while an endpoint had the request."""
 
+    def handle_announcement(
+        self,
+        record: endpoint_registry.EndpointRecord,
+        announced: requests.Announcement,
+    ) -> None:
+        """An endpoint said in an answer what it wants."""
+
     def handle_request_ended(self, exchange: 'Exchange', verdict: str) -> None:
         """The exchange is over, and its caller is answered or gone.
 
@@ -225,6 +234,16 @@
         return choice.choose_plain(candidates)
 
     def _await_endpoint(self, now_s: float) -> None:
+        pause_s = self._owner.registry.service_pause_s(self.service, now_s)
+        if pause_s is not None:
+            self._fail_request(
+                outcome.Failure(
+                    outcome.Reason.NO_CAPACITY,
+                    f'all endpoints of {self.service} want no requests',
+                    announcements.return_after_s(pause_s, random.random()),
+                )
+            )
+            return
         waited_s = now_s - self.arrived_s
         if waited_s < WAIT_FRACTION * self.route.objective_s:
             self._recheck_timer = self._owner.loop.call_after(
@@ -306,6 +325,20 @@
             priority = self.workspace.priority
         return max(0, min(9, priority))
 
+    def withdraw(self, record: endpoint_registry.EndpointRecord) -> None:
+        """Send the request elsewhere if it has not been sent to *record* yet.
+
+        A connection that is still being established would bring the request to
+        an endpoint that wants none by then.
+        """
+        if (
+            self._record is record
+            and self._connection is not None
+            and not self._connection.is_connected
+        ):
+            self._release_endpoint(keeps_alive=False)
+            self._after_connect_failure()
+
     # -- moves to another endpoint -------------------------------------
 
     @property
@@ -437,6 +470,7 @@
     def _handle_answer_head(self, event: http1.AnswerStarted) -> None:
         assert self._record is not None and self._connection is not None
         head = requests.read_answer(event.status, event.headers)
+        self._owner.handle_announcement(self._record, head.announcement)
         if head.attempt_id != self.call.attempt_id:
             self._answer_mode = _AnswerMode.FOREIGN
             journal.problem(
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -386,6 +386,22 @@
         """Record a request whose connection to an endpoint broke."""
         self._lost_attempts.append((self.loop.now_s, record, started))
 
+    def handle_announcement(
+        self,
+        record: endpoint_registry.EndpointRecord,
+        announced: requests.Announcement,
+    ) -> None:
+        """Apply what an endpoint says of itself in an answer."""
+        if announced.is_leaving and not record.has_announced_end:
+            self._metrics.add('endpoints_announced_end')
+        if not self.registry.apply_announcement(
+            record, announced, self.loop.now_s
+        ):
+            return
+        self._metrics.add('endpoint_pauses')
+        for started in list(self._exchanges):
+            started.withdraw(record)
+
     def handle_request_ended(
         self, started: exchange.Exchange, verdict: str
     ) -> None:
@@ -460,12 +476,15 @@
         for before_end_s in MOVES_BEFORE_END_S:
             self.loop.call_after(
                 max(0.0, leaves_in_s - before_end_s),
-                lambda: self._move_from(record.entry.id),
+                lambda: self._move_from(record),
             )
 
-    def _move_from(self, endpoint: ids.EndpointId) -> None:
+    def _move_from(self, record: endpoint_registry.EndpointRecord) -> None:
+        if self.registry.pause_s(record, self.loop.now_s):
+            # A move is a call to the engine too.
+            return
         for started in list(self._exchanges):
-            if started.endpoint == endpoint:
+            if started.endpoint == record.entry.id:
                 started.move_away()
 
     # -- requests that crash endpoints ---------------------------------
@@ -521,6 +540,7 @@
     def expire(self) -> None:
         """Discard expired state; called about every half second."""
         self.pool.sweep()
+        self.registry.log_ended_pauses(self.loop.now_s)
         runs, silent = self._peers.table.counted_runs(quota.SILENT_AFTER_S)
         self._quotas.set_peers(quota.PeerRuns(runs, silent), self.loop.now_s)
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -194,6 +194,7 @@
             self.registry,
             lambda: self._endpoints.lost_since_s is not None,
             self._apply_leave_report,
+            self.ingress.handle_announcement,
         )
         self._is_registered = False
         self._addresses: dict[
@@ -496,6 +497,7 @@
             usage=self.usage.recent(),
             crashes=self.ingress.crash_notices(),
             store_era=self._store.told_era,
+            leaving=self.registry.notices(self.loop.now_s),
         )
 
     def region_update(
@@ -544,6 +546,10 @@
         """Apply the update of another node."""
         if update.store_era is not None:
             self._store.observe_era(update.store_era, update.node)
+        if update.leaving:
+            self.registry.apply_notices(
+                update.leaving, update.node, self.loop.now_s
+            )
         self.usage.merge_node_update(update)
         source = peer_table.source(update)
         is_no_older = update.age_s <= self._age_s + quota.STARTUP_WINDOW_S
@@ -596,6 +602,7 @@
             entry.is_reclaimable
             and entry.leaves_in_s is None
             and record.own.requests
+            and not self.registry.pause_s(record, self.loop.now_s)
         ):
             self._reports.request_report(
                 record,
--- a/src/guavachute/entry/report_watch.py
+++ b/src/guavachute/entry/report_watch.py
@@ -16,6 +16,7 @@
 from guavachute.observe import journal
 from guavachute import outcome
 from guavachute.platform import endpoints as platform_endpoints
+from guavachute.platform import requests
 
 PERIOD_S = 0.5
 TIMEOUT_S = 0.4
@@ -23,12 +24,18 @@
 Done = typing.Callable[[endpoints.EngineReport | None], None]
 """Called with an engine's report; None if there is none."""
 
+OnAnnouncement = typing.Callable[
+    [endpoint_registry.EndpointRecord, requests.Announcement], None
+]
+
 
 class ReportWatch:
     """Polls the reports of engines that run requests of this node.
 
     :param is_needed: whether to poll, as the store does not answer
     :param on_leaving: called with the entry of an engine that will end
+    :param on_announcement: called with what an engine says of itself in the
+        head of an answer
     """
 
     def __init__(
@@ -37,11 +44,13 @@
         registry: endpoint_registry.EndpointRegistry,
         is_needed: typing.Callable[[], bool],
         on_leaving: typing.Callable[[endpoints.Endpoint], None],
+        on_announcement: OnAnnouncement,
     ) -> None:
         self._loop = loop
         self._registry = registry
         self._is_needed = is_needed
         self._on_leaving = on_leaving
+        self._on_announcement = on_announcement
         self._clients: dict[ids.Address, control_client.Client] = {}
 
     def start(self) -> None:
@@ -59,7 +68,8 @@
             self.close()
             return
         for record in self._registry.engines_with_requests():
-            if not record.is_leaving:
+            wants_none = self._registry.pause_s(record, self._loop.now_s) > 0
+            if not record.is_leaving and not wants_none:
                 self._poll_engine(record)
 
     def _poll_engine(self, record: endpoint_registry.EndpointRecord) -> None:
@@ -82,51 +92,69 @@
         if client is None:
             client = control_client.Client(self._loop, address)
             self._clients[address] = client
-        _fetch_report(client, record.entry.id, handle_report)
+        self._fetch_report(client, record, handle_report)
 
     def request_report(
         self, record: endpoint_registry.EndpointRecord, done: Done
     ) -> None:
-        """Request the report of one engine once."""
+        """Request the report of one engine once.
+
+        An engine that wants no requests for now is not asked.
+        """
+        if self._registry.pause_s(record, self._loop.now_s) > 0:
+            self._loop.call_after(0.0, lambda: done(None))
+            return
         client = control_client.Client(self._loop, record.entry.address)
 
         def handle_report(report: endpoints.EngineReport | None) -> None:
             client.close()
             done(report)
 
-        _fetch_report(client, record.entry.id, handle_report)
+        self._fetch_report(client, record, handle_report)
 
-
-def _fetch_report(
-    client: control_client.Client, endpoint: ids.EndpointId, done: Done
-) -> None:
-    def handle_reply(
-        reply: control_client.Reply | control_client.CallFailure,
+    def _fetch_report(
+        self,
+        client: control_client.Client,
+        record: endpoint_registry.EndpointRecord,
+        done: Done,
     ) -> None:
-        if (
-            isinstance(reply, control_client.CallFailure)
-            or reply.status != 200
-        ):
-            journal.event(
-                'report',
-                outcome='no-answer',
-                endpoint=endpoint,
-                reason=str(reply),
-            )
-            done(None)
-            return
-        report = platform_endpoints.decode_report(reply.body)
-        if isinstance(report, outcome.Failure):
-            journal.problem(
-                'report',
-                outcome='unreadable',
-                endpoint=endpoint,
-                reason=str(report),
-            )
-            done(None)
-            return
-        done(report)
-
-    client.call(
-        b'GET', platform_endpoints.REPORT_TARGET, handle_reply, TIMEOUT_S
-    )
+        endpoint = record.entry.id
+
+        def handle_reply(
+            reply: control_client.Reply | control_client.CallFailure,
+        ) -> None:
+            if isinstance(reply, control_client.Reply):
+                self._on_announcement(
+                    record,
+                    requests.read_announcement(reply.status, reply.headers),
+                )
+            done(_report(endpoint, reply))
+
+        client.call(
+            b'GET', platform_endpoints.REPORT_TARGET, handle_reply, TIMEOUT_S
+        )
+
+
+def _report(
+    endpoint: ids.EndpointId,
+    reply: control_client.Reply | control_client.CallFailure,
+) -> endpoints.EngineReport | None:
+    """The report in *reply*; None, with a log line, if there is none."""
+    if isinstance(reply, control_client.CallFailure) or reply.status != 200:
+        journal.event(
+            'report',
+            outcome='no-answer',
+            endpoint=endpoint,
+            reason=str(reply),
+        )
+        return None
+    report = platform_endpoints.decode_report(reply.body)
+    if isinstance(report, outcome.Failure):
+        journal.problem(
+            'report',
+            outcome='unreadable',
+            endpoint=endpoint,
+            reason=str(report),
+        )
+        return None
+    return report
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -68,6 +68,11 @@
         """Whether a request may be sent on it."""
         return self._transport is not None and not self._transport.is_closed
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether it has been established, so that requests are sent."""
+        return self._transport is not None and self._transport.is_connected
+
     @property
     def has_sent_all(self) -> bool:
         """Whether the request has been completely sent."""
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from guavachute.domain import call
@@ -127,6 +128,19 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What an endpoint says of itself in an answer.
+
+    :ivar is_leaving: whether it will end
+    :ivar retry_after_s: with status 503, for how long it wants no request;
+        None if not given, not a number if it can't be decoded
+    """
+
+    is_leaving: bool
+    retry_after_s: float | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """The head of an endpoint's answer.
@@ -136,6 +150,7 @@
     :ivar has_not_run: whether it states that the request did not run
     :ivar is_encoded: whether the body has a content encoding
     :ivar load: None if not given or malformed
+    :ivar announcement: what the endpoint says of itself
     :ivar idle_timeout_s: how long the endpoint keeps the connection open
         while it is idle; None if not given
     :ivar headers: the headers that are forwarded to the caller
@@ -147,6 +162,7 @@
     has_not_run: bool
     is_encoded: bool
     load: EndpointLoad | None
+    announcement: Announcement
     idle_timeout_s: float | None
     headers: typing.Sequence[call.Header]
 
@@ -167,6 +183,7 @@
         has_not_run=b'not-executed' in values or status == 421,
         is_encoded=encoding.strip().lower() != b'identity',
         load=_load(values.get(b'instance-load')),
+        announcement=_announcement(status, values),
         idle_timeout_s=_idle_timeout_s(values.get(b'keep-alive')),
         headers=[
             item
@@ -177,6 +194,15 @@
     )
 
 
+def read_announcement(
+    status: int, headers: typing.Sequence[call.Header]
+) -> Announcement:
+    """Decode what an endpoint says of itself in any of its answers."""
+    return _announcement(
+        status, {name.lower(): value for name, value in headers}
+    )
+
+
 def own_answer_headers(
     attempt_id: ids.AttemptId | None, retry_after_s: float | None
 ) -> list[call.Header]:
@@ -255,6 +281,26 @@
     return EndpointLoad(running, waiting, slots)
 
 
+def _announcement(
+    status: int, values: typing.Mapping[bytes, bytes]
+) -> Announcement:
+    return Announcement(
+        is_leaving=values.get(b'server-leaving', b'').strip() == b'1',
+        retry_after_s=_retry_after_s(values.get(b'retry-after'))
+        if status == 503
+        else None,
+    )
+
+
+def _retry_after_s(value: bytes | None) -> float | None:
+    if value is None:
+        return None
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
+
+
 def _idle_timeout_s(value: bytes | None) -> float | None:
     for item in (value or b'').split(b','):
         name, _, seconds = item.strip().partition(b'=')
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -93,6 +93,8 @@
     :ivar events: the number of events of a stream; 0 for plain answers
     :ivar behaviour: how it answers requests
     :ivar event_pause_s: seconds between two events of a stream
+    :ivar is_leaving: whether all answers say that the endpoint will end
+    :ivar retry_after: the ``Retry-After`` header of rejections; None without
     :ivar runs: the requests that it ran, oldest first
     :ivar report: the answer to ``/guavachute/report``
     :ivar refused: the number of requests that it rejected as overloaded
@@ -118,6 +120,8 @@
         self.slots = slots
         self.behaviour = Behaviour.NORMAL
         self.event_pause_s = 0.0
+        self.is_leaving = False
+        self.retry_after: str | None = None
         self.runs: list[Run] = []
         self.report: dict[str, typing.Any] = {
             'active': 0,
@@ -173,7 +177,9 @@
             self._move(answer)
             return
         if answer.request.target == b'/guavachute/report':
-            answer.reply(200, msgspec.json.encode(self.report))
+            answer.reply(
+                200, msgspec.json.encode(self.report), self._own_headers()
+            )
             return
         expected = answer.header(b'Expect-Instance')
         if expected is not None and expected.decode() != self.name:
@@ -181,7 +187,10 @@
             return
         if self.behaviour is Behaviour.SHED:
             self.refused += 1
-            answer.reply(503, b'', self._headers(answer, ran=False))
+            headers = self._headers(answer, ran=False)
+            if self.retry_after is not None:
+                headers.append((b'Retry-After', self.retry_after.encode()))
+            answer.reply(503, b'', headers)
             return
         run = Run(
             (answer.header(b'Attempt-Id') or b'').decode(),
@@ -303,4 +312,7 @@
         headers.append(
             (b'Instance-Load', b'%d,0,%d' % (len(self.runs), self.slots))
         )
-        return headers
+        return headers + self._own_headers()
+
+    def _own_headers(self) -> list[tuple[bytes, bytes]]:
+        return [(b'Server-Leaving', b'1')] if self.is_leaving else []
