Soak the store's copies, leaving endpoints and pauses; move only runs of the leaving incarnation

Test: test_an_end_that_was_told_before_a_restart_moves_nothing, failed before. The soak makes copies of the store and restores them, lets endpoints say that they leave and name pauses, and checks that no node sends to an endpoint after an answer that told its end, and that a holder's fencing tokens never fall.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -56,6 +56,9 @@
     def change_configuration(self) -> None:
         """Write the next version of the configuration."""
 
+    def write_configuration(self) -> None:
+        """Write the newest version of the configuration again."""
+
 
 class Faults:
     """Starts faults at random until :meth:`end`.
@@ -198,6 +201,43 @@
         for topic in (store.OWN_TOPIC, standin_store.ENDPOINTS_TOPIC):
             self._context.store.drop_history(topic)
 
+    def _copy(self) -> Undo:
+        self._record('store is copied')
+        self._context.store.make_copy()
+
+        def undo() -> None:
+            self._record('store comes back from its copy')
+            self._context.store.restore_copy()
+            # Endpoints write their entries again with their next heartbeat.
+            self._context.write_configuration()
+
+        return undo
+
+    def _leaving(self) -> Undo | None:
+        engine = self._context.rng.choice(self._context.engines)
+        if engine.is_leaving:
+            return None
+        self._record(f'engine {engine.name} says that it leaves')
+        engine.is_leaving = True
+
+        def undo() -> None:
+            engine.is_leaving = False
+            self._context.restart_engine(engine)
+
+        return undo
+
+    def _pausing(self) -> Undo:
+        engine = self._context.rng.choice(self._context.engines)
+        engine.retry_after = f'{self._context.rng.uniform(0.1, 2.0):.2f}'
+        engine.behaviour = Behaviour.SHED
+        self._record(f'engine {engine.name} pauses {engine.retry_after} s')
+
+        def undo() -> None:
+            engine.retry_after = None
+            engine.behaviour = Behaviour.NORMAL
+
+        return undo
+
     def _cloud(self) -> Undo:
         self._record('cloud sends no answers')
         self._context.cloud.drops_answers = True
@@ -237,6 +277,9 @@
     'engine_link',
     'store',
     'history',
+    'copy',
+    'leaving',
+    'pausing',
     'cloud',
     'engine',
     'engine',
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -83,7 +83,11 @@
                     f'{reason}: {attempt.attempt_id} {attempt.target} by '
                     f'{attempt.incarnation}, status {attempt.status}'
                 )
-    return found + _configuration_regressions(attempts)
+    return (
+        found
+        + _configuration_regressions(attempts)
+        + _runs_after_announced_end(attempts, runs)
+    )
 
 
 def duty_violations(
@@ -91,6 +95,7 @@
 ) -> list[str]:
     """Return the violated guarantees about calls to the cloud."""
     found = []
+    highest: dict[str, int] = {}
     counts: dict[int, typing.Any] = {}
     holders: dict[tuple[str, int], str] = {}
     for item in calls:
@@ -100,6 +105,12 @@
                 f'two holders with fencing token {item.fence}: {holder}, '
                 f'{item.holder}'
             )
+        if item.fence < highest.get(item.holder, item.fence):
+            found.append(
+                f'the fencing token of {item.holder} fell from '
+                f'{highest[item.holder]} to {item.fence}'
+            )
+        highest[item.holder] = item.fence
         if item.target == '/usage':
             window, reported = item.body['windowId'], item.body['counts']
             if counts.setdefault(window, reported) != reported:
@@ -110,11 +121,42 @@
     return found
 
 
+def _runs_after_announced_end(
+    attempts: typing.Sequence[Attempt], runs: Runs
+) -> list[str]:
+    """Return the requests that a node sent to an endpoint that leaves.
+
+    The node had passed on an answer in which the endpoint told it, before the
+    client sent the request.
+    """
+    told_s: dict[tuple[str, tuple[str, int]], float] = {}
+    for attempt in attempts:
+        if not attempt.is_complete:
+            continue
+        for run in runs.get(attempt.attempt_id, ()):
+            origin = standin_engine.origin(attempt.headers)
+            if run.has_told_end and origin.endpoint == run.engine[0]:
+                key = (attempt.incarnation, run.engine)
+                told_s[key] = min(
+                    attempt.ended_s, told_s.get(key, attempt.ended_s)
+                )
+    return [
+        f'run at {run.engine[0]} after it had told {attempt.incarnation} that '
+        f'it leaves: {attempt.attempt_id}'
+        for attempt in attempts
+        for run in runs.get(attempt.attempt_id, ())
+        if attempt.sent_s
+        > told_s.get((attempt.incarnation, run.engine), float('inf'))
+    ]
+
+
 def _check_run_count(
     attempt: Attempt, runs: typing.Sequence[standin_engine.Run]
 ) -> str | None:
-    if len(runs) > 1 and not attempt.route.can_run_again:
-        return f'ran {len(runs)} times'
+    """Check that nothing ran twice; a run that was moved counts once."""
+    starts = [run for run in runs if not run.was_moved]
+    if len(starts) > 1 and not attempt.route.can_run_again:
+        return f'ran {len(starts)} times'
     return None
 
 
@@ -165,10 +207,16 @@
         if attempt.is_complete and attempt.answer != expected:
             return 'answer was changed'
         return None
-    return _check_events(attempt, engine)
+    targets = {run.engine[0] for run in runs if run.was_moved}
+    return _check_events(attempt, {engine, *targets})
+
 
+def _check_events(attempt: Attempt, engines: set[str]) -> str | None:
+    """Check the events of a stream.
 
-def _check_events(attempt: Attempt, engine: str) -> str | None:
+    :param engines: the endpoint that began the answer, and those to which the
+        run was moved
+    """
     events = attempt.answer.split(b'\n\n')
     if attempt.is_complete:
         if events.pop():
@@ -182,8 +230,8 @@
         if not event.startswith(start) or not event.endswith(b'-%d' % number):
             return f'event {number} is {event!r}'
         source = event[len(start) :].rpartition(b'-')[0].decode()
-        if source != engine and not attempt.route.can_run_again:
-            return f'event {number} comes from {source}, not from {engine}'
+        if source not in engines and not attempt.route.can_run_again:
+            return f'event {number} comes from {source}, not from {engines}'
     return None
 
 
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -113,6 +113,10 @@
     def change_configuration(self) -> None:
         """Write the next version, which adds a route of its own."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the newest version again, which the store may have lost."""
         own = [
             (f'v{number}', f'/v{number}/', *PROBE_ROUTE)
             for number in range(1, self.version + 1)
@@ -125,6 +129,7 @@
         self._incarnations[engine.name] = (
             self._incarnations.get(engine.name, 1) + 1
         )
+        engine.incarnation = self._incarnations[engine.name]
         engine.abort_connections()
         self._register(engine)
 
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -341,12 +341,9 @@
 
     # -- moves to another endpoint -------------------------------------
 
-    @property
-    def endpoint(self) -> ids.EndpointId | None:
-        """The endpoint that has the request now; None if none has."""
-        if self._connection is None or self._record is None:
-            return None
-        return self._record.entry.id
+    def is_at(self, record: endpoint_registry.EndpointRecord) -> bool:
+        """Whether that incarnation of an endpoint has the request now."""
+        return self._connection is not None and self._record is record
 
     def move_away(self) -> None:
         """Move a running stream to another endpoint before its own ends.
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -484,7 +484,7 @@
             # A move is a call to the engine too.
             return
         for started in list(self._exchanges):
-            if started.endpoint == record.entry.id:
+            if started.is_at(record):
                 started.move_away()
 
     # -- requests that crash endpoints ---------------------------------
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -45,6 +45,8 @@
     """A request that the endpoint started to run.
 
     :ivar headers: with names in lower case
+    :ivar engine: the name and the incarnation of the endpoint
+    :ivar has_told_end: whether its answer says that the endpoint leaves
     :ivar is_cancelled: whether its connection closed before the answer
         was complete
     """
@@ -53,6 +55,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    engine: tuple[str, int] = ('', 0)
+    has_told_end: bool = False
     is_cancelled: bool = False
 
     @property
@@ -60,6 +64,11 @@
         """The workspace that the request's headers name, if any."""
         return self.headers.get('tenant')
 
+    @property
+    def was_moved(self) -> bool:
+        """Whether it continues a run of another endpoint from its copy."""
+        return 'kv-from' in self.headers
+
     @property
     def has_caller_key(self) -> bool:
         """Whether the request still carried the caller's API key."""
@@ -93,6 +102,7 @@
     :ivar events: the number of events of a stream; 0 for plain answers
     :ivar behaviour: how it answers requests
     :ivar event_pause_s: seconds between two events of a stream
+    :ivar incarnation: the number of its current start
     :ivar is_leaving: whether all answers say that the endpoint will end
     :ivar retry_after: the ``Retry-After`` header of rejections; None without
     :ivar runs: the requests that it ran, oldest first
@@ -120,6 +130,7 @@
         self.slots = slots
         self.behaviour = Behaviour.NORMAL
         self.event_pause_s = 0.0
+        self.incarnation = 1
         self.is_leaving = False
         self.retry_after: str | None = None
         self.runs: list[Run] = []
@@ -200,6 +211,8 @@
                 for name, value in answer.request.headers
             },
             answer.request.body,
+            (self.name, self.incarnation),
+            self.is_leaving,
         )
         self.runs.append(run)
         answer.on_disconnected = lambda: setattr(run, 'is_cancelled', True)
--- a/tests/cover/test_announcements.py
+++ b/tests/cover/test_announcements.py
@@ -206,6 +206,33 @@
         self.assertTrue(reply.is_complete)
         self.assertEqual(6, reply.body.count(b'data:'))
 
+    def test_an_end_that_was_told_before_a_restart_moves_nothing(
+        self,
+    ) -> None:
+        """The moves of the earlier incarnation are scheduled still."""
+        engine, other = self.add('m1', events=60), self.add('m2', events=60)
+        node = self.site.ready_node()
+        record = node.registry.record_for(
+            node.state.table.entries[ids.EndpointId('m1')]
+        )
+        node.ingress.schedule_moves(record, 1.5)
+        engine.register(born=2)
+        other.register('draining')
+        self.until(
+            lambda: (
+                node.state.table.entries[ids.EndpointId('m1')].start_ms == 2
+                and node.state.table.entries[ids.EndpointId('m2')].state
+                is endpoints.EndpointState.DRAINING
+            )
+        )
+        other.register(born=2)
+        engine.event_pause_s = 0.02
+        caller = self.site.send(node, '/stream/a')
+        self.until(lambda: engine.runs)
+        self.until(lambda: caller.reply.has_ended)
+        self.assertTrue(caller.reply.is_complete)
+        self.assertEqual([], other.runs)
+
     def test_a_report_tells_it_while_the_store_is_away(self) -> None:
         engine = self.add('m1', events=200)
         engine.event_pause_s = 0.05
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -119,6 +119,33 @@
             sent = attempt(STREAM, answer=b'\n\n'.join(wrong))
             self.assertTrue(self.violations(sent, run_of(sent)), wrong)
 
+    def test_a_run_that_was_moved_counts_once(self) -> None:
+        sent = attempt(STREAM, answer=events(*'e1 e1 e2 e2 e2 e2'.split()))
+        moved = run_of(sent, **{'kv-from': '10.0.0.1:80/h'})
+        moved.engine = ('e2', 1)
+        self.assertEqual([], self.violations(sent, run_of(sent), moved))
+        self.assert_violated('ran 2 times', sent, run_of(sent), run_of(sent))
+
+    def test_a_request_to_an_endpoint_that_told_its_end(self) -> None:
+        first = attempt(LOOKUP)
+        told = run_of(first)
+        told.engine, told.has_told_end = ('e1', 3), True
+        for changes, is_violated in (
+            ({'sent_s': 2.5}, True),
+            ({'sent_s': 1.5}, False),
+            ({'sent_s': 2.5, 'incarnation': 'edge-1/1'}, False),
+        ):
+            later = attempt(
+                LOOKUP, attempt_id='a2', ended_s=3.0, **changes,
+                headers={'attempt-id': 'a2', 'server-stamp': STAMP + 'e1'},
+            )  # fmt: skip
+            run = run_of(later)
+            run.engine = ('e1', 3)
+            found = guarantees.violations(
+                [first, later], {'a1': [told], 'a2': [run]}
+            )
+            self.assertEqual(is_violated, bool(found), found)
+
     def test_requests_that_were_changed_or_invented(self) -> None:
         sent = attempt(ORDER)
         self.assert_violated(
