Wake up once for a burst of datagrams and for timers that are due together

Cause: a node among hundreds woke up for each of about a hundred datagrams a second and for each of its timers, and a wake-up costs more than what is done in it. Datagrams now wait 40 ms for others; repeated calls with commensurable periods fall into the same turn, at an offset of the process's own. Tests: test_many_nodes_load (two new ones, failed before), test_entry_node and test_store_era pass.

--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -108,7 +108,10 @@
 
     def start(self) -> None:
         """Start to contend, after a random delay."""
-        self._loop.call_after(self._contender.stagger_s, self._tick)
+        self._loop.call_after(
+            self._contender.stagger_s,
+            lambda: self._loop.every(TICK_S, self._tick),
+        )
 
     def set_contending(self, is_contending: bool) -> None:
         """Set whether to acquire a free lease, or only to renew a held one."""
@@ -229,7 +232,6 @@
         return lease.held(self._contender, self._loop.now_s)
 
     def _tick(self) -> None:
-        self._loop.call_after(TICK_S, self._tick)
         if self._is_stopping or self._follower.end_offset is None:
             return
         held = self._held()
--- a/src/guavachute/entry/loop.py
+++ b/src/guavachute/entry/loop.py
@@ -8,6 +8,8 @@
 
 import heapq
 import itertools
+import math
+import random
 import selectors
 import typing
 
@@ -20,6 +22,9 @@
 """Upper bound of one wait, so that a VM that was suspended soon notices the
 time."""
 
+MAX_PHASE_S = 1.0
+"""Upper bound of the random offset of repeated calls."""
+
 Handler = typing.Callable[[int], None]
 """Called with the events that a file is ready for."""
 
@@ -48,6 +53,8 @@
         self._timers: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
         self._running = True
+        # Processes that started together should not all act together.
+        self._phase_s = random.uniform(0.0, MAX_PHASE_S)
         self.now_s = clock.now_s()
         """Start of the current turn, by :mod:`guavachute.kernel.clock`."""
 
@@ -80,13 +87,21 @@
     def every(
         self, period_s: float, callback: typing.Callable[[], None]
     ) -> None:
-        """Call *callback* repeatedly, for the first time after *period_s*."""
+        """Call *callback* repeatedly, within *period_s* for the first time.
+
+        Calls whose periods are multiples of each other fall into the same
+        turns, so that the process wakes up less often.
+        """
+
+        def schedule() -> None:
+            periods = math.floor((self.now_s - self._phase_s) / period_s)
+            self.call_at((periods + 1) * period_s + self._phase_s, again)
 
         def again() -> None:
             callback()
-            self.call_after(period_s, again)
+            schedule()
 
-        self.call_after(period_s, again)
+        schedule()
 
     def stop(self) -> None:
         """Make :meth:`run` return after the current turn."""
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -18,6 +18,10 @@
 from guavachute.wire import node_updates
 
 MAX_DATAGRAM_BYTES = 65_000
+RECEIVE_DELAY_S = 0.04
+"""How long a received datagram waits for others. A node among hundreds gets a
+hundred in a second, and waking up for each costs more than handling it."""
+
 CONFIGURATION_PATH = '/configuration'
 CONFIGURATION_TIMEOUT_S = 1.5
 """A large configuration over a slow link, which other nodes fetch at the same
@@ -82,7 +86,8 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((site.ip, site.listen.peers_port))
         self._socket.setblocking(False)
-        loop.watch(self._socket, entry_loop.READ, self._receive)
+        self._is_watched = False
+        self._watch()
 
     def start(self, seeds: typing.Sequence[ids.Address]) -> None:
         """Start sending updates.
@@ -91,13 +96,14 @@
         """
         self._seeds = [seed for seed in seeds if seed != self.address]
         self._loop.call_after(0.0, self._run_round)
+        self._loop.every(rounds.PERIOD_S, self._run_round)
 
     def close(self) -> None:
         """Stop sending and receiving; close all sockets."""
         if self._is_closed:
             return
         self._is_closed = True
-        self._loop.unwatch(self._socket)
+        self._unwatch()
         self._socket.close()
         for client in self._clients.values():
             client.close()
@@ -196,7 +202,8 @@
     # -- sending -------------------------------------------------------
 
     def _run_round(self) -> None:
-        self._loop.call_after(rounds.PERIOD_S, self._run_round)
+        if self._is_closed:
+            return
         self._round_number += 1
         self.table.expire()
         if self.table.are_few:
@@ -296,15 +303,34 @@
 
     # -- receiving -----------------------------------------------------
 
-    def _receive(self, events: int) -> None:
-        # One datagram per turn of the loop: datagrams mostly arrive one by
-        # one, and a second read would only find that there is no other.
-        try:
-            data = self._socket.recv(MAX_DATAGRAM_BYTES)
-        except OSError:
-            # An error of an earlier datagram is ignored, as updates are not
-            # acknowledged.
-            return
+    def _watch(self) -> None:
+        if not self._is_watched and not self._is_closed:
+            self._is_watched = True
+            self._loop.watch(
+                self._socket, entry_loop.READ, self._handle_readable
+            )
+
+    def _unwatch(self) -> None:
+        if self._is_watched:
+            self._is_watched = False
+            self._loop.unwatch(self._socket)
+
+    def _handle_readable(self, events: int) -> None:
+        self._unwatch()
+        self._loop.call_after(RECEIVE_DELAY_S, self._receive_all)
+
+    def _receive_all(self) -> None:
+        while not self._is_closed:
+            try:
+                data = self._socket.recv(MAX_DATAGRAM_BYTES)
+            except OSError:
+                # No datagram is left. An error of an earlier datagram is
+                # ignored, as updates are not acknowledged.
+                break
+            self._receive(data)
+        self._watch()
+
+    def _receive(self, data: bytes) -> None:
         update = node_updates.decode_update(data)
         if isinstance(update, outcome.Failure):
             journal.problem('peer', outcome='unreadable', reason=str(update))
--- a/tests/cover/test_many_nodes_load.py
+++ b/tests/cover/test_many_nodes_load.py
@@ -5,14 +5,18 @@
 number of nodes.
 """
 
+import socket
 import unittest
 import unittest.mock
 
 from guavachute.entry import catch_up
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peer_table
+from guavachute.entry import peers
 from guavachute import ids
 from guavachute.wire import node_updates
+from tests.support import looping
+from tests.support import platform_site
 from tests.support import updates
 
 NODES = 195
@@ -86,6 +90,38 @@
         ):
             self.merge('edge-7', 'here', 2)
 
+    def test_repeated_calls_fall_into_the_same_turns(self) -> None:
+        loop = entry_loop.Loop()
+        turns: dict[str, set[float]] = {'often': set(), 'seldom': set()}
+        loop.every(0.02, lambda: turns['often'].add(loop.now_s))
+        looping.run_for(loop, 0.013)
+        loop.every(0.04, lambda: turns['seldom'].add(loop.now_s))
+        looping.run_for(loop, 0.4)
+        self.assertGreater(len(turns['seldom']), 4)
+        self.assertLessEqual(
+            len(turns['seldom'] - turns['often']), len(turns['seldom']) // 4
+        )
+
+    def test_a_burst_of_datagrams_is_handled_in_one_turn(self) -> None:
+        """Ten other nodes send an update within the same moment."""
+        loop = entry_loop.Loop()
+        turns: list[float] = []
+        owner = unittest.mock.Mock()
+        owner.handle_node_update = lambda update: turns.append(loop.now_s)
+        site = platform_site.node_settings(
+            'edge-own', '127.0.0.1', ids.Address('127.0.0.1:1'), None
+        )
+        receiver = peers.Peers(loop, site, owner)
+        self.addCleanup(receiver.close)
+        host, _, port = receiver.address.rpartition(':')
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for number in range(10):
+                update = updates.node_update(f'edge-{number}', 'here')
+                sender.sendto(node_updates.encode(update), (host, int(port)))
+                looping.run_for(loop, 0.001)
+            looping.run_until(loop, lambda: len(turns) == 10)
+        self.assertLessEqual(len(set(turns)), 2)
+
     def test_regions_are_right_after_nodes_come_move_and_go(self) -> None:
         before = len(self.table.local_peers())
         self.merge('edge-new', 'here', 1)
