--- a/spec/run.py
+++ b/spec/run.py
@@ -7,6 +7,7 @@
 from spec import checking
 from spec import claims_model
 from spec import duty_model
+from spec import era_model
 from spec import fold_model
 from spec import lease_model
 from spec import quota_model
@@ -22,6 +23,7 @@
         *lease_model.models(),
         *claims_model.models(),
         *duty_model.models(),
+        *era_model.models(),
         *retry_model.models(),
         *quota_model.models(),
     ]
