Read the store less at a start of all nodes, and by the second reader of a region

Cause: every process read the store closely until it knew the others, nine calls a node within the first second, and both readers of a region read each change. Calls are priced and their rate is limited. Change: a process becomes a reader after a second at the earliest and gets changes from peers until then; the second reader of a region reads endpoints each 1.2 s and waits 4 s for a configuration; readers that do not hold the duties read the nodes' topic at most each 1.5 s.

--- a/src/guavachute/decide/nodes/readers.py
+++ b/src/guavachute/decide/nodes/readers.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import enum
 import typing
 
 from guavachute.decide import rendezvous
@@ -19,6 +20,17 @@
 _KEY = 'readers'
 
 
+class Role(enum.Enum):
+    """How closely a node reads the store."""
+
+    FIRST = 'first'
+    """It reads each change at once."""
+    SECOND = 'second'
+    """It reads less often, and takes over when the first one is gone."""
+    FOLLOWER = 'follower'
+    """It gets changes from the readers."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
     """This node, or a node that sent an update recently.
@@ -33,8 +45,8 @@
     is_staying: bool
 
 
-def is_reader(own: Candidate, others: typing.Iterable[Candidate]) -> bool:
-    """Whether the node *own* is a reader.
+def role(own: Candidate, others: typing.Iterable[Candidate]) -> Role:
+    """The role of the node *own*.
 
     :param others: nodes of any region that sent an update recently
     """
@@ -46,7 +58,11 @@
         and candidate.is_staying
     ]
     ranked = rendezvous.ranked(_KEY, [own, *able], _name)
-    return own in ranked[:READERS_PER_REGION]
+    if ranked[0] is own:
+        return Role.FIRST
+    if own in ranked[:READERS_PER_REGION]:
+        return Role.SECOND
+    return Role.FOLLOWER
 
 
 def _name(candidate: Candidate) -> str:
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -50,6 +50,22 @@
 """Pause between a reader's reads of the endpoints' entries, which change all
 the time. A draining endpoint has to be known within three seconds."""
 
+SECOND_READER_WAIT_S = 4.0
+SECOND_READER_PERIOD_S = 1.2
+"""The wait and the pause of the second reader of a region. It knows of a
+draining endpoint within three seconds also when the first reader has gone."""
+
+LEASE_WATCH_PERIOD_S = 1.5
+"""Pause between reads of the system's own topic by a reader that does not
+hold the duties. The holder's renewals would end each waiting read."""
+
+ROLE_AFTER_S = 1.0
+"""A process hears of the other nodes for this long before it may become a
+reader: all nodes may have started together."""
+
+READ_NODES_AGAIN_S = 2.0
+"""When a process reads the nodes' entries again after its start."""
+
 MANY_NODES_PERIOD_S = 0.3
 """Minimum pause between reads of the nodes' entries while all nodes start, and
 where there are many nodes: each new entry would end the waiting read of every
@@ -144,20 +160,21 @@
         self._operator = self._follow(
             platform_configuration.TOPIC,
             self.state.fold_operator,
-            wait_s=READER_WAIT_S,
+            wait_s=0.0,
+            period_s=FOLLOWER_PERIOD_S,
         )
         self._endpoints = self._follow(
             platform_endpoints.TOPIC,
             self.state.fold_endpoint,
             wait_s=0.0,
-            period_s=READER_PERIOD_S,
+            period_s=FOLLOWER_PERIOD_S,
         )
         self._endpoints.on_recovered = self._handle_store_recovery
         self._nodes = self._follow(
             store.OWN_TOPIC,
             self._fold_own_topic,
-            wait_s=READER_WAIT_S,
-            period_s=MANY_NODES_PERIOD_S,
+            wait_s=0.0,
+            period_s=FOLLOWER_PERIOD_S,
         )
         self.duty: entry_duty.Duty | None = None
         if site.cloud is not None:
@@ -182,8 +199,9 @@
         self.state.on_changed = self._schedule_update
         self.state.on_unproven = self._schedule_confirmation
         self._is_confirmation_scheduled = False
-        self._is_reader = True
-        self._interval_basis: tuple[bool, bool] | None = None
+        self._role = readers.Role.FOLLOWER
+        self._is_reader = False
+        self._interval_basis: typing.Hashable = None
         self._is_update_scheduled = False
         self._reports = report_watch.ReportWatch(
             loop,
@@ -221,6 +239,8 @@
             self.duty.start()
         self._reports.start()
         self._register()
+        # Nodes that started together may not have seen each other's entries.
+        self.loop.call_after(READ_NODES_AGAIN_S, self._nodes.read_now)
         self.loop.every(HOUSEKEEPING_S, self._run_housekeeping)
         self.loop.every(STATE_CHECK_S, self._catch_up.check)
         self.loop.every(DROP_PERIOD_S, self._delete_ended_nodes)
@@ -718,12 +738,15 @@
             for peer in self.peers.table.active_peers(READER_SILENT_S)
             if peer.update is not None
         ]
-        is_reader = readers.is_reader(own, others)
+        if self._age_s < ROLE_AFTER_S:
+            return
+        self._role = readers.role(own, others)
+        is_reader = self._role is not readers.Role.FOLLOWER
         holds_duty = self.duty is not None and self.duty.is_held
         if self.duty is not None:
             self.duty.set_contending(is_reader)
         self._set_reader(is_reader or holds_duty)
-        self._set_read_intervals()
+        self._set_read_intervals(holds_duty)
 
     def _set_reader(self, is_reader: bool) -> None:
         if is_reader == self._is_reader:
@@ -731,20 +754,27 @@
         self._is_reader = self.peers.is_reader = is_reader
         journal.event('reader', outcome='begun' if is_reader else 'ended')
 
-    def _set_read_intervals(self) -> None:
+    def _set_read_intervals(self, holds_duty: bool) -> None:
         """Set the interval of each topic's reads by this node's role."""
         are_few = rounds.are_few(self.peers.table.count)
-        if self._interval_basis == (self._is_reader, are_few):
+        if self._interval_basis == (self._role, holds_duty, are_few):
             # The number of nodes changes often, and is no reason to read at
             # once.
             return
-        self._interval_basis = (self._is_reader, are_few)
+        self._interval_basis = (self._role, holds_duty, are_few)
         if self._is_reader:
-            self._operator.set_intervals(READER_WAIT_S, 0.0)
-            self._endpoints.set_intervals(0.0, READER_PERIOD_S)
-            self._nodes.set_intervals(
-                READER_WAIT_S, 0.0 if are_few else MANY_NODES_PERIOD_S
-            )
+            if self._role is readers.Role.FIRST:
+                self._operator.set_intervals(READER_WAIT_S, 0.0)
+                self._endpoints.set_intervals(0.0, READER_PERIOD_S)
+            else:
+                self._operator.set_intervals(SECOND_READER_WAIT_S, 0.0)
+                self._endpoints.set_intervals(0.0, SECOND_READER_PERIOD_S)
+            if not holds_duty:
+                self._nodes.set_intervals(READER_WAIT_S, LEASE_WATCH_PERIOD_S)
+            else:
+                self._nodes.set_intervals(
+                    READER_WAIT_S, 0.0 if are_few else MANY_NODES_PERIOD_S
+                )
             return
         # The number of calls to the store must not grow with the nodes.
         period_s = FOLLOWER_PERIOD_S * max(
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -430,6 +430,37 @@
         renewals = 3.0 * lease.RENEWALS_PER_DURATION / 2.0
         self.assertLessEqual(len(nodes), 2 * renewals + 2)
 
+    def test_a_start_of_all_nodes_costs_few_calls_each(self) -> None:
+        """Pattern: all nodes start at once, or again after a loss of power."""
+        nodes = [self.site.add_node() for _ in range(12)]
+        self.until(lambda: all(node.is_ready for node in nodes))
+        looping.run_for(self.site.loop, 0.3)
+        # Three snapshots and the node's own entry; then the readers read.
+        self.assertLessEqual(len(self.site.store.calls), 4 * len(nodes))
+        self.until(
+            lambda: (
+                sum(node.peers.is_reader for node in nodes)
+                == readers.READERS_PER_REGION
+            )
+        )
+
+    def test_the_second_reader_reads_less(self) -> None:
+        nodes = [self.site.ready_node() for _ in range(3)]
+        self.until(lambda: sum(node.peers.is_reader for node in nodes) == 2)
+        looping.run_for(self.site.loop, 1.5)
+        del self.site.store.calls[:]
+        looping.run_for(self.site.loop, 4.0)
+        reads = [
+            call
+            for call in self.site.store.calls
+            if 'keyed.servers' in call and 'log-read' in call
+        ]
+        both = (
+            4.0 / entry_node.READER_PERIOD_S
+            + 4.0 / entry_node.SECOND_READER_PERIOD_S
+        )
+        self.assertLessEqual(len(reads), both + 2)
+
     def test_a_node_that_ends_is_no_reason_to_read(self) -> None:
         """The number of nodes sets the interval of the followers' reads."""
         self.replace(entry_node, NODES_AT_BASE_PERIOD=1)
--- a/tests/cover/test_node_decisions.py
+++ b/tests/cover/test_node_decisions.py
@@ -84,6 +84,10 @@
     )
 
 
+def is_reader(own: readers.Candidate, others: list[readers.Candidate]) -> bool:
+    return readers.role(own, others) is not readers.Role.FOLLOWER
+
+
 class AddressesTest(unittest.TestCase):
     """Nodes stop, crash or are in other regions."""
 
@@ -136,7 +140,7 @@
 
     def count(self, nodes: list[readers.Candidate]) -> int:
         return sum(
-            readers.is_reader(node, [n for n in nodes if n is not node])
+            is_reader(node, [n for n in nodes if n is not node])
             for node in nodes
         )
 
@@ -146,9 +150,9 @@
             self.assertEqual(readers.READERS_PER_REGION, self.count(nodes))
 
     def test_a_node_that_hears_nobody_reads_for_itself(self) -> None:
-        self.assertTrue(readers.is_reader(reader('n1'), []))
+        self.assertTrue(is_reader(reader('n1'), []))
         remote = [reader(f'f{number}', region='s') for number in range(5)]
-        self.assertTrue(readers.is_reader(reader('n1'), remote))
+        self.assertTrue(is_reader(reader('n1'), remote))
 
     def test_nodes_that_can_read_take_over_from_those_that_cannot(
         self,
@@ -159,7 +163,7 @@
             {'stays': False},
         ):
             others = [reader(f'n{number}', **lost) for number in range(9)]
-            self.assertTrue(readers.is_reader(own, others))
+            self.assertTrue(is_reader(own, others))
 
 
 def endpoint(name: str, state: str = 'ready') -> endpoints.Endpoint:
