--- a/src/guavachute/observe/timeline.py
+++ b/src/guavachute/observe/timeline.py
@@ -11,7 +11,7 @@
 
 BACKGROUND = frozenset({
     'configuration', 'dependency', 'duty', 'endpoint', 'peer', 'reader',
-    'reload', 'start', 'stop',
+    'reload', 'start', 'stop', 'store-era',
 })  # fmt: skip
 """Events that change a node's state, such as its known endpoints."""
 
