Bound the kept address answers; a stopped follower stays stopped

Found when reading the change: answers were kept for any region that a caller named, and a timer of a closed node started its follower again (in tests, which share a loop).

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -320,9 +320,11 @@
     ) -> list[ids.Address]:
         """The addresses of nodes that a caller in *domain* should use."""
         now_s = self.loop.now_s
-        if self.site.region_of.get(domain) != region:
-            # Callers may name any location, so only real ones are kept.
+        # Callers may name any location; only real ones are kept.
+        if domain not in self.site.region_of:
             domain = ids.FailureDomain('')
+        if region not in self.site.region_of.values():
+            region = ids.Region('')
         # Whether this node is ready has to be right at once.
         key = domain, region, self.is_ready
         computed_s, found = self._addresses.get(key, (float('-inf'), []))
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -70,6 +70,7 @@
         self._snapshot_end: ids.Offset | None = None
         self._cancel_read: typing.Callable[[], None] = lambda: None
         self._is_reading = False
+        self._is_stopped = False
         self._timer: entry_loop.Timer | None = None
         self.end_offset: ids.Offset | None = None
         self.last_reply_s: float | None = None
@@ -92,10 +93,10 @@
         self._period_s = max(period_s, MIN_PERIOD_S)
         if self.end_offset is None:
             return
-        now_s = self._wait_s + self._period_s
-        if now_s < before_s:
+        after_s = self._wait_s + self._period_s
+        if after_s < before_s:
             self.read_now()
-        elif now_s > before_s and not self._is_reading:
+        elif after_s > before_s and not self._is_reading:
             self._schedule(self._period_s)
 
     @property
@@ -125,13 +126,20 @@
         :param reads_now: whether to read it at once, and not after the usual
             pause
         """
+        if self._is_stopped:
+            return
         self._cancel_read()
         self._is_reading = False
         self.end_offset = None
         self._schedule(0.0 if reads_now else self._period_s + self._wait_s)
 
     def read_now(self) -> None:
-        """Start a read now, in place of a pending one."""
+        """Start a read now, in place of a pending one.
+
+        Without effect after :meth:`stop`.
+        """
+        if self._is_stopped:
+            return
         self._cancel_read()
         if self._timer is not None:
             self._timer.cancel()
@@ -139,6 +147,7 @@
 
     def stop(self) -> None:
         """Stop reading, and cancel a pending read."""
+        self._is_stopped = True
         self._cancel_read()
         if self._timer is not None:
             self._timer.cancel()
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -444,6 +444,16 @@
             )
         )
 
+    def test_callers_may_name_any_location(self) -> None:
+        node = self.site.ready_node()
+        for number in range(50):
+            found = node.addresses_for(
+                ids.FailureDomain(f'domain-{number}'),
+                ids.Region(f'region-{number}'),
+            )
+            self.assertEqual([node.ingress.address], found)
+        self.assertLessEqual(len(node._addresses), 2)
+
     def test_the_second_reader_reads_less(self) -> None:
         nodes = [self.site.ready_node() for _ in range(3)]
         self.until(lambda: sum(node.peers.is_reader for node in nodes) == 2)
