--- a/src/guavachute/decide/ingress/event_stream.py
+++ b/src/guavachute/decide/ingress/event_stream.py
@@ -45,6 +45,11 @@
         """Whether the incomplete event exceeds :data:`MAX_EVENT_BYTES`."""
         return len(self._partial) > MAX_EVENT_BYTES
 
+    @property
+    def partial_bytes(self) -> int:
+        """The length of the incomplete event in the buffer."""
+        return len(self._partial)
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds an incomplete event."""
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -176,6 +176,9 @@
         self._continues_from_copy = False
         self._answer_mode = _AnswerMode.NONE
         self._head: requests.AnswerHead | None = None
+        self._framing: http1.Framing | None = None
+        self._connection_end: str | None = None
+        self._partial_bytes = 0
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._events = event_stream.EventStream()
@@ -275,6 +278,9 @@
         self._record = record
         self._sent_s = now_s
         self._answer_mode = _AnswerMode.NONE
+        self._framing = None
+        self._connection_end = None
+        self._partial_bytes = 0
         # The next endpoint sends an incomplete event again from its start.
         self._events.discard_partial_event()
         if self.state is State.WAITING:
@@ -447,6 +453,8 @@
     ) -> None:
         """Handle the end of the connection to the endpoint."""
         assert self._connection is not None and self._record is not None
+        self._connection_end = 'closed' if is_clean else 'reset'
+        self._partial_bytes = self._events.partial_bytes
         if self._move_state is _MoveState.REQUESTED:
             # The source closes after it stopped the run, as requested. The
             # result of the move says where the run continues.
@@ -480,6 +488,7 @@
             )
             return
         self._head = head
+        self._framing = event.framing
         self._buffered = []
         self._buffered_bytes = 0
         self._connection.idle_timeout_s = head.idle_timeout_s
@@ -554,6 +563,7 @@
     def _handle_answer_end(self, keeps_alive: bool) -> None:
         mode = self._answer_mode
         self._answer_mode = _AnswerMode.NONE
+        self._partial_bytes = self._events.partial_bytes
         if mode is _AnswerMode.REFUSAL:
             self._handle_refusal(keeps_alive)
         elif mode is _AnswerMode.EVENTS:
@@ -638,6 +648,7 @@
             attempt=self.attempts,
             reason=reason,
             passed_events=self._events.events,
+            **self._answer_end_fields(),
         )
         if self.route.can_run_again and self._consume_retry():
             self.dispatch()
@@ -774,5 +785,14 @@
             first_s=first_s and round(first_s - self.arrived_s, 4),
             total_s=round(now_s - self.arrived_s, 4),
             events=self._events.events,
+            **self._answer_end_fields(),
         )
         self._owner.handle_request_ended(self, verdict)
+
+    def _answer_end_fields(self) -> dict[str, typing.Any]:
+        """What the log says about the end of the endpoint's answer."""
+        return {
+            'framing': self._framing and self._framing.value,
+            'connection': self._connection_end,
+            'partial_bytes': self._partial_bytes,
+        }
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -15,6 +15,9 @@
 
 LAST_CHUNK = b'0\r\n\r\n'
 
+BODILESS_STATUSES = (204, 304)
+"""Answers with these have no body, and so none that could be cut off."""
+
 REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -152,12 +155,23 @@
             )
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+    """The end of the connection, which looks the same after an answer that
+    was broken off."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerStarted:
     """The head of an answer is complete."""
 
     status: int
     headers: list[call.Header]
+    framing: Framing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -196,6 +210,7 @@
         self._headers: list[call.Header] = []
         self._events: list[AnswerEvent] = []
         self._status = 0
+        self._framing = Framing.LENGTH
         self._is_in_head = False
         self._is_in_body = False
 
@@ -207,10 +222,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether the body of the answer is ended by the connection."""
-        return self._is_in_body and not any(
-            name.lower() in (b'content-length', b'transfer-encoding')
-            for name, _ in self._headers
-        )
+        return self._is_in_body and self._framing is Framing.CONNECTION
 
     def feed(self, data: bytes) -> list[AnswerEvent]:
         """Parse bytes of the connection; the events are in order."""
@@ -236,8 +248,11 @@
         self._is_in_head = False
         self._is_in_body = True
         self._status = self._parser.get_status_code()
+        self._framing = _framing(self._status, self._headers)
         if self._status >= 200:
-            self._events.append(AnswerStarted(self._status, self._headers))
+            self._events.append(
+                AnswerStarted(self._status, self._headers, self._framing)
+            )
 
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
@@ -250,6 +265,15 @@
             self._events.append(AnswerEnded(self._parser.should_keep_alive()))
 
 
+def _framing(status: int, headers: typing.Sequence[call.Header]) -> Framing:
+    names = {name.lower() for name, _ in headers}
+    if b'transfer-encoding' in names:
+        return Framing.CHUNKS
+    if b'content-length' in names or status in BODILESS_STATUSES:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def encode_head(
     status: int,
     headers: typing.Sequence[call.Header],
