--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -3,6 +3,7 @@
 import collections
 import errno
 import socket
+import struct
 import typing
 
 from guavachute.entry import loop as entry_loop
@@ -20,6 +21,9 @@
 """A peer that fell silent is noticed five seconds after its last byte."""
 
 
+_LINGER = struct.Struct('ii')
+
+
 class Owner(typing.Protocol):
     """Callbacks of a connection."""
 
@@ -97,6 +101,19 @@
                 # The peer has closed already.
                 self._break()
 
+    def set_reset_on_close(self, enabled: bool) -> None:
+        """Set whether closing resets the connection.
+
+        That also holds when the process ends. The peer then reads an error
+        in place of the end.
+        """
+        if not self.is_closed:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _LINGER.pack(enabled, 0),
+            )
+
     def close(self) -> None:
         """Close; unsent bytes are discarded."""
         if self.is_closed:
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -6,12 +6,15 @@
 
 import msgspec
 
+from guavachute.domain import call
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.standin.platform import server
 from guavachute.standin.platform import store as standin_store
 
 STAMP = b'stamp-of-'
+BREAK_AFTER_S = 0.01
+"""How long after its last bytes a broken answer ends."""
 
 
 class Behaviour(enum.Enum):
@@ -34,12 +37,24 @@
     """Sends a plain answer without the endpoint's stamp."""
     UNFRAMED = 'unframed'
     """Sends an answer without a length, which ends with the connection."""
+    UNFRAMED_BREAK = 'unframed-break'
+    """Sends such an answer, and closes in the middle of an event or body."""
+    UNFRAMED_RESET = 'unframed-reset'
+    """Sends such an answer, and resets the connection before its last event
+    or in the middle of its body."""
+    TORN = 'torn'
+    """Ends the chunks of a stream in the middle of an event."""
     SILENT = 'silent'
     """Runs the request and never answers."""
     LOSE_MOVES = 'lose-moves'
     """Closes the stream of a moved run in the middle of an event."""
 
 
+UNFRAMED_BEHAVIOURS = frozenset(
+    {Behaviour.UNFRAMED, Behaviour.UNFRAMED_BREAK, Behaviour.UNFRAMED_RESET}
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Run:
     """A request that the endpoint started to run.
@@ -47,6 +62,7 @@
     :ivar headers: with names in lower case
     :ivar engine: the name and the incarnation of the endpoint
     :ivar has_told_end: whether its answer says that the endpoint leaves
+    :ivar is_framed: whether its answer has a length or chunks
     :ivar is_cancelled: whether its connection closed before the answer
         was complete
     """
@@ -57,6 +73,7 @@
     body: bytes
     engine: tuple[str, int] = ('', 0)
     has_told_end: bool = False
+    is_framed: bool = True
     is_cancelled: bool = False
 
     @property
@@ -96,6 +113,21 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stream:
+    """A stream that is being sent, with the methods that fit its framing."""
+
+    answer: server.Answer
+    send: typing.Callable[[bytes], None]
+    end: typing.Callable[[], None]
+
+
+def _unframed_head(headers: typing.Sequence[call.Header]) -> bytes:
+    lines = [b'HTTP/1.1 200 OK']
+    lines += [b'%s: %s' % header for header in headers]
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
 class Engine:
     """One endpoint, which registers itself in the store.
 
@@ -213,6 +245,7 @@
             answer.request.body,
             (self.name, self.incarnation),
             self.is_leaving,
+            self.behaviour not in UNFRAMED_BEHAVIOURS,
         )
         self.runs.append(run)
         answer.on_disconnected = lambda: setattr(run, 'is_cancelled', True)
@@ -264,7 +297,7 @@
         head = http1.encode_head(200, headers, len(body), False)
         if self.behaviour is Behaviour.BREAK:
             answer.send_raw(head + body[:5])
-            self._loop.call_after(0.01, answer.abort)
+            self._loop.call_after(BREAK_AFTER_S, answer.abort)
         elif self.behaviour is Behaviour.FOREIGN_FIRST:
             foreign = [(b'Attempt-Id', b'another'), *headers[1:]]
             answer.send_raw(
@@ -275,19 +308,32 @@
             answer.send_raw(head + body)
             answer.reply(200, body, headers)
         elif self.behaviour is Behaviour.UNFRAMED:
-            lines = [b'HTTP/1.1 200 OK']
-            lines += [b'%s: %s' % item for item in headers]
-            answer.send_raw(b'\r\n'.join(lines) + b'\r\n\r\n' + body)
+            answer.send_raw(_unframed_head(headers) + body)
             answer.connection.finish_writing()
+        elif self.behaviour in UNFRAMED_BEHAVIOURS:
+            answer.send_raw(_unframed_head(headers) + body[:5])
+            self._break_unframed(answer)
         else:
             answer.reply(200, body, headers)
 
+    def _break_unframed(self, answer: server.Answer) -> None:
+        if self.behaviour is Behaviour.UNFRAMED_RESET:
+            answer.connection.set_reset_on_close(True)
+        self._loop.call_after(BREAK_AFTER_S, answer.abort)
+
     def _stream(self, answer: server.Answer) -> None:
         first = int(answer.header(b'Last-Event-Id') or b'0') + 1
-        answer.caller.begin_answer(200, self._headers(answer))
-        self._send_event(answer, first)
+        headers = self._headers(answer)
+        if self.behaviour in UNFRAMED_BEHAVIOURS:
+            answer.send_raw(_unframed_head(headers))
+            send, end = answer.send_raw, answer.connection.finish_writing
+        else:
+            answer.caller.begin_answer(200, headers)
+            send, end = answer.caller.answer_chunk, answer.caller.end_answer
+        self._send_event(_Stream(answer, send, end), first)
 
-    def _send_event(self, answer: server.Answer, number: int) -> None:
+    def _send_event(self, stream: _Stream, number: int) -> None:
+        answer = stream.answer
         name = (answer.header(b'Attempt-Id') or b'').decode()
         if answer.is_disconnected:
             self._streams.pop(name, None)
@@ -296,23 +342,35 @@
         self._sent_events[name] = number - 1
         if number > self.events:
             del self._streams[name]
-            answer.caller.end_answer()
+            stream.end()
             return
         event = b'id: %d\ndata: %s-%d\n\n' % (
             number,
             self.name.encode(),
             number,
         )
-        if self.behaviour is Behaviour.BREAK and number == self.events:
-            answer.caller.answer_chunk(event[:9])
-            self._loop.call_after(0.01, answer.abort)
+        if number == self.events and self._break_stream(stream, event):
             return
-        answer.caller.answer_chunk(event)
+        stream.send(event)
         self._sent_events[name] = number
         self._loop.call_after(
-            self.event_pause_s, lambda: self._send_event(answer, number + 1)
+            self.event_pause_s, lambda: self._send_event(stream, number + 1)
         )
 
+    def _break_stream(self, stream: _Stream, last_event: bytes) -> bool:
+        """End a stream at its last event if the behaviour demands it."""
+        if self.behaviour in (Behaviour.BREAK, Behaviour.UNFRAMED_BREAK):
+            stream.send(last_event[:9])
+            self._loop.call_after(BREAK_AFTER_S, stream.answer.abort)
+        elif self.behaviour is Behaviour.UNFRAMED_RESET:
+            self._break_unframed(stream.answer)
+        elif self.behaviour is Behaviour.TORN:
+            stream.send(last_event[:9])
+            stream.end()
+        else:
+            return False
+        return True
+
     def _headers(
         self, answer: server.Answer, ran: bool = True
     ) -> list[tuple[bytes, bytes]]:
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -103,6 +103,7 @@
     """The answer that a caller has received.
 
     :ivar is_complete: whether the answer ended as its framing says
+    :ivar was_reset: whether the connection broke, rather than being closed
     :ivar is_malformed: whether bytes came that are no valid answer
     """
 
@@ -113,6 +114,13 @@
         self.is_complete = False
         self.is_malformed = False
         self.is_closed = False
+        self.was_reset = False
+
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer has a length or chunks."""
+        names = self.headers.keys()
+        return 'content-length' in names or 'transfer-encoding' in names
 
     @property
     def has_ended(self) -> bool:
@@ -285,6 +293,7 @@
         try:
             data = self._socket.recv(65_536)
         except ConnectionError:
+            self.reply.was_reset = True
             data = b''
         try:
             self._parser.feed_data(data)
