Treat a stream that ends inside an event as broken off

The end of the connection of an answer without a length, like the last chunk of one with chunks, was taken for the end of the stream, and the incomplete event was passed on before the node ended its own chunks. Class of fault: the end of the transport taken for the end of the content.

The lines 'request' said served, with framing connection or chunks and partial_bytes 9. A reset was told apart already.

Now such a stream fails its attempt: it is resumed after the last complete event where the route allows it, otherwise cut; the attempt counts as lost, for the search of requests that crash endpoints. Lines of events may end in CR or CRLF as well, since such events would never be complete otherwise.

--- a/src/guavachute/decide/ingress/event_stream.py
+++ b/src/guavachute/decide/ingress/event_stream.py
@@ -1,13 +1,16 @@
 """Splits a stream of server-sent events at event boundaries.
 
-An engine may stop in the middle of an event. Only complete events are
-passed to a caller, so that another engine can resume the stream after
-the last of them.
+An engine may stop in the middle of an event, and a stream that ends there was
+broken off, whatever its framing says. Only complete events are passed to a
+caller, so that another engine can resume the stream after the last of them.
 """
 
 import dataclasses
+import re
 
-_EVENT_END = b'\n\n'
+_EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
+_MAX_END_BYTES = 4
+_LINE_ENDS = b'\r\n'
 MAX_EVENT_BYTES = 1_048_576
 """Size limit of one event; a stream with a larger one is malformed."""
 
@@ -22,7 +25,7 @@
 
     last_id: bytes | None = None
     events: int = 0
-    _partial: bytes = b''
+    _partial: bytearray = dataclasses.field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> bytes:
         """Add *data* and return all events that are complete now.
@@ -30,14 +33,18 @@
         The bytes are unchanged; the result is empty if no event is
         complete.
         """
-        data = self._partial + data
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._partial = data
-            return b''
-        end += len(_EVENT_END)
-        complete, self._partial = data[:end], data[end:]
-        self._record_events(complete)
+        known = max(0, len(self._partial) - _MAX_END_BYTES + 1)
+        self._partial += data
+        end = 0
+        for found in _EVENT_END.finditer(self._partial, known):
+            end = found.end()
+            self.events += 1
+        if self.events and not self._partial[end:].strip(_LINE_ENDS):
+            # Blank lines after an event begin no further one.
+            end = len(self._partial)
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        self._record_last_id(complete)
         return complete
 
     @property
@@ -51,27 +58,16 @@
         return len(self._partial)
 
     @property
-    def has_partial_event(self) -> bool:
-        """Whether the buffer holds an incomplete event."""
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
         return bool(self._partial)
 
-    def pop_partial_event(self) -> bytes:
-        """Return and discard the bytes after the last complete event."""
-        partial, self._partial = self._partial, b''
-        return partial
-
     def discard_partial_event(self) -> None:
         """Discard an incomplete event."""
-        self._partial = b''
+        self._partial.clear()
 
-    def _record_events(self, complete: bytes) -> None:
-        self.events += complete.count(_EVENT_END)
-        start = complete.rfind(b'\nid:')
-        if start >= 0:
-            start += 1
-        elif complete.startswith(b'id:'):
-            start = 0
-        else:
-            return
-        line = complete[start : complete.find(b'\n', start)]
-        self.last_id = line[3:].strip()
+    def _record_last_id(self, complete: bytes) -> None:
+        for line in reversed(complete.splitlines()):
+            if line.startswith(b'id:'):
+                self.last_id = line[3:].strip()
+                return
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -575,10 +575,10 @@
 
     def _finish_stream(self, keeps_alive: bool) -> None:
         assert self._record is not None and self._head is not None
-        if self._events.has_partial_event:
-            # The HTTP body is complete, so the endpoint ended the stream on
-            # purpose after this incomplete event.
-            self._forward_chunk(self._events.pop_partial_event())
+        if self._events.is_inside_event:
+            self._owner.handle_attempt_lost(self, self._record)
+            self._fail_attempt('ended inside an event')
+            return
         self._record.health.record_success(self._owner.loop.now_s)
         self._release_endpoint(keeps_alive)
         if self.first_byte_s is None:
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -426,14 +426,15 @@
     @hypothesis.given(
         count=strategies.integers(1, 12),
         cuts=strategies.lists(strategies.integers(1, 40), min_size=1),
+        line_end=strategies.sampled_from((b'\n', b'\r\n', b'\r')),
     )
     def test_only_whole_events_pass_and_none_is_lost(
-        self, count: int, cuts: list[int]
+        self, count: int, cuts: list[int], line_end: bytes
     ) -> None:
         data = b''.join(
             b'id: %d\ndata: x%d\n\n' % (number, number)
             for number in range(1, count + 1)
-        )
+        ).replace(b'\n', line_end)
         stream = event_stream.EventStream()
         passed, position, turn = b'', 0, 0
         while position < len(data):
@@ -441,13 +442,22 @@
             turn += 1
             complete = stream.feed(data[position : position + size])
             position += size
-            self.assertTrue(not complete or complete.endswith(b'\n\n'))
+            self.assertTrue(not complete or complete.endswith(2 * line_end))
             passed += complete
+        self.assertFalse(stream.is_inside_event)
         self.assertEqual(data, passed)
         self.assertEqual((b'%d' % count, count), (
             stream.last_id, stream.events,
         ))  # fmt: skip
 
+    def test_blank_lines_after_an_event_begin_none(self) -> None:
+        stream = event_stream.EventStream()
+        passed = stream.feed(b'id: 1\ndata: a\n\n') + stream.feed(b'\n')
+        self.assertEqual(b'id: 1\ndata: a\n\n\n', passed)
+        self.assertFalse(stream.is_inside_event)
+        stream.feed(b'id')
+        self.assertTrue(stream.is_inside_event)
+
     def test_a_half_event_is_dropped(self) -> None:
         stream = event_stream.EventStream()
         stream.feed(b'id: 1\ndata: a\n\nid: 2\nda')
