Hand answers without a length on without one

An answer that ends with its connection shows nothing by that end. Such an answer is now handed on as it came: without a length, ending with the caller's connection. Every other end of that connection, also by the end of the process, is a reset. Where the caller has chunks already and the stream went on without, the last chunk is not sent; a stream that is closed before its first event failed.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -98,6 +98,7 @@
         self._exchange: Exchange | None = None
         self._timer: entry_loop.Timer | None = None
         self._closes = False
+        self._is_framed = True
         connection.owner = self
         self._start_timer(limits.idle_timeout_s)
 
@@ -136,35 +137,66 @@
         headers: typing.Sequence[call.Header],
         body: bytes,
         closes: bool = False,
+        is_framed: bool = True,
     ) -> None:
-        """Send the complete answer to the current request.
+        """Send the answer to the current request.
 
         :param closes: whether to close the connection after it
+        :param is_framed: whether the body is known to be complete, and so
+            gets a length; otherwise it ends with the connection
         """
-        self._closes = self._closes or closes or self._handler.is_stopping
-        head = http1.encode_head(status, headers, len(body), self._closes)
+        if is_framed:
+            self._closes |= closes or self._handler.is_stopping
+            head = http1.encode_head(status, headers, len(body), self._closes)
+        else:
+            head = self._begin_unframed(status, headers)
         self._connection.write(head + body)
         self._finish()
 
     def begin_answer(
-        self, status: int, headers: typing.Sequence[call.Header]
+        self,
+        status: int,
+        headers: typing.Sequence[call.Header],
+        is_framed: bool = True,
     ) -> None:
-        """Send the head of an answer with a chunked body."""
-        self._closes = self._closes or self._handler.is_stopping
-        self._connection.write(
-            http1.encode_head(status, headers, None, self._closes)
-        )
+        """Send the head of an answer whose body is sent in parts.
+
+        :param is_framed: whether the body is chunked; otherwise it ends with
+            the connection
+        """
+        self._is_framed = is_framed
+        if is_framed:
+            self._closes |= self._handler.is_stopping
+            head = http1.encode_head(status, headers, None, self._closes)
+        else:
+            head = self._begin_unframed(status, headers)
+        self._connection.write(head)
 
     def answer_chunk(self, data: bytes) -> None:
-        """Send *data* as one chunk of the body; nothing if it is empty."""
+        """Send *data* as a part of the body; nothing if it is empty."""
         if data:
-            self._connection.write(http1.encode_chunk(data))
+            self._connection.write(
+                http1.encode_chunk(data) if self._is_framed else data
+            )
 
     def end_answer(self) -> None:
-        """Send the end of a chunked body."""
-        self._connection.write(http1.LAST_CHUNK)
+        """Send the end of a body that was sent in parts."""
+        if self._is_framed:
+            self._connection.write(http1.LAST_CHUNK)
         self._finish()
 
+    def _begin_unframed(
+        self, status: int, headers: typing.Sequence[call.Header]
+    ) -> bytes:
+        """The head of an answer that ends with the connection.
+
+        Any end but that of the answer has to be a reset: nothing else would
+        tell the caller that the answer is incomplete.
+        """
+        self._closes = True
+        self._connection.set_reset_on_close(True)
+        return http1.encode_unframed_head(status, headers)
+
     def abort(self) -> None:
         """Close at once, so that an answer in progress is seen incomplete."""
         self._close()
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -1,5 +1,6 @@
 """Serves one request: chooses endpoints, retries and forwards the answer."""
 
+import dataclasses
 import enum
 import random
 import typing
@@ -71,6 +72,18 @@
     """Each complete event is forwarded at once."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _BufferedAnswer:
+    """An endpoint's answer that is passed on as a whole.
+
+    :ivar is_framed: whether its length or chunks show that it is complete
+    """
+
+    head: requests.AnswerHead
+    body: bytes
+    is_framed: bool
+
+
 class Owner(typing.Protocol):
     """What an exchange needs of the ingress that started it."""
 
@@ -177,12 +190,13 @@
         self._answer_mode = _AnswerMode.NONE
         self._head: requests.AnswerHead | None = None
         self._framing: http1.Framing | None = None
+        self._passes_framed = True
         self._connection_end: str | None = None
         self._partial_bytes = 0
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
         self._events = event_stream.EventStream()
-        self._last_error: tuple[requests.AnswerHead, bytes] | None = None
+        self._last_error: _BufferedAnswer | None = None
         self._recheck_timer: entry_loop.Timer | None = None
         self._deadline_timer = owner.loop.call_at(
             self.expires_at_s, self._time_out
@@ -514,6 +528,11 @@
             if not self._is_stream:
                 self._report_start()
 
+    @property
+    def _is_framed(self) -> bool:
+        """Whether the endpoint's answer has a length or chunks."""
+        return self._framing is not http1.Framing.CONNECTION
+
     @property
     def _is_stream(self) -> bool:
         return self.route.kind is configuration.RouteKind.STREAMING
@@ -543,7 +562,10 @@
             self.first_byte_s = now_s
             self.state = State.ANSWERING
             self._report_start()
-            self._caller.begin_answer(self._head.status, self._head.headers)
+            self._passes_framed = self._is_framed
+            self._caller.begin_answer(
+                self._head.status, self._head.headers, self._is_framed
+            )
         self._record_first_token(now_s)
         self._caller.answer_chunk(data)
 
@@ -579,26 +601,43 @@
             self._owner.handle_attempt_lost(self, self._record)
             self._fail_attempt('ended inside an event')
             return
+        if (
+            self.first_byte_s is None
+            and not self._is_framed
+            and self.call.last_event_id is None
+        ):
+            self._owner.handle_attempt_lost(self, self._record)
+            self._fail_attempt('closed before the first event')
+            return
         self._record.health.record_success(self._owner.loop.now_s)
         self._release_endpoint(keeps_alive)
         if self.first_byte_s is None:
-            self._forward_answer(self._head, b'')
-            return
-        self._finish('served')
-        self._caller.end_answer()
+            self._forward_answer(
+                _BufferedAnswer(self._head, b'', self._is_framed)
+            )
+        elif self._passes_framed and not self._is_framed:
+            # The caller's last chunk would say that the stream is complete,
+            # which a closed connection doesn't show.
+            self._finish('cut', _failure('closed without a last chunk'))
+            self._caller.abort()
+        else:
+            self._finish('served')
+            self._caller.end_answer()
 
     def _finish_buffered(self, keeps_alive: bool) -> None:
         assert self._record is not None and self._head is not None
-        head, body = self._head, b''.join(self._buffered)
-        if head.status >= 500:
+        answer = _BufferedAnswer(
+            self._head, b''.join(self._buffered), self._is_framed
+        )
+        if answer.head.status >= 500:
             self._record.health.record_failure(self._owner.loop.now_s)
             self._release_endpoint(keeps_alive)
-            self._last_error = (head, body)
-            self._after_failure(f'status {head.status}')
+            self._last_error = answer
+            self._after_failure(f'status {answer.head.status}')
             return
         self._record.health.record_success(self._owner.loop.now_s)
         self._release_endpoint(keeps_alive)
-        self._forward_answer(head, body)
+        self._forward_answer(answer)
 
     def _handle_refusal(self, keeps_alive: bool) -> None:
         """Handle an answer which says that the request has not run."""
@@ -656,11 +695,9 @@
             self._finish('cut')
             self._caller.abort()
         elif self._last_error is not None:
-            self._forward_answer(*self._last_error)
+            self._forward_answer(self._last_error)
         else:
-            self._own_answer(
-                502, outcome.Failure(outcome.Reason.LOST_ANSWER, reason)
-            )
+            self._own_answer(502, _failure(reason))
 
     def _after_connect_failure(self) -> None:
         """Try another endpoint after a connection was not established.
@@ -744,16 +781,22 @@
             self._finish('cut', failure)
             self._caller.abort()
         elif self._last_error is not None:
-            self._forward_answer(*self._last_error)
+            self._forward_answer(self._last_error)
         elif self._may_have_run:
             timed_out = failure.reason is outcome.Reason.DEADLINE
             self._own_answer(504 if timed_out else 502, failure)
         else:
             self._own_answer(503, failure)
 
-    def _forward_answer(self, head: requests.AnswerHead, body: bytes) -> None:
+    def _forward_answer(self, answer: _BufferedAnswer) -> None:
+        head = answer.head
         self._finish(f'status {head.status}')
-        self._caller.answer(head.status, head.headers, body)
+        self._caller.answer(
+            head.status,
+            head.headers,
+            answer.body,
+            is_framed=answer.is_framed,
+        )
 
     def _own_answer(self, status: int, failure: outcome.Failure) -> None:
         self._finish(f'own {status}', failure)
@@ -796,3 +839,7 @@
             'connection': self._connection_end,
             'partial_bytes': self._partial_bytes,
         }
+
+
+def _failure(detail: str) -> outcome.Failure:
+    return outcome.Failure(outcome.Reason.LOST_ANSWER, detail)
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -285,15 +285,29 @@
     :param body_bytes: the length of the body; None for a chunked body
     :param closes: whether the connection is closed after the answer
     """
-    lines = [b'HTTP/1.1 %d %s' % (status, REASONS.get(status, b'Status'))]
-    lines += [b'%s: %s' % header for header in headers]
     if body_bytes is None:
-        lines.append(b'Transfer-Encoding: chunked')
+        framing = b'Transfer-Encoding: chunked'
     else:
-        lines.append(b'Content-Length: %d' % body_bytes)
-    if closes:
-        lines.append(b'Connection: close')
-    return b'\r\n'.join(lines) + b'\r\n\r\n'
+        framing = b'Content-Length: %d' % body_bytes
+    lines = [framing, b'Connection: close'] if closes else [framing]
+    return _encode_lines(status, headers, lines)
+
+
+def encode_unframed_head(
+    status: int, headers: typing.Sequence[call.Header]
+) -> bytes:
+    """The head of an answer whose body ends with the connection."""
+    return _encode_lines(status, headers, [b'Connection: close'])
+
+
+def _encode_lines(
+    status: int,
+    headers: typing.Sequence[call.Header],
+    last_lines: typing.Sequence[bytes],
+) -> bytes:
+    lines = [b'HTTP/1.1 %d %s' % (status, REASONS.get(status, b'Status'))]
+    lines += [b'%s: %s' % header for header in headers]
+    return b'\r\n'.join([*lines, *last_lines]) + b'\r\n\r\n'
 
 
 def encode_chunk(data: bytes) -> bytes:
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -94,6 +94,7 @@
 
     def finish_writing(self) -> None:
         """Close the sending direction; the peer reads the end."""
+        self.set_reset_on_close(False)
         if not self.is_closed:
             try:
                 self._socket.shutdown(socket.SHUT_WR)
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from guavachute.domain import call
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.standin.platform import server
@@ -122,12 +121,6 @@
     end: typing.Callable[[], None]
 
 
-def _unframed_head(headers: typing.Sequence[call.Header]) -> bytes:
-    lines = [b'HTTP/1.1 200 OK']
-    lines += [b'%s: %s' % header for header in headers]
-    return b'\r\n'.join(lines) + b'\r\n\r\n'
-
-
 class Engine:
     """One endpoint, which registers itself in the store.
 
@@ -308,10 +301,12 @@
             answer.send_raw(head + body)
             answer.reply(200, body, headers)
         elif self.behaviour is Behaviour.UNFRAMED:
-            answer.send_raw(_unframed_head(headers) + body)
+            answer.send_raw(http1.encode_unframed_head(200, headers) + body)
             answer.connection.finish_writing()
         elif self.behaviour in UNFRAMED_BEHAVIOURS:
-            answer.send_raw(_unframed_head(headers) + body[:5])
+            answer.send_raw(
+                http1.encode_unframed_head(200, headers) + body[:5]
+            )
             self._break_unframed(answer)
         else:
             answer.reply(200, body, headers)
@@ -325,7 +320,7 @@
         first = int(answer.header(b'Last-Event-Id') or b'0') + 1
         headers = self._headers(answer)
         if self.behaviour in UNFRAMED_BEHAVIOURS:
-            answer.send_raw(_unframed_head(headers))
+            answer.send_raw(http1.encode_unframed_head(200, headers))
             send, end = answer.send_raw, answer.connection.finish_writing
         else:
             answer.caller.begin_answer(200, headers)
