Hand plain answers without a length on without one at routers too

Now it ends with the caller's connection, reset if it breaks, and is not stored; callers who repeat the key hear that the order ran.

Looked at besides, without a fault: streams of routers end only with the engine's last event, and a closed connection is a break; probes and copies of KV caches the same; replies of store, cloud, reports, moves and peers are decoded by their content (JSON, msgpack, counted records), so a cut reply is an unreadable one; callers' bodies always have a length or chunks.

--- a/src/guavachute/decide/orders/order_commit.py
+++ b/src/guavachute/decide/orders/order_commit.py
@@ -299,7 +299,7 @@
             return _unknown(
                 claim,
                 f'the order was run and answered {answer.status}, but the '
-                'answer was too large to be stored',
+                'answer was too large, or not surely complete, to be stored',
                 # A retry would not find the answer either.
                 retry_after_s=None,
             )
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -12,12 +12,10 @@
 import httptools
 
 from guavachute.domain import call
+from guavachute.http import message
 
 LAST_CHUNK = b'0\r\n\r\n'
 
-BODILESS_STATUSES = (204, 304)
-"""Answers with these have no body, and so none that could be cut off."""
-
 REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -269,7 +267,7 @@
     names = {name.lower() for name, _ in headers}
     if b'transfer-encoding' in names:
         return Framing.CHUNKS
-    if b'content-length' in names or status in BODILESS_STATUSES:
+    if b'content-length' in names or status in message.BODILESS_STATUSES:
         return Framing.LENGTH
     return Framing.CONNECTION
 
--- a/src/guavachute/http/message.py
+++ b/src/guavachute/http/message.py
@@ -8,6 +8,9 @@
 
 from guavachute import outcome
 
+BODILESS_STATUSES = (204, 304)
+"""Answers with these have no body, and so none that could be cut off."""
+
 
 @dataclasses.dataclass(slots=True)
 class Request:
--- a/src/guavachute/services/claim_gate.py
+++ b/src/guavachute/services/claim_gate.py
@@ -83,10 +83,11 @@
     ) -> None:
         """Store *answer* for callers that send the key again.
 
-        A body longer than ``STORED_BODY_BYTES`` is not stored.
+        A body that may be incomplete, or that is longer than
+        ``STORED_BODY_BYTES``, is not stored.
         """
         attempt = self._pop_attempt(call)
-        fits = len(answer.body) <= STORED_BODY_BYTES
+        is_kept = answer.is_framed and len(answer.body) <= STORED_BODY_BYTES
         self._claims.send(
             order_claims.StoreAnswer(
                 order_records.OrderAnswer(
@@ -94,7 +95,7 @@
                     attempt_id=attempt.attempt_id,
                     status=answer.status,
                     headers=answer.headers,
-                    body=answer.body if fits else None,
+                    body=answer.body if is_kept else None,
                 )
             )
         )
--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -40,6 +40,7 @@
         'x-deadline-s',
     }
 )  # fmt: skip
+FRAMING_HEADERS = frozenset({'content-length', 'transfer-encoding'})
 FORWARDED_HEADERS = ('Content-Type', 'Location', 'ETag')
 
 
@@ -69,11 +70,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """An endpoint's answer."""
+    """An endpoint's answer.
+
+    :ivar is_framed: whether its length or chunks show that the body is
+        complete; the end of a connection doesn't
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
+    is_framed: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,7 +282,7 @@
                 outcome.Verdict.UNKNOWN,
                 outcome.Failure(outcome.Reason.LOST_ANSWER, str(error)),
             )
-        return _answer_of(response)
+        return _answer_of(response, call.request.method)
 
     def _connections(
         self, call: PlainCall, endpoint: tables.EndpointEntry
@@ -312,6 +318,7 @@
                 result.status,
                 {**result.headers, **outcome_headers},
                 result.body,
+                result.is_framed,
             )
         else:
             self._count.add(f'requests.{result.verdict.value}')
@@ -335,13 +342,16 @@
         call.caller.release()
 
 
-def _answer_of(response: urllib3.BaseHTTPResponse) -> Answer:
+def _answer_of(response: urllib3.BaseHTTPResponse, method: str) -> Answer:
     headers = {
         name: response.headers[name]
         for name in FORWARDED_HEADERS
         if name in response.headers
     }
-    return Answer(response.status, headers, response.data)
+    is_framed = not response.data or not FRAMING_HEADERS.isdisjoint(
+        map(str.lower, response.headers)
+    )
+    return Answer(response.status, headers, response.data, is_framed)
 
 
 def _request_target(request: message.Request) -> str:
--- a/src/guavachute/services/relay/downstream.py
+++ b/src/guavachute/services/relay/downstream.py
@@ -4,6 +4,7 @@
 import enum
 import http
 import socket
+import struct
 import typing
 
 from guavachute.http import server
@@ -13,6 +14,7 @@
 
 READ_AHEAD_BYTES = 1024
 LAST_CHUNK = b'0\r\n'
+_LINGER = struct.Struct('ii')
 
 
 class FlushResult(enum.Enum):
@@ -38,7 +40,10 @@
         to be closed
     """
 
-    __slots__ = ('_connection', '_pending', '_keeps_alive', 'started', 'gone')
+    __slots__ = (
+        '_connection', '_pending', '_keeps_alive', '_is_framed', 'started',
+        'gone',
+    )  # fmt: skip
 
     def __init__(
         self, connection: server.DetachedConnection, keeps_alive: bool
@@ -46,6 +51,7 @@
         self._connection = connection
         self._pending = bytearray()
         self._keeps_alive = keeps_alive
+        self._is_framed = True
         self.started = False
         self.gone = False
 
@@ -100,15 +106,26 @@
         self._pending += LAST_CHUNK + _lines(trailers) + b'\r\n'
 
     def send_response(
-        self, status: int, headers: typing.Mapping[str, str], body: bytes
+        self,
+        status: int,
+        headers: typing.Mapping[str, str],
+        body: bytes,
+        is_framed: bool = True,
     ) -> None:
-        """Queue a complete response."""
+        """Queue a response.
+
+        :param is_framed: whether the body is known to be complete, and so
+            gets a length; otherwise it ends with the connection, and any
+            other end of the connection is a reset
+        """
         self.started = True
-        lines = {
-            'Content-Type': 'application/json',
-            'Content-Length': str(len(body)),
-            **headers,
-        }
+        lines = {'Content-Type': 'application/json', **headers}
+        if is_framed:
+            lines['Content-Length'] = str(len(body))
+        else:
+            self._keeps_alive = False
+            self._is_framed = False
+            self._set_reset_on_close(True)
         self._pending += self._head(status, lines) + body
 
     def flush(self) -> FlushResult:
@@ -150,6 +167,8 @@
         if self._keeps_alive and not self.gone and not self._pending:
             self._connection.release()
             return
+        if not self._is_framed and not self._pending:
+            self._set_reset_on_close(False)
         self.abort()
 
     def abort(self) -> None:
@@ -160,6 +179,12 @@
         with contextlib.suppress(OSError):
             self._connection.close()
 
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        with contextlib.suppress(OSError):
+            self._connection.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(enabled, 0)
+            )
+
     def _head(self, status: int, lines: typing.Mapping[str, str]) -> bytes:
         phrase = http.HTTPStatus(status).phrase
         connection = 'keep-alive' if self._keeps_alive else 'close'
--- a/src/guavachute/wire/order_records.py
+++ b/src/guavachute/wire/order_records.py
@@ -47,7 +47,7 @@
 class OrderAnswer(_KeyRecord, frozen=True, kw_only=True, tag='order-answer'):
     """Records the answer to an attempt that ran.
 
-    :ivar body: None if it is too large to be stored
+    :ivar body: None if it is too large to be stored, or may be incomplete
     """
 
     status: int
--- /dev/null
+++ b/tests/cover/test_plain_call_ends.py
@@ -0,0 +1,112 @@
+"""How an endpoint's answer to a plain call ends, at a router.
+
+Answers of all framings, some of them broken off, to calls with and without an
+idempotency key.
+"""
+
+import socket
+import threading
+import time
+import unittest
+import unittest.mock
+
+from guavachute.http import message
+from guavachute import ids
+from guavachute.observe import counters
+from guavachute.observe import traces
+from guavachute.services import plain_calls
+from guavachute.services.relay import downstream
+from guavachute import settings
+from guavachute.wire import tables
+from tests.support import hosting
+
+BODY = b'question'
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
+UNFRAMED = HEAD + b'\r\nten ca'
+FRAMED = HEAD + b'Content-Length: 8\r\n\r\nten caps'
+
+
+class Endpoint:
+    """Sends *answer* to the first connection, and closes it."""
+
+    def __init__(self, case: unittest.TestCase, answer: bytes) -> None:
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._answer = answer
+        case.addCleanup(self._listener.close)
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    @property
+    def entry(self) -> tables.EndpointEntry:
+        """The endpoint as a router knows it."""
+        return tables.EndpointEntry(
+            endpoint='e1',
+            address='%s:%d' % self._listener.getsockname(),
+            failure_domain='here-a',
+            region='here',
+            pool='orders',
+        )
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection:
+            received = b''
+            while not received.endswith(BODY):
+                received += connection.recv(65_536)
+            connection.sendall(self._answer)
+
+
+class PlainCallEndTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.claimer = unittest.mock.Mock()
+        self.claimer.claim.return_value = None
+
+    def fetch(self, answer: bytes, key: str | None = None) -> bytes:
+        """All that a caller reads until its connection is closed."""
+        near, far = socket.socketpair()
+        far.setblocking(False)
+        self.addCleanup(near.close)
+        connection = unittest.mock.Mock(socket=far, close=far.close)
+        options = settings.Traces()
+        with traces.exporting('test', options) as tracer:
+            calls = plain_calls.PlainCalls(
+                'here', counters.Counters(), tracer, self.claimer
+            )
+            hosting.host(self, calls)
+            calls.set_tables(
+                unittest.mock.Mock(endpoints=[Endpoint(self, answer).entry])
+            )
+            calls.mailbox.send(
+                plain_calls.PlainCall(
+                    request_id=ids.RequestId('req-1'),
+                    workspace=ids.WorkspaceName('club'),
+                    pool=ids.PoolName('orders'),
+                    request=message.Request('POST', '/jobs', {}, {}, BODY),
+                    idempotency_key=key,
+                    deadline_s=time.monotonic() + 5.0,
+                    caller=downstream.Downstream(connection, False),
+                    span=unittest.mock.Mock(),
+                    context=traces.Context(),
+                )
+            )
+            near.settimeout(5.0)
+            received = b''
+            while data := near.recv(65_536):
+                received += data
+        return received
+
+    # Guards against a body that a close cut off, handed on with a length.
+    def test_a_body_that_ends_with_its_connection_gets_no_length(self) -> None:
+        head, _, body = self.fetch(UNFRAMED).partition(b'\r\n\r\n')
+        self.assertEqual(b'ten ca', body)
+        self.assertNotIn(b'content-length', head.lower())
+        self.assertIn(b'connection: close', head.lower())
+
+    def test_a_framed_body_keeps_its_length(self) -> None:
+        self.assertIn(b'Content-Length: 8\r\n', self.fetch(FRAMED))
+
+    # Guards against a cut body that a later caller gets as the whole one.
+    def test_only_a_framed_answer_is_stored_as_complete(self) -> None:
+        for answer, is_framed in ((UNFRAMED, False), (FRAMED, True)):
+            self.fetch(answer, key='key')
+            stored = self.claimer.store_answer.call_args.args[1]
+            self.assertEqual(is_framed, stored.is_framed)
