Soak answers without a length, and their breaks

Engines of the soak now also break off answers that end with their connection, by a close inside an event or body and by a reset, and end chunks inside an event. The checks: an answer without framing ends between two events, holds only what its engine sent, and comes only where an engine's own answer had none; its number of events is not checked, since only its engine knows it.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -156,7 +156,8 @@
         attempt.status = reply.status
         attempt.headers = reply.headers
         attempt.answer = reply.body
-        attempt.is_complete = reply.is_complete
+        attempt.is_complete = reply.ended_cleanly
+        attempt.is_framed = reply.is_framed
         attempt.is_malformed = reply.is_malformed
         if not self._context.has_only_planned_work():
             attempt.during_planned_work = False
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,6 +28,9 @@
     Behaviour.FOREIGN_FIRST,
     Behaviour.UNSIGNED,
     Behaviour.UNFRAMED,
+    Behaviour.UNFRAMED_BREAK,
+    Behaviour.UNFRAMED_RESET,
+    Behaviour.TORN,
     Behaviour.SILENT,
 )
 STORE_FAULTS = (
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -35,7 +35,9 @@
     :ivar during_planned_work: whether only planned work disturbed the
         site from its sending to its end
     :ivar status: 0 if no answer arrived
-    :ivar is_complete: whether the complete answer arrived
+    :ivar is_complete: whether the answer ended as a complete one does
+    :ivar is_framed: whether it has a length or chunks; the clean end of
+        another one doesn't show that its endpoint sent all of it
     :ivar is_malformed: whether the answer was invalid HTTP
     :ivar ended_s: when it ended; 0 while it is awaited
     """
@@ -53,6 +55,7 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     answer: bytes = b''
     is_complete: bool = False
+    is_framed: bool = True
     is_malformed: bool = False
     ended_s: float = 0.0
 
@@ -200,10 +203,14 @@
         return None
     if origin.attempt_id != attempt.attempt_id:
         return 'answer to another request'
+    if not attempt.is_framed and all(run.is_framed for run in runs):
+        return 'answer lost its framing'
     if attempt.status == 500:
         return None if attempt.answer == b'failed' else 'failure was changed'
     if not attempt.route.events:
         expected = b'answer of ' + engine.encode()
+        if not attempt.is_framed:
+            expected = expected[: len(attempt.answer)]
         if attempt.is_complete and attempt.answer != expected:
             return 'answer was changed'
         return None
@@ -221,7 +228,7 @@
     if attempt.is_complete:
         if events.pop():
             return 'complete answer ends in the middle of an event'
-        if len(events) != attempt.route.events:
+        if attempt.is_framed and len(events) != attempt.route.events:
             return f'{len(events)} events in a complete answer'
     else:
         events = events[:-1]
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -177,6 +177,30 @@
         back = [*forward, probe(1, 404, 4.0)]
         self.assertIn('went back', guarantees.violations(back, {})[0])
 
+    def test_unframed_answers_that_ended_too_early(self) -> None:
+        def sent_and_run(
+            body: bytes, run_is_framed: bool, **changes: object
+        ) -> tuple[guarantees.Attempt, standin_engine.Run]:
+            sent = attempt(STREAM, answer=body, is_framed=False, **changes)
+            run = run_of(sent)
+            run.is_framed = run_is_framed
+            return sent, run
+
+        whole, short = events(*['e1'] * 6), events(*['e1'] * 5)
+        for body in (whole, short):
+            self.assertEqual(
+                [], self.violations(*sent_and_run(body, run_is_framed=False))
+            )
+        self.assert_violated(
+            'in the middle of an event',
+            *sent_and_run(short + b'id: 6', run_is_framed=False),
+        )
+        self.assert_violated(
+            'lost its framing', *sent_and_run(whole, run_is_framed=True)
+        )
+        framed = attempt(STREAM, answer=short)
+        self.assert_violated('5 events', framed, run_of(framed))
+
     def test_planned_work_that_cuts_an_answer(self) -> None:
         sent = attempt(ORDER, status=0, headers={}, is_complete=False)
         sent.during_planned_work = True
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -122,6 +122,13 @@
         names = self.headers.keys()
         return 'content-length' in names or 'transfer-encoding' in names
 
+    @property
+    def ended_cleanly(self) -> bool:
+        """Whether nothing but the content can show that it is incomplete."""
+        if not self.status or self.is_framed:
+            return self.is_complete
+        return self.is_closed and not self.was_reset
+
     @property
     def has_ended(self) -> bool:
         """Whether the answer is complete or the connection closed."""
