--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -52,6 +52,9 @@
 """A request is suspected of having crashed an endpoint if it lost its
 connection at most this long before the endpoint was found dead."""
 
+LOGGED_FINGERPRINT = 12
+"""Length of the start of a fingerprint in the log."""
+
 MAX_CRASH_NOTICES = 20
 """Upper bound of the crash notices in one update."""
 
@@ -500,24 +503,38 @@
         crash_id = ':'.join(str(part) for part in record.entry.incarnation)
         for at_s, lost_at, lost in self._lost_attempts:
             if lost_at is record and now_s - at_s <= BLAME_WINDOW_S:
+                notice = self._crashes.record_crash(
+                    lost.fingerprint, crash_id, now_s
+                )
                 journal.event(
                     'suspect',
                     request=lost.call.attempt_id,
                     endpoint=record.entry.id,
                     age_s=round(now_s - at_s, 3),
+                    fingerprint=lost.fingerprint[:LOGGED_FINGERPRINT],
+                    crashes=len(notice.crashes),
+                    has_begun=lost.first_byte_s is not None,
+                    parts=[part.id for part in lost.call.parts[:-1]],
                 )
-                self._record_notice(
-                    self._crashes.record_crash(
-                        lost.fingerprint, crash_id, now_s
-                    )
-                )
+                self._record_notice(notice)
         self._lost_attempts = [
             item for item in self._lost_attempts if item[1] is not record
         ]
 
     def merge_crash_notice(self, notice: wire_requests.CrashNotice) -> None:
         """Merge another node's notice of a request that crashes endpoints."""
+        name = crash.Fingerprint(notice.fingerprint)
+        before = self._crashes.status(name, self.loop.now_s)
         self._crashes.merge_notice(notice, self.loop.now_s)
+        status = self._crashes.status(name, self.loop.now_s)
+        if status is not before:
+            journal.event(
+                'suspect',
+                outcome=status.value,
+                source='peer',
+                fingerprint=name[:LOGGED_FINGERPRINT],
+                crashes=len(notice.crashes),
+            )
 
     def crash_notices(self) -> list[wire_requests.CrashNotice]:
         """The newest crash notices of this node, for the other nodes."""
@@ -544,6 +561,15 @@
         runs, silent = self._peers.table.counted_runs(quota.SILENT_AFTER_S)
         self._quotas.set_peers(quota.PeerRuns(runs, silent), self.loop.now_s)
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
+        for at_s, record, lost in self._lost_attempts:
+            if at_s < oldest_s:
+                journal.event(
+                    'suspect',
+                    outcome='not-blamed',
+                    reason='the endpoint was not found dead',
+                    request=lost.call.attempt_id,
+                    endpoint=record.entry.id,
+                )
         self._lost_attempts = [
             item for item in self._lost_attempts if item[0] >= oldest_s
         ]
