--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -15,6 +15,12 @@
 BREAK_AFTER_S = 0.01
 """How long after its last bytes a broken answer ends."""
 
+CRASH_AFTER_S = 0.03
+"""How long after the start of a run a crashing prompt part takes effect."""
+
+RESTART_AFTER_S = 0.3
+"""How long after a crash the next incarnation starts."""
+
 
 class Behaviour(enum.Enum):
     """How the endpoint answers requests."""
@@ -80,6 +86,12 @@
         """The workspace that the request's headers name, if any."""
         return self.headers.get('tenant')
 
+    @property
+    def shared_parts(self) -> list[str]:
+        """The ids of the prompt's parts, without its last, own one."""
+        items = self.headers.get('prefix-hash', '').split(',')
+        return [item.partition(':')[0].strip() for item in items[:-1]]
+
     @property
     def was_moved(self) -> bool:
         """Whether it continues a run of another endpoint from its copy."""
@@ -130,6 +142,9 @@
     :ivar incarnation: the number of its current start
     :ivar is_leaving: whether all answers say that the endpoint will end
     :ivar retry_after: the ``Retry-After`` header of rejections; None without
+    :ivar crashing_part: the prompt part whose runs crash it; None if no part
+        does
+    :ivar crashes: how often it has crashed
     :ivar runs: the requests that it ran, oldest first
     :ivar report: the answer to ``/guavachute/report``
     :ivar refused: the number of requests that it rejected as overloaded
@@ -158,6 +173,8 @@
         self.incarnation = 1
         self.is_leaving = False
         self.retry_after: str | None = None
+        self.crashing_part: str | None = None
+        self.crashes = 0
         self.runs: list[Run] = []
         self.report: dict[str, typing.Any] = {
             'active': 0,
@@ -187,7 +204,7 @@
             'state': state,
             'coldRemainingMs': 0,
             'sequence': self._sequence,
-            'born': 1,
+            'born': self.incarnation,
             **fields,
         }
         self._store.put(
@@ -208,14 +225,24 @@
         """Abort all connections, but keep listening."""
         self._server.abort_connections()
 
+    def crash(self) -> None:
+        """Abort all connections and stop listening until the restart."""
+        self.crashes += 1
+        self._server.close()
+        self._loop.call_after(RESTART_AFTER_S, self._restart)
+
+    def _restart(self) -> None:
+        self.incarnation += 1
+        self._server = server.Server(self._loop, self._serve, self.address)
+        self.register()
+
     def _serve(self, answer: server.Answer) -> None:
         if answer.request.target == b'/guavachute/kv-move':
             self._move(answer)
             return
         if answer.request.target == b'/guavachute/report':
-            answer.reply(
-                200, msgspec.json.encode(self.report), self._own_headers()
-            )
+            report = {**self.report, 'born': self.incarnation}
+            answer.reply(200, msgspec.json.encode(report), self._own_headers())
             return
         expected = answer.header(b'Expect-Instance')
         if expected is not None and expected.decode() != self.name:
@@ -242,6 +269,9 @@
         )
         self.runs.append(run)
         answer.on_disconnected = lambda: setattr(run, 'is_cancelled', True)
+        if self.crashing_part in run.shared_parts:
+            self._loop.call_after(CRASH_AFTER_S, self.crash)
+            return
         self._answer(answer)
 
     def _answer(self, answer: server.Answer) -> None:
