Recognise prompt parts that crash engines, over all nodes

Cause: a request was known only by the hash of its content (workspace, path, body), and no two of these are alike, so nothing was ever counted twice (hypothesis 1). Besides, a crash was noticed only when the node next connected to the engine in vain, within 3 s, which in the incident's logs is missing for some crashes (hypothesis 2). Notices of others arrived, but held only such hashes (hypothesis 3: no). Class of fault: a defence that knows a thing by its identity, not by what it has in common.

Now a request that loses its engine before its answer begins has the engine called at once; a crash makes the shared parts of such requests suspects, an answer that begins clears them, and crashes at three moments without that blame a part. Why it works: what the requests share is lost at every crash and never answered; what sound requests share is answered all the time.

Evidence: the whole-path test failed before (8 of 9 further requests reached engines, three may; now none or one).

--- a/src/guavachute/domain/call.py
+++ b/src/guavachute/domain/call.py
@@ -70,6 +70,11 @@
     headers: typing.Sequence[Header]
     body: bytes = b''
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may have too."""
+        return tuple(part.id for part in self.parts[:-1])
+
     @property
     def total_tokens(self) -> int:
         """Tokens of prompt and answer together; 0 if not given."""
--- a/src/guavachute/domain/endpoints.py
+++ b/src/guavachute/domain/endpoints.py
@@ -53,6 +53,7 @@
     :ivar memory_total_tokens: capacity of the KV cache
     :ivar state: None if not given
     :ivar leaves_in_s: remaining time until it stops; None if not known
+    :ivar start_ms: start of this incarnation, as Unix time; 0 if not given
     """
 
     running: int
@@ -61,6 +62,7 @@
     memory_total_tokens: int
     state: EndpointState | None = None
     leaves_in_s: float | None = None
+    start_ms: int = 0
 
 
 Endpoints = typing.Mapping[ids.EndpointId, Endpoint]
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -8,6 +8,7 @@
 from guavachute.decide import crash
 from guavachute.decide.ingress import announcements
 from guavachute.decide.ingress import choice
+from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress import event_stream
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
@@ -37,6 +38,9 @@
 """With less time left than this, an endpoint could not answer in time, so the
 request is not sent."""
 
+CRASHING_RETRY_S = 30.0
+"""Retry-After of a request that crashes endpoints."""
+
 SHORT_RETRY_AFTER_S = 0.25
 """Retry-After of an answer whose cause is expected to pass quickly."""
 
@@ -120,6 +124,15 @@
     def handle_request_started(self, exchange: 'Exchange') -> None:
         """The request has started to run; called at most once."""
 
+    def crash_verdict(self, exchange: 'Exchange') -> crashing_parts.Verdict:
+        """Whether the request may be sent: it may crash endpoints."""
+
+    def may_repeat(self, exchange: 'Exchange') -> bool:
+        """Whether a request that lost its endpoint may be sent to another."""
+
+    def handle_answer_proven(self, exchange: 'Exchange') -> None:
+        """The answer shows that the request doesn't crash endpoints."""
+
     def handle_attempt_lost(
         self, exchange: 'Exchange', record: endpoint_registry.EndpointRecord
     ) -> None:
@@ -150,6 +163,8 @@
     :ivar first_byte_s: loop time at which the first byte of a stream went to
         the caller; None before
     :ivar has_started: whether the request was reported as running
+    :ivar is_proven: whether the present attempt's answer shows that the
+        request doesn't crash its endpoint
     """
 
     def __init__(
@@ -178,6 +193,8 @@
         self.attempts = 0
         self.first_byte_s: float | None = None
         self.has_started = False
+        self.is_proven = False
+        self._begun_s: float | None = None
         self._tried_endpoints: set[ids.EndpointId] = set()
         self._may_have_run = False
         self._record: endpoint_registry.EndpointRecord | None = None
@@ -215,6 +232,21 @@
                 )
             )
             return
+        verdict = self._owner.crash_verdict(self)
+        if verdict is crashing_parts.Verdict.REFUSE:
+            self._fail_request(
+                outcome.Failure(
+                    outcome.Reason.CRASHES_ENDPOINTS,
+                    'requests with a part of this prompt crash endpoints',
+                    CRASHING_RETRY_S,
+                )
+            )
+            return
+        if verdict is crashing_parts.Verdict.WAIT:
+            self._recheck_or_fail(
+                now_s, 'another request that may crash endpoints is running'
+            )
+            return
         records = self._owner.registry.usable(
             self.service, self._tried_endpoints, now_s
         )
@@ -261,6 +293,12 @@
                 )
             )
             return
+        self._recheck_or_fail(
+            now_s, f'no endpoint of {self.service} can be used'
+        )
+
+    def _recheck_or_fail(self, now_s: float, reason: str) -> None:
+        """Try to dispatch again soon, unless the request waited too long."""
         waited_s = now_s - self.arrived_s
         if waited_s < WAIT_FRACTION * self.route.objective_s:
             self._recheck_timer = self._owner.loop.call_after(
@@ -269,9 +307,7 @@
             return
         self._fail_request(
             outcome.Failure(
-                outcome.Reason.NO_CAPACITY,
-                f'no endpoint of {self.service} can be used',
-                SHORT_RETRY_AFTER_S,
+                outcome.Reason.NO_CAPACITY, reason, SHORT_RETRY_AFTER_S
             )
         )
 
@@ -295,6 +331,8 @@
         self._framing = None
         self._connection_end = None
         self._partial_bytes = 0
+        self._begun_s = None
+        self.is_proven = False
         # The next endpoint sends an incomplete event again from its start.
         self._events.discard_partial_event()
         if self.state is State.WAITING:
@@ -567,8 +605,18 @@
                 self._head.status, self._head.headers, self._is_framed
             )
         self._record_first_token(now_s)
+        if self._begun_s is None:
+            self._begun_s = now_s
+        elif now_s - self._begun_s >= crashing_parts.PROOF_S:
+            self._record_proof()
         self._caller.answer_chunk(data)
 
+    def _record_proof(self) -> None:
+        """Record that the endpoint survived the start of this answer."""
+        if not self.is_proven:
+            self.is_proven = True
+            self._owner.handle_answer_proven(self)
+
     def _record_first_token(self, now_s: float) -> None:
         """Record that the endpoint has processed the whole prompt."""
         if self._pending_tokens and self._record is not None:
@@ -609,6 +657,8 @@
             self._owner.handle_attempt_lost(self, self._record)
             self._fail_attempt('closed before the first event')
             return
+        if self._is_framed:
+            self._record_proof()
         self._record.health.record_success(self._owner.loop.now_s)
         self._release_endpoint(keeps_alive)
         if self.first_byte_s is None:
@@ -635,6 +685,8 @@
             self._last_error = answer
             self._after_failure(f'status {answer.head.status}')
             return
+        if answer.is_framed:
+            self._record_proof()
         self._record.health.record_success(self._owner.loop.now_s)
         self._release_endpoint(keeps_alive)
         self._forward_answer(answer)
@@ -689,7 +741,8 @@
             passed_events=self._events.events,
             **self._answer_end_fields(),
         )
-        if self.route.can_run_again and self._consume_retry():
+        may_repeat = self.route.can_run_again and self._owner.may_repeat(self)
+        if may_repeat and self._consume_retry():
             self.dispatch()
         elif self.first_byte_s is not None:
             self._finish('cut')
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -4,6 +4,7 @@
 import typing
 
 from guavachute.decide import crash
+from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
 from guavachute.decide import rendezvous
@@ -17,6 +18,7 @@
 from guavachute.entry import http1
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import part_suspects
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import transport
 from guavachute.entry import upstream
@@ -31,7 +33,6 @@
 
 NO_CONFIGURATION_RETRY_S = 0.3
 STOPPING_RETRY_S = 0.05
-CRASHING_RETRY_S = 30.0
 
 STOP_SERVE_FRACTION = 0.35
 """Fraction of the grace period in which a stopping node still serves new
@@ -87,6 +88,7 @@
         registry: endpoint_registry.EndpointRegistry,
         peers: entry_peers.Peers,
         metrics: observe_metrics.Metrics,
+        suspects: part_suspects.PartSuspects,
         on_run_started: typing.Callable[[ids.WorkspaceName], None],
     ) -> None:
         self.loop = loop
@@ -96,6 +98,7 @@
         self._state = state
         self._peers = peers
         self._metrics = metrics
+        self._suspects = suspects
         self._on_run_started = on_run_started
         self._quotas = quota.Quotas(site.bounds.quota_allowance, loop.now_s)
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
@@ -240,7 +243,14 @@
             self._reject(caller, call, 503, _failure(
                 outcome.Reason.CRASHES_ENDPOINTS,
                 'identical requests have crashed endpoints',
-                CRASHING_RETRY_S,
+                exchange.CRASHING_RETRY_S,
+            ))  # fmt: skip
+            return None
+        if self._suspects.verdict(call) is crashing_parts.Verdict.REFUSE:
+            self._reject(caller, call, 503, _failure(
+                outcome.Reason.CRASHES_ENDPOINTS,
+                'requests with a part of this prompt have crashed endpoints',
+                exchange.CRASHING_RETRY_S,
             ))  # fmt: skip
             return None
         if workspace is not None:
@@ -269,6 +279,7 @@
         self, started: exchange.Exchange, tokens_to_read: int
     ) -> None:
         """Record the tokens that an engine has to process for a request."""
+        self._suspects.handle_sent(started.call)
         call, service, now_s = started.call, started.service, self.loop.now_s
         if call.tokens is None:
             return
@@ -381,6 +392,20 @@
         if started.workspace is not None:
             self._on_run_started(started.workspace.name)
 
+    def crash_verdict(
+        self, started: exchange.Exchange
+    ) -> crashing_parts.Verdict:
+        """Whether parts of the request's prompt allow it to be sent."""
+        return self._suspects.verdict(started.call)
+
+    def may_repeat(self, started: exchange.Exchange) -> bool:
+        """Whether a request that lost its endpoint may be sent to another."""
+        return self._suspects.may_repeat(started.call)
+
+    def handle_answer_proven(self, started: exchange.Exchange) -> None:
+        """Record that a request doesn't crash endpoints."""
+        self._suspects.handle_proven(started.call)
+
     def handle_attempt_lost(
         self,
         started: exchange.Exchange,
@@ -388,6 +413,7 @@
     ) -> None:
         """Record a request whose connection to an endpoint broke."""
         self._lost_attempts.append((self.loop.now_s, record, started))
+        self._suspects.handle_lost(started.call, record, started.is_proven)
 
     def handle_announcement(
         self,
@@ -414,6 +440,7 @@
         refunds the quota, as the request has not run.
         """
         self._exchanges.discard(started)
+        self._suspects.handle_ended(started.call)
         self._metrics.add('ended_' + verdict.replace(' ', '_'))
         now_s = self.loop.now_s
         self._metrics.observe_s('request', now_s - started.arrived_s)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -20,6 +20,7 @@
 from guavachute.entry import ingress as entry_ingress
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import part_suspects
 from guavachute.entry import peer_table
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import query_server
@@ -136,6 +137,18 @@
         self._sums = region_sums.ConsumptionSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
         self.registry.work_of_others = self.peers.table.work_at
+        self._suspects = part_suspects.PartSuspects(
+            loop,
+            site.node,
+            self.metrics,
+            self.registry,
+            lambda: [
+                peer.update.node
+                for peer in self.peers.table.active_peers()
+                if peer.update is not None
+            ],
+            lambda: self._is_reader,
+        )
         self.ingress = entry_ingress.Ingress(
             loop,
             site,
@@ -143,12 +156,14 @@
             self.registry,
             self.peers,
             self.metrics,
+            self._suspects,
             self.usage.record_run,
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
         self.registry.on_leaving = self._handle_leaving
         self._store = store_client.StoreClient(loop, site.store.address)
         self._store.on_new_era.append(self._handle_new_era)
+        self._suspects.store = self._store
         self._operator = self._follow(
             platform_configuration.TOPIC,
             self.state.fold_operator,
@@ -397,6 +412,9 @@
             if self.duty is not None:
                 self.duty.fold(record)
             return
+        if record.key.startswith(part_suspects.KEY_PREFIX):
+            self._suspects.fold(record, is_snapshot)
+            return
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
         if record.value is None:
@@ -505,6 +523,7 @@
             crashes=self.ingress.crash_notices(),
             store_era=self._store.told_era,
             leaving=self.registry.notices(self.loop.now_s),
+            parts=self._suspects.notices(),
         )
 
     def region_update(
@@ -547,6 +566,7 @@
                 for at_s in self.usage.local_update_times_s()
             ],
             crashes=self.ingress.crash_notices(),
+            parts=self._suspects.notices(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -566,6 +586,7 @@
         )
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
+        self._suspects.merge_notices(update.parts, update.node)
         self._catch_up.check_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
@@ -583,6 +604,7 @@
         )
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
+        self._suspects.merge_notices(update.parts, update.node)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
@@ -793,6 +815,7 @@
         self.registry.discard_gone()
         self.peers.table.discard_endpoints(self.state.table.entries)
         self.ingress.expire()
+        self._suspects.expire()
 
 
 @contextlib.contextmanager
--- a/src/guavachute/ids.py
+++ b/src/guavachute/ids.py
@@ -12,6 +12,10 @@
 Digest = typing.NewType('Digest', str)
 """Hexadecimal SHA-256 of a document or of an API key."""
 
+CrashId = typing.NewType('CrashId', int)
+"""Hash of the incarnation of an endpoint that crashed; the same on all nodes.
+"""
+
 EndpointId = typing.NewType('EndpointId', str)
 """An endpoint; equal to the id of its VM."""
 
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -38,6 +38,8 @@
     kv_total: float = 0
     state: str | None = None
     leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
+    # "born" as in the entry.
+    born: int = 0
 
 
 _STATES = {state.value: state for state in endpoints.EndpointState}
@@ -83,6 +85,7 @@
         memory_total_tokens=int(report.kv_total),
         state=_STATES.get(report.state or ''),
         leaves_in_s=_seconds(report.leaves_ms),
+        start_ms=report.born,
     )
 
 
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -31,6 +31,21 @@
     answered_tenths: int = 0
 
 
+class PartNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a node knows of a prompt part that may crash engines.
+
+    :ivar crashes: by crash, how long ago it happened, in tenths of a second
+    :ivar moments: how many moments with a crash are known
+    :ivar cleared_ds: how long ago an answer proved the part harmless, in
+        tenths of a second; None if none did
+    """
+
+    part: str
+    crashes: dict[ids.CrashId, int]
+    moments: int
+    cleared_ds: int | None = None
+
+
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load that a node's callers offer to a service."""
 
@@ -56,6 +71,7 @@
     :ivar usage: requests of the newest windows, by window and workspace
     :ivar update_ages_ds: how long ago each node sent its last update, in
         tenths of a second
+    :ivar parts: as in :class:`NodeUpdate`
     """
 
     region: str
@@ -72,6 +88,7 @@
     usage: dict[int, dict[ids.WorkspaceName, int]]
     update_ages_ds: list[int]
     crashes: list[requests.CrashNotice]
+    parts: list[PartNotice] = []
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -105,6 +122,8 @@
         it knows none
     :ivar leaving: endpoints that have told the node that they leave, with the
         start of their incarnation as Unix time in milliseconds
+    :ivar parts: prompt parts that are suspected of crashing engines, or that
+        were cleared lately; also what other nodes have told
     """
 
     node: str
@@ -129,6 +148,7 @@
     region_updates: list[RegionUpdate] = []
     store_era: ids.StoreEra | None = None
     leaving: list[tuple[ids.EndpointId, int]] = []
+    parts: list[PartNotice] = []
 
 
 Update = NodeUpdate | RegionUpdate
@@ -166,6 +186,13 @@
     first_window: int = 0
 
 
+class PartRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The record in the store of a prompt part that crashes engines."""
+
+    crashes: list[ids.CrashId]
+    moments: int
+
+
 class StoreEntry(msgspec.Struct, frozen=True, array_like=True):
     """The stored bytes of an endpoint's entry, and its position."""
 
@@ -256,6 +283,11 @@
     return _decode(data, DutyRecord)
 
 
+def decode_part(data: bytes) -> PartRecord | outcome.Failure:
+    """Decode the record of a part that crashes engines."""
+    return _decode(data, PartRecord)
+
+
 Message = typing.TypeVar('Message', bound=msgspec.Struct)
 
 
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -8,6 +8,8 @@
 import unittest
 
 from guavachute.entry import node as entry_node
+from guavachute.entry import part_suspects
+from guavachute.platform import store
 from guavachute.standin.platform import engine as standin_engine
 from tests.support import looping
 from tests.support import platform_site
@@ -84,3 +86,62 @@
         # The other parts of these requests are served at every node.
         for node in nodes:
             self.assertEqual(200, self.send(node, 'sound-1').status)
+
+    # Guards against a part that is in use again after all nodes have started
+    # anew.
+    def test_nodes_that_start_later_know_the_part(self) -> None:
+        nodes = [self.site.ready_node() for _ in range(2)]
+        self.crash_engines(nodes)
+        self.until_stored()
+        for node in nodes:
+            node.close()
+        later = self.site.ready_node()
+        looping.run_for(self.site.loop, 0.5)
+        before = len(self.runs_with(BAD))
+        self.assertEqual(503, self.send(later, BAD).status)
+        self.assertEqual(before, len(self.runs_with(BAD)))
+        self.assertEqual(200, self.send(later, 'sound-1').status)
+
+    # Guards against a part that a store's copy from before has lost.
+    def test_the_store_has_the_part_again_after_a_copy(self) -> None:
+        node = self.site.ready_node()
+        self.site.store.make_copy()
+        self.crash_engines([node])
+        self.until_stored()
+        self.site.store.restore_copy()
+        self.assertIsNone(self.stored())
+        self.until_stored()
+        self.assertEqual(503, self.send(node, BAD).status)
+
+    # Guards against a retry that crashes one more engine.
+    def test_a_suspected_request_is_not_sent_to_another_engine(self) -> None:
+        node = self.site.ready_node()
+        self.send(node, BAD)
+        looping.run_for(self.site.loop, 0.5)
+        before = self.crashes
+        reply = self.send(node, BAD, '/resumable/a')
+        looping.run_for(self.site.loop, 0.5)
+        self.assertEqual(502, reply.status)
+        self.assertEqual(before + 1, self.crashes)
+
+    # Guards against requests that are refused for a broken connection alone.
+    def test_a_lost_answer_of_an_engine_that_lives_blames_nothing(
+        self,
+    ) -> None:
+        node = self.site.ready_node()
+        for engine in self.engines:
+            engine.behaviour = standin_engine.Behaviour.LOSE
+        for _ in range(6):
+            self.send(node, 'sound')
+            looping.run_for(self.site.loop, 0.4)
+        for engine in self.engines:
+            engine.behaviour = standin_engine.Behaviour.NORMAL
+        self.assertEqual(200, self.send(node, 'sound').status)
+
+    def stored(self) -> bytes | None:
+        return self.site.store.newest(
+            store.OWN_TOPIC, part_suspects.KEY_PREFIX + BAD
+        )
+
+    def until_stored(self) -> None:
+        looping.run_until(self.site.loop, self.stored)
