Look for an endpoint again also after a refused attempt

A caller whose request every endpoint had refused got its 503 at its deadline (3.0 s in the test, which failed before), not within half of the route's objective (0.5 s).

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -312,7 +312,7 @@
         )
 
     def _redispatch(self) -> None:
-        if self.state is State.WAITING:
+        if self.state is not State.ENDED and self._connection is None:
             self.dispatch()
 
     def _send(
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -8,6 +8,7 @@
 from tests.support import platform_site
 
 Behaviour = standin_engine.Behaviour
+OBJECTIVE_S = 1.0
 
 
 class RequestTest(unittest.TestCase):
@@ -362,6 +363,18 @@
                 self.assertEqual([200] * 3, [item.status for item in replies])
                 self.assertTrue(bad.runs)
 
+    # Guards against a refused request that nobody sends again, and that gets
+    # its answer only at its deadline.
+    def test_a_refused_request_is_answered_when_no_endpoint_is_left(
+        self,
+    ) -> None:
+        self.engine('e1').behaviour = Behaviour.SHED
+        node = self.site.ready_node()
+        started_s = self.site.loop.now_s
+        reply = self.site.fetch(node, '/lookup/a', method='GET', body=b'')
+        self.assertEqual(503, reply.status)
+        self.assertLess(self.site.loop.now_s - started_s, OBJECTIVE_S)
+
     def test_an_endpoints_failure_reaches_the_caller(self) -> None:
         self.engine('e1').behaviour = Behaviour.FAIL
         reply = self.site.fetch(self.site.ready_node(), '/order/a')
