Bound heads and bodies without end, and close their connections

Servers in trouble may send bytes that are no answer without end, until the caller closes. The body of a refusal or of another request's answer, and a reply of store or peer, had no bound either, nor had bytes on an idle connection that are no event, and a request's trailer.

Now 64 KB without a part of a body, 1 MB of ignored body and 8 MB of a reply are the bounds; beyond them the connection is closed. A refusal counts with its head. Requests' heads and trailers keep the operator's limit.

--- a/src/guavachute/entry/control_client.py
+++ b/src/guavachute/entry/control_client.py
@@ -22,6 +22,9 @@
 long as it does not stall for this long: starting a large one again would only
 fill a slow link further."""
 
+MAX_REPLY_BYTES = 8_388_608
+"""A larger reply is none, and its connection is closed."""
+
 MAX_TRANSFER_S = 8.0
 """Upper bound of the time for which a reply may be received."""
 
@@ -140,6 +143,7 @@
         self._status = 0
         self._headers: list[call.Header] = []
         self._body: list[bytes] = []
+        self._body_bytes = 0
         self._idle_since_s = loop.now_s
         self._started_s = loop.now_s
         self._received_s = float('-inf')
@@ -158,6 +162,7 @@
         call_number = self._calls
         self._done = done
         self._body = []
+        self._body_bytes = 0
 
         def cancel() -> None:
             if self._done is not None and self._calls == call_number:
@@ -185,7 +190,10 @@
             self._connection.close()
 
     def received(self, data: bytes) -> None:
-        """Parse bytes of the reply, or bytes outside of any call."""
+        """Parse bytes of the reply; bytes outside of any call end it."""
+        if self._done is None:
+            self.abort()
+            return
         self._received_s = self._loop.now_s
         for event in self._reader.feed(data):
             if isinstance(event, http1.AnswerStarted):
@@ -193,6 +201,9 @@
                 self._headers = event.headers
             elif isinstance(event, http1.AnswerBody):
                 self._body.append(event.data)
+                self._body_bytes += len(event.data)
+                if self._body_bytes > MAX_REPLY_BYTES:
+                    self._fail(CallFailure.NO_ANSWER)
             elif isinstance(event, http1.AnswerEnded):
                 self._finish(event.keeps_alive)
             else:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -27,6 +27,10 @@
 """An answer that is no stream is buffered up to this size until it is
 complete, so that the request can be retried if the answer breaks off."""
 
+MAX_IGNORED_BYTES = 1_048_576
+"""The body of a refusal, or of an answer to another request, is read up to
+this size; a longer one may have no end."""
+
 RECHECK_S = 0.05
 """Interval at which a request without a usable endpoint looks for one."""
 
@@ -212,6 +216,7 @@
         self._partial_bytes = 0
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
+        self._ignored_bytes = 0
         self._events = event_stream.EventStream()
         self._last_error: _BufferedAnswer | None = None
         self._recheck_timer: entry_loop.Timer | None = None
@@ -333,6 +338,7 @@
         self._partial_bytes = 0
         self._begun_s = None
         self.is_proven = False
+        self._ignored_bytes = 0
         # The next endpoint sends an incomplete event again from its start.
         self._events.discard_partial_event()
         if self.state is State.WAITING:
@@ -583,6 +589,15 @@
             self._buffered_bytes += len(data)
             if self._buffered_bytes > MAX_BUFFERED_BYTES:
                 self._fail_attempt('the answer is too large to be buffered')
+        else:
+            self._ignored_bytes += len(data)
+            if self._ignored_bytes <= MAX_IGNORED_BYTES:
+                return
+            if self._answer_mode is _AnswerMode.REFUSAL:
+                self._answer_mode = _AnswerMode.NONE
+                self._handle_refusal(keeps_alive=False)
+            else:
+                self._fail_attempt('bytes without end of another answer')
 
     def _forward_events(self, data: bytes) -> None:
         complete = self._events.feed(data)
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -15,6 +15,10 @@
 from guavachute.http import message
 
 LAST_CHUNK = b'0\r\n\r\n'
+MAX_ANSWER_HEAD_BYTES = 65_536
+"""Upper bound of what comes between two parts of the bodies of answers: heads,
+interim answers, chunk sizes and trailers."""
+
 
 REASONS = {
     200: b'OK',
@@ -70,6 +74,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._is_in_head = False
         self._is_in_body = False
         self._method = ''
@@ -88,6 +93,7 @@
         """Parse bytes of the connection; ignored after a problem."""
         if self.problem is not None:
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -96,6 +102,9 @@
             self._head_bytes += len(data)
             if self._head_bytes > self.max_head_bytes:
                 self.problem = Problem.HEAD_TOO_LARGE
+        elif self._is_in_body and self._framing_bytes > self.max_head_bytes:
+            # A trailer or a chunk extension.
+            self.problem = Problem.HEAD_TOO_LARGE
 
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
@@ -122,6 +131,7 @@
         """Parser callback: the head is complete."""
         self._is_in_head = False
         self._is_in_body = True
+        self._framing_bytes = 0
         self._method = self._parser.get_method().decode('latin-1')
         length = next(
             (v for n, v in self._headers if n.lower() == b'content-length'),
@@ -132,6 +142,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
+        self._framing_bytes = 0
         self._body_bytes += len(data)
         if self._body_bytes > self.max_body_bytes:
             self.problem = Problem.BODY_TOO_LARGE
@@ -200,7 +211,8 @@
 class AnswerReader:
     """Parses the answers of a connection, one after the other.
 
-    Interim answers (1xx) are skipped.
+    Interim answers (1xx) are skipped. Bytes that go on without a body for
+    more than :data:`MAX_ANSWER_HEAD_BYTES` are malformed.
     """
 
     def __init__(self) -> None:
@@ -209,6 +221,7 @@
         self._events: list[AnswerEvent] = []
         self._status = 0
         self._framing = Framing.LENGTH
+        self._framing_bytes = 0
         self._is_in_head = False
         self._is_in_body = False
 
@@ -225,10 +238,14 @@
     def feed(self, data: bytes) -> list[AnswerEvent]:
         """Parse bytes of the connection; the events are in order."""
         self._events = []
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._events.append(AnswerMalformed())
+        else:
+            if self._framing_bytes > MAX_ANSWER_HEAD_BYTES:
+                self._events.append(AnswerMalformed())
         return self._events
 
     def on_message_begin(self) -> None:
@@ -248,18 +265,21 @@
         self._status = self._parser.get_status_code()
         self._framing = _framing(self._status, self._headers)
         if self._status >= 200:
+            self._framing_bytes = 0
             self._events.append(
                 AnswerStarted(self._status, self._headers, self._framing)
             )
 
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
+        self._framing_bytes = 0
         self._events.append(AnswerBody(data))
 
     def on_message_complete(self) -> None:
         """Parser callback: the answer is complete."""
         self._is_in_body = False
         if self._status >= 200:
+            self._framing_bytes = 0
             self._events.append(AnswerEnded(self._parser.should_keep_alive()))
 
 
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -124,7 +124,15 @@
             self._transport.close()
 
     def received(self, data: bytes) -> None:
-        """Parse bytes of an answer, or bytes outside of any request."""
+        """Parse bytes of an answer.
+
+        Bytes outside of any request belong to no answer, and close the
+        connection.
+        """
+        if self._listener is None:
+            self._pool.discard(self)
+            self.close()
+            return
         events = self._reader.feed(data)
         for index, event in enumerate(events, start=1):
             if self._listener is None:
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -49,12 +49,38 @@
     or in the middle of its body."""
     TORN = 'torn'
     """Ends the chunks of a stream in the middle of an event."""
+    ENDLESS_HEAD = 'endless-head'
+    """Sends a header whose value never ends."""
+    ENDLESS_INTERIM = 'endless-interim'
+    """Sends interim answers without end, and no final one."""
+    ENDLESS_BODY = 'endless-body'
+    """Sends a body without events and without end."""
+    ENDLESS_TRAILER = 'endless-trailer'
+    """Sends a trailer after the chunks whose value never ends."""
+    ENDLESS_REFUSAL = 'endless-refusal'
+    """Rejects the request, with a body without end."""
+    ENDLESS_FOREIGN = 'endless-foreign'
+    """Sends the answer to another request, with a body without end."""
     SILENT = 'silent'
     """Runs the request and never answers."""
     LOSE_MOVES = 'lose-moves'
     """Closes the stream of a moved run in the middle of an event."""
 
 
+_FLOOD_BYTES = 65_536
+_FLOOD_PAUSE_S = 0.001
+_ENDLESS_STARTS = {
+    Behaviour.ENDLESS_HEAD: b'HTTP/1.1 200 OK\r\nServer: ',
+    Behaviour.ENDLESS_INTERIM: b'',
+    Behaviour.ENDLESS_BODY: b'HTTP/1.1 200 OK\r\n%s\r\n',
+    Behaviour.ENDLESS_TRAILER: b'HTTP/1.1 200 OK\r\n%s'
+    b'Transfer-Encoding: chunked\r\n\r\n0\r\nServer: ',
+    Behaviour.ENDLESS_REFUSAL: b'HTTP/1.1 503 Busy\r\n%s'
+    b'Not-Executed: 1\r\n\r\n',
+    Behaviour.ENDLESS_FOREIGN: b'HTTP/1.1 200 OK\r\n\r\n',
+}
+"""How the answers without end begin; ``%s`` stands for the usual headers."""
+
 UNFRAMED_BEHAVIOURS = frozenset(
     {Behaviour.UNFRAMED, Behaviour.UNFRAMED_BREAK, Behaviour.UNFRAMED_RESET}
 )
@@ -147,6 +173,7 @@
     :ivar crashes: how often it has crashed
     :ivar runs: the requests that it ran, oldest first
     :ivar report: the answer to ``/guavachute/report``
+    :ivar flooded_bytes: how many bytes of answers without end were sent
     :ivar refused: the number of requests that it rejected as overloaded
     :ivar on_moved: called when a run has been copied to another endpoint
     """
@@ -181,6 +208,7 @@
             'queued': 0,
             'state': 'ready',
         }
+        self.flooded_bytes = 0
         self.refused = 0
         self.on_moved: typing.Callable[[], None] = lambda: None
         self._sequence = 0
@@ -279,6 +307,8 @@
             return
         if self.behaviour is Behaviour.LOSE:
             answer.abort()
+        elif self.behaviour in _ENDLESS_STARTS:
+            self._start_flood(answer)
         elif self.behaviour is Behaviour.FAIL:
             answer.reply(500, b'failed', self._headers(answer))
         elif self.events:
@@ -286,6 +316,26 @@
         else:
             self._answer_plain(answer)
 
+    def _start_flood(self, answer: server.Answer) -> None:
+        lines = b''.join(
+            b'%s: %s\r\n' % header for header in self._headers(answer)
+        )
+        answer.send_raw(_ENDLESS_STARTS[self.behaviour].replace(b'%s', lines))
+        interim = b'HTTP/1.1 102 Processing\r\n\r\n'
+        is_interim = self.behaviour is Behaviour.ENDLESS_INTERIM
+        unit = interim if is_interim else b'x'
+        self._flood(answer, unit * (_FLOOD_BYTES // len(unit)))
+
+    def _flood(self, answer: server.Answer, data: bytes) -> None:
+        if answer.is_disconnected:
+            return
+        if not answer.connection.unsent_bytes:
+            answer.send_raw(data)
+            self.flooded_bytes += len(data)
+        self._loop.call_after(
+            _FLOOD_PAUSE_S, lambda: self._flood(answer, data)
+        )
+
     def _move(self, answer: server.Answer) -> None:
         """Answer a request to move a run, whose stream is then aborted."""
         command = msgspec.json.decode(answer.request.body)
--- /dev/null
+++ b/tests/cover/test_endless_answers.py
@@ -0,0 +1,142 @@
+"""Bytes without end, in a head or a body, until the reader closes.
+
+A load of such answers from endpoints, the store and peers, at full speed.
+"""
+
+import typing
+import unittest
+
+from guavachute.entry import control_client
+from guavachute.entry import http1
+from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import server as standin_server
+from tests.support import looping
+from tests.support import platform_site
+
+Behaviour = standin_engine.Behaviour
+
+PIECE = b'x' * 65_536
+MAX_READ_BYTES = 8_388_608
+"""Far more than a node needs to see that an answer has no end; it must not
+read on until its deadline."""
+
+SOON_S = 1.0
+"""Well before the callers' deadline of three seconds."""
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    def check(self, behaviour: Behaviour, path: str, status: int) -> None:
+        site = platform_site.PlatformSite()
+        self.addCleanup(site.close)
+        site.configure(1)
+        is_model = path.startswith('/stream')
+        engine = site.add_engine(
+            'e1',
+            platform_site.MODEL_SERVICE
+            if is_model
+            else platform_site.PLAIN_SERVICE,
+            4 if is_model else 0,
+        )
+        engine.behaviour = behaviour
+        node = site.ready_node()
+        started_s = site.loop.now_s
+        reply = site.fetch(node, path)
+        self.assertEqual(status, reply.status)
+        self.assertLess(site.loop.now_s - started_s, SOON_S)
+        # The connection is closed: nothing more is sent on it.
+        sent_bytes = engine.flooded_bytes
+        looping.run_for(site.loop, 0.1)
+        self.assertLess(engine.flooded_bytes - sent_bytes, 10 * len(PIECE))
+        self.assertLess(engine.flooded_bytes, MAX_READ_BYTES)
+
+    # Guards against memory and links filled by a head that never ends.
+    def test_a_head_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_HEAD, '/order/a', 502)
+        self.check(Behaviour.ENDLESS_HEAD, '/stream/a', 502)
+
+    def test_interim_answers_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_INTERIM, '/order/a', 502)
+
+    def test_a_body_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_BODY, '/order/a', 502)
+        self.check(Behaviour.ENDLESS_BODY, '/stream/a', 502)
+
+    def test_a_trailer_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_TRAILER, '/order/a', 502)
+
+    # The refusal itself is complete with its head.
+    def test_a_refusal_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_REFUSAL, '/order/a', 503)
+
+    def test_an_answer_to_another_request_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_FOREIGN, '/order/a', 502)
+
+
+class EndlessReplyTest(unittest.TestCase):
+    # Guards against a store or peer whose reply fills the memory.
+    def test_replies_without_end_fail(self) -> None:
+        for start in (
+            b'HTTP/1.1 200 OK\r\nServer: ',
+            b'HTTP/1.1 200 OK\r\n\r\n',
+        ):
+            site = platform_site.PlatformSite()
+            self.addCleanup(site.close)
+            sent: list[int] = []
+
+            def flood(answer: standin_server.Answer) -> None:
+                if answer.is_disconnected:
+                    return
+                if not answer.connection.unsent_bytes:
+                    answer.send_raw(PIECE)
+                    sent.append(len(PIECE))
+                site.loop.call_after(0.001, lambda: flood(answer))
+
+            def serve(
+                answer: standin_server.Answer, start: bytes = start
+            ) -> None:
+                answer.send_raw(start)
+                flood(answer)
+
+            server = standin_server.Server(site.loop, serve)
+            client = control_client.Client(site.loop, server.address)
+            replies: list[typing.Any] = []
+            client.call(b'GET', b'/', replies.append, 2.0)
+            looping.run_until(site.loop, lambda: replies)
+            self.assertEqual([control_client.CallFailure.NO_ANSWER], replies)
+            self.assertLess(sum(sent), 4 * MAX_READ_BYTES)
+            server.close()
+
+
+class EndlessRequestTest(unittest.TestCase):
+    def test_a_trailer_of_a_request_without_end(self) -> None:
+        reader = http1.RequestReader(4_096, 65_536)
+        reader.feed(
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'1\r\nx\r\n0\r\nServer: '
+        )
+        for _ in range(3):
+            reader.feed(PIECE)
+        self.assertIs(http1.Problem.HEAD_TOO_LARGE, reader.problem)
+
+    def test_a_connection_with_bytes_outside_of_answers_is_closed(
+        self,
+    ) -> None:
+        site = platform_site.PlatformSite()
+        self.addCleanup(site.close)
+        site.configure(1)
+        engine = site.add_engine('e1', platform_site.PLAIN_SERVICE)
+        node = site.ready_node()
+        answers: list[standin_server.Answer] = []
+        real = engine._answer_plain
+
+        def answer_plain(answer: standin_server.Answer) -> None:
+            real(answer)
+            answers.append(answer)
+
+        engine._answer_plain = answer_plain  # type: ignore[method-assign]
+        site.fetch(node, '/order/a')
+        # An incomplete head, which is no event of any answer.
+        answers[0].connection.write(b'HTTP/1.1 200 OK\r\nServer: x')
+        looping.run_until(
+            site.loop, lambda: answers[0].connection.is_closed, 2.0
+        )
