--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -348,8 +348,10 @@
         for name in FORWARDED_HEADERS
         if name in response.headers
     }
-    is_framed = not response.data or not FRAMING_HEADERS.isdisjoint(
-        map(str.lower, response.headers)
+    is_framed = (
+        response.status in message.BODILESS_STATUSES
+        or method == 'HEAD'
+        or not FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
     )
     return Answer(response.status, headers, response.data, is_framed)
 
--- a/tests/cover/test_plain_call_ends.py
+++ b/tests/cover/test_plain_call_ends.py
@@ -101,6 +101,12 @@
         self.assertNotIn(b'content-length', head.lower())
         self.assertIn(b'connection: close', head.lower())
 
+    # Guards against a close before the body that looks like an empty one.
+    def test_an_empty_body_gets_no_length_either(self) -> None:
+        received = self.fetch(HEAD + b'\r\n')
+        self.assertTrue(received.endswith(b'\r\n\r\n'))
+        self.assertNotIn(b'content-length', received.lower())
+
     def test_a_framed_body_keeps_its_length(self) -> None:
         self.assertIn(b'Content-Length: 8\r\n', self.fetch(FRAMED))
 
