Bound answers without end at routers too

Now 64 KB without a part of a body, 1 MB of an event or a probe's answer, and 16 MB or the caller's deadline for a plain call end the answer, and close its connection.

--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -32,6 +32,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 WRITE_RETRY_S = 0.005
+MAX_BODY_BYTES = 16_777_216
+"""A longer body of an answer may have no end; its connection is closed."""
+
+READ_BYTES = 65_536
 MAX_ATTEMPTS = 3
 DROPPED_HEADERS = frozenset(
     {
@@ -271,7 +275,9 @@
                     read=remaining_s,
                 ),
                 redirect=False,
+                preload_content=False,
             )
+            body = _read_body(response, call.deadline_s)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -282,7 +288,7 @@
                 outcome.Verdict.UNKNOWN,
                 outcome.Failure(outcome.Reason.LOST_ANSWER, str(error)),
             )
-        return _answer_of(response, call.request.method)
+        return _answer_of(response, body, call.request.method)
 
     def _connections(
         self, call: PlainCall, endpoint: tables.EndpointEntry
@@ -342,7 +348,31 @@
         call.caller.release()
 
 
-def _answer_of(response: urllib3.BaseHTTPResponse, method: str) -> Answer:
+def _read_body(response: urllib3.BaseHTTPResponse, deadline_s: float) -> bytes:
+    """Read the body of an answer, and return the connection to its pool.
+
+    :param deadline_s: monotonic
+    :raises urllib3.exceptions.HTTPError: it was cut off, or has not ended
+        within :data:`MAX_BODY_BYTES` or the deadline; the connection is then
+        closed
+    """
+    parts: list[bytes] = []
+    size = 0
+    while data := response.read1(READ_BYTES):
+        parts.append(data)
+        size += len(data)
+        if size > MAX_BODY_BYTES or time.monotonic() > deadline_s:
+            response.close()
+            raise urllib3.exceptions.ProtocolError(
+                f'the answer has not ended after {size} bytes'
+            )
+    response.release_conn()
+    return b''.join(parts)
+
+
+def _answer_of(
+    response: urllib3.BaseHTTPResponse, body: bytes, method: str
+) -> Answer:
     headers = {
         name: response.headers[name]
         for name in FORWARDED_HEADERS
@@ -353,7 +383,7 @@
         or method == 'HEAD'
         or not FRAMING_HEADERS.isdisjoint(map(str.lower, response.headers))
     )
-    return Answer(response.status, headers, response.data, is_framed)
+    return Answer(response.status, headers, body, is_framed)
 
 
 def _request_target(request: message.Request) -> str:
--- a/src/guavachute/services/relay/call.py
+++ b/src/guavachute/services/relay/call.py
@@ -115,7 +115,7 @@
         """Split *data* into events and check them.
 
         :returns: the encoded events for the caller, and ``RESUME`` if an
-            event is malformed or shows that a token is missing,
+            event is malformed, too long or shows that a token is missing,
             otherwise ``FORWARD``
         """
         parts: list[bytes] = []
@@ -134,6 +134,8 @@
                 )
             elif step is answer.Step.RESUME:
                 return parts, step
+        if self.splitter.is_too_long:
+            return parts, answer.Step.RESUME
         return parts, answer.Step.FORWARD
 
     def _handle_chunk(self, chunk: events.Chunk) -> answer.Step:
--- a/src/guavachute/services/relay/events.py
+++ b/src/guavachute/services/relay/events.py
@@ -6,6 +6,8 @@
 DATA_FIELD = b'data:'
 DATA = b'data: '
 DONE = b'[DONE]'
+MAX_EVENT_BYTES = 1_048_576
+"""Size limit of one event; a longer one may have no end."""
 
 
 class Delta(msgspec.Struct):
@@ -48,6 +50,11 @@
     def __init__(self) -> None:
         self._partial_event = b''
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the incomplete event exceeds :data:`MAX_EVENT_BYTES`."""
+        return len(self._partial_event) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> list[bytes]:
         """Append *data* to the stream.
 
--- a/src/guavachute/services/relay/exchange.py
+++ b/src/guavachute/services/relay/exchange.py
@@ -13,6 +13,9 @@
 
 from guavachute.services.relay import upstream
 
+MAX_BODY_BYTES = 1_048_576
+"""A longer answer is none, and its connection is closed."""
+
 JSON_HEADERS = {'Content-Type': 'application/json', 'Connection': 'close'}
 
 
@@ -95,7 +98,8 @@
         connection = exchange.connection
         connection.advance(events)
         exchange.body += connection.pop_body()
-        if connection.state is upstream.State.BROKEN:
+        is_too_long = len(exchange.body) > MAX_BODY_BYTES
+        if connection.state is upstream.State.BROKEN or is_too_long:
             self._finish(exchange, Answer(0))
         elif connection.state is upstream.State.COMPLETE:
             self._finish(exchange, Answer(connection.status, exchange.body))
--- a/src/guavachute/services/relay/upstream.py
+++ b/src/guavachute/services/relay/upstream.py
@@ -14,6 +14,10 @@
 import httptools
 
 RECEIVE_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+"""Upper bound of what comes between two parts of a body: heads, interim
+responses, chunk sizes and trailers."""
+
 IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
@@ -48,8 +52,8 @@
 
     __slots__ = (
         'address', 'idle_since_s', 'problem', 'retry_after_s', 'reused',
-        'sent_bytes', 'socket', 'state', 'status', '_body', '_outgoing',
-        '_parser',
+        'sent_bytes', 'socket', 'state', 'status', '_body', '_framing_bytes',
+        '_outgoing', '_parser',
     )  # fmt: skip
 
     def __init__(self, address: str) -> None:
@@ -65,6 +69,7 @@
         self.socket.setblocking(False)
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._body: list[bytes] = []
+        self._framing_bytes = 0
         self._outgoing = b''
         self._parser: typing.Any = None
 
@@ -81,6 +86,7 @@
         self.sent_bytes = 0
         self.retry_after_s = None
         self._body = []
+        self._framing_bytes = 0
         self._outgoing = request
         self._parser = httptools.HttpResponseParser(self)
         if self.reused:
@@ -124,10 +130,13 @@
             return
         if self.state is State.WAITING:
             self.state = State.READING
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._mark_broken(f'not HTTP: {error}')
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            self._mark_broken('a head without end')
 
     def pop_body(self) -> bytes:
         """Return and clear the body bytes received since the last call."""
@@ -182,6 +191,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body for :meth:`pop_body`."""
+        self._framing_bytes = 0
         self._body.append(data)
 
     def on_message_complete(self) -> None:
--- a/tests/cover/test_plain_call_ends.py
+++ b/tests/cover/test_plain_call_ends.py
@@ -52,7 +52,32 @@
             received = b''
             while not received.endswith(BODY):
                 received += connection.recv(65_536)
-            connection.sendall(self._answer)
+            self._answer_on(connection)
+
+    def _answer_on(self, connection: socket.socket) -> None:
+        connection.sendall(self._answer)
+
+
+class EndlessEndpoint(Endpoint):
+    """Sends a body without end until its connection is closed.
+
+    :param pause_s: between two pieces of the body; they are short with a pause
+    """
+
+    def __init__(self, case: unittest.TestCase, pause_s: float) -> None:
+        self.closed = threading.Event()
+        self._pause_s = pause_s
+        self._piece = b'x' if pause_s else b'x' * 65_536
+        super().__init__(case, HEAD + b'\r\n')
+
+    def _answer_on(self, connection: socket.socket) -> None:
+        super()._answer_on(connection)
+        try:
+            while True:
+                connection.sendall(self._piece)
+                time.sleep(self._pause_s)
+        except OSError:
+            self.closed.set()
 
 
 class PlainCallEndTest(unittest.TestCase):
@@ -60,8 +85,11 @@
         self.claimer = unittest.mock.Mock()
         self.claimer.claim.return_value = None
 
-    def fetch(self, answer: bytes, key: str | None = None) -> bytes:
+    def fetch(self, answer: bytes | Endpoint, key: str | None = None) -> bytes:
         """All that a caller reads until its connection is closed."""
+        endpoint = answer
+        if isinstance(endpoint, bytes):
+            endpoint = Endpoint(self, endpoint)
         near, far = socket.socketpair()
         far.setblocking(False)
         self.addCleanup(near.close)
@@ -72,9 +100,7 @@
                 'here', counters.Counters(), tracer, self.claimer
             )
             hosting.host(self, calls)
-            calls.set_tables(
-                unittest.mock.Mock(endpoints=[Endpoint(self, answer).entry])
-            )
+            calls.set_tables(unittest.mock.Mock(endpoints=[endpoint.entry]))
             calls.mailbox.send(
                 plain_calls.PlainCall(
                     request_id=ids.RequestId('req-1'),
@@ -82,7 +108,7 @@
                     pool=ids.PoolName('orders'),
                     request=message.Request('POST', '/jobs', {}, {}, BODY),
                     idempotency_key=key,
-                    deadline_s=time.monotonic() + 5.0,
+                    deadline_s=time.monotonic() + 2.0,
                     caller=downstream.Downstream(connection, False),
                     span=unittest.mock.Mock(),
                     context=traces.Context(),
@@ -116,3 +142,13 @@
             self.fetch(answer, key='key')
             stored = self.claimer.store_answer.call_args.args[1]
             self.assertEqual(is_framed, stored.is_framed)
+
+    # Guards against a body that fills the memory, or that goes on byte by
+    # byte beyond the caller's deadline.
+    def test_a_body_without_end_is_no_answer(self) -> None:
+        for pause_s in (0.0, 0.1):
+            endpoint = EndlessEndpoint(self, pause_s)
+            received = self.fetch(endpoint)
+            self.assertIn(b'answer_lost', received)
+            endpoint.closed.wait(5.0)
+            self.assertTrue(endpoint.closed.is_set())
