Soak a prompt part that crashes engines

From a random moment on, a fifth of the streams' requests have a part that crashes engines; sound requests share the other parts. Once five engines have crashed and the faults are over, at most three such requests may reach engines while they go on, and the usual share of the others is served.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -6,6 +6,7 @@
 import sys
 import typing
 
+from guavachute.decide.ingress import crashing_parts
 from guavachute.domain import configuration
 from guavachute.entry import exchange
 from guavachute.entry import known_state
@@ -56,10 +57,20 @@
     setattr(known_state.KnownState, 'apply_configuration', apply_configuration)
 
 
+def bad_part_unknown() -> None:
+    """Send all requests, whatever crashed engines before."""
+
+    def verdict(*_: typing.Any) -> crashing_parts.Verdict:
+        return crashing_parts.Verdict.SEND
+
+    setattr(crashing_parts.CrashingParts, 'verdict', verdict)
+
+
 VARIANTS: dict[str, typing.Callable[[], None]] = {
     'order-twice': order_twice,
     'false-not-run': false_not_run,
     'configuration-back': configuration_back,
+    'bad-part-unknown': bad_part_unknown,
 }
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -16,6 +16,12 @@
 PAUSE_S = 0.04
 """Average time between an answer and the client's next request."""
 
+BAD_PART = 'bad'
+"""The prompt part that crashes engines while there is such a fault."""
+
+BAD_FRACTION = 0.2
+"""The fraction of requests for streams that have it then."""
+
 PROBE_FRACTION = 0.15
 """The fraction of requests to a route that one version introduced."""
 
@@ -39,6 +45,7 @@
     rng: random.Random
     programs: list[programs.Program]
     version: int
+    sends_bad_part: bool
 
     def has_only_planned_work(self) -> bool:
         """Return whether only planned work disturbs the site now."""
@@ -120,6 +127,11 @@
         if context.rng.random() < PROBE_FRACTION:
             route = PROBE
             target = f'/v{context.rng.randint(1, context.version)}/x'
+        has_bad_part = (
+            route.events > 0
+            and context.sends_bad_part
+            and context.rng.random() < BAD_FRACTION
+        )
         workspace = context.rng.choice(sorted(KEYS))
         attempt = guarantees.Attempt(
             attempt_id=f'attempt-{next(self._numbers)}',
@@ -130,12 +142,19 @@
             incarnation=self._incarnation,
             sent_s=context.loop.now_s,
             version=context.version,
+            has_bad_part=has_bad_part,
             during_planned_work=context.has_only_planned_work(),
         )
         self._attempt = attempt
         self._attempts.append(attempt)
+        part = BAD_PART if has_bad_part else f'sound-{len(target)}'
         data = platform_site.request_bytes(
-            target, attempt.attempt_id, 'POST', attempt.body, KEYS[workspace]
+            target,
+            attempt.attempt_id,
+            'POST',
+            attempt.body,
+            KEYS[workspace],
+            Prefix_Hash=f'system:50,{part}:20,{attempt.attempt_id}:5',
         )
         try:
             self._socket.send(data)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from guavachute.standin.platform import cloud as standin_cloud
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
+from soak import clients
 from soak import programs
 from soak import proxy
 
@@ -52,6 +53,7 @@
     engines: list[standin_engine.Engine]
     store_links: list[proxy.Proxy]
     engine_links: list[proxy.Proxy]
+    sends_bad_part: bool
 
     def restart_engine(self, engine: standin_engine.Engine) -> None:
         """Crash and restart *engine*."""
@@ -265,6 +267,13 @@
         self._record(f'engine {engine.name} crashes')
         self._context.restart_engine(engine)
 
+    def _bad_part(self) -> None:
+        """From now on a part of some prompts crashes engines."""
+        for engine in self._context.engines:
+            engine.crashing_part = clients.BAD_PART
+        self._context.sends_bad_part = True
+        self._record('a prompt part crashes engines')
+
     def _configuration(self) -> None:
         self._context.change_configuration()
         self._record('operator writes the next configuration')
@@ -287,5 +296,6 @@
     'engine',
     'engine',
     'engine_crash',
+    'bad_part',
     'configuration',
 )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -32,6 +32,7 @@
     :ivar incarnation: the run of the node that received it
     :ivar sent_s: when it was sent, by the loop's clock
     :ivar version: the newest configuration when it was sent
+    :ivar has_bad_part: whether its prompt has the part that crashes engines
     :ivar during_planned_work: whether only planned work disturbed the
         site from its sending to its end
     :ivar status: 0 if no answer arrived
@@ -50,6 +51,7 @@
     incarnation: str
     sent_s: float
     version: int
+    has_bad_part: bool = False
     during_planned_work: bool = False
     status: int = 0
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -33,6 +33,12 @@
 """The minimum fraction of requests without faults that are served. It is
 below 1 so that one slow answer among few requests doesn't fail a seed."""
 
+CRASHES_TO_KNOW = 5
+"""After so many crashes a part that crashes engines has to be known."""
+
+MAX_BAD_RUNS = 3
+"""So many requests with the part may reach engines once it has to be known."""
+
 PROBE_ROUTE = ('idempotent', platform_site.PLAIN_SERVICE, False)
 """Kind, service and resumability of the route that each version adds."""
 
@@ -76,12 +82,12 @@
         self.store, self.cloud = self.site.store, self.site.cloud
         self.engines = self.site.engines
         self.version = 0
+        self.sends_bad_part = False
         self.attempts: list[guarantees.Attempt] = []
         self.engine_links: list[proxy.Proxy] = []
         self.store_links: list[proxy.Proxy] = []
         self.programs: list[programs.Program] = []
         self.faults = faults.Faults(self)
-        self._incarnations: dict[str, int] = {}
         self._readiness_clients: dict[ids.Address, control_client.Client] = {}
         self._planned_from_s = float('inf')
         # Concurrent soaks, even of the same seed, must not share an
@@ -126,10 +132,7 @@
 
     def restart_engine(self, engine: standin_engine.Engine) -> None:
         """Crash and restart *engine*."""
-        self._incarnations[engine.name] = (
-            self._incarnations.get(engine.name, 1) + 1
-        )
-        engine.incarnation = self._incarnations[engine.name]
+        engine.incarnation += 1
         engine.abort_connections()
         self._register(engine)
 
@@ -147,6 +150,7 @@
             events=0 if is_plain else soak_clients.STREAM_EVENTS,
         )
         engine.event_pause_s = 0.05
+        engine.on_restarted = lambda: self._register(engine)
         link = proxy.Proxy(
             self.loop, ids.Address(engine.address), f'{self._host}.1.1'
         )
@@ -157,7 +161,7 @@
         index = self.engines.index(engine)
         engine.register(
             address=self.engine_links[index].address,
-            born=self._incarnations.get(engine.name, 1),
+            born=engine.incarnation,
         )
 
     def _add_programs(
@@ -206,8 +210,17 @@
             if not program.is_running:
                 program.start()
         failures += self._wait_until_ready('after the faults')
+        if sum(engine.crashes for engine in self.engines) < CRASHES_TO_KNOW:
+            self._end_bad_part()
         looping.run_for(self.loop, RECOVERY_S)
+        before = self._bad_runs()
         failures += self._check_service()
+        if self._bad_runs() - before > MAX_BAD_RUNS:
+            failures.append(
+                f'{self._bad_runs() - before} requests with a part that '
+                'crashes engines reached them later'
+            )
+        self._end_bad_part()
         failures += self._check_planned_work()
         failures += self._check_shutdown()
         failures += [
@@ -222,10 +235,25 @@
         failures += guarantees.violations(self.attempts, runs)
         return failures + guarantees.duty_violations(self.cloud.calls)
 
+    def _end_bad_part(self) -> None:
+        """Send no more requests with the part that crashes engines."""
+        self.sends_bad_part = False
+        for engine in self.engines:
+            engine.crashing_part = None
+
+    def _bad_runs(self) -> int:
+        """How many requests with that part have reached engines."""
+        return sum(
+            soak_clients.BAD_PART in run.shared_parts
+            for engine in self.engines
+            for run in engine.runs
+        )
+
     def _heartbeat(self) -> None:
         self.loop.call_after(HEARTBEAT_S, self._heartbeat)
         for engine in self.engines:
-            self._register(engine)
+            if not engine.is_down:
+                self._register(engine)
 
     def _check_exits(self) -> None:
         self.loop.call_after(0.05, self._check_exits)
@@ -295,7 +323,9 @@
             and item.status == 404
         ]
         ordinary = [
-            item for item in sent if not item.target.startswith(target)
+            item
+            for item in sent
+            if not item.target.startswith(target) and not item.has_bad_part
         ]
         served = sum(1 for item in ordinary if item.status == 200)
         if served < MIN_SERVED_FRACTION * len(ordinary) or not ordinary:
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -171,6 +171,9 @@
     :ivar crashing_part: the prompt part whose runs crash it; None if no part
         does
     :ivar crashes: how often it has crashed
+    :ivar is_down: whether it has crashed and not started again
+    :ivar on_restarted: called at each start after a crash; by default it
+        registers the new incarnation
     :ivar runs: the requests that it ran, oldest first
     :ivar report: the answer to ``/guavachute/report``
     :ivar flooded_bytes: how many bytes of answers without end were sent
@@ -202,6 +205,8 @@
         self.retry_after: str | None = None
         self.crashing_part: str | None = None
         self.crashes = 0
+        self.is_down = False
+        self.on_restarted: typing.Callable[[], None] = self.register
         self.runs: list[Run] = []
         self.report: dict[str, typing.Any] = {
             'active': 0,
@@ -255,14 +260,18 @@
 
     def crash(self) -> None:
         """Abort all connections and stop listening until the restart."""
+        if self.is_down:
+            return
         self.crashes += 1
+        self.is_down = True
         self._server.close()
         self._loop.call_after(RESTART_AFTER_S, self._restart)
 
     def _restart(self) -> None:
         self.incarnation += 1
+        self.is_down = False
         self._server = server.Server(self._loop, self._serve, self.address)
-        self.register()
+        self.on_restarted()
 
     def _serve(self, answer: server.Answer) -> None:
         if answer.request.target == b'/guavachute/kv-move':
