Resume a stream whose answer has begun, whatever its parts are suspected of

A request with a suspected part is not sent to another engine, as that may be one more crash. A stream that has gone on for half a second cannot be the cause, but was cut when its engine crashed while another request had made its parts suspects. The test failed before.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -756,7 +756,9 @@
             passed_events=self._events.events,
             **self._answer_end_fields(),
         )
-        may_repeat = self.route.can_run_again and self._owner.may_repeat(self)
+        may_repeat = self.route.can_run_again and (
+            self.is_proven or self._owner.may_repeat(self)
+        )
         if may_repeat and self._consume_retry():
             self.dispatch()
         elif self.first_byte_s is not None:
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -23,6 +23,7 @@
 """Within this time after them, all nodes have to know it."""
 
 MAX_SENT_LATER = 3
+EVENTS = 20
 
 
 class CrashingPartTest(unittest.TestCase):
@@ -145,3 +146,39 @@
 
     def until_stored(self) -> None:
         looping.run_until(self.site.loop, self.stored)
+
+
+class SoundStreamTest(unittest.TestCase):
+    # Guards against sound streams that are cut because their parts were also
+    # in a request that was lost without an answer.
+    def test_a_stream_that_has_begun_is_resumed_although_suspected(
+        self,
+    ) -> None:
+        site = platform_site.PlatformSite()
+        self.addCleanup(site.close)
+        site.configure(1)
+        service = platform_site.MODEL_SERVICE
+        first = site.add_engine('e1', service, EVENTS)
+        first.event_pause_s = 0.3
+        node = site.ready_node()
+        stream = site.send(
+            node, '/resumable/a', Prefix_Hash='system:9,shared:9,own:9'
+        )
+        looping.run_for(site.loop, 0.8)
+        first.register('draining')
+        second = site.add_engine('e2', service, EVENTS)
+        second.behaviour = standin_engine.Behaviour.SILENT
+        looping.run_until(
+            site.loop, lambda: len(node.state.table.entries) == 2
+        )
+        site.send(node, '/stream/a', Prefix_Hash='system:9,shared:9,two:9')
+        looping.run_until(site.loop, lambda: second.runs)
+        second.behaviour = standin_engine.Behaviour.NORMAL
+        second.crash()
+        site.add_engine('e3', service, EVENTS)
+        looping.run_until(site.loop, lambda: 'e3' in node.state.table.entries)
+        looping.run_for(site.loop, 0.2)
+        first.crash()
+        looping.run_until(site.loop, lambda: stream.reply.has_ended)
+        self.assertTrue(stream.reply.is_complete)
+        self.assertEqual(EVENTS, stream.reply.body.count(b'\n\n'))
