Tell other nodes rarely what has not changed of suspected parts

A blamed part stood in each update for an hour, a hundred times a second from a node among hundreds, although nodes that start later learn it from the store. After five seconds without news it is now told every two seconds.

--- a/src/guavachute/decide/ingress/crashing_parts.py
+++ b/src/guavachute/decide/ingress/crashing_parts.py
@@ -61,6 +61,9 @@
 MAX_NOTICES = 12
 """Notices in one update; parts with the most crashes come first."""
 
+NEWS_S = 5.0
+"""For this long after a change, a part is in each update."""
+
 
 class Verdict(enum.Enum):
     """What becomes of a request that is about to be sent."""
@@ -93,6 +96,7 @@
 
     :ivar told_moments: the most moments that a notice told
     :ivar used_s: when it was last suspected, refused or cleared
+    :ivar changed_s: when it was last suspected or cleared
     :ivar tried_s: when a request was last sent although it is blamed
     """
 
@@ -100,6 +104,7 @@
     told_moments: int = 0
     cleared_s: float | None = None
     used_s: float = 0.0
+    changed_s: float = 0.0
     tried_s: float = float('-inf')
 
     @property
@@ -268,13 +273,17 @@
         """Record that a request is no longer at an engine, or is proven."""
         self._trials.pop(attempt, None)
 
-    def notices(self, now_s: float) -> list[Notice]:
-        """What other nodes should know, the parts with most crashes first."""
+    def notices(self, now_s: float, only_news: bool = False) -> list[Notice]:
+        """What other nodes should know, the parts with most crashes first.
+
+        :param only_news: whether to leave out what has not changed lately
+        """
         known = sorted(
             (
                 item
                 for item in self._entries.items()
-                if item[1].crashes or not self._is_old(item[1], now_s)
+                if (item[1].crashes or not self._is_old(item[1], now_s))
+                and not (only_news and now_s - item[1].changed_s > NEWS_S)
             ),
             key=lambda item: (-item[1].moments, -item[1].used_s),
         )
@@ -329,7 +338,7 @@
         was_blamed = entry.is_blamed
         is_new = [entry.add(crash, at_s) for crash, at_s in unproven.items()]
         if any(is_new):
-            entry.used_s = now_s
+            entry.used_s = entry.changed_s = now_s
         if entry.crashes and len(unproven) == len(crashes):
             entry.told_moments = max(entry.told_moments, moments)
         if len(self._entries) > MAX_PARTS:
@@ -340,7 +349,7 @@
         entry = self._entries[part]
         entry.clear(at_s)
         if not entry.crashes:
-            entry.used_s = now_s
+            entry.used_s = entry.changed_s = now_s
 
     def _evict_one(self) -> None:
         del self._entries[
--- a/src/guavachute/entry/part_suspects.py
+++ b/src/guavachute/entry/part_suspects.py
@@ -37,6 +37,9 @@
 
 WRITE_RETRY_S = 1.0
 
+SETTLED_PERIOD_S = 2.0
+"""Interval at which other nodes are told what has not changed lately."""
+
 _DECISECONDS = 10
 
 
@@ -81,6 +84,7 @@
         self._witnessed: set[str] = set()
         self._stored: set[str] = set()
         self._written_s: dict[str, float] = {}
+        self._told_all_s = float('-inf')
         self.store: store_client.StoreClient | None = None
         """Keeps the blamed parts; set before the loop's next turn."""
         metrics.gauge('blamed_parts', lambda: len(self._parts.blamed()))
@@ -221,6 +225,9 @@
     def notices(self) -> list[node_updates.PartNotice]:
         """What this node knows of suspected parts, for the other nodes."""
         now_s = self._loop.now_s
+        only_news = now_s - self._told_all_s < SETTLED_PERIOD_S
+        if not only_news:
+            self._told_all_s = now_s
         return [
             node_updates.PartNotice(
                 notice.part,
@@ -233,7 +240,7 @@
                 if notice.cleared_s is None
                 else _to_ds(now_s - notice.cleared_s),
             )
-            for notice in self._parts.notices(now_s)
+            for notice in self._parts.notices(now_s, only_news)
         ]
 
     def merge_notices(
--- a/tests/cover/test_crashing_part_decisions.py
+++ b/tests/cover/test_crashing_part_decisions.py
@@ -382,6 +382,13 @@
         self.assertFalse(self.parts.merge_notice(notice, 5.0))
         self.assertEqual([], self.parts.blamed())
 
+    def test_what_has_not_changed_lately_is_no_news(self) -> None:
+        self.crash(1, 1.0, 'part')
+        late_s = 1.0 + 2 * crashing_parts.NEWS_S
+        self.assertEqual(1, len(self.parts.notices(2.0, only_news=True)))
+        self.assertEqual(0, len(self.parts.notices(late_s, only_news=True)))
+        self.assertEqual(1, len(self.parts.notices(late_s)))
+
     def test_memory_is_bounded_and_keeps_what_is_blamed(self) -> None:
         for number in range(3):
             self.crash(number, float(number), 'bad')
