Tell crashes of one engine apart while the store is away

Found by a new test of many nodes in two regions without the store: engines that crash again and again counted as one crash each, since their entries still told of the first start, so no part was blamed (4 of 4 further requests reached engines). A loss a second or more after a known crash of the same incarnation is now another crash. The other way round, a start that an engine's report has told once is no crash at each lost answer. All three tests failed before.

--- a/src/guavachute/decide/ingress/crashing_parts.py
+++ b/src/guavachute/decide/ingress/crashing_parts.py
@@ -19,8 +19,11 @@
 import collections
 import dataclasses
 import enum
+import math
 import typing
 
+import xxhash
+
 from guavachute.decide import rendezvous
 from guavachute import ids
 
@@ -30,6 +33,10 @@
 MOMENT_S = 0.3
 """Crashes within this time after the first of them count as one moment."""
 
+RESTART_S = 1.0
+"""An engine that is lost again so long after its crash has crashed again.
+While the store is away, its entry still tells of the earlier start."""
+
 PROOF_S = 0.5
 """An answer proves that its prompt is harmless when it is complete, or has
 gone on for this long after its first token."""
@@ -174,7 +181,9 @@
         return [
             part
             for part in parts
-            if self._merge(part, {crash: at_s}, 0, now_s)
+            if self._merge(
+                part, {self._distinct(crash, part, at_s): at_s}, 0, now_s
+            )
         ]
 
     def record_proof(
@@ -298,6 +307,16 @@
         ]:
             del self._entries[part]
 
+    def _distinct(
+        self, crash: ids.CrashId, part: str, at_s: float
+    ) -> ids.CrashId:
+        """The id of a crash, another one if that id's crash is long past."""
+        entry = self._entries.get(part)
+        if entry is not None:
+            while at_s > entry.crashes.get(crash, math.inf) + RESTART_S:
+                crash = ids.CrashId(xxhash.xxh32_intdigest(b'%d' % crash))
+        return crash
+
     def _is_explained(
         self, entry: _Entry, parts: typing.Collection[str]
     ) -> bool:
--- a/src/guavachute/entry/part_suspects.py
+++ b/src/guavachute/entry/part_suspects.py
@@ -37,6 +37,10 @@
 
 WRITE_RETRY_S = 1.0
 
+MAX_STARTS = 1_000
+"""Engines whose reported start is remembered. While the store is away, their
+entries tell of an earlier one."""
+
 SETTLED_PERIOD_S = 2.0
 """Interval at which other nodes are told what has not changed lately."""
 
@@ -81,6 +85,7 @@
         self._started_s = loop.now_s
         self._parts = crashing_parts.CrashingParts()
         self._losses: dict[ids.CrashId, _Loss] = {}
+        self._start_ms: dict[ids.EndpointId, int] = {}
         self._witnessed: set[str] = set()
         self._stored: set[str] = set()
         self._written_s: dict[str, float] = {}
@@ -182,12 +187,16 @@
         self, crash: ids.CrashId, loss: _Loss, reply: control_client.Reply
     ) -> None:
         report = platform_endpoints.decode_report(reply.body)
-        if isinstance(
-            report, endpoints.EngineReport
-        ) and report.start_ms not in (
-            0,
-            loss.record.entry.start_ms,
+        entry = loss.record.entry
+        known_ms = max(entry.start_ms, self._start_ms.get(entry.id, 0))
+        if (
+            isinstance(report, endpoints.EngineReport)
+            and known_ms
+            and report.start_ms > known_ms
         ):
+            self._start_ms[entry.id] = report.start_ms
+            if len(self._start_ms) > MAX_STARTS:
+                del self._start_ms[next(iter(self._start_ms))]
             self._confirm(crash, 'started again')
         else:
             self._finish(crash, f'status {reply.status}')
--- a/tests/cover/test_crashing_part_decisions.py
+++ b/tests/cover/test_crashing_part_decisions.py
@@ -382,6 +382,15 @@
         self.assertFalse(self.parts.merge_notice(notice, 5.0))
         self.assertEqual([], self.parts.blamed())
 
+    # Guards against engines that crash again and again while the store can't
+    # tell of their new starts.
+    def test_later_crashes_of_one_known_incarnation_count(self) -> None:
+        for at_s in (0.0, 0.1, 2.0, 4.0):
+            self.crash(1, at_s, 'part')
+        known = self.parts.known('part')
+        assert known is not None
+        self.assertEqual(3, known.moments)
+
     def test_what_has_not_changed_lately_is_no_news(self) -> None:
         self.crash(1, 1.0, 'part')
         late_s = 1.0 + 2 * crashing_parts.NEWS_S
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -6,11 +6,15 @@
 
 import itertools
 import unittest
+import unittest.mock
 
+from guavachute.decide.nodes import rounds
 from guavachute.entry import node as entry_node
 from guavachute.entry import part_suspects
+from guavachute import ids
 from guavachute.platform import store
 from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import store as standin_store
 from tests.support import looping
 from tests.support import platform_site
 
@@ -88,6 +92,32 @@
         for node in nodes:
             self.assertEqual(200, self.send(node, 'sound-1').status)
 
+    # Guards against a part that only one region knows, where there are many
+    # nodes and the store can't tell them.
+    def test_other_regions_hear_of_the_part_without_the_store(self) -> None:
+        patch = unittest.mock.patch.object(rounds, 'FEW_NODES', 2)
+        patch.start()
+        self.addCleanup(patch.stop)
+        regions = {
+            ids.FailureDomain('here-a'): ids.Region('here'),
+            ids.FailureDomain('there-a'): ids.Region('there'),
+        }
+        nodes = [
+            self.site.ready_node(
+                domain=domain, region=regions[domain], region_of=regions
+            )
+            for domain in regions
+            for _ in range(2)
+        ]
+        looping.run_for(self.site.loop, 2.0)
+        self.site.store.fault = standin_store.Fault.SILENT
+        self.crash_engines(nodes[:1])
+        looping.run_for(self.site.loop, CONTACT_S / 2)
+        before = len(self.runs_with(BAD))
+        replies = [self.send(node, BAD) for node in nodes]
+        self.assertEqual(before, len(self.runs_with(BAD)))
+        self.assertEqual({503}, {reply.status for reply in replies})
+
     # Guards against a part that is in use again after all nodes have started
     # anew.
     def test_nodes_that_start_later_know_the_part(self) -> None:
@@ -139,6 +169,24 @@
             engine.behaviour = standin_engine.Behaviour.NORMAL
         self.assertEqual(200, self.send(node, 'sound').status)
 
+    # Guards against one start of an engine that counts as a crash each time
+    # an answer is lost while the store can't tell of it.
+    def test_a_known_start_of_an_engine_is_one_crash(self) -> None:
+        for engine in self.engines[1:]:
+            engine.unregister()
+        engine = self.engines[0]
+        self.engines[1:] = []
+        self.site.engines[1:] = []
+        node = self.site.ready_node()
+        self.site.store.fault = standin_store.Fault.SILENT
+        engine.incarnation += 1
+        engine.behaviour = standin_engine.Behaviour.LOSE
+        for _ in range(8):
+            self.send(node, 'sound')
+            looping.run_for(self.site.loop, 0.6)
+        engine.behaviour = standin_engine.Behaviour.NORMAL
+        self.assertEqual(200, self.send(node, 'sound').status)
+
     def stored(self) -> bytes | None:
         return self.site.store.newest(
             store.OWN_TOPIC, part_suspects.KEY_PREFIX + BAD
