--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -129,7 +129,7 @@
         """The request has started to run; called at most once."""
 
     def crash_verdict(self, exchange: 'Exchange') -> crashing_parts.Verdict:
-        """Whether the request may be sent: it may crash endpoints."""
+        """What becomes of the request, which may crash endpoints."""
 
     def may_repeat(self, exchange: 'Exchange') -> bool:
         """Whether a request that lost its endpoint may be sent to another."""
