--- a/tests/cover/test_plain_call_ends.py
+++ b/tests/cover/test_plain_call_ends.py
@@ -136,6 +136,13 @@
     def test_a_framed_body_keeps_its_length(self) -> None:
         self.assertIn(b'Content-Length: 8\r\n', self.fetch(FRAMED))
 
+    def test_a_framed_body_that_is_cut_is_no_answer(self) -> None:
+        chunked = HEAD + b'Transfer-Encoding: chunked\r\n\r\n6\r\nten ca\r\n'
+        for answer in (FRAMED[:-2], chunked, chunked[:-5]):
+            self.assertIn(b'answer_lost', self.fetch(answer))
+        whole = self.fetch(chunked + b'0\r\n\r\n')
+        self.assertTrue(whole.endswith(b'\r\n\r\nten ca'))
+
     # Guards against a cut body that a later caller gets as the whole one.
     def test_only_a_framed_answer_is_stored_as_complete(self) -> None:
         for answer, is_framed in ((UNFRAMED, False), (FRAMED, True)):
