Let the streams of the move tests outlast the store's reads

MoveTest.test_the_report_tells_when_a_reclaimed_engine_ends failed once beside load on (KNOWN-RED.txt).

With a pause of 50 ms before the request it fails each time.

The streams now last 2.4 s. No check is changed.

--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -207,7 +207,8 @@
         super().setUp()
         self.first = self.engine('e1', events=12)
         self.node = self.site.ready_node()
-        self.first.event_pause_s = 0.05
+        # Streams outlast two reads of the store's table of endpoints.
+        self.first.event_pause_s = 0.2
 
     def reclaim_amid(self, path: str) -> platform_site.CallerSocket:
         caller = self.site.send(self.node, path)
@@ -230,7 +231,7 @@
         looping.run_until(
             self.site.loop, lambda: len(self.node.state.table.entries) == 2
         )
-        self.second.event_pause_s = self.first.event_pause_s = 0.2
+        self.second.event_pause_s = 0.2
         self.site.store.fault = standin_store.Fault.BUSY
         caller = self.site.send(
             self.node, '/stream/a', Token_Counts='10,12', Prefix_Hash='a:10'
@@ -271,7 +272,6 @@
 
     def test_a_run_leaves_an_engine_whose_entry_is_gone(self) -> None:
         """Some engines never announce that they drain, and serve a while."""
-        self.first.event_pause_s = 0.15
         caller = self.site.send(self.node, '/stream/a')
         looping.run_until(self.site.loop, lambda: caller.reply.body)
         self.second = self.engine('e2', events=12)
