Ask an engine that starts again soon after an announced end

Cause: an answer that announces the end of its engine doesn't name the start that it comes from. If the engine has just started again, the node's record is still that of the earlier start, and the announcement was booked on that. The entry of the new start, read up to 0.6 s later, then counted as an engine that had announced nothing.

A start that becomes known within 10 s of an announcement by another start of the engine gets no work until the engine has answered a call for its report; any answer tells, also a 404. Without an answer the doubt ends 10 s after the announcement.

Test: test_an_end_that_was_told_before_the_entry_of_its_start, which failed with a second run at the leaving engine.

--- a/src/guavachute/decide/ingress/announcements.py
+++ b/src/guavachute/decide/ingress/announcements.py
@@ -24,6 +24,9 @@
 NOTICE_TTL_S = 10.0
 """Other nodes are told for this long that an endpoint leaves."""
 
+IN_DOUBT_S = 10.0
+"""An announcement this old belongs to the start that was known then."""
+
 KEPT = 1_000
 """Number of endpoints whose announcements are remembered."""
 
@@ -81,14 +84,28 @@
         """Whether an endpoint has announced its end."""
         return incarnation in self._leaving
 
+    def is_in_doubt(self, incarnation: Incarnation, now_s: float) -> bool:
+        """Whether an announcement may be this start's, not an earlier one's.
+
+        An answer does not name the start that it comes from, and an endpoint
+        may answer before its entry tells of its new start.
+        """
+        return any(
+            item.endpoint == incarnation.endpoint and item != incarnation
+            for item in self._announced_within(IN_DOUBT_S, now_s)
+        )
+
     def notices(self, now_s: float) -> list[Incarnation]:
         """The endpoints whose end was announced recently."""
-        found: list[Incarnation] = []
+        return list(self._announced_within(NOTICE_TTL_S, now_s))
+
+    def _announced_within(
+        self, age_s: float, now_s: float
+    ) -> typing.Iterator[Incarnation]:
         for incarnation, at_s in reversed(self._leaving.items()):
-            if now_s - at_s > NOTICE_TTL_S:
+            if now_s - at_s > age_s:
                 break
-            found.append(incarnation)
-        return found
+            yield incarnation
 
     def record_pause(self, incarnation: Incarnation, until_s: float) -> bool:
         """Record a pause; False if a longer one is in force."""
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -67,6 +67,8 @@
         is leaving
     :ivar has_announced_end: whether it told in an answer that it will end, so
         that it gets no new work
+    :ivar is_in_doubt: whether an end that was announced just before this
+        incarnation was known may be its own, so that it gets no new work
     :ivar is_gone: whether its entry is gone; the endpoint may still run the
         requests that it has started
     :ivar reported_requests: the running and waiting requests in the endpoint's
@@ -86,6 +88,7 @@
     reported_at_s: float = float('-inf')
     accepts_until_s: float = float('-inf')
     has_announced_end: bool = False
+    is_in_doubt: bool = False
     is_gone: bool = False
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -173,6 +176,11 @@
         )
         """Called with the record of an endpoint that starts to drain, or whose
         entry is gone while requests of this node run there."""
+        self.on_in_doubt: typing.Callable[[EndpointRecord], None] = (
+            lambda record: None
+        )
+        """Called with the record of an incarnation that may be leaving; ends
+        with :meth:`resolve_doubt`."""
 
     def record_for(self, entry: endpoints.Endpoint) -> EndpointRecord:
         """The record of *entry*, which is new for a new incarnation."""
@@ -184,6 +192,11 @@
             found.has_announced_end = self._announcements.is_leaving(
                 found.incarnation
             )
+            if self._announcements.is_in_doubt(
+                found.incarnation, self._now_s()
+            ):
+                found.is_in_doubt = True
+                self.on_in_doubt(found)
         was_leaving = found.is_leaving
         found.entry = entry
         found.is_gone = False
@@ -237,6 +250,7 @@
         return (
             item.entry.id in self._table.entries
             and not item.has_announced_end
+            and not item.is_in_doubt
             and (not item.is_leaving or now_s < item.accepts_until_s)
         )
 
@@ -294,6 +308,36 @@
                     announcements.Incarnation(endpoint, start_ms), now_s
                 )
 
+    def remains_in_doubt(self, record: EndpointRecord, now_s: float) -> bool:
+        """Whether it is to be asked still whether it is leaving."""
+        return self._records.get(
+            record.entry.id
+        ) is record and self._announcements.is_in_doubt(
+            record.incarnation, now_s
+        )
+
+    def resolve_doubt(
+        self,
+        record: EndpointRecord,
+        is_leaving: bool,
+        reason: str,
+        now_s: float,
+    ) -> None:
+        """Apply whether an incarnation that may be leaving is leaving.
+
+        :param reason: how that was found out, for the log
+        """
+        record.is_in_doubt = False
+        if is_leaving:
+            self._handle_announced_end(record, 'report', now_s)
+        journal.event(
+            'endpoint',
+            outcome='asked',
+            endpoint=record.entry.id,
+            is_leaving=record.is_leaving,
+            reason=reason,
+        )
+
     def notices(self, now_s: float) -> list[tuple[ids.EndpointId, int]]:
         """The endpoints that announced their end, for the other nodes."""
         return [
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -216,6 +216,7 @@
             self._apply_leave_report,
             self.ingress.handle_announcement,
         )
+        self.registry.on_in_doubt = self._reports.ask_whether_leaving
         self._is_registered = False
         self._addresses: dict[
             tuple[ids.FailureDomain, ids.Region, bool],
--- a/src/guavachute/entry/report_watch.py
+++ b/src/guavachute/entry/report_watch.py
@@ -20,6 +20,7 @@
 
 PERIOD_S = 0.5
 TIMEOUT_S = 0.4
+RETRY_S = 0.5
 
 Done = typing.Callable[[endpoints.EngineReport | None], None]
 """Called with an engine's report; None if there is none."""
@@ -112,6 +113,41 @@
 
         self._fetch_report(client, record, handle_report)
 
+    def ask_whether_leaving(
+        self, record: endpoint_registry.EndpointRecord
+    ) -> None:
+        """Ask an endpoint that may be leaving, until it answers.
+
+        Any answer tells, also of a service without reports. Without one, it
+        is no longer in doubt when the announcement is old.
+        """
+        client = control_client.Client(self._loop, record.entry.address)
+
+        def handle_reply(
+            reply: control_client.Reply | control_client.CallFailure,
+        ) -> None:
+            client.close()
+            now_s = self._loop.now_s
+            if isinstance(reply, control_client.Reply):
+                report = _report(record.entry.id, reply)
+                is_draining = (
+                    report is not None
+                    and report.state is endpoints.EndpointState.DRAINING
+                )
+                self._registry.resolve_doubt(
+                    record, is_draining, f'status {reply.status}', now_s
+                )
+            elif self._registry.remains_in_doubt(record, now_s):
+                self._loop.call_after(
+                    RETRY_S, lambda: self.ask_whether_leaving(record)
+                )
+            else:
+                self._registry.resolve_doubt(
+                    record, False, f'no answer: {reply.value}', now_s
+                )
+
+        self._call(client, record, handle_reply)
+
     def _fetch_report(
         self,
         client: control_client.Client,
@@ -119,6 +155,17 @@
         done: Done,
     ) -> None:
         endpoint = record.entry.id
+        self._call(
+            client, record, lambda reply: done(_report(endpoint, reply))
+        )
+
+    def _call(
+        self,
+        client: control_client.Client,
+        record: endpoint_registry.EndpointRecord,
+        done: control_client.Done,
+    ) -> None:
+        """Request a report, and apply what the answer's head says."""
 
         def handle_reply(
             reply: control_client.Reply | control_client.CallFailure,
@@ -128,7 +175,7 @@
                     record,
                     requests.read_announcement(reply.status, reply.headers),
                 )
-            done(_report(endpoint, reply))
+            done(reply)
 
         client.call(
             b'GET', platform_endpoints.REPORT_TARGET, handle_reply, TIMEOUT_S
--- a/tests/cover/test_announcements.py
+++ b/tests/cover/test_announcements.py
@@ -44,6 +44,15 @@
         self.assertEqual([], self.known.notices(later_s))
         self.assertTrue(self.known.is_leaving(FIRST))
 
+    def test_an_end_is_in_doubt_at_the_next_start(self) -> None:
+        self.known.record_leaving(FIRST, 10.0)
+        self.assertTrue(self.known.is_in_doubt(AGAIN, 10.5))
+        other = announcements.Incarnation(ids.EndpointId('f'), 2)
+        self.assertFalse(self.known.is_in_doubt(other, 10.5))
+        self.assertFalse(self.known.is_in_doubt(FIRST, 10.5))
+        later_s = 10.1 + announcements.IN_DOUBT_S
+        self.assertFalse(self.known.is_in_doubt(AGAIN, later_s))
+
     def test_a_longer_pause_is_not_shortened(self) -> None:
         self.assertTrue(self.known.record_pause(FIRST, 15.0))
         self.assertFalse(self.known.record_pause(FIRST, 12.0))
@@ -176,6 +185,37 @@
         )
         self.assertEqual([200], self.fetch(node))
 
+    def restart_unknown(self) -> tuple[standin_engine.Engine, entry_node.Node]:
+        """Restart the one endpoint, which tells its end before its entry."""
+        node = self.site.ready_node()
+        self.engine.incarnation = 2
+        self.engine.is_leaving = True
+        self.assertEqual([200], self.fetch(node))
+        return self.add('e2'), node
+
+    def until_started(self, node: entry_node.Node, start_ms: int) -> None:
+        self.engine.register(born=start_ms)
+        self.until(
+            lambda: (
+                node.state.table.entries[ids.EndpointId('e1')].start_ms
+                == start_ms
+                and len(node.state.table.entries) == 2
+            )
+        )
+
+    def test_an_end_that_was_told_before_the_entry_of_its_start(self) -> None:
+        """An answer doesn't name the start that it comes from."""
+        second, node = self.restart_unknown()
+        self.until_started(node, 2)
+        self.assertEqual([200] * 8, self.fetch(node, 8))
+        looping.run_for(self.site.loop, 0.5)
+        self.assertEqual([200] * 8, self.fetch(node, 8))
+        self.assertEqual((1, 16), (len(self.engine.runs), len(second.runs)))
+        self.engine.is_leaving = False
+        self.engine.incarnation = 3
+        self.until_started(node, 3)
+        self.until(lambda: self.fetch(node) and len(self.engine.runs) > 1)
+
     def test_other_nodes_are_told(self) -> None:
         first, second = self.site.ready_node(), self.site.ready_node()
         self.until(
