Wait until the fleet knows that the engines serve before prices change

Cause: the test waited until the engines had loaded the model, not until their reports had told the fleet so. A VM that the fleet takes for one that is still starting may be ended at once when its offer becomes expensive. Traced in three failing runs: the drain came 8 to 70 ms before the report of that VM's engine reached the fleet, each time one of the two VMs started last. Ruled out: a wrong count of serving VMs in the plan (the second VM was ended only when all others served, in all runs).

No check is changed.

--- a/tests/cover/test_fleet_engines.py
+++ b/tests/cover/test_fleet_engines.py
@@ -7,6 +7,7 @@
 import contextlib
 import threading
 import unittest
+from unittest import mock
 
 from guavachute.decide.fleet import demand
 from guavachute import ids
@@ -91,6 +92,10 @@
             self.log, self.cloud.address, store_bytes_per_s=STORE_BYTES_PER_S
         )
         self.node.held = self.log.take_lease('node-1')
+        inbox = self.node.fleet.mailbox
+        self.sent = stack.enter_context(
+            mock.patch.object(inbox, 'send', wraps=inbox.send)
+        )
         stack.enter_context(self.node.running())
         orders = engine_orders.EngineOrders(
             'engine-orders', lambda: self.node.held, self.node.counters, 0.05
@@ -100,6 +105,32 @@
         stack.callback(orders.join, 10)
         stack.callback(orders.request_stop)
 
+    def wait_known(self) -> None:
+        """Wait until the fleet plans with all engines as serving.
+
+        It learns from their reports that they do, after they do.
+        """
+        waiting.until(
+            lambda: self.reported() >= {vm.vm for vm in self.cloud.running()},
+            'all engines have reported their model',
+        )
+        rounds = self.rounds()
+        waiting.until(lambda: self.rounds() >= rounds + 2, 'two more rounds')
+
+    def reported(self) -> set[str]:
+        """The VMs whose engines have reported the model to the fleet."""
+        messages_sent = [sent.args[0] for sent in self.sent.call_args_list]
+        return {
+            message.report.endpoint
+            for message in messages_sent
+            if isinstance(message, messages.EngineReported)
+            and NEEDLE in message.report.models
+        }
+
+    def rounds(self) -> float:
+        """How many rounds of decisions the fleet has begun."""
+        return self.node.counters.value('fleet.rounds')
+
     def wait_serving(self) -> None:
         counts = range(fleet.VM_COUNT, fleet.VM_COUNT + 1)
         waiting.until(
@@ -113,6 +144,7 @@
     def test_dear_vms_are_exchanged_without_a_dip(self) -> None:
         self.node.fleet.mailbox.send(messages.OfferedLoad({NEEDLE: 10.0}, {}))
         self.wait_serving()
+        self.wait_known()
         fleet.CLOCK.skip(demand.HOLD_S)
         before = {vm.vm for vm in self.cloud.running()}
         self.cloud.set_offers(fleet.offers(dear='perth-a'))
