Bound all that surrounds the body of a plain call's answer

urllib3 and http.client read interim answers (100) one after another, lines between chunks and trailer lines without a bound, and their time limit holds for each read from the socket. Only the body had bounds since.

The connection now reads through a file that ends after 17 MB, or when the read timeout has passed since the answer was awaited; the connection is closed. The bound of a decoded body stays where it was.

--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -22,6 +22,7 @@
 from guavachute.observe import counters
 from guavachute.observe import traces
 from guavachute import outcome
+from guavachute.services import bounded_answers
 from guavachute.services.relay import downstream
 from guavachute.services import replies
 from guavachute.wire import tables
@@ -139,9 +140,7 @@
         self._round_robin = itertools.count()
         self._active = 0
         self._lock = threading.Lock()
-        self._http = urllib3.PoolManager(
-            num_pools=64, maxsize=THREADS, retries=False
-        )
+        self._http = bounded_answers.pool_manager(64, THREADS)
 
     @property
     def active(self) -> int:
@@ -277,7 +276,7 @@
                 redirect=False,
                 preload_content=False,
             )
-            body = _read_body(response, call.deadline_s)
+            body = _read_body(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -299,7 +298,7 @@
         # An order is sent only once, so it needs a connection that works.
         # A new one is known to; an idle one may be dead without notice,
         # and the order would be lost with an unknown outcome.
-        return urllib3.HTTPConnectionPool(host, int(port), retries=False)
+        return bounded_answers.BoundedPool(host, int(port), retries=False)
 
     def _headers(self, call: PlainCall, span: traces.Span) -> dict[str, str]:
         forwarded = {
@@ -348,20 +347,18 @@
         call.caller.release()
 
 
-def _read_body(response: urllib3.BaseHTTPResponse, deadline_s: float) -> bytes:
+def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
     """Read the body of an answer, and return the connection to its pool.
 
-    :param deadline_s: monotonic
     :raises urllib3.exceptions.HTTPError: it was cut off, or has not ended
-        within :data:`MAX_BODY_BYTES` or the deadline; the connection is then
-        closed
+        within :data:`MAX_BODY_BYTES` or in time; the connection is then closed
     """
     parts: list[bytes] = []
     size = 0
     while data := response.read1(READ_BYTES):
         parts.append(data)
         size += len(data)
-        if size > MAX_BODY_BYTES or time.monotonic() > deadline_s:
+        if size > MAX_BODY_BYTES:
             response.close()
             raise urllib3.exceptions.ProtocolError(
                 f'the answer has not ended after {size} bytes'
--- a/tests/cover/test_plain_call_ends.py
+++ b/tests/cover/test_plain_call_ends.py
@@ -59,16 +59,24 @@
 
 
 class EndlessEndpoint(Endpoint):
-    """Sends a body without end until its connection is closed.
+    """Sends an answer without end until its connection is closed.
 
-    :param pause_s: between two pieces of the body; they are short with a pause
+    :param start: what it sends first
+    :param piece: what it sends then, again and again
+    :param pause_s: between two pieces; many are sent at once without a pause
     """
 
-    def __init__(self, case: unittest.TestCase, pause_s: float) -> None:
+    def __init__(
+        self,
+        case: unittest.TestCase,
+        pause_s: float,
+        start: bytes = HEAD + b'\r\n',
+        piece: bytes = b'x',
+    ) -> None:
         self.closed = threading.Event()
         self._pause_s = pause_s
-        self._piece = b'x' if pause_s else b'x' * 65_536
-        super().__init__(case, HEAD + b'\r\n')
+        self._piece = piece if pause_s else piece * (65_536 // len(piece))
+        super().__init__(case, start)
 
     def _answer_on(self, connection: socket.socket) -> None:
         super()._answer_on(connection)
@@ -154,8 +162,25 @@
     # byte beyond the caller's deadline.
     def test_a_body_without_end_is_no_answer(self) -> None:
         for pause_s in (0.0, 0.1):
-            endpoint = EndlessEndpoint(self, pause_s)
-            received = self.fetch(endpoint)
-            self.assertIn(b'answer_lost', received)
-            endpoint.closed.wait(5.0)
-            self.assertTrue(endpoint.closed.is_set())
+            self.assert_given_up(EndlessEndpoint(self, pause_s))
+
+    def assert_given_up(self, endpoint: EndlessEndpoint) -> None:
+        self.assertIn(b'answer_lost', self.fetch(endpoint))
+        endpoint.closed.wait(5.0)
+        self.assertTrue(endpoint.closed.is_set())
+
+    # Guards against what an HTTP library reads without a bound of its own.
+    def test_what_is_around_a_body_has_an_end(self) -> None:
+        chunked = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+        for start, piece in (
+            (b'', interim),
+            (HEAD + b'X: ', b'x'),
+            (chunked + b'6;', b'x'),
+            (chunked + b'0\r\n', b'X: y\r\n'),
+        ):
+            for pause_s in (0.0, 0.1):
+                with self.subTest(start=start, piece=piece, pause_s=pause_s):
+                    self.assert_given_up(
+                        EndlessEndpoint(self, pause_s, start, piece)
+                    )
