Bound the answers to the routers' watch of engines too

The clients of the platform's VM list and cloud read in the same way, and use the same connections now. The client of the log keeps its own: its reads wait for records, and the log is ours.

--- a/src/guavachute/clients/cloud_client.py
+++ b/src/guavachute/clients/cloud_client.py
@@ -14,6 +14,7 @@
 
 from guavachute.decide.fleet import market
 from guavachute.decide.fleet import purchases
+from guavachute.http import bounded_answers
 from guavachute import ids
 from guavachute import outcome
 
@@ -101,7 +102,7 @@
         self, address: str, read_timeout_s: float = READ_TIMEOUT_S
     ) -> None:
         host, _, port = address.rpartition(':')
-        self._http = urllib3.HTTPConnectionPool(
+        self._http = bounded_answers.Pool(
             host,
             int(port),
             maxsize=CONNECTIONS,
--- a/src/guavachute/clients/vm_list.py
+++ b/src/guavachute/clients/vm_list.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 
+from guavachute.http import bounded_answers
 from guavachute import outcome
 
 TIMEOUT_S = 2.0
@@ -66,7 +67,7 @@
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(':')
-        self._http = urllib3.HTTPConnectionPool(
+        self._http = bounded_answers.Pool(
             host, int(port), timeout=TIMEOUT_S, retries=False
         )
         self._last_body = b''
--- a/src/guavachute/services/bounded_answers.py
+++ b/src/guavachute/http/bounded_answers.py
@@ -80,16 +80,17 @@
     response_class = _BoundedResponse
 
 
-class BoundedPool(urllib3.HTTPConnectionPool):
+class Pool(urllib3.HTTPConnectionPool):
     """A pool of such connections; the read timeout is of a whole answer."""
 
     ConnectionCls = _BoundedConnection
 
 
-def pool_manager(max_pools: int, max_connections: int) -> urllib3.PoolManager:
-    """Return a manager of such pools, without retries."""
-    manager = urllib3.PoolManager(
-        num_pools=max_pools, maxsize=max_connections, retries=False
-    )
-    manager.pool_classes_by_scheme = {'http': BoundedPool}
+def pool_manager(**options: typing.Any) -> urllib3.PoolManager:
+    """Return a manager of such pools, without retries.
+
+    :param options: of ``urllib3.PoolManager``
+    """
+    manager = urllib3.PoolManager(retries=False, **options)
+    manager.pool_classes_by_scheme = {'http': Pool}
     return manager
--- a/src/guavachute/services/engine_watch.py
+++ b/src/guavachute/services/engine_watch.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from guavachute.decide.requests import prefix_index
+from guavachute.http import bounded_answers
 from guavachute.kernel import mailbox
 from guavachute.kernel import task
 from guavachute.observe import counters
@@ -78,8 +79,8 @@
         self._count = count
         self._engines: list[tables.EndpointEntry] = []
         self._next_event: dict[str, int] = {}
-        self._http = urllib3.PoolManager(
-            num_pools=64, retries=False, timeout=TIMEOUT_S
+        self._http = bounded_answers.pool_manager(
+            num_pools=64, timeout=TIMEOUT_S
         )
 
     def set_tables(self, new: tables.Tables, pools: set[str]) -> None:
--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -16,13 +16,13 @@
 
 import urllib3
 
+from guavachute.http import bounded_answers
 from guavachute.http import message
 from guavachute import ids
 from guavachute.kernel import task
 from guavachute.observe import counters
 from guavachute.observe import traces
 from guavachute import outcome
-from guavachute.services import bounded_answers
 from guavachute.services.relay import downstream
 from guavachute.services import replies
 from guavachute.wire import tables
@@ -140,7 +140,9 @@
         self._round_robin = itertools.count()
         self._active = 0
         self._lock = threading.Lock()
-        self._http = bounded_answers.pool_manager(64, THREADS)
+        self._http = bounded_answers.pool_manager(
+            num_pools=64, maxsize=THREADS
+        )
 
     @property
     def active(self) -> int:
@@ -298,7 +300,7 @@
         # An order is sent only once, so it needs a connection that works.
         # A new one is known to; an idle one may be dead without notice,
         # and the order would be lost with an unknown outcome.
-        return bounded_answers.BoundedPool(host, int(port), retries=False)
+        return bounded_answers.Pool(host, int(port), retries=False)
 
     def _headers(self, call: PlainCall, span: traces.Span) -> dict[str, str]:
         forwarded = {
