Serve a request that has arrived before an idle connection is closed

A stopping node closes its idle connections, first 400 ms after the signal, from a timer. The loop calls timers after it has read the sockets, so a request that arrives during a long turn is still in the socket when its connection is closed; it was then read and discarded. The idle timeout had the same race. Both now read what has arrived before they close.

Test: test_a_request_that_has_arrived_is_served_by_a_busy_node, whose second request got no answer before.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -203,6 +203,9 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is reading or serving a request."""
+        if self._state is _State.IDLE:
+            # A request may have arrived during this turn of the loop.
+            self._connection.receive_now()
         if self._state is _State.IDLE:
             self._linger()
 
@@ -282,7 +285,7 @@
                 self._extend_body_timeout()
             return
         if self._state is _State.IDLE:
-            self._linger()
+            self.close_if_idle()
             return
         self._close()
 
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -92,6 +92,11 @@
         self._is_reading = True
         self._watch()
 
+    def receive_now(self) -> None:
+        """Pass on what has arrived already, without the loop's next turn."""
+        if self._events & entry_loop.READ:
+            self._receive()
+
     def finish_writing(self) -> None:
         """Close the sending direction; the peer reads the end."""
         self.set_reset_on_close(False)
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -541,6 +541,20 @@
         self.assertTrue(caller.reply.is_complete)
         self.until(lambda: caller.reply.is_closed)
 
+    # Guards against a stop, or an idle timeout, that closes a connection whose
+    # next request has arrived in the same turn of the loop.
+    def test_a_request_that_has_arrived_is_served_by_a_busy_node(self) -> None:
+        node = self.site.ready_node()
+        caller = self.site.send(node, '/order/a')
+        self.until(lambda: caller.reply.is_complete)
+        caller.send(platform_site.request_bytes('/order/b', 'second'))
+        node.ingress.close_idle()
+        self.until(lambda: caller.reply.has_ended)
+        self.assertEqual(200, caller.reply.status)
+        node.ingress.close_idle()
+        self.until(lambda: caller.reply.is_closed)
+        self.assertEqual(2, len(self.plain.runs))
+
     def test_late_callers_of_a_stopping_node_are_sent_elsewhere(self) -> None:
         node = self.site.ready_node(bounds={'stop_grace_s': 0.5})
         node.stop()
