Tell a harmless part from the bad one if one crash lacks the bad one

The part sound-12 was refused to the end.

Cause: it was lost at four crashes; at three of them with the part that crashes engines. At the first, no living node knew of the request with the bad part, as a node had just been stopped. A blamed part counts as explained by another one only if that one was at all its crashes, so one crash too many kept it refused until its trial 20 s later. Ruled out: crashes of another cause (none on that engine at that time).

A blamed part is now explained also if another one was at more moments, and fewer than three moments remain without it. The test failed before. Where the harmless part has as many moments as the bad one, it is still refused until its trial (postmortem).

--- a/src/guavachute/decide/ingress/crashing_parts.py
+++ b/src/guavachute/decide/ingress/crashing_parts.py
@@ -117,11 +117,7 @@
     @property
     def moments(self) -> int:
         """How many moments with a crash are known."""
-        count, since_s = 0, float('-inf')
-        for at_s in sorted(self.crashes.values()):
-            if at_s > since_s + MOMENT_S:
-                count, since_s = count + 1, at_s
-        return max(count, self.told_moments)
+        return max(_count_moments(self.crashes.values()), self.told_moments)
 
     @property
     def is_blamed(self) -> bool:
@@ -134,6 +130,22 @@
         wait_s = min(MAX_TRIAL_AFTER_S, TRIAL_AFTER_S * growth)
         return max([*self.crashes.values(), self.tried_s]) + wait_s
 
+    def explains(self, other: '_Entry') -> bool:
+        """Whether *other* may be harmless, as this part caused its crashes.
+
+        A few of them may lack this part: the node with the request that had
+        it may have been lost, or the engine have crashed by itself.
+        """
+        unexplained_s = [
+            at_s
+            for crash, at_s in other.crashes.items()
+            if crash not in self.crashes
+        ]
+        return not unexplained_s or (
+            self.moments > other.moments
+            and _count_moments(unexplained_s) < MOMENTS_TO_BLAME
+        )
+
     def clear(self, at_s: float) -> None:
         """Drop the crashes until *at_s*."""
         self.cleared_s = max(at_s, self.cleared_s or at_s)
@@ -320,16 +332,13 @@
     def _is_explained(
         self, entry: _Entry, parts: typing.Collection[str]
     ) -> bool:
-        """Whether a part that the request lacks explains all the crashes.
+        """Whether a part that the request lacks explains the crashes.
 
         Parts that come together with the one that crashes engines are lost
         with it, and so blamed with it.
         """
-        crashes = entry.crashes.keys()
         return any(
-            crashes <= other.crashes.keys()
-            and part not in parts
-            and other.is_blamed
+            part not in parts and other.is_blamed and other.explains(entry)
             for part, other in self._entries.items()
         )
 
@@ -390,6 +399,14 @@
         return now_s - entry.used_s > kept_s
 
 
+def _count_moments(times_s: typing.Iterable[float]) -> int:
+    count, since_s = 0, float('-inf')
+    for at_s in sorted(times_s):
+        if at_s > since_s + MOMENT_S:
+            count, since_s = count + 1, at_s
+    return count
+
+
 def _notice(part: str, entry: _Entry) -> Notice:
     return Notice(part, dict(entry.crashes), entry.moments, entry.cleared_s)
 
--- a/tests/cover/test_crashing_part_decisions.py
+++ b/tests/cover/test_crashing_part_decisions.py
@@ -341,6 +341,23 @@
         self.assertIs(refuse, self.verdict('bad', 'else'))
         self.assertIs(send, self.verdict('neighbour', 'else'))
 
+    # Guards against a harmless part that is refused with the bad one, as it
+    # was also at a crash of which no node knows that the bad one was there.
+    def test_a_neighbour_at_one_more_crash_is_told_from_it(self) -> None:
+        self.crash(0, 0.0, 'neighbour')
+        for number in (1, 2):
+            self.crash(number, float(number), 'bad', 'neighbour')
+        refuse, send = (
+            crashing_parts.Verdict.REFUSE,
+            crashing_parts.Verdict.SEND,
+        )
+        self.assertIs(refuse, self.verdict('neighbour', 'else'))
+        for number in (3, 4):
+            self.crash(number, float(number), 'bad')
+        self.assertIs(send, self.verdict('neighbour', 'else'))
+        self.assertIs(refuse, self.verdict('bad', 'else'))
+        self.assertIs(refuse, self.verdict('bad', 'neighbour'))
+
     def test_a_blamed_part_is_tried_rarely_and_by_one_node(self) -> None:
         for number in range(3):
             self.crash(number, float(number), 'part')
