--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -69,6 +69,7 @@
         that it gets no new work
     :ivar is_in_doubt: whether an end that was announced just before this
         incarnation was known may be its own, so that it gets no new work
+    :ivar named_limit_per_s: the limit in its latest answer; None without
     :ivar is_gone: whether its entry is gone; the endpoint may still run the
         requests that it has started
     :ivar reported_requests: the running and waiting requests in the endpoint's
@@ -89,6 +90,7 @@
     accepts_until_s: float = float('-inf')
     has_announced_end: bool = False
     is_in_doubt: bool = False
+    named_limit_per_s: float | None = None
     is_gone: bool = False
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -268,6 +270,17 @@
         """
         if announced.is_leaving:
             self._handle_announced_end(record, 'answer', now_s)
+        if str(announced.limit_per_s) != str(record.named_limit_per_s):
+            record.named_limit_per_s = announced.limit_per_s
+            journal.event(
+                'endpoint',
+                outcome='limit-named'
+                if announced.limit_per_s is not None
+                else 'limit-ended',
+                endpoint=record.entry.id,
+                limit_per_s=announced.limit_per_s,
+                requests=record.own.requests,
+            )
         if announced.retry_after_s is None:
             return False
         pause_s = announcements.bounded_pause_s(announced.retry_after_s)
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -135,10 +135,14 @@
     :ivar is_leaving: whether it will end
     :ivar retry_after_s: with status 503, for how long it wants no request;
         None if not given, not a number if it can't be decoded
+    :ivar limit_per_s: the requests per second that it accepts from all nodes
+        together; None if it names no limit, not a number if it can't be
+        decoded
     """
 
     is_leaving: bool
     retry_after_s: float | None
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -286,13 +290,14 @@
 ) -> Announcement:
     return Announcement(
         is_leaving=values.get(b'server-leaving', b'').strip() == b'1',
-        retry_after_s=_retry_after_s(values.get(b'retry-after'))
+        retry_after_s=_decimal(values.get(b'retry-after'))
         if status == 503
         else None,
+        limit_per_s=_decimal(values.get(b'server-limit')),
     )
 
 
-def _retry_after_s(value: bytes | None) -> float | None:
+def _decimal(value: bytes | None) -> float | None:
     if value is None:
         return None
     try:
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -1,5 +1,6 @@
 """A stand-in for an endpoint: a model engine or a plain service."""
 
+import collections
 import dataclasses
 import enum
 import typing
@@ -21,6 +22,8 @@
 RESTART_AFTER_S = 0.3
 """How long after a crash the next incarnation starts."""
 
+KEPT_ARRIVALS = 1_000
+
 
 class Behaviour(enum.Enum):
     """How the endpoint answers requests."""
@@ -168,6 +171,9 @@
     :ivar incarnation: the number of its current start
     :ivar is_leaving: whether all answers say that the endpoint will end
     :ivar retry_after: the ``Retry-After`` header of rejections; None without
+    :ivar limit: the ``Server-Limit`` header of all answers; None without
+    :ivar arrivals: loop times at which requests of any kind arrived, its
+        report included; the newest of them
     :ivar crashing_part: the prompt part whose runs crash it; None if no part
         does
     :ivar crashes: how often it has crashed
@@ -203,6 +209,10 @@
         self.incarnation = 1
         self.is_leaving = False
         self.retry_after: str | None = None
+        self.limit: str | None = None
+        self.arrivals: collections.deque[float] = collections.deque(
+            maxlen=KEPT_ARRIVALS
+        )
         self.crashing_part: str | None = None
         self.crashes = 0
         self.is_down = False
@@ -274,6 +284,7 @@
         self.on_restarted()
 
     def _serve(self, answer: server.Answer) -> None:
+        self.arrivals.append(self._loop.now_s)
         if answer.request.target == b'/guavachute/kv-move':
             self._move(answer)
             return
@@ -470,4 +481,7 @@
         return headers + self._own_headers()
 
     def _own_headers(self) -> list[tuple[bytes, bytes]]:
-        return [(b'Server-Leaving', b'1')] if self.is_leaving else []
+        headers = [(b'Server-Leaving', b'1')] if self.is_leaving else []
+        if self.limit is not None:
+            headers.append((b'Server-Limit', self.limit.encode()))
+        return headers
