--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -14,6 +14,7 @@
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry import endpoint_registry
+from guavachute.entry import exchange_owner
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import upstream
@@ -92,70 +93,6 @@
     is_framed: bool
 
 
-class Owner(typing.Protocol):
-    """What an exchange needs of the ingress that started it."""
-
-    loop: entry_loop.Loop
-    registry: endpoint_registry.EndpointRegistry
-    pool: upstream.Pool
-
-    def handle_request_sent(
-        self, exchange: 'Exchange', tokens_to_read: int
-    ) -> None:
-        """The request is about to be sent to an endpoint.
-
-        :param tokens_to_read: prompt tokens that are probably not cached there
-        """
-
-    def consume_retry(self, service: ids.ServiceName) -> bool:
-        """Consume one retry from the retry budget of *service*.
-
-        Returns whether the budget allowed it.
-        """
-
-    def move_run(
-        self,
-        attempt_id: ids.AttemptId,
-        source: ids.Address,
-        target: ids.Address,
-        done: typing.Callable[[moves.CacheCopy | outcome.Failure], None],
-    ) -> None:
-        """Have an engine stop a run and copy its KV cache to another.
-
-        *done* is called once, with the copy or with the failure.
-        """
-
-    def handle_request_started(self, exchange: 'Exchange') -> None:
-        """The request has started to run; called at most once."""
-
-    def crash_verdict(self, exchange: 'Exchange') -> crashing_parts.Verdict:
-        """What becomes of the request, which may crash endpoints."""
-
-    def may_repeat(self, exchange: 'Exchange') -> bool:
-        """Whether a request that lost its endpoint may be sent to another."""
-
-    def handle_answer_proven(self, exchange: 'Exchange') -> None:
-        """The answer shows that the request doesn't crash endpoints."""
-
-    def handle_attempt_lost(
-        self, exchange: 'Exchange', record: endpoint_registry.EndpointRecord
-    ) -> None:
-        """The connection broke while an endpoint had the request."""
-
-    def handle_announcement(
-        self,
-        record: endpoint_registry.EndpointRecord,
-        announced: requests.Announcement,
-    ) -> None:
-        """An endpoint said in an answer what it wants."""
-
-    def handle_request_ended(self, exchange: 'Exchange', verdict: str) -> None:
-        """The exchange is over, and its caller is answered or gone.
-
-        :param verdict: the outcome as it is logged
-        """
-
-
 class Exchange:
     """Sends a request to endpoints until its caller has an answer.
 
@@ -173,7 +110,7 @@
 
     def __init__(
         self,
-        owner: Owner,
+        owner: exchange_owner.Owner,
         caller: callers.CallerConnection,
         call: domain_call.Call,
         route: configuration.Route,
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -19,6 +19,7 @@
 from guavachute.entry import endpoint_registry
 from guavachute.entry import ingress as entry_ingress
 from guavachute.entry import known_state
+from guavachute.entry import leave_moves
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import part_suspects
 from guavachute.entry import peer_table
@@ -160,7 +161,6 @@
             self.usage.record_run,
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
-        self.registry.on_leaving = self._handle_leaving
         self._store = store_client.StoreClient(loop, site.store.address)
         self._store.on_new_era.append(self._handle_new_era)
         self._suspects.store = self._store
@@ -217,6 +217,9 @@
             self.ingress.handle_announcement,
         )
         self.registry.on_in_doubt = self._reports.ask_whether_leaving
+        self.registry.on_leaving = leave_moves.LeaveMoves(
+            loop, site, self.registry, self._reports, self.ingress
+        ).schedule
         self._is_registered = False
         self._addresses: dict[
             tuple[ids.FailureDomain, ids.Region, bool],
@@ -620,51 +623,6 @@
             ),
         )
 
-    def _handle_leaving(
-        self, record: endpoint_registry.EndpointRecord
-    ) -> None:
-        """Schedule moves of the requests at a leaving endpoint."""
-        entry = record.entry
-        if record.is_gone:
-            # Its entry is gone, so it accepts no work and may end at any time.
-            self.ingress.schedule_moves(record, 0.0)
-        elif (
-            entry.is_reclaimable
-            and entry.leaves_in_s is None
-            and record.own.requests
-            and not self.registry.pause_s(record, self.loop.now_s)
-        ):
-            self._reports.request_report(
-                record,
-                lambda report: self._handle_leave_report(record, report),
-            )
-        else:
-            noticed_for_s = entry.leaves_in_s or self.site.bounds.drain_s
-            self.ingress.schedule_moves(
-                record, noticed_for_s - entry_ingress.MAX_RECLAIM_NOTICE_AGE_S
-            )
-
-    def _handle_leave_report(
-        self,
-        record: endpoint_registry.EndpointRecord,
-        report: endpoints.EngineReport | None,
-    ) -> None:
-        """Schedule moves by the report of a reclaimed engine.
-
-        :param report: None if the engine did not answer
-        """
-        # An engine that does not answer may end at any time.
-        leaves_in_s = report.leaves_in_s if report is not None else 0.0
-        journal.event(
-            'endpoint',
-            outcome='ends',
-            endpoint=record.entry.id,
-            leaves_in_s=leaves_in_s,
-        )
-        if leaves_in_s is None:
-            leaves_in_s = self.site.bounds.drain_s
-        self.ingress.schedule_moves(record, leaves_in_s)
-
     def _apply_leave_report(self, entry: endpoints.Endpoint) -> None:
         self.state.apply_leave_report(entry)
         self.registry.apply_table_changes()
