--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -12,6 +12,7 @@
 from guavachute.domain import call
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
+from guavachute.entry import endpoint_limits
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.platform import requests
@@ -41,6 +42,10 @@
 REPORTED_LOAD_TTL_S = 0.6
 """The load that an endpoint reports is used for this long."""
 
+MAX_LIMIT_WAIT_S = 0.5
+"""Callers return after this if all endpoints have named a limit and this node
+may send nothing: another node may."""
+
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -69,7 +74,6 @@
         that it gets no new work
     :ivar is_in_doubt: whether an end that was announced just before this
         incarnation was known may be its own, so that it gets no new work
-    :ivar named_limit_per_s: the limit in its latest answer; None without
     :ivar is_gone: whether its entry is gone; the endpoint may still run the
         requests that it has started
     :ivar reported_requests: the running and waiting requests in the endpoint's
@@ -90,7 +94,6 @@
     accepts_until_s: float = float('-inf')
     has_announced_end: bool = False
     is_in_doubt: bool = False
-    named_limit_per_s: float | None = None
     is_gone: bool = False
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -164,6 +167,9 @@
         self._table = table
         self._records: dict[ids.EndpointId, EndpointRecord] = {}
         self._announcements = announcements.Announcements()
+        self.limits = endpoint_limits.EndpointLimits(
+            site, lambda: table.entries, now_s
+        )
         self.work_of_others: typing.Callable[[ids.EndpointId], Work] = (
             lambda endpoint: Work()
         )
@@ -244,9 +250,26 @@
             and item.entry.id not in excluded
             and self._accepts_work(item, now_s)
             and not item.health.is_paused(now_s)
-            and not self.pause_s(item, now_s)
+            and not self.call_wait_s(item, now_s)
         ]
 
+    def call_wait_s(self, record: EndpointRecord, now_s: float) -> float:
+        """The time until a call may be sent to an endpoint."""
+        return max(
+            self.pause_s(record, now_s),
+            self.limits.wait_s(record.incarnation, now_s),
+        )
+
+    def accepts_call(self, record: EndpointRecord, now_s: float) -> bool:
+        """Whether a call that is no request of a caller may be sent now.
+
+        A call that is allowed counts as sent.
+        """
+        if self.call_wait_s(record, now_s) > 0:
+            return False
+        self.limits.record_sent(record.incarnation, now_s)
+        return True
+
     def _accepts_work(self, item: EndpointRecord, now_s: float) -> bool:
         """Whether the endpoint accepts work, for a while also if it leaves."""
         return (
@@ -262,27 +285,23 @@
         self,
         record: EndpointRecord,
         announced: requests.Announcement,
+        sent_s: float | None,
         now_s: float,
     ) -> bool:
         """Apply what an endpoint says in an answer.
 
-        Returns whether it wants no request for a while.
+        Returns whether it wants no request for a while, or fewer from now on.
+
+        :param sent_s: when the request was sent that is answered; None for an
+            answer that doesn't tell the end of a limit
         """
         if announced.is_leaving:
             self._handle_announced_end(record, 'answer', now_s)
-        if str(announced.limit_per_s) != str(record.named_limit_per_s):
-            record.named_limit_per_s = announced.limit_per_s
-            journal.event(
-                'endpoint',
-                outcome='limit-named'
-                if announced.limit_per_s is not None
-                else 'limit-ended',
-                endpoint=record.entry.id,
-                limit_per_s=announced.limit_per_s,
-                requests=record.own.requests,
-            )
+        is_limited = self.limits.apply_answer(
+            record.incarnation, announced.limit_per_s, sent_s, now_s
+        )
         if announced.retry_after_s is None:
-            return False
+            return is_limited
         pause_s = announcements.bounded_pause_s(announced.retry_after_s)
         if pause_s != announced.retry_after_s:
             journal.problem(
@@ -303,7 +322,7 @@
                 reason='the endpoint wants no requests',
                 pause_s=pause_s,
             )
-        return pause_s > 0
+        return is_limited or pause_s > 0
 
     def apply_notices(
         self,
@@ -370,7 +389,13 @@
         None if one may want them now, or there is none.
         """
         pauses_s = [
-            self.pause_s(item, now_s)
+            max(
+                self.pause_s(item, now_s),
+                min(
+                    MAX_LIMIT_WAIT_S,
+                    self.limits.wait_s(item.incarnation, now_s),
+                ),
+            )
             for item in self._records.values()
             if item.entry.service == service
             and self._accepts_work(item, now_s)
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -284,7 +284,7 @@
         self._pending_tokens = max(
             0, prompt - record.cached_tokens(self.call.parts)
         )
-        self._owner.handle_request_sent(self, self._pending_tokens)
+        self._owner.handle_request_sent(self, record, self._pending_tokens)
         record.own.requests += 1
         record.own.waiting_tokens += self._pending_tokens
         self._backlog_tokens = record.own.waiting_tokens
@@ -470,8 +470,11 @@
     def _handle_answer_head(self, event: http1.AnswerStarted) -> None:
         assert self._record is not None and self._connection is not None
         head = requests.read_answer(event.status, event.headers)
-        self._owner.handle_announcement(self._record, head.announcement)
-        if head.attempt_id != self.call.attempt_id:
+        is_own = head.attempt_id == self.call.attempt_id
+        self._owner.handle_announcement(
+            self._record, head.announcement, self._sent_s if is_own else None
+        )
+        if not is_own:
             self._answer_mode = _AnswerMode.FOREIGN
             journal.problem(
                 'answer',
--- a/src/guavachute/entry/exchange_owner.py
+++ b/src/guavachute/entry/exchange_owner.py
@@ -23,9 +23,12 @@
     pool: upstream.Pool
 
     def handle_request_sent(
-        self, exchange: 'exchange.Exchange', tokens_to_read: int
+        self,
+        exchange: 'exchange.Exchange',
+        record: endpoint_registry.EndpointRecord,
+        tokens_to_read: int,
     ) -> None:
-        """The request is about to be sent to an endpoint.
+        """The request is about to be sent to the endpoint of *record*.
 
         :param tokens_to_read: prompt tokens that are probably not cached there
         """
@@ -73,8 +76,12 @@
         self,
         record: endpoint_registry.EndpointRecord,
         announced: requests.Announcement,
+        sent_s: float | None,
     ) -> None:
-        """An endpoint said in an answer what it wants."""
+        """An endpoint said in an answer what it wants.
+
+        :param sent_s: when the request was sent, if this is its own answer
+        """
 
     def handle_request_ended(
         self, exchange: 'exchange.Exchange', verdict: str
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -276,11 +276,15 @@
         return started
 
     def handle_request_sent(
-        self, started: exchange.Exchange, tokens_to_read: int
+        self,
+        started: exchange.Exchange,
+        record: endpoint_registry.EndpointRecord,
+        tokens_to_read: int,
     ) -> None:
         """Record the tokens that an engine has to process for a request."""
         self._suspects.handle_sent(started.call)
         call, service, now_s = started.call, started.service, self.loop.now_s
+        self.registry.limits.record_sent(record.incarnation, now_s)
         if call.tokens is None:
             return
         meters = self._meters.get(service)
@@ -419,12 +423,16 @@
         self,
         record: endpoint_registry.EndpointRecord,
         announced: requests.Announcement,
+        sent_s: float | None = None,
     ) -> None:
-        """Apply what an endpoint says of itself in an answer."""
+        """Apply what an endpoint says of itself in an answer.
+
+        :param sent_s: when the request was sent, if this is its own answer
+        """
         if announced.is_leaving and not record.has_announced_end:
             self._metrics.add('endpoints_announced_end')
         if not self.registry.apply_announcement(
-            record, announced, self.loop.now_s
+            record, announced, sent_s, self.loop.now_s
         ):
             return
         self._metrics.add('endpoint_pauses')
@@ -510,11 +518,11 @@
             )
 
     def _move_from(self, record: endpoint_registry.EndpointRecord) -> None:
-        if self.registry.pause_s(record, self.loop.now_s):
-            # A move is a call to the engine too.
-            return
         for started in list(self._exchanges):
-            if started.is_at(record):
+            # A move is a call to the engine too.
+            if started.is_at(record) and self.registry.accepts_call(
+                record, self.loop.now_s
+            ):
                 started.move_away()
 
     # -- requests that crash endpoints ---------------------------------
--- a/src/guavachute/entry/leave_moves.py
+++ b/src/guavachute/entry/leave_moves.py
@@ -39,7 +39,7 @@
             entry.is_reclaimable
             and entry.leaves_in_s is None
             and record.own.requests
-            and not self._registry.pause_s(record, self._loop.now_s)
+            and not self._registry.call_wait_s(record, self._loop.now_s)
         ):
             self._reports.request_report(
                 record, lambda report: self._handle_report(record, report)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -138,6 +138,7 @@
         self._sums = region_sums.ConsumptionSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
         self.registry.work_of_others = self.peers.table.work_at
+        self.registry.limits.other_places = self.peers.table.counted_places
         self._suspects = part_suspects.PartSuspects(
             loop,
             site.node,
@@ -528,6 +529,7 @@
             store_era=self._store.told_era,
             leaving=self.registry.notices(self.loop.now_s),
             parts=self._suspects.notices(),
+            limits=self.registry.limits.notices(),
         )
 
     def region_update(
@@ -571,6 +573,7 @@
             ],
             crashes=self.ingress.crash_notices(),
             parts=self._suspects.notices(),
+            limits=self.registry.limits.region_notices(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -591,6 +594,7 @@
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
+        self.registry.limits.merge_notices(update.limits, update.node)
         self._catch_up.check_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
@@ -609,6 +613,7 @@
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
+        self.registry.limits.merge_notices(update.limits, update.node)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
@@ -772,6 +777,7 @@
         self._update_role()
         self.state.expire()
         self.registry.discard_gone()
+        self.registry.limits.expire(self.peers.table.extra_age_s)
         self.peers.table.discard_endpoints(self.state.table.entries)
         self.ingress.expire()
         self._suspects.expire()
--- a/src/guavachute/entry/part_suspects.py
+++ b/src/guavachute/entry/part_suspects.py
@@ -154,9 +154,9 @@
     # -- whether an engine has crashed ---------------------------------
 
     def _probe(self, crash: ids.CrashId, loss: _Loss) -> None:
-        if self._registry.pause_s(loss.record, self._loop.now_s) > 0:
-            # It has just answered that it wants no calls.
-            self._finish(crash, 'paused')
+        if not self._registry.accepts_call(loss.record, self._loop.now_s):
+            # It has just answered that it wants no calls, or few.
+            self._finish(crash, 'not asked')
             return
         loss.probes += 1
         client = control_client.Client(self._loop, loss.record.entry.address)
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -3,6 +3,7 @@
 import time
 import typing
 
+from guavachute.decide.ingress import named_limits
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import clock as agreed_clock
 from guavachute.decide.nodes import counting
@@ -248,6 +249,25 @@
                     silent.add(run)
         return runs, silent
 
+    def counted_places(self) -> list[named_limits.Place]:
+        """The other nodes that count as serving callers, and their places.
+
+        Where there are many nodes, those of other regions are all known ones.
+        """
+        counted = self._counted()
+        are_few = self.are_few
+        return [
+            named_limits.Place(
+                ids.NodeId(node),
+                None
+                if peer.update is None
+                else ids.FailureDomain(peer.update.domain),
+                ids.Region(peer.region),
+            )
+            for node, peer in self._peers.items()
+            if node in counted or not (are_few or self.is_local(peer))
+        ]
+
     def ended_nodes(self, silent_s: float) -> list[str]:
         """Listed nodes of this region that have certainly ended.
 
--- a/src/guavachute/entry/report_watch.py
+++ b/src/guavachute/entry/report_watch.py
@@ -69,8 +69,9 @@
             self.close()
             return
         for record in self._registry.engines_with_requests():
-            wants_none = self._registry.pause_s(record, self._loop.now_s) > 0
-            if not record.is_leaving and not wants_none:
+            if not record.is_leaving and self._registry.accepts_call(
+                record, self._loop.now_s
+            ):
                 self._poll_engine(record)
 
     def _poll_engine(self, record: endpoint_registry.EndpointRecord) -> None:
@@ -102,7 +103,7 @@
 
         An engine that wants no requests for now is not asked.
         """
-        if self._registry.pause_s(record, self._loop.now_s) > 0:
+        if not self._registry.accepts_call(record, self._loop.now_s):
             self._loop.call_after(0.0, lambda: done(None))
             return
         client = control_client.Client(self._loop, record.entry.address)
@@ -146,7 +147,10 @@
                     record, False, f'no answer: {reply.value}', now_s
                 )
 
-        self._call(client, record, handle_reply)
+        if self._registry.accepts_call(record, self._loop.now_s):
+            self._call(client, record, handle_reply)
+        else:
+            handle_reply(control_client.CallFailure.NOT_SENT)
 
     def _fetch_report(
         self,
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -46,6 +46,23 @@
     cleared_ds: int | None = None
 
 
+class LimitNotice(msgspec.Struct, frozen=True, array_like=True):
+    """A limit that one incarnation of an endpoint has named.
+
+    :ivar start_ms: start of the incarnation, as Unix time
+    :ivar limit_per_s: requests per second that it accepts from all nodes
+    :ivar named_ds: how long ago it named the limit last, in tenths of a second
+    :ivar ended_ds: how long ago the limit ended, in the same unit; None while
+        it holds
+    """
+
+    endpoint: ids.EndpointId
+    start_ms: int
+    limit_per_s: float
+    named_ds: int
+    ended_ds: int | None = None
+
+
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load that a node's callers offer to a service."""
 
@@ -72,6 +89,7 @@
     :ivar update_ages_ds: how long ago each node sent its last update, in
         tenths of a second
     :ivar parts: as in :class:`NodeUpdate`
+    :ivar limits: as in :class:`NodeUpdate`, of the region's endpoints
     """
 
     region: str
@@ -89,6 +107,7 @@
     update_ages_ds: list[int]
     crashes: list[requests.CrashNotice]
     parts: list[PartNotice] = []
+    limits: list[LimitNotice] = []
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -124,6 +143,8 @@
         start of their incarnation as Unix time in milliseconds
     :ivar parts: prompt parts that are suspected of crashing engines, or that
         were cleared lately; also what other nodes have told
+    :ivar limits: limits that endpoints have named to the node, and those that
+        it keeps as one of the few nodes that may send
     """
 
     node: str
@@ -149,6 +170,7 @@
     store_era: ids.StoreEra | None = None
     leaving: list[tuple[ids.EndpointId, int]] = []
     parts: list[PartNotice] = []
+    limits: list[LimitNotice] = []
 
 
 Update = NodeUpdate | RegionUpdate
--- a/tests/cover/test_named_limits.py
+++ b/tests/cover/test_named_limits.py
@@ -117,3 +117,63 @@
         self.assertLessEqual(
             most_in_window(self.limited.arrivals, from_s), allowed(1)
         )
+
+    def test_all_nodes_send_again_when_answers_name_no_limit(self) -> None:
+        nodes = self.ready_nodes(3)
+        self.limited.limit = '4'
+        self.load(nodes, 1.0)
+        self.limited.limit = None
+        self.load(nodes, 5.0)
+        ran = len(self.limited.runs)
+        replies = self.load(nodes, 1.0)
+        self.assertEqual({200}, {reply.status for reply in replies})
+        self.assertEqual(len(replies), len(self.limited.runs) - ran)
+
+    def test_callers_hear_at_once_if_all_endpoints_are_limited(self) -> None:
+        node = self.site.ready_node()
+        self.limited.limit = '1'
+        self.site.fetch(node, '/lookup/a', method='GET', body=b'')
+        began_s = self.site.loop.now_s
+        reply = self.site.fetch(node, '/lookup/a', method='GET', body=b'')
+        self.assertEqual(503, reply.status)
+        self.assertLess(self.site.loop.now_s - began_s, 0.2)
+        self.assertGreater(float(reply.headers['retry-after']), 0.0)
+        self.assertEqual(1, len(self.limited.runs))
+
+    def test_a_limit_that_is_no_number_changes_nothing(self) -> None:
+        node = self.site.ready_node()
+        for limit in ('some', 'nan', 'inf', '1e30'):
+            self.limited.limit = limit
+            replies = self.load([node], 0.5)
+            self.assertEqual({200}, {reply.status for reply in replies})
+
+    def test_a_new_start_at_the_same_address_has_named_nothing(self) -> None:
+        node = self.site.ready_node()
+        self.limited.limit = '0'
+        self.load([node], 0.3)
+        self.limited.limit = None
+        self.limited.incarnation = 2
+        self.limited.register()
+        looping.run_until(
+            self.site.loop,
+            lambda: any(
+                item.start_ms == 2
+                for item in node.state.table.entries.values()
+            ),
+        )
+        replies = self.load([node], 0.5)
+        self.assertEqual({200}, {reply.status for reply in replies})
+
+    def test_calls_count_like_requests(self) -> None:
+        """Reports, questions and moves reach the endpoint too."""
+        node = self.site.ready_node()
+        self.limited.limit = '0'
+        self.load([node], 0.2)
+        record = node.registry.record_for(
+            node.state.table.entries[ids.EndpointId('limited')]
+        )
+        now_s = self.site.loop.now_s
+        self.assertFalse(node.registry.accepts_call(record, now_s))
+        later_s = now_s + 60.0
+        self.assertTrue(node.registry.accepts_call(record, later_s))
+        self.assertFalse(node.registry.accepts_call(record, later_s))
