--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -95,6 +95,7 @@
     busy_engines: float,
     reclaimable_ready: typing.Mapping[ids.FailureDomain, int],
     is_reclaiming: bool,
+    limited: int = 0,
 ) -> DesiredCounts:
     """The desired number of endpoints of each kind in each domain.
 
@@ -103,11 +104,13 @@
         endpoints that are ready and not draining
     :param is_reclaiming: whether a domain lost endpoints recently, so
         that other domains may follow while none are available
+    :param limited: endpoints that have named a limit. They are ready, but do
+        little work, so that others are needed in their place.
     """
     by_price = sorted(
         domains, key=lambda name: (scaling.price_by_domain.get(name, 1), name)
     )
-    engines = math.ceil(busy_engines / TARGET_UTILIZATION)
+    engines = math.ceil(busy_engines / TARGET_UTILIZATION) + limited
     if scaling.spot_price_ratio is None:
         return _spread(
             by_price, max(1, engines), False, scaling.max_per_domain
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -199,6 +199,7 @@
                     self.state,
                     sorted(site.region_of),
                     self._total_demand,
+                    self.registry.limits.limited,
                 )
                 if site.cloud.expects_orders
                 else None,
--- a/src/guavachute/entry/scaler.py
+++ b/src/guavachute/entry/scaler.py
@@ -33,6 +33,9 @@
 DemandOf = typing.Callable[[ids.ServiceName], scaling.Demand]
 """Gives the demand for a service, over the callers of all nodes."""
 
+LimitedOf = typing.Callable[[ids.ServiceName], set[ids.EndpointId]]
+"""Gives the endpoints of a service that have named a limit."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Order:
@@ -55,11 +58,13 @@
         state: known_state.KnownState,
         domains: typing.Sequence[ids.FailureDomain],
         demand: DemandOf,
+        limited: LimitedOf,
     ) -> None:
         self._loop = loop
         self._state = state
         self._domains = domains
         self._demand = demand
+        self._limited = limited
         self._started_s = loop.now_s
         self._reclaimed_s: dict[ids.ServiceName, float] = {}
         self._estimates: dict[ids.ServiceName, scaling.DemandEstimate] = {}
@@ -90,15 +95,19 @@
             estimate = self._estimates[service.name] = scaling.DemandEstimate()
         demand = self._demand(service.name)
         ready = list(self._state.table.ready(service.name))
+        limited = self._limited(service.name)
         busy_engines = estimate.update(demand.busy_engines, len(ready), now_s)
         desired = scaling.desired_counts(
             bounds,
             self._domains,
             busy_engines,
             collections.Counter(
-                entry.domain for entry in ready if entry.is_reclaimable
+                entry.domain
+                for entry in ready
+                if entry.is_reclaimable and entry.id not in limited
             ),
             self._is_reclaiming(service.name, now_s),
+            len(limited),
         )
         # Orders for reclaimable engines are sent first, so that they are
         # placed before the orders for on-demand engines are reduced.
--- a/tests/cover/test_duty_decisions.py
+++ b/tests/cover/test_duty_decisions.py
@@ -49,6 +49,24 @@
             bounds(most), DOMAINS, busy, ready, is_reclaiming
         )
 
+    def test_limited_endpoints_are_replaced(self) -> None:
+        """Pattern: three of eight endpoints name a limit under full load."""
+        before = self.desired(4.0, dict.fromkeys(DOMAINS, 4))
+        desired = scaling.desired_counts(
+            bounds(), DOMAINS, 4.0, dict.fromkeys(DOMAINS, 3), False, limited=3
+        )
+        self.assertGreaterEqual(
+            count(desired, is_reclaimable=True),
+            count(before, is_reclaimable=True) + 3,
+        )
+        without_load = scaling.desired_counts(
+            bounds(), DOMAINS, 0.0, dict.fromkeys(DOMAINS, 3), False, limited=0
+        )
+        self.assertLess(
+            count(without_load, is_reclaimable=True),
+            count(desired, is_reclaimable=True),
+        )
+
     def test_in_peace_nearly_all_are_reclaimable(self) -> None:
         desired = self.desired(4.0, dict.fromkeys(DOMAINS, 4))
         self.assertEqual(
