--- a/soak/broken.py
+++ b/soak/broken.py
@@ -7,6 +7,7 @@
 import typing
 
 from guavachute.decide.ingress import crashing_parts
+from guavachute.decide.ingress import named_limits
 from guavachute.domain import configuration
 from guavachute.entry import exchange
 from guavachute.entry import known_state
@@ -66,11 +67,21 @@
     setattr(crashing_parts.CrashingParts, 'verdict', verdict)
 
 
+def limit_unknown() -> None:
+    """Send as many requests as there are, whatever limit is named."""
+
+    def wait_s(*_: typing.Any) -> float:
+        return 0.0
+
+    setattr(named_limits.NamedLimits, 'wait_s', wait_s)
+
+
 VARIANTS: dict[str, typing.Callable[[], None]] = {
     'order-twice': order_twice,
     'false-not-run': false_not_run,
     'configuration-back': configuration_back,
     'bad-part-unknown': bad_part_unknown,
+    'limit-unknown': limit_unknown,
 }
 
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,6 +7,12 @@
 from guavachute.standin.platform import cloud as standin_cloud
 from guavachute.standin.platform import engine as standin_engine
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_EXCESS_SHARE = 1.5
+LIMIT_EXCESS_REQUESTS = 5
+"""In each window an endpoint may get this share of the limit that it names,
+and a few requests more, from all nodes together."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses which guarantee that the request has not run and never will."""
 
@@ -126,6 +132,32 @@
     return found
 
 
+def limit_violations(
+    name: str, limit_per_s: float, arrivals_s: typing.Sequence[float]
+) -> list[str]:
+    """Return where an endpoint got more than the limit that it named.
+
+    :param arrivals_s: when requests of any kind arrived while it named it
+    """
+    allowed = (
+        LIMIT_EXCESS_SHARE * limit_per_s * LIMIT_WINDOW_S
+        + LIMIT_EXCESS_REQUESTS
+    )
+    most = max(
+        (
+            sum(0 <= at_s - start_s < LIMIT_WINDOW_S for at_s in arrivals_s)
+            for start_s in arrivals_s
+        ),
+        default=0,
+    )
+    if most <= allowed:
+        return []
+    return [
+        f'endpoint {name} got {most} requests in {LIMIT_WINDOW_S} s, and had '
+        f'named a limit of {limit_per_s} a second'
+    ]
+
+
 def _runs_after_announced_end(
     attempts: typing.Sequence[Attempt], runs: Runs
 ) -> list[str]:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -33,6 +33,9 @@
 """The minimum fraction of requests without faults that are served. It is
 below 1 so that one slow answer among few requests doesn't fail a seed."""
 
+LIMIT_RANGE_PER_S = (0.5, 5.0)
+"""Limits that endpoints name, in requests per second."""
+
 CRASHES_TO_KNOW = 5
 """After so many crashes a part that crashes engines has to be known."""
 
@@ -77,6 +80,8 @@
         variant: str | None = None,
     ) -> None:
         self.rng = random.Random(seed)
+        # The schedule of the other faults of a seed stays as it was.
+        self._limit_rng = random.Random(f'limits of {seed}')
         self.site = platform_site.PlatformSite()
         self.loop = self.site.loop
         self.store, self.cloud = self.site.store, self.site.cloud
@@ -204,6 +209,9 @@
         for client in self.clients:
             client.start()
         self.faults.start()
+        self.loop.call_after(
+            self._limit_rng.uniform(0.0, FAULT_PHASE_S / 2), self._name_limit
+        )
         looping.run_for(self.loop, FAULT_PHASE_S)
         self.faults.end()
         for program in self.programs:
@@ -212,9 +220,17 @@
         failures += self._wait_until_ready('after the faults')
         if sum(engine.crashes for engine in self.engines) < CRASHES_TO_KNOW:
             self._end_bad_part()
+        limited = self._name_limit()
         looping.run_for(self.loop, RECOVERY_S)
         before = self._bad_runs()
+        start_s = self.loop.now_s
         failures += self._check_service()
+        failures += guarantees.limit_violations(
+            limited.name,
+            float(limited.limit or 'nan'),
+            [at_s for at_s in limited.arrivals if at_s >= start_s],
+        )
+        limited.limit = None
         if self._bad_runs() - before > MAX_BAD_RUNS:
             failures.append(
                 f'{self._bad_runs() - before} requests with a part that '
@@ -235,6 +251,14 @@
         failures += guarantees.violations(self.attempts, runs)
         return failures + guarantees.duty_violations(self.cloud.calls)
 
+    def _name_limit(self) -> standin_engine.Engine:
+        """Let one endpoint name a limit, and no other; returns that one."""
+        for engine in self.engines:
+            engine.limit = None
+        limited = self._limit_rng.choice(self.engines)
+        limited.limit = f'{self._limit_rng.uniform(*LIMIT_RANGE_PER_S):.1f}'
+        return limited
+
     def _end_bad_part(self) -> None:
         """Send no more requests with the part that crashes engines."""
         self.sends_bad_part = False
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -108,6 +108,11 @@
             sent = attempt(LOOKUP, **changes)
             self.assertTrue(self.violations(sent, run_of(sent)), changes)
 
+    def test_more_requests_than_an_endpoint_named(self) -> None:
+        even = [number / 2 for number in range(40)]
+        self.assertEqual([], guarantees.limit_violations('e', 2.0, even))
+        self.assertEqual(1, len(guarantees.limit_violations('e', 0.3, even)))
+
     def test_streams_with_holes_doubles_and_strangers(self) -> None:
         pieces = events(*['e1'] * 6).split(b'\n\n')
         for wrong in (
