--- a/src/guavachute/domain/call.py
+++ b/src/guavachute/domain/call.py
@@ -52,6 +52,8 @@
         request or its session
     :ivar length_hint: the caller's estimate of the answer's tokens
     :ivar last_event_id: the event after which a stream resumes
+    :ivar begun_as: with it, the caller's earlier attempt that brought the
+        stream's first event; None if not given
     :ivar headers: the headers that are forwarded to the endpoint
     """
 
@@ -69,6 +71,7 @@
     last_event_id: bytes | None
     headers: typing.Sequence[Header]
     body: bytes = b''
+    begun_as: ids.AttemptId | None = None
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -315,6 +315,9 @@
             left_s=round(dispatch.deadline_s, 3),
             load=record.own.requests,
             load_age_s=round(min(99.0, now_s - record.reported_at_s), 3),
+            build=record.entry.build,
+            is_resumed=dispatch.resume_after is not None,
+            begun_as=self.call.begun_as,
         )
         connection.send_request(
             requests.encode_for_endpoint(self.call, dispatch), self
--- a/src/guavachute/ids.py
+++ b/src/guavachute/ids.py
@@ -19,6 +19,9 @@
 EndpointId = typing.NewType('EndpointId', str)
 """An endpoint; equal to the id of its VM."""
 
+BuildName = typing.NewType('BuildName', str)
+"""The version of an endpoint's software, not of its weights."""
+
 EnvironmentName = typing.NewType('EnvironmentName', str)
 FailureDomain = typing.NewType('FailureDomain', str)
 
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -26,6 +26,9 @@
     sequence: int
     # "born" is the start of this incarnation, Unix time in milliseconds.
     born: int = 0
+    # "version" is the version of the endpoint's software. Entries of other
+    # writers may hold anything.
+    version: typing.Any = None
     spot: bool = False
     leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
 
@@ -67,6 +70,9 @@
         is_reclaimable=entry.spot,
         leaves_in_s=_seconds(entry.leaves_ms),
         writes=entry.sequence,
+        build=ids.BuildName(str(entry.version))
+        if isinstance(entry.version, str | int | float)
+        else None,
     )
 
 
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -90,6 +90,7 @@
         model=_text(values.get(b'model')),
         length_hint=_number(values.get(b'length-hint')),
         last_event_id=values.get(b'last-event-id'),
+        begun_as=_attempt(values.get(b'resumes')),
         headers=[item for item in headers if item[0].lower() not in dropped]
         + [(b'Host', host)],
     )
@@ -240,6 +241,10 @@
     return None if value is None else value.decode('latin-1')
 
 
+def _attempt(value: bytes | None) -> ids.AttemptId | None:
+    return ids.AttemptId(value.decode('latin-1')) if value else None
+
+
 def _number(value: bytes | None) -> int | None:
     if value is None or not value.strip().isdigit():
         return None
