--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -169,6 +169,7 @@
     :ivar behaviour: how it answers requests
     :ivar event_pause_s: seconds between two events of a stream
     :ivar incarnation: the number of its current start
+    :ivar build: the version of its software
     :ivar is_leaving: whether all answers say that the endpoint will end
     :ivar retry_after: the ``Retry-After`` header of rejections; None without
     :ivar limit: the ``Server-Limit`` header of all answers; None without
@@ -207,6 +208,7 @@
         self.behaviour = Behaviour.NORMAL
         self.event_pause_s = 0.0
         self.incarnation = 1
+        self.build = 'v1'
         self.is_leaving = False
         self.retry_after: str | None = None
         self.limit: str | None = None
@@ -242,7 +244,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.domain,
-            'version': 'v1',
+            'version': self.build,
             'slots': self.slots,
             'state': state,
             'coldRemainingMs': 0,
