--- a/src/guavachute/domain/endpoints.py
+++ b/src/guavachute/domain/endpoints.py
@@ -20,7 +20,7 @@
 
     :ivar start_ms: start of this incarnation, as Unix time; 0 if not
         given. A later incarnation may use the same id.
-    :ivar build: the version of its software; None if not given
+    :ivar build: the version of its software; empty if not given
     :ivar writes: how often this incarnation has written its entry
     :ivar is_reclaimable: whether the platform may reclaim its VM
     :ivar leaves_in_s: remaining time when the entry was written; None if
@@ -37,7 +37,7 @@
     is_reclaimable: bool
     leaves_in_s: float | None
     writes: int = 0
-    build: ids.BuildName | None = None
+    build: ids.BuildName = ids.BuildName('')
 
     @property
     def incarnation(self) -> tuple[ids.EndpointId, int, ids.Address]:
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -238,21 +238,36 @@
         service: ids.ServiceName,
         excluded: typing.Container[ids.EndpointId],
         now_s: float,
+        build: ids.BuildName | None = None,
     ) -> list[EndpointRecord]:
         """The endpoints of *service* that a request may be sent to.
 
         Endpoints that were recently unreachable are left out for a pause.
+
+        :param build: only endpoints of this build; None for all
         """
         return [
             item
             for item in self._records.values()
             if item.entry.service == service
             and item.entry.id not in excluded
+            and (build is None or item.entry.build == build)
             and self._accepts_work(item, now_s)
             and not item.health.is_paused(now_s)
             and not self.call_wait_s(item, now_s)
         ]
 
+    def serves_build(
+        self, service: ids.ServiceName, build: ids.BuildName, now_s: float
+    ) -> bool:
+        """Whether an endpoint of *service* with that build accepts work."""
+        return any(
+            item.entry.service == service
+            and item.entry.build == build
+            and self._accepts_work(item, now_s)
+            for item in self._records.values()
+        )
+
     def call_wait_s(self, record: EndpointRecord, now_s: float) -> float:
         """The time until a call may be sent to an endpoint."""
         return max(
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -104,6 +104,8 @@
     :ivar first_byte_s: loop time at which the first byte of a stream went to
         the caller; None before
     :ivar has_started: whether the request was reported as running
+    :ivar build: the only build of endpoints at which the stream may go on;
+        None while any may serve it
     :ivar is_proven: whether the present attempt's answer shows that the
         request doesn't crash its endpoint
     """
@@ -135,6 +137,7 @@
         self.first_byte_s: float | None = None
         self.has_started = False
         self.is_proven = False
+        self.build: ids.BuildName | None = None
         self._begun_s: float | None = None
         self._tried_endpoints: set[ids.EndpointId] = set()
         self._may_have_run = False
@@ -190,7 +193,7 @@
             )
             return
         records = self._owner.registry.usable(
-            self.service, self._tried_endpoints, now_s
+            self.service, self._tried_endpoints, now_s, self.build
         )
         chosen = self._choose(records, now_s)
         if chosen is None:
@@ -225,6 +228,17 @@
         return choice.choose_plain(candidates)
 
     def _await_endpoint(self, now_s: float) -> None:
+        if self.build is not None and not self._owner.registry.serves_build(
+            self.service, self.build, now_s
+        ):
+            self._fail_request(
+                outcome.Failure(
+                    outcome.Reason.NO_CAPACITY,
+                    f'no endpoint of build {self.build} is left',
+                    SHORT_RETRY_AFTER_S,
+                )
+            )
+            return
         pause_s = self._owner.registry.service_pause_s(self.service, now_s)
         if pause_s is not None:
             self._fail_request(
@@ -367,7 +381,7 @@
         records = [
             item
             for item in self._owner.registry.usable(
-                self.service, {record.entry.id}, now_s
+                self.service, {record.entry.id}, now_s, self.build
             )
             if not item.is_leaving
         ]
@@ -552,10 +566,11 @@
             self._connection.pause()
 
     def _forward_chunk(self, data: bytes) -> None:
-        assert self._head is not None
+        assert self._head is not None and self._record is not None
         now_s = self._owner.loop.now_s
         if self.first_byte_s is None:
             self.first_byte_s = now_s
+            self.build = self._record.entry.build
             self.state = State.ANSWERING
             self._report_start()
             self._passes_framed = self._is_framed
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -72,7 +72,7 @@
         writes=entry.sequence,
         build=ids.BuildName(str(entry.version))
         if isinstance(entry.version, str | int | float)
-        else None,
+        else ids.BuildName(''),
     )
 
 
--- a/tests/cover/test_stream_builds.py
+++ b/tests/cover/test_stream_builds.py
@@ -27,7 +27,7 @@
         engine = self.site.add_engine(
             name, platform_site.MODEL_SERVICE, EVENTS
         )
-        engine.event_pause_s = 0.05
+        engine.event_pause_s = 0.15
         engine.build = build
         engine.register()
         return engine
@@ -169,7 +169,7 @@
         self.wait_for(node, 2)
         looping.run_for(self.site.loop, 3.0)
         for engine in (self.old, new):
-            engine.event_pause_s = 0.3
+            engine.event_pause_s = 0.2
         broken = [self.begin(node) for _ in range(4)]
         looping.run_for(self.site.loop, 1.0)
         for caller in broken:
@@ -211,7 +211,7 @@
 
     def test_with_one_build_all_take_ups_go_on(self) -> None:
         node = self.site.ready_node()
-        self.old.event_pause_s = 0.3
+        self.old.event_pause_s = 0.2
         caller = self.begin(node)
         looping.run_for(self.site.loop, 1.0)
         caller.close()
