--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -174,6 +174,10 @@
             lambda endpoint: Work()
         )
         """Gives the work of all other nodes at an endpoint."""
+        self.is_build_awaited: typing.Callable[
+            [ids.ServiceName, ids.BuildName, float], bool
+        ] = lambda service, build, now_s: False
+        """Whether endpoints of other builds are preferred for now."""
         self.on_died: typing.Callable[[EndpointRecord], None] = (
             lambda record: None
         )  # fmt: skip
@@ -246,7 +250,7 @@
 
         :param build: only endpoints of this build; None for all
         """
-        return [
+        found = [
             item
             for item in self._records.values()
             if item.entry.service == service
@@ -256,6 +260,12 @@
             and not item.health.is_paused(now_s)
             and not self.call_wait_s(item, now_s)
         ]
+        known = [
+            item
+            for item in found
+            if not self.is_build_awaited(service, item.entry.build, now_s)
+        ]
+        return known or found
 
     def serves_build(
         self, service: ids.ServiceName, build: ids.BuildName, now_s: float
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -17,6 +17,7 @@
 from guavachute.entry import exchange_owner
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import stream_builds
 from guavachute.entry import upstream
 from guavachute import ids
 from guavachute.observe import journal
@@ -192,6 +193,8 @@
                 now_s, 'another request that may crash endpoints is running'
             )
             return
+        if not self._finds_build(now_s):
+            return
         records = self._owner.registry.usable(
             self.service, self._tried_endpoints, now_s, self.build
         )
@@ -227,6 +230,34 @@
             )
         return choice.choose_plain(candidates)
 
+    def _finds_build(self, now_s: float) -> bool:
+        """Whether the request may be sent, as far as builds matter.
+
+        Otherwise it waits, or is answered. Only a stream that goes on needs
+        the build that began it.
+        """
+        if (
+            self.build is not None
+            or not self.route.is_resumable
+            or self.call.last_event_id is None
+        ):
+            return True
+        found = self._owner.find_build(self)
+        if found is stream_builds.Origin.PENDING:
+            self._recheck_or_fail(now_s, 'the store is asked for the stream')
+        elif found is stream_builds.Origin.UNKNOWN:
+            self._fail_request(
+                outcome.Failure(
+                    outcome.Reason.NO_CAPACITY,
+                    'the build that began the stream is not known',
+                    SHORT_RETRY_AFTER_S,
+                )
+            )
+        else:
+            assert not isinstance(found, stream_builds.Origin)
+            self.build = found
+        return self.build is not None
+
     def _await_endpoint(self, now_s: float) -> None:
         if self.build is not None and not self._owner.registry.serves_build(
             self.service, self.build, now_s
@@ -571,6 +602,7 @@
         if self.first_byte_s is None:
             self.first_byte_s = now_s
             self.build = self._record.entry.build
+            self._owner.handle_stream_begun(self)
             self.state = State.ANSWERING
             self._report_start()
             self._passes_framed = self._is_framed
--- a/src/guavachute/entry/exchange_owner.py
+++ b/src/guavachute/entry/exchange_owner.py
@@ -5,6 +5,7 @@
 from guavachute.decide.ingress import crashing_parts
 from guavachute.entry import endpoint_registry
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import stream_builds
 from guavachute.entry import upstream
 from guavachute import ids
 from guavachute import outcome
@@ -62,6 +63,14 @@
     def may_repeat(self, exchange: 'exchange.Exchange') -> bool:
         """Whether a request that lost its endpoint may be sent to another."""
 
+    def find_build(
+        self, exchange: 'exchange.Exchange'
+    ) -> ids.BuildName | stream_builds.Origin:
+        """The build that began the stream which the request takes up."""
+
+    def handle_stream_begun(self, exchange: 'exchange.Exchange') -> None:
+        """The first event goes to the caller; called at most once."""
+
     def handle_answer_proven(self, exchange: 'exchange.Exchange') -> None:
         """The answer shows that the request doesn't crash endpoints."""
 
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -20,6 +20,7 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import part_suspects
 from guavachute.entry import peers as entry_peers
+from guavachute.entry import stream_builds
 from guavachute.entry import transport
 from guavachute.entry import upstream
 from guavachute import ids
@@ -89,6 +90,7 @@
         peers: entry_peers.Peers,
         metrics: observe_metrics.Metrics,
         suspects: part_suspects.PartSuspects,
+        builds: stream_builds.StreamBuilds,
         on_run_started: typing.Callable[[ids.WorkspaceName], None],
     ) -> None:
         self.loop = loop
@@ -99,6 +101,7 @@
         self._peers = peers
         self._metrics = metrics
         self._suspects = suspects
+        self._builds = builds
         self._on_run_started = on_run_started
         self._quotas = quota.Quotas(site.bounds.quota_allowance, loop.now_s)
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
@@ -406,6 +409,21 @@
         """Whether a request that lost its endpoint may be sent to another."""
         return self._suspects.may_repeat(started.call)
 
+    def find_build(
+        self, started: exchange.Exchange
+    ) -> ids.BuildName | stream_builds.Origin:
+        """The build that began the stream which a request takes up."""
+        return self._builds.find(
+            started.call, started.service, started.arrived_s
+        )
+
+    def handle_stream_begun(self, started: exchange.Exchange) -> None:
+        """Remember the build of a stream that its caller may take up."""
+        if started.route.is_resumable and started.build is not None:
+            self._builds.handle_begun(
+                started.call, started.service, started.build
+            )
+
     def handle_answer_proven(self, started: exchange.Exchange) -> None:
         """Record that a request doesn't crash endpoints."""
         self._suspects.handle_proven(started.call)
@@ -449,6 +467,8 @@
         """
         self._exchanges.discard(started)
         self._suspects.handle_ended(started.call)
+        if started.first_byte_s is not None and started.route.is_resumable:
+            self._builds.handle_ended(started.call, verdict == 'served')
         self._metrics.add('ended_' + verdict.replace(' ', '_'))
         now_s = self.loop.now_s
         self._metrics.observe_s('request', now_s - started.arrived_s)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -30,6 +30,8 @@
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import store_client
 from guavachute.entry import store_writer
+from guavachute.entry import stream_builds
+from guavachute.entry import stream_network
 from guavachute.entry import topic_follower
 from guavachute.entry import usage_counts
 from guavachute import ids
@@ -151,6 +153,21 @@
             ],
             lambda: self._is_reader,
         )
+        self._store = store_client.StoreClient(loop, site.store.address)
+        self._builds = stream_builds.StreamBuilds(
+            loop,
+            self._store,
+            stream_network.StreamNetwork(
+                site,
+                self.peers.table,
+                lambda: self._is_reader,
+                lambda: self._reaches_store,
+                lambda: self._nodes,
+            ),
+            lambda: self.state.table.entries,
+            lambda: self.state.configuration,
+        )
+        self.registry.is_build_awaited = self._builds.is_awaited
         self.ingress = entry_ingress.Ingress(
             loop,
             site,
@@ -159,10 +176,10 @@
             self.peers,
             self.metrics,
             self._suspects,
+            self._builds,
             self.usage.record_run,
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
-        self._store = store_client.StoreClient(loop, site.store.address)
         self._store.on_new_era.append(self._handle_new_era)
         self._suspects.store = self._store
         self._operator = self._follow(
@@ -250,6 +267,7 @@
         if self.duty is not None:
             self.duty.start()
         self._reports.start()
+        self._builds.start()
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._run_housekeeping)
         self.loop.every(STATE_CHECK_S, self._catch_up.check)
@@ -376,6 +394,7 @@
         if end is not None:
             self.state.advance_position(end)
         self.registry.apply_table_changes()
+        self._builds.observe_endpoints()
 
     def _handle_store_recovery(self) -> None:
         """Let entries that expired in the outage be written again first."""
@@ -421,6 +440,9 @@
         if record.key.startswith(part_suspects.KEY_PREFIX):
             self._suspects.fold(record, is_snapshot)
             return
+        if record.key.startswith(stream_builds.KEY_PREFIX):
+            self._builds.fold(record)
+            return
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
         if record.value is None:
@@ -531,6 +553,8 @@
             leaving=self.registry.notices(self.loop.now_s),
             parts=self._suspects.notices(),
             limits=self.registry.limits.notices(),
+            builds=self._builds.records(),
+            streams=self._builds.told(),
         )
 
     def region_update(
@@ -575,6 +599,7 @@
             crashes=self.ingress.crash_notices(),
             parts=self._suspects.notices(),
             limits=self.registry.limits.region_notices(),
+            builds=self._builds.records(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -596,6 +621,7 @@
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
+        self._builds.merge_told(update.streams, update.builds)
         self._catch_up.check_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
@@ -615,6 +641,7 @@
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
+        self._builds.merge_told({}, update.builds)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
--- a/src/guavachute/ids.py
+++ b/src/guavachute/ids.py
@@ -41,6 +41,9 @@
 RecordId = typing.NewType('RecordId', str)
 Region = typing.NewType('Region', str)
 RequestId = typing.NewType('RequestId', str)
+StreamKey = typing.NewType('StreamKey', int)
+"""A hash of the attempt that began a stream, of 64 bits."""
+
 StoreEra = typing.NewType('StoreEra', int)
 """How often the platform's store has lost its latest records; grows by one
 each time."""
--- a/src/guavachute/platform/store.py
+++ b/src/guavachute/platform/store.py
@@ -95,6 +95,11 @@
     end_offset: int
 
 
+class _Trimmed(msgspec.Struct, frozen=True, rename='camel'):
+    first_offset: int
+
+
+_trimmed = msgspec.json.Decoder(_Trimmed)
 _pages = msgspec.json.Decoder(_NewestPage)
 
 
@@ -210,6 +215,17 @@
     return Records(records, ids.Offset(from_offset + len(records)), end_offset)
 
 
+def decode_first_offset(body: bytes) -> ids.Offset | None:
+    """The first offset that is left; None if *body* doesn't tell it.
+
+    :param body: of an answer with :data:`TRIMMED_STATUS`
+    """
+    try:
+        return ids.Offset(_trimmed.decode(body).first_offset)
+    except msgspec.MsgspecError:
+        return None
+
+
 def _target(name: str, query: dict[str, typing.Any]) -> bytes:
     text = urllib.parse.urlencode(query)
     return f'/guavachute/{name}?{text}'.encode()
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -63,6 +63,19 @@
     ended_ds: int | None = None
 
 
+class BuildsNotice(msgspec.Struct, frozen=True, array_like=True):
+    """The builds of one service on record in the store.
+
+    :ivar is_settled: whether streams that go on began at the only one
+    :ivar position: of the record in its topic
+    """
+
+    service: ids.ServiceName
+    builds: list[ids.BuildName]
+    is_settled: bool
+    position: ids.LogPosition
+
+
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load that a node's callers offer to a service."""
 
@@ -90,6 +103,7 @@
         tenths of a second
     :ivar parts: as in :class:`NodeUpdate`
     :ivar limits: as in :class:`NodeUpdate`, of the region's endpoints
+    :ivar builds: as in :class:`NodeUpdate`
     """
 
     region: str
@@ -108,6 +122,7 @@
     crashes: list[requests.CrashNotice]
     parts: list[PartNotice] = []
     limits: list[LimitNotice] = []
+    builds: list[BuildsNotice] = []
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -145,6 +160,9 @@
         were cleared lately; also what other nodes have told
     :ivar limits: limits that endpoints have named to the node, and those that
         it keeps as one of the few nodes that may send
+    :ivar builds: the builds of services on record, as the node knows them
+    :ivar streams: streams that callers may take up, by the build of the
+        endpoint that began them
     """
 
     node: str
@@ -171,6 +189,8 @@
     leaving: list[tuple[ids.EndpointId, int]] = []
     parts: list[PartNotice] = []
     limits: list[LimitNotice] = []
+    builds: list[BuildsNotice] = []
+    streams: dict[ids.BuildName, list[ids.StreamKey]] = {}
 
 
 Update = NodeUpdate | RegionUpdate
@@ -215,6 +235,26 @@
     moments: int
 
 
+class BuildsRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The record in the store of the builds of one service.
+
+    :ivar is_settled: whether streams that go on began at the only one
+    """
+
+    builds: list[ids.BuildName]
+    is_settled: bool = False
+
+
+class StreamsRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Streams that began lately, by the build that began them.
+
+    :ivar wall_s: when it was written, as Unix time
+    """
+
+    wall_s: float
+    streams: dict[ids.BuildName, list[ids.StreamKey]]
+
+
 class StoreEntry(msgspec.Struct, frozen=True, array_like=True):
     """The stored bytes of an endpoint's entry, and its position."""
 
@@ -310,6 +350,16 @@
     return _decode(data, PartRecord)
 
 
+def decode_builds(data: bytes) -> BuildsRecord | outcome.Failure:
+    """Decode the record of a service's builds."""
+    return _decode(data, BuildsRecord)
+
+
+def decode_streams(data: bytes) -> StreamsRecord | outcome.Failure:
+    """Decode a record of streams."""
+    return _decode(data, StreamsRecord)
+
+
 Message = typing.TypeVar('Message', bound=msgspec.Struct)
 
 
