--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -249,7 +249,7 @@
             self._fail_request(
                 outcome.Failure(
                     outcome.Reason.NO_CAPACITY,
-                    'the build that began the stream is not known',
+                    f'the build that began {self.call.begun_as} is not known',
                     SHORT_RETRY_AFTER_S,
                 )
             )
--- a/src/guavachute/entry/stream_builds.py
+++ b/src/guavachute/entry/stream_builds.py
@@ -27,10 +27,14 @@
 
 STREAMS_TOPIC = 'stream-builds'
 
-WRITE_PERIOD_S = 0.5
+WRITE_PERIOD_S = 0.25
 """Interval at which streams are written. What began within the last interval
 is not known if all nodes end."""
 
+CHECK_PERIOD_S = 1.0
+"""Interval at which old streams are forgotten, and nodes that are no readers
+look for new builds."""
+
 WRITE_RETRY_S = 1.0
 READ_TIMEOUT_S = 1.0
 
@@ -98,7 +102,8 @@
 
     def start(self) -> None:
         """Start to write what other nodes may need."""
-        self._loop.every(WRITE_PERIOD_S, self._run)
+        self._loop.every(WRITE_PERIOD_S, self._write_streams)
+        self._loop.every(CHECK_PERIOD_S, self._run)
 
     # -- requests ------------------------------------------------------
 
@@ -267,13 +272,10 @@
         return self._resumable[1]
 
     def _run(self) -> None:
-        """Write what is missing in the store, and forget old streams."""
+        """Forget old streams, and settle what can be settled."""
         now_s = self._loop.now_s
         self.observe_endpoints()
-        is_writer = self._network.writes_streams()
-        self._origins.expire(is_writer, now_s)
-        if is_writer:
-            self._write_streams()
+        self._origins.expire(self._network.writes_streams(), now_s)
         if not self._network.is_reader():
             return
         for service in self._services():
@@ -288,13 +290,14 @@
 
     def observe_endpoints(self) -> None:
         """Look for new builds, and write them at once."""
-        for service in self._services():
-            seen = frozenset(
-                entry.build
-                for entry in self._entries().values()
-                if entry.service == service
-            )
-            self._builds.observe(service, seen, self._loop.now_s)
+        seen: dict[ids.ServiceName, set[ids.BuildName]] = {
+            service: set() for service in self._services()
+        }
+        for entry in self._entries().values():
+            if entry.service in seen:
+                seen[entry.service].add(entry.build)
+        for service, builds in seen.items():
+            self._builds.observe(service, frozenset(builds), self._loop.now_s)
             missing = self._builds.missing(service)
             if missing is not None and self._network.is_reader():
                 self._write_builds(service, missing, False, None)
@@ -353,8 +356,10 @@
         )
 
     def _write_streams(self) -> None:
+        if self._is_writing or not self._network.writes_streams():
+            return
         streams = self._origins.unwritten()
-        if not streams or self._is_writing:
+        if not streams:
             return
         self._is_writing = True
         record = node_updates.StreamsRecord(
--- a/src/guavachute/entry/stream_network.py
+++ b/src/guavachute/entry/stream_network.py
@@ -36,20 +36,16 @@
         return self._reads_closely()
 
     def writes_streams(self) -> bool:
-        """Whether this node writes the streams of all to the store.
-
-        One node does so, or one of each region where there are many.
-        """
+        """Whether this node writes its region's streams to the store."""
         if not self._reads_closely() or not self._reaches_store():
             return False
-        are_few = self._table.are_few
         return all(
             self._site.node < peer.update.node
             for peer in self._table.readers()
             if peer.update is not None
             and peer.update.reaches_store
             and peer.update.is_ready
-            and (are_few or self._table.is_local(peer))
+            and self._table.is_local(peer)
         )
 
     def hears_changes(self) -> bool:
