--- a/soak/broken.py
+++ b/soak/broken.py
@@ -9,6 +9,7 @@
 from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress import named_limits
 from guavachute.domain import configuration
+from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange
 from guavachute.entry import known_state
 from guavachute.entry import program
@@ -76,12 +77,29 @@
     setattr(named_limits.NamedLimits, 'wait_s', wait_s)
 
 
+def build_unknown() -> None:
+    """Go on with streams at any endpoint, whatever its build."""
+    real = endpoint_registry.EndpointRegistry.usable
+
+    def usable(
+        self: typing.Any,
+        service: ids.ServiceName,
+        excluded: typing.Container[ids.EndpointId],
+        now_s: float,
+        build: ids.BuildName | None = None,
+    ) -> list[endpoint_registry.EndpointRecord]:
+        return real(self, service, excluded, now_s)
+
+    setattr(endpoint_registry.EndpointRegistry, 'usable', usable)
+
+
 VARIANTS: dict[str, typing.Callable[[], None]] = {
     'order-twice': order_twice,
     'false-not-run': false_not_run,
     'configuration-back': configuration_back,
     'bad-part-unknown': bad_part_unknown,
     'limit-unknown': limit_unknown,
+    'build-unknown': build_unknown,
 }
 
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,5 +1,6 @@
 """Simulated clients, which keep their connections until they close."""
 
+import dataclasses
 import itertools
 import random
 import typing
@@ -22,6 +23,9 @@
 BAD_FRACTION = 0.2
 """The fraction of requests for streams that have it then."""
 
+TAKE_UPS = 3
+"""How often a client tries to go on with a stream that broke off."""
+
 PROBE_FRACTION = 0.15
 """The fraction of requests to a route that one version introduced."""
 
@@ -67,6 +71,8 @@
         self._program: programs.Program | None = None
         self._incarnation = ''
         self._attempt: guarantees.Attempt | None = None
+        self._broken: guarantees.Attempt | None = None
+        self._take_ups = 0
         self._is_stopped = False
 
     def start(self) -> None:
@@ -122,6 +128,9 @@
     def _send(self) -> None:
         assert self._socket is not None and self._program is not None
         context = self._context
+        if self._broken is not None:
+            self._take_up(self._broken)
+            return
         route = context.rng.choice(ROUTES)
         target = f'{route.path}{context.rng.randrange(9)}'
         if context.rng.random() < PROBE_FRACTION:
@@ -145,16 +154,53 @@
             has_bad_part=has_bad_part,
             during_planned_work=context.has_only_planned_work(),
         )
+        self._send_attempt(attempt)
+
+    def _take_up(self, broken: guarantees.Attempt) -> None:
+        """Go on with a stream at whatever node the connection leads to."""
+        self._take_ups += 1
+        if self._take_ups >= TAKE_UPS:
+            self._broken = None
+        self._send_attempt(
+            dataclasses.replace(
+                broken,
+                attempt_id=f'attempt-{next(self._numbers)}',
+                incarnation=self._incarnation,
+                sent_s=self._context.loop.now_s,
+                version=self._context.version,
+                during_planned_work=self._context.has_only_planned_work(),
+                begun_as=broken.stream,
+                events_before=broken.events_before + broken.events,
+                status=0,
+                headers={},
+                answer=b'',
+                is_complete=False,
+                ended_s=0.0,
+            ),
+            Last_Event_Id=str(broken.events_before + broken.events),
+            Resumes=broken.stream,
+        )
+
+    def _send_attempt(
+        self, attempt: guarantees.Attempt, **headers: str
+    ) -> None:
+        assert self._socket is not None
+        context = self._context
         self._attempt = attempt
         self._attempts.append(attempt)
-        part = BAD_PART if has_bad_part else f'sound-{len(target)}'
+        part = (
+            BAD_PART
+            if attempt.has_bad_part
+            else f'sound-{len(attempt.target)}'
+        )
         data = platform_site.request_bytes(
-            target,
+            attempt.target,
             attempt.attempt_id,
             'POST',
             attempt.body,
-            KEYS[workspace],
+            KEYS[attempt.workspace],
             Prefix_Hash=f'system:50,{part}:20,{attempt.attempt_id}:5',
+            **headers,
         )
         try:
             self._socket.send(data)
@@ -187,6 +233,12 @@
     def _finish(self, attempt: guarantees.Attempt) -> None:
         attempt.ended_s = self._context.loop.now_s
         self._attempt = None
+        if attempt.is_broken_off:
+            if not attempt.begun_as:
+                self._take_ups = 0
+            self._broken = attempt if self._take_ups < TAKE_UPS else None
+        elif attempt.is_complete and 200 <= attempt.status < 300:
+            self._broken = None
         if self._socket is not None and self._socket.reply.is_closed:
             self.close()
         self._context.loop.call_after(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -58,6 +58,9 @@
     def restart_engine(self, engine: standin_engine.Engine) -> None:
         """Crash and restart *engine*."""
 
+    def release(self) -> Undo | None:
+        """Start an endpoint of the next build; an older one leaves later."""
+
     def change_configuration(self) -> None:
         """Write the next version of the configuration."""
 
@@ -274,6 +277,10 @@
         self._context.sends_bad_part = True
         self._record('a prompt part crashes engines')
 
+    def _release(self) -> Undo | None:
+        self._record('an endpoint is replaced by one of the next build')
+        return self._context.release()
+
     def _configuration(self) -> None:
         self._context.change_configuration()
         self._record('operator writes the next configuration')
@@ -298,4 +305,5 @@
     'engine_crash',
     'bad_part',
     'configuration',
+    'release',
 )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -38,6 +38,8 @@
     :ivar incarnation: the run of the node that received it
     :ivar sent_s: when it was sent, by the loop's clock
     :ivar version: the newest configuration when it was sent
+    :ivar begun_as: for a stream that is taken up, the attempt that began it
+    :ivar events_before: how many events of it the client had by then
     :ivar has_bad_part: whether its prompt has the part that crashes engines
     :ivar during_planned_work: whether only planned work disturbed the
         site from its sending to its end
@@ -66,6 +68,31 @@
     is_framed: bool = True
     is_malformed: bool = False
     ended_s: float = 0.0
+    begun_as: str = ''
+    events_before: int = 0
+
+    @property
+    def stream(self) -> str:
+        """The attempt that began the stream."""
+        return self.begun_as or self.attempt_id
+
+    @property
+    def events(self) -> int:
+        """How many whole events the answer has."""
+        if not self.route.events or self.status != 200:
+            return 0
+        return self.answer.count(b'\n\n')
+
+    @property
+    def is_broken_off(self) -> bool:
+        """Whether the client may take the stream up after its last event."""
+        return (
+            self.route.events > 0
+            and self.route.can_run_again
+            and not self.has_bad_part
+            and 0 < self.events
+            and self.events_before + self.events < self.route.events
+        )
 
 
 Runs = typing.Mapping[str, typing.Sequence[standin_engine.Run]]
@@ -98,6 +125,7 @@
         found
         + _configuration_regressions(attempts)
         + _runs_after_announced_end(attempts, runs)
+        + _mixed_builds(attempts, runs)
     )
 
 
@@ -187,6 +215,36 @@
     ]
 
 
+def _mixed_builds(attempts: typing.Sequence[Attempt], runs: Runs) -> list[str]:
+    """Return the streams with events from two builds of endpoints."""
+    builds: dict[str, set[str]] = collections.defaultdict(set)
+    for attempt in attempts:
+        if not attempt.route.events or attempt.status != 200:
+            continue
+        for source in _sources(attempt):
+            at_source = {
+                run.build
+                for run in runs.get(attempt.attempt_id, ())
+                if run.engine[0] == source
+            }
+            if len(at_source) == 1:
+                builds[attempt.stream] |= at_source
+    return [
+        f'stream {name} has events of the builds {sorted(found)}'
+        for name, found in builds.items()
+        if len(found) > 1
+    ]
+
+
+def _sources(attempt: Attempt) -> set[str]:
+    """The endpoints whose events an answer has."""
+    return {
+        line.removeprefix(b'data: ').rpartition(b'-')[0].decode()
+        for line in attempt.answer.splitlines()
+        if line.startswith(b'data: ') and line.count(b'-')
+    }
+
+
 def _check_run_count(
     attempt: Attempt, runs: typing.Sequence[standin_engine.Run]
 ) -> str | None:
@@ -262,11 +320,12 @@
     if attempt.is_complete:
         if events.pop():
             return 'complete answer ends in the middle of an event'
-        if attempt.is_framed and len(events) != attempt.route.events:
+        missing = attempt.route.events - attempt.events_before
+        if attempt.is_framed and len(events) != missing:
             return f'{len(events)} events in a complete answer'
     else:
         events = events[:-1]
-    for number, event in enumerate(events, start=1):
+    for number, event in enumerate(events, start=attempt.events_before + 1):
         start = b'id: %d\ndata: ' % number
         if not event.startswith(start) or not event.endswith(b'-%d' % number):
             return f'event {number} is {event!r}'
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -88,6 +88,8 @@
         self.engines = self.site.engines
         self.version = 0
         self.sends_bad_part = False
+        self._builds = 1
+        self._retired: list[standin_engine.Engine] = []
         self.attempts: list[guarantees.Attempt] = []
         self.engine_links: list[proxy.Proxy] = []
         self.store_links: list[proxy.Proxy] = []
@@ -141,11 +143,32 @@
         engine.abort_connections()
         self._register(engine)
 
+    def release(self) -> faults.Undo | None:
+        """Start an endpoint of the next build; an older one leaves later."""
+        old = self.rng.choice([
+            engine
+            for engine in self.engines
+            if engine.events and engine not in self._retired
+        ])  # fmt: skip
+        self._builds += 1
+        new = self._add_engine(len(self.engines), f'v{self._builds}')
+        new.crashing_part = old.crashing_part
+
+        def undo() -> None:
+            if old not in self._retired:
+                self._retired.append(old)
+                old.unregister()
+                old.abort_connections()
+
+        return undo
+
     def has_only_planned_work(self) -> bool:
         """Return whether only planned work disturbs the site now."""
         return self.loop.now_s >= self._planned_from_s
 
-    def _add_engine(self, number: int) -> None:
+    def _add_engine(
+        self, number: int, build: str = 'v1'
+    ) -> standin_engine.Engine:
         is_plain = number < PLAIN_ENGINES
         engine = self.site.add_engine(
             f'e{number}',
@@ -155,14 +178,18 @@
             events=0 if is_plain else soak_clients.STREAM_EVENTS,
         )
         engine.event_pause_s = 0.05
+        engine.build = build
         engine.on_restarted = lambda: self._register(engine)
         link = proxy.Proxy(
             self.loop, ids.Address(engine.address), f'{self._host}.1.1'
         )
         self.engine_links.append(link)
         self._register(engine)
+        return engine
 
     def _register(self, engine: standin_engine.Engine) -> None:
+        if engine in self._retired:
+            return
         index = self.engines.index(engine)
         engine.register(
             address=self.engine_links[index].address,
@@ -255,7 +282,9 @@
         """Let one endpoint name a limit, and no other; returns that one."""
         for engine in self.engines:
             engine.limit = None
-        limited = self._limit_rng.choice(self.engines)
+        limited = self._limit_rng.choice([
+            engine for engine in self.engines if engine not in self._retired
+        ])  # fmt: skip
         limited.limit = f'{self._limit_rng.uniform(*LIMIT_RANGE_PER_S):.1f}'
         return limited
 
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -95,6 +95,7 @@
 
     :ivar headers: with names in lower case
     :ivar engine: the name and the incarnation of the endpoint
+    :ivar build: the version of the endpoint's software then
     :ivar has_told_end: whether its answer says that the endpoint leaves
     :ivar is_framed: whether its answer has a length or chunks
     :ivar is_cancelled: whether its connection closed before the answer
@@ -109,6 +110,7 @@
     has_told_end: bool = False
     is_framed: bool = True
     is_cancelled: bool = False
+    build: str = ''
 
     @property
     def workspace(self) -> str | None:
@@ -316,6 +318,7 @@
             (self.name, self.incarnation),
             self.is_leaving,
             self.behaviour not in UNFRAMED_BEHAVIOURS,
+            build=self.build,
         )
         self.runs.append(run)
         answer.on_disconnected = lambda: setattr(run, 'is_cancelled', True)
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: its checks, a fault that it found, and one short seed."""
 
+import dataclasses
 import os
 import pathlib
 import signal
@@ -108,6 +109,30 @@
             sent = attempt(LOOKUP, **changes)
             self.assertTrue(self.violations(sent, run_of(sent)), changes)
 
+    def test_streams_of_two_builds(self) -> None:
+        first = attempt(RESUMABLE, answer=events('e1', 'e1'))
+        again = attempt(
+            RESUMABLE,
+            attempt_id='a2',
+            begun_as='a1',
+            events_before=2,
+            answer=events(*'e2 e2 e2 e2 e2 e2'.split()).split(b'\n\n', 2)[2],
+        )
+        for builds, expected in ((('v1', 'v1'), 0), (('v1', 'v2'), 1)):
+            runs = {
+                sent.attempt_id: [
+                    dataclasses.replace(
+                        run_of(sent), engine=(name, 1), build=build
+                    )
+                ]
+                for sent, name, build in zip(
+                    (first, again), ('e1', 'e2'), builds, strict=True
+                )
+            }
+            found = guarantees.violations([first, again], runs)
+            mixed = [line for line in found if 'of the builds' in line]
+            self.assertEqual(expected, len(mixed), found)
+
     def test_more_requests_than_an_endpoint_named(self) -> None:
         even = [number / 2 for number in range(40)]
         self.assertEqual([], guarantees.limit_violations('e', 2.0, even))
