--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -12,6 +12,7 @@
 from guavachute.entry import control_client
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peer_table
+from guavachute.entry import transport
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute import outcome
@@ -85,7 +86,7 @@
         self._seeds: list[ids.Address] = []
         self._clients: dict[ids.Address, control_client.Client] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((site.ip, site.listen.peers_port))
+        transport.bind(self._socket, self.address)
         self._socket.setblocking(False)
         self._is_watched = False
         self._watch()
--- a/src/guavachute/entry/program.py
+++ b/src/guavachute/entry/program.py
@@ -8,8 +8,10 @@
 import signal
 import sys
 
+from guavachute.domain import site as domain_site
 from guavachute.entry import node as entry_node
 from guavachute.entry import signals
+from guavachute.entry import transport
 from guavachute.observe import journal
 from guavachute import outcome
 from guavachute.platform import settings
@@ -28,6 +30,20 @@
     site = settings.load(path)
     if isinstance(site, outcome.Failure):
         return _report_usage_error(site)
+    try:
+        return _serve(path, site)
+    except transport.ListenError as error:
+        return _report_usage_error(
+            outcome.Failure(
+                outcome.Reason.UNAVAILABLE,
+                f'{path}: {settings.setting_of(site, error.address)}: '
+                f"can't listen at {error.address}: {error.strerror}",
+            )
+        )
+
+
+def _serve(path: pathlib.Path, site: domain_site.Site) -> int:
+    """Serve with the settings of *path*, as *site*, until SIGTERM."""
     with journal.to_stdout(site.node), entry_node.running(site) as node:
 
         def reload() -> None:
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -237,6 +237,27 @@
     return Connection(loop, sock, is_open=False)
 
 
+class ListenError(OSError):
+    """An address could not be bound, mostly as another process has it.
+
+    :ivar address: the address
+    """
+
+    def __init__(self, address: ids.Address, reason: OSError) -> None:
+        super().__init__(reason.errno, reason.strerror)
+        self.address = address
+
+
+def bind(bound: socket.socket, address: ids.Address) -> None:
+    """Bind *bound* to *address*; raises :class:`ListenError`."""
+    host, _, port = address.rpartition(':')
+    try:
+        bound.bind((host, int(port)))
+    except OSError as error:
+        bound.close()
+        raise ListenError(address, error) from error
+
+
 class Listener:
     """Accepts connections and passes them to a callback."""
 
@@ -246,12 +267,11 @@
         address: ids.Address,
         accepted: typing.Callable[[Connection], None],
     ) -> None:
-        host, _, port = address.rpartition(':')
         self._loop = loop
         self._accepted = accepted
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host, int(port)))
+        bind(self._socket, address)
         self._socket.listen(LISTEN_BACKLOG)
         self._socket.setblocking(False)
         self._is_open = True
--- a/src/guavachute/platform/settings.py
+++ b/src/guavachute/platform/settings.py
@@ -181,6 +181,17 @@
     )
 
 
+def setting_of(found: site.Site, address: ids.Address) -> str:
+    """The field of the settings file from which a listen address comes."""
+    listen = found.listen
+    fields = {
+        listen.callers: 'listen.frontend',
+        listen.readiness: 'listen.ready',
+        listen.directory: 'listen.directory',
+    }
+    return fields.get(address, 'internalPorts')
+
+
 def _cloud(fields: _Cloud) -> site.Cloud:
     return site.Cloud(
         address=ids.Address(fields.address),
