--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -1,5 +1,6 @@
 """Runs one seed: a small site, faults, and the checks of its guarantees."""
 
+import contextlib
 import dataclasses
 import os
 import pathlib
@@ -11,6 +12,7 @@
 from guavachute.entry import control_client
 from guavachute import ids
 from guavachute.platform import directory
+from guavachute.platform import settings
 from guavachute.standin.platform import engine as standin_engine
 from soak import clients as soak_clients
 from soak import faults
@@ -19,6 +21,7 @@
 from soak import proxy
 from tests.support import looping
 from tests.support import platform_site
+from tests.support import ports
 
 FAULT_PHASE_S = 8.0
 READY_TIMEOUT_S = 20.0
@@ -82,6 +85,7 @@
         self.rng = random.Random(seed)
         # The schedule of the other faults of a seed stays as it was.
         self._limit_rng = random.Random(f'limits of {seed}')
+        self._ports = contextlib.ExitStack()
         self.site = platform_site.PlatformSite()
         self.loop = self.site.loop
         self.store, self.cloud = self.site.store, self.site.cloud
@@ -120,6 +124,7 @@
         for link in [*self.engine_links, *self.store_links]:
             link.close()
         self.site.close()
+        self._ports.close()
 
     # -- the site ------------------------------------------------------
 
@@ -205,20 +210,23 @@
             )
             self.store_links.append(link)
             ip = f'{self._host}.{2 + number // 200}.{1 + number % 200}'
-            ports = {
-                name: platform_site.free_port(ip)
-                for name in ('callers', 'readiness', 'peers')
-            }
+            callers, readiness = (
+                self._ports.enter_context(ports.reserved(ip)) for _ in range(2)
+            )
+            peers_port = self._ports.enter_context(
+                ports.reserved(ip, also=(settings.METRICS_PORT_OFFSET,))
+            )
             site = platform_site.node_settings(
                 f'edge-{number}',
                 ip,
                 link.address,
                 self.cloud.address,
+                peers_port,
                 listen=domain_site.Listen(
-                    callers=ids.Address(f'{ip}:{ports["callers"]}'),
-                    readiness=ids.Address(f'{ip}:{ports["readiness"]}'),
+                    callers=ids.Address(f'{ip}:{callers}'),
+                    readiness=ids.Address(f'{ip}:{readiness}'),
                     directory=None,
-                    peers_port=ports['peers'],
+                    peers_port=peers_port,
                     metrics_port=0,
                 ),
             )
--- a/tests/cover/test_many_nodes_load.py
+++ b/tests/cover/test_many_nodes_load.py
@@ -23,6 +23,7 @@
 from guavachute.wire import node_updates
 from tests.support import looping
 from tests.support import platform_site
+from tests.support import ports
 from tests.support import updates
 
 NODES = 195
@@ -118,7 +119,11 @@
         owner = unittest.mock.Mock()
         owner.handle_node_update = lambda update: turns.append(loop.now_s)
         site = platform_site.node_settings(
-            'edge-own', '127.0.0.1', ids.Address('127.0.0.1:1'), None
+            'edge-own',
+            '127.0.0.1',
+            ids.Address('127.0.0.1:1'),
+            None,
+            self.enterContext(ports.reserved('127.0.0.1')),
         )
         receiver = peers.Peers(loop, site, owner)
         self.addCleanup(receiver.close)
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -19,6 +19,7 @@
 from soak import programs
 from soak import seed_run
 from tests.support import platform_site
+from tests.support import ports
 
 STAMP = standin_engine.STAMP.decode()
 STREAM, RESUMABLE, ORDER, LOOKUP = clients.ROUTES
@@ -259,11 +260,15 @@
         """
         site = platform_site.PlatformSite()
         self.addCleanup(site.close)
-        # The test uses an IP address of its own because the metrics are
-        # served on the port after a free one, which need not be free too.
         ip = '127.9.%d.%d' % divmod(os.getpid() % 62_500, 250)
         wanted = platform_site.node_settings(
-            'edge-1', ip, site.store.address, None
+            'edge-1',
+            ip,
+            site.store.address,
+            None,
+            self.enterContext(
+                ports.reserved(ip, also=(settings.METRICS_PORT_OFFSET,))
+            ),
         )
         with tempfile.TemporaryDirectory() as folder:
             file = pathlib.Path(folder) / 'settings.yaml'
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -16,6 +16,7 @@
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
 from tests.support import looping
+from tests.support import ports
 
 HOST = 'calls.example'
 KEY = 'key-of-botany'
@@ -177,11 +178,13 @@
     def add_node(self, **changes: typing.Any) -> entry_node.Node:
         """Add and start a node; *changes* replace settings."""
         number = next(self._numbers)
+        ip = f'127.0.0.{number}'
         site = node_settings(
             f'edge-{number}',
-            f'127.0.0.{number}',
+            ip,
             changes.pop('store', self.store.address),
             self.cloud.address,
+            self._stack.enter_context(ports.reserved(ip)),
             **changes,
         )
         node = entry_node.Node(self.loop, site)
@@ -317,9 +320,13 @@
     ip: str,
     store: ids.Address,
     cloud: ids.Address | None,
+    peers_port: int,
     **changes: typing.Any,
 ) -> domain_site.Site:
-    """Settings of a node at *ip*; *changes* replace fields."""
+    """Settings of a node at *ip*; *changes* replace fields.
+
+    :param peers_port: reserved for the node
+    """
     bounds = {
         'drain_s': 3.0,
         'stop_grace_s': 8.0,
@@ -349,7 +356,7 @@
             callers=ids.Address(f'{ip}:0'),
             readiness=ids.Address(f'{ip}:0'),
             directory=None,
-            peers_port=free_port(ip),
+            peers_port=peers_port,
             metrics_port=0,
         ),
         'store': domain_site.StoreLimits(store, 400, 2_000, 262_144),
@@ -363,19 +370,3 @@
     }
     fields.update(changes)
     return domain_site.Site(**fields)
-
-
-def free_port(ip: str) -> int:
-    """A port at *ip* that is free for both TCP and UDP."""
-    while True:
-        with (
-            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
-        ):
-            stream.bind((ip, 0))
-            port = int(stream.getsockname()[1])
-            try:
-                datagram.bind((ip, port))
-            except OSError:
-                continue
-            return port
