--- a/src/guavachute/entry/endpoint_limits.py
+++ b/src/guavachute/entry/endpoint_limits.py
@@ -58,13 +58,11 @@
 
     def limited(self, service: ids.ServiceName) -> set[ids.EndpointId]:
         """The endpoints of a service that have a limit now."""
-        entries = self._entries()
+        entries = (self._entry(item) for item in self._limits.in_force())
         return {
-            item.endpoint
-            for item in self._limits.in_force()
-            if item.endpoint in entries
-            and entries[item.endpoint].service == service
-            and entries[item.endpoint].start_ms == item.start_ms
+            entry.id
+            for entry in entries
+            if entry is not None and entry.service == service
         }
 
     # -- what endpoints and other nodes tell ---------------------------
@@ -136,14 +134,12 @@
 
     def region_notices(self) -> list[node_updates.LimitNotice]:
         """What is known of the endpoints of this region, for other ones."""
-        entries = self._entries()
-        return self._encode([
-            notice
-            for notice in self._limits.known(self._now_s())
-            if notice.incarnation.endpoint in entries
-            and self._region(entries[notice.incarnation.endpoint])
-            == self._site.region
-        ])  # fmt: skip
+        found = []
+        for notice in self._limits.known(self._now_s()):
+            entry = self._entry(notice.incarnation)
+            if entry is not None and self._region(entry) == self._site.region:
+                found.append(notice)
+        return self._encode(found)
 
     def _encode(
         self, notices: typing.Sequence[named_limits.Notice]
@@ -180,10 +176,10 @@
             return
         places = self._places()
         for incarnation, limit_per_s in in_force.items():
-            if incarnation.endpoint not in self._entries():
+            if self._entry(incarnation) is None:
                 self._limits.discard(incarnation)
-                continue
-            self._update_share(incarnation, limit_per_s, places, now_s)
+            else:
+                self._update_share(incarnation, limit_per_s, places, now_s)
 
     def _places(self) -> list[named_limits.Place]:
         own = named_limits.Place(
@@ -198,7 +194,7 @@
         places: typing.Sequence[named_limits.Place],
         now_s: float,
     ) -> None:
-        entry = self._entries().get(incarnation.endpoint)
+        entry = self._entry(incarnation)
         if entry is None:
             return
         share_per_s = named_limits.share_per_s(
@@ -220,6 +216,15 @@
                 nodes=len(places),
             )
 
+    def _entry(
+        self, incarnation: announcements.Incarnation
+    ) -> endpoints.Endpoint | None:
+        """The entry of just this start of an endpoint; None if it is gone."""
+        entry = self._entries().get(incarnation.endpoint)
+        if entry is None or entry.start_ms != incarnation.start_ms:
+            return None
+        return entry
+
     def _region(self, entry: endpoints.Endpoint) -> ids.Region | None:
         return self._site.region_of.get(entry.domain)
 
--- a/tests/cover/test_named_limits.py
+++ b/tests/cover/test_named_limits.py
@@ -163,6 +163,7 @@
         )
         replies = self.load([node], 0.5)
         self.assertEqual({200}, {reply.status for reply in replies})
+        self.assertEqual([], node.registry.limits.notices())
 
     def test_calls_count_like_requests(self) -> None:
         """Reports, questions and moves reach the endpoint too."""
