--- a/src/guavachute/entry/stream_builds.py
+++ b/src/guavachute/entry/stream_builds.py
@@ -125,6 +125,9 @@
         sole = self._builds.sole_build(service)
         if sole is not None and self._network.hears_changes():
             return sole
+        if self._network.own_topic_end() is None:
+            # This process has just started and doesn't know the record yet.
+            return Origin.PENDING
         if call.begun_as is None:
             return Origin.UNKNOWN
         if self._read_s >= arrived_s or self._read_failed_s >= arrived_s:
--- a/tests/cover/test_stream_builds.py
+++ b/tests/cover/test_stream_builds.py
@@ -6,8 +6,12 @@
 """
 
 import unittest
+import unittest.mock
 
 from guavachute.entry import node as entry_node
+from guavachute.entry import store_client
+from guavachute.entry import stream_builds
+from guavachute import ids
 from guavachute.standin.platform import engine as standin_engine
 from tests.support import looping
 from tests.support import platform_site
@@ -209,6 +213,27 @@
         self.assertEqual(503, reply.status)
         self.assertLess(self.site.loop.now_s - began_s, 0.3)
 
+    def test_a_process_that_has_just_started_waits_for_the_record(
+        self,
+    ) -> None:
+        """The endpoints may be read before the builds on record."""
+        node = self.site.ready_node()
+        network = unittest.mock.Mock()
+        network.own_topic_end.return_value = None
+        network.hears_changes.return_value = False
+        builds = stream_builds.StreamBuilds(
+            self.site.loop,
+            store_client.StoreClient(self.site.loop, self.site.store.address),
+            network,
+            lambda: node.state.table.entries,
+            lambda: node.state.configuration,
+        )
+        call = unittest.mock.Mock(begun_as='a1')
+        service = ids.ServiceName(platform_site.MODEL_SERVICE)
+        # The streams have been read since the request arrived.
+        found = builds.find(call, service, arrived_s=float('-inf'))
+        self.assertIs(stream_builds.Origin.PENDING, found)
+
     def test_with_one_build_all_take_ups_go_on(self) -> None:
         node = self.site.ready_node()
         self.old.event_pause_s = 0.2
