--- a/src/guavachute/decide/ingress/named_limits.py
+++ b/src/guavachute/decide/ingress/named_limits.py
@@ -156,7 +156,23 @@
     tokens: float = 0.0
     tokens_s: float = 0.0
 
+    def is_told(self, now_s: float) -> bool:
+        """Whether this node tells the others of it."""
+        if self.ended_s is not None:
+            return self.is_ended_here and now_s - self.ended_s <= ENDED_TTL_S
+        is_news = now_s - self.told_s <= TOLD_AFTER_NAMED_S
+        return is_news or self.share_per_s > 0
+
+    def is_outdated(self, now_s: float, extra_age_s: float) -> bool:
+        """Whether it is forgotten; *extra_age_s* as in ``expire``."""
+        if self.ended_s is not None:
+            return now_s - self.ended_s > 2 * ENDED_TTL_S
+        silent_s = now_s - self.heard_s
+        is_silent = silent_s > FORGOTTEN_AFTER_S + extra_age_s
+        return is_silent and not self.share_per_s
+
     def refill(self, now_s: float) -> None:
+        """Add the tokens of the time since the last call."""
         elapsed_s = max(0.0, now_s - self.tokens_s)
         self.tokens = min(
             BURST_REQUESTS, self.tokens + elapsed_s * self.share_per_s
@@ -254,12 +270,7 @@
         return [
             _notice(incarnation, state)
             for incarnation, state in self._states.items()
-            if (
-                state.is_ended_here and now_s - state.ended_s <= ENDED_TTL_S
-                if state.ended_s is not None
-                else state.share_per_s > 0
-                or now_s - state.told_s <= TOLD_AFTER_NAMED_S
-            )
+            if state.is_told(now_s)
         ]
 
     def known(self, now_s: float) -> list[Notice]:
@@ -337,12 +348,7 @@
         forgotten = [
             incarnation
             for incarnation, state in self._states.items()
-            if (
-                now_s - state.ended_s > 2 * ENDED_TTL_S
-                if state.ended_s is not None
-                else not state.share_per_s
-                and now_s - state.heard_s > FORGOTTEN_AFTER_S + extra_age_s
-            )
+            if state.is_outdated(now_s, extra_age_s)
         ]
         for incarnation in forgotten:
             del self._states[incarnation]
--- a/src/guavachute/decide/ingress/served_builds.py
+++ b/src/guavachute/decide/ingress/served_builds.py
@@ -8,7 +8,6 @@
 """
 
 import dataclasses
-import typing
 
 from guavachute.domain import log_position
 from guavachute import ids
@@ -41,12 +40,14 @@
 class _Service:
     """What this node knows of one service.
 
+    :ivar lost: records up to this position are not in the store any more
     :ivar known_s: by build, when this node learnt that it is on record
     :ivar seen: the builds of the endpoints that exist
     :ivar seen_s: since when just those were seen
     """
 
     record: Record | None = None
+    lost: ids.LogPosition = log_position.NO_POSITION
     known_s: dict[ids.BuildName, float] = dataclasses.field(
         default_factory=dict
     )
@@ -77,8 +78,15 @@
         """
         item = self._services.setdefault(service, _Service())
         before = item.record
+        if record.position <= item.lost:
+            return False
         if before is not None and record.position <= before.position:
             return False
+        if before is not None and _may_have_lost(before, record):
+            item.lost = record.position
+            record = Record(
+                before.builds | record.builds, False, log_position.NO_POSITION
+            )
         item.record = record
         item.known_s = {
             build: item.known_s.get(build, now_s) for build in record.builds
@@ -89,6 +97,7 @@
         """Handle that the store has lost the record of a service."""
         item = self._services.get(service)
         if item is not None and item.record is not None:
+            item.lost = max(item.lost, item.record.position)
             item.record = dataclasses.replace(
                 item.record,
                 is_settled=False,
@@ -157,6 +166,19 @@
         (build,) = item.seen
         return build
 
-    def services(self) -> typing.KeysView[ids.ServiceName]:
-        """The services of which something is known."""
-        return self._services.keys()
+
+def _may_have_lost(before: Record, record: Record) -> bool:
+    """Whether *record* comes from a copy that is older than *before*.
+
+    A store that comes back from a copy gives its records positions in a new
+    era, so that an older one seems newer.
+    """
+    if before.position == log_position.NO_POSITION:
+        return False
+    era = log_position.unpack(record.position).era
+    if era <= log_position.unpack(before.position).era:
+        return False
+    return not (
+        record.builds >= before.builds
+        and (before.is_settled or not record.is_settled)
+    )
--- a/src/guavachute/entry/stream_builds.py
+++ b/src/guavachute/entry/stream_builds.py
@@ -196,9 +196,9 @@
         for item in records:
             self._merge_record(
                 item.service,
-                served_builds.Record(
-                    frozenset(item.builds), item.is_settled, item.position
-                ),
+                item.builds,
+                item.is_settled,
+                item.position,
                 'peer',
             )
 
@@ -211,7 +211,7 @@
             self._builds.forget(service)
             return
         decoded = node_updates.decode_builds(record.value)
-        if isinstance(decoded, outcome.Failure) or not decoded.builds:
+        if isinstance(decoded, outcome.Failure):
             journal.problem(
                 'builds', outcome='unreadable', service=service,
                 reason=str(decoded),
@@ -220,20 +220,25 @@
         assert record.position is not None
         self._merge_record(
             service,
-            served_builds.Record(
-                frozenset(decoded.builds),
-                decoded.is_settled and len(decoded.builds) == 1,
-                record.position,
-            ),
+            decoded.builds,
+            decoded.is_settled,
+            record.position,
             'store',
         )
 
     def _merge_record(
         self,
         service: ids.ServiceName,
-        record: served_builds.Record,
+        builds: typing.Sequence[ids.BuildName],
+        is_settled: bool,
+        position: ids.LogPosition,
         source: str,
     ) -> None:
+        if not builds:
+            return
+        record = served_builds.Record(
+            frozenset(builds), is_settled and len(builds) == 1, position
+        )
         before = self._builds.records().get(service)
         is_unsettled = self._builds.merge(service, record, self._loop.now_s)
         listed = 0
