Log unreachable endpoints, and when other nodes heard them last

Nodes now tell each other how long ago they heard each endpoint (heard_ds of its work), and a failed connection is logged as 'endpoint' 'unreachable' with both ages. The addresses for callers move from node.py to a module of their own, to make room; a test reads its cache under its new name. No request is handled differently.

--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -2,12 +2,14 @@
 
 import collections
 import dataclasses
+import math
 import random
 import typing
 
 from guavachute.decide.ingress import announcements
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import endpoint_health
+from guavachute.decide.ingress import endpoint_links
 from guavachute.decide.nodes import endpoint_table
 from guavachute.domain import call
 from guavachute.domain import endpoints
@@ -46,6 +48,8 @@
 """Callers return after this if all endpoints have named a limit and this node
 may send nothing: another node may."""
 
+MAX_LOGGED_AGE_S = 99.0
+
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -55,12 +59,20 @@
     :ivar waiting_tokens: prompt tokens not yet processed
     :ivar failed: recent requests that failed; old ones count less
     :ivar answered: recent requests that had a result; old ones count less
+    :ivar heard_s: loop time at which one of the nodes last heard it
     """
 
     requests: int = 0
     waiting_tokens: int = 0
     failed: float = 0.0
     answered: float = 0.0
+    heard_s: float = endpoint_links.NEVER_S
+
+    def heard_ds(self, now_s: float) -> int | None:
+        """How long ago it was heard, in tenths of a second, rounded up."""
+        if self.heard_s == endpoint_links.NEVER_S:
+            return None
+        return math.ceil(10 * (now_s - self.heard_s))
 
 
 @dataclasses.dataclass(slots=True)
@@ -154,6 +166,7 @@
     A record outlives its entry while requests of this node run there.
 
     :param now_s: gives the loop's time
+    :ivar links: this node's contacts with endpoints
     """
 
     def __init__(
@@ -167,6 +180,7 @@
         self._table = table
         self._records: dict[ids.EndpointId, EndpointRecord] = {}
         self._announcements = announcements.Announcements()
+        self.links = endpoint_links.EndpointLinks()
         self.limits = endpoint_limits.EndpointLimits(
             site, lambda: table.entries, now_s
         )
@@ -174,6 +188,10 @@
             lambda endpoint: Work()
         )
         """Gives the work of all other nodes at an endpoint."""
+        self.heard_by_others_s: typing.Callable[[ids.EndpointId], float] = (
+            lambda endpoint: endpoint_links.NEVER_S
+        )
+        """Gives when another node last heard an endpoint."""
         self.is_build_awaited: typing.Callable[
             [ids.ServiceName, ids.BuildName, float], bool
         ] = lambda service, build, now_s: False
@@ -481,13 +499,29 @@
             results = item.health.results(now_s)
             if item.own.requests or results.answered >= MIN_REPORTED_RESULTS:
                 found[endpoint] = Work(
-                    item.own.requests, item.own.waiting_tokens, *results
+                    item.own.requests,
+                    item.own.waiting_tokens,
+                    *results,
+                    heard_s=self.links.heard_s(item.entry.address),
                 )
         return found
 
     def record_unreachable(self, record: EndpointRecord, now_s: float) -> None:
         """Record that an endpoint was unreachable or fell silent."""
         record.health.record_unreachable(now_s, random.random())
+        address = record.entry.address
+        others_heard_s = self.heard_by_others_s(record.entry.id)
+        journal.event(
+            'endpoint',
+            outcome='unreachable',
+            endpoint=record.entry.id,
+            service=record.entry.service,
+            domain=record.entry.domain,
+            failures=record.health.consecutive_unreachable,
+            pause_s=round(record.health.paused_until_s - now_s, 3),
+            heard_age_s=_age_s(self.links.heard_s(address), now_s),
+            others_heard_age_s=_age_s(others_heard_s, now_s),
+        )
         self.on_died(record)
 
     def nearness(self, entry: endpoints.Endpoint) -> choice.Nearness:
@@ -522,3 +556,8 @@
             ),
             is_leaving=item.is_leaving,
         )
+
+
+def _age_s(at_s: float, now_s: float) -> float:
+    """An age for the log, which has no infinite numbers."""
+    return round(min(MAX_LOGGED_AGE_S, now_s - at_s), 3)
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -95,7 +95,7 @@
     ) -> None:
         self.loop = loop
         self.registry = registry
-        self.pool = upstream.Pool(loop)
+        self.pool = upstream.Pool(loop, registry.links)
         self._site = site
         self._state = state
         self._peers = peers
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -13,6 +13,7 @@
 from guavachute.decide.nodes import rounds
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
+from guavachute.entry import address_book
 from guavachute.entry import catch_up
 from guavachute.entry import control_client
 from guavachute.entry import duty as entry_duty
@@ -105,10 +106,6 @@
 STALE_AFTER_S = 1.0
 """After this long without an answer of the store, peers are queried."""
 
-ADDRESSES_TTL_S = 0.1
-"""The addresses for callers of a domain are computed at most this often. The
-callers themselves keep an answer for seconds."""
-
 CLOSE_IDLE_AFTER_S = 0.4
 """Time from the signal to stop until idle connections are closed."""
 
@@ -140,6 +137,7 @@
         self._sums = region_sums.ConsumptionSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
         self.registry.work_of_others = self.peers.table.work_at
+        self.registry.heard_by_others_s = self.peers.table.heard_s
         self.registry.limits.other_places = self.peers.table.counted_places
         self._suspects = part_suspects.PartSuspects(
             loop,
@@ -240,10 +238,9 @@
             loop, site, self.registry, self._reports, self.ingress
         ).schedule
         self._is_registered = False
-        self._addresses: dict[
-            tuple[ids.FailureDomain, ids.Region, bool],
-            tuple[float, list[ids.Address]],
-        ] = {}
+        self.address_book = address_book.AddressBook(
+            site, self.peers.table, self._own_candidate, lambda: loop.now_s
+        )
         self._catch_up = catch_up.CatchUp(
             loop, self.peers.table, self._versioned_states()
         )
@@ -254,7 +251,7 @@
             self.state,
             self.metrics,
             lambda: self.is_ready,
-            self.addresses_for,
+            self.address_book.addresses_for,
         )
 
     # -- start and stop ------------------------------------------------
@@ -343,29 +340,6 @@
             and self.state.endpoints_position >= 0
         )
 
-    def addresses_for(
-        self, domain: ids.FailureDomain, region: ids.Region
-    ) -> list[ids.Address]:
-        """The addresses of nodes that a caller in *domain* should use."""
-        now_s = self.loop.now_s
-        # Callers may name any location; only real ones are kept.
-        if domain not in self.site.region_of:
-            domain = ids.FailureDomain('')
-        if region not in self.site.region_of.values():
-            region = ids.Region('')
-        # Whether this node is ready has to be right at once.
-        key = domain, region, self.is_ready
-        computed_s, found = self._addresses.get(key, (float('-inf'), []))
-        if now_s - computed_s >= ADDRESSES_TTL_S:
-            found = addresses.choose(
-                [*self.peers.table.candidates(), self._own_candidate()],
-                domain,
-                region,
-                now_s,
-            )
-            self._addresses[key] = now_s, found
-        return found
-
     def _own_candidate(self) -> addresses.Candidate:
         return addresses.Candidate(
             address=self.ingress.address,
@@ -544,6 +518,7 @@
                     work.waiting_tokens,
                     round(10 * work.failed),
                     round(10 * work.answered),
+                    work.heard_ds(self.loop.now_s),
                 )
                 for endpoint, work in self.registry.work().items()
             },
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -3,6 +3,7 @@
 import time
 import typing
 
+from guavachute.decide.ingress import endpoint_links
 from guavachute.decide.ingress import named_limits
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import clock as agreed_clock
@@ -61,6 +62,13 @@
         self.last_no_answer_s = float('-inf')
         self.counted_work: typing.Mapping[str, node_updates.EndpointWork] = {}
 
+    def heard_s(self, endpoint: str) -> float:
+        """Loop time at which the node last heard an endpoint."""
+        work = self.counted_work.get(endpoint)
+        if work is None or work.heard_ds is None:
+            return endpoint_links.NEVER_S
+        return self.last_update_s - work.heard_ds / 10
+
 
 class ReceivedRegionUpdate(typing.NamedTuple):
     """The latest update of a reader of another region, and when it came."""
@@ -400,6 +408,17 @@
         """The work of all other nodes at an endpoint."""
         return self._work.get(endpoint, _NO_WORK)
 
+    def heard_s(self, endpoint: ids.EndpointId) -> float:
+        """When another node last heard an endpoint, by its update."""
+        return max(
+            (
+                peer.heard_s(endpoint)
+                for peer in self._peers.values()
+                if endpoint in peer.counted_work
+            ),
+            default=endpoint_links.NEVER_S,
+        )
+
     def candidates(self) -> list[addresses.Candidate]:
         """The other nodes, as addresses to choose from for a caller."""
         extra_age_s = self.extra_age_s
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from guavachute.decide.ingress import endpoint_links
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
@@ -56,6 +57,7 @@
         self._pool = pool
         self._reader = http1.AnswerReader()
         self._listener: Listener | None = None
+        self._opened_s = loop.now_s
         self._timer: entry_loop.Timer | None = None
         self.idle_timeout_s: float | None = None
         self.idle_since_s = loop.now_s
@@ -129,6 +131,7 @@
         Bytes outside of any request belong to no answer, and close the
         connection.
         """
+        self._pool.links.record_heard(self.address, self._loop.now_s)
         if self._listener is None:
             self._pool.discard(self)
             self.close()
@@ -165,6 +168,12 @@
     def _end(self, is_clean: bool, was_connected: bool) -> None:
         if self._timer is not None:
             self._timer.cancel()
+        if not is_clean:
+            self._pool.links.record_failure(
+                self.address,
+                self._loop.now_s if was_connected else self._opened_s,
+                self._loop.now_s,
+            )
         listener, self._listener = self._listener, None
         if listener is None:
             self._pool.discard(self)
@@ -173,10 +182,16 @@
 
 
 class Pool:
-    """Idle connections to endpoints, by address."""
+    """Idle connections to endpoints, by address.
+
+    :ivar links: told of what the connections show
+    """
 
-    def __init__(self, loop: entry_loop.Loop) -> None:
+    def __init__(
+        self, loop: entry_loop.Loop, links: endpoint_links.EndpointLinks
+    ) -> None:
         self._loop = loop
+        self.links = links
         self._idle: dict[ids.Address, collections.deque[Connection]] = {}
         self.opened = 0
         """Connections opened since the start."""
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -23,12 +23,15 @@
     :ivar failed_tenths: recent failures in tenths; the count decays, so
         that old failures have less weight
     :ivar answered_tenths: all recent results, counted in the same way
+    :ivar heard_ds: how long ago the node last received something from the
+        endpoint, in tenths of a second, rounded up; None if not known
     """
 
     requests: int
     waiting_tokens: int
     failed_tenths: int = 0
     answered_tenths: int = 0
+    heard_ds: int | None = None
 
 
 class PartNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -433,12 +433,12 @@
     def test_callers_may_name_any_location(self) -> None:
         node = self.site.ready_node()
         for number in range(50):
-            found = node.addresses_for(
+            found = node.address_book.addresses_for(
                 ids.FailureDomain(f'domain-{number}'),
                 ids.Region(f'region-{number}'),
             )
             self.assertEqual([node.ingress.address], found)
-        self.assertLessEqual(len(node._addresses), 2)
+        self.assertLessEqual(len(node.address_book._computed), 2)
 
     def test_the_second_reader_waits_longer_for_a_configuration(self) -> None:
         nodes = [self.site.ready_node() for _ in range(3)]
@@ -714,4 +714,4 @@
 
 
 def _named(node: entry_node.Node) -> list[ids.Address]:
-    return node.addresses_for(node.site.domain, node.site.region)
+    return node.address_book.addresses_for(node.site.domain, node.site.region)
