Show that nodes cut off from all endpoints serve nobody

Three nodes, six endpoints, requests of each kind; the links of one or two nodes to the endpoints are cut where they open connections, while callers, peers and the store reach them.

--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -4,6 +4,7 @@
 import itertools
 import socket
 import typing
+from unittest import mock
 
 import httptools
 import msgspec
@@ -11,10 +12,12 @@
 from guavachute.domain import site as domain_site
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import node as entry_node
+from guavachute.entry import transport
 from guavachute import ids
 from guavachute.standin.platform import cloud as standin_cloud
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
+from tests.support import cut_links
 from tests.support import looping
 from tests.support import ports
 
@@ -147,6 +150,14 @@
         self.engines: list[standin_engine.Engine] = []
         self._numbers = itertools.count(1)
         self._stack = contextlib.ExitStack()
+        self.links = cut_links.CutLinks(self.loop, self._is_endpoint)
+        self._stack.callback(self.links.close)
+        self._stack.enter_context(
+            mock.patch.object(transport, 'connect', self.links.connect)
+        )
+
+    def _is_endpoint(self, address: ids.Address) -> bool:
+        return any(engine.address == address for engine in self.engines)
 
     def close(self) -> None:
         """Close all nodes, engines and stand-ins."""
@@ -187,7 +198,7 @@
             self._stack.enter_context(ports.reserved(ip)),
             **changes,
         )
-        node = entry_node.Node(self.loop, site)
+        node = entry_node.Node(self.links.node_loop(), site)
         self._stack.callback(node.close)
         self.nodes.append(node)
         node.start()
