Write a blamed part again that a store from a copy has lost at once

What callers saw: after the store came back from a copy, nodes that started later sent requests on whose part was known to crash engines. A record that was written, and lost before the node had read it back, counted as stored for ever: only the end of a known key was noticed.

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -384,6 +384,7 @@
         if not was_known:
             return
         self.state.handle_new_era()
+        self._suspects.handle_new_era()
         for follower in (self._operator, self._endpoints, self._nodes):
             follower.handle_new_era(self._is_reader)
         # The entry of this node may be lost. All nodes write theirs again, but
--- a/src/guavachute/entry/part_suspects.py
+++ b/src/guavachute/entry/part_suspects.py
@@ -305,6 +305,10 @@
         if self._parts.merge_notice(notice, now_s):
             self._log('blamed', part, source='store')
 
+    def handle_new_era(self) -> None:
+        """The store has come back from a copy, which may lack any record."""
+        self._stored.clear()
+
     def expire(self) -> None:
         """Forget old suspicions, and bring the store up to date."""
         self._parts.expire(self._loop.now_s)
