Pass requests of a node that is cut off on through nodes that reach endpoints

Cause: each node judged endpoints by its own links alone. A failed connection paused the endpoint here, and once all were paused the service counted as gone.

Now: nodes tell how long ago they heard each endpoint. An endpoint that fails from here and was heard elsewhere since is reached through another node: one hop over an inner port, which carries the encoded request and the endpoint's answer, so that keys, quota, retries, usage, builds, limits and crash parts stay with the node that has the caller. Nothing heard at all, two failing contacts and one contradiction mean that the node is cut off: it sends all through others, tests two links at a time, leaves the addresses for callers though it is ready, and discards what the cut showed of endpoints. Nothing is blamed for the end of an endpoint that others hear half a second later.

--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -214,7 +214,13 @@
                 self._ports.enter_context(ports.reserved(ip)) for _ in range(2)
             )
             peers_port = self._ports.enter_context(
-                ports.reserved(ip, also=(settings.METRICS_PORT_OFFSET,))
+                ports.reserved(
+                    ip,
+                    also=(
+                        settings.METRICS_PORT_OFFSET,
+                        settings.RELAY_PORT_OFFSET,
+                    ),
+                )
             )
             site = platform_site.node_settings(
                 f'edge-{number}',
@@ -228,6 +234,7 @@
                     directory=None,
                     peers_port=peers_port,
                     metrics_port=0,
+                    relay_port=0,
                 ),
             )
             self.programs.append(programs.Program(site, folder, variant))
--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -39,6 +39,10 @@
 DOUBTFUL_PENALTY_S = 1.0
 LEAVING_PENALTY_S = 0.5
 
+RELAY_PENALTY_S = 0.05
+"""Cost added to endpoints that are reached only through another node, whose
+work and traffic that takes."""
+
 
 class Nearness(enum.IntEnum):
     """Network distance of an endpoint from this node."""
@@ -60,6 +64,7 @@
         in the store may have been deleted
     :ivar is_leaving: whether it stops soon; requests that still run
         there then have to be moved
+    :ivar is_relayed: whether it is reached only through another node
     """
 
     id: ids.EndpointId
@@ -71,6 +76,7 @@
     prefill_tokens_per_s: float
     is_doubtful: bool
     is_leaving: bool = False
+    is_relayed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,6 +157,7 @@
             item.running >= item.slots,
             item.is_leaving,
             item.is_doubtful,
+            item.is_relayed,
             item.nearness is Nearness.OTHER_REGION,
             item.running / max(1, item.slots),
             item.nearness,
@@ -168,6 +175,8 @@
         penalty_s += DOUBTFUL_PENALTY_S
     if candidate.is_leaving:
         penalty_s += LEAVING_PENALTY_S
+    if candidate.is_relayed:
+        penalty_s += RELAY_PENALTY_S
     return penalty_s
 
 
--- a/src/guavachute/decide/ingress/endpoint_health.py
+++ b/src/guavachute/decide/ingress/endpoint_health.py
@@ -79,6 +79,16 @@
             PAUSE_POLICY, self.consecutive_unreachable, fraction
         )
 
+    def end_pause(self) -> None:
+        """Allow requests again: the link was at fault, and works again."""
+        self.consecutive_unreachable = 0
+        self.paused_until_s = 0.0
+
+    def discard_results(self) -> None:
+        """Forget all results: they say nothing of the endpoint."""
+        self._failed = decay.DecayingSum(HALF_LIFE_S, 0.0)
+        self._answered = decay.DecayingSum(HALF_LIFE_S, 0.0)
+
     def is_paused(self, now_s: float) -> bool:
         """Whether requests should not be sent to it now."""
         return now_s < self.paused_until_s
--- a/src/guavachute/decide/ingress/endpoint_links.py
+++ b/src/guavachute/decide/ingress/endpoint_links.py
@@ -2,45 +2,95 @@
 
 A failed connection says that the endpoint, its VM, or the link between it and
 this node is broken. Only what other nodes get from the same endpoint tells
-these apart, so both are kept: when this node last heard the endpoint, and
-since when contacts with it fail.
+these apart. A node counts as cut off if it hears no endpoint at all, contacts
+with several fail, and another node has heard one of those since. If no node
+hears them, the endpoints are at fault; if this node hears others, single links
+are, which needs no judgement beyond those links.
 """
 
 import dataclasses
+import enum
+import typing
 
 from guavachute import ids
 
 NEVER_S = float('-inf')
 
+MIN_FAILING = 2
+"""Endpoints whose contacts have to fail before the node may be cut off."""
+
+PROOF_MARGIN_S = 0.1
+"""Another node's contact counts as later than a failure by at least this: it
+is told in steps of a tenth of a second, and updates take time."""
+
+REGAINED_CONTACTS = 2
+"""Contacts that have to work in a row before the node is no longer cut off;
+lossy links let single ones through."""
+
+SILENT_S = 0.7
+"""If no endpoint was heard for this long although requests wait for answers,
+the links are tested with new connections. Endpoints send events and answers
+much more often, and a sound one may fall silent for a second."""
+
+
+class LinkState(enum.Enum):
+    """Whether this node reaches endpoints."""
+
+    OPEN = 'open'
+    CUT = 'cut'
+    """No endpoint is reached from here, while other nodes reach some."""
+
+
+HeardByOthers = typing.Callable[[ids.Address], float]
+"""Gives the time at which another node last heard an endpoint."""
+
 
 @dataclasses.dataclass(slots=True)
-class _Link:
-    """The contacts with one address.
+class _Failing:
+    """Contacts with one address that have failed since it was last heard.
 
-    :ivar heard_s: when bytes came from it, or a connection was established
-    :ivar failing_since_s: start of the first contact that failed since then
-    :ivar failed_s: when the latest of these contacts failed
+    :ivar since_s: when the first of them began
+    :ivar failed_s: when the latest of them failed
     """
 
-    heard_s: float = NEVER_S
-    failing_since_s: float | None = None
-    failed_s: float = NEVER_S
+    since_s: float
+    failed_s: float
 
 
 class EndpointLinks:
-    """The contacts of this node with the addresses of endpoints."""
+    """The contacts of this node with the addresses of endpoints.
+
+    :ivar state: as of the last call of :meth:`assess`
+    """
 
     def __init__(self) -> None:
-        self._links: dict[ids.Address, _Link] = {}
+        self.state = LinkState.OPEN
+        self._heard_s: dict[ids.Address, float] = {}
+        self._waits_since_s: dict[ids.Address, float] = {}
+        self._failing: dict[ids.Address, _Failing] = {}
         self._any_heard_s = NEVER_S
+        self._contacts_since_cut = 0
+
+    @property
+    def is_cut(self) -> bool:
+        """Whether no endpoint is reached from here, as far as is known."""
+        return self.state is LinkState.CUT
+
+    def record_sent(self, address: ids.Address, now_s: float) -> None:
+        """Record a request that is sent to an endpoint."""
+        self._waits_since_s.setdefault(address, now_s)
 
     def record_heard(self, address: ids.Address, now_s: float) -> None:
-        """Record bytes from an endpoint, or an established connection."""
-        link = self._links.get(address)
-        if link is None:
-            link = self._links[address] = _Link()
-        link.heard_s = self._any_heard_s = now_s
-        link.failing_since_s = None
+        """Record bytes from an endpoint."""
+        self._heard_s[address] = self._any_heard_s = now_s
+        self._waits_since_s.pop(address, None)
+        if self._failing:
+            self._failing.pop(address, None)
+
+    def record_established(self, address: ids.Address, now_s: float) -> None:
+        """Record a connection that was established to test a link."""
+        self.record_heard(address, now_s)
+        self._contacts_since_cut += 1
 
     def record_failure(
         self, address: ids.Address, since_s: float, now_s: float
@@ -49,17 +99,62 @@
 
         :param since_s: when the contact began, or was last known to work
         """
-        link = self._links.setdefault(address, _Link())
-        if link.failing_since_s is None:
-            link.failing_since_s = since_s
-        link.failed_s = now_s
+        failing = self._failing.setdefault(address, _Failing(since_s, now_s))
+        failing.failed_s = now_s
+        self._contacts_since_cut = 0
 
     def heard_s(self, address: ids.Address) -> float:
         """When this node last heard the endpoint."""
-        link = self._links.get(address)
-        return NEVER_S if link is None else link.heard_s
-
-    def failing_since_s(self, address: ids.Address) -> float | None:
-        """Since when contacts with the endpoint fail; None if they don't."""
-        link = self._links.get(address)
-        return None if link is None else link.failing_since_s
+        return self._heard_s.get(address, NEVER_S)
+
+    def failing(self) -> list[ids.Address]:
+        """Where contacts fail, and nothing was heard since."""
+        return list(self._failing)
+
+    def silent(self, now_s: float) -> list[ids.Address]:
+        """Where requests wait for answers while no endpoint is heard."""
+        if now_s - self._any_heard_s < SILENT_S:
+            return []
+        return [
+            address
+            for address, since_s in self._waits_since_s.items()
+            if now_s - since_s >= SILENT_S
+        ]
+
+    def assess(self, heard_by_others_s: HeardByOthers) -> LinkState:
+        """Decide whether this node is cut off from the endpoints."""
+        if self.is_cut:
+            if self._contacts_since_cut >= REGAINED_CONTACTS:
+                self.state = LinkState.OPEN
+            return self.state
+        failing = [
+            address
+            for address, item in self._failing.items()
+            if item.failed_s > self._any_heard_s
+        ]
+        if len(failing) >= MIN_FAILING and any(
+            self.is_contradicted(address, heard_by_others_s)
+            for address in failing
+        ):
+            self.state = LinkState.CUT
+            self._contacts_since_cut = 0
+        return self.state
+
+    def is_contradicted(
+        self, address: ids.Address, heard_by_others_s: HeardByOthers
+    ) -> bool:
+        """Whether another node has heard an endpoint that fails from here."""
+        item = self._failing.get(address)
+        return (
+            item is not None
+            and heard_by_others_s(address) > item.since_s + PROOF_MARGIN_S
+        )
+
+    def discard(self, existing: typing.Container[ids.Address]) -> None:
+        """Forget all addresses but *existing* ones."""
+        known = {*self._heard_s, *self._waits_since_s, *self._failing}
+        for address in known:
+            if address not in existing:
+                self._heard_s.pop(address, None)
+                self._waits_since_s.pop(address, None)
+                self._failing.pop(address, None)
--- a/src/guavachute/decide/nodes/addresses.py
+++ b/src/guavachute/decide/nodes/addresses.py
@@ -20,6 +20,8 @@
     SAME_DOMAIN = 0
     SAME_REGION = 1
     OTHER_REGION = 2
+    CUT_OFF = 3
+    """Anywhere, and without links to endpoints."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,6 +30,8 @@
 
     :ivar is_ready: whether it accepts requests
     :ivar last_update_s: when its last update arrived
+    :ivar reaches_endpoints: whether it sends requests to endpoints itself;
+        otherwise each one is another node's work too
     """
 
     address: ids.Address
@@ -35,6 +39,7 @@
     region: ids.Region
     is_ready: bool
     last_update_s: float
+    reaches_endpoints: bool = True
 
 
 def choose(
@@ -47,7 +52,8 @@
 
     Callers spread their requests evenly over the addresses, so nodes at
     a larger distance are included only if there are fewer than
-    :data:`MIN_ADDRESSES` nearer ones.
+    :data:`MIN_ADDRESSES` nearer ones, and nodes that reach no endpoint only if
+    there are fewer than that at any distance.
 
     :param domain: the caller's failure domain
     :param region: the caller's region
@@ -60,9 +66,10 @@
             candidate.is_ready
             and now_s - candidate.last_update_s <= SILENT_AFTER_S
         ):
-            by_distance[_distance(candidate, domain, region)].append(
-                candidate.address
-            )
+            distance = _distance(candidate, domain, region)
+            if not candidate.reaches_endpoints:
+                distance = Distance.CUT_OFF
+            by_distance[distance].append(candidate.address)
     chosen: list[ids.Address] = []
     for distance in Distance:
         if len(chosen) < MIN_ADDRESSES:
--- a/src/guavachute/domain/site.py
+++ b/src/guavachute/domain/site.py
@@ -81,6 +81,8 @@
     :ivar directory: callers' queries for the addresses of entry nodes
     :ivar peers_port: traffic between entry nodes, UDP and TCP
     :ivar metrics_port: scrapes of the metrics
+    :ivar relay_port: requests of other entry nodes that can't reach an
+        endpoint, to be passed on
     """
 
     callers: ids.Address | None
@@ -88,6 +90,7 @@
     directory: ids.Address | None
     peers_port: int
     metrics_port: int
+    relay_port: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -0,0 +1,130 @@
+"""The ways of requests to endpoints: direct ones, and through other nodes."""
+
+import typing
+
+from guavachute.decide.ingress import endpoint_links
+from guavachute.domain import configuration
+from guavachute.domain import site as domain_site
+from guavachute.entry import endpoint_registry
+from guavachute.entry import link_watch
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import relay_client
+from guavachute.entry import relay_peers
+from guavachute.entry import relay_server
+from guavachute.entry import upstream
+from guavachute import ids
+from guavachute.observe import metrics as observe_metrics
+
+RELAY_ID = 'links'
+"""Tells requests that only ask for any helper apart from those of callers."""
+
+
+class EndpointPaths:
+    """Opens connections to endpoints, and passes requests of other nodes on.
+
+    :param caller_limits: gives the limits on the requests of callers
+    :param on_announcement: called with what an endpoint says in an answer to
+        another node's request
+    :ivar on_links_lost: called when this node turns out to be cut off
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        site: domain_site.Site,
+        registry: endpoint_registry.EndpointRegistry,
+        peers: relay_peers.RelayPeers,
+        metrics: observe_metrics.Metrics,
+        caller_limits: typing.Callable[[], configuration.CallerLimits],
+        on_announcement: relay_server.OnAnnouncement,
+    ) -> None:
+        self._loop = loop
+        self._registry = registry
+        self._metrics = metrics
+        self.on_links_lost: typing.Callable[[], None] = lambda: None
+        self._pool = upstream.Pool(loop, registry.links)
+        self._client = relay_client.RelayClient(loop, peers)
+        registry.has_helper = lambda record: (
+            self._client.helper(record, RELAY_ID) is not None
+        )
+        self._server = relay_server.RelayServer(
+            loop,
+            ids.Address(f'{site.ip}:{site.listen.relay_port}'),
+            registry,
+            self._pool,
+            caller_limits,
+            on_announcement,
+        )
+        self._watch = link_watch.LinkWatch(
+            loop, registry, metrics, self._handle_links_changed
+        )
+        metrics.gauge('endpoint_connections', lambda: self._pool.opened)
+        metrics.gauge('relays_open', lambda: self._server.open_requests)
+
+    @property
+    def relay_address(self) -> ids.Address:
+        """Where other nodes send requests to pass on."""
+        return self._server.address
+
+    @property
+    def open_relays(self) -> int:
+        """Requests of other nodes that are not completely answered."""
+        return self._server.open_requests
+
+    def start(self) -> None:
+        """Start to watch the links to endpoints."""
+        self._watch.start()
+
+    def stop(self) -> None:
+        """Close connections of other nodes after their current answer."""
+        self._server.is_stopping = True
+
+    def close(self) -> None:
+        """Abort all connections."""
+        self._watch.close()
+        self._server.close()
+        self._client.close()
+        self._pool.close()
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        self._pool.sweep()
+        self._client.sweep()
+
+    def connect(
+        self,
+        record: endpoint_registry.EndpointRecord,
+        attempt_id: ids.AttemptId,
+        runs_once: bool,
+    ) -> relay_client.Connection:
+        """A connection that takes one request to an endpoint.
+
+        :param runs_once: whether only a connection that is known to work may
+            be reused
+        """
+        if not self._registry.is_direct(record, self._loop.now_s):
+            helper = self._client.helper(record, attempt_id)
+            if helper is not None:
+                self._metrics.add('relays')
+                return self._client.connect(
+                    helper, record, attempt_id, runs_once
+                )
+        return self._pool.acquire(record.entry.address, needs_proven=runs_once)
+
+    def handle_unreachable(
+        self,
+        record: endpoint_registry.EndpointRecord,
+        connection: relay_client.Connection,
+    ) -> None:
+        """Record a connection of :meth:`connect` that wasn't established."""
+        if isinstance(connection, upstream.Connection):
+            self._registry.record_unreachable(record, self._loop.now_s)
+
+    def _handle_links_changed(self, state: endpoint_links.LinkState) -> None:
+        if state is endpoint_links.LinkState.OPEN:
+            self._registry.handle_links_regained()
+            return
+        self._registry.handle_links_lost()
+        # Idle connections may be dead without a packet that shows it.
+        self._pool.close()
+        self.on_links_lost()
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -50,6 +50,10 @@
 
 MAX_LOGGED_AGE_S = 99.0
 
+RELAY_PAUSE_S = 0.5
+"""After another node could not send a request to an endpoint either, none is
+sent there through other nodes for this long."""
+
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -91,6 +95,8 @@
     :ivar reported_requests: the running and waiting requests in the endpoint's
         latest report
     :ivar reported_at_s: loop time of that report
+    :ivar relay_paused_until_s: until then no other node is asked to pass
+        requests on to it
     :ivar cached: ids of prompt parts that the engine should have in its cache,
         the most recently used last
     """
@@ -107,6 +113,7 @@
     has_announced_end: bool = False
     is_in_doubt: bool = False
     is_gone: bool = False
+    relay_paused_until_s: float = float('-inf')
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -196,11 +203,19 @@
             [ids.ServiceName, ids.BuildName, float], bool
         ] = lambda service, build, now_s: False
         """Whether endpoints of other builds are preferred for now."""
+        self.has_helper: typing.Callable[[EndpointRecord], bool] = (
+            lambda record: False
+        )
+        """Whether another node can pass a request on to an endpoint."""
         self.on_died: typing.Callable[[EndpointRecord], None] = (
             lambda record: None
         )  # fmt: skip
-        """Called with the record of an incarnation that ended or fell
-        silent."""
+        """Called with the record of an incarnation that has ended."""
+        self.on_unreachable: typing.Callable[[EndpointRecord], None] = (
+            lambda record: None
+        )
+        """Called with the record of an endpoint that was not reached, and may
+        have ended."""
         self.on_leaving: typing.Callable[[EndpointRecord], None] = (
             lambda record: None
         )
@@ -254,6 +269,9 @@
         for endpoint in self._records.keys() - self._table.entries.keys():
             if not self._records[endpoint].own.requests:
                 del self._records[endpoint]
+        self.links.discard(
+            {item.entry.address for item in self._records.values()}
+        )
 
     def usable(
         self,
@@ -264,20 +282,29 @@
     ) -> list[EndpointRecord]:
         """The endpoints of *service* that a request may be sent to.
 
-        Endpoints that were recently unreachable are left out for a pause.
+        Endpoints that were recently unreachable are left out for a pause,
+        unless other nodes reach them.
 
         :param build: only endpoints of this build; None for all
         """
-        found = [
+        accepting = [
             item
             for item in self._records.values()
             if item.entry.service == service
             and item.entry.id not in excluded
             and (build is None or item.entry.build == build)
             and self._accepts_work(item, now_s)
-            and not item.health.is_paused(now_s)
             and not self.call_wait_s(item, now_s)
         ]
+        found = [
+            item
+            for item in accepting
+            if self.is_direct(item, now_s)
+            or (
+                (self.links.is_cut or self.is_reached_by_others(item))
+                and self._has_way(item, now_s)
+            )
+        ] or [item for item in accepting if self._has_way(item, now_s)]
         known = [
             item
             for item in found
@@ -285,6 +312,78 @@
         ]
         return known or found
 
+    def is_direct(self, record: EndpointRecord, now_s: float) -> bool:
+        """Whether requests are sent to an endpoint from here."""
+        return not self.links.is_cut and not record.health.is_paused(now_s)
+
+    def is_reached_by_others(self, record: EndpointRecord) -> bool:
+        """Whether another node heard an endpoint after it failed from here."""
+        return self.links.is_contradicted(
+            record.entry.address,
+            lambda address: self.heard_by_others_s(record.entry.id),
+        )
+
+    def _has_way(self, record: EndpointRecord, now_s: float) -> bool:
+        return now_s >= record.relay_paused_until_s and self.has_helper(record)
+
+    def heard_at_by_others_s(self, address: ids.Address) -> float:
+        """When another node last heard the endpoint at an address."""
+        return max(
+            (
+                self.heard_by_others_s(endpoint)
+                for endpoint in self._ids_at(address)
+            ),
+            default=endpoint_links.NEVER_S,
+        )
+
+    def _ids_at(self, address: ids.Address) -> list[ids.EndpointId]:
+        return [
+            item.id
+            for item in self._table.entries.values()
+            if item.address == address
+        ]
+
+    def heard(self) -> dict[ids.EndpointId, float]:
+        """When this node last heard each endpoint in the table."""
+        return {
+            endpoint: self.links.heard_s(item.address)
+            for endpoint, item in self._table.entries.items()
+        }
+
+    def addresses(self) -> list[ids.Address]:
+        """The addresses of the endpoints in the table."""
+        return [item.address for item in self._table.entries.values()]
+
+    def relay_target(
+        self, endpoint: ids.EndpointId, start_ms: int, now_s: float
+    ) -> EndpointRecord | None:
+        """The endpoint to which another node's request may be passed on.
+
+        None if this node knows no such incarnation, or a reason against it.
+        Whether a limit that it has named allows the request is for the other
+        node to know.
+        """
+        record = self._records.get(endpoint)
+        if (
+            record is None
+            or record.entry.start_ms != start_ms
+            or not self._accepts_work(record, now_s)
+            or self.pause_s(record, now_s) > 0
+            or not self.is_direct(record, now_s)
+        ):
+            return None
+        return record
+
+    def handle_links_lost(self) -> None:
+        """Discard what the loss of all links showed of endpoints."""
+        for record in self._records.values():
+            record.health.discard_results()
+
+    def handle_links_regained(self) -> None:
+        """Use all endpoints again."""
+        for record in self._records.values():
+            record.health.end_pause()
+
     def serves_build(
         self, service: ids.ServiceName, build: ids.BuildName, now_s: float
     ) -> bool:
@@ -522,7 +621,7 @@
             heard_age_s=_age_s(self.links.heard_s(address), now_s),
             others_heard_age_s=_age_s(others_heard_s, now_s),
         )
-        self.on_died(record)
+        self.on_unreachable(record)
 
     def nearness(self, entry: endpoints.Endpoint) -> choice.Nearness:
         """Whether an endpoint is in the domain or region of this node."""
@@ -555,6 +654,7 @@
                 endpoint_health.Results(others.failed, others.answered), now_s
             ),
             is_leaving=item.is_leaving,
+            is_relayed=not self.is_direct(item, now_s),
         )
 
 
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -1,7 +1,5 @@
 """Serves one request: chooses endpoints, retries and forwards the answer."""
 
-import dataclasses
-import enum
 import random
 import typing
 
@@ -15,8 +13,10 @@
 from guavachute.entry import callers
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange_owner
+from guavachute.entry import exchange_state
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import relay_client
 from guavachute.entry import stream_builds
 from guavachute.entry import upstream
 from guavachute import ids
@@ -51,49 +51,6 @@
 """Retry-After of an answer whose cause is expected to pass quickly."""
 
 
-class State(enum.Enum):
-    """The progress of a request."""
-
-    WAITING = 'waiting'
-    SENT = 'sent'
-    ANSWERING = 'answering'
-    ENDED = 'ended'
-
-
-class _MoveState(enum.Enum):
-    """Whether a move of the run to another endpoint is in progress."""
-
-    NONE = 'none'
-    REQUESTED = 'requested'
-    """The endpoint was requested to stop the run and copy its KV cache."""
-
-
-class _AnswerMode(enum.Enum):
-    """How the endpoint's current answer is processed."""
-
-    NONE = 'none'
-    FOREIGN = 'foreign'
-    """The answer belongs to another request and is ignored."""
-    REFUSAL = 'refusal'
-    """The endpoint reports that it did not run the request."""
-    BUFFERED = 'buffered'
-    """The body is buffered, and forwarded when it is complete."""
-    EVENTS = 'events'
-    """Each complete event is forwarded at once."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _BufferedAnswer:
-    """An endpoint's answer that is passed on as a whole.
-
-    :ivar is_framed: whether its length or chunks show that it is complete
-    """
-
-    head: requests.AnswerHead
-    body: bytes
-    is_framed: bool
-
-
 class Exchange:
     """Sends a request to endpoints until its caller has an answer.
 
@@ -128,7 +85,7 @@
         self.service = service
         self.workspace = workspace
         self.fingerprint = fingerprint
-        self.state = State.WAITING
+        self.state = exchange_state.State.WAITING
         self.arrived_s = owner.loop.now_s
         longest_s = route.timeout_s
         if call.deadline_s is not None:
@@ -143,13 +100,13 @@
         self._tried_endpoints: set[ids.EndpointId] = set()
         self._may_have_run = False
         self._record: endpoint_registry.EndpointRecord | None = None
-        self._connection: upstream.Connection | None = None
+        self._connection: relay_client.Connection | None = None
         self._sent_s = 0.0
         self._pending_tokens = 0
         self._backlog_tokens = 0
-        self._move_state = _MoveState.NONE
+        self._move_state = exchange_state.MoveState.NONE
         self._continues_from_copy = False
-        self._answer_mode = _AnswerMode.NONE
+        self._answer_mode = exchange_state.AnswerMode.NONE
         self._head: requests.AnswerHead | None = None
         self._framing: http1.Framing | None = None
         self._passes_framed = True
@@ -159,7 +116,7 @@
         self._buffered_bytes = 0
         self._ignored_bytes = 0
         self._events = event_stream.EventStream()
-        self._last_error: _BufferedAnswer | None = None
+        self._last_error: exchange_state.BufferedAnswer | None = None
         self._recheck_timer: entry_loop.Timer | None = None
         self._deadline_timer = owner.loop.call_at(
             self.expires_at_s, self._time_out
@@ -299,7 +256,10 @@
         )
 
     def _redispatch(self) -> None:
-        if self.state is not State.ENDED and self._connection is None:
+        if (
+            self.state is not exchange_state.State.ENDED
+            and self._connection is None
+        ):
             self.dispatch()
 
     def _send(
@@ -314,7 +274,7 @@
             self.attempts += 1
         self._record = record
         self._sent_s = now_s
-        self._answer_mode = _AnswerMode.NONE
+        self._answer_mode = exchange_state.AnswerMode.NONE
         self._framing = None
         self._connection_end = None
         self._partial_bytes = 0
@@ -323,8 +283,8 @@
         self._ignored_bytes = 0
         # The next endpoint sends an incomplete event again from its start.
         self._events.discard_partial_event()
-        if self.state is State.WAITING:
-            self.state = State.SENT
+        if self.state is exchange_state.State.WAITING:
+            self.state = exchange_state.State.SENT
         prompt = self.call.tokens.prompt if self.call.tokens else 0
         self._pending_tokens = max(
             0, prompt - record.cached_tokens(self.call.parts)
@@ -334,9 +294,7 @@
         record.own.waiting_tokens += self._pending_tokens
         self._backlog_tokens = record.own.waiting_tokens
         record.record_prompt(self.call.parts)
-        connection = self._owner.pool.acquire(
-            record.entry.address, needs_proven=not self.route.can_run_again
-        )
+        connection = self._owner.connect(self, record)
         self._connection = connection
         dispatch = domain_call.Dispatch(
             endpoint=record.entry.id,
@@ -388,6 +346,20 @@
             self._release_endpoint(keeps_alive=False)
             self._after_connect_failure()
 
+    def abandon_silent(self) -> None:
+        """Give an attempt up that waits on a link which is cut.
+
+        Only a request that may run again is sent elsewhere before its
+        connection has ended; another one may still get its answer.
+        """
+        if (
+            self.route.can_run_again
+            and isinstance(self._connection, upstream.Connection)
+            and self._connection.is_silent
+        ):
+            self._connection_end = 'silent'
+            self._fail_attempt('the link to the endpoint is cut')
+
     # -- moves to another endpoint -------------------------------------
 
     def is_at(self, record: endpoint_registry.EndpointRecord) -> bool:
@@ -402,9 +374,9 @@
         """
         record = self._record
         if (
-            self._answer_mode is not _AnswerMode.EVENTS
+            self._answer_mode is not exchange_state.AnswerMode.EVENTS
             or self._events.last_id is None
-            or self._move_state is not _MoveState.NONE
+            or self._move_state is not exchange_state.MoveState.NONE
             or record is None
         ):
             return
@@ -420,7 +392,7 @@
         if chosen is None:
             return
         target = next(r for r in records if r.entry.id == chosen.endpoint)
-        self._move_state = _MoveState.REQUESTED
+        self._move_state = exchange_state.MoveState.REQUESTED
         journal.event(
             'move',
             outcome='asked',
@@ -443,11 +415,11 @@
         target: endpoint_registry.EndpointRecord,
     ) -> None:
         if (
-            self.state is State.ENDED
-            or self._move_state is not _MoveState.REQUESTED
+            self.state is exchange_state.State.ENDED
+            or self._move_state is not exchange_state.MoveState.REQUESTED
         ):
             return
-        self._move_state = _MoveState.NONE
+        self._move_state = exchange_state.MoveState.NONE
         if isinstance(moved, outcome.Failure):
             journal.event(
                 'move',
@@ -486,7 +458,7 @@
             self._handle_answer_body(event.data)
         elif isinstance(event, http1.AnswerEnded):
             self._handle_answer_end(event.keeps_alive)
-        elif self._move_state is _MoveState.REQUESTED:
+        elif self._move_state is exchange_state.MoveState.REQUESTED:
             self._release_endpoint(keeps_alive=False)
         else:
             self._fail_attempt('malformed answer')
@@ -498,7 +470,7 @@
         assert self._connection is not None and self._record is not None
         self._connection_end = 'closed' if is_clean else 'reset'
         self._partial_bytes = self._events.partial_bytes
-        if self._move_state is _MoveState.REQUESTED:
+        if self._move_state is exchange_state.MoveState.REQUESTED:
             # The source closes after it stopped the run, as requested. The
             # result of the move says where the run continues.
             self._release_endpoint(keeps_alive=False)
@@ -506,9 +478,8 @@
         if is_clean and self._connection.ends_answer:
             self._handle_answer_end(keeps_alive=False)
             return
-        now_s = self._owner.loop.now_s
         if not was_connected:
-            self._owner.registry.record_unreachable(self._record, now_s)
+            self._owner.handle_unreachable(self._record, self._connection)
             self._release_endpoint(keeps_alive=False)
             self._after_connect_failure()
             return
@@ -523,7 +494,7 @@
             self._record, head.announcement, self._sent_s if is_own else None
         )
         if not is_own:
-            self._answer_mode = _AnswerMode.FOREIGN
+            self._answer_mode = exchange_state.AnswerMode.FOREIGN
             journal.problem(
                 'answer',
                 outcome='foreign',
@@ -544,19 +515,19 @@
                 self._owner.loop.now_s,
             )
         if head.has_not_run:
-            self._answer_mode = _AnswerMode.REFUSAL
+            self._answer_mode = exchange_state.AnswerMode.REFUSAL
             return
         self._may_have_run = True
         is_success = 200 <= head.status < 300
         if is_success and (not head.is_signed or head.is_encoded):
             self._fail_attempt('unsigned or encoded answer')
         elif is_success and self._is_stream:
-            self._answer_mode = _AnswerMode.EVENTS
+            self._answer_mode = exchange_state.AnswerMode.EVENTS
         elif self.first_byte_s is not None:
             # An answer of another kind can't continue a stream.
             self._fail_attempt(f'status {head.status} in place of a stream')
         else:
-            self._answer_mode = _AnswerMode.BUFFERED
+            self._answer_mode = exchange_state.AnswerMode.BUFFERED
             if not self._is_stream:
                 self._report_start()
 
@@ -570,9 +541,9 @@
         return self.route.kind is configuration.RouteKind.STREAMING
 
     def _handle_answer_body(self, data: bytes) -> None:
-        if self._answer_mode is _AnswerMode.EVENTS:
+        if self._answer_mode is exchange_state.AnswerMode.EVENTS:
             self._forward_events(data)
-        elif self._answer_mode is _AnswerMode.BUFFERED:
+        elif self._answer_mode is exchange_state.AnswerMode.BUFFERED:
             self._buffered.append(data)
             self._buffered_bytes += len(data)
             if self._buffered_bytes > MAX_BUFFERED_BYTES:
@@ -581,8 +552,8 @@
             self._ignored_bytes += len(data)
             if self._ignored_bytes <= MAX_IGNORED_BYTES:
                 return
-            if self._answer_mode is _AnswerMode.REFUSAL:
-                self._answer_mode = _AnswerMode.NONE
+            if self._answer_mode is exchange_state.AnswerMode.REFUSAL:
+                self._answer_mode = exchange_state.AnswerMode.NONE
                 self._handle_refusal(keeps_alive=False)
             else:
                 self._fail_attempt('bytes without end of another answer')
@@ -603,7 +574,7 @@
             self.first_byte_s = now_s
             self.build = self._record.entry.build
             self._owner.handle_stream_begun(self)
-            self.state = State.ANSWERING
+            self.state = exchange_state.State.ANSWERING
             self._report_start()
             self._passes_framed = self._is_framed
             self._caller.begin_answer(
@@ -637,13 +608,13 @@
 
     def _handle_answer_end(self, keeps_alive: bool) -> None:
         mode = self._answer_mode
-        self._answer_mode = _AnswerMode.NONE
+        self._answer_mode = exchange_state.AnswerMode.NONE
         self._partial_bytes = self._events.partial_bytes
-        if mode is _AnswerMode.REFUSAL:
+        if mode is exchange_state.AnswerMode.REFUSAL:
             self._handle_refusal(keeps_alive)
-        elif mode is _AnswerMode.EVENTS:
+        elif mode is exchange_state.AnswerMode.EVENTS:
             self._finish_stream(keeps_alive)
-        elif mode is _AnswerMode.BUFFERED:
+        elif mode is exchange_state.AnswerMode.BUFFERED:
             self._finish_buffered(keeps_alive)
         # Otherwise it was the answer to another request. This request's own
         # answer or the end of the connection may follow.
@@ -668,7 +639,7 @@
         self._release_endpoint(keeps_alive)
         if self.first_byte_s is None:
             self._forward_answer(
-                _BufferedAnswer(self._head, b'', self._is_framed)
+                exchange_state.BufferedAnswer(self._head, b'', self._is_framed)
             )
         elif self._passes_framed and not self._is_framed:
             # The caller's last chunk would say that the stream is complete,
@@ -681,7 +652,7 @@
 
     def _finish_buffered(self, keeps_alive: bool) -> None:
         assert self._record is not None and self._head is not None
-        answer = _BufferedAnswer(
+        answer = exchange_state.BufferedAnswer(
             self._head, b''.join(self._buffered), self._is_framed
         )
         if answer.head.status >= 500:
@@ -774,7 +745,7 @@
         if not self._continues_from_copy:
             self.attempts -= 1
         if self.first_byte_s is None and not self.attempts:
-            self.state = State.WAITING
+            self.state = exchange_state.State.WAITING
         self.dispatch()
 
     @property
@@ -814,12 +785,12 @@
 
     def handle_caller_left(self) -> None:
         """Cancel the endpoint's work, as the caller closed."""
-        if self.state is not State.ENDED:
+        if self.state is not exchange_state.State.ENDED:
             self._release_endpoint(keeps_alive=False)
             self._finish('caller-left')
 
     def _time_out(self) -> None:
-        if self.state is State.ENDED:
+        if self.state is exchange_state.State.ENDED:
             return
         was_sent = self._connection is not None or self._may_have_run
         self._may_have_run = was_sent
@@ -848,7 +819,7 @@
         else:
             self._own_answer(503, failure)
 
-    def _forward_answer(self, answer: _BufferedAnswer) -> None:
+    def _forward_answer(self, answer: exchange_state.BufferedAnswer) -> None:
         head = answer.head
         self._finish(f'status {head.status}')
         self._caller.answer(
@@ -871,7 +842,7 @@
         self, verdict: str, failure: outcome.Failure | None = None
     ) -> None:
         now_s = self._owner.loop.now_s
-        self.state = State.ENDED
+        self.state = exchange_state.State.ENDED
         self._deadline_timer.cancel()
         if self._recheck_timer is not None:
             self._recheck_timer.cancel()
--- a/src/guavachute/entry/exchange_owner.py
+++ b/src/guavachute/entry/exchange_owner.py
@@ -5,8 +5,8 @@
 from guavachute.decide.ingress import crashing_parts
 from guavachute.entry import endpoint_registry
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import relay_client
 from guavachute.entry import stream_builds
-from guavachute.entry import upstream
 from guavachute import ids
 from guavachute import outcome
 from guavachute.platform import moves
@@ -21,7 +21,23 @@
 
     loop: entry_loop.Loop
     registry: endpoint_registry.EndpointRegistry
-    pool: upstream.Pool
+
+    def connect(
+        self,
+        exchange: 'exchange.Exchange',
+        record: endpoint_registry.EndpointRecord,
+    ) -> relay_client.Connection:
+        """A connection for sending the request to an endpoint.
+
+        It leads through another node if the endpoint isn't reached from here.
+        """
+
+    def handle_unreachable(
+        self,
+        record: endpoint_registry.EndpointRecord,
+        connection: relay_client.Connection,
+    ) -> None:
+        """The connection was not established, so that nothing was sent."""
 
     def handle_request_sent(
         self,
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -13,6 +13,7 @@
 from guavachute.domain import site as domain_site
 from guavachute.entry import callers
 from guavachute.entry import control_client
+from guavachute.entry import endpoint_paths
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange
 from guavachute.entry import http1
@@ -20,9 +21,10 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import part_suspects
 from guavachute.entry import peers as entry_peers
+from guavachute.entry import relay_client
+from guavachute.entry import relay_peers
 from guavachute.entry import stream_builds
 from guavachute.entry import transport
-from guavachute.entry import upstream
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
@@ -78,7 +80,7 @@
     crash endpoints, then runs an exchange, which uses it as its owner.
 
     :ivar address: where it listens, with the port that was bound
-    :ivar pool: connections to endpoints
+    :ivar paths: the ways to endpoints
     """
 
     def __init__(
@@ -91,11 +93,21 @@
         metrics: observe_metrics.Metrics,
         suspects: part_suspects.PartSuspects,
         builds: stream_builds.StreamBuilds,
+        relays: relay_peers.RelayPeers,
         on_run_started: typing.Callable[[ids.WorkspaceName], None],
     ) -> None:
         self.loop = loop
         self.registry = registry
-        self.pool = upstream.Pool(loop, registry.links)
+        self.paths = endpoint_paths.EndpointPaths(
+            loop,
+            site,
+            registry,
+            relays,
+            metrics,
+            lambda: state.limits,
+            self.handle_announcement,
+        )
+        self.paths.on_links_lost = self._abandon_silent
         self._site = site
         self._state = state
         self._peers = peers
@@ -124,7 +136,6 @@
         self.address = self._listener.address
         metrics.gauge('callers', lambda: len(self._callers))
         metrics.gauge('requests_open', lambda: len(self._exchanges))
-        metrics.gauge('endpoint_connections', lambda: self.pool.opened)
 
     # -- the callers ---------------------------------------------------
 
@@ -141,11 +152,12 @@
     @property
     def open_requests(self) -> int:
         """The number of requests that are not completely answered."""
-        return len(self._exchanges)
+        return len(self._exchanges) + self.paths.open_relays
 
     def stop(self) -> None:
         """Stop gracefully: serve requests for a while, then answer 503."""
         self._stopping_since_s = self.loop.now_s
+        self.paths.stop()
 
     def close_idle(self) -> None:
         """Close the connections that serve no request."""
@@ -157,7 +169,7 @@
         self._listener.close()
         for caller in list(self._callers):
             caller.abort()
-        self.pool.close()
+        self.paths.close()
 
     def _accept(self, connection: transport.Connection) -> None:
         self._callers.add(
@@ -278,6 +290,30 @@
         started.dispatch()
         return started
 
+    def connect(
+        self,
+        started: exchange.Exchange,
+        record: endpoint_registry.EndpointRecord,
+    ) -> relay_client.Connection:
+        """A connection for sending a request to an endpoint."""
+        return self.paths.connect(
+            record,
+            started.call.attempt_id,
+            runs_once=not started.route.can_run_again,
+        )
+
+    def handle_unreachable(
+        self,
+        record: endpoint_registry.EndpointRecord,
+        connection: relay_client.Connection,
+    ) -> None:
+        """Record a connection to an endpoint that wasn't established."""
+        self.paths.handle_unreachable(record, connection)
+
+    def _abandon_silent(self) -> None:
+        for started in list(self._exchanges):
+            started.abandon_silent()
+
     def handle_request_sent(
         self,
         started: exchange.Exchange,
@@ -611,7 +647,7 @@
 
     def expire(self) -> None:
         """Discard expired state; called about every half second."""
-        self.pool.sweep()
+        self.paths.sweep()
         self.registry.log_ended_pauses(self.loop.now_s)
         runs, silent = self._peers.table.counted_runs(quota.SILENT_AFTER_S)
         self._quotas.set_peers(quota.PeerRuns(runs, silent), self.loop.now_s)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -16,6 +16,7 @@
 from guavachute.entry import address_book
 from guavachute.entry import catch_up
 from guavachute.entry import control_client
+from guavachute.entry import death_checks
 from guavachute.entry import duty as entry_duty
 from guavachute.entry import endpoint_registry
 from guavachute.entry import ingress as entry_ingress
@@ -27,6 +28,7 @@
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import query_server
 from guavachute.entry import region_sums
+from guavachute.entry import relay_peers
 from guavachute.entry import report_watch
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import store_client
@@ -137,13 +139,19 @@
         self._sums = region_sums.ConsumptionSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
         self.registry.work_of_others = self.peers.table.work_at
-        self.registry.heard_by_others_s = self.peers.table.heard_s
+        self._relays = relay_peers.RelayPeers(
+            site, self.peers.table, lambda: loop.now_s
+        )
+        self.registry.heard_by_others_s = self._relays.heard_s
+        deaths = death_checks.DeathChecks(loop, self.registry)
+        self.registry.on_unreachable = deaths.handle_unreachable
         self.registry.limits.other_places = self.peers.table.counted_places
         self._suspects = part_suspects.PartSuspects(
             loop,
             site.node,
             self.metrics,
             self.registry,
+            deaths,
             lambda: [
                 peer.update.node
                 for peer in self.peers.table.active_peers()
@@ -175,6 +183,7 @@
             self.metrics,
             self._suspects,
             self._builds,
+            self._relays,
             self.usage.record_run,
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
@@ -264,6 +273,7 @@
         if self.duty is not None:
             self.duty.start()
         self._reports.start()
+        self.ingress.paths.start()
         self._builds.start()
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._run_housekeeping)
@@ -347,6 +357,7 @@
             region=self.site.region,
             is_ready=self.is_ready,
             last_update_s=self.loop.now_s,
+            reaches_endpoints=not self.registry.links.is_cut,
         )
 
     # -- following the store -------------------------------------------
@@ -531,6 +542,8 @@
             limits=self.registry.limits.notices(),
             builds=self._builds.records(),
             streams=self._builds.told(),
+            relay_address=self.ingress.paths.relay_address,
+            reaches_endpoints=not self.registry.links.is_cut,
         )
 
     def region_update(
@@ -576,6 +589,8 @@
             parts=self._suspects.notices(),
             limits=self.registry.limits.region_notices(),
             builds=self._builds.records(),
+            relays=self._relays.told_helpers(),
+            heard=self._relays.told_endpoints(self.registry.heard()),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
--- a/src/guavachute/entry/part_suspects.py
+++ b/src/guavachute/entry/part_suspects.py
@@ -15,6 +15,7 @@
 from guavachute.domain import call as domain_call
 from guavachute.domain import endpoints
 from guavachute.entry import control_client
+from guavachute.entry import death_checks
 from guavachute.entry import endpoint_registry
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import store_client
@@ -73,6 +74,7 @@
         node: ids.NodeId,
         metrics: observe_metrics.Metrics,
         registry: endpoint_registry.EndpointRegistry,
+        deaths: death_checks.DeathChecks,
         other_nodes: typing.Callable[[], typing.Iterable[str]],
         is_reader: typing.Callable[[], bool],
     ) -> None:
@@ -80,6 +82,7 @@
         self._node = node
         self._metrics = metrics
         self._registry = registry
+        self._deaths = deaths
         self._other_nodes = other_nodes
         self._is_reader = is_reader
         self._started_s = loop.now_s
@@ -166,15 +169,18 @@
         ) -> None:
             client.close()
             if reply is control_client.CallFailure.NOT_SENT:
-                self._confirm(crash, 'unreachable')
+                self._deaths.check(
+                    loss.record,
+                    lambda: self._confirm(crash, 'unreachable'),
+                    # It may have started again; its report tells.
+                    lambda: self._probe_again(
+                        crash, loss, 'reached by others'
+                    ),
+                )
             elif isinstance(reply, control_client.Reply):
                 self._handle_report(crash, loss, reply)
-            elif loss.probes < PROBES:
-                self._loop.call_after(
-                    PROBE_RETRY_S, lambda: self._probe(crash, loss)
-                )
             else:
-                self._finish(crash, 'no answer')
+                self._probe_again(crash, loss, 'no answer')
 
         client.call(
             b'GET',
@@ -183,6 +189,16 @@
             PROBE_TIMEOUT_S,
         )
 
+    def _probe_again(
+        self, crash: ids.CrashId, loss: _Loss, reason: str
+    ) -> None:
+        if loss.probes < PROBES:
+            self._loop.call_after(
+                PROBE_RETRY_S, lambda: self._probe(crash, loss)
+            )
+        else:
+            self._finish(crash, reason)
+
     def _handle_report(
         self, crash: ids.CrashId, loss: _Loss, reply: control_client.Reply
     ) -> None:
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -408,17 +408,6 @@
         """The work of all other nodes at an endpoint."""
         return self._work.get(endpoint, _NO_WORK)
 
-    def heard_s(self, endpoint: ids.EndpointId) -> float:
-        """When another node last heard an endpoint, by its update."""
-        return max(
-            (
-                peer.heard_s(endpoint)
-                for peer in self._peers.values()
-                if endpoint in peer.counted_work
-            ),
-            default=endpoint_links.NEVER_S,
-        )
-
     def candidates(self) -> list[addresses.Candidate]:
         """The other nodes, as addresses to choose from for a caller."""
         extra_age_s = self.extra_age_s
@@ -429,6 +418,7 @@
                 region=ids.Region(peer.update.region),
                 is_ready=peer.update.is_ready,
                 last_update_s=peer.last_update_s + extra_age_s,
+                reaches_endpoints=peer.update.reaches_endpoints,
             )
             for peer in self._peers.values()
             if peer.update is not None
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -57,7 +57,8 @@
         self._pool = pool
         self._reader = http1.AnswerReader()
         self._listener: Listener | None = None
-        self._opened_s = loop.now_s
+        self._opened_s = self._sent_s = loop.now_s
+        self._received_s = endpoint_links.NEVER_S
         self._timer: entry_loop.Timer | None = None
         self.idle_timeout_s: float | None = None
         self.idle_since_s = loop.now_s
@@ -75,6 +76,12 @@
         """Whether it has been established, so that requests are sent."""
         return self._transport is not None and self._transport.is_connected
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether its request waits, and nothing was received for long."""
+        last_s = max(self._sent_s, self._received_s)
+        return self._loop.now_s - last_s >= endpoint_links.SILENT_S
+
     @property
     def has_sent_all(self) -> bool:
         """Whether the request has been completely sent."""
@@ -88,6 +95,8 @@
     def send_request(self, request: bytes, listener: Listener) -> None:
         """Send *request*; *listener* gets the answer."""
         self._listener = listener
+        self._sent_s = self._loop.now_s
+        self._pool.links.record_sent(self.address, self._sent_s)
         if self._transport is None:
             self._loop.call_after(0, self._fail_connecting)
             return
@@ -131,7 +140,8 @@
         Bytes outside of any request belong to no answer, and close the
         connection.
         """
-        self._pool.links.record_heard(self.address, self._loop.now_s)
+        self._received_s = self._loop.now_s
+        self._pool.links.record_heard(self.address, self._received_s)
         if self._listener is None:
             self._pool.discard(self)
             self.close()
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -208,6 +208,13 @@
     )
 
 
+def end_to_end_headers(
+    headers: typing.Sequence[call.Header],
+) -> list[call.Header]:
+    """The headers that don't concern just one connection."""
+    return [item for item in headers if item[0].lower() not in _HOP_BY_HOP]
+
+
 def own_answer_headers(
     attempt_id: ids.AttemptId | None, retry_after_s: float | None
 ) -> list[call.Header]:
--- a/src/guavachute/platform/settings.py
+++ b/src/guavachute/platform/settings.py
@@ -16,6 +16,9 @@
 METRICS_PORT_OFFSET = 1
 """Offset of the metrics' port from the first internal port."""
 
+RELAY_PORT_OFFSET = 2
+"""Offset of the port for requests of other nodes that are passed on."""
+
 Address = typing.Annotated[
     str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
 ]
@@ -147,6 +150,7 @@
             directory=_address(fields.listen.directory),
             peers_port=fields.internal_ports[0],
             metrics_port=fields.internal_ports[0] + METRICS_PORT_OFFSET,
+            relay_port=fields.internal_ports[0] + RELAY_PORT_OFFSET,
         ),
         store=site.StoreLimits(
             address=ids.Address(fields.platform.address),
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -107,6 +107,10 @@
     :ivar parts: as in :class:`NodeUpdate`
     :ivar limits: as in :class:`NodeUpdate`, of the region's endpoints
     :ivar builds: as in :class:`NodeUpdate`
+    :ivar relays: node, address and failure domain of some nodes that pass
+        requests on to endpoints
+    :ivar heard: how long ago the region's nodes heard endpoints, in tenths of
+        a second; those heard lately
     """
 
     region: str
@@ -126,6 +130,8 @@
     parts: list[PartNotice] = []
     limits: list[LimitNotice] = []
     builds: list[BuildsNotice] = []
+    relays: list[tuple[str, str, str]] = []
+    heard: dict[ids.EndpointId, int] = {}
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -166,6 +172,9 @@
     :ivar builds: the builds of services on record, as the node knows them
     :ivar streams: streams that callers may take up, by the build of the
         endpoint that began them
+    :ivar relay_address: where it accepts requests of other nodes, to pass them
+        on to endpoints; empty if it doesn't
+    :ivar reaches_endpoints: False if it is cut off from all endpoints
     """
 
     node: str
@@ -194,6 +203,8 @@
     limits: list[LimitNotice] = []
     builds: list[BuildsNotice] = []
     streams: dict[ids.BuildName, list[ids.StreamKey]] = {}
+    relay_address: str = ''
+    reaches_endpoints: bool = True
 
 
 Update = NodeUpdate | RegionUpdate
--- a/tests/nocover/test_listen_ports.py
+++ b/tests/nocover/test_listen_ports.py
@@ -53,7 +53,13 @@
         taken.listen()
         address = f'{IP}:{taken.getsockname()[1]}'
         peers_port = self.enterContext(
-            ports.reserved(IP, also=(settings.METRICS_PORT_OFFSET,))
+            ports.reserved(
+                IP,
+                also=(
+                    settings.METRICS_PORT_OFFSET,
+                    settings.RELAY_PORT_OFFSET,
+                ),
+            )
         )
         callers = self.enterContext(ports.reserved(IP))
         readiness = self.enterContext(ports.reserved(IP))
@@ -74,6 +80,7 @@
                         directory=None,
                         peers_port=peers_port,
                         metrics_port=0,
+                        relay_port=0,
                     ),
                 )
                 ended = self.run_program(wanted)
--- a/tests/nocover/test_soak.py
+++ b/tests/nocover/test_soak.py
@@ -267,7 +267,13 @@
             site.store.address,
             None,
             self.enterContext(
-                ports.reserved(ip, also=(settings.METRICS_PORT_OFFSET,))
+                ports.reserved(
+                    ip,
+                    also=(
+                        settings.METRICS_PORT_OFFSET,
+                        settings.RELAY_PORT_OFFSET,
+                    ),
+                )
             ),
         )
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -369,6 +369,7 @@
             directory=None,
             peers_port=peers_port,
             metrics_port=0,
+            relay_port=0,
         ),
         'store': domain_site.StoreLimits(store, 400, 2_000, 262_144),
         'cloud': None
