Test the link to a single endpoint that falls silent here only

A link is now tested once requests wait at an endpoint which others hear. Three tests cut a node off from a service or from four of six endpoints.

--- a/src/guavachute/decide/ingress/endpoint_links.py
+++ b/src/guavachute/decide/ingress/endpoint_links.py
@@ -28,9 +28,10 @@
 lossy links let single ones through."""
 
 SILENT_S = 0.7
-"""If no endpoint was heard for this long although requests wait for answers,
-the links are tested with new connections. Endpoints send events and answers
-much more often, and a sound one may fall silent for a second."""
+"""If requests wait at an endpoint, and nothing was heard from it for this long
+although another node heard it, or nothing from any endpoint, the link is
+tested with a new connection. A sound endpoint may fall silent for a second,
+but others don't hear it then either."""
 
 
 class LinkState(enum.Enum):
@@ -57,6 +58,18 @@
     failed_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    """Requests at one address.
+
+    :ivar since_s: since when nothing was heard from it while they wait
+    :ivar requests: how many have not ended
+    """
+
+    since_s: float
+    requests: int
+
+
 class EndpointLinks:
     """The contacts of this node with the addresses of endpoints.
 
@@ -66,7 +79,7 @@
     def __init__(self) -> None:
         self.state = LinkState.OPEN
         self._heard_s: dict[ids.Address, float] = {}
-        self._waits_since_s: dict[ids.Address, float] = {}
+        self._waiting: dict[ids.Address, _Waiting] = {}
         self._failing: dict[ids.Address, _Failing] = {}
         self._any_heard_s = NEVER_S
         self._contacts_since_cut = 0
@@ -78,12 +91,24 @@
 
     def record_sent(self, address: ids.Address, now_s: float) -> None:
         """Record a request that is sent to an endpoint."""
-        self._waits_since_s.setdefault(address, now_s)
+        waiting = self._waiting.setdefault(address, _Waiting(now_s, 0))
+        waiting.requests += 1
+
+    def record_ended(self, address: ids.Address) -> None:
+        """Record the end of a request that was sent to an endpoint."""
+        waiting = self._waiting.get(address)
+        if waiting is not None:
+            waiting.requests -= 1
+            if waiting.requests <= 0:
+                del self._waiting[address]
 
     def record_heard(self, address: ids.Address, now_s: float) -> None:
         """Record bytes from an endpoint."""
         self._heard_s[address] = self._any_heard_s = now_s
-        self._waits_since_s.pop(address, None)
+        waiting = self._waiting.get(address)
+        if waiting is not None:
+            # Those that are still open wait for more.
+            waiting.since_s = now_s
         if self._failing:
             self._failing.pop(address, None)
 
@@ -111,14 +136,20 @@
         """Where contacts fail, and nothing was heard since."""
         return list(self._failing)
 
-    def silent(self, now_s: float) -> list[ids.Address]:
-        """Where requests wait for answers while no endpoint is heard."""
-        if now_s - self._any_heard_s < SILENT_S:
-            return []
+    def silent(
+        self, heard_by_others_s: HeardByOthers, now_s: float
+    ) -> list[ids.Address]:
+        """Where requests wait for answers, and the link may be at fault."""
+        hears_nothing = now_s - self._any_heard_s >= SILENT_S
         return [
             address
-            for address, since_s in self._waits_since_s.items()
-            if now_s - since_s >= SILENT_S
+            for address, waiting in self._waiting.items()
+            if now_s - waiting.since_s >= SILENT_S
+            and (
+                hears_nothing
+                or heard_by_others_s(address)
+                > waiting.since_s + PROOF_MARGIN_S
+            )
         ]
 
     def assess(self, heard_by_others_s: HeardByOthers) -> LinkState:
@@ -152,9 +183,9 @@
 
     def discard(self, existing: typing.Container[ids.Address]) -> None:
         """Forget all addresses but *existing* ones."""
-        known = {*self._heard_s, *self._waits_since_s, *self._failing}
+        known = {*self._heard_s, *self._waiting, *self._failing}
         for address in known:
             if address not in existing:
                 self._heard_s.pop(address, None)
-                self._waits_since_s.pop(address, None)
+                self._waiting.pop(address, None)
                 self._failing.pop(address, None)
--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -25,7 +25,7 @@
     :param caller_limits: gives the limits on the requests of callers
     :param on_announcement: called with what an endpoint says in an answer to
         another node's request
-    :ivar on_links_lost: called when this node turns out to be cut off
+    :ivar on_links_lost: called when links to endpoints turn out to be broken
     """
 
     def __init__(
@@ -56,7 +56,11 @@
             on_announcement,
         )
         self._watch = link_watch.LinkWatch(
-            loop, registry, metrics, self._handle_links_changed
+            loop,
+            registry,
+            metrics,
+            self._handle_links_changed,
+            self._handle_link_lost,
         )
         metrics.gauge('endpoint_connections', lambda: self._pool.opened)
         metrics.gauge('relays_open', lambda: self._server.open_requests)
@@ -128,3 +132,10 @@
         # Idle connections may be dead without a packet that shows it.
         self._pool.close()
         self.on_links_lost()
+
+    def _handle_link_lost(self, address: ids.Address) -> None:
+        """Leave endpoints alone that could not be reached to test the link."""
+        if not self._registry.links.is_cut:
+            for record in self._registry.records_at(address):
+                self._registry.record_unreachable(record, self._loop.now_s)
+            self.on_links_lost()
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -330,17 +330,19 @@
         """When another node last heard the endpoint at an address."""
         return max(
             (
-                self.heard_by_others_s(endpoint)
-                for endpoint in self._ids_at(address)
+                self.heard_by_others_s(record.entry.id)
+                for record in self.records_at(address)
             ),
             default=endpoint_links.NEVER_S,
         )
 
-    def _ids_at(self, address: ids.Address) -> list[ids.EndpointId]:
+    def records_at(self, address: ids.Address) -> list[EndpointRecord]:
+        """The endpoints in the table that have an address."""
         return [
-            item.id
-            for item in self._table.entries.values()
-            if item.address == address
+            item
+            for item in self._records.values()
+            if item.entry.address == address
+            and item.entry.id in self._table.entries
         ]
 
     def heard(self) -> dict[ids.EndpointId, float]:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -356,6 +356,10 @@
             self.route.can_run_again
             and isinstance(self._connection, upstream.Connection)
             and self._connection.is_silent
+            and self._record is not None
+            and not self._owner.registry.is_direct(
+                self._record, self._owner.loop.now_s
+            )
         ):
             self._connection_end = 'silent'
             self._fail_attempt('the link to the endpoint is cut')
--- a/src/guavachute/entry/link_watch.py
+++ b/src/guavachute/entry/link_watch.py
@@ -28,6 +28,7 @@
     wait and no endpoint is heard, and while the node is cut off.
 
     :param on_changed: called when the links are lost or regained
+    :param on_link_lost: called with an address that was not reached
     """
 
     def __init__(
@@ -36,11 +37,13 @@
         registry: endpoint_registry.EndpointRegistry,
         metrics: observe_metrics.Metrics,
         on_changed: typing.Callable[[endpoint_links.LinkState], None],
+        on_link_lost: typing.Callable[[ids.Address], None],
     ) -> None:
         self._loop = loop
         self._registry = registry
         self._metrics = metrics
         self._on_changed = on_changed
+        self._on_link_lost = on_link_lost
         self._probes: dict[ids.Address, _Probe] = {}
         self._turns = itertools.count()
         self._cut_since_s = 0.0
@@ -66,9 +69,12 @@
         if state is endpoint_links.LinkState.CUT:
             self._probe(self._registry.addresses())
         else:
-            silent = links.silent(now_s)
+            silent = links.silent(self._registry.heard_at_by_others_s, now_s)
+            if len(silent) == 1:
+                # A second link tells whether just the first one is at fault.
+                silent += self._registry.addresses()
             if silent:
-                self._probe([*silent, *self._registry.addresses()])
+                self._probe(silent)
 
     def _handle_change(
         self, state: endpoint_links.LinkState, now_s: float
@@ -105,6 +111,7 @@
             self._registry.links.record_established(address, now_s)
         else:
             self._registry.links.record_failure(address, started_s, now_s)
+            self._on_link_lost(address)
 
 
 class _Probe:
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -58,6 +58,7 @@
         self._reader = http1.AnswerReader()
         self._listener: Listener | None = None
         self._opened_s = self._sent_s = loop.now_s
+        self._is_in_use = False
         self._received_s = endpoint_links.NEVER_S
         self._timer: entry_loop.Timer | None = None
         self.idle_timeout_s: float | None = None
@@ -97,6 +98,7 @@
         self._listener = listener
         self._sent_s = self._loop.now_s
         self._pool.links.record_sent(self.address, self._sent_s)
+        self._is_in_use = True
         if self._transport is None:
             self._loop.call_after(0, self._fail_connecting)
             return
@@ -119,6 +121,7 @@
     def release(self, keeps_alive: bool) -> None:
         """End the use by a request; return to the pool if still usable."""
         self._listener = None
+        self._record_ended()
         if keeps_alive and self.is_usable and self.has_sent_all:
             self.resume()
             self.idle_since_s = self._loop.now_s
@@ -129,6 +132,7 @@
     def close(self) -> None:
         """Close, which cancels a running request."""
         self._listener = None
+        self._record_ended()
         if self._timer is not None:
             self._timer.cancel()
         if self._transport is not None:
@@ -175,7 +179,13 @@
             self._transport.close()
             self._end(False, False)
 
+    def _record_ended(self) -> None:
+        if self._is_in_use:
+            self._is_in_use = False
+            self._pool.links.record_ended(self.address)
+
     def _end(self, is_clean: bool, was_connected: bool) -> None:
+        self._record_ended()
         if self._timer is not None:
             self._timer.cancel()
         if not is_clean:
--- a/tests/cover/test_cut_links.py
+++ b/tests/cover/test_cut_links.py
@@ -164,6 +164,29 @@
     def test_most_nodes_are_cut_off_and_serve(self) -> None:
         self.check_cut(2, Mode.RESET)
 
+    def test_a_node_whose_links_to_one_service_hang_serves_it(self) -> None:
+        self.check_partial_cut(Mode.HANG, range(0, 6, 2))
+
+    def test_a_node_that_lost_one_service_serves_it(self) -> None:
+        self.check_partial_cut(Mode.RESET, range(0, 6, 2))
+
+    def test_a_node_that_lost_some_of_the_endpoints_serves(self) -> None:
+        self.check_partial_cut(Mode.HANG, range(4))
+
+    def check_partial_cut(
+        self, mode: Mode, engines: typing.Iterable[int]
+    ) -> None:
+        """Cut a node off from some endpoints, and check whom it serves."""
+        nodes = self.start_nodes(3)
+        cut_s = self.site.loop.now_s
+        self.site.links.cut(
+            nodes[0].loop,
+            mode,
+            [self.site.engines[number].address for number in engines],
+        )
+        self.run_for(CONTACT_S + 3.5)
+        self.check_served(nodes[:1], cut_s + CONTACT_S)
+
     def test_a_node_serves_by_itself_when_its_links_are_back(self) -> None:
         nodes = self.start_nodes(3)
         self.cut(nodes[:1], Mode.RESET)
--- a/tests/cover/test_link_decisions.py
+++ b/tests/cover/test_link_decisions.py
@@ -89,13 +89,25 @@
             self.links.record_heard(A, 12.0 + number)
         self.assertIs(CUT, self.state())
 
+    def silent(self, now_s: float) -> list[ids.Address]:
+        return self.links.silent(self.heard_by_others.__getitem__, now_s)
+
     def test_silence_counts_only_while_requests_wait(self) -> None:
-        self.assertEqual([], self.links.silent(60.0))
+        self.assertEqual([], self.silent(60.0))
+        self.links.record_sent(A, 60.0)
+        self.assertEqual([], self.silent(60.5))
+        self.assertEqual([A], self.silent(61.0))
+        self.links.record_ended(A)
+        self.assertEqual([], self.silent(61.0))
+
+    def test_one_silent_endpoint_counts_if_others_hear_it(self) -> None:
         self.links.record_sent(A, 60.0)
-        self.assertEqual([], self.links.silent(60.5))
-        self.assertEqual([A], self.links.silent(61.0))
-        self.links.record_heard(B, 61.0)
-        self.assertEqual([], self.links.silent(61.5))
+        self.links.record_heard(B, 60.9)
+        self.assertEqual([], self.silent(61.0))
+        self.heard_by_others[A] = 60.5
+        self.assertEqual([A], self.silent(61.0))
+        self.links.record_heard(A, 61.0)
+        self.assertEqual([], self.silent(61.5))
 
     def test_addresses_that_are_gone_are_forgotten(self) -> None:
         self.lose(A, B)
--- a/tests/support/cut_links.py
+++ b/tests/support/cut_links.py
@@ -54,6 +54,7 @@
         self._is_endpoint = is_endpoint
         self._modes: dict[int, Mode] = {}
         self._connections: dict[int, weakref.WeakSet[_LinkConnection]] = {}
+        self._addresses: dict[int, typing.Collection[ids.Address] | None] = {}
         self._stack = contextlib.ExitStack()
         self._nowhere: ids.Address | None = None
 
@@ -68,10 +69,21 @@
         self._connections[id(loop)] = weakref.WeakSet()
         return loop
 
-    def cut(self, loop: entry_loop.Loop, mode: Mode) -> None:
-        """Cut, or open again, all links of the node of *loop*."""
+    def cut(
+        self,
+        loop: entry_loop.Loop,
+        mode: Mode,
+        addresses: typing.Collection[ids.Address] | None = None,
+    ) -> None:
+        """Cut, or open again, links of the node of *loop*.
+
+        :param addresses: the endpoints that are affected; None for all
+        """
         self._modes[id(loop)] = mode
+        self._addresses[id(loop)] = addresses
         for connection in list(self._connections[id(loop)]):
+            if addresses is not None and connection.address not in addresses:
+                continue
             if mode is Mode.RESET:
                 connection.break_link()
             else:
@@ -84,6 +96,9 @@
         mode = self._modes.get(id(loop))
         if mode is None or not self._is_endpoint(address):
             return _connect(loop, address)
+        affected = self._addresses.get(id(loop))
+        if affected is not None and address not in affected:
+            mode = Mode.OPEN
         if mode is Mode.HANG:
             return _connect(loop, self._silent_address())
         if mode is not Mode.OPEN:
@@ -92,7 +107,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.connect_ex((host, int(port)))
-        connection = _LinkConnection(loop, sock, is_open=False)
+        connection = _LinkConnection(loop, sock, address)
         self._connections[id(loop)].add(connection)
         return connection
 
@@ -126,10 +141,14 @@
     """A connection over a link that can be cut."""
 
     def __init__(
-        self, loop: entry_loop.Loop, sock: socket.socket, is_open: bool
+        self,
+        loop: entry_loop.Loop,
+        sock: socket.socket,
+        address: ids.Address,
     ) -> None:
+        self.address = address
         self._held: list[bytes] | None = None
-        super().__init__(loop, sock, is_open)
+        super().__init__(loop, sock, is_open=False)
 
     def hold(self, is_held: bool) -> None:
         """Hold all bytes up, or let them pass from now on."""
