Keep a pause of an endpoint that answers only through other nodes

A success over a hop ended the pause of the endpoint's own link, so that the next request hung for half a second again; connections that failed together counted as many failures and made the pause longer; and requests that waited for a connection to the same endpoint waited on. The test of growing pauses now lets each pause end first, and asks for growth strictly.

--- a/src/guavachute/decide/ingress/endpoint_health.py
+++ b/src/guavachute/decide/ingress/endpoint_health.py
@@ -58,10 +58,14 @@
         default_factory=lambda: decay.DecayingSum(HALF_LIFE_S, 0.0)
     )
 
-    def record_success(self, now_s: float) -> None:
-        """Record a complete answer; ends a pause."""
-        self.consecutive_unreachable = 0
-        self.paused_until_s = 0.0
+    def record_success(self, now_s: float, is_direct: bool = True) -> None:
+        """Record a complete answer.
+
+        :param is_direct: whether it came from the endpoint itself, which ends
+            a pause; through another node it shows nothing of the link
+        """
+        if is_direct:
+            self.end_pause()
         self._answered.add(1.0, now_s)
 
     def record_failure(self, now_s: float) -> None:
@@ -72,8 +76,13 @@
     def record_unreachable(self, now_s: float, fraction: float) -> None:
         """Record a failed or silent connection; starts a pause.
 
+        Those that were begun before a pause and fail in it don't make it
+        longer.
+
         :param fraction: random, 0 to 1; spreads the nodes' next attempts
         """
+        if self.is_paused(now_s):
+            return
         self.consecutive_unreachable += 1
         self.paused_until_s = now_s + backoff.delay_s(
             PAUSE_POLICY, self.consecutive_unreachable, fraction
--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -26,6 +26,7 @@
     :param on_announcement: called with what an endpoint says in an answer to
         another node's request
     :ivar on_links_lost: called when links to endpoints turn out to be broken
+    :ivar on_unreachable: called with an endpoint that was not reached
     """
 
     def __init__(
@@ -42,6 +43,9 @@
         self._registry = registry
         self._metrics = metrics
         self.on_links_lost: typing.Callable[[], None] = lambda: None
+        self.on_unreachable: typing.Callable[
+            [endpoint_registry.EndpointRecord], None
+        ] = lambda record: None
         self._pool = upstream.Pool(loop, registry.links)
         self._client = relay_client.RelayClient(loop, peers)
         registry.has_helper = lambda record: (
@@ -123,6 +127,7 @@
         """Record a connection of :meth:`connect` that wasn't established."""
         if isinstance(connection, upstream.Connection):
             self._registry.record_unreachable(record, self._loop.now_s)
+            self.on_unreachable(record)
 
     def _handle_links_changed(self, state: endpoint_links.LinkState) -> None:
         if state is endpoint_links.LinkState.OPEN:
@@ -138,4 +143,5 @@
         if not self._registry.links.is_cut:
             for record in self._registry.records_at(address):
                 self._registry.record_unreachable(record, self._loop.now_s)
+                self.on_unreachable(record)
             self.on_links_lost()
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -483,8 +483,9 @@
             self._handle_answer_end(keeps_alive=False)
             return
         if not was_connected:
-            self._owner.handle_unreachable(self._record, self._connection)
+            connection = self._connection
             self._release_endpoint(keeps_alive=False)
+            self._owner.handle_unreachable(self._record, connection)
             self._after_connect_failure()
             return
         self._owner.handle_attempt_lost(self, self._record)
@@ -597,6 +598,13 @@
             self.is_proven = True
             self._owner.handle_answer_proven(self)
 
+    def _record_success(self) -> None:
+        assert self._record is not None
+        self._record.health.record_success(
+            self._owner.loop.now_s,
+            is_direct=isinstance(self._connection, upstream.Connection),
+        )
+
     def _record_first_token(self, now_s: float) -> None:
         """Record that the endpoint has processed the whole prompt."""
         if self._pending_tokens and self._record is not None:
@@ -639,7 +647,7 @@
             return
         if self._is_framed:
             self._record_proof()
-        self._record.health.record_success(self._owner.loop.now_s)
+        self._record_success()
         self._release_endpoint(keeps_alive)
         if self.first_byte_s is None:
             self._forward_answer(
@@ -667,7 +675,7 @@
             return
         if answer.is_framed:
             self._record_proof()
-        self._record.health.record_success(self._owner.loop.now_s)
+        self._record_success()
         self._release_endpoint(keeps_alive)
         self._forward_answer(answer)
 
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -108,6 +108,7 @@
             self.handle_announcement,
         )
         self.paths.on_links_lost = self._abandon_silent
+        self.paths.on_unreachable = self._withdraw_from
         self._site = site
         self._state = state
         self._peers = peers
@@ -490,6 +491,10 @@
         ):
             return
         self._metrics.add('endpoint_pauses')
+        self._withdraw_from(record)
+
+    def _withdraw_from(self, record: endpoint_registry.EndpointRecord) -> None:
+        """Send requests elsewhere that wait for a connection to it."""
         for started in list(self._exchanges):
             started.withdraw(record)
 
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -381,13 +381,28 @@
     def test_pauses_grow_and_end_with_a_success(self) -> None:
         health = endpoint_health.EndpointHealth()
         pauses = []
+        now_s = 0.0
         for _ in range(4):
-            health.record_unreachable(0.0, 1.0)
-            pauses.append(health.paused_until_s)
+            health.record_unreachable(now_s, 1.0)
+            pauses.append(health.paused_until_s - now_s)
+            now_s = health.paused_until_s
         self.assertEqual(sorted(pauses), pauses)
-        self.assertTrue(health.is_paused(0.1))
-        health.record_success(0.1)
-        self.assertFalse(health.is_paused(0.1))
+        self.assertLess(pauses[0], pauses[-1])
+        health.record_unreachable(now_s, 1.0)
+        self.assertTrue(health.is_paused(now_s + 0.1))
+        health.record_success(now_s + 0.1, is_direct=False)
+        self.assertTrue(health.is_paused(now_s + 0.1))
+        health.record_success(now_s + 0.1)
+        self.assertFalse(health.is_paused(now_s + 0.1))
+
+    def test_connections_that_fail_together_are_one_failure(self) -> None:
+        health = endpoint_health.EndpointHealth()
+        health.record_unreachable(0.0, 1.0)
+        paused_until_s = health.paused_until_s
+        for _ in range(5):
+            health.record_unreachable(0.01, 1.0)
+        self.assertEqual(paused_until_s, health.paused_until_s)
+        self.assertEqual(1, health.consecutive_unreachable)
 
     def test_one_that_fails_every_other_request_is_doubtful(self) -> None:
         health = endpoint_health.EndpointHealth()
