Cut nodes of the soak off from all endpoints

The processes run with links to endpoints that a file cuts: connections hang, are reset, or live on while new ones are refused. One to half of the nodes are cut off once amid the other faults, and again through the phase without faults, where the platform's bound for cut off nodes is checked beside the old ones. The schedule of the other faults of a seed stays.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -13,6 +13,13 @@
 """In each window an endpoint may get this share of the limit that it names,
 and a few requests more, from all nodes together."""
 
+MIN_CUT_SHARE = 2 / 3
+MAX_CUT_FAILED = 10
+MAX_CUT_FAILED_SHARE = 1 / 50
+"""Nodes that are cut off from all endpoints may serve this share of what the
+others do, or fail so many requests and this share of all. Each of the two is
+enough."""
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses which guarantee that the request has not run and never will."""
 
@@ -374,3 +381,29 @@
                 f'know version {version} after version {newest}'
             )
     return found
+
+
+def cut_violations(
+    attempts: typing.Sequence[Attempt], cut: typing.Container[str]
+) -> list[str]:
+    """Check that nodes which reach no endpoint serve about as the others do.
+
+    :param attempts: those that were sent from four seconds after the cut on
+    :param cut: the runs of nodes that are cut off
+    """
+    ended = [item for item in attempts if item.ended_s and not item.begun_as]
+    at_cut = [item for item in ended if item.incarnation in cut]
+    others = [item for item in ended if item.incarnation not in cut]
+    served = sum(item.status == 200 for item in at_cut)
+    served_by_others = sum(item.status == 200 for item in others)
+    failed = len(at_cut) - served
+    is_rare = served * len(others) < (
+        MIN_CUT_SHARE * served_by_others * len(at_cut)
+    )
+    if is_rare and failed > MAX_CUT_FAILED + MAX_CUT_FAILED_SHARE * len(ended):
+        return [
+            f'nodes without links to endpoints served {served} of '
+            f'{len(at_cut)} requests, the others {served_by_others} of '
+            f'{len(others)}'
+        ]
+    return []
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -19,6 +19,7 @@
 from soak import guarantees
 from soak import programs
 from soak import proxy
+from tests.support import cut_links
 from tests.support import looping
 from tests.support import platform_site
 from tests.support import ports
@@ -85,6 +86,7 @@
         self.rng = random.Random(seed)
         # The schedule of the other faults of a seed stays as it was.
         self._limit_rng = random.Random(f'limits of {seed}')
+        self._cut_rng = random.Random(f'cuts of {seed}')
         self._ports = contextlib.ExitStack()
         self.site = platform_site.PlatformSite()
         self.loop = self.site.loop
@@ -186,7 +188,7 @@
         engine.build = build
         engine.on_restarted = lambda: self._register(engine)
         link = proxy.Proxy(
-            self.loop, ids.Address(engine.address), f'{self._host}.1.1'
+            self.loop, ids.Address(engine.address), self._endpoints_host
         )
         self.engine_links.append(link)
         self._register(engine)
@@ -237,7 +239,13 @@
                     relay_port=0,
                 ),
             )
-            self.programs.append(programs.Program(site, folder, variant))
+            self.programs.append(
+                programs.Program(site, folder, variant, self._endpoints_host)
+            )
+
+    @property
+    def _endpoints_host(self) -> str:
+        return f'{self._host}.1.2'
 
     # -- the phases ----------------------------------------------------
 
@@ -254,7 +262,11 @@
         self.loop.call_after(
             self._limit_rng.uniform(0.0, FAULT_PHASE_S / 2), self._name_limit
         )
+        self.loop.call_after(
+            self._cut_rng.uniform(0.0, FAULT_PHASE_S / 2), self._cut_nodes
+        )
         looping.run_for(self.loop, FAULT_PHASE_S)
+        self._open_links()
         self.faults.end()
         for program in self.programs:
             if not program.is_running:
@@ -263,10 +275,16 @@
         if sum(engine.crashes for engine in self.engines) < CRASHES_TO_KNOW:
             self._end_bad_part()
         limited = self._name_limit()
+        cut = self._cut_nodes()
         looping.run_for(self.loop, RECOVERY_S)
         before = self._bad_runs()
         start_s = self.loop.now_s
         failures += self._check_service()
+        failures += guarantees.cut_violations(
+            [item for item in self.attempts if item.sent_s >= start_s],
+            {program.incarnation for program in cut},
+        )
+        self._open_links()
         failures += guarantees.limit_violations(
             limited.name,
             float(limited.limit or 'nan'),
@@ -303,6 +321,24 @@
         limited.limit = f'{self._limit_rng.uniform(*LIMIT_RANGE_PER_S):.1f}'
         return limited
 
+    def _cut_nodes(self) -> list[programs.Program]:
+        """Cut one to half of the nodes off from all endpoints."""
+        count = self._cut_rng.randint(1, len(self.programs) // 2)
+        cut = self._cut_rng.sample(self.programs, count)
+        mode = self._cut_rng.choice(list(cut_links.Mode)[1:])
+        self.faults.log.append(
+            f'{self.loop.now_s:.3f} links to endpoints {mode.value}: '
+            + ' '.join(program.site.node for program in cut)
+        )
+        for program in cut:
+            program.cut_links(mode)
+        return cut
+
+    def _open_links(self) -> None:
+        self.faults.log.append(f'{self.loop.now_s:.3f} links open')
+        for program in self.programs:
+            program.cut_links(cut_links.Mode.OPEN)
+
     def _end_bad_part(self) -> None:
         """Send no more requests with the part that crashes engines."""
         self.sends_bad_part = False
--- a/tests/support/cut_links.py
+++ b/tests/support/cut_links.py
@@ -46,11 +46,8 @@
     """
 
     def __init__(
-        self,
-        loop: entry_loop.Loop,
-        is_endpoint: typing.Callable[[ids.Address], bool],
+        self, is_endpoint: typing.Callable[[ids.Address], bool]
     ) -> None:
-        self._loop = loop
         self._is_endpoint = is_endpoint
         self._modes: dict[int, Mode] = {}
         self._connections: dict[int, weakref.WeakSet[_LinkConnection]] = {}
@@ -62,12 +59,16 @@
         """Close the sockets that stand for unreachable addresses."""
         self._stack.close()
 
-    def node_loop(self) -> NodeLoop:
-        """A loop for one more node."""
-        loop = NodeLoop(self._loop)
+    def node_loop(self, loop: entry_loop.Loop) -> NodeLoop:
+        """*loop* for one more node that shares it."""
+        own = NodeLoop(loop)
+        self.adopt(own)
+        return own
+
+    def adopt(self, loop: entry_loop.Loop) -> None:
+        """Have the links of the node of *loop* cut from now on, if asked."""
         self._modes[id(loop)] = Mode.OPEN
         self._connections[id(loop)] = weakref.WeakSet()
-        return loop
 
     def cut(
         self,
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -150,7 +150,7 @@
         self.engines: list[standin_engine.Engine] = []
         self._numbers = itertools.count(1)
         self._stack = contextlib.ExitStack()
-        self.links = cut_links.CutLinks(self.loop, self._is_endpoint)
+        self.links = cut_links.CutLinks(self._is_endpoint)
         self._stack.callback(self.links.close)
         self._stack.enter_context(
             mock.patch.object(transport, 'connect', self.links.connect)
@@ -198,7 +198,7 @@
             self._stack.enter_context(ports.reserved(ip)),
             **changes,
         )
-        node = entry_node.Node(self.links.node_loop(), site)
+        node = entry_node.Node(self.links.node_loop(self.loop), site)
         self._stack.callback(node.close)
         self.nodes.append(node)
         node.start()
