Ask further nodes when one can't send a request on

A refusal now counts for that node and endpoint only, and up to three nodes are asked in turn, unseen by the request.

--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -50,10 +50,6 @@
 
 MAX_LOGGED_AGE_S = 99.0
 
-RELAY_PAUSE_S = 0.5
-"""After another node could not send a request to an endpoint either, none is
-sent there through other nodes for this long."""
-
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -95,8 +91,6 @@
     :ivar reported_requests: the running and waiting requests in the endpoint's
         latest report
     :ivar reported_at_s: loop time of that report
-    :ivar relay_paused_until_s: until then no other node is asked to pass
-        requests on to it
     :ivar cached: ids of prompt parts that the engine should have in its cache,
         the most recently used last
     """
@@ -113,7 +107,6 @@
     has_announced_end: bool = False
     is_in_doubt: bool = False
     is_gone: bool = False
-    relay_paused_until_s: float = float('-inf')
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -302,9 +295,9 @@
             if self.is_direct(item, now_s)
             or (
                 (self.links.is_cut or self.is_reached_by_others(item))
-                and self._has_way(item, now_s)
+                and self.has_helper(item)
             )
-        ] or [item for item in accepting if self._has_way(item, now_s)]
+        ] or [item for item in accepting if self.has_helper(item)]
         known = [
             item
             for item in found
@@ -323,9 +316,6 @@
             lambda address: self.heard_by_others_s(record.entry.id),
         )
 
-    def _has_way(self, record: EndpointRecord, now_s: float) -> bool:
-        return now_s >= record.relay_paused_until_s and self.has_helper(record)
-
     def heard_at_by_others_s(self, address: ids.Address) -> float:
         """When another node last heard the endpoint at an address."""
         return max(
--- a/src/guavachute/entry/relay_client.py
+++ b/src/guavachute/entry/relay_client.py
@@ -17,6 +17,13 @@
 """A node whose connection failed is not asked to pass requests on for this
 long."""
 
+REFUSAL_PAUSE_S = 0.5
+"""A node that could not send a request to an endpoint is not asked for that
+endpoint for this long."""
+
+MAX_HELPERS = 3
+"""So many nodes are asked in turn to pass the same request on."""
+
 
 class RelayClient:
     """Connections to the other nodes, which pass requests on.
@@ -32,23 +39,35 @@
         # What these connections show says nothing of links to endpoints.
         self._pool = upstream.Pool(loop, endpoint_links.EndpointLinks())
         self._open: collections.Counter[ids.Address] = collections.Counter()
-        self._paused_until_s: dict[ids.Address, float] = {}
+        self._paused_until_s: dict[
+            tuple[ids.Address, ids.EndpointId | None], float
+        ] = {}
 
     def helper(
         self, record: endpoint_registry.EndpointRecord, request: str
     ) -> relay_choice.Helper | None:
         """The node that should pass a request on; None if none can."""
         now_s = self.loop.now_s
+        endpoint = record.entry.id
         return relay_choice.choose(
             (
                 item
-                for item in self._peers.helpers(record.entry.id, self._open)
-                if self._paused_until_s.get(item.address, 0.0) <= now_s
+                for item in self._peers.helpers(endpoint, self._open)
+                if not self._is_paused(item.address, endpoint)
             ),
             request,
             now_s,
         )
 
+    def _is_paused(
+        self, address: ids.Address, endpoint: ids.EndpointId
+    ) -> bool:
+        now_s = self.loop.now_s
+        return any(
+            self._paused_until_s.get(key, now_s) > now_s
+            for key in ((address, None), (address, endpoint))
+        )
+
     def connect(
         self,
         helper: relay_choice.Helper,
@@ -57,24 +76,14 @@
         runs_once: bool,
     ) -> 'RelayConnection':
         """A connection that takes one request to *record* via *helper*."""
-        journal.event(
-            'relay',
-            outcome='asked',
-            request=attempt_id,
-            endpoint=record.entry.id,
-            peer=helper.node,
-            open_requests=helper.open_requests,
-            heard_age_s=round(self.loop.now_s - helper.heard_s, 3),
-        )
-        self._open[helper.address] += 1
-        return RelayConnection(
-            self,
-            helper,
-            record,
-            attempt_id,
-            runs_once,
-            self._pool.acquire(helper.address, needs_proven=runs_once),
-        )
+        return RelayConnection(self, helper, record, attempt_id, runs_once)
+
+    def acquire(
+        self, address: ids.Address, runs_once: bool
+    ) -> upstream.Connection:
+        """A connection to a node; ended by :meth:`handle_released`."""
+        self._open[address] += 1
+        return self._pool.acquire(address, needs_proven=runs_once)
 
     def handle_released(self, address: ids.Address) -> None:
         """A request is no longer at a node."""
@@ -82,15 +91,20 @@
         if not self._open[address]:
             del self._open[address]
 
-    def handle_unreachable(self, address: ids.Address) -> None:
-        """A node was not reached."""
+    def pause(
+        self,
+        address: ids.Address,
+        endpoint: ids.EndpointId | None,
+        pause_s: float,
+    ) -> None:
+        """Don't ask a node for a while; None for all endpoints."""
         now_s = self.loop.now_s
         self._paused_until_s = {
-            known: until_s
-            for known, until_s in self._paused_until_s.items()
+            key: until_s
+            for key, until_s in self._paused_until_s.items()
             if until_s > now_s
         }
-        self._paused_until_s[address] = now_s + HELPER_PAUSE_S
+        self._paused_until_s[address, endpoint] = now_s + pause_s
 
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
@@ -104,8 +118,9 @@
 class RelayConnection:
     """The way of one request to an endpoint through another node.
 
-    It behaves as a connection to the endpoint. A refusal of the other node
-    looks like a connection that was not established, as nothing was sent.
+    It behaves as a connection to the endpoint. If a node refuses, others are
+    asked; when all have, it looks like a connection that was not established,
+    as nothing was sent.
     """
 
     def __init__(
@@ -115,18 +130,36 @@
         record: endpoint_registry.EndpointRecord,
         attempt_id: ids.AttemptId,
         runs_once: bool,
-        connection: upstream.Connection,
     ) -> None:
         self._client = client
-        self._helper = helper
         self._record = record
         self._attempt_id = attempt_id
         self._runs_once = runs_once
-        self._connection = connection
+        self._asked = 0
+        self._request = b''
         self._listener: upstream.Listener | None = None
         self._refusal: str | None = None
         self._is_released = False
         self.idle_timeout_s: float | None = None
+        self._use(helper)
+
+    def _use(self, helper: relay_choice.Helper) -> None:
+        self._helper = helper
+        self._asked += 1
+        self._refusal = None
+        self._is_released = False
+        self._connection = self._client.acquire(
+            helper.address, self._runs_once
+        )
+        journal.event(
+            'relay',
+            outcome='asked',
+            request=self._attempt_id,
+            endpoint=self._record.entry.id,
+            peer=helper.node,
+            open_requests=helper.open_requests,
+            heard_age_s=round(self._client.loop.now_s - helper.heard_s, 3),
+        )
 
     @property
     def is_connected(self) -> bool:
@@ -143,14 +176,16 @@
     ) -> None:
         """Send *request*, as it is for the endpoint."""
         self._listener = listener
-        content = relay_requests.RelayRequest(
-            self._record.entry.id,
-            self._record.entry.start_ms,
-            self._attempt_id,
-            self._runs_once,
-            request,
+        self._request = relay_requests.encode(
+            relay_requests.RelayRequest(
+                self._record.entry.id,
+                self._record.entry.start_ms,
+                self._attempt_id,
+                self._runs_once,
+                request,
+            )
         )
-        self._connection.send_request(relay_requests.encode(content), self)
+        self._connection.send_request(self._request, self)
 
     def pause(self) -> None:
         """Stop reading until :meth:`resume`."""
@@ -162,9 +197,12 @@
 
     def release(self, keeps_alive: bool) -> None:
         """End the use by the request."""
+        self._listener = None
+        self._release_helper(keeps_alive)
+
+    def _release_helper(self, keeps_alive: bool) -> None:
         if not self._is_released:
             self._is_released = True
-            self._listener = None
             self._client.handle_released(self._helper.address)
             self._connection.release(keeps_alive)
 
@@ -183,13 +221,12 @@
     ) -> None:
         """Handle the end of the connection to the other node."""
         if not was_connected:
-            self._client.handle_unreachable(self._helper.address)
+            self._client.pause(self._helper.address, None, HELPER_PAUSE_S)
             self._handle_not_sent('the node is unreachable', False)
         elif self._listener is not None:
             self._listener.handle_upstream_ended(is_clean, True)
 
     def _handle_not_sent(self, reason: str, keeps_alive: bool) -> None:
-        listener = self._listener
         journal.event(
             'relay',
             outcome='not-sent',
@@ -198,13 +235,17 @@
             peer=self._helper.node,
             reason=reason,
         )
-        self._record.relay_paused_until_s = (
-            self._client.loop.now_s + endpoint_registry.RELAY_PAUSE_S
-        )
-        if keeps_alive:
-            self.release(keeps_alive=True)
-        if listener is not None:
-            listener.handle_upstream_ended(False, False)
+        endpoint = self._record.entry.id
+        self._client.pause(self._helper.address, endpoint, REFUSAL_PAUSE_S)
+        self._release_helper(keeps_alive)
+        if self._listener is None:
+            return
+        helper = self._client.helper(self._record, self._attempt_id)
+        if helper is not None and self._asked < MAX_HELPERS:
+            self._use(helper)
+            self._connection.send_request(self._request, self)
+        else:
+            self._listener.handle_upstream_ended(False, False)
 
 
 Connection = upstream.Connection | RelayConnection
--- a/tests/cover/test_cut_links.py
+++ b/tests/cover/test_cut_links.py
@@ -338,6 +338,20 @@
         self.assertIn(reply.status, (200, 502, 503))
         self.assertEqual(reply.status == 200, bool(self.runs('nobody')))
 
+    # Guards against one bad helper that keeps requests from a good one (seed
+    # 35204 of the soak).
+    def test_another_node_is_asked_when_one_can_not_send(self) -> None:
+        self.cut([self.nodes[1]], Mode.REFUSE)
+        self.nodes[1].ingress.paths.sweep()
+        callers = [
+            self.send(self.cut_off, path, Attempt_Id=f'{path}-{number}')
+            for number in range(8)
+            for path in PATHS
+        ]
+        self.until(lambda: all(item.reply.has_ended for item in callers))
+        for caller in callers:
+            self.assertEqual(200, caller.reply.status)
+
     def test_all_nodes_are_cut_off_and_refuse(self) -> None:
         self.cut(self.nodes[1:], Mode.RESET)
         self.run_for(1.5)
