Give silent connections four seconds, and let silent endpoints keep their work

With a first probe after 2 s, one each second and a timeout of 3 s, connections ended 3 s after their last byte although three probes were set, and one lost probe was enough: a silence of 0.0 s is survived. Now probes begin after 1 s and the timeout is 4 s: two seconds are survived, and a dead peer is noticed a second sooner than the five that the code claimed.

Links that fail a test are no reason either to take work from an endpoint which no other node hears: test_an_endpoint_that_is_silent_for_all_keeps_its_requests failed before (both streams were taken elsewhere and cut).

--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -25,7 +25,7 @@
     :param caller_limits: gives the limits on the requests of callers
     :param on_announcement: called with what an endpoint says in an answer to
         another node's request
-    :ivar on_links_lost: called when links to endpoints turn out to be broken
+    :ivar on_failing: called again and again while links to endpoints fail
     :ivar on_unreachable: called with an endpoint that was not reached
     """
 
@@ -42,7 +42,7 @@
         self._loop = loop
         self._registry = registry
         self._metrics = metrics
-        self.on_links_lost: typing.Callable[[], None] = lambda: None
+        self.on_failing: typing.Callable[[], None] = lambda: None
         self.on_unreachable: typing.Callable[
             [endpoint_registry.EndpointRecord], None
         ] = lambda record: None
@@ -65,6 +65,7 @@
             metrics,
             self._handle_links_changed,
             self._handle_link_lost,
+            lambda: self.on_failing(),
         )
         metrics.gauge('endpoint_connections', lambda: self._pool.opened)
         metrics.gauge('relays_open', lambda: self._server.open_requests)
@@ -136,7 +137,7 @@
         self._registry.handle_links_lost()
         # Idle connections may be dead without a packet that shows it.
         self._pool.close()
-        self.on_links_lost()
+        self.on_failing()
 
     def _handle_link_lost(self, address: ids.Address) -> None:
         """Leave endpoints alone that could not be reached to test the link."""
@@ -144,4 +145,3 @@
             for record in self._registry.records_at(address):
                 self._registry.record_unreachable(record, self._loop.now_s)
                 self.on_unreachable(record)
-            self.on_links_lost()
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -293,10 +293,7 @@
             item
             for item in accepting
             if self.is_direct(item, now_s)
-            or (
-                (self.links.is_cut or self.is_reached_by_others(item))
-                and self.has_helper(item)
-            )
+            or (self.has_broken_link(item) and self.has_helper(item))
         ] or [item for item in accepting if self.has_helper(item)]
         known = [
             item
@@ -316,6 +313,10 @@
             lambda address: self.heard_by_others_s(record.entry.id),
         )
 
+    def has_broken_link(self, record: EndpointRecord) -> bool:
+        """Whether an endpoint lives, but isn't reached from here."""
+        return self.links.is_cut or self.is_reached_by_others(record)
+
     def heard_at_by_others_s(self, address: ids.Address) -> float:
         """When another node last heard the endpoint at an address."""
         return max(
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -357,9 +357,7 @@
             and isinstance(self._connection, upstream.Connection)
             and self._connection.is_silent
             and self._record is not None
-            and not self._owner.registry.is_direct(
-                self._record, self._owner.loop.now_s
-            )
+            and self._owner.registry.has_broken_link(self._record)
         ):
             self._connection_end = 'silent'
             self._fail_attempt('the link to the endpoint is cut')
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -107,7 +107,7 @@
             lambda: state.limits,
             self.handle_announcement,
         )
-        self.paths.on_links_lost = self._abandon_silent
+        self.paths.on_failing = self._abandon_silent
         self.paths.on_unreachable = self._withdraw_from
         self._site = site
         self._state = state
--- a/src/guavachute/entry/link_watch.py
+++ b/src/guavachute/entry/link_watch.py
@@ -29,6 +29,7 @@
 
     :param on_changed: called when the links are lost or regained
     :param on_link_lost: called with an address that was not reached
+    :param on_failing: called again and again while some are not reached
     """
 
     def __init__(
@@ -38,12 +39,14 @@
         metrics: observe_metrics.Metrics,
         on_changed: typing.Callable[[endpoint_links.LinkState], None],
         on_link_lost: typing.Callable[[ids.Address], None],
+        on_failing: typing.Callable[[], None],
     ) -> None:
         self._loop = loop
         self._registry = registry
         self._metrics = metrics
         self._on_changed = on_changed
         self._on_link_lost = on_link_lost
+        self._on_failing = on_failing
         self._probes: dict[ids.Address, _Probe] = {}
         self._turns = itertools.count()
         self._cut_since_s = 0.0
@@ -75,6 +78,8 @@
                 silent += self._registry.addresses()
             if silent:
                 self._probe(silent)
+            if links.failing():
+                self._on_failing()
 
     def _handle_change(
         self, state: endpoint_links.LinkState, now_s: float
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -6,19 +6,16 @@
 import struct
 import typing
 
+from guavachute.decide import keepalive
 from guavachute.entry import loop as entry_loop
 from guavachute import ids
 
 RECEIVE_BYTES = 65_536
 LISTEN_BACKLOG = 1024
 
-USER_TIMEOUT_MS = 3_000
-"""A connection is aborted when sent bytes stay unacknowledged this long."""
-
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 3
-"""A peer that fell silent is noticed five seconds after its last byte."""
+KEEPALIVE = keepalive.Keepalive(idle_s=1.0, interval_s=1.0, user_timeout_s=4.0)
+"""Idle connections are probed. The timeout also bounds how long sent bytes may
+stay unacknowledged."""
 
 
 _LINGER = struct.Struct('ii')
@@ -307,10 +304,17 @@
     options = (
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, round(KEEPALIVE.idle_s)),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_KEEPINTVL,
+            round(KEEPALIVE.interval_s),
+        ),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            round(1_000 * KEEPALIVE.user_timeout_s),
+        ),
     )
     for level, name, value in options:
         sock.setsockopt(level, name, value)
--- a/tests/support/cut_links.py
+++ b/tests/support/cut_links.py
@@ -158,7 +158,7 @@
             super().pause()
             # The system gives up when nothing is acknowledged for long.
             self._loop.call_after(
-                transport.USER_TIMEOUT_MS / 1_000, self._give_up
+                transport.KEEPALIVE.user_timeout_s, self._give_up
             )
         elif not is_held and self._held is not None:
             held, self._held = self._held, None
