Bound each value that is read from outside, in one place

What operators of similar systems saw: another writer left an odd entry among those of the engines, and the machines that read the list ended again and again, or stopped following it. It could happen here: 200,000 nested brackets raised RecursionError past the decoder's except (the process ends at each start), a port of 99999 decoded and raised OverflowError at the first connection, an id that fits into no header raised at the first request, one value that is no base64 cost the whole page, and so the reader. A caller could do the same: a number of 5,000 digits in Token-Counts raised ValueError. The class: what decodes isn't yet a value that the system can take.

wire/untrusted.py now has the bounds, and the only way to call a decoder; the adapter, peers' datagrams, the wire codec, settings and headers use it. One bad record costs that record and a log line.

--- a/src/guavachute/decide/nodes/entry_writes.py
+++ b/src/guavachute/decide/nodes/entry_writes.py
@@ -3,7 +3,8 @@
 An endpoint numbers the writes of its entry. When the store has come back
 from a copy, it shows entries as they were seconds ago: of endpoints that
 have announced since that they leave, or that have ended. What this process
-knew before stays in force until the endpoint itself writes again.
+knew before stays in force until the endpoint itself writes again. Within one
+era the order of the log is that of the writes, whatever the entries say.
 """
 
 import collections
@@ -34,10 +35,23 @@
         self._removed: collections.OrderedDict[ids.EndpointId, Write] = (
             collections.OrderedDict()
         )
+        self._eras: dict[ids.EndpointId, ids.StoreEra] = {}
         self._unproven: set[ids.EndpointId] = set()
 
-    def record(self, endpoint: ids.EndpointId, write: Write) -> None:
-        """Record that *write* is in force."""
+    def record(
+        self,
+        endpoint: ids.EndpointId,
+        write: Write,
+        era: ids.StoreEra | None = None,
+    ) -> None:
+        """Record that *write* is in force.
+
+        :param era: of the store in which it was read; None if not known
+        """
+        if era is None:
+            self._eras.pop(endpoint, None)
+        else:
+            self._eras[endpoint] = era
         self._removed.pop(endpoint, None)
         self._unproven.discard(endpoint)
         self._present[endpoint] = write
@@ -51,19 +65,28 @@
         while len(self._removed) > KEPT_REMOVALS:
             forgotten, _ = self._removed.popitem(last=False)
             self._unproven.discard(forgotten)
+            self._eras.pop(forgotten, None)
 
     def handle_new_era(self) -> None:
         """Record that the store may show removed entries again."""
         self._unproven = set(self._removed)
 
     def is_outdated(
-        self, endpoint: ids.EndpointId, write: Write, is_snapshot: bool
+        self,
+        endpoint: ids.EndpointId,
+        write: Write,
+        is_snapshot: bool,
+        era: ids.StoreEra | None = None,
     ) -> bool:
         """Whether an entry that was read says less than what is known.
 
         :param is_snapshot: whether it is from a snapshot, so that it may have
             been written at any time before
+        :param era: of the store in which it was read; None if not known
         """
+        if not is_snapshot and era is not None:
+            if era == self._eras.get(endpoint):
+                return False
         present = self._present.get(endpoint)
         if present is not None:
             return write < present
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -158,7 +158,8 @@
         if value is None:
             self._remove_entry(key)
         else:
-            self._store_entry(key, value, source, is_snapshot)
+            era = log_position.unpack(position).era
+            self._store_entry(key, value, source, is_snapshot, era)
         after = self._stored.get(key)
         if _peer_relevant(before) == _peer_relevant(after):
             return False
@@ -170,7 +171,12 @@
         return True
 
     def _store_entry(
-        self, key: str, value: bytes, source: str, is_snapshot: bool
+        self,
+        key: str,
+        value: bytes,
+        source: str,
+        is_snapshot: bool,
+        era: ids.StoreEra,
     ) -> None:
         stored = self._stored.get(key)
         if stored is not None and stored.value == value:
@@ -183,7 +189,7 @@
             self._remove_entry(key)
             return
         write = entry_writes.Write(decoded.start_ms, decoded.writes)
-        if self._writes.is_outdated(decoded.id, write, is_snapshot):
+        if self._writes.is_outdated(decoded.id, write, is_snapshot, era):
             journal.event(
                 'endpoint',
                 outcome='outdated',
@@ -195,7 +201,7 @@
             if stored is None:
                 self.on_unproven()
             return
-        self._writes.record(decoded.id, write)
+        self._writes.record(decoded.id, write, era)
         self._stored[key] = _StoredEntry(
             value, decoded.state, decoded.incarnation
         )
--- a/src/guavachute/platform/configuration.py
+++ b/src/guavachute/platform/configuration.py
@@ -7,6 +7,7 @@
 from guavachute.domain import configuration
 from guavachute import ids
 from guavachute import outcome
+from guavachute.wire import untrusted
 
 TOPIC = 'keyed.op'
 KEY = 'config'
@@ -97,12 +98,9 @@
 
 def decode(text: bytes) -> configuration.Configuration | outcome.Failure:
     """Decode a configuration from JSON; a failure names the problem."""
-    try:
-        fields = _decoder.decode(text)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return outcome.Failure(
-            outcome.Reason.BAD_REQUEST, f'configuration: {error}'
-        )
+    fields = untrusted.decode(_decoder.decode, text, 'configuration')
+    if isinstance(fields, outcome.Failure):
+        return fields
     routes: dict[str, dict[str, configuration.Route]] = {}
     for route in fields.routes:
         routes.setdefault(route.host.lower(), {})[route.path_prefix] = _route(
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -1,12 +1,15 @@
 """Decodes the entries of endpoints in the store, and engines' reports."""
 
+import re
 import typing
 
 import msgspec
 
 from guavachute.domain import endpoints
+from guavachute.domain import net_address
 from guavachute import ids
 from guavachute import outcome
+from guavachute.wire import untrusted
 
 TOPIC = 'keyed.servers'
 
@@ -14,51 +17,59 @@
 
 
 class _Entry(msgspec.Struct, frozen=True, rename='camel'):
-    service: str
+    service: untrusted.Token
     address: typing.Annotated[
-        str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
+        str, msgspec.Meta(pattern=net_address.CONNECTABLE)
     ]
-    zone: str
+    zone: untrusted.Token
     state: typing.Literal['ready', 'draining']
-    slots: typing.Annotated[int, msgspec.Meta(ge=1)]
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=untrusted.MAX_COUNT)]
     # "sequence" counts the endpoint's writes; entries of other writers
     # lack it.
-    sequence: int
+    sequence: untrusted.Integer
     # "born" is the start of this incarnation, Unix time in milliseconds.
-    born: int = 0
+    born: untrusted.Integer = 0
     # "version" is the version of the endpoint's software. Entries of other
     # writers may hold anything.
     version: typing.Any = None
     spot: bool = False
-    leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
+    leaves_ms: untrusted.Quantity | None = msgspec.field(
+        default=None, name='leaves_ms'
+    )
 
 
 class _Report(msgspec.Struct, frozen=True, rename='camel'):
-    active: int
-    queued: int
+    active: untrusted.Count
+    queued: untrusted.Count
     # Both memory fields are in tokens; "kvUsed" can't be evicted.
-    kv_used: float = 0
-    kv_total: float = 0
+    kv_used: untrusted.Quantity = 0
+    kv_total: untrusted.Quantity = 0
     state: str | None = None
-    leaves_ms: float | None = msgspec.field(default=None, name='leaves_ms')
+    leaves_ms: untrusted.Quantity | None = msgspec.field(
+        default=None, name='leaves_ms'
+    )
     # "born" as in the entry.
-    born: int = 0
+    born: untrusted.Integer = 0
 
 
 _STATES = {state.value: state for state in endpoints.EndpointState}
 
+_ids = re.compile(untrusted.TOKEN_PATTERN)
+
 _entries = msgspec.json.Decoder(_Entry)
 _reports = msgspec.json.Decoder(_Report, strict=False)
 
 
 def decode(key: str, value: bytes) -> endpoints.Endpoint | outcome.Failure:
     """Decode the entry *value* under *key*, which is the endpoint's id."""
-    try:
-        entry = _entries.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    # An id that fits into no header can't be sent to the endpoint.
+    if not _ids.fullmatch(key):
         return outcome.Failure(
-            outcome.Reason.BAD_REQUEST, f'endpoint {key!r}: {error}'
+            outcome.Reason.BAD_REQUEST, f'endpoint {key!r}: the id is no token'
         )
+    entry = untrusted.decode(_entries.decode, value, f'endpoint {key!r}')
+    if isinstance(entry, outcome.Failure):
+        return entry
     return endpoints.Endpoint(
         id=ids.EndpointId(key),
         service=ids.ServiceName(entry.service),
@@ -70,9 +81,7 @@
         is_reclaimable=entry.spot,
         leaves_in_s=_seconds(entry.leaves_ms),
         writes=entry.sequence,
-        build=ids.BuildName(str(entry.version))
-        if isinstance(entry.version, str | int | float)
-        else ids.BuildName(''),
+        build=_build(entry.version),
     )
 
 
@@ -80,10 +89,9 @@
     body: bytes,
 ) -> endpoints.EngineReport | outcome.Failure:
     """Decode an engine's report of its load."""
-    try:
-        report = _reports.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'report: {error}')
+    report = untrusted.decode(_reports.decode, body, 'report')
+    if isinstance(report, outcome.Failure):
+        return report
     return endpoints.EngineReport(
         running=report.active,
         waiting=report.queued,
@@ -97,3 +105,15 @@
 
 def _seconds(milliseconds: float | None) -> float | None:
     return None if milliseconds is None else milliseconds / 1000
+
+
+def _build(version: typing.Any) -> ids.BuildName:
+    """The build that an entry names; empty if it names none."""
+    if isinstance(version, bool) or not isinstance(version, str | int | float):
+        return ids.BuildName('')
+    if isinstance(version, int) and abs(version) > untrusted.MAX_INTEGER:
+        return ids.BuildName('')
+    name = str(version)
+    if len(name) > untrusted.MAX_NAME_CHARACTERS:
+        return ids.BuildName('')
+    return ids.BuildName(name)
--- a/src/guavachute/platform/moves.py
+++ b/src/guavachute/platform/moves.py
@@ -6,6 +6,7 @@
 
 from guavachute import ids
 from guavachute import outcome
+from guavachute.wire import untrusted
 
 TARGET = b'/guavachute/kv-move'
 
@@ -30,9 +31,12 @@
 
 
 class _Answer(msgspec.Struct, frozen=True):
-    handle: str
+    handle: untrusted.Token
     # "created" is the number of events that the source has generated.
-    created: int = 0
+    created: untrusted.Count = 0
+
+
+_answers = msgspec.json.Decoder(_Answer)
 
 
 def encode(attempt_id: ids.AttemptId, target: ids.Address) -> bytes:
@@ -42,10 +46,9 @@
 
 def decode(body: bytes) -> CacheCopy | outcome.Failure:
     """Decode the source engine's answer to a move."""
-    try:
-        answer = msgspec.json.decode(body, type=_Answer)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'move: {error}')
+    answer = untrusted.decode(_answers.decode, body, 'move')
+    if isinstance(answer, outcome.Failure):
+        return answer
     return CacheCopy(answer.handle, answer.created)
 
 
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -13,6 +13,7 @@
 from guavachute.domain import configuration
 from guavachute import ids
 from guavachute import outcome
+from guavachute.wire import untrusted
 
 ATTEMPT_ID = b'attempt-id'
 
@@ -88,7 +89,7 @@
         tokens=_token_counts(values.get(b'token-counts')),
         parts=_prompt_parts(values.get(b'prefix-hash')),
         model=_text(values.get(b'model')),
-        length_hint=_number(values.get(b'length-hint')),
+        length_hint=untrusted.number(values.get(b'length-hint')),
         last_event_id=values.get(b'last-event-id'),
         begun_as=_attempt(values.get(b'resumes')),
         headers=[item for item in headers if item[0].lower() not in dropped]
@@ -252,12 +253,6 @@
     return ids.AttemptId(value.decode('latin-1')) if value else None
 
 
-def _number(value: bytes | None) -> int | None:
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value)
-
-
 def _deadline_s(value: bytes | None) -> float | None:
     try:
         milliseconds = float(value) if value is not None else None
@@ -270,7 +265,7 @@
 
 def _token_counts(value: bytes | None) -> call.TokenCounts | None:
     prompt, _, output = (value or b'').partition(b',')
-    first, second = _number(prompt), _number(output)
+    first, second = untrusted.number(prompt), untrusted.number(output)
     if first is None or second is None:
         return None
     return call.TokenCounts(first, second)
@@ -280,7 +275,7 @@
     parts: list[call.PromptPart] = []
     for item in (value or b'').split(b','):
         name, _, count = item.strip().partition(b':')
-        tokens = _number(count)
+        tokens = untrusted.number(count)
         if not name or tokens is None:
             return tuple(parts)
         parts.append(call.PromptPart(name.decode('latin-1'), tokens))
@@ -288,7 +283,7 @@
 
 
 def _load(value: bytes | None) -> EndpointLoad | None:
-    numbers = [_number(item) for item in (value or b'').split(b',')]
+    numbers = [untrusted.number(item) for item in (value or b'').split(b',')]
     if len(numbers) != 3:
         return None
     running, waiting, slots = numbers
@@ -322,5 +317,5 @@
     for item in (value or b'').split(b','):
         name, _, seconds = item.strip().partition(b'=')
         if name.lower() == b'timeout':
-            return _number(seconds)
+            return untrusted.number(seconds)
     return None
--- a/src/guavachute/platform/settings.py
+++ b/src/guavachute/platform/settings.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from guavachute.domain import net_address
 from guavachute.domain import site
 from guavachute import ids
 from guavachute import outcome
+from guavachute.wire import untrusted
 
 PATH_VARIABLE = 'GUAVACHUTE_NODE_FILE'
 """Environment variable with the path of the settings file."""
@@ -19,9 +21,7 @@
 RELAY_PORT_OFFSET = 2
 """Offset of the port for requests of other nodes that are passed on."""
 
-Address = typing.Annotated[
-    str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
-]
+Address = typing.Annotated[str, msgspec.Meta(pattern=net_address.LISTENABLE)]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 NotNegative = typing.Annotated[float, msgspec.Meta(ge=0)]
 
@@ -122,13 +122,14 @@
 
     :param source: names the text in error messages
     """
-    try:
-        fields = msgspec.yaml.decode(text, type=_Settings, strict=False)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        reason = ' '.join(str(error).split())
-        return outcome.Failure(
-            outcome.Reason.BAD_REQUEST, f'{source}: {reason}'
-        )
+    fields = untrusted.decode(
+        lambda data: msgspec.yaml.decode(data, type=_Settings, strict=False),
+        text,
+        source,
+    )
+    if isinstance(fields, outcome.Failure):
+        detail = ' '.join(fields.detail.split())
+        return outcome.Failure(outcome.Reason.BAD_REQUEST, detail)
     return _to_site(fields)
 
 
--- a/src/guavachute/platform/store.py
+++ b/src/guavachute/platform/store.py
@@ -15,7 +15,9 @@
 from guavachute.domain import call
 from guavachute.domain import log_position
 from guavachute import ids
+from guavachute.observe import journal
 from guavachute import outcome
+from guavachute.wire import untrusted
 
 _LENGTH = struct.Struct('>I')
 _READ_HEAD = struct.Struct('>QQ')
@@ -85,18 +87,18 @@
 
 class _NewestItem(msgspec.Struct, frozen=True):
     key: str
-    offset: int
+    offset: untrusted.Integer
     value: str | None = None
 
 
 class _NewestPage(msgspec.Struct, frozen=True, rename='camel'):
     items: list[_NewestItem]
     has_more: bool
-    end_offset: int
+    end_offset: untrusted.Integer
 
 
 class _Trimmed(msgspec.Struct, frozen=True, rename='camel'):
-    first_offset: int
+    first_offset: untrusted.Integer
 
 
 _trimmed = msgspec.json.Decoder(_Trimmed)
@@ -156,8 +158,9 @@
     None if the store doesn't tell it.
     """
     for name, value in headers:
-        if name.lower() == _ERA and value.strip().isdigit():
-            return ids.StoreEra(int(value))
+        if name.lower() == _ERA:
+            era = untrusted.number(value)
+            return None if era is None else ids.StoreEra(era)
     return None
 
 
@@ -177,18 +180,19 @@
 
 def decode_newest(body: bytes, era: ids.StoreEra) -> Newest | outcome.Failure:
     """Decode the answer to :func:`newest` of the store in *era*."""
-    try:
-        page = _pages.decode(body)
-        records = [
-            KeyedRecord(
-                item.key,
-                base64.b64decode(item.value) if item.value else None,
-                log_position.pack(era, ids.Offset(item.offset)),
+    page = untrusted.decode(_pages.decode, body, 'newest records')
+    if isinstance(page, outcome.Failure):
+        return page
+    records = []
+    for item in page.items:
+        value = _decode_value(item)
+        if isinstance(value, outcome.Failure):
+            journal.problem(
+                'store-record', outcome='unreadable', reason=str(value)
             )
-            for item in page.items
-        ]
-    except (msgspec.MsgspecError, ValueError) as error:
-        return _unreadable(f'newest records: {error}')
+            continue
+        position = log_position.pack(era, ids.Offset(item.offset))
+        records.append(KeyedRecord(item.key, value, position))
     return Newest(
         records=records,
         next_key=page.items[-1].key if page.has_more and page.items else None,
@@ -196,6 +200,15 @@
     )
 
 
+def _decode_value(item: _NewestItem) -> bytes | outcome.Failure | None:
+    if not item.value:
+        return None
+    try:
+        return base64.b64decode(item.value)
+    except ValueError as error:
+        return _unreadable(f'value of {item.key!r}: {error}')
+
+
 def decode_read(
     body: bytes, from_offset: ids.Offset
 ) -> Records | outcome.Failure:
@@ -220,10 +233,10 @@
 
     :param body: of an answer with :data:`TRIMMED_STATUS`
     """
-    try:
-        return ids.Offset(_trimmed.decode(body).first_offset)
-    except msgspec.MsgspecError:
+    trimmed = untrusted.decode(_trimmed.decode, body, 'trimmed topic')
+    if isinstance(trimmed, outcome.Failure):
         return None
+    return ids.Offset(trimmed.first_offset)
 
 
 def _target(name: str, query: dict[str, typing.Any]) -> bytes:
--- a/src/guavachute/wire/codec.py
+++ b/src/guavachute/wire/codec.py
@@ -41,6 +41,13 @@
             self._unpacker.feed(data)
             for value in self._unpacker:
                 messages.append(msgspec.convert(value, self._message_type))
-        except (msgspec.ValidationError, ValueError, msgpack.BufferFull) as e:
+        except (
+            msgspec.ValidationError,
+            ValueError,
+            OverflowError,
+            RecursionError,
+            msgpack.BufferFull,
+            msgpack.StackError,
+        ) as e:
             return outcome.Failure(outcome.Reason.UNREADABLE, str(e))
         return messages
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -9,9 +9,17 @@
 
 import msgspec
 
+from guavachute.domain import net_address
 from guavachute import ids
 from guavachute import outcome
 from guavachute.wire import requests
+from guavachute.wire import untrusted
+
+
+Address = typing.Annotated[str, msgspec.Meta(pattern=net_address.CONNECTABLE)]
+AddressOrEmpty = typing.Annotated[
+    str, msgspec.Meta(pattern=net_address.CONNECTABLE_OR_EMPTY)
+]
 
 
 class EndpointWork(msgspec.Struct, frozen=True, array_like=True):
@@ -117,10 +125,10 @@
     node: str
     run: int
     sequence: int
-    readers: list[str]
+    readers: list[Address]
     age_s: float
     nodes: int
-    ready: list[tuple[str, str]]
+    ready: list[tuple[Address, str]]
     wall_s: float
     spent: dict[ids.WorkspaceName, tuple[float, float, float]]
     load: dict[ids.ServiceName, ServiceLoad]
@@ -130,7 +138,7 @@
     parts: list[PartNotice] = []
     limits: list[LimitNotice] = []
     builds: list[BuildsNotice] = []
-    relays: list[tuple[str, str, str]] = []
+    relays: list[tuple[str, Address, str]] = []
     heard: dict[ids.EndpointId, int] = {}
 
 
@@ -180,8 +188,8 @@
     node: str
     run: int
     sequence: int
-    peers_address: str
-    callers_address: str
+    peers_address: Address
+    callers_address: Address
     domain: str
     region: str
     age_s: float
@@ -203,7 +211,7 @@
     limits: list[LimitNotice] = []
     builds: list[BuildsNotice] = []
     streams: dict[ids.BuildName, list[ids.StreamKey]] = {}
-    relay_address: str = ''
+    relay_address: AddressOrEmpty = ''
     reaches_endpoints: bool = True
 
 
@@ -215,7 +223,7 @@
 
     node: str
     run: int
-    peers_address: str
+    peers_address: Address
     region: str = ''
 
 
@@ -318,10 +326,7 @@
 
 def decode_update(data: bytes) -> Update | outcome.Failure:
     """Decode a datagram from another node."""
-    try:
-        return _update_decoder.decode(data)
-    except msgspec.MsgspecError as error:
-        return outcome.Failure(outcome.Reason.BAD_REQUEST, f'update: {error}')
+    return untrusted.decode(_update_decoder.decode, data, 'update')
 
 
 def decode_configuration(
@@ -378,9 +383,5 @@
 
 
 def _decode(data: bytes, expected: type[Message]) -> Message | outcome.Failure:
-    try:
-        return msgspec.msgpack.decode(data, type=expected)
-    except msgspec.MsgspecError as error:
-        return outcome.Failure(
-            outcome.Reason.BAD_REQUEST, f'{expected.__name__}: {error}'
-        )
+    decoder = msgspec.msgpack.Decoder(expected)
+    return untrusted.decode(decoder.decode, data, expected.__name__)
