Send an attempt on no connection that has carried it before

What operators of similar systems saw: a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that an engine ran (REFUSED), or such a request ran at a second engine (TWICE). For answers with another id this can't happen here: they are skipped. Nothing tells the two answers apart, so a connection carries an attempt once, at endpoints and over hops; 256 ids a connection are remembered. Looked for elsewhere: control calls to engines have no ids, and use a connection of their own for each call but report polls, whose answers decide nothing once.

--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -118,7 +118,9 @@
                 return self._client.connect(
                     helper, record, attempt_id, runs_once
                 )
-        return self._pool.acquire(record.entry.address, needs_proven=runs_once)
+        return self._pool.acquire(
+            record.entry.address, attempt_id, needs_proven=runs_once
+        )
 
     def handle_unreachable(
         self,
--- a/src/guavachute/entry/relay_client.py
+++ b/src/guavachute/entry/relay_client.py
@@ -79,11 +79,14 @@
         return RelayConnection(self, helper, record, attempt_id, runs_once)
 
     def acquire(
-        self, address: ids.Address, runs_once: bool
+        self,
+        address: ids.Address,
+        attempt_id: ids.AttemptId,
+        runs_once: bool,
     ) -> upstream.Connection:
         """A connection to a node; ended by :meth:`handle_released`."""
         self._open[address] += 1
-        return self._pool.acquire(address, needs_proven=runs_once)
+        return self._pool.acquire(address, attempt_id, needs_proven=runs_once)
 
     def handle_released(self, address: ids.Address) -> None:
         """A request is no longer at a node."""
@@ -149,7 +152,7 @@
         self._refusal = None
         self._is_released = False
         self._connection = self._client.acquire(
-            helper.address, self._runs_once
+            helper.address, self._attempt_id, self._runs_once
         )
         journal.event(
             'relay',
--- a/src/guavachute/entry/relay_server.py
+++ b/src/guavachute/entry/relay_server.py
@@ -162,7 +162,9 @@
     def send(self) -> None:
         """Send the request to the endpoint."""
         self._connection = self._server.pool.acquire(
-            self._record.entry.address, needs_proven=self._request.runs_once
+            self._record.entry.address,
+            self._request.attempt_id,
+            needs_proven=self._request.runs_once,
         )
         journal.event(
             'relay',
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -21,6 +21,9 @@
 MAX_IDLE_S = 8.0
 """Connections that are idle for this long are closed."""
 
+KEPT_ATTEMPTS = 256
+"""So many attempts that a connection has carried are remembered."""
+
 IDLE_MARGIN_S = 1.0
 """Idle connections are closed this long before the endpoint would."""
 
@@ -59,6 +62,9 @@
         self._listener: Listener | None = None
         self._opened_s = self._sent_s = loop.now_s
         self._is_in_use = False
+        self._attempts: collections.deque[ids.AttemptId] = collections.deque(
+            maxlen=KEPT_ATTEMPTS
+        )
         self._received_s = endpoint_links.NEVER_S
         self._timer: entry_loop.Timer | None = None
         self.idle_timeout_s: float | None = None
@@ -93,6 +99,18 @@
         """Whether the current answer ends with the connection."""
         return self._reader.ends_with_connection
 
+    def may_carry(self, attempt_id: ids.AttemptId) -> bool:
+        """Whether an answer to that attempt would certainly be its answer.
+
+        An endpoint may send an answer once more. If the attempt was on this
+        connection before, nothing tells the two answers apart.
+        """
+        return attempt_id not in self._attempts
+
+    def record_attempt(self, attempt_id: ids.AttemptId) -> None:
+        """Record the attempt that uses the connection from now on."""
+        self._attempts.append(attempt_id)
+
     def send_request(self, request: bytes, listener: Listener) -> None:
         """Send *request*; *listener* gets the answer."""
         self._listener = listener
@@ -216,9 +234,15 @@
         self.opened = 0
         """Connections opened since the start."""
 
-    def acquire(self, address: ids.Address, needs_proven: bool) -> Connection:
+    def acquire(
+        self,
+        address: ids.Address,
+        attempt_id: ids.AttemptId,
+        needs_proven: bool,
+    ) -> Connection:
         """Acquire an idle connection to *address*, or open a new one.
 
+        :param attempt_id: the attempt that will use it
         :param needs_proven: whether an idle one must have answered within
             :data:`PROVEN_S`
         """
@@ -226,13 +250,18 @@
         while idle:
             connection = idle.pop()
             idle_s = self._loop.now_s - connection.idle_since_s
-            if connection.is_usable and idle_s < _max_idle_s(
-                connection, needs_proven
+            if (
+                connection.is_usable
+                and idle_s < _max_idle_s(connection, needs_proven)
+                and connection.may_carry(attempt_id)
             ):
-                return connection
+                break
             connection.close()
-        self.opened += 1
-        return Connection(self._loop, address, self)
+        else:
+            self.opened += 1
+            connection = Connection(self._loop, address, self)
+        connection.record_attempt(attempt_id)
+        return connection
 
     def release(self, connection: Connection) -> None:
         """Return *connection* for another request."""
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -4,11 +4,13 @@
 import dataclasses
 import enum
 import typing
+import weakref
 
 import msgspec
 
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import transport
 from guavachute.standin.platform import server
 from guavachute.standin.platform import store as standin_store
 
@@ -64,6 +66,8 @@
     """Rejects the request, with a body without end."""
     ENDLESS_FOREIGN = 'endless-foreign'
     """Sends the answer to another request, with a body without end."""
+    REPEAT_REFUSAL = 'repeat-refusal'
+    """Sends the connection's last rejection once more, then the answer."""
     SILENT = 'silent'
     """Runs the request and never answers."""
     LOSE_MOVES = 'lose-moves'
@@ -231,6 +235,9 @@
         self.refused = 0
         self.on_moved: typing.Callable[[], None] = lambda: None
         self._sequence = 0
+        self._rejections: weakref.WeakKeyDictionary[
+            transport.Connection, bytes
+        ] = weakref.WeakKeyDictionary()
         self._streams: dict[str, server.Answer] = {}
         self._sent_events: dict[str, int] = {}
         self._server = server.Server(loop, self._serve)
@@ -305,6 +312,9 @@
             headers = self._headers(answer, ran=False)
             if self.retry_after is not None:
                 headers.append((b'Retry-After', self.retry_after.encode()))
+            self._rejections[answer.connection] = http1.encode_head(
+                503, headers, 0, False
+            )
             answer.reply(503, b'', headers)
             return
         run = Run(
@@ -330,6 +340,8 @@
     def _answer(self, answer: server.Answer) -> None:
         if self.behaviour is Behaviour.SILENT:
             return
+        if self.behaviour is Behaviour.REPEAT_REFUSAL:
+            answer.send_raw(self._rejections.pop(answer.connection, b''))
         if self.behaviour is Behaviour.LOSE:
             answer.abort()
         elif self.behaviour in _ENDLESS_STARTS:
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -443,3 +443,40 @@
         reply = self.site.fetch(node, '/order/a')
         self.assertEqual(503, reply.status)
         self.assertEqual([], engine.runs)
+
+
+class RepeatedRefusalTest(RequestTest):
+    """An endpoint that sends an earlier refusal once more."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.shedding = self.engine('e1')
+        self.shedding.behaviour = Behaviour.SHED
+        self.node = self.site.ready_node()
+        reply = self.site.fetch(self.node, '/order/a', Attempt_Id='first')
+        self.assertEqual(503, reply.status)
+        self.shedding.behaviour = Behaviour.REPEAT_REFUSAL
+
+    def test_the_next_request_gets_its_own_answer(self) -> None:
+        reply = self.site.fetch(self.node, '/order/a', Attempt_Id='next')
+        self.assertEqual(200, reply.status)
+        self.assertEqual('next', reply.headers['attempt-id'])
+
+    # Guards against "not run" for a request that runs: its caller sends it
+    # again with the same id, and the old refusal has that id too.
+    def test_the_same_id_again_is_not_refused_while_it_runs(self) -> None:
+        reply = self.site.fetch(self.node, '/order/a', Attempt_Id='first')
+        self.assertEqual(1, len(self.shedding.runs))
+        self.assertEqual(200, reply.status)
+
+    # Guards against a second run at another endpoint.
+    def test_the_same_id_again_runs_once(self) -> None:
+        other = self.engine('e2')
+        looping.run_until(
+            self.site.loop,
+            lambda: len(self.node.state.table.entries) == 2,
+        )
+        for _ in range(4):
+            reply = self.site.fetch(self.node, '/order/a', Attempt_Id='first')
+            self.assertEqual(200, reply.status)
+        self.assertEqual(4, len(self.shedding.runs) + len(other.runs))
