Send brittle endpoints only what fits

Nothing read the header: each node sent what it would send anyhow, and retried a rejection at the next endpoint.

The stand-in speaks the header and falls.

--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -7,6 +7,7 @@
 import typing
 
 from guavachute.decide.ingress import announcements
+from guavachute.decide.ingress import brittle_endpoints
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import endpoint_health
 from guavachute.decide.ingress import endpoint_links
@@ -181,6 +182,7 @@
         self._records: dict[ids.EndpointId, EndpointRecord] = {}
         self._announcements = announcements.Announcements()
         self.links = endpoint_links.EndpointLinks()
+        self._brittle = brittle_endpoints.BrittleServices()
         self.limits = endpoint_limits.EndpointLimits(
             site, lambda: table.entries, now_s
         )
@@ -262,6 +264,7 @@
         for endpoint in self._records.keys() - self._table.entries.keys():
             if not self._records[endpoint].own.requests:
                 del self._records[endpoint]
+        self._brittle.discard(self._records)
         self.links.discard(
             {item.entry.address for item in self._records.values()}
         )
@@ -288,6 +291,7 @@
             and (build is None or item.entry.build == build)
             and self._accepts_work(item, now_s)
             and not self.call_wait_s(item, now_s)
+            and self._has_room(item, now_s)
         ]
         found = [
             item
@@ -302,6 +306,30 @@
         ]
         return known or found
 
+    def _has_room(self, record: EndpointRecord, now_s: float) -> bool:
+        """Whether a request fits, at an endpoint of a brittle service."""
+        if not self._brittle.is_brittle(record.entry.service, now_s):
+            return True
+        places = self.limits.other_places()
+        nodes = 1 + sum(place.region == self._site.region for place in places)
+        return self._brittle.has_room(
+            record.entry.id,
+            brittle_endpoints.allowed_sends(
+                self._site.node,
+                record.entry.id,
+                record.entry.slots,
+                self._running(record, now_s),
+                nodes,
+                now_s,
+            ),
+            now_s,
+        )
+
+    def record_sent(self, record: EndpointRecord, now_s: float) -> None:
+        """Record a request that is sent to an endpoint."""
+        self.limits.record_sent(record.incarnation, now_s)
+        self._brittle.record_sent(record.entry.id, now_s)
+
     def is_direct(self, record: EndpointRecord, now_s: float) -> bool:
         """Whether requests are sent to an endpoint from here."""
         return not self.links.is_cut and not record.health.is_paused(now_s)
@@ -432,6 +460,20 @@
         """
         if announced.is_leaving:
             self._handle_announced_end(record, 'answer', now_s)
+        service = record.entry.service
+        if self._brittle.apply_answer(
+            service, announced.is_brittle, sent_s, now_s
+        ):
+            journal.event(
+                'endpoint',
+                outcome='brittle' if announced.is_brittle else 'firm',
+                endpoint=record.entry.id,
+                service=service,
+            )
+        if announced.has_rejected and announced.is_brittle:
+            self._brittle.record_rejection(
+                record.entry.id, random.random(), now_s
+            )
         is_limited = self.limits.apply_answer(
             record.incarnation, announced.limit_per_s, sent_s, now_s
         )
@@ -631,14 +673,11 @@
         now_s: float,
     ) -> choice.Candidate:
         others = self.work_of_others(item.entry.id)
-        running = item.own.requests + others.requests
-        if now_s - item.reported_at_s <= REPORTED_LOAD_TTL_S:
-            running = max(running, item.reported_requests)
         return choice.Candidate(
             id=item.entry.id,
             nearness=self.nearness(item.entry),
             slots=item.entry.slots,
-            running=running,
+            running=self._running(item, now_s),
             waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
             cached_tokens=item.cached_tokens(parts),
             prefill_tokens_per_s=item.prefill_tokens_per_s,
@@ -650,6 +689,15 @@
             is_relayed=not self.is_direct(item, now_s),
         )
 
+    def _running(self, item: EndpointRecord, now_s: float) -> int:
+        """The requests at an endpoint, as far as is known."""
+        running = (
+            item.own.requests + self.work_of_others(item.entry.id).requests
+        )
+        if now_s - item.reported_at_s <= REPORTED_LOAD_TTL_S:
+            running = max(running, item.reported_requests)
+        return running
+
 
 def _age_s(at_s: float, now_s: float) -> float:
     """An age for the log, which has no infinite numbers."""
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -324,7 +324,7 @@
         """Record the tokens that an engine has to process for a request."""
         self._suspects.handle_sent(started.call)
         call, service, now_s = started.call, started.service, self.loop.now_s
-        self.registry.limits.record_sent(record.incarnation, now_s)
+        self.registry.record_sent(record, now_s)
         if call.tokens is None:
             return
         meters = self._meters.get(service)
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -140,11 +140,16 @@
     :ivar limit_per_s: the requests per second that it accepts from all nodes
         together; None if it names no limit, not a number if it can't be
         decoded
+    :ivar is_brittle: whether it falls over when it has to reject many
+        requests, in the number that "Server-Brittle" names
+    :ivar has_rejected: whether it had no room for the request
     """
 
     is_leaving: bool
     retry_after_s: float | None
     limit_per_s: float | None = None
+    is_brittle: bool = False
+    has_rejected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -301,6 +306,9 @@
         if status == 503
         else None,
         limit_per_s=_decimal(values.get(b'server-limit')),
+        # What is sent has to fit, whatever the number.
+        is_brittle=b'server-brittle' in values,
+        has_rejected=status == 503 and b'not-executed' in values,
     )
 
 
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -187,6 +187,9 @@
     :ivar is_down: whether it has crashed and not started again
     :ivar on_restarted: called at each start after a crash; by default it
         registers the new incarnation
+    :ivar max_rejections_per_s: with more streams than slots, it rejects the
+        rest, and crashes if it rejects more than this in a second, as all its
+        answers say; None for an endpoint that takes any number
     :ivar runs: the requests that it ran, oldest first
     :ivar report: the answer to ``/guavachute/report``
     :ivar flooded_bytes: how many bytes of answers without end were sent
@@ -222,6 +225,8 @@
             maxlen=KEPT_ARRIVALS
         )
         self.crashing_part: str | None = None
+        self.max_rejections_per_s: int | None = None
+        self._rejected_s: collections.deque[float] = collections.deque()
         self.crashes = 0
         self.is_down = False
         self.on_restarted: typing.Callable[[], None] = self.register
@@ -307,7 +312,7 @@
         if expected is not None and expected.decode() != self.name:
             answer.reply(421, b'', self._headers(answer, ran=False))
             return
-        if self.behaviour is Behaviour.SHED:
+        if self.behaviour is Behaviour.SHED or self._is_full():
             self.refused += 1
             headers = self._headers(answer, ran=False)
             if self.retry_after is not None:
@@ -337,6 +342,21 @@
             return
         self._answer(answer)
 
+    def _is_full(self) -> bool:
+        """Whether a brittle endpoint has no room; too often, it crashes."""
+        if self.max_rejections_per_s is None:
+            return False
+        if len(self._streams) < self.slots:
+            return False
+        now_s = self._loop.now_s
+        self._rejected_s.append(now_s)
+        while self._rejected_s[0] < now_s - 1.0:
+            self._rejected_s.popleft()
+        if len(self._rejected_s) > self.max_rejections_per_s:
+            self._rejected_s.clear()
+            self._loop.call_after(0, self.crash)
+        return True
+
     def _answer(self, answer: server.Answer) -> None:
         if self.behaviour is Behaviour.SILENT:
             return
@@ -501,4 +521,8 @@
         headers = [(b'Server-Leaving', b'1')] if self.is_leaving else []
         if self.limit is not None:
             headers.append((b'Server-Limit', self.limit.encode()))
+        if self.max_rejections_per_s is not None:
+            headers.append(
+                (b'Server-Brittle', b'%d' % self.max_rejections_per_s)
+            )
         return headers
