Ask the store before a stream goes on at the only build known

A take-up at a service with one build on record now waits for a read of the topic that began after the request arrived, a few milliseconds. While the store is known to be away, the other nodes' word counts as before; two more tests hold that. Take-ups are rare, and reads that are under way are shared.

--- a/src/guavachute/decide/ingress/brittle_endpoints.py
+++ b/src/guavachute/decide/ingress/brittle_endpoints.py
@@ -14,7 +14,7 @@
 from guavachute import ids
 
 WINDOW_S = 0.25
-"""Nodes tell each other as often how many requests they have at an endpoint."""
+"""Nodes tell each other as often how many requests they have where."""
 
 SHARED_OUT = 1 / 3
 """Share of the free slots that is shared out in one window. What is known of
--- a/src/guavachute/entry/stream_builds.py
+++ b/src/guavachute/entry/stream_builds.py
@@ -56,8 +56,17 @@
     def is_reader(self) -> bool:
         """Whether this node reads the store closely."""
 
+    def has_read_own_topic(self, since_s: float) -> bool:
+        """Whether a read that began since then has brought all records.
+
+        Otherwise one is begun.
+        """
+
+    def reaches_store(self) -> bool:
+        """Whether the store answered this node, as far as is known."""
+
     def hears_changes(self) -> bool:
-        """Whether changes of the store's records would be known by now."""
+        """Whether other nodes would have told of changes by now."""
 
     def true_time_s(self) -> float:
         """The time of day that the nodes agree on, as Unix time."""
@@ -123,8 +132,15 @@
             if known is not None:
                 return known
         sole = self._builds.sole_build(service)
-        if sole is not None and self._network.hears_changes():
-            return sole
+        if sole is not None:
+            # Another build may have joined while this node stood still, or
+            # was cut off without having noticed it yet.
+            if self._network.has_read_own_topic(arrived_s):
+                return sole
+            if self._network.reaches_store():
+                return Origin.PENDING
+            if self._network.hears_changes():
+                return sole
         if self._network.own_topic_end() is None:
             # This process has just started and doesn't know the record yet.
             return Origin.PENDING
--- a/src/guavachute/entry/stream_network.py
+++ b/src/guavachute/entry/stream_network.py
@@ -48,14 +48,27 @@
             and self._table.is_local(peer)
         )
 
+    def has_read_own_topic(self, since_s: float) -> bool:
+        """Whether a read that began since then has brought all records.
+
+        Otherwise one is begun.
+        """
+        follower = self._own_topic()
+        if follower.confirmed_s >= since_s:
+            return True
+        follower.confirm()
+        return False
+
+    def reaches_store(self) -> bool:
+        """Whether the store answered this node, as far as is known."""
+        return self._reaches_store()
+
     def hears_changes(self) -> bool:
-        """Whether changes of the store's records would be known by now.
+        """Whether other nodes would have told of changes by now.
 
         While no node reaches the store, there are none; a node that hears
         nearly all others knows that.
         """
-        if self._reads_closely() and self._reaches_store():
-            return True
         active = self._table.active_peers()
         if any(
             peer.update is not None
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -74,6 +74,9 @@
         self.end_offset: ids.Offset | None = None
         self.last_reply_s: float | None = None
         self.lost_since_s: float | None = loop.now_s
+        self.confirmed_s = float('-inf')
+        """When the latest read began that has brought all there was."""
+        self._is_confirming = False
         self.on_recovered: typing.Callable[[], None] = lambda: None
         """Called when a read succeeds after failures, before its records are
         folded."""
@@ -121,7 +124,7 @@
         if self._is_stopped:
             return
         self._cancel_read()
-        self._is_reading = False
+        self._is_reading = self._is_confirming = False
         self.end_offset = None
         self._schedule(0.0 if reads_now else self._period_s + self._wait_s)
 
@@ -137,6 +140,23 @@
             self._timer.cancel()
         self._read_next()
 
+    def confirm(self) -> None:
+        """Read what there is now, without waiting for new records.
+
+        That updates :attr:`confirmed_s`, unless the store doesn't answer.
+        """
+        if self._is_stopped or self._is_confirming or self.end_offset is None:
+            return
+        self._cancel_read()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._call(
+            store.read(self.topic, self.end_offset, 0.0),
+            0.0,
+            self._handle_records,
+        )
+        self._is_confirming = True
+
     def stop(self) -> None:
         """Stop reading, and cancel a pending read."""
         self._is_stopped = True
@@ -166,13 +186,18 @@
     def _call(
         self, request: store.Request, wait_s: float, done: control_client.Done
     ) -> None:
+        began_s = self._loop.now_s
+
         def handle_reply(
             reply: control_client.Reply | control_client.CallFailure,
         ) -> None:
-            self._is_reading = False
+            self._is_reading = self._is_confirming = False
             done(reply)
+            if self.lost_since_s is None and self.end_offset is not None:
+                self.confirmed_s = began_s
 
         self._is_reading = True
+        self._is_confirming = False
         self._cancel_read = self._client.call(
             request, handle_reply, wait_s + ANSWER_MARGIN_S
         )
--- a/tests/cover/test_stream_builds.py
+++ b/tests/cover/test_stream_builds.py
@@ -8,11 +8,13 @@
 import unittest
 import unittest.mock
 
+from guavachute.decide.ingress import served_builds
 from guavachute.entry import node as entry_node
 from guavachute.entry import store_client
 from guavachute.entry import stream_builds
 from guavachute import ids
 from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import store as standin_store
 from tests.support import looping
 from tests.support import platform_site
 
@@ -242,3 +244,84 @@
         caller.close()
         node = self.restart_all()
         self.assertEqual(200, self.take_up(node, caller).status)
+
+
+class OutOfStepTest(MixedBuildsTest):
+    """A node stands still, or is cut off, while a new build joins."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        settles = unittest.mock.patch.object(
+            served_builds, 'SETTLES_AFTER_S', 0.2
+        )
+        settles.start()
+        self.addCleanup(settles.stop)
+        self.nodes = [self.site.ready_node()]
+        self.nodes.append(
+            self.site.ready_node(seeds=(self.nodes[0].peers.address,))
+        )
+        looping.run_until(
+            self.site.loop,
+            lambda: all(
+                node._builds._builds.sole_build(
+                    ids.ServiceName(platform_site.MODEL_SERVICE)
+                )
+                for node in self.nodes
+            ),
+        )
+
+    def join(self, node: entry_node.Node) -> platform_site.CallerSocket:
+        """A new build joins; a stream of *node* begins there and breaks."""
+        new = self.add('new', 'v2')
+        self.wait_for(node, 2)
+        looping.run_for(self.site.loop, served_builds.HEARD_AFTER_S + 0.5)
+        self.old.unregister()
+        self.wait_for(node, 1)
+        broken = self.begin(node)
+        self.assertEqual(1, len(new.runs))
+        looping.run_for(self.site.loop, 0.5)
+        broken.close()
+        return broken
+
+    # Guards against ORDER: a node that had stood still went on with streams of
+    # the new build at the old one.
+    def test_a_node_that_stood_still_asks_before_it_goes_on(self) -> None:
+        first, second = self.nodes
+        stand_still(second)
+        broken = self.join(first)
+        before = len(self.old.runs)
+        reply = self.take_up(second, broken)
+        self.assertEqual(before, len(self.old.runs))
+        if reply.status == 200:
+            self.assertEqual(
+                'new', standin_engine.origin(reply.headers).endpoint
+            )
+
+    def test_a_node_in_step_goes_on_at_the_only_build(self) -> None:
+        first, second = self.nodes
+        broken = self.begin(first)
+        broken.close()
+        reply = self.take_up(second, broken)
+        self.assertEqual(200, reply.status)
+
+    def test_without_the_store_the_other_nodes_tell(self) -> None:
+        first, second = self.nodes
+        self.site.store.fault = standin_store.Fault.BUSY
+        looping.run_until(self.site.loop, lambda: not second._reaches_store)
+        broken = self.begin(first)
+        broken.close()
+        reply = self.take_up(second, broken)
+        self.assertEqual(200, reply.status)
+
+
+def stand_still(node: entry_node.Node) -> None:
+    """Let a node hear nothing of the store and of its peers any more.
+
+    It still believes what it knew. What it does by itself goes on.
+    """
+    for follower in (node._operator, node._endpoints, node._nodes):
+        follower._cancel_read()
+        follower._is_reading = False
+        if follower._timer is not None:
+            follower._timer.cancel()
+    node.peers._unwatch()
