Keep what a broken link showed of endpoints from the other nodes

The same cause once more, found while reading: a request that was given up on a broken link counted as a failure of its endpoint, in this node's results and in the sums that all nodes go by. test_a_cut_blames_nothing_and_nobody now checks the updates too, and failed (0.7 failures told after a cut). Whether another node can help, and how many nodes send to brittle endpoints, is computed less often.

--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -15,9 +15,6 @@
 from guavachute import ids
 from guavachute.observe import metrics as observe_metrics
 
-RELAY_ID = 'links'
-"""Tells requests that only ask for any helper apart from those of callers."""
-
 
 class EndpointPaths:
     """Opens connections to endpoints, and passes requests of other nodes on.
@@ -48,9 +45,7 @@
         ] = lambda record: None
         self._pool = upstream.Pool(loop, registry.links)
         self._client = relay_client.RelayClient(loop, peers)
-        registry.has_helper = lambda record: (
-            self._client.helper(record, RELAY_ID) is not None
-        )
+        registry.has_helper = self._client.has_helper
         self._server = relay_server.RelayServer(
             loop,
             ids.Address(f'{site.ip}:{site.listen.relay_port}'),
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -183,6 +183,8 @@
         self._announcements = announcements.Announcements()
         self.links = endpoint_links.EndpointLinks()
         self._brittle = brittle_endpoints.BrittleServices()
+        self._senders = (endpoint_links.NEVER_S, 1)
+        """When the nodes of this region were counted, and how many are."""
         self.limits = endpoint_limits.EndpointLimits(
             site, lambda: table.entries, now_s
         )
@@ -310,8 +312,13 @@
         """Whether a request fits, at an endpoint of a brittle service."""
         if not self._brittle.is_brittle(record.entry.service, now_s):
             return True
-        places = self.limits.other_places()
-        nodes = 1 + sum(place.region == self._site.region for place in places)
+        counted_s, nodes = self._senders
+        if now_s - counted_s >= brittle_endpoints.WINDOW_S:
+            nodes = 1 + sum(
+                place.region == self._site.region
+                for place in self.limits.other_places()
+            )
+            self._senders = now_s, nodes
         return self._brittle.has_room(
             record.entry.id,
             brittle_endpoints.allowed_sends(
@@ -401,9 +408,10 @@
             record.health.discard_results()
 
     def handle_links_regained(self) -> None:
-        """Use all endpoints again."""
+        """Use all endpoints again, and forget what the cut showed of them."""
         for record in self._records.values():
             record.health.end_pause()
+            record.health.discard_results()
 
     def serves_build(
         self, service: ids.ServiceName, build: ids.BuildName, now_s: float
@@ -631,6 +639,9 @@
         found = {}
         for endpoint, item in self._records.items():
             results = item.health.results(now_s)
+            if self.has_broken_link(item):
+                # They show nothing of the endpoint.
+                results = endpoint_health.Results()
             if item.own.requests or results.answered >= MIN_REPORTED_RESULTS:
                 found[endpoint] = Work(
                     item.own.requests,
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -709,7 +709,8 @@
         """Fail the attempt: it has no usable answer, and may have run."""
         assert self._record is not None
         self._may_have_run = True
-        self._record.health.record_failure(self._owner.loop.now_s)
+        if not self._owner.registry.has_broken_link(self._record):
+            self._record.health.record_failure(self._owner.loop.now_s)
         if not self._is_stream:
             self._report_start()
         self._release_endpoint(keeps_alive=False)
--- a/src/guavachute/entry/relay_client.py
+++ b/src/guavachute/entry/relay_client.py
@@ -59,6 +59,17 @@
             now_s,
         )
 
+    def has_helper(self, record: endpoint_registry.EndpointRecord) -> bool:
+        """Whether a node can pass a request on to an endpoint."""
+        heard_s = self._peers.heard_s(record.entry.id)
+        if self.loop.now_s - heard_s > relay_choice.PROOF_S:
+            return False
+        # Which nodes are paused matters only if some are.
+        return (
+            not self._paused_until_s
+            or self.helper(record, record.entry.id) is not None
+        )
+
     def _is_paused(
         self, address: ids.Address, endpoint: ids.EndpointId
     ) -> bool:
--- a/tests/cover/test_cut_links.py
+++ b/tests/cover/test_cut_links.py
@@ -216,6 +216,10 @@
             self.cut(nodes[:1], Mode.OPEN)
             self.run_for(1.0)
         for node in nodes:
+            for peer in node.peers.table.all():
+                assert peer.update is not None
+                for item in peer.update.work.values():
+                    self.assertEqual(0, item.failed_tenths)
             self.assertEqual([], node.ingress.crash_notices())
             self.assertIn(b'guavachute_blamed_parts 0', node.metrics.text())
             self.assertNotIn(b'engine_crashes', node.metrics.text())
