Spread short work over brittle endpoints instead of windows

Callers of a brittle plain service would have been refused although it was nearly idle: with six slots, seven nodes and three endpoints, a node had no part of any endpoint in about 0.4 of the windows (computed, not played). Work that ends before others hear of it is told by its measured duration now; there a node may have its part of the slots at once, or one request, and goes by its own counts, as the others' old ones draw all nodes to one endpoint: in the simulation 3,436 of 8,640 requests were served before that, over nine tenths after.

--- a/src/guavachute/decide/ingress/brittle_endpoints.py
+++ b/src/guavachute/decide/ingress/brittle_endpoints.py
@@ -20,6 +20,10 @@
 """Share of the free slots that is shared out in one window. What is known of
 other nodes misses what they sent in up to three windows."""
 
+SHORT_WORK_S = 0.1
+"""Work of endpoints that takes less than this on average is short: the
+requests that other nodes tell of have ended."""
+
 RESERVED_SHARE = 0.05
 """Share of the slots, and at least one, that is never shared out: the nodes'
 parts are drawn independently, and may add up to more."""
@@ -46,13 +50,27 @@
     :param running: requests at the endpoint, as far as is known
     :param nodes: how many nodes may send there
     """
-    reserved = max(1, round(RESERVED_SHARE * slots))
-    share = SHARED_OUT * max(0, slots - reserved - running) / nodes
+    share = SHARED_OUT * _free(slots, running) / nodes
     window = int(now_s / WINDOW_S)
     part = rendezvous.score(f'{endpoint}/{window}', node) / 2**64
     return int(share) + (part < share - int(share))
 
 
+def allowed_at_once(slots: int, nodes: int) -> int:
+    """How many requests of short work a node may have at an endpoint.
+
+    They end long before other nodes hear of them: sharing the slots out in
+    windows would leave most free, and what others had says nothing.
+    """
+    return max(1, _free(slots, 0) // nodes)
+
+
+def _free(slots: int, running: int) -> int:
+    """The free slots, less those that are kept in reserve."""
+    reserved = max(1, round(RESERVED_SHARE * slots))
+    return max(0, slots - reserved - running)
+
+
 class BrittleServices:
     """Which services are brittle, and what was sent to their endpoints."""
 
@@ -106,18 +124,14 @@
             now_s + shortest_s + fraction * (longest_s - shortest_s)
         )
 
-    def has_room(
-        self, endpoint: ids.EndpointId, allowed: int, now_s: float
-    ) -> bool:
-        """Whether one more request may be sent to an endpoint.
+    def has_rejected(self, endpoint: ids.EndpointId, now_s: float) -> bool:
+        """Whether an endpoint had no room lately, and gets nothing for now."""
+        return now_s < self._full_until_s.get(endpoint, now_s)
 
-        :param allowed: by :func:`allowed_sends`
-        """
-        if now_s < self._full_until_s.get(endpoint, now_s):
-            return False
+    def sent(self, endpoint: ids.EndpointId, now_s: float) -> int:
+        """How many requests were sent to an endpoint in this window."""
         window, count = self._sent.get(endpoint, (0, 0))
-        is_current = window == int(now_s / WINDOW_S)
-        return (count if is_current else 0) < allowed
+        return count if window == int(now_s / WINDOW_S) else 0
 
     def discard(self, existing: typing.Container[ids.EndpointId]) -> None:
         """Forget all endpoints but *existing* ones."""
--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -65,6 +65,7 @@
     :ivar is_leaving: whether it stops soon; requests that still run
         there then have to be moved
     :ivar is_relayed: whether it is reached only through another node
+    :ivar order: the lowest is chosen among equally loaded plain endpoints
     """
 
     id: ids.EndpointId
@@ -77,6 +78,7 @@
     is_doubtful: bool
     is_leaving: bool = False
     is_relayed: bool = False
+    order: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +162,7 @@
             item.is_relayed,
             item.nearness is Nearness.OTHER_REGION,
             item.running / max(1, item.slots),
+            item.order,
             item.nearness,
             item.id,
         ),
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -25,8 +25,8 @@
 engine."""
 
 SPEED_WEIGHT = 0.1
-"""Weight of the newest measurement in the moving average of an engine's
-prefill speed."""
+"""Weight of the newest measurement in the moving averages of an endpoint's
+speed."""
 
 MIN_MEASURED_TOKENS = 2_000
 """Prompts with fewer tokens give no useful measurement of the prefill
@@ -92,6 +92,8 @@
     :ivar reported_requests: the running and waiting requests in the endpoint's
         latest report
     :ivar reported_at_s: loop time of that report
+    :ivar work_s: how long this node's requests there took on average; None
+        before the first
     :ivar cached: ids of prompt parts that the engine should have in its cache,
         the most recently used last
     """
@@ -108,6 +110,7 @@
     has_announced_end: bool = False
     is_in_doubt: bool = False
     is_gone: bool = False
+    work_s: float | None = None
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -120,6 +123,21 @@
             or self.entry.state is endpoints.EndpointState.DRAINING
         )
 
+    @property
+    def has_short_work(self) -> bool:
+        """Whether its requests end before other nodes hear of them."""
+        return (
+            self.work_s is not None
+            and self.work_s < brittle_endpoints.SHORT_WORK_S
+        )
+
+    def record_ended(self, duration_s: float) -> None:
+        """Record the end of a request that this node had there."""
+        self.own.requests -= 1
+        if self.work_s is None:
+            self.work_s = duration_s
+        self.work_s += SPEED_WEIGHT * (duration_s - self.work_s)
+
     @property
     def incarnation(self) -> announcements.Incarnation:
         """Identifies this incarnation in announcements."""
@@ -312,6 +330,8 @@
         """Whether a request fits, at an endpoint of a brittle service."""
         if not self._brittle.is_brittle(record.entry.service, now_s):
             return True
+        if self._brittle.has_rejected(record.entry.id, now_s):
+            return False
         counted_s, nodes = self._senders
         if now_s - counted_s >= brittle_endpoints.WINDOW_S:
             nodes = 1 + sum(
@@ -319,17 +339,15 @@
                 for place in self.limits.other_places()
             )
             self._senders = now_s, nodes
-        return self._brittle.has_room(
-            record.entry.id,
-            brittle_endpoints.allowed_sends(
-                self._site.node,
-                record.entry.id,
-                record.entry.slots,
-                self._running(record, now_s),
-                nodes,
-                now_s,
-            ),
-            now_s,
+        slots, running = record.entry.slots, self._running(record, now_s)
+        if record.has_short_work:
+            return record.own.requests < brittle_endpoints.allowed_at_once(
+                slots, nodes
+            )
+        return self._brittle.sent(
+            record.entry.id, now_s
+        ) < brittle_endpoints.allowed_sends(
+            self._site.node, record.entry.id, slots, running, nodes, now_s
         )
 
     def record_sent(self, record: EndpointRecord, now_s: float) -> None:
@@ -684,11 +702,16 @@
         now_s: float,
     ) -> choice.Candidate:
         others = self.work_of_others(item.entry.id)
+        spreads = item.has_short_work and self._brittle.is_brittle(
+            item.entry.service, now_s
+        )
         return choice.Candidate(
             id=item.entry.id,
             nearness=self.nearness(item.entry),
             slots=item.entry.slots,
-            running=self._running(item, now_s),
+            running=item.own.requests
+            if spreads
+            else self._running(item, now_s),
             waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
             cached_tokens=item.cached_tokens(parts),
             prefill_tokens_per_s=item.prefill_tokens_per_s,
@@ -698,6 +721,7 @@
             ),
             is_leaving=item.is_leaving,
             is_relayed=not self.is_direct(item, now_s),
+            order=random.random() if spreads else 0.0,
         )
 
     def _running(self, item: EndpointRecord, now_s: float) -> int:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -782,7 +782,7 @@
             return
         record = self._record
         assert record is not None
-        record.own.requests -= 1
+        record.record_ended(self._owner.loop.now_s - self._sent_s)
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
         connection.release(keeps_alive)
--- a/tests/cover/test_brittle_endpoints.py
+++ b/tests/cover/test_brittle_endpoints.py
@@ -59,9 +59,16 @@
 
 class SimulatedPressTest(unittest.TestCase):
     def play(
-        self, nodes: int, endpoints: int, slots: int, load: float, seed: int
+        self,
+        nodes: int,
+        endpoints: int,
+        slots: int,
+        load: float,
+        seed: int,
+        duration_s: float = 2.0,
     ) -> list[SimulatedEndpoint]:
         """Ten seconds of *load* times what the endpoints can serve."""
+        is_short = duration_s < brittle_endpoints.WINDOW_S
         rng = random.Random(seed)
         there = [
             SimulatedEndpoint(ids.EndpointId(f'e{number}'), slots, 3)
@@ -76,7 +83,6 @@
         nothing = [[0] * endpoints for _ in range(nodes)]
         told: collections.deque[tuple[list[int], list[list[int]]]]
         told = collections.deque([([0] * endpoints, nothing)], maxlen=4)
-        duration_s = 2.0
         rate_per_s = load * endpoints * slots / duration_s
         now_s, told_s = 100.0, 100.0
         while now_s < 110.0:
@@ -98,6 +104,10 @@
                 + sum(at_s > now_s for at_s in own[node][number])
                 for number in range(endpoints)
             ]
+            if is_short:
+                known = [
+                    sum(at_s > now_s for at_s in item) for item in own[node]
+                ]
             choices = sorted(
                 range(endpoints), key=lambda n: (known[n], rng.random())
             )
@@ -112,8 +122,15 @@
                     now_s,
                 )
                 gate = gates[node]
-                if now_s >= endpoint.down_until_s and gate.has_room(
-                    endpoint.id, allowed, now_s
+                if is_short:
+                    allowed = brittle_endpoints.allowed_at_once(slots, nodes)
+                    sent = sum(at_s > now_s for at_s in own[node][number])
+                else:
+                    sent = gate.sent(endpoint.id, now_s)
+                if (
+                    now_s >= endpoint.down_until_s
+                    and not gate.has_rejected(endpoint.id, now_s)
+                    and sent < allowed
                 ):
                     gate.record_sent(endpoint.id, now_s)
                     if endpoint.send(now_s, duration_s):
@@ -140,6 +157,16 @@
             # A request takes two seconds, so the slots turn over five times.
             self.assertGreater(served, 0.5 * 5 * endpoints * slots)
 
+    # Guards against plain requests that are refused while slots are free.
+    def test_short_work_is_served_and_few_fall(self) -> None:
+        for nodes, endpoints in ((7, 3), (59, 12)):
+            played = self.play(nodes, endpoints, 6, 0.3, 1, duration_s=0.025)
+            offered = 0.3 * endpoints * 6 / 0.025 * 10
+            served = sum(item.served for item in played)
+            falls = sum(item.falls for item in played)
+            self.assertGreater(served, 0.9 * offered)
+            self.assertLessEqual(falls, most_falls(endpoints))
+
 
 class BrittleServicesTest(unittest.TestCase):
     def test_it_ends_with_an_answer_to_a_later_request(self) -> None:
