--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -276,6 +276,11 @@
         """Delete the endpoint's entry from the store."""
         self._store.put(standin_store.ENDPOINTS_TOPIC, self.name, None)
 
+    @property
+    def open_streams(self) -> int:
+        """The number of streams that it is sending."""
+        return len(self._streams)
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self._server.close()
