--- a/soak/broken.py
+++ b/soak/broken.py
@@ -13,8 +13,10 @@
 from guavachute.entry import exchange
 from guavachute.entry import known_state
 from guavachute.entry import program
+from guavachute.entry import relay_client
 from guavachute import ids
 from guavachute import outcome
+from soak import cut_entry
 
 
 def order_twice() -> None:
@@ -93,6 +95,15 @@
     setattr(endpoint_registry.EndpointRegistry, 'usable', usable)
 
 
+def links_unknown() -> None:
+    """Judge endpoints by this node's own links alone."""
+
+    def has_helper(*_: typing.Any) -> bool:
+        return False
+
+    setattr(relay_client.RelayClient, 'has_helper', has_helper)
+
+
 VARIANTS: dict[str, typing.Callable[[], None]] = {
     'order-twice': order_twice,
     'false-not-run': false_not_run,
@@ -100,9 +111,11 @@
     'bad-part-unknown': bad_part_unknown,
     'limit-unknown': limit_unknown,
     'build-unknown': build_unknown,
+    'links-unknown': links_unknown,
 }
 
 
 if __name__ == '__main__':
     VARIANTS[sys.argv[1]]()
+    cut_entry.install()
     sys.exit(program.run(None))
--- a/soak/cut_entry.py
+++ b/soak/cut_entry.py
@@ -6,8 +6,10 @@
 
 import signal
 
-# As deploy/entry.py does, before anything takes time.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+if __name__ == '__main__':
+    # As deploy/entry.py does, before anything takes time. The soak itself must
+    # not ignore it, as its processes would inherit that.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import os  # noqa: E402
 import pathlib  # noqa: E402
@@ -15,7 +17,8 @@
 import sys  # noqa: E402
 
 ROOT = pathlib.Path(__file__).parent.parent
-sys.path[:0] = [str(ROOT), str(ROOT / 'src')]
+if __name__ == '__main__':
+    sys.path[:0] = [str(ROOT), str(ROOT / 'src')]
 
 from guavachute.entry import loop as entry_loop  # noqa: E402
 from guavachute.entry import transport  # noqa: E402
@@ -57,9 +60,14 @@
         self._loop.call_after(POLL_S, self._poll)
 
 
-if __name__ == '__main__':
+def install() -> None:
+    """Let the links of this process be cut from now on."""
     links = FileLinks(
         pathlib.Path(os.environ[MODE_VARIABLE]), os.environ[HOST_VARIABLE]
     )
     setattr(transport, 'connect', links.connect)
+
+
+if __name__ == '__main__':
+    install()
     runpy.run_path(str(ROOT / 'deploy' / 'entry.py'), run_name='__main__')
