--- a/review/standins.py
+++ b/review/standins.py
@@ -262,11 +262,13 @@
             }
             for key in keys[:500]
         ]
-        return json.dumps({
-            'items': items,
-            'hasMore': len(keys) > 500,
-            'endOffset': len(topic.records),
-        }).encode()
+        return json.dumps(
+            {
+                'items': items,
+                'hasMore': len(keys) > 500,
+                'endOffset': len(topic.records),
+            }
+        ).encode()
 
     async def _serve_read(self, query: dict[str, str]) -> tuple[int, bytes]:
         topic, start = self._topics[query['topic']], int(query['from'])
@@ -401,7 +403,9 @@
                     'born': self.born_ms, 'kvUsed': 0, 'kvTotal': 700_000,
                 }).encode()  # fmt: skip
                 writer.write(encode_head(200, {}, len(body)) + body)
-            elif request.headers.get('expect-instance', self.name) != self.name:
+            elif (
+                request.headers.get('expect-instance', self.name) != self.name
+            ):
                 headers = {'Attempt-Id': request.headers.get('attempt-id', '')}
                 writer.write(encode_head(421, headers, 0))
             else:
@@ -575,7 +579,11 @@
     'recoveryS': 12, 'ttl_max_s': 5,
 }  # fmt: skip
 
-ZONES = {'erongo-pit': 'erongo', 'karas-depot': 'karas', 'erongo-bay': 'erongo'}
+ZONES = {
+    'erongo-pit': 'erongo',
+    'karas-depot': 'karas',
+    'erongo-bay': 'erongo',
+}
 
 
 class Route(typing.NamedTuple):
@@ -657,7 +665,11 @@
         self.record.line(f'configuration {version} is acknowledged')
 
     def add_engine(
-        self, engine_class: type[Engine], name: str, service: str, **options: typing.Any
+        self,
+        engine_class: type[Engine],
+        name: str,
+        service: str,
+        **options: typing.Any,
     ) -> Engine:
         """Add an engine, which the case starts."""
         zones = list(ZONES)
@@ -679,9 +691,15 @@
             zone = list(ZONES)[place % len(ZONES)]
             self.nodes.append(
                 Node(
-                    self.record, self.folder, f'edge-{zone}-{place + 1}',
-                    f'{self.net}.{10 + place}', zone, ZONES,
-                    self.store.address, self.cloud.address, BOUNDS,
+                    self.record,
+                    self.folder,
+                    f'edge-{zone}-{place + 1}',
+                    f'{self.net}.{10 + place}',
+                    zone,
+                    ZONES,
+                    self.store.address,
+                    self.cloud.address,
+                    BOUNDS,
                 )  # fmt: skip
             )
 
@@ -797,8 +815,7 @@
                 left -= len(data)
         elif answer.headers.get('transfer-encoding') == 'chunked':
             while True:
-                line = await reader.readuntil(b'\r\n')
-                size = int(line, 16)
+                size = int(await reader.readuntil(b'\r\n'), 16)
                 data = await reader.readexactly(size + 2)
                 if not size:
                     break
