review: show that streams can't be taken up while newer software joins

A frozen machine can't tell of its streams. When a second build joins just then, the other machines answer 503 to every client that takes one up, though all engines of the old build serve on.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,10 @@
-"""Engines start again under their ids, with newer software, during a freeze.
+"""Newer software joins a service while a machine is frozen.
 
-A process that is frozen for a moment finds the connections of its streams
-broken, and resumes them at engines that it takes for what they were before.
+Clients leave the frozen machine and take their streams up elsewhere.
 """
 
 import asyncio
+import contextlib
 import pathlib
 import re
 import signal
@@ -15,117 +15,171 @@
 import standins  # noqa: E402
 
 ENGINES = 9
-UPGRADED = 4
-DOWN_S = 0.3
-UPGRADE_GAP_S = 0.94
-FREEZE_S = 3.4
 NODES = 7
-EVENTS = 120
+SETTLED_S = 38.0
+"""The software of the engines has not changed for this long."""
+
+FREEZE_S = 4.5
+NEWER_AFTER_S = 0.3
+EVENTS = 160
 GAP_S = 0.05
-CLIENTS_OF_FIRST = 40
-CLIENTS_OF_OTHERS = 8
-PATIENCE_S = 4.0
-"""A client leaves a stream after a gap of four times the objective."""
+CLIENTS_OF_FIRST = 30
+PATIENCE_S = 2.0
+"""A client leaves a stream after a gap of two seconds."""
 
-TRIES = 3
-MAX_MIXED = 2
-"""The rule is broken by more streams than this."""
+LEAVES_AFTER_S = 3.0
+RETRIES = 1
+MIN_TAKEN_UP = 12
+NEW_PER_S = 12.0
 
 _EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\S+)\n\n')
 
 
-class Stream:
-    """A stream that a client reads, over all of its tries."""
+class Try:
+    """One request of a client, and the events that it brought."""
 
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.last_id = 0
-        self.versions: list[str] = []
+    def __init__(self) -> None:
+        self.status = 0
+        self.ids: list[int] = []
+        self.retry_after_s = 0.0
         self.is_complete = False
 
-    def read(self, body: bytes) -> None:
-        """Note the events of one answer."""
-        for number, _, version in _EVENT.findall(body):
-            self.last_id = int(number)
-            if version.decode() not in self.versions:
-                self.versions.append(version.decode())
-
 
 async def read_stream(
-    reader: asyncio.StreamReader, answer: standins.Answer
+    node: standins.Node,
+    attempt: str,
+    headers: dict[str, str],
+    leaves_after_s: float | None = None,
+) -> Try:
+    """Send a request and read its answer for as long as a client does.
+
+    :param leaves_after_s: when the client closes, whatever has come
+    """
+    found = Try()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(leaves_after_s):
+            await _read_stream(node, attempt, headers, found)
+    return found
+
+
+async def _read_stream(
+    node: standins.Node, attempt: str, headers: dict[str, str], found: Try
 ) -> None:
-    """Read an answer until it ends, or for longer than a client waits."""
-    head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), PATIENCE_S)
-    answer.status = int(head.split(b' ', 2)[1])
-    for line in head.decode('latin-1').split('\r\n')[1:]:
-        name, _, value = line.partition(':')
-        answer.headers[name.strip().lower()] = value.strip()
-    if answer.headers.get('transfer-encoding') != 'chunked':
-        length = int(answer.headers.get('content-length', '0'))
-        answer.body = await reader.readexactly(length)
-        answer.is_complete = True
-        return
-    while True:
-        line = await asyncio.wait_for(reader.readuntil(b'\r\n'), PATIENCE_S)
-        size = int(line, 16)
-        data = await reader.readexactly(size + 2)
-        if not size:
-            answer.is_complete = True
+    writer = None
+    try:
+        reader, writer = await standins.connect(node.frontend)
+        writer.write(
+            standins.encode_request(
+                'POST', '/note/x', attempt, attempt.encode(), headers
+            )
+        )
+        head = await asyncio.wait_for(
+            reader.readuntil(b'\r\n\r\n'), PATIENCE_S
+        )
+        found.status = int(head.split(b' ', 2)[1])
+        after = re.search(rb'(?i)retry-after: ([\d.]+)', head)
+        found.retry_after_s = float(after.group(1)) if after else 0.0
+        if b'chunked' not in head:
             return
-        answer.body += data[:-2]
+        body = b''
+        while True:
+            line = await asyncio.wait_for(
+                reader.readuntil(b'\r\n'), PATIENCE_S
+            )
+            size = int(line, 16)
+            data = await reader.readexactly(size + 2)
+            if not size:
+                found.is_complete = True
+                break
+            body += data[:-2]
+            found.ids = [int(item[0]) for item in _EVENT.findall(body)]
+    except (OSError, EOFError):
+        pass
+    finally:
+        if writer is not None:
+            writer.close()
 
 
-async def follow(
-    site: standins.Site, node: standins.Node, stream: Stream, number: int
-) -> None:
-    """Read one stream; take it up again where it broke off."""
-    attempt = stream.name
-    for attempt_number in range(1, TRIES + 1):
+class Clients:
+    """The streams of the machine that freezes, and new ones elsewhere."""
+
+    def __init__(self, site: standins.Site) -> None:
+        self._site = site
+        self.taken_up = 0
+        self.went_on = 0
+        self.new = 0
+        self.begun = 0
+
+    async def follow(self, number: int, leaves_after_s: float | None) -> None:
+        """Read a stream of the first machine; take it up elsewhere."""
+        record = self._site.record
+        name = f'stream-{number}'
         headers = {
             'Model': 'm',
             'Token-Counts': '800,500',
             'Prefix-Hash': f'a{number:x}:500,{number:x}f:300',
         }
-        if stream.last_id:
-            headers['Last-Event-Id'] = str(stream.last_id)
-            headers['Resumes'] = stream.name
-        answer = standins.Answer()
-        try:
-            reader, writer = await standins.connect(node.frontend)
-            writer.write(
-                standins.encode_request(
-                    'POST', '/note/x', attempt, attempt.encode(), headers
-                )
-            )
-            await read_stream(reader, answer)
-            writer.close()
-        except (OSError, EOFError, TimeoutError) as error:
-            answer.end = type(error).__name__
-        if answer.status == 200:
-            stream.read(answer.body)
-        site.record.line(
-            f'client {attempt} at {node.name}: {answer.status}, last event '
-            f'{stream.last_id}, versions {"+".join(stream.versions)}, '
-            f'{"complete" if answer.is_complete else answer.end}'
+        first = await read_stream(
+            self._site.nodes[0], name, headers, leaves_after_s
         )
-        if answer.status == 200 and answer.is_complete:
-            stream.is_complete = True
+        record.line(
+            f'client {name} at {self._site.nodes[0].name}: {first.status}, '
+            f'{len(first.ids)} events, complete {first.is_complete}'
+        )
+        if first.is_complete or not first.ids:
             return
-        attempt = f'{stream.name}-again-{attempt_number}'
-        await asyncio.sleep(0.2)
-
-
-async def upgrade(engine: standins.Engine) -> None:
-    """Start an engine again with newer software, under the same id."""
-    ip, _, port = engine.address.rpartition(':')
-    engine.crash()
-    await asyncio.sleep(DOWN_S)
-    engine.version = 'v2'
-    await engine.start(ip, int(port))
+        self.taken_up += 1
+        node = self._site.nodes[1 + number % (NODES - 1)]
+        for again in range(1 + RETRIES):
+            attempt = f'{name}-again-{again + 1}'
+            found = await read_stream(
+                node,
+                attempt,
+                {
+                    **headers,
+                    'Last-Event-Id': str(first.ids[-1]),
+                    'Resumes': name,
+                },
+            )
+            record.line(
+                f'client {attempt} after event {first.ids[-1]} at '
+                f'{node.name}: {found.status}, events {found.ids[:1]} to '
+                f'{found.ids[-1:]}'
+            )
+            if found.ids:
+                self.went_on += 1
+                return
+            await asyncio.sleep(found.retry_after_s or 0.1)
+
+    async def begin_new(self, duration_s: float) -> None:
+        """Begin new streams at the other machines for a while."""
+        tasks = []
+        for number in range(int(duration_s * NEW_PER_S)):
+            tasks.append(asyncio.create_task(self._begin(number)))
+            await asyncio.sleep(1 / NEW_PER_S)
+        await asyncio.gather(*tasks)
+
+    async def _begin(self, number: int) -> None:
+        node = self._site.nodes[1 + number % (NODES - 1)]
+        found = await read_stream(
+            node,
+            f'new-{number}',
+            {
+                'Model': 'm',
+                'Token-Counts': '800,500',
+                'Prefix-Hash': f'b{number:x}:500,{number:x}e:300',
+            },
+        )
+        self.new += 1
+        self.begun += bool(found.ids)
+        self._site.record.line(
+            f'client new-{number} at {node.name}: {found.status}, '
+            f'{len(found.ids)} events'
+        )
 
 
 async def case(site: standins.Site, has_trouble: bool) -> bool:
-    """Whether each stream has the events of one version only."""
+    """Whether streams that are taken up go on like new ones begin."""
     for number in range(ENGINES):
         site.add_engine(
             standins.Engine, f'i-{number:04x}', 'guava-models',
@@ -134,54 +188,45 @@
     for engine in site.engines:
         await engine.start(site.engine_ip(engine))
     await site.configure(
-        1,
-        [
-            standins.Route(
-                '/note/', 'streaming', 'guava-models', resumable=True,
-                slo_ms=1_000,
-            )
-        ],
-    )  # fmt: skip
+        1, [standins.Route('/note/', 'streaming', 'guava-models', True)]
+    )
     site.add_nodes(NODES)
     for node in site.nodes:
         node.start()
     await site.wait_until_ready()
-    await asyncio.sleep(3)
-    streams: list[Stream] = []
+    await asyncio.sleep(SETTLED_S)
+    clients = Clients(site)
     tasks = []
-    places = [0] * CLIENTS_OF_FIRST
-    for place in range(1, NODES):
-        places += [place] * CLIENTS_OF_OTHERS
-    for number, place in enumerate(places):
-        stream = Stream(f'stream-{number}')
-        streams.append(stream)
-        node = site.nodes[place]
+    # Without the trouble, the connections of the clients break by themselves.
+    leaves_after_s = None if has_trouble else LEAVES_AFTER_S
+    for number in range(CLIENTS_OF_FIRST):
         tasks.append(
-            asyncio.create_task(follow(site, node, stream, number))
+            asyncio.create_task(clients.follow(number, leaves_after_s))
         )
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(0.5)
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(1)
+    tasks.append(asyncio.create_task(clients.begin_new(FREEZE_S)))
+    frozen = site.nodes[0]
     if has_trouble:
-        frozen = site.nodes[0]
         frozen.signal(signal.SIGSTOP)
-        began_s = site.record.now_s()
-        upgrades = []
-        for engine in site.engines[:UPGRADED]:
-            await asyncio.sleep(UPGRADE_GAP_S if upgrades else 0.1)
-            upgrades.append(asyncio.create_task(upgrade(engine)))
-        await asyncio.gather(*upgrades)
-        await asyncio.sleep(
-            max(0.0, FREEZE_S - (site.record.now_s() - began_s))
-        )
+        await asyncio.sleep(NEWER_AFTER_S)
+        newer = site.add_engine(
+            standins.Engine, 'i-9999', 'guava-models',
+            events=EVENTS, gap_s=GAP_S,
+        )  # fmt: skip
+        newer.version = 'v2'
+        await newer.start(site.engine_ip(newer))
+        await asyncio.sleep(FREEZE_S - NEWER_AFTER_S)
         frozen.signal(signal.SIGCONT)
     await asyncio.gather(*tasks)
-    mixed = [item.name for item in streams if len(item.versions) > 1]
-    complete = sum(item.is_complete for item in streams)
     site.record.line(
-        f'{len(streams)} streams, {complete} complete; events of two versions '
-        f'in {len(mixed)}: {", ".join(mixed)}'
+        f'{clients.went_on} of {clients.taken_up} streams that were taken up '
+        f'went on; {clients.begun} of {clients.new} new streams began'
     )
-    return len(mixed) <= MAX_MIXED
+    if clients.taken_up < MIN_TAKEN_UP or not clients.new:
+        raise standins.CannotRunError('too few streams to judge')
+    share = clients.went_on / clients.taken_up
+    return share * 2 >= clients.begun / clients.new
 
 
 if __name__ == '__main__':
