--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,8 +26,8 @@
 TROUBLED_SHARE = 0.45
 """Share of the answers of the troubled engine that have no end."""
 
-CHUNK = b'x '
-BLOCK = standins.encode_chunk(CHUNK) * 8_192
+CHUNK = b'word by '
+BLOCK = standins.encode_chunk(CHUNK) * 4_096
 
 
 class TroubledEngine(standins.Engine):
