--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,6 +23,7 @@
 WORK_S = 0.15
 BEFORE_S, CRASHING_S, AFTER_S = 5.0, 15.0, 4.0
 MAX_CLOSED = 3
+CONTACT_S = 4.0
 
 
 class CrashableEngine(standins.Engine):
@@ -59,6 +60,9 @@
         self._site = site
         self.answered = 0
         self.closed: list[str] = []
+        self.others_closed = 0
+        self.in_touch_s = float('inf')
+        self.first_end_s: dict[str, float] = {}
 
     async def keep_sending(self, node: standins.Node, name: str) -> None:
         """Send plain requests, one after the other, on kept connections."""
@@ -71,6 +75,7 @@
                 continue
             try:
                 answer = standins.Answer()
+                is_kept = False
                 while True:
                     number += 1
                     attempt = f'{name}-{number}'
@@ -82,30 +87,47 @@
                     )  # fmt: skip
                     answer = await standins.read_answer(reader)
                     if not answer.is_complete:
-                        self._note_closed(attempt, node, answer)
+                        self._note_closed(attempt, node, answer, is_kept)
                         break
+                    is_kept = True
                     self.answered += answer.status == 200
                     if answer.headers.get('connection') == 'close':
                         break
             except ConnectionError:
-                self._note_closed(attempt, node, answer)
+                self._note_closed(attempt, node, answer, is_kept)
             finally:
                 writer.close()
 
     def _note_closed(
-        self, attempt: str, node: standins.Node, answer: standins.Answer
+        self,
+        attempt: str,
+        node: standins.Node,
+        answer: standins.Answer,
+        is_kept: bool,
     ) -> None:
+        """Note a connection that closed without an answer.
+
+        Only kept ones count, of processes that have run since the machine was
+        in touch: what one that has started again closes is left out.
+        """
+        now_s = self._site.record.now_s()
+        ended_s = self.first_end_s.get(node.name, now_s)
+        is_first_run = now_s - ended_s < RESTART_AFTER_S
         ran = any(
             attempt == run
             for engine in self._site.engines
             for run, _ in engine.runs
         )
+        counts = ran and is_kept and is_first_run and now_s >= self.in_touch_s
         self._site.record.line(
             f'client {attempt} at {node.name}: {answer.end}, '
             f'{"passed on to an engine" if ran else "not passed on"}'
+            f'{", counts" if counts else ""}'
         )
-        if ran:
+        if counts:
             self.closed.append(attempt)
+        else:
+            self.others_closed += ran
 
     async def send_crashing(self, duration_s: float) -> None:
         """Send requests with the crashing part, no two alike."""
@@ -139,7 +161,9 @@
         self._site.record.line(f'client {attempt} at {node.name}: {end}')
 
 
-async def start_again(site: standins.Site, ends: list[str]) -> None:
+async def start_again(
+    site: standins.Site, clients: Clients, ends: list[str]
+) -> None:
     """Start processes again that have ended, as the platform does."""
     while True:
         for node in site.nodes:
@@ -150,6 +174,7 @@
                     f'status {node.process.returncode}'
                 )
                 ends.append(node.name)
+                clients.first_end_s.setdefault(node.name, site.record.now_s())
                 await asyncio.sleep(RESTART_AFTER_S)
                 node.start()
         await asyncio.sleep(0.02)
@@ -181,7 +206,8 @@
     await site.wait_until_ready()
     ends: list[str] = []
     clients = Clients(site)
-    tasks = [asyncio.create_task(start_again(site, ends))]
+    clients.in_touch_s = site.record.now_s() + CONTACT_S
+    tasks = [asyncio.create_task(start_again(site, clients, ends))]
     for node in site.nodes:
         for number in range(KEPT_PER_NODE):
             tasks.append(
@@ -201,8 +227,8 @@
         f'{CrashableEngine.crashes} crashes of engines; processes ended by '
         f'themselves {len(ends)} times: {", ".join(ends)}; '
         f'{clients.answered} plain requests answered, {len(clients.closed)} '
-        'passed on to a sound engine and their connection closed without an '
-        'answer'
+        'that count passed on to a sound engine and their kept connection '
+        f'closed without an answer, {clients.others_closed} others'
     )
     return len(clients.closed) <= MAX_CLOSED
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,7 +17,7 @@
 
 ENGINES = 9
 NODES = 3
-SOUND_PER_S = 40.0
+SOUND_PER_S = 24.0
 CRASHING_PER_S = 2.0
 BEFORE_S, CRASHING_S = 6.0, 22.0
 QUESTION = b'which tyres of the night shift are below their pressure?'
@@ -137,7 +137,8 @@
     for node in site.nodes:
         node.start()
     await site.wait_until_ready()
-    await asyncio.sleep(2)
+    # From then on all machines are in touch.
+    await asyncio.sleep(CONTACT_S + 0.5)
     requests = Requests(site)
     start_s = site.record.now_s()
     await requests.send_for(BEFORE_S, False)
