--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,95 +1,232 @@
-"""Clients send heads of over half of the limit in two pieces."""
+"""Newer software joins a service while a machine is frozen.
+
+Clients leave the frozen machine and take their streams up elsewhere.
+"""
 
 import asyncio
+import contextlib
 import pathlib
+import re
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins  # noqa: E402
 
-LIMIT_BYTES = 16_384
-HEADER_TIMEOUT_S = 3.0
-LARGE_PARTS, SMALL_PARTS = 750, 3
-"""A prompt of 12,000 tokens with a part for each block of 16, and a prompt
-with the parts of the sheet."""
-
-LAST_BYTES = 200
-PAUSE_S = 0.2
-NODES = 3
-REQUESTS = 60
-PER_S = 12.0
-
-
-def encode(number: int) -> bytes:
-    """A request; each second one has a large head."""
-    count = LARGE_PARTS if number % 2 else SMALL_PARTS
-    parts = [f'{number:03x}{place:05x}:16' for place in range(count)]
-    headers = {
-        'Model': 'm',
-        'Token-Counts': f'{16 * count},100',
-        'Prefix-Hash': ','.join(parts),
-    }
-    return standins.encode_request(
-        'POST', '/note/x', f's-{number}', b'%d' % number, headers
-    )
+ENGINES = 9
+NODES = 7
+SETTLED_S = 38.0
+"""The software of the engines has not changed for this long."""
+
+FREEZE_S = 4.5
+NEWER_AFTER_S = 0.3
+EVENTS = 160
+GAP_S = 0.05
+CLIENTS_OF_FIRST = 30
+PATIENCE_S = 2.0
+"""A client leaves a stream after a gap of two seconds."""
+
+LEAVES_AFTER_S = 3.0
+RETRIES = 1
+MIN_TAKEN_UP = 12
+NEW_PER_S = 12.0
+
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) (\S+)\n\n')
+
+
+class Try:
+    """One request of a client, and the events that it brought."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.ids: list[int] = []
+        self.retry_after_s = 0.0
+        self.is_complete = False
 
 
-async def send(
-    site: standins.Site, number: int, has_trouble: bool, statuses: list[int]
+async def read_stream(
+    node: standins.Node,
+    attempt: str,
+    headers: dict[str, str],
+    leaves_after_s: float | None = None,
+) -> Try:
+    """Send a request and read its answer for as long as a client does.
+
+    :param leaves_after_s: when the client closes, whatever has come
+    """
+    found = Try()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(leaves_after_s):
+            await _read_stream(node, attempt, headers, found)
+    return found
+
+
+async def _read_stream(
+    node: standins.Node, attempt: str, headers: dict[str, str], found: Try
 ) -> None:
-    """Send a request, with the trouble in two pieces."""
-    node = site.nodes[number % NODES]
-    request = encode(number)
-    head_bytes = request.index(b'\r\n\r\n') + 4
-    reader, writer = await standins.connect(node.frontend)
-    first = head_bytes - LAST_BYTES if has_trouble else len(request)
-    writer.write(request[:first])
-    if has_trouble:
-        await asyncio.sleep(PAUSE_S)
-        writer.write(request[first:])
+    writer = None
     try:
-        answer = await standins.read_answer(reader)
+        reader, writer = await standins.connect(node.frontend)
+        writer.write(
+            standins.encode_request(
+                'POST', '/note/x', attempt, attempt.encode(), headers
+            )
+        )
+        head = await asyncio.wait_for(
+            reader.readuntil(b'\r\n\r\n'), PATIENCE_S
+        )
+        found.status = int(head.split(b' ', 2)[1])
+        after = re.search(rb'(?i)retry-after: ([\d.]+)', head)
+        found.retry_after_s = float(after.group(1)) if after else 0.0
+        if b'chunked' not in head:
+            return
+        body = b''
+        while True:
+            line = await asyncio.wait_for(
+                reader.readuntil(b'\r\n'), PATIENCE_S
+            )
+            size = int(line, 16)
+            data = await reader.readexactly(size + 2)
+            if not size:
+                found.is_complete = True
+                break
+            body += data[:-2]
+            found.ids = [int(item[0]) for item in _EVENT.findall(body)]
+    except (OSError, EOFError):
+        pass
     finally:
-        writer.close()
-    statuses.append(answer.status)
-    pieces = f'{first} and {len(request) - first}' if has_trouble else 'all'
-    site.record.line(
-        f'client s-{number} at {node.name}, head of {head_bytes} bytes, '
-        f'sent {pieces}: {answer.status} {answer.end}'
-    )
+        if writer is not None:
+            writer.close()
+
+
+class Clients:
+    """The streams of the machine that freezes, and new ones elsewhere."""
+
+    def __init__(self, site: standins.Site) -> None:
+        self._site = site
+        self.taken_up = 0
+        self.went_on = 0
+        self.new = 0
+        self.begun = 0
+
+    async def follow(self, number: int, leaves_after_s: float | None) -> None:
+        """Read a stream of the first machine; take it up elsewhere."""
+        record = self._site.record
+        name = f'stream-{number}'
+        headers = {
+            'Model': 'm',
+            'Token-Counts': '800,500',
+            'Prefix-Hash': f'a{number:x}:500,{number:x}f:300',
+        }
+        first = await read_stream(
+            self._site.nodes[0], name, headers, leaves_after_s
+        )
+        record.line(
+            f'client {name} at {self._site.nodes[0].name}: {first.status}, '
+            f'{len(first.ids)} events, complete {first.is_complete}'
+        )
+        if first.is_complete or not first.ids:
+            return
+        self.taken_up += 1
+        node = self._site.nodes[1 + number % (NODES - 1)]
+        for again in range(1 + RETRIES):
+            attempt = f'{name}-again-{again + 1}'
+            found = await read_stream(
+                node,
+                attempt,
+                {
+                    **headers,
+                    'Last-Event-Id': str(first.ids[-1]),
+                    'Resumes': name,
+                },
+            )
+            record.line(
+                f'client {attempt} after event {first.ids[-1]} at '
+                f'{node.name}: {found.status}, events {found.ids[:1]} to '
+                f'{found.ids[-1:]}'
+            )
+            if found.ids:
+                self.went_on += 1
+                return
+            await asyncio.sleep(found.retry_after_s or 0.1)
+
+    async def begin_new(self, duration_s: float) -> None:
+        """Begin new streams at the other machines for a while."""
+        tasks = []
+        for number in range(int(duration_s * NEW_PER_S)):
+            tasks.append(asyncio.create_task(self._begin(number)))
+            await asyncio.sleep(1 / NEW_PER_S)
+        await asyncio.gather(*tasks)
+
+    async def _begin(self, number: int) -> None:
+        node = self._site.nodes[1 + number % (NODES - 1)]
+        found = await read_stream(
+            node,
+            f'new-{number}',
+            {
+                'Model': 'm',
+                'Token-Counts': '800,500',
+                'Prefix-Hash': f'b{number:x}:500,{number:x}e:300',
+            },
+        )
+        self.new += 1
+        self.begun += bool(found.ids)
+        self._site.record.line(
+            f'client new-{number} at {node.name}: {found.status}, '
+            f'{len(found.ids)} events'
+        )
 
 
 async def case(site: standins.Site, has_trouble: bool) -> bool:
-    """Whether proper requests are not rejected."""
-    for number in range(3):
+    """Whether streams that are taken up go on like new ones begin."""
+    for number in range(ENGINES):
         site.add_engine(
-            standins.Engine, f'i-{number:04x}', 'guava-models', events=10
-        )
+            standins.Engine, f'i-{number:04x}', 'guava-models',
+            events=EVENTS, gap_s=GAP_S,
+        )  # fmt: skip
     for engine in site.engines:
         await engine.start(site.engine_ip(engine))
-    route = standins.Route('/note/', 'streaming', 'guava-models', True)
-    await site.configure(1, [route])
+    await site.configure(
+        1, [standins.Route('/note/', 'streaming', 'guava-models', True)]
+    )
     site.add_nodes(NODES)
     for node in site.nodes:
         node.start()
     await site.wait_until_ready()
-    await asyncio.sleep(5.0)
-    statuses: list[int] = []
-    async with asyncio.TaskGroup() as group:
-        for number in range(REQUESTS):
-            group.create_task(send(site, number, has_trouble, statuses))
-            await asyncio.sleep(1 / PER_S)
-    denied = [
-        status
-        for status in statuses
-        if 300 <= status < 500 and status not in (408, 421, 429)
-    ]
+    await asyncio.sleep(SETTLED_S)
+    clients = Clients(site)
+    tasks = []
+    # Without the trouble, the connections of the clients break by themselves.
+    leaves_after_s = None if has_trouble else LEAVES_AFTER_S
+    for number in range(CLIENTS_OF_FIRST):
+        tasks.append(
+            asyncio.create_task(clients.follow(number, leaves_after_s))
+        )
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(1)
+    tasks.append(asyncio.create_task(clients.begin_new(FREEZE_S)))
+    frozen = site.nodes[0]
+    if has_trouble:
+        frozen.signal(signal.SIGSTOP)
+        await asyncio.sleep(NEWER_AFTER_S)
+        newer = site.add_engine(
+            standins.Engine, 'i-9999', 'guava-models',
+            events=EVENTS, gap_s=GAP_S,
+        )  # fmt: skip
+        newer.version = 'v2'
+        await newer.start(site.engine_ip(newer))
+        await asyncio.sleep(FREEZE_S - NEWER_AFTER_S)
+        frozen.signal(signal.SIGCONT)
+    await asyncio.gather(*tasks)
     site.record.line(
-        f'{len(statuses)} proper requests, {statuses.count(200)} answered '
-        f'200, {len(denied)} denied: {sorted(set(denied))}'
+        f'{clients.went_on} of {clients.taken_up} streams that were taken up '
+        f'went on; {clients.begun} of {clients.new} new streams began'
     )
-    return len(denied) <= 5 + len(statuses) / 500
+    if clients.taken_up < MIN_TAKEN_UP or not clients.new:
+        raise standins.CannotRunError('too few streams to judge')
+    share = clients.went_on / clients.taken_up
+    return share * 2 >= clients.begun / clients.new
 
 
 if __name__ == '__main__':
