Review: a stream without the end of an event, as the fifth case

Nodes stand still for seconds while one endpoint of nine sends bytes that end no event in small chunks.

At fault is EventStream.feed, which copies the incomplete event twice for each chunk.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,32 +1,40 @@
-"""A prompt part crashes engines while callers ask the same question often."""
+"""An engine in trouble sends bytes without end in small chunks."""
 
 import asyncio
 import pathlib
+import random
 import sys
+import typing
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins  # noqa: E402
 
-CONTACT_S = 4.0
-CRASHES_TO_KNOW = 5
-MIN_REQUESTS = 20
-CRASHING_PART = 'bad0'
-CRASH_AFTER_S = 0.03
-DOWN_S = 2.0
+PLAIN_TIMEOUT_MS = 1_500
+PLAIN_DEADLINE_MS = 3_000
+GRACE_S = 0.5
+MIN_LATE = 8
+"""Fewer late requests than this break no rule."""
 
-ENGINES = 9
-NODES = 3
-SOUND_PER_S = 24.0
-CRASHING_PER_S = 2.0
-BEFORE_S, CRASHING_S = 6.0, 22.0
-QUESTION = b'which tyres of the night shift are below their pressure?'
+STREAM_GAP_S = 4.0
+"""A client leaves a stream after a gap of four times the objective."""
 
+MODEL_ENGINES = 9
+STREAMS_PER_S = 24.0
+PLAIN_PER_S = 24.0
+BEFORE_S, TROUBLE_S, AFTER_S = 5.0, 6.5, 8.0
+TROUBLED_SHARE = 0.45
+"""Share of the answers of the troubled engine that have no end."""
 
-class CrashableEngine(standins.Engine):
-    """Crashes when it begins to answer a prompt with the crashing part."""
+CHUNK = b'word by '
+BLOCK = standins.encode_chunk(CHUNK) * 4_096
 
-    crashes_s: list[float] = []
+
+class TroubledEngine(standins.Engine):
+    """Its streams go on without the end of an event while it is in trouble."""
+
+    is_in_trouble = False
+    rng = random.Random(3)
 
     async def answer(
         self,
@@ -34,130 +42,208 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Answer, or crash and come back after some seconds."""
-        if f'{CRASHING_PART}:' not in request.headers.get('prefix-hash', ''):
+        """Send the first events, then bytes until the caller closes."""
+        is_bad = self.is_in_trouble and self.rng.random() < TROUBLED_SHARE
+        if not is_bad:
             await super().answer(request, reader, writer)
             return
-        await asyncio.sleep(CRASH_AFTER_S)
-        if self.is_listening:
-            self.crashes_s.append(self.record.now_s())
-            self.crash()
-            self.restart = asyncio.create_task(self._start_again())
-
-    async def _start_again(self) -> None:
-        ip, _, port = self.address.rpartition(':')
-        await asyncio.sleep(DOWN_S)
-        await self.start(ip, int(port))
+        attempt = request.headers.get('attempt-id', '')
+        self.record.line(f'engine {self.name} sends without end to {attempt}')
+        writer.write(
+            standins.encode_head(200, self.headers(request), None)
+            + standins.encode_chunk(b'id: 1\ndata: one\n\n')
+        )
+        sent = 0
+        try:
+            while not writer.is_closing():
+                writer.write(BLOCK)
+                sent += len(BLOCK)
+                await writer.drain()
+                await asyncio.sleep(0.002)
+        finally:
+            self.record.line(
+                f'engine {self.name} was closed by the caller of {attempt} '
+                f'after {sent} bytes'
+            )
 
 
-class Requests:
-    """Sends requests, and counts the sound ones that begin to run."""
+class Clients:
+    """Sends requests at a steady rate, each on a connection of its own."""
 
     def __init__(self, site: standins.Site) -> None:
         self._site = site
+        self._rng = random.Random(7)
         self._tasks: list[asyncio.Task[None]] = []
-        self.sound: list[tuple[float, str]] = []
-
-    async def send_for(self, duration_s: float, has_crashing: bool) -> None:
-        """Send at a steady rate for a while."""
+        self.unanswered = 0
+        self.late = 0
+        self.answered = 0
+        self.slowest_ready_s = 0.0
+        self.own_delay_s = 0.0
+
+    async def send_for(self, duration_s: float) -> None:
+        """Send all kinds of requests for a while."""
         record = self._site.record
-        start_s = next_s = record.now_s()
-        next_crashing_s = start_s
-        while record.now_s() - start_s < duration_s:
-            number = len(self._tasks) + 1
-            if has_crashing and record.now_s() >= next_crashing_s:
-                next_crashing_s += 1 / CRASHING_PER_S
-                self._start(f'crashing-{number}', number, True)
-            number = len(self._tasks) + 1
-            self.sound.append((record.now_s(), f'sound-{number}'))
-            self._start(f'sound-{number}', number, False)
-            next_s += 1 / SOUND_PER_S
+        end_s = record.now_s() + duration_s
+        number = len(self._tasks)
+        next_s = record.now_s()
+        while record.now_s() < end_s:
+            number += 1
+            node = self._site.nodes[number // 2 % len(self._site.nodes)]
+            work: typing.Coroutine[typing.Any, typing.Any, None]
+            if number % 2:
+                work = self._plain(node, f'plain-{number}')
+            else:
+                work = self._stream(node, f'stream-{number}', number)
+            self._tasks.append(asyncio.create_task(work))
+            next_s += 1 / (STREAMS_PER_S + PLAIN_PER_S)
             await asyncio.sleep(max(0.0, next_s - record.now_s()))
 
     async def wait(self) -> None:
         """Wait for the last answers."""
         await asyncio.gather(*self._tasks)
 
-    def begun(self, from_s: float, to_s: float) -> tuple[int, int]:
-        """How many sound requests were sent in a time, and how many ran."""
-        ran = {
-            attempt
-            for engine in self._site.engines
-            for attempt, _ in engine.runs
-        }
-        sent = [name for at_s, name in self.sound if from_s <= at_s < to_s]
-        return len(sent), sum(name in ran for name in sent)
-
-    def _start(self, attempt: str, number: int, is_crashing: bool) -> None:
-        self._tasks.append(
-            asyncio.create_task(self._send(attempt, number, is_crashing))
-        )
+    async def watch_readiness(self, node: standins.Node) -> None:
+        """Ask a process each second whether it is ready, for the record."""
+        record = self._site.record
+        while True:
+            sent_s = record.now_s()
+            is_ready = await standins.is_ready(node)
+            took_s = record.now_s() - sent_s
+            self.slowest_ready_s = max(self.slowest_ready_s, took_s)
+            if took_s > 1:
+                record.line(
+                    f'{node.name} said ready={is_ready} after {took_s:.1f} s'
+                )
+            await asyncio.sleep(1)
 
-    async def _send(
-        self, attempt: str, number: int, is_crashing: bool
-    ) -> None:
-        node = self._site.nodes[number % NODES]
-        # All share the first part; a sound one never has the crashing part.
-        middle = CRASHING_PART if is_crashing else f'part{number % 6}'
-        body = b'question %d' % number if is_crashing else QUESTION
-        headers = {
-            'Model': 'm',
-            'Token-Counts': '700,150',
-            'Prefix-Hash': f'a0:400,{middle}:200,{number:x}:100',
-        }
+    async def watch_itself(self) -> None:
+        """Measure how late this process's own timers are."""
+        record = self._site.record
+        while True:
+            due_s = record.now_s() + 0.05
+            await asyncio.sleep(0.05)
+            self.own_delay_s = max(self.own_delay_s, record.now_s() - due_s)
+
+    async def _plain(self, node: standins.Node, attempt: str) -> None:
+        """A request to the sound service."""
+        record = self._site.record
+        sent_s = record.now_s()
+        reader, writer = await standins.connect(node.frontend)
+        writer.write(
+            standins.encode_request(
+                'GET', '/lookup/x', attempt, deadline_ms=PLAIN_DEADLINE_MS
+            )
+        )
+        waits_s = PLAIN_DEADLINE_MS / 1000
         answer = standins.Answer()
         try:
-            reader, writer = await standins.connect(node.frontend)
-            writer.write(
-                standins.encode_request(
-                    'POST', '/note/x', attempt, body, headers
-                )
-            )
-            answer = await standins.read_answer(reader)
-            writer.close()
-        except OSError as error:
-            answer.end = type(error).__name__
-        self._site.record.line(
-            f'client {attempt} at {node.name}: {answer.status} {answer.end}'
+            async with asyncio.timeout(waits_s):
+                answer = await standins.read_answer(reader)
+        except TimeoutError:
+            answer.end = 'none within the deadline'
+        took_s = record.now_s() - sent_s
+        writer.close()
+        limit_s = PLAIN_TIMEOUT_MS / 1000
+        if took_s > limit_s:
+            self.unanswered += 1
+        if took_s > limit_s + GRACE_S:
+            self.late += 1
+        self.answered += answer.is_complete
+        record.line(
+            f'client {attempt} at {node.name}: {answer.status} {answer.end} '
+            f'after {took_s:.2f} s'
         )
 
+    async def _stream(
+        self, node: standins.Node, attempt: str, number: int
+    ) -> None:
+        record = self._site.record
+        reader, writer = await standins.connect(node.frontend)
+        parts = f'a{number % 40:x}:500,{number:x}:300'
+        writer.write(
+            standins.encode_request(
+                'POST', '/history/x', attempt, b'question %d' % number,
+                {
+                    'Model': 'm', 'Token-Counts': '800,100',
+                    'Prefix-Hash': parts,
+                },
+            )
+        )  # fmt: skip
+        received = 0
+        end = 'ended'
+        while True:
+            try:
+                async with asyncio.timeout(STREAM_GAP_S):
+                    data = await reader.read(65_536)
+            except TimeoutError:
+                end = 'left by the client after a gap'
+                break
+            except ConnectionError:
+                end = 'reset'
+                break
+            if not data or data.endswith(b'0\r\n\r\n'):
+                break
+            received += len(data)
+        writer.close()
+        record.line(f'client {attempt}: {received} bytes, {end}')
+
 
 async def case(site: standins.Site, has_trouble: bool) -> bool:
-    """Whether sound requests begin at least half as often as before."""
-    for number in range(ENGINES):
+    """Whether sound requests are answered in time."""
+    for number in range(MODEL_ENGINES):
         site.add_engine(
-            CrashableEngine, f'i-{number:04x}', 'guava-models', events=30
+            TroubledEngine, f'i-{number:04x}', 'guava-models', events=30
         )
+    for number in range(3):
+        site.add_engine(standins.Engine, f'i-1{number:03x}', 'tyrewatch-app')
     for engine in site.engines:
         await engine.start(site.engine_ip(engine))
     await site.configure(
-        1, [standins.Route('/note/', 'streaming', 'guava-models', True)]
-    )
-    site.add_nodes(NODES)
+        1,
+        [
+            standins.Route(
+                '/history/', 'streaming', 'guava-models', slo_ms=1_000,
+                max_attempts=1,
+            ),
+            standins.Route(
+                '/lookup/', 'idempotent', 'tyrewatch-app',
+                timeout_ms=PLAIN_TIMEOUT_MS, slo_ms=200,
+            ),
+        ],
+    )  # fmt: skip
+    site.add_nodes(3)
     for node in site.nodes:
         node.start()
     await site.wait_until_ready()
-    # From then on all machines are in touch.
-    await asyncio.sleep(CONTACT_S + 0.5)
-    requests = Requests(site)
-    start_s = site.record.now_s()
-    await requests.send_for(BEFORE_S, False)
-    crashing_s = site.record.now_s()
-    await requests.send_for(CRASHING_S, has_trouble)
-    end_s = site.record.now_s()
-    await requests.wait()
-    crashes_s = CrashableEngine.crashes_s[:CRASHES_TO_KNOW]
-    judged_s = (crashes_s[-1] if crashes_s else crashing_s) + 2 * CONTACT_S
-    before, begun_before = requests.begun(start_s, crashing_s)
-    after, begun_after = requests.begun(judged_s, end_s)
+    await asyncio.sleep(2)
+    clients = Clients(site)
+    watches = [
+        asyncio.create_task(clients.watch_readiness(node))
+        for node in site.nodes
+    ]
+    watches.append(asyncio.create_task(clients.watch_itself()))
+    await clients.send_for(BEFORE_S)
+    troubled = typing.cast(TroubledEngine, site.engines[0])
+    if has_trouble:
+        site.record.line(f'trouble begins at engine {troubled.name}')
+        troubled.is_in_trouble = True
+    await clients.send_for(TROUBLE_S)
+    troubled.is_in_trouble = False
+    site.record.line('trouble ends')
+    await clients.send_for(AFTER_S)
+    await clients.wait()
+    for watch in watches:
+        watch.cancel()
     site.record.line(
-        f'{len(CrashableEngine.crashes_s)} crashes; sound requests that began '
-        f'at the first attempt: {begun_before} of {before} before the '
-        f'crashes, {begun_after} of {after} from {judged_s:.1f} s on'
+        f'plain requests: {clients.answered} answered, {clients.unanswered} '
+        f'without an answer at {PLAIN_TIMEOUT_MS} ms, {clients.late} of them '
+        f'half a second later; slowest readiness answer '
+        f'{clients.slowest_ready_s:.1f} s, delay of the clients themselves '
+        f'{clients.own_delay_s:.2f} s'
+    )
+    return not (
+        clients.late >= MIN_LATE and clients.late * 2 > clients.unanswered
     )
-    if min(before, after) < MIN_REQUESTS:
-        raise standins.CannotRunError('too few requests to judge')
-    return begun_after / after * 2 >= begun_before / before
 
 
 if __name__ == '__main__':
