Refuse workspaces that no header can name; encode the others in UTF-8

A name with a line break added headers of its own.

Cause: what the document's decoder accepts was taken for a value that can be sent. encode_for_endpoint wrote Tenant as Latin-1; the exception left the event loop. Ruled out by the traceback and by reading: log, datagrams, records (UTF-8 or msgpack). An ASCII name in the same change ends nothing.

Now names are written in UTF-8, which is injective and the document's own encoding. What fits into no header is refused at once with 503 (not run), before quota or budget is used, and logged when the version is applied.

--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -35,6 +35,9 @@
 from guavachute.wire import requests as wire_requests
 
 NO_CONFIGURATION_RETRY_S = 0.3
+UNNAMEABLE_RETRY_S = 30.0
+"""Retry-After where only a new configuration can help."""
+
 STOPPING_RETRY_S = 0.05
 
 STOP_SERVE_FRACTION = 0.35
@@ -222,6 +225,13 @@
                 f'the key is unknown in version {current.version}',
             ))  # fmt: skip
             return None
+        if workspace is not None and not requests.can_name(workspace.name):
+            self._reject(caller, call, 503, _failure(
+                outcome.Reason.UNAVAILABLE,
+                f'no header can hold the name of workspace {workspace.name!r}',
+                UNNAMEABLE_RETRY_S,
+            ))  # fmt: skip
+            return None
         return self._admit(caller, call, route, workspace)
 
     def _node_refusal(self, call: domain_call.Call) -> outcome.Failure | None:
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -19,6 +19,7 @@
 from guavachute.platform import configuration as platform_configuration
 from guavachute.platform import endpoints as platform_endpoints
 from guavachute.platform import store
+from guavachute.wire import header_text
 from guavachute.wire import node_updates
 
 
@@ -112,6 +113,14 @@
             before=self.version,
             source=source,
         )
+        for name in decoded.workspaces:
+            if header_text.encode(name) is None:
+                journal.problem(
+                    'workspace',
+                    outcome='unnameable',
+                    workspace=repr(name),
+                    version=decoded.version,
+                )
         self.configuration = decoded
         self._configuration_bytes = text
         self._deflated = None
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -13,6 +13,7 @@
 from guavachute.domain import configuration
 from guavachute import ids
 from guavachute import outcome
+from guavachute.wire import header_text
 from guavachute.wire import untrusted
 
 ATTEMPT_ID = b'attempt-id'
@@ -97,14 +98,24 @@
     )
 
 
+def can_name(workspace: ids.WorkspaceName) -> bool:
+    """Whether a request can tell an endpoint the name of *workspace*."""
+    return header_text.encode(workspace) is not None
+
+
 def encode_for_endpoint(sent: call.Call, dispatch: call.Dispatch) -> bytes:
-    """Encode the request for an endpoint, head and body, as HTTP/1.1."""
+    """Encode the request for an endpoint, head and body, as HTTP/1.1.
+
+    The workspace is one that :func:`can_name` accepts.
+    """
     lines = [b'%s %s HTTP/1.1' % (sent.method.encode(), sent.target)]
     lines += [b'%s: %s' % header for header in sent.headers]
     lines.append(b'Deadline-Ms: %d' % max(1, int(dispatch.deadline_s * 1000)))
     lines.append(b'Expect-Instance: %s' % dispatch.endpoint.encode('latin-1'))
     if dispatch.workspace is not None:
-        lines.append(b'Tenant: %s' % dispatch.workspace.encode('latin-1'))
+        name = header_text.encode(dispatch.workspace)
+        assert name is not None, 'requests of such a workspace are refused'
+        lines.append(b'Tenant: %s' % name)
     if dispatch.urgency is not None:
         lines.append(b'Request-Urgency: %d' % dispatch.urgency)
     if dispatch.resume_after is not None:
