Reject configurations with numbers that no process can work with

A version of 400 digits decoded, and can't be encoded in an update to other nodes; a kvCapacity of "inf" or "nan" (the decoder is lax with numbers in text) raised past the decoder's barrier. Either ends the process. "nan" as a rate or time decoded into a quota or timer that never compares as larger.

All numbers of the document are bounded now; such a version is unreadable and logged, and the one in force stays.

--- a/src/guavachute/platform/configuration.py
+++ b/src/guavachute/platform/configuration.py
@@ -12,7 +12,7 @@
 TOPIC = 'keyed.op'
 KEY = 'config'
 
-Milliseconds = float
+Milliseconds = untrusted.Number
 
 
 class _Fields(msgspec.Struct, frozen=True, rename='camel'):
@@ -21,7 +21,7 @@
 
 class _Split(_Fields, frozen=True):
     service: str
-    weight: float = 1
+    weight: untrusted.Number = 1
 
 
 class _Route(_Fields, frozen=True):
@@ -35,10 +35,10 @@
     timeout_ms: Milliseconds = 15_000
     slo_ms: Milliseconds = 1_000
     gap_slo_ms: Milliseconds = 1_000
-    priority: int = 0
+    priority: untrusted.SignedInteger = 0
     service: str | None = None
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: untrusted.SignedInteger = 1
     anonymous: bool = False
     # "sticky" marks the routes whose requests name model and prompt.
     sticky: bool = False
@@ -46,30 +46,32 @@
 
 
 class _Engine(_Fields, frozen=True):
-    slots: int = 1
+    slots: untrusted.SignedInteger = 1
     # "kvCapacity" counts tokens.
-    kv_capacity: float = 0
+    kv_capacity: typing.Annotated[
+        float, msgspec.Meta(ge=0, le=untrusted.MAX_INTEGER)
+    ] = 0
 
 
 class _Scaling(_Fields, frozen=True):
-    min: int = 0
-    max: int = 0
-    boot_s: float = msgspec.field(default=0, name='bootS')
+    min: untrusted.SignedInteger = 0
+    max: untrusted.SignedInteger = 0
+    boot_s: untrusted.Number = msgspec.field(default=0, name='bootS')
     # "spotPrice" is a fraction of the price in "zonePrices".
-    spot_price: float | None = None
-    zone_prices: dict[str, float] = {}
+    spot_price: untrusted.Number | None = None
+    zone_prices: dict[str, untrusted.Number] = {}
 
 
 class _Service(_Fields, frozen=True):
     name: str
-    max_conns: int = 100
+    max_conns: untrusted.SignedInteger = 100
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
 class _Limits(_Fields, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: untrusted.SignedInteger = 16_384
+    max_body_bytes: untrusted.SignedInteger = 4_194_304
     header_timeout_ms: Milliseconds = 3_000
     idle_timeout_ms: Milliseconds = 15_000
 
@@ -77,16 +79,16 @@
 class _Tenant(_Fields, frozen=True):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: untrusted.SignedInteger | None = None
     unit: str = 'requests'
     # "uncachedTokens" is the cost of a request without token counts.
-    uncached_tokens: float = 1
-    rate_per_s: float = msgspec.field(default=0, name='ratePerS')
-    burst: float = 0
+    uncached_tokens: untrusted.Number = 1
+    rate_per_s: untrusted.Number = msgspec.field(default=0, name='ratePerS')
+    burst: untrusted.Number = 0
 
 
 class _Configuration(_Fields, frozen=True):
-    version: int
+    version: untrusted.Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
--- a/src/guavachute/wire/untrusted.py
+++ b/src/guavachute/wire/untrusted.py
@@ -22,7 +22,16 @@
 MAX_DIGITS = 15
 """Decimal numbers with more digits are not decoded."""
 
+MAX_FLOAT = 1e300
+"""Sums and products of a few numbers up to this are finite."""
+
 Integer = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+SignedInteger = typing.Annotated[
+    int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)
+]
+Number = typing.Annotated[float, msgspec.Meta(ge=-MAX_FLOAT, le=MAX_FLOAT)]
+"""Neither infinite nor "not a number", which lax decoders read from text."""
+
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Quantity = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 TOKEN_PATTERN = rf'^[!-~]{{1,{MAX_NAME_CHARACTERS}}}$'
--- a/tests/cover/test_untrusted.py
+++ b/tests/cover/test_untrusted.py
@@ -193,6 +193,28 @@
         )
 
 
+class ConfigurationNumbersTest(unittest.TestCase):
+    # Guards against processes that end, or can send no update any more, at a
+    # number of the operator's document.
+    def test_a_document_with_unusable_numbers_is_a_failure(self) -> None:
+        for fields in (
+            f'"version":{HUGE}',
+            '"version":1,"services":'
+            '[{"name":"s","engine":{"kvCapacity":"inf"}}]',
+            '"version":1,"services":'
+            '[{"name":"s","engine":{"kvCapacity":"nan"}}]',
+            f'"version":1,"services":[{{"name":"s","maxConns":{HUGE}}}]',
+            '"version":1,"limits":{"headerTimeoutMs":"nan"}',
+            '"version":1,"tenants":[{"name":"a","ratePerS":"nan"}]',
+            '"version":1,"tenants":[{"name":"a","burst":"inf"}]',
+        ):
+            self.assertIsInstance(
+                configuration.decode(b'{' + fields.encode() + b'}'),
+                outcome.Failure,
+                fields[:80],
+            )
+
+
 class CallerHeadersTest(unittest.TestCase):
     def call(self, *headers: tuple[bytes, bytes]) -> domain_call.Call:
         found = requests.read_call(
