Shorten ids of prompt parts that don't fit into a key of the store

Ids beyond Latin-1's ASCII half need two bytes a character, so 124 of them were enough.

Ids of over 200 bytes become a hash where they are decoded, and where another node, maybe of an older build, tells them. Older builds agree on all shorter ids. The new test failed before (ValueError).

--- a/src/guavachute/domain/call.py
+++ b/src/guavachute/domain/call.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+import xxhash
+
 from guavachute.domain import configuration
 from guavachute import ids
 
@@ -14,11 +16,26 @@
 BINARY = b'application/octet-stream'
 
 
+MAX_PART_ID_BYTES = 200
+"""In UTF-8; a key of the store has room for these and a prefix."""
+
+
+def part_id(name: str) -> str:
+    """The id of a part that callers or other nodes call *name*.
+
+    A long name becomes a hash, as ids are part of keys and of each update.
+    """
+    content = name.encode('utf-8', 'surrogatepass')
+    if len(content) <= MAX_PART_ID_BYTES:
+        return name
+    return f'hash-{xxhash.xxh3_128_hexdigest(content)}'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
     """A part of a prompt, which several requests may share.
 
-    :ivar id: equal for equal content
+    :ivar id: equal for equal content; see :func:`part_id`
     :ivar tokens: its length
     """
 
--- a/src/guavachute/entry/part_suspects.py
+++ b/src/guavachute/entry/part_suspects.py
@@ -274,8 +274,9 @@
         """Merge what another node knows of suspected parts."""
         now_s = self._loop.now_s
         for item in notices:
+            part = domain_call.part_id(item.part)
             notice = crashing_parts.Notice(
-                item.part,
+                part,
                 {
                     crash: now_s - age_ds / _DECISECONDS
                     for crash, age_ds in item.crashes.items()
@@ -286,7 +287,7 @@
                 else now_s - item.cleared_ds / _DECISECONDS,
             )
             if self._parts.merge_notice(notice, now_s):
-                self._log('blamed', item.part, source=source)
+                self._log('blamed', part, source=source)
 
     # -- the store -----------------------------------------------------
 
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -294,7 +294,9 @@
         tokens = untrusted.number(count)
         if not name or tokens is None:
             return tuple(parts)
-        parts.append(call.PromptPart(name.decode('latin-1'), tokens))
+        parts.append(
+            call.PromptPart(call.part_id(name.decode('latin-1')), tokens)
+        )
     return tuple(parts)
 
 
--- a/tests/cover/test_untrusted.py
+++ b/tests/cover/test_untrusted.py
@@ -15,6 +15,7 @@
 from guavachute.decide.nodes import entry_writes
 from guavachute.domain import call as domain_call
 from guavachute.domain import net_address
+from guavachute.entry import part_suspects
 from guavachute import ids
 from guavachute import outcome
 from guavachute.platform import configuration
@@ -236,6 +237,20 @@
         self.assertEqual((), found.parts)
         self.assertIsNone(found.deadline_s)
 
+    # Guards against processes that end when a part with a long id is blamed
+    # for crashes: its record's key has room for 255 bytes.
+    def test_a_part_of_any_length_fits_into_the_key_of_a_record(self) -> None:
+        names = [b'a' * 200, b'a' * 242, b'a' * 4_000, b'\xe9' * 200]
+        found = self.call(
+            (b'Prefix-Hash', b','.join(name + b':10' for name in names))
+        )
+        self.assertEqual('a' * 200, found.parts[0].id)
+        self.assertEqual(4, len({part.id for part in found.parts}))
+        for part in found.parts:
+            key = part_suspects.KEY_PREFIX + part.id
+            store.encode_keyed(store.KeyedRecord(key, b''))
+            self.assertEqual(part.id, domain_call.part_id(part.id))
+
     def test_odd_headers_of_answers_are_absent(self) -> None:
         digits = b'9' * 5_000
         head = requests.read_answer(
