Continue unlisted streams at the build from before a newer one joined

Cause: while a record is settled nobody lists streams, and when it became mixed the nodes forgot that it had been settled until then. Ruled out: lists that were lost on the way (none was sent), another reason of the refusal (its line).

Now each node remembers which others knew of a single build when they were last heard. A stream that no node and no store lists began at that build, if each node has been heard since the request arrived or fell silent before it knew of another one. A node that was lost later leaves the doubt, and the refusal, as before. Take-ups wait up to 1.2 s for that (0.5 x objective before). A region's update has a new last field, which older builds of ours ignore; theirs, which lack it, prove nothing.

Tests: two at nodes failed before. The line stream-origin tells what was known.

--- a/src/guavachute/decide/ingress/served_builds.py
+++ b/src/guavachute/decide/ingress/served_builds.py
@@ -44,6 +44,9 @@
     :ivar known_s: by build, when this node learnt that it is on record
     :ivar seen: the builds of the endpoints that exist
     :ivar seen_s: since when just those were seen
+    :ivar former: the single build of the settled record before; None if that
+        record was not settled, or may have been lost
+    :ivar former_until_s: when that record was replaced
     """
 
     record: Record | None = None
@@ -53,6 +56,8 @@
     )
     seen: Builds = frozenset()
     seen_s: float = 0.0
+    former: ids.BuildName | None = None
+    former_until_s: float = 0.0
 
 
 class ServedBuilds:
@@ -87,6 +92,13 @@
             record = Record(
                 before.builds | record.builds, False, log_position.NO_POSITION
             )
+            item.former = None
+        elif record.is_settled:
+            item.former = None
+        elif before is not None and before.is_settled:
+            sole = before.builds & record.builds
+            item.former = next(iter(sole), None)
+            item.former_until_s = now_s
         item.record = record
         item.known_s = {
             build: item.known_s.get(build, now_s) for build in record.builds
@@ -98,6 +110,7 @@
         item = self._services.get(service)
         if item is not None and item.record is not None:
             item.lost = max(item.lost, item.record.position)
+            item.former = None
             item.record = dataclasses.replace(
                 item.record,
                 is_settled=False,
@@ -121,6 +134,26 @@
         (build,) = item.record.builds
         return build
 
+    def former_sole_build(
+        self, service: ids.ServiceName, within_s: float, now_s: float
+    ) -> ids.BuildName | None:
+        """The build that began all streams until others came on record.
+
+        None if that was longer than *within_s* ago, or is not known.
+        """
+        item = self._services.get(service)
+        if item is None or now_s - item.former_until_s > within_s:
+            return None
+        return item.former
+
+    def settled(self) -> frozenset[ids.ServiceName]:
+        """The services with a single build on record."""
+        return frozenset(
+            service
+            for service, item in self._services.items()
+            if item.record is not None and item.record.is_settled
+        )
+
     def is_awaited(
         self, service: ids.ServiceName, build: ids.BuildName, now_s: float
     ) -> bool:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -112,8 +112,7 @@
         self._passes_framed = True
         self._connection_end: str | None = None
         self._partial_bytes = 0
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()
         self._ignored_bytes = 0
         self._events = event_stream.EventStream()
         self._last_error: exchange_state.BufferedAnswer | None = None
@@ -201,7 +200,9 @@
             return True
         found = self._owner.find_build(self)
         if found is stream_builds.Origin.PENDING:
-            self._recheck_or_fail(now_s, 'the store is asked for the stream')
+            self._recheck_or_fail(
+                now_s, 'the origin is not known', stream_builds.FIND_TIMEOUT_S
+            )
         elif found is stream_builds.Origin.UNKNOWN:
             self._fail_request(
                 outcome.Failure(
@@ -241,10 +242,12 @@
             now_s, f'no endpoint of {self.service} can be used'
         )
 
-    def _recheck_or_fail(self, now_s: float, reason: str) -> None:
+    def _recheck_or_fail(
+        self, now_s: float, reason: str, least_wait_s: float = 0.0
+    ) -> None:
         """Try to dispatch again soon, unless the request waited too long."""
-        waited_s = now_s - self.arrived_s
-        if waited_s < WAIT_FRACTION * self.route.objective_s:
+        longest_s = max(least_wait_s, WAIT_FRACTION * self.route.objective_s)
+        if now_s - self.arrived_s < longest_s:
             self._recheck_timer = self._owner.loop.call_after(
                 RECHECK_S, self._redispatch
             )
@@ -509,8 +512,7 @@
             return
         self._head = head
         self._framing = event.framing
-        self._buffered = []
-        self._buffered_bytes = 0
+        self._buffered.clear()
         self._connection.idle_timeout_s = head.idle_timeout_s
         if head.load is not None:
             self._record.record_reported_load(
@@ -547,9 +549,8 @@
         if self._answer_mode is exchange_state.AnswerMode.EVENTS:
             self._forward_events(data)
         elif self._answer_mode is exchange_state.AnswerMode.BUFFERED:
-            self._buffered.append(data)
-            self._buffered_bytes += len(data)
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            self._buffered += data
+            if len(self._buffered) > MAX_BUFFERED_BYTES:
                 self._fail_attempt('the answer is too large to be buffered')
         else:
             self._ignored_bytes += len(data)
@@ -663,7 +664,7 @@
     def _finish_buffered(self, keeps_alive: bool) -> None:
         assert self._record is not None and self._head is not None
         answer = exchange_state.BufferedAnswer(
-            self._head, b''.join(self._buffered), self._is_framed
+            self._head, bytes(self._buffered), self._is_framed
         )
         if answer.head.status >= 500:
             self._record.health.record_failure(self._owner.loop.now_s)
@@ -803,8 +804,7 @@
     def _time_out(self) -> None:
         if self.state is exchange_state.State.ENDED:
             return
-        was_sent = self._connection is not None or self._may_have_run
-        self._may_have_run = was_sent
+        self._may_have_run |= self._connection is not None
         self._release_endpoint(keeps_alive=False)
         self._fail_request(
             outcome.Failure(
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -591,6 +591,7 @@
             builds=self._builds.records(),
             relays=self._relays.told_helpers(),
             heard=self._relays.told_endpoints(self.registry.heard()),
+            unproven=self._builds.unproven(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -612,17 +613,16 @@
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
-        self._builds.merge_told(update.streams, update.builds)
+        self._builds.merge_node_update(source, update)
         self._catch_up.check_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         """Apply the update of a reader of another region."""
         self.usage.merge_region_update(update)
-        age_s = update.age_s
-        if age_s < self._age_s - quota.STARTUP_WINDOW_S:
-            # Another reader sent the sums of that region before this one
-            # started, so this run is treated as older than this process.
-            age_s = math.inf
+        # Another reader may have sent the sums of that region before this one
+        # started, so a younger run is treated as older than this process.
+        is_younger = update.age_s < self._age_s - quota.STARTUP_WINDOW_S
+        age_s = math.inf if is_younger else update.age_s
         self.ingress.merge_consumption(
             quota.Source(peer_table.region_source(update), update.region),
             update.spent,
@@ -632,7 +632,7 @@
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
-        self._builds.merge_told({}, update.builds)
+        self._builds.merge_region_update(update)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
--- a/src/guavachute/entry/stream_builds.py
+++ b/src/guavachute/entry/stream_builds.py
@@ -2,7 +2,8 @@
 
 Each node tells its streams to the others while more than one build may have
 begun them; one node writes them to a topic of the store. A node that gets a
-stream of which it has not heard reads that topic.
+stream of which it has not heard reads that topic. If it isn't there either, it
+began before there was more than one build, or at a node that has been lost.
 """
 
 import enum
@@ -10,6 +11,7 @@
 
 from guavachute.decide.ingress import served_builds
 from guavachute.decide.ingress import stream_origins
+from guavachute.decide.ingress import stream_witnesses
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
 from guavachute.domain import endpoints
@@ -38,12 +40,25 @@
 WRITE_RETRY_S = 1.0
 READ_TIMEOUT_S = 1.0
 
+FIND_TIMEOUT_S = 1.2
+"""A stream that is taken up waits this long until its build is known: the
+other nodes send updates every quarter of a second, those of other regions
+every second."""
+
+WITNESS_SILENT_S = 1.1
+"""A node that may have streams to list, and sent no update for this long, is
+not waited for. It is longer where nodes send updates in turns."""
+
+STOOD_STILL_S = 0.8
+"""With a longer time between two turns of the loop, this node has stood still,
+and may not have heard what others sent."""
+
 
 class Origin(enum.Enum):
     """What is known of the build that began a stream, if not the build."""
 
     PENDING = 'pending'
-    """The store is being asked."""
+    """The store, or another node, has not answered yet."""
     UNKNOWN = 'unknown'
 
 
@@ -74,6 +89,9 @@
     def own_topic_end(self) -> ids.Offset | None:
         """The offset up to which this node has read its own topic."""
 
+    def extra_age_s(self) -> float:
+        """How much older updates may be than with few nodes, in seconds."""
+
 
 class StreamBuilds:
     """The origin of streams, as one node knows it.
@@ -97,6 +115,7 @@
         self._current = current
         self._origins = stream_origins.StreamOrigins()
         self._builds = served_builds.ServedBuilds()
+        self._witnesses = stream_witnesses.StreamWitnesses()
         self._resumable: tuple[int, frozenset[ids.ServiceName]] = (
             0,
             frozenset(),
@@ -104,6 +123,7 @@
         self._is_writing = False
         self._written_s: dict[ids.ServiceName, float] = {}
         self._is_reading = False
+        self._awake_since_s = self._turned_s = loop.now_s
         self._next_offset = ids.Offset(0)
         self._read_s = float('-inf')
         self._read_failed_s = float('-inf')
@@ -146,11 +166,57 @@
             return Origin.PENDING
         if call.begun_as is None:
             return Origin.UNKNOWN
-        if self._read_s >= arrived_s or self._read_failed_s >= arrived_s:
+        if self._read_s >= arrived_s:
+            return self._find_unlisted(call, service, arrived_s)
+        if self._read_failed_s >= arrived_s:
             return Origin.UNKNOWN
         self._read()
         return Origin.PENDING
 
+    def _find_unlisted(
+        self,
+        call: domain_call.Call,
+        service: ids.ServiceName,
+        arrived_s: float,
+    ) -> ids.BuildName | Origin:
+        """The build that began a stream which neither node nor store lists."""
+        now_s = self._loop.now_s
+        former = self._builds.former_sole_build(
+            service, stream_origins.KEPT_S, now_s
+        )
+        proof = self._witnesses.prove(
+            service,
+            arrived_s,
+            self._update_awake_since_s(),
+            self._witness_silent_s(),
+            now_s,
+        )
+        if former is not None and proof is stream_witnesses.Proof.AWAITED:
+            return Origin.PENDING
+        journal.event(
+            'stream-origin',
+            outcome='unlisted',
+            request=call.attempt_id,
+            begun_as=call.begun_as,
+            service=service,
+            former_build=former,
+            proof=proof.value,
+            waited_s=round(now_s - arrived_s, 3),
+        )
+        if former is None or proof is not stream_witnesses.Proof.COMPLETE:
+            return Origin.UNKNOWN
+        return former
+
+    def _update_awake_since_s(self) -> float:
+        """Since when this node hears all that is sent to it."""
+        if self._loop.now_s - self._turned_s > STOOD_STILL_S:
+            self._awake_since_s = self._loop.now_s
+        self._turned_s = self._loop.now_s
+        return self._awake_since_s
+
+    def _witness_silent_s(self) -> float:
+        return WITNESS_SILENT_S + self._network.extra_age_s()
+
     def handle_begun(
         self,
         call: domain_call.Call,
@@ -202,14 +268,40 @@
             for service, record in self._builds.records().items()
         ]
 
-    def merge_told(
-        self,
-        streams: stream_origins.StreamsByBuild,
-        records: typing.Iterable[node_updates.BuildsNotice],
+    def unproven(self) -> list[ids.ServiceName]:
+        """Services for which a node that may list streams is silent."""
+        return sorted(
+            self._witnesses.unproven_services(
+                self._services(), self._witness_silent_s(), self._loop.now_s
+            )
+        )
+
+    def merge_node_update(
+        self, run: str, update: node_updates.NodeUpdate
+    ) -> None:
+        """Merge what another node tells.
+
+        :param run: the name of that run of the node
+        """
+        now_s = self._loop.now_s
+        self._origins.merge(update.streams, False, now_s)
+        self._witnesses.record_node(run, _settled(update.builds), now_s)
+        self._merge_notices(update.builds)
+
+    def merge_region_update(self, update: node_updates.RegionUpdate) -> None:
+        """Merge what a reader of another region tells."""
+        self._witnesses.record_region(
+            update.region,
+            _settled(update.builds),
+            None if update.unproven is None else frozenset(update.unproven),
+            self._loop.now_s,
+        )
+        self._merge_notices(update.builds)
+
+    def _merge_notices(
+        self, notices: typing.Iterable[node_updates.BuildsNotice]
     ) -> None:
-        """Merge what another node tells."""
-        self._origins.merge(streams, False, self._loop.now_s)
-        for item in records:
+        for item in notices:
             self._merge_record(
                 item.service,
                 item.builds,
@@ -300,6 +392,7 @@
         now_s = self._loop.now_s
         self.observe_endpoints()
         self._origins.expire(self._network.writes_streams(), now_s)
+        self._witnesses.expire(now_s)
         if not self._network.is_reader():
             return
         for service in self._services():
@@ -380,6 +473,7 @@
         )
 
     def _write_streams(self) -> None:
+        self._update_awake_since_s()
         if self._is_writing or not self._network.writes_streams():
             return
         streams = self._origins.unwritten()
@@ -468,3 +562,9 @@
         age_s = self._network.true_time_s() - record.wall_s
         if age_s <= 2 * stream_origins.KEPT_S:
             self._origins.merge(record.streams, True, self._loop.now_s)
+
+
+def _settled(
+    notices: typing.Iterable[node_updates.BuildsNotice],
+) -> frozenset[ids.ServiceName]:
+    return frozenset(item.service for item in notices if item.is_settled)
--- a/src/guavachute/entry/stream_network.py
+++ b/src/guavachute/entry/stream_network.py
@@ -88,3 +88,7 @@
     def own_topic_end(self) -> ids.Offset | None:
         """The offset up to which this node has read its own topic."""
         return self._own_topic().end_offset
+
+    def extra_age_s(self) -> float:
+        """How much older updates may be than with few nodes, in seconds."""
+        return self._table.extra_age_s
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -119,6 +119,8 @@
         requests on to endpoints
     :ivar heard: how long ago the region's nodes heard endpoints, in tenths of
         a second; those heard lately
+    :ivar unproven: services for which a node of the region has fallen silent
+        that may have streams to list; None if the reader doesn't tell
     """
 
     region: str
@@ -140,6 +142,7 @@
     builds: list[BuildsNotice] = []
     relays: list[tuple[str, Address, str]] = []
     heard: dict[ids.EndpointId, int] = {}
+    unproven: list[ids.ServiceName] | None = None
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
--- a/tests/cover/test_stream_builds.py
+++ b/tests/cover/test_stream_builds.py
@@ -9,6 +9,7 @@
 import unittest.mock
 
 from guavachute.decide.ingress import served_builds
+from guavachute.decide.nodes import rounds
 from guavachute.entry import node as entry_node
 from guavachute.entry import store_client
 from guavachute.entry import stream_builds
@@ -255,7 +256,6 @@
             served_builds, 'SETTLES_AFTER_S', 0.2
         )
         settles.start()
-        self.addCleanup(settles.stop)
         self.nodes = [self.site.ready_node()]
         self.nodes.append(
             self.site.ready_node(seeds=(self.nodes[0].peers.address,))
@@ -269,6 +269,9 @@
                 for node in self.nodes
             ),
         )
+        settles.stop()
+        # The nodes tell each other.
+        looping.run_for(self.site.loop, 2 * rounds.PERIOD_S)
 
     def join(self, node: entry_node.Node) -> platform_site.CallerSocket:
         """A new build joins; a stream of *node* begins there and breaks."""
@@ -297,6 +300,34 @@
                 'new', standin_engine.origin(reply.headers).endpoint
             )
 
+    # Guards against LOST: what a lost node had begun while one build served
+    # was refused by all others once another build had joined.
+    def test_streams_of_a_node_that_was_lost_before_go_on(self) -> None:
+        first, second = self.nodes
+        broken = self.begin(first)
+        first.close()
+        self.add('new', 'v2')
+        self.wait_for(second, 2)
+        looping.run_for(self.site.loop, 1.0)
+        reply = self.take_up(second, broken)
+        self.assertEqual(200, reply.status)
+        self.assertEqual('old', standin_engine.origin(reply.headers).endpoint)
+
+    # Guards against ORDER: a lost node may have used the newer build too.
+    def test_streams_that_a_lost_node_could_not_list_are_refused(
+        self,
+    ) -> None:
+        first, second = self.nodes
+        self.join(first)
+        first.close()
+        looping.run_for(self.site.loop, stream_builds.WITNESS_SILENT_S)
+        before = len(self.old.runs)
+        reply = self.site.fetch(
+            second, '/resumable/a', Last_Event_Id='2', Resumes='not-listed'
+        )
+        self.assertEqual(503, reply.status)
+        self.assertEqual(before, len(self.old.runs))
+
     def test_a_node_in_step_goes_on_at_the_only_build(self) -> None:
         first, second = self.nodes
         broken = self.begin(first)
