--- a/src/guavachute/decide/ingress/crashing_parts.py
+++ b/src/guavachute/decide/ingress/crashing_parts.py
@@ -19,6 +19,7 @@
 import collections
 import dataclasses
 import enum
+import heapq
 import math
 import typing
 
@@ -59,6 +60,10 @@
 
 MAX_TRIAL_AFTER_S = 1_200.0
 MAX_PARTS = 1_000
+EVICTED_PARTS = 100
+"""Parts that are evicted together, since a look at all entries costs as much
+for one as for many."""
+
 MAX_CRASHES = 12
 """The latest crashes that are kept of one part."""
 
@@ -370,7 +375,7 @@
         if entry.crashes and len(unproven) == len(crashes):
             entry.told_moments = max(entry.told_moments, moments)
         if len(self._entries) > MAX_PARTS:
-            self._evict_one()
+            self._evict()
         return entry.is_blamed and not was_blamed
 
     def _clear(self, part: str, at_s: float, now_s: float) -> None:
@@ -379,16 +384,15 @@
         if not entry.crashes:
             entry.used_s = entry.changed_s = now_s
 
-    def _evict_one(self) -> None:
-        del self._entries[
-            min(
-                self._entries,
-                key=lambda part: (
-                    self._entries[part].moments,
-                    self._entries[part].used_s,
-                ),
-            )
-        ]
+    def _evict(self) -> None:
+        """Forget the parts with the fewest crashes, the oldest ones first."""
+        least = heapq.nsmallest(
+            EVICTED_PARTS,
+            self._entries.items(),
+            key=lambda item: (item[1].moments, item[1].used_s),
+        )
+        for part, _ in least:
+            del self._entries[part]
 
     @staticmethod
     def _is_old(entry: _Entry, now_s: float) -> bool:
--- a/tests/cover/test_parser_cost.py
+++ b/tests/cover/test_parser_cost.py
@@ -1,15 +1,18 @@
-"""What a byte costs must not depend on how many bytes came before it.
+"""What a byte or an entry costs must not depend on what came before it.
 
-Pattern: an engine in trouble sends bytes that never end an event, a head, a
-chunk line or a body, in small pieces.
+Patterns: an engine in trouble sends bytes that never end an event, a head, a
+chunk line or a body, in small pieces; engines crash under prompts of hundreds
+of parts.
 """
 
 import time
 import typing
 import unittest
 
+from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress import event_stream
 from guavachute.entry import http1
+from guavachute import ids
 
 PIECE = b'word by '
 SIZES = (8_000, 80_000, 800_000)
@@ -68,3 +71,22 @@
             return lambda data: reader.feed(http1.encode_chunk(data))
 
         self.check(begin)
+
+
+class TableCostTest(unittest.TestCase):
+    # Guards against processes that stand still after crashes: beyond 1,000
+    # suspected parts, each further one was paid with a look at all of them.
+    def test_parts_beyond_the_bound_cost_as_much_as_those_below(self) -> None:
+        def seconds_for(parts: crashing_parts.CrashingParts, at: int) -> float:
+            names = [f'part-{at}-{number}' for number in range(500)]
+            began_s = time.process_time()
+            parts.record_crash(ids.CrashId(at), names, 1.0, 1.0)
+            return time.process_time() - began_s
+
+        first_s = later_s = float('inf')
+        for _ in range(3):
+            parts = crashing_parts.CrashingParts()
+            first_s = min(first_s, seconds_for(parts, 0))
+            seconds_for(parts, 1)
+            later_s = min(later_s, seconds_for(parts, 2))
+        self.assertLess(later_s, 10 * first_s)
