Handle the chunks of one piece together, and keep bodies in one buffer

Bodies of requests, answers and replies were lists of their chunks: 400,000 bytes in chunks of two took 8.6 MB in the new test, so that one request of 4 MiB would have taken 90 MB of a machine's 160 MB. A reader kept its last body until the next request came, and a large write was copied once more when the socket took only a part of it.

Both new tests failed before.

--- a/src/guavachute/entry/control_client.py
+++ b/src/guavachute/entry/control_client.py
@@ -142,8 +142,7 @@
         self._calls = 0
         self._status = 0
         self._headers: list[call.Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._idle_since_s = loop.now_s
         self._started_s = loop.now_s
         self._received_s = float('-inf')
@@ -161,8 +160,7 @@
         self._calls += 1
         call_number = self._calls
         self._done = done
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
         def cancel() -> None:
             if self._done is not None and self._calls == call_number:
@@ -200,9 +198,8 @@
                 self._status = event.status
                 self._headers = event.headers
             elif isinstance(event, http1.AnswerBody):
-                self._body.append(event.data)
-                self._body_bytes += len(event.data)
-                if self._body_bytes > MAX_REPLY_BYTES:
+                self._body += event.data
+                if len(self._body) > MAX_REPLY_BYTES:
                     self._fail(CallFailure.NO_ANSWER)
             elif isinstance(event, http1.AnswerEnded):
                 self._finish(event.keeps_alive)
@@ -227,7 +224,8 @@
     def _finish(self, keeps_alive: bool) -> None:
         done, self._done = self._done, None
         self._cancel_timers()
-        reply = Reply(self._status, b''.join(self._body), self._headers)
+        reply = Reply(self._status, bytes(self._body), self._headers)
+        self._body = bytearray()
         assert self._connection is not None
         if done is None or not keeps_alive:
             self.abort()
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -71,8 +71,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._target = b''
         self._headers: list[call.Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._head_bytes = 0
         self._framing_bytes = 0
         self._is_in_head = False
@@ -110,8 +109,7 @@
         """Parser callback: a request starts."""
         self._target = b''
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._head_bytes = 0
         self._is_in_head = True
 
@@ -143,11 +141,10 @@
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
         self._framing_bytes = 0
-        self._body_bytes += len(data)
-        if self._body_bytes > self.max_body_bytes:
+        if len(self._body) + len(data) > self.max_body_bytes:
             self.problem = Problem.BODY_TOO_LARGE
         elif self.problem is None:
-            self._body.append(data)
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
@@ -158,10 +155,11 @@
                     method=self._method,
                     target=self._target,
                     headers=self._headers,
-                    body=b''.join(self._body),
+                    body=bytes(self._body),
                     keeps_alive=self._parser.should_keep_alive(),
                 )
             )
+        self._body = bytearray()
 
 
 class Framing(enum.Enum):
@@ -211,13 +209,15 @@
 class AnswerReader:
     """Parses the answers of a connection, one after the other.
 
-    Interim answers (1xx) are skipped. Bytes that go on without a body for
-    more than :data:`MAX_ANSWER_HEAD_BYTES` are malformed.
+    The parts of a body that come in one piece of data are one, however small
+    its chunks. Interim answers (1xx) are skipped. Bytes that go on without a
+    body for more than :data:`MAX_ANSWER_HEAD_BYTES` are malformed.
     """
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[call.Header] = []
+        self._body = bytearray()
         self._events: list[AnswerEvent] = []
         self._status = 0
         self._framing = Framing.LENGTH
@@ -242,12 +242,19 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._add_body()
             self._events.append(AnswerMalformed())
         else:
+            self._add_body()
             if self._framing_bytes > MAX_ANSWER_HEAD_BYTES:
                 self._events.append(AnswerMalformed())
         return self._events
 
+    def _add_body(self) -> None:
+        if self._body:
+            self._events.append(AnswerBody(bytes(self._body)))
+            self._body.clear()
+
     def on_message_begin(self) -> None:
         """Parser callback: an answer starts."""
         self._headers = []
@@ -273,11 +280,12 @@
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
         self._framing_bytes = 0
-        self._events.append(AnswerBody(data))
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Parser callback: the answer is complete."""
         self._is_in_body = False
+        self._add_body()
         if self._status >= 200:
             self._framing_bytes = 0
             self._events.append(AnswerEnded(self._parser.should_keep_alive()))
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -68,15 +68,15 @@
         """Send *data*; queue what can't be sent yet."""
         if self.is_closed or not data:
             return
+        sent = 0
         if self._is_open and not self._unsent:
-            sent = self._send(data)
-            if sent is None:
-                return
-            if sent == len(data):
+            result = self._send(data)
+            if result is None or result == len(data):
                 return
-            data = data[sent:]
-        self._unsent.append(memoryview(data))
-        self.unsent_bytes += len(data)
+            sent = result
+        unsent = memoryview(data)[sent:]
+        self._unsent.append(unsent)
+        self.unsent_bytes += len(unsent)
         self._watch()
 
     def pause(self) -> None:
--- a/tests/cover/test_parser_cost.py
+++ b/tests/cover/test_parser_cost.py
@@ -6,6 +6,7 @@
 """
 
 import time
+import tracemalloc
 import typing
 import unittest
 
@@ -73,6 +74,49 @@
         self.check(begin)
 
 
+class SmallChunksTest(unittest.TestCase):
+    """A body in chunks of one or two bytes."""
+
+    BYTES = 400_000
+    PIECE_CHUNKS = 10_000
+
+    def chunks(self) -> typing.Iterator[bytes]:
+        piece = http1.encode_chunk(b'ab') * self.PIECE_CHUNKS
+        for _ in range(self.BYTES // (2 * self.PIECE_CHUNKS)):
+            yield piece
+
+    # Guards against turns of the loop that are as long as a piece has chunks.
+    def test_the_chunks_of_one_piece_are_handled_together(self) -> None:
+        reader = http1.AnswerReader()
+        reader.feed(HEAD)
+        for piece in self.chunks():
+            (part,) = reader.feed(piece)
+            assert isinstance(part, http1.AnswerBody)
+            self.assertEqual(b'ab' * self.PIECE_CHUNKS, part.data)
+        last = http1.encode_chunk(b'c') + http1.LAST_CHUNK + HEAD
+        self.assertEqual(
+            [http1.AnswerBody, http1.AnswerEnded, http1.AnswerStarted],
+            [type(event) for event in reader.feed(last)],
+        )
+
+    # Guards against memory that is filled by the bookkeeping of small chunks.
+    def test_a_request_takes_as_much_memory_as_its_body(self) -> None:
+        reader = http1.RequestReader(4_096, 10_000_000)
+        reader.feed(REQUEST)
+        pieces = list(self.chunks())
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for piece in pieces:
+            reader.feed(piece)
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(kept_bytes, 2 * self.BYTES)
+        reader.feed(http1.LAST_CHUNK)
+        (request,) = reader.requests
+        self.assertEqual(b'ab' * (self.BYTES // 2), request.body)
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(kept_bytes, 1.2 * self.BYTES)
+
+
 class TableCostTest(unittest.TestCase):
     # Guards against processes that stand still after crashes: beyond 1,000
     # suspected parts, each further one was paid with a look at all of them.
