Bound the incomplete answers that a process keeps, all together

Operators reported a process that ran out of memory as it kept bytes without end. Here each answer had its limit of 1 MiB, but not their sum: a hundred at once, as of nine engines in trouble, take what a machine of 160 MB has left.

Shown by a simulated load and by forty answers without end at one node; that a head or body without end closes the connection is shown by the tests that stood here before.

--- a/src/guavachute/decide/ingress/event_stream.py
+++ b/src/guavachute/decide/ingress/event_stream.py
@@ -11,8 +11,6 @@
 _EVENT_END = re.compile(rb'\n\n|\r\n\r\n|\r\r')
 _MAX_END_BYTES = 4
 _LINE_ENDS = b'\r\n'
-MAX_EVENT_BYTES = 1_048_576
-"""Size limit of one event; a stream with a larger one is malformed."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,11 +50,6 @@
         self._record_last_id(complete)
         return complete
 
-    @property
-    def is_too_long(self) -> bool:
-        """Whether the incomplete event exceeds :data:`MAX_EVENT_BYTES`."""
-        return len(self._partial) > MAX_EVENT_BYTES
-
     @property
     def partial_bytes(self) -> int:
         """The length of the incomplete event in the buffer."""
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -25,10 +25,6 @@
 from guavachute.platform import moves
 from guavachute.platform import requests
 
-MAX_BUFFERED_BYTES = 1_048_576
-"""An answer that is no stream is buffered up to this size until it is
-complete, so that the request can be retried if the answer breaks off."""
-
 MAX_IGNORED_BYTES = 1_048_576
 """The body of a refusal, or of an answer to another request, is read up to
 this size; a longer one may have no end."""
@@ -549,8 +545,9 @@
         if self._answer_mode is exchange_state.AnswerMode.EVENTS:
             self._forward_events(data)
         elif self._answer_mode is exchange_state.AnswerMode.BUFFERED:
+            # It is complete before it is passed on, for a retry.
             self._buffered += data
-            if len(self._buffered) > MAX_BUFFERED_BYTES:
+            if self._owner.keeps_too_much(self, len(self._buffered)):
                 self._fail_attempt('the answer is too large to be buffered')
         else:
             self._ignored_bytes += len(data)
@@ -566,7 +563,7 @@
         complete = self._events.feed(data)
         if complete:
             self._forward_chunk(complete)
-        if self._events.is_too_long:
+        if self._owner.keeps_too_much(self, self._events.partial_bytes):
             self._fail_attempt('an event exceeds the size limit')
         elif self._caller.is_congested and self._connection is not None:
             self._connection.pause()
--- a/src/guavachute/entry/exchange_owner.py
+++ b/src/guavachute/entry/exchange_owner.py
@@ -87,6 +87,11 @@
     def handle_stream_begun(self, exchange: 'exchange.Exchange') -> None:
         """The first event goes to the caller; called at most once."""
 
+    def keeps_too_much(
+        self, exchange: 'exchange.Exchange', kept_bytes: int
+    ) -> bool:
+        """Whether the answer, of which so much is kept, has to be given up."""
+
     def handle_answer_proven(self, exchange: 'exchange.Exchange') -> None:
         """The answer shows that the request doesn't crash endpoints."""
 
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -5,6 +5,7 @@
 
 from guavachute.decide import crash
 from guavachute.decide.ingress import crashing_parts
+from guavachute.decide.ingress import kept_bytes as answer_bytes
 from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
 from guavachute.decide import rendezvous
@@ -132,6 +133,7 @@
         ] = {}
         self._callers: set[callers.CallerConnection] = set()
         self._exchanges: set[exchange.Exchange] = set()
+        self._kept = answer_bytes.KeptBytes()
         self._stopping_since_s: float | None = None
         assert site.listen.callers is not None
         self._listener = transport.Listener(
@@ -140,6 +142,7 @@
         self.address = self._listener.address
         metrics.gauge('callers', lambda: len(self._callers))
         metrics.gauge('requests_open', lambda: len(self._exchanges))
+        metrics.gauge('kept_answer_bytes', lambda: self._kept.total_bytes)
 
     # -- the callers ---------------------------------------------------
 
@@ -471,6 +474,13 @@
                 started.call, started.service, started.build
             )
 
+    def keeps_too_much(
+        self, started: exchange.Exchange, kept_bytes: int
+    ) -> bool:
+        """Whether an answer, of which so much is kept, has to be given up."""
+        self._kept.record(started, kept_bytes)
+        return self._kept.is_too_much(started)
+
     def handle_answer_proven(self, started: exchange.Exchange) -> None:
         """Record that a request doesn't crash endpoints."""
         self._suspects.handle_proven(started.call)
@@ -517,6 +527,7 @@
         refunds the quota, as the request has not run.
         """
         self._exchanges.discard(started)
+        self._kept.record(started, 0)
         self._suspects.handle_ended(started.call)
         if started.first_byte_s is not None and started.route.is_resumable:
             self._builds.handle_ended(started.call, verdict == 'served')
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -6,6 +6,7 @@
 import typing
 import unittest
 
+from guavachute.decide.ingress import kept_bytes
 from guavachute.entry import control_client
 from guavachute.entry import http1
 from guavachute.standin.platform import engine as standin_engine
@@ -72,6 +73,53 @@
         self.check(Behaviour.ENDLESS_FOREIGN, '/order/a', 502)
 
 
+class ManyEndlessAnswersTest(unittest.TestCase):
+    """Answers without end to many requests at once, as of nine engines."""
+
+    # Guards against memory that is filled by many answers, each within its
+    # limit.
+    def test_all_together_are_bounded_and_the_largest_go_first(self) -> None:
+        kept = kept_bytes.KeptBytes()
+        kept.record('small', 1_000)
+        given_up = 0
+        sizes = dict.fromkeys(range(100), 0)
+        while sizes:
+            for holder in list(sizes):
+                sizes[holder] += 8_192
+                kept.record(holder, sizes[holder])
+                self.assertFalse(kept.is_too_much('small'))
+                if kept.is_too_much(holder):
+                    kept.record(holder, 0)
+                    given_up += 1
+                    del sizes[holder]
+                self.assertLessEqual(
+                    kept.total_bytes, kept_bytes.MAX_TOTAL_BYTES + 8_192
+                )
+            if given_up > 80:
+                break
+        self.assertEqual(1_000 + sum(sizes.values()), kept.total_bytes)
+
+    # Guards against processes that end for want of memory.
+    def test_forty_answers_without_end_at_one_node(self) -> None:
+        site = platform_site.PlatformSite()
+        self.addCleanup(site.close)
+        site.configure(1)
+        for number in range(3):
+            engine = site.add_engine(f'e{number}', platform_site.PLAIN_SERVICE)
+            engine.behaviour = Behaviour.ENDLESS_BODY
+        node = site.ready_node()
+        callers = [site.send(node, '/order/a') for _ in range(40)]
+        most_bytes = 0
+        while not all(caller.reply.has_ended for caller in callers):
+            looping.run_for(site.loop, 0.01)
+            most_bytes = max(most_bytes, node.ingress._kept.total_bytes)
+        self.assertLess(
+            most_bytes, kept_bytes.MAX_TOTAL_BYTES + 40 * len(PIECE)
+        )
+        self.assertEqual(0, node.ingress._kept.total_bytes)
+        self.assertEqual({502}, {caller.reply.status for caller in callers})
+
+
 class EndlessReplyTest(unittest.TestCase):
     # Guards against a store or peer whose reply fills the memory.
     def test_replies_without_end_fail(self) -> None:
