--- a/src/guavachute/services/relay/events.py
+++ b/src/guavachute/services/relay/events.py
@@ -48,7 +48,7 @@
     __slots__ = ('_partial_event',)
 
     def __init__(self) -> None:
-        self._partial_event = b''
+        self._partial_event = bytearray()
 
     @property
     def is_too_long(self) -> bool:
@@ -65,8 +65,12 @@
             # JSON contains no bare carriage return, so each one is part of
             # a line end.
             data = data.replace(b'\r', b'')
-        parts = (self._partial_event + data).split(EVENT_END)
-        self._partial_event = parts.pop()
+        known = max(0, len(self._partial_event) - len(EVENT_END) + 1)
+        self._partial_event += data
+        if self._partial_event.find(EVENT_END, known) < 0:
+            return []
+        parts = bytes(self._partial_event).split(EVENT_END)
+        self._partial_event = bytearray(parts.pop())
         return [
             part[len(DATA) :]
             if part.startswith(DATA) and b'\n' not in part
--- a/tests/cover/test_parser_cost.py
+++ b/tests/cover/test_parser_cost.py
@@ -14,6 +14,7 @@
 from guavachute.decide.ingress import event_stream
 from guavachute.entry import http1
 from guavachute import ids
+from guavachute.services.relay import events
 
 PIECE = b'word by '
 SIZES = (8_000, 80_000, 800_000)
@@ -57,6 +58,9 @@
     def test_a_first_event_without_end(self) -> None:
         self.check(lambda: event_stream.EventStream().feed)
 
+    def test_an_event_without_end_at_a_router(self) -> None:
+        self.check(lambda: events.Splitter().feed)
+
     def test_the_chunks_of_an_answer_without_end(self) -> None:
         def begin() -> Feed:
             reader = http1.AnswerReader()
