Don't send on what its caller has left while it waited unread or undelivered

For a second after it stood still, it looks for a close before it begins a request. In a long turn the loop's time stood still too, and with it the check of the deadline; it goes on now. - The operating system delivers what it has taken after the connection was closed. A connection on which nothing came back for its request is now closed with a reset, which discards what was not delivered. Ruled out: waiting for a connection or an endpoint (ended by the caller's close).

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -223,6 +223,11 @@
             self._start_timer(self._handler.limits.idle_timeout_s)
 
     def _start_request(self, request: http1.Request) -> None:
+        if self._loop.is_catching_up and self._connection.has_peer_closed:
+            # The request arrived while the process stood still.
+            journal.event('request', outcome='caller-left', reason='unread')
+            self._close()
+            return
         self._cancel_timer()
         self._state = _State.SERVING
         self._closes = not request.keeps_alive
--- a/src/guavachute/entry/loop.py
+++ b/src/guavachute/entry/loop.py
@@ -22,6 +22,16 @@
 """Upper bound of one wait, so that a VM that was suspended soon notices the
 time."""
 
+STOOD_STILL_S = 0.2
+"""A loop that takes this much longer than it had to has stood still: its
+machine had no processor time for it, or a turn was long."""
+
+LONG_TURN_S = 0.05
+"""Within this time, all callbacks of a turn share its time."""
+
+CAUGHT_UP_AFTER_S = 1.0
+"""This long after it stood still, what arrived meanwhile has been read."""
+
 MAX_PHASE_S = 1.0
 """Upper bound of the random offset of repeated calls."""
 
@@ -56,7 +66,15 @@
         # Processes that started together should not all act together.
         self._phase_s = random.uniform(0.0, MAX_PHASE_S)
         self.now_s = clock.now_s()
-        """Start of the current turn, by :mod:`guavachute.kernel.clock`."""
+        """Start of the current turn, by :mod:`guavachute.kernel.clock`. In a
+        long turn it goes on, as deadlines may pass meanwhile."""
+        self._turn_s = self.now_s
+        self._caught_up_at_s = 0.0
+
+    @property
+    def is_catching_up(self) -> bool:
+        """Whether what is read now may have arrived long ago."""
+        return self.now_s < self._caught_up_at_s
 
     def watch(self, file: typing.Any, events: int, handler: Handler) -> None:
         """Call *handler* whenever *file* is ready for *events*."""
@@ -117,13 +135,18 @@
             self._turn()
 
     def _turn(self) -> None:
-        ready = self._selector.select(self._wait_s())
-        self.now_s = clock.now_s()
+        wait_s = self._wait_s()
+        ready = self._selector.select(wait_s)
+        self.now_s = turn_s = clock.now_s()
+        if turn_s - self._turn_s - wait_s > STOOD_STILL_S:
+            self._caught_up_at_s = turn_s + CAUGHT_UP_AFTER_S
+        self._turn_s = turn_s
         for key, events in ready:
             # An earlier handler of this turn may have unwatched this file.
             if self._selector.get_map().get(key.fd) is key:
                 key.data(events)
-        self._call_due()
+                self._update_now()
+        self._call_due(turn_s)
 
     def _wait_s(self) -> float:
         while self._timers and self._timers[0][2].callback is None:
@@ -132,10 +155,20 @@
             return MAX_WAIT_S
         return min(MAX_WAIT_S, max(0.0, self._timers[0][0] - clock.now_s()))
 
-    def _call_due(self) -> None:
-        while self._timers and self._timers[0][0] <= self.now_s:
+    def _call_due(self, until_s: float) -> None:
+        """Call what is due at *until_s*, and not what becomes due meanwhile.
+
+        Otherwise slow callbacks would keep the loop from its files.
+        """
+        while self._timers and self._timers[0][0] <= until_s:
             _, _, timer = heapq.heappop(self._timers)
             callback = timer.callback
             if callback is not None:
                 timer.callback = None
                 callback()
+                self._update_now()
+
+    def _update_now(self) -> None:
+        now_s = clock.now_s()
+        if now_s - self.now_s > LONG_TURN_S:
+            self.now_s = now_s
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -79,6 +79,18 @@
         self.unsent_bytes += len(unsent)
         self._watch()
 
+    @property
+    def has_peer_closed(self) -> bool:
+        """Whether the peer has closed behind the bytes that were read."""
+        if self.is_closed:
+            return True
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def pause(self) -> None:
         """Stop reading until :meth:`resume`."""
         self._is_reading = False
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -139,6 +139,8 @@
     def release(self, keeps_alive: bool) -> None:
         """End the use by a request; return to the pool if still usable."""
         self._listener = None
+        if self._is_in_use and self._received_s < self._sent_s:
+            self._call_back()
         self._record_ended()
         if keeps_alive and self.is_usable and self.has_sent_all:
             self.resume()
@@ -156,6 +158,15 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _call_back(self) -> None:
+        """Discard what the operating system has not delivered on closing.
+
+        After a close it would still deliver the request, long after its
+        caller has left.
+        """
+        if self._transport is not None:
+            self._transport.set_reset_on_close(True)
+
     def received(self, data: bytes) -> None:
         """Parse bytes of an answer.
 
