Read the store when a copy of the endpoints can't be proven young

A node that doesn't read the store closely fetches what its peers know beyond it. If it hears of nothing newer, it could not tell whether there was nothing: it read the store itself only every eight seconds or seldomer. Shown by a test in which a region's reader stops reading without a failure; it failed without the new read. Ruled out: a request that was long on its way (8 ms by the record); a fetch that fails (bounded to 2 s before). That this is what happened in the record is not shown.

Each update tells the age of the sender's proof, as a last field that older builds of ours ignore. With a proof older than 0.6 x drainMs a node reads the store, at most once a second, and not while the store answers no reader. dispatch lines name the age of the entries.

--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -8,8 +8,10 @@
 import random
 import typing
 
+from guavachute.decide.ingress import copy_age
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peer_table
+from guavachute.observe import journal
 from guavachute.wire import node_updates
 
 AVOID_PEER_S = 5.0
@@ -42,6 +44,10 @@
     :ivar peer_version: gives the version that a peer's update names
     :ivar fetch: fetches a newer version from a peer
     :ivar read_store: reads the store directly
+    :ivar age: how old it may be, if that is bounded; peers tell theirs
+    :ivar confirmed_s: when the latest read of the store began that has brought
+        all there was
+    :ivar confirm: reads the store, unless it is being read for that already
     :ivar behind_since_s: loop time since which a peer is known to have a newer
         version; None if none has
     """
@@ -51,6 +57,9 @@
     peer_version: typing.Callable[[node_updates.NodeUpdate], int]
     fetch: typing.Callable[[peer_table.Peer, Done], None]
     read_store: typing.Callable[[], None]
+    age: copy_age.CopyAge | None = None
+    confirmed_s: typing.Callable[[], float] = lambda: float('-inf')
+    confirm: typing.Callable[[], None] = lambda: None
     is_fetching: bool = False
     behind_since_s: float | None = None
 
@@ -72,6 +81,25 @@
         """Fetch newer versions that any peer has; called periodically."""
         for state in self._states:
             self._check_state(state)
+            if state.age is not None:
+                state.age.record_complete(state.confirmed_s())
+                self._check_age(state, state.age)
+
+    def _check_age(self, state: VersionedState, age: copy_age.CopyAge) -> None:
+        """Read the store if the copy may be too old.
+
+        Not while the store doesn't answer those that read it closely: all
+        nodes would then ask it at once.
+        """
+        close_readers = self._table.readers()
+        is_away = close_readers and not any(
+            peer.update is not None and peer.update.reaches_store
+            for peer in close_readers
+        )
+        if not is_away and age.is_read_due(self._loop.now_s):
+            age_s = round(age.age_s(self._loop.now_s), 3)
+            journal.event('copy', outcome='unproven', age_s=age_s)
+            state.confirm()
 
     def check_update(self, update: node_updates.NodeUpdate) -> None:
         """Fetch newer versions that *update* names.
@@ -83,6 +111,10 @@
             is_newer = state.peer_version(update) > state.own_version()
             if is_newer and state.is_needed():
                 self._check_state(state)
+            age_ds = update.endpoints_age_ds
+            if state.age is not None and age_ds is not None and not is_newer:
+                # All that the peer knows is known here.
+                state.age.record_complete(self._loop.now_s - age_ds / 10)
 
     def _check_state(self, state: VersionedState) -> None:
         """Fetch *state* if a peer has a newer version and it is needed."""
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -218,6 +218,8 @@
             [ids.ServiceName, ids.BuildName, float], bool
         ] = lambda service, build, now_s: False
         """Whether endpoints of other builds are preferred for now."""
+        self.entries_age_s: typing.Callable[[], float] = lambda: 0.0
+        """For how long changes of the entries may not be known."""
         self.has_helper: typing.Callable[[EndpointRecord], bool] = (
             lambda record: False
         )
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -317,6 +317,7 @@
             left_s=round(dispatch.deadline_s, 3),
             load=record.own.requests,
             load_age_s=round(min(99.0, now_s - record.reported_at_s), 3),
+            entries_age_s=round(self._owner.registry.entries_age_s(), 3),
             build=record.entry.build,
             is_resumed=dispatch.resume_after is not None,
             begun_as=self.call.begun_as,
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -7,6 +7,7 @@
 import typing
 
 from guavachute.decide.duty import scaling
+from guavachute.decide.ingress import copy_age
 from guavachute.decide.ingress import quota
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import readers
@@ -173,6 +174,7 @@
             lambda: self.state.table.entries,
             lambda: self.state.configuration,
         )
+        self.registry.entries_age_s = lambda: self._copy_age.age_s(loop.now_s)
         self.registry.is_build_awaited = self._builds.is_awaited
         self.ingress = entry_ingress.Ingress(
             loop,
@@ -250,6 +252,8 @@
         self.address_book = address_book.AddressBook(
             site, self.peers.table, self._own_candidate, lambda: loop.now_s
         )
+        max_age_s = copy_age.MAX_AGE_SHARE * site.bounds.drain_s
+        self._copy_age = copy_age.CopyAge(max_age_s, loop.now_s)
         self._catch_up = catch_up.CatchUp(
             loop, self.peers.table, self._versioned_states()
         )
@@ -544,6 +548,7 @@
             streams=self._builds.told(),
             relay_address=self.ingress.paths.relay_address,
             reaches_endpoints=not self.registry.links.is_cut,
+            endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
         )
 
     def region_update(
@@ -667,12 +672,17 @@
                 peer_version=lambda update: update.endpoints_version,
                 fetch=self._fetch_endpoints,
                 read_store=self._endpoints.read_now,
+                age=self._copy_age,
+                confirmed_s=lambda: self._endpoints.confirmed_s,
+                confirm=self._endpoints.confirm,
             ),
         ]
 
     def _needs_peers(self, follower: topic_follower.TopicFollower) -> bool:
         """Whether peers know of changes sooner than *follower* reads them."""
-        return not self._is_reader or self._is_stale(follower, self.loop.now_s)
+        since_s = follower.lost_since_s
+        is_stale = since_s and self.loop.now_s - since_s > STALE_AFTER_S
+        return not self._is_reader or bool(is_stale)
 
     def _fetch_configuration(
         self, peer: peer_table.Peer, done: catch_up.Done
@@ -706,12 +716,6 @@
             peer, self.state.endpoints_version, merge_shared
         )
 
-    def _is_stale(
-        self, follower: topic_follower.TopicFollower, now_s: float
-    ) -> bool:
-        since_s = follower.lost_since_s
-        return since_s is not None and now_s - since_s > STALE_AFTER_S
-
     # -- the role of a reader ------------------------------------------
 
     @property
@@ -757,17 +761,13 @@
             return
         self._interval_basis = (self._role, holds_duty, are_few)
         if self._is_reader:
-            if self._role is readers.Role.FIRST:
-                self._operator.set_intervals(READER_WAIT_S, 0.0)
-            else:
-                self._operator.set_intervals(SECOND_READER_WAIT_S, 0.0)
+            is_first = self._role is readers.Role.FIRST
+            wait_s = READER_WAIT_S if is_first else SECOND_READER_WAIT_S
+            self._operator.set_intervals(wait_s, 0.0)
             self._endpoints.set_intervals(0.0, READER_PERIOD_S)
-            if not holds_duty:
-                self._nodes.set_intervals(READER_WAIT_S, LEASE_WATCH_PERIOD_S)
-            else:
-                self._nodes.set_intervals(
-                    READER_WAIT_S, 0.0 if are_few else MANY_NODES_PERIOD_S
-                )
+            duty_period_s = 0.0 if are_few else MANY_NODES_PERIOD_S
+            period_s = duty_period_s if holds_duty else LEASE_WATCH_PERIOD_S
+            self._nodes.set_intervals(READER_WAIT_S, period_s)
             return
         # The number of calls to the store must not grow with the nodes.
         period_s = FOLLOWER_PERIOD_S * max(
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -186,6 +186,8 @@
     :ivar relay_address: where it accepts requests of other nodes, to pass them
         on to endpoints; empty if it doesn't
     :ivar reaches_endpoints: False if it is cut off from all endpoints
+    :ivar endpoints_age_ds: how long ago it certainly knew all entries, in
+        tenths of a second, rounded up; None if it doesn't tell
     """
 
     node: str
@@ -216,6 +218,7 @@
     streams: dict[ids.BuildName, list[ids.StreamKey]] = {}
     relay_address: AddressOrEmpty = ''
     reaches_endpoints: bool = True
+    endpoints_age_ds: int | None = None
 
 
 Update = NodeUpdate | RegionUpdate
--- /dev/null
+++ b/tests/cover/test_copy_age.py
@@ -0,0 +1,99 @@
+"""A node that hears of no change can't tell whether there was none.
+
+Patterns: the readers of a region stop reading, without a failure; many nodes
+with the store away; a reader of an older build of ours, which tells no age.
+"""
+
+import unittest
+import unittest.mock
+
+from guavachute.decide.ingress import copy_age
+from guavachute.decide.nodes import readers
+from guavachute.decide.nodes import rounds
+from guavachute.entry import catch_up
+from guavachute.entry import node as entry_node
+from tests.support import looping
+from tests.support import platform_site
+from tests.support import updates
+
+
+class CopyAgeTest(unittest.TestCase):
+    def test_the_store_is_read_when_the_proof_is_old(self) -> None:
+        age = copy_age.CopyAge(1.8, 0.0)
+        self.assertFalse(age.is_read_due(1.8))
+        self.assertTrue(age.is_read_due(1.9))
+        self.assertFalse(age.is_read_due(2.0))
+        self.assertTrue(age.is_read_due(2.0 + copy_age.RETRY_S))
+        age.record_complete(3.0)
+        age.record_complete(2.0)
+        self.assertEqual(1.0, age.age_s(4.0))
+        self.assertFalse(age.is_read_due(4.5))
+
+    def test_ages_of_others_prove_only_what_is_known_here(self) -> None:
+        loop = unittest.mock.Mock(now_s=10.0)
+        age = copy_age.CopyAge(1.8, 0.0)
+        state = catch_up.VersionedState(
+            is_needed=lambda: False,
+            own_version=lambda: 5,
+            peer_version=lambda update: update.endpoints_version,
+            fetch=unittest.mock.Mock(),
+            read_store=unittest.mock.Mock(),
+            age=age,
+        )
+        caught_up = catch_up.CatchUp(loop, unittest.mock.Mock(), [state])
+        for version, told_ds, expected_s in (
+            (6, 1, 10.0),
+            (5, None, 10.0),
+            (5, 4, 0.4),
+        ):
+            caught_up.check_update(
+                updates.node_update(
+                    'n',
+                    'here',
+                    endpoints_version=version,
+                    endpoints_age_ds=told_ds,
+                )
+            )
+            self.assertAlmostEqual(expected_s, age.age_s(10.0))
+
+
+class ReadersThatStoppedTest(unittest.TestCase):
+    # Guards against DRAIN: a node sent requests to an endpoint 4 s after the
+    # store had the report that it leaves.
+    def test_a_follower_reads_the_store_itself(self) -> None:
+        for target, name, value in (
+            (rounds, 'FEW_NODES', 0),
+            (readers, 'READERS_PER_REGION', 1),
+        ):
+            patch = unittest.mock.patch.object(target, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        site = platform_site.PlatformSite()
+        self.addCleanup(site.close)
+        site.configure(1)
+        engine = site.add_engine('e1', platform_site.PLAIN_SERVICE)
+        site.add_engine('e2', platform_site.PLAIN_SERVICE)
+        nodes = [site.ready_node()]
+        nodes.append(site.ready_node(seeds=(nodes[0].peers.address,)))
+        looping.run_until(
+            site.loop,
+            lambda: sorted(node._is_reader for node in nodes) == [False, True],
+        )
+        # The follower's last read as a reader is over.
+        looping.run_for(site.loop, 2 * entry_node.READER_PERIOD_S)
+        follower, reader = sorted(nodes, key=lambda node: node._is_reader)
+        if reader.duty is not None:
+            reader.duty.set_contending(False)
+        # What it does by itself goes on; it only reads no more.
+        reader._endpoints._cancel_read()
+        reader._endpoints._is_stopped = True
+        if reader._endpoints._timer is not None:
+            reader._endpoints._timer.cancel()
+        engine.register(state='draining')
+        looping.run_until(
+            site.loop,
+            lambda: (
+                follower.state.table.entries['e1'].state.value == 'draining'
+            ),
+            timeout_s=follower.site.bounds.drain_s,
+        )
