Continue a stream only by an answer of the same status and media type

Operators elsewhere report errors' texts in the middle of streams, and streams that end as if they were complete, after the second engine answered otherwise.

Any signed success continued a stream, so that the text of a whole answer went into it, and an empty one or a 204 ended it as complete. Errors, redirects, encoded answers and half events cut it, as they should.

Now the second answer needs the first one's status and media type.

--- a/src/guavachute/domain/configuration.py
+++ b/src/guavachute/domain/configuration.py
@@ -172,3 +172,16 @@
                 return route
             end = path.rfind('/', 0, end)
         return None
+
+
+def urgency(route: Route, workspace: Workspace | None) -> int | None:
+    """How urgent a request is, from 0 (most urgent) to 9.
+
+    None if the route's endpoints don't order requests by urgency.
+    """
+    if not route.is_model:
+        return None
+    priority = route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    return max(0, min(9, priority))
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -105,7 +105,7 @@
         self._answer_mode = exchange_state.AnswerMode.NONE
         self._head: requests.AnswerHead | None = None
         self._framing: http1.Framing | None = None
-        self._passes_framed = True
+        self._first: exchange_state.BufferedAnswer | None = None
         self._connection_end: str | None = None
         self._partial_bytes = 0
         self._buffered = bytearray()
@@ -300,7 +300,7 @@
             address=record.entry.address,
             workspace=self.workspace.name if self.workspace else None,
             deadline_s=self.expires_at_s - now_s,
-            urgency=self._urgency() if self.route.is_model else None,
+            urgency=configuration.urgency(self.route, self.workspace),
             resume_after=self._events.last_id or self.call.last_event_id
             if self.route.is_resumable or origin is not None
             else None,
@@ -326,12 +326,6 @@
             requests.encode_for_endpoint(self.call, dispatch), self
         )
 
-    def _urgency(self) -> int:
-        priority = self.route.priority
-        if self.workspace is not None and self.workspace.priority is not None:
-            priority = self.workspace.priority
-        return max(0, min(9, priority))
-
     def withdraw(self, record: endpoint_registry.EndpointRecord) -> None:
         """Send the request elsewhere if it has not been sent to *record* yet.
 
@@ -520,7 +514,7 @@
             self._answer_mode = exchange_state.AnswerMode.REFUSAL
             return
         self._may_have_run = True
-        is_success = 200 <= head.status < 300
+        is_success = 200 <= head.status < 300 and self._may_follow(head)
         if is_success and (not head.is_signed or head.is_encoded):
             self._fail_attempt('unsigned or encoded answer')
         elif is_success and self._is_stream:
@@ -533,6 +527,10 @@
             if not self._is_stream:
                 self._report_start()
 
+    def _may_follow(self, head: requests.AnswerHead) -> bool:
+        """Whether an answer can continue the one that the caller reads."""
+        return self._first is None or self._first.head.continues_with(head)
+
     @property
     def _is_framed(self) -> bool:
         """Whether the endpoint's answer has a length or chunks."""
@@ -546,7 +544,6 @@
         if self._answer_mode is exchange_state.AnswerMode.EVENTS:
             self._forward_events(data)
         elif self._answer_mode is exchange_state.AnswerMode.BUFFERED:
-            # It is complete before it is passed on, for a retry.
             self._buffered += data
             if self._owner.keeps_too_much(self, len(self._buffered)):
                 self._fail_attempt('the answer is too large to be buffered')
@@ -578,7 +575,9 @@
             self._owner.handle_stream_begun(self)
             self.state = exchange_state.State.ANSWERING
             self._report_start()
-            self._passes_framed = self._is_framed
+            self._first = exchange_state.BufferedAnswer(
+                self._head, b'', self._is_framed
+            )
             self._caller.begin_answer(
                 self._head.status, self._head.headers, self._is_framed
             )
@@ -650,7 +649,7 @@
             self._forward_answer(
                 exchange_state.BufferedAnswer(self._head, b'', self._is_framed)
             )
-        elif self._passes_framed and not self._is_framed:
+        elif self._first and self._first.is_framed and not self._is_framed:
             # The caller's last chunk would say that the stream is complete,
             # which a closed connection doesn't show.
             self._finish('cut', _failure('closed without a last chunk'))
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -176,6 +176,7 @@
     :ivar idle_timeout_s: how long the endpoint keeps the connection open
         while it is idle; None if not given
     :ivar headers: the headers that are forwarded to the caller
+    :ivar media_type: the kind of the body, in lower case; empty if not given
     """
 
     status: int
@@ -187,6 +188,13 @@
     announcement: Announcement
     idle_timeout_s: float | None
     headers: typing.Sequence[call.Header]
+    media_type: bytes = b''
+
+    def continues_with(self, other: 'AnswerHead') -> bool:
+        """Whether the events of *other* may follow those of this answer."""
+        return other.status == self.status and (
+            other.media_type == self.media_type
+        )
 
 
 def read_answer(
@@ -213,6 +221,10 @@
             if item[0].lower() not in _HOP_BY_HOP
             and item[0].lower() != b'instance-load'
         ],
+        media_type=values.get(b'content-type', b'')
+        .partition(b';')[0]
+        .strip()
+        .lower(),
     )
 
 
