Answer what is open when a process ends, and begin in a stop what can end

Here too, what was open at the end was cut, even what had never been sent to an endpoint (the new test failed), and a request was begun in a stop however long such requests take.

A process that ends answers each open request first: 503 if it has certainly not run, else 502. In a stop a request is begun only if the usual time of the latest ones of its service fits into what is left.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -798,18 +798,21 @@
             self._release_endpoint(keeps_alive=False)
             self._finish('caller-left')
 
+    def end_with_process(self) -> None:
+        """Give the request its final answer, as the process ends."""
+        self._give_up(outcome.Reason.DRAINING, 'this node has to stop')
+
     def _time_out(self) -> None:
-        if self.state is exchange_state.State.ENDED:
-            return
-        self._may_have_run |= self._connection is not None
-        self._release_endpoint(keeps_alive=False)
-        self._fail_request(
-            outcome.Failure(
-                outcome.Reason.DEADLINE,
-                f'no answer within {self.expires_at_s - self.arrived_s:.2f} s',
-                SHORT_RETRY_AFTER_S,
+        detail = f'no answer within {self.expires_at_s - self.arrived_s:.2f} s'
+        self._give_up(outcome.Reason.DEADLINE, detail)
+
+    def _give_up(self, reason: outcome.Reason, detail: str) -> None:
+        if self.state is not exchange_state.State.ENDED:
+            self._may_have_run |= self._connection is not None
+            self._release_endpoint(keeps_alive=False)
+            self._fail_request(
+                outcome.Failure(reason, detail, SHORT_RETRY_AFTER_S)
             )
-        )
 
     def _fail_request(self, failure: outcome.Failure) -> None:
         """Answer a request that is not tried again.
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -8,6 +8,7 @@
 from guavachute.decide.ingress import kept_bytes as answer_bytes
 from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
+from guavachute.decide.ingress import stop_admission
 from guavachute.decide import rendezvous
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
@@ -41,10 +42,6 @@
 
 STOPPING_RETRY_S = 0.05
 
-STOP_SERVE_FRACTION = 0.35
-"""Fraction of the grace period in which a stopping node still serves new
-requests, for callers that have not learnt yet that it stops."""
-
 MOVE_TIMEOUT_S = 1.0
 MOVES_BEFORE_END_S = (1.1, 0.6)
 """Runs are moved this long before their endpoint ends. The second time is for
@@ -134,6 +131,7 @@
         self._callers: set[callers.CallerConnection] = set()
         self._exchanges: set[exchange.Exchange] = set()
         self._kept = answer_bytes.KeptBytes()
+        self._durations = stop_admission.Durations()
         self._stopping_since_s: float | None = None
         assert site.listen.callers is not None
         self._listener = transport.Listener(
@@ -172,8 +170,10 @@
             caller.close_if_idle()
 
     def close(self) -> None:
-        """Stop listening, and abort all connections."""
+        """Stop listening, answer what is open, and abort all connections."""
         self._listener.close()
+        for started in list(self._exchanges):
+            started.end_with_process()
         for caller in list(self._callers):
             caller.abort()
         self.paths.close()
@@ -245,15 +245,22 @@
                 'this node has not read a configuration yet',
                 NO_CONFIGURATION_RETRY_S,
             )
+        return self._stop_refusal(None)
+
+    def _stop_refusal(
+        self, service: ids.ServiceName | None
+    ) -> outcome.Failure | None:
+        """Why no request of *service* is begun in a stop; None if it is."""
         since_s = self._stopping_since_s
-        serves_s = STOP_SERVE_FRACTION * self._site.bounds.stop_grace_s
-        if since_s is not None and self.loop.now_s - since_s > serves_s:
-            return _failure(
-                outcome.Reason.DRAINING,
-                'this node is stopping',
-                STOPPING_RETRY_S,
-            )
-        return None
+        if since_s is None or stop_admission.may_begin(
+            self.loop.now_s - since_s,
+            self._site.bounds.stop_grace_s,
+            self._durations.usual_s(service),
+        ):
+            return None
+        return _failure(
+            outcome.Reason.DRAINING, 'this node is stopping', STOPPING_RETRY_S
+        )
 
     def _admit(
         self,
@@ -263,6 +270,11 @@
         workspace: configuration.Workspace | None,
     ) -> exchange.Exchange | None:
         now_s = self.loop.now_s
+        service = _target(route, call.attempt_id)
+        refusal = self._stop_refusal(service)
+        if refusal is not None:
+            self._reject(caller, call, 503, refusal)
+            return None
         name = workspace.name if workspace else ids.WorkspaceName('')
         fingerprint = crash.fingerprint(
             name, call.path, call.body.decode('latin-1')
@@ -295,7 +307,6 @@
                     wait_s,
                 ))  # fmt: skip
                 return None
-        service = _target(route, call.attempt_id)
         self._budget(service).record_request(now_s)
         started = exchange.Exchange(
             self, caller, call, route, service, workspace, fingerprint
@@ -539,6 +550,7 @@
                 'first_byte', started.first_byte_s - started.arrived_s
             )
         if verdict == 'served' or verdict.startswith('status 2'):
+            self._durations.record(started.service, now_s - started.arrived_s)
             notice = self._crashes.record_success(started.fingerprint, now_s)
             if notice is not None:
                 self._record_notice(notice)
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -25,6 +25,7 @@
 from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.platform import store
+from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
 from guavachute.wire import node_updates
 from tests.support import looping
@@ -541,6 +542,26 @@
         self.assertTrue(caller.reply.is_complete)
         self.until(lambda: caller.reply.is_closed)
 
+    # Guards against LOST: requests that came late in the grace period were
+    # taken, and cut at its end without an answer.
+    def test_at_the_end_of_the_grace_all_get_a_true_answer(self) -> None:
+        self.plain.behaviour = standin_engine.Behaviour.SILENT
+        node = self.site.ready_node()
+        sent = [
+            self.site.send(node, '/order/a'),
+            self.site.send(node, '/lookup/a', method='GET'),
+        ]
+        self.until(lambda: len(self.plain.runs) == 2)
+        node.stop()
+        waiting = self.site.send(node, '/resumable/a')
+        self.until(lambda: node.ingress.open_requests == 3)
+        node.close()
+        self.until(lambda: all(c.reply.has_ended for c in [*sent, waiting]))
+        for caller in sent:
+            self.assertEqual(502, caller.reply.status)
+            self.assertTrue(caller.reply.is_complete)
+        self.assertEqual(503, waiting.reply.status)
+
     # Guards against a stop, or an idle timeout, that closes a connection whose
     # next request has arrived in the same turn of the loop.
     def test_a_request_that_has_arrived_is_served_by_a_busy_node(self) -> None:
