--- a/src/guavachute/decide/ingress/served_builds.py
+++ b/src/guavachute/decide/ingress/served_builds.py
@@ -146,14 +146,6 @@
             return None
         return item.former
 
-    def settled(self) -> frozenset[ids.ServiceName]:
-        """The services with a single build on record."""
-        return frozenset(
-            service
-            for service, item in self._services.items()
-            if item.record is not None and item.record.is_settled
-        )
-
     def is_awaited(
         self, service: ids.ServiceName, build: ids.BuildName, now_s: float
     ) -> bool:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -105,7 +105,7 @@
         self._answer_mode = exchange_state.AnswerMode.NONE
         self._head: requests.AnswerHead | None = None
         self._framing: http1.Framing | None = None
-        self._first: exchange_state.BufferedAnswer | None = None
+        self._opened: exchange_state.BufferedAnswer | None = None
         self._connection_end: str | None = None
         self._partial_bytes = 0
         self._buffered = bytearray()
@@ -529,7 +529,7 @@
 
     def _may_follow(self, head: requests.AnswerHead) -> bool:
         """Whether an answer can continue the one that the caller reads."""
-        return self._first is None or self._first.head.continues_with(head)
+        return self._opened is None or self._opened.head.continues_with(head)
 
     @property
     def _is_framed(self) -> bool:
@@ -575,7 +575,7 @@
             self._owner.handle_stream_begun(self)
             self.state = exchange_state.State.ANSWERING
             self._report_start()
-            self._first = exchange_state.BufferedAnswer(
+            self._opened = exchange_state.BufferedAnswer(
                 self._head, b'', self._is_framed
             )
             self._caller.begin_answer(
@@ -649,7 +649,7 @@
             self._forward_answer(
                 exchange_state.BufferedAnswer(self._head, b'', self._is_framed)
             )
-        elif self._first and self._first.is_framed and not self._is_framed:
+        elif self._opened and self._opened.is_framed and not self._is_framed:
             # The caller's last chunk would say that the stream is complete,
             # which a closed connection doesn't show.
             self._finish('cut', _failure('closed without a last chunk'))
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -681,8 +681,8 @@
     def _needs_peers(self, follower: topic_follower.TopicFollower) -> bool:
         """Whether peers know of changes sooner than *follower* reads them."""
         since_s = follower.lost_since_s
-        is_stale = since_s and self.loop.now_s - since_s > STALE_AFTER_S
-        return not self._is_reader or bool(is_stale)
+        lost_s = 0.0 if since_s is None else self.loop.now_s - since_s
+        return not self._is_reader or lost_s > STALE_AFTER_S
 
     def _fetch_configuration(
         self, peer: peer_table.Peer, done: catch_up.Done
