Count the use of a leaving endpoint from when its notice may have been written

Cause: a node used a leaving endpoint for drainMs less 1.6 s from when it heard of it. Played again with logs, four engines were known as draining at 24.57 s at the first node of a region and at 26.70 s at the last, so that one was used up to 4.5 s after the leave. Ruled out: requests that were long on their way (8 ms).

Now a notice counts as old as the node's latest proof that there was none, a second at least. The new test failed before, for a proof of 2 s.

--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -34,9 +34,12 @@
 
 SPEED_RANGE_PER_S = (5_000.0, 500_000.0)
 
-CLOSES_BEFORE_END_S = 1.6
-"""A leaving endpoint gets no new work from this long before it may end. This
-includes up to a second until its notice was read."""
+CLOSES_BEFORE_END_S = 0.6
+"""A leaving endpoint gets no new work from this long before it may end."""
+
+LEAST_NOTICE_AGE_S = 1.0
+"""The notice of a leaving endpoint is at least so old when it is known here:
+what a read brings, or another node tells, has been on its way."""
 
 MIN_REPORTED_RESULTS = 0.5
 """Results of an endpoint with a smaller decayed sum than this are not sent to
@@ -265,8 +268,10 @@
         if found.is_leaving and not was_leaving:
             drain_s = self._site.bounds.drain_s
             ends_in_s = min(entry.leaves_in_s or drain_s, drain_s)
+            # It may be as old as the latest proof that there was none.
+            age_s = max(LEAST_NOTICE_AGE_S, self.entries_age_s())
             found.accepts_until_s = (
-                self._now_s() + ends_in_s - CLOSES_BEFORE_END_S
+                self._now_s() - age_s + ends_in_s - CLOSES_BEFORE_END_S
             )
             self.on_leaving(found)
         return found
--- a/tests/cover/test_copy_age.py
+++ b/tests/cover/test_copy_age.py
@@ -12,6 +12,7 @@
 from guavachute.decide.nodes import rounds
 from guavachute.entry import catch_up
 from guavachute.entry import node as entry_node
+from guavachute import ids
 from tests.support import looping
 from tests.support import platform_site
 from tests.support import updates
@@ -97,3 +98,25 @@
             ),
             timeout_s=follower.site.bounds.drain_s,
         )
+
+
+class LateNoticeTest(unittest.TestCase):
+    # Guards against DRAIN: the time in which a leaving endpoint may be used
+    # was counted from when its notice was known, however old that was.
+    def test_a_notice_that_may_be_old_ends_the_use_earlier(self) -> None:
+        for age_s in (0.2, 1.0, 2.0):
+            site = platform_site.PlatformSite()
+            self.addCleanup(site.close)
+            site.configure(1)
+            engine = site.add_engine('e1', platform_site.PLAIN_SERVICE)
+            node = site.ready_node()
+            node.registry.entries_age_s = lambda age_s=age_s: age_s
+            engine.register(state='draining')
+            told_s = site.loop.now_s - age_s
+            record = node.registry._records[ids.EndpointId('e1')]
+            looping.run_until(
+                site.loop, lambda record=record: record.is_leaving
+            )
+            drain_s = node.site.bounds.drain_s
+            self.assertLess(record.accepts_until_s, told_s + drain_s)
+            self.assertGreater(record.accepts_until_s, told_s + drain_s / 3)
