--- a/tests/cover/test_copy_age.py
+++ b/tests/cover/test_copy_age.py
@@ -7,12 +7,15 @@
 import unittest
 import unittest.mock
 
+import msgspec
+
 from guavachute.decide.ingress import copy_age
 from guavachute.decide.nodes import readers
 from guavachute.decide.nodes import rounds
 from guavachute.entry import catch_up
 from guavachute.entry import node as entry_node
 from guavachute import ids
+from guavachute.wire import node_updates
 from tests.support import looping
 from tests.support import platform_site
 from tests.support import updates
@@ -58,6 +61,22 @@
             self.assertAlmostEqual(expected_s, age.age_s(10.0))
 
 
+class OlderBuildsTest(unittest.TestCase):
+    """Updates between this build of ours and ones before and after it."""
+
+    # Guards against upgrades in which old and new nodes don't hear each other.
+    def test_fields_that_one_side_lacks_cost_nothing(self) -> None:
+        update = updates.node_update('n', 'here', endpoints_age_ds=4)
+        fields = msgspec.msgpack.decode(node_updates.encode(update))
+        older = node_updates.decode_update(msgspec.msgpack.encode(fields[:-1]))
+        assert isinstance(older, node_updates.NodeUpdate)
+        self.assertIsNone(older.endpoints_age_ds)
+        newer = node_updates.decode_update(
+            msgspec.msgpack.encode([*fields, 'of a later build'])
+        )
+        self.assertEqual(update, newer)
+
+
 class ReadersThatStoppedTest(unittest.TestCase):
     # Guards against DRAIN: a node sent requests to an endpoint 4 s after the
     # store had the report that it leaves.
