Pause the endpoint of a test before it can read

The listener's connection was paused when the test looked, not when it was accepted; a turn of the loop in between read it without an owner (AssertionError). Shown by a run in which the test looks every 0.1 s: it fails before, and passes now. The checks are the same.

--- a/tests/cover/test_gone_callers.py
+++ b/tests/cover/test_gone_callers.py
@@ -82,9 +82,13 @@
     def test_a_request_that_is_not_delivered_is_called_back(self) -> None:
         loop = entry_loop.Loop()
         accepted: list[transport.Connection] = []
-        listener = transport.Listener(
-            loop, ids.Address('127.0.0.1:0'), accepted.append
-        )
+
+        def accept(connection: transport.Connection) -> None:
+            # Before the loop's next turn, in which it would be read.
+            connection.pause()
+            accepted.append(connection)
+
+        listener = transport.Listener(loop, ids.Address('127.0.0.1:0'), accept)
         self.addCleanup(listener.close)
         pool = upstream.Pool(loop, unittest.mock.Mock())
         sent = pool.acquire(listener.address, ids.AttemptId('a'), False)
@@ -92,7 +96,6 @@
         sent.send_request(request, unittest.mock.Mock())
         looping.run_until(loop, lambda: accepted)
         (connection,) = accepted
-        connection.pause()
         looping.run_for(loop, 0.3)
         sent.release(keeps_alive=False)
         sock = connection._socket
