--- a/src/guavachute/decide/ingress/copy_age.py
+++ b/src/guavachute/decide/ingress/copy_age.py
@@ -20,16 +20,23 @@
     """The proof of one node's copy.
 
     :param max_age_s: with an older proof, the store has to be read
+    :ivar source: what the latest proof is by, for the log
     """
 
     def __init__(self, max_age_s: float, now_s: float) -> None:
         self._max_age_s = max_age_s
         self._complete_s = now_s
         self._asked_s = float('-inf')
+        self.source = 'start'
 
-    def record_complete(self, at_s: float) -> None:
-        """Record that the copy had all changes until *at_s*."""
-        self._complete_s = max(self._complete_s, at_s)
+    def record_complete(self, at_s: float, source: str) -> None:
+        """Record that the copy had all changes until *at_s*.
+
+        :param source: a node, or ``store``
+        """
+        if at_s > self._complete_s:
+            self._complete_s = at_s
+            self.source = source
 
     def age_s(self, now_s: float) -> float:
         """For how long changes may be missing."""
--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -82,7 +82,7 @@
         for state in self._states:
             self._check_state(state)
             if state.age is not None:
-                state.age.record_complete(state.confirmed_s())
+                state.age.record_complete(state.confirmed_s(), 'store')
                 self._check_age(state, state.age)
 
     def _check_age(self, state: VersionedState, age: copy_age.CopyAge) -> None:
@@ -98,7 +98,13 @@
         )
         if not is_away and age.is_read_due(self._loop.now_s):
             age_s = round(age.age_s(self._loop.now_s), 3)
-            journal.event('copy', outcome='unproven', age_s=age_s)
+            journal.event(
+                'copy',
+                outcome='unproven',
+                age_s=age_s,
+                source=age.source,
+                version=state.own_version(),
+            )
             state.confirm()
 
     def check_update(self, update: node_updates.NodeUpdate) -> None:
@@ -114,7 +120,9 @@
             age_ds = update.endpoints_age_ds
             if state.age is not None and age_ds is not None and not is_newer:
                 # All that the peer knows is known here.
-                state.age.record_complete(self._loop.now_s - age_ds / 10)
+                state.age.record_complete(
+                    self._loop.now_s - age_ds / 10, update.node
+                )
 
     def _check_state(self, state: VersionedState) -> None:
         """Fetch *state* if a peer has a newer version and it is needed."""
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -305,11 +305,26 @@
         self.apply_configuration(text, 'peer', shared.next_position)
 
     def merge_shared_endpoints(
-        self, shared: node_updates.SharedEndpoints
+        self, shared: node_updates.SharedEndpoints, source: str = 'peer'
     ) -> None:
-        """Apply a peer's endpoints if its version is newer."""
+        """Apply a peer's endpoints if its version is newer.
+
+        :param source: which peer it is, for the log
+        """
         if shared.version <= self.endpoints_version:
             return
+        journal.event(
+            'copy',
+            outcome='merged',
+            source=source,
+            is_whole=shared.is_whole,
+            changed=len(shared.changed),
+            removed=len(shared.removed),
+            version=shared.version,
+            position=shared.position,
+            before=self.endpoints_version,
+            position_before=self.endpoints_position,
+        )
         removed = dict(shared.removed)
         if shared.is_whole:
             for key in self._stored.keys() - shared.changed.keys():
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -702,7 +702,7 @@
     ) -> None:
         def merge_shared(shared: node_updates.SharedEndpoints | None) -> None:
             if shared is not None:
-                self.state.merge_shared_endpoints(shared)
+                self.state.merge_shared_endpoints(shared, peer.address)
                 self._endpoints.skip_to(self.state.endpoints_position)
                 if self.peers.table.are_few:
                     # The peer may have missed records of a store that it has
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -222,7 +222,16 @@
         if page.next_key is not None:
             self._request_page(page.next_key)
             return
-        for key in self._known_keys - self._page_keys:
+        missing = self._known_keys - self._page_keys
+        journal.event(
+            'store-read',
+            outcome='snapshot',
+            topic=self.topic,
+            keys=len(self._page_keys),
+            missing=len(missing),
+            position=log_position.pack(era, self._snapshot_end),
+        )
+        for key in missing:
             gone = store.KeyedRecord(
                 key, None, log_position.pack(era, self._snapshot_end)
             )
--- a/tests/cover/test_copy_age.py
+++ b/tests/cover/test_copy_age.py
@@ -28,8 +28,8 @@
         self.assertTrue(age.is_read_due(1.9))
         self.assertFalse(age.is_read_due(2.0))
         self.assertTrue(age.is_read_due(2.0 + copy_age.RETRY_S))
-        age.record_complete(3.0)
-        age.record_complete(2.0)
+        age.record_complete(3.0, 'store')
+        age.record_complete(2.0, 'n')
         self.assertEqual(1.0, age.age_s(4.0))
         self.assertFalse(age.is_read_due(4.5))
 
