--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -13,6 +13,7 @@
 from guavachute.domain import endpoints
 from guavachute.domain import log_position
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute import outcome
@@ -24,8 +25,12 @@
 
 
 class _StoredEntry(typing.NamedTuple):
-    """An entry as it is stored, and the fields that matter to peers."""
+    """An entry as it is stored, and the fields that matter to peers.
 
+    :ivar position: of its latest record that is known here
+    """
+
+    position: ids.LogPosition
     value: bytes
     state: endpoints.EndpointState
     incarnation: tuple[ids.EndpointId, int, ids.Address]
@@ -36,7 +41,7 @@
 
     Most writes of an entry only renew it.
     """
-    return stored and stored[1:]
+    return stored and stored[2:]
 
 
 class KnownState:
@@ -139,6 +144,14 @@
         ):
             self.on_changed()
 
+    def missing_endpoints(self, snapshot: topic_follower.Snapshot) -> set[str]:
+        """The known entries that were deleted before *snapshot* ended."""
+        return {
+            key
+            for key, stored in self._stored.items()
+            if stored.position < snapshot.end and key not in snapshot.keys
+        }
+
     def handle_new_era(self) -> None:
         """The store has lost its latest records; what was known stays."""
         self.table.store_returned_s = self._loop.now_s
@@ -167,8 +180,7 @@
         if value is None:
             self._remove_entry(key)
         else:
-            era = log_position.unpack(position).era
-            self._store_entry(key, value, source, is_snapshot, era)
+            self._store_entry(key, value, position, source, is_snapshot)
         after = self._stored.get(key)
         if _peer_relevant(before) == _peer_relevant(after):
             return False
@@ -183,12 +195,14 @@
         self,
         key: str,
         value: bytes,
+        position: ids.LogPosition,
         source: str,
         is_snapshot: bool,
-        era: ids.StoreEra,
     ) -> None:
+        era = log_position.unpack(position).era
         stored = self._stored.get(key)
         if stored is not None and stored.value == value:
+            self._stored[key] = stored._replace(position=position)
             return
         decoded = platform_endpoints.decode(key, value)
         if isinstance(decoded, outcome.Failure):
@@ -212,7 +226,7 @@
             return
         self._writes.record(decoded.id, write, era)
         self._stored[key] = _StoredEntry(
-            value, decoded.state, decoded.incarnation
+            position, value, decoded.state, decoded.incarnation
         )
         before = self.table.entries.get(decoded.id)
         if self.table.put(decoded) and (
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -201,6 +201,7 @@
             self.state.fold_endpoint,
             wait_s=0.0,
             period_s=READER_PERIOD_S,
+            missing_keys=self.state.missing_endpoints,
         )
         self._endpoints.on_recovered = self._handle_store_recovery
         self._nodes = self._follow(
@@ -371,11 +372,11 @@
         topic: str,
         fold: topic_follower.Fold,
         wait_s: float,
-        period_s: float = 0.0,
+        **options: typing.Any,
     ) -> topic_follower.TopicFollower:
         return topic_follower.TopicFollower(
             self.loop, self._store, topic, fold, self._apply_folded, wait_s,
-            period_s,
+            **options,
         )  # fmt: skip
 
     def _apply_folded(self) -> None:
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -23,6 +23,23 @@
 MIN_PERIOD_S = 0.02
 """Pause between reads that find records, so that one read gets several."""
 
+
+class Snapshot(typing.NamedTuple):
+    """The newest record of each key, as it was read page by page.
+
+    :ivar keys: the keys that have a record
+    :ivar end: every record before it is in the snapshot, or a later one is
+    :ivar next: where reading goes on
+    """
+
+    keys: set[str]
+    end: ids.LogPosition
+    next: ids.LogPosition
+
+
+MissingKeys = typing.Callable[[Snapshot], set[str]]
+"""Gives the known keys that were deleted before the end of a snapshot."""
+
 Fold = typing.Callable[[store.KeyedRecord, bool], None]
 """Called with each record; the flag tells whether the record comes from a
 snapshot."""
@@ -34,12 +51,14 @@
     Failed reads are retried until :meth:`stop`. If the records after the
     offset are gone, or the store has come back from a copy, the newest record
     of each key is read again; a key that is then missing is folded as a
-    deletion.
+    deletion, whoever told its records.
 
     :param wait_s: how long a read waits for new records at the store; 0 to
         read every *period_s*
     :param period_s: the pause between reads
     :param on_folded: called after one or more records were folded
+    :param missing_keys: called at the end of each snapshot, if others tell
+        records too; without, all known keys come from this follower
     :ivar end_offset: all records before it have been folded, in the store's
         present era; None before the first complete snapshot of the era
     :ivar last_reply_s: loop time at which the store last answered a read
@@ -55,8 +74,12 @@
         on_folded: typing.Callable[[], None],
         wait_s: float,
         period_s: float = 0.0,
+        missing_keys: MissingKeys | None = None,
     ) -> None:
         self._loop = loop
+        self._missing_keys = missing_keys or (
+            lambda snapshot: self._known_keys - snapshot.keys
+        )
         self._client = client
         self.topic = topic
         self._fold = fold
@@ -67,6 +90,7 @@
         self._page_keys: set[str] = set()
         self._known_keys: set[str] = set()
         self._snapshot_end: ids.Offset | None = None
+        self._told_position = log_position.NO_POSITION
         self._cancel_read: typing.Callable[[], None] = lambda: None
         self._is_reading = False
         self._is_stopped = False
@@ -102,7 +126,13 @@
         return log_position.pack(self._client.era, self.end_offset)
 
     def skip_to(self, position: ids.LogPosition) -> None:
-        """Skip the records before *position*, which came from a peer."""
+        """Skip the records before *position*, which came from a peer.
+
+        Before the first snapshot of the era, the records after *position* are
+        read behind it: a snapshot doesn't show what was written and deleted
+        between.
+        """
+        self._told_position = max(self._told_position, position)
         end = self.end_position
         if end is None or position <= end:
             return
@@ -222,25 +252,37 @@
         if page.next_key is not None:
             self._request_page(page.next_key)
             return
-        missing = self._known_keys - self._page_keys
+        next_offset = self._first_unread(self._snapshot_end)
+        end = log_position.pack(era, self._snapshot_end)
+        missing = self._missing_keys(
+            Snapshot(self._page_keys, end, log_position.pack(era, next_offset))
+        )
         journal.event(
             'store-read',
             outcome='snapshot',
             topic=self.topic,
             keys=len(self._page_keys),
             missing=len(missing),
-            position=log_position.pack(era, self._snapshot_end),
+            position=end,
         )
+        # It was deleted by the last record at the latest. The next one may
+        # be of any key, and is not known yet.
+        deleted_at = ids.LogPosition(end - 1)
         for key in missing:
-            gone = store.KeyedRecord(
-                key, None, log_position.pack(era, self._snapshot_end)
-            )
-            self._fold(gone, True)
+            self._fold(store.KeyedRecord(key, None, deleted_at), True)
         self._known_keys = self._page_keys
-        self.end_offset = self._snapshot_end
+        self.end_offset = next_offset
         self._on_folded()
         self._schedule(MIN_PERIOD_S)
 
+    def _first_unread(self, snapshot_end: ids.Offset) -> ids.Offset:
+        """From where to read after a snapshot that ends at *snapshot_end*."""
+        if self._told_position >= 0:
+            told = log_position.unpack(self._told_position)
+            if told.era == self._client.era:
+                return min(told.offset, snapshot_end)
+        return snapshot_end
+
     def _handle_records(
         self, reply: control_client.Reply | control_client.CallFailure
     ) -> None:
@@ -250,6 +292,7 @@
         ):
             journal.event('store-read', outcome='trimmed', topic=self.topic)
             self.end_offset = None
+            self._told_position = log_position.NO_POSITION
             self._schedule(MIN_PERIOD_S)
             return
         offset = self.end_offset
@@ -265,6 +308,7 @@
             # The topic ends before an offset up to which it was already read.
             journal.problem('store-read', outcome='gap', topic=self.topic)
             self.end_offset = None
+            self._told_position = log_position.NO_POSITION
             self._schedule(MIN_PERIOD_S)
             return
         for record_offset, content in enumerate(found.records, start=offset):
