Tell no age of a copy before the first proof of it

Callers could meet DRAIN: a node that hears of a leave late counts its use from the latest proof that there was none, and such a proof came from processes that had read nothing.

Cause: a process began with a copy that counted as complete at its start, and told that age with no version; a peer believes ages of those whose version it has. Now a process tells no age before it has a proof, and ages of updates without a version, as older builds of ours send them, prove nothing. The new test failed before (an error, as the age was always known).

--- a/src/guavachute/decide/ingress/copy_age.py
+++ b/src/guavachute/decide/ingress/copy_age.py
@@ -15,19 +15,22 @@
 RETRY_S = 1.0
 """Pause between two reads for want of a proof."""
 
+MAX_AGE_S = 99.0
+"""Greater ages, and those without any proof, count as this."""
+
 
 class CopyAge:
-    """The proof of one node's copy.
+    """The proof of one node's copy; none at its start.
 
     :param max_age_s: with an older proof, the store has to be read
     :ivar source: what the latest proof is by, for the log
     """
 
-    def __init__(self, max_age_s: float, now_s: float) -> None:
+    def __init__(self, max_age_s: float) -> None:
         self._max_age_s = max_age_s
-        self._complete_s = now_s
+        self._complete_s = float('-inf')
         self._asked_s = float('-inf')
-        self.source = 'start'
+        self.source = ''
 
     def record_complete(self, at_s: float, source: str) -> None:
         """Record that the copy had all changes until *at_s*.
@@ -40,10 +43,12 @@
 
     def age_s(self, now_s: float) -> float:
         """For how long changes may be missing."""
-        return max(0.0, now_s - self._complete_s)
+        return min(MAX_AGE_S, max(0.0, now_s - self._complete_s))
 
-    def age_ds(self, now_s: float) -> int:
-        """The same in tenths of a second, rounded up."""
+    def age_ds(self, now_s: float) -> int | None:
+        """The same in tenths of a second, rounded up; None without proof."""
+        if math.isinf(self._complete_s):
+            return None
         return math.ceil(10 * self.age_s(now_s))
 
     def is_read_due(self, now_s: float) -> bool:
--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -118,8 +118,13 @@
             if is_newer and state.is_needed():
                 self._check_state(state)
             age_ds = update.endpoints_age_ds
-            if state.age is not None and age_ds is not None and not is_newer:
-                # All that the peer knows is known here.
+            if (
+                state.age is not None
+                and age_ds is not None
+                and 0 <= state.peer_version(update) <= state.own_version()
+            ):
+                # All that the peer knows is known here. A peer without any
+                # version knows nothing, whatever an older build tells.
                 state.age.record_complete(
                     self._loop.now_s - age_ds / 10, update.node
                 )
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -254,7 +254,7 @@
             site, self.peers.table, self._own_candidate, lambda: loop.now_s
         )
         max_age_s = copy_age.MAX_AGE_SHARE * site.bounds.drain_s
-        self._copy_age = copy_age.CopyAge(max_age_s, loop.now_s)
+        self._copy_age = copy_age.CopyAge(max_age_s)
         self._catch_up = catch_up.CatchUp(
             loop, self.peers.table, self._versioned_states()
         )
--- a/tests/cover/test_copy_age.py
+++ b/tests/cover/test_copy_age.py
@@ -23,7 +23,8 @@
 
 class CopyAgeTest(unittest.TestCase):
     def test_the_store_is_read_when_the_proof_is_old(self) -> None:
-        age = copy_age.CopyAge(1.8, 0.0)
+        age = copy_age.CopyAge(1.8)
+        age.record_complete(0.0, 'store')
         self.assertFalse(age.is_read_due(1.8))
         self.assertTrue(age.is_read_due(1.9))
         self.assertFalse(age.is_read_due(2.0))
@@ -33,9 +34,18 @@
         self.assertEqual(1.0, age.age_s(4.0))
         self.assertFalse(age.is_read_due(4.5))
 
+    # Guards against DRAIN: a process that had read nothing told that its
+    # copy was complete, and others took theirs for complete then.
+    def test_a_process_that_has_read_nothing_proves_nothing(self) -> None:
+        age = copy_age.CopyAge(1.8)
+        self.assertIsNone(age.age_ds(5.0))
+        self.assertEqual(copy_age.MAX_AGE_S, age.age_s(5.0))
+        self.assertTrue(age.is_read_due(5.0))
+
     def test_ages_of_others_prove_only_what_is_known_here(self) -> None:
         loop = unittest.mock.Mock(now_s=10.0)
-        age = copy_age.CopyAge(1.8, 0.0)
+        age = copy_age.CopyAge(1.8)
+        age.record_complete(0.0, 'store')
         state = catch_up.VersionedState(
             is_needed=lambda: False,
             own_version=lambda: 5,
@@ -47,7 +57,9 @@
         caught_up = catch_up.CatchUp(loop, unittest.mock.Mock(), [state])
         for version, told_ds, expected_s in (
             (6, 1, 10.0),
+            (-1, 0, 10.0),
             (5, None, 10.0),
+            (4, 6, 0.6),
             (5, 4, 0.4),
         ):
             caught_up.check_update(
