Let a version of the endpoints promise every change before it

Simulated rolling restarts still broke DRAIN, with endpoints that came back after their deletion at nodes which had known of it.

Cause: the version that a node tells was the newest position that it had seen anywhere, and its peers skip all before it.

Now the version grows only with the position up to which all records are known. A record that is older than the known one of its key changes nothing, nor does one of an unknown key from before that position: it was deleted since.

--- a/src/guavachute/decide/nodes/change_log.py
+++ b/src/guavachute/decide/nodes/change_log.py
@@ -32,11 +32,11 @@
         self._complete_from: ids.LogPosition | None = None
 
     def set_complete_from(self, position: ids.LogPosition) -> None:
-        """Declare that all removals from *position* on will be recorded.
+        """Declare that changes before *position* may not be recorded.
 
-        Only the first call has an effect.
+        All later ones are, also removals of keys that were never recorded.
         """
-        if self._complete_from is None:
+        if self._complete_from is None or position > self._complete_from:
             self._complete_from = position
 
     def record_change(self, key: str, position: ids.LogPosition) -> None:
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -55,8 +55,11 @@
         """All entries before this position were folded, by this node or a
         peer."""
         self.endpoints_version = log_position.NO_POSITION
-        """The position of the newest record that changed the table. Most
-        records only renew an entry, and need not be passed on."""
+        """The position of the newest record that changed the table, with no
+        change before it unknown here. Most records only renew an entry, and
+        need not be passed on."""
+        self._later_changes: list[ids.LogPosition] = []
+        """Changes that were folded, but not yet all records before them."""
         self.on_changed: typing.Callable[[], None] = lambda: None
         """Called when the configuration or the table has changed."""
         self.configuration_position = log_position.NO_POSITION
@@ -144,8 +147,15 @@
         ):
             self.on_changed()
 
-    def missing_endpoints(self, snapshot: topic_follower.Snapshot) -> set[str]:
-        """The known entries that were deleted before *snapshot* ended."""
+    def end_snapshot(self, snapshot: topic_follower.Snapshot) -> set[str]:
+        """Handle the end of a snapshot, whose records were folded.
+
+        Returns the known entries that were deleted before it ended.
+        """
+        if snapshot.next > self.endpoints_position:
+            # What was written and deleted in between isn't known here.
+            self._changes.set_complete_from(snapshot.next)
+            self._later_changes.append(ids.LogPosition(snapshot.next - 1))
         return {
             key
             for key, stored in self._stored.items()
@@ -159,8 +169,14 @@
 
     def advance_position(self, position: ids.LogPosition) -> None:
         """Record that all entries before *position* have been folded."""
-        self._changes.set_complete_from(position)
         self.endpoints_position = max(self.endpoints_position, position)
+        later = self._later_changes
+        self._later_changes = []
+        for change in later:
+            if change < self.endpoints_position:
+                self.endpoints_version = max(self.endpoints_version, change)
+            else:
+                self._later_changes.append(change)
 
     def _apply_entry(
         self,
@@ -177,20 +193,39 @@
         version.
         """
         before = self._stored.get(key)
+        if self._is_outdated(before, position):
+            return False
         if value is None:
             self._remove_entry(key)
-        else:
-            self._store_entry(key, value, position, source, is_snapshot)
+            self._changes.record_removal(key, position)
+            self._later_changes.append(position)
+            return True
+        self._store_entry(key, value, position, source, is_snapshot)
         after = self._stored.get(key)
-        if _peer_relevant(before) == _peer_relevant(after):
+        is_next_record = source == 'store' and not is_snapshot
+        if is_next_record and _peer_relevant(before) == _peer_relevant(after):
             return False
+        # Where records between are not known, it may have changed to
+        # something else and back.
         if after is None:
             self._changes.record_removal(key, position)
         else:
             self._changes.record_change(key, position)
-        self.endpoints_version = max(self.endpoints_version, position)
+        self._later_changes.append(position)
         return True
 
+    def _is_outdated(
+        self, stored: _StoredEntry | None, position: ids.LogPosition
+    ) -> bool:
+        """Whether later records of the key are known than that at *position*.
+
+        A key that isn't stored, although all records up to then are known, has
+        been deleted.
+        """
+        if stored is None:
+            return position < self.endpoints_position
+        return position < stored.position
+
     def _store_entry(
         self,
         key: str,
@@ -347,9 +382,10 @@
             self._apply_entry(key, None, position, 'peer')
         for key, entry in shared.changed.items():
             self._apply_entry(key, entry.value, entry.position, 'peer')
-        if (
-            shared.is_whole
-            or self.endpoints_position != log_position.NO_POSITION
-        ):
-            self.advance_position(shared.position)
-        self.endpoints_version = shared.version
+        if shared.is_whole:
+            self._changes.set_complete_from(
+                ids.LogPosition(shared.version + 1)
+            )
+        # The peer knows all changes up to its version, as far as it has read.
+        self._later_changes.append(shared.version)
+        self.advance_position(shared.position)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -201,7 +201,7 @@
             self.state.fold_endpoint,
             wait_s=0.0,
             period_s=READER_PERIOD_S,
-            missing_keys=self.state.missing_endpoints,
+            missing_keys=self.state.end_snapshot,
         )
         self._endpoints.on_recovered = self._handle_store_recovery
         self._nodes = self._follow(
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -248,7 +248,8 @@
             self._snapshot_end = page.end_offset
         for record in page.records:
             self._page_keys.add(record.key)
-            self._fold(record, True)
+            if not self._is_read_again(record):
+                self._fold(record, True)
         if page.next_key is not None:
             self._request_page(page.next_key)
             return
@@ -275,13 +276,31 @@
         self._on_folded()
         self._schedule(MIN_PERIOD_S)
 
+    @property
+    def _told_offset(self) -> ids.Offset | None:
+        """Up to where peers have told all records of the present era."""
+        if self._told_position < 0:
+            return None
+        told = log_position.unpack(self._told_position)
+        return told.offset if told.era == self._client.era else None
+
     def _first_unread(self, snapshot_end: ids.Offset) -> ids.Offset:
         """From where to read after a snapshot that ends at *snapshot_end*."""
-        if self._told_position >= 0:
-            told = log_position.unpack(self._told_position)
-            if told.era == self._client.era:
-                return min(told.offset, snapshot_end)
-        return snapshot_end
+        told_offset = self._told_offset
+        if told_offset is None:
+            return snapshot_end
+        return min(told_offset, snapshot_end)
+
+    def _is_read_again(self, record: store.KeyedRecord) -> bool:
+        """Whether a record of a snapshot comes again, after those before it.
+
+        The snapshot doesn't show what the key went through until then.
+        """
+        return (
+            self._told_offset is not None
+            and record.position is not None
+            and record.position >= self._told_position
+        )
 
     def _handle_records(
         self, reply: control_client.Reply | control_client.CallFailure
