Count how long an update was on its way before it proves a copy young

Cause: an age in an update was taken as of its arrival. Updates had waited up to half a second, each node passed on what it believed, and each link added to it.

The age of the sender's run, which every build tells, shows the wait beyond the run's quickest update; before a run was heard for a second its updates prove nothing.

--- a/src/guavachute/decide/ingress/copy_age.py
+++ b/src/guavachute/decide/ingress/copy_age.py
@@ -52,9 +52,13 @@
         return math.ceil(10 * self.age_s(now_s))
 
     def is_read_due(self, now_s: float) -> bool:
-        """Whether the store has to be read now; the caller does so."""
+        """Whether the store has to be read now; the caller does so.
+
+        Without any proof it is being read anyway.
+        """
         if (
-            self.age_s(now_s) <= self._max_age_s
+            math.isinf(self._complete_s)
+            or self.age_s(now_s) <= self._max_age_s
             or now_s - self._asked_s < RETRY_S
         ):
             return False
--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -117,17 +117,30 @@
             is_newer = state.peer_version(update) > state.own_version()
             if is_newer and state.is_needed():
                 self._check_state(state)
-            age_ds = update.endpoints_age_ds
-            if (
-                state.age is not None
-                and age_ds is not None
-                and 0 <= state.peer_version(update) <= state.own_version()
-            ):
-                # All that the peer knows is known here. A peer without any
-                # version knows nothing, whatever an older build tells.
-                state.age.record_complete(
-                    self._loop.now_s - age_ds / 10, update.node
-                )
+            if state.age is not None:
+                self._record_proof(state, state.age, update)
+
+    def _record_proof(
+        self,
+        state: VersionedState,
+        age: copy_age.CopyAge,
+        update: node_updates.NodeUpdate,
+    ) -> None:
+        """Record what a peer's update proves of this node's copy.
+
+        All that the peer knew when it sent the update is known here if this
+        node has its version. A peer without any version knows nothing,
+        whatever an older build tells.
+        """
+        age_ds = update.endpoints_age_ds
+        delay_s = self._table.delay_s(update.node)
+        if (
+            age_ds is not None
+            and delay_s is not None
+            and 0 <= state.peer_version(update) <= state.own_version()
+        ):
+            complete_s = self._loop.now_s - delay_s - age_ds / 10
+            age.record_complete(complete_s, update.node)
 
     def _check_state(self, state: VersionedState) -> None:
         """Fetch *state* if a peer has a newer version and it is needed."""
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -5,6 +5,7 @@
 
 from guavachute.decide.ingress import endpoint_links
 from guavachute.decide.ingress import named_limits
+from guavachute.decide.ingress import update_delay
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import clock as agreed_clock
 from guavachute.decide.nodes import counting
@@ -46,6 +47,8 @@
     :ivar region: the region of the node
     :ivar update: its latest update; None before the first
     :ivar last_update_s: loop time at which that update came
+    :ivar delay_s: how long it was on its way, beyond others of its run; None
+        if not known yet
     :ivar added_s: loop time at which the node became known
     :ivar is_listed: whether it has an entry in the store
     :ivar last_no_answer_s: loop time of its latest unanswered request
@@ -57,11 +60,23 @@
         self.region = region
         self.update: node_updates.NodeUpdate | None = None
         self.last_update_s = float('-inf')
+        self.delay_s: float | None = None
+        self._delay = update_delay.UpdateDelay()
         self.added_s = 0.0
         self.is_listed = False
         self.last_no_answer_s = float('-inf')
         self.counted_work: typing.Mapping[str, node_updates.EndpointWork] = {}
 
+    def replace_update(
+        self, update: node_updates.NodeUpdate, now_s: float
+    ) -> None:
+        """Keep an update that has come now."""
+        if self.update is None or self.update.run != update.run:
+            self._delay = update_delay.UpdateDelay()
+        self.update = update
+        self.last_update_s = now_s
+        self.delay_s = self._delay.delay_s(update.age_s, now_s)
+
     def heard_s(self, endpoint: str) -> float:
         """Loop time at which the node last heard an endpoint."""
         work = self.counted_work.get(endpoint)
@@ -316,14 +331,21 @@
         now_s = self._now_s()
         if now_s - peer.last_update_s > SILENT_AFTER_S + self.extra_age_s:
             journal.event('peer', outcome='heard', peer=update.node)
-        peer.update = update
+        peer.replace_update(update, now_s)
         if peer.region != update.region:
             peer.region = update.region
             self._handle_nodes_changed()
-        peer.last_update_s = now_s
         self._count_work(peer, update.work)
         return True
 
+    def delay_s(self, node: str) -> float | None:
+        """How long the latest update of a node was on its way.
+
+        None if that is not known.
+        """
+        peer = self._peers.get(node)
+        return None if peer is None else peer.delay_s
+
     def merge_region_update(self, update: node_updates.RegionUpdate) -> bool:
         """Store the update of a reader; True if that reader is the chosen one.
 
