--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -101,6 +101,7 @@
         self.confirmed_s = float('-inf')
         """When the latest read began that has brought all there was."""
         self._is_confirming = False
+        self._began_s = self._snapshot_began_s = float('-inf')
         self.on_recovered: typing.Callable[[], None] = lambda: None
         """Called when a read succeeds after failures, before its records are
         folded."""
@@ -204,6 +205,7 @@
         if after_key is None:
             self._snapshot_end = None
             self._page_keys = set()
+            self._snapshot_began_s = self._loop.now_s
         self._call(store.newest(self.topic, after_key), 0.0, self._handle_page)
 
     def _request_records(self, offset: ids.Offset) -> None:
@@ -216,16 +218,13 @@
     def _call(
         self, request: store.Request, wait_s: float, done: control_client.Done
     ) -> None:
-        began_s = self._loop.now_s
-
         def handle_reply(
             reply: control_client.Reply | control_client.CallFailure,
         ) -> None:
             self._is_reading = self._is_confirming = False
             done(reply)
-            if self.lost_since_s is None and self.end_offset is not None:
-                self.confirmed_s = began_s
 
+        self._began_s = self._loop.now_s
         self._is_reading = True
         self._is_confirming = False
         self._cancel_read = self._client.call(
@@ -273,6 +272,9 @@
             self._fold(store.KeyedRecord(key, None, deleted_at), True)
         self._known_keys = self._page_keys
         self.end_offset = next_offset
+        if next_offset == self._snapshot_end:
+            # Only the first page shows all that was there then.
+            self.confirmed_s = self._snapshot_began_s
         self._on_folded()
         self._schedule(MIN_PERIOD_S)
 
@@ -349,6 +351,11 @@
             self.end_offset = found.next_offset
         if found.records:
             self._on_folded()
+        if found.next_offset < found.end_offset:
+            # The answer had no room for the rest.
+            self._schedule(MIN_PERIOD_S)
+            return
+        self.confirmed_s = self._began_s
         self._schedule(self._period_s)
 
     def _decode_reply(
--- a/tests/cover/test_known_versions.py
+++ b/tests/cover/test_known_versions.py
@@ -9,6 +9,7 @@
 import types
 import typing
 import unittest
+import unittest.mock
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from guavachute.entry import control_client
 from guavachute.entry import known_state
 from guavachute.entry import topic_follower
+from guavachute import ids
 from guavachute.platform import endpoints as platform_endpoints
 from guavachute.platform import store
 from guavachute.standin.platform import store as standin_store
@@ -23,6 +25,7 @@
 from tests.support import simulated
 
 TOPIC = platform_endpoints.TOPIC
+DECODE_READ = store.decode_read
 
 
 class Log:
@@ -297,3 +300,51 @@
             log.store.drop_history(TOPIC)
         else:
             readers[number] = self.started(log)
+
+
+class ConfirmedTest(unittest.TestCase):
+    """When a read has brought all there was at its begin."""
+
+    # Guards against DRAIN: a snapshot of several pages counted as complete as
+    # of its last page, though the first one was older.
+    def test_a_snapshot_is_as_old_as_its_first_page(self) -> None:
+        log = Log(page_items=2)
+        for key in 'abcd':
+            log.write(key, 'ready')
+        reader = Reader(log)
+        reader.start()
+        began_s = log.loop.now_s
+        deliver = reader.serve()
+        log.loop.now_s += 1.0
+        deliver()
+        reader.read()
+        self.assertIsNotNone(reader.follower.end_offset)
+        self.assertEqual(began_s, reader.follower.confirmed_s)
+
+    # Guards against DRAIN: an answer that had no room for all records counted
+    # as if it had brought the last one.
+    def test_a_part_of_the_records_confirms_nothing(self) -> None:
+        log = Log(page_items=500)
+        log.write('a', 'ready')
+        reader = Reader(log)
+        reader.start()
+        reader.read_all()
+        log.write('a', 'draining')
+        log.write('b', 'ready')
+        log.loop.now_s += 1.0
+        reader.follower.read_now()
+        with unittest.mock.patch.object(
+            store,
+            'decode_read',
+            lambda body, offset: store.Records(
+                DECODE_READ(body, offset).records[:1],
+                ids.Offset(offset + 1),
+                DECODE_READ(body, offset).end_offset,
+            ),
+        ):
+            reader.read()
+        self.assertEqual({'a': 'draining'}, reader.known())
+        self.assertLess(reader.follower.confirmed_s, log.loop.now_s)
+        reader.read()
+        self.assertEqual(log.present(), reader.known())
+        self.assertEqual(log.loop.now_s, reader.follower.confirmed_s)
