Tell the position up to which all entries are known, and go on from there

Updates now name the position before which the sender knows all. Who knows as many changes goes on from there, and compares versions with that. A version that no settled reader tells is fetched only after 1.5 s; a node that has read nothing, or doesn't reach the store, fetches at once, as before. Older builds ignore the field; without it nothing is concluded.

--- a/src/guavachute/decide/ingress/copy_age.py
+++ b/src/guavachute/decide/ingress/copy_age.py
@@ -22,12 +22,12 @@
 class CopyAge:
     """The proof of one node's copy; none at its start.
 
-    :param max_age_s: with an older proof, the store has to be read
+    :param drain_s: a leaving endpoint has to be known within this
     :ivar source: what the latest proof is by, for the log
     """
 
-    def __init__(self, max_age_s: float) -> None:
-        self._max_age_s = max_age_s
+    def __init__(self, drain_s: float) -> None:
+        self._max_age_s = MAX_AGE_SHARE * drain_s
         self._complete_s = float('-inf')
         self._asked_s = float('-inf')
         self.source = ''
--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -11,6 +11,7 @@
 from guavachute.decide.ingress import copy_age
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peer_table
+from guavachute import ids
 from guavachute.observe import journal
 from guavachute.wire import node_updates
 
@@ -27,6 +28,11 @@
 newer version for this long: the link between the regions is narrow, and all
 nodes would use it at once."""
 
+FOLLOWERS_AFTER_S = 1.5
+"""If no reader of the store has the newer version for this long, others are
+asked. A process that has just read a snapshot can't tell which of its records
+are news, so it tells the newest one's version."""
+
 READ_STORE_AFTER_S = 2.0
 """A node that is behind its peers for this long, and gets nothing from them,
 reads the store itself, as changes have to be known within three seconds."""
@@ -47,6 +53,10 @@
     :ivar age: how old it may be, if that is bounded; peers tell theirs
     :ivar confirmed_s: when the latest read of the store began that has brought
         all there was
+    :ivar learn_position: called with a position before which all is known
+        here, as a peer has told
+    :ivar waits_for_readers: whether this node is up to date but for news that
+        readers of the store tell too
     :ivar confirm: reads the store, unless it is being read for that already
     :ivar behind_since_s: loop time since which a peer is known to have a newer
         version; None if none has
@@ -60,6 +70,10 @@
     age: copy_age.CopyAge | None = None
     confirmed_s: typing.Callable[[], float] = lambda: float('-inf')
     confirm: typing.Callable[[], None] = lambda: None
+    learn_position: typing.Callable[[ids.LogPosition], None] = (
+        lambda position: None
+    )
+    waits_for_readers: typing.Callable[[], bool] = lambda: False
     is_fetching: bool = False
     behind_since_s: float | None = None
 
@@ -132,13 +146,12 @@
         node has its version. A peer without any version knows nothing,
         whatever an older build tells.
         """
+        if not 0 <= state.peer_version(update) <= state.own_version():
+            return
+        state.learn_position(update.endpoints_position)
         age_ds = update.endpoints_age_ds
         delay_s = self._table.delay_s(update.node)
-        if (
-            age_ds is not None
-            and delay_s is not None
-            and 0 <= state.peer_version(update) <= state.own_version()
-        ):
+        if age_ds is not None and delay_s is not None:
             complete_s = self._loop.now_s - delay_s - age_ds / 10
             age.record_complete(complete_s, update.node)
 
@@ -164,6 +177,12 @@
         local = [peer for peer in newer if self._table.is_local(peer)]
         if not local and behind_s < FAR_PEERS_AFTER_S:
             return
+        if (
+            state.waits_for_readers()
+            and behind_s < FOLLOWERS_AFTER_S
+            and not any(_is_reading(peer) for peer in local)
+        ):
+            return
         if behind_s > READ_STORE_AFTER_S and state.is_needed():
             state.behind_since_s = now_s
             state.read_store()
@@ -186,3 +205,15 @@
         if not answered:
             # The next check queries another peer.
             peer.last_no_answer_s = self._loop.now_s
+
+
+def _is_reading(peer: peer_table.Peer) -> bool:
+    """Whether a peer reads the store closely, record after record.
+
+    Each process takes itself for a reader until it has heard others.
+    """
+    return (
+        peer.update is not None
+        and peer.update.is_reader
+        and peer.update.age_s > FOLLOWERS_AFTER_S
+    )
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -77,6 +77,14 @@
         """The version of the configuration; 0 while there is none."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def known_version(self) -> ids.LogPosition:
+        """Every change of the endpoints up to this position is known."""
+        return max(
+            self.endpoints_version,
+            ids.LogPosition(self.endpoints_position - 1),
+        )
+
     @property
     def limits(self) -> configuration.CallerLimits:
         """The limits on requests; defaults while there is no configuration."""
@@ -360,7 +368,7 @@
 
         :param source: which peer it is, for the log
         """
-        if shared.version <= self.endpoints_version:
+        if shared.version <= self.known_version:
             return
         journal.event(
             'copy',
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -232,8 +232,9 @@
                 else None,
             )
         self.state.on_changed = self._schedule_update
-        self.state.on_unproven = self._schedule_confirmation
-        self._is_confirmation_scheduled = False
+        self.state.on_unproven = lambda: self._endpoints.read_after(
+            CONFIRM_AFTER_S
+        )
         self._role = readers.Role.FIRST
         self._is_reader = True
         self._interval_basis: typing.Hashable = None
@@ -253,8 +254,7 @@
         self.address_book = address_book.AddressBook(
             site, self.peers.table, self._own_candidate, lambda: loop.now_s
         )
-        max_age_s = copy_age.MAX_AGE_SHARE * site.bounds.drain_s
-        self._copy_age = copy_age.CopyAge(max_age_s)
+        self._copy_age = copy_age.CopyAge(site.bounds.drain_s)
         self._catch_up = catch_up.CatchUp(
             loop, self.peers.table, self._versioned_states()
         )
@@ -411,16 +411,6 @@
         )
         self._broadcast_update()
 
-    def _schedule_confirmation(self) -> None:
-        """Read the endpoints again soon, for writes that confirm entries."""
-        if not self._is_confirmation_scheduled:
-            self._is_confirmation_scheduled = True
-            self.loop.call_after(CONFIRM_AFTER_S, self._read_confirmations)
-
-    def _read_confirmations(self) -> None:
-        self._is_confirmation_scheduled = False
-        self._endpoints.read_now()
-
     def _fold_own_topic(
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
@@ -550,6 +540,7 @@
             relay_address=self.ingress.paths.relay_address,
             reaches_endpoints=not self.registry.links.is_cut,
             endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
+            endpoints_position=self.state.endpoints_position,
         )
 
     def region_update(
@@ -669,13 +660,15 @@
             ),
             catch_up.VersionedState(
                 is_needed=lambda: self._needs_peers(self._endpoints),
-                own_version=lambda: self.state.endpoints_version,
+                own_version=lambda: self.state.known_version,
                 peer_version=lambda update: update.endpoints_version,
                 fetch=self._fetch_endpoints,
                 read_store=self._endpoints.read_now,
                 age=self._copy_age,
                 confirmed_s=lambda: self._endpoints.confirmed_s,
                 confirm=self._endpoints.confirm,
+                learn_position=self._learn_position,
+                waits_for_readers=lambda: self._endpoints.lost_since_s is None,
             ),
         ]
 
@@ -714,9 +707,14 @@
             done(shared is not None)
 
         self.peers.fetch_endpoints(
-            peer, self.state.endpoints_version, merge_shared
+            peer, self.state.known_version, merge_shared
         )
 
+    def _learn_position(self, position: ids.LogPosition) -> None:
+        """Take in that no change before *position* is unknown here."""
+        if not self._is_reader and self._endpoints.learn_position(position):
+            self.state.advance_position(position)
+
     # -- the role of a reader ------------------------------------------
 
     @property
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -93,6 +93,7 @@
         self._told_position = log_position.NO_POSITION
         self._cancel_read: typing.Callable[[], None] = lambda: None
         self._is_reading = False
+        self._is_read_due = False
         self._is_stopped = False
         self._timer: entry_loop.Timer | None = None
         self.end_offset: ids.Offset | None = None
@@ -146,6 +147,28 @@
             self._cancel_read()
             self._schedule(self._period_s)
 
+    def learn_position(self, position: ids.LogPosition) -> bool:
+        """Go on from *position*, as nothing before it is unknown.
+
+        False without effect if it brings nothing, is of another era, or a
+        read has begun.
+        """
+        end = self.end_position
+        if self._is_reading or end is None or position <= end:
+            return False
+        self.skip_to(position)
+        return self.end_position == position
+
+    def read_after(self, delay_s: float) -> None:
+        """Read after *delay_s*; once, if called again before."""
+        if not self._is_read_due:
+            self._is_read_due = True
+            self._loop.call_after(delay_s, self._read_due)
+
+    def _read_due(self) -> None:
+        self._is_read_due = False
+        self.read_now()
+
     def handle_new_era(self, reads_now: bool) -> None:
         """Start again from a snapshot, as the store has lost records.
 
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from guavachute.domain import log_position
 from guavachute.domain import net_address
 from guavachute import ids
 from guavachute import outcome
@@ -188,6 +189,8 @@
     :ivar reaches_endpoints: False if it is cut off from all endpoints
     :ivar endpoints_age_ds: how long ago it certainly knew all entries, in
         tenths of a second, rounded up; None if it doesn't tell
+    :ivar endpoints_position: it knows all entries before this position;
+        negative if it doesn't tell
     """
 
     node: str
@@ -219,6 +222,7 @@
     relay_address: AddressOrEmpty = ''
     reaches_endpoints: bool = True
     endpoints_age_ds: int | None = None
+    endpoints_position: ids.LogPosition = log_position.NO_POSITION
 
 
 Update = NodeUpdate | RegionUpdate
--- a/tests/cover/test_copy_age.py
+++ b/tests/cover/test_copy_age.py
@@ -24,9 +24,9 @@
 
 class CopyAgeTest(unittest.TestCase):
     def test_the_store_is_read_when_the_proof_is_old(self) -> None:
-        age = copy_age.CopyAge(1.8)
+        age = copy_age.CopyAge(3.0)
         age.record_complete(0.0, 'store')
-        self.assertFalse(age.is_read_due(1.8))
+        self.assertFalse(age.is_read_due(1.79))
         self.assertTrue(age.is_read_due(1.9))
         self.assertFalse(age.is_read_due(2.0))
         self.assertTrue(age.is_read_due(2.0 + copy_age.RETRY_S))
@@ -38,14 +38,14 @@
     # Guards against DRAIN: a process that had read nothing told that its
     # copy was complete, and others took theirs for complete then.
     def test_a_process_that_has_read_nothing_proves_nothing(self) -> None:
-        age = copy_age.CopyAge(1.8)
+        age = copy_age.CopyAge(3.0)
         self.assertIsNone(age.age_ds(5.0))
         self.assertEqual(copy_age.MAX_AGE_S, age.age_s(5.0))
         self.assertFalse(age.is_read_due(5.0))
 
     def test_ages_of_others_prove_only_what_is_known_here(self) -> None:
         loop = unittest.mock.Mock(now_s=10.0)
-        age = copy_age.CopyAge(1.8)
+        age = copy_age.CopyAge(3.0)
         age.record_complete(0.0, 'store')
         state = catch_up.VersionedState(
             is_needed=lambda: False,
@@ -110,8 +110,12 @@
     def test_fields_that_one_side_lacks_cost_nothing(self) -> None:
         update = updates.node_update('n', 'here', endpoints_age_ds=4)
         fields = msgspec.msgpack.decode(node_updates.encode(update))
-        older = node_updates.decode_update(msgspec.msgpack.encode(fields[:-1]))
-        assert isinstance(older, node_updates.NodeUpdate)
+        for lacking in (1, 2):
+            older = node_updates.decode_update(
+                msgspec.msgpack.encode(fields[:-lacking])
+            )
+            assert isinstance(older, node_updates.NodeUpdate)
+            self.assertLess(older.endpoints_position, 0)
         self.assertIsNone(older.endpoints_age_ds)
         newer = node_updates.decode_update(
             msgspec.msgpack.encode([*fields, 'of a later build'])
--- a/tests/cover/test_known_versions.py
+++ b/tests/cover/test_known_versions.py
@@ -134,10 +134,12 @@
     def ask(self, peer: 'Reader') -> None:
         """Ask the peer for its changes; :meth:`merge` takes the answer."""
         self.told = None
-        if peer.state.endpoints_version > self.state.endpoints_version:
-            self.told = peer.state.shared_endpoints(
-                self.state.endpoints_version
-            )
+        if peer.state.endpoints_version > self.state.known_version:
+            self.told = peer.state.shared_endpoints(self.state.known_version)
+        elif peer.state.endpoints_version >= 0:
+            position = peer.state.endpoints_position
+            if self.follower.learn_position(position):
+                self.state.advance_position(position)
 
     def merge(self) -> None:
         """Take in what a peer has told."""
