Ignore offers of another protocol, and keep the body of their requests

Cause: the parser ends at a head with such an offer. It reports the request as complete, without its body, and the reader took it for that; the body was read as what follows. Now that request isn't taken, and a new parser gets the head without the offer, then what follows. CONNECT stays rejected, as do two lengths.

--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -93,10 +93,9 @@
         if self.problem is not None:
             return
         self._framing_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.problem = self.problem or Problem.MALFORMED
+        rest = data
+        while rest:
+            rest = self._parse(rest)
         if self._is_in_head:
             self._head_bytes += len(data)
             if self._head_bytes > self.max_head_bytes:
@@ -105,6 +104,37 @@
             # A trailer or a chunk extension.
             self.problem = Problem.HEAD_TOO_LARGE
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse *data*; the result is left to be parsed."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            if self._method != 'CONNECT':
+                self._ignore_upgrade()
+                return data[upgrade.args[0] :]
+            self.problem = self.problem or Problem.MALFORMED
+        except httptools.HttpParserError:
+            self.problem = self.problem or Problem.MALFORMED
+        return b''
+
+    def _ignore_upgrade(self) -> None:
+        """Read on in HTTP/1.1 behind a head that offers another protocol.
+
+        The parser ends at such a head, so another one gets it without the
+        offer.
+        """
+        version = self._parser.get_http_version().encode()
+        lines = [
+            b'%s %s HTTP/%s' % (self._method.encode(), self._target, version)
+        ]
+        lines += [
+            b'%s: %s' % (name, value)
+            for name, value in self._headers
+            if name.lower() != b'upgrade'
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b'\r\n'.join(lines) + b'\r\n\r\n')
+
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
         self._target = b''
@@ -148,6 +178,9 @@
 
     def on_message_complete(self) -> None:
         """Parser callback: the request is complete."""
+        if self._parser.should_upgrade():
+            # Its body follows, which the parser takes for another protocol.
+            return
         self._is_in_body = False
         if self.problem is None:
             self.requests.append(
