Count the bytes of a request's head once

Cause: the bytes of a piece that ended inside a head were added to those of the headers in it, and so were the bytes of a body before the head in the same piece. Now target and headers count, and the bytes of a header that has not ended. Two tests failed before; those of heads beyond the limit and without end hold.

--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -73,6 +73,7 @@
         self._headers: list[call.Header] = []
         self._body = bytearray()
         self._head_bytes = 0
+        self._unended_bytes = 0
         self._framing_bytes = 0
         self._is_in_head = False
         self._is_in_body = False
@@ -93,13 +94,15 @@
         if self.problem is not None:
             return
         self._framing_bytes += len(data)
+        counted_bytes = self._head_bytes
         rest = data
         while rest:
             rest = self._parse(rest)
         if self._is_in_head:
-            self._head_bytes += len(data)
-            if self._head_bytes > self.max_head_bytes:
-                self.problem = Problem.HEAD_TOO_LARGE
+            if self._head_bytes == counted_bytes:
+                # All of it belongs to a header that has not ended yet.
+                self._unended_bytes += len(data)
+            self._check_head()
         elif self._is_in_body and self._framing_bytes > self.max_head_bytes:
             # A trailer or a chunk extension.
             self.problem = Problem.HEAD_TOO_LARGE
@@ -140,20 +143,26 @@
         self._target = b''
         self._headers = []
         self._body = bytearray()
-        self._head_bytes = 0
+        self._head_bytes = self._unended_bytes = 0
         self._is_in_head = True
 
     def on_url(self, data: bytes) -> None:
         """Parser callback: a part of the target."""
         self._target += data
+        self._head_bytes += len(data)
+        self._check_head()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header, or a trailer, which is dropped."""
         if self._is_in_head:
             self._headers.append((name, value))
             self._head_bytes += len(name) + len(value) + 4
-            if self._head_bytes > self.max_head_bytes:
-                self.problem = Problem.HEAD_TOO_LARGE
+            self._unended_bytes = 0
+            self._check_head()
+
+    def _check_head(self) -> None:
+        if self._head_bytes + self._unended_bytes > self.max_head_bytes:
+            self.problem = Problem.HEAD_TOO_LARGE
 
     def on_headers_complete(self) -> None:
         """Parser callback: the head is complete."""
--- a/tests/cover/test_request_reader.py
+++ b/tests/cover/test_request_reader.py
@@ -107,3 +107,54 @@
         self.assertEqual([BODY], bodies)
         looping.run_for(site.loop, 0.1)
         self.assertFalse(caller.reply.is_closed)
+
+
+class HeadSizeTest(unittest.TestCase):
+    """Heads up to the limit, however they come."""
+
+    # Guards against DENIED: a head of over half of the limit got 431 if it
+    # came in two pieces, as its bytes were counted twice.
+    def test_a_head_within_the_limit_may_come_in_pieces(self) -> None:
+        filler = b'X-Filler: %s\r\n' % (b'f' * 1_500)
+        data = encode('1', filler * 2)
+        for at in range(1, len(data), 97):
+            reader = read([data[:at], data[at:]])
+            self.assertIsNone(reader.problem, at)
+            self.assertEqual(1, len(reader.requests), at)
+        reader = read([data[at : at + 1] for at in range(len(data))])
+        self.assertEqual(1, len(reader.requests))
+
+    # Guards against the same for a head that begins in the piece in which a
+    # long body ends.
+    def test_what_came_before_a_head_does_not_count(self) -> None:
+        data = (
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 30000\r\n\r\n'
+            + b'b' * 30_000
+            + encode('2')
+        )
+        for cut in (20, 60, len(encode('2')) - 20):
+            reader = read([data[:-cut], data[-cut:]])
+            self.assertIsNone(reader.problem, cut)
+            self.assertEqual(2, len(reader.requests), cut)
+
+    def test_a_head_beyond_the_limit_is_rejected(self) -> None:
+        long_header = b'X-Filler: %s\r\n' % (b'f' * MAX_HEAD_BYTES)
+        many_headers = b'X-Filler: f\r\n' * 400
+        for more in (long_header, many_headers):
+            data = encode('1', more)
+            for size in (1, 50, len(data)):
+                pieces = [
+                    data[at : at + size] for at in range(0, len(data), size)
+                ]
+                reader = read(pieces)
+                self.assertIs(http1.Problem.HEAD_TOO_LARGE, reader.problem)
+                self.assertEqual([], reader.requests)
+
+    def test_a_head_without_end_is_rejected(self) -> None:
+        for start in (
+            b'GET /',
+            b'GET / HTTP/1.1\r\nX: ',
+            b'GET / HTTP/1.1\r\n',
+        ):
+            reader = read([start, *[b'x' * 100] * 42])
+            self.assertIsNotNone(reader.problem, start)
