--- a/src/guavachute/entry/catch_up.py
+++ b/src/guavachute/entry/catch_up.py
@@ -178,7 +178,8 @@
         if not local and behind_s < FAR_PEERS_AFTER_S:
             return
         if (
-            state.waits_for_readers()
+            local
+            and state.waits_for_readers()
             and behind_s < FOLLOWERS_AFTER_S
             and not any(_is_reading(peer) for peer in local)
         ):
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -211,7 +211,9 @@
         self._store_entry(key, value, position, source, is_snapshot)
         after = self._stored.get(key)
         is_next_record = source == 'store' and not is_snapshot
-        if is_next_record and _peer_relevant(before) == _peer_relevant(after):
+        if _peer_relevant(before) == _peer_relevant(after) and (
+            is_next_record or after is None
+        ):
             return False
         # Where records between are not known, it may have changed to
         # something else and back.
--- a/src/guavachute/entry/topic_follower.py
+++ b/src/guavachute/entry/topic_follower.py
@@ -77,6 +77,7 @@
         missing_keys: MissingKeys | None = None,
     ) -> None:
         self._loop = loop
+        self._are_records_told = missing_keys is not None
         self._missing_keys = missing_keys or (
             lambda snapshot: self._known_keys - snapshot.keys
         )
@@ -130,11 +131,12 @@
     def skip_to(self, position: ids.LogPosition) -> None:
         """Skip the records before *position*, which came from a peer.
 
-        Before the first snapshot of the era, the records after *position* are
-        read behind it: a snapshot doesn't show what was written and deleted
-        between.
+        If peers tell all records, and the first snapshot of the era is not
+        read yet, the records after *position* are read behind it: a snapshot
+        doesn't show what was written and deleted between.
         """
-        self._told_position = max(self._told_position, position)
+        if self._are_records_told:
+            self._told_position = max(self._told_position, position)
         end = self.end_position
         if end is None or position <= end:
             return
