--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -368,9 +368,12 @@
     ) -> None:
         """Apply a peer's endpoints if its version is newer.
 
+        Older builds tell a version in the middle of their first snapshot, and
+        send what they have of it as all entries; they tell no position then.
+
         :param source: which peer it is, for the log
         """
-        if shared.version <= self.known_version:
+        if shared.version <= self.known_version or shared.position < 0:
             return
         journal.event(
             'copy',
--- a/tests/cover/test_known_versions.py
+++ b/tests/cover/test_known_versions.py
@@ -257,6 +257,29 @@
         peer.fetch_from(reader)
         self.assertEqual(log.present(), peer.known())
 
+    # Guards against a half-read table of a node of an older build, which
+    # sends it as all entries: the others were dropped.
+    def test_half_a_table_of_an_older_build_is_not_taken(self) -> None:
+        log = Log(page_items=500)
+        log.write('a', 'ready')
+        log.write('b', 'ready')
+        reader, peer = Reader(log), Reader(log)
+        reader.start()
+        reader.read_all()
+        peer.start()
+        peer.read_all()
+        log.write('b', 'draining')
+        peer.read()
+        told = peer.state.shared_endpoints(log_position.NO_POSITION)
+        reader.state.merge_shared_endpoints(
+            msgspec.structs.replace(
+                told,
+                changed={'b': told.changed['b']},
+                position=log_position.NO_POSITION,
+            )
+        )
+        self.assertEqual({'a', 'b'}, reader.known().keys())
+
 
 class AnyOrderTest(unittest.TestCase):
     """Three nodes, of which each may start again, in any order of events."""
