Let an admission gate decide when requests begin

Cause: the quota check was a part of Ingress._admit, which refuses before an exchange exists, so no request could wait for its quota. Change: entry/admission/gate.py owns the quotas; each request becomes an exchange first, which the gate dispatches or refuses. The retry budget counts requests that were not refused, as before.

--- /dev/null
+++ b/src/guavachute/entry/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out the decision when the requests of callers begin."""
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -43,6 +43,9 @@
 CRASHING_RETRY_S = 30.0
 """Retry-After of a request that crashes endpoints."""
 
+RETRY_STATUSES = (429, 503)
+"""Statuses of answers that tell when to retry."""
+
 SHORT_RETRY_AFTER_S = 0.25
 """Retry-After of an answer whose cause is expected to pass quickly."""
 
@@ -842,13 +845,23 @@
 
     def _own_answer(self, status: int, failure: outcome.Failure) -> None:
         self._finish(f'own {status}', failure)
-        retry_after_s = failure.retry_after_s if status == 503 else None
+        retry_after_s = (
+            failure.retry_after_s if status in RETRY_STATUSES else None
+        )
         self._caller.answer(
             status,
             requests.own_answer_headers(self.call.attempt_id, retry_after_s),
             b'',
         )
 
+    def refuse(self, status: int, failure: outcome.Failure) -> None:
+        """Answer a request that has not begun, and never will.
+
+        :param status: one that promises that the request has not run
+        """
+        assert self.state is exchange_state.State.WAITING
+        self._own_answer(status, failure)
+
     def _finish(
         self, verdict: str, failure: outcome.Failure | None = None
     ) -> None:
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -13,11 +13,13 @@
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
 from guavachute.domain import site as domain_site
+from guavachute.entry.admission import gate
 from guavachute.entry import callers
 from guavachute.entry import control_client
 from guavachute.entry import endpoint_paths
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange
+from guavachute.entry import exchange_state
 from guavachute.entry import http1
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
@@ -82,6 +84,7 @@
 
     :ivar address: where it listens, with the port that was bound
     :ivar paths: the ways to endpoints
+    :ivar admission: decides when each request begins
     """
 
     def __init__(
@@ -117,7 +120,7 @@
         self._suspects = suspects
         self._builds = builds
         self._on_run_started = on_run_started
-        self._quotas = quota.Quotas(site.bounds.quota_allowance, loop.now_s)
+        self.admission = gate.Gate(loop, site, state, peers, metrics)
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._meters: dict[ids.ServiceName, _RateMeters] = {}
         self._crashes = crash.CrashRegistry()
@@ -294,25 +297,13 @@
                 exchange.CRASHING_RETRY_S,
             ))  # fmt: skip
             return None
-        if workspace is not None:
-            wait_s = self._quotas.consume(
-                workspace,
-                quota.cost(workspace, call.total_tokens),
-                now_s,
-            )
-            if wait_s > 0:
-                self._reject(caller, call, 429, _failure(
-                    outcome.Reason.LIMIT,
-                    f'the quota of {workspace.name} is used up',
-                    wait_s,
-                ))  # fmt: skip
-                return None
-        self._budget(service).record_request(now_s)
         started = exchange.Exchange(
             self, caller, call, route, service, workspace, fingerprint
         )
         self._exchanges.add(started)
-        started.dispatch()
+        self.admission.submit(started)
+        if started.state is not exchange_state.State.ENDED:
+            self._budget(service).record_request(now_s)
         return started
 
     def connect(
@@ -389,40 +380,6 @@
             closes=status == 400,
         )
 
-    def consumption(
-        self,
-    ) -> dict[ids.WorkspaceName, tuple[float, float, float]]:
-        """What this run admitted of each quota, for the other nodes.
-
-        The items are the total since its start, the rate per second and the
-        level of the quota as seen here.
-        """
-        return dict(self._quotas.consumption(self.loop.now_s))
-
-    def merge_consumption(
-        self,
-        source: quota.Source,
-        spent: typing.Mapping[ids.WorkspaceName, tuple[float, float, float]],
-        run_age_s: float,
-    ) -> None:
-        """Merge what a run of another node has admitted of the quotas.
-
-        :param run_age_s: how long ago that run started
-        """
-        current = self._state.configuration
-        if current is None:
-            return
-        for name, item in spent.items():
-            workspace = current.workspaces.get(name)
-            if workspace is not None:
-                self._quotas.merge(
-                    source,
-                    workspace,
-                    quota.Consumption(*item),
-                    run_age_s,
-                    self.loop.now_s,
-                )
-
     def load(self) -> dict[ids.ServiceName, node_updates.ServiceLoad]:
         """The tokens per second that callers request of each service here."""
         now_s = self.loop.now_s
@@ -534,8 +491,7 @@
     ) -> None:
         """Record the end of a request.
 
-        A success clears the request of suspected crashes. An answer 503
-        refunds the quota, as the request has not run.
+        A success clears the request of suspected crashes.
         """
         self._exchanges.discard(started)
         self._kept.record(started, 0)
@@ -554,11 +510,7 @@
             notice = self._crashes.record_success(started.fingerprint, now_s)
             if notice is not None:
                 self._record_notice(notice)
-        elif verdict == 'own 503' and started.workspace is not None:
-            self._quotas.refund(
-                started.workspace,
-                quota.cost(started.workspace, started.call.total_tokens),
-            )
+        self.admission.handle_ended(started, verdict)
 
     # -- endpoints that leave ------------------------------------------
 
@@ -687,8 +639,7 @@
         """Discard expired state; called about every half second."""
         self.paths.sweep()
         self.registry.log_ended_pauses(self.loop.now_s)
-        runs, silent = self._peers.table.counted_runs(quota.SILENT_AFTER_S)
-        self._quotas.set_peers(quota.PeerRuns(runs, silent), self.loop.now_s)
+        self.admission.expire()
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
         for at_s, record, lost in self._lost_attempts:
             if at_s < oldest_s:
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -517,7 +517,7 @@
             configuration_version=self.state.version,
             endpoints_version=self.state.endpoints_version,
             reaches_store=self._reaches_store,
-            spent=self.ingress.consumption(),
+            spent=self.ingress.admission.consumption(),
             load=self.ingress.load(),
             work={
                 endpoint: node_updates.EndpointWork(
@@ -556,7 +556,7 @@
             if peer.update is not None
             and peer.update.region == self.site.region
         ]
-        spent = self.ingress.consumption()
+        spent = self.ingress.admission.consumption()
         self._sums.record('own', spent, True)
         now_s = self.loop.now_s
         return node_updates.RegionUpdate(
@@ -603,7 +603,7 @@
         source = peer_table.source(update)
         is_no_older = update.age_s <= self._age_s + quota.STARTUP_WINDOW_S
         self._sums.record(source, update.spent, is_no_older)
-        self.ingress.merge_consumption(
+        self.ingress.admission.merge_consumption(
             quota.Source(source, source), update.spent, update.age_s
         )
         for notice in update.crashes:
@@ -620,7 +620,7 @@
         # started, so a younger run is treated as older than this process.
         is_younger = update.age_s < self._age_s - quota.STARTUP_WINDOW_S
         age_s = math.inf if is_younger else update.age_s
-        self.ingress.merge_consumption(
+        self.ingress.admission.merge_consumption(
             quota.Source(peer_table.region_source(update), update.region),
             update.spent,
             age_s,
--- a/tests/cover/test_cut_links.py
+++ b/tests/cover/test_cut_links.py
@@ -387,7 +387,9 @@
 
 def spent_by(node: entry_node.Node) -> float:
     """What a node has admitted of all quotas since its start."""
-    return sum(item[0] for item in node.ingress.consumption().values())
+    return sum(
+        item[0] for item in node.ingress.admission.consumption().values()
+    )
 
 
 def counted_by(node: entry_node.Node) -> int:
--- a/tests/cover/test_entry_node.py
+++ b/tests/cover/test_entry_node.py
@@ -711,7 +711,7 @@
         self.until(lambda: all(node.state.version == 2 for node in nodes))
         # Sums count a node's admissions only after its first update.
         for node in nodes:
-            node.ingress.consumption()
+            node.ingress.admission.consumption()
         statuses = []
         for node in (
             self.remote_nodes[0],
