Decode the slowdown in the load reports of endpoints

A report with a fourth figure was not decoded, so that no node used the endpoint's own count. Reports with figures that can't be used are ignored as a whole; figures after the fourth are ignored.

--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -48,6 +48,10 @@
     b'deadline-ms',
 }
 
+USUAL_SLOWDOWN = 100
+"""The fourth figure of the load of an endpoint at which work takes as long as
+usual."""
+
 MAX_DEADLINE_S = 3600.0
 """Longest deadline; longer ones are shortened to this."""
 
@@ -134,11 +138,14 @@
     :ivar running: requests that it runs
     :ivar waiting: requests in its queue
     :ivar slots: requests that it can run at once
+    :ivar slowdown: how long work takes there now, in proportion to the usual
+        time; None if not given
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -313,13 +320,25 @@
 
 
 def _load(value: bytes | None) -> EndpointLoad | None:
-    numbers = [untrusted.number(item) for item in (value or b'').split(b',')]
-    if len(numbers) != 3:
+    """The load that an endpoint reports; None if a figure can't be used.
+
+    Figures after the fourth are ignored.
+    """
+    items = (value or b'').split(b',')[:4]
+    figures = [untrusted.number(item) for item in items]
+    counts = [
+        item
+        for item in figures
+        if item is not None and item <= untrusted.MAX_COUNT
+    ]
+    if len(counts) != len(figures) or len(counts) < 3:
         return None
-    running, waiting, slots = numbers
-    if running is None or waiting is None or slots is None:
+    running, waiting, slots, *rest = counts
+    if not rest:
+        return EndpointLoad(running, waiting, slots)
+    if not rest[0]:
         return None
-    return EndpointLoad(running, waiting, slots)
+    return EndpointLoad(running, waiting, slots, rest[0] / USUAL_SLOWDOWN)
 
 
 def _announcement(
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -269,6 +269,36 @@
         self.assertIn((b'X', b'y'), found.headers)
         self.assertNotIn((b'Content-Length', b'0'), found.headers)
 
+    # Guards against loads that are not used because they have four figures.
+    def test_the_load_of_an_endpoint_is_decoded_within_bounds(self) -> None:
+        load = requests.EndpointLoad
+        for text, expected in (
+            (b'3,1,8', load(3, 1, 8)),
+            (b' 3 , 1 , 8 ', load(3, 1, 8)),
+            (b'3,1,8,100', load(3, 1, 8, 1.0)),
+            (b'3,1,8,820', load(3, 1, 8, 8.2)),
+            (b'3,1,8,250,7', load(3, 1, 8, 2.5)),
+            (b'3,1,8,250,x', load(3, 1, 8, 2.5)),
+            (b'0,0,0,1', load(0, 0, 0, 0.01)),
+            (b'', None),
+            (b'3', None),
+            (b'3,1', None),
+            (b'3,,8', None),
+            (b'-3,1,8', None),
+            (b'3,1,8,-100', None),
+            (b'3,1,8,0', None),
+            (b'3,1,8,', None),
+            (b'3,1,8,nan', None),
+            (b'3,1,8,inf', None),
+            (b'3,1,8,1e3', None),
+            (b'3,1,8,99999999999', None),
+            (b'99999999999,1,8', None),
+            (b'3,1,' + b'9' * 5_000, None),
+        ):
+            with self.subTest(text[:20]):
+                found = requests.read_answer(200, [(b'Instance-Load', text)])
+                self.assertEqual(expected, found.load)
+
 
 class StoreTest(unittest.TestCase):
     @hypothesis.given(
