--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -54,6 +54,8 @@
 
 MAX_LOGGED_AGE_S = 99.0
 
+_NO_LOAD = requests.EndpointLoad(0, 0, 0)
+
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -92,8 +94,7 @@
         incarnation was known may be its own, so that it gets no new work
     :ivar is_gone: whether its entry is gone; the endpoint may still run the
         requests that it has started
-    :ivar reported_requests: the running and waiting requests in the endpoint's
-        latest report
+    :ivar reported: the load in the endpoint's latest report
     :ivar reported_at_s: loop time of that report
     :ivar work_s: how long this node's requests there took on average; None
         before the first
@@ -107,7 +108,7 @@
         default_factory=endpoint_health.EndpointHealth
     )
     prefill_tokens_per_s: float = choice.DEFAULT_PREFILL_TOKENS_PER_S
-    reported_requests: int = 0
+    reported: requests.EndpointLoad = _NO_LOAD
     reported_at_s: float = float('-inf')
     accepts_until_s: float = float('-inf')
     has_announced_end: bool = False
@@ -176,9 +177,11 @@
             speed - self.prefill_tokens_per_s
         )
 
-    def record_reported_load(self, busy: int, now_s: float) -> None:
-        """Record the endpoint's own count of its requests."""
-        self.reported_requests = busy
+    def record_reported_load(
+        self, load: requests.EndpointLoad, now_s: float
+    ) -> None:
+        """Record the load that the endpoint reports of itself."""
+        self.reported = load
         self.reported_at_s = now_s
 
 
@@ -737,7 +740,8 @@
             item.own.requests + self.work_of_others(item.entry.id).requests
         )
         if now_s - item.reported_at_s <= REPORTED_LOAD_TTL_S:
-            running = max(running, item.reported_requests)
+            reported = item.reported.running + item.reported.waiting
+            running = max(running, reported)
         return running
 
 
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -510,8 +510,7 @@
         self._connection.idle_timeout_s = head.idle_timeout_s
         if head.load is not None:
             self._record.record_reported_load(
-                head.load.running + head.load.waiting,
-                self._owner.loop.now_s,
+                head.load, self._owner.loop.now_s
             )
         if head.has_not_run:
             self._answer_mode = exchange_state.AnswerMode.REFUSAL
