Learn how slow endpoints are and how many requests they handle

Pure code in decide/ingress/capacity: the usual times of a service's work, a slowdown and a limit for each endpoint, from measured times, reports, rejections and what other nodes told.

--- /dev/null
+++ b/src/guavachute/decide/ingress/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""How much load each endpoint handles well, learned from its answers."""
--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -8,8 +8,10 @@
 as long as its cost exceeds the lowest cost by no more than a bound.
 """
 
+import bisect
 import dataclasses
 import enum
+import itertools
 import typing
 
 from guavachute.decide import rendezvous
@@ -31,6 +33,11 @@
 """Share of the route's objective by which the cost of the engine with
 prefix affinity may exceed the lowest cost."""
 
+BUSY_SHARE = 0.7
+"""An engine with this share of the requests that it handles well is busy. Its
+cost may exceed the lowest one by a random part of the bound only: all nodes
+know about the same old figures, and would fill or leave it all at once."""
+
 OTHER_REGION_PENALTY_S = 0.2
 """Cost added to endpoints in other regions: their traffic crosses the
 slow link between regions, and the prompt is cached there a second
@@ -44,6 +51,14 @@
 work and traffic that takes."""
 
 
+MIN_WEIGHT = 0.5
+"""Weight of an endpoint without free capacity in a draw: what is known of it
+may be old."""
+
+Draw = typing.Callable[[], float]
+"""Gives a random number from 0 to 1."""
+
+
 class Nearness(enum.IntEnum):
     """Network distance of an endpoint from this node."""
 
@@ -66,12 +81,16 @@
         there then have to be moved
     :ivar is_relayed: whether it is reached only through another node
     :ivar order: the lowest is chosen among equally loaded plain endpoints
+    :ivar slowdown: how long work takes there, in proportion to the usual time
+    :ivar limit: how many requests it handles well; None for all its slots
+    :ivar step_s: usual time to the first token of a prompt without tokens
+    :ivar slot_wait_s: usual wait for a slot, per request in excess
     """
 
     id: ids.EndpointId
     nearness: Nearness
     slots: int
-    running: int
+    running: float
     waiting_tokens: int
     cached_tokens: int
     prefill_tokens_per_s: float
@@ -79,6 +98,15 @@
     is_leaving: bool = False
     is_relayed: bool = False
     order: float = 0.0
+    slowdown: float = 1.0
+    limit: float | None = None
+    step_s: float = STEP_S
+    slot_wait_s: float = SLOT_WAIT_S
+
+    @property
+    def handled(self) -> float:
+        """How many requests it handles well."""
+        return self.slots if self.limit is None else self.limit
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -87,10 +115,15 @@
 
     :ivar first_token_s: estimated time to first token; 0 for plain
         requests
+    :ivar work: tokens to prefill before that; None for plain requests
+    :ivar occupied: the share of slots that are occupied with this request, as
+        far as is known; above 1 if it has to wait
     """
 
     endpoint: ids.EndpointId
     first_token_s: float
+    work: float | None = None
+    occupied: float = 0.0
 
 
 def affinity_key(parts: typing.Sequence[call.PromptPart]) -> str | None:
@@ -109,12 +142,23 @@
 
     :param prompt_tokens: length of the request's prompt
     """
-    uncached_tokens = max(0, prompt_tokens - candidate.cached_tokens)
     prefill_s = (
-        candidate.waiting_tokens + uncached_tokens
-    ) / candidate.prefill_tokens_per_s
-    excess_requests = max(0, candidate.running + 1 - candidate.slots)
-    return prefill_s + STEP_S + excess_requests * SLOT_WAIT_S
+        _tokens_to_prefill(candidate, prompt_tokens)
+        / candidate.prefill_tokens_per_s
+    )
+    excess = max(0, candidate.running + 1 - candidate.handled)
+    return candidate.slowdown * (
+        prefill_s + candidate.step_s + excess * candidate.slot_wait_s
+    )
+
+
+def _tokens_to_prefill(candidate: Candidate, prompt_tokens: int) -> int:
+    uncached_tokens = max(0, prompt_tokens - candidate.cached_tokens)
+    return candidate.waiting_tokens + uncached_tokens
+
+
+def _occupied(candidate: Candidate) -> float:
+    return (candidate.running + 1) / max(1, candidate.slots)
 
 
 def choose_engine(
@@ -122,52 +166,118 @@
     prompt_tokens: int,
     parts: typing.Sequence[call.PromptPart],
     objective_s: float,
+    draw: Draw | None = None,
 ) -> Chosen | None:
     """The engine for a model request; None without candidates.
 
     :param parts: the parts of the prompt, in order
     :param objective_s: the route's objective for the first token
+    :param draw: gives random numbers from 0 to 1; without it, the engine with
+        the lowest cost is chosen, and by its id among equal ones
     """
     if not candidates:
         return None
-    costs = {
-        candidate.id: time_to_first_token_s(candidate, prompt_tokens)
-        + _penalty_s(candidate)
-        for candidate in candidates
-    }
-    best = min(candidates, key=lambda item: (costs[item.id], item.id))
-    chosen = best
+    costs_s = [
+        time_to_first_token_s(item, prompt_tokens) + _penalty_s(item)
+        for item in candidates
+    ]
+    lowest_s = min(costs_s)
+    allowed_s = AFFINITY_COST_SHARE * objective_s
+    busy_allowed_s = allowed_s if draw is None else allowed_s * draw()
+    within = [
+        (cost_s, item)
+        for cost_s, item in zip(costs_s, candidates, strict=True)
+        if cost_s - lowest_s
+        <= (
+            allowed_s
+            if item.running < BUSY_SHARE * item.handled
+            else busy_allowed_s
+        )
+    ]
     key = affinity_key(parts)
+    chosen = None
     if key is not None:
-        bound_s = costs[best.id] + AFFINITY_COST_SHARE * objective_s
-        for candidate in rendezvous.ranked(key, candidates, _endpoint_id):
-            if candidate.nearness is Nearness.OTHER_REGION:
-                continue
-            if costs[candidate.id] <= bound_s:
-                chosen = candidate
-                break
-    return Chosen(chosen.id, time_to_first_token_s(chosen, prompt_tokens))
-
-
-def choose_plain(candidates: typing.Sequence[Candidate]) -> Chosen | None:
-    """The endpoint for a plain request; None without candidates."""
+        chosen = max(
+            (
+                item
+                for _, item in within
+                if item.nearness is not Nearness.OTHER_REGION
+            ),
+            key=lambda item: rendezvous.score(key, item.id),
+            default=None,
+        )
+    if chosen is None and draw is not None:
+        chosen = _better_of_two(within, draw)
+    if chosen is None:
+        chosen = min(within, key=lambda item: (item[0], item[1].id))[1]
+    return Chosen(
+        chosen.id,
+        time_to_first_token_s(chosen, prompt_tokens),
+        _tokens_to_prefill(chosen, prompt_tokens),
+        _occupied(chosen),
+    )
+
+
+def choose_plain(
+    candidates: typing.Sequence[Candidate], draw: Draw | None = None
+) -> Chosen | None:
+    """The endpoint for a plain request; None without candidates.
+
+    :param draw: as for :func:`choose_engine`
+    """
     if not candidates:
         return None
-    best = min(
-        candidates,
-        key=lambda item: (
-            item.running >= item.slots,
-            item.is_leaving,
-            item.is_doubtful,
-            item.is_relayed,
-            item.nearness is Nearness.OTHER_REGION,
-            item.running / max(1, item.slots),
-            item.order,
-            item.nearness,
-            item.id,
-        ),
+    if draw is None:
+        best = min(
+            candidates,
+            key=lambda item: (
+                *_plain_class(item),
+                item.running / max(1, item.slots),
+                item.order,
+                item.nearness,
+                item.id,
+            ),
+        )
+        return Chosen(best.id, 0.0, None, _occupied(best))
+    classes = [_plain_class(item) for item in candidates]
+    lowest = min(classes)
+    best = _better_of_two(
+        [
+            (item.slowdown * (1 + item.running / max(1, item.slots)), item)
+            for item_class, item in zip(classes, candidates, strict=True)
+            if item_class == lowest
+        ],
+        draw,
+    )
+    return Chosen(best.id, 0.0, None, _occupied(best))
+
+
+def _plain_class(item: Candidate) -> tuple[bool, ...]:
+    """Candidates of the lowest class are chosen, whatever their load."""
+    return (
+        item.running >= item.handled,
+        item.is_leaving,
+        item.is_doubtful,
+        item.is_relayed,
+        item.nearness is Nearness.OTHER_REGION,
+    )
+
+
+def _better_of_two(
+    items: typing.Sequence[tuple[float, Candidate]], draw: Draw
+) -> Candidate:
+    """The cheaper of two that are drawn with weights by free capacity."""
+    sums = list(
+        itertools.accumulate(
+            max(MIN_WEIGHT, item.handled - item.running) / item.slowdown
+            for _, item in items
+        )
+    )
+    first, second = (
+        items[bisect.bisect(sums, draw() * sums[-1], hi=len(items) - 1)]
+        for _ in range(2)
     )
-    return Chosen(best.id, 0.0)
+    return min(first, second, key=lambda item: item[0])[1]
 
 
 def _penalty_s(candidate: Candidate) -> float:
--- /dev/null
+++ b/src/guavachute/entry/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps the learned capacity of endpoints, and exchanges it with nodes."""
--- /dev/null
+++ b/src/guavachute/entry/capacity/learned.py
@@ -0,0 +1,241 @@
+"""The learned capacity of the endpoints that this node knows."""
+
+import dataclasses
+import typing
+
+from guavachute.decide.ingress.capacity import endpoint_capacity
+from guavachute.decide.ingress.capacity import service_speed
+from guavachute.decide.ingress import choice
+from guavachute import ids
+from guavachute.observe import journal
+
+IS_USED = True
+"""Whether endpoints are chosen by learned capacity and with random numbers.
+Trials compare both ways; there is no reason for an operator to change it."""
+
+TOLD_DEVIATION = 0.2
+"""Nodes tell each other of endpoints whose slowdown deviates by this from what
+the receiver would assume otherwise."""
+
+MAX_TOLD = 8
+"""Endpoints in one update of a node: an entry has some 25 bytes, and a node
+sends up to a hundred updates per second."""
+
+MAX_TOLD_BY_REGION = 32
+"""Endpoints in one update of a reader, which sends few."""
+
+MAX_TELLERS = 8
+"""Nodes whose figures of one endpoint are kept; the oldest are discarded."""
+
+LOGGED_FALL = 1.5
+"""A line is logged when the slowdown of an endpoint exceeds this, and when it
+falls below the root of it again."""
+
+LOG_INTERVAL_S = 5.0
+"""At most one line per endpoint in this time."""
+
+STREAM_EVENTS = 4
+"""Streams with fewer events give no useful time between events."""
+
+UNQUEUED_SHARE = 0.75
+"""A request to an endpoint with at most this share of its slots occupied has
+probably not waited there: what is known of other nodes may be old."""
+
+HALF = 0.5
+"""An endpoint with less than this share of its slots occupied is slow for
+another reason than its number of requests. The number known may be old, so a
+rejection is taken to have happened with at least this share."""
+
+
+@dataclasses.dataclass(slots=True)
+class Served:
+    """What the answer to a request showed of its endpoint.
+
+    :ivar duration_s: from when it was sent to the end of the answer
+    :ivar events_s: from the first to the last event; None if it had none, or
+        if something other than the endpoint may have delayed them
+    :ivar events: how many events that were
+    :ivar output_tokens: the tokens that they held, as far as is known
+    """
+
+    duration_s: float
+    events_s: float | None = None
+    events: int = 0
+    output_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Learned:
+    """What is known of the capacity of one endpoint and of its service."""
+
+    service: service_speed.ServiceSpeed
+    endpoint: endpoint_capacity.EndpointCapacity = dataclasses.field(
+        default_factory=endpoint_capacity.EndpointCapacity
+    )
+    known_since_s: float = 0.0
+    is_logged_slow: bool = False
+    logged_s: float = float('-inf')
+
+    def record_first_token(
+        self,
+        chosen: choice.Chosen,
+        reported_share: float,
+        duration_s: float,
+        now_s: float,
+    ) -> None:
+        """Record the time to the first token of a request.
+
+        The time in the queue of an endpoint that may have been full is none of
+        its speed.
+
+        :param chosen: the choice, with the work as it was known then
+        :param reported_share: the share of its slots that the endpoint reports
+            as occupied; 0 if it reports none
+        """
+        share = max(chosen.occupied, reported_share)
+        if chosen.work is not None and share <= UNQUEUED_SHARE:
+            self._record(
+                self.service.first_token_slowdown(chosen.work, duration_s),
+                0.0,
+                now_s,
+            )
+
+    def record_served(
+        self,
+        chosen: choice.Chosen,
+        reported_share: float,
+        served: Served,
+        slots: int,
+        now_s: float,
+    ) -> None:
+        """Record an answer that is complete."""
+        share = max(chosen.occupied, reported_share)
+        if served.events_s is None:
+            if chosen.work is None and share <= 1:
+                self.service.record_slot(served.duration_s)
+                self._record(
+                    self.service.plain_slowdown(share, served.duration_s),
+                    share,
+                    now_s,
+                )
+            return
+        self.service.record_slot(served.events_s)
+        if served.events < STREAM_EVENTS:
+            return
+        event_s = served.events_s / (served.events - 1)
+        self._record(self.service.event_slowdown(event_s), share, now_s)
+        if served.output_tokens >= served.events:
+            self.service.record_token(
+                served.events_s / served.output_tokens / max(1, slots)
+            )
+
+    def record_rejection(self, occupied: float, now_s: float) -> None:
+        """Record that the endpoint had no room for a request.
+
+        :param occupied: share of its slots, as far as is known
+        """
+        self.endpoint.record_overload(max(HALF, min(1.0, occupied)), now_s)
+
+    def _record(
+        self, slowdown: float | None, occupied: float, now_s: float
+    ) -> None:
+        if slowdown is None:
+            return
+        self.endpoint.record_slowdown(slowdown, now_s)
+        if slowdown >= endpoint_capacity.HEAVY_SLOWDOWN and occupied > HALF:
+            self.endpoint.record_overload(min(1.0, occupied), now_s)
+
+    def log_change(
+        self, endpoint: ids.EndpointId, service: str, now_s: float
+    ) -> None:
+        """Log that the endpoint's capacity has fallen or recovered."""
+        slowdown = self.endpoint.slowdown(now_s)
+        is_slow = slowdown > (
+            LOGGED_FALL**0.5 if self.is_logged_slow else LOGGED_FALL
+        )
+        if (
+            is_slow is self.is_logged_slow
+            or now_s - self.logged_s < LOG_INTERVAL_S
+        ):
+            return
+        self.is_logged_slow = is_slow
+        self.logged_s = now_s
+        journal.event(
+            'endpoint',
+            outcome='capacity-fell' if is_slow else 'capacity-recovered',
+            endpoint=endpoint,
+            service=service,
+            slowdown=round(slowdown, 2),
+            measured=round(self.endpoint.measured, 2),
+            measured_age_s=round(
+                min(99.0, now_s - self.endpoint.measured_s), 1
+            ),
+            told_by=len(self.endpoint.told),
+            limit_share=round(self.endpoint.limit_share(now_s), 2),
+        )
+
+    def merge_told(
+        self, node: str, told: endpoint_capacity.Told, now_s: float
+    ) -> None:
+        """Keep another node's figures, unless they are of no use.
+
+        Figures from before this incarnation was known concern another one.
+        """
+        kept = self.endpoint.told
+        if (
+            told.measured_s < self.known_since_s
+            or now_s - told.measured_s >= endpoint_capacity.KEPT_S
+        ):
+            return
+        kept[node] = told
+        if len(kept) > MAX_TELLERS:
+            del kept[min(kept, key=lambda name: kept[name].measured_s)]
+
+
+def told_figures(
+    learned: typing.Mapping[ids.EndpointId, Learned], now_s: float
+) -> dict[ids.EndpointId, endpoint_capacity.Told]:
+    """This node's own figures that other nodes should know.
+
+    Those that deviate most come first, if there are too many.
+    """
+    found = []
+    for name, item in learned.items():
+        own = item.endpoint.own(now_s)
+        if own is None:
+            continue
+        told = item.endpoint.told.values()
+        others = max((other.slowdown for other in told), default=1.0)
+        deviation = max(abs(own.slowdown - 1), abs(own.slowdown - others))
+        deviation = max(deviation, 2 * (1 - own.limit_share))
+        if deviation >= TOLD_DEVIATION:
+            found.append((deviation, name, own))
+    found.sort(key=lambda entry: -entry[0])
+    return {name: own for _, name, own in found[:MAX_TOLD]}
+
+
+def region_figures(
+    learned: typing.Mapping[ids.EndpointId, Learned],
+    endpoints: typing.Container[ids.EndpointId],
+    now_s: float,
+) -> dict[ids.EndpointId, endpoint_capacity.Told]:
+    """What a reader tells other regions of its region's *endpoints*."""
+    found = []
+    for name, item in learned.items():
+        if name not in endpoints:
+            continue
+        capacity = item.endpoint
+        times = [told.measured_s for told in capacity.told.values()]
+        own = capacity.own(now_s)
+        if own is not None:
+            times.append(own.measured_s)
+        if not times:
+            continue
+        told = endpoint_capacity.Told(
+            capacity.slowdown(now_s), capacity.limit_share(now_s), max(times)
+        )
+        deviation = max(abs(told.slowdown - 1), 2 * (1 - told.limit_share))
+        if deviation >= TOLD_DEVIATION:
+            found.append((deviation, name, told))
+    found.sort(key=lambda entry: -entry[0])
+    return {name: told for _, name, told in found[:MAX_TOLD_BY_REGION]}
