--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -8,6 +8,8 @@
 
 from guavachute.decide.ingress import announcements
 from guavachute.decide.ingress import brittle_endpoints
+from guavachute.decide.ingress.capacity import endpoint_capacity
+from guavachute.decide.ingress.capacity import service_speed
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import endpoint_health
 from guavachute.decide.ingress import endpoint_links
@@ -15,6 +17,7 @@
 from guavachute.domain import call
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
+from guavachute.entry.capacity import learned as learned_capacity
 from guavachute.entry import endpoint_limits
 from guavachute import ids
 from guavachute.observe import journal
@@ -28,12 +31,6 @@
 """Weight of the newest measurement in the moving averages of an endpoint's
 speed."""
 
-MIN_MEASURED_TOKENS = 2_000
-"""Prompts with fewer tokens give no useful measurement of the prefill
-speed."""
-
-SPEED_RANGE_PER_S = (5_000.0, 500_000.0)
-
 CLOSES_BEFORE_END_S = 0.6
 """A leaving endpoint gets no new work from this long before it may end."""
 
@@ -57,6 +54,10 @@
 _NO_LOAD = requests.EndpointLoad(0, 0, 0)
 
 
+def _new_learned() -> learned_capacity.Learned:
+    return learned_capacity.Learned(service_speed.ServiceSpeed())
+
+
 @dataclasses.dataclass(slots=True)
 class Work:
     """Load and recent results of one or more nodes at an endpoint.
@@ -96,6 +97,7 @@
         requests that it has started
     :ivar reported: the load in the endpoint's latest report
     :ivar reported_at_s: loop time of that report
+    :ivar own_at_report: requests of this node there at that time
     :ivar work_s: how long this node's requests there took on average; None
         before the first
     :ivar cached: ids of prompt parts that the engine should have in its cache,
@@ -107,9 +109,12 @@
     health: endpoint_health.EndpointHealth = dataclasses.field(
         default_factory=endpoint_health.EndpointHealth
     )
-    prefill_tokens_per_s: float = choice.DEFAULT_PREFILL_TOKENS_PER_S
+    learned: learned_capacity.Learned = dataclasses.field(
+        default_factory=_new_learned
+    )
     reported: requests.EndpointLoad = _NO_LOAD
     reported_at_s: float = float('-inf')
+    own_at_report: int = 0
     accepts_until_s: float = float('-inf')
     has_announced_end: bool = False
     is_in_doubt: bool = False
@@ -142,6 +147,36 @@
             self.work_s = duration_s
         self.work_s += SPEED_WEIGHT * (duration_s - self.work_s)
 
+    def record_first_token(
+        self, chosen: choice.Chosen, duration_s: float, now_s: float
+    ) -> None:
+        """Record the time to first token of a request of this node."""
+        self.learned.record_first_token(
+            chosen, self._reported_share(now_s), duration_s, now_s
+        )
+
+    def record_served(
+        self,
+        chosen: choice.Chosen,
+        served: learned_capacity.Served,
+        now_s: float,
+    ) -> None:
+        """Record a complete answer to a request of this node."""
+        self.learned.record_served(
+            chosen,
+            self._reported_share(now_s),
+            served,
+            self.entry.slots,
+            now_s,
+        )
+
+    def _reported_share(self, now_s: float) -> float:
+        """The share of its slots that the endpoint reports as occupied."""
+        if now_s - self.reported_at_s > REPORTED_LOAD_TTL_S:
+            return 0.0
+        reported = self.reported.running + self.reported.waiting
+        return reported / max(1, self.entry.slots)
+
     @property
     def incarnation(self) -> announcements.Incarnation:
         """Identifies this incarnation in announcements."""
@@ -167,22 +202,15 @@
         while len(self.cached) > MAX_CACHED_PARTS:
             self.cached.popitem(last=False)
 
-    def record_prefill(self, tokens: int, duration_s: float) -> None:
-        """Record that processing *tokens* of prompts took *duration_s*."""
-        if tokens < MIN_MEASURED_TOKENS or duration_s <= 0:
-            return
-        low, high = SPEED_RANGE_PER_S
-        speed = min(high, max(low, tokens / duration_s))
-        self.prefill_tokens_per_s += SPEED_WEIGHT * (
-            speed - self.prefill_tokens_per_s
-        )
-
     def record_reported_load(
         self, load: requests.EndpointLoad, now_s: float
     ) -> None:
         """Record the load that the endpoint reports of itself."""
         self.reported = load
         self.reported_at_s = now_s
+        self.own_at_report = self.own.requests
+        if load.slowdown is not None:
+            self.learned.endpoint.record_report(load.slowdown, now_s)
 
 
 class EndpointRegistry:
@@ -205,8 +233,15 @@
         self._table = table
         self._records: dict[ids.EndpointId, EndpointRecord] = {}
         self._announcements = announcements.Announcements()
+        self._initial_speed = service_speed.ServiceSpeed()
         self.links = endpoint_links.EndpointLinks()
         self._brittle = brittle_endpoints.BrittleServices()
+        self._speeds: dict[ids.ServiceName, service_speed.ServiceSpeed] = {}
+        self.draw: choice.Draw | None = (
+            random.random if learned_capacity.IS_USED else None
+        )
+        """Gives the random numbers of choices; None for choices by the lowest
+        cost alone, without learned capacity."""
         self._senders = (endpoint_links.NEVER_S, 1)
         """When the nodes of this region were counted, and how many are."""
         self.limits = endpoint_limits.EndpointLimits(
@@ -257,6 +292,9 @@
             if found is not None:
                 self.on_died(found)
             found = self._records[entry.id] = EndpointRecord(entry)
+            found.learned = learned_capacity.Learned(
+                self.speed(entry.service), known_since_s=self._now_s()
+            )
             found.has_announced_end = self._announcements.is_leaving(
                 found.incarnation
             )
@@ -510,6 +548,11 @@
             self._brittle.record_rejection(
                 record.entry.id, random.random(), now_s
             )
+        elif announced.has_rejected and announced.limit_per_s is None:
+            record.learned.record_rejection(
+                self._running(record, now_s) / max(1, record.entry.slots),
+                now_s,
+            )
         is_limited = self.limits.apply_answer(
             record.incarnation, announced.limit_per_s, sent_s, now_s
         )
@@ -679,6 +722,53 @@
                 )
         return found
 
+    # -- learned capacity ----------------------------------------------
+
+    def speed(self, service: ids.ServiceName) -> service_speed.ServiceSpeed:
+        """What this node has measured at all endpoints of a service."""
+        found = self._speeds.get(service)
+        if found is None:
+            found = self._speeds[service] = service_speed.ServiceSpeed()
+        return found
+
+    def _learned(self) -> dict[ids.EndpointId, learned_capacity.Learned]:
+        return {name: item.learned for name, item in self._records.items()}
+
+    def told_capacity(
+        self, now_s: float
+    ) -> dict[ids.EndpointId, endpoint_capacity.Told]:
+        """This node's figures that other nodes of the region should know."""
+        return learned_capacity.told_figures(self._learned(), now_s)
+
+    def region_capacity(
+        self, now_s: float
+    ) -> dict[ids.EndpointId, endpoint_capacity.Told]:
+        """The figures of this region's endpoints, for other regions."""
+        local = {
+            name
+            for name, item in self._records.items()
+            if self.nearness(item.entry) is not choice.Nearness.OTHER_REGION
+        }
+        return learned_capacity.region_figures(self._learned(), local, now_s)
+
+    def merge_capacity(
+        self,
+        node: str,
+        told: typing.Mapping[ids.EndpointId, endpoint_capacity.Told],
+        now_s: float,
+    ) -> None:
+        """Keep the figures that another node, or region, has told."""
+        for name, item in told.items():
+            record = self._records.get(name)
+            if record is not None:
+                record.learned.merge_told(node, item, now_s)
+
+    def expire_capacity(self, now_s: float) -> None:
+        """Discard old figures of other nodes, and log what has changed."""
+        for name, item in self._records.items():
+            item.learned.endpoint.discard_told(now_s)
+            item.learned.log_change(name, item.entry.service, now_s)
+
     def record_unreachable(self, record: EndpointRecord, now_s: float) -> None:
         """Record that an endpoint was unreachable or fell silent."""
         record.health.record_unreachable(now_s, random.random())
@@ -715,16 +805,19 @@
         spreads = item.has_short_work and self._brittle.is_brittle(
             item.entry.service, now_s
         )
+        learned = item.learned
+        slots = item.entry.slots
+        service = learned.service if self.draw else self._initial_speed
         return choice.Candidate(
             id=item.entry.id,
             nearness=self.nearness(item.entry),
-            slots=item.entry.slots,
+            slots=slots,
             running=item.own.requests
             if spreads
-            else self._running(item, now_s),
+            else self._expected_running(item, now_s),
             waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
             cached_tokens=item.cached_tokens(parts),
-            prefill_tokens_per_s=item.prefill_tokens_per_s,
+            prefill_tokens_per_s=service.prefill_tokens_per_s,
             is_doubtful=self._table.is_deletion_pending(item.entry.id)
             or item.health.is_doubtful(
                 endpoint_health.Results(others.failed, others.answered), now_s
@@ -732,6 +825,26 @@
             is_leaving=item.is_leaving,
             is_relayed=not self.is_direct(item, now_s),
             order=random.random() if spreads else 0.0,
+            slowdown=learned.endpoint.slowdown(now_s) if self.draw else 1.0,
+            limit=slots * learned.endpoint.limit_share(now_s)
+            if self.draw
+            else None,
+            step_s=service.step_s,
+            slot_wait_s=service.slot_wait_s(slots),
+        )
+
+    def _expected_running(self, item: EndpointRecord, now_s: float) -> float:
+        """The requests that an endpoint is expected to have."""
+        if self.draw is None:
+            return self._running(item, now_s)
+        own = item.own.requests
+        return endpoint_capacity.expected_requests(
+            own + self.work_of_others(item.entry.id).requests,
+            item.reported.running
+            + item.reported.waiting
+            + max(0, own - item.own_at_report),
+            now_s - item.reported_at_s,
+            item.entry.slots,
         )
 
     def _running(self, item: EndpointRecord, now_s: float) -> int:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -11,6 +11,7 @@
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
 from guavachute.entry import callers
+from guavachute.entry.capacity import learned
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange_owner
 from guavachute.entry import exchange_state
@@ -102,7 +103,8 @@
         self._connection: relay_client.Connection | None = None
         self._sent_s = 0.0
         self._pending_tokens = 0
-        self._backlog_tokens = 0
+        self._chosen: choice.Chosen | None = None
+        self._is_paced_by_endpoint = True
         self._move_state = exchange_state.MoveState.NONE
         self._continues_from_copy = False
         self._answer_mode = exchange_state.AnswerMode.NONE
@@ -182,8 +184,9 @@
                 self.call.tokens.prompt,
                 self.call.parts,
                 self.route.objective_s,
+                self._owner.registry.draw,
             )
-        return choice.choose_plain(candidates)
+        return choice.choose_plain(candidates, self._owner.registry.draw)
 
     def _finds_build(self, now_s: float) -> bool:
         """Whether the request may be sent, as far as builds matter.
@@ -275,6 +278,8 @@
         if origin is None:
             self.attempts += 1
         self._record = record
+        self._chosen = chosen
+        self._is_paced_by_endpoint = origin is None and self.attempts == 1
         self._sent_s = now_s
         self._answer_mode = exchange_state.AnswerMode.NONE
         self._framing = None
@@ -294,7 +299,6 @@
         self._owner.handle_request_sent(self, record, self._pending_tokens)
         record.own.requests += 1
         record.own.waiting_tokens += self._pending_tokens
-        self._backlog_tokens = record.own.waiting_tokens
         record.record_prompt(self.call.parts)
         connection = self._owner.connect(self, record)
         self._connection = connection
@@ -566,6 +570,7 @@
         if self._owner.keeps_too_much(self, self._events.partial_bytes):
             self._fail_attempt('an event exceeds the size limit')
         elif self._caller.is_congested and self._connection is not None:
+            self._is_paced_by_endpoint = False
             self._connection.pause()
 
     def _forward_chunk(self, data: bytes) -> None:
@@ -598,10 +603,21 @@
 
     def _record_success(self) -> None:
         assert self._record is not None
+        now_s = self._owner.loop.now_s
         self._record.health.record_success(
-            self._owner.loop.now_s,
-            is_direct=isinstance(self._connection, upstream.Connection),
+            now_s, is_direct=isinstance(self._connection, upstream.Connection)
         )
+        if self._is_paced_by_endpoint and self._chosen is not None:
+            self._record.record_served(
+                self._chosen,
+                learned.Served(
+                    now_s - self._sent_s,
+                    None if self._begun_s is None else now_s - self._begun_s,
+                    self._events.events,
+                    self.call.tokens.output if self.call.tokens else 0,
+                ),
+                now_s,
+            )
 
     def _record_first_token(self, now_s: float) -> None:
         """Record that the endpoint has processed the whole prompt."""
@@ -609,7 +625,10 @@
             record = self._record
             record.own.waiting_tokens -= self._pending_tokens
             self._pending_tokens = 0
-            record.record_prefill(self._backlog_tokens, now_s - self._sent_s)
+            if self._chosen is not None:
+                record.record_first_token(
+                    self._chosen, now_s - self._sent_s, now_s
+                )
 
     def _report_start(self) -> None:
         if not self.has_started:
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -290,6 +290,8 @@
         looping.run_until(self.site.loop, lambda: caller.reply.body)
         self.second = self.engine('e2', events=12)
         self.third = self.engine('e3', events=12)
+        # Of equal engines, the first known is drawn: the run moves to "e2".
+        self.node.registry.draw = lambda: 0.0
         self.first.on_moved = self.second.close
         self.first.register(state='draining', spot=True, leaves_ms=100)
         looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
@@ -313,6 +315,8 @@
         looping.run_until(self.site.loop, lambda: caller.reply.body)
         self.second = self.engine('e2', events=12)
         self.third = self.engine('e3', events=12)
+        # Of equal engines, the first known is drawn: the run moves to "e2".
+        self.node.registry.draw = lambda: 0.0
         self.second.behaviour = Behaviour.SHED
         self.first.register(state='draining', spot=True, leaves_ms=100)
         looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
