Count an endpoint that sends nothing for long as slow

Wire: an exchange holds one learned.Attempt, which measures the request. A request that is not answered for four times the usual time shows that its endpoint is slow before the answer does.

--- a/src/guavachute/decide/ingress/capacity/service_speed.py
+++ b/src/guavachute/decide/ingress/capacity/service_speed.py
@@ -23,6 +23,9 @@
 """Longer times than this multiple of the usual one count as this multiple: a
 few slow endpoints must not change what is usual."""
 
+LONG_PROMPT_TOKENS = 8_000
+"""An engine sends no event while it processes a prompt of this length."""
+
 PREFILL_RANGE_TOKENS_PER_S = (5_000.0, 500_000.0)
 MAX_STEP_S = 0.25
 SLOT_WAIT_RANGE_S = (0.005, 0.5)
@@ -140,6 +143,18 @@
         """The usual time to the first token of a prompt without tokens."""
         return self.first_token.base_s
 
+    @property
+    def silence_s(self) -> float | None:
+        """How long an endpoint with work usually sends nothing at most.
+
+        None while that is not known.
+        """
+        if self.plain.is_known:
+            return self.plain.expected_s(1.0)
+        if self.first_token.is_known:
+            return self.first_token.expected_s(LONG_PROMPT_TOKENS)
+        return None
+
     def slot_wait_s(self, slots: int) -> float:
         """The usual wait for one of *slots*, per request in excess."""
         if self.slot_s is None:
--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -41,45 +41,65 @@
 """A request to an endpoint with at most this share of its slots occupied has
 probably not waited there: what is known of other nodes may be old."""
 
+STALLED = 4.0
+"""An endpoint that owes an answer and sends nothing for this multiple of the
+usual time counts as slow."""
+
+MAX_STALLED = 20.0
+
 HALF = 0.5
 """An endpoint with less than this share of its slots occupied is slow for
 another reason than its number of requests. The number known may be old, so a
 rejection is taken to have happened with at least this share."""
 
 
-@dataclasses.dataclass(slots=True)
-class Served:
-    """What the answer to a request showed of its endpoint.
-
-    :ivar duration_s: from when it was sent to the end of the answer
-    :ivar events_s: from the first to the last event; None if it had none, or
-        if something other than the endpoint may have delayed them
-    :ivar events: how many events that were
-    :ivar output_tokens: the tokens that they held, as far as is known
-    """
-
-    duration_s: float
-    events_s: float | None = None
-    events: int = 0
-    output_tokens: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class Learned:
-    """What is known of the capacity of one endpoint and of its service."""
+    """What is known of the capacity of one endpoint and of its service.
+
+    :ivar unanswered: requests of this node of which nothing came back yet
+    :ivar progress_s: when the endpoint last sent something, or got a request
+        while there were no such requests
+    """
 
     service: service_speed.ServiceSpeed
     endpoint: endpoint_capacity.EndpointCapacity = dataclasses.field(
         default_factory=endpoint_capacity.EndpointCapacity
     )
     known_since_s: float = 0.0
+    unanswered: int = 0
+    progress_s: float = 0.0
     is_logged_slow: bool = False
     logged_s: float = float('-inf')
 
+    def slowdown(self, now_s: float) -> float:
+        """How long work takes there, in proportion to the usual time.
+
+        An endpoint that sends nothing for much longer than usual counts as
+        slow before its answer shows it.
+        """
+        found = self.endpoint.slowdown(now_s)
+        if self.unanswered:
+            usual_s = self.service.silence_s
+            silent_s = now_s - self.progress_s
+            if usual_s is not None and silent_s > STALLED * usual_s:
+                return min(MAX_STALLED, max(found, silent_s / usual_s))
+        return found
+
+    def own(self, now_s: float) -> endpoint_capacity.Told | None:
+        """What this node has found itself; None if that is too old."""
+        slowdown = self.slowdown(now_s) if self.unanswered else 0.0
+        own = self.endpoint.own(now_s)
+        if slowdown >= STALLED:
+            return endpoint_capacity.Told(
+                slowdown, 1.0 if own is None else own.limit_share, now_s
+            )
+        return own
+
     def record_first_token(
         self,
         chosen: choice.Chosen,
-        reported_share: float,
+        share: float,
         duration_s: float,
         now_s: float,
     ) -> None:
@@ -89,10 +109,8 @@
         its speed.
 
         :param chosen: the choice, with the work as it was known then
-        :param reported_share: the share of its slots that the endpoint reports
-            as occupied; 0 if it reports none
+        :param share: the share of its slots that were occupied
         """
-        share = max(chosen.occupied, reported_share)
         if chosen.work is not None and share <= UNQUEUED_SHARE:
             self._record(
                 self.service.first_token_slowdown(chosen.work, duration_s),
@@ -100,34 +118,35 @@
                 now_s,
             )
 
-    def record_served(
+    def record_plain(
+        self, share: float, duration_s: float, now_s: float
+    ) -> None:
+        """Record how long a plain request took."""
+        if share <= 1:
+            self.service.record_slot(duration_s)
+            self._record(
+                self.service.plain_slowdown(share, duration_s), share, now_s
+            )
+
+    def record_stream(
         self,
-        chosen: choice.Chosen,
-        reported_share: float,
-        served: Served,
-        slots: int,
+        share: float,
+        duration_s: float,
+        events: int,
+        token_share: float,
         now_s: float,
     ) -> None:
-        """Record an answer that is complete."""
-        share = max(chosen.occupied, reported_share)
-        if served.events_s is None:
-            if chosen.work is None and share <= 1:
-                self.service.record_slot(served.duration_s)
-                self._record(
-                    self.service.plain_slowdown(share, served.duration_s),
-                    share,
-                    now_s,
-                )
-            return
-        self.service.record_slot(served.events_s)
-        if served.events < STREAM_EVENTS:
+        """Record the time from the first to the last event of a stream.
+
+        :param token_share: one slot's share of its tokens
+        """
+        self.service.record_slot(duration_s)
+        if events < STREAM_EVENTS:
             return
-        event_s = served.events_s / (served.events - 1)
-        self._record(self.service.event_slowdown(event_s), share, now_s)
-        if served.output_tokens >= served.events:
-            self.service.record_token(
-                served.events_s / served.output_tokens / max(1, slots)
-            )
+        found = self.service.event_slowdown(duration_s / (events - 1))
+        self._record(found, share, now_s)
+        if token_share:
+            self.service.record_token(duration_s / token_share)
 
     def record_rejection(self, occupied: float, now_s: float) -> None:
         """Record that the endpoint had no room for a request.
@@ -149,7 +168,7 @@
         self, endpoint: ids.EndpointId, service: str, now_s: float
     ) -> None:
         """Log that the endpoint's capacity has fallen or recovered."""
-        slowdown = self.endpoint.slowdown(now_s)
+        slowdown = self.slowdown(now_s)
         is_slow = slowdown > (
             LOGGED_FALL**0.5 if self.is_logged_slow else LOGGED_FALL
         )
@@ -192,6 +211,84 @@
             del kept[min(kept, key=lambda name: kept[name].measured_s)]
 
 
+class Attempt:
+    """Measures one request that was sent to an endpoint.
+
+    :param chosen: the choice, with the work as it was known then; None if the
+        time that this request takes shows nothing
+    :param share: gives the share of its slots that the endpoint reports
+    """
+
+    def __init__(
+        self,
+        learned: Learned,
+        chosen: choice.Chosen | None,
+        share: typing.Callable[[float], float],
+        now_s: float,
+    ) -> None:
+        self._learned = learned
+        self._chosen = chosen
+        self._share = share
+        self._sent_s = now_s
+        self._first_event_s: float | None = None
+        self._is_unanswered = True
+        if not learned.unanswered:
+            learned.progress_s = now_s
+        learned.unanswered += 1
+
+    def handle_event(self, now_s: float) -> None:
+        """Record that events of a stream have come."""
+        self._learned.progress_s = now_s
+        if self._first_event_s is not None:
+            return
+        self._first_event_s = now_s
+        self._end_wait()
+        if self._chosen is not None:
+            self._learned.record_first_token(
+                self._chosen,
+                max(self._chosen.occupied, self._share(now_s)),
+                now_s - self._sent_s,
+                now_s,
+            )
+
+    def handle_paused(self) -> None:
+        """Record that the answer is not read: a caller is slow."""
+        self._chosen = None
+
+    def handle_success(
+        self, events: int, tokens: int, slots: int, now_s: float
+    ) -> None:
+        """Record that the answer is complete.
+
+        :param tokens: how many its events held, as far as is known
+        """
+        chosen = self._chosen
+        if chosen is None:
+            return
+        share = max(chosen.occupied, self._share(now_s))
+        if self._first_event_s is not None:
+            self._learned.record_stream(
+                share,
+                now_s - self._first_event_s,
+                events,
+                tokens * slots,
+                now_s,
+            )
+        elif chosen.work is None:
+            self._learned.record_plain(share, now_s - self._sent_s, now_s)
+
+    def handle_released(self, now_s: float) -> None:
+        """Record that the endpoint has the request no more."""
+        if self._is_unanswered:
+            self._learned.progress_s = now_s
+            self._end_wait()
+
+    def _end_wait(self) -> None:
+        if self._is_unanswered:
+            self._is_unanswered = False
+            self._learned.unanswered -= 1
+
+
 def told_figures(
     learned: typing.Mapping[ids.EndpointId, Learned], now_s: float
 ) -> dict[ids.EndpointId, endpoint_capacity.Told]:
@@ -201,7 +298,7 @@
     """
     found = []
     for name, item in learned.items():
-        own = item.endpoint.own(now_s)
+        own = item.own(now_s)
         if own is None:
             continue
         told = item.endpoint.told.values()
@@ -226,13 +323,13 @@
             continue
         capacity = item.endpoint
         times = [told.measured_s for told in capacity.told.values()]
-        own = capacity.own(now_s)
+        own = item.own(now_s)
         if own is not None:
             times.append(own.measured_s)
         if not times:
             continue
         told = endpoint_capacity.Told(
-            capacity.slowdown(now_s), capacity.limit_share(now_s), max(times)
+            item.slowdown(now_s), capacity.limit_share(now_s), max(times)
         )
         deviation = max(abs(told.slowdown - 1), 2 * (1 - told.limit_share))
         if deviation >= TOLD_DEVIATION:
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -147,27 +147,15 @@
             self.work_s = duration_s
         self.work_s += SPEED_WEIGHT * (duration_s - self.work_s)
 
-    def record_first_token(
-        self, chosen: choice.Chosen, duration_s: float, now_s: float
-    ) -> None:
-        """Record the time to first token of a request of this node."""
-        self.learned.record_first_token(
-            chosen, self._reported_share(now_s), duration_s, now_s
-        )
+    def begin_attempt(
+        self, chosen: choice.Chosen | None, now_s: float
+    ) -> learned_capacity.Attempt:
+        """Measure a request that is sent there now.
 
-    def record_served(
-        self,
-        chosen: choice.Chosen,
-        served: learned_capacity.Served,
-        now_s: float,
-    ) -> None:
-        """Record a complete answer to a request of this node."""
-        self.learned.record_served(
-            chosen,
-            self._reported_share(now_s),
-            served,
-            self.entry.slots,
-            now_s,
+        :param chosen: None if the time that it takes shows nothing
+        """
+        return learned_capacity.Attempt(
+            self.learned, chosen, self._reported_share, now_s
         )
 
     def _reported_share(self, now_s: float) -> float:
@@ -825,7 +813,7 @@
             is_leaving=item.is_leaving,
             is_relayed=not self.is_direct(item, now_s),
             order=random.random() if spreads else 0.0,
-            slowdown=learned.endpoint.slowdown(now_s) if self.draw else 1.0,
+            slowdown=learned.slowdown(now_s) if self.draw else 1.0,
             limit=slots * learned.endpoint.limit_share(now_s)
             if self.draw
             else None,
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -103,8 +103,7 @@
         self._connection: relay_client.Connection | None = None
         self._sent_s = 0.0
         self._pending_tokens = 0
-        self._chosen: choice.Chosen | None = None
-        self._is_paced_by_endpoint = True
+        self._measured: learned.Attempt | None = None
         self._move_state = exchange_state.MoveState.NONE
         self._continues_from_copy = False
         self._answer_mode = exchange_state.AnswerMode.NONE
@@ -278,8 +277,10 @@
         if origin is None:
             self.attempts += 1
         self._record = record
-        self._chosen = chosen
-        self._is_paced_by_endpoint = origin is None and self.attempts == 1
+        shows_speed = origin is None and self.attempts == 1
+        self._measured = record.begin_attempt(
+            chosen if shows_speed else None, now_s
+        )
         self._sent_s = now_s
         self._answer_mode = exchange_state.AnswerMode.NONE
         self._framing = None
@@ -570,7 +571,8 @@
         if self._owner.keeps_too_much(self, self._events.partial_bytes):
             self._fail_attempt('an event exceeds the size limit')
         elif self._caller.is_congested and self._connection is not None:
-            self._is_paced_by_endpoint = False
+            if self._measured is not None:
+                self._measured.handle_paused()
             self._connection.pause()
 
     def _forward_chunk(self, data: bytes) -> None:
@@ -607,15 +609,11 @@
         self._record.health.record_success(
             now_s, is_direct=isinstance(self._connection, upstream.Connection)
         )
-        if self._is_paced_by_endpoint and self._chosen is not None:
-            self._record.record_served(
-                self._chosen,
-                learned.Served(
-                    now_s - self._sent_s,
-                    None if self._begun_s is None else now_s - self._begun_s,
-                    self._events.events,
-                    self.call.tokens.output if self.call.tokens else 0,
-                ),
+        if self._measured is not None:
+            self._measured.handle_success(
+                self._events.events,
+                self.call.tokens.output if self.call.tokens else 0,
+                self._record.entry.slots,
                 now_s,
             )
 
@@ -625,10 +623,8 @@
             record = self._record
             record.own.waiting_tokens -= self._pending_tokens
             self._pending_tokens = 0
-            if self._chosen is not None:
-                record.record_first_token(
-                    self._chosen, now_s - self._sent_s, now_s
-                )
+        if self._measured is not None:
+            self._measured.handle_event(now_s)
 
     def _report_start(self) -> None:
         if not self.has_started:
@@ -802,6 +798,8 @@
         record = self._record
         assert record is not None
         record.record_ended(self._owner.loop.now_s - self._sent_s)
+        if self._measured is not None:
+            self._measured.handle_released(self._owner.loop.now_s)
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
         connection.release(keeps_alive)
