Encode learned capacity for updates, and scale by measured speeds

Requests that may have waited for a slot no longer count as signs of a stalled endpoint. The new fields of updates and Demand.at_speed are not used yet.

--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -24,11 +24,16 @@
 """Utilization accepted while reclaimable engines are not available."""
 
 PREFILL_TOKENS_PER_S = 60_000.0
-"""Assumed prefill speed of an engine that also decodes running
-requests."""
+"""Prefill speed of an engine that also decodes running requests, assumed until
+it is measured."""
 
 DECODE_TOKEN_S = 0.00031
-"""Assumed time per generated token, as its share of a batch step."""
+"""Time per generated token, as its share of a batch step, assumed until it is
+measured."""
+
+SPEED_TRUST = 3.0
+"""Measured speeds count up to this factor above and below the assumed ones:
+one node's wrong measurement must not remove most engines."""
 
 SCALE_DOWN_DELAY_S = 12.0
 """The desired counts fall only after the demand was lower for this long."""
@@ -75,20 +80,46 @@
 
     :ivar prompt_tokens_per_s: rate of prompt tokens to prefill
     :ivar output_tokens_per_s: rate of tokens to generate
+    :ivar prefill_tokens_per_s: the prefill speed of an engine
+    :ivar decode_token_s: time per generated token, as its share of a step
     """
 
     prompt_tokens_per_s: float
     output_tokens_per_s: float
+    prefill_tokens_per_s: float = PREFILL_TOKENS_PER_S
+    decode_token_s: float = DECODE_TOKEN_S
+
+    def at_speed(
+        self, prefill_tokens_per_s: float | None, decode_token_s: float | None
+    ) -> 'Demand':
+        """The same load on engines of the measured speed, within bounds.
+
+        :param prefill_tokens_per_s: None if it was not measured
+        :param decode_token_s: None if it was not measured
+        """
+        return dataclasses.replace(
+            self,
+            prefill_tokens_per_s=_trusted(
+                prefill_tokens_per_s, PREFILL_TOKENS_PER_S
+            ),
+            decode_token_s=_trusted(decode_token_s, DECODE_TOKEN_S),
+        )
 
     @property
     def busy_engines(self) -> float:
         """The load as a number of fully utilized engines."""
         return (
-            self.prompt_tokens_per_s / PREFILL_TOKENS_PER_S
-            + self.output_tokens_per_s * DECODE_TOKEN_S
+            self.prompt_tokens_per_s / self.prefill_tokens_per_s
+            + self.output_tokens_per_s * self.decode_token_s
         )
 
 
+def _trusted(measured: float | None, assumed: float) -> float:
+    if measured is None:
+        return assumed
+    return min(SPEED_TRUST * assumed, max(assumed / SPEED_TRUST, measured))
+
+
 def desired_counts(
     scaling: configuration.Scaling,
     domains: typing.Sequence[ids.FailureDomain],
--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -57,7 +57,8 @@
 class Learned:
     """What is known of the capacity of one endpoint and of its service.
 
-    :ivar unanswered: requests of this node of which nothing came back yet
+    :ivar unanswered: requests of this node of which nothing came back yet, and
+        which had probably not to wait for a slot
     :ivar progress_s: when the endpoint last sent something, or got a request
         while there were no such requests
     """
@@ -231,10 +232,14 @@
         self._share = share
         self._sent_s = now_s
         self._first_event_s: float | None = None
-        self._is_unanswered = True
-        if not learned.unanswered:
-            learned.progress_s = now_s
-        learned.unanswered += 1
+        # The wait in the queue of a full endpoint is no sign of slowness.
+        self._is_unanswered = (
+            chosen is not None and chosen.occupied <= UNQUEUED_SHARE
+        )
+        if self._is_unanswered:
+            if not learned.unanswered:
+                learned.progress_s = now_s
+            learned.unanswered += 1
 
     def handle_event(self, now_s: float) -> None:
         """Record that events of a stream have come."""
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -88,6 +88,20 @@
     position: ids.LogPosition
 
 
+class EndpointCapacity(msgspec.Struct, frozen=True, array_like=True):
+    """What a node, or a region, has found about the capacity of an endpoint.
+
+    :ivar slowdown_percent: how long work takes there, in percent of the usual
+        time
+    :ivar limit_percent: the share of its slots that it handles well
+    :ivar measured_ds: how long ago that was found, in tenths of a second
+    """
+
+    slowdown_percent: untrusted.Count
+    limit_percent: untrusted.Count
+    measured_ds: untrusted.Count
+
+
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load that a node's callers offer to a service."""
 
@@ -122,6 +136,8 @@
         a second; those heard lately
     :ivar unproven: services for which a node of the region has fallen silent
         that may have streams to list; None if the reader doesn't tell
+    :ivar capacity: by endpoint of the region, those whose capacity is not as
+        usual
     """
 
     region: str
@@ -144,6 +160,7 @@
     relays: list[tuple[str, Address, str]] = []
     heard: dict[ids.EndpointId, int] = {}
     unproven: list[ids.ServiceName] | None = None
+    capacity: dict[ids.EndpointId, EndpointCapacity] = {}
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -191,6 +208,8 @@
         tenths of a second, rounded up; None if it doesn't tell
     :ivar endpoints_position: it knows all entries before this position;
         negative if it doesn't tell
+    :ivar capacity: by endpoint, what the node has found itself; those whose
+        capacity is not as usual or not as other nodes have told
     """
 
     node: str
@@ -223,6 +242,7 @@
     reaches_endpoints: bool = True
     endpoints_age_ds: int | None = None
     endpoints_position: ids.LogPosition = log_position.NO_POSITION
+    capacity: dict[ids.EndpointId, EndpointCapacity] = {}
 
 
 Update = NodeUpdate | RegionUpdate
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -360,6 +360,8 @@
                 site.add_engine('e2', platform_site.PLAIN_SERVICE)
                 bad.behaviour = behaviour
                 node = site.ready_node()
+                # Of equal endpoints, the first known is drawn: the bad one.
+                node.registry.draw = lambda: 0.0
                 replies = [
                     site.fetch(node, '/lookup/a', method='GET', body=b'')
                     for _ in range(3)
