--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -18,10 +18,12 @@
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
 from guavachute.entry.capacity import learned as learned_capacity
+from guavachute.entry.capacity import updates as capacity_updates
 from guavachute.entry import endpoint_limits
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.platform import requests
+from guavachute.wire import node_updates
 
 MAX_CACHED_PARTS = 4_000
 """Upper bound of the prompt parts that are remembered as cached by one
@@ -719,40 +721,65 @@
             found = self._speeds[service] = service_speed.ServiceSpeed()
         return found
 
+    def measured_speeds(
+        self, service: ids.ServiceName
+    ) -> tuple[float | None, float | None]:
+        """The prefill speed of a service's engines, and the time per token.
+
+        The time is a token's share of a batch step. None if not measured.
+        """
+        found = self._speeds.get(service)
+        if found is None or self.draw is None:
+            return None, None
+        return (
+            found.prefill_tokens_per_s if found.first_token.is_known else None,
+            found.token_s,
+        )
+
     def _learned(self) -> dict[ids.EndpointId, learned_capacity.Learned]:
         return {name: item.learned for name, item in self._records.items()}
 
     def told_capacity(
-        self, now_s: float
-    ) -> dict[ids.EndpointId, endpoint_capacity.Told]:
+        self,
+    ) -> dict[ids.EndpointId, node_updates.EndpointCapacity]:
         """This node's figures that other nodes of the region should know."""
-        return learned_capacity.told_figures(self._learned(), now_s)
+        now_s = self._now_s()
+        return capacity_updates.encode(
+            learned_capacity.told_figures(self._learned(), now_s), now_s
+        )
 
     def region_capacity(
-        self, now_s: float
-    ) -> dict[ids.EndpointId, endpoint_capacity.Told]:
+        self,
+    ) -> dict[ids.EndpointId, node_updates.EndpointCapacity]:
         """The figures of this region's endpoints, for other regions."""
+        now_s = self._now_s()
         local = {
             name
             for name, item in self._records.items()
             if self.nearness(item.entry) is not choice.Nearness.OTHER_REGION
         }
-        return learned_capacity.region_figures(self._learned(), local, now_s)
+        return capacity_updates.encode(
+            learned_capacity.region_figures(self._learned(), local, now_s),
+            now_s,
+        )
 
     def merge_capacity(
         self,
-        node: str,
-        told: typing.Mapping[ids.EndpointId, endpoint_capacity.Told],
-        now_s: float,
+        source: str,
+        received: typing.Mapping[
+            ids.EndpointId, node_updates.EndpointCapacity
+        ],
     ) -> None:
-        """Keep the figures that another node, or region, has told."""
-        for name, item in told.items():
+        """Keep the figures that a node, or the reader of a region, sent."""
+        now_s = self._now_s()
+        for name, told in capacity_updates.decode(received, now_s).items():
             record = self._records.get(name)
             if record is not None:
-                record.learned.merge_told(node, item, now_s)
+                record.learned.merge_told(source, told, now_s)
 
-    def expire_capacity(self, now_s: float) -> None:
+    def expire_capacity(self) -> None:
         """Discard old figures of other nodes, and log what has changed."""
+        now_s = self._now_s()
         for name, item in self._records.items():
             item.learned.endpoint.discard_told(now_s)
             item.learned.log_change(name, item.entry.service, now_s)
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -541,6 +541,7 @@
             reaches_endpoints=not self.registry.links.is_cut,
             endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
             endpoints_position=self.state.endpoints_position,
+            capacity=self.registry.told_capacity(),
         )
 
     def region_update(
@@ -589,6 +590,7 @@
             relays=self._relays.told_helpers(),
             heard=self._relays.told_endpoints(self.registry.heard()),
             unproven=self._builds.unproven(),
+            capacity=self.registry.region_capacity(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -612,6 +614,7 @@
         self.registry.limits.merge_notices(update.limits, update.node)
         self._builds.merge_node_update(source, update)
         self._catch_up.check_update(update)
+        self.registry.merge_capacity(update.node, update.capacity)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         """Apply the update of a reader of another region."""
@@ -630,12 +633,13 @@
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
         self._builds.merge_region_update(update)
+        self.registry.merge_capacity(update.region, update.capacity)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
         own = self.ingress.load().get(service)
         loads = self.peers.table.load_of(service) + ([own] if own else [])
-        return scaling.Demand(
+        demand = scaling.Demand(
             prompt_tokens_per_s=sum(
                 item.prompt_tokens_per_s for item in loads
             ),
@@ -643,6 +647,7 @@
                 item.output_tokens_per_s for item in loads
             ),
         )
+        return demand.at_speed(*self.registry.measured_speeds(service))
 
     def _apply_leave_report(self, entry: endpoints.Endpoint) -> None:
         self.state.apply_leave_report(entry)
@@ -795,6 +800,7 @@
         self._update_role()
         self.state.expire()
         self.registry.discard_gone()
+        self.registry.expire_capacity()
         self.registry.limits.expire(self.peers.table.extra_age_s)
         self.peers.table.discard_endpoints(self.state.table.entries)
         self.ingress.expire()
