--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -11,6 +11,7 @@
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
 from guavachute.entry import callers
+from guavachute.entry.capacity import learned
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange_owner
 from guavachute.entry import exchange_state
@@ -102,7 +103,7 @@
         self._connection: relay_client.Connection | None = None
         self._sent_s = 0.0
         self._pending_tokens = 0
-        self._backlog_tokens = 0
+        self._measured: learned.Attempt | None = None
         self._move_state = exchange_state.MoveState.NONE
         self._continues_from_copy = False
         self._answer_mode = exchange_state.AnswerMode.NONE
@@ -182,8 +183,9 @@
                 self.call.tokens.prompt,
                 self.call.parts,
                 self.route.objective_s,
+                self._owner.registry.draw,
             )
-        return choice.choose_plain(candidates)
+        return choice.choose_plain(candidates, self._owner.registry.draw)
 
     def _finds_build(self, now_s: float) -> bool:
         """Whether the request may be sent, as far as builds matter.
@@ -275,6 +277,10 @@
         if origin is None:
             self.attempts += 1
         self._record = record
+        shows_speed = origin is None and self.attempts == 1
+        self._measured = record.begin_attempt(
+            chosen if shows_speed else None, now_s
+        )
         self._sent_s = now_s
         self._answer_mode = exchange_state.AnswerMode.NONE
         self._framing = None
@@ -294,7 +300,6 @@
         self._owner.handle_request_sent(self, record, self._pending_tokens)
         record.own.requests += 1
         record.own.waiting_tokens += self._pending_tokens
-        self._backlog_tokens = record.own.waiting_tokens
         record.record_prompt(self.call.parts)
         connection = self._owner.connect(self, record)
         self._connection = connection
@@ -510,8 +515,7 @@
         self._connection.idle_timeout_s = head.idle_timeout_s
         if head.load is not None:
             self._record.record_reported_load(
-                head.load.running + head.load.waiting,
-                self._owner.loop.now_s,
+                head.load, self._owner.loop.now_s
             )
         if head.has_not_run:
             self._answer_mode = exchange_state.AnswerMode.REFUSAL
@@ -567,6 +571,8 @@
         if self._owner.keeps_too_much(self, self._events.partial_bytes):
             self._fail_attempt('an event exceeds the size limit')
         elif self._caller.is_congested and self._connection is not None:
+            if self._measured is not None:
+                self._measured.handle_paused()
             self._connection.pause()
 
     def _forward_chunk(self, data: bytes) -> None:
@@ -599,10 +605,17 @@
 
     def _record_success(self) -> None:
         assert self._record is not None
+        now_s = self._owner.loop.now_s
         self._record.health.record_success(
-            self._owner.loop.now_s,
-            is_direct=isinstance(self._connection, upstream.Connection),
+            now_s, is_direct=isinstance(self._connection, upstream.Connection)
         )
+        if self._measured is not None:
+            self._measured.handle_success(
+                self._events.events,
+                self.call.tokens.output if self.call.tokens else 0,
+                self._record.entry.slots,
+                now_s,
+            )
 
     def _record_first_token(self, now_s: float) -> None:
         """Record that the endpoint has processed the whole prompt."""
@@ -610,7 +623,8 @@
             record = self._record
             record.own.waiting_tokens -= self._pending_tokens
             self._pending_tokens = 0
-            record.record_prefill(self._backlog_tokens, now_s - self._sent_s)
+        if self._measured is not None:
+            self._measured.handle_event(now_s)
 
     def _report_start(self) -> None:
         if not self.has_started:
@@ -784,6 +798,8 @@
         record = self._record
         assert record is not None
         record.record_ended(self._owner.loop.now_s - self._sent_s)
+        if self._measured is not None:
+            self._measured.handle_released(self._owner.loop.now_s)
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
         connection.release(keeps_alive)
