Pace admissions while the quota of a workspace is short

With 90 nodes that share a quota of 200,000 tokens/s at 6 times of it, the nodes admitted 400,000 tokens in one second and none in the next, as all acted on the same old level. With two regions cut off from each other, 1.13 times the bound was admitted in 8 s. Each node now accrues its part of the refill, by demand; light and urgent kinds have a part of their own; the level is divided when a run falls silent.

--- /dev/null
+++ b/src/guavachute/decide/ingress/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which requests begin when quota or capacity is short."""
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -11,6 +11,13 @@
 reports a lower level. Runs that started at the same time all assumed a
 full bucket; so everything that such a run has admitted since its start
 is deducted.
+
+While the quota is short, each node paces its admissions, see
+:mod:`guavachute.decide.ingress.admission.pace`.
+
+When a node stops reporting, its share of the level and of the refill is
+reserved for it. What was admitted here since its last report counts
+against the own share, as both sides may have used the same level.
 """
 
 import dataclasses
@@ -18,8 +25,11 @@
 import typing
 
 from guavachute.decide import decay
+from guavachute.decide.ingress.admission import pace
+from guavachute.decide.requests import demand_shares
 from guavachute.domain import configuration
 from guavachute import ids
+from guavachute.wire import requests
 
 OVERDRAFT_SHARE = 0.25
 """Share of the allowance by which a level may fall below zero. The rest
@@ -37,8 +47,40 @@
 reports. Runs whose starts are at most this far apart count as started
 together."""
 
+SETTLE_S = 2.5
+"""Time after the start of a node in which others that started with it may have
+admitted requests that this one doesn't know of. Admissions are paced until
+then, and each node uses an even share of the burst."""
+
+CALM_SHARE = 0.5
+"""At a level above this share of the burst the quota isn't short any more."""
+
+UNUSED_SHARE = 0.9
+"""At a level above this share of the burst the nodes don't use the quota, so
+that it isn't short, even though some requests were refused."""
+
+CALM_AFTER_S = 2.0
+"""A quota is short for at least this long after the last refusal."""
+
+KNOWN_SHARE = 0.9
+"""The refill is divided by demand if that of this share of the nodes is
+known."""
+
+CLOSED_OVERDRAFT = 3.0
+"""At a level below this multiple of the overdraft only light requests are
+admitted, and no other credit accrues."""
+
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 10.0
+SPREAD = 0.2
+"""Share of the time of a refused caller that is drawn at random."""
+
+
+Draw = typing.Callable[[], float]
+
+
+def _middle() -> float:
+    return 0.5
 
 
 class RateMeter:
@@ -96,16 +138,36 @@
     silent: typing.AbstractSet[str]
 
 
+class View(typing.NamedTuple):
+    """What a node knows of a quota, for its log.
+
+    :ivar level: remaining quota, less the estimate of unreported admissions
+    :ivar part: the part of the refill that this node uses; None while the
+        quota isn't short
+    :ivar nodes: how many nodes share the quota
+    :ivar silent: how many of them don't report
+    :ivar age_s: age of the oldest report that is not silent
+    """
+
+    level: float
+    part: float | None
+    nodes: int
+    silent: int
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _PeerRun:
     """The latest report of another run.
 
+    :ivar seen: what this node knew to be admitted at the time of the report
     :ivar is_silent: whether it is older than :data:`SILENT_AFTER_S`
     """
 
     total: float
     per_s: float
     reported_s: float
+    seen: float = 0.0
     is_silent: bool = False
 
 
@@ -140,6 +202,8 @@
     """The token bucket of one workspace, as seen by one node.
 
     :param overdraft: how far the level may fall below zero
+    :param draw: gives random numbers from 0 to 1
+    :param settled_s: until then, others may have started with this node
     """
 
     def __init__(
@@ -147,6 +211,8 @@
         workspace: configuration.Workspace,
         overdraft: float,
         now_s: float,
+        draw: Draw = _middle,
+        settled_s: float = 0.0,
     ) -> None:
         self._workspace = workspace
         self._overdraft = overdraft
@@ -161,7 +227,37 @@
         self._node_count = 1
         self._silent_nodes: dict[str, int] = {}
         self._reserved: dict[str, float] = {}
-        self._next_retry_s = now_s
+        self._draw = draw
+        self._settled_s = settled_s
+        self._kinds = pace.Kinds()
+        self._pace: pace.Pace | None = None
+        self._seen = 0.0
+        self._asked = RateMeter(now_s)
+        self._part = 1.0
+        self._oldest_s = now_s
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the admissions of this node are paced."""
+        return self._pace is not None
+
+    def asked_per_s(self, now_s: float) -> float:
+        """What callers ask of the quota per second here, also in vain."""
+        return self._asked.per_s(now_s)
+
+    def set_part(self, part: float) -> None:
+        """Use this part of the refill while the quota is short."""
+        self._part = part
+
+    def view(self, now_s: float) -> View:
+        """What this node knows of the quota."""
+        return View(
+            round(self.level(now_s)),
+            None if self._pace is None else round(self._part, 4),
+            self._node_count,
+            sum(self._silent_nodes.values()),
+            round(now_s - min(self._oldest_s, now_s), 3),
+        )
 
     def set_workspace(
         self, workspace: configuration.Workspace, now_s: float
@@ -174,10 +270,12 @@
 
     def consumption(self, now_s: float) -> Consumption:
         """What this run admitted, to be reported to other nodes."""
+        level = self.level(now_s)
+        self._update_pace(level, 0.0, now_s)
         return Consumption(
             round(self._own_total, 1),
             round(self._own_rate.per_s(now_s), 1),
-            round(self.level(now_s), 1),
+            round(level, 1),
         )
 
     def merge(
@@ -202,10 +300,12 @@
         ):
             # Most workspaces send nothing through most nodes.
             other.reported_s = now_s
+            other.seen = self._seen
             return
         self._refill(now_s)
         if other is None and not started_together:
             # The reported level includes what the run admitted before.
+            self._settled_s = now_s
             if now_s - self._started_s < STARTUP_WINDOW_S:
                 self._level = min(self._level, consumption.level)
         else:
@@ -215,8 +315,10 @@
                 else self._deducted.get(source.admitted_by, 0.0)
             )
             admitted = max(0.0, consumption.total - deducted)
-            self._level -= max(
-                0.0, admitted - self._reserved.get(source.run, 0.0)
+            self._seen += admitted
+            self._level = min(
+                self._workspace.burst,
+                self._level + self._reserved.get(source.run, 0.0) - admitted,
             )
         if started_together:
             self._deducted[source.admitted_by] = max(
@@ -225,7 +327,9 @@
         self._reserved.pop(source.run, None)
         if other is not None:
             self._unreported.add(other, -1)
-        latest = _PeerRun(consumption.total, consumption.per_s, now_s)
+        latest = _PeerRun(
+            consumption.total, consumption.per_s, now_s, self._seen
+        )
         self._unreported.add(latest, 1)
         self._peers[source.run] = latest
 
@@ -233,54 +337,117 @@
         """Share the quota with exactly these runs of other nodes."""
         self._refill(now_s)
         self._node_count = 1 + sum(peers.nodes.values())
+        if self._pace is None:
+            self._part = 1 / self._node_count
+        before = self._silent_nodes
         self._silent_nodes = {run: peers.nodes[run] for run in peers.silent}
+        self._reserve_levels(self._silent_nodes.keys() - before.keys())
         for table in (self._peers, self._reserved):
             for run in table.keys() - peers.nodes.keys():
                 del table[run]
         # Adding it up anew also takes rounding errors away.
         self._unreported = _Unreported()
-        for other in self._peers.values():
+        self._oldest_s = now_s
+        for run, other in self._peers.items():
             other.is_silent = now_s - other.reported_s >= SILENT_AFTER_S
             self._unreported.add(other, 1)
+            if run not in peers.silent:
+                self._oldest_s = min(self._oldest_s, other.reported_s)
 
     def level(self, now_s: float) -> float:
         """The remaining quota, less the estimate of unreported admissions."""
         self._refill(now_s)
         return self._level - self._unreported.at(now_s)
 
-    def consume(self, cost: float, now_s: float) -> float:
-        """Consume *cost*; 0 if admitted, else when to retry, in seconds."""
+    def consume(self, ask: pace.Ask, now_s: float) -> float:
+        """Consume a cost; 0 if admitted, else when to retry, in seconds."""
+        self._kinds.record(ask)
+        self._asked.add(ask.cost, now_s)
         level = self.level(now_s)
         capacity = max(1.0, self._workspace.burst)
-        if level + self._overdraft >= min(cost, capacity):
-            self._level -= cost
-            self._own_total += cost
-            self._own_rate.add(cost, now_s)
+        missing = min(ask.cost, capacity) - level - self._overdraft
+        self._update_pace(level, ask.cost if missing > 0 else 0.0, now_s)
+        if self._pace is None:
+            self._admit(ask.cost, now_s)
             return 0.0
-        return self._retry_after_s(
-            min(cost, capacity) - level - self._overdraft, now_s
-        )
+        lanes = self._kinds.lanes(ask)
+        usable = lanes
+        if level < -CLOSED_OVERDRAFT * self._overdraft:
+            usable = [lane for lane in lanes if lane is pace.Lane.LIGHT]
+        lane = self._pace.usable(usable)
+        if lane is not None:
+            self._pace.charge(lane, ask.cost)
+            self._admit(ask.cost, now_s)
+            return 0.0
+        wait_s = self._pace.return_after_s(lanes, ask, now_s)
+        # The spread shortens long times, so that they differ too.
+        wait_s = min(MAX_RETRY_AFTER_S, wait_s * (1 + SPREAD))
+        wait_s *= 1 - SPREAD * self._draw()
+        return max(MIN_RETRY_AFTER_S, wait_s)
 
     def refund(self, cost: float) -> None:
         """Refund *cost*, which was consumed but not used."""
         self._level = min(self._level + cost, self._workspace.burst)
         self._own_total -= cost
 
-    def _retry_after_s(self, missing: float, now_s: float) -> float:
-        """When a rejected request should be retried, in seconds from now.
+    def _admit(self, cost: float, now_s: float) -> None:
+        self._level -= cost
+        self._own_total += cost
+        self._seen += cost
+        self._own_rate.add(cost, now_s)
 
-        Successive rejections get successive times, since the refill
-        admits only so many requests.
+    def _update_pace(self, level: float, refused: float, now_s: float) -> None:
+        """Begin or end the pacing, and accrue credit.
 
-        :param missing: how much the level is too low
+        :param refused: cost of a request for which the level is too low
         """
-        rate_per_s = self._workspace.rate_per_s
-        wait_s = missing / rate_per_s
-        retry_s = max(now_s + wait_s, self._next_retry_s)
-        self._next_retry_s = min(
-            retry_s + wait_s / self._node_count, now_s + MAX_RETRY_AFTER_S
+        burst, rate_per_s = self._workspace.burst, self._workspace.rate_per_s
+        is_settling = now_s < self._settled_s and self._node_count > 1
+        if self._pace is None:
+            # The random part of the credit needs the cost of a request.
+            cost = refused or self._kinds.mean
+            if not cost:
+                return
+            if refused or level < -self._overdraft:
+                self._pace = pace.Pace(-self._draw() * cost, now_s)
+            elif is_settling:
+                part = burst / self._node_count
+                credit = part - self._draw() * cost
+                self._pace = pace.Pace(credit, now_s)
+            else:
+                return
+        elif (
+            not refused
+            and not is_settling
+            and level >= CALM_SHARE * burst
+            and (
+                level >= UNUSED_SHARE * burst
+                or now_s - self._pace.refused_s > CALM_AFTER_S
+            )
+        ):
+            self._pace = None
+            return
+        self._pace.advance(
+            rate_per_s,
+            self._part,
+            level + self._overdraft,
+            level < -CLOSED_OVERDRAFT * self._overdraft,
+            now_s,
         )
-        return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, retry_s - now_s))
+
+    def _reserve_levels(self, runs: typing.AbstractSet[str]) -> None:
+        """Reserve a share of the level for runs that have fallen silent.
+
+        They don't know either what was admitted here since their reports.
+        """
+        level = self._level
+        for run in runs:
+            other = self._peers.get(run)
+            if other is not None:
+                known = max(0.0, level + self._seen - other.seen)
+                reserved = known * self._silent_nodes[run] / self._node_count
+                self._reserved[run] = self._reserved.get(run, 0.0) + reserved
+                self._level -= reserved
 
     def _refill(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._refilled_s)
@@ -299,24 +466,40 @@
 
     :param allowance: what all nodes may admit beyond a quota in a window
     :param started_s: when this run of the node started
+    :param draw: gives random numbers from 0 to 1
     """
 
-    def __init__(self, allowance: float, started_s: float) -> None:
+    def __init__(
+        self, allowance: float, started_s: float, draw: Draw = _middle
+    ) -> None:
+        self._draw = draw
         self._overdraft = allowance * OVERDRAFT_SHARE
         self._started_s = started_s
         self._peers = PeerRuns({}, frozenset())
         self._buckets: dict[ids.WorkspaceName, Bucket] = {}
+        self._demand = demand_shares.DemandShares()
 
     def consume(
-        self, workspace: configuration.Workspace, cost: float, now_s: float
+        self,
+        workspace: configuration.Workspace,
+        cost: float,
+        now_s: float,
+        priority: int = 0,
+        kind: str = '',
+        awaited_s: float = math.inf,
     ) -> float:
         """Consume *cost*; 0 if admitted, else when to retry, in seconds.
 
         A workspace without a rate is unlimited.
+
+        :param priority: of the request; 0 is the most urgent
+        :param kind: see :class:`pace.Ask`
+        :param awaited_s: for how long its caller waits before it returns
         """
         if workspace.rate_per_s <= 0:
             return 0.0
-        return self._bucket(workspace, now_s).consume(cost, now_s)
+        ask = pace.Ask(cost, priority, kind, awaited_s)
+        return self._bucket(workspace, now_s).consume(ask, now_s)
 
     def refund(self, workspace: configuration.Workspace, cost: float) -> None:
         """Refund the *cost* of an admitted request that did not run."""
@@ -348,8 +531,59 @@
     def set_peers(self, peers: PeerRuns, now_s: float) -> None:
         """Share the quotas with exactly these runs of other nodes."""
         self._peers = peers
-        for bucket in self._buckets.values():
+        for name, bucket in self._buckets.items():
             bucket.set_peers(peers, now_s)
+            if bucket.is_short:
+                bucket.set_part(self._part(name, bucket, now_s))
+
+    def view(self, workspace: ids.WorkspaceName, now_s: float) -> View | None:
+        """What this node knows of a quota that it has used."""
+        bucket = self._buckets.get(workspace)
+        return None if bucket is None else bucket.view(now_s)
+
+    def queued(self, now_s: float) -> dict[ids.WorkspaceName, float]:
+        """What callers ask per second here of the quotas that are short."""
+        return {
+            name: round(bucket.asked_per_s(now_s), 1)
+            for name, bucket in self._buckets.items()
+            if bucket.is_short
+        }
+
+    def merge_queued(
+        self,
+        source: str,
+        nodes: int,
+        queued: typing.Mapping[ids.WorkspaceName, float],
+        now_s: float,
+    ) -> None:
+        """Merge what is asked at other nodes of the quotas that are short.
+
+        :param source: a node, or a region
+        :param nodes: how many nodes *queued* is the sum of
+        """
+        self._demand.record_sum(
+            requests.DemandSum(
+                source=source,
+                routers=nodes,
+                demand={str(name): per_s for name, per_s in queued.items()},
+            ),
+            now_s,
+        )
+
+    def _part(
+        self, name: ids.WorkspaceName, bucket: Bucket, now_s: float
+    ) -> float:
+        """The part of a refill that this node uses, by demand.
+
+        It is even until the demand of nearly all nodes is known: the parts of
+        the nodes that know only some would add up to more than one.
+        """
+        others = sum(self._peers.nodes.values())
+        if self._demand.routers(now_s) < KNOWN_SHARE * others:
+            return 1 / (1 + others)
+        return self._demand.fraction(
+            name, bucket.asked_per_s(now_s), 1 + others, now_s
+        )
 
     def consumption(
         self, now_s: float
@@ -365,7 +599,13 @@
     ) -> Bucket:
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            bucket = Bucket(workspace, self._overdraft, now_s)
+            bucket = Bucket(
+                workspace,
+                self._overdraft,
+                now_s,
+                self._draw,
+                self._started_s + SETTLE_S,
+            )
             bucket.set_peers(self._peers, now_s)
             self._buckets[workspace.name] = bucket
         else:
--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -1,17 +1,24 @@
 """Decides when the requests of callers begin, within their quotas."""
 
+import random
 import typing
 
 from guavachute.decide.ingress import quota
+from guavachute.domain import configuration
 from guavachute.domain import site as domain_site
 from guavachute.entry import exchange
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
 from guavachute import ids
+from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
 from guavachute import outcome
 
+AWAITED_SHARE = 1 / 3
+"""Callers wait before a retry for at most this share of their remaining
+time."""
+
 
 class Gate:
     """Lets requests begin, or refuses them.
@@ -32,21 +39,49 @@
         self._state = state
         self._peers = peers
         self._metrics = metrics
-        self._quotas = quota.Quotas(site.bounds.quota_allowance, loop.now_s)
+        self._quotas = quota.Quotas(
+            site.bounds.quota_allowance, loop.now_s, random.random
+        )
 
     def submit(self, started: exchange.Exchange) -> None:
         """Dispatch or refuse a request, now or later."""
         workspace = started.workspace
         wait_s = 0.0
         if workspace is not None:
+            now_s = self._loop.now_s
             wait_s = self._quotas.consume(
                 workspace,
                 quota.cost(workspace, started.call.total_tokens),
-                self._loop.now_s,
+                now_s,
+                priority=started.route.priority,
+                kind=started.route.name,
+                awaited_s=(started.expires_at_s - now_s) * AWAITED_SHARE,
             )
         if workspace is None or not wait_s:
             started.dispatch()
             return
+        self._refuse_quota(started, workspace, wait_s)
+
+    def _refuse_quota(
+        self,
+        started: exchange.Exchange,
+        workspace: configuration.Workspace,
+        wait_s: float,
+    ) -> None:
+        now_s = self._loop.now_s
+        view = self._quotas.view(workspace.name, now_s)
+        journal.event(
+            'admission',
+            outcome='refused',
+            request=started.call.attempt_id,
+            route=started.route.name,
+            workspace=workspace.name,
+            cost=quota.cost(workspace, started.call.total_tokens),
+            waited_s=round(now_s - started.arrived_s, 3),
+            left_s=round(started.expires_at_s - now_s, 3),
+            retry_after_s=round(wait_s, 3),
+            **(view._asdict() if view else {}),
+        )
         self._metrics.add('refused_429')
         started.refuse(
             429,
@@ -102,6 +137,23 @@
                     self._loop.now_s,
                 )
 
+    def queued(self) -> dict[ids.WorkspaceName, float]:
+        """What is asked per second here of the quotas that are short."""
+        return self._quotas.queued(self._loop.now_s)
+
+    def merge_queued(
+        self,
+        source: str,
+        nodes: int,
+        queued: typing.Mapping[ids.WorkspaceName, float],
+    ) -> None:
+        """Merge what is asked elsewhere of the quotas that are short.
+
+        :param source: a node, or a region
+        :param nodes: how many nodes *queued* is the sum of
+        """
+        self._quotas.merge_queued(source, nodes, queued, self._loop.now_s)
+
     def expire(self) -> None:
         """Discard expired state; called about every half second."""
         runs, silent = self._peers.table.counted_runs(quota.SILENT_AFTER_S)
--- a/src/guavachute/entry/region_sums.py
+++ b/src/guavachute/entry/region_sums.py
@@ -79,3 +79,14 @@
                 before.output_tokens_per_s + item.output_tokens_per_s,
             )
     return totals
+
+
+def sum_queued(
+    demands: typing.Iterable[typing.Mapping[ids.WorkspaceName, float]],
+) -> dict[ids.WorkspaceName, float]:
+    """The demand for quotas that are short, summed over several nodes."""
+    totals: dict[ids.WorkspaceName, float] = {}
+    for demand in demands:
+        for workspace, per_s in demand.items():
+            totals[workspace] = totals.get(workspace, 0.0) + per_s
+    return totals
--- a/tests/cover/test_many_nodes_load.py
+++ b/tests/cover/test_many_nodes_load.py
@@ -12,6 +12,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from guavachute.decide.ingress.admission import pace
 from guavachute.decide.ingress import quota
 from guavachute.decide.nodes import rounds
 from guavachute.domain import configuration
@@ -171,7 +172,7 @@
     def bucket(self, now_s: float) -> quota.Bucket:
         bucket = quota.Bucket(self.workspace, 0.0, now_s)
         # The level is below the burst, so that it is not cut off there.
-        bucket.consume(90_000.0, now_s)
+        bucket.consume(pace.Ask(90_000.0), now_s)
         return bucket
 
     def report(
@@ -193,7 +194,7 @@
         reports.values.side_effect = AssertionError('a report was visited')
         with unittest.mock.patch.object(bucket, '_peers', reports):
             bucket.level(100.5)
-            bucket.consume(1.0, 100.5)
+            bucket.consume(pace.Ask(1.0), 100.5)
 
     def test_a_report_of_an_idle_workspace_changes_nothing(self) -> None:
         bucket = self.bucket(100.0)
