--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -541,6 +541,7 @@
             reaches_endpoints=not self.registry.links.is_cut,
             endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
             endpoints_position=self.state.endpoints_position,
+            queued=self.ingress.admission.queued(),
         )
 
     def region_update(
@@ -589,6 +590,12 @@
             relays=self._relays.told_helpers(),
             heard=self._relays.told_endpoints(self.registry.heard()),
             unproven=self._builds.unproven(),
+            queued=region_sums.sum_queued(
+                [
+                    self.ingress.admission.queued(),
+                    *[update.queued for update in local],
+                ]
+            ),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -606,6 +613,7 @@
         self.ingress.admission.merge_consumption(
             quota.Source(source, source), update.spent, update.age_s
         )
+        self.ingress.admission.merge_queued(update.node, 1, update.queued)
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
@@ -625,6 +633,9 @@
             update.spent,
             age_s,
         )
+        self.ingress.admission.merge_queued(
+            update.region, update.nodes, update.queued
+        )
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -122,6 +122,7 @@
         a second; those heard lately
     :ivar unproven: services for which a node of the region has fallen silent
         that may have streams to list; None if the reader doesn't tell
+    :ivar queued: as in :class:`NodeUpdate`, summed over the nodes
     """
 
     region: str
@@ -144,6 +145,7 @@
     relays: list[tuple[str, Address, str]] = []
     heard: dict[ids.EndpointId, int] = {}
     unproven: list[ids.ServiceName] | None = None
+    queued: dict[ids.WorkspaceName, float] = {}
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -191,6 +193,8 @@
         tenths of a second, rounded up; None if it doesn't tell
     :ivar endpoints_position: it knows all entries before this position;
         negative if it doesn't tell
+    :ivar queued: by workspace whose quota is short, what callers ask of it
+        per second, in its unit
     """
 
     node: str
@@ -223,6 +227,7 @@
     reaches_endpoints: bool = True
     endpoints_age_ds: int | None = None
     endpoints_position: ids.LogPosition = log_position.NO_POSITION
+    queued: dict[ids.WorkspaceName, float] = {}
 
 
 Update = NodeUpdate | RegionUpdate
