--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -542,6 +542,7 @@
             endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
             endpoints_position=self.state.endpoints_position,
             capacity=self.registry.told_capacity(),
+            queued=self.ingress.admission.queued(),
         )
 
     def region_update(
@@ -591,6 +592,12 @@
             heard=self._relays.told_endpoints(self.registry.heard()),
             unproven=self._builds.unproven(),
             capacity=self.registry.region_capacity(),
+            queued=region_sums.sum_queued(
+                [
+                    self.ingress.admission.queued(),
+                    *[update.queued for update in local],
+                ]
+            ),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -608,6 +615,7 @@
         self.ingress.admission.merge_consumption(
             quota.Source(source, source), update.spent, update.age_s
         )
+        self.ingress.admission.merge_queued(update.node, 1, update.queued)
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
@@ -628,6 +636,9 @@
             update.spent,
             age_s,
         )
+        self.ingress.admission.merge_queued(
+            update.region, update.nodes, update.queued
+        )
         for notice in update.crashes:
             self.ingress.merge_crash_notice(notice)
         self._suspects.merge_notices(update.parts, update.node)
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -138,6 +138,7 @@
         that may have streams to list; None if the reader doesn't tell
     :ivar capacity: by endpoint of the region, those whose capacity is not as
         usual
+    :ivar queued: as in :class:`NodeUpdate`, summed over the nodes
     """
 
     region: str
@@ -161,6 +162,7 @@
     heard: dict[ids.EndpointId, int] = {}
     unproven: list[ids.ServiceName] | None = None
     capacity: dict[ids.EndpointId, EndpointCapacity] = {}
+    queued: dict[ids.WorkspaceName, float] = {}
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -210,6 +212,8 @@
         negative if it doesn't tell
     :ivar capacity: by endpoint, what the node has found itself; those whose
         capacity is not as usual or not as other nodes have told
+    :ivar queued: by workspace whose quota is short, what callers ask of it
+        per second, in its unit
     """
 
     node: str
@@ -243,6 +247,7 @@
     endpoints_age_ds: int | None = None
     endpoints_position: ids.LogPosition = log_position.NO_POSITION
     capacity: dict[ids.EndpointId, EndpointCapacity] = {}
+    queued: dict[ids.WorkspaceName, float] = {}
 
 
 Update = NodeUpdate | RegionUpdate
