--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -73,6 +73,10 @@
     """Nodes in two regions, which know each other by the store and seeds.
 
     :ivar late: what was found by :meth:`check`
+    :param seeds: numbers of the nodes that all are told at their start; each
+        is told some by chance if there are none
+    :param cloud: address of the cloud's API; None if there is none
+    :param bounds: replace bounds of the settings
     """
 
     def __init__(
@@ -81,8 +85,14 @@
         nodes: int,
         endpoints: int,
         drain_s: float = 4.0,
+        seeds: typing.Sequence[int] = (),
+        cloud: ids.Address | None = None,
+        bounds: typing.Mapping[str, float] | None = None,
     ) -> None:
         self.network = network
+        self._seeds = seeds
+        self._cloud = cloud
+        self._bounds = {'drain_s': drain_s, **(bounds or {})}
         self.drain_s = drain_s
         self.store_loop = simulated.Loop(network)
         self.store = standin_store.Store(self.store_loop)
@@ -110,14 +120,16 @@
 
     def start(self, member: Member) -> None:
         """Start the process of a node."""
-        seeds = self.network.random.sample(
-            self.members, min(SEEDS, len(self.members))
-        )
+        seeds = [self.members[number] for number in self._seeds]
+        if not seeds:
+            seeds = self.network.random.sample(
+                self.members, min(SEEDS, len(self.members))
+            )
         site = platform_site.node_settings(
             f'edge-{member.number}',
             member.ip,
             self.store.address,
-            None,
+            self._cloud,
             7_600,
             domain=ids.FailureDomain(f'{member.region}-a'),
             region=ids.Region(member.region),
@@ -125,7 +137,7 @@
                 ids.FailureDomain(f'{region}-a'): ids.Region(region)
                 for region in ('here', 'there')
             },
-            bounds={'drain_s': self.drain_s},
+            bounds=self._bounds,
             seeds=tuple(ids.Address(f'{seed.ip}:7600') for seed in seeds),
         )
         member.loop = loop = simulated.Loop(self.network)
