Pass usage of nodes that know the seeds only on to readers

Cause: a node that is cut off from the store from its start on can neither register nor read the list of nodes. It knew its seeds only and sent its usage to them; no reader knew it, so its requests were in no report. Change: a node that gets usage though it is no reader of the sender's region passes the update on to the readers there, at most once a second for each sender. They then know the sender, and it them.

--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -53,6 +53,8 @@
     :ivar is_listed: whether it has an entry in the store
     :ivar last_no_answer_s: loop time of its latest unanswered request
     :ivar counted_work: its work as it is included in the totals
+    :ivar passed_on_s: loop time at which its update was last passed on to the
+        readers of its region
     """
 
     def __init__(self, address: ids.Address, region: str) -> None:
@@ -66,6 +68,7 @@
         self.is_listed = False
         self.last_no_answer_s = float('-inf')
         self.counted_work: typing.Mapping[str, node_updates.EndpointWork] = {}
+        self.passed_on_s = float('-inf')
 
     def replace_update(
         self, update: node_updates.NodeUpdate, now_s: float
@@ -172,6 +175,17 @@
             if peer.update is not None and peer.update.is_reader
         ]
 
+    def local_readers(self) -> list[Peer]:
+        """The readers of this node's region.
+
+        Those that the store answers come first: one that is cut off from it
+        may count itself as a reader, but know few others.
+        """
+        return sorted(
+            (peer for peer in self.readers() if self.is_local(peer)),
+            key=lambda peer: not (peer.update and peer.update.reaches_store),
+        )
+
     def add(
         self, node: str, address: ids.Address, region: str, is_listed: bool
     ) -> Peer:
@@ -338,6 +352,17 @@
         self._count_work(peer, update.work)
         return True
 
+    def was_passed_on(self, node: str, since_s: float) -> bool:
+        """Whether a node's update was passed on to readers since a time."""
+        peer = self._peers.get(node)
+        return peer is not None and peer.passed_on_s > since_s
+
+    def record_passed_on(self, node: str, now_s: float) -> None:
+        """Record that a node's update was passed on to readers."""
+        peer = self._peers.get(node)
+        if peer is not None:
+            peer.passed_on_s = now_s
+
     def delay_s(self, node: str) -> float | None:
         """How long the latest update of a node was on its way.
 
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -34,6 +34,11 @@
 """After this another peer is queried. Every node has to know of a draining
 endpoint within three seconds."""
 
+PASS_ON_PERIOD_S = 1.0
+"""A node's updates are passed on to the readers at most this often. Between
+the first one and the readers' own updates to that node, each update that it
+sends arrives here."""
+
 VERSION_FIELD = 'beyond'
 """The query parameter with the version that the requesting node has."""
 
@@ -277,7 +282,7 @@
             self._send_to([ids.Address(address) for address in to], update)
 
     def _local_reader_addresses(self) -> list[ids.Address]:
-        readers = self.table.readers()
+        readers = self.table.local_readers()
         return [
             peer.address
             for peer in readers[: rounds.READERS_PER_REMOTE_REGION]
@@ -346,10 +351,43 @@
         elif update.node != self._site.node and self.table.merge_node_update(
             update
         ):
+            self._pass_on(update)
             self._owner.handle_node_update(update)
             for beyond in update.region_updates:
                 self._handle_region_update(beyond)
 
+    def _pass_on(self, update: node_updates.NodeUpdate) -> None:
+        """Pass an update on to the readers of its region, if they lack it.
+
+        Where there are many nodes, usage is sent to readers only. A node that
+        sends it to others knows few nodes: it can't read the list of nodes in
+        the store, and has been told the seeds only. The readers don't know it
+        either if it couldn't register.
+        """
+        is_local = update.region == self._site.region
+        if (
+            not update.usage
+            or self.table.are_few
+            or (is_local and self.is_reader)
+        ):
+            return
+        now_s = self._loop.now_s
+        if self.table.was_passed_on(update.node, now_s - PASS_ON_PERIOD_S):
+            return
+        readers = (
+            self._local_reader_addresses()
+            if is_local
+            else [
+                ids.Address(address)
+                for address in self.table.reader_addresses(update.region)
+            ][: rounds.READERS_PER_REMOTE_REGION]
+        )
+        self._send_to(
+            [address for address in readers if address != self.address],
+            msgspec.structs.replace(update, region_updates=[]),
+        )
+        self.table.record_passed_on(update.node, now_s)
+
     def _handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         if self.table.merge_region_update(update):
             self._owner.handle_region_update(update)
