Count each region's usage by its sums or by its nodes

Cause: a node that knows few others sends its usage to other regions too, as all do for a moment after a start. The counts that arrived that way were added to the sums of the same region. Readers then went on to send each other updates over the regions for good, as each took the other for a reader of its own. Change: counts are kept by region, and a region's count is the larger one of its readers' sums and the sum of its nodes. Readers send rounds to the readers of their own region only. UsageTotals.merge gets the region as its first argument; its two tests name it.

--- a/src/guavachute/decide/duty/usage.py
+++ b/src/guavachute/decide/duty/usage.py
@@ -68,50 +68,93 @@
     """Sums the counts of all nodes.
 
     For each source, the largest count reported for a window is kept, so
-    updates may arrive repeatedly and in any order.
+    updates may arrive repeatedly and in any order. Where there are many nodes,
+    other regions report their sums, and some of their nodes may report to
+    this one besides. A region's count is the larger one of both.
     """
 
     def __init__(self) -> None:
-        self._reported: dict[int, dict[str, Counts]] = {}
+        self._regions: dict[int, dict[str, _RegionCounts]] = {}
 
     def merge(
-        self, source: str, windows: typing.Mapping[int, Counts], newest: int
+        self,
+        region: str,
+        source: str,
+        windows: typing.Mapping[int, Counts],
+        newest: int,
     ) -> None:
-        """Merge the counts that *source* reports.
+        """Merge the counts that a node reports.
 
-        :param source: a run of a node, or a region
+        :param region: the region of the node
+        :param source: the run of the node
         :param newest: the number of the current window
         """
-        for window, counts in windows.items():
-            if window > newest - 2 * KEPT_WINDOWS:
-                known = self._reported.setdefault(window, {}).setdefault(
-                    source, {}
-                )
-                for name, count in counts.items():
-                    known[name] = max(count, known.get(name, 0))
-        for window in [
-            number
-            for number in self._reported
-            if number <= newest - 2 * KEPT_WINDOWS
-        ]:
-            del self._reported[window]
+        for window, counts in self._kept(windows, newest):
+            runs = self._region(window, region).runs
+            _keep_largest(runs.setdefault(source, {}), counts)
 
-    def total(
-        self, window: int, without: typing.Container[str] = ()
-    ) -> Counts:
-        """The counts of *window*, summed over all sources.
+    def merge_region(
+        self, region: str, windows: typing.Mapping[int, Counts], newest: int
+    ) -> None:
+        """Merge the sums of a region, as one of its readers reports them."""
+        for window, counts in self._kept(windows, newest):
+            _keep_largest(self._region(window, region).sums, counts)
+
+    def total(self, window: int) -> Counts:
+        """The counts of *window*, summed over all regions."""
+        return _add(
+            item.total() for item in self._regions.get(window, {}).values()
+        )
+
+    def region_total(self, window: int, region: str) -> Counts:
+        """The counts of *window* that the nodes of one region report."""
+        found = self._regions.get(window, {}).get(region)
+        return {} if found is None else found.total()
+
+    def _kept(
+        self, windows: typing.Mapping[int, Counts], newest: int
+    ) -> list[tuple[int, Counts]]:
+        """Those of *windows* that are kept; old ones are discarded."""
+        oldest = newest - 2 * KEPT_WINDOWS
+        for window in [item for item in self._regions if item <= oldest]:
+            del self._regions[window]
+        return [item for item in windows.items() if item[0] > oldest]
+
+    def _region(self, window: int, region: str) -> '_RegionCounts':
+        regions = self._regions.setdefault(window, {})
+        return regions.setdefault(region, _RegionCounts())
+
+
+class _RegionCounts:
+    """The counts of one region in one window.
+
+    :ivar runs: by run of a node
+    :ivar sums: as the region's readers told them
+    """
 
-        :param without: sources that are left out
-        """
-        totals: Counts = {}
-        for source, counts in self._reported.get(window, {}).items():
-            if source in without:
-                continue
-            for name, count in counts.items():
-                totals[name] = totals.get(name, 0) + count
+    def __init__(self) -> None:
+        self.runs: dict[str, Counts] = {}
+        self.sums: Counts = {}
+
+    def total(self) -> Counts:
+        totals = _add(self.runs.values())
+        _keep_largest(totals, self.sums)
         return totals
 
 
+def _keep_largest(known: Counts, counts: Counts) -> None:
+    for name, count in counts.items():
+        known[name] = max(count, known.get(name, 0))
+
+
+def _add(items: typing.Iterable[Counts]) -> Counts:
+    totals: Counts = {}
+    for counts in items:
+        for name, count in counts.items():
+            totals[name] = totals.get(name, 0) + count
+    return totals
+
+
 def final_counts(
     recorded: typing.Mapping[int, Counts],
     complete: typing.Mapping[int, Counts],
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -222,7 +222,9 @@
                 self.table.local_peers(), self._round_number
             )
             readers = [
-                peer for peer in self.table.readers() if peer not in receivers
+                peer
+                for peer in self.table.local_readers()
+                if peer not in receivers
             ]
             self._send_updates([*receivers, *readers])
             is_due = rounds.is_remote_due(
--- a/src/guavachute/entry/usage_counts.py
+++ b/src/guavachute/entry/usage_counts.py
@@ -38,7 +38,10 @@
         """Merge the counts of another node's update."""
         if update.usage:
             self._totals.merge(
-                peer_table.source(update), update.usage, self._window()
+                update.region,
+                peer_table.source(update),
+                update.usage,
+                self._window(),
             )
 
     def merge_region_update(self, update: node_updates.RegionUpdate) -> None:
@@ -46,7 +49,7 @@
 
         All of its readers count the same requests, so they are one source.
         """
-        self._totals.merge(update.region, update.usage, self._window())
+        self._totals.merge_region(update.region, update.usage, self._window())
 
     def total(self, window: int) -> usage.Counts:
         """The requests of all nodes that started in *window*, by workspace."""
@@ -57,9 +60,9 @@
         """The latest windows' counts, over the nodes of this node's region."""
         self._merge_own()
         newest = self._window()
-        regions = set(self._site.region_of.values())
+        region = self._site.region
         totals = {
-            window: self._totals.total(window, without=regions)
+            window: self._totals.region_total(window, region)
             for window in range(newest - REPORTED_WINDOWS + 1, newest + 1)
         }
         return {window: total for window, total in totals.items() if total}
@@ -86,6 +89,7 @@
     def _merge_own(self) -> None:
         newest = self._window()
         self._totals.merge(
+            self._site.region,
             f'{self._site.node}/{self._peers.run}',
             self._meter.recent(newest),
             newest,
--- a/tests/cover/test_duty_decisions.py
+++ b/tests/cover/test_duty_decisions.py
@@ -218,10 +218,10 @@
     def test_counts_of_one_run_only_grow(self) -> None:
         totals = usage.UsageTotals()
         name = ids.WorkspaceName('botany')
-        totals.merge('n1/1', {3: {name: 5}}, 3)
-        totals.merge('n1/1', {3: {name: 4}}, 3)
-        totals.merge('n1/2', {3: {name: 2}}, 3)
-        totals.merge('n2/1', {3: {name: 1}}, 3)
+        totals.merge('here', 'n1/1', {3: {name: 5}}, 3)
+        totals.merge('here', 'n1/1', {3: {name: 4}}, 3)
+        totals.merge('here', 'n1/2', {3: {name: 2}}, 3)
+        totals.merge('there', 'n2/1', {3: {name: 1}}, 3)
         self.assertEqual({name: 8}, totals.total(3))
 
     def test_old_windows_are_forgotten(self) -> None:
@@ -229,6 +229,27 @@
         name = ids.WorkspaceName('botany')
         for window in range(60):
             meter.record_start(name, window)
-            totals.merge('n', meter.recent(window), window)
+            totals.merge('here', 'n', meter.recent(window), window)
         self.assertEqual({}, totals.total(1))
         self.assertLessEqual(len(meter.recent(59)), usage.KEPT_WINDOWS)
+
+    # Guards against requests counted twice, or left out, where a region is
+    # known by its readers' sums and by updates of some of its nodes.
+    def test_a_region_counts_by_its_sums_or_its_nodes(self) -> None:
+        totals = usage.UsageTotals()
+        botany, zoology = map(ids.WorkspaceName, ('botany', 'zoology'))
+        totals.merge('here', 'n1/1', {3: {botany: 2}}, 3)
+        totals.merge('there', 'n2/1', {3: {botany: 4, zoology: 6}}, 3)
+        totals.merge_region('there', {3: {botany: 9, zoology: 5}}, 3)
+        self.assertEqual({botany: 11, zoology: 6}, totals.total(3))
+        self.assertEqual({botany: 2}, totals.region_total(3, 'here'))
+
+    # Guards against lost counts: a reader that has just begun lacks those of
+    # nodes that have ended.
+    def test_sums_of_a_reader_that_has_just_begun_lower_nothing(self) -> None:
+        totals = usage.UsageTotals()
+        name = ids.WorkspaceName('botany')
+        totals.merge_region('there', {3: {name: 9}}, 3)
+        totals.merge_region('there', {3: {name: 5}, 4: {name: 1}}, 4)
+        self.assertEqual({name: 9}, totals.total(3))
+        self.assertEqual({name: 1}, totals.total(4))
--- a/tests/cover/test_usage_reports.py
+++ b/tests/cover/test_usage_reports.py
@@ -26,3 +26,12 @@
     def test_nodes_cut_off_from_their_start_on_are_counted(self) -> None:
         reports = simulated_usage.play('cut_at_start', 74, 1, 25.5)
         self.assert_right(reports, 3)
+
+    # Guards against requests counted twice: a node that knows few others
+    # sends its usage to other regions too. What they got from it was added to
+    # the sums of its region, and readers went on to tell each other theirs.
+    def test_requests_are_counted_once_while_nodes_learn_of_others(
+        self,
+    ) -> None:
+        reports = simulated_usage.play('quiet', 74, 2, 25.5, seeds=())
+        self.assert_right(reports, 3)
