Scale by measured speeds only where engines are slower than assumed

Cause: the measured prefill speed is that of an engine without a queue. Change: a measured speed counts only if it is below the assumed one.

--- a/src/guavachute/decide/duty/scaling.py
+++ b/src/guavachute/decide/duty/scaling.py
@@ -32,8 +32,10 @@
 measured."""
 
 SPEED_TRUST = 3.0
-"""Measured speeds count up to this factor above and below the assumed ones:
-one node's wrong measurement must not remove most engines."""
+"""Measured speeds count down to the assumed ones divided by this factor: one
+node's wrong measurement must not order any number of engines. Faster ones
+don't count: they were measured without a queue, and fewer engines make callers
+wait behind long prompts."""
 
 SCALE_DOWN_DELAY_S = 12.0
 """The desired counts fall only after the demand was lower for this long."""
@@ -99,8 +101,10 @@
         """
         return dataclasses.replace(
             self,
-            prefill_tokens_per_s=_trusted(
-                prefill_tokens_per_s, PREFILL_TOKENS_PER_S
+            prefill_tokens_per_s=1
+            / _trusted(
+                prefill_tokens_per_s and 1 / prefill_tokens_per_s,
+                1 / PREFILL_TOKENS_PER_S,
             ),
             decode_token_s=_trusted(decode_token_s, DECODE_TOKEN_S),
         )
@@ -114,10 +118,11 @@
         )
 
 
-def _trusted(measured: float | None, assumed: float) -> float:
-    if measured is None:
-        return assumed
-    return min(SPEED_TRUST * assumed, max(assumed / SPEED_TRUST, measured))
+def _trusted(measured_s: float | None, assumed_s: float) -> float:
+    """The time per token to scale for, between the assumed and a bound."""
+    if measured_s is None:
+        return assumed_s
+    return min(SPEED_TRUST * assumed_s, max(assumed_s, measured_s))
 
 
 def desired_counts(
