--- a/src/guavachute/decide/ingress/capacity/endpoint_capacity.py
+++ b/src/guavachute/decide/ingress/capacity/endpoint_capacity.py
@@ -27,9 +27,16 @@
 times a second."""
 
 REPORT_TRUST = 2.0
-"""An endpoint's report counts up to this factor above and below what nodes
+"""A report of less load or slowness counts down to this part of what nodes
 have measured, as it may be false."""
 
+SLOWER_REPORT_TRUST = 8.0
+"""A report of more slowness counts up to this multiple of what was measured:
+an endpoint that reports too much only loses requests itself."""
+
+REPORT_WEIGHT = 0.25
+"""Weight of a report as a measurement; only if it shows more slowness."""
+
 COUNT_KEPT_S = 1.5
 """An endpoint's own count of its requests is used for this long, with less and
 less weight: work of nodes that this one has not heard of comes and ends."""
@@ -103,7 +110,7 @@
         """Record how slow an answer was, in proportion to the usual time."""
         low, high = SLOWDOWN_RANGE
         bounded = min(high, max(low, slowdown))
-        known = 1 + (self.measured - 1) * self._freshness(now_s)
+        known = self._known(now_s)
         weight = SLOWER_WEIGHT if bounded > known else FASTER_WEIGHT
         self.measured = known + weight * (bounded - known)
         self.measured_s = now_s
@@ -113,6 +120,10 @@
         low, high = SLOWDOWN_RANGE
         self._reported = min(high, max(low, slowdown))
         self._reported_s = now_s
+        known = self._known(now_s)
+        if self._reported > max(1.0, known):
+            self.measured = known + REPORT_WEIGHT * (self._reported - known)
+            self.measured_s = now_s
 
     def record_overload(self, share: float, now_s: float) -> None:
         """Record that the endpoint had too many requests.
@@ -143,7 +154,7 @@
         found /= total
         if now_s - self._reported_s <= REPORT_KEPT_S:
             return min(
-                REPORT_TRUST * found,
+                SLOWER_REPORT_TRUST * found,
                 max(found / REPORT_TRUST, self._reported),
             )
         return found
@@ -177,6 +188,10 @@
     def _own_limit_share(self, now_s: float) -> float:
         return _recovered(self._limit_share, now_s - self._decreased_s)
 
+    def _known(self, now_s: float) -> float:
+        """What this node measured, nearer to the usual the older it is."""
+        return 1 + (self.measured - 1) * self._freshness(now_s)
+
     def _freshness(self, now_s: float) -> float:
         return _freshness(now_s - self.measured_s)
 
--- a/src/guavachute/decide/ingress/capacity/service_speed.py
+++ b/src/guavachute/decide/ingress/capacity/service_speed.py
@@ -67,6 +67,18 @@
         """Whether enough was measured to compare endpoints with it."""
         return self.measurements >= MIN_MEASUREMENTS
 
+    def start_from(self, base_s: float, unit_s: float) -> None:
+        """Use other initial values, unless enough was measured already."""
+        if self.is_known:
+            return
+        low, high = self.unit_range_s
+        self.base_s = min(self.max_base_s, max(0.0, base_s))
+        self.unit_s = min(high, max(low, unit_s))
+        self._weight = self._amount = self._time = 0.0
+        self._amount_squared = self._product = 0.0
+        for amount in (0.0, 2 * self.typical_amount):
+            self._add(amount, self.expected_s(amount), INITIAL_WEIGHT)
+
     def record(self, amount: float, duration_s: float) -> None:
         """Record that *amount* of work took *duration_s*."""
         expected_s = self.expected_s(amount)
@@ -133,6 +145,11 @@
     slot_s: float | None = None
     events_measured: int = 0
 
+    @property
+    def is_known(self) -> bool:
+        """Whether this node has measured enough to tell others."""
+        return self.first_token.is_known or self.plain.is_known
+
     @property
     def prefill_tokens_per_s(self) -> float:
         """The usual prefill speed of an engine."""
--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -13,17 +13,23 @@
 """Whether endpoints are chosen by learned capacity and with random numbers.
 Trials compare both ways; there is no reason for an operator to change it."""
 
-TOLD_DEVIATION = 0.2
+TOLD_DEVIATION = 0.3
 """Nodes tell each other of endpoints whose slowdown deviates by this from what
 the receiver would assume otherwise."""
 
-MAX_TOLD = 8
-"""Endpoints in one update of a node: an entry has some 25 bytes, and a node
+MAX_TOLD = 4
+"""Endpoints in one update of a node: an entry has some 20 bytes, and a node
 sends up to a hundred updates per second."""
 
+TELLING_S = 3.0
+"""Figures that are older than this have reached all nodes of the region."""
+
 MAX_TOLD_BY_REGION = 32
 """Endpoints in one update of a reader, which sends few."""
 
+MAX_GAUGES = 32
+"""Endpoints with a gauge: the slowest, of those that are slow."""
+
 MAX_TELLERS = 8
 """Nodes whose figures of one endpoint are kept; the oldest are discarded."""
 
@@ -212,6 +218,27 @@
             del kept[min(kept, key=lambda name: kept[name].measured_s)]
 
 
+def slowdowns(
+    learned: typing.Mapping[ids.EndpointId, Learned], now_s: float
+) -> dict[str, float]:
+    """The slowdown of the endpoints that are known to be slow, for metrics."""
+    found = [(item.slowdown(now_s), name) for name, item in learned.items()]
+    slow = sorted(item for item in found if item[0] > LOGGED_FALL)
+    return {name: round(slowdown, 2) for slowdown, name in slow[-MAX_GAUGES:]}
+
+
+def limit_shares(
+    learned: typing.Mapping[ids.EndpointId, Learned], now_s: float
+) -> dict[str, float]:
+    """The lowest shares of slots that endpoints handle well, for metrics."""
+    found = [
+        (item.endpoint.limit_share(now_s), name)
+        for name, item in learned.items()
+    ]
+    low = sorted(item for item in found if item[0] < 1)
+    return {name: round(share, 2) for share, name in low[:MAX_GAUGES]}
+
+
 class Attempt:
     """Measures one request that was sent to an endpoint.
 
@@ -304,7 +331,7 @@
     found = []
     for name, item in learned.items():
         own = item.own(now_s)
-        if own is None:
+        if own is None or now_s - own.measured_s > TELLING_S:
             continue
         told = item.endpoint.told.values()
         others = max((other.slowdown for other in told), default=1.0)
--- a/src/guavachute/observe/metrics.py
+++ b/src/guavachute/observe/metrics.py
@@ -23,6 +23,9 @@
         self.counters = counters.Counters()
         self._histograms: dict[str, histogram.HdrHistogram] = {}
         self._gauges: dict[str, typing.Callable[[], float]] = {}
+        self._labelled: dict[
+            tuple[str, str], typing.Callable[[], typing.Mapping[str, float]]
+        ] = {}
 
     def add(self, name: str, amount: float = 1) -> None:
         """Increase the counter *name*."""
@@ -32,6 +35,18 @@
         """Register the gauge *name*; *value* is called on each scrape."""
         self._gauges[name] = value
 
+    def labelled_gauges(
+        self,
+        name: str,
+        label: str,
+        values: typing.Callable[[], typing.Mapping[str, float]],
+    ) -> None:
+        """Register the gauges *name*, one for each value of *label*.
+
+        :param values: called on each scrape; bounds their number
+        """
+        self._labelled[(name, label)] = values
+
     def observe_s(self, name: str, duration_s: float) -> None:
         """Record a duration in the histogram *name*."""
         found = self._histograms.get(name)
@@ -47,6 +62,14 @@
             lines.append(f'guavachute_{name}_total {value:g}')
         for name, read in sorted(self._gauges.items()):
             lines.append(f'guavachute_{name} {read():g}')
+        for (name, label), values in sorted(
+            self._labelled.items(), key=lambda item: item[0]
+        ):
+            for key, value in values().items():
+                text = key.replace('\\', '\\\\').replace('"', '\\"')
+                lines.append(
+                    f'guavachute_{name}{{{label}="{text}"}} {value:g}'
+                )
         for name, found in sorted(self._histograms.items()):
             metric = f'guavachute_{name}_seconds'
             for percentile in PERCENTILES:
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -307,6 +307,26 @@
     streams: dict[ids.BuildName, list[ids.StreamKey]]
 
 
+class CapacityRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The record in the store of the usual times of a service's work.
+
+    They are in microseconds; those that were not measured are None.
+
+    :ivar first_token: the time to the first token of a prompt without tokens,
+        and the time for each thousand tokens
+    :ivar plain: the time of plain requests at an idle endpoint, and what is
+        added at one with all slots occupied
+    :ivar slot: how long a request has a slot
+    :ivar token: time per generated token, as its share of a batch step, in
+        nanoseconds
+    """
+
+    first_token: tuple[untrusted.Count, untrusted.Count] | None = None
+    plain: tuple[untrusted.Count, untrusted.Count] | None = None
+    slot: untrusted.Count | None = None
+    token: untrusted.Count | None = None
+
+
 class StoreEntry(msgspec.Struct, frozen=True, array_like=True):
     """The stored bytes of an endpoint's entry, and its position."""
 
@@ -409,6 +429,11 @@
     return _decode(data, StreamsRecord)
 
 
+def decode_capacity(data: bytes) -> CapacityRecord | outcome.Failure:
+    """Decode a record of the usual times of a service's work."""
+    return _decode(data, CapacityRecord)
+
+
 Message = typing.TypeVar('Message', bound=msgspec.Struct)
 
 
