--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -226,7 +226,8 @@
         self._initial_speed = service_speed.ServiceSpeed()
         self.links = endpoint_links.EndpointLinks()
         self._brittle = brittle_endpoints.BrittleServices()
-        self._speeds: dict[ids.ServiceName, service_speed.ServiceSpeed] = {}
+        self.speeds: dict[ids.ServiceName, service_speed.ServiceSpeed] = {}
+        """What this node has measured, by service."""
         self.draw: choice.Draw | None = (
             random.random if learned_capacity.IS_USED else None
         )
@@ -716,9 +717,9 @@
 
     def speed(self, service: ids.ServiceName) -> service_speed.ServiceSpeed:
         """What this node has measured at all endpoints of a service."""
-        found = self._speeds.get(service)
+        found = self.speeds.get(service)
         if found is None:
-            found = self._speeds[service] = service_speed.ServiceSpeed()
+            found = self.speeds[service] = service_speed.ServiceSpeed()
         return found
 
     def measured_speeds(
@@ -728,7 +729,7 @@
 
         The time is a token's share of a batch step. None if not measured.
         """
-        found = self._speeds.get(service)
+        found = self.speeds.get(service)
         if found is None or self.draw is None:
             return None, None
         return (
@@ -777,6 +778,14 @@
             if record is not None:
                 record.learned.merge_told(source, told, now_s)
 
+    def slowdowns(self) -> dict[str, float]:
+        """The slowdown of slow endpoints, for metrics."""
+        return learned_capacity.slowdowns(self._learned(), self._now_s())
+
+    def limit_shares(self) -> dict[str, float]:
+        """The share of slots of endpoints that handle few, for metrics."""
+        return learned_capacity.limit_shares(self._learned(), self._now_s())
+
     def expire_capacity(self) -> None:
         """Discard old figures of other nodes, and log what has changed."""
         now_s = self._now_s()
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -15,6 +15,7 @@
 from guavachute.domain import endpoints
 from guavachute.domain import site as domain_site
 from guavachute.entry import address_book
+from guavachute.entry.capacity import records as capacity_records
 from guavachute.entry import catch_up
 from guavachute.entry import control_client
 from guavachute.entry import death_checks
@@ -136,6 +137,12 @@
         self.registry = endpoint_registry.EndpointRegistry(
             site, self.state.table, lambda: loop.now_s
         )
+        self.metrics.labelled_gauges(
+            'endpoint_slowdown', 'endpoint', self.registry.slowdowns
+        )
+        self.metrics.labelled_gauges(
+            'endpoint_limit_share', 'endpoint', self.registry.limit_shares
+        )
         self.peers = entry_peers.Peers(loop, site, self)
         self._sums = region_sums.ConsumptionSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
@@ -161,6 +168,13 @@
             lambda: self._is_reader,
         )
         self._store = store_client.StoreClient(loop, site.store.address)
+        self._speed_records = capacity_records.SpeedRecords(
+            loop,
+            self._store,
+            self.registry.speeds,
+            self.registry.speed,
+            lambda: self._role is readers.Role.FIRST,
+        )
         self._builds = stream_builds.StreamBuilds(
             loop,
             self._store,
@@ -401,6 +415,7 @@
             return
         self.state.handle_new_era()
         self._suspects.handle_new_era()
+        self._speed_records.handle_new_era()
         for follower in (self._operator, self._endpoints, self._nodes):
             follower.handle_new_era(self._is_reader)
         # The entry of this node may be lost. All nodes write theirs again, but
@@ -424,6 +439,9 @@
         if record.key.startswith(stream_builds.KEY_PREFIX):
             self._builds.fold(record)
             return
+        if record.key.startswith(capacity_records.KEY_PREFIX):
+            self._speed_records.fold(record)
+            return
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
         if record.value is None:
@@ -805,6 +823,7 @@
         self.peers.table.discard_endpoints(self.state.table.entries)
         self.ingress.expire()
         self._suspects.expire()
+        self._speed_records.write()
 
 
 @contextlib.contextmanager
