Bound what the callers of an entry process hold together

One budget, derived from the VM's memory (limits.memoryMb) and descriptors, counts the heads and bodies that are being read, requests that wait or run, unsent answers and connections. Headers count with what their objects cost. When it is short, large bodies are read only if all of them has room, those nearest to their end first; requests that arrive slowly are refused with 503. A request that has begun is never given up. What was rejected is freed at once, requests behind the one that is served stay unparsed, and the next one begins only when the caller reads its answers.

--- /dev/null
+++ b/src/guavachute/decide/ingress/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds what the callers of a process make it hold."""
--- /dev/null
+++ b/src/guavachute/decide/ingress/intake/budget.py
@@ -0,0 +1,368 @@
+"""One budget for what all connections of callers hold in a process.
+
+It counts the bytes of heads and bodies that are being read, of requests that
+wait or run, and of unsent answers. Nothing is restricted while half of the
+budget is free. With less, the process is *short*: a large body is read only
+if all of it has room, those that are nearest to their end first; the others
+wait in the buffers of the operating system. Where a body waits for room, the
+requests that arrive slowest are refused. A request that has begun is never
+given up.
+"""
+
+import dataclasses
+import enum
+import typing
+
+MEGABYTE = 1_048_576
+
+BASE_BYTES = 64 * MEGABYTE
+"""Memory of the process without callers: 38 MB when idle, and the state of a
+large site."""
+
+HELD_FRACTION = 0.5
+"""Fraction of the remaining memory that callers may hold. The other half is
+for answers that are being buffered, for the copies of a body while it is
+checked and sent, and for the fragmentation of the heap."""
+
+MIN_HELD_BYTES = 16 * MEGABYTE
+"""Room for one request at the default limits, also on a smaller VM."""
+
+SHORT_FRACTION = 0.5
+"""Above this fraction of the budget, large bodies need room before they are
+read."""
+
+RELIEVED_FRACTION = 0.4
+"""Below this fraction, nothing is restricted any more."""
+
+LARGE_FRACTION = 0.75
+"""The last quarter of the budget is for small requests."""
+
+SMALL_BYTES = 65_536
+"""Requests of up to this size are read also when the process is short."""
+
+RATED_AFTER_S = 0.5
+"""A request is called slow only after it could be sent for this long."""
+
+READ_ANSWER_S = 5.0
+"""The same for an answer that the caller has to read: it is delivered if the
+caller reads at all."""
+
+SLOW_BYTES_PER_S = 65_536
+"""Requests that arrive more slowly than this are refused when others wait for
+room. At this rate, a body of the default limit takes a minute, four times the
+time that a caller has for it."""
+
+RESERVED_DESCRIPTORS = 64
+"""Descriptors that callers leave at least to endpoints, nodes and the
+store."""
+
+RESERVED_DESCRIPTOR_FRACTION = 0.25
+
+CONNECTION_BYTES = 6_144
+"""What a connection costs by itself: its objects, parser and timers."""
+
+HEADER_BYTES = 176
+"""What a header costs beyond its text: two strings, their pair and a place in
+a list."""
+
+REQUEST_BYTES = 512
+"""What a request costs beyond its headers and its body."""
+
+
+class Phase(enum.Enum):
+    """What a connection is doing."""
+
+    IDLE = 'idle'
+    READING = 'reading'
+    SERVING = 'serving'
+    """A request has begun; it is never given up here."""
+    SENDING = 'sending'
+    """The answer is complete, and the caller has not read all of it."""
+    LINGERING = 'lingering'
+    """The last answer was sent, and the connection is being closed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What all callers of a process may hold.
+
+    :ivar held_bytes: bytes, as they are counted here
+    :ivar connections: open connections
+    """
+
+    held_bytes: int
+    connections: int
+
+
+def limits(memory_bytes: int, max_descriptors: int) -> Limits:
+    """The limits of a process that has a VM with that memory."""
+    reserved = min(
+        max(
+            RESERVED_DESCRIPTORS,
+            round(RESERVED_DESCRIPTOR_FRACTION * max_descriptors),
+        ),
+        max_descriptors // 2,
+    )
+    return Limits(
+        max(
+            MIN_HELD_BYTES, round(HELD_FRACTION * (memory_bytes - BASE_BYTES))
+        ),
+        max(1, max_descriptors - reserved),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """What a connection holds.
+
+    :ivar remaining_bytes: how much more the request that is being read may
+        hold; an upper bound where its length is unknown
+    :ivar moved_bytes: all bytes that were read from the connection; where the
+        caller has to read an answer, all bytes that were sent
+    """
+
+    phase: Phase
+    held_bytes: int
+    remaining_bytes: int = 0
+    moved_bytes: int = 0
+
+
+Key = typing.TypeVar('Key', bound=typing.Hashable)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Actions(typing.Generic[Key]):
+    """What to do with the connections, in order.
+
+    :ivar refuse: answer that the request has not run, and close
+    :ivar wait: stop reading
+    :ivar read: read again
+    """
+
+    refuse: list[Key]
+    wait: list[Key]
+    read: list[Key]
+
+
+@dataclasses.dataclass(slots=True)
+class _Account:
+    usage: Usage
+    since_s: float
+    has_room: bool = False
+    waits: bool = False
+    rated_from_s: float = 0.0
+    rated_from_bytes: int = 0
+
+    @property
+    def is_large(self) -> bool:
+        """Whether it needs room for its body before it is read."""
+        return (
+            self.usage.phase is Phase.READING
+            and self.usage.held_bytes + self.usage.remaining_bytes
+            > SMALL_BYTES
+        )
+
+    def start_rating(self, now_s: float) -> None:
+        """Rate the bytes that are moved from now on."""
+        self.rated_from_s = now_s
+        self.rated_from_bytes = self.usage.moved_bytes
+
+    def is_slow(self, now_s: float) -> bool:
+        """Whether little was moved, though there was time to move it."""
+        elapsed_s = now_s - self.rated_from_s
+        least_s = RATED_AFTER_S
+        if self.usage.phase is Phase.SENDING:
+            least_s = READ_ANSWER_S
+        if self.waits or elapsed_s < least_s:
+            return False
+        moved = self.usage.moved_bytes - self.rated_from_bytes
+        is_slow = moved < SLOW_BYTES_PER_S * elapsed_s
+        if not is_slow or elapsed_s >= 2 * least_s:
+            self.start_rating(now_s)
+        return is_slow
+
+
+class Budget(typing.Generic[Key]):
+    """What each connection holds, and what has to be done about it.
+
+    :ivar total_bytes: what all connections hold
+    :ivar is_short: whether large bodies need room before they are read
+    """
+
+    def __init__(self, allowed: Limits) -> None:
+        self._limits = allowed
+        self._accounts: dict[Key, _Account] = {}
+        self.total_bytes = 0
+        self.is_short = False
+
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._accounts)
+
+    @property
+    def excess_connections(self) -> int:
+        """How many connections have to be closed."""
+        return max(0, len(self._accounts) - self._limits.connections)
+
+    def record(self, key: Key, usage: Usage, now_s: float) -> bool:
+        """Record what a connection holds; whether it has to wait.
+
+        A large body that has no room has to wait until :meth:`decide` names
+        it again.
+        """
+        account = self._accounts.get(key)
+        if account is None:
+            account = self._accounts[key] = _Account(usage, now_s)
+            account.start_rating(now_s)
+            self.total_bytes += CONNECTION_BYTES + usage.held_bytes
+        else:
+            before, account.usage = account.usage, usage
+            self.total_bytes += usage.held_bytes - before.held_bytes
+            if usage.phase is not before.phase:
+                account.since_s = now_s
+                account.has_room = False
+                account.start_rating(now_s)
+        if self.total_bytes <= SHORT_FRACTION * self._limits.held_bytes:
+            return False
+        return self.is_short and account.is_large and not account.has_room
+
+    def mark_waiting(self, key: Key) -> None:
+        """Record that a connection is not read."""
+        self._accounts[key].waits = True
+
+    def remove(self, key: Key) -> None:
+        """Record that a connection has been closed."""
+        account = self._accounts.pop(key, None)
+        if account is not None:
+            self.total_bytes -= CONNECTION_BYTES + account.usage.held_bytes
+
+    def is_over(self) -> bool:
+        """Whether :meth:`decide` is due at once."""
+        limit = self._limits.held_bytes
+        if self.is_short:
+            return self.total_bytes > limit
+        return self.total_bytes > SHORT_FRACTION * limit
+
+    def may_begin(self, key: Key, extra_bytes: int) -> bool:
+        """Whether a request may begin, which then holds so much more.
+
+        A request that is alone always may.
+        """
+        room = self._limits.held_bytes - self.total_bytes
+        if extra_bytes <= room:
+            return True
+        account = self._accounts[key]
+        others = self.total_bytes - account.usage.held_bytes
+        return others <= SHORT_FRACTION * self._limits.held_bytes
+
+    def decide(self, now_s: float, may_rate: bool = True) -> Actions[Key]:
+        """Which connections are read, wait or are refused.
+
+        :param may_rate: False where the process itself was too slow to read
+        """
+        limit = self._limits.held_bytes
+        fraction = RELIEVED_FRACTION if self.is_short else SHORT_FRACTION
+        self.is_short = self.total_bytes > fraction * limit
+        if not self.is_short:
+            return Actions([], [], self._resume(self._accounts, now_s))
+        large = sorted(
+            (
+                (key, account)
+                for key, account in self._accounts.items()
+                if account.is_large
+            ),
+            key=lambda item: item[1].usage.remaining_bytes,
+        )
+        slow = self._slow(now_s) if may_rate else []
+        slow_keys = set(slow)
+        room = round(LARGE_FRACTION * limit) - self.total_bytes
+        chosen: list[Key] = []
+        others: list[Key] = []
+        for key, account in large:
+            if key in slow_keys:
+                continue
+            remaining = account.usage.remaining_bytes
+            if remaining <= room:
+                room -= remaining
+                chosen.append(key)
+            else:
+                others.append(key)
+        if others and not chosen:
+            account = self._accounts[others[0]]
+            if self.total_bytes - account.usage.held_bytes <= (
+                RELIEVED_FRACTION * limit
+            ):
+                # It is almost alone, and larger than all of the room.
+                chosen.append(others.pop(0))
+        refuse = self._victims(slow, chosen, others, room)
+        refused = set(refuse)
+        for key in chosen:
+            self._accounts[key].has_room = True
+        wait = []
+        for key in others:
+            account = self._accounts[key]
+            account.has_room = False
+            if key not in refused and not account.waits:
+                account.waits = True
+                wait.append(key)
+        return Actions(refuse, wait, self._resume(chosen, now_s))
+
+    def to_close(self, count: int, newest: Key) -> list[Key]:
+        """The connections to close where there are too many.
+
+        Those that are being closed go first, then those that have been idle
+        or have sent an incomplete request for longest.
+
+        :param newest: has only been accepted, and is not closed
+        """
+        candidates = [
+            (account.usage.phase is not Phase.LINGERING, account.since_s, key)
+            for key, account in self._accounts.items()
+            if account.usage.phase not in (Phase.SERVING, Phase.SENDING)
+            and key is not newest
+        ]
+        candidates.sort(key=lambda item: item[:2])
+        return [key for _, _, key in candidates[:count]]
+
+    def _resume(self, keys: typing.Iterable[Key], now_s: float) -> list[Key]:
+        resumed = []
+        for key in keys:
+            account = self._accounts[key]
+            if account.waits:
+                account.waits = False
+                account.start_rating(now_s)
+                resumed.append(key)
+        return resumed
+
+    def _slow(self, now_s: float) -> list[Key]:
+        """Requests that arrive slowly, those that hold most first."""
+        phases = (Phase.READING, Phase.SENDING)
+        found = [
+            key
+            for key, account in self._accounts.items()
+            if account.usage.phase in phases and account.is_slow(now_s)
+        ]
+        found.sort(key=lambda key: -self._accounts[key].usage.held_bytes)
+        return found
+
+    def _victims(
+        self, slow: list[Key], chosen: list[Key], others: list[Key], room: int
+    ) -> list[Key]:
+        """The requests to refuse, so that the next body has room."""
+        if not others and room >= 0:
+            return []
+        needed = -room
+        if others:
+            nearest = self._accounts[others[0]].usage
+            needed = max(needed, nearest.remaining_bytes - room)
+        refused: list[Key] = []
+        # With nobody slow, the body that is farthest from its end gives way,
+        # but only if none is being read that will make room.
+        last = [] if chosen else list(reversed(others[1:]))
+        for key in slow + last:
+            if needed <= 0:
+                break
+            refused.append(key)
+            needed -= self._accounts[key].usage.held_bytes
+        return refused
--- a/src/guavachute/domain/site.py
+++ b/src/guavachute/domain/site.py
@@ -5,6 +5,11 @@
 
 from guavachute import ids
 
+MEGABYTE = 1_048_576
+
+DEFAULT_MEMORY_BYTES = 160 * MEGABYTE
+"""The memory of the smallest VM."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
@@ -102,6 +107,7 @@
         may be stale
     :ivar heartbeat_s: how often endpoints renew their entries
     :ivar max_descriptors: limit on the process's open files
+    :ivar memory_bytes: the memory of the VM
     """
 
     node: ids.NodeId
@@ -116,3 +122,4 @@
     seeds: tuple[ids.Address, ...]
     heartbeat_s: float
     max_descriptors: int
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -1,17 +1,32 @@
 """Connections of callers: reads requests and writes their answers."""
 
+import collections
 import enum
 import typing
 
+from guavachute.decide.ingress.intake import budget
 from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import http1
+from guavachute.entry.intake import guard
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
+from guavachute import ids
 from guavachute.observe import journal
+from guavachute.platform import requests
 
-MAX_PIPELINED = 8
-"""With more complete requests waiting than this, a connection is not read."""
+MAX_UNPARSED_BYTES = 65_536
+"""With more bytes than this behind the request that is being served, a
+connection is not read. They are parsed later, as the objects of a parsed
+request cost many times its bytes."""
+
+PARSED_AT_ONCE_BYTES = 8_192
+"""Bytes that may hold several requests are parsed in parts of this size, so
+that few requests are parsed before they are served."""
+
+SHORTAGE_RETRY_S = 1.0
+"""Retry-After of requests that are refused as the callers together hold too
+much. Those that stall are found within half a second."""
 
 LINGER_S = 1.0
 """After the last answer on a connection, bytes of the caller are still read
@@ -71,12 +86,22 @@
     CLOSED = 'closed'
 
 
+_PHASES = {
+    _State.IDLE: budget.Phase.IDLE,
+    _State.READING: budget.Phase.READING,
+    _State.SERVING: budget.Phase.SERVING,
+    _State.LINGERING: budget.Phase.LINGERING,
+    _State.CLOSED: budget.Phase.LINGERING,
+}
+
+
 class CallerConnection:
     """One connection: reads requests and writes their answers in order.
 
     Requests are served one at a time; pipelined ones wait.
 
     :param on_closed: called once, when the connection is closed
+    :param intake: bounds what all connections hold; None without a bound
     """
 
     def __init__(
@@ -85,6 +110,7 @@
         connection: transport.Connection,
         handler: RequestHandler,
         on_closed: typing.Callable[['CallerConnection'], None],
+        intake: guard.Guard | None = None,
     ) -> None:
         self._loop = loop
         self._connection = connection
@@ -99,26 +125,125 @@
         self._timer: entry_loop.Timer | None = None
         self._closes = False
         self._is_framed = True
+        self._intake = intake
+        self._unparsed: collections.deque[memoryview] = collections.deque()
+        self._unparsed_bytes = 0
+        self._received_bytes = 0
+        self._serving_bytes = 0
+        self._waits_for_room = False
         connection.owner = self
         self._start_timer(limits.idle_timeout_s)
+        if intake is not None:
+            intake.add(self)
 
     @property
     def is_congested(self) -> bool:
         """Whether too many bytes wait to be sent to the caller."""
         return self._connection.unsent_bytes > MAX_UNSENT_BYTES
 
+    @property
+    def usage(self) -> budget.Usage:
+        """What the connection holds of its requests and answers."""
+        unsent_bytes = self._connection.unsent_bytes
+        phase, moved_bytes = _PHASES[self._state], self._received_bytes
+        if unsent_bytes and phase is not budget.Phase.SERVING:
+            phase = budget.Phase.SENDING
+            moved_bytes = self._connection.written_bytes - unsent_bytes
+        return budget.Usage(
+            phase,
+            self._reader.held_bytes
+            + self._unparsed_bytes
+            + self._serving_bytes
+            + unsent_bytes,
+            self._reader.remaining_bytes,
+            moved_bytes,
+        )
+
     def received(self, data: bytes) -> None:
         """Parse bytes of requests, and serve the next complete one."""
         if self._state is _State.LINGERING:
             return
+        self._received_bytes += len(data)
+        self._unparsed.append(memoryview(data))
+        self._unparsed_bytes += len(data)
+        if self._exchange is None and self._state is not _State.SERVING:
+            self._parse()
+            if not self._answers_are_behind:
+                self._serve_next()
+        self._update_reading()
+        self._update_usage()
+
+    @property
+    def _answers_are_behind(self) -> bool:
+        """Whether the caller has to read answers before the next one."""
+        return self.is_congested
+
+    def _parse(self) -> None:
+        """Parse what was received, until a request is complete."""
         limits = self._handler.limits
         self._reader.max_head_bytes = limits.max_head_bytes
         self._reader.max_body_bytes = limits.max_body_bytes
-        self._reader.feed(data)
-        if len(self._reader.requests) > MAX_PIPELINED:
+        while (
+            self._unparsed
+            and not self._reader.requests
+            and self._reader.problem is None
+        ):
+            data = self._unparsed.popleft()
+            if len(data) > max(
+                PARSED_AT_ONCE_BYTES, self._reader.remaining_bytes
+            ):
+                self._unparsed.appendleft(data[PARSED_AT_ONCE_BYTES:])
+                data = data[:PARSED_AT_ONCE_BYTES]
+            self._unparsed_bytes -= len(data)
+            self._reader.feed(bytes(data))
+
+    def _update_reading(self) -> None:
+        if self._state is _State.LINGERING:
+            self._connection.resume()
+        elif self._waits_for_room or (
+            self._unparsed_bytes > MAX_UNPARSED_BYTES
+        ):
             self._connection.pause()
-        if self._exchange is None:
-            self._serve_next()
+        else:
+            self._connection.resume()
+
+    def _update_usage(self) -> None:
+        if self._intake is not None and self._state is not _State.CLOSED:
+            self._intake.update(self)
+
+    def stop_reading(self) -> None:
+        """Leave what arrives to the operating system."""
+        self._waits_for_room = True
+        self._update_reading()
+
+    def read_again(self) -> None:
+        """Read what arrives."""
+        self._waits_for_room = False
+        if self._state is not _State.CLOSED:
+            self._update_reading()
+
+    def refuse_unread(self) -> None:
+        """Refuse what was not completely read, and close.
+
+        Also closes where the caller doesn't read its answer.
+        """
+        if self._exchange is not None or self._state is _State.SERVING:
+            return
+        if self._connection.unsent_bytes:
+            self._close()
+        elif self._state is _State.READING:
+            self._send_rejection(503, SHORTAGE_RETRY_S)
+
+    def give_way(self) -> None:
+        """Close at once, unless a request has begun."""
+        if self._state is _State.IDLE:
+            self._connection.receive_now()
+        if self._connection.unsent_bytes:
+            return
+        if self._state is _State.READING and self._reader.is_reading_request:
+            self._send_rejection(503, SHORTAGE_RETRY_S)
+        if self._state in (_State.IDLE, _State.LINGERING):
+            self._close()
 
     def ended(self, is_clean: bool) -> None:
         """Handle the end of the connection."""
@@ -130,6 +255,9 @@
             self._connection.finish_writing()
         elif self._exchange is not None:
             self._exchange.handle_caller_drained()
+        elif self._unparsed or self._reader.requests:
+            self._continue()
+        self._update_usage()
 
     def answer(
         self,
@@ -152,6 +280,7 @@
             head = self._begin_unframed(status, headers)
         self._connection.write(head + body)
         self._finish()
+        self._update_usage()
 
     def begin_answer(
         self,
@@ -178,6 +307,8 @@
             self._connection.write(
                 http1.encode_chunk(data) if self._is_framed else data
             )
+            if self._connection.unsent_bytes:
+                self._update_usage()
 
     def end_answer(self) -> None:
         """Send the end of a body that was sent in parts."""
@@ -211,7 +342,7 @@
 
     def _serve_next(self) -> None:
         if self._reader.requests:
-            self._start_request(self._reader.requests.pop(0))
+            self._start_request(self._reader.take())
         elif self._reader.problem is not None:
             self._reject(self._reader.problem.value)
         elif self._reader.is_reading_request:
@@ -229,6 +360,15 @@
             self._close()
             return
         self._cancel_timer()
+        # The body is copied once more, to be sent to the endpoint.
+        self._serving_bytes = request.held_bytes + len(request.body)
+        if self._intake is not None and not self._intake.may_begin(
+            self, len(request.body)
+        ):
+            self._send_rejection(
+                503, SHORTAGE_RETRY_S, requests.attempt_id_of(request.headers)
+            )
+            return
         self._state = _State.SERVING
         self._closes = not request.keeps_alive
         exchange = self._handler.begin(self, request)
@@ -238,20 +378,24 @@
 
     def _finish(self) -> None:
         self._exchange = None
+        self._serving_bytes = 0
         if self._closes:
             self._linger()
             return
         self._state = _State.READING
-        self._connection.resume()
         # The calling exchange is still finishing, so the next request starts
         # in the loop's next turn.
         self._loop.call_after(0, self._continue)
 
     def _continue(self) -> None:
-        if self._state is _State.READING and self._exchange is None:
-            self._serve_next_after_answer()
-
-    def _serve_next_after_answer(self) -> None:
+        """Go on with the next request, once the caller reads its answers."""
+        if self._state is not _State.READING or self._exchange is not None:
+            return
+        if self._answers_are_behind:
+            self._start_timer(self._handler.limits.idle_timeout_s)
+            return
+        self._parse()
+        self._update_reading()
         if self._reader.requests or self._reader.problem is not None:
             self._serve_next()
         elif self._reader.is_reading_request:
@@ -259,6 +403,7 @@
         else:
             self._state = _State.IDLE
             self._start_timer(self._handler.limits.idle_timeout_s)
+        self._update_usage()
 
     def _reject(self, status: int) -> None:
         """Reject what is not a valid request, and close."""
@@ -267,17 +412,36 @@
             outcome=f'own {status}',
             reason=_REJECTION_REASONS[status],
         )
-        self._connection.write(http1.encode_head(status, (), 0, True))
+        self._send_rejection(status)
+
+    def _send_rejection(
+        self,
+        status: int,
+        retry_after_s: float | None = None,
+        attempt_id: ids.AttemptId | None = None,
+    ) -> None:
+        headers = requests.own_answer_headers(attempt_id, retry_after_s)
+        self._connection.write(http1.encode_head(status, headers, 0, True))
         self._linger()
 
     def _linger(self) -> None:
         self._state = _State.LINGERING
+        self._discard_unserved()
         self._start_timer(LINGER_S)
         if self._connection.unsent_bytes:
             self._start_timer(UNSENT_LINGER_S)
         else:
             self._connection.finish_writing()
 
+    def _discard_unserved(self) -> None:
+        """Free what was received and will not be served."""
+        self._reader.discard()
+        self._unparsed.clear()
+        self._unparsed_bytes = self._serving_bytes = 0
+        self._waits_for_room = False
+        self._update_reading()
+        self._update_usage()
+
     def _start_timer(self, duration_s: float) -> None:
         self._cancel_timer()
         self._timer = self._loop.call_after(duration_s, self._time_out)
@@ -312,6 +476,10 @@
             return
         self._state = _State.CLOSED
         self._cancel_timer()
+        self._reader.discard()
+        self._unparsed.clear()
+        if self._intake is not None:
+            self._intake.remove(self)
         self._connection.close()
         self._on_closed(self)
         exchange, self._exchange = self._exchange, None
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from guavachute.decide.ingress.intake import budget
 from guavachute.domain import call
 from guavachute.http import message
 
@@ -47,13 +48,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Request:
-    """A completely read request."""
+    """A completely read request.
+
+    :ivar held_bytes: what it costs in memory
+    """
 
     method: str
     target: bytes
     headers: list[call.Header]
     body: bytes
     keeps_alive: bool
+    held_bytes: int = 0
 
 
 class RequestReader:
@@ -78,6 +83,44 @@
         self._is_in_head = False
         self._is_in_body = False
         self._method = ''
+        self._objects_bytes = 0
+        self._queued_bytes = 0
+        self._length: int | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """What the requests cost in memory that it has and is reading."""
+        return (
+            self._queued_bytes
+            + self._head_bytes
+            + self._unended_bytes
+            + self._objects_bytes
+            + len(self._body)
+        )
+
+    @property
+    def remaining_bytes(self) -> int:
+        """How long the rest of the body is, at most; 0 in a head."""
+        if not self._is_in_body:
+            return 0
+        length = self.max_body_bytes if self._length is None else self._length
+        return max(0, length - len(self._body))
+
+    def take(self) -> Request:
+        """Remove the first complete request."""
+        request = self.requests.pop(0)
+        self._queued_bytes -= request.held_bytes
+        return request
+
+    def discard(self) -> None:
+        """Discard all requests; nothing is parsed any more."""
+        self.problem = self.problem or Problem.MALFORMED
+        self.requests.clear()
+        self._headers = []
+        self._body = bytearray()
+        self._target = b''
+        self._queued_bytes = self._objects_bytes = 0
+        self._head_bytes = self._unended_bytes = 0
 
     @property
     def is_reading_request(self) -> bool:
@@ -144,6 +187,8 @@
         self._headers = []
         self._body = bytearray()
         self._head_bytes = self._unended_bytes = 0
+        self._objects_bytes = budget.REQUEST_BYTES
+        self._length = 0
         self._is_in_head = True
 
     def on_url(self, data: bytes) -> None:
@@ -157,6 +202,7 @@
         if self._is_in_head:
             self._headers.append((name, value))
             self._head_bytes += len(name) + len(value) + 4
+            self._objects_bytes += budget.HEADER_BYTES
             self._unended_bytes = 0
             self._check_head()
 
@@ -174,8 +220,11 @@
             (v for n, v in self._headers if n.lower() == b'content-length'),
             b'0',
         )
-        if int(length) > self.max_body_bytes:
+        self._length = int(length)
+        if self._length > self.max_body_bytes:
             self.problem = Problem.BODY_TOO_LARGE
+        elif any(n.lower() == b'transfer-encoding' for n, _ in self._headers):
+            self._length = None
 
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
@@ -192,16 +241,21 @@
             return
         self._is_in_body = False
         if self.problem is None:
-            self.requests.append(
-                Request(
-                    method=self._method,
-                    target=self._target,
-                    headers=self._headers,
-                    body=bytes(self._body),
-                    keeps_alive=self._parser.should_keep_alive(),
-                )
+            request = Request(
+                method=self._method,
+                target=self._target,
+                headers=self._headers,
+                body=bytes(self._body),
+                keeps_alive=self._parser.should_keep_alive(),
+                held_bytes=(
+                    self._head_bytes + self._objects_bytes + len(self._body)
+                ),
             )
+            self.requests.append(request)
+            self._queued_bytes += request.held_bytes
+        self._headers = []
         self._body = bytearray()
+        self._head_bytes = self._objects_bytes = 0
 
 
 class Framing(enum.Enum):
--- /dev/null
+++ b/src/guavachute/entry/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out the bounds on what callers make the process hold."""
--- /dev/null
+++ b/src/guavachute/entry/intake/guard.py
@@ -0,0 +1,148 @@
+"""Keeps what callers hold within the budget of the process."""
+
+import typing
+
+from guavachute.decide.ingress.intake import budget
+from guavachute.entry import loop as entry_loop
+from guavachute.observe import journal
+from guavachute.observe import metrics as observe_metrics
+
+CHECK_PERIOD_S = 0.05
+"""Interval at which bodies that wait are given room."""
+
+LOG_PERIOD_S = 5.0
+"""The log says at most this often what was done; a client can cause many
+actions."""
+
+CLOSED_AT_ONCE = 64
+"""With too many connections, this part of their number is closed at a
+time, as finding them takes longer with many."""
+
+
+class Guarded(typing.Hashable, typing.Protocol):
+    """A connection of a caller."""
+
+    @property
+    def usage(self) -> budget.Usage:
+        """What it holds."""
+
+    def stop_reading(self) -> None:
+        """Leave what arrives to the operating system."""
+
+    def read_again(self) -> None:
+        """Read what arrives."""
+
+    def refuse_unread(self) -> None:
+        """Refuse what was not completely read, and close.
+
+        Also closes where the caller doesn't read its answer.
+        """
+
+    def give_way(self) -> None:
+        """Close at once, unless a request has begun."""
+
+
+class Guard:
+    """The connections of all callers of a process, and their budget."""
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        limits: budget.Limits,
+        metrics: observe_metrics.Metrics | None = None,
+    ) -> None:
+        self._loop = loop
+        self._limits = limits
+        self._budget: budget.Budget[Guarded] = budget.Budget(limits)
+        self._metrics = metrics
+        self._is_checking = False
+        self._is_acting = False
+        self._logged_s = -LOG_PERIOD_S
+        self._done: dict[str, int] = {}
+        if metrics is not None:
+            metrics.gauge(
+                'intake_held_bytes', lambda: self._budget.total_bytes
+            )
+            metrics.gauge('intake_limit_bytes', lambda: limits.held_bytes)
+
+    def add(self, connection: Guarded) -> None:
+        """Count a connection that was accepted."""
+        self._budget.record(connection, connection.usage, self._loop.now_s)
+        if not self._budget.excess_connections:
+            return
+        at_once = max(1, self._limits.connections // CLOSED_AT_ONCE)
+        for each in self._budget.to_close(at_once, connection):
+            self._count('intake_closed')
+            each.give_way()
+        if self._budget.excess_connections:
+            # All others are being served. The caller of this method has not
+            # finished with the connection.
+            self._count('intake_closed')
+            self._loop.call_after(0, connection.give_way)
+
+    def remove(self, connection: Guarded) -> None:
+        """Forget a connection that was closed."""
+        self._budget.remove(connection)
+
+    def update(self, connection: Guarded) -> None:
+        """Count what a connection holds now, and act if it is too much."""
+        if self._budget.record(connection, connection.usage, self._loop.now_s):
+            self._budget.mark_waiting(connection)
+            self._count('intake_waits')
+            connection.stop_reading()
+        if self._budget.is_over():
+            self._act()
+
+    def may_begin(self, connection: Guarded, extra_bytes: int) -> bool:
+        """Whether a request that was read has room to run."""
+        if self._budget.may_begin(connection, extra_bytes):
+            return True
+        self._count('intake_refused')
+        return False
+
+    def _act(self) -> None:
+        if self._is_acting:
+            return
+        self._is_acting = True
+        try:
+            self._carry_out()
+        finally:
+            self._is_acting = False
+
+    def _carry_out(self) -> None:
+        actions = self._budget.decide(
+            self._loop.now_s, not self._loop.is_catching_up
+        )
+        for each in actions.wait:
+            self._count('intake_waits')
+            each.stop_reading()
+        for each in actions.refuse:
+            self._count('intake_refused')
+            each.refuse_unread()
+        for each in actions.read:
+            each.read_again()
+        if self._budget.is_short and not self._is_checking:
+            self._is_checking = True
+            self._loop.call_after(CHECK_PERIOD_S, self._check)
+
+    def _check(self) -> None:
+        self._is_checking = False
+        self._act()
+
+    def _count(self, name: str) -> None:
+        """Count an action, and log what was done if that is due."""
+        if self._metrics is not None:
+            self._metrics.add(name)
+        self._done[name] = self._done.get(name, 0) + 1
+        if self._loop.now_s - self._logged_s >= LOG_PERIOD_S:
+            self._logged_s = self._loop.now_s
+            done, self._done = self._done, {}
+            journal.problem(
+                'intake',
+                outcome='short',
+                held_bytes=self._budget.total_bytes,
+                limit_bytes=self._limits.held_bytes,
+                connections=self._budget.connections,
+                max_connections=self._limits.connections,
+                **done,
+            )
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -41,6 +41,7 @@
     not call its owner again.
 
     :ivar unsent_bytes: the length of the queue in bytes
+    :ivar written_bytes: the length of all that was written
     :ivar owner: gets the callbacks; has to be set before the loop's next turn
     """
 
@@ -54,6 +55,7 @@
         self._unsent: collections.deque[memoryview] = collections.deque()
         self._events = 0
         self.unsent_bytes = 0
+        self.written_bytes = 0
         self.is_closed = False
         self.owner: Owner | None = None
         _set_options(sock)
@@ -68,6 +70,7 @@
         """Send *data*; queue what can't be sent yet."""
         if self.is_closed or not data:
             return
+        self.written_bytes += len(data)
         sent = 0
         if self._is_open and not self._unsent:
             result = self._send(data)
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -256,6 +256,16 @@
     return headers
 
 
+def attempt_id_of(
+    headers: typing.Sequence[call.Header],
+) -> ids.AttemptId | None:
+    """The attempt that a request states; None if it states none."""
+    for name, value in headers:
+        if name.lower() == ATTEMPT_ID:
+            return _attempt(value)
+    return None
+
+
 def _bad_request(detail: str) -> outcome.Failure:
     return outcome.Failure(outcome.Reason.BAD_REQUEST, detail)
 
--- a/src/guavachute/platform/settings.py
+++ b/src/guavachute/platform/settings.py
@@ -72,6 +72,8 @@
 
 class _Limits(_Fields, frozen=True):
     max_fds: int = 1024
+    # "memoryMb" is the memory of the VM; the smallest has 160 MB.
+    memory_mb: Positive = site.DEFAULT_MEMORY_BYTES / site.MEGABYTE
 
 
 class _Settings(_Fields, frozen=True):
@@ -183,6 +185,7 @@
         ),
         heartbeat_s=fields.heartbeat_ms / 1000,
         max_descriptors=fields.limits.max_fds,
+        memory_bytes=round(fields.limits.memory_mb * site.MEGABYTE),
     )
 
 
--- a/src/guavachute/standin/platform/settings.py
+++ b/src/guavachute/standin/platform/settings.py
@@ -21,7 +21,10 @@
         },
         'internalPorts': [listen.peers_port, listen.peers_port + 15],
         'seeds': list(node_site.seeds),
-        'limits': {'maxFds': node_site.max_descriptors},
+        'limits': {
+            'maxFds': node_site.max_descriptors,
+            'memoryMb': node_site.memory_bytes / site.MEGABYTE,
+        },
         'heartbeatMs': node_site.heartbeat_s * 1000,
         'platform': {
             'address': node_site.store.address,
