Bound what the callers of a router hold together

One thread reads the requests of all connections within the budget of the entry process, and a worker gets a connection only when its request is complete, so no caller occupies a worker. The budget is derived from the new settings memory_mb and max_descriptors. A JSON body counts with what its parsed values may cost; one that doesn't fit is refused with 503. Chunked bodies are measured without their chunk sizes, and one that is too large gets 413 instead of a broken connection.

--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -1,12 +1,14 @@
 """Assembles a router: the HTTP server, the relay and the table feed."""
 
 import contextlib
+import resource
 import threading
 import time
 import typing
 
 import msgspec
 
+from guavachute.decide.ingress.intake import budget
 from guavachute.decide.members import address_answer
 from guavachute.document import schema
 from guavachute.http import server
@@ -25,6 +27,7 @@
 from guavachute.services.relay import messages
 from guavachute.services.relay import task as relay_task
 from guavachute.services import replies
+from guavachute.services import request_cost
 from guavachute.services import table_feed
 from guavachute import settings
 from guavachute.wire import requests
@@ -33,6 +36,8 @@
 HAND_OVER_MARGIN_S = 2.0
 """Part of the drain limit that is reserved for handing callers over."""
 POLL_INTERVAL_S = 0.05
+MAX_DESCRIPTORS = 65_536
+"""Descriptors that are used where the operating system allows more."""
 
 _log = logs.logger('router')
 
@@ -49,6 +54,9 @@
         before its end are handed over
     :ivar news_delay_s: how long it takes until all routers know that
         this one is draining
+    :ivar memory_mb: the memory that the process may use
+    :ivar max_descriptors: limit on its open files; by default that of the
+        operating system
     """
 
     node: str
@@ -60,6 +68,8 @@
     reuse_port: bool = False
     drain_limit_s: settings.Seconds = 60.0
     news_delay_s: settings.Seconds = 4.0
+    memory_mb: settings.Megabytes = 512.0
+    max_descriptors: settings.Descriptors | None = None
     observe: settings.Observe = settings.Observe()
 
 
@@ -101,6 +111,12 @@
             router_settings.port,
             self.front.handle,
             reuse_port=router_settings.reuse_port,
+            limits=budget.limits(
+                round(router_settings.memory_mb * budget.MEGABYTE),
+                router_settings.max_descriptors or _descriptor_limit(),
+            ),
+            request_cost=request_cost.request_cost,
+            count=count.add,
         )
         self.server.format_errors(
             _error_body, 'application/json', _error_headers
@@ -212,11 +228,18 @@
         time.sleep(POLL_INTERVAL_S)
 
 
+def _descriptor_limit() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if soft < 0 else min(soft, MAX_DESCRIPTORS)
+
+
 def _error_body(status: int, detail: str) -> bytes:
-    code = outcome.Reason.BAD_REQUEST
+    code, kind = outcome.Reason.BAD_REQUEST, 'invalid_request_error'
     if status == 413:
         code = outcome.Reason.BODY_TOO_LARGE
-    error = replies.ErrorDetail(detail, 'invalid_request_error', code.value)
+    elif status == 503:
+        code, kind = outcome.Reason.NO_CAPACITY, 'server_error'
+    error = replies.ErrorDetail(detail, kind, code.value)
     return msgspec.json.encode(replies.ErrorBody(error))
 
 
--- /dev/null
+++ b/src/guavachute/http/intake.py
@@ -0,0 +1,543 @@
+"""Reads the requests of all connections in one thread, within a budget.
+
+A worker thread gets a connection when a whole request has been read, and so
+never waits for a caller. What all connections hold is bounded by
+:mod:`guavachute.decide.ingress.intake.budget`.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import io
+import selectors
+import socket
+import threading
+import time
+import typing
+
+import httptools
+
+from guavachute.decide.ingress.intake import budget
+from guavachute.observe import logs
+
+_log = logs.logger('intake')
+
+RECEIVE_BYTES = 65_536
+CHECK_PERIOD_S = 0.05
+"""Interval at which bodies that wait are given room."""
+
+WAIT_S = 0.5
+"""Longest wait of the thread, so that timeouts are noticed."""
+
+MAX_READ_S = 120.0
+"""A request has to be complete within this time, also byte by byte. A body of
+the default limit arrives in it at 0.6 Mbit/s."""
+
+MAX_CHUNK_OVERHEAD = 8
+"""Bytes that are read for each byte of a body. Chunks of one byte take six."""
+
+LINGER_S = 1.0
+"""After a refusal, bytes of the caller are discarded for this long. Closing at
+once could reset the connection before the caller has read the refusal."""
+
+LOG_PERIOD_S = 5.0
+"""The log says at most this often what was done; a client can cause many
+actions."""
+
+CLOSED_AT_ONCE = 64
+"""With too many connections, this part of their number is closed at a
+time, as finding them takes longer with many."""
+
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class _Received(io.RawIOBase):
+    """The bytes of requests that have been read already."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._data = memoryview(b'')
+
+    def fill(self, data: bytearray) -> None:
+        """Return *data* to the reader, and then the end of the file."""
+        self._data = memoryview(data)
+
+    def readable(self) -> bool:
+        """Whether it can be read, which it can."""
+        return True
+
+    def readinto(self, buffer: typing.Any) -> int:
+        """Copy the next bytes into *buffer*; 0 if there are no more."""
+        count = min(len(buffer), len(self._data))
+        buffer[:count] = self._data[:count]
+        self._data = self._data[count:] if count < len(self._data) else (
+            memoryview(b'')
+        )  # fmt: skip
+        return count
+
+
+class RequestFile(io.BufferedReader):
+    """What a worker thread reads of a connection.
+
+    :ivar bytes_read: not counted; cheroot expects it
+    """
+
+    bytes_read = 0
+
+    def __init__(self) -> None:
+        self._received = _Received()
+        super().__init__(self._received)
+
+    def fill(self, data: bytearray) -> None:
+        """Let a whole request be read."""
+        self._received.fill(data)
+
+    def has_data(self) -> bool:
+        """Whether cheroot should read the next request at once; never."""
+        return False
+
+
+class Connection(typing.Hashable, typing.Protocol):
+    """A connection of the HTTP server.
+
+    :ivar socket: not used by others while the intake reads
+    :ivar rfile: gets each whole request
+    """
+
+    socket: socket.socket
+    rfile: RequestFile
+
+    def close(self) -> None:
+        """Close it."""
+
+
+class _Framing:
+    """Finds the end of a request; the worker parses it again.
+
+    :ivar is_complete: whether it has ended, or can't be parsed
+    :ivar is_in_head: whether its head has not ended
+    :ivar length: of the body; None if the body is chunked
+    """
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self.is_complete = False
+        self.is_in_head = True
+        self.length: int | None = 0
+        self.body_bytes = 0
+        self.headers = 0
+        self.expects_continue = False
+        self._needed: int | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Parse the next bytes."""
+        if self._needed is not None:
+            self._needed -= len(data)
+            self.is_complete = self._needed <= 0
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            # Another protocol is not accepted, so a body follows.
+            self._needed = (self.length or 0) - len(data) + upgrade.args[0]
+            self.is_complete = self._needed <= 0
+        except httptools.HttpParserError:
+            self.is_complete = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: a header or a trailer."""
+        self.headers += 1
+        lower = name.lower()
+        if lower == b'content-length' and self.length is not None:
+            with contextlib.suppress(ValueError):
+                self.length = int(value)
+        elif lower == b'transfer-encoding':
+            self.length = None
+        elif lower == b'expect':
+            self.expects_continue = True
+
+    def on_headers_complete(self) -> None:
+        """Parser callback: the head is complete."""
+        self.is_in_head = False
+
+    def on_body(self, data: bytes) -> None:
+        """Parser callback: a part of the body."""
+        self.body_bytes += len(data)
+
+    def on_message_complete(self) -> None:
+        """Parser callback: the request is complete."""
+        if not self._parser.should_upgrade():
+            self.is_complete = True
+
+
+@dataclasses.dataclass(slots=True)
+class _Reading:
+    """A connection whose request is being read.
+
+    :ivar begun_s: when its first byte arrived; None before
+    :ivar heard_s: when its last byte arrived, or it was read again
+    """
+
+    connection: Connection
+    heard_s: float
+    begun_s: float | None = None
+    data: bytearray = dataclasses.field(default_factory=bytearray)
+    framing: _Framing = dataclasses.field(default_factory=_Framing)
+    received_bytes: int = 0
+    phase: budget.Phase = budget.Phase.IDLE
+    is_waiting: bool = False
+
+    def remaining_bytes(self, max_body_bytes: int) -> int:
+        """How much of the body is missing, at most."""
+        if self.framing.is_in_head:
+            return 0
+        length = self.framing.length
+        if length is None:
+            length = max_body_bytes
+        return max(0, length - self.framing.body_bytes)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """What an intake accepts.
+
+    :ivar body_cost: called with a whole request and a number of bytes;
+        returns what the request costs while it is served, or any larger
+        number if that exceeds the second argument
+    """
+
+    limits: budget.Limits
+    max_head_bytes: int
+    max_body_bytes: int
+    read_timeout_s: float
+    body_cost: typing.Callable[[bytearray, int], int]
+
+
+class Intake:
+    """Reads requests until each is complete, and hands it on.
+
+    Methods without another note may be called from any thread.
+
+    :param serve: called with a connection whose request was read
+    :param refusal: returns the answer with a status and a detail
+    :param count: increases a counter
+    :param failed: called if the thread ends by an error
+    """
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        serve: typing.Callable[[typing.Any], None],
+        refusal: typing.Callable[[int, str], bytes],
+        count: typing.Callable[[str], None],
+        failed: typing.Callable[[Exception], None],
+    ) -> None:
+        self._bounds = bounds
+        self._serve = serve
+        self._refusal = refusal
+        self._count_one = count
+        self._failed = failed
+        self._budget: budget.Budget[Connection] = budget.Budget(bounds.limits)
+        self._selector = selectors.DefaultSelector()
+        self._reading: dict[Connection, _Reading] = {}
+        self._added: collections.deque[Connection] = collections.deque()
+        self._closed: collections.deque[Connection] = collections.deque()
+        self._wake_out, self._wake_in = socket.socketpair()
+        self._wake_out.setblocking(False)
+        self._wake_in.setblocking(False)
+        self._selector.register(self._wake_out, selectors.EVENT_READ)
+        self._is_stopping = False
+        self._now_s = time.monotonic()
+        self._checked_s = self._now_s
+        self._turn_s = self._now_s
+        self._logged_s = -LOG_PERIOD_S
+        self._done: dict[str, int] = {}
+        self._thread = threading.Thread(target=self._run, name='intake')
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the connections that are being read, and end the thread."""
+        self._is_stopping = True
+        self._wake()
+        if self._thread.is_alive():
+            self._thread.join()
+        else:
+            self._release()
+
+    def add(self, connection: Connection) -> None:
+        """Read the next request of a connection."""
+        self._added.append(connection)
+        self._wake()
+
+    def forget(self, connection: Connection) -> None:
+        """No longer count a connection, which was closed."""
+        self._closed.append(connection)
+        self._wake()
+
+    def _wake(self) -> None:
+        # If the buffer is full or closed, the thread is awake or has ended.
+        with contextlib.suppress(OSError):
+            self._wake_in.send(b'.')
+
+    # -- the thread ----------------------------------------------------
+
+    def _run(self) -> None:
+        try:
+            while not self._is_stopping:
+                self._turn()
+        except Exception as error:
+            # Without this thread, the server would not serve anybody.
+            _log.exception('reading requests failed')
+            self._failed(error)
+        for connection in list(self._reading):
+            self._close(connection)
+        self._release()
+
+    def _release(self) -> None:
+        self._selector.close()
+        self._wake_out.close()
+        self._wake_in.close()
+
+    def _turn(self) -> None:
+        ready = self._selector.select(
+            CHECK_PERIOD_S if self._budget.is_short else WAIT_S
+        )
+        self._now_s = time.monotonic()
+        for key, _ in ready:
+            if key.data is None:
+                with contextlib.suppress(OSError):
+                    self._wake_out.recv(RECEIVE_BYTES)
+            elif key.data.connection in self._reading:
+                self._receive(key.data)
+        self._update_connections()
+        if self._budget.is_over() or (
+            self._budget.is_short
+            and self._now_s - self._checked_s >= CHECK_PERIOD_S
+        ):
+            self._act()
+        self._close_expired()
+
+    def _update_connections(self) -> None:
+        while self._closed:
+            self._budget.remove(self._closed.popleft())
+        while self._added:
+            self._begin(self._added.popleft())
+
+    def _begin(self, connection: Connection) -> None:
+        reading = _Reading(connection, self._now_s)
+        try:
+            # Bytes of the next request may have come with the last one.
+            early = connection.rfile.read()
+            self._selector.register(
+                connection.socket, selectors.EVENT_READ, reading
+            )
+        except (OSError, ValueError):
+            # It was closed meanwhile.
+            self._budget.remove(connection)
+            return
+        self._reading[connection] = reading
+        self._update(reading)
+        if self._budget.excess_connections:
+            at_once = max(1, self._bounds.limits.connections // CLOSED_AT_ONCE)
+            for each in self._budget.to_close(at_once, connection):
+                self._count('intake.closed')
+                self._close(each)
+            if self._budget.excess_connections:
+                self._count('intake.closed')
+                self._close(connection)
+                return
+        if early:
+            self._handle_data(reading, early)
+
+    def _receive(self, reading: _Reading) -> None:
+        try:
+            data = reading.connection.socket.recv(
+                RECEIVE_BYTES, socket.MSG_DONTWAIT
+            )
+        except (BlockingIOError, TimeoutError):
+            return
+        except OSError:
+            data = b''
+        if not data and reading.phase is budget.Phase.READING:
+            # The worker answers that the request is incomplete.
+            self._hand_over(reading)
+        elif not data:
+            self._close(reading.connection)
+        elif reading.phase is not budget.Phase.LINGERING:
+            self._handle_data(reading, data)
+
+    def _handle_data(self, reading: _Reading, data: bytes) -> None:
+        framing, bounds = reading.framing, self._bounds
+        reading.heard_s = self._now_s
+        if reading.begun_s is None:
+            reading.begun_s = self._now_s
+        reading.phase = budget.Phase.READING
+        reading.received_bytes += len(data)
+        reading.data += data
+        was_in_head = framing.is_in_head
+        framing.feed(data)
+        if framing.is_complete:
+            self._hand_over(reading)
+            return
+        if framing.is_in_head:
+            if len(reading.data) > bounds.max_head_bytes:
+                # The worker answers that the head is too large.
+                self._hand_over(reading)
+                return
+        elif (framing.length or 0) > bounds.max_body_bytes or (
+            framing.body_bytes > bounds.max_body_bytes
+        ):
+            self._refuse(reading, 413, 'Request Entity Too Large')
+            return
+        elif len(reading.data) > min(
+            MAX_CHUNK_OVERHEAD * bounds.max_body_bytes,
+            max(bounds.limits.held_bytes, 2 * bounds.max_body_bytes),
+        ):
+            # Tiny chunks, or chunk extensions without end.
+            self._count('intake.refused')
+            self._refuse(reading, 503, 'the chunks take too much memory')
+            return
+        elif was_in_head and framing.expects_continue:
+            with contextlib.suppress(OSError):
+                reading.connection.socket.send(CONTINUE, socket.MSG_DONTWAIT)
+        if self._update(reading):
+            self._budget.mark_waiting(reading.connection)
+            self._stop_reading(reading)
+
+    def _update(self, reading: _Reading) -> bool:
+        """Count what is held; whether the connection has to wait."""
+        return self._budget.record(
+            reading.connection,
+            budget.Usage(
+                reading.phase,
+                len(reading.data)
+                + budget.HEADER_BYTES * reading.framing.headers,
+                reading.remaining_bytes(self._bounds.max_body_bytes),
+                reading.received_bytes,
+            ),
+            self._now_s,
+        )
+
+    def _hand_over(self, reading: _Reading) -> None:
+        """Let a worker serve a request that was read."""
+        connection, data = reading.connection, reading.data
+        self._update(reading)
+        limit = self._bounds.limits.held_bytes
+        cost = self._bounds.body_cost(data, limit)
+        extra = max(0, cost - len(data))
+        if cost > limit or not self._budget.may_begin(connection, extra):
+            self._count('intake.refused')
+            self._refuse(
+                reading, 503, 'too little memory is free; send it again'
+            )
+            return
+        self._budget.record(
+            connection,
+            budget.Usage(budget.Phase.SERVING, cost),
+            self._now_s,
+        )
+        self._remove(reading)
+        connection.rfile.fill(data)
+        self._serve(connection)
+
+    def _refuse(self, reading: _Reading, status: int, detail: str) -> None:
+        """Answer that a request has not run, and close soon."""
+        if reading.is_waiting:
+            self._read_again(reading)
+        reading.data = bytearray()
+        reading.framing = _Framing()
+        reading.phase = budget.Phase.LINGERING
+        reading.heard_s = self._now_s
+        self._update(reading)
+        with contextlib.suppress(OSError):
+            reading.connection.socket.send(
+                self._refusal(status, detail), socket.MSG_DONTWAIT
+            )
+            reading.connection.socket.shutdown(socket.SHUT_WR)
+
+    def _stop_reading(self, reading: _Reading) -> None:
+        if not reading.is_waiting:
+            self._count('intake.waits')
+            reading.is_waiting = True
+            self._selector.unregister(reading.connection.socket)
+
+    def _read_again(self, reading: _Reading) -> None:
+        if reading.is_waiting:
+            reading.is_waiting = False
+            reading.heard_s = self._now_s
+            self._selector.register(
+                reading.connection.socket, selectors.EVENT_READ, reading
+            )
+
+    def _remove(self, reading: _Reading) -> None:
+        del self._reading[reading.connection]
+        if not reading.is_waiting:
+            self._selector.unregister(reading.connection.socket)
+
+    def _close(self, connection: Connection) -> None:
+        reading = self._reading.get(connection)
+        if reading is not None:
+            self._remove(reading)
+            self._budget.remove(connection)
+            with contextlib.suppress(OSError):
+                connection.close()
+
+    def _act(self) -> None:
+        # If the thread got no time, what has arrived was not read either.
+        stood_still = self._now_s - self._checked_s > WAIT_S + CHECK_PERIOD_S
+        self._checked_s = self._now_s
+        actions = self._budget.decide(self._now_s, not stood_still)
+        for each in actions.wait:
+            if each in self._reading:
+                self._stop_reading(self._reading[each])
+        for each in actions.refuse:
+            if each in self._reading:
+                self._count('intake.refused')
+                self._refuse(
+                    self._reading[each],
+                    503,
+                    'too little memory is free; send it again',
+                )
+        for each in actions.read:
+            if each in self._reading:
+                self._read_again(self._reading[each])
+
+    def _close_expired(self) -> None:
+        if self._now_s - self._turn_s < WAIT_S:
+            return
+        self._turn_s = self._now_s
+        timeout_s = self._bounds.read_timeout_s
+        for reading in list(self._reading.values()):
+            silent_s = self._now_s - reading.heard_s
+            if reading.phase is budget.Phase.LINGERING:
+                if silent_s >= LINGER_S:
+                    self._close(reading.connection)
+                continue
+            if reading.begun_s is None:
+                if silent_s >= timeout_s:
+                    self._close(reading.connection)
+                continue
+            limit_s = timeout_s if reading.framing.is_in_head else MAX_READ_S
+            if self._now_s - reading.begun_s >= limit_s or (
+                not reading.is_waiting and silent_s >= timeout_s
+            ):
+                self._refuse(reading, 408, 'Request Timeout')
+
+    def _count(self, name: str) -> None:
+        """Count an action, and log what was done if that is due."""
+        self._count_one(name)
+        self._done[name] = self._done.get(name, 0) + 1
+        if self._now_s - self._logged_s >= LOG_PERIOD_S:
+            self._logged_s = self._now_s
+            done, self._done = self._done, {}
+            _log.warning(
+                'callers hold {} of {} bytes and {} of {} connections: {}',
+                self._budget.total_bytes,
+                self._bounds.limits.held_bytes,
+                self._budget.connections,
+                self._bounds.limits.connections,
+                done,
+            )
--- a/src/guavachute/http/server.py
+++ b/src/guavachute/http/server.py
@@ -4,6 +4,9 @@
 a complete response, or detaches the connection, which frees the worker at
 once. A task then writes the response and returns the connection to
 cheroot for the next request.
+
+With limits on what callers may hold, :mod:`guavachute.http.intake` reads the
+requests, and a worker gets a connection only when its request is complete.
 """
 
 import contextlib
@@ -16,6 +19,8 @@
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 
+from guavachute.decide.ingress.intake import budget
+from guavachute.http import intake
 from guavachute.http import message
 from guavachute.kernel import task
 from guavachute.observe import logs
@@ -28,6 +33,12 @@
 LISTEN_BACKLOG = 1024
 WORKER_THREADS = 16
 STOP_TIMEOUT_S = 2
+SHORTAGE_RETRY_S = b'1'
+"""Retry-After of requests that are refused as the callers hold too much."""
+
+RequestCost = typing.Callable[[bytearray, int], int]
+"""What a whole request costs in memory while it is served. Any larger number
+may be returned if that exceeds the second argument."""
 
 ErrorBody = typing.Callable[[int, str], bytes]
 
@@ -37,6 +48,9 @@
 
     def __init__(self, server: typing.Any, *arguments: typing.Any) -> None:
         super().__init__(server, *arguments)
+        if server.reader is not None:
+            self.rfile.close()
+            self.rfile: typing.Any = intake.RequestFile()
         self._detached_threads: set[int] = set()
         with server.live_lock:
             server.live_connections.add(self)
@@ -56,6 +70,8 @@
             self._detached_threads.discard(threading.get_ident())
             return
         super().close()
+        if self.server.reader is not None:
+            self.server.reader.forget(self)
 
 
 class DetachedConnection:
@@ -196,6 +212,7 @@
 
 class _CherootServer(cheroot_server.HTTPServer):
     ConnectionClass = Connection
+    reader: intake.Intake | None = None
     _connections: typing.Any
     live_connections: weakref.WeakSet[Connection]
     live_lock: threading.Lock
@@ -219,6 +236,44 @@
                 ).close()
         super().stop()
 
+    def process_conn(self, conn: Connection) -> None:
+        """Read a request of a connection that was accepted or is readable."""
+        if self.reader is None:
+            super().process_conn(conn)
+        else:
+            self.reader.add(conn)
+
+    def put_conn(self, conn: Connection) -> None:
+        """Read the next request of a connection."""
+        if self.reader is None or not self.ready:
+            super().put_conn(conn)
+        else:
+            self.reader.add(conn)
+
+    def serve_read(self, conn: Connection) -> None:
+        """Let a worker serve a request that was completely read."""
+        super().process_conn(conn)
+
+    def end_with(self, error: Exception) -> None:
+        """Stop, as the thread that reads requests has failed."""
+        self.interrupt: typing.Any = error
+
+    def refusal(self, status: int, detail: str) -> bytes:
+        """The answer to a request that is not served."""
+        body = self.error_body(status, detail)
+        phrase = http.HTTPStatus(status).phrase
+        headers = [
+            (b'Content-Type', self.error_content_type.encode()),
+            (b'Content-Length', str(len(body)).encode()),
+            (b'Connection', b'close'),
+            *self.error_headers(),
+        ]
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append((b'Retry-After', SHORTAGE_RETRY_S))
+        lines = [f'HTTP/1.1 {status} {phrase}'.encode()]
+        lines += [b'%s: %s' % header for header in headers]
+        return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+
     def error_log(
         self, msg: str = '', level: int = 20, traceback: bool = False
     ) -> None:
@@ -241,6 +296,9 @@
     :param threads: number of worker threads
     :param max_body_bytes: a larger body gets status 413
     :param read_timeout_s: timeout of each read, and of idle connections
+    :param limits: what all callers together may hold; None without limits
+    :param request_cost: with *limits*, estimates what a request costs
+    :param count: with *limits*, increases a counter
     """
 
     def __init__(
@@ -254,6 +312,9 @@
         threads: int = WORKER_THREADS,
         max_body_bytes: int = MAX_BODY_BYTES,
         read_timeout_s: int = READ_TIMEOUT_S,
+        limits: budget.Limits | None = None,
+        request_cost: RequestCost = lambda data, limit: 2 * len(data),
+        count: typing.Callable[[str], None] = lambda name: None,
     ) -> None:
         super().__init__(name)
         self._server = _CherootServer(
@@ -271,6 +332,22 @@
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
         self._server.shutdown_timeout = STOP_TIMEOUT_S
+        if limits is not None:
+            # The intake bounds bodies; cheroot would count chunk sizes too.
+            self._server.max_request_body_size = 0
+            self._server.reader = intake.Intake(
+                intake.Bounds(
+                    limits,
+                    MAX_HEADER_BYTES,
+                    max_body_bytes,
+                    read_timeout_s,
+                    request_cost,
+                ),
+                self._server.serve_read,
+                self._server.refusal,
+                count,
+                self._server.end_with,
+            )
         self._server.prepare()
 
     def format_errors(
@@ -305,11 +382,15 @@
 
     def run(self) -> None:
         """Serve until stopped."""
+        if self._server.reader is not None:
+            self._server.reader.start()
         self._server.serve()
 
     def request_stop(self) -> None:
         """Stop listening; requests in worker threads are finished."""
         super().request_stop()
+        if self._server.reader is not None:
+            self._server.reader.stop()
         self._server.stop()
 
     def abort(self) -> None:
--- a/src/guavachute/settings.py
+++ b/src/guavachute/settings.py
@@ -21,6 +21,8 @@
     str, msgspec.Meta(pattern=r'^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$')
 ]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0)]
+Megabytes = typing.Annotated[float, msgspec.Meta(gt=0)]
+Descriptors = typing.Annotated[int, msgspec.Meta(gt=0)]
 LogLevel = typing.Literal['debug', 'info', 'notice', 'warning', 'error']
 
 
