--- a/src/guavachute/domain/site.py
+++ b/src/guavachute/domain/site.py
@@ -26,6 +26,11 @@
     :ivar usage_window_s: length of a usage window
     :ivar usage_delay_s: usage is due this long after its window's end
     :ivar address_ttl_max_s: longest time for which callers keep addresses
+    :ivar canary_share: share of a service's requests during a roll-out that
+        may be sent to a bad version, over all nodes
+    :ivar canary_allowance: requests beyond that share
+    :ivar rollback_s: no request is sent to a bad version later than this after
+        its 50th bad response
     """
 
     drain_s: float
@@ -41,6 +46,9 @@
     usage_window_s: float
     usage_delay_s: float
     address_ttl_max_s: float
+    canary_share: float = 0.1
+    canary_allowance: float = 50.0
+    rollback_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/guavachute/platform/endpoints.py
+++ b/src/guavachute/platform/endpoints.py
@@ -81,7 +81,7 @@
         is_reclaimable=entry.spot,
         leaves_in_s=_seconds(entry.leaves_ms),
         writes=entry.sequence,
-        build=_build(entry.version),
+        build=build(entry.version),
     )
 
 
@@ -107,8 +107,8 @@
     return None if milliseconds is None else milliseconds / 1000
 
 
-def _build(version: typing.Any) -> ids.BuildName:
-    """The build that an entry names; empty if it names none."""
+def build(version: typing.Any) -> ids.BuildName:
+    """The build that a version names; empty if it names none."""
     if isinstance(version, bool) or not isinstance(version, str | int | float):
         return ids.BuildName('')
     if isinstance(version, int) and abs(version) > untrusted.MAX_INTEGER:
--- a/src/guavachute/platform/settings.py
+++ b/src/guavachute/platform/settings.py
@@ -54,6 +54,9 @@
     usage_window_s: Positive = msgspec.field(default=5, name='usageWindowS')
     usage_delay_s: Positive = msgspec.field(default=10, name='usageDelayS')
     ttl_max_s: Positive = msgspec.field(default=5, name='ttl_max_s')
+    canary_share: NotNegative = 0.1
+    canary_allowance: NotNegative = 50
+    rollback_ms: Positive = 5000
 
 
 class _Store(_Fields, frozen=True):
@@ -174,6 +177,9 @@
             usage_window_s=bounds.usage_window_s,
             usage_delay_s=bounds.usage_delay_s,
             address_ttl_max_s=bounds.ttl_max_s,
+            canary_share=bounds.canary_share,
+            canary_allowance=bounds.canary_allowance,
+            rollback_s=bounds.rollback_ms / 1000,
         ),
         seeds=tuple(
             ids.Address(
