--- /dev/null
+++ b/src/guavachute/decide/ingress/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Decides about roll-outs that the operator requests."""
