--- a/src/guavachute/decide/ingress/rollouts/plan.py
+++ b/src/guavachute/decide/ingress/rollouts/plan.py
@@ -94,6 +94,8 @@
 
 FULL_RESULTS = 10
 
+NO_OTHER_VERSION = 'there is no endpoint of another version'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Situation:
@@ -158,14 +160,27 @@
     return _STEPS[record.step](record, now, bounds)
 
 
+def first_record(
+    record: rollout_record.Record, old_endpoints: int, target_endpoints: int
+) -> rollout_record.Record:
+    """The first record, or the last step where there is nothing to replace.
+
+    :param record: as :func:`rollout_record.first` gives it
+    """
+    if old_endpoints or not target_endpoints:
+        return record
+    return dataclasses.replace(
+        record, step=Step.CLOSING, share=1.0, reason=NO_OTHER_VERSION
+    )
+
+
 def _after_hold(
     record: rollout_record.Record, now: Situation, bounds: site.Bounds
 ) -> rollout_record.Record | None:
     if not now.target_endpoints:
         return None
     if not now.old_endpoints:
-        reason = 'there is no endpoint of another version'
-        return _changed(record, now, Step.CLOSING, 1.0, reason)
+        return _changed(record, now, Step.CLOSING, 1.0, NO_OTHER_VERSION)
     waited_s = now.true_s - record.begun_s
     timed = sum(counts.timed for counts in now.totals.values())
     longest_s = min(BASELINE_S, 0.1 * record.duration_s)
--- a/src/guavachute/decide/ingress/rollouts/results.py
+++ b/src/guavachute/decide/ingress/rollouts/results.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import math
+import operator
 import typing
 
 from guavachute.decide.fleet import rollout
@@ -83,18 +84,6 @@
 
 def add(parts: typing.Iterable[ByRoute]) -> dict[RouteName, Counts]:
     """The sums by route."""
-    return _combine(parts, lambda one, other: one + other)
-
-
-def latest(parts: typing.Iterable[ByRoute]) -> dict[RouteName, Counts]:
-    """The greatest counts by route, of counts that one source has told."""
-    return _combine(parts, max)
-
-
-def _combine(
-    parts: typing.Iterable[ByRoute],
-    combine: typing.Callable[[int, int], int],
-) -> dict[RouteName, Counts]:
     found: dict[RouteName, Counts] = {}
     for part in parts:
         for route, counts in part.items():
@@ -102,7 +91,9 @@
             found[route] = (
                 counts
                 if before is None
-                else Counts(*map(combine, before.values(), counts.values()))
+                else Counts(
+                    *map(operator.add, before.values(), counts.values())
+                )
             )
     return found
 
--- a/src/guavachute/decide/ingress/rollouts/selection.py
+++ b/src/guavachute/decide/ingress/rollouts/selection.py
@@ -102,7 +102,8 @@
     keeps them.
     """
     withheld = frozenset(rollout_record.first(request, record, 0.0).withheld)
-    has_requests = record.step < Step.FULL and request.target in record.old
+    is_undone = record.step < Step.FULL or record.step is Step.ROLLED_BACK
+    has_requests = is_undone and request.target in record.old
     target = ids.BuildName('') if has_requests else request.target
     return Rule(request.id, target, withheld)
 
--- a/src/guavachute/entry/duty.py
+++ b/src/guavachute/entry/duty.py
@@ -62,7 +62,8 @@
     :param true_time_s: gives the Unix time that the nodes agree on
     :param last_update_times_s: gives the Unix time of the latest update of
         each other node
-    :param task: what the holder does besides usage reports; None if nothing
+    :param tasks: what the holder does besides usage reports; those that are
+        None are left out
     """
 
     def __init__(
@@ -75,7 +76,7 @@
         totals: typing.Callable[[int], usage.Counts],
         true_time_s: typing.Callable[[], float],
         last_update_times_s: typing.Callable[[], list[float]],
-        task: DutyTask | None,
+        *tasks: DutyTask | None,
     ) -> None:
         self._loop = loop
         self._site = site
@@ -84,7 +85,7 @@
         self._totals = totals
         self._true_time_s = true_time_s
         self._last_update_times_s = last_update_times_s
-        self._task = task
+        self._tasks = [task for task in tasks if task is not None]
         self._expects_usage = cloud_site.expects_usage
         self._cloud = control_client.Client(loop, cloud_site.address)
         self._contender = lease.Contender(
@@ -228,6 +229,48 @@
         )
         return True
 
+    def append(
+        self,
+        key: str,
+        value: typing.Callable[[int], bytes],
+        done: control_client.Done,
+    ) -> bool:
+        """Append a record to the own topic, if the lease is held now.
+
+        It is appended only if nobody has appended anything that this node
+        doesn't know, so also no record of another holder. Returns whether it
+        was sent; *done* is called only then. Whatever the reply is, the
+        records in the topic decide.
+
+        :param value: gives the value of the record for a fencing token
+        """
+        held = self._held()
+        if (
+            held is None
+            or self._is_writing
+            or self._follower.end_offset is None
+            or self._follower.lost_since_s is not None
+        ):
+            return False
+        self._is_writing = True
+
+        def handle_reply(
+            reply: control_client.Reply | control_client.CallFailure,
+        ) -> None:
+            self._is_writing = False
+            done(reply)
+            self._follower.read_now()
+
+        store_writer.append(
+            self._client,
+            self._follower.topic,
+            store.KeyedRecord(key, value(held.fencing_number + 1)),
+            self._follower.end_offset,
+            handle_reply,
+            WRITE_TIMEOUT_S,
+        )
+        return True
+
     def _held(self) -> lease.Held | None:
         return lease.held(self._contender, self._loop.now_s)
 
@@ -241,8 +284,8 @@
         now_s = self._loop.now_s
         if held is not None:
             self._report_usage()
-            if self._task is not None:
-                self._task.run(self)
+            for task in self._tasks:
+                task.run(self)
         is_due = now_s >= lease.next_action_s(self._contender)
         can_write = (
             (self._is_contending or held is not None)
--- /dev/null
+++ b/src/guavachute/entry/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out the roll-outs that the operator requests."""
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -88,6 +88,41 @@
     position: ids.LogPosition
 
 
+class RolloutNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What a node, or the nodes of a region, know of one roll-out.
+
+    :ivar request_id: of the operator's request
+    :ivar request_position: of the request in its topic
+    :ivar duration_s: how long the roll-out may take
+    :ivar record: the latest known record, encoded; empty if there is none
+    :ivar record_position: of that record in its topic
+    :ivar proof_ds: how long ago it was certainly the latest one, in tenths of
+        a second, rounded up; None without proof
+    :ivar bad: why the sender has found the target bad; empty if it hasn't
+    :ivar requests: requests to the service since the request
+    :ivar sent: those that were sent to the target
+    :ivar old_running: requests that run at endpoints of other versions
+    :ivar behind: how many nodes of the region don't know *record*
+    :ivar routes: by route, the counts of
+        :class:`guavachute.decide.ingress.rollouts.results.Counts`
+    """
+
+    service: ids.ServiceName
+    request_id: str
+    request_position: ids.LogPosition
+    target: ids.BuildName
+    duration_s: untrusted.Number
+    record: bytes = b''
+    record_position: ids.LogPosition = log_position.NO_POSITION
+    proof_ds: int | None = None
+    bad: str = ''
+    requests: untrusted.Integer = 0
+    sent: untrusted.Integer = 0
+    old_running: untrusted.Count = 0
+    behind: untrusted.Count = 0
+    routes: dict[str, list[int]] = {}
+
+
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load that a node's callers offer to a service."""
 
@@ -122,6 +157,8 @@
         a second; those heard lately
     :ivar unproven: services for which a node of the region has fallen silent
         that may have streams to list; None if the reader doesn't tell
+    :ivar rollouts: roll-outs that the operator requests, with the counts of
+        all nodes of the region
     """
 
     region: str
@@ -144,6 +181,7 @@
     relays: list[tuple[str, Address, str]] = []
     heard: dict[ids.EndpointId, int] = {}
     unproven: list[ids.ServiceName] | None = None
+    rollouts: list[RolloutNotice] = []
 
 
 class NodeUpdate(msgspec.Struct, frozen=True, array_like=True, tag='node'):
@@ -191,6 +229,8 @@
         tenths of a second, rounded up; None if it doesn't tell
     :ivar endpoints_position: it knows all entries before this position;
         negative if it doesn't tell
+    :ivar rollouts: roll-outs that the operator requests, with the counts of
+        the node
     """
 
     node: str
@@ -223,6 +263,7 @@
     reaches_endpoints: bool = True
     endpoints_age_ds: int | None = None
     endpoints_position: ids.LogPosition = log_position.NO_POSITION
+    rollouts: list[RolloutNotice] = []
 
 
 Update = NodeUpdate | RegionUpdate
@@ -277,6 +318,36 @@
     is_settled: bool = False
 
 
+class RolloutRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The record in the store of one service's roll-out.
+
+    :ivar step: see :class:`guavachute.decide.ingress.rollouts.record.Step`
+    :ivar begun_s: when the request was first seen, as Unix time
+    :ivar changed_s: when the step was recorded, as Unix time
+    :ivar share: part of the requests that the target gets
+    :ivar withheld: other versions that get no requests
+    :ivar old: the versions that the target replaces
+    :ivar requests: requests to the service until then
+    :ivar sent: those that were sent to the target
+    :ivar fence: the fencing token of the holder that wrote it
+    """
+
+    request_id: str
+    request_position: ids.LogPosition
+    target: ids.BuildName
+    duration_s: untrusted.Number
+    begun_s: untrusted.Number
+    changed_s: untrusted.Number
+    step: typing.Annotated[int, msgspec.Meta(ge=0, le=7)]
+    share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
+    withheld: list[ids.BuildName] = []
+    old: list[ids.BuildName] = []
+    requests: untrusted.Integer = 0
+    sent: untrusted.Integer = 0
+    reason: str = ''
+    fence: int = 0
+
+
 class StreamsRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Streams that began lately, by the build that began them.
 
@@ -384,6 +455,11 @@
     return _decode(data, BuildsRecord)
 
 
+def decode_rollout(data: bytes) -> RolloutRecord | outcome.Failure:
+    """Decode the record of a service's roll-out."""
+    return _decode(data, RolloutRecord)
+
+
 def decode_streams(data: bytes) -> StreamsRecord | outcome.Failure:
     """Decode a record of streams."""
     return _decode(data, StreamsRecord)
