Wire roll-outs into requests, updates and the node

Each dispatch asks for the endpoints that the service's roll-out allows, and each response is counted. Without a request on record the choice is as before.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -150,9 +150,7 @@
             return
         if not self._finds_build(now_s):
             return
-        records = self._owner.registry.usable(
-            self.service, self._tried_endpoints, now_s, self.build
-        )
+        records = self._owner.usable(self, self._tried_endpoints)
         chosen = self._choose(records, now_s)
         if chosen is None:
             self._await_endpoint(now_s)
@@ -382,9 +380,7 @@
         now_s = self._owner.loop.now_s
         records = [
             item
-            for item in self._owner.registry.usable(
-                self.service, {record.entry.id}, now_s, self.build
-            )
+            for item in self._owner.usable(self, {record.entry.id})
             if not item.is_leaving
         ]
         chosen = self._choose(records, now_s)
@@ -599,6 +595,7 @@
 
     def _record_success(self) -> None:
         assert self._record is not None
+        self._owner.handle_result(self, self._record, False, self._begun_s)
         self._record.health.record_success(
             self._owner.loop.now_s,
             is_direct=isinstance(self._connection, upstream.Connection),
@@ -667,6 +664,7 @@
             self._head, bytes(self._buffered), self._is_framed
         )
         if answer.head.status >= 500:
+            self._owner.handle_result(self, self._record, True, None)
             self._record.health.record_failure(self._owner.loop.now_s)
             self._release_endpoint(keeps_alive)
             self._last_error = answer
@@ -711,6 +709,7 @@
         assert self._record is not None
         self._may_have_run = True
         if not self._owner.registry.has_broken_link(self._record):
+            self._owner.handle_result(self, self._record, True, None)
             self._record.health.record_failure(self._owner.loop.now_s)
         if not self._is_stream:
             self._report_start()
@@ -783,6 +782,7 @@
             return
         record = self._record
         assert record is not None
+        self._owner.handle_released(self)
         record.record_ended(self._owner.loop.now_s - self._sent_s)
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
--- a/src/guavachute/entry/exchange_owner.py
+++ b/src/guavachute/entry/exchange_owner.py
@@ -22,6 +22,28 @@
     loop: entry_loop.Loop
     registry: endpoint_registry.EndpointRegistry
 
+    def usable(
+        self,
+        exchange: 'exchange.Exchange',
+        excluded: typing.Container[ids.EndpointId],
+    ) -> list[endpoint_registry.EndpointRecord]:
+        """The endpoints that the request may be sent to now."""
+
+    def handle_result(
+        self,
+        exchange: 'exchange.Exchange',
+        record: endpoint_registry.EndpointRecord,
+        has_failed: bool,
+        begun_s: float | None,
+    ) -> None:
+        """The endpoint of *record* has responded, or failed to.
+
+        :param begun_s: loop time of the first event; None if there is none
+        """
+
+    def handle_released(self, exchange: 'exchange.Exchange') -> None:
+        """No endpoint has the request any more; after any result."""
+
     def connect(
         self,
         exchange: 'exchange.Exchange',
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -27,6 +27,7 @@
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import relay_client
 from guavachute.entry import relay_peers
+from guavachute.entry.rollouts import tracker
 from guavachute.entry import stream_builds
 from guavachute.entry import transport
 from guavachute import ids
@@ -98,6 +99,7 @@
         suspects: part_suspects.PartSuspects,
         builds: stream_builds.StreamBuilds,
         relays: relay_peers.RelayPeers,
+        rollouts: tracker.Rollouts,
         on_run_started: typing.Callable[[ids.WorkspaceName], None],
     ) -> None:
         self.loop = loop
@@ -119,6 +121,9 @@
         self._metrics = metrics
         self._suspects = suspects
         self._builds = builds
+        self._rollouts = rollouts
+        self.handle_result = rollouts.handle_result
+        self.handle_released = rollouts.handle_released
         self._on_run_started = on_run_started
         self.admission = gate.Gate(loop, site, state, peers, metrics)
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
@@ -306,6 +311,17 @@
             self._budget(service).record_request(now_s)
         return started
 
+    def usable(
+        self,
+        started: exchange.Exchange,
+        excluded: typing.Container[ids.EndpointId],
+    ) -> list[endpoint_registry.EndpointRecord]:
+        """The endpoints that a request may be sent to now."""
+        records = self.registry.usable(
+            started.service, excluded, self.loop.now_s, started.build
+        )
+        return self._rollouts.select(started, records)
+
     def connect(
         self,
         started: exchange.Exchange,
@@ -338,6 +354,7 @@
     ) -> None:
         """Record the tokens that an engine has to process for a request."""
         self._suspects.handle_sent(started.call)
+        self._rollouts.handle_sent(started, record)
         call, service, now_s = started.call, started.service, self.loop.now_s
         self.registry.record_sent(record, now_s)
         if call.tokens is None:
@@ -461,6 +478,7 @@
         """Record a request whose connection to an endpoint broke."""
         self._lost_attempts.append((self.loop.now_s, record, started))
         self._suspects.handle_lost(started.call, record, started.is_proven)
+        self._rollouts.handle_lost(started)
 
     def handle_announcement(
         self,
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -31,6 +31,8 @@
 from guavachute.entry import region_sums
 from guavachute.entry import relay_peers
 from guavachute.entry import report_watch
+from guavachute.entry.rollouts import driver as rollout_driver
+from guavachute.entry.rollouts import tracker
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import store_client
 from guavachute.entry import store_writer
@@ -174,6 +176,16 @@
             lambda: self.state.table.entries,
             lambda: self.state.configuration,
         )
+        self.rollouts = tracker.Rollouts(
+            loop,
+            site,
+            self.state,
+            self.registry,
+            self.peers,
+            self.metrics,
+            lambda: (self._operator, self._nodes),
+            lambda: self.duty is not None and self.duty.is_held,
+        )
         self.registry.entries_age_s = lambda: self._copy_age.age_s(loop.now_s)
         self.registry.is_build_awaited = self._builds.is_awaited
         self.ingress = entry_ingress.Ingress(
@@ -186,6 +198,7 @@
             self._suspects,
             self._builds,
             self._relays,
+            self.rollouts,
             self.usage.record_run,
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
@@ -193,7 +206,7 @@
         self._suspects.store = self._store
         self._operator = self._follow(
             platform_configuration.TOPIC,
-            self.state.fold_operator,
+            self._fold_operator,
             wait_s=READER_WAIT_S,
         )
         self._endpoints = self._follow(
@@ -230,8 +243,18 @@
                 )
                 if site.cloud.expects_orders
                 else None,
+                rollout_driver.RolloutDuty(
+                    loop,
+                    site,
+                    self._store,
+                    self.state,
+                    self.registry,
+                    self.rollouts,
+                    self.peers.table.true_time_s,
+                ),
             )
         self.state.on_changed = self._schedule_update
+        self.rollouts.on_changed = self._schedule_update
         self.state.on_unproven = lambda: self._endpoints.read_after(
             CONFIRM_AFTER_S
         )
@@ -280,6 +303,7 @@
         self._reports.start()
         self.ingress.paths.start()
         self._builds.start()
+        self.rollouts.start()
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._run_housekeeping)
         self.loop.every(STATE_CHECK_S, self._catch_up.check)
@@ -411,6 +435,12 @@
         )
         self._broadcast_update()
 
+    def _fold_operator(
+        self, record: store.KeyedRecord, is_snapshot: bool
+    ) -> None:
+        self.state.fold_operator(record, is_snapshot)
+        self.rollouts.fold_operator(record)
+
     def _fold_own_topic(
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
@@ -424,6 +454,9 @@
         if record.key.startswith(stream_builds.KEY_PREFIX):
             self._builds.fold(record)
             return
+        if record.key.startswith(tracker.KEY_PREFIX):
+            self.rollouts.fold(record)
+            return
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
         if record.value is None:
@@ -541,6 +574,7 @@
             reaches_endpoints=not self.registry.links.is_cut,
             endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
             endpoints_position=self.state.endpoints_position,
+            rollouts=self.rollouts.notices(),
         )
 
     def region_update(
@@ -589,6 +623,7 @@
             relays=self._relays.told_helpers(),
             heard=self._relays.told_endpoints(self.registry.heard()),
             unproven=self._builds.unproven(),
+            rollouts=self.rollouts.region_notices(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -611,6 +646,7 @@
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
         self._builds.merge_node_update(source, update)
+        self.rollouts.merge_node_update(update)
         self._catch_up.check_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
@@ -630,6 +666,7 @@
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
         self._builds.merge_region_update(update)
+        self.rollouts.merge_region_update(update)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 import typing
+import weakref
 
 from guavachute.decide.ingress.rollouts import record as rollout_record
 from guavachute.decide.ingress.rollouts import results
@@ -24,6 +25,7 @@
 from guavachute.entry import peers as entry_peers
 from guavachute.entry.rollouts import codec
 from guavachute.entry.rollouts import counts as rollout_counts
+from guavachute.entry import topic_follower
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
@@ -157,9 +159,8 @@
 class Rollouts:
     """The roll-outs that this node knows, by service.
 
-    :param own_topic_confirmed_s: gives when the latest read of the system's
-        own topic began that brought all records
-    :param has_read: gives whether both topics were read since the start
+    :param topics: gives the followers of the operator's topic and of the
+        system's own
     :param holds_duty: gives whether this node holds the lease of the duties
     """
 
@@ -171,8 +172,10 @@
         registry: endpoint_registry.EndpointRegistry,
         peers: entry_peers.Peers,
         metrics: observe_metrics.Metrics,
-        own_topic_confirmed_s: typing.Callable[[], float],
-        has_read: typing.Callable[[], bool],
+        topics: typing.Callable[
+            [],
+            tuple[topic_follower.TopicFollower, topic_follower.TopicFollower],
+        ],
         holds_duty: typing.Callable[[], bool],
     ) -> None:
         self._loop = loop
@@ -181,12 +184,13 @@
         self._registry = registry
         self._peers = peers
         self._metrics = metrics
-        self._confirmed_s = own_topic_confirmed_s
-        self._has_read = has_read
+        self._topics = topics
         self._is_informed = False
         self._holds_duty = holds_duty
         self._rollouts: dict[ids.ServiceName, Rollout] = {}
         self._open: dict[exchange.Exchange, Open] = {}
+        self._requested: weakref.WeakSet[exchange.Exchange]
+        self._requested = weakref.WeakSet()
         self._lost: list[_Lost] = []
         self._delays: dict[str, tuple[int, update_delay.UpdateDelay]] = {}
         self.on_changed: typing.Callable[[], None] = lambda: None
@@ -370,7 +374,9 @@
         """Whether a roll-out of *service* may exist that is not known yet."""
         if self._is_informed:
             return False
-        self._is_informed = self._has_read()
+        self._is_informed = all(
+            math.isfinite(follower.confirmed_s) for follower in self._topics()
+        )
         if self._is_informed:
             return False
         builds = {
@@ -434,7 +440,8 @@
                 # Nobody else can write one.
                 rollout.proven_s = now_s
             if rollout.stored_position == record.position:
-                rollout.proven_s = max(rollout.proven_s, self._confirmed_s())
+                _, own_topic = self._topics()
+                rollout.proven_s = max(rollout.proven_s, own_topic.confirmed_s)
         return now_s - rollout.proven_s
 
     # -- requests and responses ----------------------------------------
@@ -449,9 +456,9 @@
         if rollout is None or not rollout.is_running:
             return
         is_new = record.entry.build == rollout.target
-        rollout.counts.requests += (
-            started.attempts == 1 and started.first_byte_s is None
-        )
+        if started not in self._requested:
+            self._requested.add(started)
+            rollout.counts.requests += 1
         rollout.counts.sent += is_new
         if len(self._open) < MAX_OPEN:
             self._open[started] = Open(
