--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -32,6 +32,8 @@
 from guavachute.entry import region_sums
 from guavachute.entry import relay_peers
 from guavachute.entry import report_watch
+from guavachute.entry.rollouts import driver as rollout_driver
+from guavachute.entry.rollouts import tracker
 from guavachute.entry import scaler as entry_scaler
 from guavachute.entry import store_client
 from guavachute.entry import store_writer
@@ -188,6 +190,16 @@
             lambda: self.state.table.entries,
             lambda: self.state.configuration,
         )
+        self.rollouts = tracker.Rollouts(
+            loop,
+            site,
+            self.state,
+            self.registry,
+            self.peers,
+            self.metrics,
+            lambda: (self._operator, self._nodes),
+            lambda: self.duty is not None and self.duty.is_held,
+        )
         self.registry.entries_age_s = lambda: self._copy_age.age_s(loop.now_s)
         self.registry.is_build_awaited = self._builds.is_awaited
         self.ingress = entry_ingress.Ingress(
@@ -200,6 +212,7 @@
             self._suspects,
             self._builds,
             self._relays,
+            self.rollouts,
             self.usage.record_run,
         )
         self.registry.on_died = self.ingress.handle_endpoint_death
@@ -207,7 +220,7 @@
         self._suspects.store = self._store
         self._operator = self._follow(
             platform_configuration.TOPIC,
-            self.state.fold_operator,
+            self._fold_operator,
             wait_s=READER_WAIT_S,
         )
         self._endpoints = self._follow(
@@ -244,8 +257,18 @@
                 )
                 if site.cloud.expects_orders
                 else None,
+                rollout_driver.RolloutDuty(
+                    loop,
+                    site,
+                    self._store,
+                    self.state,
+                    self.registry,
+                    self.rollouts,
+                    self.peers.table.true_time_s,
+                ),
             )
         self.state.on_changed = self._schedule_update
+        self.rollouts.on_changed = self._schedule_update
         self.state.on_unproven = lambda: self._endpoints.read_after(
             CONFIRM_AFTER_S
         )
@@ -294,6 +317,7 @@
         self._reports.start()
         self.ingress.paths.start()
         self._builds.start()
+        self.rollouts.start()
         self._register()
         self.loop.every(HOUSEKEEPING_S, self._run_housekeeping)
         self.loop.every(STATE_CHECK_S, self._catch_up.check)
@@ -426,6 +450,12 @@
         )
         self._broadcast_update()
 
+    def _fold_operator(
+        self, record: store.KeyedRecord, is_snapshot: bool
+    ) -> None:
+        self.state.fold_operator(record, is_snapshot)
+        self.rollouts.fold_operator(record)
+
     def _fold_own_topic(
         self, record: store.KeyedRecord, is_snapshot: bool
     ) -> None:
@@ -441,6 +471,8 @@
             return
         if record.key.startswith(capacity_records.KEY_PREFIX):
             self._speed_records.fold(record)
+        if record.key.startswith(tracker.KEY_PREFIX):
+            self.rollouts.fold(record)
             return
         if not record.key.startswith(NODE_KEY_PREFIX):
             return
@@ -561,6 +593,7 @@
             endpoints_position=self.state.endpoints_position,
             capacity=self.registry.told_capacity(),
             queued=self.ingress.admission.queued(),
+            rollouts=self.rollouts.notices(),
         )
 
     def region_update(
@@ -616,6 +649,7 @@
                     *[update.queued for update in local],
                 ]
             ),
+            rollouts=self.rollouts.region_notices(),
         )
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
@@ -639,6 +673,7 @@
         self._suspects.merge_notices(update.parts, update.node)
         self.registry.limits.merge_notices(update.limits, update.node)
         self._builds.merge_node_update(source, update)
+        self.rollouts.merge_node_update(update)
         self._catch_up.check_update(update)
         self.registry.merge_capacity(update.node, update.capacity)
 
@@ -663,6 +698,7 @@
         self.registry.limits.merge_notices(update.limits, update.node)
         self._builds.merge_region_update(update)
         self.registry.merge_capacity(update.region, update.capacity)
+        self.rollouts.merge_region_update(update)
 
     def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
         """The demand for a service, over the callers of all nodes."""
