Compute less for each candidate, and compare with measured prefill speeds

What nodes tell and log skips endpoints of which nothing was learned.

The simulated old rule now measures prefill speeds as it did.

--- a/src/guavachute/decide/ingress/capacity/service_speed.py
+++ b/src/guavachute/decide/ingress/capacity/service_speed.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import typing
 
 from guavachute.decide.ingress import choice
 
@@ -112,6 +113,25 @@
         self._product += weight * amount * time_s
 
 
+class Usual(typing.NamedTuple):
+    """The usual times of a service's work.
+
+    :ivar slot_s: how long a request usually has a slot; None if not known
+    """
+
+    prefill_tokens_per_s: float
+    step_s: float
+    slot_s: float | None
+
+    def slot_wait_s(self, slots: int) -> float:
+        """The usual wait for one of *slots*, per request in excess."""
+        if self.slot_s is None:
+            return choice.SLOT_WAIT_S
+        wait_s = self.slot_s / slots if slots else self.slot_s
+        low, high = SLOT_WAIT_RANGE_S
+        return low if wait_s < low else high if wait_s > high else wait_s
+
+
 def _first_token() -> WorkTime:
     low, high = PREFILL_RANGE_TOKENS_PER_S
     return WorkTime(
@@ -172,12 +192,9 @@
             return self.first_token.expected_s(LONG_PROMPT_TOKENS)
         return None
 
-    def slot_wait_s(self, slots: int) -> float:
-        """The usual wait for one of *slots*, per request in excess."""
-        if self.slot_s is None:
-            return choice.SLOT_WAIT_S
-        low, high = SLOT_WAIT_RANGE_S
-        return min(high, max(low, self.slot_s / max(1, slots)))
+    def usual(self) -> 'Usual':
+        """The usual times, for a choice between many endpoints."""
+        return Usual(self.prefill_tokens_per_s, self.step_s, self.slot_s)
 
     def record_slot(self, duration_s: float) -> None:
         """Record how long a request had a slot."""
--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -67,7 +67,8 @@
     OTHER_REGION = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# Not frozen: that makes it slower, and a node makes thousands per second.
+@dataclasses.dataclass(slots=True)
 class Candidate:
     """An endpoint that can be chosen, with its load as known here.
 
@@ -142,14 +143,14 @@
 
     :param prompt_tokens: length of the request's prompt
     """
-    prefill_s = (
-        _tokens_to_prefill(candidate, prompt_tokens)
-        / candidate.prefill_tokens_per_s
-    )
-    excess = max(0, candidate.running + 1 - candidate.handled)
-    return candidate.slowdown * (
-        prefill_s + candidate.step_s + excess * candidate.slot_wait_s
-    )
+    tokens = candidate.waiting_tokens
+    if prompt_tokens > candidate.cached_tokens:
+        tokens += prompt_tokens - candidate.cached_tokens
+    usual_s = tokens / candidate.prefill_tokens_per_s + candidate.step_s
+    excess = candidate.running + 1 - candidate.handled
+    if excess > 0:
+        usual_s += excess * candidate.slot_wait_s
+    return candidate.slowdown * usual_s
 
 
 def _tokens_to_prefill(candidate: Candidate, prompt_tokens: int) -> int:
@@ -183,16 +184,14 @@
     ]
     lowest_s = min(costs_s)
     allowed_s = AFFINITY_COST_SHARE * objective_s
-    busy_allowed_s = allowed_s if draw is None else allowed_s * draw()
+    busy_bound_s = bound_s = lowest_s + allowed_s
+    if draw is not None:
+        busy_bound_s = lowest_s + allowed_s * draw()
     within = [
         (cost_s, item)
         for cost_s, item in zip(costs_s, candidates, strict=True)
-        if cost_s - lowest_s
-        <= (
-            allowed_s
-            if item.running < BUSY_SHARE * item.handled
-            else busy_allowed_s
-        )
+        if cost_s <= busy_bound_s
+        or (cost_s <= bound_s and item.running < BUSY_SHARE * item.handled)
     ]
     key = affinity_key(parts)
     chosen = None
--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -27,6 +27,9 @@
 MAX_TOLD_BY_REGION = 32
 """Endpoints in one update of a reader, which sends few."""
 
+FIGURES_S = 0.05
+"""A node chooses among all endpoints up to hundreds of times per second."""
+
 MAX_GAUGES = 32
 """Endpoints with a gauge: the slowest, of those that are slow."""
 
@@ -78,6 +81,9 @@
     progress_s: float = 0.0
     is_logged_slow: bool = False
     logged_s: float = float('-inf')
+    _figures: tuple[float, float] = (1.0, 1.0)
+    _figures_s: float = float('-inf')
+    _changed_s: float = float('-inf')
 
     def slowdown(self, now_s: float) -> float:
         """How long work takes there, in proportion to the usual time.
@@ -93,6 +99,33 @@
                 return min(MAX_STALLED, max(found, silent_s / usual_s))
         return found
 
+    def figures(self, now_s: float) -> tuple[float, float]:
+        """The slowdown, and the share of its slots that it handles well.
+
+        They are computed anew after each measurement of this node, and
+        otherwise as often as others' figures and the time can change them.
+        """
+        if now_s - self._figures_s > FIGURES_S:
+            self._figures_s = now_s
+            self._figures = (
+                self.slowdown(now_s),
+                self.endpoint.limit_share(now_s),
+            )
+        return self._figures
+
+    def is_unchanged(self, since_s: float) -> bool:
+        """Whether nothing was learned of it after *since_s*."""
+        return self._changed_s < since_s and not self.unanswered
+
+    def _note_change(self, now_s: float) -> None:
+        self._changed_s = now_s
+        self._figures_s = float('-inf')
+
+    def record_report(self, slowdown: float, now_s: float) -> None:
+        """Record the slowdown that the endpoint reports of itself."""
+        self.endpoint.record_report(slowdown, now_s)
+        self._note_change(now_s)
+
     def own(self, now_s: float) -> endpoint_capacity.Told | None:
         """What this node has found itself; None if that is too old."""
         slowdown = self.slowdown(now_s) if self.unanswered else 0.0
@@ -161,20 +194,28 @@
         :param occupied: share of its slots, as far as is known
         """
         self.endpoint.record_overload(max(HALF, min(1.0, occupied)), now_s)
+        self._note_change(now_s)
 
     def _record(
         self, slowdown: float | None, occupied: float, now_s: float
     ) -> None:
         if slowdown is None:
             return
+        self._note_change(now_s)
         self.endpoint.record_slowdown(slowdown, now_s)
         if slowdown >= endpoint_capacity.HEAVY_SLOWDOWN and occupied > HALF:
             self.endpoint.record_overload(min(1.0, occupied), now_s)
 
-    def log_change(
+    def expire(
         self, endpoint: ids.EndpointId, service: str, now_s: float
     ) -> None:
-        """Log that the endpoint's capacity has fallen or recovered."""
+        """Discard old figures of other nodes, and log a change of capacity."""
+        if not self.is_logged_slow and self.is_unchanged(
+            now_s - endpoint_capacity.KEPT_S
+        ):
+            self.endpoint.told.clear()
+            return
+        self.endpoint.discard_told(now_s)
         slowdown = self.slowdown(now_s)
         is_slow = slowdown > (
             LOGGED_FALL**0.5 if self.is_logged_slow else LOGGED_FALL
@@ -214,6 +255,7 @@
         ):
             return
         kept[node] = told
+        self._changed_s = now_s
         if len(kept) > MAX_TELLERS:
             del kept[min(kept, key=lambda name: kept[name].measured_s)]
 
@@ -330,6 +372,8 @@
     """
     found = []
     for name, item in learned.items():
+        if item.is_unchanged(now_s - TELLING_S):
+            continue
         own = item.own(now_s)
         if own is None or now_s - own.measured_s > TELLING_S:
             continue
@@ -351,7 +395,9 @@
     """What a reader tells other regions of its region's *endpoints*."""
     found = []
     for name, item in learned.items():
-        if name not in endpoints:
+        if name not in endpoints or item.is_unchanged(
+            now_s - endpoint_capacity.KEPT_S
+        ):
             continue
         capacity = item.endpoint
         times = [told.measured_s for told in capacity.told.values()]
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -200,7 +200,7 @@
         self.reported_at_s = now_s
         self.own_at_report = self.own.requests
         if load.slowdown is not None:
-            self.learned.endpoint.record_report(load.slowdown, now_s)
+            self.learned.record_report(load.slowdown, now_s)
 
 
 class EndpointRegistry:
@@ -684,8 +684,18 @@
         parts: typing.Sequence[call.PromptPart],
         now_s: float,
     ) -> list[choice.Candidate]:
-        """The input for a choice between *records*, in the same order."""
-        return [self._candidate(item, parts, now_s) for item in records]
+        """The input for a choice between *records*, in the same order.
+
+        :param records: of one service
+        """
+        if not records:
+            return []
+        usual = (
+            self._initial_speed
+            if self.draw is None
+            else records[0].learned.service
+        ).usual()
+        return [self._candidate(item, parts, usual, now_s) for item in records]
 
     def engines_with_requests(self) -> list[EndpointRecord]:
         """The engines that run model requests of this node."""
@@ -790,8 +800,7 @@
         """Discard old figures of other nodes, and log what has changed."""
         now_s = self._now_s()
         for name, item in self._records.items():
-            item.learned.endpoint.discard_told(now_s)
-            item.learned.log_change(name, item.entry.service, now_s)
+            item.learned.expire(name, item.entry.service, now_s)
 
     def record_unreachable(self, record: EndpointRecord, now_s: float) -> None:
         """Record that an endpoint was unreachable or fell silent."""
@@ -823,6 +832,7 @@
         self,
         item: EndpointRecord,
         parts: typing.Sequence[call.PromptPart],
+        usual: service_speed.Usual,
         now_s: float,
     ) -> choice.Candidate:
         others = self.work_of_others(item.entry.id)
@@ -831,7 +841,7 @@
         )
         learned = item.learned
         slots = item.entry.slots
-        service = learned.service if self.draw else self._initial_speed
+        slowdown, limit = learned.figures(now_s) if self.draw else (1.0, 1.0)
         return choice.Candidate(
             id=item.entry.id,
             nearness=self.nearness(item.entry),
@@ -841,7 +851,7 @@
             else self._expected_running(item, now_s),
             waiting_tokens=item.own.waiting_tokens + others.waiting_tokens,
             cached_tokens=item.cached_tokens(parts),
-            prefill_tokens_per_s=service.prefill_tokens_per_s,
+            prefill_tokens_per_s=usual.prefill_tokens_per_s,
             is_doubtful=self._table.is_deletion_pending(item.entry.id)
             or item.health.is_doubtful(
                 endpoint_health.Results(others.failed, others.answered), now_s
@@ -849,12 +859,10 @@
             is_leaving=item.is_leaving,
             is_relayed=not self.is_direct(item, now_s),
             order=random.random() if spreads else 0.0,
-            slowdown=learned.slowdown(now_s) if self.draw else 1.0,
-            limit=slots * learned.endpoint.limit_share(now_s)
-            if self.draw
-            else None,
-            step_s=service.step_s,
-            slot_wait_s=service.slot_wait_s(slots),
+            slowdown=slowdown,
+            limit=slots * limit,
+            step_s=usual.step_s,
+            slot_wait_s=usual.slot_wait_s(slots),
         )
 
     def _expected_running(self, item: EndpointRecord, now_s: float) -> float:
--- a/tests/cover/test_capacity_decisions.py
+++ b/tests/cover/test_capacity_decisions.py
@@ -6,6 +6,7 @@
 import types
 import typing
 import unittest
+from unittest import mock
 
 from guavachute.decide.duty import scaling
 from guavachute.decide.ingress.capacity import endpoint_capacity
@@ -15,6 +16,7 @@
 from guavachute.entry.capacity import records
 from guavachute.entry.capacity import updates
 from guavachute import ids
+from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
 from guavachute.platform import store
 from guavachute.wire import node_updates
@@ -111,9 +113,9 @@
         self.assertEqual(4.0, count(8, 0, 0.0, 12))
         self.assertEqual(20.0, count(8, 10**9, 0.0, 12))
         self.assertEqual(8.0, count(8, 0, 9.0, 12))
-        self.one.endpoint.record_report(0.01, self.now_s)
+        self.one.record_report(0.01, self.now_s)
         self.assertEqual(0.5, self.slowdown())
-        self.one.endpoint.record_report(1e9, self.now_s)
+        self.one.record_report(1e9, self.now_s)
         self.assertLessEqual(
             self.slowdown(),
             endpoint_capacity.SLOWDOWN_RANGE[1],
@@ -200,7 +202,7 @@
         self.assertEqual(learned.MAX_TELLERS, len(self.one.endpoint.told))
         many = [learned.Learned(self.speed) for _ in range(99)]
         for item in many:
-            item.endpoint.record_slowdown(8.0, self.now_s)
+            item.record_report(16.0, self.now_s)
         self.assertEqual(learned.MAX_TOLD, len(self.told(*many)))
 
     def test_a_usual_service_tells_nothing(self) -> None:
@@ -212,7 +214,7 @@
     def test_nodes_without_measurements_choose_as_before(self) -> None:
         new = service_speed.ServiceSpeed()
         self.assertEqual(choice.STEP_S, new.step_s)
-        self.assertEqual(choice.SLOT_WAIT_S, new.slot_wait_s(12))
+        self.assertEqual(choice.SLOT_WAIT_S, new.usual().slot_wait_s(12))
         self.assertAlmostEqual(
             choice.DEFAULT_PREFILL_TOKENS_PER_S, new.prefill_tokens_per_s
         )
@@ -231,6 +233,20 @@
 
 
 class GaugesTest(unittest.TestCase):
+    # Guards against a log that grows with each measurement.
+    def test_a_fall_and_a_recovery_are_logged_once(self) -> None:
+        item = learned.Learned(service_speed.ServiceSpeed())
+        with mock.patch.object(journal, 'event') as event:
+            for tenth in range(400):
+                now_s = tenth / 10
+                if tenth < 100:
+                    item.record_report(6.0 + tenth % 3, now_s)
+                item.expire(ids.EndpointId('e1'), 'chat', now_s)
+        self.assertEqual(
+            ['capacity-fell', 'capacity-recovered'],
+            [call.kwargs['outcome'] for call in event.call_args_list],
+        )
+
     # Guards against a metrics page that grows with the number of endpoints.
     def test_only_slow_endpoints_have_gauges_and_few(self) -> None:
         known = {}
@@ -243,7 +259,7 @@
         )
         self.assertNotIn(b'guavachute_slow{', metrics.text())
         for item in known.values():
-            item.endpoint.record_slowdown(8.0, 1.0)
+            item.record_report(16.0, 1.0)
             item.record_rejection(1.0, 1.0)
         self.assertIn(b'guavachute_slow{endpoint="e\\"7"} ', metrics.text())
         for found in (
@@ -298,7 +314,7 @@
         found = speed.prefill_tokens_per_s / TOKENS_PER_S
         self.assertAlmostEqual(1.0, found, delta=0.1)
         self.assertAlmostEqual(STEP_S, speed.step_s, delta=0.01)
-        self.assertAlmostEqual(0.5 / 12, speed.slot_wait_s(12))
+        self.assertAlmostEqual(0.5 / 12, speed.usual().slot_wait_s(12))
         # What it measures itself replaces that.
         for place in range(300):
             tokens = place % 9 * 1_000.0
@@ -316,7 +332,7 @@
         self.fold(kept, node_updates.encode(huge))
         self.assertLessEqual(speed.step_s, service_speed.MAX_STEP_S)
         self.assertLessEqual(
-            speed.slot_wait_s(1), service_speed.SLOT_WAIT_RANGE_S[1]
+            speed.usual().slot_wait_s(1), service_speed.SLOT_WAIT_RANGE_S[1]
         )
 
     # Guards against records that nodes write again and again.
--- a/tests/support/simulated_endpoints.py
+++ b/tests/support/simulated_endpoints.py
@@ -27,6 +27,9 @@
 
 PLAIN_WORK_S = 0.09
 OLD_REPORT_TTL_S = 0.6
+OLD_MIN_TOKENS = 2_000
+OLD_WEIGHT = 0.1
+"""How the old rule measured the prefill speed of each engine."""
 TOLD_NODES = 24
 """How many other nodes get a node's figures of slow endpoints at once."""
 
@@ -138,6 +141,9 @@
             lambda: learned.Learned(speed)
         )
         self.initial = learned.Learned(service_speed.ServiceSpeed())
+        self.old_prefill_per_s = collections.defaultdict[str, float](
+            lambda: choice.DEFAULT_PREFILL_TOKENS_PER_S
+        )
 
 
 @dataclasses.dataclass
@@ -298,6 +304,7 @@
             )
         elif now_s - at_s <= OLD_REPORT_TTL_S:
             running = max(running, reported)
+        slowdown, limit = known.figures(now_s)
         return choice.Candidate(
             id=item.id,
             nearness=choice.Nearness.SAME_REGION,
@@ -308,12 +315,14 @@
             cached_tokens=kind.shared
             if subject in node.cached[item.id]
             else 0,
-            prefill_tokens_per_s=known.service.prefill_tokens_per_s,
+            prefill_tokens_per_s=known.service.prefill_tokens_per_s
+            if self._learns
+            else node.old_prefill_per_s[item.id],
             is_doubtful=False,
-            slowdown=known.slowdown(now_s),
-            limit=item.slots * known.endpoint.limit_share(now_s),
+            slowdown=slowdown,
+            limit=item.slots * limit,
             step_s=known.service.step_s,
-            slot_wait_s=known.service.slot_wait_s(item.slots),
+            slot_wait_s=known.service.usual().slot_wait_s(item.slots),
         )
 
     def _send(
@@ -352,15 +361,22 @@
             node.learned[name], chosen, lambda now_s: share, now_s
         )
 
+        backlog = node.waiting[name]
+
         def handle_first() -> None:
             node.waiting[name] -= tokens
+            if backlog >= OLD_MIN_TOKENS:
+                speed = min(500_000.0, backlog / (first_s - now_s))
+                node.old_prefill_per_s[name] += OLD_WEIGHT * (
+                    speed - node.old_prefill_per_s[name]
+                )
             node.reported[name] = (
                 endpoint.load(first_s),
                 node.running[name],
                 first_s,
             )
             if endpoint.reports_slowdown:
-                node.learned[name].endpoint.record_report(
+                node.learned[name].record_report(
                     endpoint.slowness / endpoint.usual_slowness, first_s
                 )
             if kind.prompt:
