Don't take a node's own standstill for slow endpoints

An endpoint's silence counts only as long as another endpoint of its service sent something. The time to the first token that is expected of an engine, by which requests are refused, leaves out what slows all engines, as the usual times show that.

--- a/src/guavachute/decide/ingress/capacity/service_speed.py
+++ b/src/guavachute/decide/ingress/capacity/service_speed.py
@@ -156,6 +156,7 @@
     :ivar event_s: usual time between two events; None before the first
     :ivar token_s: usual time per generated token; None before the first
     :ivar slot_s: how long a request usually has a slot; None before the first
+    :ivar progress_s: when any of the endpoints last sent something
     """
 
     first_token: WorkTime = dataclasses.field(default_factory=_first_token)
@@ -163,6 +164,7 @@
     event_s: float | None = None
     token_s: float | None = None
     slot_s: float | None = None
+    progress_s: float = float('-inf')
     events_measured: int = 0
 
     @property
--- a/src/guavachute/decide/ingress/choice.py
+++ b/src/guavachute/decide/ingress/choice.py
@@ -209,9 +209,13 @@
         chosen = _better_of_two(within, draw)
     if chosen is None:
         chosen = min(within, key=lambda item: (item[0], item[1].id))[1]
+    first_token_s = time_to_first_token_s(chosen, prompt_tokens)
+    if chosen.slowdown > 1:
+        # What slows all of them down shows in the usual times already.
+        first_token_s /= max(1.0, min(item.slowdown for item in candidates))
     return Chosen(
         chosen.id,
-        time_to_first_token_s(chosen, prompt_tokens),
+        first_token_s,
         _tokens_to_prefill(chosen, prompt_tokens),
         _occupied(chosen),
     )
--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -89,12 +89,13 @@
         """How long work takes there, in proportion to the usual time.
 
         An endpoint that sends nothing for much longer than usual counts as
-        slow before its answer shows it.
+        slow before its answer shows it. Its silence counts as long as others
+        sent something: if none does, this node may have stood still.
         """
         found = self.endpoint.slowdown(now_s)
         if self.unanswered:
             usual_s = self.service.silence_s
-            silent_s = now_s - self.progress_s
+            silent_s = self.service.progress_s - self.progress_s
             if usual_s is not None and silent_s > STALLED * usual_s:
                 return min(MAX_STALLED, max(found, silent_s / usual_s))
         return found
@@ -113,6 +114,11 @@
             )
         return self._figures
 
+    def note_progress(self, now_s: float) -> None:
+        """Record that the endpoint has sent something."""
+        self.progress_s = now_s
+        self.service.progress_s = now_s
+
     def is_unchanged(self, since_s: float) -> bool:
         """Whether nothing was learned of it after *since_s*."""
         return self._changed_s < since_s and not self.unanswered
@@ -312,7 +318,7 @@
 
     def handle_event(self, now_s: float) -> None:
         """Record that events of a stream have come."""
-        self._learned.progress_s = now_s
+        self._learned.note_progress(now_s)
         if self._first_event_s is not None:
             return
         self._first_event_s = now_s
@@ -336,6 +342,7 @@
 
         :param tokens: how many its events held, as far as is known
         """
+        self._learned.note_progress(now_s)
         chosen = self._chosen
         if chosen is None:
             return
@@ -351,11 +358,9 @@
         elif chosen.work is None:
             self._learned.record_plain(share, now_s - self._sent_s, now_s)
 
-    def handle_released(self, now_s: float) -> None:
+    def handle_released(self) -> None:
         """Record that the endpoint has the request no more."""
-        if self._is_unanswered:
-            self._learned.progress_s = now_s
-            self._end_wait()
+        self._end_wait()
 
     def _end_wait(self) -> None:
         if self._is_unanswered:
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -799,7 +799,7 @@
         assert record is not None
         record.record_ended(self._owner.loop.now_s - self._sent_s)
         if self._measured is not None:
-            self._measured.handle_released(self._owner.loop.now_s)
+            self._measured.handle_released()
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
         connection.release(keeps_alive)
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from guavachute import ids
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
 from tests.support import looping
@@ -334,6 +335,34 @@
         self.assertEqual(502, reply.status)
         self.assertEqual(1, sum(len(engine.runs) for engine in engines))
 
+    # Guards against endpoints that look stalled for ever after a request that
+    # ended in an unusual way.
+    def test_no_ended_request_counts_as_unanswered(self) -> None:
+        engine = self.engine('e1', events=4)
+        node = self.site.ready_node()
+        records = node.registry.records_at(ids.Address(engine.address))
+        for behaviour in (
+            Behaviour.NORMAL,
+            Behaviour.FAIL,
+            Behaviour.LOSE,
+            Behaviour.BREAK,
+            Behaviour.SHED,
+            Behaviour.NORMAL,
+        ):
+            engine.behaviour = behaviour
+            self.site.fetch(
+                node, '/stream/a', Token_Counts='10,40', Prefix_Hash='a:10'
+            )
+        engine.behaviour = Behaviour.SILENT
+        caller = self.site.send(node, '/stream/a')
+        learned = records[0].learned
+        looping.run_until(self.site.loop, lambda: learned.unanswered == 1)
+        caller.close()
+        looping.run_until(self.site.loop, lambda: learned.unanswered == 0)
+        # The broken answer had a first token too.
+        self.assertEqual(3, learned.service.first_token.measurements)
+        self.assertGreaterEqual(learned.service.events_measured, 2)
+
     def test_a_shed_order_goes_to_another_endpoint(self) -> None:
         full, free = self.engine('e1'), self.engine('e2')
         full.behaviour = Behaviour.SHED
--- a/tests/cover/test_ingress_decisions.py
+++ b/tests/cover/test_ingress_decisions.py
@@ -1,5 +1,7 @@
 """Tests the decisions about one request under different loads."""
 
+import collections
+import random
 import unittest
 
 import hypothesis
@@ -357,6 +359,39 @@
             self.assertEqual('sound', self.choose([sound, other]))
             self.assertEqual(other.id, self.choose([other]))
 
+    # Guards against refusals because all engines report to be slow.
+    def test_what_slows_all_engines_is_not_expected_twice(self) -> None:
+        def expected_s(*slowdowns: float) -> float:
+            engines = [
+                candidate(f'e{number}', slowdown=slowdown)
+                for number, slowdown in enumerate(slowdowns)
+            ]
+            chosen = choice.choose_engine(engines, 6_500, (), 1.0)
+            assert chosen is not None
+            return chosen.first_token_s
+
+        self.assertEqual(expected_s(1.0, 1.0), expected_s(4.0, 4.0))
+        self.assertEqual(expected_s(1.0), expected_s(4.0))
+
+    def test_slow_engines_and_full_endpoints_are_drawn_rarely(self) -> None:
+        draws = random.Random(1)
+        slow = candidate('slow', slowdown=6.0)
+        low = candidate('low', limit=2.0, running=2)
+        others = [candidate(f'e{number}') for number in range(4)]
+        counts: collections.Counter[str] = collections.Counter()
+        for _ in range(400):
+            for chosen in (
+                choice.choose_plain([slow, low, *others], draws.random),
+                choice.choose_engine(
+                    [slow, low, *others], 6_500, (), 1.0, draws.random
+                ),
+            ):
+                assert chosen is not None
+                counts[chosen.endpoint] += 1
+        self.assertLess(counts['slow'] + counts['low'], 40)
+        for item in others:
+            self.assertGreater(counts[item.id], 130)
+
     def test_plain_requests_go_where_slots_are_free(self) -> None:
         full = candidate('full', slots=6, running=6)
         busy = candidate('busy', slots=6, running=3)
