--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -27,6 +27,9 @@
 MAX_TOLD_BY_REGION = 32
 """Endpoints in one update of a reader, which sends few."""
 
+FIGURES_S = 0.05
+"""A node chooses among all endpoints up to hundreds of times per second."""
+
 MAX_GAUGES = 32
 """Endpoints with a gauge: the slowest, of those that are slow."""
 
@@ -78,21 +81,57 @@
     progress_s: float = 0.0
     is_logged_slow: bool = False
     logged_s: float = float('-inf')
+    _figures: tuple[float, float] = (1.0, 1.0)
+    _figures_s: float = float('-inf')
+    _changed_s: float = float('-inf')
 
     def slowdown(self, now_s: float) -> float:
         """How long work takes there, in proportion to the usual time.
 
         An endpoint that sends nothing for much longer than usual counts as
-        slow before its answer shows it.
+        slow before its answer shows it. Its silence counts as long as others
+        sent something: if none does, this node may have stood still.
         """
         found = self.endpoint.slowdown(now_s)
         if self.unanswered:
             usual_s = self.service.silence_s
-            silent_s = now_s - self.progress_s
+            silent_s = self.service.progress_s - self.progress_s
             if usual_s is not None and silent_s > STALLED * usual_s:
                 return min(MAX_STALLED, max(found, silent_s / usual_s))
         return found
 
+    def figures(self, now_s: float) -> tuple[float, float]:
+        """The slowdown, and the share of its slots that it handles well.
+
+        They are computed anew after each measurement of this node, and
+        otherwise as often as others' figures and the time can change them.
+        """
+        if now_s - self._figures_s > FIGURES_S:
+            self._figures_s = now_s
+            self._figures = (
+                self.slowdown(now_s),
+                self.endpoint.limit_share(now_s),
+            )
+        return self._figures
+
+    def note_progress(self, now_s: float) -> None:
+        """Record that the endpoint has sent something."""
+        self.progress_s = now_s
+        self.service.progress_s = now_s
+
+    def is_unchanged(self, since_s: float) -> bool:
+        """Whether nothing was learned of it after *since_s*."""
+        return self._changed_s < since_s and not self.unanswered
+
+    def _note_change(self, now_s: float) -> None:
+        self._changed_s = now_s
+        self._figures_s = float('-inf')
+
+    def record_report(self, slowdown: float, now_s: float) -> None:
+        """Record the slowdown that the endpoint reports of itself."""
+        self.endpoint.record_report(slowdown, now_s)
+        self._note_change(now_s)
+
     def own(self, now_s: float) -> endpoint_capacity.Told | None:
         """What this node has found itself; None if that is too old."""
         slowdown = self.slowdown(now_s) if self.unanswered else 0.0
@@ -161,20 +200,28 @@
         :param occupied: share of its slots, as far as is known
         """
         self.endpoint.record_overload(max(HALF, min(1.0, occupied)), now_s)
+        self._note_change(now_s)
 
     def _record(
         self, slowdown: float | None, occupied: float, now_s: float
     ) -> None:
         if slowdown is None:
             return
+        self._note_change(now_s)
         self.endpoint.record_slowdown(slowdown, now_s)
         if slowdown >= endpoint_capacity.HEAVY_SLOWDOWN and occupied > HALF:
             self.endpoint.record_overload(min(1.0, occupied), now_s)
 
-    def log_change(
+    def expire(
         self, endpoint: ids.EndpointId, service: str, now_s: float
     ) -> None:
-        """Log that the endpoint's capacity has fallen or recovered."""
+        """Discard old figures of other nodes, and log a change of capacity."""
+        if not self.is_logged_slow and self.is_unchanged(
+            now_s - endpoint_capacity.KEPT_S
+        ):
+            self.endpoint.told.clear()
+            return
+        self.endpoint.discard_told(now_s)
         slowdown = self.slowdown(now_s)
         is_slow = slowdown > (
             LOGGED_FALL**0.5 if self.is_logged_slow else LOGGED_FALL
@@ -214,6 +261,7 @@
         ):
             return
         kept[node] = told
+        self._changed_s = now_s
         if len(kept) > MAX_TELLERS:
             del kept[min(kept, key=lambda name: kept[name].measured_s)]
 
@@ -270,7 +318,7 @@
 
     def handle_event(self, now_s: float) -> None:
         """Record that events of a stream have come."""
-        self._learned.progress_s = now_s
+        self._learned.note_progress(now_s)
         if self._first_event_s is not None:
             return
         self._first_event_s = now_s
@@ -294,6 +342,7 @@
 
         :param tokens: how many its events held, as far as is known
         """
+        self._learned.note_progress(now_s)
         chosen = self._chosen
         if chosen is None:
             return
@@ -309,11 +358,9 @@
         elif chosen.work is None:
             self._learned.record_plain(share, now_s - self._sent_s, now_s)
 
-    def handle_released(self, now_s: float) -> None:
+    def handle_released(self) -> None:
         """Record that the endpoint has the request no more."""
-        if self._is_unanswered:
-            self._learned.progress_s = now_s
-            self._end_wait()
+        self._end_wait()
 
     def _end_wait(self) -> None:
         if self._is_unanswered:
@@ -330,6 +377,8 @@
     """
     found = []
     for name, item in learned.items():
+        if item.is_unchanged(now_s - TELLING_S):
+            continue
         own = item.own(now_s)
         if own is None or now_s - own.measured_s > TELLING_S:
             continue
@@ -351,7 +400,9 @@
     """What a reader tells other regions of its region's *endpoints*."""
     found = []
     for name, item in learned.items():
-        if name not in endpoints:
+        if name not in endpoints or item.is_unchanged(
+            now_s - endpoint_capacity.KEPT_S
+        ):
             continue
         capacity = item.endpoint
         times = [told.measured_s for told in capacity.told.values()]
