--- a/src/guavachute/decide/ingress/admission/pace.py
+++ b/src/guavachute/decide/ingress/admission/pace.py
@@ -175,10 +175,18 @@
         """Subtract the cost of an admitted request."""
         self._credit[lane] -= cost
 
-    def wait_s(self, lanes: typing.Sequence[Lane]) -> float:
-        """How long until one of *lanes* has credit, if nobody else uses it."""
+    def refund(self, cost: float) -> None:
+        """Add the cost of an admitted request that did not run."""
+        credit = self._credit[Lane.COMMON]
+        self._credit[Lane.COMMON] = max(credit, min(0.0, credit + cost))
+
+    def wait_s(self, lanes: typing.Sequence[Lane], before: float) -> float:
+        """How long until one of *lanes* has credit.
+
+        :param before: the cost of the requests that use it before
+        """
         return min(
-            max(0.0, -self._credit[lane]) / self._lane_per_s(lane)
+            max(0.0, before - self._credit[lane]) / self._lane_per_s(lane)
             for lane in lanes
         )
 
--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -48,9 +48,15 @@
 together."""
 
 SETTLE_S = 2.5
-"""Time after the start of a node in which others that started with it may have
-admitted requests that this one doesn't know of. Admissions are paced until
-then, and each node uses an even share of the burst."""
+"""For so long after its start, a node paces its admissions. Others that
+started with it may have admitted requests that it doesn't know of, so each
+node uses an even share of the refill and of the burst."""
+
+SETTLED_SHARE = 0.1
+OBSERVED_S = 0.45
+"""If other nodes are asked for no more than this share of a quota this time
+after a node that has just started was asked for it, they aren't asked by many
+callers at once, and the node needn't pace its admissions."""
 
 CALM_SHARE = 0.5
 """At a level above this share of the burst the quota isn't short any more."""
@@ -63,8 +69,8 @@
 """A quota is short for at least this long after the last refusal."""
 
 KNOWN_SHARE = 0.9
-"""The refill is divided by demand if that of this share of the nodes is
-known."""
+"""Share of the other nodes that count as nearly all. The refill is divided by
+demand if that of so many is known."""
 
 CLOSED_OVERDRAFT = 3.0
 """At a level below this multiple of the overdraft only light requests are
@@ -231,6 +237,8 @@
         self._settled_s = settled_s
         self._kinds = pace.Kinds()
         self._pace: pace.Pace | None = None
+        self._first_asked_s: float | None = None
+        self._is_precaution = False
         self._seen = 0.0
         self._asked = RateMeter(now_s)
         self._part = 1.0
@@ -241,6 +249,22 @@
         """Whether the admissions of this node are paced."""
         return self._pace is not None
 
+    def is_settling(self, now_s: float) -> bool:
+        """Whether others may have admitted much that isn't known here."""
+        return now_s < self._settled_s and self._node_count > 1
+
+    def settle(self, asked_per_s: float, now_s: float) -> None:
+        """Stop to pace admissions after a start if little is asked for.
+
+        :param asked_per_s: what other nodes are asked for
+        """
+        if (
+            self._first_asked_s is not None
+            and now_s - self._first_asked_s >= OBSERVED_S
+            and asked_per_s <= SETTLED_SHARE * self._workspace.rate_per_s
+        ):
+            self._settled_s = now_s
+
     def asked_per_s(self, now_s: float) -> float:
         """What callers ask of the quota per second here, also in vain."""
         return self._asked.per_s(now_s)
@@ -314,7 +338,10 @@
                 if other
                 else self._deducted.get(source.admitted_by, 0.0)
             )
-            admitted = max(0.0, consumption.total - deducted)
+            # A total falls where costs were refunded.
+            admitted = consumption.total - deducted
+            if other is None:
+                admitted = max(0.0, admitted)
             self._seen += admitted
             self._level = min(
                 self._workspace.burst,
@@ -361,34 +388,78 @@
 
     def consume(self, ask: pace.Ask, now_s: float) -> float:
         """Consume a cost; 0 if admitted, else when to retry, in seconds."""
+        self.record(ask, now_s)
+        if self.admit(ask, now_s):
+            return 0.0
+        return self.return_after_s(ask, now_s)
+
+    def record(self, ask: pace.Ask, now_s: float) -> None:
+        """Record what a caller asks for, once for each request."""
         self._kinds.record(ask)
         self._asked.add(ask.cost, now_s)
+        if self._first_asked_s is None:
+            self._first_asked_s = now_s
+
+    def admit(self, ask: pace.Ask, now_s: float) -> bool:
+        """Consume a cost if there is quota for it."""
         level = self.level(now_s)
         capacity = max(1.0, self._workspace.burst)
         missing = min(ask.cost, capacity) - level - self._overdraft
         self._update_pace(level, ask.cost if missing > 0 else 0.0, now_s)
         if self._pace is None:
             self._admit(ask.cost, now_s)
-            return 0.0
+            return True
         lanes = self._kinds.lanes(ask)
-        usable = lanes
         if level < -CLOSED_OVERDRAFT * self._overdraft:
-            usable = [lane for lane in lanes if lane is pace.Lane.LIGHT]
-        lane = self._pace.usable(usable)
-        if lane is not None:
-            self._pace.charge(lane, ask.cost)
-            self._admit(ask.cost, now_s)
+            lanes = [lane for lane in lanes if lane is pace.Lane.LIGHT]
+        lane = self._pace.usable(lanes)
+        if lane is None:
+            return False
+        self._pace.charge(lane, ask.cost)
+        self._admit(ask.cost, now_s)
+        return True
+
+    def wait_s(self, ask: pace.Ask, before: float, now_s: float) -> float:
+        """How long until there is quota for a request.
+
+        :param before: the cost of the requests that get quota before it
+        """
+        if self._pace is None:
             return 0.0
+        closed_for_s = 0.0
+        below = -CLOSED_OVERDRAFT * self._overdraft - self.level(now_s)
+        lanes = self._kinds.lanes(ask)
+        if below > 0 and lanes[0] is not pace.Lane.LIGHT:
+            closed_for_s = below / self._workspace.rate_per_s
+        wait_s = closed_for_s + self._pace.wait_s(lanes, before)
+        if self.is_settling(now_s) and self._first_asked_s is not None:
+            observed_s = self._first_asked_s + OBSERVED_S
+            if now_s < observed_s:
+                wait_s = min(wait_s, observed_s - now_s)
+        return wait_s
+
+    def return_after_s(self, ask: pace.Ask, now_s: float) -> float:
+        """When a request that is refused now should be sent again."""
+        if self._pace is None:
+            return MIN_RETRY_AFTER_S
+        lanes = self._kinds.lanes(ask)
         wait_s = self._pace.return_after_s(lanes, ask, now_s)
         # The spread shortens long times, so that they differ too.
         wait_s = min(MAX_RETRY_AFTER_S, wait_s * (1 + SPREAD))
         wait_s *= 1 - SPREAD * self._draw()
         return max(MIN_RETRY_AFTER_S, wait_s)
 
+    def uses_common_lane_only(self, ask: pace.Ask) -> bool:
+        """Whether nothing is reserved for requests such as this one."""
+        return self._kinds.lanes(ask) == [pace.Lane.COMMON]
+
     def refund(self, cost: float) -> None:
         """Refund *cost*, which was consumed but not used."""
         self._level = min(self._level + cost, self._workspace.burst)
         self._own_total -= cost
+        self._seen -= cost
+        if self._pace is not None:
+            self._pace.refund(cost)
 
     def _admit(self, cost: float, now_s: float) -> None:
         self._level -= cost
@@ -402,7 +473,7 @@
         :param refused: cost of a request for which the level is too low
         """
         burst, rate_per_s = self._workspace.burst, self._workspace.rate_per_s
-        is_settling = now_s < self._settled_s and self._node_count > 1
+        is_settling = self.is_settling(now_s)
         if self._pace is None:
             # The random part of the credit needs the cost of a request.
             cost = refused or self._kinds.mean
@@ -410,10 +481,12 @@
                 return
             if refused or level < -self._overdraft:
                 self._pace = pace.Pace(-self._draw() * cost, now_s)
+                self._is_precaution = False
             elif is_settling:
                 part = burst / self._node_count
                 credit = part - self._draw() * cost
                 self._pace = pace.Pace(credit, now_s)
+                self._is_precaution = True
             else:
                 return
         elif (
@@ -421,16 +494,20 @@
             and not is_settling
             and level >= CALM_SHARE * burst
             and (
-                level >= UNUSED_SHARE * burst
+                self._is_precaution
+                or level >= UNUSED_SHARE * burst
                 or now_s - self._pace.refused_s > CALM_AFTER_S
             )
         ):
             self._pace = None
             return
+        if refused or level < -self._overdraft:
+            self._is_precaution = False
+        excess = level + self._overdraft
         self._pace.advance(
             rate_per_s,
             self._part,
-            level + self._overdraft,
+            min(0.0, excess) if is_settling else excess,
             level < -CLOSED_OVERDRAFT * self._overdraft,
             now_s,
         )
@@ -478,29 +555,38 @@
         self._peers = PeerRuns({}, frozenset())
         self._buckets: dict[ids.WorkspaceName, Bucket] = {}
         self._demand = demand_shares.DemandShares()
+        self._queued: dict[str, typing.Mapping[ids.WorkspaceName, float]] = {}
 
     def consume(
-        self,
-        workspace: configuration.Workspace,
-        cost: float,
-        now_s: float,
-        priority: int = 0,
-        kind: str = '',
-        awaited_s: float = math.inf,
+        self, workspace: configuration.Workspace, cost: float, now_s: float
     ) -> float:
         """Consume *cost*; 0 if admitted, else when to retry, in seconds.
 
         A workspace without a rate is unlimited.
-
-        :param priority: of the request; 0 is the most urgent
-        :param kind: see :class:`pace.Ask`
-        :param awaited_s: for how long its caller waits before it returns
         """
+        return self.request(workspace, pace.Ask(cost), now_s)
+
+    def request(
+        self,
+        workspace: configuration.Workspace,
+        ask: pace.Ask,
+        now_s: float,
+    ) -> float:
+        """As :meth:`consume`, for a request of any kind."""
         if workspace.rate_per_s <= 0:
             return 0.0
-        ask = pace.Ask(cost, priority, kind, awaited_s)
         return self._bucket(workspace, now_s).consume(ask, now_s)
 
+    def bucket(
+        self, workspace: configuration.Workspace, now_s: float
+    ) -> Bucket | None:
+        """The bucket of a workspace; None if it is unlimited."""
+        if workspace.rate_per_s <= 0:
+            return None
+        bucket = self._bucket(workspace, now_s)
+        self._settle(workspace.name, bucket, now_s)
+        return bucket
+
     def refund(self, workspace: configuration.Workspace, cost: float) -> None:
         """Refund the *cost* of an admitted request that did not run."""
         bucket = self._buckets.get(workspace.name)
@@ -533,6 +619,7 @@
         self._peers = peers
         for name, bucket in self._buckets.items():
             bucket.set_peers(peers, now_s)
+            self._settle(name, bucket, now_s)
             if bucket.is_short:
                 bucket.set_part(self._part(name, bucket, now_s))
 
@@ -541,6 +628,20 @@
         bucket = self._buckets.get(workspace)
         return None if bucket is None else bucket.view(now_s)
 
+    def _settle(
+        self, name: ids.WorkspaceName, bucket: Bucket, now_s: float
+    ) -> None:
+        """Don't pace for long after a start if callers ask for little."""
+        if not bucket.is_settling(now_s):
+            return
+        nodes = self._peers.nodes
+        silent = sum(nodes[run] for run in self._peers.silent)
+        if silent <= (1 - KNOWN_SHARE) * sum(nodes.values()):
+            bucket.settle(
+                sum(queued.get(name, 0.0) for queued in self._queued.values()),
+                now_s,
+            )
+
     def queued(self, now_s: float) -> dict[ids.WorkspaceName, float]:
         """What callers ask per second here of the quotas that are short."""
         return {
@@ -561,6 +662,10 @@
         :param source: a node, or a region
         :param nodes: how many nodes *queued* is the sum of
         """
+        if now_s < self._started_s + SETTLE_S:
+            self._queued[source] = queued
+        elif self._queued:
+            self._queued.clear()
         self._demand.record_sum(
             requests.DemandSum(
                 source=source,
--- a/src/guavachute/entry/region_sums.py
+++ b/src/guavachute/entry/region_sums.py
@@ -15,7 +15,7 @@
 class ConsumptionSums:
     """Totals of consumed quota by workspace.
 
-    They never decrease, also when nodes start or end.
+    They decrease only by what was refunded, also when nodes start or end.
     """
 
     def __init__(self) -> None:
@@ -36,9 +36,7 @@
             first = 0.0 if is_no_older else total
             before = self._last.get((source, name), first)
             self._last[(source, name)] = total
-            self._totals[name] = self._totals.get(name, 0.0) + max(
-                0.0, total - before
-            )
+            self._totals[name] = self._totals.get(name, 0.0) + total - before
 
     def sums(
         self,
