--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -170,6 +170,15 @@
         record = next(r for r in records if r.entry.id == chosen.endpoint)
         self._send(record, chosen, now_s)
 
+    def expected_first_token_s(self) -> float | None:
+        """Time to first token if the request began now; None if unknown."""
+        now_s = self._owner.loop.now_s
+        records = self._owner.registry.usable(
+            self.service, self._tried_endpoints, now_s, self.build
+        )
+        chosen = self._choose(records, now_s)
+        return None if chosen is None else chosen.first_token_s
+
     def _choose(
         self, records: list[endpoint_registry.EndpointRecord], now_s: float
     ) -> choice.Chosen | None:
