Hold less urgent requests while the endpoints of a service are short

A service is short for a request if its first token is expected after the objective. Then urgent routes begin first, then the workspaces that were served least, over all nodes; three of ten requests of each kind begin in any case. What can't meet its deadline is refused at once, with a spread time.

--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -1,13 +1,16 @@
-"""Decides when the requests of callers begin, within their quotas."""
+"""Decides when requests begin, by their quotas and the capacity."""
 
 import itertools
+import math
 import random
 import re
 import typing
 
 from guavachute.decide.ingress.admission import pace
+from guavachute.decide.ingress.admission import shortage
 from guavachute.decide.ingress.admission import waiting
 from guavachute.decide.ingress import quota
+from guavachute.decide.requests import demand_shares
 from guavachute.domain import configuration
 from guavachute.domain import site as domain_site
 from guavachute.entry import exchange
@@ -18,6 +21,7 @@
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
 from guavachute import outcome
+from guavachute.wire import requests as wire_requests
 
 AWAITED_SHARE = 1 / 3
 """Callers wait before a retry for at most this share of their remaining
@@ -30,9 +34,40 @@
 RECHECK_S = 0.025
 """Interval at which the requests that wait are looked at."""
 
+ESTIMATE_TTL_S = 0.05
+"""An expected time to first token is used again for so long if it is far below
+the objective, as all endpoints of the service are compared for it."""
+
+CALM_SHARE = 0.25
+"""It is far below the objective up to this share of it."""
+
+RELEASE_CHANCE = 0.5
+"""Chance that a held request begins when it is looked at and there is
+capacity. All nodes see the same free capacity, with figures up to 3 s old, and
+would fill it at once."""
+
+SHORT_TTL_S = 10.0
+"""For so long after a service was short, the use by workspaces is recorded."""
+
 MAX_GAUGED_ROUTES = 32
 
 
+class _Service:
+    """What the gate knows of a service.
+
+    :ivar first_token_s: the latest estimate
+    """
+
+    def __init__(self) -> None:
+        self.shortage = shortage.ServiceShortage()
+        self.held: dict[
+            ids.RequestId, tuple[exchange.Exchange, shortage.Ask]
+        ] = {}
+        self.first_token_s = 0.0
+        self.estimated_s = -math.inf
+        self.short_s = -math.inf
+
+
 class Gate:
     """Lets requests begin, or refuses them.
 
@@ -52,20 +87,29 @@
         self._state = state
         self._peers = peers
         self._metrics = metrics
+        self._draw = random.random
         self._quotas = quota.Quotas(
-            site.bounds.quota_allowance, loop.now_s, random.random
+            site.bounds.quota_allowance, loop.now_s, self._draw
         )
         self._charged: dict[
             exchange.Exchange, tuple[configuration.Workspace, float]
         ] = {}
         self._waiting: waiting.WaitingQueue[exchange.Exchange]
         self._waiting = waiting.WaitingQueue()
+        self._services: dict[ids.ServiceName, _Service] = {}
+        self._held: dict[
+            exchange.Exchange, tuple[_Service, ids.RequestId]
+        ] = {}
+        self._held_bytes = 0
+        self._served = demand_shares.DemandShares()
         self._numbers = itertools.count()
         self._timer: entry_loop.Timer | None = None
         self._gauged_routes: set[str] = set()
         self._knows_peers = False
         metrics.gauge('admission_waiting', lambda: len(self._waiting))
         metrics.gauge('admission_waiting_bytes', lambda: self._waiting.bytes)
+        metrics.gauge('admission_held', lambda: len(self._held))
+        metrics.gauge('admission_held_bytes', lambda: self._held_bytes)
 
     def submit(self, started: exchange.Exchange) -> None:
         """Dispatch or refuse a request, now or later."""
@@ -79,7 +123,7 @@
         if workspace is not None:
             bucket = self._quotas.bucket(workspace, now_s)
         if workspace is None or bucket is None:
-            started.dispatch()
+            self._start(started)
             return
         ask = self._ask(started, workspace)
         bucket.record(ask, now_s)
@@ -143,7 +187,10 @@
         self._timer = None
         for name in self._waiting.groups():
             self._recheck_group(name)
-        if len(self._waiting):
+        for service in self._services.values():
+            if service.held:
+                self._recheck_service(service)
+        if self._timer is None and (len(self._waiting) or self._held):
             self._schedule()
 
     def _recheck_group(self, name: str) -> None:
@@ -182,7 +229,7 @@
         cost: float,
     ) -> None:
         self._charged[started] = (workspace, cost)
-        started.dispatch()
+        self._start(started)
 
     def _refuse_waiting(self, started: exchange.Exchange) -> None:
         workspace = started.workspace
@@ -211,6 +258,156 @@
             ),
         )
 
+    # -- requests that wait for capacity -------------------------------
+
+    def _start(self, started: exchange.Exchange) -> None:
+        """Dispatch a request that has its quota, unless capacity is short."""
+        if not started.route.is_model:
+            # There is no estimate for plain endpoints.
+            started.dispatch()
+            return
+        now_s = self._loop.now_s
+        service = self._services.get(started.service)
+        if service is None:
+            service = self._services[started.service] = _Service()
+        workspace = started.workspace
+        ask = shortage.Ask(
+            ids.RequestId(str(next(self._numbers))),
+            workspace.name if workspace else ids.WorkspaceName(''),
+            started.route.priority,
+            started.route.name,
+            float(started.call.total_tokens),
+            started.route.objective_s,
+            started.expires_at_s,
+        )
+        service.shortage.see(ask, now_s)
+        first_token_s = self._first_token_s(service, started)
+        if first_token_s > ask.objective_s:
+            service.short_s = now_s
+        verdict = service.shortage.decide(ask, first_token_s, now_s)
+        if verdict is shortage.Verdict.HOLD:
+            size = len(started.call.body)
+            if self._held_bytes + size <= waiting.MAX_BYTES and (
+                service.shortage.hold(ask, now_s)
+            ):
+                self._held_bytes += size
+                self._held[started] = (service, ask.request_id)
+                service.held[ask.request_id] = (started, ask)
+                self._log_capacity('held', started, service)
+                self._metrics.add('admission_holds')
+                self._add_gauges(started.route.name)
+                if self._timer is None:
+                    self._schedule()
+                return
+            verdict = shortage.Verdict.REFUSE
+        if verdict is shortage.Verdict.REFUSE:
+            self._refuse_capacity(started, service)
+            return
+        self._release(started, service, ask)
+
+    def _first_token_s(
+        self, service: _Service, started: exchange.Exchange
+    ) -> float:
+        """When the first token is expected if a request begins now."""
+        now_s = self._loop.now_s
+        calm_s = CALM_SHARE * started.route.objective_s
+        if (
+            now_s - service.estimated_s > ESTIMATE_TTL_S
+            or service.first_token_s > calm_s
+        ):
+            # Without an endpoint, the exchange itself waits for one.
+            service.first_token_s = started.expected_first_token_s() or 0.0
+            service.estimated_s = now_s
+        return service.first_token_s
+
+    def _release(
+        self,
+        started: exchange.Exchange,
+        service: _Service,
+        ask: shortage.Ask,
+    ) -> None:
+        now_s = self._loop.now_s
+        if now_s - service.short_s <= SHORT_TTL_S:
+            service.shortage.record_begun(ask.workspace, ask.tokens, now_s)
+        started.dispatch()
+
+    def _forget_held(self, started: exchange.Exchange) -> None:
+        held = self._held.pop(started, None)
+        if held is not None:
+            service, request_id = held
+            service.shortage.cancel(request_id)
+            del service.held[request_id]
+            self._held_bytes -= len(started.call.body)
+
+    def _recheck_service(self, service: _Service) -> None:
+        """Begin or refuse what is held of one service."""
+        now_s = self._loop.now_s
+        for ask in service.shortage.expire(now_s):
+            started = service.held[ask.request_id][0]
+            self._forget_held(started)
+            self._refuse_capacity(started, service)
+        first = service.shortage.first()
+        if first is None:
+            return
+        started = service.held[first.request_id][0]
+        first_token_s = self._first_token_s(service, started)
+        if (
+            first_token_s <= first.objective_s
+            and self._draw() <= RELEASE_CHANCE
+        ):
+            following = service.shortage.next(now_s)
+            assert following is not None
+            started = service.held[following.request_id][0]
+            self._forget_held(started)
+            self._log_capacity('released', started, service)
+            self._release(started, service, following)
+        for started, ask in list(service.held.values()):
+            if now_s + first_token_s > ask.expires_s:
+                self._forget_held(started)
+                self._refuse_capacity(started, service)
+
+    def _refuse_capacity(
+        self, started: exchange.Exchange, service: _Service
+    ) -> None:
+        wait_s = shortage.retry_after_s(
+            service.first_token_s, started.route.objective_s, self._draw()
+        )
+        self._log_capacity('refused', started, service, retry_after_s=wait_s)
+        self._metrics.add('refused_503')
+        started.refuse(
+            503,
+            outcome.Failure(
+                outcome.Reason.OVERLOADED,
+                f'the first token would take {service.first_token_s:.2f} s',
+                wait_s,
+            ),
+        )
+
+    def _log_capacity(
+        self,
+        result: str,
+        started: exchange.Exchange,
+        service: _Service,
+        **times_s: float,
+    ) -> None:
+        now_s = self._loop.now_s
+        journal.event(
+            'admission',
+            outcome=result,
+            request=started.call.attempt_id,
+            route=started.route.name,
+            service=started.service,
+            workspace=started.workspace.name if started.workspace else None,
+            priority=started.route.priority,
+            first_token_s=round(service.first_token_s, 4),
+            age_s=round(now_s - service.estimated_s, 3),
+            objective_s=started.route.objective_s,
+            waited_s=round(now_s - started.arrived_s, 3),
+            left_s=round(started.expires_at_s - now_s, 3),
+            held=len(service.held),
+            **{name: round(time_s, 3) for name, time_s in times_s.items()},
+        )
+
     def _ask(
         self, started: exchange.Exchange, workspace: configuration.Workspace
     ) -> pace.Ask:
@@ -256,10 +453,11 @@
         suffix = re.sub(r'[^a-zA-Z0-9]', '_', route)
 
         def arrivals() -> list[float]:
+            items = [place.item for place in self._waiting.all()]
             return [
-                place.item.arrived_s
-                for place in self._waiting.all()
-                if place.item.route.name == route
+                item.arrived_s
+                for item in [*items, *self._held]
+                if item.route.name == route
             ]
 
         self._metrics.gauge(
@@ -279,6 +477,7 @@
         or it was not sent to any endpoint before its caller left.
         """
         self._waiting.remove(started)
+        self._forget_held(started)
         charged = self._charged.pop(started, None)
         if charged is not None and (
             verdict == 'own 503' or not started.attempts
@@ -307,6 +506,7 @@
 
         :param run_age_s: how long ago that run started
         """
+        self._charge_elsewhere(source, spent)
         current = self._state.configuration
         if current is None:
             return
@@ -321,6 +521,36 @@
                     self._loop.now_s,
                 )
 
+    def _charge_elsewhere(
+        self,
+        source: quota.Source,
+        spent: typing.Mapping[ids.WorkspaceName, tuple[float, float, float]],
+    ) -> None:
+        """Record for services that are short what others have admitted.
+
+        Consumption is not reported by service, so all services count it.
+        """
+        oldest_s = self._loop.now_s - SHORT_TTL_S
+        short = [
+            service.shortage
+            for service in self._services.values()
+            if service.short_s >= oldest_s
+        ]
+        if not short:
+            return
+        served = self._served.record_sum(
+            wire_requests.DemandSum(
+                source=source.admitted_by,
+                demand={},
+                served_tokens={
+                    str(name): item[0] for name, item in spent.items()
+                },
+            ),
+            self._loop.now_s,
+        )
+        for item in short:
+            item.charge_elsewhere(served, self._loop.now_s)
+
     def queued(self) -> dict[ids.WorkspaceName, float]:
         """What is asked per second here of the quotas that are short."""
         return self._quotas.queued(self._loop.now_s)
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -1,13 +1,17 @@
-"""Tests requests that wait for their quota at one node.
+"""Tests requests that wait for their quota, or for capacity, at one node.
 
-No network. The load: a workspace has used its quota of 1,000 a second, and
-more requests come, of which some can have quota within their objective.
+No network. The loads: a workspace has used its quota of 1,000 a second, and
+more requests come, of which some can have quota within their objective; the
+endpoints of a service are too full to meet the objective.
 """
 
+import dataclasses
 import typing
 import unittest
 
 from guavachute.decide.ingress.admission import waiting
+from guavachute.decide.ingress import quota
+from guavachute import ids
 from guavachute import outcome
 from tests.support import gate_site
 from tests.support import quota_load
@@ -90,6 +94,116 @@
             )
 
 
+class ShortCapacityTest(unittest.TestCase):
+    """A service whose first tokens take longer than the objective of 1 s.
+
+    Routes of priorities 0 and 2 ask for it; the quota is not short.
+    """
+
+    def setUp(self) -> None:
+        self.site = gate_site.GateSite(1_000_000.0)
+        self.other = dataclasses.replace(
+            self.site.workspace, name=ids.WorkspaceName('zoology')
+        )
+        self.site.state.configuration.workspaces['zoology'] = self.other
+
+    def test_nothing_waits_while_the_objective_is_met(self) -> None:
+        self.site.first_token_s = 0.9
+        for priority in (0, 2, 1):
+            self.assertIsNotNone(
+                self.site.request(9, priority=priority).begun_s
+            )
+
+    def test_one_kind_alone_begins_as_before(self) -> None:
+        self.site.first_token_s = 1.5
+        for _ in range(20):
+            self.assertIsNotNone(self.site.request(9, priority=2).begun_s)
+
+    def test_urgent_requests_begin_and_others_are_held(self) -> None:
+        self.site.first_token_s = 1.5
+        self.assertIsNotNone(self.site.request(9, priority=0).begun_s)
+        held = self.site.request(9, priority=2)
+        self.assertIsNone(held.begun_s)
+        self.site.first_token_s = 0.5
+        self.site.loop.run(0.1)
+        self.assertIsNotNone(held.begun_s)
+
+    def test_what_is_held_for_too_long_is_refused(self) -> None:
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        held = self.site.request(9, priority=2)
+        self.site.loop.run(0.6)
+        self.assertIsNotNone(held.refused_s)
+
+    def test_what_can_not_meet_its_deadline_is_refused_at_once(self) -> None:
+        """Guards against work whose caller has left when it ends."""
+        self.site.first_token_s = 7.0
+        refused = [self.site.request(9, priority=0) for _ in range(5)]
+        times = set()
+        for item in refused:
+            self.assertEqual(self.site.loop.now_s, item.refused_s)
+            failure = typing.cast(outcome.Failure, item.failure)
+            times.add(failure.retry_after_s)
+            self.assertGreaterEqual(
+                typing.cast(float, failure.retry_after_s), 6.0
+            )
+        self.assertEqual(5, len(times))
+
+    def test_no_kind_is_starved(self) -> None:
+        self.site.first_token_s = 1.5
+        begun = 0
+        for _ in range(100):
+            self.site.request(9, priority=0)
+            begun += self.site.request(9, priority=2).begun_s is not None
+            self.site.loop.run(0.01)
+        self.assertGreaterEqual(begun, 25)
+
+    def test_the_workspace_that_was_served_less_begins_first(self) -> None:
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0, workspace=self.other)
+        held = [
+            self.site.request(90, priority=2, workspace=workspace)
+            for workspace in [*[self.site.workspace] * 2, self.other]
+        ]
+        self.assertEqual([None] * 3, [item.begun_s for item in held])
+        self.site.first_token_s = 0.5
+        self.site.loop.run(0.1)
+        order = [item for item in self.site.begun if item in held]
+        self.assertIn(self.other, [item.workspace for item in order[:2]])
+
+    def test_a_workspace_over_its_share_is_held(self) -> None:
+        """Also where other nodes served it."""
+        self.site.first_token_s = 1.5
+        for total in (0.0, 10_000.0):
+            self.site.request(9, workspace=self.other)
+            self.site.gate.merge_consumption(
+                quota.Source('edge-2/1', 'edge-2/1'),
+                {self.site.workspace.name: (total, 0.0, 0.0)},
+                9.0,
+            )
+        self.site.request(9, workspace=self.other)
+        self.assertIsNone(self.site.request(9).begun_s)
+        self.assertIsNotNone(
+            self.site.request(9, workspace=self.other).begun_s
+        )
+
+    def test_a_caller_that_leaves_while_held_leaves_nothing(self) -> None:
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        before = self.site.admitted()
+        held = self.site.request(9, priority=2, size=500)
+        held.attempts = 0
+        self.site.gate.handle_ended(
+            typing.cast(typing.Any, held), 'caller-left'
+        )
+        self.site.first_token_s = 0.5
+        self.site.loop.run(0.1)
+        self.assertIsNone(held.begun_s)
+        self.assertEqual(before, self.site.admitted())
+        for line in (b'admission_held 0', b'admission_held_bytes 0'):
+            self.assertIn(line, self.site.metrics.text())
+
+
 class WaitingQueueTest(unittest.TestCase):
     """A queue for three requests or 1,000 bytes."""
 
--- a/tests/support/gate_site.py
+++ b/tests/support/gate_site.py
@@ -57,6 +57,10 @@
     failure: outcome.Failure | None = None
     site: typing.Any = None
 
+    def expected_first_token_s(self) -> float:
+        """What the test says."""
+        return self.site.first_token_s
+
     def dispatch(self) -> None:
         """Begin."""
         assert self.begun_s is None and self.refused_s is None
@@ -82,6 +86,7 @@
         self.configure(self.workspace)
         self.metrics = observe_metrics.Metrics()
         self.begun: list[FakeExchange] = []
+        self.first_token_s = 0.01
         site = types.SimpleNamespace(
             bounds=types.SimpleNamespace(quota_allowance=0.0)
         )
@@ -108,7 +113,7 @@
         left_s: float = 6.0,
         priority: int = 1,
         size: int = 100,
-        service: str = 'model',
+        workspace: typing.Any = None,
     ) -> FakeExchange:
         """Submit a request whose callers have six seconds at first."""
         started = FakeExchange(
@@ -116,16 +121,15 @@
                 attempt_id='a', total_tokens=cost, body=b'x' * size, parts=()
             ),
             types.SimpleNamespace(
-                name='brief',
+                name=f'priority-{priority}',
                 objective_s=objective_s,
                 timeout_s=6.0,
                 priority=priority,
                 is_model=True,
             ),
-            self.workspace,
+            workspace or self.workspace,
             self.loop.now_s,
             self.loop.now_s + left_s,
-            service,
             site=self,
         )
         self.gate.submit(typing.cast(typing.Any, started))
@@ -134,3 +138,7 @@
     def level(self) -> float:
         """What is left of the quota."""
         return self.gate.consumption()[self.workspace.name][2]
+
+    def admitted(self) -> float:
+        """What was admitted of the quota, less the refunds."""
+        return self.gate.consumption()[self.workspace.name][0]
