--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -138,6 +138,7 @@
     def test_what_can_not_meet_its_deadline_is_refused_at_once(self) -> None:
         """Guards against work whose caller has left when it ends."""
         self.site.first_token_s = 7.0
+        self.site.draw.side_effect = [0.0, 0.2, 0.4, 0.6, 0.8]
         refused = [self.site.request(9, priority=0) for _ in range(5)]
         times = set()
         for item in refused:
--- a/tests/support/gate_site.py
+++ b/tests/support/gate_site.py
@@ -91,7 +91,8 @@
             bounds=types.SimpleNamespace(quota_allowance=0.0)
         )
         table = types.SimpleNamespace(counted_runs=lambda _: ({}, set()))
-        with mock.patch('random.random', return_value=0.5):
+        self.draw = mock.Mock(return_value=0.5)
+        with mock.patch('random.random', self.draw):
             self.gate = gate.Gate(
                 typing.cast(typing.Any, self.loop),
                 typing.cast(typing.Any, site),
