Take no answer as complete that was reset during the upload

Cause: a failed send reports the reset of a connection once; the system then shows an end in order to who reads on. A 200 without a length, whose endpoint reset the connection while a long upload was being written, so ended like a complete one, for plain calls and streams, over new, kept and relayed connections. The reader took statuses below 100 for interim answers, and their bodies for parts of the answer; it handed 600 and 999 on. Change: a connection whose send has failed, or that has bytes left to send, does not end cleanly. Statuses other than 100 to 599, 101, and interim answers with a body are malformed, so that the attempt fails.

--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -19,6 +19,7 @@
 """Upper bound of what comes between two parts of the bodies of answers: heads,
 interim answers, chunk sizes and trailers."""
 
+MAX_STATUS = 599
 
 REASONS = {
     200: b'OK',
@@ -252,8 +253,10 @@
     """Parses the answers of a connection, one after the other.
 
     The parts of a body that come in one piece of data are one, however small
-    its chunks. Interim answers (1xx) are skipped. Bytes that go on without a
-    body for more than :data:`MAX_ANSWER_HEAD_BYTES` are malformed.
+    its chunks. Interim answers (1xx) are skipped. Malformed are answers with a
+    status that none has, interim ones that have a body or change the protocol,
+    and bytes that go on without a body for more than
+    :data:`MAX_ANSWER_HEAD_BYTES`.
     """
 
     def __init__(self) -> None:
@@ -266,6 +269,7 @@
         self._framing_bytes = 0
         self._is_in_head = False
         self._is_in_body = False
+        self._is_malformed = False
 
     @property
     def is_reading_answer(self) -> bool:
@@ -284,12 +288,12 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._add_body()
+            self._is_malformed = True
+        self._add_body()
+        if self._framing_bytes > MAX_ANSWER_HEAD_BYTES:
+            self._is_malformed = True
+        if self._is_malformed:
             self._events.append(AnswerMalformed())
-        else:
-            self._add_body()
-            if self._framing_bytes > MAX_ANSWER_HEAD_BYTES:
-                self._events.append(AnswerMalformed())
         return self._events
 
     def _add_body(self) -> None:
@@ -313,22 +317,43 @@
         self._is_in_body = True
         self._status = self._parser.get_status_code()
         self._framing = _framing(self._status, self._headers)
-        if self._status >= 200:
+        is_final = 200 <= self._status <= MAX_STATUS
+        if not is_final and not self._is_interim():
+            self._is_malformed = True
+        if is_final and not self._is_malformed:
             self._framing_bytes = 0
             self._events.append(
                 AnswerStarted(self._status, self._headers, self._framing)
             )
 
+    def _is_interim(self) -> bool:
+        """Whether the head is that of an interim answer.
+
+        No request offers another protocol, and an interim answer has no body.
+        """
+        return (
+            100 <= self._status < 200
+            and self._status != 101
+            and (
+                self._framing is not Framing.CHUNKS
+                and not any(
+                    name.lower() == b'content-length' and value.strip(b'0 ')
+                    for name, value in self._headers
+                )
+            )
+        )
+
     def on_body(self, data: bytes) -> None:
         """Parser callback: a part of the body."""
         self._framing_bytes = 0
-        self._body += data
+        if not self._is_malformed:
+            self._body += data
 
     def on_message_complete(self) -> None:
         """Parser callback: the answer is complete."""
         self._is_in_body = False
         self._add_body()
-        if self._status >= 200:
+        if self._status >= 200 and not self._is_malformed:
             self._framing_bytes = 0
             self._events.append(AnswerEnded(self._parser.should_keep_alive()))
 
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -28,7 +28,11 @@
         """Bytes were received."""
 
     def ended(self, is_clean: bool) -> None:
-        """The peer has closed (*is_clean*) or the connection broke."""
+        """The peer has closed or the connection broke.
+
+        :param is_clean: whether the peer closed in order, when all that was
+            written had been sent
+        """
 
     def drained(self) -> None:
         """All that was written has been passed to the operating system."""
@@ -53,6 +57,7 @@
         self._is_reading = True
         self._unsent: collections.deque[memoryview] = collections.deque()
         self._events = 0
+        self._has_failed = False
         self.unsent_bytes = 0
         self.is_closed = False
         self.owner: Owner | None = None
@@ -197,7 +202,9 @@
             return 0
         except OSError:
             # Received bytes may still wait to be read. The break is handled
-            # after the loop has read the socket.
+            # after the loop has read the socket. The operating system reports
+            # it only once, and an end in order to those who read on.
+            self._has_failed = True
             self._loop.call_at(self._loop.now_s, self._break)
             return None
 
@@ -213,7 +220,9 @@
             assert self.owner is not None
             self.owner.received(data)
         else:
-            self._end(is_clean=True)
+            # A peer that closes before it has read everything resets the
+            # connection, though perhaps only behind its end.
+            self._end(is_clean=not (self._has_failed or self._unsent))
 
     def _break(self) -> None:
         if self.is_closed:
