--- a/tests/cover/test_plain_call_ends.py
+++ b/tests/cover/test_plain_call_ends.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -16,6 +17,7 @@
 from guavachute.observe import traces
 from guavachute.services import plain_calls
 from guavachute.services.relay import downstream
+from guavachute.services.relay import upstream
 from guavachute import settings
 from guavachute.wire import tables
 from tests.support import hosting
@@ -24,6 +26,8 @@
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n'
 UNFRAMED = HEAD + b'\r\nten ca'
 FRAMED = HEAD + b'Content-Length: 8\r\n\r\nten caps'
+LONG_BODY = BODY * 2_000_000
+"""More than the operating system takes in."""
 
 
 class Endpoint:
@@ -58,6 +62,20 @@
         connection.sendall(self._answer)
 
 
+class EarlyEndpoint(Endpoint):
+    """Answers before it has read the body, and resets the connection."""
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection:
+            connection.recv(65_536)
+            self._answer_on(connection)
+            time.sleep(0.1)
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+
+
 class EndlessEndpoint(Endpoint):
     """Sends an answer without end until its connection is closed.
 
@@ -93,7 +111,12 @@
         self.claimer = unittest.mock.Mock()
         self.claimer.claim.return_value = None
 
-    def fetch(self, answer: bytes | Endpoint, key: str | None = None) -> bytes:
+    def fetch(
+        self,
+        answer: bytes | Endpoint,
+        key: str | None = None,
+        body: bytes = BODY,
+    ) -> bytes:
         """All that a caller reads until its connection is closed."""
         endpoint = answer
         if isinstance(endpoint, bytes):
@@ -114,7 +137,7 @@
                     request_id=ids.RequestId('req-1'),
                     workspace=ids.WorkspaceName('club'),
                     pool=ids.PoolName('orders'),
-                    request=message.Request('POST', '/jobs', {}, {}, BODY),
+                    request=message.Request('POST', '/jobs', {}, {}, body),
                     idempotency_key=key,
                     deadline_s=time.monotonic() + 2.0,
                     caller=downstream.Downstream(connection, False),
@@ -184,3 +207,70 @@
                     self.assert_given_up(
                         EndlessEndpoint(self, pause_s, start, piece)
                     )
+
+    # Guards against the part of an answer that had come when its endpoint
+    # reset the connection, amid the upload, as the whole answer.
+    def test_an_answer_that_was_reset_during_the_upload_is_none(self) -> None:
+        for answer in (UNFRAMED, FRAMED[:-2]):
+            for key in (None, 'key'):
+                with self.subTest(answer=answer, key=key):
+                    received = self.fetch(
+                        EarlyEndpoint(self, answer), key, LONG_BODY
+                    )
+                    self.assertIn(b'answer_lost', received)
+
+    # Guards against a status that is none, and that of an interim answer,
+    # as the status of the answer.
+    def test_an_invalid_status_is_no_answer(self) -> None:
+        for status in (b'000', b'99', b'1000', b'2x0', b'', b'101', b'600'):
+            with self.subTest(status=status):
+                received = self.fetch(FRAMED.replace(b'200', status))
+                self.assertIn(b'answer_lost', received)
+
+    def test_interim_answers_that_nobody_asked_for_are_skipped(self) -> None:
+        for status in (b'100', b'102', b'103'):
+            with self.subTest(status=status):
+                received = self.fetch(
+                    b'HTTP/1.1 %s Wait\r\nX: y\r\n\r\n' % status + FRAMED
+                )
+                self.assertTrue(received.startswith(b'HTTP/1.1 200 '))
+                self.assertTrue(received.endswith(b'\r\n\r\nten caps'))
+
+
+class StreamAnswerTest(unittest.TestCase):
+    """The connection of a stream, which has an engine's answer parsed."""
+
+    def receive(self, answer: bytes) -> upstream.Connection:
+        connection = upstream.Connection('127.0.0.1:1')
+        connection.socket.close()
+        connection.socket, engine = socket.socketpair()
+        self.addCleanup(connection.close)
+        self.addCleanup(engine.close)
+        connection.reused = True
+        connection.begin_exchange(b'request')
+        engine.sendall(answer)
+        connection.receive()
+        return connection
+
+    # Guards against an interim answer, or one with a status that is none,
+    # that is taken for the whole answer.
+    def test_interim_answers_are_skipped(self) -> None:
+        for status in (b'100', b'102', b'103'):
+            connection = self.receive(
+                b'HTTP/1.1 %s Wait\r\nX: y\r\n\r\n' % status + FRAMED
+            )
+            self.assertIs(upstream.State.COMPLETE, connection.state)
+            self.assertEqual(200, connection.status)
+            self.assertEqual(b'ten caps', connection.pop_body())
+
+    def test_an_interim_answer_alone_completes_nothing(self) -> None:
+        connection = self.receive(b'HTTP/1.1 102 Wait\r\n\r\n')
+        self.assertIs(upstream.State.READING, connection.state)
+        self.assertEqual(0, connection.status)
+
+    def test_an_invalid_status_breaks_the_exchange(self) -> None:
+        for status in (b'000', b'99', b'1000', b'2x0', b'', b'101', b'600'):
+            connection = self.receive(FRAMED.replace(b'200', status))
+            self.assertIs(upstream.State.BROKEN, connection.state, status)
+            self.assertEqual(0, connection.status, status)
+            self.assertEqual(b'', connection.pop_body(), status)
