Take no answer to a router as complete that was reset during the upload

Cause: urllib3 reads an answer also if sending the request failed; the end of the connection then looks like the end of a body without a length. http.client skips interim answers with status 100 only and takes 600 to 999 for statuses, of which the reply could not be encoded; the parser of streams took any head for that of the answer. Change: after a failed send, only a length or chunks show that an answer is whole. All interim answers are skipped; 101 and statuses below 100 or beyond 599 fail the attempt.

--- a/src/guavachute/http/bounded_answers.py
+++ b/src/guavachute/http/bounded_answers.py
@@ -14,6 +14,7 @@
 import urllib3
 import urllib3.connection
 
+MAX_STATUS = 599
 MAX_ANSWER_BYTES = 17_825_792
 """16 MB of a body, and 1 MB around it."""
 
@@ -75,9 +76,64 @@
         raw = sock.makefile('rb', buffering=0)
         self.fp = io.BufferedReader(_BoundedReader(sock, raw, end_s))
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line, and skip all interim answers before it.
+
+        ``http.client`` skips those with status 100 only, and takes any number
+        below 1,000 for a status.
+
+        :raises http.client.BadStatusLine: no answer has that status
+        """
+        read_line = super()._read_status  # type: ignore[misc]
+        while True:
+            version, status, reason = read_line()
+            if 200 <= status <= MAX_STATUS:
+                return version, status, reason
+            if status == http.HTTPStatus.SWITCHING_PROTOCOLS or status > 199:
+                raise http.client.BadStatusLine(f'{version} {status}')
+            http.client.parse_headers(self.fp)
+
 
 class _BoundedConnection(urllib3.connection.HTTPConnection):
     response_class = _BoundedResponse
+    _has_failed = False
+
+    def request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        """Send a request."""
+        self._has_failed = False
+        super().request(*args, **kwargs)
+
+    def send(self, data: typing.Any) -> None:
+        """Send a part of a request.
+
+        urllib3 reads an answer also if this fails, as there may be an early
+        one.
+        """
+        try:
+            super().send(data)
+        except OSError:
+            self._has_failed = True
+            raise
+
+    def getresponse(  # type: ignore[override]
+        self,
+    ) -> urllib3.HTTPResponse:
+        """Read the head of the answer.
+
+        After a failed send, the end of the connection looks like the end of a
+        body without a length. Only a length or chunks show that it is whole.
+
+        :raises http.client.HTTPException: that can't be shown
+        """
+        response = super().getresponse()
+        if self._has_failed and not (
+            response.chunked or response.length_remaining is not None
+        ):
+            response.close()
+            raise http.client.HTTPException(
+                'the connection was reset during the request'
+            )
+        return response
 
 
 class Pool(urllib3.HTTPConnectionPool):
--- a/src/guavachute/services/relay/upstream.py
+++ b/src/guavachute/services/relay/upstream.py
@@ -18,6 +18,7 @@
 """Upper bound of what comes between two parts of a body: heads, interim
 responses, chunk sizes and trailers."""
 
+MAX_STATUS = 599
 IN_PROGRESS = (errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
@@ -133,7 +134,10 @@
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             self._mark_broken(f'not HTTP: {error}')
         if self._framing_bytes > MAX_HEAD_BYTES:
             self._mark_broken('a head without end')
@@ -186,17 +190,26 @@
                 self.retry_after_s = float(value)
 
     def on_headers_complete(self) -> None:
-        """Store the status."""
-        self.status = self._parser.get_status_code()
+        """Store the status, unless it is that of an interim response."""
+        status = self._parser.get_status_code()
+        is_interim = 100 <= status < 200 and status != 101
+        if 200 <= status <= MAX_STATUS:
+            self.status = status
+        elif not is_interim:
+            self._mark_broken(f'no response has status {status}')
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body for :meth:`pop_body`."""
-        self._framing_bytes = 0
-        self._body.append(data)
+        if not self.status:
+            self._mark_broken('an interim response with a body')
+        elif self.state is not State.BROKEN:
+            self._framing_bytes = 0
+            self._body.append(data)
 
     def on_message_complete(self) -> None:
-        """The response is complete."""
-        self.state = State.COMPLETE
+        """The response is complete, unless it is an interim one."""
+        if self.status and self.state is not State.BROKEN:
+            self.state = State.COMPLETE
 
 
 def encode_request(
