Bound state that callers name: prompt parts, ids, log lines

The parts remembered as cached are bounded over all endpoints, not only for each: 4,000 parts at each of 51 endpoints took more than a third of the smallest VM by calculation. Ids of attempts that a connection remembers are hashed when they are long, and the queue of log lines is bounded in bytes: both may be as long as a head.

--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -24,6 +24,13 @@
 """Upper bound of the prompt parts that are remembered as cached by one
 engine."""
 
+MAX_ALL_CACHED_PARTS = 50_000
+"""Upper bound of the same over all endpoints, as callers choose the parts.
+With the longest names, these take 22 MB."""
+
+MIN_CACHED_PARTS = 50
+"""So many are remembered for each endpoint, however many there are."""
+
 SPEED_WEIGHT = 0.1
 """Weight of the newest measurement in the moving averages of an endpoint's
 speed."""
@@ -99,6 +106,7 @@
         before the first
     :ivar cached: ids of prompt parts that the engine should have in its cache,
         the most recently used last
+    :ivar max_cached_parts: the oldest are forgotten beyond this number
     """
 
     entry: endpoints.Endpoint
@@ -117,6 +125,7 @@
     cached: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
+    max_cached_parts: int = MIN_CACHED_PARTS
 
     @property
     def is_leaving(self) -> bool:
@@ -163,7 +172,21 @@
         for part in parts:
             self.cached[part.id] = None
             self.cached.move_to_end(part.id)
-        while len(self.cached) > MAX_CACHED_PARTS:
+        self._forget_oldest_parts()
+
+    def limit_cached_parts(self, endpoints_in_all: int) -> None:
+        """Share what may be remembered with the other endpoints."""
+        self.max_cached_parts = max(
+            MIN_CACHED_PARTS,
+            min(
+                MAX_CACHED_PARTS,
+                MAX_ALL_CACHED_PARTS // max(1, endpoints_in_all),
+            ),
+        )
+        self._forget_oldest_parts()
+
+    def _forget_oldest_parts(self) -> None:
+        while len(self.cached) > self.max_cached_parts:
             self.cached.popitem(last=False)
 
     def record_prefill(self, tokens: int, duration_s: float) -> None:
@@ -280,6 +303,8 @@
         """Apply changes of the table, and report endpoints that leave."""
         for entry in self._table.entries.values():
             self.record_for(entry)
+        for record in self._records.values():
+            record.limit_cached_parts(len(self._records))
         for endpoint in self._records.keys() - self._table.entries.keys():
             record = self._records[endpoint]
             if record.own.requests and not record.is_gone:
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -4,6 +4,7 @@
 import typing
 
 from guavachute.decide.ingress import endpoint_links
+from guavachute.domain import call
 from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
@@ -62,7 +63,7 @@
         self._listener: Listener | None = None
         self._opened_s = self._sent_s = loop.now_s
         self._is_in_use = False
-        self._attempts: collections.deque[ids.AttemptId] = collections.deque(
+        self._attempts: collections.deque[str] = collections.deque(
             maxlen=KEPT_ATTEMPTS
         )
         self._received_s = endpoint_links.NEVER_S
@@ -105,11 +106,12 @@
         An endpoint may send an answer once more. If the attempt was on this
         connection before, nothing tells the two answers apart.
         """
-        return attempt_id not in self._attempts
+        return call.part_id(attempt_id) not in self._attempts
 
     def record_attempt(self, attempt_id: ids.AttemptId) -> None:
         """Record the attempt that uses the connection from now on."""
-        self._attempts.append(attempt_id)
+        # Callers choose the ids, which may be as long as a head.
+        self._attempts.append(call.part_id(attempt_id))
 
     def send_request(self, request: bytes, listener: Listener) -> None:
         """Send *request*; *listener* gets the answer."""
--- a/src/guavachute/observe/journal.py
+++ b/src/guavachute/observe/journal.py
@@ -15,7 +15,11 @@
 import msgspec
 
 MAX_WAITING_LINES = 4_000
-"""Capacity of the queue, about one megabyte."""
+"""Capacity of the queue, about one megabyte with usual lines."""
+
+MAX_WAITING_BYTES = 4_194_304
+"""Capacity of the queue in bytes. Lines hold what callers sent, such as the
+id of a request, which may be as long as a head."""
 
 _log = logbook.Logger('guavachute')
 
@@ -42,6 +46,7 @@
         self._descriptor = descriptor
         self._node = node
         self._lines: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
         self.dropped = 0
         """Number of lost lines that are not logged yet.
 
@@ -50,10 +55,15 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Queue the line of *record*, and write without blocking."""
-        if len(self._lines) >= MAX_WAITING_LINES:
+        if (
+            len(self._lines) >= MAX_WAITING_LINES
+            or self._waiting_bytes >= MAX_WAITING_BYTES
+        ):
             self.dropped += 1
             return
-        self._lines.append(self._encode(record))
+        line = self._encode(record)
+        self._lines.append(line)
+        self._waiting_bytes += len(line)
         self.flush()
 
     def flush(self) -> None:
@@ -69,7 +79,9 @@
                 # The reader has gone; the process continues without logs.
                 self.dropped += 1 + len(self._lines)
                 self._lines.clear()
+                self._waiting_bytes = 0
                 return
+            self._waiting_bytes -= written
             if written < len(line):
                 self._lines.appendleft(line[written:])
                 return
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from guavachute.domain import call
+from guavachute.entry import endpoint_registry
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
 from tests.support import looping
@@ -94,6 +96,48 @@
         )
 
 
+class HeldByCallersTest(RequestTest):
+    """What one caller makes the process hold."""
+
+    def test_all_requests_sent_at_once_are_answered(self) -> None:
+        """Guards against requests that stay unparsed behind another."""
+        engine = self.engine('e1')
+        node = self.site.ready_node()
+        caller = platform_site.CallerSocket(
+            self.site.loop, node.ingress.address
+        )
+        self.addCleanup(caller.close)
+        caller.send(
+            b''.join(
+                platform_site.request_bytes(
+                    '/order/a', f'attempt-{number}', body=b'x' * 3_000
+                )
+                for number in range(40)
+            )
+        )
+        looping.run_until(self.site.loop, lambda: len(engine.runs) >= 40)
+        self.assertEqual(40, len(engine.runs))
+
+    def test_remembered_prompt_parts_are_bounded_over_all_endpoints(
+        self,
+    ) -> None:
+        """Guards against callers who send ever new parts."""
+        self.engine('e1')
+        node = self.site.ready_node()
+        (entry,) = node.state.table.entries.values()
+        record = node.registry.record_for(entry)
+        parts = [call.PromptPart(f'part-{n}', 1) for n in range(9_000)]
+        record.record_prompt(parts)
+        self.assertEqual(
+            endpoint_registry.MAX_CACHED_PARTS, len(record.cached)
+        )
+        record.limit_cached_parts(100)
+        self.assertEqual(
+            endpoint_registry.MAX_ALL_CACHED_PARTS // 100, len(record.cached)
+        )
+        self.assertIn('part-8999', record.cached)
+
+
 class RefusalTest(RequestTest):
     def test_what_no_route_serves_is_not_found(self) -> None:
         self.engine('e1')
--- a/tests/cover/test_operations_page.py
+++ b/tests/cover/test_operations_page.py
@@ -145,6 +145,18 @@
         for line in lines:
             msgspec.json.decode(line)
 
+    def test_long_lines_take_no_more_memory(self) -> None:
+        """Guards against ids of requests that are as long as a head."""
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        handler = journal.LineQueue(writer, 'edge-1')
+        with handler.applicationbound():
+            for _ in range(500):
+                journal.event('test', request='x' * 16_000)
+        self.assertGreater(handler.dropped, 200)
+        os.close(reader)
+        os.close(writer)
+
     def test_a_closed_pipe_is_survived(self) -> None:
         reader, writer = os.pipe()
         os.close(reader)
