--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -13,6 +13,7 @@
 from guavachute.entry import transport
 from guavachute.standin.platform import server
 from guavachute.standin.platform import store as standin_store
+from guavachute.standin.platform import version
 
 STAMP = b'stamp-of-'
 BREAK_AFTER_S = 0.01
@@ -176,6 +177,9 @@
     :ivar event_pause_s: seconds between two events of a stream
     :ivar incarnation: the number of its current start
     :ivar build: the version of its software
+    :ivar version: what goes wrong with that version; None if nothing does
+    :ivar work_s: how long a plain answer takes
+    :ivar running: the number of plain answers that it works on
     :ivar is_leaving: whether all answers say that the endpoint will end
     :ivar retry_after: the ``Retry-After`` header of rejections; None without
     :ivar limit: the ``Server-Limit`` header of all answers; None without
@@ -218,6 +222,10 @@
         self.event_pause_s = 0.0
         self.incarnation = 1
         self.build = 'v1'
+        self.version: version.Version | None = None
+        self.work_s = 0.0
+        self.running = 0
+        self._recent_runs: collections.deque[float] = collections.deque()
         self.is_leaving = False
         self.retry_after: str | None = None
         self.limit: str | None = None
@@ -342,11 +350,42 @@
         )
         self.runs.append(run)
         answer.on_disconnected = lambda: setattr(run, 'is_cancelled', True)
+        work_s, fails = self.work_s, False
+        if self.version is not None:
+            slow_s = self.version.slow_s
+            if self.version.goes_wrong(
+                run.target, self._count_recent_runs(), self._loop.now_s
+            ):
+                work_s, fails = work_s + (slow_s or 0.0), slow_s is None
+        if work_s or fails:
+            self.running += 1
+            self._loop.call_after(
+                work_s, lambda: self._end_work(answer, run, fails)
+            )
+            return
         if self.crashing_part in run.shared_parts:
             self._loop.call_after(CRASH_AFTER_S, self.crash)
             return
         self._answer(answer)
 
+    def _count_recent_runs(self) -> int:
+        """The requests of the last second, with a new one."""
+        now_s = self._loop.now_s
+        self._recent_runs.append(now_s)
+        while self._recent_runs[0] < now_s - 1.0:
+            self._recent_runs.popleft()
+        return len(self._recent_runs)
+
+    def _end_work(self, answer: server.Answer, run: Run, fails: bool) -> None:
+        """Answer a request that took some time."""
+        self.running -= 1
+        if run.is_cancelled:
+            return
+        if fails:
+            answer.reply(500, b'failed', self._headers(answer))
+        else:
+            self._answer(answer)
+
     def _is_full(self) -> bool:
         """Whether a brittle endpoint has no room; too often, it crashes."""
         if self.max_rejections_per_s is None:
