--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from guavachute import ids
 from guavachute.domain import call
 from guavachute.entry import endpoint_registry
+from guavachute import ids
 from guavachute.standin.platform import engine as standin_engine
 from guavachute.standin.platform import store as standin_store
 from tests.support import looping
