--- a/src/guavachute/entry/capacity/learned.py
+++ b/src/guavachute/entry/capacity/learned.py
@@ -377,8 +377,6 @@
     """
     found = []
     for name, item in learned.items():
-        if item.is_unchanged(now_s - TELLING_S):
-            continue
         own = item.own(now_s)
         if own is None or now_s - own.measured_s > TELLING_S:
             continue
@@ -393,17 +391,11 @@
 
 
 def region_figures(
-    learned: typing.Mapping[ids.EndpointId, Learned],
-    endpoints: typing.Container[ids.EndpointId],
-    now_s: float,
+    learned: typing.Mapping[ids.EndpointId, Learned], now_s: float
 ) -> dict[ids.EndpointId, endpoint_capacity.Told]:
-    """What a reader tells other regions of its region's *endpoints*."""
+    """What a reader tells other regions of its region's endpoints."""
     found = []
     for name, item in learned.items():
-        if name not in endpoints or item.is_unchanged(
-            now_s - endpoint_capacity.KEPT_S
-        ):
-            continue
         capacity = item.endpoint
         times = [told.measured_s for told in capacity.told.values()]
         own = item.own(now_s)
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -747,8 +747,16 @@
             found.token_s,
         )
 
-    def _learned(self) -> dict[ids.EndpointId, learned_capacity.Learned]:
-        return {name: item.learned for name, item in self._records.items()}
+    def _learned(
+        self, within_s: float
+    ) -> dict[ids.EndpointId, learned_capacity.Learned]:
+        """The endpoints of which something was learned within that time."""
+        since_s = self._now_s() - within_s
+        return {
+            name: item.learned
+            for name, item in self._records.items()
+            if not item.learned.is_unchanged(since_s)
+        }
 
     def told_capacity(
         self,
@@ -756,7 +764,10 @@
         """This node's figures that other nodes of the region should know."""
         now_s = self._now_s()
         return capacity_updates.encode(
-            learned_capacity.told_figures(self._learned(), now_s), now_s
+            learned_capacity.told_figures(
+                self._learned(learned_capacity.TELLING_S), now_s
+            ),
+            now_s,
         )
 
     def region_capacity(
@@ -765,13 +776,13 @@
         """The figures of this region's endpoints, for other regions."""
         now_s = self._now_s()
         local = {
-            name
-            for name, item in self._records.items()
-            if self.nearness(item.entry) is not choice.Nearness.OTHER_REGION
+            name: item
+            for name, item in self._learned(endpoint_capacity.KEPT_S).items()
+            if self.nearness(self._records[name].entry)
+            is not choice.Nearness.OTHER_REGION
         }
         return capacity_updates.encode(
-            learned_capacity.region_figures(self._learned(), local, now_s),
-            now_s,
+            learned_capacity.region_figures(local, now_s), now_s
         )
 
     def merge_capacity(
@@ -790,11 +801,15 @@
 
     def slowdowns(self) -> dict[str, float]:
         """The slowdown of slow endpoints, for metrics."""
-        return learned_capacity.slowdowns(self._learned(), self._now_s())
+        return learned_capacity.slowdowns(
+            self._learned(endpoint_capacity.KEPT_S), self._now_s()
+        )
 
     def limit_shares(self) -> dict[str, float]:
         """The share of slots of endpoints that handle few, for metrics."""
-        return learned_capacity.limit_shares(self._learned(), self._now_s())
+        return learned_capacity.limit_shares(
+            self._learned(endpoint_capacity.KEPT_S), self._now_s()
+        )
 
     def expire_capacity(self) -> None:
         """Discard old figures of other nodes, and log what has changed."""
--- a/tests/cover/test_capacity_decisions.py
+++ b/tests/cover/test_capacity_decisions.py
@@ -208,6 +208,11 @@
         for item in many:
             item.record_report(16.0, self.now_s)
         self.assertEqual(learned.MAX_TOLD, len(self.told(*many)))
+        known = {ids.EndpointId(f'e{n}'): item for n, item in enumerate(many)}
+        self.assertEqual(
+            learned.MAX_TOLD_BY_REGION,
+            len(learned.region_figures(known, self.now_s)),
+        )
 
     def test_a_usual_service_tells_nothing(self) -> None:
         for _ in range(20):
