--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -274,7 +274,7 @@
         ask = shortage.Ask(
             ids.RequestId(str(next(self._numbers))),
             workspace.name if workspace else ids.WorkspaceName(''),
-            started.route.priority,
+            configuration.urgency(started.route, workspace) or 0,
             started.route.name,
             float(started.call.total_tokens),
             started.route.objective_s,
