--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -140,6 +140,21 @@
         for reply in refused:
             self.assertGreater(float(reply.headers['retry-after']), 0)
 
+    def test_a_quota_that_is_there_soon_is_waited_for(self) -> None:
+        engine = self.engine('e1', events=2)
+        tenant = {
+            'name': 'botany', 'apiKeys': [platform_site.KEY],
+            'unit': 'tokens', 'uncachedTokens': 100,
+            'ratePerS': 1_000, 'burst': 1_000,
+        }  # fmt: skip
+        self.site.configure(2, tenants=[tenant])
+        node = self.site.ready_node()
+        for counts in ('900,100', '90,10', '90,10'):
+            reply = self.site.fetch(node, '/stream/a', Token_Counts=counts)
+            self.assertEqual(200, reply.status)
+        self.assertEqual(3, len(engine.runs))
+        self.assertIn(b'guavachute_admission_waiting 0', node.metrics.text())
+
     def test_a_body_beyond_the_limit_is_refused(self) -> None:
         engine = self.engine('e1')
         reply = self.site.fetch(
