--- a/src/guavachute/decide/ingress/admission/waiting.py
+++ b/src/guavachute/decide/ingress/admission/waiting.py
@@ -73,6 +73,9 @@
     def __len__(self) -> int:
         return len(self._places)
 
+    def __contains__(self, item: Item) -> bool:
+        return item in self._places
+
     def has_any(self, group: str) -> bool:
         """Whether requests of *group* wait."""
         return group in self._groups
--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -175,7 +175,7 @@
         self._metrics.add('admission_waits')
         self._add_gauges(started.route.name)
         for other in given_up:
-            self._refuse_waiting(other.item)
+            self._give_up(other.item)
         if self._timer is None:
             self._schedule()
 
@@ -187,7 +187,8 @@
         self._timer = None
         for name in self._waiting.groups():
             self._recheck_group(name)
-        for service in self._services.values():
+        # An answer may bring the next request of its connection.
+        for service in list(self._services.values()):
             if service.held:
                 self._recheck_service(service)
         if self._timer is None and (len(self._waiting) or self._held):
@@ -196,15 +197,12 @@
     def _recheck_group(self, name: str) -> None:
         """Look at the requests of one workspace, in their order."""
         now_s = self._loop.now_s
-        current = self._state.configuration
         before = 0.0
         for place in self._waiting.places(name):
             started = place.item
-            workspace = started.workspace
-            assert workspace is not None
-            if current is not None:
-                # The quota may have changed while the request waited.
-                workspace = current.workspaces.get(workspace.name, workspace)
+            if started not in self._waiting:
+                continue
+            workspace = self._current_workspace(started)
             bucket = self._quotas.bucket(workspace, now_s)
             ask = self._ask(started, workspace)
             if bucket is None or (
@@ -231,12 +229,25 @@
         self._charged[started] = (workspace, cost)
         self._start(started)
 
-    def _refuse_waiting(self, started: exchange.Exchange) -> None:
+    def _give_up(self, started: exchange.Exchange) -> None:
+        """Refuse a request that another one took the place of."""
+        workspace = self._current_workspace(started)
+        bucket = self._quotas.bucket(workspace, self._loop.now_s)
+        if bucket is None:
+            self._start(started)
+        else:
+            self._refuse(started, workspace, bucket)
+
+    def _current_workspace(
+        self, started: exchange.Exchange
+    ) -> configuration.Workspace:
+        """The workspace, whose quota may change while a request waits."""
         workspace = started.workspace
+        current = self._state.configuration
         assert workspace is not None
-        bucket = self._quotas.bucket(workspace, self._loop.now_s)
-        assert bucket is not None
-        self._refuse(started, workspace, bucket)
+        if current is None:
+            return workspace
+        return current.workspaces.get(workspace.name, workspace)
 
     def _refuse(
         self,
@@ -343,9 +354,10 @@
         """Begin or refuse what is held of one service."""
         now_s = self._loop.now_s
         for ask in service.shortage.expire(now_s):
-            started = service.held[ask.request_id][0]
-            self._forget_held(started)
-            self._refuse_capacity(started, service)
+            if ask.request_id in service.held:
+                started = service.held[ask.request_id][0]
+                self._forget_held(started)
+                self._refuse_capacity(started, service)
         first = service.shortage.first()
         if first is None:
             return
@@ -362,7 +374,10 @@
             self._log_capacity('released', started, service)
             self._release(started, service, following)
         for started, ask in list(service.held.values()):
-            if now_s + first_token_s > ask.expires_s:
+            if (
+                ask.request_id in service.held
+                and now_s + first_token_s > ask.expires_s
+            ):
                 self._forget_held(started)
                 self._refuse_capacity(started, service)
 
