--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -376,6 +376,8 @@
         now_s = self._loop.now_s
         if self.table.was_passed_on(update.node, now_s - PASS_ON_PERIOD_S):
             return
+        if not self.table.was_passed_on(update.node, float('-inf')):
+            journal.event('peer', outcome='passed-on', peer=update.node)
         readers = (
             self._local_reader_addresses()
             if is_local
