--- a/tests/cover/test_invalid_answers.py
+++ b/tests/cover/test_invalid_answers.py
@@ -15,6 +15,8 @@
 import typing
 import unittest
 
+import msgspec
+
 from guavachute.entry import http1
 from tests.support import cut_links
 from tests.support import looping
@@ -166,12 +168,24 @@
 
 
 class InvalidAnswersTest(unittest.TestCase):
+    """Requests to one endpoint of each service.
+
+    :cvar objective_ms: a request waits for half of this for another endpoint
+    """
+
+    objective_ms = 200
+
     def setUp(self) -> None:
         self.numbers = itertools.count(1)
         self.site = platform_site.PlatformSite()
         self.addCleanup(self.site.close)
+        usual = msgspec.json.decode(platform_site.configuration(1))
         self.site.configure(
             1,
+            routes=[
+                {**route, 'sloMs': self.objective_ms}
+                for route in usual['routes']
+            ],
             limits={
                 'maxHeaderBytes': 4_096,
                 'maxBodyBytes': MAX_BODY_BYTES,
@@ -346,6 +360,9 @@
 
 
 class RelayedTest(InvalidAnswersTest):
+    # A node that has just lost its link takes longer to find the way around.
+    objective_ms = 1_000
+
     # Guards against the same behind a hop: both nodes frame the answer by
     # themselves, and one of them has no other answer to give.
     def test_an_answer_behind_another_node_fails(self) -> None:
