Count copies before bodies are read, and let bodies wait for requests

A body gets room only together with the copies that serving it takes, large requests leave a tenth of the budget to small ones, and bodies wait where requests that run will make room. A request that stalled stays slow until it has been measured again. Connections are checked at most every 20 ms, as each check goes through all of them.

--- a/src/guavachute/decide/ingress/intake/budget.py
+++ b/src/guavachute/decide/ingress/intake/budget.py
@@ -35,7 +35,11 @@
 """Below this fraction, nothing is restricted any more."""
 
 LARGE_FRACTION = 0.75
-"""The last quarter of the budget is for small requests."""
+"""Up to this fraction of the budget, large bodies have room to be read."""
+
+BEGIN_FRACTION = 0.9
+"""Up to this fraction, large requests may begin; the rest of the budget is for
+small ones."""
 
 SMALL_BYTES = 65_536
 """Requests of up to this size are read also when the process is short."""
@@ -152,6 +156,12 @@
     waits: bool = False
     rated_from_s: float = 0.0
     rated_from_bytes: int = 0
+    was_slow: bool = False
+
+    def needed_bytes(self, copies: int) -> int:
+        """How much more a body holds when it is complete and served."""
+        remaining = self.usage.remaining_bytes
+        return remaining + copies * (self.usage.held_bytes + remaining)
 
     @property
     def is_large(self) -> bool:
@@ -174,23 +184,24 @@
         if self.usage.phase is Phase.SENDING:
             least_s = READ_ANSWER_S
         if self.waits or elapsed_s < least_s:
-            return False
+            return self.was_slow and not self.waits
         moved = self.usage.moved_bytes - self.rated_from_bytes
-        is_slow = moved < SLOW_BYTES_PER_S * elapsed_s
-        if not is_slow or elapsed_s >= 2 * least_s:
-            self.start_rating(now_s)
-        return is_slow
+        self.was_slow = moved < SLOW_BYTES_PER_S * elapsed_s
+        self.start_rating(now_s)
+        return self.was_slow
 
 
 class Budget(typing.Generic[Key]):
     """What each connection holds, and what has to be done about it.
 
+    :param copies: how often a body is copied to serve it
     :ivar total_bytes: what all connections hold
     :ivar is_short: whether large bodies need room before they are read
     """
 
-    def __init__(self, allowed: Limits) -> None:
+    def __init__(self, allowed: Limits, copies: int = 1) -> None:
         self._limits = allowed
+        self._copies = copies
         self._accounts: dict[Key, _Account] = {}
         self.total_bytes = 0
         self.is_short = False
@@ -222,6 +233,7 @@
             if usage.phase is not before.phase:
                 account.since_s = now_s
                 account.has_room = False
+                account.was_slow = False
                 account.start_rating(now_s)
         if self.total_bytes <= SHORT_FRACTION * self._limits.held_bytes:
             return False
@@ -249,12 +261,14 @@
 
         A request that is alone always may.
         """
-        room = self._limits.held_bytes - self.total_bytes
-        if extra_bytes <= room:
-            return True
         account = self._accounts[key]
+        limit = self._limits.held_bytes
+        is_small = account.usage.held_bytes + extra_bytes <= SMALL_BYTES
+        room = round(limit if is_small else BEGIN_FRACTION * limit)
+        if self.total_bytes + extra_bytes <= room:
+            return True
         others = self.total_bytes - account.usage.held_bytes
-        return others <= SHORT_FRACTION * self._limits.held_bytes
+        return others <= RELIEVED_FRACTION * limit
 
     def decide(self, now_s: float, may_rate: bool = True) -> Actions[Key]:
         """Which connections are read, wait or are refused.
@@ -282,9 +296,9 @@
         for key, account in large:
             if key in slow_keys:
                 continue
-            remaining = account.usage.remaining_bytes
-            if remaining <= room:
-                room -= remaining
+            needed = account.needed_bytes(self._copies)
+            if needed <= room:
+                room -= needed
                 chosen.append(key)
             else:
                 others.append(key)
@@ -330,7 +344,7 @@
         for key in keys:
             account = self._accounts[key]
             if account.waits:
-                account.waits = False
+                account.waits = account.was_slow = False
                 account.start_rating(now_s)
                 resumed.append(key)
         return resumed
@@ -354,15 +368,30 @@
             return []
         needed = -room
         if others:
-            nearest = self._accounts[others[0]].usage
-            needed = max(needed, nearest.remaining_bytes - room)
+            nearest = self._accounts[others[0]]
+            needed += max(0, nearest.needed_bytes(self._copies))
         refused: list[Key] = []
-        # With nobody slow, the body that is farthest from its end gives way,
-        # but only if none is being read that will make room.
-        last = [] if chosen else list(reversed(others[1:]))
-        for key in slow + last:
+        for key in slow + self._farthest(chosen, others, needed):
             if needed <= 0:
                 break
             refused.append(key)
             needed -= self._accounts[key].usage.held_bytes
         return refused
+
+    def _farthest(
+        self, chosen: list[Key], others: list[Key], needed: int
+    ) -> list[Key]:
+        """The bodies that give way where nobody is slow.
+
+        Those that are farthest from their end come first. None does if
+        bodies that are being read, or requests that are being served, will
+        make the room.
+        """
+        if chosen:
+            return []
+        ending = sum(
+            account.usage.held_bytes
+            for account in self._accounts.values()
+            if account.usage.phase in (Phase.SERVING, Phase.SENDING)
+        )
+        return [] if ending >= needed else list(reversed(others[1:]))
--- a/src/guavachute/entry/intake/guard.py
+++ b/src/guavachute/entry/intake/guard.py
@@ -7,8 +7,12 @@
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
 
-CHECK_PERIOD_S = 0.05
-"""Interval at which bodies that wait are given room."""
+CHECK_PERIOD_S = 0.1
+"""Interval at which bodies that wait are given room. Each check goes through
+all connections."""
+
+LEAST_PERIOD_S = 0.02
+"""While the process is short, connections are not checked more often."""
 
 LOG_PERIOD_S = 5.0
 """The log says at most this often what was done; a client can cause many
@@ -57,6 +61,7 @@
         self._metrics = metrics
         self._is_checking = False
         self._is_acting = False
+        self._acted_s = loop.now_s
         self._logged_s = -LOG_PERIOD_S
         self._done: dict[str, int] = {}
         if metrics is not None:
@@ -90,7 +95,10 @@
             self._budget.mark_waiting(connection)
             self._count('intake_waits')
             connection.stop_reading()
-        if self._budget.is_over():
+        if self._budget.is_over() and (
+            not self._budget.is_short
+            or self._loop.now_s - self._acted_s >= LEAST_PERIOD_S
+        ):
             self._act()
 
     def may_begin(self, connection: Guarded, extra_bytes: int) -> bool:
@@ -110,6 +118,7 @@
             self._is_acting = False
 
     def _carry_out(self) -> None:
+        self._acted_s = self._loop.now_s
         actions = self._budget.decide(
             self._loop.now_s, not self._loop.is_catching_up
         )
--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -23,8 +23,16 @@
 _log = logs.logger('intake')
 
 RECEIVE_BYTES = 65_536
-CHECK_PERIOD_S = 0.05
-"""Interval at which bodies that wait are given room."""
+CHECK_PERIOD_S = 0.1
+"""Interval at which bodies that wait are given room. Each check goes through
+all connections."""
+
+LEAST_PERIOD_S = 0.02
+"""While the process is short, connections are not checked more often."""
+
+BODY_COPIES = 3
+"""How often a body is usually copied while it is served; what a complete
+request costs is estimated from its content."""
 
 WAIT_S = 0.5
 """Longest wait of the thread, so that timeouts are noticed."""
@@ -237,7 +245,9 @@
         self._refusal = refusal
         self._count_one = count
         self._failed = failed
-        self._budget: budget.Budget[Connection] = budget.Budget(bounds.limits)
+        self._budget: budget.Budget[Connection] = budget.Budget(
+            bounds.limits, BODY_COPIES
+        )
         self._selector = selectors.DefaultSelector()
         self._reading: dict[Connection, _Reading] = {}
         self._added: collections.deque[Connection] = collections.deque()
@@ -313,10 +323,13 @@
             elif key.data.connection in self._reading:
                 self._receive(key.data)
         self._update_connections()
-        if self._budget.is_over() or (
-            self._budget.is_short
-            and self._now_s - self._checked_s >= CHECK_PERIOD_S
-        ):
+        if self._budget.is_short:
+            due_s = (
+                LEAST_PERIOD_S if self._budget.is_over() else CHECK_PERIOD_S
+            )
+            if self._now_s - self._checked_s >= due_s:
+                self._act()
+        elif self._budget.is_over():
             self._act()
         self._close_expired()
 
--- a/tests/support/simulated.py
+++ b/tests/support/simulated.py
@@ -104,6 +104,7 @@
         self.other: Connection | None = None
         self.owner: typing.Any = None
         self.unsent_bytes = 0
+        self.written_bytes = 0
         self.is_closed = False
         self.is_connected = False
         self.has_peer_closed = False
