--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -5,6 +5,7 @@
 
 from guavachute.decide import crash
 from guavachute.decide.ingress import crashing_parts
+from guavachute.decide.ingress.intake import budget
 from guavachute.decide.ingress import kept_bytes as answer_bytes
 from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
@@ -21,6 +22,7 @@
 from guavachute.entry import exchange
 from guavachute.entry import exchange_state
 from guavachute.entry import http1
+from guavachute.entry.intake import guard
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import part_suspects
@@ -131,6 +133,11 @@
         self._crash_notices: dict[
             str, tuple[float, wire_requests.CrashNotice]
         ] = {}
+        self._intake = guard.Guard(
+            loop,
+            budget.limits(site.memory_bytes, site.max_descriptors),
+            metrics,
+        )
         self._callers: set[callers.CallerConnection] = set()
         self._exchanges: set[exchange.Exchange] = set()
         self._kept = answer_bytes.KeptBytes()
@@ -184,7 +191,11 @@
     def _accept(self, connection: transport.Connection) -> None:
         self._callers.add(
             callers.CallerConnection(
-                self.loop, connection, self, self._callers.discard
+                self.loop,
+                connection,
+                self,
+                self._callers.discard,
+                self._intake,
             )
         )
 
