Move the updates between nodes out of the node into a package

Cause: the node built and applied each field of its updates, and grew with each part that tells something. Change: entry/updates/state_updates.py builds the updates of a node and of its region, and merges those of others; the node passes them on.

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -2,13 +2,10 @@
 
 import contextlib
 import gc
-import math
 import random
 import typing
 
-from guavachute.decide.duty import scaling
 from guavachute.decide.ingress import copy_age
-from guavachute.decide.ingress import quota
 from guavachute.decide.nodes import addresses
 from guavachute.decide.nodes import readers
 from guavachute.decide.nodes import rounds
@@ -29,7 +26,6 @@
 from guavachute.entry import peer_table
 from guavachute.entry import peers as entry_peers
 from guavachute.entry import query_server
-from guavachute.entry import region_sums
 from guavachute.entry import relay_peers
 from guavachute.entry import report_watch
 from guavachute.entry.rollouts import driver as rollout_driver
@@ -40,6 +36,7 @@
 from guavachute.entry import stream_builds
 from guavachute.entry import stream_network
 from guavachute.entry import topic_follower
+from guavachute.entry.updates import state_updates
 from guavachute.entry import usage_counts
 from guavachute import ids
 from guavachute.observe import journal
@@ -95,10 +92,6 @@
 READER_SILENT_S = 1.2
 """A reader from which no update came for this long is replaced."""
 
-MAX_READY_NODES = 6
-"""Upper bound of the ready nodes that are named to other regions, for their
-callers."""
-
 ENDED_AFTER_S = 60.0
 """The entry of a node from which no update came for this long is deleted."""
 
@@ -132,7 +125,6 @@
 
     def __init__(self, loop: entry_loop.Loop, site: domain_site.Site) -> None:
         self.loop = loop
-        self._started_s = loop.now_s
         self.site = site
         self.metrics = observe_metrics.Metrics()
         self.state = known_state.KnownState(loop)
@@ -146,7 +138,6 @@
             'endpoint_limit_share', 'endpoint', self.registry.limit_shares
         )
         self.peers = entry_peers.Peers(loop, site, self)
-        self._sums = region_sums.ConsumptionSums()
         self.usage = usage_counts.UsageCounts(site, self.peers)
         self.registry.work_of_others = self.peers.table.work_at
         self._relays = relay_peers.RelayPeers(
@@ -252,7 +243,7 @@
                     loop,
                     self.state,
                     sorted(site.region_of),
-                    self._total_demand,
+                    lambda service: self._updates.total_demand(service),
                     self.registry.limits.limited,
                 )
                 if site.cloud.expects_orders
@@ -295,6 +286,25 @@
         self._catch_up = catch_up.CatchUp(
             loop, self.peers.table, self._versioned_states()
         )
+        self._updates = state_updates.StateUpdates(
+            loop,
+            site,
+            state_updates.Parts(
+                peers=self.peers,
+                state=self.state,
+                registry=self.registry,
+                ingress=self.ingress,
+                usage=self.usage,
+                suspects=self._suspects,
+                builds=self._builds,
+                relays=self._relays,
+                rollouts=self.rollouts,
+                store=self._store,
+                copy_age=self._copy_age,
+                catch_up=self._catch_up,
+            ),
+            self._status,
+        )
         self._stopping_since_s: float | None = None
         self._query_server = query_server.QueryServer(
             loop,
@@ -542,177 +552,30 @@
 
     # -- updates between nodes -----------------------------------------
 
-    @property
-    def _age_s(self) -> float:
-        return self.loop.now_s - self._started_s
-
     def node_update(self, run: int, sequence: int) -> node_updates.NodeUpdate:
-        """The current update of this node about itself.
-
-        :param run: the random number of this run of the process
-        :param sequence: grows with each update of the run
-        """
-        return node_updates.NodeUpdate(
-            node=self.site.node,
-            run=run,
-            sequence=sequence,
-            peers_address=self.peers.address,
-            callers_address=self.ingress.address,
-            domain=self.site.domain,
-            region=self.site.region,
-            age_s=round(self._age_s, 3),
-            wall_s=self.peers.table.own_wall_s(),
-            is_ready=self.is_ready,
-            is_reader=self._is_reader,
-            configuration_version=self.state.version,
-            endpoints_version=self.state.endpoints_version,
-            reaches_store=self._reaches_store,
-            spent=self.ingress.admission.consumption(),
-            load=self.ingress.load(),
-            work={
-                endpoint: node_updates.EndpointWork(
-                    work.requests,
-                    work.waiting_tokens,
-                    round(10 * work.failed),
-                    round(10 * work.answered),
-                    work.heard_ds(self.loop.now_s),
-                )
-                for endpoint, work in self.registry.work().items()
-            },
-            usage=self.usage.recent(),
-            crashes=self.ingress.crash_notices(),
-            store_era=self._store.told_era,
-            leaving=self.registry.notices(self.loop.now_s),
-            parts=self._suspects.notices(),
-            limits=self.registry.limits.notices(),
-            builds=self._builds.records(),
-            streams=self._builds.told(),
-            relay_address=self.ingress.paths.relay_address,
-            reaches_endpoints=not self.registry.links.is_cut,
-            endpoints_age_ds=self._copy_age.age_ds(self.loop.now_s),
-            endpoints_position=self.state.endpoints_position,
-            capacity=self.registry.told_capacity(),
-            queued=self.ingress.admission.queued(),
-            rollouts=self.rollouts.notices(),
-        )
+        """The current update of this node about itself."""
+        return self._updates.node_update(run, sequence)
 
     def region_update(
         self, run: int, sequence: int, readers: list[str]
     ) -> node_updates.RegionUpdate:
-        """The current update about all nodes of this region, summed up.
-
-        :param readers: the peer addresses of the readers of this region
-        """
-        local = [
-            peer.update
-            for peer in self.peers.table.active_peers()
-            if peer.update is not None
-            and peer.update.region == self.site.region
-        ]
-        spent = self.ingress.admission.consumption()
-        self._sums.record('own', spent, True)
-        now_s = self.loop.now_s
-        return node_updates.RegionUpdate(
-            region=self.site.region,
-            node=self.site.node,
-            run=run,
-            sequence=sequence,
-            readers=readers,
-            age_s=round(self._age_s, 3),
-            nodes=1 + len(local),
-            ready=[
-                (update.callers_address, update.domain)
-                for update in local
-                if update.is_ready
-            ][:MAX_READY_NODES],
-            wall_s=self.peers.table.own_wall_s(),
-            spent=self._sums.sums(spent, [update.spent for update in local]),
-            load=region_sums.sum_load(
-                [self.ingress.load(), *[update.load for update in local]]
-            ),
-            usage=self.usage.region_totals(),
-            update_ages_ds=[
-                round(10 * (now_s - at_s))
-                for at_s in self.usage.local_update_times_s()
-            ],
-            crashes=self.ingress.crash_notices(),
-            parts=self._suspects.notices(),
-            limits=self.registry.limits.region_notices(),
-            builds=self._builds.records(),
-            relays=self._relays.told_helpers(),
-            heard=self._relays.told_endpoints(self.registry.heard()),
-            unproven=self._builds.unproven(),
-            capacity=self.registry.region_capacity(),
-            queued=region_sums.sum_queued(
-                [
-                    self.ingress.admission.queued(),
-                    *[update.queued for update in local],
-                ]
-            ),
-            rollouts=self.rollouts.region_notices(),
-        )
+        """The current update about all nodes of this region, summed up."""
+        return self._updates.region_update(run, sequence, readers)
 
     def handle_node_update(self, update: node_updates.NodeUpdate) -> None:
         """Apply the update of another node."""
-        if update.store_era is not None:
-            self._store.observe_era(update.store_era, update.node)
-        if update.leaving:
-            self.registry.apply_notices(
-                update.leaving, update.node, self.loop.now_s
-            )
-        self.usage.merge_node_update(update)
-        source = peer_table.source(update)
-        is_no_older = update.age_s <= self._age_s + quota.STARTUP_WINDOW_S
-        self._sums.record(source, update.spent, is_no_older)
-        self.ingress.admission.merge_consumption(
-            quota.Source(source, source), update.spent, update.age_s
-        )
-        self.ingress.admission.merge_queued(update.node, 1, update.queued)
-        for notice in update.crashes:
-            self.ingress.merge_crash_notice(notice)
-        self._suspects.merge_notices(update.parts, update.node)
-        self.registry.limits.merge_notices(update.limits, update.node)
-        self._builds.merge_node_update(source, update)
-        self.rollouts.merge_node_update(update)
-        self._catch_up.check_update(update)
-        self.registry.merge_capacity(update.node, update.capacity)
+        self._updates.merge_node_update(update)
 
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         """Apply the update of a reader of another region."""
-        self.usage.merge_region_update(update)
-        # Another reader may have sent the sums of that region before this one
-        # started, so a younger run is treated as older than this process.
-        is_younger = update.age_s < self._age_s - quota.STARTUP_WINDOW_S
-        age_s = math.inf if is_younger else update.age_s
-        self.ingress.admission.merge_consumption(
-            quota.Source(peer_table.region_source(update), update.region),
-            update.spent,
-            age_s,
-        )
-        self.ingress.admission.merge_queued(
-            update.region, update.nodes, update.queued
-        )
-        for notice in update.crashes:
-            self.ingress.merge_crash_notice(notice)
-        self._suspects.merge_notices(update.parts, update.node)
-        self.registry.limits.merge_notices(update.limits, update.node)
-        self._builds.merge_region_update(update)
-        self.registry.merge_capacity(update.region, update.capacity)
-        self.rollouts.merge_region_update(update)
-
-    def _total_demand(self, service: ids.ServiceName) -> scaling.Demand:
-        """The demand for a service, over the callers of all nodes."""
-        own = self.ingress.load().get(service)
-        loads = self.peers.table.load_of(service) + ([own] if own else [])
-        demand = scaling.Demand(
-            prompt_tokens_per_s=sum(
-                item.prompt_tokens_per_s for item in loads
-            ),
-            output_tokens_per_s=sum(
-                item.output_tokens_per_s for item in loads
-            ),
+        self._updates.merge_region_update(update)
+
+    def _status(self) -> state_updates.Status:
+        return state_updates.Status(
+            is_ready=self.is_ready,
+            is_reader=self._is_reader,
+            reaches_store=self._reaches_store,
         )
-        return demand.at_speed(*self.registry.measured_speeds(service))
 
     def _apply_leave_report(self, entry: endpoints.Endpoint) -> None:
         self.state.apply_leave_report(entry)
--- /dev/null
+++ b/src/guavachute/entry/updates/__init__.py
@@ -0,0 +1,1 @@
+"""Updates between entry nodes about their state."""
