Move the reasons for not sending a request out of the exchange

Cause: exchange.py grew with what measures attempts. Change: entry/dispatch/refusals.py says why a request is refused before or after an endpoint is looked for. The expected time to first token, too, leaves out endpoints that a roll-out excludes.

--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -13,6 +13,7 @@
 from guavachute.decide.requests import demand_shares
 from guavachute.domain import configuration
 from guavachute.domain import site as domain_site
+from guavachute.entry.dispatch import refusals
 from guavachute.entry import exchange
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
@@ -158,7 +159,7 @@
             size=len(started.call.body),
             latest_s=min(
                 started.arrived_s + WAITED_SHARE * started.route.objective_s,
-                started.expires_at_s - exchange.MIN_SEND_S,
+                started.expires_at_s - refusals.MIN_SEND_S,
             ),
             number=next(self._numbers),
         )
--- /dev/null
+++ b/src/guavachute/entry/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""What decides whether and where a request is sent."""
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -1,10 +1,8 @@
 """Serves one request: chooses endpoints, retries and forwards the answer."""
 
-import random
 import typing
 
 from guavachute.decide import crash
-from guavachute.decide.ingress import announcements
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress import event_stream
@@ -12,6 +10,7 @@
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry.capacity import learned
+from guavachute.entry.dispatch import refusals
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange_owner
 from guavachute.entry import exchange_state
@@ -37,19 +36,9 @@
 """Fraction of the route's latency objective that a request waits for a usable
 endpoint."""
 
-MIN_SEND_S = 0.02
-"""With less time left than this, an endpoint could not answer in time, so the
-request is not sent."""
-
-CRASHING_RETRY_S = 30.0
-"""Retry-After of a request that crashes endpoints."""
-
 RETRY_STATUSES = (429, 503)
 """Statuses of answers that tell when to retry."""
 
-SHORT_RETRY_AFTER_S = 0.25
-"""Retry-After of an answer whose cause is expected to pass quickly."""
-
 
 class Exchange:
     """Sends a request to endpoints until its caller has an answer.
@@ -126,23 +115,11 @@
     def dispatch(self) -> None:
         """Send the request, wait for a usable endpoint, or answer 503."""
         now_s = self._owner.loop.now_s
-        if self.expires_at_s - now_s < MIN_SEND_S:
-            self._fail_request(
-                outcome.Failure(
-                    outcome.Reason.DEADLINE,
-                    'the deadline leaves no time to send the request',
-                )
-            )
-            return
+        left_s = self.expires_at_s - now_s
         verdict = self._owner.crash_verdict(self)
-        if verdict is crashing_parts.Verdict.REFUSE:
-            self._fail_request(
-                outcome.Failure(
-                    outcome.Reason.CRASHES_ENDPOINTS,
-                    'requests with a part of this prompt crash endpoints',
-                    CRASHING_RETRY_S,
-                )
-            )
+        failure = refusals.before_choice(verdict, left_s)
+        if failure is not None:
+            self._fail_request(failure)
             return
         if verdict is crashing_parts.Verdict.WAIT:
             self._recheck_or_fail(
@@ -156,15 +133,9 @@
         if chosen is None:
             self._await_endpoint(now_s)
             return
-        if now_s + chosen.first_token_s > self.expires_at_s:
-            excess_s = now_s + chosen.first_token_s - self.expires_at_s
-            self._fail_request(
-                outcome.Failure(
-                    outcome.Reason.OVERLOADED,
-                    f'the first token would take {chosen.first_token_s:.2f} s',
-                    max(SHORT_RETRY_AFTER_S, excess_s),
-                )
-            )
+        failure = refusals.too_late(chosen, left_s)
+        if failure is not None:
+            self._fail_request(failure)
             return
         record = next(r for r in records if r.entry.id == chosen.endpoint)
         self._send(record, chosen, now_s)
@@ -172,9 +143,7 @@
     def expected_first_token_s(self) -> float | None:
         """Time to first token if the request began now; None if unknown."""
         now_s = self._owner.loop.now_s
-        records = self._owner.registry.usable(
-            self.service, self._tried_endpoints, now_s, self.build
-        )
+        records = self._owner.usable(self, self._tried_endpoints)
         chosen = self._choose(records, now_s)
         return None if chosen is None else chosen.first_token_s
 
@@ -213,10 +182,8 @@
             )
         elif found is stream_builds.Origin.UNKNOWN:
             self._fail_request(
-                outcome.Failure(
-                    outcome.Reason.NO_CAPACITY,
-                    f'the build that began {self.call.begun_as} is not known',
-                    SHORT_RETRY_AFTER_S,
+                refusals.no_capacity(
+                    f'the build that began {self.call.begun_as} is not known'
                 )
             )
         else:
@@ -225,26 +192,11 @@
         return self.build is not None
 
     def _await_endpoint(self, now_s: float) -> None:
-        if self.build is not None and not self._owner.registry.serves_build(
-            self.service, self.build, now_s
-        ):
-            self._fail_request(
-                outcome.Failure(
-                    outcome.Reason.NO_CAPACITY,
-                    f'no endpoint of build {self.build} is left',
-                    SHORT_RETRY_AFTER_S,
-                )
-            )
-            return
-        pause_s = self._owner.registry.service_pause_s(self.service, now_s)
-        if pause_s is not None:
-            self._fail_request(
-                outcome.Failure(
-                    outcome.Reason.NO_CAPACITY,
-                    f'all endpoints of {self.service} want no requests',
-                    announcements.return_after_s(pause_s, random.random()),
-                )
-            )
+        failure = refusals.without_endpoint(
+            self._owner.registry, self.service, self.build, now_s
+        )
+        if failure is not None:
+            self._fail_request(failure)
             return
         self._recheck_or_fail(
             now_s, f'no endpoint of {self.service} can be used'
@@ -260,11 +212,7 @@
                 RECHECK_S, self._redispatch
             )
             return
-        self._fail_request(
-            outcome.Failure(
-                outcome.Reason.NO_CAPACITY, reason, SHORT_RETRY_AFTER_S
-            )
-        )
+        self._fail_request(refusals.no_capacity(reason))
 
     def _redispatch(self) -> None:
         if (
@@ -720,11 +668,7 @@
             self.dispatch()
             return
         self._fail_request(
-            outcome.Failure(
-                outcome.Reason.NO_CAPACITY,
-                'the endpoint refused the request',
-                SHORT_RETRY_AFTER_S,
-            )
+            refusals.no_capacity('the endpoint refused the request')
         )
 
     def _fail_attempt(self, reason: str) -> None:
@@ -794,7 +738,8 @@
     def _consume_retry(self) -> bool:
         return (
             self.attempts < self.route.max_attempts
-            and self.expires_at_s - self._owner.loop.now_s > MIN_SEND_S
+            and self.expires_at_s - self._owner.loop.now_s
+            > refusals.MIN_SEND_S
             and self._owner.consume_retry(self.service)
         )
 
@@ -839,7 +784,7 @@
             self._may_have_run |= self._connection is not None
             self._release_endpoint(keeps_alive=False)
             self._fail_request(
-                outcome.Failure(reason, detail, SHORT_RETRY_AFTER_S)
+                outcome.Failure(reason, detail, refusals.SHORT_RETRY_AFTER_S)
             )
 
     def _fail_request(self, failure: outcome.Failure) -> None:
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -17,6 +17,7 @@
 from guavachute.entry.admission import gate
 from guavachute.entry import callers
 from guavachute.entry import control_client
+from guavachute.entry.dispatch import refusals
 from guavachute.entry import endpoint_paths
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange
@@ -303,14 +304,14 @@
             self._reject(caller, call, 503, _failure(
                 outcome.Reason.CRASHES_ENDPOINTS,
                 'identical requests have crashed endpoints',
-                exchange.CRASHING_RETRY_S,
+                refusals.CRASHING_RETRY_S,
             ))  # fmt: skip
             return None
         if self._suspects.verdict(call) is crashing_parts.Verdict.REFUSE:
             self._reject(caller, call, 503, _failure(
                 outcome.Reason.CRASHES_ENDPOINTS,
                 'requests with a part of this prompt have crashed endpoints',
-                exchange.CRASHING_RETRY_S,
+                refusals.CRASHING_RETRY_S,
             ))  # fmt: skip
             return None
         started = exchange.Exchange(
