--- a/src/guavachute/decide/ingress/rollouts/plan.py
+++ b/src/guavachute/decide/ingress/rollouts/plan.py
@@ -66,6 +66,10 @@
 MARGIN_S = (0.5, 5.0)
 """A roll-out ends this long before its deadline, if it can."""
 
+LATE_PART = 0.1
+"""A roll-out that an outage has delayed under load may be completed so much
+later, as a part of its time."""
+
 BUDGET_RESERVE = 0.97
 """Part of the bound that is used: the nodes' counts are some seconds old."""
 
@@ -78,6 +82,9 @@
 BASELINE_S = 5.0
 """The canary starts with so many times of the old version, or after this."""
 
+EARLIEST_FULL_PART = 0.5
+"""The step FULL begins no earlier than after this part of the time."""
+
 EARLIEST_PART = 0.3
 """The step LOAD begins no earlier than after this part of the time."""
 
@@ -154,7 +161,11 @@
     if bad is not None and record.step > Step.HOLD:
         return _changed(record, now, Step.ROLLED_BACK, 0.0, bad)
     elapsed_s = now.true_s - record.begun_s
-    if record.step < Step.FULL and elapsed_s >= record.duration_s:
+    is_late = elapsed_s >= record.duration_s
+    if record.step >= Step.LOAD:
+        # The target was good so far.
+        is_late = elapsed_s >= (1 + LATE_PART) * record.duration_s
+    if record.step < Step.FULL and is_late:
         reason = 'the time is over, and the target was not found good'
         return _changed(record, now, Step.ROLLED_BACK, 0.0, reason)
     return _STEPS[record.step](record, now, bounds)
@@ -223,6 +234,8 @@
         return None
     if elapsed_s < times.full_s - PART_S or not _is_judged(record, now):
         return None
+    if elapsed_s >= times.full_s:
+        return _to_full(record, now, bounds, times)
     cost = now.per_s * (PART_SHARE * (PART_S + REACT_S) + times.close_s)
     if now.sent + cost <= _budget(record, now, bounds):
         return _changed(record, now, Step.PART, PART_SHARE, 'good under load')
@@ -311,7 +324,9 @@
     drain_s = _within(max(usual_s, default=0.0), DRAIN_S)
     close_s = CLOSE_S + max(0.0, drain_s - CLOSE_S / 2)
     margin_s = _within(MARGIN_PART_OF_TIME * duration_s, MARGIN_S)
-    full_s = max(0.5 * duration_s, duration_s - margin_s - close_s)
+    full_s = max(
+        EARLIEST_FULL_PART * duration_s, duration_s - margin_s - close_s
+    )
     hold_s = min(_within(LOAD_PART_OF_TIME * duration_s, LOAD_S), 0.2 * full_s)
     if now.per_s > 0 and record.step <= Step.CANARY:
         # Before the time from which all requests until the deadline are
--- a/src/guavachute/decide/ingress/rollouts/record.py
+++ b/src/guavachute/decide/ingress/rollouts/record.py
@@ -108,11 +108,16 @@
 
 
 def first(
-    request: rollouts.Request, before: Record | None, true_s: float
+    request: rollouts.Request,
+    before: Record | None,
+    begun_s: float,
+    true_s: float,
 ) -> Record:
     """The first record of the roll-out that *request* demands.
 
     :param before: the record of an earlier request for the service
+    :param begun_s: when the request was first seen, as Unix time
+    :param true_s: the present Unix time
     """
     withheld: tuple[ids.BuildName, ...] = ()
     if before is not None:
@@ -127,7 +132,7 @@
         service=request.service,
         target=request.target,
         duration_s=request.duration_s,
-        begun_s=true_s,
+        begun_s=begun_s,
         changed_s=true_s,
         withheld=tuple(dict.fromkeys(kept))[:MAX_VERSIONS],
         reason='requested',
--- a/src/guavachute/decide/ingress/rollouts/selection.py
+++ b/src/guavachute/decide/ingress/rollouts/selection.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from guavachute.decide.ingress.rollouts import plan
 from guavachute.decide.ingress.rollouts import record as rollout_record
 from guavachute.decide import rendezvous
 from guavachute.domain import rollouts
@@ -10,6 +11,9 @@
 
 Step = rollout_record.Step
 
+NO_VERSION = ids.BuildName('(none)')
+"""Stands for a target where no version is one."""
+
 PROOF_S = 2.5
 """A node acts on a step with a share only this long after the moment at which
 its record is proven to have been the latest. It is the longest usual time of
@@ -54,12 +58,14 @@
     record: rollout_record.Record | None,
     is_proven: bool,
     is_stopped: bool,
+    is_isolated: bool,
     true_s: float,
 ) -> Rule | None:
     """The rule of a service; None if every version may be used.
 
     :param is_proven: whether the record was the latest :data:`PROOF_S` ago
     :param is_stopped: whether this node knows that the target is bad
+    :param is_isolated: whether the other nodes take this one for ended
     """
     if record is None:
         return None if request is None else Rule(request.id, request.target)
@@ -76,7 +82,7 @@
             return None
         return Rule(
             record.request_id,
-            ids.BuildName(''),
+            NO_VERSION,
             withheld,
             avoided=avoided if age_s <= REPLACED_S else frozenset(),
         )
@@ -84,6 +90,13 @@
         return Rule(
             record.request_id, record.target, withheld, 1.0, is_closed=True
         )
+    if is_isolated and not record.step.is_final:
+        full_s = plan.EARLIEST_FULL_PART * record.duration_s
+        if record.step is Step.FULL or true_s >= record.begun_s + full_s:
+            # The old endpoints may stop at any time.
+            return Rule(
+                record.request_id, NO_VERSION, withheld, 1.0, is_closed=True
+            )
     may_use = record.step.needs_proof and is_proven and not is_stopped
     return Rule(
         record.request_id,
@@ -101,10 +114,12 @@
     If the operator returns to the version that still has the requests, it
     keeps them.
     """
-    withheld = frozenset(rollout_record.first(request, record, 0.0).withheld)
+    withheld = frozenset(
+        rollout_record.first(request, record, 0.0, 0.0).withheld
+    )
     is_undone = record.step < Step.FULL or record.step is Step.ROLLED_BACK
     has_requests = is_undone and request.target in record.old
-    target = ids.BuildName('') if has_requests else request.target
+    target = NO_VERSION if has_requests else request.target
     return Rule(request.id, target, withheld)
 
 
--- a/src/guavachute/entry/rollouts/driver.py
+++ b/src/guavachute/entry/rollouts/driver.py
@@ -138,7 +138,10 @@
         if record is None:
             assert rollout.request is not None
             first = rollout_record.first(
-                rollout.request, rollout.record, self._true_time_s()
+                rollout.request,
+                rollout.record,
+                rollout.seen_s,
+                self._true_time_s(),
             )
             first = dataclasses.replace(first, old=self._old_builds(first))
             return plan.first_record(
--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -14,6 +14,7 @@
 from guavachute.decide.ingress.rollouts import results
 from guavachute.decide.ingress.rollouts import selection
 from guavachute.decide.ingress import update_delay
+from guavachute.decide.nodes import counting
 from guavachute.domain import endpoints
 from guavachute.domain import log_position
 from guavachute.domain import rollouts
@@ -55,12 +56,17 @@
 TOLD_S = 120.0
 """The other nodes are told of a roll-out for this long after its end."""
 
-SILENT_S = 10.0
-"""A node from which no update came for this long has ended, or is cut off and
-sends nothing to an endpoint that a step excludes."""
+ISOLATED_S = 5.0
+"""A node that hears too few others, and has no proof of the record for this
+long, is isolated: it may not know that the old endpoints stop."""
 
-PARTITION_SHARE = 0.25
-"""If more than this share of the nodes is silent, they are waited for."""
+SILENT_S = 7.0
+"""A node from which no update came for this long has ended, or is isolated
+and sends no requests to the service."""
+
+PARTITION_SILENT_S = 20.0
+"""The same if several nodes are silent at a time: some may still hear each
+other, and requests that they sent before may run."""
 
 MAX_PROOF_DS = 990
 
@@ -101,6 +107,7 @@
 
     :ivar request: the latest request of the operator; None if only a record
         is known
+    :ivar seen_s: when this node learnt of it, as Unix time
     :ivar record: the record with the latest step; None before the first
     :ivar stored: step and position of the latest record in the store
     :ivar proven_s: loop time at which *record* was certainly the latest
@@ -111,6 +118,7 @@
     def __init__(self, service: ids.ServiceName) -> None:
         self.service = service
         self.request: rollouts.Request | None = None
+        self.seen_s = 0.0
         self.record: rollout_record.Record | None = None
         self.stored: tuple[str, rollout_record.Step] | None = None
         self.stored_position = log_position.NO_POSITION
@@ -289,6 +297,7 @@
             rollout.request_id
         )  # fmt: skip
         rollout.request = request
+        rollout.seen_s = self._peers.table.true_time_s()
         if before != rollout.request_id:
             self._begin(rollout)
         journal.event(
@@ -370,6 +379,12 @@
             self._canaries(service, rule, records),
         )
 
+    def uses_target(self, service: ids.ServiceName) -> bool:
+        """Whether some requests of this node go to the target now."""
+        rollout = self._rollouts.get(service)
+        rule = None if rollout is None else self._rule(rollout)
+        return rule is not None and rule.share > 0
+
     def _is_unclear(self, service: ids.ServiceName) -> bool:
         """Whether a roll-out of *service* may exist that is not known yet."""
         if self._is_informed:
@@ -406,9 +421,21 @@
             rollout.record,
             is_proven,
             bool(rollout.bad),
+            self._is_isolated(rollout),
             self._peers.table.true_time_s(),
         )
 
+    def _is_isolated(self, rollout: Rollout) -> bool:
+        """Whether the other nodes may take this one for ended."""
+        if self.proof_age_s(rollout) <= ISOLATED_S:
+            return False
+        known = len(self._peers.table.local_peers())
+        active = sum(
+            self._peers.table.is_local(peer)
+            for peer in self._peers.table.active_peers()
+        )
+        return active < (1 - counting.PARTITION_SHARE) * known
+
     def _canaries(
         self,
         service: ids.ServiceName,
@@ -789,11 +816,18 @@
     ) -> tuple[int, int]:
         running = self.old_running(rollout)
         now_s = self._loop.now_s
-        behind = silent = 0
+        behind = 0
+        quiet_s = {
+            peer: now_s - max(peer.last_update_s, peer.added_s)
+            for peer in peers
+        }
+        silent = sum(age_s > SILENT_S for age_s in quiet_s.values())
+        is_partition = silent > counting.PARTITION_SHARE * len(peers)
+        ended_s = (
+            PARTITION_SILENT_S if is_partition and silent > 1 else SILENT_S
+        )
         for peer in peers:
-            quiet_s = now_s - max(peer.last_update_s, peer.added_s)
-            if quiet_s > SILENT_S:
-                silent += 1
+            if quiet_s[peer] > ended_s:
                 continue
             found = [
                 item
@@ -806,8 +840,6 @@
                 running += found[0].old_running
             else:
                 behind += 1
-        if silent > PARTITION_SHARE * (1 + len(peers)):
-            behind += silent
         return behind, running
 
     # -- metrics -------------------------------------------------------
