--- a/src/guavachute/decide/ingress/rollouts/results.py
+++ b/src/guavachute/decide/ingress/rollouts/results.py
@@ -32,6 +32,11 @@
 """Fewer bad responses may be those of one request and its retries, or of one
 moment."""
 
+MANY_FAILED = 25
+MANY_FAILURE_EXCESS = 0.01
+"""With so many failures, a smaller difference is no accident. A version has to
+be rolled back soon after its 50th bad response."""
+
 FAILURE_EXCESS = 0.04
 SLOW_EXCESS = 0.15
 """The new version is bad if its rate exceeds the old one's significantly, and
@@ -184,7 +189,9 @@
                 item.old_failed,
                 item.new_failed,
                 MIN_FAILED,
-                FAILURE_EXCESS,
+                FAILURE_EXCESS
+                if item.new_failed < MANY_FAILED
+                else MANY_FAILURE_EXCESS,
             ),
             (
                 'were slow',
--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -68,6 +68,10 @@
 """The same if several nodes are silent at a time: some may still hear each
 other, and requests that they sent before may run."""
 
+PROOF_PART = 0.5
+"""A proof is valid for no longer than this part of the time in which a bad
+version has to be left."""
+
 MAX_PROOF_DS = 990
 
 INFORMED_S = 10.0
@@ -402,7 +406,10 @@
         return len(builds) > 1
 
     def _rule(self, rollout: Rollout) -> selection.Rule | None:
-        is_proven = self.proof_age_s(rollout) <= selection.PROOF_S
+        longest_s = min(
+            selection.PROOF_S, PROOF_PART * self._site.bounds.rollback_s
+        )
+        is_proven = self.proof_age_s(rollout) <= longest_s
         record = rollout.current
         needs_proof = record is not None and record.step.needs_proof
         is_used = is_proven and not rollout.bad
@@ -442,6 +449,8 @@
         rule: selection.Rule,
         records: list[endpoint_registry.EndpointRecord],
     ) -> int:
+        if not 0 < rule.share < 1:
+            return 1
         old = [
             entry.slots
             for entry in self._state.table.entries.values()
--- a/tests/cover/test_rollout_decisions.py
+++ b/tests/cover/test_rollout_decisions.py
@@ -286,6 +286,13 @@
         }
         self.assertIn('broken', results.is_bad(totals) or '')
 
+    def test_many_failures_need_no_large_difference(self) -> None:
+        """Guards against a version that fails rarely with all requests."""
+        few = results.Counts(9_000, 0, 0, 300, 9, 0)
+        self.assertIsNone(results.is_bad({'a': few}))
+        many = results.Counts(9_000, 0, 0, 1_000, 30, 0)
+        self.assertIsNotNone(results.is_bad({'a': many}))
+
     def test_slowness_is_relative_to_the_route(self) -> None:
         """Guards against long work that is taken for slow work."""
         counts = results.Counts()
