Check the time of a roll-out only in simulated time

tests.cover.test_rollouts ran on the machine's clock and compared the end with the deadline, which depends on the machine's speed. The deadline is checked by tests.cover.test_rollout_decisions.

--- a/tests/cover/test_rollouts.py
+++ b/tests/cover/test_rollouts.py
@@ -72,13 +72,12 @@
 
 
 class VersionsTest(RolloutTest):
-    def test_a_good_one_gets_all_requests_in_time(self) -> None:
+    def test_a_good_one_gets_all_requests(self) -> None:
         self.begin()
         self.check_completed()
-        operator = self.site.operator
-        assert operator.ended_s is not None
-        self.assertEqual(['in_progress', 'completed'], operator.states)
-        self.assertLess(operator.ended_s, operator.requested_s + DURATION_S)
+        self.assertEqual(
+            ['in_progress', 'completed'], self.site.operator.states
+        )
 
     def check_rolled_back(self, version: Version, duration_s: float) -> None:
         self.version = version
