Ignore odd figures in the updates of other nodes

An infinite or NaN total, rate, level or demand ended the process when the quota was logged, or lifted the quota to full. Such items and negative ones are dropped; the rest of the update is used.

--- a/src/guavachute/decide/ingress/quota.py
+++ b/src/guavachute/decide/ingress/quota.py
@@ -281,7 +281,8 @@
     def view(self, now_s: float) -> View:
         """What this node knows of the quota."""
         return View(
-            round(self.level(now_s)),
+            # With digits, this does not raise for infinite values.
+            round(self.level(now_s), 1),
             None if self._pace is None else round(self._part, 4),
             self._node_count,
             sum(self._silent_nodes.values()),
--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -23,6 +23,7 @@
 from guavachute.observe import metrics as observe_metrics
 from guavachute import outcome
 from guavachute.wire import requests as wire_requests
+from guavachute.wire import untrusted
 
 AWAITED_SHARE = 1 / 3
 """Callers wait before a retry for at most this share of their remaining
@@ -520,8 +521,15 @@
     ) -> None:
         """Merge what a run of another node has admitted of the quotas.
 
+        Items that are not finite or out of bounds are ignored.
+
         :param run_age_s: how long ago that run started
         """
+        spent = {
+            name: (total, per_s, level)
+            for name, (total, per_s, level) in spent.items()
+            if untrusted.is_amount(total, per_s, abs(level))
+        }
         self._charge_elsewhere(source, spent)
         current = self._state.configuration
         if current is None:
@@ -579,10 +587,17 @@
     ) -> None:
         """Merge what is asked elsewhere of the quotas that are short.
 
+        Items that are not finite or out of bounds are ignored.
+
         :param source: a node, or a region
         :param nodes: how many nodes *queued* is the sum of
         """
-        self._quotas.merge_queued(source, nodes, queued, self._loop.now_s)
+        amounts = {
+            name: per_s
+            for name, per_s in queued.items()
+            if untrusted.is_amount(per_s)
+        }
+        self._quotas.merge_queued(source, nodes, amounts, self._loop.now_s)
 
     def expire(self) -> None:
         """Discard expired state; called about every half second."""
--- a/src/guavachute/entry/region_sums.py
+++ b/src/guavachute/entry/region_sums.py
@@ -4,6 +4,7 @@
 
 from guavachute import ids
 from guavachute.wire import node_updates
+from guavachute.wire import untrusted
 
 ConsumptionByWorkspace = typing.Mapping[
     ids.WorkspaceName, tuple[float, float, float]
@@ -33,6 +34,8 @@
         :param is_no_older: whether that run is no older than this one
         """
         for name, (total, _, _) in spent.items():
+            if not untrusted.is_amount(total):
+                continue
             first = 0.0 if is_no_older else total
             before = self._last.get((source, name), first)
             self._last[(source, name)] = total
@@ -51,7 +54,8 @@
         per_s = {name: item[1] for name, item in own.items()}
         for spent in others:
             for name, (_, rate, _) in spent.items():
-                per_s[name] = per_s.get(name, 0.0) + rate
+                if untrusted.is_amount(rate):
+                    per_s[name] = per_s.get(name, 0.0) + rate
         return {
             name: (
                 round(self._totals.get(name, 0.0), 1),
@@ -86,5 +90,6 @@
     totals: dict[ids.WorkspaceName, float] = {}
     for demand in demands:
         for workspace, per_s in demand.items():
-            totals[workspace] = totals.get(workspace, 0.0) + per_s
+            if untrusted.is_amount(per_s):
+                totals[workspace] = totals.get(workspace, 0.0) + per_s
     return totals
--- a/src/guavachute/wire/untrusted.py
+++ b/src/guavachute/wire/untrusted.py
@@ -59,6 +59,11 @@
     return outcome.Failure(outcome.Reason.UNREADABLE, f'{what}: {reason}')
 
 
+def is_amount(*values: float) -> bool:
+    """Whether all *values* are finite, not negative and within bounds."""
+    return all(0 <= value <= MAX_INTEGER for value in values)
+
+
 def number(text: bytes | None) -> int | None:
     """A decimal number of at most :data:`MAX_DIGITS` digits, or None."""
     if text is None:
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -6,11 +6,14 @@
 """
 
 import dataclasses
+import math
 import typing
 import unittest
+from unittest import mock
 
 from guavachute.decide.ingress.admission import waiting
 from guavachute.decide.ingress import quota
+from guavachute.entry import region_sums
 from guavachute import ids
 from guavachute import outcome
 from tests.support import gate_site
@@ -94,6 +97,46 @@
             )
 
 
+class UpdateBoundsTest(unittest.TestCase):
+    """Guards against updates whose figures are infinite, NaN or negative."""
+
+    ODD = (
+        *((math.inf, math.nan, -1.0), (math.nan, 0.0, 0.0)),
+        *((0.0, math.inf, 0.0), (-5.0, 0.0, 0.0), (0.0, -1.0, 0.0)),
+        (0.0, 0.0, -math.inf),
+    )
+
+    def test_odd_figures_leave_a_quota_as_it_is(self) -> None:
+        site = gate_site.GateSite()
+        site.request(400)
+        name = site.workspace.name
+        before = site.level()
+        source = quota.Source('edge-2/1', 'edge-2/1')
+        for item in self.ODD:
+            with self.subTest(item=item):
+                site.gate.merge_consumption(source, {name: item}, 9.0)
+                self.assertEqual(before, site.level())
+        with mock.patch.object(quota.Quotas, 'merge_queued') as merge:
+            for per_s in (-5.0, math.inf, math.nan):
+                site.gate.merge_queued('edge-2', 1, {name: per_s})
+                self.assertEqual({}, merge.call_args.args[2])
+
+    def test_odd_figures_are_not_summed(self) -> None:
+        name = ids.WorkspaceName('w')
+        sums = region_sums.ConsumptionSums()
+        own = {name: (7.0, 1.0, 2.0)}
+        sums.record('run', own, True)
+        for item in self.ODD[:2]:
+            sums.record('run', {name: item}, True)
+        self.assertEqual(own, sums.sums(own, [{name: self.ODD[0]}]))
+        self.assertEqual({}, region_sums.sum_queued([{name: -5.0}]))
+
+    def test_an_infinite_level_can_be_logged(self) -> None:
+        bucket = quota.Bucket(quota_load.workspace(1.0, 1.0), 0.0, 0.0)
+        with mock.patch.object(bucket, 'level', return_value=-math.inf):
+            self.assertEqual(-math.inf, bucket.view(0.0).level)
+
+
 class ShortCapacityTest(unittest.TestCase):
     """A service whose first tokens take longer than the objective of 1 s.
 
