Release all held requests soon after a shortage

At most one request of a service was released in 25 ms, and every request of the same urgency was held behind it although the endpoints were idle. A draw is made for each held request, with a new estimate after each release, and a part of each kind begins at once also when there is capacity.

--- a/src/guavachute/decide/ingress/admission/shortage.py
+++ b/src/guavachute/decide/ingress/admission/shortage.py
@@ -123,7 +123,7 @@
                 return Verdict.BEGIN
         elif not any(
             other.priority <= ask.priority for other in self._held.values()
-        ):
+        ) or self._takes_credit(ask.kind):
             return Verdict.BEGIN
         return Verdict.HOLD
 
--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -44,9 +44,9 @@
 """It is far below the objective up to this share of it."""
 
 RELEASE_CHANCE = 0.5
-"""Chance that a held request begins when it is looked at and there is
-capacity. All nodes see the same free capacity, with figures up to 3 s old, and
-would fill it at once."""
+"""Chance for each held request, when they are looked at and there is capacity,
+that one begins. All nodes see the same free capacity, with figures up to 3 s
+old, and would fill it at once."""
 
 SHORT_TTL_S = 10.0
 """For so long after a service was short, the use by workspaces is recorded."""
@@ -344,6 +344,18 @@
             service.shortage.record_begun(ask.workspace, ask.tokens, now_s)
         started.dispatch()
 
+    def _release_held(
+        self,
+        started: exchange.Exchange,
+        service: _Service,
+        ask: shortage.Ask,
+    ) -> None:
+        self._forget_held(started)
+        self._log_capacity('released', started, service)
+        self._release(started, service, ask)
+        # The next release depends on the capacity that this one leaves.
+        service.estimated_s = -math.inf
+
     def _forget_held(self, started: exchange.Exchange) -> None:
         held = self._held.pop(started, None)
         if held is not None:
@@ -360,21 +372,19 @@
                 started = service.held[ask.request_id][0]
                 self._forget_held(started)
                 self._refuse_capacity(started, service)
-        first = service.shortage.first()
-        if first is None:
-            return
-        started = service.held[first.request_id][0]
-        first_token_s = self._first_token_s(service, started)
-        if (
-            first_token_s <= first.objective_s
-            and self._draw() <= RELEASE_CHANCE
-        ):
-            following = service.shortage.next(now_s)
-            assert following is not None
-            started = service.held[following.request_id][0]
-            self._forget_held(started)
-            self._log_capacity('released', started, service)
-            self._release(started, service, following)
+        for _ in range(len(service.held)):
+            first = service.shortage.first()
+            if first is None:
+                return
+            started = service.held[first.request_id][0]
+            if self._first_token_s(service, started) > first.objective_s:
+                break
+            if self._draw() <= RELEASE_CHANCE:
+                following = service.shortage.next(now_s)
+                assert following is not None
+                started = service.held[following.request_id][0]
+                self._release_held(started, service, following)
+        first_token_s = service.first_token_s
         for started, ask in list(service.held.values()):
             if (
                 ask.request_id in service.held
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -171,6 +171,38 @@
         self.site.loop.run(0.1)
         self.assertIsNotNone(held.begun_s)
 
+    def test_all_held_requests_begin_soon_after_a_shortage(self) -> None:
+        """Guards against a release of one request at a time."""
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        held = [self.site.request(9, priority=2) for _ in range(20)]
+        self.site.first_token_s = 0.1
+        self.site.loop.run(0.03)
+        self.assertNotIn(None, [item.begun_s for item in held])
+
+    def test_a_release_regards_the_one_before(self) -> None:
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        for _ in range(20):
+            self.site.request(9, priority=2)
+        most = len(self.site.begun) + 3
+        with mock.patch.object(
+            gate_site.FakeExchange,
+            'expected_first_token_s',
+            lambda _: 0.1 if len(self.site.begun) < most else 1.5,
+        ):
+            self.site.loop.run(0.03)
+        self.assertEqual(most, len(self.site.begun))
+
+    def test_a_part_begins_although_others_are_held(self) -> None:
+        """Guards against a service that stays held while it is idle."""
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        self.assertIsNone(self.site.request(9, priority=2).begun_s)
+        self.site.first_token_s = 0.1
+        items = [self.site.request(9, priority=2) for _ in range(10)]
+        self.assertEqual(3, sum(item.begun_s is not None for item in items))
+
     def test_what_is_held_for_too_long_is_refused(self) -> None:
         self.site.first_token_s = 1.5
         self.site.request(9, priority=0)
