Begin held requests before newer ones of their kind

A request that may begin lets the one of its workspace and urgency that was first sent longest before begin, and is held in its place. Held requests also begin while capacity is short once no more urgent ones are seen. The part of a kind that begins in any case still goes to the request that has just come.

--- a/src/guavachute/decide/ingress/admission/shortage.py
+++ b/src/guavachute/decide/ingress/admission/shortage.py
@@ -114,10 +114,7 @@
         if first_token_s <= ask.objective_s and not self._held:
             return Verdict.BEGIN
         if first_token_s > ask.objective_s:
-            if not (
-                self._is_urgent_recent(ask.priority, now_s)
-                or self._is_over_share(ask.workspace, now_s)
-            ):
+            if not self.comes_after_others(ask, now_s):
                 return Verdict.BEGIN
             if self._takes_credit(ask.kind):
                 return Verdict.BEGIN
@@ -127,6 +124,12 @@
             return Verdict.BEGIN
         return Verdict.HOLD
 
+    def comes_after_others(self, ask: Ask, now_s: float) -> bool:
+        """Whether requests that are seen now begin before *ask*."""
+        return self._is_urgent_recent(
+            ask.priority, now_s
+        ) or self._is_over_share(ask.workspace, now_s)
+
     def hold(self, ask: Ask, now_s: float) -> bool:
         """Hold a request; False if there is no room for it."""
         queue = self._queues.get(ask.priority)
--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -70,6 +70,12 @@
         self.short_s = -math.inf
 
 
+def _first_sent_s(started: exchange.Exchange) -> float:
+    return waiting.first_sent_s(
+        started.arrived_s, started.expires_at_s, started.route.timeout_s
+    )
+
+
 class Gate:
     """Lets requests begin, or refuses them.
 
@@ -151,11 +157,7 @@
             item=started,
             group=workspace.name,
             priority=ask.priority,
-            first_s=waiting.first_sent_s(
-                started.arrived_s,
-                started.expires_at_s,
-                started.route.timeout_s,
-            ),
+            first_s=_first_sent_s(started),
             cost=ask.cost,
             size=len(started.call.body),
             latest_s=min(
@@ -299,23 +301,24 @@
             service.short_s = now_s
         verdict = service.shortage.decide(ask, first_token_s, now_s)
         if verdict is shortage.Verdict.HOLD:
-            size = len(started.call.body)
-            if self._held_bytes + size <= waiting.MAX_BYTES and (
-                service.shortage.hold(ask, now_s)
-            ):
-                self._held_bytes += size
-                self._held[started] = (service, ask.request_id)
-                service.held[ask.request_id] = (started, ask)
-                self._log_capacity('held', started, service)
-                self._metrics.add('admission_holds')
-                self._add_gauges(started.route.name)
-                if self._timer is None:
-                    self._schedule()
+            if self._hold(started, service, ask):
                 return
             verdict = shortage.Verdict.REFUSE
         if verdict is shortage.Verdict.REFUSE:
             self._refuse_capacity(started, service)
             return
+        older = None
+        if first_token_s <= ask.objective_s or (
+            not service.shortage.comes_after_others(ask, now_s)
+        ):
+            older = self._oldest_before(started, service, ask)
+        if older is not None:
+            # Otherwise newer requests overtake it until it is refused.
+            self._forget_held(older[0])
+            is_held = self._hold(started, service, ask)
+            self._release_held(older[0], service, older[1])
+            if is_held:
+                return
         self._release(started, service, ask)
 
     def _first_token_s(
@@ -344,6 +347,54 @@
             service.shortage.record_begun(ask.workspace, ask.tokens, now_s)
         started.dispatch()
 
+    def _hold(
+        self,
+        started: exchange.Exchange,
+        service: _Service,
+        ask: shortage.Ask,
+    ) -> bool:
+        """Hold a request; False if there is no room for it."""
+        size = len(started.call.body)
+        if self._held_bytes + size > waiting.MAX_BYTES or (
+            not service.shortage.hold(ask, self._loop.now_s)
+        ):
+            return False
+        self._held_bytes += size
+        self._held[started] = (service, ask.request_id)
+        service.held[ask.request_id] = (started, ask)
+        self._log_capacity('held', started, service)
+        self._metrics.add('admission_holds')
+        self._add_gauges(started.route.name)
+        if self._timer is None:
+            self._schedule()
+        return True
+
+    def _oldest_before(
+        self,
+        started: exchange.Exchange,
+        service: _Service,
+        ask: shortage.Ask,
+    ) -> tuple[exchange.Exchange, shortage.Ask] | None:
+        """The held request that was first sent longest before *started*.
+
+        Only requests of the same workspace and priority that can still meet
+        their deadline are regarded.
+        """
+        expected_s = self._loop.now_s + service.first_token_s
+        first_s = _first_sent_s(started)
+        return min(
+            (
+                held
+                for held in service.held.values()
+                if held[1].workspace == ask.workspace
+                and held[1].priority == ask.priority
+                and held[1].expires_s >= expected_s
+                and _first_sent_s(held[0]) < first_s
+            ),
+            key=lambda held: _first_sent_s(held[0]),
+            default=None,
+        )
+
     def _release_held(
         self,
         started: exchange.Exchange,
@@ -377,7 +428,11 @@
             if first is None:
                 return
             started = service.held[first.request_id][0]
-            if self._first_token_s(service, started) > first.objective_s:
+            first_token_s = self._first_token_s(service, started)
+            if first_token_s > first.objective_s and (
+                service.shortage.comes_after_others(first, now_s)
+                or now_s + first_token_s > first.expires_s
+            ):
                 break
             if self._draw() <= RELEASE_CHANCE:
                 following = service.shortage.next(now_s)
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -203,6 +203,29 @@
         items = [self.site.request(9, priority=2) for _ in range(10)]
         self.assertEqual(3, sum(item.begun_s is not None for item in items))
 
+    def test_newer_requests_do_not_overtake_held_ones(self) -> None:
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0, objective_s=6.0)
+        self.site.loop.run(1.8)
+        held = self.site.request(9, priority=2)
+        retry = self.site.request(9, priority=2, left_s=4.0)
+        self.site.draw.return_value = 0.9
+        self.site.loop.run(0.3)
+        new = self.site.request(9, priority=2)
+        self.assertIsNone(new.begun_s)
+        self.assertIsNotNone(retry.begun_s)
+        self.site.request(9, priority=2)
+        self.assertIsNotNone(held.begun_s)
+
+    def test_held_requests_begin_when_no_urgent_ones_come(self) -> None:
+        """Also while the service is short."""
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        self.site.loop.run(1.8)
+        held = self.site.request(9, priority=2)
+        self.site.loop.run(0.3)
+        self.assertIsNotNone(held.begun_s)
+
     def test_what_is_held_for_too_long_is_refused(self) -> None:
         self.site.first_token_s = 1.5
         self.site.request(9, priority=0)
