--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -445,6 +445,11 @@
                 ask.request_id in service.held
                 and now_s + first_token_s > ask.expires_s
             ):
+                # The estimate may be that of a much larger request.
+                own_s = started.expected_first_token_s() or 0.0
+                if now_s + own_s <= ask.expires_s:
+                    continue
+                service.first_token_s, service.estimated_s = own_s, now_s
                 self._forget_held(started)
                 self._refuse_capacity(started, service)
 
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -226,6 +226,23 @@
         self.site.loop.run(0.3)
         self.assertIsNotNone(held.begun_s)
 
+    def test_a_held_request_is_refused_by_its_own_estimate(self) -> None:
+        """Guards against the estimate of a larger request."""
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        self.site.request(9, priority=1, size=900)
+        small, large = (
+            self.site.request(9, priority=2, size=size) for size in (9, 900)
+        )
+        with mock.patch.object(
+            gate_site.FakeExchange,
+            'expected_first_token_s',
+            lambda item: 7.0 if len(item.call.body) > 100 else 1.5,
+        ):
+            self.site.loop.run(0.03)
+        self.assertIsNone(small.refused_s)
+        self.assertIsNotNone(large.refused_s)
+
     def test_what_is_held_for_too_long_is_refused(self) -> None:
         self.site.first_token_s = 1.5
         self.site.request(9, priority=0)
