--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -53,6 +53,8 @@
 
 MAX_GAUGED_ROUTES = 32
 
+StopRefusal = typing.Callable[[ids.ServiceName], outcome.Failure | None]
+
 
 class _Service:
     """What the gate knows of a service.
@@ -81,6 +83,9 @@
 
     Each submitted request is dispatched or refused exactly once, unless it
     ends before.
+
+    :param stop_refusal: why a request of a service can't begin in a stop of
+        the node; None if it can
     """
 
     def __init__(
@@ -90,7 +95,9 @@
         state: known_state.KnownState,
         peers: entry_peers.Peers,
         metrics: observe_metrics.Metrics,
+        stop_refusal: StopRefusal = lambda _: None,
     ) -> None:
+        self._stop_refusal = stop_refusal
         self._loop = loop
         self._state = state
         self._peers = peers
@@ -189,6 +196,7 @@
     def _recheck(self) -> None:
         """Begin or refuse those whose time has come."""
         self._timer = None
+        self._refuse_in_stop()
         for name in self._waiting.groups():
             self._recheck_group(name)
         # An answer may bring the next request of its connection.
@@ -198,6 +206,21 @@
         if self._timer is None and (len(self._waiting) or self._held):
             self._schedule()
 
+    def _refuse_in_stop(self) -> None:
+        """Refuse what would not begin any more if it came now."""
+        for started in [
+            *(place.item for place in self._waiting.all()),
+            *self._held,
+        ]:
+            refusal = self._stop_refusal(started.service)
+            if refusal is not None and (
+                started in self._waiting or started in self._held
+            ):
+                self._waiting.remove(started)
+                self._forget_held(started)
+                self._metrics.add('refused_503')
+                started.refuse(503, refusal)
+
     def _recheck_group(self, name: str) -> None:
         """Look at the requests of one workspace, in their order."""
         now_s = self._loop.now_s
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -128,7 +128,9 @@
         self.handle_result = rollouts.handle_result
         self.handle_released = rollouts.handle_released
         self._on_run_started = on_run_started
-        self.admission = gate.Gate(loop, site, state, peers, metrics)
+        self.admission = gate.Gate(
+            loop, site, state, peers, metrics, self._stop_refusal
+        )
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._meters: dict[ids.ServiceName, _RateMeters] = {}
         self._crashes = crash.CrashRegistry()
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -243,6 +243,21 @@
         self.assertIsNone(small.refused_s)
         self.assertIsNotNone(large.refused_s)
 
+    def test_a_stop_refuses_what_waits(self) -> None:
+        """Guards against requests that begin on a node that stops."""
+        self.site.first_token_s = 1.5
+        self.site.request(9, priority=0)
+        held = self.site.request(9, priority=2)
+        quota_site = gate_site.GateSite()
+        quota_site.request(1_000)
+        waits = quota_site.request(100)
+        failure = outcome.Failure(outcome.Reason.DRAINING, 'stop', 0.05)
+        for site, item in ((self.site, held), (quota_site, waits)):
+            site.first_token_s = 0.1
+            site.stop_failure = failure
+            site.loop.run(0.6)
+            self.assertIs(failure, item.failure)
+
     def test_what_is_held_for_too_long_is_refused(self) -> None:
         self.site.first_token_s = 1.5
         self.site.request(9, priority=0)
--- a/tests/support/gate_site.py
+++ b/tests/support/gate_site.py
@@ -87,6 +87,7 @@
         self.metrics = observe_metrics.Metrics()
         self.begun: list[FakeExchange] = []
         self.first_token_s = 0.01
+        self.stop_failure: outcome.Failure | None = None
         site = types.SimpleNamespace(
             bounds=types.SimpleNamespace(quota_allowance=0.0)
         )
@@ -99,6 +100,7 @@
                 typing.cast(typing.Any, self.state),
                 typing.cast(typing.Any, types.SimpleNamespace(table=table)),
                 self.metrics,
+                lambda _: self.stop_failure,
             )
 
     def configure(self, workspace: typing.Any) -> None:
