--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -237,8 +237,10 @@
                 and bucket.admit(ask, now_s)
             ):
                 self._waiting.remove(started)
-                if bucket is not None:
-                    self._log('waited', started, workspace, bucket)
+                if bucket is None:
+                    self._start(started)
+                    continue
+                self._log('waited', started, workspace, bucket)
                 self._begin(started, workspace, ask.cost)
                 continue
             if now_s + bucket.wait_s(ask, before, now_s) > place.latest_s:
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -85,6 +85,16 @@
         self.site.loop.run(0.1)
         self.assertIsNotNone(waits[1].refused_s)
 
+    def test_a_request_that_was_not_charged_is_not_refunded(self) -> None:
+        """Its workspace became unlimited while it waited."""
+        waits = self.site.request(100)
+        before = self.site.admitted()
+        self.site.configure(quota_load.workspace(0.0, 0.0))
+        self.site.loop.run(0.1)
+        self.assertIsNotNone(waits.begun_s)
+        self.site.gate.handle_ended(typing.cast(typing.Any, waits), 'own 503')
+        self.assertEqual(before, self.site.admitted())
+
     def test_no_request_waits_beyond_half_its_objective(self) -> None:
         waits = [self.site.request(120) for _ in range(20)]
         for _ in range(100):
