Compare the use by workspaces only in tokens

Local use was in tokens and that of other nodes in the unit of the quota. Only workspaces whose quota counts tokens are compared, and the reports of other nodes are recorded also before a shortage, so that the first one in it counts.

--- a/src/guavachute/entry/admission/gate.py
+++ b/src/guavachute/entry/admission/gate.py
@@ -78,6 +78,10 @@
     )
 
 
+def _has_token_quota(workspace: configuration.Workspace) -> bool:
+    return workspace.rate_per_s > 0 and workspace.counts_tokens
+
+
 class Gate:
     """Lets requests begin, or refuses them.
 
@@ -368,7 +372,13 @@
         ask: shortage.Ask,
     ) -> None:
         now_s = self._loop.now_s
-        if now_s - service.short_s <= SHORT_TTL_S:
+        workspace = started.workspace
+        # Other nodes report use in the unit of the quota, if there is one.
+        if (
+            now_s - service.short_s <= SHORT_TTL_S
+            and workspace is not None
+            and _has_token_quota(workspace)
+        ):
             service.shortage.record_begun(ask.workspace, ask.tokens, now_s)
         started.dispatch()
 
@@ -655,14 +665,18 @@
             for service in self._services.values()
             if service.short_s >= oldest_s
         ]
-        if not short:
-            return
+        current = self._state.configuration
+        workspaces = {} if current is None else current.workspaces
+        # Recorded also without a shortage: only differences are charged.
         served = self._served.record_sum(
             wire_requests.DemandSum(
                 source=source.admitted_by,
                 demand={},
                 served_tokens={
-                    str(name): item[0] for name, item in spent.items()
+                    str(name): item[0]
+                    for name, item in spent.items()
+                    if name in workspaces
+                    and _has_token_quota(workspaces[name])
                 },
             ),
             self._loop.now_s,
--- a/tests/cover/test_admission_gate.py
+++ b/tests/cover/test_admission_gate.py
@@ -328,6 +328,32 @@
             self.site.request(9, workspace=self.other).begun_s
         )
 
+    def merge_other(self, total: float) -> None:
+        self.site.gate.merge_consumption(
+            quota.Source('edge-2/1', 'edge-2/1'),
+            {self.other.name: (total, 0.0, 1e6)},
+            9.0,
+        )
+
+    def test_use_in_requests_is_not_compared_with_tokens(self) -> None:
+        self.other = dataclasses.replace(self.other, counts_tokens=False)
+        self.site.state.configuration.workspaces['zoology'] = self.other
+        self.site.first_token_s = 1.5
+        self.site.request(900)
+        for total in (0.0, 10_000.0):
+            self.merge_other(total)
+        self.assertIsNotNone(
+            self.site.request(9, workspace=self.other).begun_s
+        )
+
+    def test_use_elsewhere_counts_from_before_a_shortage(self) -> None:
+        """Guards against a first report in the shortage that is ignored."""
+        self.merge_other(0.0)
+        self.site.first_token_s = 1.5
+        self.site.request(900)
+        self.merge_other(10_000.0)
+        self.assertIsNone(self.site.request(9, workspace=self.other).begun_s)
+
     def test_a_caller_that_leaves_while_held_leaves_nothing(self) -> None:
         self.site.first_token_s = 1.5
         self.site.request(9, priority=0)
