--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -180,7 +180,11 @@
             if name.lower() != b'upgrade'
         ]
         self._parser = httptools.HttpRequestParser(self)
-        self._parser.feed_data(b'\r\n'.join(lines) + b'\r\n\r\n')
+        try:
+            self._parser.feed_data(b'\r\n'.join(lines) + b'\r\n\r\n')
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # For example, the method belongs to RTSP.
+            self.problem = self.problem or Problem.MALFORMED
 
     def on_message_begin(self) -> None:
         """Parser callback: a request starts."""
--- a/tests/cover/test_request_reader.py
+++ b/tests/cover/test_request_reader.py
@@ -71,6 +71,13 @@
         self.assertIs(http1.Problem.MALFORMED, reader.problem)
         self.assertEqual([], reader.requests)
 
+    # Guards against an exception that ended the process.
+    def test_an_offer_in_another_protocol_is_rejected(self) -> None:
+        for method in (b'PLAY', b'DESCRIBE'):
+            reader = read([method + b' /x RTSP/1.0\r\n' + OFFER + b'\r\n'])
+            self.assertIs(http1.Problem.MALFORMED, reader.problem)
+            self.assertEqual([], reader.requests)
+
     def test_two_lengths_are_rejected_with_an_offer_too(self) -> None:
         for more in (
             b'Content-Length: 3\r\n',
