Take a connection for idle once a long answer has been read

After an answer of which much was unsent, the connection stayed in the state of one that reads a request, so an idle caller got a 408 or a 503.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -255,7 +255,7 @@
             self._connection.finish_writing()
         elif self._exchange is not None:
             self._exchange.handle_caller_drained()
-        elif self._unparsed or self._reader.requests:
+        else:
             self._continue()
         self._update_usage()
 
