--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -56,6 +56,8 @@
 """With too many connections, this part of their number is closed at a
 time, as finding them takes longer with many."""
 
+_BODY_HEADERS = {b'content-length', b'transfer-encoding'}
+
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -135,27 +137,36 @@
         self.body_bytes = 0
         self.headers = 0
         self.expects_continue = False
-        self._needed: int | None = None
+        self._body_lines: list[bytes] = []
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes."""
-        if self._needed is not None:
-            self._needed -= len(data)
-            self.is_complete = self._needed <= 0
-            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
-            # Another protocol is not accepted, so a body follows.
-            self._needed = (self.length or 0) - len(data) + upgrade.args[0]
-            self.is_complete = self._needed <= 0
+            if not self.is_complete:
+                self._ignore_upgrade()
+                self.feed(data[upgrade.args[0] :])
         except httptools.HttpParserError:
             self.is_complete = True
 
+    def _ignore_upgrade(self) -> None:
+        """Go on with the body behind a head that offers another protocol.
+
+        The parser ends at such a head, so another one gets the headers that
+        describe the body.
+        """
+        lines = [b'POST / HTTP/1.1', *self._body_lines]
+        self.headers -= len(self._body_lines)
+        self._parser = httptools.HttpRequestParser(self)
+        self.feed(b'\r\n'.join(lines) + b'\r\n\r\n')
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Parser callback: a header or a trailer."""
         self.headers += 1
         lower = name.lower()
+        if self.is_in_head and lower in _BODY_HEADERS:
+            self._body_lines.append(b'%s: %s' % (lower, value))
         if lower == b'content-length' and self.length is not None:
             with contextlib.suppress(ValueError):
                 self.length = int(value)
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server keeps working after errors on its connections."""
 
 import socket
+import time
 import unittest
 
 import urllib3
@@ -170,6 +171,23 @@
         raw.sendall(post(body, 'Transfer-Encoding: chunked'))
         self.assertEqual([b'200'], self.answers(raw))
 
+    def test_a_request_that_offers_another_protocol_keeps_its_body(
+        self,
+    ) -> None:
+        """Guards against a chunked body that is not read after an offer."""
+        raw = self.connect()
+        offer = ('Connection: Upgrade', 'Upgrade: h2c')
+        for head, body in (
+            ('Transfer-Encoding: chunked', b'3\r\nabc\r\n0\r\n\r\n'),
+            ('Content-Length: 3', b'abc'),
+        ):
+            data = post(body, *offer, head)
+            for part in (data[: -len(body)], body[:-1], body[-1:] + data):
+                raw.sendall(part)
+                time.sleep(0.05)
+            self.assertEqual([b'200'] * 2, self.answers(raw, 2))
+        self.assertEqual([b'abc'] * 4, self.bodies)
+
     def test_a_caller_that_waits_for_100_gets_it(self) -> None:
         raw = self.connect()
         raw.sendall(post(b'', 'Content-Length: 3', 'Expect: 100-continue'))
