Wire lost attempts to crash notices without their requests

An attempt that lost its connection kept its whole request, with the body, for the three seconds of the blame window. Only what a notice and its log line need is kept.

--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -80,6 +80,22 @@
     output: quota.RateMeter
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LostAttempt:
+    """A request whose connection to an endpoint broke, without its body.
+
+    :ivar has_begun: whether its answer had begun
+    :ivar parts: the ids of the parts of its prompt that others may share
+    """
+
+    lost_s: float
+    record: endpoint_registry.EndpointRecord
+    attempt_id: ids.AttemptId
+    fingerprint: crash.Fingerprint
+    has_begun: bool
+    parts: tuple[str, ...]
+
+
 class Ingress:
     """Serves the requests of the callers of this node.
 
@@ -132,10 +148,7 @@
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._meters: dict[ids.ServiceName, _RateMeters] = {}
         self._crashes = crash.CrashRegistry()
-        self._lost_attempts: list[
-            tuple[float, endpoint_registry.EndpointRecord, exchange.Exchange]
-        ]
-        self._lost_attempts = []
+        self._lost_attempts: list[_LostAttempt] = []
         self._crash_notices: dict[
             str, tuple[float, wire_requests.CrashNotice]
         ] = {}
@@ -488,7 +501,16 @@
         record: endpoint_registry.EndpointRecord,
     ) -> None:
         """Record a request whose connection to an endpoint broke."""
-        self._lost_attempts.append((self.loop.now_s, record, started))
+        self._lost_attempts.append(
+            _LostAttempt(
+                self.loop.now_s,
+                record,
+                started.call.attempt_id,
+                started.fingerprint,
+                started.first_byte_s is not None,
+                tuple(part.id for part in started.call.parts[:-1]),
+            )
+        )
         self._suspects.handle_lost(started.call, record, started.is_proven)
         self._rollouts.handle_lost(started)
 
@@ -612,24 +634,24 @@
         """
         now_s = self.loop.now_s
         crash_id = ':'.join(str(part) for part in record.entry.incarnation)
-        for at_s, lost_at, lost in self._lost_attempts:
-            if lost_at is record and now_s - at_s <= BLAME_WINDOW_S:
+        for lost in self._lost_attempts:
+            if lost.record is record and now_s - lost.lost_s <= BLAME_WINDOW_S:
                 notice = self._crashes.record_crash(
                     lost.fingerprint, crash_id, now_s
                 )
                 journal.event(
                     'suspect',
-                    request=lost.call.attempt_id,
+                    request=lost.attempt_id,
                     endpoint=record.entry.id,
-                    age_s=round(now_s - at_s, 3),
+                    age_s=round(now_s - lost.lost_s, 3),
                     fingerprint=lost.fingerprint[:LOGGED_FINGERPRINT],
                     crashes=len(notice.crashes),
-                    has_begun=lost.first_byte_s is not None,
-                    parts=[part.id for part in lost.call.parts[:-1]],
+                    has_begun=lost.has_begun,
+                    parts=list(lost.parts),
                 )
                 self._record_notice(notice)
         self._lost_attempts = [
-            item for item in self._lost_attempts if item[1] is not record
+            lost for lost in self._lost_attempts if lost.record is not record
         ]
 
     def merge_crash_notice(self, notice: wire_requests.CrashNotice) -> None:
@@ -671,17 +693,17 @@
         self.registry.log_ended_pauses(self.loop.now_s)
         self.admission.expire()
         oldest_s = self.loop.now_s - BLAME_WINDOW_S
-        for at_s, record, lost in self._lost_attempts:
-            if at_s < oldest_s:
+        for lost in self._lost_attempts:
+            if lost.lost_s < oldest_s:
                 journal.event(
                     'suspect',
                     outcome='not-blamed',
                     reason='the endpoint was not found dead',
-                    request=lost.call.attempt_id,
-                    endpoint=record.entry.id,
+                    request=lost.attempt_id,
+                    endpoint=lost.record.entry.id,
                 )
         self._lost_attempts = [
-            item for item in self._lost_attempts if item[0] >= oldest_s
+            lost for lost in self._lost_attempts if lost.lost_s >= oldest_s
         ]
 
 
--- a/tests/cover/test_crashing_parts.py
+++ b/tests/cover/test_crashing_parts.py
@@ -4,11 +4,13 @@
 and their other parts, and come at the same time.
 """
 
+import gc
 import itertools
 import unittest
 import unittest.mock
 
 from guavachute.decide.nodes import rounds
+from guavachute.entry import exchange
 from guavachute.entry import node as entry_node
 from guavachute.entry import part_suspects
 from guavachute import ids
@@ -169,6 +171,23 @@
             engine.behaviour = standin_engine.Behaviour.NORMAL
         self.assertEqual(200, self.send(node, 'sound').status)
 
+    # Guards against bodies of lost requests that stay in memory.
+    def test_a_lost_request_is_freed_before_the_blame_window_ends(
+        self,
+    ) -> None:
+        node = self.site.ready_node()
+        for engine in self.engines:
+            engine.behaviour = standin_engine.Behaviour.LOSE
+        self.send(node, 'sound')
+        looping.run_for(self.site.loop, 0.2)
+        gc.collect()
+        kept = [
+            item
+            for item in gc.get_objects()
+            if isinstance(item, exchange.Exchange)
+        ]
+        self.assertEqual([], kept)
+
     # Guards against one start of an engine that counts as a crash each time
     # an answer is lost while the store can't tell of it.
     def test_a_known_start_of_an_engine_is_one_crash(self) -> None:
