Accept a lone request that costs the router more than its budget

It was refused with 503 on each retry, also by an idle router. The budget is half of the memory beyond the process's own, so a lone request may cost 1.5 times as much and still leaves a quarter for buffered answers.

--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -56,6 +56,11 @@
 """With too many connections, this part of their number is closed at a
 time, as finding them takes longer with many."""
 
+LONE_FRACTION = 1.5
+"""A request that is almost alone may cost this multiple of the budget. The
+budget is half of the memory beyond what the process itself needs, so a quarter
+of that memory is left for buffered answers."""
+
 _BODY_HEADERS = {b'content-length', b'transfer-encoding'}
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -449,10 +454,13 @@
         """Let a worker serve a request that was read."""
         connection, data = reading.connection, reading.data
         self._update(reading)
-        limit = self._bounds.limits.held_bytes
+        limit = round(LONE_FRACTION * self._bounds.limits.held_bytes)
         cost = self._bounds.body_cost(data, limit)
         extra = max(0, cost - len(data))
-        if cost > limit or not self._budget.may_begin(connection, extra):
+        if (
+            self._budget.total_bytes + extra > limit
+            or not self._budget.may_begin(connection, extra)
+        ):
             self._count('intake.refused')
             self._refuse(
                 reading, 503, 'too little memory is free; send it again'
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -219,6 +219,29 @@
         self.assertIn(b'200', statuses)
 
 
+class LoneRequestTest(unittest.TestCase):
+    def test_a_request_beyond_the_budget_is_served_alone(self) -> None:
+        """Guards against a 503 on each retry although memory is free."""
+        for share, status in ((1.3, 200), (1.6, 503)):
+            served = hosting.host(
+                self,
+                server.Server(
+                    'http',
+                    '127.0.0.1',
+                    0,
+                    lambda request, exchange: message.Response(200),
+                    limits=LIMITS,
+                    request_cost=lambda data, limit, share=share: round(
+                        share * LIMITS.held_bytes
+                    ),
+                ),
+            )
+            answer = urllib3.request(
+                'POST', f'http://{served.address}/', body=b'a', retries=False
+            )
+            self.assertEqual(status, answer.status)
+
+
 class RequestCostTest(unittest.TestCase):
     """Guards against JSON whose objects take many times its bytes."""
 
