--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server keeps working after errors on its connections."""
 
 import socket
+import time
 import unittest
 
 import urllib3
@@ -170,6 +171,23 @@
         raw.sendall(post(body, 'Transfer-Encoding: chunked'))
         self.assertEqual([b'200'], self.answers(raw))
 
+    def test_a_request_that_offers_another_protocol_keeps_its_body(
+        self,
+    ) -> None:
+        """Guards against a chunked body that is not read after an offer."""
+        raw = self.connect()
+        offer = ('Connection: Upgrade', 'Upgrade: h2c')
+        for head, body in (
+            ('Transfer-Encoding: chunked', b'3\r\nabc\r\n0\r\n\r\n'),
+            ('Content-Length: 3', b'abc'),
+        ):
+            data = post(body, *offer, head)
+            for part in (data[: -len(body)], body[:-1], body[-1:] + data):
+                raw.sendall(part)
+                time.sleep(0.05)
+            self.assertEqual([b'200'] * 2, self.answers(raw, 2))
+        self.assertEqual([b'abc'] * 4, self.bodies)
+
     def test_a_caller_that_waits_for_100_gets_it(self) -> None:
         raw = self.connect()
         raw.sendall(post(b'', 'Content-Length: 3', 'Expect: 100-continue'))
@@ -201,6 +219,29 @@
         self.assertIn(b'200', statuses)
 
 
+class LoneRequestTest(unittest.TestCase):
+    def test_a_request_beyond_the_budget_is_served_alone(self) -> None:
+        """Guards against a 503 on each retry although memory is free."""
+        for share, status in ((1.3, 200), (1.6, 503)):
+            served = hosting.host(
+                self,
+                server.Server(
+                    'http',
+                    '127.0.0.1',
+                    0,
+                    lambda request, exchange: message.Response(200),
+                    limits=LIMITS,
+                    request_cost=lambda data, limit, share=share: round(
+                        share * LIMITS.held_bytes
+                    ),
+                ),
+            )
+            answer = urllib3.request(
+                'POST', f'http://{served.address}/', body=b'a', retries=False
+            )
+            self.assertEqual(status, answer.status)
+
+
 class RequestCostTest(unittest.TestCase):
     """Guards against JSON whose objects take many times its bytes."""
 
