Bound the counts and the proof that another node tells of a roll-out

More failures than responses gave a rate above 1, whose interval raised a ValueError in the periodic check. Sums of a few counts of 2**60 could not be encoded, and a negative age of a proof made it lie in the future.

--- a/src/guavachute/decide/ingress/rollouts/results.py
+++ b/src/guavachute/decide/ingress/rollouts/results.py
@@ -14,8 +14,9 @@
 
 RouteName = str
 
-MAX_SUM = 2**60
-"""Upper bound of what another node may tell of one count."""
+MAX_SUM = 2**45
+"""Upper bound of what another node may tell of one count. Sums over 2**18
+sources fit into the 64 bits of an encoded integer."""
 
 MIN_TIMED = 20
 """With fewer times of the old version, no response counts as slow."""
@@ -81,10 +82,23 @@
 
 
 def from_values(values: typing.Sequence[int]) -> Counts:
-    """The inverse of :meth:`Counts.values`; bounded, missing ones are 0."""
-    return Counts(
+    """The inverse of :meth:`Counts.values`; bounded, missing ones are 0.
+
+    No more responses have failed or were slow than there are: rates above 1
+    have no interval.
+    """
+    found = Counts(
         *(min(MAX_SUM, max(0, item)) for item in values[: len(FIELDS)])
     )
+    old_failed = min(found.old_failed, found.old_done)
+    new_failed = min(found.new_failed, found.new_done)
+    return dataclasses.replace(
+        found,
+        old_failed=old_failed,
+        old_slow=min(found.old_slow, found.old_done - old_failed),
+        new_failed=new_failed,
+        new_slow=min(found.new_slow, found.new_done - new_failed),
+    )
 
 
 def add(parts: typing.Iterable[ByRoute]) -> dict[RouteName, Counts]:
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -128,7 +128,7 @@
     duration_s: untrusted.Number
     record: bytes = b''
     record_position: ids.LogPosition = log_position.NO_POSITION
-    proof_ds: int | None = None
+    proof_ds: untrusted.Count | None = None
     bad: str = ''
     requests: untrusted.Integer = 0
     sent: untrusted.Integer = 0
--- a/tests/cover/test_rollout_decisions.py
+++ b/tests/cover/test_rollout_decisions.py
@@ -12,6 +12,8 @@
 import typing
 import unittest
 
+import msgspec
+
 from guavachute.decide.ingress.rollouts import plan
 from guavachute.decide.ingress.rollouts import record as rollout_record
 from guavachute.decide.ingress.rollouts import results
@@ -311,6 +313,14 @@
             results.Counts(old_done=1), results.from_values([1, -5])
         )
 
+    def test_more_bad_responses_than_responses_are_cut_off(self) -> None:
+        """Guards against counts that end the process, or can't be encoded."""
+        odd = results.from_values([10, 0, 0, 3, 50, 9])
+        self.assertIsNotNone(results.is_bad({'r': odd}))
+        self.assertEqual([10, 0, 0, 3, 3, 0], odd.values()[:6])
+        huge = {'r': results.from_values([2**60] * 11)}
+        msgspec.msgpack.encode(results.add([huge] * 500)['r'].values())
+
     def test_no_traffic_and_no_target_ends_in_a_roll_back(self) -> None:
         """Guards against a roll-out that is completed without a target."""
         record = rollout_record.first(request(), None, 0.0, 0.0)
--- a/tests/cover/test_rollout_messages.py
+++ b/tests/cover/test_rollout_messages.py
@@ -10,6 +10,7 @@
 from guavachute import outcome
 from guavachute.platform import rollouts as platform_rollouts
 from guavachute.platform import store
+from guavachute.wire import node_updates
 
 FIELDS = {'service': 'desk', 'target': 'v2', 'durationS': 60}
 
@@ -66,6 +67,12 @@
         assert isinstance(copied, rollouts.Request)
         self.assertEqual(first.id, copied.id)
 
+    def test_a_proof_is_not_in_the_future(self) -> None:
+        """Guards against a proof that never expires."""
+        notice = ['desk', 'r', 1, 'v2', 60.0, b'', 0, -1]
+        with self.assertRaises(msgspec.ValidationError):
+            msgspec.convert(notice, node_updates.RolloutNotice)
+
     def test_the_status_has_the_states_of_the_protocol(self) -> None:
         found = [
             msgspec.json.decode(
