Serve a version alone before its record, and after its roll-back

A request for the version that serves everything, and a node without the record, gave the target the share 0 and left no endpoint.

--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -372,6 +372,10 @@
         rule = self._rule(rollout)
         if rule is None:
             return records
+        if self._is_alone(rollout, rule):
+            if rollout.current is not None:
+                return records
+            return [i for i in records if i.entry.build not in rule.withheld]
         return selection.restrict(
             records,
             lambda item: item.entry.build,
@@ -383,6 +387,27 @@
             self._canaries(service, rule, records),
         )
 
+    def _is_alone(self, rollout: Rollout, rule: selection.Rule) -> bool:
+        """Whether no endpoint is left to which the rule restricts requests.
+
+        This is so before the record of a request for the only version, and if
+        the operator returns to a version after its roll-out has ended. The
+        endpoints of a version that was rolled back drain for some seconds, in
+        which it stays unused also if the others are lost.
+        """
+        record = rollout.current
+        if record is not None and (
+            not record.step.is_final
+            or self._peers.table.true_time_s() - record.changed_s
+            <= selection.REPLACED_S
+        ):
+            return False
+        unused = {*rule.withheld, rule.target}
+        return not any(
+            entry.service == rollout.service and entry.build not in unused
+            for entry in self._state.table.entries.values()
+        )
+
     def uses_target(self, service: ids.ServiceName) -> bool:
         """Whether some requests of this node go to the target now."""
         rollout = self._rollouts.get(service)
--- /dev/null
+++ b/tests/cover/test_rollout_tracker.py
@@ -0,0 +1,94 @@
+"""What one node knows of roll-outs, without a network."""
+
+import dataclasses
+import types
+import typing
+import unittest
+import unittest.mock
+
+from guavachute.decide.ingress.rollouts import record as rollout_record
+from guavachute.domain import rollouts
+from guavachute.entry.rollouts import tracker
+from guavachute import ids
+from tests.support import platform_site
+
+Step = rollout_record.Step
+SERVICE = ids.ServiceName('drafts')
+
+
+def request(target: str, position: int = 1) -> rollouts.Request:
+    return rollouts.Request(
+        f'{position}-{target}',
+        ids.LogPosition(position),
+        SERVICE,
+        ids.BuildName(target),
+        60.0,
+    )
+
+
+def record(
+    target: str, step: Step, **fields: typing.Any
+) -> rollout_record.Record:
+    first = rollout_record.first(request(target), None, 0.0, 0.0)
+    return dataclasses.replace(first, step=step, **fields)
+
+
+class TrackerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = types.SimpleNamespace(now_s=1_000.0)
+        self.parts: typing.Any = unittest.mock.MagicMock()
+        self.parts.peers.table.true_time_s.return_value = 1_000.0
+        follower: typing.Any = types.SimpleNamespace(confirmed_s=1_000.0)
+        self.tracker = tracker.Rollouts(
+            typing.cast(typing.Any, self.loop),
+            platform_site.node_settings(
+                'edge', '127.0.0.1', ids.Address('127.0.0.1:1'), None, 1
+            ),
+            self.parts.state,
+            self.parts.registry,
+            self.parts.peers,
+            self.parts.metrics,
+            lambda: (follower, follower),
+            lambda: True,
+        )
+        self.rollout = tracker.Rollout(SERVICE)
+        self.tracker._rollouts[SERVICE] = self.rollout
+
+    def select(self, *builds: str) -> set[str]:
+        items: typing.Any = [
+            types.SimpleNamespace(
+                entry=types.SimpleNamespace(id=b, build=b, service=SERVICE)
+            )
+            for b in builds
+        ]
+        self.parts.state.table.entries = {i.entry.id: i.entry for i in items}
+        started: typing.Any = types.SimpleNamespace(
+            service=SERVICE,
+            attempts=0,
+            build=None,
+            call=types.SimpleNamespace(attempt_id='a'),
+        )
+        found = self.tracker.select(started, items)
+        return {item.entry.build for item in found}
+
+
+class SelectionTest(TrackerTest):
+    def test_the_only_version_is_served_before_a_record(self) -> None:
+        """Guards against an outage by a request for the only version."""
+        self.rollout.request = request('v2', 2)
+        completed = record('v2', Step.COMPLETED)
+        for self.rollout.record in (None, completed):
+            self.assertEqual({'v2'}, self.select('v2'))
+            self.assertEqual({'v1'}, self.select('v1', 'v2'))
+        canary = record('v3', Step.CANARY)
+        self.rollout.record = canary
+        self.assertEqual({'v2'}, self.select('v2', 'v3'))
+
+    def test_a_version_may_serve_alone_after_its_roll_back(self) -> None:
+        """Guards against a service that is never served again."""
+        self.rollout.request = request('v2')
+        self.rollout.record = record('v2', Step.ROLLED_BACK, changed_s=900.0)
+        self.assertEqual({'v2'}, self.select('v2'))
+        self.assertEqual({'v1'}, self.select('v1', 'v2'))
+        self.rollout.record = record('v2', Step.ROLLED_BACK, changed_s=990.0)
+        self.assertEqual(set(), self.select('v2'))
