Wait for silent nodes until their requests at old endpoints have ended

A node that was silent for 7 s when the step CLOSING was recorded was not waited for at all. Its quiet time counts from that step, and is at least the longest timeout of the service's routes.

--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -117,6 +117,7 @@
     :ivar proven_s: loop time at which *record* was certainly the latest
     :ivar bad: why the target was found bad; empty if it wasn't
     :ivar ended_s: loop time at which the last step became known
+    :ivar closing_s: loop time at which the step CLOSING became known
     """
 
     def __init__(self, service: ids.ServiceName) -> None:
@@ -129,6 +130,7 @@
         self.proven_s = float('-inf')
         self.bad = ''
         self.ended_s: float | None = None
+        self.closing_s = float('-inf')
         self.is_used = False
         self.counts = rollout_counts.RolloutCounts()
         self.summed = rollout_counts.Sums()
@@ -341,6 +343,8 @@
         rollout.proven_s = float('-inf')
         rollout.ended_s = self._loop.now_s if record.step.is_final else None
         if is_other or before is None or before.step is not record.step:
+            if record.step is rollout_record.Step.CLOSING:
+                rollout.closing_s = self._loop.now_s
             journal.event(
                 'rollout',
                 outcome=record.step.name.lower().replace('_', '-'),
@@ -851,8 +855,13 @@
         running = self.old_running(rollout)
         now_s = self._loop.now_s
         behind = 0
+        is_closing = (
+            rollout.record is not None
+            and rollout.record.step is rollout_record.Step.CLOSING
+        )
+        begun_s = rollout.closing_s if is_closing else float('-inf')
         quiet_s = {
-            peer: now_s - max(peer.last_update_s, peer.added_s)
+            peer: now_s - max(peer.last_update_s, peer.added_s, begun_s)
             for peer in peers
         }
         silent = sum(age_s > SILENT_S for age_s in quiet_s.values())
@@ -860,6 +869,9 @@
         ended_s = (
             PARTITION_SILENT_S if is_partition and silent > 1 else SILENT_S
         )
+        if is_closing:
+            # Requests of a silent node may run at old endpoints for so long.
+            ended_s = max(ended_s, self._longest_timeout_s(rollout.service))
         for peer in peers:
             if quiet_s[peer] > ended_s:
                 continue
@@ -876,6 +888,21 @@
                 behind += 1
         return behind, running
 
+    def _longest_timeout_s(self, service: ids.ServiceName) -> float:
+        """The longest time for which a request to the service may run."""
+        current = self._state.configuration
+        if current is None:
+            return 0.0
+        return max(
+            (
+                route.timeout_s
+                for by_prefix in current.routes_by_host.values()
+                for route in by_prefix.values()
+                if any(target.service == service for target in route.targets)
+            ),
+            default=0.0,
+        )
+
     # -- metrics -------------------------------------------------------
 
     def _bad_responses(self, rollout: Rollout) -> int:
--- a/tests/cover/test_rollout_tracker.py
+++ b/tests/cover/test_rollout_tracker.py
@@ -8,6 +8,7 @@
 
 from guavachute.decide.ingress.rollouts import record as rollout_record
 from guavachute.domain import rollouts
+from guavachute.entry import peer_table
 from guavachute.entry.rollouts import tracker
 from guavachute import ids
 from tests.support import platform_site
@@ -92,3 +93,22 @@
         self.assertEqual({'v1'}, self.select('v1', 'v2'))
         self.rollout.record = record('v2', Step.ROLLED_BACK, changed_s=990.0)
         self.assertEqual(set(), self.select('v2'))
+
+
+class ClosingTest(TrackerTest):
+    def test_a_silent_node_is_waited_for_as_long_as_requests_run(self) -> None:
+        """Guards against old endpoints that stop while requests run there."""
+        self.tracker._merge_record(
+            self.rollout, record('v2', Step.CLOSING), 'store'
+        )
+        peer = peer_table.Peer(ids.Address('127.0.0.1:2'), 'here')
+        peer.last_update_s = 980.0
+        table = self.parts.peers.table
+        table.are_few, table.all.return_value = True, [peer]
+        target = types.SimpleNamespace(service=SERVICE)
+        route = types.SimpleNamespace(timeout_s=30.0, targets=(target,))
+        self.parts.state.configuration.routes_by_host = {'a': {'/': route}}
+        for later_s, behind in ((0.0, 1), (29.0, 1), (31.0, 0)):
+            self.loop.now_s = 1_000.0 + later_s
+            found = self.tracker.fleet_state(self.rollout)
+            self.assertEqual((behind, 0), found)
