Count a node that refuses the service as having acknowledged CLOSING

A node that reaches neither the store nor the updates of others, but is heard, never learns of the step and blocked COMPLETED without end. A flag at the end of its notice says that it refuses the service's requests.

--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -723,6 +723,16 @@
             }
             if is_running
             else {},
+            is_refusing=self._is_refusing(rollout),
+        )
+
+    def _is_refusing(self, rollout: Rollout) -> bool:
+        """Whether this node sends no requests to any version."""
+        rule = self._rule(rollout)
+        return (
+            rule is not None
+            and rule.is_closed
+            and rule.target == selection.NO_VERSION
         )
 
     def old_running(self, rollout: Rollout) -> int:
@@ -880,7 +890,13 @@
                 for item in (peer.update.rollouts if peer.update else ())
                 if item.service == rollout.service
                 and rollout.record is not None
-                and item.record_position == rollout.record.position
+                and (
+                    item.record_position == rollout.record.position
+                    # The node can't learn of the record, and needn't.
+                    or is_closing
+                    and item.is_refusing
+                    and item.request_id == rollout.request_id
+                )
             ]
             if found:
                 running += found[0].old_running
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -119,6 +119,8 @@
     :ivar behind: how many nodes of the region don't know *record*
     :ivar routes: by route, the counts of
         :class:`guavachute.decide.ingress.rollouts.results.Counts`
+    :ivar is_refusing: whether the sender refuses all requests to the service,
+        as it may not know the latest record
     """
 
     service: ids.ServiceName
@@ -135,6 +137,7 @@
     old_running: untrusted.Count = 0
     behind: untrusted.Count = 0
     routes: dict[str, list[int]] = {}
+    is_refusing: bool = False
 
 
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/cover/test_rollout_tracker.py
+++ b/tests/cover/test_rollout_tracker.py
@@ -6,6 +6,8 @@
 import unittest
 import unittest.mock
 
+import msgspec
+
 from guavachute.decide.ingress.rollouts import record as rollout_record
 from guavachute.domain import rollouts
 from guavachute.entry import peer_table
@@ -50,7 +52,7 @@
             self.parts.peers,
             self.parts.metrics,
             lambda: (follower, follower),
-            lambda: True,
+            self.parts.holds_duty,
         )
         self.rollout = tracker.Rollout(SERVICE)
         self.tracker._rollouts[SERVICE] = self.rollout
@@ -112,3 +114,27 @@
             self.loop.now_s = 1_000.0 + later_s
             found = self.tracker.fleet_state(self.rollout)
             self.assertEqual((behind, 0), found)
+
+    def test_a_node_that_refuses_the_service_needs_no_record(self) -> None:
+        """Guards against a node without input that blocks COMPLETED."""
+        rollout = self.rollout
+        rollout.record = record('v2', Step.FULL, begun_s=990.0)
+        self.parts.holds_duty.return_value = False
+        table = self.parts.peers.table
+        table.local_peers.return_value = [unittest.mock.MagicMock()] * 3
+        self.loop.now_s += 2 * tracker.ISOLATED_S
+        notice = self.tracker.notices()[0]
+        self.assertTrue(notice.is_refusing)
+        closing = record(
+            'v2', Step.CLOSING, position=ids.LogPosition(9), begun_s=990.0
+        )
+        self.tracker._merge_record(rollout, closing, 'store')
+        peer = peer_table.Peer(ids.Address('127.0.0.1:2'), 'here')
+        peer.last_update_s = self.loop.now_s
+        table.are_few, table.all.return_value = True, [peer]
+        for is_refusing, expected in ((False, (1, 0)), (True, (0, 2))):
+            told = msgspec.structs.replace(
+                notice, is_refusing=is_refusing, old_running=2
+            )
+            peer.update = unittest.mock.MagicMock(rollouts=[told])
+            self.assertEqual(expected, self.tracker.fleet_state(rollout))
