Keep counting what killed nodes have sent to the target of a roll-out

After a restart of all nodes the greater of the recorded and the counted number was used, so that what was sent again up to the recorded number did not count against the bound. The holder now adds its total to the record's if it is below it when it takes over.

--- a/src/guavachute/entry/rollouts/driver.py
+++ b/src/guavachute/entry/rollouts/driver.py
@@ -51,6 +51,8 @@
     """What the holder remembers of one roll-out.
 
     :ivar totals: time and number of the requests, for their rate
+    :ivar sent_before: requests to the target that the nodes no longer count,
+        as those that sent them have ended
     :ivar results_before: responses of the target when the step was recorded
     :ivar saved_s: when a record was last written
     :ivar confirmed: the status that is in the store, as far as is known
@@ -62,6 +64,7 @@
         default_factory=collections.deque
     )
     step: rollout_record.Step = rollout_record.Step.HOLD
+    sent_before: int = 0
     results_before: int = 0
     saved_s: float = float('-inf')
     confirmed: Status | None = None
@@ -122,10 +125,16 @@
             # Another node has held the lease meanwhile.
             course.totals.clear()
         total = self._known.total(rollout)
+        record = rollout.current
+        if (
+            record is not None
+            and not course.totals
+            and course.sent_before + total.sent < record.sent
+        ):
+            course.sent_before = record.sent
         course.totals.append((now_s, total.requests))
         while now_s - course.totals[0][0] > RATE_WINDOW_S:
             course.totals.popleft()
-        record = rollout.current
         if record is not None and record.step is not course.step:
             course.step = record.step
             course.results_before = _new_results(total.routes)
@@ -154,7 +163,7 @@
             return None
         total = self._known.total(rollout)
         requests = max(record.requests, total.requests)
-        sent = max(record.sent, total.sent)
+        sent = max(record.sent, course.sent_before + total.sent)
         oldest_s, before = course.totals[0]
         span_s = self._loop.now_s - oldest_s
         now = self._situation(
--- a/tests/cover/test_rollout_tracker.py
+++ b/tests/cover/test_rollout_tracker.py
@@ -11,6 +11,8 @@
 from guavachute.decide.ingress.rollouts import record as rollout_record
 from guavachute.domain import rollouts
 from guavachute.entry import peer_table
+from guavachute.entry.rollouts import counts
+from guavachute.entry.rollouts import driver
 from guavachute.entry.rollouts import tracker
 from guavachute import ids
 from tests.support import platform_site
@@ -138,3 +140,31 @@
             )
             peer.update = unittest.mock.MagicMock(rollouts=[told])
             self.assertEqual(expected, self.tracker.fleet_state(rollout))
+
+
+class DriverTest(TrackerTest):
+    def test_requests_of_nodes_that_were_killed_stay_counted(self) -> None:
+        """Guards against a bound that begins again after a restart."""
+        duty = driver.RolloutDuty(
+            typing.cast(typing.Any, self.loop),
+            self.tracker._site,
+            self.parts.client,
+            self.parts.state,
+            self.parts.registry,
+            self.parts.known,
+            lambda: 1_000.0,
+        )
+        self.rollout.record = record('v2', Step.CANARY, sent=100)
+        self.rollout.stored = (self.rollout.request_id, Step.CANARY)
+        course = duty._course(self.rollout)
+        with (
+            unittest.mock.patch.object(duty, '_situation') as situation,
+            unittest.mock.patch.object(
+                driver.plan, 'next_record', return_value=None
+            ),
+        ):
+            for total, expected in ((20, 120), (150, 250)):
+                self.parts.known.total.return_value = counts.Sums(5, total)
+                duty._measure(self.rollout, course)
+                duty._due_record(self.rollout, course)
+                self.assertEqual(expected, situation.call_args.args[4])
