--- a/src/guavachute/entry/rollouts/tracker.py
+++ b/src/guavachute/entry/rollouts/tracker.py
@@ -117,6 +117,7 @@
     :ivar proven_s: loop time at which *record* was certainly the latest
     :ivar bad: why the target was found bad; empty if it wasn't
     :ivar ended_s: loop time at which the last step became known
+    :ivar closing_s: loop time at which the step CLOSING became known
     """
 
     def __init__(self, service: ids.ServiceName) -> None:
@@ -129,6 +130,7 @@
         self.proven_s = float('-inf')
         self.bad = ''
         self.ended_s: float | None = None
+        self.closing_s = float('-inf')
         self.is_used = False
         self.counts = rollout_counts.RolloutCounts()
         self.summed = rollout_counts.Sums()
@@ -341,6 +343,8 @@
         rollout.proven_s = float('-inf')
         rollout.ended_s = self._loop.now_s if record.step.is_final else None
         if is_other or before is None or before.step is not record.step:
+            if record.step is rollout_record.Step.CLOSING:
+                rollout.closing_s = self._loop.now_s
             journal.event(
                 'rollout',
                 outcome=record.step.name.lower().replace('_', '-'),
@@ -372,6 +376,10 @@
         rule = self._rule(rollout)
         if rule is None:
             return records
+        if self._is_alone(rollout, rule):
+            if rollout.current is not None:
+                return records
+            return [i for i in records if i.entry.build not in rule.withheld]
         return selection.restrict(
             records,
             lambda item: item.entry.build,
@@ -383,6 +391,27 @@
             self._canaries(service, rule, records),
         )
 
+    def _is_alone(self, rollout: Rollout, rule: selection.Rule) -> bool:
+        """Whether no endpoint is left to which the rule restricts requests.
+
+        This is so before the record of a request for the only version, and if
+        the operator returns to a version after its roll-out has ended. The
+        endpoints of a version that was rolled back drain for some seconds, in
+        which it stays unused also if the others are lost.
+        """
+        record = rollout.current
+        if record is not None and (
+            not record.step.is_final
+            or self._peers.table.true_time_s() - record.changed_s
+            <= selection.REPLACED_S
+        ):
+            return False
+        unused = {*rule.withheld, rule.target}
+        return not any(
+            entry.service == rollout.service and entry.build not in unused
+            for entry in self._state.table.entries.values()
+        )
+
     def uses_target(self, service: ids.ServiceName) -> bool:
         """Whether some requests of this node go to the target now."""
         rollout = self._rollouts.get(service)
@@ -694,6 +723,16 @@
             }
             if is_running
             else {},
+            is_refusing=self._is_refusing(rollout),
+        )
+
+    def _is_refusing(self, rollout: Rollout) -> bool:
+        """Whether this node sends no requests to any version."""
+        rule = self._rule(rollout)
+        return (
+            rule is not None
+            and rule.is_closed
+            and rule.target == selection.NO_VERSION
         )
 
     def old_running(self, rollout: Rollout) -> int:
@@ -826,8 +865,13 @@
         running = self.old_running(rollout)
         now_s = self._loop.now_s
         behind = 0
+        is_closing = (
+            rollout.record is not None
+            and rollout.record.step is rollout_record.Step.CLOSING
+        )
+        begun_s = rollout.closing_s if is_closing else float('-inf')
         quiet_s = {
-            peer: now_s - max(peer.last_update_s, peer.added_s)
+            peer: now_s - max(peer.last_update_s, peer.added_s, begun_s)
             for peer in peers
         }
         silent = sum(age_s > SILENT_S for age_s in quiet_s.values())
@@ -835,6 +879,9 @@
         ended_s = (
             PARTITION_SILENT_S if is_partition and silent > 1 else SILENT_S
         )
+        if is_closing:
+            # Requests of a silent node may run at old endpoints for so long.
+            ended_s = max(ended_s, self._longest_timeout_s(rollout.service))
         for peer in peers:
             if quiet_s[peer] > ended_s:
                 continue
@@ -843,7 +890,13 @@
                 for item in (peer.update.rollouts if peer.update else ())
                 if item.service == rollout.service
                 and rollout.record is not None
-                and item.record_position == rollout.record.position
+                and (
+                    item.record_position == rollout.record.position
+                    # The node can't learn of the record, and needn't.
+                    or is_closing
+                    and item.is_refusing
+                    and item.request_id == rollout.request_id
+                )
             ]
             if found:
                 running += found[0].old_running
@@ -851,6 +904,21 @@
                 behind += 1
         return behind, running
 
+    def _longest_timeout_s(self, service: ids.ServiceName) -> float:
+        """The longest time for which a request to the service may run."""
+        current = self._state.configuration
+        if current is None:
+            return 0.0
+        return max(
+            (
+                route.timeout_s
+                for by_prefix in current.routes_by_host.values()
+                for route in by_prefix.values()
+                if any(target.service == service for target in route.targets)
+            ),
+            default=0.0,
+        )
+
     # -- metrics -------------------------------------------------------
 
     def _bad_responses(self, rollout: Rollout) -> int:
--- a/src/guavachute/wire/node_updates.py
+++ b/src/guavachute/wire/node_updates.py
@@ -119,6 +119,8 @@
     :ivar behind: how many nodes of the region don't know *record*
     :ivar routes: by route, the counts of
         :class:`guavachute.decide.ingress.rollouts.results.Counts`
+    :ivar is_refusing: whether the sender refuses all requests to the service,
+        as it may not know the latest record
     """
 
     service: ids.ServiceName
@@ -128,13 +130,14 @@
     duration_s: untrusted.Number
     record: bytes = b''
     record_position: ids.LogPosition = log_position.NO_POSITION
-    proof_ds: int | None = None
+    proof_ds: untrusted.Count | None = None
     bad: str = ''
     requests: untrusted.Integer = 0
     sent: untrusted.Integer = 0
     old_running: untrusted.Count = 0
     behind: untrusted.Count = 0
     routes: dict[str, list[int]] = {}
+    is_refusing: bool = False
 
 
 class ServiceLoad(msgspec.Struct, frozen=True, array_like=True):
