Wait for a slow but steady reader of an answer, without a 408 behind it

Cause: an answer with more than 256 KiB unsent started the timers of a request that is being read. A caller that read slowly got a 408 behind its answer, or lost the rest of it, after the idle timeout and that of a body. Change: the connection waits while its caller reads on, and is closed if the caller reads nothing for the idle timeout.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -131,6 +131,7 @@
         self._received_bytes = 0
         self._serving_bytes = 0
         self._waits_for_room = False
+        self._awaited_sent_bytes = -1
         connection.owner = self
         self._start_timer(limits.idle_timeout_s)
         if intake is not None:
@@ -392,7 +393,7 @@
         if self._state is not _State.READING or self._exchange is not None:
             return
         if self._answers_are_behind:
-            self._start_timer(self._handler.limits.idle_timeout_s)
+            self._await_slow_caller()
             return
         self._parse()
         self._update_reading()
@@ -446,9 +447,23 @@
         self._cancel_timer()
         self._timer = self._loop.call_after(duration_s, self._time_out)
 
+    def _await_slow_caller(self) -> None:
+        """Wait while the caller reads its answer, however slowly."""
+        sent_bytes = (
+            self._connection.written_bytes - self._connection.unsent_bytes
+        )
+        if sent_bytes == self._awaited_sent_bytes:
+            # It has read nothing for as long as a connection may be idle.
+            self._close()
+            return
+        self._awaited_sent_bytes = sent_bytes
+        self._start_timer(self._handler.limits.idle_timeout_s)
+
     def _time_out(self) -> None:
         if self._state is _State.READING and not self._connection.is_closed:
-            if self._reader.is_in_head:
+            if self._answers_are_behind:
+                self._await_slow_caller()
+            elif self._reader.is_in_head:
                 self._reject(408)
             else:
                 self._extend_body_timeout()
--- a/tests/cover/test_idle_callers.py
+++ b/tests/cover/test_idle_callers.py
@@ -24,10 +24,8 @@
 
 
 class IdleCallersTest(unittest.TestCase):
-    # Guards against a 408 that no request has asked for: after an answer that
-    # the caller read slowly, the connection was taken for one with a request.
-    def test_a_caller_that_read_its_answer_slowly_is_idle(self) -> None:
-        loop = entry_loop.Loop()
+    def setUp(self) -> None:
+        self.loop = loop = entry_loop.Loop()
         with socket.create_server(('127.0.0.1', 0)) as listener:
             theirs = socket.create_connection(listener.getsockname())
             ours, _ = listener.accept()
@@ -35,25 +33,38 @@
         ours.setblocking(False)
         theirs.settimeout(0)
         self.addCleanup(theirs.close)
-        closed: list[callers.CallerConnection] = []
+        self.theirs = theirs
         connection = transport.Connection(loop, ours, is_open=True)
         self.addCleanup(connection.close)
-        callers.CallerConnection(loop, connection, _Handler(), closed.append)
+        callers.CallerConnection(loop, connection, _Handler(), lambda _: None)
         theirs.sendall(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
         looping.run_until(
             loop, lambda: connection.unsent_bytes > callers.MAX_UNSENT_BYTES
         )
         # The connection waits for the caller to read.
         looping.run_for(loop, 0.02)
-        received = bytearray()
-
-        def read() -> bool:
-            try:
-                data = theirs.recv(len(BODY))
-            except BlockingIOError:
-                return False
-            received.extend(data)
-            return not data
-
-        looping.run_until(loop, read)
-        self.assertTrue(received.endswith(b'\r\n\r\n' + BODY))
+        self.received = bytearray()
+
+    def read(self, most_bytes: int) -> bool:
+        try:
+            data = self.theirs.recv(most_bytes)
+        except BlockingIOError:
+            return False
+        self.received.extend(data)
+        return not data
+
+    # Guards against a 408 that no request has asked for: after an answer that
+    # the caller read slowly, the connection was taken for one with a request.
+    def test_a_caller_that_read_its_answer_slowly_is_idle(self) -> None:
+        looping.run_until(self.loop, lambda: self.read(len(BODY)))
+        self.assertTrue(self.received.endswith(b'\r\n\r\n' + BODY))
+
+    # Guards against an answer that is cut, with a 408 behind it, as its caller
+    # reads for longer than an idle connection may last.
+    def test_a_slow_but_steady_reader_gets_its_whole_answer(self) -> None:
+        for _ in range(4):
+            looping.run_for(self.loop, 0.6 * _Handler.limits.idle_timeout_s)
+            for _ in range(8):
+                self.read(65_536)
+        looping.run_until(self.loop, lambda: self.read(len(BODY)))
+        self.assertTrue(self.received.endswith(b'\r\n\r\n' + BODY))
