Test scaling by slow speeds, and updates that lack any number of last fields

Cause: two tests did not follow the merged code. One expected fewer engines of a measured fast service, which no longer holds; the other cut the last one or two fields of an update, which are no longer the age and the position. Change: the first checks slow, fast and absurd speeds against exact figures; the second cuts every number of fields from the age on. Both are stricter.

--- a/tests/cover/test_capacity_decisions.py
+++ b/tests/cover/test_capacity_decisions.py
@@ -229,15 +229,20 @@
         )
         self.assertEqual(1.0, learned.Learned(new).slowdown(0.0))
 
+    # Guards against too few engines for callers: slow engines were counted as
+    # usual ones, and fast ones, measured without a queue, as several.
     def test_measured_speeds_change_the_engines_that_are_ordered(self) -> None:
         demand = scaling.Demand(600_000.0, 30_000.0)
         self.assertEqual(demand, demand.at_speed(None, None))
-        fast = demand.at_speed(120_000.0, 0.0002)
-        self.assertAlmostEqual(11.0, fast.busy_engines)
-        absurd = demand.at_speed(1e9, 1e-9)
-        self.assertGreater(
-            absurd.busy_engines,
-            0.9 * demand.busy_engines / scaling.SPEED_TRUST,
+        slow = demand.at_speed(40_000.0, 0.0004)
+        self.assertAlmostEqual(27.0, slow.busy_engines)
+        for fast in ((120_000.0, 0.0002), (1e9, 1e-9)):
+            self.assertAlmostEqual(
+                demand.busy_engines, demand.at_speed(*fast).busy_engines
+            )
+        absurd = demand.at_speed(1.0, 1.0)
+        self.assertAlmostEqual(
+            scaling.SPEED_TRUST * demand.busy_engines, absurd.busy_engines
         )
 
 
--- a/tests/cover/test_copy_age.py
+++ b/tests/cover/test_copy_age.py
@@ -13,6 +13,7 @@
 from guavachute.decide.ingress import update_delay
 from guavachute.decide.nodes import readers
 from guavachute.decide.nodes import rounds
+from guavachute.domain import log_position
 from guavachute.entry import catch_up
 from guavachute.entry import node as entry_node
 from guavachute import ids
@@ -108,15 +109,28 @@
 
     # Guards against upgrades in which old and new nodes don't hear each other.
     def test_fields_that_one_side_lacks_cost_nothing(self) -> None:
-        update = updates.node_update('n', 'here', endpoints_age_ds=4)
+        update = updates.node_update(
+            'n', 'here', endpoints_age_ds=4, endpoints_position=7
+        )
         fields = msgspec.msgpack.decode(node_updates.encode(update))
-        for lacking in (1, 2):
+        # The tag comes before the fields.
+        names = ['tag', *node_updates.NodeUpdate.__struct_fields__]
+        age = names.index('endpoints_age_ds')
+        for known in range(age, len(fields)):
             older = node_updates.decode_update(
-                msgspec.msgpack.encode(fields[:-lacking])
+                msgspec.msgpack.encode(fields[:known])
             )
             assert isinstance(older, node_updates.NodeUpdate)
-            self.assertLess(older.endpoints_position, 0)
-        self.assertIsNone(older.endpoints_age_ds)
+            knows_position = known > names.index('endpoints_position')
+            self.assertEqual(
+                update.endpoints_position
+                if knows_position
+                else log_position.NO_POSITION,
+                older.endpoints_position,
+            )
+            self.assertEqual(
+                4 if known > age else None, older.endpoints_age_ds
+            )
         newer = node_updates.decode_update(
             msgspec.msgpack.encode([*fields, 'of a later build'])
         )
