Merge the usage that every reader of another region tells

Cause: a node that counts itself as a reader for half a second tells the sums of its region, but lacks the counts that only readers get. It was chosen among the region's readers by its name for 1.2 s, and the sums of the complete readers were ignored meanwhile. Change: the counts of all readers are merged, each by its maximum; the other sums are still taken of the chosen one.

--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -570,6 +570,10 @@
         """Apply the update of a reader of another region."""
         self._updates.merge_region_update(update)
 
+    def merge_region_usage(self, update: node_updates.RegionUpdate) -> None:
+        """Merge the usage that another reader of a region has told."""
+        self.usage.merge_region_update(update)
+
     def _status(self) -> state_updates.Status:
         return state_updates.Status(
             is_ready=self.is_ready,
--- a/src/guavachute/entry/peer_table.py
+++ b/src/guavachute/entry/peer_table.py
@@ -395,6 +395,10 @@
         chosen = self.latest_region_update(update.region)
         return chosen is not None and chosen.update is update
 
+    def is_own_region(self, update: node_updates.RegionUpdate) -> bool:
+        """Whether an update is about the region of this node."""
+        return update.region == self._own_region
+
     def reader_addresses(self, region: str) -> list[str]:
         """The addresses that the readers of another region have sent."""
         oldest_s = self._now_s() - REGION_SILENT_S
--- a/src/guavachute/entry/peers.py
+++ b/src/guavachute/entry/peers.py
@@ -62,6 +62,9 @@
     def handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         """Apply the update of a reader of another region."""
 
+    def merge_region_usage(self, update: node_updates.RegionUpdate) -> None:
+        """Merge the usage that another reader of a region has told."""
+
 
 class Peers:
     """Sends the updates of this node, and receives those of others.
@@ -395,3 +398,6 @@
     def _handle_region_update(self, update: node_updates.RegionUpdate) -> None:
         if self.table.merge_region_update(update):
             self._owner.handle_region_update(update)
+        elif not self.table.is_own_region(update):
+            # The chosen reader may have begun a moment ago, and lack counts.
+            self._owner.merge_region_usage(update)
