--- a/review/deployment2.py
+++ b/review/deployment2.py
@@ -369,6 +369,35 @@
     return int(lines[0].split()[1]), headers, body
 
 
+def read_chunks(sock):
+    """The status and headers of an answer, and whether it is complete.
+
+    The body has a length, or chunks; nothing follows it.
+    """
+    data = b''
+    while b'\r\n\r\n' not in data:
+        part = sock.recv(65536)
+        if not part:
+            return 0, {}, False
+        data += part
+    head, _, body = data.partition(b'\r\n\r\n')
+    lines = head.decode('latin-1').split('\r\n')
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(':')
+        headers[name.lower()] = value.strip()
+    is_chunked = 'transfer-encoding' in headers
+    length = int(headers.get('content-length', '0'))
+    while (
+        not body.endswith(b'0\r\n\r\n') if is_chunked else len(body) < length
+    ):
+        part = sock.recv(65536)
+        if not part:
+            return int(lines[0].split()[1]), headers, False
+        body += part
+    return int(lines[0].split()[1]), headers, True
+
+
 @contextlib.contextmanager
 def deployment(folder, plan, nodes, **limits):
     """A record, a platform and *nodes* entry processes, all of them ready."""
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -62,9 +62,25 @@
             engines[made.name] = made
         return {}
 
+    def crash(command):
+        """Crash engines at work; they are back after *for_s*."""
+        standin_engine.RESTART_AFTER_S = command['for_s']
+        busiest = sorted(
+            engines.values(),
+            key=lambda item: -item.running - item.open_streams,
+        )
+        chosen = busiest[: command['count']]
+        running = [item.running + item.open_streams for item in chosen]
+        for item in chosen:
+            item.running = 0
+            item.crash()
+        return {'crashed': [item.name for item in chosen], 'running': running}
+
     def run(command):
         if command['do'] == 'start':
             return start(command)
+        if command['do'] == 'crash':
+            return crash(command)
         if command['do'] == 'add':
             return add(command)
         if command['do'] == 'configure':
@@ -108,7 +124,8 @@
     def renew():
         # Engines that live renew their entries.
         for item in engines.values():
-            item.register()
+            if not item.is_down:
+                item.register()
         for item in outside:
             register_outside(item)
         loop.call_after(1.2, renew)
