--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -12,7 +12,11 @@
 import guavachute.standin.platform.engine  # noqa: F401
 import guavachute.standin.platform.store  # noqa: F401
 
-for name in ('review/deployment2.py', 'review/platform2.py'):
+for name in (
+    'review/deployment2.py',
+    'review/platform2.py',
+    'review/standins.py',
+):
     with open(name) as source:
         compile(source.read(), name, 'exec')
 PYTHON
