Count what callers send and the process has not read

What callers saw: crowds whose bodies stop a byte short, or that queue requests and read nothing, took an entry process beyond the memory of its VM, which ends it; and ordinary requests beside them got 503.

Cause: a body without room waited in the operating system's receive buffer, which counts as memory of the process, and no budget counted it. The buffers had the system's size (over 100 KB a connection, more after autotuning), and connections that were not read did not notice that their callers had closed. Where bodies waited, one after the other was read, found slow after half a second and refused, so that a crowd kept its buffers for minutes.

Change: the receive buffer of each connection follows from the settings, so that all of them together fit into a quarter of the spare memory; large bodies get a larger one while there is room, and it counts. Bodies that wait and requests that are served count their buffer. Beyond the whole budget only the first 4 KB of a request are read. A body that has waited for 2 s is refused. Streams that nobody reads are given up last. A paused connection is watched for the close of its peer (kernel/poller.py, as selectors can't).

--- a/src/guavachute/decide/ingress/intake/budget.py
+++ b/src/guavachute/decide/ingress/intake/budget.py
@@ -4,9 +4,9 @@
 wait or run, and of unsent answers. Nothing is restricted while half of the
 budget is free. With less, the process is *short*: a large body is read only
 if all of it has room, those that are nearest to their end first; the others
-wait in the buffers of the operating system. Where a body waits for room, the
-requests that arrive slowest are refused. A request that has begun is never
-given up.
+wait in the buffers of the operating system, which count too. Where a body
+waits for room, the requests that arrive slowest are refused. A request that
+has begun is given up only if its caller reads nothing of its answer.
 """
 
 import dataclasses
@@ -41,8 +41,27 @@
 """Up to this fraction, large requests may begin; the rest of the budget is for
 small ones."""
 
+TINY_BEGIN_FRACTION = 1.1
+"""The same for requests of up to :data:`TINY_BYTES`."""
+
 SMALL_BYTES = 65_536
-"""Requests of up to this size are read also when the process is short."""
+"""Requests of up to this size are read also when the process is short, but not
+beyond the whole budget."""
+
+TINY_BYTES = 4_096
+"""What is read of each request even then."""
+
+UNREAD_FRACTION = 0.25
+"""Fraction of the remaining memory for what the operating system has received
+on all connections and the process has not read."""
+
+MIN_UNREAD_BYTES = 8_192
+"""A connection can't do with less: it is the unit in which a peer sends."""
+
+MAX_UNREAD_BYTES = 65_536
+
+LONE_FRACTION = 1.5
+"""A request that is almost alone may hold this multiple of the budget."""
 
 RATED_AFTER_S = 0.5
 """A request is called slow only after it could be sent for this long."""
@@ -51,6 +70,14 @@
 """The same for an answer that the caller has to read: it is delivered if the
 caller reads at all."""
 
+OVER_FRACTION = 1.25
+"""Above this fraction of the budget, answers are given up as soon as requests
+that arrive slowly."""
+
+MAX_WAIT_S = 2.0
+"""A body that has waited for room this long is refused: its caller can come
+back in time, and the buffers of the operating system are freed."""
+
 SLOW_BYTES_PER_S = 65_536
 """Requests that arrive more slowly than this are refused when others wait for
 room. At this rate, a body of the default limit takes a minute, four times the
@@ -62,6 +89,9 @@
 
 RESERVED_DESCRIPTOR_FRACTION = 0.25
 
+MIN_QUERY_BYTES = 1_048_576
+MIN_QUERY_CONNECTIONS = 8
+
 CONNECTION_BYTES = 6_144
 """What a connection costs by itself: its objects, parser and timers."""
 
@@ -79,7 +109,7 @@
     IDLE = 'idle'
     READING = 'reading'
     SERVING = 'serving'
-    """A request has begun; it is never given up here."""
+    """A request has begun; it is given up only if its answer isn't read."""
     SENDING = 'sending'
     """The answer is complete, and the caller has not read all of it."""
     LINGERING = 'lingering'
@@ -92,10 +122,13 @@
 
     :ivar held_bytes: bytes, as they are counted here
     :ivar connections: open connections
+    :ivar unread_bytes: what the operating system receives on a connection
+        before it is read
     """
 
     held_bytes: int
     connections: int
+    unread_bytes: int = MIN_UNREAD_BYTES
 
 
 def limits(memory_bytes: int, max_descriptors: int) -> Limits:
@@ -107,11 +140,42 @@
         ),
         max_descriptors // 2,
     )
+    spare_bytes = max(MIN_HELD_BYTES, memory_bytes - BASE_BYTES)
+    unread_bytes = round(UNREAD_FRACTION * spare_bytes)
+    connections = max(
+        1, min(max_descriptors - reserved, unread_bytes // MIN_UNREAD_BYTES)
+    )
     return Limits(
-        max(
-            MIN_HELD_BYTES, round(HELD_FRACTION * (memory_bytes - BASE_BYTES))
-        ),
-        max(1, max_descriptors - reserved),
+        max(MIN_HELD_BYTES, round(HELD_FRACTION * spare_bytes)),
+        connections,
+        min(MAX_UNREAD_BYTES, unread_bytes // connections),
+    )
+
+
+class Queries(enum.Enum):
+    """Small requests beside those of callers.
+
+    The value is the fraction of the spare memory, and of all descriptors, that
+    their connections may hold.
+    """
+
+    ADDRESSES = 1 / 16
+    """Of callers, for the addresses of nodes."""
+    PEERS = 1 / 16
+    """Of other nodes, for what they have missed."""
+    STATUS = 1 / 64
+    """Of the platform and collectors, for readiness or metrics."""
+
+
+def query_limits(
+    memory_bytes: int, max_descriptors: int, queries: Queries
+) -> Limits:
+    """The limits of an address for *queries* of such a process."""
+    spare_bytes = max(MIN_HELD_BYTES, memory_bytes - BASE_BYTES)
+    return Limits(
+        max(MIN_QUERY_BYTES, round(queries.value * spare_bytes)),
+        max(MIN_QUERY_CONNECTIONS, round(queries.value * max_descriptors)),
+        MIN_UNREAD_BYTES,
     )
 
 
@@ -123,12 +187,15 @@
         hold; an upper bound where its length is unknown
     :ivar moved_bytes: all bytes that were read from the connection; where the
         caller has to read an answer, all bytes that were sent
+    :ivar unsent_bytes: of an answer that is sent while it is made; a part of
+        what is held
     """
 
     phase: Phase
     held_bytes: int
     remaining_bytes: int = 0
     moved_bytes: int = 0
+    unsent_bytes: int = 0
 
 
 Key = typing.TypeVar('Key', bound=typing.Hashable)
@@ -154,6 +221,7 @@
     since_s: float
     has_room: bool = False
     waits: bool = False
+    waits_since_s: float | None = None
     rated_from_s: float = 0.0
     rated_from_bytes: int = 0
     was_slow: bool = False
@@ -177,16 +245,30 @@
         self.rated_from_s = now_s
         self.rated_from_bytes = self.usage.moved_bytes
 
-    def is_slow(self, now_s: float) -> bool:
+    @property
+    def is_rated(self) -> bool:
+        """Whether its caller has something to send or to read."""
+        phase = self.usage.phase
+        return phase in (Phase.READING, Phase.SENDING) or (
+            phase is Phase.SERVING and self.usage.unsent_bytes > 0
+        )
+
+    def is_slow(self, now_s: float, is_over: bool) -> bool:
         """Whether little was moved, though there was time to move it."""
         elapsed_s = now_s - self.rated_from_s
+        phase = self.usage.phase
+        reads_answer = phase is not Phase.READING
         least_s = RATED_AFTER_S
-        if self.usage.phase is Phase.SENDING:
+        if phase is Phase.SERVING or (reads_answer and not is_over):
             least_s = READ_ANSWER_S
         if self.waits or elapsed_s < least_s:
             return self.was_slow and not self.waits
         moved = self.usage.moved_bytes - self.rated_from_bytes
-        self.was_slow = moved < SLOW_BYTES_PER_S * elapsed_s
+        if phase is Phase.SERVING:
+            # A stream may be slow by itself.
+            self.was_slow = not moved
+        else:
+            self.was_slow = moved < SLOW_BYTES_PER_S * elapsed_s
         self.start_rating(now_s)
         return self.was_slow
 
@@ -233,22 +315,65 @@
             if usage.phase is not before.phase:
                 account.since_s = now_s
                 account.has_room = False
+            if usage.phase is not before.phase or (
+                bool(usage.unsent_bytes) is not bool(before.unsent_bytes)
+            ):
                 account.was_slow = False
                 account.start_rating(now_s)
+            if usage.phase is not Phase.READING:
+                self._set_waiting(account, False)
         if self.total_bytes <= SHORT_FRACTION * self._limits.held_bytes:
             return False
-        return self.is_short and account.is_large and not account.has_room
+        return (
+            self.is_short
+            and not account.has_room
+            and self._needs_room(account)
+        )
 
     def mark_waiting(self, key: Key) -> None:
         """Record that a connection is not read."""
-        self._accounts[key].waits = True
+        self._set_waiting(self._accounts[key], True)
 
     def remove(self, key: Key) -> None:
         """Record that a connection has been closed."""
         account = self._accounts.pop(key, None)
         if account is not None:
+            self._set_waiting(account, False)
             self.total_bytes -= CONNECTION_BYTES + account.usage.held_bytes
 
+    def _set_waiting(self, account: _Account, waits: bool) -> None:
+        """What is not read fills the buffers of the operating system."""
+        if waits is not account.waits:
+            account.waits = waits
+            account.waits_since_s = None
+            sign = 1 if waits else -1
+            self.total_bytes += sign * self._limits.unread_bytes
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the connections hold more than they may."""
+        return self.total_bytes > self._limits.held_bytes
+
+    @property
+    def reads_ahead(self) -> bool:
+        """Whether a connection is read while its request is served."""
+        return self.total_bytes <= SHORT_FRACTION * self._limits.held_bytes
+
+    def has_spare(self, extra_bytes: int) -> bool:
+        """Whether nothing is restricted if so much more is held."""
+        return not self.is_short and (
+            self.total_bytes + extra_bytes
+            <= RELIEVED_FRACTION * self._limits.held_bytes
+        )
+
+    def _needs_room(self, account: _Account) -> bool:
+        """Whether a request is read only if it has room to its end."""
+        return account.is_large or (
+            self.is_full
+            and account.usage.phase is Phase.READING
+            and account.usage.held_bytes > TINY_BYTES
+        )
+
     def is_over(self) -> bool:
         """Whether :meth:`decide` is due at once."""
         limit = self._limits.held_bytes
@@ -263,12 +388,18 @@
         """
         account = self._accounts[key]
         limit = self._limits.held_bytes
-        is_small = account.usage.held_bytes + extra_bytes <= SMALL_BYTES
-        room = round(limit if is_small else BEGIN_FRACTION * limit)
-        if self.total_bytes + extra_bytes <= room:
+        needed = account.usage.held_bytes + extra_bytes
+        if needed <= TINY_BYTES:
+            fraction = TINY_BEGIN_FRACTION
+        else:
+            fraction = 1.0 if needed <= SMALL_BYTES else BEGIN_FRACTION
+        if self.total_bytes + extra_bytes <= round(fraction * limit):
             return True
         others = self.total_bytes - account.usage.held_bytes
-        return others <= RELIEVED_FRACTION * limit
+        return (
+            others <= RELIEVED_FRACTION * limit
+            and needed <= LONE_FRACTION * limit
+        )
 
     def decide(self, now_s: float, may_rate: bool = True) -> Actions[Key]:
         """Which connections are read, wait or are refused.
@@ -284,20 +415,24 @@
             (
                 (key, account)
                 for key, account in self._accounts.items()
-                if account.is_large
+                if account.waits or self._needs_room(account)
             ),
             key=lambda item: item[1].usage.remaining_bytes,
         )
         slow = self._slow(now_s) if may_rate else []
         slow_keys = set(slow)
         room = round(LARGE_FRACTION * limit) - self.total_bytes
+        small: list[Key] = []
         chosen: list[Key] = []
         others: list[Key] = []
         for key, account in large:
             if key in slow_keys:
                 continue
             needed = account.needed_bytes(self._copies)
-            if needed <= room:
+            if not self._needs_room(account):
+                # The process was full, and no longer is.
+                small.append(key)
+            elif needed <= room:
                 room -= needed
                 chosen.append(key)
             else:
@@ -309,7 +444,9 @@
             ):
                 # It is almost alone, and larger than all of the room.
                 chosen.append(others.pop(0))
-        refuse = self._victims(slow, chosen, others, room)
+        refuse = self._idle_holders() + self._victims(
+            slow, chosen, others, room
+        )
         refused = set(refuse)
         for key in chosen:
             self._accounts[key].has_room = True
@@ -317,10 +454,16 @@
         for key in others:
             account = self._accounts[key]
             account.has_room = False
-            if key not in refused and not account.waits:
-                account.waits = True
+            if key in refused:
+                continue
+            if not account.waits:
+                self._set_waiting(account, True)
                 wait.append(key)
-        return Actions(refuse, wait, self._resume(chosen, now_s))
+            if account.waits_since_s is None:
+                account.waits_since_s = now_s
+            elif may_rate and now_s - account.waits_since_s >= MAX_WAIT_S:
+                refuse.append(key)
+        return Actions(refuse, wait, self._resume(small + chosen, now_s))
 
     def to_close(self, count: int, newest: Key) -> list[Key]:
         """The connections to close where there are too many.
@@ -344,21 +487,34 @@
         for key in keys:
             account = self._accounts[key]
             if account.waits:
-                account.waits = account.was_slow = False
+                self._set_waiting(account, False)
+                account.was_slow = False
                 account.start_rating(now_s)
                 resumed.append(key)
         return resumed
 
     def _slow(self, now_s: float) -> list[Key]:
-        """Requests that arrive slowly, those that hold most first."""
-        phases = (Phase.READING, Phase.SENDING)
+        """Requests that arrive slowly, and answers that are read slowly.
+
+        Those that hold most come first, and those that are served last.
+        """
+        is_over = self.total_bytes > OVER_FRACTION * self._limits.held_bytes
         found = [
+            (account.usage.phase is Phase.SERVING, -account.usage.held_bytes,
+             key)
+            for key, account in self._accounts.items()
+            if account.is_rated and account.is_slow(now_s, is_over)
+        ]  # fmt: skip
+        found.sort(key=lambda item: item[:2])
+        return [key for _, _, key in found]
+
+    def _idle_holders(self) -> list[Key]:
+        """Idle connections that keep a large buffer."""
+        return [
             key
             for key, account in self._accounts.items()
-            if account.usage.phase in phases and account.is_slow(now_s)
+            if account.usage.phase is Phase.IDLE and account.usage.held_bytes
         ]
-        found.sort(key=lambda key: -self._accounts[key].usage.held_bytes)
-        return found
 
     def _victims(
         self, slow: list[Key], chosen: list[Key], others: list[Key], room: int
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -39,6 +39,13 @@
 MAX_UNSENT_BYTES = 262_144
 """With more unsent bytes than this, the endpoint is not read."""
 
+SHORT_UNSENT_BYTES = 16_384
+"""The same while the callers together hold much."""
+
+WIDE_UNREAD_BYTES = 65_536
+"""What the operating system receives of a large body before it is read, as
+long as there is room for it. A network of 20 ms carries 3 MB/s with it."""
+
 
 class Exchange(typing.Protocol):
     """The request that a connection is serving."""
@@ -132,6 +139,8 @@
         self._serving_bytes = 0
         self._waits_for_room = False
         self._awaited_sent_bytes = -1
+        self._unread_bytes = 0 if intake is None else intake.unread_bytes
+        self._widened_bytes = 0
         connection.owner = self
         self._start_timer(limits.idle_timeout_s)
         if intake is not None:
@@ -140,24 +149,36 @@
     @property
     def is_congested(self) -> bool:
         """Whether too many bytes wait to be sent to the caller."""
-        return self._connection.unsent_bytes > MAX_UNSENT_BYTES
+        limit = MAX_UNSENT_BYTES
+        if self._intake is not None and self._intake.is_short:
+            limit = SHORT_UNSENT_BYTES
+        return self._connection.unsent_bytes > limit
 
     @property
     def usage(self) -> budget.Usage:
         """What the connection holds of its requests and answers."""
         unsent_bytes = self._connection.unsent_bytes
         phase, moved_bytes = _PHASES[self._state], self._received_bytes
-        if unsent_bytes and phase is not budget.Phase.SERVING:
-            phase = budget.Phase.SENDING
-            moved_bytes = self._connection.written_bytes - unsent_bytes
-        return budget.Usage(
-            phase,
+        held_bytes = (
             self._reader.held_bytes
             + self._unparsed_bytes
             + self._serving_bytes
-            + unsent_bytes,
+            + self._widened_bytes
+            + unsent_bytes
+        )
+        if unsent_bytes:
+            moved_bytes = self._connection.written_bytes - unsent_bytes
+            if phase is not budget.Phase.SERVING:
+                phase = budget.Phase.SENDING
+        if phase in (budget.Phase.SERVING, budget.Phase.SENDING):
+            # Further requests may wait in the operating system.
+            held_bytes += self._unread_bytes
+        return budget.Usage(
+            phase,
+            held_bytes,
             self._reader.remaining_bytes,
             moved_bytes,
+            unsent_bytes if phase is budget.Phase.SERVING else 0,
         )
 
     def received(self, data: bytes) -> None:
@@ -171,6 +192,7 @@
             self._parse()
             if not self._answers_are_behind:
                 self._serve_next()
+        self._widen_receiving()
         self._update_reading()
         self._update_usage()
 
@@ -199,19 +221,39 @@
             self._reader.feed(bytes(data))
 
     def _update_reading(self) -> None:
-        if self._state is _State.LINGERING:
-            self._connection.resume()
-        elif self._waits_for_room or (
-            self._unparsed_bytes > MAX_UNPARSED_BYTES
+        if self._state is not _State.LINGERING and (
+            self._waits_for_room
+            or self._unparsed_bytes > self._max_unparsed_bytes
         ):
-            self._connection.pause()
+            self._connection.pause(notices_close=True)
         else:
             self._connection.resume()
 
+    @property
+    def _max_unparsed_bytes(self) -> int:
+        if self._intake is None:
+            return MAX_UNPARSED_BYTES
+        return self._unread_bytes if self._intake.reads_ahead else 0
+
     def _update_usage(self) -> None:
         if self._intake is not None and self._state is not _State.CLOSED:
             self._intake.update(self)
 
+    def _widen_receiving(self) -> None:
+        """Receive a large body faster, if there is room."""
+        extra_bytes = WIDE_UNREAD_BYTES - self._unread_bytes
+        if (
+            self._intake is not None
+            and not self._widened_bytes
+            and extra_bytes > 0
+            and self._reader.remaining_bytes > self._unread_bytes
+            and self._intake.has_spare(extra_bytes)
+        ):
+            # The peer may fill the buffer later too, so that it counts until
+            # the connection is closed.
+            self._widened_bytes = extra_bytes
+            self._connection.limit_receiving(WIDE_UNREAD_BYTES)
+
     def stop_reading(self) -> None:
         """Leave what arrives to the operating system."""
         self._waits_for_room = True
@@ -226,14 +268,16 @@
     def refuse_unread(self) -> None:
         """Refuse what was not completely read, and close.
 
-        Also closes where the caller doesn't read its answer.
+        Also closes where the caller doesn't read its answer, or is idle.
         """
-        if self._exchange is not None or self._state is _State.SERVING:
-            return
         if self._connection.unsent_bytes:
             self._close()
+        elif self._exchange is not None or self._state is _State.SERVING:
+            return
         elif self._state is _State.READING:
             self._send_rejection(503, SHORTAGE_RETRY_S)
+        elif self._state is _State.IDLE:
+            self.give_way()
 
     def give_way(self) -> None:
         """Close at once, unless a request has begun."""
@@ -364,7 +408,7 @@
         # The body is copied once more, to be sent to the endpoint.
         self._serving_bytes = request.held_bytes + len(request.body)
         if self._intake is not None and not self._intake.may_begin(
-            self, len(request.body)
+            self, self._serving_bytes - request.held_bytes
         ):
             self._send_rejection(
                 503, SHORTAGE_RETRY_S, requests.attempt_id_of(request.headers)
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -24,6 +24,7 @@
 from guavachute.entry import exchange_state
 from guavachute.entry import http1
 from guavachute.entry.intake import guard
+from guavachute.entry.intake import listener
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import part_suspects
@@ -32,7 +33,6 @@
 from guavachute.entry import relay_peers
 from guavachute.entry.rollouts import tracker
 from guavachute.entry import stream_builds
-from guavachute.entry import transport
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
@@ -123,6 +123,11 @@
     ) -> None:
         self.loop = loop
         self.registry = registry
+        intake = guard.Guard(
+            loop,
+            budget.limits(site.memory_bytes, site.max_descriptors),
+            metrics,
+        )
         self.paths = endpoint_paths.EndpointPaths(
             loop,
             site,
@@ -154,22 +159,16 @@
         self._crash_notices: dict[
             str, tuple[float, wire_requests.CrashNotice]
         ] = {}
-        self._intake = guard.Guard(
-            loop,
-            budget.limits(site.memory_bytes, site.max_descriptors),
-            metrics,
-        )
-        self._callers: set[callers.CallerConnection] = set()
         self._exchanges: set[exchange.Exchange] = set()
         self._kept = answer_bytes.KeptBytes()
         self._durations = stop_admission.Durations()
         self._stopping_since_s: float | None = None
         assert site.listen.callers is not None
-        self._listener = transport.Listener(
-            loop, site.listen.callers, self._accept
+        self._listener = listener.CallerListener(
+            loop, site.listen.callers, self, intake
         )
         self.address = self._listener.address
-        metrics.gauge('callers', lambda: len(self._callers))
+        metrics.gauge('callers', lambda: self._listener.connections)
         metrics.gauge('requests_open', lambda: len(self._exchanges))
         metrics.gauge('kept_answer_bytes', lambda: self._kept.total_bytes)
 
@@ -197,28 +196,16 @@
 
     def close_idle(self) -> None:
         """Close the connections that serve no request."""
-        for caller in list(self._callers):
-            caller.close_if_idle()
+        self._listener.close_idle()
 
     def close(self) -> None:
         """Stop listening, answer what is open, and abort all connections."""
-        self._listener.close()
-        for started in list(self._exchanges):
-            started.end_with_process()
-        for caller in list(self._callers):
-            caller.abort()
+        self._listener.close(self._end_requests)
         self.paths.close()
 
-    def _accept(self, connection: transport.Connection) -> None:
-        self._callers.add(
-            callers.CallerConnection(
-                self.loop,
-                connection,
-                self,
-                self._callers.discard,
-                self._intake,
-            )
-        )
+    def _end_requests(self) -> None:
+        for started in list(self._exchanges):
+            started.end_with_process()
 
     # -- requests ------------------------------------------------------
 
--- a/src/guavachute/entry/intake/guard.py
+++ b/src/guavachute/entry/intake/guard.py
@@ -39,7 +39,7 @@
     def refuse_unread(self) -> None:
         """Refuse what was not completely read, and close.
 
-        Also closes where the caller doesn't read its answer.
+        Also closes where the caller doesn't read its answer, or is idle.
         """
 
     def give_way(self) -> None:
@@ -47,15 +47,20 @@
 
 
 class Guard:
-    """The connections of all callers of a process, and their budget."""
+    """The connections of all callers of an address, and their budget.
+
+    :param name: in the log and the names of metrics
+    """
 
     def __init__(
         self,
         loop: entry_loop.Loop,
         limits: budget.Limits,
         metrics: observe_metrics.Metrics | None = None,
+        name: str = 'intake',
     ) -> None:
         self._loop = loop
+        self._name = name
         self._limits = limits
         self._budget: budget.Budget[Guarded] = budget.Budget(limits)
         self._metrics = metrics
@@ -66,9 +71,9 @@
         self._done: dict[str, int] = {}
         if metrics is not None:
             metrics.gauge(
-                'intake_held_bytes', lambda: self._budget.total_bytes
+                f'{name}_held_bytes', lambda: self._budget.total_bytes
             )
-            metrics.gauge('intake_limit_bytes', lambda: limits.held_bytes)
+            metrics.gauge(f'{name}_limit_bytes', lambda: limits.held_bytes)
 
     def add(self, connection: Guarded) -> None:
         """Count a connection that was accepted."""
@@ -77,12 +82,12 @@
             return
         at_once = max(1, self._limits.connections // CLOSED_AT_ONCE)
         for each in self._budget.to_close(at_once, connection):
-            self._count('intake_closed')
+            self._count('closed')
             each.give_way()
         if self._budget.excess_connections:
             # All others are being served. The caller of this method has not
             # finished with the connection.
-            self._count('intake_closed')
+            self._count('closed')
             self._loop.call_after(0, connection.give_way)
 
     def remove(self, connection: Guarded) -> None:
@@ -93,7 +98,7 @@
         """Count what a connection holds now, and act if it is too much."""
         if self._budget.record(connection, connection.usage, self._loop.now_s):
             self._budget.mark_waiting(connection)
-            self._count('intake_waits')
+            self._count('waits')
             connection.stop_reading()
         if self._budget.is_over() and (
             not self._budget.is_short
@@ -101,11 +106,30 @@
         ):
             self._act()
 
+    @property
+    def unread_bytes(self) -> int:
+        """What is received on a connection before it is read."""
+        return self._limits.unread_bytes
+
+    @property
+    def reads_ahead(self) -> bool:
+        """Whether connections are read while their request is served."""
+        return self._budget.reads_ahead
+
+    @property
+    def is_short(self) -> bool:
+        """Whether large bodies need room before they are read."""
+        return self._budget.is_short
+
+    def has_spare(self, extra_bytes: int) -> bool:
+        """Whether nothing is restricted if so much more is held."""
+        return self._budget.has_spare(extra_bytes)
+
     def may_begin(self, connection: Guarded, extra_bytes: int) -> bool:
         """Whether a request that was read has room to run."""
         if self._budget.may_begin(connection, extra_bytes):
             return True
-        self._count('intake_refused')
+        self._count('refused')
         return False
 
     def _act(self) -> None:
@@ -123,10 +147,10 @@
             self._loop.now_s, not self._loop.is_catching_up
         )
         for each in actions.wait:
-            self._count('intake_waits')
+            self._count('waits')
             each.stop_reading()
         for each in actions.refuse:
-            self._count('intake_refused')
+            self._count('refused')
             each.refuse_unread()
         for each in actions.read:
             each.read_again()
@@ -140,6 +164,7 @@
 
     def _count(self, name: str) -> None:
         """Count an action, and log what was done if that is due."""
+        name = f'{self._name}_{name}'
         if self._metrics is not None:
             self._metrics.add(name)
         self._done[name] = self._done.get(name, 0) + 1
@@ -147,7 +172,7 @@
             self._logged_s = self._loop.now_s
             done, self._done = self._done, {}
             journal.problem(
-                'intake',
+                self._name,
                 outcome='short',
                 held_bytes=self._budget.total_bytes,
                 limit_bytes=self._limits.held_bytes,
--- /dev/null
+++ b/src/guavachute/entry/intake/listener.py
@@ -0,0 +1,67 @@
+"""Accepts the connections of callers at one address."""
+
+import typing
+
+from guavachute.entry import callers
+from guavachute.entry.intake import guard
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import transport
+from guavachute import ids
+
+
+class CallerListener:
+    """The connections of all callers of one address.
+
+    :param handler: serves their requests
+    :param intake: bounds what they hold; None without a bound
+    :ivar address: where it listens, with the port that was bound
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        address: ids.Address,
+        handler: callers.RequestHandler,
+        intake: guard.Guard | None,
+    ) -> None:
+        self._loop = loop
+        self._handler = handler
+        self._intake = intake
+        self._callers: set[callers.CallerConnection] = set()
+        self._listener = transport.Listener(
+            loop,
+            address,
+            self._accept,
+            None if intake is None else intake.unread_bytes,
+        )
+        self.address = self._listener.address
+
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._callers)
+
+    def close_idle(self) -> None:
+        """Close the connections that serve no request."""
+        for caller in list(self._callers):
+            caller.close_if_idle()
+
+    def close(
+        self, before_abort: typing.Callable[[], None] = lambda: None
+    ) -> None:
+        """Stop listening, call *before_abort*, and abort all connections."""
+        self._listener.close()
+        before_abort()
+        for caller in list(self._callers):
+            caller.abort()
+
+    def _accept(self, connection: transport.Connection) -> None:
+        self._callers.add(
+            callers.CallerConnection(
+                self._loop,
+                connection,
+                self._handler,
+                self._callers.discard,
+                self._intake,
+            )
+        )
--- a/src/guavachute/entry/loop.py
+++ b/src/guavachute/entry/loop.py
@@ -10,13 +10,14 @@
 import itertools
 import math
 import random
-import selectors
 import typing
 
 from guavachute.kernel import clock
+from guavachute.kernel import poller
 
-READ = selectors.EVENT_READ
-WRITE = selectors.EVENT_WRITE
+READ = poller.READ
+WRITE = poller.WRITE
+CLOSED = poller.CLOSED
 
 MAX_WAIT_S = 1.0
 """Upper bound of one wait, so that a VM that was suspended soon notices the
@@ -59,7 +60,7 @@
     """Waits for files and timers, and calls their handlers in one thread."""
 
     def __init__(self) -> None:
-        self._selector = selectors.DefaultSelector()
+        self._poller = poller.Poller()
         self._timers: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
         self._running = True
@@ -78,15 +79,15 @@
 
     def watch(self, file: typing.Any, events: int, handler: Handler) -> None:
         """Call *handler* whenever *file* is ready for *events*."""
-        self._selector.register(file, events, handler)
+        self._poller.register(file, events, handler)
 
     def rewatch(self, file: typing.Any, events: int, handler: Handler) -> None:
         """Replace the events and the handler of a watched file."""
-        self._selector.modify(file, events, handler)
+        self._poller.modify(file, events, handler)
 
     def unwatch(self, file: typing.Any) -> None:
         """Stop watching *file*."""
-        self._selector.unregister(file)
+        self._poller.unregister(file)
 
     def call_at(
         self, due_s: float, callback: typing.Callable[[], None]
@@ -136,15 +137,15 @@
 
     def _turn(self) -> None:
         wait_s = self._wait_s()
-        ready = self._selector.select(wait_s)
+        ready = self._poller.poll(wait_s)
         self.now_s = turn_s = clock.now_s()
         if turn_s - self._turn_s - wait_s > STOOD_STILL_S:
             self._caught_up_at_s = turn_s + CAUGHT_UP_AFTER_S
         self._turn_s = turn_s
-        for key, events in ready:
+        for watched, events in ready:
             # An earlier handler of this turn may have unwatched this file.
-            if self._selector.get_map().get(key.fd) is key:
-                key.data(events)
+            if self._poller.is_current(watched):
+                watched.data(events)
                 self._update_now()
         self._call_due(turn_s)
 
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -44,18 +44,25 @@
     After :meth:`close`, and after the owner's ``ended`` was called, it does
     not call its owner again.
 
+    :param receive_bytes: how much is read at once
     :ivar unsent_bytes: the length of the queue in bytes
     :ivar written_bytes: the length of all that was written
     :ivar owner: gets the callbacks; has to be set before the loop's next turn
     """
 
     def __init__(
-        self, loop: entry_loop.Loop, sock: socket.socket, is_open: bool
+        self,
+        loop: entry_loop.Loop,
+        sock: socket.socket,
+        is_open: bool,
+        receive_bytes: int = RECEIVE_BYTES,
     ) -> None:
         self._loop = loop
         self._socket = sock
         self._is_open = is_open
         self._is_reading = True
+        self._notices_close = False
+        self._receive_bytes = receive_bytes
         self._unsent: collections.deque[memoryview] = collections.deque()
         self._events = 0
         self._has_failed = False
@@ -99,9 +106,23 @@
         except OSError:
             return True
 
-    def pause(self) -> None:
-        """Stop reading until :meth:`resume`."""
+    def limit_receiving(self, unread_bytes: int) -> None:
+        """Limit what the operating system receives before it is read.
+
+        More may be left from a higher limit before.
+        """
+        self._receive_bytes = min(RECEIVE_BYTES, unread_bytes)
+        if not self.is_closed:
+            limit_receiving(self._socket, unread_bytes)
+
+    def pause(self, notices_close: bool = False) -> None:
+        """Stop reading until :meth:`resume`.
+
+        :param notices_close: end the connection if the peer closes, whatever
+            it sent before
+        """
         self._is_reading = False
+        self._notices_close = notices_close
         self._watch()
 
     def resume(self) -> None:
@@ -155,6 +176,8 @@
         events = 0
         if self._is_reading and self._is_open:
             events |= entry_loop.READ
+        elif self._notices_close and self._is_open:
+            events |= entry_loop.CLOSED
         if self._unsent or not self._is_open:
             events |= entry_loop.WRITE
         if events == self._events:
@@ -174,6 +197,8 @@
             self._flush()
         if events & entry_loop.READ and not self.is_closed:
             self._receive()
+        elif events & entry_loop.CLOSED and not self.is_closed:
+            self._break()
 
     def _finish_connecting(self) -> bool:
         error = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -213,7 +238,7 @@
 
     def _receive(self) -> None:
         try:
-            data = self._socket.recv(RECEIVE_BYTES)
+            data = self._socket.recv(self._receive_bytes)
         except BlockingIOError:
             return
         except OSError:
@@ -280,18 +305,27 @@
 
 
 class Listener:
-    """Accepts connections and passes them to a callback."""
+    """Accepts connections and passes them to a callback.
+
+    :param unread_bytes: limit of what a connection receives before it is read,
+        also before it is accepted; None for that of the operating system
+    """
 
     def __init__(
         self,
         loop: entry_loop.Loop,
         address: ids.Address,
         accepted: typing.Callable[[Connection], None],
+        unread_bytes: int | None = None,
     ) -> None:
         self._loop = loop
         self._accepted = accepted
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._unread_bytes = unread_bytes
+        if unread_bytes is not None:
+            # Accepted connections inherit it.
+            limit_receiving(self._socket, unread_bytes)
         bind(self._socket, address)
         self._socket.listen(LISTEN_BACKLOG)
         self._socket.setblocking(False)
@@ -321,7 +355,23 @@
                 # pending.
                 return
             sock.setblocking(False)
-            self._accepted(Connection(self._loop, sock, is_open=True))
+            self._accepted(
+                Connection(
+                    self._loop,
+                    sock,
+                    is_open=True,
+                    receive_bytes=self._unread_bytes or RECEIVE_BYTES,
+                )
+            )
+
+
+def limit_receiving(sock: socket.socket, unread_bytes: int) -> None:
+    """Limit what a socket receives before it is read.
+
+    The operating system doubles the figure, and may fill all of that with
+    what was sent.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes // 2)
 
 
 def _set_options(sock: socket.socket) -> None:
--- /dev/null
+++ b/tests/nocover/test_untrusted_bounds.py
@@ -0,0 +1,137 @@
+"""What clients make a process hold follows from its settings.
+
+The tests guard against forms in which bytes of clients stay that no budget
+counts: in the receive queues of the operating system, at the addresses beside
+the one for requests, and as decoded objects. The memory that is checked is the
+resident one and what the process's sockets have received and it has not read.
+"""
+
+import contextlib
+import typing
+
+from tests.nocover import test_untrusted_callers as untrusted
+from tests.support import misbehaving
+from tests.support import untrusted_site
+from tests.support import waiting
+
+MEMORY_MB = 160
+SMALL_MEMORY_MB = 120
+MAX_DESCRIPTORS = 4_096
+MAX_BODY_BYTES = 4_194_304
+CLIENTS = 1_500
+"""Fewer than the descriptors allow."""
+
+QUEUING_CLIENTS = 800
+QUEUED_REQUESTS = 40
+QUEUED_BODY_BYTES = 65_536
+TINY_CHUNKS = 20_000
+
+
+def large_chunks(request_head: bytes) -> typing.Iterator[bytes]:
+    """A chunked body of legal size without its last chunk."""
+    chunk = b'%x\r\n%s\r\n' % (untrusted.PIECE_BYTES,
+                               b'x' * untrusted.PIECE_BYTES)  # fmt: skip
+    yield request_head
+    for _ in range(MAX_BODY_BYTES // untrusted.PIECE_BYTES):
+        yield chunk
+
+
+def tiny_chunks(request_head: bytes) -> typing.Iterator[bytes]:
+    """Chunks of one byte, without the last one."""
+    yield request_head
+    yield b'1\r\nx\r\n' * TINY_CHUNKS
+
+
+def queued_requests(number: int) -> typing.Iterator[bytes]:
+    """Requests behind each other on one connection."""
+    for each in range(QUEUED_REQUESTS):
+        yield from untrusted.whole_body(
+            untrusted.head('/stream/1', QUEUED_BODY_BYTES, f'{number}-{each}'),
+            QUEUED_BODY_BYTES,
+        )
+
+
+class EntryProcess(untrusted_site.EntryProcessTest):
+    """``guavachute-entry`` with little memory and many descriptors."""
+
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
+    caller_limits: typing.ClassVar = {
+        'maxHeaderBytes': 20_480,
+        'maxBodyBytes': MAX_BODY_BYTES,
+        'idleTimeoutMs': 600_000,
+    }
+
+    def send(
+        self, address: str, payloads: typing.Iterable[typing.Iterator[bytes]]
+    ) -> misbehaving.Clients:
+        clients = misbehaving.Clients(address)
+        self.stack.callback(clients.close)
+        clients.send(payloads)
+        return clients
+
+
+class EntryTest(EntryProcess):
+    """The crowds, each against a process of its own."""
+
+    def test_bodies_that_stop_a_byte_short(self) -> None:
+        start = untrusted.head('/lookup/1', MAX_BODY_BYTES)
+        self.send(
+            self.address,
+            (
+                untrusted.whole_body(start, MAX_BODY_BYTES, short_by=1)
+                for _ in range(CLIENTS)
+            ),
+        )
+        self.check_process()
+
+    def test_chunked_bodies_without_their_last_chunk(self) -> None:
+        start = untrusted.head('/lookup/1', None)
+        self.send(
+            self.address,
+            (large_chunks(start) for _ in range(CLIENTS)),
+        )
+        self.check_process()
+
+    def test_chunks_of_one_byte(self) -> None:
+        start = untrusted.head('/lookup/1', None)
+        self.send(self.address, (tiny_chunks(start) for _ in range(CLIENTS)))
+        self.check_process()
+
+    def test_connections_that_their_clients_have_closed(self) -> None:
+        """Guards against connections that are not read staying open."""
+        before = misbehaving.open_descriptors(self.process.pid)
+        start = untrusted.head('/lookup/1', MAX_BODY_BYTES)
+        clients = self.send(
+            self.address,
+            (
+                untrusted.whole_body(start, MAX_BODY_BYTES, short_by=1)
+                for _ in range(CLIENTS)
+            ),
+        )
+        clients.close()
+        with contextlib.suppress(AssertionError):
+            waiting.until(
+                lambda: (
+                    misbehaving.open_descriptors(self.process.pid)
+                    <= before + untrusted.SLOW_CLIENTS
+                ),
+                'the connections to be closed',
+                untrusted_site.ANSWER_TIMEOUT_S,
+            )
+        descriptors = misbehaving.open_descriptors(self.process.pid)
+        self.assertLessEqual(descriptors, before + untrusted.SLOW_CLIENTS)
+        self.check_process()
+
+
+class SmallEntryTest(EntryProcess):
+    """``guavachute-entry`` with less memory."""
+
+    memory_mb = SMALL_MEMORY_MB
+
+    def test_requests_queued_by_clients_that_read_nothing(self) -> None:
+        self.send(
+            self.address,
+            (queued_requests(number) for number in range(QUEUING_CLIENTS)),
+        )
+        self.check_process()
--- a/tests/nocover/test_untrusted_callers.py
+++ b/tests/nocover/test_untrusted_callers.py
@@ -5,38 +5,16 @@
 check neither times nor how many requests of these clients are served.
 """
 
-import contextlib
-import http.client
 import itertools
-import json
-import pathlib
-import subprocess
-import tempfile
-import threading
 import typing
-import unittest
 
-import msgspec
-
-from guavachute.assembly import router
-from guavachute.standin.platform import engine as standin_engine
-from guavachute.standin.platform import settings as standin_settings
 from tests.support import documents
-from tests.support import misbehaving
 from tests.support import platform_site
-from tests.support import ports
 from tests.support import programs
-from tests.support import waiting
-
-IP = '127.0.78.1'
-ANSWER_TIMEOUT_S = 60
+from tests.support import untrusted_site
 
-MEMORY_MB = 120
-"""The memory of the entry VM. An idle process uses about 40 MB."""
-
-MAX_DESCRIPTORS = 256
-MAX_HEAD_BYTES = 65_536
-MAX_BODY_BYTES = 2_097_152
+MAX_HEAD_BYTES = untrusted_site.MAX_HEAD_BYTES
+MAX_BODY_BYTES = untrusted_site.MAX_BODY_BYTES
 PIECE_BYTES = 65_536
 ENDLESS_PIECES = 256
 """What a client sends "without end": 16 MB."""
@@ -47,9 +25,6 @@
 IDLE_CLIENTS = 400
 SLOW_CLIENTS = 20
 
-ROUTER_MEMORY_MB = 160
-"""The memory for a router. An idle router uses about 60 MB."""
-
 ROUTER_MAX_BODY_BYTES = 8 * 1024 * 1024
 ROUTER_MAX_HEAD_BYTES = 32 * 1024
 ROUTER_CLIENTS = 40
@@ -141,136 +116,9 @@
         yield b'x-%d: 1\r\n' % number
 
 
-class ProcessTest(unittest.TestCase):
-    """Checks that hold whatever the clients do."""
-
-    process: subprocess.Popen[typing.Any]
-    memory_mb: int
-    max_descriptors: int
-    address: str
-
-    def setUp(self) -> None:
-        self.stack = contextlib.ExitStack()
-        self.addCleanup(self.stack.close)
-        self.folder = pathlib.Path(
-            self.stack.enter_context(tempfile.TemporaryDirectory())
-        )
-
-    def connect_clients(self) -> misbehaving.Clients:
-        clients = misbehaving.Clients(self.address)
-        self.stack.callback(clients.close)
-        return clients
-
-    def ordinary_status(self) -> int:
-        """The status of an ordinary request."""
-        raise NotImplementedError
-
-    def check_process(self) -> None:
-        """Check the process while the clients are still connected."""
-        if self.process.poll() is None:
-            misbehaving.wait_until_read(self.process.pid)
-        self.assertIsNone(self.process.poll(), 'the process has ended')
-        descriptors = misbehaving.open_descriptors(self.process.pid)
-        status = self.ordinary_status()
-        self.assertIsNone(self.process.poll(), 'the process has ended')
-        memory_mb = misbehaving.peak_memory_mb(self.process.pid)
-        found = (
-            f'peak {memory_mb:.0f} of {self.memory_mb} MB, {descriptors} of '
-            f'{self.max_descriptors} descriptors, ordinary request: {status}'
-        )
-        print(f'{self.id()}: {found}')
-        self.assertLessEqual(memory_mb, self.memory_mb, found)
-        self.assertLessEqual(descriptors, self.max_descriptors, found)
-        self.assertEqual(200, status, found)
-
-
-class EntryTest(ProcessTest):
+class EntryTest(untrusted_site.EntryProcessTest):
     """``guavachute-entry`` with endpoints of two services."""
 
-    memory_mb = MEMORY_MB
-    max_descriptors = MAX_DESCRIPTORS
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.site = platform_site.PlatformSite()
-        self.stack.callback(self.site.close)
-        limits = {
-            'maxHeaderBytes': MAX_HEAD_BYTES,
-            'maxBodyBytes': MAX_BODY_BYTES,
-            'headerTimeoutMs': 20_000,
-            'idleTimeoutMs': 40_000,
-        }
-        self.site.configure(1, limits=limits)
-        self.site.add_engine('desk-1', platform_site.PLAIN_SERVICE)
-        silent = self.site.add_engine('drafts-1', platform_site.MODEL_SERVICE)
-        silent.behaviour = standin_engine.Behaviour.SILENT
-        self.start_entry()
-        self.run_endpoints()
-        waiting.until(
-            lambda: self.ordinary_status() == 200, 'the process to be ready'
-        )
-
-    def start_entry(self) -> None:
-        peers_port = self.stack.enter_context(
-            ports.reserved(IP, also=(1, 2, 15))
-        )
-        port = self.stack.enter_context(ports.reserved(IP))
-        site = platform_site.node_settings(
-            'edge-1', IP, self.site.store.address, None, peers_port
-        )
-        fields = msgspec.yaml.decode(standin_settings.encode(site))
-        self.address = fields['listen']['frontend'] = f'{IP}:{port}'
-        fields['limits'] = {
-            'maxFds': MAX_DESCRIPTORS,
-            'memoryMb': MEMORY_MB,
-        }
-        file = self.folder / 'settings.yaml'
-        file.write_bytes(msgspec.yaml.encode(fields))
-        log = self.stack.enter_context((self.folder / 'log').open('wb'))
-        self.process = subprocess.Popen(
-            programs.command('entry', str(file)),
-            stdout=log,
-            stderr=subprocess.STDOUT,
-        )
-        self.stack.callback(self.end_entry)
-
-    def end_entry(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait(programs.EXIT_LIMIT_S)
-
-    def run_endpoints(self) -> None:
-        """Run the stand-ins while this test's clients block."""
-        thread = threading.Thread(target=self.site.loop.run)
-        thread.start()
-
-        def stop() -> None:
-            self.site.loop.stop()
-            thread.join()
-
-        self.stack.callback(stop)
-
-    def ordinary_status(self) -> int:
-        connection = http.client.HTTPConnection(
-            self.address, timeout=ANSWER_TIMEOUT_S
-        )
-        try:
-            connection.request(
-                'POST',
-                '/lookup/1',
-                b'question',
-                {
-                    'Host': platform_site.HOST,
-                    'Attempt-Id': 'ordinary',
-                    'Authorization': f'Token {platform_site.KEY}',
-                },
-            )
-            return connection.getresponse().status
-        except (OSError, http.client.HTTPException):
-            return 0
-        finally:
-            connection.close()
-
     def test_bodies_far_over_the_limit(self) -> None:
         clients = self.connect_clients()
         for _ in range(3):
@@ -335,64 +183,9 @@
         self.check_process()
 
 
-class RouterTest(ProcessTest):
+class RouterTest(untrusted_site.RouterProcessTest):
     """``guavachute-router`` with one node and one engine."""
 
-    memory_mb = ROUTER_MEMORY_MB
-    max_descriptors = MAX_DESCRIPTORS
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.site = programs.Site(self.folder, self.stack)
-        self.site.add_engine('engine-0')
-        self.site.add_node('entry-1')
-        settings = {
-            'memory_mb': ROUTER_MEMORY_MB,
-            'max_descriptors': MAX_DESCRIPTORS,
-        }
-        known = router.RouterSettings.__struct_fields__
-        program = self.site.add_router(
-            'entry-1',
-            **{
-                name: value
-                for name, value in settings.items()
-                if name in known
-            },
-        )
-        self.process = program.process
-        self.address = program.announced['http']
-        self.site.publish()
-        self.site.wait_ready()
-        waiting.until(
-            lambda: self.ordinary_status() == 200, 'the router to serve'
-        )
-
-    def ordinary_status(self) -> int:
-        connection = http.client.HTTPConnection(
-            self.address, timeout=ANSWER_TIMEOUT_S
-        )
-        try:
-            connection.request(
-                'POST',
-                '/v1/completions',
-                json.dumps(
-                    {
-                        'model': programs.MODEL,
-                        'prompt': 'a plan',
-                        'max_tokens': 3,
-                    }
-                ),
-                {
-                    'Authorization': f'Bearer {documents.KEY}',
-                    'Content-Type': 'application/json',
-                },
-            )
-            return connection.getresponse().status
-        except (OSError, http.client.HTTPException):
-            return 0
-        finally:
-            connection.close()
-
     def test_bodies_far_over_the_limit(self) -> None:
         clients = self.connect_clients()
         clients.send(
@@ -442,7 +235,3 @@
         clients = self.connect_clients()
         clients.send(iter([b'P']) for _ in range(IDLE_CLIENTS))
         self.check_process()
-
-
-# Only the classes with a process have tests.
-del ProcessTest
--- a/tests/support/misbehaving.py
+++ b/tests/support/misbehaving.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import dataclasses
+import os
 import pathlib
+import resource
 import selectors
 import socket
 import threading
@@ -13,6 +15,10 @@
 QUIET_S = 2.0
 """Clients stop sending when no connection accepts any byte for this long."""
 
+MEASURE_PERIOD_S = 0.05
+TCP_LISTEN = '0A'
+"""The state of a listening socket in ``/proc/net/tcp``."""
+
 PIECE_PERIOD_S = 0.2
 """Pause between two pieces of clients that send piece by piece."""
 
@@ -148,6 +154,74 @@
             peak_mb, since_s = latest_mb, time.monotonic()
 
 
+def unread_mb(pid: int) -> float:
+    """What the sockets of a process have received and it has not read."""
+    inodes = set()
+    for file in pathlib.Path(f'/proc/{pid}/fd').iterdir():
+        with contextlib.suppress(OSError):
+            kind, _, number = os.readlink(file).partition(':')
+            if kind == 'socket':
+                inodes.add(number.strip('[]'))
+    unread_bytes = 0
+    for line in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        fields = line.split()
+        # A listener has its queue of connections there.
+        if fields[9] in inodes and fields[3] != TCP_LISTEN:
+            unread_bytes += int(fields[4].partition(':')[2], 16)
+    return unread_bytes / 2**20
+
+
+def resident_mb(pid: int) -> float:
+    """The resident memory of a process now."""
+    pages = pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1]
+    return int(pages) * resource.getpagesize() / 2**20
+
+
+class MemoryWatch:
+    """The memory of a process, with what it has received and not read.
+
+    :ivar peak_mb: the most of both together
+    :ivar peak_unread_mb: the most that was not read
+    """
+
+    def __init__(self, pid: int) -> None:
+        self._pid = pid
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._measure)
+        self.peak_mb = 0.0
+        self.peak_unread_mb = 0.0
+
+    def start(self) -> None:
+        """Measure until :meth:`stop`."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the measurements."""
+        self._stopped.set()
+        self._thread.join()
+
+    def _measure(self) -> None:
+        # The process may end at any time, which the test finds out itself.
+        with contextlib.suppress(OSError, IndexError):
+            while not self._stopped.wait(MEASURE_PERIOD_S):
+                waiting_mb = unread_mb(self._pid)
+                self.peak_unread_mb = max(self.peak_unread_mb, waiting_mb)
+                self.peak_mb = max(
+                    self.peak_mb, waiting_mb + resident_mb(self._pid)
+                )
+
+
+@contextlib.contextmanager
+def watched_memory(pid: int) -> typing.Iterator[MemoryWatch]:
+    """Measure the memory of a process until the end of the context."""
+    watch = MemoryWatch(pid)
+    watch.start()
+    try:
+        yield watch
+    finally:
+        watch.stop()
+
+
 def open_descriptors(pid: int) -> int:
     """The number of open descriptors of a process."""
     return len(list(pathlib.Path(f'/proc/{pid}/fd').iterdir()))
--- a/tests/support/simulated.py
+++ b/tests/support/simulated.py
@@ -42,7 +42,7 @@
 
     def __init__(self, network: 'Network') -> None:
         super().__init__()
-        self._selector.close()
+        self._poller.close()
         self.network = network
         self._handlers: dict[typing.Any, entry_loop.Handler] = {}
         self._is_ended = False
@@ -154,7 +154,10 @@
             other = self.other
             self._deliver(lambda: other.end(True))
 
-    def pause(self) -> None:
+    def limit_receiving(self, unread_bytes: int) -> None:
+        """Without effect: what is sent is read at once."""
+
+    def pause(self, notices_close: bool = False) -> None:
         """Without effect: nothing is sent here that fills a buffer."""
 
     def resume(self) -> None:
@@ -189,6 +192,7 @@
         loop: Loop,
         address: ids.Address,
         accepted: typing.Callable[[Connection], None],
+        unread_bytes: int | None = None,
     ) -> None:
         self.loop = loop
         self._accepted = accepted
