Bound what clients hold at the addresses beside that for requests

Cause: only the ingress had a budget. A head of 16 KB costs some 400 KB as objects, and the relay's address took bodies of the callers' limit without any bound.

Change: each address has a guard. Requests of other nodes count with those of callers; directory, peers, readiness and metrics have budgets of their own, by fractions of memory and descriptors (budget.Queries), so that one can't keep the others out. The three copies of the accepting code are one (entry/intake/listener.py).

Each address answers an ordinary query afterwards.

--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -6,6 +6,7 @@
 from guavachute.domain import configuration
 from guavachute.domain import site as domain_site
 from guavachute.entry import endpoint_registry
+from guavachute.entry.intake import guard
 from guavachute.entry import link_watch
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import relay_client
@@ -22,6 +23,7 @@
     :param caller_limits: gives the limits on the requests of callers
     :param on_announcement: called with what an endpoint says in an answer to
         another node's request
+    :param intake: bounds what other nodes send, with what callers send
     :ivar on_failing: called again and again while links to endpoints fail
     :ivar on_unreachable: called with an endpoint that was not reached
     """
@@ -35,6 +37,7 @@
         metrics: observe_metrics.Metrics,
         caller_limits: typing.Callable[[], configuration.CallerLimits],
         on_announcement: relay_server.OnAnnouncement,
+        intake: guard.Guard,
     ) -> None:
         self._loop = loop
         self._registry = registry
@@ -53,6 +56,7 @@
             self._pool,
             caller_limits,
             on_announcement,
+            intake,
         )
         self._watch = link_watch.LinkWatch(
             loop,
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -136,6 +136,7 @@
             metrics,
             lambda: state.limits,
             self.handle_announcement,
+            intake,
         )
         self.paths.on_failing = self._abandon_silent
         self.paths.on_unreachable = self._withdraw_from
--- a/src/guavachute/entry/plain_server.py
+++ b/src/guavachute/entry/plain_server.py
@@ -7,8 +7,9 @@
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry import http1
+from guavachute.entry.intake import guard
+from guavachute.entry.intake import listener
 from guavachute.entry import loop as entry_loop
-from guavachute.entry import transport
 from guavachute.http import message
 from guavachute import ids
 
@@ -40,6 +41,7 @@
 class PlainServer:
     """Answers each request at once, with the result of *handler*.
 
+    :param intake: bounds what its connections hold; None without a bound
     :ivar address: where it listens, with the port that was bound
     """
 
@@ -47,19 +49,19 @@
     limits = _LIMITS
 
     def __init__(
-        self, loop: entry_loop.Loop, address: ids.Address, handler: Handler
+        self,
+        loop: entry_loop.Loop,
+        address: ids.Address,
+        handler: Handler,
+        intake: guard.Guard | None = None,
     ) -> None:
-        self._loop = loop
         self._handler = handler
-        self._callers: set[callers.CallerConnection] = set()
-        self._listener = transport.Listener(loop, address, self._accept)
+        self._listener = listener.CallerListener(loop, address, self, intake)
         self.address = self._listener.address
 
     def close(self) -> None:
         """Stop listening, and abort all connections."""
         self._listener.close()
-        for caller in list(self._callers):
-            caller.abort()
 
     def begin(
         self, caller: callers.CallerConnection, request: http1.Request
@@ -69,10 +71,3 @@
         reply = self._handler(PlainRequest(path, message.parse_query(query)))
         headers = [(b'Content-Type', reply.content_type)]
         caller.answer(reply.status, headers, reply.body)
-
-    def _accept(self, connection: transport.Connection) -> None:
-        self._callers.add(
-            callers.CallerConnection(
-                self._loop, connection, self, self._callers.discard
-            )
-        )
--- a/src/guavachute/entry/query_server.py
+++ b/src/guavachute/entry/query_server.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from guavachute.decide.ingress.intake import budget
 from guavachute.domain import call
 from guavachute.domain import log_position
 from guavachute.domain import site as domain_site
+from guavachute.entry.intake import guard
 from guavachute.entry import known_state
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import peers as entry_peers
@@ -23,6 +25,11 @@
     [ids.FailureDomain, ids.Region], list[ids.Address]
 ]
 
+_Handler = tuple[
+    str, ids.Address, plain_server.Handler, budget.Queries
+]  # fmt: skip
+"""The name of an address, it, who answers, and what is asked there."""
+
 
 class QueryServer:
     """HTTP servers for the platform, callers, peers and metric collectors.
@@ -47,8 +54,20 @@
         self._is_ready = is_ready
         self._addresses_for = addresses_for
         self._servers = [
-            plain_server.PlainServer(loop, address, handler)
-            for address, handler in self._handlers().items()
+            plain_server.PlainServer(
+                loop,
+                address,
+                handler,
+                guard.Guard(
+                    loop,
+                    budget.query_limits(
+                        site.memory_bytes, site.max_descriptors, queries
+                    ),
+                    metrics,
+                    f'{name}_intake',
+                ),
+            )
+            for name, address, handler, queries in self._handlers()
         ]
 
     def close(self) -> None:
@@ -56,15 +75,26 @@
         for server in self._servers:
             server.close()
 
-    def _handlers(self) -> dict[ids.Address, plain_server.Handler]:
+    def _handlers(self) -> list[_Handler]:
         listen, ip = self._site.listen, self._site.ip
-        handlers: dict[ids.Address, plain_server.Handler] = {
-            ids.Address(f'{ip}:{listen.peers_port}'): self._answer_peer,
-            ids.Address(f'{ip}:{listen.metrics_port}'): self._answer_metrics,
-        }
-        for address in (listen.readiness, listen.directory):
-            if address is not None:
-                handlers[address] = self._answer_platform
+        peers = ids.Address(f'{ip}:{listen.peers_port}')
+        metrics = ids.Address(f'{ip}:{listen.metrics_port}')
+        queries = budget.Queries
+        handlers: list[_Handler] = [
+            ('peers', peers, self._answer_peer, queries.PEERS),
+            ('metrics', metrics, self._answer_metrics, queries.STATUS),
+        ]
+        if listen.directory is not None:
+            handlers.append((
+                'directory', listen.directory, self._answer_platform,
+                queries.ADDRESSES,
+            ))  # fmt: skip
+        if listen.readiness not in (None, listen.directory):
+            assert listen.readiness is not None
+            handlers.append((
+                'readiness', listen.readiness, self._answer_platform,
+                queries.STATUS,
+            ))  # fmt: skip
         return handlers
 
     def _answer_platform(
--- a/src/guavachute/entry/relay_server.py
+++ b/src/guavachute/entry/relay_server.py
@@ -11,8 +11,9 @@
 from guavachute.entry import callers
 from guavachute.entry import endpoint_registry
 from guavachute.entry import http1
+from guavachute.entry.intake import guard
+from guavachute.entry.intake import listener
 from guavachute.entry import loop as entry_loop
-from guavachute.entry import transport
 from guavachute.entry import upstream
 from guavachute.http import message
 from guavachute import ids
@@ -42,6 +43,7 @@
     :param pool: connections to endpoints
     :param caller_limits: gives the limits on the requests of callers
     :param on_announcement: called with what an endpoint says of itself
+    :param intake: bounds what the connections hold; None without a bound
     :ivar address: where it listens
     :ivar is_stopping: whether connections are closed after their answer
     """
@@ -54,6 +56,7 @@
         pool: upstream.Pool,
         caller_limits: typing.Callable[[], configuration.CallerLimits],
         on_announcement: OnAnnouncement,
+        intake: guard.Guard | None = None,
     ) -> None:
         self.loop = loop
         self.registry = registry
@@ -61,9 +64,8 @@
         self.on_announcement = on_announcement
         self.is_stopping = False
         self._caller_limits = caller_limits
-        self._callers: set[callers.CallerConnection] = set()
         self._open: set[_Relayed] = set()
-        self._listener = transport.Listener(loop, address, self._accept)
+        self._listener = listener.CallerListener(loop, address, self, intake)
         self.address = self._listener.address
 
     @property
@@ -86,8 +88,6 @@
     def close(self) -> None:
         """Stop listening, and abort all connections."""
         self._listener.close()
-        for caller in list(self._callers):
-            caller.abort()
 
     def begin(
         self, caller: callers.CallerConnection, request: http1.Request
@@ -131,13 +131,6 @@
         """A request is answered, or will not be."""
         self._open.discard(relayed)
 
-    def _accept(self, connection: transport.Connection) -> None:
-        self._callers.add(
-            callers.CallerConnection(
-                self.loop, connection, self, self._callers.discard
-            )
-        )
-
 
 class _Relayed:
     """One request that is passed on: the bytes of its answer go back."""
--- a/tests/cover/test_unread_bytes.py
+++ b/tests/cover/test_unread_bytes.py
@@ -1,4 +1,4 @@
-"""Bytes that the operating system holds count, and closed peers are noticed."""
+"""Bytes that the operating system holds count; closed peers are noticed."""
 
 import socket
 import unittest
--- a/tests/nocover/test_untrusted_bounds.py
+++ b/tests/nocover/test_untrusted_bounds.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import http.client
 import typing
 
 from tests.nocover import test_untrusted_callers as untrusted
@@ -24,6 +25,10 @@
 QUEUING_CLIENTS = 800
 QUEUED_REQUESTS = 40
 QUEUED_BODY_BYTES = 65_536
+QUERY_CLIENTS = 900
+QUERY_HEAD_BYTES = 15_500
+QUERY_BODY_BYTES = 65_536
+RELAYED_BYTES = 2_097_152
 TINY_CHUNKS = 20_000
 
 
@@ -51,6 +56,26 @@
         )
 
 
+def unfinished_query(path: str) -> typing.Iterator[bytes]:
+    """A query of many header lines and a body without its end."""
+    start = (
+        f'GET {path} HTTP/1.1\r\nHost: x\r\n'
+        f'Content-Length: {QUERY_BODY_BYTES}\r\n'
+    )
+    yield from untrusted.short_lines(start, QUERY_HEAD_BYTES, b'\r\n')
+    yield b'x' * (QUERY_BODY_BYTES - 1)
+
+
+def query_status(address: str, path: str) -> int:
+    """The status of an ordinary query."""
+    connection = http.client.HTTPConnection(
+        address, timeout=untrusted_site.ANSWER_TIMEOUT_S
+    )
+    with contextlib.closing(connection):
+        connection.request('GET', path)
+        return connection.getresponse().status
+
+
 class EntryProcess(untrusted_site.EntryProcessTest):
     """``guavachute-entry`` with little memory and many descriptors."""
 
@@ -123,6 +148,39 @@
         self.assertLessEqual(descriptors, before + untrusted.SLOW_CLIENTS)
         self.check_process()
 
+    def check_queries(self, name: str, path: str) -> None:
+        """Check unfinished queries at one of the other addresses."""
+        address = self.other_addresses[name]
+        self.send(
+            address,
+            (unfinished_query(path) for _ in range(QUERY_CLIENTS)),
+        )
+        self.check_process()
+        self.assertEqual(200, query_status(address, path))
+
+    def test_unfinished_queries_of_addresses(self) -> None:
+        self.check_queries('directory', '/guavachute/resolve?name=x')
+
+    def test_unfinished_queries_of_readiness(self) -> None:
+        self.check_queries('readiness', '/guavachute/readyz')
+
+    def test_unfinished_queries_of_peers(self) -> None:
+        self.check_queries('peers', '/endpoints?beyond=-1')
+
+    def test_unfinished_queries_of_metrics(self) -> None:
+        self.check_queries('metrics', '/metrics')
+
+    def test_unfinished_requests_to_pass_on(self) -> None:
+        start = untrusted.head('/relay', RELAYED_BYTES)
+        self.send(
+            self.other_addresses['relay'],
+            (
+                untrusted.whole_body(start, RELAYED_BYTES, short_by=1)
+                for _ in range(CLIENTS)
+            ),
+        )
+        self.check_process()
+
 
 class SmallEntryTest(EntryProcess):
     """``guavachute-entry`` with less memory."""
