Count the parts of prompts in what a request costs

Cause: each part becomes a string, a number and their pair, over 100 bytes for 5 bytes of the header, and stays as long as its request; the budget counted the header only.

Change: before a request begins, the adapter gives an upper bound of what its decoded head costs, from the commas of the header, and it counts. Requests without room are refused with 503, not run.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -406,7 +406,11 @@
             return
         self._cancel_timer()
         # The body is copied once more, to be sent to the endpoint.
-        self._serving_bytes = request.held_bytes + len(request.body)
+        self._serving_bytes = (
+            request.held_bytes
+            + len(request.body)
+            + requests.decoded_bytes(request.headers)
+        )
         if self._intake is not None and not self._intake.may_begin(
             self, self._serving_bytes - request.held_bytes
         ):
--- a/src/guavachute/platform/requests.py
+++ b/src/guavachute/platform/requests.py
@@ -17,6 +17,11 @@
 from guavachute.wire import untrusted
 
 ATTEMPT_ID = b'attempt-id'
+PROMPT_PARTS = b'prefix-hash'
+
+PART_BYTES = 176
+"""What a part of a prompt costs beyond its text: a string, a number, their
+pair, and places in the collections of those who look for it."""
 
 _KEY_SCHEME = b'token '
 
@@ -38,7 +43,7 @@
 
 # Forwarded even if a caller names them in its "Connection" header.
 _ALWAYS_FORWARDED = frozenset({
-    ATTEMPT_ID, b'model', b'token-counts', b'prefix-hash', b'length-hint',
+    ATTEMPT_ID, b'model', b'token-counts', PROMPT_PARTS, b'length-hint',
 })  # fmt: skip
 
 # A request with two of the same of these headers is ambiguous.
@@ -92,7 +97,7 @@
         key=_api_key(values.get(b'authorization')),
         deadline_s=_deadline_s(values.get(b'deadline-ms')),
         tokens=_token_counts(values.get(b'token-counts')),
-        parts=_prompt_parts(values.get(b'prefix-hash')),
+        parts=_prompt_parts(values.get(PROMPT_PARTS)),
         model=_text(values.get(b'model')),
         length_hint=untrusted.number(values.get(b'length-hint')),
         last_event_id=values.get(b'last-event-id'),
@@ -102,6 +107,15 @@
     )
 
 
+def decoded_bytes(headers: typing.Sequence[call.Header]) -> int:
+    """What the decoded head costs in memory beyond the headers, at most."""
+    return sum(
+        PART_BYTES * (1 + value.count(b','))
+        for name, value in headers
+        if name.lower() == PROMPT_PARTS
+    )
+
+
 def can_name(workspace: ids.WorkspaceName) -> bool:
     """Whether a request can tell an endpoint the name of *workspace*."""
     return header_text.encode(workspace) is not None
--- a/tests/nocover/test_untrusted_bounds.py
+++ b/tests/nocover/test_untrusted_bounds.py
@@ -29,6 +29,8 @@
 QUERY_HEAD_BYTES = 15_500
 QUERY_BODY_BYTES = 65_536
 RELAYED_BYTES = 2_097_152
+PROMPT_CLIENTS = 900
+PROMPT_HEAD_BYTES = 16_000
 TINY_CHUNKS = 20_000
 
 
@@ -56,6 +58,18 @@
         )
 
 
+def request_of_many_parts(number: int) -> typing.Iterator[bytes]:
+    """A request whose prompt has thousands of short parts."""
+    names = (f'{each % 1_000:x}:1' for each in range(PROMPT_HEAD_BYTES // 6))
+    parts = [f'p{number}:1', *names]
+    start = untrusted.head('/stream/1', 2, f'attempt-{number}')
+    lines = (
+        f'Model: m\r\nToken-Counts: 10,10\r\n'
+        f'Prefix-Hash: {",".join(parts)}\r\n\r\n'
+    )
+    yield start.removesuffix(b'\r\n') + lines.encode() + b'{}'
+
+
 def unfinished_query(path: str) -> typing.Iterator[bytes]:
     """A query of many header lines and a body without its end."""
     start = (
@@ -81,6 +95,7 @@
 
     memory_mb = MEMORY_MB
     max_descriptors = MAX_DESCRIPTORS
+    model_slots = 2 * PROMPT_CLIENTS
     caller_limits: typing.ClassVar = {
         'maxHeaderBytes': 20_480,
         'maxBodyBytes': MAX_BODY_BYTES,
@@ -148,6 +163,14 @@
         self.assertLessEqual(descriptors, before + untrusted.SLOW_CLIENTS)
         self.check_process()
 
+    def test_prompts_of_many_parts(self) -> None:
+        """Guards against decoded objects that no budget counts."""
+        self.send(
+            self.address,
+            (request_of_many_parts(each) for each in range(PROMPT_CLIENTS)),
+        )
+        self.check_process()
+
     def check_queries(self, name: str, path: str) -> None:
         """Check unfinished queries at one of the other addresses."""
         address = self.other_addresses[name]
