Bound what a router's callers send and it has not read

What callers saw: as at the entry process, bodies that stop a byte short fill the operating system's buffers of a router, which count as its memory, and their connections stay when their callers have closed.

Cause: the same; the router's reading thread leaves a body without room unread and unwatched.

Change: its listener limits the receive buffers by the same settings, large bodies get a larger one while there is room, waiting connections are watched for the close of their peer, and idle ones with a large buffer are closed when the process is short.

--- a/src/guavachute/decide/ingress/intake/budget.py
+++ b/src/guavachute/decide/ingress/intake/budget.py
@@ -59,6 +59,8 @@
 """A connection can't do with less: it is the unit in which a peer sends."""
 
 MAX_UNREAD_BYTES = 65_536
+"""What is received of a large body before it is read, as long as there is room
+for it. A network of 20 ms carries 3 MB/s with it."""
 
 LONE_FRACTION = 1.5
 """A request that is almost alone may hold this multiple of the budget."""
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -42,10 +42,6 @@
 SHORT_UNSENT_BYTES = 16_384
 """The same while the callers together hold much."""
 
-WIDE_UNREAD_BYTES = 65_536
-"""What the operating system receives of a large body before it is read, as
-long as there is room for it. A network of 20 ms carries 3 MB/s with it."""
-
 
 class Exchange(typing.Protocol):
     """The request that a connection is serving."""
@@ -241,7 +237,7 @@
 
     def _widen_receiving(self) -> None:
         """Receive a large body faster, if there is room."""
-        extra_bytes = WIDE_UNREAD_BYTES - self._unread_bytes
+        extra_bytes = budget.MAX_UNREAD_BYTES - self._unread_bytes
         if (
             self._intake is not None
             and not self._widened_bytes
@@ -252,7 +248,7 @@
             # The peer may fill the buffer later too, so that it counts until
             # the connection is closed.
             self._widened_bytes = extra_bytes
-            self._connection.limit_receiving(WIDE_UNREAD_BYTES)
+            self._connection.limit_receiving(budget.MAX_UNREAD_BYTES)
 
     def stop_reading(self) -> None:
         """Leave what arrives to the operating system."""
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -9,6 +9,7 @@
 from guavachute.decide import keepalive
 from guavachute.entry import loop as entry_loop
 from guavachute import ids
+from guavachute.kernel import receiving
 
 RECEIVE_BYTES = 65_536
 LISTEN_BACKLOG = 1024
@@ -113,7 +114,7 @@
         """
         self._receive_bytes = min(RECEIVE_BYTES, unread_bytes)
         if not self.is_closed:
-            limit_receiving(self._socket, unread_bytes)
+            receiving.limit(self._socket, unread_bytes)
 
     def pause(self, notices_close: bool = False) -> None:
         """Stop reading until :meth:`resume`.
@@ -324,8 +325,7 @@
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._unread_bytes = unread_bytes
         if unread_bytes is not None:
-            # Accepted connections inherit it.
-            limit_receiving(self._socket, unread_bytes)
+            receiving.limit(self._socket, unread_bytes)
         bind(self._socket, address)
         self._socket.listen(LISTEN_BACKLOG)
         self._socket.setblocking(False)
@@ -365,15 +365,6 @@
             )
 
 
-def limit_receiving(sock: socket.socket, unread_bytes: int) -> None:
-    """Limit what a socket receives before it is read.
-
-    The operating system doubles the figure, and may fill all of that with
-    what was sent.
-    """
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes // 2)
-
-
 def _set_options(sock: socket.socket) -> None:
     options = (
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -9,7 +9,6 @@
 import contextlib
 import dataclasses
 import io
-import selectors
 import socket
 import threading
 import time
@@ -18,6 +17,8 @@
 import httptools
 
 from guavachute.decide.ingress.intake import budget
+from guavachute.kernel import poller
+from guavachute.kernel import receiving
 from guavachute.observe import logs
 
 _log = logs.logger('intake')
@@ -116,11 +117,14 @@
     """A connection of the HTTP server.
 
     :ivar socket: not used by others while the intake reads
+    :ivar widened_bytes: how much more than usual it may receive before it is
+        read
     :ivar rfile: gets each whole request
     """
 
     socket: socket.socket
     rfile: RequestFile
+    widened_bytes: int
 
     def close(self) -> None:
         """Close it."""
@@ -264,14 +268,14 @@
         self._budget: budget.Budget[Connection] = budget.Budget(
             bounds.limits, BODY_COPIES
         )
-        self._selector = selectors.DefaultSelector()
+        self._poller = poller.Poller()
         self._reading: dict[Connection, _Reading] = {}
         self._added: collections.deque[Connection] = collections.deque()
         self._closed: collections.deque[Connection] = collections.deque()
         self._wake_out, self._wake_in = socket.socketpair()
         self._wake_out.setblocking(False)
         self._wake_in.setblocking(False)
-        self._selector.register(self._wake_out, selectors.EVENT_READ)
+        self._poller.register(self._wake_out, poller.READ, None)
         self._is_stopping = False
         self._now_s = time.monotonic()
         self._checked_s = self._now_s
@@ -323,21 +327,26 @@
         self._release()
 
     def _release(self) -> None:
-        self._selector.close()
+        self._poller.close()
         self._wake_out.close()
         self._wake_in.close()
 
     def _turn(self) -> None:
-        ready = self._selector.select(
+        ready = self._poller.poll(
             CHECK_PERIOD_S if self._budget.is_short else WAIT_S
         )
         self._now_s = time.monotonic()
-        for key, _ in ready:
-            if key.data is None:
+        for watched, events in ready:
+            if watched.data is None:
                 with contextlib.suppress(OSError):
                     self._wake_out.recv(RECEIVE_BYTES)
-            elif key.data.connection in self._reading:
-                self._receive(key.data)
+            elif not self._poller.is_current(watched):
+                continue
+            elif events & poller.READ:
+                self._receive(watched.data)
+            else:
+                # It waits for room, and its caller has left.
+                self._close(watched.data.connection)
         self._update_connections()
         if self._budget.is_short:
             due_s = (
@@ -360,9 +369,7 @@
         try:
             # Bytes of the next request may have come with the last one.
             early = connection.rfile.read()
-            self._selector.register(
-                connection.socket, selectors.EVENT_READ, reading
-            )
+            self._poller.register(connection.socket, poller.READ, reading)
         except (OSError, ValueError):
             # It was closed meanwhile.
             self._budget.remove(connection)
@@ -432,10 +439,27 @@
         elif was_in_head and framing.expects_continue:
             with contextlib.suppress(OSError):
                 reading.connection.socket.send(CONTINUE, socket.MSG_DONTWAIT)
+        self._widen_receiving(reading)
         if self._update(reading):
             self._budget.mark_waiting(reading.connection)
             self._stop_reading(reading)
 
+    def _widen_receiving(self, reading: _Reading) -> None:
+        """Receive a large body faster, if there is room."""
+        connection = reading.connection
+        unread_bytes = self._bounds.limits.unread_bytes
+        extra_bytes = budget.MAX_UNREAD_BYTES - unread_bytes
+        if (
+            extra_bytes > 0
+            and not connection.widened_bytes
+            and reading.remaining_bytes(self._bounds.max_body_bytes)
+            > unread_bytes
+            and self._budget.has_spare(extra_bytes)
+        ):
+            connection.widened_bytes = extra_bytes
+            with contextlib.suppress(OSError):
+                receiving.limit(connection.socket, budget.MAX_UNREAD_BYTES)
+
     def _update(self, reading: _Reading) -> bool:
         """Count what is held; whether the connection has to wait."""
         return self._budget.record(
@@ -443,7 +467,8 @@
             budget.Usage(
                 reading.phase,
                 len(reading.data)
-                + budget.HEADER_BYTES * reading.framing.headers,
+                + budget.HEADER_BYTES * reading.framing.headers
+                + reading.connection.widened_bytes,
                 reading.remaining_bytes(self._bounds.max_body_bytes),
                 reading.received_bytes,
             ),
@@ -468,7 +493,13 @@
             return
         self._budget.record(
             connection,
-            budget.Usage(budget.Phase.SERVING, cost),
+            budget.Usage(
+                budget.Phase.SERVING,
+                # The next request may wait in the operating system.
+                cost
+                + connection.widened_bytes
+                + self._bounds.limits.unread_bytes,
+            ),
             self._now_s,
         )
         self._remove(reading)
@@ -494,20 +525,21 @@
         if not reading.is_waiting:
             self._count('intake.waits')
             reading.is_waiting = True
-            self._selector.unregister(reading.connection.socket)
+            self._poller.modify(
+                reading.connection.socket, poller.CLOSED, reading
+            )
 
     def _read_again(self, reading: _Reading) -> None:
         if reading.is_waiting:
             reading.is_waiting = False
             reading.heard_s = self._now_s
-            self._selector.register(
-                reading.connection.socket, selectors.EVENT_READ, reading
+            self._poller.modify(
+                reading.connection.socket, poller.READ, reading
             )
 
     def _remove(self, reading: _Reading) -> None:
         del self._reading[reading.connection]
-        if not reading.is_waiting:
-            self._selector.unregister(reading.connection.socket)
+        self._poller.unregister(reading.connection.socket)
 
     def _close(self, connection: Connection) -> None:
         reading = self._reading.get(connection)
@@ -526,7 +558,11 @@
             if each in self._reading:
                 self._stop_reading(self._reading[each])
         for each in actions.refuse:
-            if each in self._reading:
+            reading = self._reading.get(each)
+            if reading is not None and reading.phase is budget.Phase.IDLE:
+                self._count('intake.closed')
+                self._close(each)
+            elif reading is not None:
                 self._count('intake.refused')
                 self._refuse(
                     self._reading[each],
--- a/src/guavachute/http/server.py
+++ b/src/guavachute/http/server.py
@@ -22,6 +22,7 @@
 from guavachute.decide.ingress.intake import budget
 from guavachute.http import intake
 from guavachute.http import message
+from guavachute.kernel import receiving
 from guavachute.kernel import task
 from guavachute.observe import logs
 
@@ -52,6 +53,7 @@
             self.rfile.close()
             self.rfile: typing.Any = intake.RequestFile()
         self._detached_threads: set[int] = set()
+        self.widened_bytes = 0
         with server.live_lock:
             server.live_connections.add(self)
 
@@ -349,6 +351,8 @@
                 self._server.end_with,
             )
         self._server.prepare()
+        if limits is not None and self._server.socket is not None:
+            receiving.limit(self._server.socket, limits.unread_bytes)
 
     def format_errors(
         self,
--- a/src/guavachute/kernel/poller.py
+++ b/src/guavachute/kernel/poller.py
@@ -4,6 +4,7 @@
 sent before is left unread.
 """
 
+import contextlib
 import dataclasses
 import math
 import select
@@ -54,10 +55,18 @@
         self._watched[descriptor] = Watched(file, descriptor, events, data)
 
     def unregister(self, file: typing.Any) -> None:
-        """Stop watching *file*, which is still open."""
+        """Stop watching *file*, which may be closed already."""
         descriptor = file if isinstance(file, int) else file.fileno()
+        if descriptor < 0:
+            descriptor = next(
+                watched.descriptor
+                for watched in self._watched.values()
+                if watched.file is file
+            )
         del self._watched[descriptor]
-        self._epoll.unregister(descriptor)
+        with contextlib.suppress(OSError):
+            # The operating system forgets a closed file by itself.
+            self._epoll.unregister(descriptor)
 
     def is_current(self, watched: Watched) -> bool:
         """Whether a file is still watched as it was."""
--- a/tests/nocover/test_untrusted_bounds.py
+++ b/tests/nocover/test_untrusted_bounds.py
@@ -31,6 +31,7 @@
 RELAYED_BYTES = 2_097_152
 PROMPT_CLIENTS = 900
 PROMPT_HEAD_BYTES = 16_000
+ROUTER_CLIENTS = 1_500
 TINY_CHUNKS = 20_000
 
 
@@ -216,3 +217,20 @@
             (queued_requests(number) for number in range(QUEUING_CLIENTS)),
         )
         self.check_process()
+
+
+class RouterTest(untrusted_site.RouterProcessTest):
+    """``guavachute-router`` with many descriptors."""
+
+    max_descriptors = MAX_DESCRIPTORS
+
+    def test_bodies_that_stop_a_byte_short(self) -> None:
+        start = untrusted.router_head(untrusted.ROUTER_MAX_BODY_BYTES)
+        clients = self.connect_clients()
+        clients.send(
+            untrusted.whole_body(
+                start, untrusted.ROUTER_MAX_BODY_BYTES, short_by=1
+            )
+            for _ in range(ROUTER_CLIENTS)
+        )
+        self.check_process()
