--- a/src/guavachute/entry/loop.py
+++ b/src/guavachute/entry/loop.py
@@ -36,24 +36,36 @@
 MAX_PHASE_S = 1.0
 """Upper bound of the random offset of repeated calls."""
 
+MIN_CANCELLED = 1_024
+"""Fewer cancelled timers stay until they are due."""
+
 Handler = typing.Callable[[int], None]
 """Called with the events that a file is ready for."""
 
 
 class Timer:
-    """A callback that is due at some time, unless it is cancelled."""
+    """A callback that is due at some time, unless it is cancelled.
+
+    :param on_cancelled: called when it is cancelled before it was called
+    """
 
-    __slots__ = ('due_s', 'callback')
+    __slots__ = ('due_s', 'callback', '_on_cancelled')
 
     def __init__(
-        self, due_s: float, callback: typing.Callable[[], None]
+        self,
+        due_s: float,
+        callback: typing.Callable[[], None],
+        on_cancelled: typing.Callable[[], None] = lambda: None,
     ) -> None:
         self.due_s = due_s
         self.callback: typing.Callable[[], None] | None = callback
+        self._on_cancelled = on_cancelled
 
     def cancel(self) -> None:
         """Discard the callback; no effect if it was already called."""
-        self.callback = None
+        if self.callback is not None:
+            self.callback = None
+            self._on_cancelled()
 
 
 class Loop:
@@ -63,6 +75,7 @@
         self._poller = poller.Poller()
         self._timers: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
+        self._cancelled = 0
         self._running = True
         # Processes that started together should not all act together.
         self._phase_s = random.uniform(0.0, MAX_PHASE_S)
@@ -93,10 +106,25 @@
         self, due_s: float, callback: typing.Callable[[], None]
     ) -> Timer:
         """Call *callback* once, at *due_s* or soon after."""
-        timer = Timer(due_s, callback)
+        timer = Timer(due_s, callback, self._count_cancelled)
         heapq.heappush(self._timers, (due_s, next(self._order), timer))
         return timer
 
+    def _count_cancelled(self) -> None:
+        """Remove cancelled timers once they are most of all.
+
+        Each request cancels some that would be due much later.
+        """
+        self._cancelled += 1
+        if self._cancelled >= MIN_CANCELLED and 2 * self._cancelled > len(
+            self._timers
+        ):
+            self._cancelled = 0
+            self._timers[:] = [
+                item for item in self._timers if item[2].callback is not None
+            ]
+            heapq.heapify(self._timers)
+
     def call_after(
         self, delay_s: float, callback: typing.Callable[[], None]
     ) -> Timer:
@@ -122,6 +150,11 @@
 
         schedule()
 
+    @property
+    def timers(self) -> int:
+        """The number of timers that are kept, cancelled ones included."""
+        return len(self._timers)
+
     def stop(self) -> None:
         """Make :meth:`run` return after the current turn."""
         self._running = False
@@ -152,6 +185,7 @@
     def _wait_s(self) -> float:
         while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
+            self._cancelled -= 1
         if not self._timers:
             return MAX_WAIT_S
         return min(MAX_WAIT_S, max(0.0, self._timers[0][0] - clock.now_s()))
@@ -168,6 +202,8 @@
                 timer.callback = None
                 callback()
                 self._update_now()
+            else:
+                self._cancelled -= 1
 
     def _update_now(self) -> None:
         now_s = clock.now_s()
