Limit what is received of answers whose callers read slowly

What callers could do: ask for streams and read nothing. The endpoint is not read then, and the operating system keeps what it has sent in a buffer that grows to megabytes on a fast link and counts as memory of the process.

Change: connections to endpoints receive at most 64 KB that is not read.

A crowd of such callers against the real processes was not played.

--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -25,6 +25,10 @@
 KEPT_ATTEMPTS = 256
 """So many attempts that a connection has carried are remembered."""
 
+MAX_UNREAD_BYTES = 65_536
+"""What the operating system receives of an answer that is not read, as its
+caller reads slowly."""
+
 IDLE_MARGIN_S = 1.0
 """Idle connections are closed this long before the endpoint would."""
 
@@ -72,6 +76,7 @@
         self.idle_since_s = loop.now_s
         self._transport = transport.connect(loop, address)
         if self._transport is not None:
+            self._transport.limit_receiving(MAX_UNREAD_BYTES)
             self._transport.owner = self
 
     @property
--- a/tests/cover/test_unread_bytes.py
+++ b/tests/cover/test_unread_bytes.py
@@ -1,13 +1,18 @@
 """Bytes that the operating system holds count; closed peers are noticed."""
 
+import os
 import socket
 import unittest
 
+from guavachute.decide.ingress import endpoint_links
 from guavachute.decide.ingress.intake import budget
+from guavachute.entry import http1
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
+from guavachute.entry import upstream
 from guavachute import ids
 from tests.support import looping
+from tests.support import misbehaving
 
 MEGABYTE = budget.MEGABYTE
 UNREAD_BYTES = 16_384
@@ -95,6 +100,46 @@
         self.assertEqual(6, self.owner.received_bytes)
 
 
+class _Answer:
+    """An answer that is left alone."""
+
+    def handle_upstream_event(self, event: http1.AnswerEvent) -> None:
+        """Nothing is read."""
+
+    def handle_upstream_ended(
+        self, is_clean: bool, was_connected: bool
+    ) -> None:
+        """Nothing is expected then."""
+
+
+class EndpointTest(unittest.TestCase):
+    def test_an_answer_that_is_not_read_is_limited(self) -> None:
+        """Guards against streams to callers that read nothing."""
+        loop = entry_loop.Loop()
+        endpoint = self.enterContext(socket.create_server(('127.0.0.1', 0)))
+        address = ids.Address('127.0.0.1:%d' % endpoint.getsockname()[1])
+        pool = upstream.Pool(loop, endpoint_links.EndpointLinks())
+        connection = pool.acquire(address, ids.AttemptId('a'), False)
+        self.addCleanup(connection.close)
+        answer = _Answer()
+        connection.send_request(b'GET / HTTP/1.1\r\n\r\n', answer)
+        peer = self.enterContext(endpoint.accept()[0])
+        looping.run_until(loop, lambda: connection.is_connected)
+        connection.pause()
+        peer.recv(1_024)
+        peer.setblocking(False)
+        with self.assertRaises(BlockingIOError):
+            peer.send(b'HTTP/1.1 200 OK\r\n\r\n')
+            while True:
+                peer.send(b'x' * 65_536)
+        # The peer sends nothing more, whatever is read.
+        looping.run_for(loop, 0.2)
+        peer.shutdown(socket.SHUT_RDWR)
+        unread = misbehaving.unread_mb(os.getpid()) * 2**20
+        self.assertLessEqual(unread, upstream.MAX_UNREAD_BYTES)
+        self.assertGreater(unread, 0)
+
+
 class BudgetTest(unittest.TestCase):
     """Crowds whose bytes wait in the operating system."""
 
