Limit what is received of answers before connecting

Cause: the limit was set after the first packet had offered the system's window. It is set before now; connect takes the limit, and the tests' and the soak's replacements of it pass it on.

--- a/soak/cut_entry.py
+++ b/soak/cut_entry.py
@@ -42,14 +42,17 @@
         self._loop: entry_loop.Loop | None = None
 
     def connect(
-        self, loop: entry_loop.Loop, address: ids.Address
+        self,
+        loop: entry_loop.Loop,
+        address: ids.Address,
+        unread_bytes: int | None = None,
     ) -> transport.Connection | None:
         """Connect; the first call starts to read the file."""
         if self._loop is None:
             self._loop = loop
             self.adopt(loop)
             self._poll()
-        return super().connect(loop, address)
+        return super().connect(loop, address, unread_bytes)
 
     def _poll(self) -> None:
         assert self._loop is not None
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -265,11 +265,18 @@
             owner.ended(is_clean)
 
 
-def connect(loop: entry_loop.Loop, address: ids.Address) -> Connection | None:
+def connect(
+    loop: entry_loop.Loop,
+    address: ids.Address,
+    unread_bytes: int | None = None,
+) -> Connection | None:
     """Start to connect to *address*.
 
     Returns None if the operating system refuses at once, as it does when no
     file descriptor is left.
+
+    :param unread_bytes: limit of what is received before it is read; None for
+        that of the operating system
     """
     host, _, port = address.rpartition(':')
     try:
@@ -277,6 +284,9 @@
     except OSError:
         return None
     sock.setblocking(False)
+    if unread_bytes is not None:
+        # The peer learns it with the first packet.
+        receiving.limit(sock, unread_bytes)
     error = sock.connect_ex((host, int(port)))
     if error not in (0, errno.EINPROGRESS):
         sock.close()
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -74,9 +74,8 @@
         self._timer: entry_loop.Timer | None = None
         self.idle_timeout_s: float | None = None
         self.idle_since_s = loop.now_s
-        self._transport = transport.connect(loop, address)
+        self._transport = transport.connect(loop, address, MAX_UNREAD_BYTES)
         if self._transport is not None:
-            self._transport.limit_receiving(MAX_UNREAD_BYTES)
             self._transport.owner = self
 
     @property
--- a/tests/support/cut_links.py
+++ b/tests/support/cut_links.py
@@ -15,6 +15,7 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
 from guavachute import ids
+from guavachute.kernel import receiving
 
 _connect = transport.connect
 
@@ -91,12 +92,15 @@
                 connection.hold(mode is Mode.HANG)
 
     def connect(
-        self, loop: entry_loop.Loop, address: ids.Address
+        self,
+        loop: entry_loop.Loop,
+        address: ids.Address,
+        unread_bytes: int | None = None,
     ) -> transport.Connection | None:
         """Connect as the node of *loop*; replaces ``transport.connect``."""
         mode = self._modes.get(id(loop))
         if mode is None or not self._is_endpoint(address):
-            return _connect(loop, address)
+            return _connect(loop, address, unread_bytes)
         affected = self._addresses.get(id(loop))
         if affected is not None and address not in affected:
             mode = Mode.OPEN
@@ -107,6 +111,8 @@
         host, _, port = address.rpartition(':')
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
+        if unread_bytes is not None:
+            receiving.limit(sock, unread_bytes)
         sock.connect_ex((host, int(port)))
         connection = _LinkConnection(loop, sock, address)
         self._connections[id(loop)].add(connection)
--- a/tests/support/simulated.py
+++ b/tests/support/simulated.py
@@ -325,7 +325,12 @@
             finally:
                 random.setstate(state)
 
-    def connect(self, loop: Loop, address: ids.Address) -> Connection:
+    def connect(
+        self,
+        loop: Loop,
+        address: ids.Address,
+        unread_bytes: int | None = None,
+    ) -> Connection:
         """As :func:`transport.connect`."""
         first = Connection(loop)
 
