End an attempt whose endpoint answers others without end

Cause: each answer to another request was skipped and logged, and only the bytes of bodies were bounded; answers without a body had none.

Change: a connection to an endpoint takes 16 answers for a request, those to other requests included; the next one counts as malformed, which fails the attempt and closes the connection. It holds for requests that are passed on as well, as both use entry/upstream.py.

--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -29,6 +29,10 @@
 """What the operating system receives of an answer that is not read, as its
 caller reads slowly."""
 
+MAX_ANSWERS = 16
+"""So many answers may come to one request, those to other requests included.
+An endpoint that sends more has no end."""
+
 IDLE_MARGIN_S = 1.0
 """Idle connections are closed this long before the endpoint would."""
 
@@ -67,6 +71,7 @@
         self._listener: Listener | None = None
         self._opened_s = self._sent_s = loop.now_s
         self._is_in_use = False
+        self._answers = 0
         self._attempts: collections.deque[str] = collections.deque(
             maxlen=KEPT_ATTEMPTS
         )
@@ -120,6 +125,7 @@
     def send_request(self, request: bytes, listener: Listener) -> None:
         """Send *request*; *listener* gets the answer."""
         self._listener = listener
+        self._answers = 0
         self._sent_s = self._loop.now_s
         self._pool.links.record_sent(self.address, self._sent_s)
         self._is_in_use = True
@@ -196,6 +202,10 @@
             ):
                 # Bytes after an answer belong to no later request.
                 event = http1.AnswerEnded(keeps_alive=False)
+            if isinstance(event, http1.AnswerStarted):
+                self._answers += 1
+                if self._answers > MAX_ANSWERS:
+                    event = http1.AnswerMalformed()
             self._listener.handle_upstream_event(event)
 
     def ended(self, is_clean: bool) -> None:
--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -67,6 +67,8 @@
     """Rejects the request, with a body without end."""
     ENDLESS_FOREIGN = 'endless-foreign'
     """Sends the answer to another request, with a body without end."""
+    ENDLESS_ANSWERS = 'endless-answers'
+    """Sends answers to other requests without end, all without a body."""
     REPEAT_REFUSAL = 'repeat-refusal'
     """Sends the connection's last rejection once more, then the answer."""
     SILENT = 'silent'
@@ -86,9 +88,16 @@
     Behaviour.ENDLESS_REFUSAL: b'HTTP/1.1 503 Busy\r\n%s'
     b'Not-Executed: 1\r\n\r\n',
     Behaviour.ENDLESS_FOREIGN: b'HTTP/1.1 200 OK\r\n\r\n',
+    Behaviour.ENDLESS_ANSWERS: b'',
 }
 """How the answers without end begin; ``%s`` stands for the usual headers."""
 
+_FLOOD_UNITS = {
+    Behaviour.ENDLESS_INTERIM: b'HTTP/1.1 102 Processing\r\n\r\n',
+    Behaviour.ENDLESS_ANSWERS: b'HTTP/1.1 204 No Content\r\n\r\n',
+}
+"""What is repeated without end, if not a letter."""
+
 UNFRAMED_BEHAVIOURS = frozenset(
     {Behaviour.UNFRAMED, Behaviour.UNFRAMED_BREAK, Behaviour.UNFRAMED_RESET}
 )
@@ -422,9 +431,7 @@
             b'%s: %s\r\n' % header for header in self._headers(answer)
         )
         answer.send_raw(_ENDLESS_STARTS[self.behaviour].replace(b'%s', lines))
-        interim = b'HTTP/1.1 102 Processing\r\n\r\n'
-        is_interim = self.behaviour is Behaviour.ENDLESS_INTERIM
-        unit = interim if is_interim else b'x'
+        unit = _FLOOD_UNITS.get(self.behaviour, b'x')
         self._flood(answer, unit * (_FLOOD_BYTES // len(unit)))
 
     def _flood(self, answer: server.Answer, data: bytes) -> None:
--- a/tests/cover/test_endless_answers.py
+++ b/tests/cover/test_endless_answers.py
@@ -72,6 +72,11 @@
     def test_an_answer_to_another_request_without_end(self) -> None:
         self.check(Behaviour.ENDLESS_FOREIGN, '/order/a', 502)
 
+    # Guards against heads that are counted one by one, and never together.
+    def test_answers_to_other_requests_without_end(self) -> None:
+        self.check(Behaviour.ENDLESS_ANSWERS, '/order/a', 502)
+        self.check(Behaviour.ENDLESS_ANSWERS, '/stream/a', 502)
+
 
 class ManyEndlessAnswersTest(unittest.TestCase):
     """Answers without end to many requests at once, as of nine engines."""
