Tell other nodes that what had no room was not sent to an endpoint

What callers would have seen: the address for other nodes has a budget since, and its 503 for want of room named no reason, so that the asking node took it for the answer of an endpoint to another request, and a request that had not run got 502.

Change: all that a relay's connection rejects by itself says that nothing was sent (a request that was not read completely is never passed on); the asking node then tries another node. It also holds for 400, 408, 413 and 431 there.

Measured: the new test fails without it ("unexpectedly None"), and passes now. A connection whose request was rejected no longer gets a larger buffer.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -73,6 +73,11 @@
         """
 
 
+RejectionHeaders = typing.Callable[
+    [ids.AttemptId | None, float | None], list[call.Header]
+]
+"""Called with the attempt, if known, and with the time to retry after."""
+
 _REJECTION_REASONS = {
     400: 'the request is malformed',
     408: 'the request was not complete in time',
@@ -105,6 +110,8 @@
 
     :param on_closed: called once, when the connection is closed
     :param intake: bounds what all connections hold; None without a bound
+    :param rejection_headers: gives the headers of answers to requests that
+        don't reach the handler
     """
 
     def __init__(
@@ -114,6 +121,7 @@
         handler: RequestHandler,
         on_closed: typing.Callable[['CallerConnection'], None],
         intake: guard.Guard | None = None,
+        rejection_headers: RejectionHeaders = requests.own_answer_headers,
     ) -> None:
         self._loop = loop
         self._connection = connection
@@ -129,6 +137,7 @@
         self._closes = False
         self._is_framed = True
         self._intake = intake
+        self._rejection_headers = rejection_headers
         self._unparsed: collections.deque[memoryview] = collections.deque()
         self._unparsed_bytes = 0
         self._received_bytes = 0
@@ -240,6 +249,7 @@
         extra_bytes = budget.MAX_UNREAD_BYTES - self._unread_bytes
         if (
             self._intake is not None
+            and self._state is _State.READING
             and not self._widened_bytes
             and extra_bytes > 0
             and self._reader.remaining_bytes > self._unread_bytes
@@ -465,7 +475,7 @@
         retry_after_s: float | None = None,
         attempt_id: ids.AttemptId | None = None,
     ) -> None:
-        headers = requests.own_answer_headers(attempt_id, retry_after_s)
+        headers = self._rejection_headers(attempt_id, retry_after_s)
         self._connection.write(http1.encode_head(status, headers, 0, True))
         self._linger()
 
--- a/src/guavachute/entry/intake/listener.py
+++ b/src/guavachute/entry/intake/listener.py
@@ -7,6 +7,7 @@
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
 from guavachute import ids
+from guavachute.platform import requests
 
 
 class CallerListener:
@@ -14,6 +15,7 @@
 
     :param handler: serves their requests
     :param intake: bounds what they hold; None without a bound
+    :param rejection_headers: as that of a connection
     :ivar address: where it listens, with the port that was bound
     """
 
@@ -23,10 +25,14 @@
         address: ids.Address,
         handler: callers.RequestHandler,
         intake: guard.Guard | None,
+        rejection_headers: callers.RejectionHeaders = (
+            requests.own_answer_headers
+        ),
     ) -> None:
         self._loop = loop
         self._handler = handler
         self._intake = intake
+        self._rejection_headers = rejection_headers
         self._callers: set[callers.CallerConnection] = set()
         self._listener = transport.Listener(
             loop,
@@ -63,5 +69,6 @@
                 self._handler,
                 self._callers.discard,
                 self._intake,
+                self._rejection_headers,
             )
         )
--- a/src/guavachute/entry/relay_server.py
+++ b/src/guavachute/entry/relay_server.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry import endpoint_registry
@@ -65,7 +66,9 @@
         self.is_stopping = False
         self._caller_limits = caller_limits
         self._open: set[_Relayed] = set()
-        self._listener = listener.CallerListener(loop, address, self, intake)
+        self._listener = listener.CallerListener(
+            loop, address, self, intake, _rejection_headers
+        )
         self.address = self._listener.address
 
     @property
@@ -132,6 +135,13 @@
         self._open.discard(relayed)
 
 
+def _rejection_headers(
+    attempt_id: ids.AttemptId | None, retry_after_s: float | None
+) -> list[call.Header]:
+    """What is not read completely is not passed on either."""
+    return relay_requests.refusal_headers('not read')
+
+
 class _Relayed:
     """One request that is passed on: the bytes of its answer go back."""
 
--- a/tests/cover/test_unread_bytes.py
+++ b/tests/cover/test_unread_bytes.py
@@ -2,17 +2,23 @@
 
 import os
 import socket
+import typing
 import unittest
 
 from guavachute.decide.ingress import endpoint_links
 from guavachute.decide.ingress.intake import budget
+from guavachute.domain import configuration
 from guavachute.entry import http1
+from guavachute.entry.intake import guard
 from guavachute.entry import loop as entry_loop
+from guavachute.entry import relay_server
 from guavachute.entry import transport
 from guavachute.entry import upstream
 from guavachute import ids
+from guavachute.wire import relay_requests
 from tests.support import looping
 from tests.support import misbehaving
+from tests.support import platform_site
 
 MEGABYTE = budget.MEGABYTE
 UNREAD_BYTES = 16_384
@@ -140,6 +146,43 @@
         self.assertGreater(unread, 0)
 
 
+class RelayTest(unittest.TestCase):
+    def test_what_has_no_room_is_told_to_be_not_sent(self) -> None:
+        """Guards against a 503 of another node taken for an endpoint's."""
+        loop = entry_loop.Loop()
+        unused: typing.Any = None
+        server = relay_server.RelayServer(
+            loop,
+            ids.Address('127.0.0.1:0'),
+            unused,
+            unused,
+            configuration.CallerLimits,
+            unused,
+            guard.Guard(loop, budget.Limits(1_000, 10)),
+        )
+        self.addCleanup(server.close)
+        connection = platform_site.CallerSocket(loop, server.address)
+        self.addCleanup(connection.close)
+        connection.send(
+            relay_requests.encode(
+                relay_requests.RelayRequest(
+                    ids.EndpointId('e1'),
+                    1,
+                    ids.AttemptId('a'),
+                    False,
+                    b'x' * 10_000,
+                )
+            )
+        )
+        looping.run_until(loop, lambda: connection.reply.is_complete)
+        headers = [
+            (name.encode(), value.encode())
+            for name, value in connection.reply.headers.items()
+        ]
+        self.assertEqual(503, connection.reply.status)
+        self.assertIsNotNone(relay_requests.refusal(headers))
+
+
 class BudgetTest(unittest.TestCase):
     """Crowds whose bytes wait in the operating system."""
 
