--- a/src/guavachute/decide/ingress/intake/budget.py
+++ b/src/guavachute/decide/ingress/intake/budget.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 MEGABYTE = 1_048_576
@@ -223,7 +224,7 @@
     since_s: float
     has_room: bool = False
     waits: bool = False
-    waits_since_s: float | None = None
+    waits_since_s: float = math.inf
     rated_from_s: float = 0.0
     rated_from_bytes: int = 0
     was_slow: bool = False
@@ -347,7 +348,7 @@
         """What is not read fills the buffers of the operating system."""
         if waits is not account.waits:
             account.waits = waits
-            account.waits_since_s = None
+            account.waits_since_s = math.inf
             sign = 1 if waits else -1
             self.total_bytes += sign * self._limits.unread_bytes
 
@@ -413,28 +414,42 @@
         self.is_short = self.total_bytes > fraction * limit
         if not self.is_short:
             return Actions([], [], self._resume(self._accounts, now_s))
+        slow = self._slow(now_s) if may_rate else []
+        chosen, others, room = self._give_room(set(slow))
+        victims = self._victims(slow, chosen, others, room)
+        refused = set(victims)
+        remaining = [key for key in others if key not in refused]
+        wait = self._make_wait(remaining, now_s)
+        if may_rate:
+            victims += self._waited_too_long(remaining, now_s)
+        return Actions(
+            self._idle_holders() + victims,
+            wait,
+            self._resume(self._waiting_small() + chosen, now_s),
+        )
+
+    def _give_room(self, slow: set[Key]) -> tuple[list[Key], list[Key], int]:
+        """The bodies that have room, the others, and the room that is left.
+
+        Those that are nearest to their end come first.
+
+        :param slow: get no room
+        """
+        limit = self._limits.held_bytes
+        room = round(LARGE_FRACTION * limit) - self.total_bytes
         large = sorted(
             (
                 (key, account)
                 for key, account in self._accounts.items()
-                if account.waits or self._needs_room(account)
+                if self._needs_room(account) and key not in slow
             ),
             key=lambda item: item[1].usage.remaining_bytes,
         )
-        slow = self._slow(now_s) if may_rate else []
-        slow_keys = set(slow)
-        room = round(LARGE_FRACTION * limit) - self.total_bytes
-        small: list[Key] = []
         chosen: list[Key] = []
         others: list[Key] = []
         for key, account in large:
-            if key in slow_keys:
-                continue
             needed = account.needed_bytes(self._copies)
-            if not self._needs_room(account):
-                # The process was full, and no longer is.
-                small.append(key)
-            elif needed <= room:
+            if needed <= room:
                 room -= needed
                 chosen.append(key)
             else:
@@ -446,26 +461,37 @@
             ):
                 # It is almost alone, and larger than all of the room.
                 chosen.append(others.pop(0))
-        refuse = self._idle_holders() + self._victims(
-            slow, chosen, others, room
-        )
-        refused = set(refuse)
         for key in chosen:
             self._accounts[key].has_room = True
-        wait = []
         for key in others:
+            self._accounts[key].has_room = False
+        return chosen, others, room
+
+    def _make_wait(self, keys: list[Key], now_s: float) -> list[Key]:
+        """Have bodies wait for room; those that did not wait before."""
+        begun = []
+        for key in keys:
             account = self._accounts[key]
-            account.has_room = False
-            if key in refused:
-                continue
             if not account.waits:
                 self._set_waiting(account, True)
-                wait.append(key)
-            if account.waits_since_s is None:
-                account.waits_since_s = now_s
-            elif may_rate and now_s - account.waits_since_s >= MAX_WAIT_S:
-                refuse.append(key)
-        return Actions(refuse, wait, self._resume(small + chosen, now_s))
+                begun.append(key)
+            account.waits_since_s = min(account.waits_since_s, now_s)
+        return begun
+
+    def _waited_too_long(self, keys: list[Key], now_s: float) -> list[Key]:
+        return [
+            key
+            for key in keys
+            if now_s - self._accounts[key].waits_since_s >= MAX_WAIT_S
+        ]
+
+    def _waiting_small(self) -> list[Key]:
+        """Requests that waited as the process was full, and it isn't now."""
+        return [
+            key
+            for key, account in self._accounts.items()
+            if account.waits and not self._needs_room(account)
+        ]
 
     def to_close(self, count: int, newest: Key) -> list[Key]:
         """The connections to close where there are too many.
