--- a/src/guavachute/assembly/router.py
+++ b/src/guavachute/assembly/router.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.decide.members import address_answer
 from guavachute.document import schema
 from guavachute.http import server
@@ -111,8 +111,8 @@
             router_settings.port,
             self.front.handle,
             reuse_port=router_settings.reuse_port,
-            limits=budget.limits(
-                round(router_settings.memory_mb * budget.MEGABYTE),
+            limits=process_limits.for_callers(
+                round(router_settings.memory_mb * process_limits.MEGABYTE),
                 router_settings.max_descriptors or _descriptor_limit(),
             ),
             request_cost=request_cost.request_cost,
--- a/src/guavachute/decide/ingress/intake/budget.py
+++ b/src/guavachute/decide/ingress/intake/budget.py
@@ -14,19 +14,7 @@
 import math
 import typing
 
-MEGABYTE = 1_048_576
-
-BASE_BYTES = 64 * MEGABYTE
-"""Memory of the process without callers: 38 MB when idle, and the state of a
-large site."""
-
-HELD_FRACTION = 0.5
-"""Fraction of the remaining memory that callers may hold. The other half is
-for answers that are being buffered, for the copies of a body while it is
-checked and sent, and for the fragmentation of the heap."""
-
-MIN_HELD_BYTES = 16 * MEGABYTE
-"""Room for one request at the default limits, also on a smaller VM."""
+from guavachute.decide.ingress.intake import process_limits
 
 SHORT_FRACTION = 0.5
 """Above this fraction of the budget, large bodies need room before they are
@@ -52,17 +40,6 @@
 TINY_BYTES = 4_096
 """What is read of each request even then."""
 
-UNREAD_FRACTION = 0.25
-"""Fraction of the remaining memory for what the operating system has received
-on all connections and the process has not read."""
-
-MIN_UNREAD_BYTES = 8_192
-"""A connection can't do with less: it is the unit in which a peer sends."""
-
-MAX_UNREAD_BYTES = 65_536
-"""What is received of a large body before it is read, as long as there is room
-for it. A network of 20 ms carries 3 MB/s with it."""
-
 LONE_FRACTION = 1.5
 """A request that is almost alone may hold this multiple of the budget."""
 
@@ -86,15 +63,6 @@
 room. At this rate, a body of the default limit takes a minute, four times the
 time that a caller has for it."""
 
-RESERVED_DESCRIPTORS = 64
-"""Descriptors that callers leave at least to endpoints, nodes and the
-store."""
-
-RESERVED_DESCRIPTOR_FRACTION = 0.25
-
-MIN_QUERY_BYTES = 1_048_576
-MIN_QUERY_CONNECTIONS = 8
-
 CONNECTION_BYTES = 6_144
 """What a connection costs by itself: its objects, parser and timers."""
 
@@ -119,69 +87,6 @@
     """The last answer was sent, and the connection is being closed."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
-    """What all callers of a process may hold.
-
-    :ivar held_bytes: bytes, as they are counted here
-    :ivar connections: open connections
-    :ivar unread_bytes: what the operating system receives on a connection
-        before it is read
-    """
-
-    held_bytes: int
-    connections: int
-    unread_bytes: int = MIN_UNREAD_BYTES
-
-
-def limits(memory_bytes: int, max_descriptors: int) -> Limits:
-    """The limits of a process that has a VM with that memory."""
-    reserved = min(
-        max(
-            RESERVED_DESCRIPTORS,
-            round(RESERVED_DESCRIPTOR_FRACTION * max_descriptors),
-        ),
-        max_descriptors // 2,
-    )
-    spare_bytes = max(MIN_HELD_BYTES, memory_bytes - BASE_BYTES)
-    unread_bytes = round(UNREAD_FRACTION * spare_bytes)
-    connections = max(
-        1, min(max_descriptors - reserved, unread_bytes // MIN_UNREAD_BYTES)
-    )
-    return Limits(
-        max(MIN_HELD_BYTES, round(HELD_FRACTION * spare_bytes)),
-        connections,
-        min(MAX_UNREAD_BYTES, unread_bytes // connections),
-    )
-
-
-class Queries(enum.Enum):
-    """Small requests beside those of callers.
-
-    The value is the fraction of the spare memory, and of all descriptors, that
-    their connections may hold.
-    """
-
-    ADDRESSES = 1 / 16
-    """Of callers, for the addresses of nodes."""
-    PEERS = 1 / 16
-    """Of other nodes, for what they have missed."""
-    STATUS = 1 / 64
-    """Of the platform and collectors, for readiness or metrics."""
-
-
-def query_limits(
-    memory_bytes: int, max_descriptors: int, queries: Queries
-) -> Limits:
-    """The limits of an address for *queries* of such a process."""
-    spare_bytes = max(MIN_HELD_BYTES, memory_bytes - BASE_BYTES)
-    return Limits(
-        max(MIN_QUERY_BYTES, round(queries.value * spare_bytes)),
-        max(MIN_QUERY_CONNECTIONS, round(queries.value * max_descriptors)),
-        MIN_UNREAD_BYTES,
-    )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
     """What a connection holds.
@@ -284,7 +189,9 @@
     :ivar is_short: whether large bodies need room before they are read
     """
 
-    def __init__(self, allowed: Limits, copies: int = 1) -> None:
+    def __init__(
+        self, allowed: process_limits.Limits, copies: int = 1
+    ) -> None:
         self._limits = allowed
         self._copies = copies
         self._accounts: dict[Key, _Account] = {}
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -5,6 +5,7 @@
 import typing
 
 from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import http1
@@ -246,7 +247,7 @@
 
     def _widen_receiving(self) -> None:
         """Receive a large body faster, if there is room."""
-        extra_bytes = budget.MAX_UNREAD_BYTES - self._unread_bytes
+        extra_bytes = process_limits.MAX_UNREAD_BYTES - self._unread_bytes
         if (
             self._intake is not None
             and self._state is _State.READING
@@ -258,7 +259,7 @@
             # The peer may fill the buffer later too, so that it counts until
             # the connection is closed.
             self._widened_bytes = extra_bytes
-            self._connection.limit_receiving(budget.MAX_UNREAD_BYTES)
+            self._connection.limit_receiving(process_limits.MAX_UNREAD_BYTES)
 
     def stop_reading(self) -> None:
         """Leave what arrives to the operating system."""
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -5,7 +5,7 @@
 
 from guavachute.decide import crash
 from guavachute.decide.ingress import crashing_parts
-from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.decide.ingress import kept_bytes as answer_bytes
 from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
@@ -125,7 +125,9 @@
         self.registry = registry
         intake = guard.Guard(
             loop,
-            budget.limits(site.memory_bytes, site.max_descriptors),
+            process_limits.for_callers(
+                site.memory_bytes, site.max_descriptors
+            ),
             metrics,
         )
         self.paths = endpoint_paths.EndpointPaths(
--- a/src/guavachute/entry/intake/guard.py
+++ b/src/guavachute/entry/intake/guard.py
@@ -3,6 +3,7 @@
 import typing
 
 from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.entry import loop as entry_loop
 from guavachute.observe import journal
 from guavachute.observe import metrics as observe_metrics
@@ -55,7 +56,7 @@
     def __init__(
         self,
         loop: entry_loop.Loop,
-        limits: budget.Limits,
+        limits: process_limits.Limits,
         metrics: observe_metrics.Metrics | None = None,
         name: str = 'intake',
     ) -> None:
--- a/src/guavachute/entry/query_server.py
+++ b/src/guavachute/entry/query_server.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.domain import call
 from guavachute.domain import log_position
 from guavachute.domain import site as domain_site
@@ -26,7 +26,7 @@
 ]
 
 _Handler = tuple[
-    str, ids.Address, plain_server.Handler, budget.Queries
+    str, ids.Address, plain_server.Handler, process_limits.Queries
 ]  # fmt: skip
 """The name of an address, it, who answers, and what is asked there."""
 
@@ -60,7 +60,7 @@
                 handler,
                 guard.Guard(
                     loop,
-                    budget.query_limits(
+                    process_limits.for_queries(
                         site.memory_bytes, site.max_descriptors, queries
                     ),
                     metrics,
@@ -79,7 +79,7 @@
         listen, ip = self._site.listen, self._site.ip
         peers = ids.Address(f'{ip}:{listen.peers_port}')
         metrics = ids.Address(f'{ip}:{listen.metrics_port}')
-        queries = budget.Queries
+        queries = process_limits.Queries
         handlers: list[_Handler] = [
             ('peers', peers, self._answer_peer, queries.PEERS),
             ('metrics', metrics, self._answer_metrics, queries.STATUS),
--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -8,15 +8,14 @@
 import collections
 import contextlib
 import dataclasses
-import io
 import socket
 import threading
 import time
 import typing
 
-import httptools
-
 from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
+from guavachute.http import request_framing
 from guavachute.kernel import poller
 from guavachute.kernel import receiving
 from guavachute.observe import logs
@@ -57,62 +56,9 @@
 """With too many connections, this part of their number is closed at a
 time, as finding them takes longer with many."""
 
-LONE_FRACTION = 1.5
-"""A request that is almost alone may cost this multiple of the budget. The
-budget is half of the memory beyond what the process itself needs, so a quarter
-of that memory is left for buffered answers."""
-
-_BODY_HEADERS = {b'content-length', b'transfer-encoding'}
-
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class _Received(io.RawIOBase):
-    """The bytes of requests that have been read already."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._data = memoryview(b'')
-
-    def fill(self, data: bytearray) -> None:
-        """Return *data* to the reader, and then the end of the file."""
-        self._data = memoryview(data)
-
-    def readable(self) -> bool:
-        """Whether it can be read, which it can."""
-        return True
-
-    def readinto(self, buffer: typing.Any) -> int:
-        """Copy the next bytes into *buffer*; 0 if there are no more."""
-        count = min(len(buffer), len(self._data))
-        buffer[:count] = self._data[:count]
-        self._data = self._data[count:] if count < len(self._data) else (
-            memoryview(b'')
-        )  # fmt: skip
-        return count
-
-
-class RequestFile(io.BufferedReader):
-    """What a worker thread reads of a connection.
-
-    :ivar bytes_read: not counted; cheroot expects it
-    """
-
-    bytes_read = 0
-
-    def __init__(self) -> None:
-        self._received = _Received()
-        super().__init__(self._received)
-
-    def fill(self, data: bytearray) -> None:
-        """Let a whole request be read."""
-        self._received.fill(data)
-
-    def has_data(self) -> bool:
-        """Whether cheroot should read the next request at once; never."""
-        return False
-
-
 class Connection(typing.Hashable, typing.Protocol):
     """A connection of the HTTP server.
 
@@ -123,81 +69,13 @@
     """
 
     socket: socket.socket
-    rfile: RequestFile
+    rfile: request_framing.RequestFile
     widened_bytes: int
 
     def close(self) -> None:
         """Close it."""
 
 
-class _Framing:
-    """Finds the end of a request; the worker parses it again.
-
-    :ivar is_complete: whether it has ended, or can't be parsed
-    :ivar is_in_head: whether its head has not ended
-    :ivar length: of the body; None if the body is chunked
-    """
-
-    def __init__(self) -> None:
-        self._parser = httptools.HttpRequestParser(self)
-        self.is_complete = False
-        self.is_in_head = True
-        self.length: int | None = 0
-        self.body_bytes = 0
-        self.headers = 0
-        self.expects_continue = False
-        self._body_lines: list[bytes] = []
-
-    def feed(self, data: bytes) -> None:
-        """Parse the next bytes."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            if not self.is_complete:
-                self._ignore_upgrade()
-                self.feed(data[upgrade.args[0] :])
-        except httptools.HttpParserError:
-            self.is_complete = True
-
-    def _ignore_upgrade(self) -> None:
-        """Go on with the body behind a head that offers another protocol.
-
-        The parser ends at such a head, so another one gets the headers that
-        describe the body.
-        """
-        lines = [b'POST / HTTP/1.1', *self._body_lines]
-        self.headers -= len(self._body_lines)
-        self._parser = httptools.HttpRequestParser(self)
-        self.feed(b'\r\n'.join(lines) + b'\r\n\r\n')
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Parser callback: a header or a trailer."""
-        self.headers += 1
-        lower = name.lower()
-        if self.is_in_head and lower in _BODY_HEADERS:
-            self._body_lines.append(b'%s: %s' % (lower, value))
-        if lower == b'content-length' and self.length is not None:
-            with contextlib.suppress(ValueError):
-                self.length = int(value)
-        elif lower == b'transfer-encoding':
-            self.length = None
-        elif lower == b'expect':
-            self.expects_continue = True
-
-    def on_headers_complete(self) -> None:
-        """Parser callback: the head is complete."""
-        self.is_in_head = False
-
-    def on_body(self, data: bytes) -> None:
-        """Parser callback: a part of the body."""
-        self.body_bytes += len(data)
-
-    def on_message_complete(self) -> None:
-        """Parser callback: the request is complete."""
-        if not self._parser.should_upgrade():
-            self.is_complete = True
-
-
 @dataclasses.dataclass(slots=True)
 class _Reading:
     """A connection whose request is being read.
@@ -210,7 +88,9 @@
     heard_s: float
     begun_s: float | None = None
     data: bytearray = dataclasses.field(default_factory=bytearray)
-    framing: _Framing = dataclasses.field(default_factory=_Framing)
+    framing: request_framing.Framing = dataclasses.field(
+        default_factory=request_framing.Framing
+    )
     received_bytes: int = 0
     phase: budget.Phase = budget.Phase.IDLE
     is_waiting: bool = False
@@ -234,7 +114,7 @@
         number if that exceeds the second argument
     """
 
-    limits: budget.Limits
+    limits: process_limits.Limits
     max_head_bytes: int
     max_body_bytes: int
     read_timeout_s: float
@@ -448,7 +328,7 @@
         """Receive a large body faster, if there is room."""
         connection = reading.connection
         unread_bytes = self._bounds.limits.unread_bytes
-        extra_bytes = budget.MAX_UNREAD_BYTES - unread_bytes
+        extra_bytes = process_limits.MAX_UNREAD_BYTES - unread_bytes
         if (
             extra_bytes > 0
             and not connection.widened_bytes
@@ -458,7 +338,9 @@
         ):
             connection.widened_bytes = extra_bytes
             with contextlib.suppress(OSError):
-                receiving.limit(connection.socket, budget.MAX_UNREAD_BYTES)
+                receiving.limit(
+                    connection.socket, process_limits.MAX_UNREAD_BYTES
+                )
 
     def _update(self, reading: _Reading) -> bool:
         """Count what is held; whether the connection has to wait."""
@@ -479,7 +361,7 @@
         """Let a worker serve a request that was read."""
         connection, data = reading.connection, reading.data
         self._update(reading)
-        limit = round(LONE_FRACTION * self._bounds.limits.held_bytes)
+        limit = round(budget.LONE_FRACTION * self._bounds.limits.held_bytes)
         cost = self._bounds.body_cost(data, limit)
         extra = max(0, cost - len(data))
         if (
@@ -511,7 +393,7 @@
         if reading.is_waiting:
             self._read_again(reading)
         reading.data = bytearray()
-        reading.framing = _Framing()
+        reading.framing = request_framing.Framing()
         reading.phase = budget.Phase.LINGERING
         reading.heard_s = self._now_s
         self._update(reading)
--- a/src/guavachute/http/server.py
+++ b/src/guavachute/http/server.py
@@ -19,9 +19,10 @@
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 
-from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.http import intake
 from guavachute.http import message
+from guavachute.http import request_framing
 from guavachute.kernel import receiving
 from guavachute.kernel import task
 from guavachute.observe import logs
@@ -51,7 +52,7 @@
         super().__init__(server, *arguments)
         if server.reader is not None:
             self.rfile.close()
-            self.rfile: typing.Any = intake.RequestFile()
+            self.rfile: typing.Any = request_framing.RequestFile()
         self._detached_threads: set[int] = set()
         self.widened_bytes = 0
         with server.live_lock:
@@ -314,7 +315,7 @@
         threads: int = WORKER_THREADS,
         max_body_bytes: int = MAX_BODY_BYTES,
         read_timeout_s: int = READ_TIMEOUT_S,
-        limits: budget.Limits | None = None,
+        limits: process_limits.Limits | None = None,
         request_cost: RequestCost = lambda data, limit: 2 * len(data),
         count: typing.Callable[[str], None] = lambda name: None,
     ) -> None:
--- a/src/guavachute/kernel/poller.py
+++ b/src/guavachute/kernel/poller.py
@@ -44,19 +44,19 @@
 
     def register(self, file: typing.Any, events: int, data: object) -> None:
         """Watch *file*; raises ``OSError`` or ``ValueError`` if closed."""
-        descriptor = file if isinstance(file, int) else file.fileno()
+        descriptor = _descriptor(file)
         self._epoll.register(descriptor, _epoll_events(events))
         self._watched[descriptor] = Watched(file, descriptor, events, data)
 
     def modify(self, file: typing.Any, events: int, data: object) -> None:
         """Replace the events and the data of a watched file."""
-        descriptor = file if isinstance(file, int) else file.fileno()
+        descriptor = _descriptor(file)
         self._epoll.modify(descriptor, _epoll_events(events))
         self._watched[descriptor] = Watched(file, descriptor, events, data)
 
     def unregister(self, file: typing.Any) -> None:
         """Stop watching *file*, which may be closed already."""
-        descriptor = file if isinstance(file, int) else file.fileno()
+        descriptor = _descriptor(file)
         if descriptor < 0:
             descriptor = next(
                 watched.descriptor
@@ -93,6 +93,11 @@
         self._epoll.close()
 
 
+def _descriptor(file: typing.Any) -> int:
+    """The descriptor of *file*; negative if it is closed."""
+    return file if isinstance(file, int) else file.fileno()
+
+
 def _epoll_events(events: int) -> int:
     bits = 0
     for event, bit in _EPOLL_EVENTS.items():
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.http import message
 from guavachute.http import server
 from guavachute.services import request_cost
@@ -76,7 +76,7 @@
         self.assertEqual(200, self.get_status(served, '/'))
 
 
-LIMITS = budget.Limits(1_000_000, 50)
+LIMITS = process_limits.Limits(1_000_000, 50)
 BODY_BYTES = 200_000
 
 
--- a/tests/cover/test_intake_budget.py
+++ b/tests/cover/test_intake_budget.py
@@ -7,8 +7,9 @@
 import unittest
 
 from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 
-MEGABYTE = budget.MEGABYTE
+MEGABYTE = process_limits.MEGABYTE
 LIMIT_BYTES = 40 * MEGABYTE
 BODY_BYTES = 4 * MEGABYTE
 
@@ -27,7 +28,7 @@
 class BudgetTest(unittest.TestCase):
     def setUp(self) -> None:
         self.budget: budget.Budget[str] = budget.Budget(
-            budget.Limits(LIMIT_BYTES, 1_000)
+            process_limits.Limits(LIMIT_BYTES, 1_000)
         )
 
     def stall(self, count: int, short_by: int = 10) -> None:
@@ -194,7 +195,7 @@
     def test_idle_and_unfinished_connections_are_closed_first(self) -> None:
         """Guards against connections that take all descriptors."""
         counted: budget.Budget[str] = budget.Budget(
-            budget.Limits(LIMIT_BYTES, 3)
+            process_limits.Limits(LIMIT_BYTES, 3)
         )
         phases = budget.Phase
         for now_s, (name, phase) in enumerate(
@@ -213,14 +214,14 @@
         )
 
     def test_limits_follow_the_vm(self) -> None:
-        small = budget.limits(160 * MEGABYTE, 1_638)
-        large = budget.limits(552 * MEGABYTE, 10_250)
+        small = process_limits.for_callers(160 * MEGABYTE, 1_638)
+        large = process_limits.for_callers(552 * MEGABYTE, 10_250)
         self.assertEqual(48 * MEGABYTE, small.held_bytes)
         self.assertEqual(244 * MEGABYTE, large.held_bytes)
         self.assertEqual(
             (1_228, 7_688), (small.connections, large.connections)
         )
         # The default limits of a request fit in on every VM.
-        tiny = budget.limits(32 * MEGABYTE, 64)
+        tiny = process_limits.for_callers(32 * MEGABYTE, 64)
         self.assertGreaterEqual(tiny.held_bytes, 3 * BODY_BYTES)
         self.assertEqual(32, tiny.connections)
--- a/tests/cover/test_unread_bytes.py
+++ b/tests/cover/test_unread_bytes.py
@@ -7,6 +7,7 @@
 
 from guavachute.decide.ingress import endpoint_links
 from guavachute.decide.ingress.intake import budget
+from guavachute.decide.ingress.intake import process_limits
 from guavachute.domain import configuration
 from guavachute.entry import http1
 from guavachute.entry.intake import guard
@@ -20,7 +21,7 @@
 from tests.support import misbehaving
 from tests.support import platform_site
 
-MEGABYTE = budget.MEGABYTE
+MEGABYTE = process_limits.MEGABYTE
 UNREAD_BYTES = 16_384
 
 
@@ -158,7 +159,7 @@
             unused,
             configuration.CallerLimits,
             unused,
-            guard.Guard(loop, budget.Limits(1_000, 10)),
+            guard.Guard(loop, process_limits.Limits(1_000, 10)),
         )
         self.addCleanup(server.close)
         connection = platform_site.CallerSocket(loop, server.address)
@@ -187,20 +188,22 @@
     """Crowds whose bytes wait in the operating system."""
 
     def setUp(self) -> None:
-        self.limits = budget.limits(160 * MEGABYTE, 4_096)
+        self.limits = process_limits.for_callers(160 * MEGABYTE, 4_096)
         self.budget: budget.Budget[int] = budget.Budget(self.limits)
 
     def test_all_that_is_not_read_fits_into_the_memory(self) -> None:
         for memory_mb in (32, 80, 120, 160, 300, 552):
             for descriptors in (64, 1_024, 4_096, 16_384):
-                limits = budget.limits(memory_mb * MEGABYTE, descriptors)
+                limits = process_limits.for_callers(
+                    memory_mb * MEGABYTE, descriptors
+                )
                 unread_bytes = limits.connections * limits.unread_bytes
                 spare_bytes = max(
-                    budget.MIN_HELD_BYTES,
-                    memory_mb * MEGABYTE - budget.BASE_BYTES,
+                    process_limits.MIN_HELD_BYTES,
+                    memory_mb * MEGABYTE - process_limits.BASE_BYTES,
                 )
                 self.assertLessEqual(
-                    unread_bytes, budget.UNREAD_FRACTION * spare_bytes
+                    unread_bytes, process_limits.UNREAD_FRACTION * spare_bytes
                 )
 
     def test_a_body_that_waits_counts_what_may_be_unread(self) -> None:
