Leave half of each address's budget to more than its idle connections

What callers would have met: with very many descriptors and little memory, the connections that the directory, peers', readiness or metrics address may have cost as much as its whole budget by themselves, so that idle ones alone made it refuse every query (1.5 MB of connections for a budget of 1 MB).

Cause: their number followed from the descriptors alone.

Measured: the new test fails before (1,572,864 bytes beside 524,288) and passes now.

--- a/src/guavachute/decide/ingress/intake/process_limits.py
+++ b/src/guavachute/decide/ingress/intake/process_limits.py
@@ -43,6 +43,10 @@
 
 MIN_QUERY_CONNECTIONS = 8
 
+QUERY_CONNECTION_BYTES = 16_384
+"""Each connection has so much of the budget of its address, so that idle ones
+alone don't use it up."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
@@ -108,9 +112,13 @@
 ) -> Limits:
     """The limits of an address for *queries*; parameters as above."""
     fraction = _QUERY_FRACTIONS[queries]
+    held_bytes = max(
+        MIN_QUERY_BYTES, round(fraction * _spare_bytes(memory_bytes))
+    )
+    connections = max(MIN_QUERY_CONNECTIONS, round(fraction * max_descriptors))
     return Limits(
-        max(MIN_QUERY_BYTES, round(fraction * _spare_bytes(memory_bytes))),
-        max(MIN_QUERY_CONNECTIONS, round(fraction * max_descriptors)),
+        held_bytes,
+        min(connections, held_bytes // QUERY_CONNECTION_BYTES),
         MIN_UNREAD_BYTES,
     )
 
--- a/tests/cover/test_unread_bytes.py
+++ b/tests/cover/test_unread_bytes.py
@@ -206,6 +206,23 @@
                     unread_bytes, process_limits.UNREAD_FRACTION * spare_bytes
                 )
 
+    def test_idle_connections_do_not_fill_a_budget(self) -> None:
+        """Guards against addresses that refuse all, as many are connected."""
+        for memory_mb in (32, 120, 160, 300, 552):
+            for descriptors in (64, 1_024, 4_096, 16_384):
+                settings = memory_mb * MEGABYTE, descriptors
+                found = [process_limits.for_callers(*settings)]
+                found += [
+                    process_limits.for_queries(*settings, queries)
+                    for queries in process_limits.Queries
+                ]
+                self.assertEqual(4, len(found))
+                for limits in found:
+                    self.assertLessEqual(
+                        limits.connections * budget.CONNECTION_BYTES,
+                        budget.SHORT_FRACTION * limits.held_bytes,
+                    )
+
     def test_a_body_that_waits_counts_what_may_be_unread(self) -> None:
         usage = budget.Usage(budget.Phase.READING, 100_000, 4 * MEGABYTE)
         self.budget.record(1, usage, 0.0)
