--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -5,22 +5,17 @@
 import typing
 
 from guavachute.decide.ingress.intake import budget
-from guavachute.decide.ingress.intake import process_limits
 from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import http1
 from guavachute.entry.intake import guard
+from guavachute.entry.intake import receive_window
 from guavachute.entry import loop as entry_loop
 from guavachute.entry import transport
 from guavachute import ids
 from guavachute.observe import journal
 from guavachute.platform import requests
 
-MAX_UNPARSED_BYTES = 65_536
-"""With more bytes than this behind the request that is being served, a
-connection is not read. They are parsed later, as the objects of a parsed
-request cost many times its bytes."""
-
 PARSED_AT_ONCE_BYTES = 8_192
 """Bytes that may hold several requests are parsed in parts of this size, so
 that few requests are parsed before they are served."""
@@ -145,8 +140,7 @@
         self._serving_bytes = 0
         self._waits_for_room = False
         self._awaited_sent_bytes = -1
-        self._unread_bytes = 0 if intake is None else intake.unread_bytes
-        self._widened_bytes = 0
+        self._window = receive_window.ReceiveWindow(connection, intake)
         connection.owner = self
         self._start_timer(limits.idle_timeout_s)
         if intake is not None:
@@ -169,7 +163,7 @@
             self._reader.held_bytes
             + self._unparsed_bytes
             + self._serving_bytes
-            + self._widened_bytes
+            + self._window.widened_bytes
             + unsent_bytes
         )
         if unsent_bytes:
@@ -178,7 +172,7 @@
                 phase = budget.Phase.SENDING
         if phase in (budget.Phase.SERVING, budget.Phase.SENDING):
             # Further requests may wait in the operating system.
-            held_bytes += self._unread_bytes
+            held_bytes += self._window.unread_bytes
         return budget.Usage(
             phase,
             held_bytes,
@@ -198,7 +192,8 @@
             self._parse()
             if not self._answers_are_behind:
                 self._serve_next()
-        self._widen_receiving()
+        if self._state is _State.READING:
+            self._window.widen(self._reader.remaining_bytes)
         self._update_reading()
         self._update_usage()
 
@@ -229,38 +224,16 @@
     def _update_reading(self) -> None:
         if self._state is not _State.LINGERING and (
             self._waits_for_room
-            or self._unparsed_bytes > self._max_unparsed_bytes
+            or self._unparsed_bytes > self._window.max_unparsed_bytes
         ):
             self._connection.pause(notices_close=True)
         else:
             self._connection.resume()
 
-    @property
-    def _max_unparsed_bytes(self) -> int:
-        if self._intake is None:
-            return MAX_UNPARSED_BYTES
-        return self._unread_bytes if self._intake.reads_ahead else 0
-
     def _update_usage(self) -> None:
         if self._intake is not None and self._state is not _State.CLOSED:
             self._intake.update(self)
 
-    def _widen_receiving(self) -> None:
-        """Receive a large body faster, if there is room."""
-        extra_bytes = process_limits.MAX_UNREAD_BYTES - self._unread_bytes
-        if (
-            self._intake is not None
-            and self._state is _State.READING
-            and not self._widened_bytes
-            and extra_bytes > 0
-            and self._reader.remaining_bytes > self._unread_bytes
-            and self._intake.has_spare(extra_bytes)
-        ):
-            # The peer may fill the buffer later too, so that it counts until
-            # the connection is closed.
-            self._widened_bytes = extra_bytes
-            self._connection.limit_receiving(process_limits.MAX_UNREAD_BYTES)
-
     def stop_reading(self) -> None:
         """Leave what arrives to the operating system."""
         self._waits_for_room = True
