--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -130,18 +130,6 @@
             ),
             metrics,
         )
-        self.paths = endpoint_paths.EndpointPaths(
-            loop,
-            site,
-            registry,
-            relays,
-            metrics,
-            lambda: state.limits,
-            self.handle_announcement,
-            intake,
-        )
-        self.paths.on_failing = self._abandon_silent
-        self.paths.on_unreachable = self._withdraw_from
         self._site = site
         self._state = state
         self._peers = peers
@@ -152,6 +140,7 @@
         self.handle_result = rollouts.handle_result
         self.handle_released = rollouts.handle_released
         self._on_run_started = on_run_started
+        self.paths = self._open_paths(relays, intake)
         self.admission = gate.Gate(
             loop, site, state, peers, metrics, self._stop_refusal
         )
@@ -175,6 +164,24 @@
         metrics.gauge('requests_open', lambda: len(self._exchanges))
         metrics.gauge('kept_answer_bytes', lambda: self._kept.total_bytes)
 
+    def _open_paths(
+        self, relays: relay_peers.RelayPeers, intake: guard.Guard
+    ) -> endpoint_paths.EndpointPaths:
+        """The ways to endpoints, also for requests of other nodes."""
+        paths = endpoint_paths.EndpointPaths(
+            self.loop,
+            self._site,
+            self.registry,
+            relays,
+            self._metrics,
+            lambda: self.limits,
+            self.handle_announcement,
+            intake,
+        )
+        paths.on_failing = self._abandon_silent
+        paths.on_unreachable = self._withdraw_from
+        return paths
+
     # -- the callers ---------------------------------------------------
 
     @property
