Log what arrives on connections that had been closed

The line `connection` with `late-bytes` says how much arrived, how much of it was read, why and when the connection was closed, and how long it had been idle. No decision changes.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -7,6 +7,7 @@
 from guavachute.decide.ingress.intake import budget
 from guavachute.domain import call
 from guavachute.domain import configuration
+from guavachute.entry.closing import late_bytes
 from guavachute.entry import http1
 from guavachute.entry.intake import guard
 from guavachute.entry.intake import receive_window
@@ -140,6 +141,8 @@
         self._serving_bytes = 0
         self._waits_for_room = False
         self._awaited_sent_bytes = -1
+        self._late_bytes: late_bytes.LateBytes | None = None
+        self._idle_since_s = loop.now_s
         self._window = receive_window.ReceiveWindow(connection, intake)
         connection.owner = self
         self._start_timer(limits.idle_timeout_s)
@@ -183,7 +186,8 @@
 
     def received(self, data: bytes) -> None:
         """Parse bytes of requests, and serve the next complete one."""
-        if self._state is _State.LINGERING:
+        if self._late_bytes is not None:
+            self._late_bytes.read_bytes += len(data)
             return
         self._received_bytes += len(data)
         self._unparsed.append(memoryview(data))
@@ -267,6 +271,8 @@
             return
         if self._state is _State.READING and self._reader.is_reading_request:
             self._send_rejection(503, SHORTAGE_RETRY_S)
+        if self._state is _State.IDLE:
+            self._note_close(late_bytes.Reason.SHORTAGE)
         if self._state in (_State.IDLE, _State.LINGERING):
             self._close()
 
@@ -363,7 +369,11 @@
             # A request may have arrived during this turn of the loop.
             self._connection.receive_now()
         if self._state is _State.IDLE:
-            self._linger()
+            self._linger(
+                late_bytes.Reason.STOP
+                if self._handler.is_stopping
+                else late_bytes.Reason.IDLE
+            )
 
     def _serve_next(self) -> None:
         if self._reader.requests:
@@ -375,8 +385,12 @@
                 self._state = _State.READING
                 self._start_timer(self._handler.limits.head_timeout_s)
         elif self._state is not _State.IDLE:
-            self._state = _State.IDLE
-            self._start_timer(self._handler.limits.idle_timeout_s)
+            self._become_idle()
+
+    def _become_idle(self) -> None:
+        self._state = _State.IDLE
+        self._idle_since_s = self._loop.now_s
+        self._start_timer(self._handler.limits.idle_timeout_s)
 
     def _start_request(self, request: http1.Request) -> None:
         if self._loop.is_catching_up and self._connection.has_peer_closed:
@@ -430,8 +444,7 @@
         elif self._reader.is_reading_request:
             self._start_timer(self._handler.limits.head_timeout_s)
         else:
-            self._state = _State.IDLE
-            self._start_timer(self._handler.limits.idle_timeout_s)
+            self._become_idle()
         self._update_usage()
 
     def _reject(self, status: int) -> None:
@@ -453,8 +466,17 @@
         self._connection.write(http1.encode_head(status, headers, 0, True))
         self._linger()
 
-    def _linger(self) -> None:
+    def _note_close(self, reason: late_bytes.Reason) -> None:
+        now_s = self._loop.now_s
+        self._late_bytes = late_bytes.LateBytes(
+            reason, now_s, now_s - self._idle_since_s
+        )
+
+    def _linger(
+        self, reason: late_bytes.Reason = late_bytes.Reason.ANSWERED
+    ) -> None:
         self._state = _State.LINGERING
+        self._note_close(reason)
         self._discard_unserved()
         self._start_timer(LINGER_S)
         if self._connection.unsent_bytes:
@@ -518,6 +540,8 @@
         if self._state is _State.CLOSED:
             return
         self._state = _State.CLOSED
+        if self._late_bytes is not None:
+            self._late_bytes.report(self._connection, self._loop.now_s)
         self._cancel_timer()
         self._reader.discard()
         self._unparsed.clear()
--- /dev/null
+++ b/src/guavachute/entry/closing/__init__.py
@@ -0,0 +1,1 @@
+"""Carries out how connections of callers are closed."""
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -2,8 +2,10 @@
 
 import collections
 import errno
+import fcntl
 import socket
 import struct
+import termios
 import typing
 
 from guavachute.decide import keepalive
@@ -20,6 +22,7 @@
 
 
 _LINGER = struct.Struct('ii')
+_INT = struct.Struct('i')
 
 
 class Owner(typing.Protocol):
@@ -67,6 +70,7 @@
         self._unsent: collections.deque[memoryview] = collections.deque()
         self._events = 0
         self._has_failed = False
+        self._unread_bytes_at_close = 0
         self.unsent_bytes = 0
         self.written_bytes = 0
         self.is_closed = False
@@ -107,6 +111,23 @@
         except OSError:
             return True
 
+    @property
+    def unread_bytes(self) -> int:
+        """The length of what has arrived and was not read.
+
+        Once closed, what it was then if reading had been paused.
+        """
+        if self.is_closed:
+            return self._unread_bytes_at_close
+        try:
+            answer = fcntl.ioctl(
+                self._socket, termios.FIONREAD, bytes(_INT.size)
+            )
+        except OSError:
+            # The connection has broken.
+            return 0
+        return int(_INT.unpack(answer)[0])
+
     def limit_receiving(self, unread_bytes: int) -> None:
         """Limit what the operating system receives before it is read.
 
@@ -163,6 +184,8 @@
         """Close; unsent bytes are discarded."""
         if self.is_closed:
             return
+        if not self._is_reading:
+            self._unread_bytes_at_close = self.unread_bytes
         self.is_closed = True
         if self._events:
             self._loop.unwatch(self._socket)
