--- a/src/guavachute/standin/platform/engine.py
+++ b/src/guavachute/standin/platform/engine.py
@@ -229,6 +229,7 @@
         self.slots = slots
         self.behaviour = Behaviour.NORMAL
         self.event_pause_s = 0.0
+        self.padding_bytes = 0
         self.incarnation = 1
         self.build = 'v1'
         self.version: version.Version | None = None
@@ -471,7 +472,7 @@
         )
 
     def _answer_plain(self, answer: server.Answer) -> None:
-        body = b'answer of ' + self.name.encode()
+        body = b'answer of ' + self.name.encode() + bytes(self.padding_bytes)
         headers = self._headers(answer)
         if self.behaviour is Behaviour.UNSIGNED:
             headers = [item for item in headers if item[0] != b'Server-Stamp']
--- /dev/null
+++ b/tests/cover/test_crossed_closes.py
@@ -0,0 +1,182 @@
+"""Requests that are on their way when their connection is to be closed."""
+
+import errno
+import socket
+import typing
+import unittest
+
+from guavachute.domain import configuration
+from guavachute.entry import callers
+from guavachute.entry import http1
+from guavachute.entry import loop as entry_loop
+from guavachute.entry import node as entry_node
+from guavachute.entry import transport
+from tests.support import looping
+from tests.support import platform_site
+
+LIMITS = {
+    'maxHeaderBytes': 4_096,
+    'maxBodyBytes': 65_536,
+    'headerTimeoutMs': 300,
+}
+
+REQUEST = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'
+
+
+class CrossedClosesTest(unittest.TestCase):
+    """Callers that do not know yet what their node has decided."""
+
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+        self.addCleanup(self.site.close)
+        self.configure(1, idle_s=2.0)
+        self.plain = self.site.add_engine('e1', platform_site.PLAIN_SERVICE)
+
+    def configure(self, version: int, idle_s: float) -> None:
+        limits = {**LIMITS, 'idleTimeoutMs': round(1_000 * idle_s)}
+        self.site.configure(version, limits=limits)
+
+    def until(self, condition: typing.Callable[[], object]) -> None:
+        looping.run_until(self.site.loop, condition)
+
+    def run_for(self, duration_s: float) -> None:
+        looping.run_for(self.site.loop, duration_s)
+
+    def kept_connection(
+        self, node: entry_node.Node
+    ) -> platform_site.CallerSocket:
+        """The connection of a caller that has got an answer."""
+        caller = self.site.send(node, '/order/a')
+        self.until(lambda: caller.reply.is_complete)
+        return caller
+
+    def status_of_next(self, caller: platform_site.CallerSocket) -> int:
+        """The status of the answer to one more request; 0 without any."""
+        self.assertFalse(caller.reply.is_closed)
+        caller.send(platform_site.request_bytes('/order/b', 'next'))
+        self.until(lambda: caller.reply.has_ended)
+        return caller.reply.status
+
+    # Guards against LOST in a planned stop: a request that was on its way when
+    # the stop closed its kept connection was read and never answered.
+    def test_a_request_on_a_kept_connection_crosses_a_stop(self) -> None:
+        node = self.site.ready_node()
+        caller = self.kept_connection(node)
+        node.stop()
+        self.run_for(0.6)
+        self.assertEqual(200, self.status_of_next(caller))
+        self.assertEqual('close', caller.reply.headers['connection'])
+
+    # Guards against the same for the first request of a connection that was
+    # accepted a moment before.
+    def test_the_first_request_of_a_connection_crosses_a_stop(self) -> None:
+        node = self.site.ready_node()
+        caller = platform_site.CallerSocket(
+            self.site.loop, node.ingress.address
+        )
+        self.addCleanup(caller.close)
+        node.stop()
+        self.run_for(0.6)
+        self.assertEqual(200, self.status_of_next(caller))
+
+    # Guards against LOST beside a change of the configuration: a lower idle
+    # limit closed connections that callers used by the limit before.
+    def test_a_caller_keeps_to_the_idle_limit_before(self) -> None:
+        node = self.site.ready_node()
+        caller = self.kept_connection(node)
+        self.configure(2, idle_s=0.3)
+        self.until(lambda: node.state.version == 2)
+        self.run_for(0.8)
+        self.assertEqual(200, self.status_of_next(caller))
+        # The callers may still not know of version 2.
+        self.run_for(0.8)
+        self.assertEqual(200, self.status_of_next(caller))
+
+    # Guards against a node and a caller that know different idle limits.
+    def test_an_answer_says_how_long_its_connection_is_kept(self) -> None:
+        node = self.site.ready_node()
+        caller = self.kept_connection(node)
+        self.assertEqual('timeout=1', caller.reply.headers.get('keep-alive'))
+
+    # Guards against a stop that closes a connection behind the first of two
+    # requests that were read together.
+    def test_two_requests_that_were_read_together_in_a_stop(self) -> None:
+        node = self.site.ready_node()
+        node.stop()
+        caller = platform_site.CallerSocket(
+            self.site.loop, node.ingress.address
+        )
+        self.addCleanup(caller.close)
+        caller.send(
+            platform_site.request_bytes('/order/a', 'first')
+            + platform_site.request_bytes('/order/b', 'second')
+        )
+        self.until(lambda: caller.reply.is_closed)
+        self.assertEqual(2, len(self.plain.runs))
+
+    # Guards against LOST at the end of a stop: the process ended while a part
+    # of an answer still waited to be sent.
+    def test_a_request_is_open_until_its_answer_is_sent(self) -> None:
+        self.plain.padding_bytes = 8 * callers.MAX_UNSENT_BYTES
+        node = self.site.ready_node()
+        host, _, port = node.ingress.address.rpartition(':')
+        with socket.create_connection((host, int(port))) as slow:
+            slow.sendall(platform_site.request_bytes('/order/a', 'slow'))
+            self.until(lambda: node.ingress.open_requests)
+            self.run_for(0.3)
+            self.assertEqual(1, node.ingress.open_requests)
+            slow.settimeout(0)
+            self.until(lambda: _read(slow) or not node.ingress.open_requests)
+
+
+def _read(sock: socket.socket) -> bool:
+    """Read what has arrived; whether the connection has ended."""
+    try:
+        return not sock.recv(65_536)
+    except BlockingIOError:
+        return False
+
+
+class _Handler:
+    limits = configuration.CallerLimits(idle_timeout_s=0.2)
+    is_stopping = False
+
+    def __init__(self) -> None:
+        self.begun = 0
+
+    def begin(
+        self, caller: callers.CallerConnection, request: http1.Request
+    ) -> None:
+        self.begun += 1
+        caller.answer(200, [], b'')
+
+
+class BytesBehindACloseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.loop = loop = entry_loop.Loop()
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            theirs = socket.create_connection(listener.getsockname())
+            ours, _ = listener.accept()
+        ours.setblocking(False)
+        theirs.settimeout(0)
+        self.addCleanup(theirs.close)
+        self.theirs = theirs
+        self.connection = transport.Connection(loop, ours, is_open=True)
+        self.addCleanup(self.connection.close)
+        self.handler = _Handler()
+        callers.CallerConnection(
+            loop, self.connection, self.handler, lambda _: None
+        )
+
+    # Guards against LOST: what arrived behind the close of an idle connection
+    # was read, so that its caller could not know that it may send it again.
+    def test_a_request_behind_the_close_stays_unread(self) -> None:
+        looping.run_until(self.loop, lambda: _read(self.theirs))
+        self.theirs.sendall(REQUEST)
+        looping.run_until(self.loop, lambda: self.connection.is_closed)
+        self.assertEqual(0, self.handler.begun)
+        # A reset tells that something was left unread.
+        self.assertEqual(
+            errno.EPIPE,
+            self.theirs.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR),
+        )
