Leave unread what crosses the close of an idle connection

Callers saw: a whole request on a kept connection, and its connection closed without an answer 0.2 to 0.3 s later (LOST). Cause: for a second after an idle connection was closed, all that arrived was read and discarded, so that the caller could not know that its request may be sent again.

A connection without a request owes no answer: what crosses its close now stays in the operating system, and its end resets the connection. The rest of a request that was refused is still read, for its caller to read the answer.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -226,10 +226,14 @@
             self._reader.feed(bytes(data))
 
     def _update_reading(self) -> None:
-        if self._state is not _State.LINGERING and (
-            self._waits_for_room
-            or self._unparsed_bytes > self._window.max_unparsed_bytes
-        ):
+        if self._late_bytes is not None:
+            is_paused = not self._late_bytes.reason.reads_on
+        else:
+            is_paused = (
+                self._waits_for_room
+                or self._unparsed_bytes > self._window.max_unparsed_bytes
+            )
+        if is_paused:
             self._connection.pause(notices_close=True)
         else:
             self._connection.resume()
@@ -271,8 +275,6 @@
             return
         if self._state is _State.READING and self._reader.is_reading_request:
             self._send_rejection(503, SHORTAGE_RETRY_S)
-        if self._state is _State.IDLE:
-            self._note_close(late_bytes.Reason.SHORTAGE)
         if self._state in (_State.IDLE, _State.LINGERING):
             self._close()
 
@@ -466,17 +468,13 @@
         self._connection.write(http1.encode_head(status, headers, 0, True))
         self._linger()
 
-    def _note_close(self, reason: late_bytes.Reason) -> None:
-        now_s = self._loop.now_s
-        self._late_bytes = late_bytes.LateBytes(
-            reason, now_s, now_s - self._idle_since_s
-        )
-
     def _linger(
         self, reason: late_bytes.Reason = late_bytes.Reason.ANSWERED
     ) -> None:
         self._state = _State.LINGERING
-        self._note_close(reason)
+        self._late_bytes = late_bytes.LateBytes(
+            reason, self._loop.now_s, self._loop.now_s - self._idle_since_s
+        )
         self._discard_unserved()
         self._start_timer(LINGER_S)
         if self._connection.unsent_bytes:
--- a/src/guavachute/entry/closing/late_bytes.py
+++ b/src/guavachute/entry/closing/late_bytes.py
@@ -19,8 +19,16 @@
     STOP = 'stop'
     """The process stops."""
 
-    SHORTAGE = 'shortage'
-    """The callers together held too much."""
+    @property
+    def reads_on(self) -> bool:
+        """Whether what arrives later is read, and discarded.
+
+        The caller may be sending the rest of a request that was refused, and
+        read the answer only behind it. A connection without a request owes no
+        answer: what crosses its close stays unread, and the reset that follows
+        tells the caller that it has not run.
+        """
+        return self is Reason.ANSWERED
 
 
 @dataclasses.dataclass(slots=True)
