Keep callers' idle connections in a stop while it admits requests

Callers saw: a request some 0.3 s after the SIGTERM of its node, and its connection closed without an answer (LOST). Cause: from 0.4 s after the signal each connection without a request was closed every 0.1 s, also one that had been accepted or answered a moment before. Callers learn of a stop by its answers and by new addresses, seconds later, so their next request crosses the close.

The sequence of a stop moves from node.py to entry/closing.

--- a/src/guavachute/decide/ingress/stop_admission.py
+++ b/src/guavachute/decide/ingress/stop_admission.py
@@ -12,6 +12,10 @@
 SERVE_FRACTION = 0.35
 """Fraction of the grace period in which new requests are begun."""
 
+RECENT_USE_S = 0.5
+"""Once no requests are begun, idle connections are closed, but not one that
+was used or opened this recently: its caller may have sent the next request."""
+
 MARGIN_S = 0.5
 """An answer has to be ready this long before the grace period ends."""
 
@@ -42,6 +46,18 @@
         return sorted(latest_s)[int(USUAL_SHARE * (len(latest_s) - 1))]
 
 
+def admits(stopping_for_s: float, grace_s: float) -> bool:
+    """Whether any new requests are begun.
+
+    Callers learn of the stop from the answers, and may use their connections
+    until then: a request that crosses the close of its connection is lost to a
+    caller that can't send it again.
+
+    :param stopping_for_s: time since the node was told to stop
+    """
+    return stopping_for_s <= SERVE_FRACTION * grace_s
+
+
 def may_begin(
     stopping_for_s: float, grace_s: float, usual_s: float | None
 ) -> bool:
@@ -50,7 +66,7 @@
     :param stopping_for_s: time since the node was told to stop
     :param usual_s: how long such requests take; None if not known
     """
-    if stopping_for_s > SERVE_FRACTION * grace_s:
+    if not admits(stopping_for_s, grace_s):
         return False
     left_s = grace_s - stopping_for_s - MARGIN_S
     return usual_s is None or usual_s <= left_s
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -365,8 +365,10 @@
         """Close at once, so that an answer in progress is seen incomplete."""
         self._close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless it is reading or serving a request."""
+    def close_if_idle(self, unused_for_s: float = 0.0) -> None:
+        """Close the connection if it has had no request for so long."""
+        if self._loop.now_s - self._idle_since_s < unused_for_s:
+            return
         if self._state is _State.IDLE:
             # A request may have arrived during this turn of the loop.
             self._connection.receive_now()
--- /dev/null
+++ b/src/guavachute/entry/closing/stop_sequence.py
@@ -0,0 +1,74 @@
+"""Carries out a planned stop: from the signal to the end of the process."""
+
+import typing
+
+from guavachute.decide.ingress import stop_admission
+from guavachute.entry import loop as entry_loop
+from guavachute.observe import journal
+
+FIRST_CHECK_S = 0.4
+CHECK_PERIOD_S = 0.1
+
+EARLIEST_S = 3.2
+"""Minimum time that a stopping node waits for callers that still have its
+address."""
+
+MARGIN_S = 0.5
+"""The process ends this long before the grace period does, when it would be
+killed."""
+
+
+class Callers(typing.Protocol):
+    """The callers that the node still serves."""
+
+    @property
+    def open_requests(self) -> int:
+        """The number of requests that are not completely answered."""
+
+    def close_idle(self, unused_for_s: float = 0.0) -> None:
+        """Close the connections that have had no request for so long."""
+
+
+class StopSequence:
+    """Ends the loop when no request is open, or just before the kill.
+
+    :param grace_s: time from the signal to the kill
+    """
+
+    def __init__(
+        self, loop: entry_loop.Loop, callers: Callers, grace_s: float
+    ) -> None:
+        self._loop = loop
+        self._callers = callers
+        self._grace_s = grace_s
+        self._since_s: float | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the node has been told to stop."""
+        return self._since_s is not None
+
+    def begin(self) -> None:
+        """Start to wait for the callers."""
+        self._since_s = self._loop.now_s
+        journal.event(
+            'stop', outcome='begun', open_requests=self._callers.open_requests
+        )
+        self._loop.call_after(FIRST_CHECK_S, self._check)
+
+    def _check(self) -> None:
+        assert self._since_s is not None
+        waited_s = self._loop.now_s - self._since_s
+        if not stop_admission.admits(waited_s, self._grace_s):
+            self._callers.close_idle(stop_admission.RECENT_USE_S)
+        is_done = waited_s >= EARLIEST_S and not self._callers.open_requests
+        if is_done or waited_s >= self._grace_s - MARGIN_S:
+            journal.event(
+                'stop',
+                outcome='done',
+                open_requests=self._callers.open_requests,
+                waited_s=round(waited_s, 3),
+            )
+            self._loop.stop()
+            return
+        self._loop.call_after(CHECK_PERIOD_S, self._check)
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -204,9 +204,9 @@
         self._stopping_since_s = self.loop.now_s
         self.paths.stop()
 
-    def close_idle(self) -> None:
-        """Close the connections that serve no request."""
-        self._listener.close_idle()
+    def close_idle(self, unused_for_s: float = 0.0) -> None:
+        """Close the connections that have had no request for so long."""
+        self._listener.close_idle(unused_for_s)
 
     def close(self) -> None:
         """Stop listening, answer what is open, and abort all connections."""
--- a/src/guavachute/entry/intake/listener.py
+++ b/src/guavachute/entry/intake/listener.py
@@ -47,10 +47,10 @@
         """The number of open connections."""
         return len(self._callers)
 
-    def close_idle(self) -> None:
-        """Close the connections that serve no request."""
+    def close_idle(self, unused_for_s: float = 0.0) -> None:
+        """Close the connections that have had no request for so long."""
         for caller in list(self._callers):
-            caller.close_if_idle()
+            caller.close_if_idle(unused_for_s)
 
     def close(
         self, before_abort: typing.Callable[[], None] = lambda: None
--- a/src/guavachute/entry/node.py
+++ b/src/guavachute/entry/node.py
@@ -14,6 +14,7 @@
 from guavachute.entry import address_book
 from guavachute.entry.capacity import records as capacity_records
 from guavachute.entry import catch_up
+from guavachute.entry.closing import stop_sequence
 from guavachute.entry import control_client
 from guavachute.entry import death_checks
 from guavachute.entry import duty as entry_duty
@@ -105,17 +106,6 @@
 STALE_AFTER_S = 1.0
 """After this long without an answer of the store, peers are queried."""
 
-CLOSE_IDLE_AFTER_S = 0.4
-"""Time from the signal to stop until idle connections are closed."""
-
-STOP_EARLIEST_S = 3.2
-"""Minimum time that a stopping node waits for callers that still have its
-address."""
-
-STOP_MARGIN_S = 0.5
-"""The process ends this long before the grace period does, when it would be
-killed."""
-
 
 class Node:
     """Owns the parts of the entry process, and connects them.
@@ -305,7 +295,9 @@
             ),
             self._status,
         )
-        self._stopping_since_s: float | None = None
+        self._stop_sequence = stop_sequence.StopSequence(
+            loop, self.ingress, site.bounds.stop_grace_s
+        )
         self._query_server = query_server.QueryServer(
             loop,
             site,
@@ -339,38 +331,13 @@
         The loop ends when no request is open, or shortly before the end of the
         grace period. Further calls have no effect.
         """
-        if self._stopping_since_s is not None:
+        if self._stop_sequence.has_begun:
             return
-        self._stopping_since_s = self.loop.now_s
-        journal.event(
-            'stop',
-            outcome='begun',
-            open_requests=self.ingress.open_requests,
-        )
+        self._stop_sequence.begin()
         self.ingress.stop()
         if self.duty is not None:
             self.duty.stop()
         self.peers.broadcast_update()
-        self.loop.call_after(CLOSE_IDLE_AFTER_S, self._check_stop)
-
-    def _check_stop(self) -> None:
-        assert self._stopping_since_s is not None
-        waited_s = self.loop.now_s - self._stopping_since_s
-        latest_s = self.site.bounds.stop_grace_s - STOP_MARGIN_S
-        self.ingress.close_idle()
-        is_done = (
-            waited_s >= STOP_EARLIEST_S and not self.ingress.open_requests
-        )
-        if is_done or waited_s >= latest_s:
-            journal.event(
-                'stop',
-                outcome='done',
-                open_requests=self.ingress.open_requests,
-                waited_s=round(waited_s, 3),
-            )
-            self.loop.stop()
-            return
-        self.loop.call_after(0.1, self._check_stop)
 
     def close(self) -> None:
         """Close all sockets and connections."""
@@ -398,7 +365,7 @@
     def is_ready(self) -> bool:
         """Whether callers should be sent to this node."""
         return (
-            self._stopping_since_s is None
+            not self._stop_sequence.has_begun
             and self.state.configuration is not None
             and self.state.endpoints_position >= 0
         )
