Keep idle connections by the longest limit that their callers may know

Callers saw: beside a change of the configuration, a whole request with neither an answer nor a refusal. Cause: an idle connection was closed by the newest idleTimeoutMs. Callers use one again up to four fifths of the limit that they know, so that after a lower limit their requests crossed the close. With a higher one, a node that does not know it yet closes too early.

A connection is kept by the longest limit that was in force since it became idle, or within the time for configurations before that, and answers name in Keep-Alive how long callers may count on it, which they respect.

Two tests of test_crossed_closes failed before: the caller's connection was closed, and no answer had Keep-Alive.

--- /dev/null
+++ b/src/guavachute/decide/ingress/closing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides when connections of callers may be closed."""
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -4,6 +4,7 @@
 import enum
 import typing
 
+from guavachute.decide.ingress.closing import idle_limits as closing_limits
 from guavachute.decide.ingress.intake import budget
 from guavachute.domain import call
 from guavachute.domain import configuration
@@ -109,6 +110,8 @@
     :param intake: bounds what all connections hold; None without a bound
     :param rejection_headers: gives the headers of answers to requests that
         don't reach the handler
+    :param idle_limits: the idle limits that callers may know, if they change;
+        None if that of the handler is constant
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         on_closed: typing.Callable[['CallerConnection'], None],
         intake: guard.Guard | None = None,
         rejection_headers: RejectionHeaders = requests.own_answer_headers,
+        idle_limits: closing_limits.IdleLimits | None = None,
     ) -> None:
         self._loop = loop
         self._connection = connection
@@ -142,10 +146,12 @@
         self._waits_for_room = False
         self._awaited_sent_bytes = -1
         self._late_bytes: late_bytes.LateBytes | None = None
+        self._idle_limits = idle_limits
         self._idle_since_s = loop.now_s
+        self._told_limit_s = 0.0
         self._window = receive_window.ReceiveWindow(connection, intake)
         connection.owner = self
-        self._start_timer(limits.idle_timeout_s)
+        self._start_timer(self._idle_timeout_s)
         if intake is not None:
             intake.add(self)
 
@@ -308,7 +314,7 @@
         """
         if is_framed:
             self._closes |= closes or self._handler.is_stopping
-            head = http1.encode_head(status, headers, len(body), self._closes)
+            head = self._encode_head(status, headers, len(body))
         else:
             head = self._begin_unframed(status, headers)
         self._connection.write(head + body)
@@ -329,11 +335,25 @@
         self._is_framed = is_framed
         if is_framed:
             self._closes |= self._handler.is_stopping
-            head = http1.encode_head(status, headers, None, self._closes)
+            head = self._encode_head(status, headers, None)
         else:
             head = self._begin_unframed(status, headers)
         self._connection.write(head)
 
+    def _encode_head(
+        self,
+        status: int,
+        headers: typing.Sequence[call.Header],
+        body_bytes: int | None,
+    ) -> bytes:
+        return http1.encode_head(
+            status,
+            headers,
+            body_bytes,
+            self._closes,
+            0 if self._closes else self._tell_keep_alive(),
+        )
+
     def answer_chunk(self, data: bytes) -> None:
         """Send *data* as a part of the body; nothing if it is empty."""
         if data:
@@ -394,7 +414,24 @@
     def _become_idle(self) -> None:
         self._state = _State.IDLE
         self._idle_since_s = self._loop.now_s
-        self._start_timer(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._idle_timeout_s)
+
+    @property
+    def _idle_timeout_s(self) -> float:
+        """How long the connection is kept while it is idle."""
+        if self._idle_limits is None:
+            return self._handler.limits.idle_timeout_s
+        return max(
+            self._idle_limits.longest_s(self._idle_since_s),
+            self._told_limit_s,
+        )
+
+    def _tell_keep_alive(self) -> int:
+        """What an answer says of how long the connection is kept."""
+        if self._idle_limits is None:
+            return 0
+        self._told_limit_s = self._handler.limits.idle_timeout_s
+        return closing_limits.told_s(self._told_limit_s)
 
     def _start_request(self, request: http1.Request) -> None:
         if self._loop.is_catching_up and self._connection.has_peer_closed:
@@ -519,7 +556,14 @@
                 self._extend_body_timeout()
             return
         if self._state is _State.IDLE:
-            self.close_if_idle()
+            left_s = (
+                self._idle_since_s + self._idle_timeout_s - self._loop.now_s
+            )
+            if left_s > 0:
+                # The limit has been raised meanwhile.
+                self._start_timer(left_s)
+            else:
+                self.close_if_idle()
             return
         self._close()
 
--- a/src/guavachute/entry/http1.py
+++ b/src/guavachute/entry/http1.py
@@ -430,17 +430,25 @@
     headers: typing.Sequence[call.Header],
     body_bytes: int | None,
     closes: bool,
+    keep_alive_s: int = 0,
 ) -> bytes:
     """The head of an answer.
 
     :param body_bytes: the length of the body; None for a chunked body
     :param closes: whether the connection is closed after the answer
+    :param keep_alive_s: otherwise, how long the caller may count on the idle
+        connection; 0 if that is not said
     """
     if body_bytes is None:
         framing = b'Transfer-Encoding: chunked'
     else:
         framing = b'Content-Length: %d' % body_bytes
-    lines = [framing, b'Connection: close'] if closes else [framing]
+    lines = [framing]
+    if closes:
+        lines.append(b'Connection: close')
+    elif keep_alive_s:
+        lines.append(b'Connection: keep-alive')
+        lines.append(b'Keep-Alive: timeout=%d' % keep_alive_s)
     return _encode_lines(status, headers, lines)
 
 
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -16,6 +16,7 @@
 from guavachute.domain import site as domain_site
 from guavachute.entry.admission import gate
 from guavachute.entry import callers
+from guavachute.entry.closing import followed_limits
 from guavachute.entry import control_client
 from guavachute.entry.dispatch import refusals
 from guavachute.entry import endpoint_paths
@@ -157,7 +158,13 @@
         self._stopping_since_s: float | None = None
         assert site.listen.callers is not None
         self._listener = listener.CallerListener(
-            loop, site.listen.callers, self, intake
+            loop,
+            site.listen.callers,
+            self,
+            intake,
+            idle_limits=followed_limits.follow(
+                loop, state, site.bounds.configuration_s
+            ),
         )
         self.address = self._listener.address
         metrics.gauge('callers', lambda: self._listener.connections)
--- a/src/guavachute/entry/intake/listener.py
+++ b/src/guavachute/entry/intake/listener.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from guavachute.decide.ingress.closing import idle_limits as closing_limits
 from guavachute.entry import callers
 from guavachute.entry.intake import guard
 from guavachute.entry import loop as entry_loop
@@ -16,6 +17,7 @@
     :param handler: serves their requests
     :param intake: bounds what they hold; None without a bound
     :param rejection_headers: as that of a connection
+    :param idle_limits: as that of a connection
     :ivar address: where it listens, with the port that was bound
     """
 
@@ -28,11 +30,13 @@
         rejection_headers: callers.RejectionHeaders = (
             requests.own_answer_headers
         ),
+        idle_limits: closing_limits.IdleLimits | None = None,
     ) -> None:
         self._loop = loop
         self._handler = handler
         self._intake = intake
         self._rejection_headers = rejection_headers
+        self._idle_limits = idle_limits
         self._callers: set[callers.CallerConnection] = set()
         self._listener = transport.Listener(
             loop,
@@ -70,5 +74,6 @@
                 self._callers.discard,
                 self._intake,
                 self._rejection_headers,
+                self._idle_limits,
             )
         )
--- a/src/guavachute/entry/known_state.py
+++ b/src/guavachute/entry/known_state.py
@@ -62,6 +62,11 @@
         """Changes that were folded, but not yet all records before them."""
         self.on_changed: typing.Callable[[], None] = lambda: None
         """Called when the configuration or the table has changed."""
+        self.on_limits: typing.Callable[[configuration.CallerLimits], None] = (
+            lambda limits: None
+        )
+        """Called with the limits of each configuration that comes into
+        force."""
         self.configuration_position = log_position.NO_POSITION
         """The position after the record of the configuration in its topic."""
         self._configuration_bytes = b''
@@ -141,6 +146,7 @@
         self._configuration_bytes = text
         self._deflated = None
         self.configuration_position = next_position
+        self.on_limits(decoded.limits)
         self.on_changed()
 
     def fold_endpoint(
