Answer all requests that were read before a stop closes a connection

Callers would see: two requests sent together, the first answered and the second lost, as the stop closed the connection behind the first answer though the second had been read.

A stopping node now closes a connection behind an answer only if nothing more was read from it.

test_two_requests_that_were_read_together_in_a_stop failed before (one of two reached the endpoint).

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -313,7 +313,7 @@
             gets a length; otherwise it ends with the connection
         """
         if is_framed:
-            self._closes |= closes or self._handler.is_stopping
+            self._closes |= closes or self._closes_for_stop
             head = self._encode_head(status, headers, len(body))
         else:
             head = self._begin_unframed(status, headers)
@@ -334,12 +334,26 @@
         """
         self._is_framed = is_framed
         if is_framed:
-            self._closes |= self._handler.is_stopping
+            self._closes |= self._closes_for_stop
             head = self._encode_head(status, headers, None)
         else:
             head = self._begin_unframed(status, headers)
         self._connection.write(head)
 
+    @property
+    def _has_read_more(self) -> bool:
+        """Whether bytes were read behind the current request."""
+        return bool(
+            self._unparsed
+            or self._reader.requests
+            or self._reader.is_reading_request
+        )
+
+    @property
+    def _closes_for_stop(self) -> bool:
+        """Whether a stop closes the connection behind the current answer."""
+        return self._handler.is_stopping and not self._has_read_more
+
     def _encode_head(
         self,
         status: int,
