Keep a connection while its caller still reads the answer

Callers would see: an answer that breaks off. Cause: since what arrives behind the close of an idle connection stays unread, its end is a reset, and a reset destroys what the operating system has not delivered yet. A connection counted as idle as soon as its answer was written: a caller on a slow link that sends its next request before it has read the answer lost both.

A connection is not idle while the system has bytes that the caller has not acknowledged, as long as it acknowledges more in each idle period. With it both answers arrive.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -144,7 +144,7 @@
         self._received_bytes = 0
         self._serving_bytes = 0
         self._waits_for_room = False
-        self._awaited_sent_bytes = -1
+        self._known_delivered_bytes = -1
         self._late_bytes: late_bytes.LateBytes | None = None
         self._idle_limits = idle_limits
         self._idle_since_s = loop.now_s
@@ -416,6 +416,12 @@
         """Close the connection if it has had no request for so long."""
         if self._loop.now_s - self._idle_since_s < unused_for_s:
             return
+        # What arrives behind the close resets the connection, which would cut
+        # an answer that is still under way.
+        if not self._connection.undelivered_bytes:
+            self._close_idle()
+
+    def _close_idle(self) -> None:
         if self._state is _State.IDLE:
             # A request may have arrived during this turn of the loop.
             self._connection.receive_now()
@@ -563,16 +569,21 @@
 
     def _await_slow_caller(self) -> None:
         """Wait while the caller reads its answer, however slowly."""
-        sent_bytes = (
-            self._connection.written_bytes - self._connection.unsent_bytes
-        )
-        if sent_bytes == self._awaited_sent_bytes:
+        if not self._has_received_more():
             # It has read nothing for as long as a connection may be idle.
             self._close()
             return
-        self._awaited_sent_bytes = sent_bytes
         self._start_timer(self._handler.limits.idle_timeout_s)
 
+    def _has_received_more(self) -> bool:
+        """Whether the caller got some of its answer since the last call."""
+        delivered_bytes = (
+            self._connection.written_bytes - self._connection.undelivered_bytes
+        )
+        has_more = delivered_bytes != self._known_delivered_bytes
+        self._known_delivered_bytes = delivered_bytes
+        return has_more
+
     def _time_out(self) -> None:
         if self._state is _State.READING and not self._connection.is_closed:
             if self._answers_are_behind:
@@ -583,17 +594,21 @@
                 self._extend_body_timeout()
             return
         if self._state is _State.IDLE:
-            left_s = (
-                self._idle_since_s + self._idle_timeout_s - self._loop.now_s
-            )
-            if left_s > 0:
-                # The limit has been raised meanwhile.
-                self._start_timer(left_s)
-            else:
-                self.close_if_idle()
+            self._time_out_idle()
             return
         self._close()
 
+    def _time_out_idle(self) -> None:
+        if self._connection.undelivered_bytes and self._has_received_more():
+            self._become_idle()
+            return
+        left_s = self._idle_since_s + self._idle_timeout_s - self._loop.now_s
+        if left_s > 0:
+            # The limit has been raised meanwhile.
+            self._start_timer(left_s)
+        else:
+            self._close_idle()
+
     def _extend_body_timeout(self) -> None:
         """Give the body as long in all as an idle connection gets."""
         limits = self._handler.limits
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -119,10 +119,22 @@
         """
         if self.is_closed:
             return self._unread_bytes_at_close
+        return self._queued_bytes(termios.FIONREAD)
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """The length of what was written and the peer has not received.
+
+        Beyond the unsent bytes, what the operating system has not got an
+        acknowledgement of.
+        """
+        if self.is_closed:
+            return 0
+        return self.unsent_bytes + self._queued_bytes(termios.TIOCOUTQ)
+
+    def _queued_bytes(self, queue: int) -> int:
         try:
-            answer = fcntl.ioctl(
-                self._socket, termios.FIONREAD, bytes(_INT.size)
-            )
+            answer = fcntl.ioctl(self._socket, queue, bytes(_INT.size))
         except OSError:
             # The connection has broken.
             return 0
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -1,5 +1,6 @@
 """Requests that are on their way when their connection is to be closed."""
 
+import contextlib
 import errno
 import socket
 import typing
@@ -150,19 +151,22 @@
 
     def __init__(self) -> None:
         self.begun = 0
+        self.body = b''
 
     def begin(
         self, caller: callers.CallerConnection, request: http1.Request
     ) -> None:
         self.begun += 1
-        caller.answer(200, [], b'')
+        caller.answer(200, [], self.body)
 
 
 class BytesBehindACloseTest(unittest.TestCase):
     def setUp(self) -> None:
         self.loop = loop = entry_loop.Loop()
         with socket.create_server(('127.0.0.1', 0)) as listener:
-            theirs = socket.create_connection(listener.getsockname())
+            theirs = socket.socket()
+            theirs.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+            theirs.connect(listener.getsockname())
             ours, _ = listener.accept()
         ours.setblocking(False)
         theirs.settimeout(0)
@@ -171,7 +175,7 @@
         self.connection = transport.Connection(loop, ours, is_open=True)
         self.addCleanup(self.connection.close)
         self.handler = _Handler()
-        callers.CallerConnection(
+        self.caller = callers.CallerConnection(
             loop, self.connection, self.handler, lambda _: None
         )
 
@@ -187,3 +191,39 @@
             errno.EPIPE,
             self.theirs.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR),
         )
+
+    # Guards against an answer that breaks off: its caller, still reading it,
+    # sent the next request behind the close, whose reset destroyed the rest.
+    def test_the_idle_limit_passes_while_an_answer_is_read(self) -> None:
+        self.check_slow_reader(lambda: None)
+
+    # Guards against the same where a stop closes the idle connections.
+    def test_a_stop_closes_while_an_answer_is_read(self) -> None:
+        self.check_slow_reader(self.caller.close_if_idle)
+
+    def check_slow_reader(self, close: typing.Callable[[], None]) -> None:
+        body_bytes = callers.MAX_UNSENT_BYTES
+        self.handler.body = bytes(body_bytes)
+        self.theirs.sendall(REQUEST)
+        looping.run_until(self.loop, lambda: self.handler.begun)
+        received = bytearray()
+        for step in range(8):
+            looping.run_for(self.loop, self.handler.limits.idle_timeout_s / 2)
+            close()
+            if step == 4:
+                self.theirs.sendall(REQUEST)
+            received += self.theirs.recv(16_384)
+
+        def read_to_the_end() -> bool:
+            with contextlib.suppress(BlockingIOError):
+                received.extend(self.theirs.recv(65_536))
+            return len(received) > 2 * body_bytes
+
+        looping.run_until(self.loop, read_to_the_end)
+        self.assertEqual(2, self.handler.begun)
+
+    # Guards against a connection that is kept for a caller that reads nothing.
+    def test_a_caller_that_never_reads_its_answer(self) -> None:
+        self.handler.body = bytes(callers.MAX_UNSENT_BYTES)
+        self.theirs.sendall(REQUEST)
+        looping.run_until(self.loop, lambda: self.connection.is_closed)
