Answer requests that are still being read when the process ends

Callers would see: a request sent in pieces during a planned stop, and its connection closed without an answer. Cause: a stop waited only for requests that had been read whole, and the end of the process closed the connections of all others. Evidence: a body of which 8,000 of 20,000 bytes had come 2.7 s after the signal; the connection ended 3.22 s after it, with nothing sent.

A request that is being read counts as open, so that it is answered once it is whole, or with 408 if it stalls.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -26,6 +26,9 @@
 """Retry-After of requests that are refused as the callers together hold too
 much. Those that stall are found within half a second."""
 
+STOPPING_RETRY_S = 0.05
+"""Retry-After of requests that a stopping process does not begin."""
+
 LINGER_S = 1.0
 """After the last answer on a connection, bytes of the caller are still read
 and discarded for this long. Closing at once could make the system reset the
@@ -167,13 +170,12 @@
     def owes_answer(self) -> bool:
         """Whether an answer waits to be sent, or a request to be begun.
 
-        Not while a request is being served.
+        Also while a request is being read, but not while one is being served.
         """
         if self._state is _State.SERVING:
             return False
         return self._connection.unsent_bytes > 0 or (
-            self._state is _State.READING
-            and bool(self._unparsed or self._reader.requests)
+            self._state is _State.READING and self._has_read_more
         )
 
     @property
@@ -355,7 +357,7 @@
 
     @property
     def _has_read_more(self) -> bool:
-        """Whether bytes were read behind the current request."""
+        """Whether bytes were read of a request that is not begun."""
         return bool(
             self._unparsed
             or self._reader.requests
@@ -412,6 +414,21 @@
         """Close at once, so that an answer in progress is seen incomplete."""
         self._close()
 
+    def end_with_process(self) -> None:
+        """Close at once; a request that is still being read is refused."""
+        if (
+            self._state is _State.READING
+            and self._reader.is_reading_request
+            and not self._connection.unsent_bytes
+        ):
+            journal.event(
+                'request',
+                outcome='own 503',
+                reason='the process ended before the request was read',
+            )
+            self._send_rejection(503, STOPPING_RETRY_S)
+        self._close()
+
     def close_if_idle(self, unused_for_s: float = 0.0) -> None:
         """Close the connection if it has had no request for so long."""
         if self._loop.now_s - self._idle_since_s < unused_for_s:
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -47,8 +47,6 @@
 UNNAMEABLE_RETRY_S = 30.0
 """Retry-After where only a new configuration can help."""
 
-STOPPING_RETRY_S = 0.05
-
 MOVE_TIMEOUT_S = 1.0
 MOVES_BEFORE_END_S = (1.1, 0.6)
 """Runs are moved this long before their endpoint ends. The second time is for
@@ -302,7 +300,9 @@
         ):
             return None
         return _failure(
-            outcome.Reason.DRAINING, 'this node is stopping', STOPPING_RETRY_S
+            outcome.Reason.DRAINING,
+            'this node is stopping',
+            callers.STOPPING_RETRY_S,
         )
 
     def _admit(
--- a/src/guavachute/entry/intake/listener.py
+++ b/src/guavachute/entry/intake/listener.py
@@ -53,7 +53,7 @@
 
     @property
     def owed_answers(self) -> int:
-        """The connections with an answer to send or a request to begin."""
+        """The connections that read a request or have an answer to send."""
         return sum(caller.owes_answer for caller in self._callers)
 
     def close_idle(self, unused_for_s: float = 0.0) -> None:
@@ -64,11 +64,11 @@
     def close(
         self, before_abort: typing.Callable[[], None] = lambda: None
     ) -> None:
-        """Stop listening, call *before_abort*, and abort all connections."""
+        """Stop listening, call *before_abort*, and close all connections."""
         self._listener.close()
         before_abort()
         for caller in list(self._callers):
-            caller.abort()
+            caller.end_with_process()
 
     def _accept(self, connection: transport.Connection) -> None:
         self._callers.add(
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -115,6 +115,28 @@
         self.until(lambda: caller.reply.is_closed)
         self.assertEqual(2, len(self.plain.runs))
 
+    # Guards against a request without an answer at the end of a stop: the
+    # process ended while the request arrived in pieces.
+    def test_a_request_in_pieces_is_open_until_it_is_refused(self) -> None:
+        node = self.site.ready_node()
+        caller = platform_site.CallerSocket(
+            self.site.loop, node.ingress.address
+        )
+        self.addCleanup(caller.close)
+        request = platform_site.request_bytes(
+            '/order/a', 'pieces', body=b'a' * 20_000
+        )
+        for part in (request[:400], request[400:8_000]):
+            caller.send(part)
+            self.run_for(0.05)
+        node.stop()
+        self.assertEqual(1, node.ingress.open_requests)
+        # The grace period is over.
+        caller.send(request[8_000:12_000])
+        node.close()
+        self.until(lambda: caller.reply.has_ended)
+        self.assertEqual(503, caller.reply.status)
+
     # Guards against LOST at the end of a stop: the process ended while answers
     # still waited to be sent, and requests that were read for their turn.
     def test_a_request_is_open_until_its_answer_is_sent(self) -> None:
