Close connections that come to a router while its intake ends

Cause: request_stop ends the thread that reads requests before the listener is closed, and what was handed to the intake afterwards was neither read nor closed. Callers connect again as soon as the stop closes their connections, and so meet it.

After its end, the intake closes unread what is added.

test_a_connection_that_comes_while_the_intake_ends_is_closed failed before (timed out). The other test of the new module passed before.

--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -157,6 +157,7 @@
         self._wake_in.setblocking(False)
         self._poller.register(self._wake_out, poller.READ, None)
         self._is_stopping = False
+        self._has_ended = False
         self._now_s = time.monotonic()
         self._checked_s = self._now_s
         self._turn_s = self._now_s
@@ -175,12 +176,14 @@
         if self._thread.is_alive():
             self._thread.join()
         else:
-            self._release()
+            self._end()
 
     def add(self, connection: Connection) -> None:
-        """Read the next request of a connection."""
+        """Read the next request of a connection; close it after a stop."""
         self._added.append(connection)
         self._wake()
+        if self._has_ended:
+            self._turn_away_added()
 
     def forget(self, connection: Connection) -> None:
         """No longer count a connection, which was closed."""
@@ -202,8 +205,24 @@
             # Without this thread, the server would not serve anybody.
             _log.exception('reading requests failed')
             self._failed(error)
+        self._end()
+
+    def _turn_away_added(self) -> None:
+        """Close the connections that come after the stop."""
+        while True:
+            try:
+                connection = self._added.popleft()
+            except IndexError:
+                return
+            with contextlib.suppress(OSError):
+                connection.close()
+
+    def _end(self) -> None:
         for connection in list(self._reading):
             self._close(connection)
+        self._has_ended = True
+        # Later connections are closed by the thread that adds them.
+        self._turn_away_added()
         self._release()
 
     def _release(self) -> None:
