Refuse what a stopping router had read and not begun

Callers would see: two requests sent together on a kept connection, the first answered with keep-alive, the second neither answered nor refused, as the router stopped meanwhile. Cause: the second was read with the first, and the connection was closed when the relay or the plain calls returned it to the stopped server.

The intake gets returned connections in a stop too, and refuses (503, not-run) what was read of a next request before it closes them. An answer that itself says Connection: close needs no refusal behind it.

test_a_request_that_was_read_with_the_one_before_is_refused failed before.

--- a/src/guavachute/http/intake.py
+++ b/src/guavachute/http/intake.py
@@ -48,6 +48,9 @@
 """After a refusal, bytes of the caller are discarded for this long. Closing at
 once could reset the connection before the caller has read the refusal."""
 
+STOPPING = 'the server stops; send it again'
+"""The detail of refusals of requests that were read, and not begun before a stop."""
+
 LOG_PERIOD_S = 5.0
 """The log says at most this often what was done; a client can cause many
 actions."""
@@ -208,12 +211,21 @@
         self._end()
 
     def _turn_away_added(self) -> None:
-        """Close the connections that come after the stop."""
+        """Close the connections that come after the stop.
+
+        A request that was read together with the one before it is refused, as
+        the answer to that one may have kept the connection.
+        """
         while True:
             try:
                 connection = self._added.popleft()
             except IndexError:
                 return
+            with contextlib.suppress(OSError, ValueError):
+                if connection.rfile.read():
+                    connection.socket.send(
+                        self._refusal(503, STOPPING), socket.MSG_DONTWAIT
+                    )
             with contextlib.suppress(OSError):
                 connection.close()
 
--- a/src/guavachute/http/server.py
+++ b/src/guavachute/http/server.py
@@ -248,7 +248,7 @@
 
     def put_conn(self, conn: Connection) -> None:
         """Read the next request of a connection."""
-        if self.reader is None or not self.ready:
+        if self.reader is None:
             super().put_conn(conn)
         else:
             self.reader.add(conn)
--- a/tests/cover/test_router_closes.py
+++ b/tests/cover/test_router_closes.py
@@ -7,6 +7,7 @@
 from guavachute.decide.ingress.intake import process_limits
 from guavachute.http import message
 from guavachute.http import server
+from guavachute.services.relay import downstream
 from tests.support import hosting
 from tests.support import waiting
 
@@ -23,6 +24,7 @@
         self.may_answer = threading.Event()
         self.addCleanup(self.may_answer.set)
         self.paths: list[str] = []
+        self.detached: list[server.DetachedConnection] = []
         self.served = hosting.host(
             self,
             server.Server(
@@ -37,8 +39,12 @@
 
     def handle(
         self, request: message.Request, exchange: server.Exchange
-    ) -> message.Response:
+    ) -> message.Response | message.Detach:
         self.paths.append(request.path)
+        if request.path == '/detached':
+            self.detached.append(exchange.detach())
+            self.begun.set()
+            return message.DETACH
         if request.path == '/waits':
             self.begun.set()
             self.may_answer.wait(TIMEOUT_S)
@@ -61,6 +67,25 @@
             pass
         return received
 
+    # Guards against LOST at the end of a drain: a request that was read
+    # together with the one before it was discarded, though the answer to that
+    # one kept the connection.
+    def test_a_request_that_was_read_with_the_one_before_is_refused(
+        self,
+    ) -> None:
+        raw = self.connect()
+        raw.sendall(GET % b'detached' + GET % b'second')
+        self.assertTrue(self.begun.wait(TIMEOUT_S))
+        self.served.request_stop()
+        caller = downstream.Downstream(self.detached[0], keeps_alive=True)
+        caller.send_response(200, {}, b'')
+        caller.flush()
+        caller.release()
+        answer = self.rest_of(raw)
+        self.assertEqual(b'HTTP/1.1 200 ', answer[:13])
+        self.assertEqual(1, answer.count(b'HTTP/1.1 503 '), answer)
+        self.assertEqual(['/detached'], self.paths)
+
     # Guards against an answer of a worker that keeps a connection which the
     # stop closes.
     def test_an_answer_in_a_stop_says_that_its_connection_is_closed(
