Send an idempotent call again that crossed the close of an idle connection

Cause: a connection that ends in place of an answer counts as a failed endpoint, which is not tried again.

Such a call is sent once more, on a new connection, if the connection had been used before and ends within a second. An order always has a new connection and is sent once, as before. If the endpoint accepts no new connection either, the outcome stays `unknown`.

Evidence: test_a_call_that_crosses_an_idle_close_is_sent_again and test_a_call_that_was_read_behind_a_close_is_sent_again failed before (502); the other three tests of the module passed before and bound the change.

--- a/src/guavachute/http/bounded_answers.py
+++ b/src/guavachute/http/bounded_answers.py
@@ -94,9 +94,22 @@
             http.client.parse_headers(self.fp)
 
 
+class ClosedIdleError(ConnectionError):
+    """A connection was closed while it was idle, as its next request went out.
+
+    No byte of an answer came, and earlier requests were answered on it.
+    """
+
+
 class _BoundedConnection(urllib3.connection.HTTPConnection):
     response_class = _BoundedResponse
     _has_failed = False
+    _was_used = False
+
+    def connect(self) -> None:
+        """Connect; urllib3 does so again with a connection that has ended."""
+        self._was_used = False
+        super().connect()
 
     def request(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         """Send a request."""
@@ -124,8 +137,16 @@
         body without a length. Only a length or chunks show that it is whole.
 
         :raises http.client.HTTPException: that can't be shown
+        :raises ClosedIdleError: the connection ended in place of an answer
+            that is not its first
         """
-        response = super().getresponse()
+        try:
+            response = super().getresponse()
+        except ConnectionError as error:
+            if self._was_used:
+                raise ClosedIdleError(str(error)) from error
+            raise
+        self._was_used = True
         if self._has_failed and not (
             response.chunked or response.length_remaining is not None
         ):
@@ -142,6 +163,11 @@
     ConnectionCls = _BoundedConnection
 
 
+def was_closed_idle(error: Exception) -> bool:
+    """Whether a request failed by :class:`ClosedIdleError`."""
+    return any(isinstance(each, ClosedIdleError) for each in error.args)
+
+
 def pool_manager(**options: typing.Any) -> urllib3.PoolManager:
     """Return a manager of such pools, without retries.
 
--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -32,6 +32,14 @@
 """Calls that wait for a thread; more are refused as overloaded."""
 
 CONNECT_TIMEOUT_S = 1.0
+CROSSED_WITHIN_S = 1.0
+"""A call crossed the close of an idle connection only if that connection ends
+within this time after the call was sent; later, the call itself may have
+stopped the endpoint, which is not to happen twice."""
+
+LEAST_TIMEOUT_S = 0.001
+"""Timeout of a call that is sent as its deadline passes; 0 is no timeout."""
+
 WRITE_RETRY_S = 0.005
 MAX_BODY_BYTES = 16_777_216
 """A longer body of an answer may have no end; its connection is closed."""
@@ -262,22 +270,10 @@
         endpoint: tables.EndpointEntry,
         span: traces.Span,
     ) -> Answer | Failed:
-        remaining_s = call.deadline_s - time.monotonic()
-        if remaining_s <= 0:
+        if time.monotonic() >= call.deadline_s:
             return _not_run(outcome.Reason.DEADLINE, 'the deadline passed')
         try:
-            response = self._connections(call, endpoint).urlopen(
-                call.request.method,
-                _request_target(call.request),
-                body=call.request.body,
-                headers=self._headers(call, span),
-                timeout=urllib3.Timeout(
-                    connect=min(CONNECT_TIMEOUT_S, remaining_s),
-                    read=remaining_s,
-                ),
-                redirect=False,
-                preload_content=False,
-            )
+            response = self._send(call, endpoint, span)
             body = _read_body(response)
         except (
             urllib3.exceptions.NewConnectionError,
@@ -291,16 +287,66 @@
             )
         return _answer_of(response, body, call.request.method)
 
+    def _send(
+        self,
+        call: PlainCall,
+        endpoint: tables.EndpointEntry,
+        span: traces.Span,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send *call*, and return its answer, whose body is not read yet.
+
+        If the endpoint closes an idle connection as the call goes out, an
+        idempotent call is sent once more, on a new one. The other idle ones
+        may have been closed at the same time.
+        """
+        sent_s = time.monotonic()
+        try:
+            return self._send_on(self._connections(call, endpoint), call, span)
+        except urllib3.exceptions.ProtocolError as error:
+            is_late = time.monotonic() - sent_s > CROSSED_WITHIN_S
+            if is_late or not bounded_answers.was_closed_idle(error):
+                raise
+            closed = error
+        self._count.add('service_attempts.sent_again')
+        try:
+            return self._send_on(_new_connections(endpoint), call, span)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ):
+            # The call may have run when it was sent first.
+            raise closed from None
+
+    def _send_on(
+        self,
+        connections: urllib3.HTTPConnectionPool,
+        call: PlainCall,
+        span: traces.Span,
+    ) -> urllib3.BaseHTTPResponse:
+        remaining_s = max(LEAST_TIMEOUT_S, call.deadline_s - time.monotonic())
+        return connections.urlopen(
+            call.request.method,
+            _request_target(call.request),
+            body=call.request.body,
+            headers=self._headers(call, span),
+            timeout=urllib3.Timeout(
+                connect=min(CONNECT_TIMEOUT_S, remaining_s),
+                read=remaining_s,
+            ),
+            redirect=False,
+            preload_content=False,
+        )
+
     def _connections(
         self, call: PlainCall, endpoint: tables.EndpointEntry
     ) -> urllib3.HTTPConnectionPool:
-        host, _, port = endpoint.address.rpartition(':')
         if call.idempotency_key is None:
+            host, _, port = endpoint.address.rpartition(':')
             return self._http.connection_from_host(host, int(port))
         # An order is sent only once, so it needs a connection that works.
         # A new one is known to; an idle one may be dead without notice,
         # and the order would be lost with an unknown outcome.
-        return bounded_answers.Pool(host, int(port), retries=False)
+        return _new_connections(endpoint)
 
     def _headers(self, call: PlainCall, span: traces.Span) -> dict[str, str]:
         forwarded = {
@@ -349,6 +395,14 @@
         call.caller.release()
 
 
+def _new_connections(
+    endpoint: tables.EndpointEntry,
+) -> urllib3.HTTPConnectionPool:
+    """Return a pool without any idle connection."""
+    host, _, port = endpoint.address.rpartition(':')
+    return bounded_answers.Pool(host, int(port), retries=False)
+
+
 def _read_body(response: urllib3.BaseHTTPResponse) -> bytes:
     """Read the body of an answer, and return the connection to its pool.
 
