Refuse plain calls that a stopping router has read and not begun

Callers would see: the connection of a call of a plain service, also of an order, ends without an answer as the router's process ends. Cause: the end of a drain checks for calls that the task has received, not for those in its mailbox, and the task left them there when it stopped.

They are refused (503, not-run, draining) before the task ends.

--- a/src/guavachute/services/plain_calls.py
+++ b/src/guavachute/services/plain_calls.py
@@ -162,12 +162,29 @@
         self._endpoints = new.endpoints
 
     def run(self) -> None:
-        """Serve until stopped; then finish the calls that are under way."""
+        """Serve until stopped; then finish the calls that are under way.
+
+        Calls that have not begun by then are refused.
+        """
         with concurrent.futures.ThreadPoolExecutor(THREADS) as executor:
             while not self.stopping.is_set():
                 call = self.mailbox.receive()
                 if isinstance(call, PlainCall):
                     self._accept(executor, call)
+            self._refuse_waiting()
+
+    def _refuse_waiting(self) -> None:
+        """Refuse the calls that were sent to this task and not begun."""
+        for call in self.mailbox.drain():
+            if isinstance(call, PlainCall):
+                self._reply(
+                    call,
+                    _not_run(
+                        outcome.Reason.DRAINING,
+                        'this router is stopping; send the request to '
+                        'another one',
+                    ),
+                )
 
     def _accept(
         self, executor: concurrent.futures.Executor, call: PlainCall
--- a/tests/cover/test_crossed_plain_calls.py
+++ b/tests/cover/test_crossed_plain_calls.py
@@ -174,3 +174,16 @@
         self.use(endpoint)
         self.assertIn(b'Guavachute-Outcome: unknown', self.send()())
         self.assertEqual({0: 1}, endpoint.requests)
+
+    # Guards against LOST at the end of a drain: a call that was read and
+    # handed over, but not begun when the task stopped, got no answer.
+    def test_a_call_that_is_not_begun_at_the_stop_is_refused(self) -> None:
+        for key in (None, 'key'):
+            with self.subTest(key=key):
+                read = self.send(key)
+                self.calls.request_stop()
+                self.calls.run()
+                answer = read()
+                self.assertIn(b'Guavachute-Outcome: not-run', answer)
+                self.assertIn(b' 503 ', answer)
+        self.claimer.claim.assert_not_called()
