Leave unread what arrives behind the last answer of a connection

Callers see: a request that was sent before they read that its connection closes gets no answer, and they can't know whether it has run. Cause: with `Connection: close` in the head of an answer, what arrived until its end and for a second behind it was read and discarded; what had been read before the end without a line in the log. In a stop every stream is such an answer.

Nothing is read any more once the last answer of a connection has begun, and its end resets the connection if a request is left, but not while the answer is under way. Only after a refusal, which may come before the end of its request, the rest is still read. The line `late-bytes` has `refused` for that, and counts what had been read behind the last answer before its end.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -30,9 +30,9 @@
 """Retry-After of requests that a stopping process does not begin."""
 
 LINGER_S = 1.0
-"""After the last answer on a connection, bytes of the caller are still read
-and discarded for this long. Closing at once could make the system reset the
-connection before the caller has read the answer."""
+"""After the last answer on a connection, its caller has this long to read it
+and close. Closing at once could make the system reset the connection before
+that."""
 
 UNSENT_LINGER_S = 5.0
 """A caller has this long to read the unsent part of its last answer."""
@@ -253,6 +253,8 @@
             is_paused = (
                 self._waits_for_room
                 or self._unparsed_bytes > self._window.max_unparsed_bytes
+                # No further request will be answered.
+                or (self._closes and self._state is _State.SERVING)
             )
         if is_paused:
             self._connection.pause(notices_close=True)
@@ -353,6 +355,7 @@
             head = self._encode_head(status, headers, None)
         else:
             head = self._begin_unframed(status, headers)
+        self._update_reading()
         self._connection.write(head)
 
     @property
@@ -514,7 +517,7 @@
         self._exchange = None
         self._serving_bytes = 0
         if self._closes:
-            self._linger()
+            self._linger(late_bytes.Reason.ANSWERED)
             return
         self._state = _State.READING
         # The calling exchange is still finishing, so the next request starts
@@ -555,14 +558,15 @@
     ) -> None:
         headers = self._rejection_headers(attempt_id, retry_after_s)
         self._connection.write(http1.encode_head(status, headers, 0, True))
-        self._linger()
+        self._linger(late_bytes.Reason.REFUSED)
 
-    def _linger(
-        self, reason: late_bytes.Reason = late_bytes.Reason.ANSWERED
-    ) -> None:
+    def _linger(self, reason: late_bytes.Reason) -> None:
         self._state = _State.LINGERING
         self._late_bytes = late_bytes.LateBytes(
-            reason, self._loop.now_s, self._loop.now_s - self._idle_since_s
+            reason,
+            self._loop.now_s,
+            self._loop.now_s - self._idle_since_s,
+            0 if reason.reads_on else self._unparsed_bytes,
         )
         self._discard_unserved()
         self._start_timer(LINGER_S)
@@ -613,6 +617,15 @@
         if self._state is _State.IDLE:
             self._time_out_idle()
             return
+        if (
+            self._connection.unread_bytes
+            and self._connection.undelivered_bytes
+            and not self._connection.unsent_bytes
+            and self._has_received_more()
+        ):
+            # Closing would reset the connection before the last answer ends.
+            self._start_timer(LINGER_S)
+            return
         self._close()
 
     def _time_out_idle(self) -> None:
--- a/src/guavachute/entry/closing/late_bytes.py
+++ b/src/guavachute/entry/closing/late_bytes.py
@@ -13,6 +13,9 @@
     ANSWERED = 'answered'
     """Its last answer said that it closes."""
 
+    REFUSED = 'refused'
+    """The same, of an answer that may come before the end of its request."""
+
     IDLE = 'idle'
     """It had no request for as long as a connection may be idle."""
 
@@ -24,11 +27,11 @@
         """Whether what arrives later is read, and discarded.
 
         The caller may be sending the rest of a request that was refused, and
-        read the answer only behind it. A connection without a request owes no
-        answer: what crosses its close stays unread, and the reset that follows
-        tells the caller that it has not run.
+        read the answer only behind it. Otherwise what crosses the close is a
+        request that gets no answer: it stays unread, and the reset that
+        follows tells the caller that it has not run.
         """
-        return self is Reason.ANSWERED
+        return self is Reason.REFUSED
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,7 +40,7 @@
 
     :ivar closed_s: when it was closed, by the clock of the loop
     :ivar idle_s: how long it had no request before that
-    :ivar read_bytes: how much of what arrived later was read
+    :ivar read_bytes: how much was read, then or before, and is not answered
     """
 
     reason: Reason
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -174,12 +174,16 @@
     def __init__(self) -> None:
         self.begun = 0
         self.body = b''
+        self.is_streaming = False
 
     def begin(
         self, caller: callers.CallerConnection, request: http1.Request
     ) -> None:
         self.begun += 1
-        caller.answer(200, [], self.body)
+        if self.is_streaming:
+            caller.begin_answer(200, [])
+        else:
+            caller.answer(200, [], self.body)
 
 
 class BytesBehindACloseTest(unittest.TestCase):
@@ -214,6 +218,33 @@
             self.theirs.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR),
         )
 
+    # Guards against the same for what arrives behind an answer that says that
+    # its connection closes.
+    def test_a_request_behind_the_last_answer_stays_unread(self) -> None:
+        self.handler.is_stopping = True
+        self.check_behind_the_last_answer()
+
+    # Guards against the same where the answer is a stream.
+    def test_a_request_behind_the_last_stream_stays_unread(self) -> None:
+        self.handler.is_stopping = self.handler.is_streaming = True
+        self.check_behind_the_last_answer()
+
+    def check_behind_the_last_answer(self) -> None:
+        self.theirs.sendall(REQUEST)
+        looping.run_until(self.loop, lambda: self.handler.begun)
+        self.theirs.sendall(REQUEST)
+        looping.run_for(self.loop, 0.05)
+        if self.handler.is_streaming:
+            self.caller.answer_chunk(b'event')
+            self.caller.end_answer()
+        looping.run_until(self.loop, lambda: self.connection.is_closed)
+        self.assertEqual(1, self.handler.begun)
+        self.assertEqual(
+            errno.EPIPE,
+            self.theirs.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR),
+        )
+        self.assertIn(b'Connection: close', self.theirs.recv(65_536))
+
     # Guards against an answer that breaks off: its caller, still reading it,
     # sent the next request behind the close, whose reset destroyed the rest.
     def test_the_idle_limit_passes_while_an_answer_is_read(self) -> None:
