Refuse relayed requests in a node that is about to end

Callers would see: a 502, or a stream that breaks off, though their own node runs on. Cause: a stopping node refuses the requests of its callers after a third of the grace period, but passed on those of other nodes to the end, and its end cuts them. Nodes of its region learn of the stop at once; those of others go by the latest update of the region for up to 10 s (peer_table.DEMAND_TTL_S).

--- a/src/guavachute/entry/endpoint_paths.py
+++ b/src/guavachute/entry/endpoint_paths.py
@@ -56,6 +56,7 @@
             self._pool,
             caller_limits,
             on_announcement,
+            site.bounds.stop_grace_s,
             intake,
         )
         self._watch = link_watch.LinkWatch(
@@ -84,8 +85,11 @@
         self._watch.start()
 
     def stop(self) -> None:
-        """Close connections of other nodes after their current answer."""
-        self._server.is_stopping = True
+        """Close connections of other nodes after their current answer.
+
+        After a while their requests are refused.
+        """
+        self._server.stop()
 
     def close(self) -> None:
         """Abort all connections."""
--- a/src/guavachute/entry/relay_server.py
+++ b/src/guavachute/entry/relay_server.py
@@ -7,6 +7,7 @@
 
 import typing
 
+from guavachute.decide.ingress import stop_admission
 from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import callers
@@ -44,9 +45,9 @@
     :param pool: connections to endpoints
     :param caller_limits: gives the limits on the requests of callers
     :param on_announcement: called with what an endpoint says of itself
+    :param stop_grace_s: time from the signal to stop to the kill
     :param intake: bounds what the connections hold; None without a bound
     :ivar address: where it listens
-    :ivar is_stopping: whether connections are closed after their answer
     """
 
     def __init__(
@@ -57,13 +58,15 @@
         pool: upstream.Pool,
         caller_limits: typing.Callable[[], configuration.CallerLimits],
         on_announcement: OnAnnouncement,
+        stop_grace_s: float,
         intake: guard.Guard | None = None,
     ) -> None:
         self.loop = loop
         self.registry = registry
         self.pool = pool
         self.on_announcement = on_announcement
-        self.is_stopping = False
+        self._stop_grace_s = stop_grace_s
+        self._stopping_since_s: float | None = None
         self._caller_limits = caller_limits
         self._open: set[_Relayed] = set()
         self._listener = listener.CallerListener(
@@ -71,6 +74,22 @@
         )
         self.address = self._listener.address
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections are closed after their current answer."""
+        return self._stopping_since_s is not None
+
+    def stop(self) -> None:
+        """Pass requests on for a while, then refuse them."""
+        self._stopping_since_s = self.loop.now_s
+
+    @property
+    def _admits(self) -> bool:
+        since_s = self._stopping_since_s
+        return since_s is None or stop_admission.admits(
+            self.loop.now_s - since_s, self._stop_grace_s
+        )
+
     @property
     def limits(self) -> configuration.CallerLimits:
         """The limits on the requests of other nodes."""
@@ -103,6 +122,9 @@
             journal.problem('relay', outcome='unreadable', reason=str(relayed))
             caller.answer(400, (), b'', closes=True)
             return None
+        if not self._admits:
+            self.refuse(caller, relayed, 'this node is stopping')
+            return None
         record = self.registry.relay_target(
             relayed.endpoint, relayed.start_ms, self.loop.now_s
         )
--- a/tests/cover/test_cut_links.py
+++ b/tests/cover/test_cut_links.py
@@ -10,6 +10,7 @@
 import unittest
 from unittest import mock
 
+from guavachute.decide.ingress import stop_admission
 from guavachute.entry import node as entry_node
 from guavachute import ids
 from guavachute.standin.platform import engine as standin_engine
@@ -384,6 +385,17 @@
         self.until(lambda: caller.reply.has_ended)
         self.assertTrue(caller.reply.is_complete)
 
+    # Guards against requests that are cut as the helper ends that took them:
+    # other regions name a helper for seconds after it was told to stop.
+    def test_a_helper_near_its_end_takes_on_no_requests(self) -> None:
+        for node in self.nodes[1:]:
+            node.ingress.stop()
+        with mock.patch.object(stop_admission, 'SERVE_FRACTION', 0.0):
+            self.run_for(0.01)
+            reply = self.reply('/order/a', 'late')
+        self.assertEqual(503, reply.status)
+        self.assertEqual([], self.runs('late'))
+
 
 def spent_by(node: entry_node.Node) -> float:
     """What a node has admitted of all quotas since its start."""
--- a/tests/cover/test_unread_bytes.py
+++ b/tests/cover/test_unread_bytes.py
@@ -159,6 +159,7 @@
             unused,
             configuration.CallerLimits,
             unused,
+            8.0,
             guard.Guard(loop, process_limits.Limits(1_000, 10)),
         )
         self.addCleanup(server.close)
