Give answers and bodies the idle limit that their callers may know

Callers would see: beside a change of the configuration, a large answer that breaks off, or 408 for a body on its way. Cause: a lower idleTimeoutMs also shortened at once how long a caller may read nothing of its answer, and how long a body may take. Evidence: with the limit lowered from 2 s to 0.2 s, an answer with 7,877,164 unsent bytes had been closed 1.2 s after it began, and a body whose rest came after 0.6 s got 408.

Both now go by the longest limit that the caller may know, as idle connections do. Two tests of test_crossed_closes failed before.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -471,7 +471,11 @@
 
     @property
     def _idle_timeout_s(self) -> float:
-        """How long the connection is kept while it is idle."""
+        """How long the connection is kept while it is idle.
+
+        Also how long a body may take, and how long a caller may read nothing
+        of its answer.
+        """
         if self._idle_limits is None:
             return self._handler.limits.idle_timeout_s
         return max(
@@ -594,7 +598,7 @@
             # It has read nothing for as long as a connection may be idle.
             self._close()
             return
-        self._start_timer(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._idle_timeout_s)
 
     def _has_received_more(self) -> bool:
         """Whether the caller got some of its answer since the last call."""
@@ -641,9 +645,9 @@
 
     def _extend_body_timeout(self) -> None:
         """Give the body as long in all as an idle connection gets."""
-        limits = self._handler.limits
+        head_timeout_s = self._handler.limits.head_timeout_s
         self._timer = self._loop.call_after(
-            max(0.1, limits.idle_timeout_s - limits.head_timeout_s),
+            max(0.1, self._idle_timeout_s - head_timeout_s),
             lambda: self._reject(408),
         )
 
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -6,6 +6,7 @@
 import typing
 import unittest
 
+from guavachute.decide.ingress.closing import idle_limits
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry import http1
@@ -168,7 +169,7 @@
 
 
 class _Handler:
-    limits = configuration.CallerLimits(idle_timeout_s=0.2)
+    limits = configuration.CallerLimits(idle_timeout_s=0.2, head_timeout_s=0.1)
     is_stopping = False
 
     def __init__(self) -> None:
@@ -201,8 +202,15 @@
         self.connection = transport.Connection(loop, ours, is_open=True)
         self.addCleanup(self.connection.close)
         self.handler = _Handler()
+        self.limits = idle_limits.IdleLimits(
+            self.handler.limits.idle_timeout_s, known_for_s=3.0
+        )
         self.caller = callers.CallerConnection(
-            loop, self.connection, self.handler, lambda _: None
+            loop,
+            self.connection,
+            self.handler,
+            lambda _: None,
+            idle_limits=self.limits,
         )
 
     # Guards against LOST: what arrived behind the close of an idle connection
@@ -275,6 +283,29 @@
         looping.run_until(self.loop, read_to_the_end)
         self.assertEqual(2, self.handler.begun)
 
+    def lower_idle_limit(self) -> None:
+        for limit_s in (2.0, self.handler.limits.idle_timeout_s):
+            self.limits.record(limit_s, self.loop.now_s)
+
+    # Guards against LOST beside a change of the configuration: a lower idle
+    # limit cut answers whose callers read nothing for that long.
+    def test_the_idle_limit_falls_while_an_answer_is_read(self) -> None:
+        self.handler.body = bytes(40 * callers.MAX_UNSENT_BYTES)
+        self.theirs.sendall(REQUEST)
+        looping.run_until(self.loop, lambda: self.handler.begun)
+        self.lower_idle_limit()
+        looping.run_for(self.loop, 1.0)
+        self.assertFalse(self.connection.is_closed)
+
+    # Guards against a 408 for a body that keeps to the limit before.
+    def test_the_idle_limit_falls_while_a_body_is_sent(self) -> None:
+        self.lower_idle_limit()
+        request = REQUEST.replace(b'Length: 0', b'Length: 4')
+        self.theirs.sendall(request + b'bo')
+        looping.run_for(self.loop, 1.0)
+        self.theirs.sendall(b'dy')
+        looping.run_until(self.loop, lambda: self.handler.begun)
+
     # Guards against a connection that is kept for a caller that reads nothing.
     def test_a_caller_that_never_reads_its_answer(self) -> None:
         self.handler.body = bytes(callers.MAX_UNSENT_BYTES)
