End a stop only when its end cuts no answer on the way

Callers would see: the last answer of a stopping node breaks off. Cause: a stop ends once the operating system has all answers. It delivers them behind the end of the process, unless a request was left unread: then the end of the connection is a reset, which destroys what is not delivered.

Such a connection counts as open in a stop, which ends shortly before the grace period does in any case. test_an_answer_is_owed_while_a_close_would_cut_it failed before.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -174,8 +174,16 @@
         """
         if self._state is _State.SERVING:
             return False
-        return self._connection.unsent_bytes > 0 or (
-            self._state is _State.READING and self._has_read_more
+        if self._connection.unsent_bytes or self._would_cut_answer:
+            return True
+        return self._state is _State.READING and self._has_read_more
+
+    @property
+    def _would_cut_answer(self) -> bool:
+        """Whether a close resets the connection before an answer arrives."""
+        return bool(
+            self._connection.undelivered_bytes
+            and self._connection.unread_bytes
         )
 
     @property
@@ -622,12 +630,10 @@
             self._time_out_idle()
             return
         if (
-            self._connection.unread_bytes
-            and self._connection.undelivered_bytes
+            self._would_cut_answer
             and not self._connection.unsent_bytes
             and self._has_received_more()
         ):
-            # Closing would reset the connection before the last answer ends.
             self._start_timer(LINGER_S)
             return
         self._close()
