Send the answers of orders to the node process before a router ends

Callers would see: `unknown` for a key whose order was answered, as the router that served it stopped. Cause: the claim client closed its connection with data that the operating system had not taken yet.

The client sends for at most 2 s more.

--- a/src/guavachute/services/claim_client.py
+++ b/src/guavachute/services/claim_client.py
@@ -25,6 +25,10 @@
 RECONNECT_INTERVAL_S = 0.25
 MAX_PENDING_NOTICES = 10_000
 
+SEND_REST_S = 2.0
+"""When the router stops, answers of orders are still sent for this long. One
+that is not sent is unknown to later callers with its key."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UseCommitter:
@@ -66,9 +70,21 @@
                 for key, events in selector.select(RECONNECT_INTERVAL_S):
                     key.data(events)
             self._handle_mailbox(selectors.EVENT_READ)
+            self._send_rest()
             self._disconnect()
             self.mailbox.close()
 
+    def _send_rest(self) -> None:
+        """Send the answers and cancellations that wait, for a limited time."""
+        end_s = time.monotonic() + SEND_REST_S
+        while (
+            self._committer is not None
+            and self._committer.wanted_events & selectors.EVENT_WRITE
+            and (left_s := end_s - time.monotonic()) > 0
+        ):
+            for key, events in self._selector.select(left_s):
+                key.data(events)
+
     def _handle_mailbox(self, events: int) -> None:
         for message in self.mailbox.drain():
             _handle(message, self)
