Split what closes connections from callers.py, ingress.py and relay_server.py

The idle time, the delivery of answers and the state of a stop get modules of their own under entry/closing, which the ingress and the relay server share.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -8,7 +8,10 @@
 from guavachute.decide.ingress.intake import budget
 from guavachute.domain import call
 from guavachute.domain import configuration
+from guavachute.entry.closing import delivery
+from guavachute.entry.closing import idle_clock
 from guavachute.entry.closing import late_bytes
+from guavachute.entry.closing import stop_state
 from guavachute.entry import http1
 from guavachute.entry.intake import guard
 from guavachute.entry.intake import receive_window
@@ -26,9 +29,6 @@
 """Retry-After of requests that are refused as the callers together hold too
 much. Those that stall are found within half a second."""
 
-STOPPING_RETRY_S = 0.05
-"""Retry-After of requests that a stopping process does not begin."""
-
 LINGER_S = 1.0
 """After the last answer on a connection, its caller has this long to read it
 and close. Closing at once could make the system reset the connection before
@@ -147,14 +147,14 @@
         self._received_bytes = 0
         self._serving_bytes = 0
         self._waits_for_room = False
-        self._known_delivered_bytes = -1
+        self._delivery = delivery.Delivery(connection)
         self._late_bytes: late_bytes.LateBytes | None = None
-        self._idle_limits = idle_limits
-        self._idle_since_s = loop.now_s
-        self._told_limit_s = 0.0
+        self._idle = idle_clock.IdleClock(
+            loop, lambda: handler.limits.idle_timeout_s, idle_limits
+        )
         self._window = receive_window.ReceiveWindow(connection, intake)
         connection.owner = self
-        self._start_timer(self._idle_timeout_s)
+        self._start_timer(self._idle.timeout_s)
         if intake is not None:
             intake.add(self)
 
@@ -174,18 +174,10 @@
         """
         if self._state is _State.SERVING:
             return False
-        if self._connection.unsent_bytes or self._would_cut_answer:
+        if self._connection.unsent_bytes or self._delivery.would_be_cut:
             return True
         return self._state is _State.READING and self._has_read_more
 
-    @property
-    def _would_cut_answer(self) -> bool:
-        """Whether a close resets the connection before an answer arrives."""
-        return bool(
-            self._connection.undelivered_bytes
-            and self._connection.unread_bytes
-        )
-
     @property
     def usage(self) -> budget.Usage:
         """What the connection holds of its requests and answers."""
@@ -391,7 +383,7 @@
             headers,
             body_bytes,
             self._closes,
-            0 if self._closes else self._tell_keep_alive(),
+            0 if self._closes else self._idle.tell_keep_alive_s(),
         )
 
     def answer_chunk(self, data: bytes) -> None:
@@ -437,16 +429,16 @@
                 outcome='own 503',
                 reason='the process ended before the request was read',
             )
-            self._send_rejection(503, STOPPING_RETRY_S)
+            self._send_rejection(503, stop_state.RETRY_AFTER_S)
         self._close()
 
     def close_if_idle(self, unused_for_s: float = 0.0) -> None:
         """Close the connection if it has had no request for so long."""
-        if self._loop.now_s - self._idle_since_s < unused_for_s:
+        if self._idle.idle_s < unused_for_s:
             return
         # What arrives behind the close resets the connection, which would cut
         # an answer that is still under way.
-        if not self._connection.undelivered_bytes:
+        if self._delivery.is_complete:
             self._close_idle()
 
     def _close_idle(self) -> None:
@@ -474,29 +466,8 @@
 
     def _become_idle(self) -> None:
         self._state = _State.IDLE
-        self._idle_since_s = self._loop.now_s
-        self._start_timer(self._idle_timeout_s)
-
-    @property
-    def _idle_timeout_s(self) -> float:
-        """How long the connection is kept while it is idle.
-
-        Also how long a body may take, and how long a caller may read nothing
-        of its answer.
-        """
-        if self._idle_limits is None:
-            return self._handler.limits.idle_timeout_s
-        return max(
-            self._idle_limits.longest_s(self._idle_since_s),
-            self._told_limit_s,
-        )
-
-    def _tell_keep_alive(self) -> int:
-        """What an answer says of how long the connection is kept."""
-        if self._idle_limits is None:
-            return 0
-        self._told_limit_s = self._handler.limits.idle_timeout_s
-        return closing_limits.told_s(self._told_limit_s)
+        self._idle.restart()
+        self._start_timer(self._idle.timeout_s)
 
     def _start_request(self, request: http1.Request) -> None:
         if self._loop.is_catching_up and self._connection.has_peer_closed:
@@ -577,7 +548,7 @@
         self._late_bytes = late_bytes.LateBytes(
             reason,
             self._loop.now_s,
-            self._loop.now_s - self._idle_since_s,
+            self._idle.idle_s,
             0 if reason.reads_on else self._unparsed_bytes,
         )
         self._discard_unserved()
@@ -602,20 +573,11 @@
 
     def _await_slow_caller(self) -> None:
         """Wait while the caller reads its answer, however slowly."""
-        if not self._has_received_more():
+        if not self._delivery.has_progressed():
             # It has read nothing for as long as a connection may be idle.
             self._close()
             return
-        self._start_timer(self._idle_timeout_s)
-
-    def _has_received_more(self) -> bool:
-        """Whether the caller got some of its answer since the last call."""
-        delivered_bytes = (
-            self._connection.written_bytes - self._connection.undelivered_bytes
-        )
-        has_more = delivered_bytes != self._known_delivered_bytes
-        self._known_delivered_bytes = delivered_bytes
-        return has_more
+        self._start_timer(self._idle.timeout_s)
 
     def _time_out(self) -> None:
         if self._state is _State.READING and not self._connection.is_closed:
@@ -630,19 +592,19 @@
             self._time_out_idle()
             return
         if (
-            self._would_cut_answer
+            self._delivery.would_be_cut
             and not self._connection.unsent_bytes
-            and self._has_received_more()
+            and self._delivery.has_progressed()
         ):
             self._start_timer(LINGER_S)
             return
         self._close()
 
     def _time_out_idle(self) -> None:
-        if self._connection.undelivered_bytes and self._has_received_more():
+        if not self._delivery.is_complete and self._delivery.has_progressed():
             self._become_idle()
             return
-        left_s = self._idle_since_s + self._idle_timeout_s - self._loop.now_s
+        left_s = self._idle.timeout_s - self._idle.idle_s
         if left_s > 0:
             # The limit has been raised meanwhile.
             self._start_timer(left_s)
@@ -653,7 +615,7 @@
         """Give the body as long in all as an idle connection gets."""
         head_timeout_s = self._handler.limits.head_timeout_s
         self._timer = self._loop.call_after(
-            max(0.1, self._idle_timeout_s - head_timeout_s),
+            max(0.1, self._idle.timeout_s - head_timeout_s),
             lambda: self._reject(408),
         )
 
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -9,7 +9,6 @@
 from guavachute.decide.ingress import kept_bytes as answer_bytes
 from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
-from guavachute.decide.ingress import stop_admission
 from guavachute.decide import rendezvous
 from guavachute.domain import call as domain_call
 from guavachute.domain import configuration
@@ -17,6 +16,7 @@
 from guavachute.entry.admission import gate
 from guavachute.entry import callers
 from guavachute.entry.closing import followed_limits
+from guavachute.entry.closing import stop_state
 from guavachute.entry import control_client
 from guavachute.entry.dispatch import refusals
 from guavachute.entry import endpoint_paths
@@ -140,8 +140,9 @@
         self.handle_released = rollouts.handle_released
         self._on_run_started = on_run_started
         self.paths = self._open_paths(relays, intake)
+        self._stop = stop_state.StopState(loop, site.bounds.stop_grace_s)
         self.admission = gate.Gate(
-            loop, site, state, peers, metrics, self._stop_refusal
+            loop, site, state, peers, metrics, self._stop.refusal
         )
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
         self._meters: dict[ids.ServiceName, _RateMeters] = {}
@@ -152,8 +153,6 @@
         ] = {}
         self._exchanges: set[exchange.Exchange] = set()
         self._kept = answer_bytes.KeptBytes()
-        self._durations = stop_admission.Durations()
-        self._stopping_since_s: float | None = None
         assert site.listen.callers is not None
         self._listener = listener.CallerListener(
             loop,
@@ -197,7 +196,7 @@
     @property
     def is_stopping(self) -> bool:
         """Whether connections are closed after their current answer."""
-        return self._stopping_since_s is not None
+        return self._stop.has_begun
 
     @property
     def open_requests(self) -> int:
@@ -210,7 +209,7 @@
 
     def stop(self) -> None:
         """Stop gracefully: serve requests for a while, then answer 503."""
-        self._stopping_since_s = self.loop.now_s
+        self._stop.begin()
         self.paths.stop()
 
     def close_idle(self, unused_for_s: float = 0.0) -> None:
@@ -286,24 +285,7 @@
                 'this node has not read a configuration yet',
                 NO_CONFIGURATION_RETRY_S,
             )
-        return self._stop_refusal(None)
-
-    def _stop_refusal(
-        self, service: ids.ServiceName | None
-    ) -> outcome.Failure | None:
-        """Why no request of *service* is begun in a stop; None if it is."""
-        since_s = self._stopping_since_s
-        if since_s is None or stop_admission.may_begin(
-            self.loop.now_s - since_s,
-            self._site.bounds.stop_grace_s,
-            self._durations.usual_s(service),
-        ):
-            return None
-        return _failure(
-            outcome.Reason.DRAINING,
-            'this node is stopping',
-            callers.STOPPING_RETRY_S,
-        )
+        return self._stop.refusal(None)
 
     def _admit(
         self,
@@ -314,7 +296,7 @@
     ) -> exchange.Exchange | None:
         now_s = self.loop.now_s
         service = _target(route, call.attempt_id)
-        refusal = self._stop_refusal(service)
+        refusal = self._stop.refusal(service)
         if refusal is not None:
             self._reject(caller, call, 503, refusal)
             return None
@@ -568,7 +550,9 @@
                 'first_byte', started.first_byte_s - started.arrived_s
             )
         if verdict == 'served' or verdict.startswith('status 2'):
-            self._durations.record(started.service, now_s - started.arrived_s)
+            self._stop.durations.record(
+                started.service, now_s - started.arrived_s
+            )
             notice = self._crashes.record_success(started.fingerprint, now_s)
             if notice is not None:
                 self._record_notice(notice)
--- a/src/guavachute/entry/relay_server.py
+++ b/src/guavachute/entry/relay_server.py
@@ -7,10 +7,10 @@
 
 import typing
 
-from guavachute.decide.ingress import stop_admission
 from guavachute.domain import call
 from guavachute.domain import configuration
 from guavachute.entry import callers
+from guavachute.entry.closing import stop_state
 from guavachute.entry import endpoint_registry
 from guavachute.entry import http1
 from guavachute.entry.intake import guard
@@ -65,8 +65,7 @@
         self.registry = registry
         self.pool = pool
         self.on_announcement = on_announcement
-        self._stop_grace_s = stop_grace_s
-        self._stopping_since_s: float | None = None
+        self._stop = stop_state.StopState(loop, stop_grace_s)
         self._caller_limits = caller_limits
         self._open: set[_Relayed] = set()
         self._listener = listener.CallerListener(
@@ -77,18 +76,11 @@
     @property
     def is_stopping(self) -> bool:
         """Whether connections are closed after their current answer."""
-        return self._stopping_since_s is not None
+        return self._stop.has_begun
 
     def stop(self) -> None:
         """Pass requests on for a while, then refuse them."""
-        self._stopping_since_s = self.loop.now_s
-
-    @property
-    def _admits(self) -> bool:
-        since_s = self._stopping_since_s
-        return since_s is None or stop_admission.admits(
-            self.loop.now_s - since_s, self._stop_grace_s
-        )
+        self._stop.begin()
 
     @property
     def limits(self) -> configuration.CallerLimits:
@@ -122,7 +114,7 @@
             journal.problem('relay', outcome='unreadable', reason=str(relayed))
             caller.answer(400, (), b'', closes=True)
             return None
-        if not self._admits:
+        if not self._stop.admits:
             self.refuse(caller, relayed, 'this node is stopping')
             return None
         record = self.registry.relay_target(
