Name what counts as open in a stop, and keep the policy of closing in one room

After the review: owed answers are open requests, and when an idle connection counts as used recently stands where connections are closed. No behaviour changes.

--- a/src/guavachute/decide/ingress/closing/idle_limits.py
+++ b/src/guavachute/decide/ingress/closing/idle_limits.py
@@ -69,7 +69,7 @@
         )
 
 
-def told_s(limit_s: float) -> int:
+def keep_alive_s(limit_s: float) -> int:
     """How long callers are told to count on an idle connection.
 
     In whole seconds, as the header has it; 0 if that would say nothing.
--- a/src/guavachute/decide/ingress/stop_admission.py
+++ b/src/guavachute/decide/ingress/stop_admission.py
@@ -12,10 +12,6 @@
 SERVE_FRACTION = 0.35
 """Fraction of the grace period in which new requests are begun."""
 
-RECENT_USE_S = 0.5
-"""Once no requests are begun, idle connections are closed, but not one that
-was used or opened this recently: its caller may have sent the next request."""
-
 MARGIN_S = 0.5
 """An answer has to be ready this long before the grace period ends."""
 
@@ -49,10 +45,6 @@
 def admits(stopping_for_s: float, grace_s: float) -> bool:
     """Whether any new requests are begun.
 
-    Callers learn of the stop from the answers, and may use their connections
-    until then: a request that crosses the close of its connection is lost to a
-    caller that can't send it again.
-
     :param stopping_for_s: time since the node was told to stop
     """
     return stopping_for_s <= SERVE_FRACTION * grace_s
--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -167,10 +167,11 @@
         return self._connection.unsent_bytes > limit
 
     @property
-    def owes_answer(self) -> bool:
+    def has_open_request(self) -> bool:
         """Whether an answer waits to be sent, or a request to be begun.
 
-        Also while a request is being read, but not while one is being served.
+        Also while a request is being read, but not while one is served, which
+        the handler knows.
         """
         if self._state is _State.SERVING:
             return False
--- a/src/guavachute/entry/closing/idle_clock.py
+++ b/src/guavachute/entry/closing/idle_clock.py
@@ -55,4 +55,4 @@
         if self._limits is None:
             return 0
         self._told_limit_s = self._newest_limit_s()
-        return idle_limits.told_s(self._told_limit_s)
+        return idle_limits.keep_alive_s(self._told_limit_s)
--- a/src/guavachute/entry/closing/stop_sequence.py
+++ b/src/guavachute/entry/closing/stop_sequence.py
@@ -18,8 +18,13 @@
 killed."""
 
 
-class Callers(typing.Protocol):
-    """The callers that the node still serves."""
+RECENT_USE_S = 0.5
+"""Once no requests are begun, idle connections are closed, but not one that
+was used or opened this recently: its caller may have sent the next request."""
+
+
+class Connections(typing.Protocol):
+    """The connections of the callers that a stop waits for."""
 
     @property
     def open_requests(self) -> int:
@@ -36,10 +41,10 @@
     """
 
     def __init__(
-        self, loop: entry_loop.Loop, callers: Callers, grace_s: float
+        self, loop: entry_loop.Loop, connections: Connections, grace_s: float
     ) -> None:
         self._loop = loop
-        self._callers = callers
+        self._connections = connections
         self._grace_s = grace_s
         self._since_s: float | None = None
 
@@ -52,7 +57,9 @@
         """Start to wait for the callers."""
         self._since_s = self._loop.now_s
         journal.event(
-            'stop', outcome='begun', open_requests=self._callers.open_requests
+            'stop',
+            outcome='begun',
+            open_requests=self._connections.open_requests,
         )
         self._loop.call_after(FIRST_CHECK_S, self._check)
 
@@ -60,13 +67,15 @@
         assert self._since_s is not None
         waited_s = self._loop.now_s - self._since_s
         if not stop_admission.admits(waited_s, self._grace_s):
-            self._callers.close_idle(stop_admission.RECENT_USE_S)
-        is_done = waited_s >= EARLIEST_S and not self._callers.open_requests
+            self._connections.close_idle(RECENT_USE_S)
+        is_done = (
+            waited_s >= EARLIEST_S and not self._connections.open_requests
+        )
         if is_done or waited_s >= self._grace_s - MARGIN_S:
             journal.event(
                 'stop',
                 outcome='done',
-                open_requests=self._callers.open_requests,
+                open_requests=self._connections.open_requests,
                 waited_s=round(waited_s, 3),
             )
             self._loop.stop()
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -203,7 +203,7 @@
         """The number of requests that are not completely answered."""
         return (
             len(self._exchanges)
-            + self._listener.owed_answers
+            + self._listener.open_requests
             + self.paths.open_relays
         )
 
--- a/src/guavachute/entry/intake/listener.py
+++ b/src/guavachute/entry/intake/listener.py
@@ -52,9 +52,9 @@
         return len(self._callers)
 
     @property
-    def owed_answers(self) -> int:
+    def open_requests(self) -> int:
         """The connections that read a request or have an answer to send."""
-        return sum(caller.owes_answer for caller in self._callers)
+        return sum(caller.has_open_request for caller in self._callers)
 
     def close_idle(self, unused_for_s: float = 0.0) -> None:
         """Close the connections that have had no request for so long."""
--- a/src/guavachute/entry/relay_server.py
+++ b/src/guavachute/entry/relay_server.py
@@ -97,7 +97,7 @@
     @property
     def open_requests(self) -> int:
         """The number of requests that are not completely answered."""
-        return len(self._open) + self._listener.owed_answers
+        return len(self._open) + self._listener.open_requests
 
     def close(self) -> None:
         """Stop listening, and abort all connections."""
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -285,22 +285,22 @@
 
     # Guards against an answer that breaks off as the process ends, though the
     # operating system had all of it, because of a request left unread.
-    def test_an_answer_is_owed_while_a_close_would_cut_it(self) -> None:
+    def test_an_answer_is_open_while_a_close_would_cut_it(self) -> None:
         self.handler.is_stopping = True
         self.handler.body = bytes(callers.MAX_UNSENT_BYTES)
         self.theirs.sendall(REQUEST)
         looping.run_until(self.loop, lambda: self.handler.begun)
         self.assertEqual(0, self.connection.unsent_bytes)
-        self.assertFalse(self.caller.owes_answer)
+        self.assertFalse(self.caller.has_open_request)
         self.theirs.sendall(REQUEST)
         looping.run_for(self.loop, 0.05)
-        self.assertTrue(self.caller.owes_answer)
+        self.assertTrue(self.caller.has_open_request)
         read = bytearray()
 
         def read_all() -> bool:
             with contextlib.suppress(BlockingIOError):
                 read.extend(self.theirs.recv(65_536))
-            return not self.caller.owes_answer
+            return not self.caller.has_open_request
 
         looping.run_until(self.loop, read_all)
         self.assertGreater(len(read), len(self.handler.body) // 2)
--- a/tests/cover/test_idle_limits.py
+++ b/tests/cover/test_idle_limits.py
@@ -42,6 +42,6 @@
         self.assertLess(len(self.limits), 10)
 
     def test_what_is_told_leaves_requests_time_to_arrive(self) -> None:
-        self.assertEqual(12, idle_limits.told_s(15.0))
-        self.assertEqual(1, idle_limits.told_s(2.4))
-        self.assertEqual(0, idle_limits.told_s(1.0))
+        self.assertEqual(12, idle_limits.keep_alive_s(15.0))
+        self.assertEqual(1, idle_limits.keep_alive_s(2.4))
+        self.assertEqual(0, idle_limits.keep_alive_s(1.0))
