Soak: play stops and idle limits behind slow links

Cause: the soak's clients see a close at once, and its configuration never changes the idle limit, so requests that cross the close of their connection were never found.

Change: soak/slow_links.py plays stops, pauses, SIGHUP and configurations behind links that pass on at once what callers send, and 0.05 to 0.5 s late what the process sends.

--- a/soak/broken.py
+++ b/soak/broken.py
@@ -9,6 +9,7 @@
 from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress import named_limits
 from guavachute.domain import configuration
+from guavachute.entry.closing import late_bytes
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange
 from guavachute.entry import known_state
@@ -104,6 +105,13 @@
     setattr(relay_client.RelayClient, 'has_helper', has_helper)
 
 
+def late_bytes_read() -> None:
+    """Read and discard what crosses the close of a connection."""
+    late_bytes.Reason.reads_on = property(  # type: ignore[assignment]
+        lambda reason: True
+    )
+
+
 VARIANTS: dict[str, typing.Callable[[], None]] = {
     'order-twice': order_twice,
     'false-not-run': false_not_run,
@@ -112,6 +120,7 @@
     'limit-unknown': limit_unknown,
     'build-unknown': build_unknown,
     'links-unknown': links_unknown,
+    'late-bytes-read': late_bytes_read,
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 from soak import broken
 from soak import regressions
 from soak import seed_run
+from soak import slow_links
 
 MAX_CONCURRENT = 4
 """The most seeds that run at the same time."""
@@ -34,6 +35,8 @@
     """Run this faulty variant of the program, which must be detected."""
     regressions: typing.Annotated[bool, cappa.Arg(long=True)] = False
     """Also run the seeds that failed in the past."""
+    slow_links: typing.Annotated[bool, cappa.Arg(long=True)] = False
+    """Instead play stops and changing idle limits behind slow links."""
 
 
 def run(command: SoakCommand) -> int:
@@ -59,7 +62,9 @@
     with concurrent.futures.ProcessPoolExecutor(concurrency) as workers:
         runs = [
             workers.submit(
-                seed_run.run_seed,
+                slow_links.run_seed
+                if command.slow_links
+                else seed_run.run_seed,
                 seed,
                 command.processes,
                 folder / str(seed),
@@ -81,7 +86,8 @@
     """Print the result of a seed; return whether a guarantee was violated."""
     print(
         f'seed {result.seed}: {result.attempts} requests, '
-        f'{result.served} served, {len(result.failures)} failures',
+        f'{result.served} served, {len(result.failures)} failures'
+        f'{result.notes}',
         flush=True,
     )
     for line in result.failures[:20]:
--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -8,11 +8,9 @@
 import time
 import typing
 
-from guavachute.domain import site as domain_site
 from guavachute.entry import control_client
 from guavachute import ids
 from guavachute.platform import directory
-from guavachute.platform import settings
 from guavachute.standin.platform import engine as standin_engine
 from soak import clients as soak_clients
 from soak import faults
@@ -22,7 +20,6 @@
 from tests.support import cut_links
 from tests.support import looping
 from tests.support import platform_site
-from tests.support import ports
 
 FAULT_PHASE_S = 8.0
 READY_TIMEOUT_S = 20.0
@@ -64,6 +61,8 @@
     :ivar attempts: the number of requests that clients sent
     :ivar served: how many of them were answered with status 200
     :ivar folder: where the logs are
+    :ivar notes: what else the report says of the seed
+    :ivar crossed: how many requests crossed the close of their connection
     """
 
     seed: int
@@ -71,6 +70,8 @@
     attempts: int
     served: int
     folder: pathlib.Path
+    notes: str = ''
+    crossed: int = 0
 
 
 class SeedRun:
@@ -211,33 +212,12 @@
                 self.loop, self.store.address, f'{self._host}.1.1'
             )
             self.store_links.append(link)
-            ip = f'{self._host}.{2 + number // 200}.{1 + number % 200}'
-            callers, readiness = (
-                self._ports.enter_context(ports.reserved(ip)) for _ in range(2)
-            )
-            peers_port = self._ports.enter_context(
-                ports.reserved(
-                    ip,
-                    also=(
-                        settings.METRICS_PORT_OFFSET,
-                        settings.RELAY_PORT_OFFSET,
-                    ),
-                )
-            )
-            site = platform_site.node_settings(
-                f'edge-{number}',
-                ip,
+            site = programs.site_settings(
+                self._ports,
+                self._host,
+                number,
                 link.address,
                 self.cloud.address,
-                peers_port,
-                listen=domain_site.Listen(
-                    callers=ids.Address(f'{ip}:{callers}'),
-                    readiness=ids.Address(f'{ip}:{readiness}'),
-                    directory=None,
-                    peers_port=peers_port,
-                    metrics_port=0,
-                    relay_port=0,
-                ),
             )
             self.programs.append(
                 programs.Program(site, folder, variant, self._endpoints_host)
--- /dev/null
+++ b/soak/slow_links.py
@@ -0,0 +1,680 @@
+"""Requests that cross the close of their connection on slow links.
+
+Each process is behind links that pass on at once what callers send, and late
+what the process sends, ends of connections included, as links with a full
+queue do. So callers use connections that the process has closed already.
+"""
+
+import collections
+import contextlib
+import dataclasses
+import enum
+import os
+import pathlib
+import random
+import socket
+import time
+import typing
+
+import httptools
+import msgspec
+
+from guavachute.entry import loop as entry_loop
+from guavachute.standin.platform import engine as standin_engine
+from guavachute.standin.platform import store as standin_store
+from soak import clients
+from soak import guarantees
+from soak import programs
+from soak import seed_run
+from tests.support import looping
+from tests.support import platform_site
+
+SERIES_S = 15.0
+DELAY_RANGE_S = (0.05, 0.5)
+IDLE_RANGE_S = (0.6, 3.0)
+TIMEOUT_RANGE_MS = (2_000, 4_000)
+PAUSE_RANGE_S = (0.2, 1.0)
+STEP_RANGE_S = (0.1, 0.8)
+"""Time between two disturbances of a site with four processes; they come
+more often the more processes there are."""
+
+USED_FRACTION = 0.8
+"""Callers use connections that rested up to this fraction of an idle limit."""
+
+LOSS_SLACK_S = 0.2
+"""A request may be lost if its connection ends this soon (lossSlackMs)."""
+
+DEADLINE_S = 3.0
+"""The deadline of all requests, as in ``platform_site.request_bytes``."""
+
+RETRY_S = 0.2
+MAX_PIECE_PAUSE_S = 0.15
+"""The longest time between two pieces of a body, below the time-out of
+heads."""
+
+CALLERS_PER_PROCESS = 30
+MAX_CALLERS = 300
+START_TIMEOUT_S = 60.0
+END_TIMEOUT_S = 30.0
+"""Bounds of a hanging run; no guarantee bounds the speed."""
+
+
+class End(enum.Enum):
+    """How the process ended a connection."""
+
+    NONE = 'none'
+    IN_ORDER = 'in order'
+    """All that had arrived had been read, as far as is known yet."""
+    RESET = 'reset'
+    """Something was left unread."""
+
+
+@dataclasses.dataclass(slots=True)
+class Request(guarantees.Attempt):
+    """A request of a caller.
+
+    :ivar handed_s: when the link passed its last byte to the process; infinite
+        before
+    :ivar crossed: whether the process had ended the connection by then
+    :ivar end_is_late: whether this program itself stood still when it noticed
+        the end of the connection
+    """
+
+    handed_s: float = float('inf')
+    crossed: bool = False
+    end_is_late: bool = False
+    connection: 'Connection | None' = None
+
+
+class Connection:
+    """The connection of a caller to a process over a slow link.
+
+    :ivar has_ended: whether the caller knows that the connection ended
+    :ivar pending: requests without a complete answer, oldest first
+    """
+
+    def __init__(
+        self,
+        loop: entry_loop.Loop,
+        program: programs.Program,
+        delay_s: float,
+        on_changed: typing.Callable[[], None],
+    ) -> None:
+        self._loop = loop
+        self._delay_s = delay_s
+        self._on_changed = on_changed
+        self._parser = httptools.HttpResponseParser(self)
+        self.incarnation = program.incarnation
+        self.end = End.NONE
+        self.has_ended = False
+        self.is_told_to_close = False
+        self.keep_alive_s = float('inf')
+        self.pending: collections.deque[Request] = collections.deque()
+        address = program.site.listen.callers
+        assert address is not None
+        host, _, port = address.rpartition(':')
+        self._socket = socket.create_connection((host, int(port)))
+        self._socket.setblocking(False)
+        loop.watch(self._socket, entry_loop.READ, self._receive)
+
+    def send(self, data: bytes, completed: typing.Iterable[Request]) -> None:
+        """Pass *data* on, which is the last of the *completed* requests."""
+        if self.end is End.NONE:
+            self._receive()
+        crossed = self.end is not End.NONE
+        try:
+            sent = self._socket.send(data, socket.MSG_NOSIGNAL)
+            assert sent == len(data), 'the socket takes small requests'
+        except OSError:
+            # The process has closed, and will not read this.
+            self._note_end(End.RESET)
+        for request in completed:
+            request.handed_s = self._loop.now_s
+            request.crossed = crossed
+
+    def close(self) -> None:
+        """Close, as the caller does."""
+        if self.end is End.NONE:
+            self._loop.unwatch(self._socket)
+        self._socket.close()
+
+    def settle(self) -> None:
+        """Look whether a reset has followed an end in order."""
+        if self.end is End.IN_ORDER and self._socket.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        ):
+            self.end = End.RESET
+
+    def _receive(self, events: int = entry_loop.READ) -> None:
+        while self.end is End.NONE:
+            try:
+                data = self._socket.recv(65_536)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._note_end(End.RESET)
+                return
+            if not data:
+                self._note_end(End.IN_ORDER)
+                return
+            self._later(lambda data=data: self._deliver(data))
+
+    def _note_end(self, end: End) -> None:
+        if self.end is End.NONE:
+            # The socket stays open: a reset may follow the end, and would
+            # not come if the caller's direction were closed first.
+            self._loop.unwatch(self._socket)
+            is_late = self._loop.is_catching_up
+            self._later(lambda: self._deliver_end(is_late))
+        self.end = end
+
+    def _later(self, action: typing.Callable[[], None]) -> None:
+        self._loop.call_at(self._loop.now_s + self._delay_s, action)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self.pending:
+                self.pending[0].is_malformed = True
+        self._on_changed()
+
+    def _deliver_end(self, is_late: bool) -> None:
+        self.has_ended = True
+        for request in self.pending:
+            request.ended_s = self._loop.now_s
+            request.end_is_late = is_late
+        self._on_changed()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Parser callback: a header of the answer."""
+        if self.pending:
+            self.pending[0].headers[name.decode().lower()] = value.decode()
+
+    def on_headers_complete(self) -> None:
+        """Parser callback: the head is complete."""
+        if self.pending:
+            request = self.pending[0]
+            request.status = self._parser.get_status_code()
+            keep_alive = request.headers.get('keep-alive', 'timeout=inf')
+            self.keep_alive_s = float(keep_alive.partition('timeout=')[2])
+            if request.headers.get('connection') == 'close':
+                self.is_told_to_close = True
+
+    def on_body(self, data: bytes) -> None:
+        """Parser callback: a part of the body."""
+        if self.pending:
+            self.pending[0].answer += data
+
+    def on_message_complete(self) -> None:
+        """Parser callback: the answer is complete."""
+        if self.pending:
+            request = self.pending.popleft()
+            request.is_complete = True
+            request.ended_s = self._loop.now_s
+
+
+class Caller:
+    """Sends to one process, over a connection that it keeps if it may."""
+
+    def __init__(self, run: 'Run', program: programs.Program) -> None:
+        self._run = run
+        self._program = program
+        self._connection: Connection | None = None
+        self._is_resting = True
+        self._rest(run.rng.uniform(0.0, 1.0))
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits for an answer."""
+        return self._connection is not None and bool(self._connection.pending)
+
+    def _rest(self, duration_s: float) -> None:
+        self._is_resting = True
+        self._run.loop.call_after(duration_s, self._next)
+
+    def _next(self) -> None:
+        rng = self._run.rng
+        if self._run.is_ending:
+            return
+        if self._connection is not None and rng.random() < 0.1:
+            self._leave()
+        if self._connection is None:
+            try:
+                self._connection = Connection(
+                    self._run.loop,
+                    self._program,
+                    rng.uniform(*DELAY_RANGE_S),
+                    self._changed,
+                )
+            except OSError:
+                self._rest(rng.uniform(0.0, 2 * RETRY_S))
+                return
+            if rng.random() < 0.3:
+                self._rest(self._run.rest_s())
+                return
+        self._is_resting = False
+        requests = [
+            self._run.new_request(self._connection)
+            for _ in range(2 if rng.random() < 0.15 else 1)
+        ]
+        data = b''.join(_encode(request) for request in requests)
+        self._connection.pending.extend(requests)
+        if len(requests) > 1 or rng.random() < 0.7:
+            self._connection.send(data, requests)
+            return
+        connection, last = self._connection, rng.randint(1, 5)
+        connection.send(data[:-last], ())
+        self._run.loop.call_after(
+            rng.uniform(0.0, MAX_PIECE_PAUSE_S),
+            lambda: self._send_rest(connection, data[-last:], requests),
+        )
+
+    def _send_rest(
+        self,
+        connection: Connection,
+        data: bytes,
+        requests: typing.Iterable[Request],
+    ) -> None:
+        if connection is self._connection and not connection.has_ended:
+            connection.send(data, requests)
+
+    def _changed(self) -> None:
+        connection = self._connection
+        if connection is None:
+            return
+        if connection.has_ended or (
+            connection.is_told_to_close and not connection.pending
+        ):
+            self._leave()
+            if not self._is_resting:
+                self._rest(self._run.rng.uniform(0.0, RETRY_S))
+        elif not connection.pending and not self._is_resting:
+            self._rest(min(connection.keep_alive_s, self._run.rest_s()))
+
+    def _leave(self) -> None:
+        assert self._connection is not None
+        if self._connection.pending:
+            self._run.unsettled.append(self._connection)
+        else:
+            self._connection.close()
+        self._connection = None
+
+
+def _encode(request: Request) -> bytes:
+    return platform_site.request_bytes(
+        request.target,
+        request.attempt_id,
+        'POST',
+        request.body,
+        clients.KEYS[request.workspace],
+        Prefix_Hash=f'system:50,{request.attempt_id}:5',
+    )
+
+
+class Run:
+    """The site of one seed, its callers and its disturbances."""
+
+    def __init__(
+        self,
+        seed: int,
+        nodes: int,
+        folder: pathlib.Path,
+        variant: str | None,
+    ) -> None:
+        self.rng = random.Random(f'slow links of {seed}')
+        self._stack = contextlib.ExitStack()
+        self.site = platform_site.PlatformSite()
+        self.loop = self.site.loop
+        self.requests: list[Request] = []
+        self.unsettled: list[Connection] = []
+        self.is_ending = False
+        self.log: list[str] = []
+        self._version = 0
+        self._limits: list[tuple[float, float]] = []
+        self._stopping: set[str] = set()
+        self._paused: set[str] = set()
+        self.paused_in_stop_s: dict[str, float] = {}
+        host = f'127.{1 + (seed + os.getpid()) % 250}'
+        self._configure()
+        for number in range(6):
+            is_plain = number < 3
+            engine = self.site.add_engine(
+                f'e{number}',
+                platform_site.PLAIN_SERVICE
+                if is_plain
+                else platform_site.MODEL_SERVICE,
+                events=0 if is_plain else clients.STREAM_EVENTS,
+            )
+            engine.event_pause_s = 0.05
+        self.programs = [
+            programs.Program(
+                programs.site_settings(
+                    self._stack,
+                    host,
+                    number,
+                    self.site.store.address,
+                    self.site.cloud.address,
+                ),
+                folder,
+                variant,
+                f'{host}.1.2',
+            )
+            for number in range(nodes)
+        ]
+        self.callers: list[Caller] = []
+
+    def close(self) -> None:
+        """End all processes, and close all sockets."""
+        for program in self.programs:
+            program.resume()
+            program.kill()
+        for connection in self.unsettled:
+            connection.close()
+        self.site.close()
+        self._stack.close()
+
+    def new_request(self, connection: Connection) -> Request:
+        """Return a request on any route."""
+        route = self.rng.choice([*clients.ROUTES, clients.PROBE])
+        target = f'{route.path}{self.rng.randrange(9)}'
+        if route is clients.PROBE:
+            target = f'/v{self.rng.randint(1, self._version)}/x'
+        request = Request(
+            attempt_id=f'attempt-{len(self.requests)}',
+            route=route,
+            target=target,
+            body=b'question %d' % self.rng.randrange(1_000),
+            workspace=self.rng.choice(sorted(clients.KEYS)),
+            incarnation=connection.incarnation,
+            sent_s=self.loop.now_s,
+            version=self._version,
+            connection=connection,
+        )
+        self.requests.append(request)
+        return request
+
+    def rest_s(self) -> float:
+        """How long a caller may rest, by a limit that it may know."""
+        known_for_s = self.programs[0].site.bounds.configuration_s
+        known = [
+            limit_s
+            for number, (limit_s, _) in enumerate(self._limits)
+            if number == len(self._limits) - 1
+            or self._limits[number + 1][1] > self.loop.now_s - known_for_s
+        ]
+        share = 1.0 - self.rng.random() ** 2
+        return USED_FRACTION * share * self.rng.choice(known)
+
+    def play(self, series_s: float) -> list[str]:
+        """Play the whole series; return the violated guarantees."""
+        for program in self.programs:
+            program.start()
+        looping.run_until(
+            self.loop,
+            lambda: all(_is_listening(item) for item in self.programs),
+            START_TIMEOUT_S,
+        )
+        per_process = min(
+            CALLERS_PER_PROCESS, MAX_CALLERS // len(self.programs)
+        )
+        self.callers = [
+            Caller(self, program)
+            for program in self.programs
+            for _ in range(per_process)
+        ]
+        self._heartbeat()
+        self._restart_ended()
+        self._settle()
+        self._disturb()
+        end_s = self.loop.now_s + series_s
+        looping.run_until(
+            self.loop,
+            lambda: self.loop.now_s >= end_s,
+            series_s + END_TIMEOUT_S,
+        )
+        self.is_ending = True
+        for program in self.programs:
+            program.resume()
+        looping.run_until(
+            self.loop,
+            lambda: not any(caller.is_waiting for caller in self.callers),
+            END_TIMEOUT_S,
+        )
+        for program in self.programs:
+            program.stop()
+        looping.run_until(
+            self.loop,
+            lambda: not any(item.is_running for item in self.programs),
+            END_TIMEOUT_S,
+        )
+        # Now all ends are final, and their resets have arrived.
+        for connection in self.unsettled:
+            connection.settle()
+        return self._failures()
+
+    # -- the disturbances ----------------------------------------------
+
+    def _note(self, text: str) -> None:
+        self.log.append(f'{self.loop.now_s:.3f} {text}')
+
+    def _disturb(self) -> None:
+        if self.is_ending:
+            return
+        program = self.rng.choice(self.programs)
+        self.rng.choice([
+            self._configure,
+            self._configure,
+            lambda: self._stop(program),
+            lambda: self._reload(program),
+            lambda: self._pause(program),
+        ])()  # fmt: skip
+        step_s = self.rng.uniform(*STEP_RANGE_S) * 4 / len(self.programs)
+        self.loop.call_after(min(step_s, STEP_RANGE_S[1]), self._disturb)
+
+    def _configure(self) -> None:
+        """Change the idle limit, a route and the time-outs."""
+        self._version += 1
+        limit_s = round(self.rng.uniform(*IDLE_RANGE_S), 1)
+        self._limits.append((limit_s, self.loop.now_s))
+        own = [
+            (f'v{number}', f'/v{number}/', *seed_run.PROBE_ROUTE)
+            for number in range(1, self._version + 1)
+        ]
+        fields = msgspec.json.decode(
+            platform_site.configuration(
+                self._version, [*platform_site.ROUTES, *own]
+            )
+        )
+        fields['limits']['idleTimeoutMs'] = round(1_000 * limit_s)
+        for route in fields['routes']:
+            route['timeoutMs'] = self.rng.randint(*TIMEOUT_RANGE_MS)
+        self.site.store.put(
+            standin_store.OPERATOR_TOPIC, 'config', msgspec.json.encode(fields)
+        )
+        self._note(f'version {self._version}, idle limit {limit_s} s')
+
+    def _stop(self, program: programs.Program) -> None:
+        self._note(f'SIGTERM {program.incarnation}')
+        self._stopping.add(program.incarnation)
+        self._note_pause_in_stop(program.incarnation)
+        program.stop()
+        if self.rng.random() < 0.4:
+            self.loop.call_after(
+                self.rng.uniform(0.0, 1.0), lambda: self._stop(program)
+            )
+
+    def _reload(self, program: programs.Program) -> None:
+        # SIGHUP ends a process that has not yet reached its first line.
+        if _is_listening(program):
+            self._note(f'SIGHUP {program.incarnation}')
+            program.reload()
+
+    def _pause(self, program: programs.Program) -> None:
+        incarnation = program.incarnation
+        if incarnation in self._paused:
+            return
+        self._note(f'SIGSTOP {incarnation}')
+        self._paused.add(incarnation)
+        self._note_pause_in_stop(incarnation)
+        program.pause()
+
+        def resume() -> None:
+            self._note(f'SIGCONT {incarnation}')
+            self._paused.discard(incarnation)
+            program.resume()
+
+        self.loop.call_after(self.rng.uniform(*PAUSE_RANGE_S), resume)
+
+    def _note_pause_in_stop(self, incarnation: str) -> None:
+        if incarnation in self._stopping & self._paused:
+            self.paused_in_stop_s.setdefault(incarnation, self.loop.now_s)
+
+    def _restart_ended(self) -> None:
+        self.loop.call_after(0.05, self._restart_ended)
+        for program in self.programs:
+            if not program.is_running and not self.is_ending:
+                program.check_exit()
+                program.start()
+                self._note(f'start {program.incarnation}')
+
+    def _heartbeat(self) -> None:
+        self.loop.call_after(seed_run.HEARTBEAT_S, self._heartbeat)
+        for engine in self.site.engines:
+            engine.register()
+
+    def _settle(self) -> None:
+        self.loop.call_after(0.1, self._settle)
+        for connection in self.unsettled:
+            connection.settle()
+
+    # -- the guarantees ------------------------------------------------
+
+    def _failures(self) -> list[str]:
+        runs: dict[str, list[standin_engine.Run]] = {}
+        for engine in self.site.engines:
+            for run in engine.runs:
+                runs.setdefault(run.attempt_id, []).append(run)
+        return [
+            *(
+                f'unexpected exit of a process: {end}'
+                for program in self.programs
+                for end in program.unexpected_exits
+            ),
+            *guarantees.violations(self.requests, runs),
+            *(
+                describe(item)
+                for item in self.requests
+                if is_lost(item, bool(runs.get(item.attempt_id)))
+                and not self.excuse(item)
+            ),
+        ]
+
+    def excuse(self, request: Request) -> str:
+        """Why a request may be lost; empty if it may not."""
+        paused_s = self.paused_in_stop_s.get(request.incarnation, float('inf'))
+        if request.ended_s >= paused_s:
+            return 'paused'
+        open_s = request.ended_s - request.handed_s
+        if open_s <= LOSS_SLACK_S:
+            return 'slack'
+        if request.end_is_late:
+            return 'late'
+        if open_s >= min(DEADLINE_S, TIMEOUT_RANGE_MS[0] / 1_000):
+            return 'deadline'
+        return ''
+
+    @property
+    def crossed(self) -> int:
+        """The number of requests that crossed the close of a connection."""
+        return sum(
+            item.crossed or (item.handed_s < float('inf') and not item.status)
+            for item in self.requests
+        )
+
+    def notes(self) -> str:
+        """How many requests crossed a close, and how many are excused."""
+        excuses = collections.Counter(
+            self.excuse(item)
+            for item in self.requests
+            if is_lost(item, False) and self.excuse(item)
+        )
+        return f', {self.crossed} crossed a close, excused: ' + (
+            ', '.join(f'{count} {name}' for name, count in excuses.items())
+            or 'none'
+        )
+
+
+def is_lost(request: Request, has_run: bool) -> bool:
+    """Whether a whole request that may have been read has no answer.
+
+    :param has_run: whether an endpoint ran it, which shows that it was read
+    """
+    if request.is_complete or request.handed_s == float('inf'):
+        return False
+    assert request.connection is not None
+    return (
+        has_run
+        or request.status > 0
+        or request.connection.end is not End.RESET
+    )
+
+
+def describe(request: Request) -> str:
+    """Return a line about a lost request."""
+    assert request.connection is not None
+    return (
+        f'lost: {request.attempt_id} {request.target} by '
+        f'{request.incarnation}, handed over {request.handed_s:.3f}, ended '
+        f'{request.ended_s - request.handed_s:.3f} s later, '
+        f'{request.connection.end.value}, status {request.status}'
+    )
+
+
+def _is_listening(program: programs.Program) -> bool:
+    address = program.site.listen.callers
+    assert address is not None
+    host, _, port = address.rpartition(':')
+    with socket.socket() as probe:
+        return not probe.connect_ex((host, int(port)))
+
+
+def run_seed(
+    seed: int,
+    nodes: int,
+    folder: pathlib.Path,
+    variant: str | None = None,
+    series_s: float = SERIES_S,
+) -> seed_run.SeedResult:
+    """Run one seed with *nodes* processes; logs go to *folder*."""
+    folder.mkdir(parents=True, exist_ok=True)
+    start_s = time.monotonic()
+    run = Run(seed, nodes, folder, variant)
+    try:
+        failures = run.play(series_s)
+    finally:
+        run.close()
+    lines = [
+        f'seed {seed}, {nodes} processes, {time.monotonic() - start_s:.0f} s',
+        *run.log,
+        *[f'FAILED {line}' for line in failures],
+        *[
+            f'{item.sent_s:.3f} {item.attempt_id} {item.target} '
+            f'{item.incarnation} {item.status} complete={item.is_complete} '
+            f'handed={item.handed_s:.3f} ended={item.ended_s:.3f} '
+            f'crossed={item.crossed} '
+            f'end={item.connection and item.connection.end.value}'
+            for item in run.requests
+        ],
+    ]
+    (folder / 'play.txt').write_text('\n'.join(lines) + '\n')
+    served = sum(item.status == 200 for item in run.requests)
+    return seed_run.SeedResult(
+        seed,
+        failures,
+        len(run.requests),
+        served,
+        folder,
+        run.notes(),
+        run.crossed,
+    )
--- /dev/null
+++ b/tests/nocover/test_soak_slow_links.py
@@ -0,0 +1,129 @@
+"""The soak behind slow links: its checks, and one short seed."""
+
+import pathlib
+import socket
+import tempfile
+import types
+import typing
+import unittest
+
+from guavachute.entry import loop as entry_loop
+from soak import clients
+from soak import seed_run
+from soak import slow_links
+from tests.support import looping
+
+ORDER = clients.ROUTES[2]
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class ConnectionTest(unittest.TestCase):
+    """How a connection over a slow link tells the ends of the process."""
+
+    def setUp(self) -> None:
+        self.loop = entry_loop.Loop()
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        program = types.SimpleNamespace(
+            incarnation='edge-0/1',
+            site=types.SimpleNamespace(
+                listen=types.SimpleNamespace(
+                    callers='%s:%d' % self.listener.getsockname()
+                )
+            ),
+        )
+        self.connection = slow_links.Connection(
+            self.loop, typing.cast(typing.Any, program), 0.05, lambda: None
+        )
+        self.addCleanup(self.connection.close)
+        self.process, _ = self.listener.accept()
+        self.addCleanup(self.process.close)
+        self.request = slow_links.Request(
+            attempt_id='a1',
+            route=ORDER,
+            target='/order/1',
+            body=b'',
+            workspace='botany',
+            incarnation='edge-0/1',
+            sent_s=self.loop.now_s,
+            version=1,
+            connection=self.connection,
+        )
+
+    def send(self) -> None:
+        self.connection.pending.append(self.request)
+        self.connection.send(b'POST', [self.request])
+
+    def until_ended(self) -> None:
+        looping.run_until(self.loop, lambda: self.connection.has_ended)
+        self.connection.settle()
+
+    def until_reset(self) -> None:
+        def is_reset() -> bool:
+            self.connection.settle()
+            return self.connection.end is slow_links.End.RESET
+
+        looping.run_until(self.loop, is_reset)
+
+    def test_a_complete_answer(self) -> None:
+        self.send()
+        self.process.sendall(ANSWER)
+        looping.run_until(self.loop, lambda: self.request.is_complete)
+        self.assertEqual(b'ok', self.request.answer)
+        self.assertFalse(slow_links.is_lost(self.request, has_run=True))
+
+    def test_a_request_that_was_read_and_dropped(self) -> None:
+        self.process.shutdown(socket.SHUT_WR)
+        self.send()
+        self.assertEqual(b'POST', self.process.recv(9))
+        self.process.close()
+        self.until_ended()
+        self.assertTrue(self.request.crossed)
+        self.assertIs(slow_links.End.IN_ORDER, self.connection.end)
+        self.assertTrue(slow_links.is_lost(self.request, has_run=False))
+
+    def test_a_request_that_stays_unread(self) -> None:
+        self.process.shutdown(socket.SHUT_WR)
+        self.send()
+        self.until_ended()
+        self.assertIs(slow_links.End.IN_ORDER, self.connection.end)
+        self.process.close()
+        self.until_reset()
+        self.assertFalse(slow_links.is_lost(self.request, has_run=False))
+        self.assertTrue(slow_links.is_lost(self.request, has_run=True))
+
+    def test_a_process_that_has_gone(self) -> None:
+        self.process.close()
+        self.send()
+        self.until_reset()
+        self.until_ended()
+        self.assertFalse(slow_links.is_lost(self.request, has_run=False))
+
+    def test_an_answer_that_breaks_off(self) -> None:
+        self.send()
+        self.process.sendall(ANSWER[:-1])
+        self.process.close()
+        self.until_ended()
+        # Even a reset does not excuse it: the request was read.
+        self.assertIs(slow_links.End.RESET, self.connection.end)
+        self.assertTrue(slow_links.is_lost(self.request, has_run=False))
+
+
+class SeedTest(unittest.TestCase):
+    def play(self, variant: str | None) -> seed_run.SeedResult:
+        with tempfile.TemporaryDirectory() as folder:
+            return slow_links.run_seed(
+                1, 2, pathlib.Path(folder), variant, series_s=8.0
+            )
+
+    def test_a_seed_keeps_all_promises(self) -> None:
+        result = self.play(None)
+        self.assertEqual([], result.failures)
+        self.assertGreater(result.served, 0)
+        self.assertGreater(result.crossed, 0)
+
+    def test_a_process_that_reads_behind_its_close_is_detected(self) -> None:
+        result = self.play('late-bytes-read')
+        self.assertTrue(
+            any('lost: ' in line for line in result.failures), result
+        )
