--- a/soak/slow_links.py
+++ b/soak/slow_links.py
@@ -38,6 +38,10 @@
 """Time between two disturbances of a site with four processes; they come
 more often the more processes there are."""
 
+CHANGE_RANGE_S = (0.3, 6.0)
+"""Time between two configurations. After the longer ones, callers know one
+idle limit only."""
+
 USED_FRACTION = 0.8
 """Callers use connections that rested up to this fraction of an idle limit."""
 
@@ -427,6 +431,7 @@
         self._restart_ended()
         self._settle()
         self._disturb()
+        self._change_configuration()
         end_s = self.loop.now_s + series_s
         looping.run_until(
             self.loop,
@@ -463,8 +468,6 @@
             return
         program = self.rng.choice(self.programs)
         self.rng.choice([
-            self._configure,
-            self._configure,
             lambda: self._stop(program),
             lambda: self._reload(program),
             lambda: self._pause(program),
@@ -472,6 +475,12 @@
         step_s = self.rng.uniform(*STEP_RANGE_S) * 4 / len(self.programs)
         self.loop.call_after(min(step_s, STEP_RANGE_S[1]), self._disturb)
 
+    def _change_configuration(self) -> None:
+        if not self.is_ending:
+            self._configure()
+            wait_s = self.rng.uniform(*CHANGE_RANGE_S)
+            self.loop.call_after(wait_s, self._change_configuration)
+
     def _configure(self) -> None:
         """Change the idle limit, a route and the time-outs."""
         self._version += 1
