--- a/soak/seed_run.py
+++ b/soak/seed_run.py
@@ -214,9 +214,6 @@
             )
             self.store_links.append(link)
             ip = f'{self._host}.{2 + number // 200}.{1 + number % 200}'
-            callers, readiness = (
-                self._ports.enter_context(ports.reserved(ip)) for _ in range(2)
-            )
             peers_port = self._ports.enter_context(
                 ports.reserved(
                     ip,
@@ -226,6 +223,11 @@
                     ),
                 )
             )
+            # After the ports that are chosen by number, which the operating
+            # system may have given away before.
+            callers, readiness = (
+                self._ports.enter_context(ports.reserved(ip)) for _ in range(2)
+            )
             site = platform_site.node_settings(
                 f'edge-{number}',
                 ip,
