--- a/soak/slow_links.py
+++ b/soak/slow_links.py
@@ -102,6 +102,21 @@
             return False
         return has_run or not self.is_unread
 
+    def excuse(self, paused_in_stop_s: float) -> str:
+        """Why it may be lost; empty if it may not.
+
+        :param paused_in_stop_s: when its process was paused while it stopped;
+            infinite if it was not
+        """
+        open_s = self.ended_s - self.handed_s
+        reasons = {
+            'paused in a stop': self.ended_s >= paused_in_stop_s,
+            'slack': open_s <= LOSS_SLACK_S,
+            'noticed late': self.end_is_late,
+            'deadline': open_s >= LONGEST_OPEN_S,
+        }
+        return next((name for name, holds in reasons.items() if holds), '')
+
     @property
     def is_unread(self) -> bool:
         """Whether the process closed before it read the request.
@@ -542,15 +557,9 @@
 
     def _excuse(self, request: Request) -> str:
         """Why a request may be lost; empty if it may not."""
-        open_s = request.ended_s - request.handed_s
-        reasons = {
-            'paused in a stop': request.ended_s
-            >= self._paused_in_stop_s.get(request.incarnation, float('inf')),
-            'slack': open_s <= LOSS_SLACK_S,
-            'noticed late': request.end_is_late,
-            'deadline': open_s >= LONGEST_OPEN_S,
-        }
-        return next((name for name, holds in reasons.items() if holds), '')
+        return request.excuse(
+            self._paused_in_stop_s.get(request.incarnation, float('inf'))
+        )
 
     @property
     def crossed(self) -> int:
--- a/tests/nocover/test_soak_slow_links.py
+++ b/tests/nocover/test_soak_slow_links.py
@@ -108,6 +108,37 @@
         self.assertTrue(self.request.is_lost(has_run=False))
 
 
+class ExcuseTest(unittest.TestCase):
+    def excuse(
+        self,
+        open_s: float,
+        paused_s: float = float('inf'),
+        end_is_late: bool = False,
+    ) -> str:
+        return slow_links.Request(
+            attempt_id='a1',
+            route=ORDER,
+            target='/order/1',
+            body=b'',
+            workspace='botany',
+            incarnation='edge-0/1',
+            sent_s=1.0,
+            version=1,
+            handed_s=1.0,
+            ended_s=1.0 + open_s,
+            end_is_late=end_is_late,
+        ).excuse(paused_s)
+
+    def test_what_may_be_lost(self) -> None:
+        self.assertEqual('', self.excuse(0.3))
+        self.assertEqual('slack', self.excuse(0.1))
+        self.assertEqual('', self.excuse(1.9))
+        self.assertEqual('deadline', self.excuse(2.1))
+        self.assertEqual('', self.excuse(0.3, paused_s=1.4))
+        self.assertEqual('paused in a stop', self.excuse(0.3, paused_s=1.2))
+        self.assertEqual('noticed late', self.excuse(0.3, end_is_late=True))
+
+
 class ShortRun(slow_links.SlowRun):
     """A run that takes less time."""
 
