Soak: start the processes behind slow links one after another

Cause: a play of 50 processes started all at once, which takes all cores.

Change: 0.25 s lie between two starts at the beginning of a play.

--- a/soak/slow_links.py
+++ b/soak/slow_links.py
@@ -53,6 +53,10 @@
 
 CALLERS_PER_PROCESS = 30
 MAX_CALLERS = 300
+START_GAP_S = 0.25
+"""Time between the starts of two processes, which need half a second of
+processor time each; many at once would disturb all else on the machine."""
+
 SECOND_STOP_FRACTION = 0.4
 END_TIMEOUT_S = 30.0
 """Bounds a run that hangs; no guarantee bounds the speed."""
@@ -418,6 +422,7 @@
         self._heartbeat()
         for program in self.programs:
             program.start()
+            looping.run_for(self.loop, START_GAP_S)
         failures = self._wait_until_ready('after the start')
         self.callers = [
             Caller(self, program)
