--- a/tests/support/simulated.py
+++ b/tests/support/simulated.py
@@ -105,6 +105,10 @@
         self.owner: typing.Any = None
         self.unsent_bytes = 0
         self.written_bytes = 0
+        # What was sent and has not arrived is not counted, and what has
+        # arrived is read at once.
+        self.undelivered_bytes = 0
+        self.unread_bytes = 0
         self.is_closed = False
         self.is_connected = False
         self.has_peer_closed = False
