Tell why a node ends an answer that has begun

The request line has the reason now, and guavachute_cut_X_total counts them by it.

To make room, what the log says of a request, the choice for one request and its wait for an endpoint are modules under entry/dispatch, and the demand of callers is measured in entry/demand_meters.py.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -10,12 +10,14 @@
 from guavachute.domain import configuration
 from guavachute.entry import callers
 from guavachute.entry.capacity import learned
+from guavachute.entry.dispatch import endpoint_wait
 from guavachute.entry.dispatch import refusals
+from guavachute.entry.dispatch import request_log
+from guavachute.entry.dispatch import selection
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange_owner
 from guavachute.entry import exchange_state
 from guavachute.entry import http1
-from guavachute.entry import loop as entry_loop
 from guavachute.entry import relay_client
 from guavachute.entry import stream_builds
 from guavachute.entry import upstream
@@ -29,13 +31,6 @@
 """The body of a refusal, or of an answer to another request, is read up to
 this size; a longer one may have no end."""
 
-RECHECK_S = 0.05
-"""Interval at which a request without a usable endpoint looks for one."""
-
-WAIT_FRACTION = 0.5
-"""Fraction of the route's latency objective that a request waits for a usable
-endpoint."""
-
 RETRY_STATUSES = (429, 503)
 """Statuses of answers that tell when to retry."""
 
@@ -105,7 +100,9 @@
         self._ignored_bytes = 0
         self._events = event_stream.EventStream()
         self._last_error: exchange_state.BufferedAnswer | None = None
-        self._recheck_timer: entry_loop.Timer | None = None
+        self._wait = endpoint_wait.EndpointWait(
+            owner.loop, route.objective_s, self._redispatch
+        )
         self._deadline_timer = owner.loop.call_at(
             self.expires_at_s, self._time_out
         )
@@ -123,10 +120,10 @@
             return
         if verdict is crashing_parts.Verdict.WAIT:
             self._recheck_or_fail(
-                now_s, 'another request that may crash endpoints is running'
+                'another request that may crash endpoints is running'
             )
             return
-        if not self._finds_build(now_s):
+        if not self._finds_build():
             return
         records = self._owner.usable(self, self._tried_endpoints)
         chosen = self._choose(records, now_s)
@@ -142,28 +139,18 @@
 
     def expected_first_token_s(self) -> float | None:
         """Time to first token if the request began now; None if unknown."""
-        now_s = self._owner.loop.now_s
         records = self._owner.usable(self, self._tried_endpoints)
-        chosen = self._choose(records, now_s)
+        chosen = self._choose(records, self._owner.loop.now_s)
         return None if chosen is None else chosen.first_token_s
 
     def _choose(
         self, records: list[endpoint_registry.EndpointRecord], now_s: float
     ) -> choice.Chosen | None:
-        candidates = self._owner.registry.candidates(
-            records, self.call.parts, now_s
+        return selection.choose(
+            self._owner.registry, self.route, self.call, records, now_s
         )
-        if self.route.is_model and self.call.tokens is not None:
-            return choice.choose_engine(
-                candidates,
-                self.call.tokens.prompt,
-                self.call.parts,
-                self.route.objective_s,
-                self._owner.registry.draw,
-            )
-        return choice.choose_plain(candidates, self._owner.registry.draw)
 
-    def _finds_build(self, now_s: float) -> bool:
+    def _finds_build(self) -> bool:
         """Whether the request may be sent, as far as builds matter.
 
         Otherwise it waits, or is answered. Only a stream that goes on needs
@@ -178,7 +165,7 @@
         found = self._owner.find_build(self)
         if found is stream_builds.Origin.PENDING:
             self._recheck_or_fail(
-                now_s, 'the origin is not known', stream_builds.FIND_TIMEOUT_S
+                'the origin is not known', stream_builds.FIND_TIMEOUT_S
             )
         elif found is stream_builds.Origin.UNKNOWN:
             self._fail_request(
@@ -198,21 +185,12 @@
         if failure is not None:
             self._fail_request(failure)
             return
-        self._recheck_or_fail(
-            now_s, f'no endpoint of {self.service} can be used'
-        )
+        self._recheck_or_fail(f'no endpoint of {self.service} can be used')
 
-    def _recheck_or_fail(
-        self, now_s: float, reason: str, least_wait_s: float = 0.0
-    ) -> None:
+    def _recheck_or_fail(self, reason: str, least_wait_s: float = 0.0) -> None:
         """Try to dispatch again soon, unless the request waited too long."""
-        longest_s = max(least_wait_s, WAIT_FRACTION * self.route.objective_s)
-        if now_s - self.arrived_s < longest_s:
-            self._recheck_timer = self._owner.loop.call_after(
-                RECHECK_S, self._redispatch
-            )
-            return
-        self._fail_request(refusals.no_capacity(reason))
+        if not self._wait.recheck(least_wait_s):
+            self._fail_request(refusals.no_capacity(reason))
 
     def _redispatch(self) -> None:
         if (
@@ -269,21 +247,13 @@
             else None,
             origin=origin,
         )
-        journal.event(
-            'dispatch',
-            request=self.call.attempt_id,
-            route=self.route.name,
-            service=self.service,
-            endpoint=record.entry.id,
-            attempt=self.attempts,
-            expected_s=round(chosen.first_token_s, 4),
-            left_s=round(dispatch.deadline_s, 3),
-            load=record.own.requests,
-            load_age_s=round(min(99.0, now_s - record.reported_at_s), 3),
-            entries_age_s=round(self._owner.registry.entries_age_s(), 3),
-            build=record.entry.build,
-            is_resumed=dispatch.resume_after is not None,
-            begun_as=self.call.begun_as,
+        request_log.log_dispatch(
+            self,
+            record,
+            dispatch,
+            chosen.first_token_s,
+            self._owner.registry.entries_age_s(),
+            now_s - record.reported_at_s,
         )
         connection.send_request(
             requests.encode_for_endpoint(self.call, dispatch), self
@@ -673,6 +643,10 @@
 
     def _fail_attempt(self, reason: str) -> None:
         """Fail the attempt: it has no usable answer, and may have run."""
+        self._lose_attempt()
+        self._after_failure(reason)
+
+    def _lose_attempt(self) -> None:
         assert self._record is not None
         self._may_have_run = True
         if not self._owner.registry.has_broken_link(self._record):
@@ -681,11 +655,8 @@
         if not self._is_stream:
             self._report_start()
         self._release_endpoint(keeps_alive=False)
-        self._after_failure(reason)
 
-    def _after_failure(self, reason: str) -> None:
-        if self._record is not None:
-            self._tried_endpoints.add(self._record.entry.id)
+    def _log_failed_attempt(self, reason: str) -> None:
         journal.event(
             'attempt-failed',
             request=self.call.attempt_id,
@@ -695,13 +666,15 @@
             passed_events=self._events.events,
             **self._answer_end_fields(),
         )
-        may_repeat = self.route.can_run_again and (
-            self.is_proven or self._owner.may_repeat(self)
-        )
-        if may_repeat and self._consume_retry():
+
+    def _after_failure(self, reason: str) -> None:
+        if self._record is not None:
+            self._tried_endpoints.add(self._record.entry.id)
+        self._log_failed_attempt(reason)
+        if self._may_repeat and self._consume_retry():
             self.dispatch()
         elif self.first_byte_s is not None:
-            self._finish('cut')
+            self._finish('cut', _failure(reason))
             self._caller.abort()
         elif self._last_error is not None:
             self._forward_answer(self._last_error)
@@ -735,6 +708,12 @@
         """
         return self._may_have_run and not self.route.can_run_again
 
+    @property
+    def _may_repeat(self) -> bool:
+        return self.route.can_run_again and (
+            self.is_proven or self._owner.may_repeat(self)
+        )
+
     def _consume_retry(self) -> bool:
         return (
             self.attempts < self.route.max_attempts
@@ -835,27 +814,19 @@
     def _finish(
         self, verdict: str, failure: outcome.Failure | None = None
     ) -> None:
-        now_s = self._owner.loop.now_s
         self.state = exchange_state.State.ENDED
         self._deadline_timer.cancel()
-        if self._recheck_timer is not None:
-            self._recheck_timer.cancel()
-        first_s = self.first_byte_s
-        journal.event(
-            'request',
-            outcome=verdict,
-            reason=str(failure) if failure else None,
-            request=self.call.attempt_id,
-            route=self.route.name,
-            workspace=self.workspace.name if self.workspace else None,
-            endpoint=self._record.entry.id if self._record else None,
-            attempts=self.attempts,
-            first_s=first_s and round(first_s - self.arrived_s, 4),
-            total_s=round(now_s - self.arrived_s, 4),
+        self._wait.cancel()
+        request_log.log_end(
+            self,
+            self._record.entry.id if self._record else None,
+            verdict,
+            failure,
+            self._owner.loop.now_s,
             events=self._events.events,
             **self._answer_end_fields(),
         )
-        self._owner.handle_request_ended(self, verdict)
+        self._owner.handle_request_ended(self, verdict, failure)
 
     def _answer_end_fields(self) -> dict[str, typing.Any]:
         """What the log says about the end of the endpoint's answer."""
--- a/src/guavachute/entry/exchange_owner.py
+++ b/src/guavachute/entry/exchange_owner.py
@@ -136,9 +136,13 @@
         """
 
     def handle_request_ended(
-        self, exchange: 'exchange.Exchange', verdict: str
+        self,
+        exchange: 'exchange.Exchange',
+        verdict: str,
+        failure: outcome.Failure | None,
     ) -> None:
         """The exchange is over, and its caller is answered or gone.
 
         :param verdict: the outcome as it is logged
+        :param failure: why it has no answer of an endpoint, if it has none
         """
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -7,7 +7,6 @@
 from guavachute.decide.ingress import crashing_parts
 from guavachute.decide.ingress.intake import process_limits
 from guavachute.decide.ingress import kept_bytes as answer_bytes
-from guavachute.decide.ingress import quota
 from guavachute.decide.ingress import retry_budget
 from guavachute.decide import rendezvous
 from guavachute.domain import call as domain_call
@@ -18,6 +17,7 @@
 from guavachute.entry.closing import followed_limits
 from guavachute.entry.closing import stop_state
 from guavachute.entry import control_client
+from guavachute.entry import demand_meters
 from guavachute.entry.dispatch import refusals
 from guavachute.entry import endpoint_paths
 from guavachute.entry import endpoint_registry
@@ -71,14 +71,6 @@
 CRASH_NOTICE_TTL_S = 20.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RateMeters:
-    """Rates of the tokens that callers request of a service."""
-
-    prompt: quota.RateMeter
-    output: quota.RateMeter
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LostAttempt:
     """A request whose connection to an endpoint broke, without its body.
@@ -145,7 +137,7 @@
             loop, site, state, peers, metrics, self._stop.refusal
         )
         self._budgets: dict[ids.ServiceName, retry_budget.RetryBudget] = {}
-        self._meters: dict[ids.ServiceName, _RateMeters] = {}
+        self._demand = demand_meters.DemandMeters()
         self._crashes = crash.CrashRegistry()
         self._lost_attempts: list[_LostAttempt] = []
         self._crash_notices: dict[
@@ -376,16 +368,10 @@
         self.registry.record_sent(record, now_s)
         if call.tokens is None:
             return
-        meters = self._meters.get(service)
-        if meters is None:
-            meters = self._meters[service] = _RateMeters(
-                quota.RateMeter(now_s), quota.RateMeter(now_s)
-            )
-        meters.prompt.add(tokens_to_read, now_s)
         output = call.tokens.output
         if call.length_hint is not None:
             output = min(output, call.length_hint)
-        meters.output.add(output, now_s)
+        self._demand.record(service, tokens_to_read, output, now_s)
 
     def _reject(
         self,
@@ -416,14 +402,7 @@
 
     def load(self) -> dict[ids.ServiceName, node_updates.ServiceLoad]:
         """The tokens per second that callers request of each service here."""
-        now_s = self.loop.now_s
-        return {
-            service: node_updates.ServiceLoad(
-                round(meters.prompt.per_s(now_s), 1),
-                round(meters.output.per_s(now_s), 1),
-            )
-            for service, meters in self._meters.items()
-        }
+        return self._demand.load(self.loop.now_s)
 
     # -- retries and ended requests ------------------------------------
 
@@ -531,7 +510,10 @@
             started.withdraw(record)
 
     def handle_request_ended(
-        self, started: exchange.Exchange, verdict: str
+        self,
+        started: exchange.Exchange,
+        verdict: str,
+        failure: outcome.Failure | None,
     ) -> None:
         """Record the end of a request.
 
@@ -543,6 +525,8 @@
         if started.first_byte_s is not None and started.route.is_resumable:
             self._builds.handle_ended(started.call, verdict == 'served')
         self._metrics.add('ended_' + verdict.replace(' ', '_'))
+        if verdict == 'cut' and failure is not None:
+            self._metrics.add(f'cut_{failure.reason.value}')
         now_s = self.loop.now_s
         self._metrics.observe_s('request', now_s - started.arrived_s)
         if started.first_byte_s is not None:
