Keep an answer whose request can't go on elsewhere

What callers saw: streams that had begun were ended with a reset, and other requests got 502, while their endpoints were sound and went on a moment later.

Cause: a node gave an attempt up as soon as its connection was silent for 0.7 s, a test connection had failed within 0.4 s and another node had heard the endpoint since. It did not ask whether the request may be sent again, nor whether anything can go on with it, nor whether its own link is just full. With no attempt left, or no other endpoint reached, giving up was the end of an answer that would have come.

An attempt is given up now only if another one is allowed, an endpoint for it is found, and either this node counts as cut off, so that others pass its requests on, or a test connection to another endpoint worked while that to this one failed. A begun answer has to be silent for two seconds besides. One of the two test connections goes to another endpoint, until one was established in the last second.

--- a/src/guavachute/decide/ingress/endpoint_links.py
+++ b/src/guavachute/decide/ingress/endpoint_links.py
@@ -34,6 +34,10 @@
 but others don't hear it then either."""
 
 
+ESTABLISHED_TTL_S = 1.0
+"""A test connection shows for this long that the links of this node work."""
+
+
 class LinkState(enum.Enum):
     """Whether this node reaches endpoints."""
 
@@ -82,6 +86,7 @@
         self._waiting: dict[ids.Address, _Waiting] = {}
         self._failing: dict[ids.Address, _Failing] = {}
         self._any_heard_s = NEVER_S
+        self._established_s = NEVER_S
         self._contacts_since_cut = 0
 
     @property
@@ -115,6 +120,7 @@
     def record_established(self, address: ids.Address, now_s: float) -> None:
         """Record a connection that was established to test a link."""
         self.record_heard(address, now_s)
+        self._established_s = now_s
         self._contacts_since_cut += 1
 
     def record_failure(
@@ -181,6 +187,23 @@
             and heard_by_others_s(address) > item.since_s + PROOF_MARGIN_S
         )
 
+    def has_established(self, now_s: float) -> bool:
+        """Whether a test connection was established a short time ago."""
+        return now_s - self._established_s <= ESTABLISHED_TTL_S
+
+    def is_only_link(self, address: ids.Address, now_s: float) -> bool:
+        """Whether contacts elsewhere work while those with *address* fail.
+
+        Bytes from elsewhere show nothing: while this node's own link is full
+        they still come, late, and new connections fail.
+        """
+        item = self._failing.get(address)
+        return (
+            item is not None
+            and self._established_s > item.since_s
+            and self.has_established(now_s)
+        )
+
     def discard(self, existing: typing.Container[ids.Address]) -> None:
         """Forget all addresses but *existing* ones."""
         known = {*self._heard_s, *self._waiting, *self._failing}
--- /dev/null
+++ b/src/guavachute/decide/ingress/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Decides when a request goes on at another endpoint."""
--- a/src/guavachute/entry/endpoint_registry.py
+++ b/src/guavachute/entry/endpoint_registry.py
@@ -13,6 +13,7 @@
 from guavachute.decide.ingress import choice
 from guavachute.decide.ingress import endpoint_health
 from guavachute.decide.ingress import endpoint_links
+from guavachute.decide.ingress.failover import abandonment
 from guavachute.decide.nodes import endpoint_table
 from guavachute.domain import call
 from guavachute.domain import endpoints
@@ -434,6 +435,24 @@
         """Whether an endpoint lives, but isn't reached from here."""
         return self.links.is_cut or self.is_reached_by_others(record)
 
+    def is_abandoned(
+        self, record: EndpointRecord, silent_s: float, has_begun: bool
+    ) -> bool:
+        """Whether a request at an endpoint should go on at another one.
+
+        :param silent_s: for how long its connection has received nothing
+        :param has_begun: whether its caller has a part of the answer
+        """
+        return abandonment.is_abandoned(
+            abandonment.Link(
+                self.links.is_cut,
+                self.is_reached_by_others(record),
+                self.links.is_only_link(record.entry.address, self._now_s()),
+            ),
+            silent_s,
+            has_begun,
+        )
+
     def heard_at_by_others_s(self, address: ids.Address) -> float:
         """When another node last heard the endpoint at an address."""
         return max(
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -276,18 +276,38 @@
     def abandon_silent(self) -> None:
         """Give an attempt up that waits on a link which is cut.
 
-        Only a request that may run again is sent elsewhere before its
-        connection has ended; another one may still get its answer.
+        Only a request that can go on elsewhere is taken from its endpoint
+        before its connection has ended; another one may still get its answer.
         """
         if (
-            self.route.can_run_again
-            and isinstance(self._connection, upstream.Connection)
-            and self._connection.is_silent
+            isinstance(self._connection, upstream.Connection)
             and self._record is not None
-            and self._owner.registry.has_broken_link(self._record)
+            and self._owner.registry.is_abandoned(
+                self._record,
+                self._connection.silent_s,
+                self.first_byte_s is not None,
+            )
+            and self._may_repeat
+            and self._finds_successor(self._record)
+            and self._consume_retry()
         ):
             self._connection_end = 'silent'
-            self._fail_attempt('the link to the endpoint is cut')
+            self._lose_attempt()
+            self._log_failed_attempt('the link to the endpoint is cut')
+            self.dispatch()
+
+    def _finds_successor(
+        self, record: endpoint_registry.EndpointRecord
+    ) -> bool:
+        """Whether an endpoint other than that of *record* can go on."""
+        records = self._owner.usable(
+            self, self._tried_endpoints | {record.entry.id}
+        )
+        now_s = self._owner.loop.now_s
+        chosen = self._choose(records, now_s)
+        return chosen is not None and not refusals.too_late(
+            chosen, self.expires_at_s - now_s
+        )
 
     # -- moves to another endpoint -------------------------------------
 
--- a/src/guavachute/entry/link_watch.py
+++ b/src/guavachute/entry/link_watch.py
@@ -70,14 +70,14 @@
         if state is not before:
             self._handle_change(state, now_s)
         if state is endpoint_links.LinkState.CUT:
-            self._probe(self._registry.addresses())
+            self._probe(self._registry.addresses(), MAX_PROBES)
         else:
             silent = links.silent(self._registry.heard_at_by_others_s, now_s)
-            if len(silent) == 1:
-                # A second link tells whether just the first one is at fault.
-                silent += self._registry.addresses()
             if silent:
-                self._probe(silent)
+                # Another link tells whether just the silent ones are at fault.
+                needs_other = not links.has_established(now_s)
+                self._probe(silent, MAX_PROBES - needs_other)
+                self._probe(self._registry.addresses(), int(needs_other))
             if links.failing():
                 self._on_failing()
 
@@ -96,11 +96,13 @@
         )
         self._on_changed(state)
 
-    def _probe(self, addresses: typing.Sequence[ids.Address]) -> None:
-        """Test some of the links, in turns."""
+    def _probe(
+        self, addresses: typing.Sequence[ids.Address], count: int
+    ) -> None:
+        """Test up to *count* of the links, in turns."""
         known = set(self._registry.addresses())
-        able = [item for item in dict.fromkeys(addresses) if item in known]
-        for _ in range(min(MAX_PROBES, len(able))):
+        able = [item for item in addresses if item in known]
+        for _ in range(min(count, len(able))):
             address = able[next(self._turns) % len(able)]
             if len(self._probes) < MAX_PROBES and address not in self._probes:
                 self._probes[address] = _Probe(
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -94,10 +94,9 @@
         return self._transport is not None and self._transport.is_connected
 
     @property
-    def is_silent(self) -> bool:
-        """Whether its request waits, and nothing was received for long."""
-        last_s = max(self._sent_s, self._received_s)
-        return self._loop.now_s - last_s >= endpoint_links.SILENT_S
+    def silent_s(self) -> float:
+        """For how long nothing was received since its request was sent."""
+        return self._loop.now_s - max(self._sent_s, self._received_s)
 
     @property
     def has_sent_all(self) -> bool:
--- /dev/null
+++ b/tests/cover/test_begun_answers.py
@@ -0,0 +1,182 @@
+"""Answers that have begun, while links or endpoints fail for a moment.
+
+Patterns: all links of one node pass nothing for two seconds; those to one
+endpoint do.
+"""
+
+import typing
+import unittest
+
+import msgspec
+
+from guavachute.entry import node as entry_node
+from guavachute.standin.platform import engine as standin_engine
+from tests.support import cut_links
+from tests.support import looping
+from tests.support import platform_site
+
+Mode = cut_links.Mode
+
+PAUSE_S = 2.0
+EVENTS = 60
+EVENT_PAUSE_S = 0.06
+
+
+def routes(max_attempts: int) -> list[dict[str, typing.Any]]:
+    """The usual routes, with time for a pause."""
+    found: list[dict[str, typing.Any]] = msgspec.json.decode(
+        platform_site.configuration(1)
+    )['routes']
+    for route in found:
+        route.update(timeoutMs=15_000, maxAttempts=max_attempts)
+    return found
+
+
+class BegunAnswersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.site = platform_site.PlatformSite()
+        self.addCleanup(self.site.close)
+
+    def start(self, max_attempts: int) -> list[entry_node.Node]:
+        """Start four endpoints, and nodes that know them and each other."""
+        self.site.configure(1, routes=routes(max_attempts))
+        for number in range(4):
+            engine = self.site.add_engine(
+                f'm{number}', platform_site.MODEL_SERVICE, EVENTS
+            )
+            engine.event_pause_s = EVENT_PAUSE_S
+        nodes: list[entry_node.Node] = []
+        for _ in range(2):
+            seeds = tuple(node.peers.address for node in nodes)
+            nodes.append(self.site.ready_node(seeds=seeds))
+        looping.run_until(
+            self.site.loop,
+            lambda: all(node.peers.table.count == 2 for node in nodes),
+        )
+        return nodes
+
+    def begin_streams(
+        self, node: entry_node.Node, count: int = 8
+    ) -> list[platform_site.CallerSocket]:
+        """Streams of *node*, each after a few events."""
+        callers = [
+            self.site.send(node, f'/resumable/{number}', Deadline_Ms='15000')
+            for number in range(count)
+        ]
+        looping.run_until(
+            self.site.loop,
+            lambda: all(events(caller) >= 3 for caller in callers),
+        )
+        return callers
+
+    def check_complete(
+        self, callers: typing.Sequence[platform_site.CallerSocket]
+    ) -> None:
+        """Wait for the ends of streams, and check that none was broken."""
+        looping.run_until(
+            self.site.loop,
+            lambda: all(caller.reply.has_ended for caller in callers),
+            12.0,
+        )
+        self.assertEqual(
+            [EVENTS] * len(callers), [events(caller) for caller in callers]
+        )
+        self.assertTrue(all(caller.reply.is_complete for caller in callers))
+
+    def pause(
+        self, node: entry_node.Node, engines: list[standin_engine.Engine]
+    ) -> None:
+        """Let nothing pass between a node and endpoints for a while."""
+        self.site.links.cut(
+            node.loop, Mode.HANG, [engine.address for engine in engines]
+        )
+        looping.run_for(self.site.loop, PAUSE_S)
+        self.site.links.cut(node.loop, Mode.OPEN)
+
+
+def events(caller: platform_site.CallerSocket) -> int:
+    """The events that a caller has received."""
+    return caller.reply.body.count(b'\n\n')
+
+
+class SilentLinkTest(BegunAnswersTest):
+    # Guards against begun answers that a node ends as its links are silent
+    # for a moment, although the endpoints go on.
+    def check_pause(self, max_attempts: int, silent: int) -> None:
+        nodes = self.start(max_attempts)
+        others = self.begin_streams(nodes[1])
+        callers = self.begin_streams(nodes[0])
+        self.pause(nodes[0], self.site.engines[:silent])
+        self.check_complete(callers)
+        self.check_complete(others)
+
+    def test_streams_survive_silent_links_where_none_may_run_again(
+        self,
+    ) -> None:
+        self.check_pause(1, silent=4)
+
+    def test_streams_survive_silent_links_where_one_retry_is_left(
+        self,
+    ) -> None:
+        self.check_pause(2, silent=4)
+
+    def test_streams_survive_one_silent_link_where_none_may_run_again(
+        self,
+    ) -> None:
+        self.check_pause(1, silent=1)
+
+    def test_streams_survive_one_silent_link_where_one_retry_is_left(
+        self,
+    ) -> None:
+        self.check_pause(2, silent=1)
+
+    # Guards against an answer that has not begun, and is given up although
+    # the request may not be sent again.
+    def test_an_answer_that_may_still_come_is_awaited(self) -> None:
+        nodes = self.start(1)
+        plain = [
+            self.site.add_engine(f'p{number}', platform_site.PLAIN_SERVICE)
+            for number in range(2)
+        ]
+        looping.run_until(
+            self.site.loop,
+            lambda: all(len(node.state.table.entries) == 6 for node in nodes),
+        )
+        for engine in plain:
+            engine.work_s = 0.3
+        callers = self.look_up(nodes[0], 4)
+        looping.run_until(
+            self.site.loop,
+            lambda: sum(len(engine.runs) for engine in plain) == 4,
+        )
+        for number in range(20):
+            self.site.loop.call_after(
+                PAUSE_S / 20 * number,
+                lambda: callers.extend(self.look_up(nodes[1], 2)),
+            )
+        self.pause(nodes[0], plain)
+        looping.run_until(
+            self.site.loop,
+            lambda: all(caller.reply.has_ended for caller in callers),
+        )
+        self.assertEqual(
+            [200] * 44, [caller.reply.status for caller in callers]
+        )
+
+    def look_up(
+        self, node: entry_node.Node, count: int
+    ) -> list[platform_site.CallerSocket]:
+        return [
+            self.site.send(node, '/lookup/a', Deadline_Ms='15000')
+            for _ in range(count)
+        ]
+
+    def test_streams_go_on_elsewhere_if_a_link_stays_silent(self) -> None:
+        nodes = self.start(2)
+        others = self.begin_streams(nodes[1])
+        callers = self.begin_streams(nodes[0])
+        self.site.links.cut(
+            nodes[0].loop, Mode.HANG, [self.site.engines[0].address]
+        )
+        self.check_complete(callers)
+        self.check_complete(others)
--- a/tests/cover/test_link_decisions.py
+++ b/tests/cover/test_link_decisions.py
@@ -109,6 +109,26 @@
         self.links.record_heard(A, 61.0)
         self.assertEqual([], self.silent(61.5))
 
+    # Guards against attempts that are given up while this node's own link is
+    # full: bytes still come from elsewhere, late.
+    def test_bytes_from_elsewhere_do_not_show_that_a_link_is_broken(
+        self,
+    ) -> None:
+        self.lose(A, at_s=11.0)
+        self.links.record_heard(B, 10.9)
+        self.assertFalse(self.links.is_only_link(A, 11.0))
+        self.links.record_established(C, 11.1)
+        self.assertTrue(self.links.is_only_link(A, 11.1))
+        self.assertTrue(self.links.is_only_link(A, 12.1))
+        self.assertFalse(self.links.is_only_link(A, 12.2))
+        self.links.record_heard(A, 12.2)
+        self.assertFalse(self.links.is_only_link(A, 12.1))
+
+    def test_a_contact_before_the_failure_shows_nothing(self) -> None:
+        self.links.record_established(B, 10.4)
+        self.lose(A, at_s=11.0)
+        self.assertFalse(self.links.is_only_link(A, 11.0))
+
     def test_addresses_that_are_gone_are_forgotten(self) -> None:
         self.lose(A, B)
         self.links.discard({B, C})
