Let a begun answer go on where there is room

What callers saw: a stream whose endpoint ended was cut with a reset although an endpoint of its build had room, as the first one that was asked refused it.

Cause: an attempt that an endpoint refuses counted against the route's limit of attempts like one that ran, so that with two attempts the first refusal ended the stream. The limit is on endpoints that run a request; what they refuse has not run, and the retry budget of all nodes bounds it.

For answers that have begun, refused attempts no longer count. For others nothing changes: their callers come back at the time that the refusal names.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -654,6 +654,10 @@
             )
             return
         self._tried_endpoints.add(self._record.entry.id)
+        if self.first_byte_s is not None:
+            # An answer that has begun goes on wherever there is room; only
+            # attempts that ran are limited in number.
+            self.attempts -= 1
         if self._consume_retry():
             self.dispatch()
             return
--- a/tests/cover/test_begun_answers.py
+++ b/tests/cover/test_begun_answers.py
@@ -1,7 +1,7 @@
 """Answers that have begun, while links or endpoints fail for a moment.
 
 Patterns: all links of one node pass nothing for two seconds; those to one
-endpoint do.
+endpoint do; the endpoint that is to go on with a stream has no room.
 """
 
 import typing
@@ -15,6 +15,7 @@
 from tests.support import looping
 from tests.support import platform_site
 
+Behaviour = standin_engine.Behaviour
 Mode = cut_links.Mode
 
 PAUSE_S = 2.0
@@ -180,3 +181,17 @@
         )
         self.check_complete(callers)
         self.check_complete(others)
+
+
+class SuccessorTest(BegunAnswersTest):
+    # Guards against begun answers that end as the next endpoint has no room.
+    def test_a_stream_goes_on_at_the_endpoint_that_has_room(self) -> None:
+        (node, _) = self.start(2)
+        (caller,) = self.begin_streams(node, 1)
+        first, *rest = sorted(
+            self.site.engines, key=lambda engine: -engine.open_streams
+        )
+        for engine in rest[:2]:
+            engine.behaviour = Behaviour.SHED
+        first.crash()
+        self.check_complete([caller])
