Let a begun answer wait for the next usable endpoint

What callers saw: a stream whose endpoint ended was cut at once if no other endpoint could be used in that very moment.

Cause: a request waits for a usable endpoint for half of its route's latency objective, counted from its arrival. A stream that has begun has mostly been there for longer, so it did not wait at all.

Other requests are refused as before.

--- a/src/guavachute/entry/dispatch/endpoint_wait.py
+++ b/src/guavachute/entry/dispatch/endpoint_wait.py
@@ -11,6 +11,11 @@
 """Fraction of the route's latency objective that a request waits for a usable
 endpoint."""
 
+BEGUN_WAIT_S = 2.0
+"""The same for an answer that has begun, from the loss of its endpoint on. Its
+caller would lose what it has, and endpoints that restart are usable again in a
+second or two."""
+
 
 class EndpointWait:
     """The wait of one request, from its arrival on.
@@ -31,6 +36,11 @@
         self._since_s = loop.now_s
         self._timer: entry_loop.Timer | None = None
 
+    def restart(self) -> None:
+        """Wait from now on: an answer that has begun lost its endpoint."""
+        self._since_s = self._loop.now_s
+        self._longest_s = BEGUN_WAIT_S
+
     def recheck(self, least_wait_s: float = 0.0) -> bool:
         """Look for an endpoint again soon.
 
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -679,6 +679,8 @@
         if not self._is_stream:
             self._report_start()
         self._release_endpoint(keeps_alive=False)
+        if self.first_byte_s is not None:
+            self._wait.restart()
 
     def _log_failed_attempt(self, reason: str) -> None:
         journal.event(
--- a/tests/cover/test_begun_answers.py
+++ b/tests/cover/test_begun_answers.py
@@ -1,7 +1,8 @@
 """Answers that have begun, while links or endpoints fail for a moment.
 
 Patterns: all links of one node pass nothing for two seconds; those to one
-endpoint do; the endpoint that is to go on with a stream has no room.
+endpoint do; the endpoint that is to go on with a stream has no room,
+or there is none for a moment.
 """
 
 import typing
@@ -195,3 +196,22 @@
             engine.behaviour = Behaviour.SHED
         first.crash()
         self.check_complete([caller])
+
+    # Guards against begun answers that end as no endpoint can be used for
+    # a moment.
+    def test_a_stream_waits_for_the_next_usable_endpoint(self) -> None:
+        (node, _) = self.start(2)
+        (caller,) = self.begin_streams(node, 1)
+        first, *rest = sorted(
+            self.site.engines, key=lambda engine: -engine.open_streams
+        )
+        for engine in rest:
+            engine.unregister()
+        looping.run_until(
+            self.site.loop, lambda: len(node.state.table.entries) == 1
+        )
+        first.crash()
+        self.site.loop.call_after(
+            0.3, lambda: [engine.register() for engine in rest]
+        )
+        self.check_complete([caller])
