Keep idle connections long enough for the way of a request

What callers saw: with a short idle limit, a request on a kept connection was reset behind a slow link although its caller kept to the limit.

Cause: callers use connections that were idle for up to four fifths of the limit, by a clock that begins when the answer arrives. The node's begins when it is sent, so the last fifth has to cover the way there and back: 0.2 s of a limit of 1 s, less than a full link takes.

A connection is kept for a second beyond the four fifths at least; limits of five seconds or more are as before. test_a_request_crosses_the_end_of_a_short_idle_limit fails without the change.

--- a/src/guavachute/decide/ingress/closing/idle_limits.py
+++ b/src/guavachute/decide/ingress/closing/idle_limits.py
@@ -13,6 +13,10 @@
 """Callers use connections that were idle up to this fraction of the limit. The
 rest of the limit is the time that their requests have to arrive."""
 
+MIN_WAY_S = 1.0
+"""The same time at least, however short the limit: a request and the answer
+before it may wait for half a second each in the queue of a full link."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Limit:
@@ -69,6 +73,11 @@
         )
 
 
+def kept_s(limit_s: float) -> float:
+    """How long a connection is kept whose caller goes by a limit."""
+    return max(limit_s, USED_FRACTION * limit_s + MIN_WAY_S)
+
+
 def keep_alive_s(limit_s: float) -> int:
     """How long callers are told to count on an idle connection.
 
--- a/src/guavachute/entry/closing/idle_clock.py
+++ b/src/guavachute/entry/closing/idle_clock.py
@@ -45,7 +45,9 @@
         """
         if self._limits is None:
             return self._newest_limit_s()
-        return max(self._limits.longest_s(self.since_s), self._told_limit_s)
+        return idle_limits.kept_s(
+            max(self._limits.longest_s(self.since_s), self._told_limit_s)
+        )
 
     def tell_keep_alive_s(self) -> int:
         """What an answer says of how long the connection is kept.
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -95,6 +95,16 @@
         self.assertEqual(200, self.status_of_next(caller))
 
     # Guards against a node and a caller that know different idle limits.
+    # Guards against LOST with a short idle limit on slow links: the caller's
+    # idle time begins when the answer arrives, and its request takes time too.
+    def test_a_request_crosses_the_end_of_a_short_idle_limit(self) -> None:
+        self.configure(2, idle_s=1.0)
+        node = self.site.ready_node()
+        self.until(lambda: node.ingress.limits.idle_timeout_s == 1.0)
+        caller = self.kept_connection(node)
+        self.run_for(0.8 + 2 * 0.3)
+        self.assertEqual(200, self.status_of_next(caller))
+
     def test_an_answer_says_how_long_its_connection_is_kept(self) -> None:
         node = self.site.ready_node()
         caller = self.kept_connection(node)
--- a/tests/cover/test_idle_limits.py
+++ b/tests/cover/test_idle_limits.py
@@ -41,6 +41,16 @@
             self.limits.record(1.0 + number % 2, float(number))
         self.assertLess(len(self.limits), 10)
 
+    # Guards against connections that are closed while a request is on its way,
+    # as a share of a short limit leaves it no time.
+    def test_a_short_limit_leaves_requests_time_to_arrive(self) -> None:
+        for limit_s in (0.2, 1.0, 4.0):
+            used_s = idle_limits.USED_FRACTION * limit_s
+            self.assertGreaterEqual(
+                idle_limits.kept_s(limit_s), used_s + idle_limits.MIN_WAY_S
+            )
+        self.assertEqual(20.0, idle_limits.kept_s(20.0))
+
     def test_what_is_told_leaves_requests_time_to_arrive(self) -> None:
         self.assertEqual(12, idle_limits.keep_alive_s(15.0))
         self.assertEqual(1, idle_limits.keep_alive_s(2.4))
