Stop listening before a planned stop ends

What callers saw: requests on new connections, sent in the last third of a second of a planned stop, ended without an answer.

Cause: the process accepted connections until it ended. What it took in last was neither answered nor refused: a request could arrive in the turn in which it ended. With a grace period of over 9 s it even ended while it still began requests, as soon as none was open.

It accepts what is pending and closes the listening socket when it begins to refuse requests, or after 3.2 s if that is sooner, and ends half a second after that at the earliest. The system refuses later callers at once, who then turn to another node. Answers for other nodes are as before; they ask the next one.

test_a_stop_accepts_no_connection_before_its_end fails without the change.

--- a/src/guavachute/entry/closing/stop_sequence.py
+++ b/src/guavachute/entry/closing/stop_sequence.py
@@ -11,7 +11,7 @@
 
 EARLIEST_S = 3.2
 """Minimum time that a stopping node waits for callers that still have its
-address."""
+address. After that it accepts no connections, whatever the grace period."""
 
 MARGIN_S = 0.5
 """The process ends this long before the grace period does, when it would be
@@ -19,8 +19,9 @@
 
 
 RECENT_USE_S = 0.5
-"""Once no requests are begun, idle connections are closed, but not one that
-was used or opened this recently: its caller may have sent the next request."""
+"""Once no connections are accepted, idle ones are closed, but not one that was
+used or opened this recently: its caller may have sent the next request. The
+process doesn't end before that time has passed either."""
 
 
 class Connections(typing.Protocol):
@@ -30,6 +31,9 @@
     def open_requests(self) -> int:
         """The number of requests that are not completely answered."""
 
+    def stop_accepting(self) -> None:
+        """Have the operating system refuse new connections."""
+
     def close_idle(self, unused_for_s: float = 0.0) -> None:
         """Close the connections that have had no request for so long."""
 
@@ -47,6 +51,7 @@
         self._connections = connections
         self._grace_s = grace_s
         self._since_s: float | None = None
+        self._refuses_since_s: float | None = None
 
     @property
     def has_begun(self) -> bool:
@@ -65,11 +70,20 @@
 
     def _check(self) -> None:
         assert self._since_s is not None
-        waited_s = self._loop.now_s - self._since_s
-        if not stop_admission.admits(waited_s, self._grace_s):
+        now_s = self._loop.now_s
+        waited_s = now_s - self._since_s
+        if waited_s >= EARLIEST_S or not stop_admission.admits(
+            waited_s, self._grace_s
+        ):
+            if self._refuses_since_s is None:
+                self._refuses_since_s = now_s
+                self._connections.stop_accepting()
             self._connections.close_idle(RECENT_USE_S)
         is_done = (
-            waited_s >= EARLIEST_S and not self._connections.open_requests
+            waited_s >= EARLIEST_S
+            and self._refuses_since_s is not None
+            and now_s - self._refuses_since_s >= RECENT_USE_S
+            and not self._connections.open_requests
         )
         if is_done or waited_s >= self._grace_s - MARGIN_S:
             journal.event(
--- a/src/guavachute/entry/ingress.py
+++ b/src/guavachute/entry/ingress.py
@@ -204,6 +204,10 @@
         self._stop.begin()
         self.paths.stop()
 
+    def stop_accepting(self) -> None:
+        """Have the operating system refuse new connections of callers."""
+        self._listener.stop_accepting()
+
     def close_idle(self, unused_for_s: float = 0.0) -> None:
         """Close the connections that have had no request for so long."""
         self._listener.close_idle(unused_for_s)
--- a/src/guavachute/entry/intake/listener.py
+++ b/src/guavachute/entry/intake/listener.py
@@ -56,6 +56,10 @@
         """The connections that read a request or have an answer to send."""
         return sum(caller.has_open_request for caller in self._callers)
 
+    def stop_accepting(self) -> None:
+        """Have the operating system refuse new connections."""
+        self._listener.finish()
+
     def close_idle(self, unused_for_s: float = 0.0) -> None:
         """Close the connections that have had no request for so long."""
         for caller in list(self._callers):
--- a/src/guavachute/entry/transport.py
+++ b/src/guavachute/entry/transport.py
@@ -383,6 +383,11 @@
         host, port = self._socket.getsockname()
         return ids.Address(f'{host}:{port}')
 
+    def finish(self) -> None:
+        """Accept what is pending, and stop listening."""
+        self._ready(entry_loop.READ)
+        self.close()
+
     def close(self) -> None:
         """Stop listening; pending connections are refused."""
         if self._is_open:
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -59,6 +59,19 @@
         self.until(lambda: caller.reply.has_ended)
         return caller.reply.status
 
+    # Guards against LOST at the end of a planned stop: a request on a new
+    # connection that the process accepted just before it ended.
+    def test_a_stop_accepts_no_connection_before_its_end(self) -> None:
+        node = self.site.ready_node()
+        node.stop()
+        self.run_for(2.7)
+        pending = self.site.send(node, '/order/a')
+        self.until(lambda: pending.reply.has_ended)
+        self.assertIn(pending.reply.status, (200, 503))
+        self.run_for(0.3)
+        with self.assertRaises(ConnectionRefusedError):
+            self.site.send(node, '/order/a')
+
     # Guards against LOST in a planned stop: a request that was on its way when
     # the stop closed its kept connection was read and never answered.
     def test_a_request_on_a_kept_connection_crosses_a_stop(self) -> None:
