Ask an endpoint again whose idle close a request crossed

What callers saw: 502 for an idempotent request whose only usable endpoint closed an idle connection while the request was on its way.

Cause: an endpoint that ended the connection counted as tried in vain, whether the request was lost by the endpoint or never read by it.

If the connection had been used before and brought no byte since the request was sent, its endpoint is asked once more where no other can be used, within the route's attempts and the retry budget.

--- a/src/guavachute/entry/dispatch/refusals.py
+++ b/src/guavachute/entry/dispatch/refusals.py
@@ -16,10 +16,18 @@
 CRASHING_RETRY_S = 30.0
 """Retry-After of a request that crashes endpoints."""
 
+RETRY_STATUSES = (429, 503)
+"""Statuses of answers that tell when to retry."""
+
 SHORT_RETRY_AFTER_S = 0.25
 """Retry-After of an answer whose cause is expected to pass quickly."""
 
 
+def told_retry_s(status: int, failure: outcome.Failure) -> float | None:
+    """What an answer says of when to retry; None if it says nothing."""
+    return failure.retry_after_s if status in RETRY_STATUSES else None
+
+
 def no_capacity(reason: str) -> outcome.Failure:
     """A failure that is expected to pass quickly."""
     return outcome.Failure(
--- a/src/guavachute/entry/dispatch/request_log.py
+++ b/src/guavachute/entry/dispatch/request_log.py
@@ -8,7 +8,6 @@
 
 if typing.TYPE_CHECKING:
     from guavachute.entry import exchange
-    from guavachute import ids
     from guavachute import outcome
 
 MAX_LOGGED_AGE_S = 99.0
@@ -46,9 +45,29 @@
     )
 
 
+def log_failed_attempt(
+    failed: 'exchange.Exchange',
+    record: endpoint_registry.EndpointRecord | None,
+    reason: str,
+    **fields: typing.Any,
+) -> None:
+    """Log that an endpoint gave no usable answer.
+
+    :param fields: what is known of the answer
+    """
+    journal.event(
+        'attempt-failed',
+        request=failed.call.attempt_id,
+        endpoint=record.entry.id if record else None,
+        attempt=failed.attempts,
+        reason=reason,
+        **fields,
+    )
+
+
 def log_end(
     ended: 'exchange.Exchange',
-    endpoint: 'ids.EndpointId | None',
+    record: endpoint_registry.EndpointRecord | None,
     verdict: str,
     failure: 'outcome.Failure | None',
     now_s: float,
@@ -66,7 +85,7 @@
         request=ended.call.attempt_id,
         route=ended.route.name,
         workspace=ended.workspace.name if ended.workspace else None,
-        endpoint=endpoint,
+        endpoint=record.entry.id if record else None,
         attempts=ended.attempts,
         first_s=first_s and round(first_s - ended.arrived_s, 4),
         total_s=round(now_s - ended.arrived_s, 4),
--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -14,6 +14,7 @@
 from guavachute.entry.dispatch import refusals
 from guavachute.entry.dispatch import request_log
 from guavachute.entry.dispatch import selection
+from guavachute.entry.dispatch import tried_endpoints
 from guavachute.entry import endpoint_registry
 from guavachute.entry import exchange_owner
 from guavachute.entry import exchange_state
@@ -31,9 +32,6 @@
 """The body of a refusal, or of an answer to another request, is read up to
 this size; a longer one may have no end."""
 
-RETRY_STATUSES = (429, 503)
-"""Statuses of answers that tell when to retry."""
-
 
 class Exchange:
     """Sends a request to endpoints until its caller has an answer.
@@ -81,7 +79,7 @@
         self.is_proven = False
         self.build: ids.BuildName | None = None
         self._begun_s: float | None = None
-        self._tried_endpoints: set[ids.EndpointId] = set()
+        self._tried_endpoints = tried_endpoints.TriedEndpoints()
         self._may_have_run = False
         self._record: endpoint_registry.EndpointRecord | None = None
         self._connection: relay_client.Connection | None = None
@@ -128,7 +126,10 @@
         records = self._owner.usable(self, self._tried_endpoints)
         chosen = self._choose(records, now_s)
         if chosen is None:
-            self._await_endpoint(now_s)
+            if self._tried_endpoints.readmit_crossed():
+                self.dispatch()
+            else:
+                self._await_endpoint(now_s)
             return
         failure = refusals.too_late(chosen, left_s)
         if failure is not None:
@@ -137,9 +138,15 @@
         record = next(r for r in records if r.entry.id == chosen.endpoint)
         self._send(record, chosen, now_s)
 
-    def expected_first_token_s(self) -> float | None:
-        """Time to first token if the request began now; None if unknown."""
+    def expected_first_token_s(
+        self, besides: endpoint_registry.EndpointRecord | None = None
+    ) -> float | None:
+        """Time to first token if the request began now; None if unknown.
+
+        :param besides: an endpoint that is left out
+        """
         records = self._owner.usable(self, self._tried_endpoints)
+        records = [item for item in records if item is not besides]
         chosen = self._choose(records, self._owner.loop.now_s)
         return None if chosen is None else chosen.first_token_s
 
@@ -288,7 +295,7 @@
                 self.first_byte_s is not None,
             )
             and self._may_repeat
-            and self._finds_successor(self._record)
+            and self._finds_successor()
             and self._consume_retry()
         ):
             self._connection_end = 'silent'
@@ -296,18 +303,11 @@
             self._log_failed_attempt('the link to the endpoint is cut')
             self.dispatch()
 
-    def _finds_successor(
-        self, record: endpoint_registry.EndpointRecord
-    ) -> bool:
-        """Whether an endpoint other than that of *record* can go on."""
-        records = self._owner.usable(
-            self, self._tried_endpoints | {record.entry.id}
-        )
-        now_s = self._owner.loop.now_s
-        chosen = self._choose(records, now_s)
-        return chosen is not None and not refusals.too_late(
-            chosen, self.expires_at_s - now_s
-        )
+    def _finds_successor(self) -> bool:
+        """Whether another endpoint can go on with the request in time."""
+        token_s = self.expected_first_token_s(besides=self._record)
+        left_s = self.expires_at_s - self._owner.loop.now_s
+        return token_s is not None and token_s <= left_s
 
     # -- moves to another endpoint -------------------------------------
 
@@ -431,6 +431,8 @@
             self._owner.handle_unreachable(self._record, connection)
             self._after_connect_failure()
             return
+        if self._connection.was_idle:
+            self._tried_endpoints.add_crossed(self._record.entry.id)
         self._owner.handle_attempt_lost(self, self._record)
         self._fail_attempt('closed' if is_clean else 'reset')
 
@@ -683,12 +685,10 @@
             self._wait.restart()
 
     def _log_failed_attempt(self, reason: str) -> None:
-        journal.event(
-            'attempt-failed',
-            request=self.call.attempt_id,
-            endpoint=self._record.entry.id if self._record else None,
-            attempt=self.attempts,
-            reason=reason,
+        request_log.log_failed_attempt(
+            self,
+            self._record,
+            reason,
             passed_events=self._events.events,
             **self._answer_end_fields(),
         )
@@ -820,14 +820,10 @@
 
     def _own_answer(self, status: int, failure: outcome.Failure) -> None:
         self._finish(f'own {status}', failure)
-        retry_after_s = (
-            failure.retry_after_s if status in RETRY_STATUSES else None
-        )
-        self._caller.answer(
-            status,
-            requests.own_answer_headers(self.call.attempt_id, retry_after_s),
-            b'',
+        headers = requests.own_answer_headers(
+            self.call.attempt_id, refusals.told_retry_s(status, failure)
         )
+        self._caller.answer(status, headers, b'')
 
     def refuse(self, status: int, failure: outcome.Failure) -> None:
         """Answer a request that has not begun, and never will.
@@ -845,7 +841,7 @@
         self._wait.cancel()
         request_log.log_end(
             self,
-            self._record.entry.id if self._record else None,
+            self._record,
             verdict,
             failure,
             self._owner.loop.now_s,
--- a/src/guavachute/entry/relay_client.py
+++ b/src/guavachute/entry/relay_client.py
@@ -180,6 +180,11 @@
         """Whether the request may have been sent."""
         return self._connection.is_connected
 
+    @property
+    def was_idle(self) -> bool:
+        """Whether the endpoint may have closed it for having been idle."""
+        return False
+
     @property
     def ends_answer(self) -> bool:
         """Whether the current answer ends with the connection."""
--- a/src/guavachute/entry/upstream.py
+++ b/src/guavachute/entry/upstream.py
@@ -98,6 +98,11 @@
         """For how long nothing was received since its request was sent."""
         return self._loop.now_s - max(self._sent_s, self._received_s)
 
+    @property
+    def was_idle(self) -> bool:
+        """Whether it was used before, and its request got no byte yet."""
+        return endpoint_links.NEVER_S < self._received_s < self._sent_s
+
     @property
     def has_sent_all(self) -> bool:
         """Whether the request has been completely sent."""
