Test another link than the silent ones, whichever those are

Seen: in a test with a stand-in loop only. With two endpoints, of which the second of the table is silent, no test connection ever went to the first; with both silent, one alone was tested, so that the cut was not found. With three or more silent ones, no other link was tested once the first second was over. Then nothing was taken from a broken link.

Cause: both tests of a check took their turns from one counter, so that each always got turns of the same parity, and the one of another link came after those of silent links, which took the room.

Change: each kind has its own turns, the other link is none of the silent ones, and it goes first. If all are silent, two of them are tested.

Measured: test_link_watch, 6 subtests of 9 fail before, none after; test_begun_answers, test_cut_links and test_link_decisions pass.

--- a/src/guavachute/entry/link_watch.py
+++ b/src/guavachute/entry/link_watch.py
@@ -49,6 +49,7 @@
         self._on_failing = on_failing
         self._probes: dict[ids.Address, _Probe] = {}
         self._turns = itertools.count()
+        self._other_turns = itertools.count()
         self._cut_since_s = 0.0
         metrics.gauge('endpoint_links_cut', lambda: registry.links.is_cut)
 
@@ -70,14 +71,13 @@
         if state is not before:
             self._handle_change(state, now_s)
         if state is endpoint_links.LinkState.CUT:
-            self._probe(self._registry.addresses(), MAX_PROBES)
+            self._probe(self._registry.addresses(), MAX_PROBES, self._turns)
         else:
             silent = links.silent(self._registry.heard_at_by_others_s, now_s)
             if silent:
-                # Another link tells whether just the silent ones are at fault.
-                needs_other = not links.has_established(now_s)
-                self._probe(silent, MAX_PROBES - needs_other)
-                self._probe(self._registry.addresses(), int(needs_other))
+                others = self._others(silent, now_s)
+                self._probe(others, 1, self._other_turns)
+                self._probe(silent, MAX_PROBES - bool(others), self._turns)
             if links.failing():
                 self._on_failing()
 
@@ -96,14 +96,32 @@
         )
         self._on_changed(state)
 
+    def _others(
+        self, silent: typing.Sequence[ids.Address], now_s: float
+    ) -> list[ids.Address]:
+        """Links of which one tells whether just the silent ones are at fault.
+
+        None are needed for a while after a test connection was established.
+        """
+        if self._registry.links.has_established(now_s):
+            return []
+        return [
+            address
+            for address in self._registry.addresses()
+            if address not in silent
+        ]
+
     def _probe(
-        self, addresses: typing.Sequence[ids.Address], count: int
+        self,
+        addresses: typing.Sequence[ids.Address],
+        count: int,
+        turns: typing.Iterator[int],
     ) -> None:
         """Test up to *count* of the links, in turns."""
         known = set(self._registry.addresses())
         able = [item for item in addresses if item in known]
         for _ in range(min(count, len(able))):
-            address = able[next(self._turns) % len(able)]
+            address = able[next(turns) % len(able)]
             if len(self._probes) < MAX_PROBES and address not in self._probes:
                 self._probes[address] = _Probe(
                     self._loop, address, self._handle_result
