Count no refused copy of a run off the attempts

What callers saw: a resumable stream whose run was to be moved went on at more endpoints than its route's maxAttempts, if the endpoint with the copy refused it: with maxAttempts 1 a second endpoint ran it from its last event.

Cause: the refusal of an answer that has begun takes its attempt off the count, but a send of a copy had not been counted.

Change: such a refusal takes nothing off, as a failed connection does already.

Measured: test_a_refused_copy_leaves_no_further_attempt fails before; MoveTest and SuccessorTest pass.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -654,9 +654,9 @@
             )
             return
         self._tried_endpoints.add(self._record.entry.id)
-        if self.first_byte_s is not None:
+        if self.first_byte_s is not None and not self._continues_from_copy:
             # An answer that has begun goes on wherever there is room; only
-            # attempts that ran are limited in number.
+            # attempts that ran are limited in number, and a copy isn't one.
             self.attempts -= 1
         if self._consume_retry():
             self.dispatch()
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from guavachute.domain import call
 from guavachute.entry import endpoint_registry
 from guavachute import ids
@@ -384,6 +386,25 @@
         self.assertFalse(caller.reply.is_complete)
         self.assertEqual([], self.third.runs)
 
+    # Guards against BUDGET: a send of a copy is not counted as an attempt, so
+    # its refusal must not be taken off.
+    def test_a_refused_copy_leaves_no_further_attempt(self) -> None:
+        routes = msgspec.json.decode(platform_site.configuration(1))['routes']
+        for route in routes:
+            route['maxAttempts'] = 1
+        self.site.configure(2, routes=routes)
+        looping.run_until(self.site.loop, lambda: self.node.state.version == 2)
+        caller = self.site.send(self.node, '/resumable/a')
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        self.third = self.engine('e3', events=12)
+        self.node.registry.draw = lambda: 0.0
+        self.second.behaviour = Behaviour.SHED
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual(1, self.second.refused)
+        self.assertEqual([], self.third.runs)
+
 
 class FaultTest(RequestTest):
     def test_a_lost_order_is_unknown_and_never_called_unrun(self) -> None:
