Let begun answers go on elsewhere also after a cut was found

What callers saw: a stream of a node that is cut off from all endpoints stood still for as long as the system keeps a dead connection, although other nodes could pass it on.

Cause: requests are looked at again while single links fail, but in a cut only once, at the moment at which it is found. Begun answers have then been silent for about 1.2 s, less than the two that they have to be.

Change: in a cut they are looked at with each check, too.

Measured: test_streams_go_on_through_another_node_in_a_cut (eight streams, 3 s after the cut) had no event more before, and passes; test_begun_answers, test_cut_links, test_link_decisions and test_link_watch pass.

--- a/src/guavachute/entry/link_watch.py
+++ b/src/guavachute/entry/link_watch.py
@@ -72,6 +72,8 @@
             self._handle_change(state, now_s)
         if state is endpoint_links.LinkState.CUT:
             self._probe(self._registry.addresses(), MAX_PROBES, self._turns)
+            # Some were not silent for long enough when the cut was found.
+            self._on_failing()
         else:
             silent = links.silent(self._registry.heard_at_by_others_s, now_s)
             if silent:
--- a/tests/cover/test_begun_answers.py
+++ b/tests/cover/test_begun_answers.py
@@ -183,6 +183,23 @@
         self.check_complete(callers)
         self.check_complete(others)
 
+    # Guards against begun answers that wait for the system's time-out in a cut
+    # from all endpoints, as they were not silent for long when it was found.
+    def test_streams_go_on_through_another_node_in_a_cut(self) -> None:
+        nodes = self.start(2)
+        callers = self.begin_streams(nodes[0])
+        others = self.begin_streams(nodes[1])
+        self.site.links.cut(nodes[0].loop, Mode.HANG)
+        before = [events(caller) for caller in callers]
+        looping.run_for(self.site.loop, 3.0)
+        self.assertTrue(nodes[0].registry.links.is_cut)
+        after = [events(caller) for caller in callers]
+        self.assertTrue(
+            all(b > a + 1 for a, b in zip(before, after)), (before, after)
+        )
+        self.check_complete(callers)
+        self.check_complete(others)
+
 
 class SuccessorTest(BegunAnswersTest):
     # Guards against begun answers that end as the next endpoint has no room.
