Let a stream whose move failed wait for the next usable endpoint

What callers saw: a resumable stream was cut at once if its move failed, or the endpoint with its copy was not reached or refused it, and no other endpoint could be used in that very moment.

Cause: the wait of an answer that has begun started anew only where an attempt failed, not where its endpoint was lost in another way; it was then counted from the arrival of the request, half a latency objective, long over.

Change: it starts wherever a begun answer releases its endpoint.

Measured: test_a_run_without_its_copy_waits_for_an_endpoint fails before; MoveTest and SuccessorTest pass.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -679,8 +679,6 @@
         if not self._is_stream:
             self._report_start()
         self._release_endpoint(keeps_alive=False)
-        if self.first_byte_s is not None:
-            self._wait.restart()
 
     def _log_failed_attempt(self, reason: str) -> None:
         journal.event(
@@ -762,6 +760,8 @@
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
         connection.release(keeps_alive)
+        if self.first_byte_s is not None:
+            self._wait.restart()
 
     # -- the answer to the caller --------------------------------------
 
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -372,6 +372,28 @@
         (run,) = self.third.runs
         self.assertNotIn('kv-from', run.headers)
 
+    # Guards against begun answers that end as no endpoint can be used in the
+    # moment in which a move fails.
+    def test_a_run_without_its_copy_waits_for_an_endpoint(self) -> None:
+        caller = self.site.send(self.node, '/resumable/a')
+        looping.run_until(
+            self.site.loop,
+            lambda: len(event_ids(caller.reply.body)) >= 6,
+        )
+        self.second = self.engine('e2', events=12)
+
+        def lose() -> None:
+            self.second.close()
+            self.site.loop.call_after(
+                0.3, lambda: self.engine('e3', events=12)
+            )
+
+        self.first.on_moved = lose
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertTrue(caller.reply.is_complete)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+
     def test_a_run_whose_copy_is_refused_is_not_run_again(self) -> None:
         caller = self.site.send(self.node, '/stream/a')
         looping.run_until(self.site.loop, lambda: caller.reply.body)
