--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -656,9 +656,9 @@
             )
             return
         self._tried_endpoints.add(self._record.entry.id)
-        if self.first_byte_s is not None:
+        if self.first_byte_s is not None and not self._continues_from_copy:
             # An answer that has begun goes on wherever there is room; only
-            # attempts that ran are limited in number.
+            # attempts that ran are limited in number, and a copy isn't one.
             self.attempts -= 1
         if self._consume_retry():
             self.dispatch()
@@ -681,8 +681,6 @@
         if not self._is_stream:
             self._report_start()
         self._release_endpoint(keeps_alive=False)
-        if self.first_byte_s is not None:
-            self._wait.restart()
 
     def _log_failed_attempt(self, reason: str) -> None:
         request_log.log_failed_attempt(
@@ -762,6 +760,8 @@
         record.own.waiting_tokens -= self._pending_tokens
         self._pending_tokens = 0
         connection.release(keeps_alive)
+        if self.first_byte_s is not None:
+            self._wait.restart()
 
     # -- the answer to the caller --------------------------------------
 
--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from guavachute.domain import call
 from guavachute.entry import endpoint_registry
 from guavachute import ids
@@ -370,6 +372,28 @@
         (run,) = self.third.runs
         self.assertNotIn('kv-from', run.headers)
 
+    # Guards against begun answers that end as no endpoint can be used in the
+    # moment in which a move fails.
+    def test_a_run_without_its_copy_waits_for_an_endpoint(self) -> None:
+        caller = self.site.send(self.node, '/resumable/a')
+        looping.run_until(
+            self.site.loop,
+            lambda: len(event_ids(caller.reply.body)) >= 6,
+        )
+        self.second = self.engine('e2', events=12)
+
+        def lose() -> None:
+            self.second.close()
+            self.site.loop.call_after(
+                0.3, lambda: self.engine('e3', events=12)
+            )
+
+        self.first.on_moved = lose
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertTrue(caller.reply.is_complete)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+
     def test_a_run_whose_copy_is_refused_is_not_run_again(self) -> None:
         caller = self.site.send(self.node, '/stream/a')
         looping.run_until(self.site.loop, lambda: caller.reply.body)
@@ -384,6 +408,25 @@
         self.assertFalse(caller.reply.is_complete)
         self.assertEqual([], self.third.runs)
 
+    # Guards against BUDGET: a send of a copy is not counted as an attempt, so
+    # its refusal must not be taken off.
+    def test_a_refused_copy_leaves_no_further_attempt(self) -> None:
+        routes = msgspec.json.decode(platform_site.configuration(1))['routes']
+        for route in routes:
+            route['maxAttempts'] = 1
+        self.site.configure(2, routes=routes)
+        looping.run_until(self.site.loop, lambda: self.node.state.version == 2)
+        caller = self.site.send(self.node, '/resumable/a')
+        looping.run_until(self.site.loop, lambda: caller.reply.body)
+        self.second = self.engine('e2', events=12)
+        self.third = self.engine('e3', events=12)
+        self.node.registry.draw = lambda: 0.0
+        self.second.behaviour = Behaviour.SHED
+        self.first.register(state='draining', spot=True, leaves_ms=100)
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual(1, self.second.refused)
+        self.assertEqual([], self.third.runs)
+
 
 class FaultTest(RequestTest):
     def test_a_lost_order_is_unknown_and_never_called_unrun(self) -> None:
