Let callers read their last answer to its end

What callers saw: the last answer on a connection (Connection: close, also in a stop) broke off after five seconds if the link was too full to take it by then.

Cause: what was unsent had five seconds in all, whether or not the caller read. Between two answers a slow caller is waited for while it reads.

The five seconds now count from the last progress, which is looked at every half second, so that a caller that reads nothing is closed up to about a second later than before. As all is handed to the operating system the usual second to close begins; before, the rest of the five seconds was left.

test_the_last_answer_is_read_slowly fails without the change; two tests beside it check that callers that stop reading are closed.

--- a/src/guavachute/entry/callers.py
+++ b/src/guavachute/entry/callers.py
@@ -35,7 +35,11 @@
 that."""
 
 UNSENT_LINGER_S = 5.0
-"""A caller has this long to read the unsent part of its last answer."""
+"""A caller that reads nothing for this long does not get the unsent part of
+its last answer."""
+
+UNSENT_CHECKS = 10
+"""How often in that time it is looked at whether the caller reads."""
 
 MAX_UNSENT_BYTES = 262_144
 """With more unsent bytes than this, the endpoint is not read."""
@@ -148,6 +152,7 @@
         self._serving_bytes = 0
         self._waits_for_room = False
         self._delivery = delivery.Delivery(connection)
+        self._progressed_s = 0.0
         self._late_bytes: late_bytes.LateBytes | None = None
         self._idle = idle_clock.IdleClock(
             loop, lambda: handler.limits.idle_timeout_s, idle_limits
@@ -309,6 +314,7 @@
     def drained(self) -> None:
         """Continue after all that was written has been sent."""
         if self._state is _State.LINGERING:
+            self._start_timer(LINGER_S)
             self._connection.finish_writing()
         elif self._exchange is not None:
             self._exchange.handle_caller_drained()
@@ -555,7 +561,8 @@
         self._discard_unserved()
         self._start_timer(LINGER_S)
         if self._connection.unsent_bytes:
-            self._start_timer(UNSENT_LINGER_S)
+            self._progressed_s = self._loop.now_s
+            self._start_timer(UNSENT_LINGER_S / UNSENT_CHECKS)
         else:
             self._connection.finish_writing()
 
@@ -580,6 +587,16 @@
             return
         self._start_timer(self._idle.timeout_s)
 
+    def _await_last_answer(self) -> None:
+        """Wait while the caller reads its last answer, however slowly."""
+        now_s = self._loop.now_s
+        if self._delivery.has_progressed():
+            self._progressed_s = now_s
+        if now_s - self._progressed_s < UNSENT_LINGER_S:
+            self._start_timer(UNSENT_LINGER_S / UNSENT_CHECKS)
+        else:
+            self._close()
+
     def _time_out(self) -> None:
         if self._state is _State.READING and not self._connection.is_closed:
             if self._answers_are_behind:
@@ -592,11 +609,10 @@
         if self._state is _State.IDLE:
             self._time_out_idle()
             return
-        if (
-            self._delivery.would_be_cut
-            and not self._connection.unsent_bytes
-            and self._delivery.has_progressed()
-        ):
+        if self._connection.unsent_bytes:
+            self._await_last_answer()
+            return
+        if self._delivery.would_be_cut and self._delivery.has_progressed():
             self._start_timer(LINGER_S)
             return
         self._close()
--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -5,6 +5,7 @@
 import socket
 import typing
 import unittest
+from unittest import mock
 
 from guavachute.decide.ingress.closing import idle_limits
 from guavachute.domain import configuration
@@ -22,6 +23,9 @@
     'headerTimeoutMs': 300,
 }
 
+LINGER_S = 0.4
+"""A short limit for callers that read nothing of their last answer."""
+
 REQUEST = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -356,3 +360,48 @@
         self.handler.body = bytes(callers.MAX_UNSENT_BYTES)
         self.theirs.sendall(REQUEST)
         looping.run_until(self.loop, lambda: self.connection.is_closed)
+
+    # Guards against an answer that breaks off although its caller reads on:
+    # the last answer of a connection had five seconds to be read.
+    def test_the_last_answer_is_read_slowly(self) -> None:
+        self.begin_last_answer()
+        received = bytearray()
+        for _ in range(20):
+            looping.run_for(self.loop, LINGER_S / 4)
+            received += self.theirs.recv(65_536)
+        self.assertFalse(self.connection.is_closed)
+        self.assertTrue(self.connection.unsent_bytes)
+
+        def read_to_the_end() -> bool:
+            with contextlib.suppress(BlockingIOError):
+                received.extend(self.theirs.recv(65_536))
+            return len(received) > len(self.handler.body)
+
+        looping.run_until(self.loop, read_to_the_end)
+        looping.run_until(self.loop, lambda: self.connection.is_closed)
+
+    # Guards against a connection that is kept for a caller that reads nothing
+    # of its last answer.
+    def test_a_caller_that_never_reads_its_last_answer(self) -> None:
+        self.begin_last_answer()
+        looping.run_for(self.loop, 1.5 * LINGER_S)
+        self.assertTrue(self.connection.is_closed)
+
+    # Guards against the same where it stops after a part.
+    def test_a_caller_that_reads_a_part_of_its_last_answer(self) -> None:
+        self.begin_last_answer()
+        looping.run_for(self.loop, 0.5 * LINGER_S)
+        self.theirs.recv(65_536)
+        looping.run_for(self.loop, 2 * LINGER_S)
+        self.assertTrue(self.connection.is_closed)
+
+    def begin_last_answer(self) -> None:
+        """Have an answer begun that is larger than what the system takes."""
+        patch = mock.patch.object(callers, 'UNSENT_LINGER_S', LINGER_S)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.handler.is_stopping = True
+        self.handler.body = bytes(40 * callers.MAX_UNSENT_BYTES)
+        self.theirs.sendall(REQUEST)
+        looping.run_until(self.loop, lambda: self.handler.begun)
+        self.assertTrue(self.connection.unsent_bytes)
