Test the last connection that a planned stop accepts

A connection that is pending when the process stops listening is accepted, and its request may come later. The test opens one just before and sends 0.4 s later: it gets 503. It finds no fault. A comment that had come before the wrong test is back at its own.

--- a/tests/cover/test_crossed_closes.py
+++ b/tests/cover/test_crossed_closes.py
@@ -76,6 +76,21 @@
         with self.assertRaises(ConnectionRefusedError):
             self.site.send(node, '/order/a')
 
+    # Guards against the same for a connection that was accepted last and whose
+    # request comes later.
+    def test_a_connection_that_a_stop_accepts_last_is_answered(self) -> None:
+        node = self.site.ready_node()
+        node.stop()
+        self.run_for(2.7)
+        last = platform_site.CallerSocket(self.site.loop, node.ingress.address)
+        self.addCleanup(last.close)
+        self.run_for(0.4)
+        with self.assertRaises(ConnectionRefusedError):
+            self.site.send(node, '/order/a')
+        self.assertEqual(503, self.status_of_next(last))
+        # To stop listening again, as the end of the process does, is harmless.
+        node.ingress.stop_accepting()
+
     # Guards against LOST in a planned stop: a request that was on its way when
     # the stop closed its kept connection was read and never answered.
     def test_a_request_on_a_kept_connection_crosses_a_stop(self) -> None:
@@ -111,7 +126,6 @@
         self.run_for(0.8)
         self.assertEqual(200, self.status_of_next(caller))
 
-    # Guards against a node and a caller that know different idle limits.
     # Guards against LOST with a short idle limit on slow links: the caller's
     # idle time begins when the answer arrives, and its request takes time too.
     def test_a_request_crosses_the_end_of_a_short_idle_limit(self) -> None:
@@ -122,6 +136,7 @@
         self.run_for(0.8 + 2 * 0.3)
         self.assertEqual(200, self.status_of_next(caller))
 
+    # Guards against a node and a caller that know different idle limits.
     def test_an_answer_says_how_long_its_connection_is_kept(self) -> None:
         node = self.site.ready_node()
         caller = self.kept_connection(node)
