Have the soak behind slow links tell requests that are cut in time

It counted a request as lost only if it had been read, so that a reset of a connection that had to be kept counted as none. Short idle limits were rare.

Requests without an answer are now a failure also if their caller kept to four fifths of the shortest limit that it may know and the process was not told to stop, or if they are the first on a connection that was opened within 0.4 s before, in a stop too. One idle limit of two is 0.4 to 1 s.

--- a/soak/slow_links.py
+++ b/soak/slow_links.py
@@ -25,7 +25,9 @@
 
 SERIES_S = 15.0
 DELAY_RANGE_S = (0.05, 0.5)
-IDLE_RANGE_S = (0.6, 3.0)
+IDLE_RANGES_S = ((0.4, 1.0), (0.6, 3.0))
+"""One limit of two is short: a fifth of it is less than the links' delay."""
+
 TIMEOUT_RANGE_MS = (2_000, 4_000)
 PAUSE_RANGE_S = (0.2, 1.0)
 STEP_RANGE_S = (0.1, 0.8)
@@ -39,6 +41,10 @@
 USED_FRACTION = 0.8
 """Callers use connections that rested up to this fraction of an idle limit."""
 
+NEW_S = 0.4
+"""A request that is sent this soon after its connection was opened has to get
+an answer, whatever the process does."""
+
 LOSS_SLACK_S = 0.2
 """A request may be lost if its connection ends this soon (lossSlackMs)."""
 
@@ -81,11 +87,18 @@
     :ivar crossed: whether the process had ended the connection by then
     :ivar end_is_late: whether this program itself stood still when it noticed
         the end of the connection
+    :ivar idle_s: how long its connection had been idle when it was sent, by
+        the caller's clock
+    :ivar limit_s: the shortest idle limit that its caller might know
+    :ivar is_first: whether it was the first on its connection
     """
 
     handed_s: float = float('inf')
     crossed: bool = False
     end_is_late: bool = False
+    idle_s: float = 0.0
+    limit_s: float = 0.0
+    is_first: bool = False
     connection: 'Connection | None' = None
 
     def __str__(self) -> str:
@@ -94,6 +107,8 @@
         return (
             f'{guarantees.Attempt.__str__(self)} handed={self.handed_s:.3f} '
             f'ended={self.ended_s:.3f} crossed={self.crossed} '
+            f'idle={self.idle_s:.3f} limit={self.limit_s} '
+            f'first={self.is_first} '
             f'end={self.connection.end.value}'
         )
 
@@ -106,6 +121,21 @@
             return False
         return has_run or not self.is_unread
 
+    def is_cut_in_time(self, stopped_s: float) -> bool:
+        """Whether it got no answer although its connection had to be kept.
+
+        :param stopped_s: when its process was told to stop; infinite if it
+            was not
+        """
+        if self.status or self.handed_s == float('inf'):
+            return False
+        if self.is_first and self.idle_s <= NEW_S:
+            return True
+        return (
+            self.handed_s < stopped_s
+            and self.idle_s <= USED_FRACTION * self.limit_s
+        )
+
     def excuse(self, paused_in_stop_s: float) -> str:
         """Why it may be lost; empty if it may not.
 
@@ -159,6 +189,8 @@
         self.is_told_to_close = False
         self.keep_alive_s = float('inf')
         self.pending: collections.deque[Request] = collections.deque()
+        self.is_unused = True
+        self.idle_since_s = loop.now_s
         address = program.site.listen.callers
         assert address is not None
         host, _, port = address.rpartition(':')
@@ -260,7 +292,7 @@
         if self.pending:
             request = self.pending.popleft()
             request.is_complete = True
-            request.ended_s = self._loop.now_s
+            request.ended_s = self.idle_since_s = self._loop.now_s
 
 
 class Caller:
@@ -369,7 +401,7 @@
 
     def __init__(self, *arguments: typing.Any) -> None:
         self._limits: list[tuple[float, float]] = []
-        self._stopping: set[str] = set()
+        self._stopped_s: dict[str, float] = {}
         self._paused: set[str] = set()
         self._paused_in_stop_s: dict[str, float] = {}
         self.requests: list[Request] = []
@@ -399,21 +431,29 @@
             incarnation=connection.incarnation,
             sent_s=self.loop.now_s,
             version=self.version,
+            idle_s=self.loop.now_s - connection.idle_since_s,
+            limit_s=min(self._known_limits_s()),
+            is_first=connection.is_unused,
             connection=connection,
         )
+        connection.is_unused = False
         self.requests.append(request)
         self.attempts.append(request)
         return request
 
-    def rest_s(self) -> float:
-        """How long a caller may rest, by a limit that it may know."""
+    def _known_limits_s(self) -> list[float]:
+        """The idle limits that callers may know."""
         known_for_s = self.programs[0].site.bounds.configuration_s
         ends_s = [at_s for _, at_s in self._limits[1:]] + [float('inf')]
-        known = [
+        return [
             limit_s
             for (limit_s, _), end_s in zip(self._limits, ends_s, strict=True)
             if end_s > self.loop.now_s - known_for_s
         ]
+
+    def rest_s(self) -> float:
+        """How long a caller may rest, by a limit that it may know."""
+        known = self._known_limits_s()
         share = 1.0 - self.rng.random() ** 2
         return USED_FRACTION * share * self.rng.choice(known)
 
@@ -466,18 +506,23 @@
             for end in program.unexpected_exits
         ]
         failures += guarantees.violations(self.attempts, self.runs)
-        return failures + [
-            f'lost: {item}'
-            for item in self.requests
-            if item.is_lost(item.attempt_id in self.runs)
-            and not self._excuse(item)
-        ]
+        return (
+            failures
+            + [
+                f'lost: {item}'
+                for item in self.requests
+                if item.is_lost(item.attempt_id in self.runs)
+                and not self._excuse(item)
+            ]
+            + [f'cut in time: {item}' for item in self.cut_in_time]
+        )
 
     # -- the disturbances ----------------------------------------------
 
     def write_configuration(self) -> None:
         """Write the newest version, with its own idle limit and time-outs."""
-        limit_s = round(self.rng.uniform(*IDLE_RANGE_S), 1)
+        range_s = self.rng.choice(IDLE_RANGES_S)
+        limit_s = round(self.rng.uniform(*range_s), 1)
         self._limits.append((limit_s, self.loop.now_s))
         self._note(f'version {self.version}, idle limit {limit_s} s')
         own = [
@@ -515,7 +560,7 @@
 
     def _stop(self, program: programs.Program) -> None:
         self._note(f'SIGTERM {program.incarnation}')
-        self._stopping.add(program.incarnation)
+        self._stopped_s.setdefault(program.incarnation, self.loop.now_s)
         self._note_pause_in_stop(program.incarnation)
         program.stop()
         if self.rng.random() < SECOND_STOP_FRACTION:
@@ -546,7 +591,7 @@
         self.loop.call_after(self.rng.uniform(*PAUSE_RANGE_S), resume)
 
     def _note_pause_in_stop(self, incarnation: str) -> None:
-        if incarnation in self._stopping & self._paused:
+        if incarnation in self._paused and incarnation in self._stopped_s:
             self._paused_in_stop_s.setdefault(incarnation, self.loop.now_s)
 
     def _restart_ended(self) -> None:
@@ -566,6 +611,18 @@
             self._paused_in_stop_s.get(request.incarnation, float('inf'))
         )
 
+    @property
+    def cut_in_time(self) -> list[Request]:
+        """The requests without an answer whose connection had to be kept."""
+        return [
+            item
+            for item in self.requests
+            if item.is_cut_in_time(
+                self._stopped_s.get(item.incarnation, float('inf'))
+            )
+            and not self._excuse(item)
+        ]
+
     @property
     def crossed(self) -> int:
         """The number of requests that crossed the close of a connection."""
--- a/tests/nocover/test_soak_slow_links.py
+++ b/tests/nocover/test_soak_slow_links.py
@@ -139,6 +139,43 @@
         self.assertEqual('noticed late', self.excuse(0.3, end_is_late=True))
 
 
+class CutInTimeTest(unittest.TestCase):
+    def is_cut(
+        self,
+        idle_s: float,
+        stopped_s: float = float('inf'),
+        is_first: bool = False,
+        status: int = 0,
+    ) -> bool:
+        return slow_links.Request(
+            attempt_id='a1',
+            route=ORDER,
+            target='/order/1',
+            body=b'',
+            workspace='botany',
+            incarnation='edge-0/1',
+            sent_s=2.0,
+            version=1,
+            handed_s=2.0,
+            idle_s=idle_s,
+            limit_s=1.0,
+            is_first=is_first,
+            status=status,
+        ).is_cut_in_time(stopped_s)
+
+    def test_a_kept_connection_within_the_limit(self) -> None:
+        self.assertTrue(self.is_cut(0.8))
+        self.assertFalse(self.is_cut(0.81))
+        self.assertFalse(self.is_cut(0.8, status=200))
+        self.assertTrue(self.is_cut(0.8, stopped_s=2.1))
+        self.assertFalse(self.is_cut(0.8, stopped_s=1.9))
+
+    def test_a_new_connection_even_in_a_stop(self) -> None:
+        self.assertTrue(self.is_cut(0.4, stopped_s=1.0, is_first=True))
+        self.assertFalse(self.is_cut(0.5, stopped_s=1.0, is_first=True))
+        self.assertFalse(self.is_cut(0.4, stopped_s=1.0))
+
+
 class ShortRun(slow_links.SlowRun):
     """A run that takes less time."""
 
