Leave the endpoint of an attempt that was given up

Seen in a test: a stream that was taken from a silent link went back to the same endpoint through another node, as that has its prompt, and ran there twice.

Cause: an attempt that is given up early did not note its endpoint as tried, as other failed attempts do; only the look for a successor left it out.

Change: the endpoint is noted where each failed attempt is recorded.

--- a/src/guavachute/entry/exchange.py
+++ b/src/guavachute/entry/exchange.py
@@ -289,6 +289,7 @@
         if (
             isinstance(self._connection, upstream.Connection)
             and self._record is not None
+            and self._move_state is exchange_state.MoveState.NONE
             and self._owner.registry.is_abandoned(
                 self._record,
                 self._connection.silent_s,
@@ -300,7 +301,7 @@
         ):
             self._connection_end = 'silent'
             self._lose_attempt()
-            self._log_failed_attempt('the link to the endpoint is cut')
+            self._record_failed_attempt('the link to the endpoint is cut')
             self.dispatch()
 
     def _finds_successor(self) -> bool:
@@ -682,7 +683,9 @@
             self._report_start()
         self._release_endpoint(keeps_alive=False)
 
-    def _log_failed_attempt(self, reason: str) -> None:
+    def _record_failed_attempt(self, reason: str) -> None:
+        if self._record is not None:
+            self._tried_endpoints.add(self._record.entry.id)
         request_log.log_failed_attempt(
             self,
             self._record,
@@ -692,9 +695,7 @@
         )
 
     def _after_failure(self, reason: str) -> None:
-        if self._record is not None:
-            self._tried_endpoints.add(self._record.entry.id)
-        self._log_failed_attempt(reason)
+        self._record_failed_attempt(reason)
         if self._may_repeat and self._consume_retry():
             self.dispatch()
         elif self.first_byte_s is not None:
--- a/tests/cover/test_begun_answers.py
+++ b/tests/cover/test_begun_answers.py
@@ -183,6 +183,32 @@
         self.check_complete(callers)
         self.check_complete(others)
 
+    # Guards against an endpoint that gets an attempt again, through another
+    # node, while it still runs it.
+    def test_a_stream_leaves_the_endpoint_of_a_silent_link(self) -> None:
+        nodes = self.start(2)
+        others = self.begin_streams(nodes[1])
+        caller = self.site.send(
+            nodes[0],
+            '/resumable/a',
+            Deadline_Ms='15000',
+            Token_Counts='9000,60',
+            Prefix_Hash='aa:9000',
+        )
+        callers = [caller]
+        looping.run_until(self.site.loop, lambda: events(caller) >= 3)
+        # Of all endpoints, this one has the prompt.
+        (silent,) = (
+            engine
+            for engine in self.site.engines
+            if any('aa:9000' in run.headers.values() for run in engine.runs)
+        )
+        self.site.links.cut(nodes[0].loop, Mode.HANG, [silent.address])
+        self.check_complete(callers)
+        self.check_complete(others)
+        attempts = [run.attempt_id for run in silent.runs]
+        self.assertEqual(len(attempts), len(set(attempts)))
+
     # Guards against begun answers that wait for the system's time-out in a cut
     # from all endpoints, as they were not silent for long when it was found.
     def test_streams_go_on_through_another_node_in_a_cut(self) -> None:
