--- a/tests/cover/test_entry_requests.py
+++ b/tests/cover/test_entry_requests.py
@@ -1,6 +1,7 @@
 """Requests through a complete node, to healthy and faulty endpoints."""
 
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -372,6 +373,31 @@
         (run,) = self.third.runs
         self.assertNotIn('kv-from', run.headers)
 
+    # Guards against ORDER: a run that is being moved and also goes on at a
+    # second endpoint, as its link is silent.
+    def test_a_run_that_is_being_moved_is_not_abandoned(self) -> None:
+        caller = self.site.send(self.node, '/resumable/a')
+        looping.run_until(
+            self.site.loop, lambda: len(event_ids(caller.reply.body)) >= 3
+        )
+        second = self.engine('e2', events=12)
+        (started,) = self.node.ingress._exchanges
+        looping.run_until(
+            self.site.loop,
+            lambda: len(self.node.ingress.usable(started, ())) == 2,
+        )
+        with (
+            mock.patch.object(self.node.ingress, 'move_run'),
+            mock.patch.object(
+                self.node.registry, 'is_abandoned', lambda *arguments: True
+            ),
+        ):
+            started.move_away()
+            started.abandon_silent()
+        looping.run_until(self.site.loop, lambda: caller.reply.has_ended)
+        self.assertEqual(self.IDS, event_ids(caller.reply.body))
+        self.assertEqual([], second.runs)
+
     # Guards against begun answers that end as no endpoint can be used in the
     # moment in which a move fails.
     def test_a_run_without_its_copy_waits_for_an_endpoint(self) -> None:
