Soak: links that pause beside planned work

What callers saw: begun streams that a node ended as its own links were silent for a second (docs/incidents/abandoned-answers.md). The soak cut links only beside other faults, and its streams ran for 0.3 s, so it could not tell.

--paused-links lets nothing pass between one process and all endpoints for 0.8 to 2.5 s, in series, beside stops, SIGHUP and configurations with one or two attempts, while streams run for 2 to 6 s. A begun stream may end early only in the last half second of its node's grace period. SlowRun's callers and the fields of its routes can be replaced; what it plays is unchanged.

--- a/soak/run.py
+++ b/soak/run.py
@@ -12,6 +12,7 @@
 
 from guavachute.cli import process
 from soak import broken
+from soak import paused_links
 from soak import regressions
 from soak import seed_run
 from soak import slow_links
@@ -37,6 +38,8 @@
     """Also run the seeds that failed in the past."""
     slow_links: typing.Annotated[bool, cappa.Arg(long=True)] = False
     """Instead play stops and changing idle limits behind slow links."""
+    paused_links: typing.Annotated[bool, cappa.Arg(long=True)] = False
+    """Instead play links to endpoints that pause beside planned work."""
 
 
 def run(command: SoakCommand) -> int:
@@ -58,6 +61,11 @@
     concurrency = max(
         1, min(MAX_CONCURRENT, 4 * MAX_CONCURRENT // command.processes)
     )
+    run_type: type[seed_run.SeedRun] = seed_run.SeedRun
+    if command.paused_links:
+        run_type = paused_links.PausedRun
+    elif command.slow_links:
+        run_type = slow_links.SlowRun
     bad = 0
     with concurrent.futures.ProcessPoolExecutor(concurrency) as workers:
         runs = [
@@ -67,7 +75,7 @@
                 command.processes,
                 folder / str(seed),
                 command.variant,
-                slow_links.SlowRun if command.slow_links else seed_run.SeedRun,
+                run_type,
             )
             for seed in seeds
         ]
--- a/soak/slow_links.py
+++ b/soak/slow_links.py
@@ -398,6 +398,8 @@
 
     series_s = SERIES_S
     max_callers = MAX_CALLERS
+    callers_per_process = CALLERS_PER_PROCESS
+    caller_type: typing.Callable[..., typing.Any] = Caller
 
     def __init__(self, *arguments: typing.Any) -> None:
         self._limits: list[tuple[float, float]] = []
@@ -408,7 +410,7 @@
         self.unsettled: list[Connection] = []
         self.is_ending = False
         super().__init__(*arguments)
-        self.callers: list[Caller] = []
+        self.callers: list[typing.Any] = []
 
     def close(self) -> None:
         """Stop all processes and close all connections and servers."""
@@ -465,11 +467,12 @@
             looping.run_for(self.loop, START_GAP_S)
         failures = self._wait_until_ready('after the start')
         self.callers = [
-            Caller(self, program)
+            type(self).caller_type(self, program)
             for program in self.programs
             for _ in range(
                 min(
-                    CALLERS_PER_PROCESS, self.max_callers // len(self.programs)
+                    self.callers_per_process,
+                    self.max_callers // len(self.programs),
                 )
             )
         ]
@@ -536,11 +539,15 @@
         )
         fields['limits']['idleTimeoutMs'] = round(1_000 * limit_s)
         for route in fields['routes']:
-            route['timeoutMs'] = self.rng.randint(*TIMEOUT_RANGE_MS)
+            route.update(self.route_fields())
         self.store.put(
             standin_store.OPERATOR_TOPIC, 'config', msgspec.json.encode(fields)
         )
 
+    def route_fields(self) -> dict[str, typing.Any]:
+        """Return what a version sets for its routes."""
+        return {'timeoutMs': self.rng.randint(*TIMEOUT_RANGE_MS)}
+
     def _change_configuration(self) -> None:
         if not self.is_ending:
             self.change_configuration()
