--- a/tests/support/cut_links.py
+++ b/tests/support/cut_links.py
@@ -160,11 +160,13 @@
     def hold(self, is_held: bool) -> None:
         """Hold all bytes up, or let them pass from now on."""
         if is_held and self._held is None:
-            self._held = []
+            held_now: list[bytes] = []
+            self._held = held_now
             super().pause()
             # The system gives up when nothing is acknowledged for long.
             self._loop.call_after(
-                transport.KEEPALIVE.user_timeout_s, self._give_up
+                transport.KEEPALIVE.user_timeout_s,
+                lambda: self._give_up(held_now),
             )
         elif not is_held and self._held is not None:
             held, self._held = self._held, None
@@ -188,6 +190,7 @@
         if self._held is None:
             super().resume()
 
-    def _give_up(self) -> None:
-        if self._held is not None:
+    def _give_up(self, held: list[bytes]) -> None:
+        # A later time in which bytes are held up has a timer of its own.
+        if self._held is held:
             self._break()
