--- a/tests/nocover/test_soak_slow_links.py
+++ b/tests/nocover/test_soak_slow_links.py
@@ -182,12 +182,24 @@
     series_s = 12.0
 
 
+MAX_SEEDS = 6
+
+
 class SeedTest(unittest.TestCase):
     def play(self, variant: str | None) -> ShortRun:
-        with tempfile.TemporaryDirectory() as folder:
-            run = ShortRun(1, 3, pathlib.Path(folder), variant)
-            self.addCleanup(run.close)
-            self.failures = run.run()
+        """Play seeds until a request has crossed a close.
+
+        That happens in few seeds, as connections are kept for the way of
+        requests. Other seeds have to keep all promises.
+        """
+        for seed in range(1, MAX_SEEDS + 1):
+            with tempfile.TemporaryDirectory() as folder:
+                run = ShortRun(seed, 3, pathlib.Path(folder), variant)
+                self.addCleanup(run.close)
+                self.failures = run.run()
+            if run.crossed:
+                break
+            self.assertEqual([], self.failures)
         return run
 
     def test_a_seed_keeps_all_promises(self) -> None:
